Lay out the workspace: wire messages, document types, platform adapter

Every later part stands on these types, so they come first and alone. Decisions will be pure crates (coordination, routing); the daemon and the command line are thin around them.

--- /dev/null
+++ b/crates/papayayard/src/main.rs
@@ -0,0 +1,3 @@
+//! The `papayayard` program, which every entry host runs.
+
+fn main() {}
--- /dev/null
+++ b/crates/papayayard_coordination/src/lib.rs
@@ -0,0 +1,5 @@
+//! Pure state machines over the platform's log and the peers.
+//!
+//! Nothing here has a socket, a clock, a thread or a global: time and
+//! randomness are handed in, and decisions come back as values. The parts can
+//! be embedded by other programs and replayed from a seed.
--- /dev/null
+++ b/crates/papayayard_platform/src/http.rs
@@ -0,0 +1,143 @@
+//! Adapter for a platform that speaks HTTP and JSON.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, Uri};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper_util::client::legacy;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use papayayard_wire::{directory, id, log};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::time;
+
+use crate::service::{self, Error};
+
+/// Most bytes of one answer.
+const MAX_ANSWER_BYTES: usize = 64 << 20;
+/// Most characters of an error's body that are kept.
+const MAX_REASON_CHARS: usize = 200;
+
+/// Client of the platform's log and host list.
+#[derive(Clone)]
+pub struct Client {
+    address: SocketAddr,
+    timeout: Duration,
+    inner: legacy::Client<HttpConnector, Full<Bytes>>,
+}
+
+impl Client {
+    /// Makes a client; `timeout` bounds each call beyond the wait it asks for.
+    pub fn new(address: SocketAddr, timeout: Duration) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(timeout));
+        Self {
+            address,
+            timeout,
+            inner: legacy::Client::builder(TokioExecutor::new()).build(connector),
+        }
+    }
+
+    async fn call<Answer>(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        wait: Duration,
+    ) -> Result<Answer, Error>
+    where
+        Answer: DeserializeOwned,
+    {
+        let exchange = self.exchange(method, path, body);
+        let bytes = time::timeout(self.timeout + wait, exchange)
+            .await
+            .unwrap_or_else(|_| Err(lost("the answer took too long")))?;
+        serde_json::from_slice(&bytes).map_err(|error| Error::Malformed {
+            reason: error.to_string(),
+        })
+    }
+
+    async fn exchange(&self, method: Method, path: &str, body: Bytes) -> Result<Bytes, Error> {
+        let uri = format!("http://{}{path}", self.address)
+            .parse::<Uri>()
+            .map_err(|error| Error::Malformed {
+                reason: error.to_string(),
+            })?;
+        let mut request = Request::new(Full::new(body));
+        *request.method_mut() = method;
+        *request.uri_mut() = uri;
+        let response = self.inner.request(request).await.map_err(|error| {
+            if error.is_connect() {
+                Error::Unreachable {
+                    address: self.address.to_string(),
+                    reason: error.to_string(),
+                }
+            } else {
+                lost(&error.to_string())
+            }
+        })?;
+        let status = response.status();
+        let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES)
+            .collect()
+            .await
+            .map_err(|error| lost(&error.to_string()))?
+            .to_bytes();
+        if status.is_success() {
+            return Ok(body);
+        }
+        Err(Error::Status {
+            status: status.as_u16(),
+            body: String::from_utf8_lossy(&body)
+                .chars()
+                .take(MAX_REASON_CHARS)
+                .collect(),
+        })
+    }
+}
+
+impl service::Log for Client {
+    async fn append(&self, stream: &id::Stream, batch: &log::Batch) -> Result<log::Offsets, Error> {
+        let path = format!("/streams/{stream}/records");
+        self.call(Method::POST, &path, encode(batch)?, Duration::ZERO)
+            .await
+    }
+
+    async fn read(&self, stream: &id::Stream, query: &service::Query) -> Result<log::Page, Error> {
+        let path = format!(
+            "/streams/{stream}/records?from={}&limit={}&wait_ms={}",
+            query.from.0,
+            query.limit,
+            query.wait.as_millis()
+        );
+        self.call(Method::GET, &path, Bytes::new(), query.wait)
+            .await
+    }
+}
+
+impl service::Directory for Client {
+    async fn list(&self) -> Result<directory::List, Error> {
+        self.call(Method::GET, "/hosts", Bytes::new(), Duration::ZERO)
+            .await
+    }
+}
+
+fn encode<Value>(value: &Value) -> Result<Bytes, Error>
+where
+    Value: Serialize,
+{
+    serde_json::to_vec(value)
+        .map(Bytes::from)
+        .map_err(|error| Error::Malformed {
+            reason: error.to_string(),
+        })
+}
+
+fn lost(reason: &str) -> Error {
+    Error::Lost {
+        reason: reason.to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/papayayard_wire/src/block.rs
@@ -0,0 +1,69 @@
+//! Keys of cached blocks.
+//!
+//! A prompt is cut into pieces. The key of a piece is a hash over the key of
+//! the piece before it and its own bytes, so one key names a whole prefix.
+//! The first parent is the cache salt, which stands for everything that two
+//! prompts must have in common before they may share a block.
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3;
+
+/// The key of one cached block and of the prefix that ends with it.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Key(pub u64);
+
+/// Cache salt: the root of a chain of keys.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Salt(pub u64);
+
+/// Computes the keys of a prompt that arrives in segments of any length.
+pub struct Chain {
+    parent: u64,
+    hasher: xxh3::Xxh3,
+    filled: usize,
+    size: usize,
+    keys: Vec<Key>,
+}
+
+impl Chain {
+    /// Starts a chain; `size` is the length of a piece in bytes.
+    pub fn new(salt: Salt, size: usize) -> Self {
+        Self {
+            parent: salt.0,
+            hasher: xxh3::Xxh3::with_seed(salt.0),
+            filled: 0,
+            size: size.max(1),
+            keys: Vec::new(),
+        }
+    }
+
+    /// Adds the next bytes of the prompt.
+    pub fn push(&mut self, mut bytes: &[u8]) {
+        while !bytes.is_empty() {
+            let room = self.size - self.filled;
+            let (now, rest) = bytes.split_at(room.min(bytes.len()));
+            self.hasher.update(now);
+            self.filled += now.len();
+            bytes = rest;
+            if self.filled == self.size {
+                self.close();
+            }
+        }
+    }
+
+    /// Ends the prompt; the bytes after the last whole piece have no key.
+    pub fn finish(self) -> Vec<Key> {
+        self.keys
+    }
+
+    fn close(&mut self) {
+        self.parent = self.hasher.digest();
+        self.keys.push(Key(self.parent));
+        self.hasher = xxh3::Xxh3::with_seed(self.parent);
+        self.filled = 0;
+    }
+}
--- /dev/null
+++ b/crates/papayayard_wire/src/configuration.rs
@@ -0,0 +1,29 @@
+//! Records of the log's `configuration` stream.
+
+use serde::{Deserialize, Serialize};
+
+use crate::id;
+
+/// Name of the stream that operators publish configuration on.
+pub const STREAM: &str = "configuration";
+/// Format of [`Proposal`] that this version writes.
+pub const FORMAT: u32 = 1;
+
+/// A document that is to replace the accepted one.
+///
+/// It is accepted where `base` is the accepted revision and `revision` follows
+/// it. A record whose `revision` and `digest` are those already accepted
+/// repeats them, so that they outlive the log's retention.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Proposal {
+    /// Format of this record, [`FORMAT`].
+    pub format: u32,
+    /// Revision that the document replaces; 0 where there is none.
+    pub base: id::Revision,
+    /// Revision that the document gets, `base` + 1.
+    pub revision: id::Revision,
+    /// BLAKE3 digest of `document`, in hexadecimal.
+    pub digest: String,
+    /// The document's bytes, YAML.
+    pub document: String,
+}
--- /dev/null
+++ b/crates/papayayardctl/src/main.rs
@@ -0,0 +1,3 @@
+//! The `papayayardctl` program, for operators and for trying papayayard out.
+
+fn main() {}
