Read a document from YAML

Others need Document::parse now. It reports one fault, the first that the YAML library meets, with its line; the whole checks follow.

--- a/crates/papayayard_document/src/document.rs
+++ b/crates/papayayard_document/src/document.rs
@@ -3,6 +3,8 @@
 use papayayard_wire::id;
 use serde::{Deserialize, Serialize};
 
+use crate::fault;
+
 /// A whole configuration document.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -17,6 +19,22 @@
     pub services: Vec<Service>,
 }
 
+impl Document {
+    /// Reads a document and checks it; on failure lists its faults.
+    pub fn parse(text: &str) -> Result<Self, Vec<fault::Fault>> {
+        serde_saphyr::from_str(text).map_err(|error| {
+            vec![fault::Fault {
+                line: error
+                    .location()
+                    .and_then(|place| usize::try_from(place.line()).ok()),
+                key: "document".to_owned(),
+                problem: error.to_string(),
+                remedy: "correct the text as the problem says".to_owned(),
+            }]
+        })
+    }
+}
+
 /// Length of a cached piece.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
