Add the daemon's frame: filters, relays, controllers and listeners

Callers' requests pass a typed filter chain and leave at one relay; state is kept by controllers that talk by messages. Streams are checked event by event against a transcript, which is also what another endpoint continues from.

Not yet there: choice by prefix (least in-flight for now), claims (keyed requests are refused as not run), peers.

--- /dev/null
+++ b/crates/papayayard/src/controllers/directory.rs
@@ -0,0 +1,35 @@
+//! Reads the platform's list of hosts and passes changes on.
+
+use std::time::Duration;
+
+use papayayard_platform::service;
+use papayayard_wire::directory;
+use tokio::sync::watch;
+use tokio::time;
+
+/// Reads the list every `period` until nobody listens any more.
+pub(crate) async fn follow<Directory>(
+    source: Directory,
+    period: Duration,
+    list: watch::Sender<directory::List>,
+) where
+    Directory: service::Directory,
+{
+    let mut ticks = time::interval(period);
+    ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+    while !list.is_closed() {
+        ticks.tick().await;
+        match source.list().await {
+            Ok(fresh) => {
+                list.send_if_modified(|known| replace(known, fresh));
+            }
+            Err(error) => log::warn!("the list of hosts cannot be read: {error}"),
+        }
+    }
+}
+
+fn replace(known: &mut directory::List, fresh: directory::List) -> bool {
+    let changed = *known != fresh;
+    *known = fresh;
+    changed
+}
--- /dev/null
+++ b/crates/papayayard/src/controllers/mod.rs
@@ -0,0 +1,6 @@
+//! Controllers: tasks that keep the state which filters and relays read.
+
+pub(crate) mod configuration;
+pub(crate) mod directory;
+pub(crate) mod fleet;
+pub(crate) mod observer;
--- /dev/null
+++ b/crates/papayayard/src/filters/completion.rs
@@ -0,0 +1,102 @@
+//! Reads a completion: which model, and the keys of its prompt's pieces.
+
+use papayayard_document::document;
+use papayayard_wire::refusal::Kind;
+use papayayard_wire::{block, completion};
+use xxhash_rust::xxh3;
+
+use crate::exchange::{Completion, Whole};
+use crate::filters::Filter;
+use crate::refusal::Refusal;
+
+/// Reads a completion.
+pub(crate) struct Parse;
+
+impl Filter<Whole> for Parse {
+    type Output = Completion;
+
+    async fn apply(&self, whole: Whole) -> Result<Completion, Refusal> {
+        let request = parse(&whole.body)?;
+        let active = &whole.known.active;
+        let (name, adapter) = split(&request.model);
+        let found = active.model(name).ok_or_else(|| unknown(&request.model))?;
+        if let Some(adapter) = adapter
+            && !found.model.adapters.iter().any(|a| a.as_str() == adapter)
+        {
+            return Err(unknown(&request.model));
+        }
+        let salt = salt(&whole, found.model, adapter);
+        let block_bytes = active.document.block.bytes();
+        let mut chain = block::Chain::new(salt, block_bytes);
+        let mut prompt_bytes = 0;
+        request.each_segment(|segment| {
+            prompt_bytes += segment.len();
+            chain.push(segment);
+        });
+        Ok(Completion {
+            service: found.name.clone(),
+            version: found.model.version.clone(),
+            salt,
+            block_bytes,
+            keys: chain.finish(),
+            prompt_bytes,
+            stream: request.stream,
+            max_tokens: request.max_tokens,
+            fingerprint: xxh3::xxh3_64_with_seed(&whole.body, salt.0),
+            whole,
+        })
+    }
+}
+
+fn parse(body: &[u8]) -> Result<completion::Request<'_>, Refusal> {
+    let request: completion::Request<'_> = serde_json::from_slice(body).map_err(|error| {
+        Refusal::not_run(
+            Kind::BadRequest,
+            format!("the body is not a completion request: {error}"),
+        )
+    })?;
+    if request.continuation.is_some() {
+        return Err(Refusal::not_run(
+            Kind::BadRequest,
+            "`continuation` is reserved; leave it out",
+        ));
+    }
+    if request.prompt.is_none() && request.messages.is_none() {
+        return Err(Refusal::not_run(
+            Kind::BadRequest,
+            "the request has neither `prompt` nor `messages`; send one of them",
+        ));
+    }
+    Ok(request)
+}
+
+fn split(model: &str) -> (&str, Option<&str>) {
+    match model.split_once(':') {
+        Some((name, adapter)) => (name, Some(adapter)),
+        None => (model, None),
+    }
+}
+
+fn unknown(model: &str) -> Refusal {
+    Refusal::not_run(
+        Kind::NotFound,
+        format!("model {model:?} is not configured; `GET /v1/models` lists those that are"),
+    )
+}
+
+fn salt(whole: &Whole, model: &document::Model, adapter: Option<&str>) -> block::Salt {
+    let mut hasher = blake3::Hasher::new();
+    let parts = [
+        whole.known.account.id.as_str(),
+        model.name.as_str(),
+        adapter.unwrap_or_default(),
+        model.version.as_str(),
+    ];
+    for part in parts {
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part.as_bytes());
+    }
+    let mut first = [0; 8];
+    first.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+    block::Salt(u64::from_le_bytes(first))
+}
--- /dev/null
+++ b/crates/papayayard/src/logging.rs
@@ -0,0 +1,50 @@
+//! Logs as JSON lines on the standard error.
+//!
+//! Key-value pairs of a record become keys of the line, so that a request's
+//! id can be searched for. Keys and prompts are never passed to the log.
+
+use std::io::Write;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use env_logger::Env;
+use log::kv;
+use serde_json::{Map, Value};
+
+/// Starts logging; `RUST_LOG` sets the level, `info` where it is absent.
+pub fn start() {
+    let env = Env::default().default_filter_or("info");
+    let outcome = env_logger::Builder::from_env(env)
+        .format(|out, record| {
+            let line = line(record);
+            writeln!(out, "{line}")
+        })
+        .try_init();
+    if outcome.is_err() {
+        log::debug!("the log was started before");
+    }
+}
+
+fn line(record: &log::Record<'_>) -> Value {
+    let mut fields = Map::new();
+    let since_epoch = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    fields.insert("time".to_owned(), since_epoch.as_secs_f64().into());
+    fields.insert("level".to_owned(), record.level().as_str().into());
+    fields.insert("target".to_owned(), record.target().into());
+    fields.insert("message".to_owned(), record.args().to_string().into());
+    let mut visitor = Fields(&mut fields);
+    if record.key_values().visit(&mut visitor).is_err() {
+        fields.insert("fields".to_owned(), "unreadable".into());
+    }
+    Value::Object(fields)
+}
+
+struct Fields<'a>(&'a mut Map<String, Value>);
+
+impl<'kvs> kv::VisitSource<'kvs> for Fields<'_> {
+    fn visit_pair(&mut self, key: kv::Key<'kvs>, value: kv::Value<'kvs>) -> Result<(), kv::Error> {
+        self.0.insert(key.to_string(), value.to_string().into());
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/papayayard/src/metrics.rs
@@ -0,0 +1,119 @@
+//! Counters and histograms, in Prometheus text on request.
+
+use std::time::Duration;
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use papayayard_wire::refusal::Kind;
+use prometheus::{Encoder, Registry, TextEncoder};
+
+use crate::clock::Clock;
+
+/// Bounds of the first-token histogram, in seconds.
+const FIRST_TOKEN_BOUNDS: [f64; 10] = [0.025, 0.05, 0.1, 0.2, 0.4, 0.7, 1.0, 1.4, 2.8, 5.6];
+
+/// Why a request was sent again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Retry {
+    /// The endpoint refused it without running it.
+    EndpointRefused,
+    /// No connection could be made.
+    Unreachable,
+    /// The connection broke.
+    Broken,
+    /// Nothing came for too long.
+    TimedOut,
+}
+
+impl Retry {
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::EndpointRefused => "endpoint_refused",
+            Self::Unreachable => "unreachable",
+            Self::Broken => "broken",
+            Self::TimedOut => "timed_out",
+        }
+    }
+}
+
+/// All counters of a host.
+#[derive(Clone)]
+pub(crate) struct Metrics {
+    registry: Registry,
+    // Keeps the instruments connected to the registry.
+    _provider: SdkMeterProvider,
+    clock: Clock,
+    requests: Counter<u64>,
+    refusals: Counter<u64>,
+    retries: Counter<u64>,
+    first_token: Histogram<f64>,
+}
+
+impl Metrics {
+    /// Makes the instruments.
+    pub(crate) fn new(clock: Clock) -> Self {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .expect("a new registry takes the exporter");
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("papayayard");
+        Self {
+            clock,
+            requests: meter
+                .u64_counter("papayayard_requests")
+                .with_description("Requests by kind of route")
+                .build(),
+            refusals: meter
+                .u64_counter("papayayard_refusals")
+                .with_description("Refused requests by kind")
+                .build(),
+            retries: meter
+                .u64_counter("papayayard_retries")
+                .with_description("Requests sent again, by reason")
+                .build(),
+            first_token: meter
+                .f64_histogram("papayayard_first_token_seconds")
+                .with_description("Time from a request's arrival to its first token")
+                .with_boundaries(FIRST_TOKEN_BOUNDS.to_vec())
+                .build(),
+            registry,
+            _provider: provider,
+        }
+    }
+
+    /// Counts a request.
+    pub(crate) fn requested(&self, route: &'static str) {
+        self.requests.add(1, &[KeyValue::new("route", route)]);
+    }
+
+    /// Counts a refusal.
+    pub(crate) fn refused(&self, kind: Kind) {
+        self.refusals
+            .add(1, &[KeyValue::new("kind", kind.as_str())]);
+    }
+
+    /// Counts a retry.
+    pub(crate) fn retried(&self, reason: Retry) {
+        self.retries
+            .add(1, &[KeyValue::new("reason", reason.as_str())]);
+    }
+
+    /// Takes down the time to first token of a request received at `received`.
+    pub(crate) fn first_token(&self, received: Duration) {
+        let elapsed = self.clock.now().saturating_sub(received);
+        self.first_token.record(elapsed.as_secs_f64(), &[]);
+    }
+
+    /// All figures as Prometheus text.
+    pub(crate) fn text(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        let families = self.registry.gather();
+        if let Err(error) = TextEncoder::new().encode(&families, &mut text) {
+            log::warn!("metrics cannot be encoded: {error}");
+        }
+        text
+    }
+}
--- /dev/null
+++ b/crates/papayayard/src/operators.rs
@@ -0,0 +1,139 @@
+//! The operators' listener, which only reads.
+
+use papayayard_wire::{directory, id};
+use salvo::conn::tcp::TcpAcceptor;
+use salvo::http::header;
+use salvo::prelude::{Depot, FlowCtrl, Request, Response, Router, Server, async_trait};
+use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
+use tokio_util::task::TaskTracker;
+
+use crate::controllers::{configuration, fleet};
+
+/// Answer of `GET /status`.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Status {
+    /// Host.
+    pub host: id::Host,
+    /// Availability zone.
+    pub zone: id::Zone,
+    /// Whether the host takes new requests.
+    pub state: State,
+    /// Revision in force, 0 where there is none.
+    pub revision: id::Revision,
+    /// Digest of the document in force, in hexadecimal.
+    pub digest: String,
+    /// Requests that are not answered yet.
+    pub open_requests: usize,
+    /// Model endpoints as this host sees them.
+    pub endpoints: Vec<Endpoint>,
+}
+
+/// What a host does at present.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum State {
+    /// Has no configuration yet.
+    Starting,
+    /// Takes requests.
+    Serving,
+    /// Finishes what it has.
+    Stopping,
+}
+
+/// A model endpoint as a host sees it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Endpoint {
+    /// Endpoint.
+    pub id: id::Endpoint,
+    /// Service.
+    pub service: id::Service,
+    /// Availability zone.
+    pub zone: id::Zone,
+    /// What the platform plans for it.
+    pub plan: directory::State,
+    /// Requests of this host that it runs.
+    pub in_flight: u32,
+    /// Version of its weights, as last reported.
+    pub version: Option<id::Version>,
+}
+
+/// What the listener reads.
+#[derive(Clone)]
+pub(crate) struct View {
+    /// Host.
+    pub(crate) host: id::Host,
+    /// Availability zone.
+    pub(crate) zone: id::Zone,
+    /// Configuration in force.
+    pub(crate) active: watch::Receiver<configuration::Current>,
+    /// Whether the host is stopping.
+    pub(crate) stopping: watch::Receiver<bool>,
+    /// Open requests.
+    pub(crate) open: TaskTracker,
+    /// Model endpoints.
+    pub(crate) fleet: fleet::Handle,
+}
+
+impl View {
+    /// What the host does at present.
+    pub(crate) fn state(&self) -> State {
+        if *self.stopping.borrow() {
+            return State::Stopping;
+        }
+        match *self.active.borrow() {
+            Some(_) => State::Serving,
+            None => State::Starting,
+        }
+    }
+
+    async fn status(&self) -> Status {
+        let active = self.active.borrow().clone();
+        let endpoints = self.fleet.status().await;
+        Status {
+            host: self.host.clone(),
+            zone: self.zone.clone(),
+            state: self.state(),
+            revision: active.as_ref().map(|a| a.revision).unwrap_or_default(),
+            digest: active.map(|a| a.digest.clone()).unwrap_or_default(),
+            open_requests: self.open.len(),
+            endpoints: endpoints.into_iter().map(Endpoint::from).collect(),
+        }
+    }
+}
+
+impl From<fleet::Status> for Endpoint {
+    fn from(status: fleet::Status) -> Self {
+        Self {
+            id: status.endpoint,
+            service: status.service,
+            zone: status.zone,
+            plan: status.plan,
+            in_flight: status.in_flight,
+            version: status.report.map(|report| report.version),
+        }
+    }
+}
+
+/// Serves operators until the process ends.
+pub(crate) async fn serve(acceptor: TcpAcceptor, view: View) {
+    let router = Router::with_path("status").get(view);
+    Server::new(acceptor).serve(router).await;
+}
+
+#[async_trait]
+impl salvo::Handler for View {
+    async fn handle(
+        &self,
+        _request: &mut Request,
+        _depot: &mut Depot,
+        response: &mut Response,
+        _flow: &mut FlowCtrl,
+    ) {
+        let status = self.status().await;
+        let body = serde_json::to_vec(&status).unwrap_or_default();
+        let json = header::HeaderValue::from_static("application/json");
+        response.headers_mut().insert(header::CONTENT_TYPE, json);
+        response.body(body);
+    }
+}
--- /dev/null
+++ b/crates/papayayard/src/relay/attempt.rs
@@ -0,0 +1,119 @@
+//! One attempt at a completion: an endpoint is chosen and asked.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Response, header};
+use hyper::body::Incoming;
+use papayayard_wire::completion::Continuation;
+use papayayard_wire::header as names;
+
+use crate::controllers::fleet;
+use crate::exchange::Completion;
+use crate::relay::client::{Client, Failure, Outgoing};
+
+/// Longest wait for the head of an answer.
+pub(crate) const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// How an endpoint answered.
+pub(crate) enum Reply {
+    /// The answer has begun.
+    Begun(Response<Incoming>),
+    /// The endpoint refused the request and did not run it.
+    Refused,
+    /// The request is at fault; every endpoint would say so.
+    Rejected(Response<Incoming>),
+    /// There is no answer.
+    Failed(Failure),
+}
+
+/// Asks an endpoint for a completion.
+pub(crate) async fn ask(
+    client: &Client,
+    completion: &Completion,
+    dispatch: &fleet::Dispatch,
+    continuation: Option<&Continuation>,
+) -> Reply {
+    let head = &completion.whole.known.arrival.head;
+    let outgoing = Outgoing {
+        address: dispatch.address,
+        method: Method::POST,
+        path: &head.path,
+        headers: headers(completion),
+        body: body(completion, continuation),
+    };
+    match client.send(outgoing, HEAD_TIMEOUT).await {
+        Ok(response) => classify(completion, dispatch, response),
+        Err(failure) => Reply::Failed(failure),
+    }
+}
+
+fn classify(
+    completion: &Completion,
+    dispatch: &fleet::Dispatch,
+    response: Response<Incoming>,
+) -> Reply {
+    let status = response.status();
+    if status.is_success() {
+        let id = completion.whole.known.arrival.id.as_str();
+        let own = text(response.headers(), names::REQUEST_ID) == Some(id);
+        let incarnation = text(response.headers(), names::INCARNATION);
+        let same_run = incarnation.and_then(|number| number.parse().ok());
+        return match (own, same_run) {
+            (true, Some(number)) if dispatch.matches(number) => Reply::Begun(response),
+            _ => Reply::Failed(Failure::Broken),
+        };
+    }
+    if status.is_client_error() {
+        return Reply::Rejected(response);
+    }
+    if text(response.headers(), names::RAN) == Some("no") {
+        return Reply::Refused;
+    }
+    Reply::Failed(Failure::Broken)
+}
+
+fn headers(completion: &Completion) -> HeaderMap {
+    let known = &completion.whole.known;
+    let mut headers = HeaderMap::new();
+    headers.insert(
+        header::CONTENT_TYPE,
+        HeaderValue::from_static("application/json"),
+    );
+    set(&mut headers, names::REQUEST_ID, known.arrival.id.as_str());
+    let salt = format!("{:016x}", completion.salt.0);
+    set(&mut headers, names::CACHE_SALT, &salt);
+    let block_bytes = completion.block_bytes.to_string();
+    set(&mut headers, names::BLOCK_SIZE, &block_bytes);
+    set(
+        &mut headers,
+        names::WEIGHTS_VERSION,
+        completion.version.as_str(),
+    );
+    let priority = known.account.priority.to_string();
+    set(&mut headers, names::PRIORITY, &priority);
+    headers
+}
+
+fn set(headers: &mut HeaderMap, name: &'static str, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        headers.insert(HeaderName::from_static(name), value);
+    }
+}
+
+fn body(completion: &Completion, continuation: Option<&Continuation>) -> Bytes {
+    let original = &completion.whole.body;
+    let Some(continuation) = continuation else {
+        return original.clone();
+    };
+    let Ok(mut fields) = serde_json::from_slice::<serde_json::Map<_, _>>(original) else {
+        return original.clone();
+    };
+    let value = serde_json::to_value(continuation).unwrap_or_default();
+    fields.insert("continuation".to_owned(), value);
+    serde_json::to_vec(&fields).map_or_else(|_| original.clone(), Bytes::from)
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
--- /dev/null
+++ b/crates/papayayard/src/relay/call.rs
@@ -0,0 +1,183 @@
+//! Relays requests to plain services.
+//!
+//! A request that is not idempotent is sent at most once: after its first
+//! byte may have left, it is never sent again.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, HeaderValue, Response, header};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use papayayard_wire::header as names;
+use papayayard_wire::refusal::{Kind, Ran};
+use papayayard_wire::{directory, id};
+use tokio::sync::watch;
+use tokio::time;
+
+use crate::exchange::Call;
+use crate::metrics::{Metrics, Retry};
+use crate::refusal::Refusal;
+use crate::relay::client::{Client, Failure, Outgoing};
+use crate::relay::{Answer, Body};
+
+/// Most bytes of an answer.
+const MAX_ANSWER_BYTES: usize = 64 << 20;
+/// When to come back where no endpoint takes the request.
+const NO_ENDPOINT_RETRY: Duration = Duration::from_secs(1);
+/// Headers that end at each hop.
+const HOP_HEADERS: [HeaderName; 7] = [
+    header::CONNECTION,
+    header::HOST,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+/// Headers that only the router may set.
+const ROUTER_HEADERS: [&str; 7] = [
+    names::REQUEST_ID,
+    names::CACHE_SALT,
+    names::BLOCK_SIZE,
+    names::PRIORITY,
+    names::WEIGHTS_VERSION,
+    names::INCARNATION,
+    names::RAN,
+];
+
+/// What the relay of plain services works with.
+#[derive(Clone)]
+pub(crate) struct Relay {
+    /// HTTP client.
+    pub(crate) client: Client,
+    /// The platform's list of hosts.
+    pub(crate) list: watch::Receiver<directory::List>,
+    /// Counters.
+    pub(crate) metrics: Metrics,
+}
+
+impl Relay {
+    /// Answers a plain service's request.
+    pub(crate) async fn serve(&self, call: Call) -> Result<Answer, Refusal> {
+        if call.key.is_some() {
+            return Err(unclaimable());
+        }
+        let mut excluded = Vec::new();
+        loop {
+            let Some(endpoint) = self.choose(&call.service, &excluded) else {
+                return Err(no_endpoint());
+            };
+            let failure = match self.send(&call, &endpoint).await {
+                Ok(answer) => return Ok(answer),
+                Err(failure) => failure,
+            };
+            if failure != Failure::Unreachable && !call.idempotent {
+                return Err(unknown());
+            }
+            self.metrics.retried(match failure {
+                Failure::Unreachable => Retry::Unreachable,
+                Failure::Broken => Retry::Broken,
+                Failure::TimedOut => Retry::TimedOut,
+            });
+            excluded.push(endpoint.id);
+        }
+    }
+
+    fn choose(
+        &self,
+        service: &id::Service,
+        excluded: &[id::Endpoint],
+    ) -> Option<directory::Endpoint> {
+        let list = self.list.borrow();
+        let live: Vec<&directory::Endpoint> = list
+            .endpoints
+            .iter()
+            .filter(|endpoint| endpoint.service == *service)
+            .filter(|endpoint| endpoint.state == directory::State::Live)
+            .filter(|endpoint| !excluded.contains(&endpoint.id))
+            .collect();
+        if live.is_empty() {
+            return None;
+        }
+        let index = rand::random_range(0..live.len());
+        Some(live[index].clone())
+    }
+
+    async fn send(&self, call: &Call, endpoint: &directory::Endpoint) -> Result<Answer, Failure> {
+        let arrival = &call.whole.known.arrival;
+        let outgoing = Outgoing {
+            address: endpoint.address,
+            method: arrival.head.method.clone(),
+            path: &arrival.head.path,
+            headers: headers(&arrival.head.headers, &arrival.id),
+            body: call.whole.body.clone(),
+        };
+        let response = self.client.send(outgoing, call.timeout).await?;
+        let answer_id = response.headers().get(names::REQUEST_ID);
+        if answer_id.is_some_and(|value| value.as_bytes() != arrival.id.as_str().as_bytes()) {
+            return Err(Failure::Broken);
+        }
+        time::timeout(call.timeout, collect(response))
+            .await
+            .unwrap_or(Err(Failure::TimedOut))
+    }
+}
+
+async fn collect(response: Response<Incoming>) -> Result<Answer, Failure> {
+    let (head, body) = response.into_parts();
+    let body: Bytes = Limited::new(body, MAX_ANSWER_BYTES)
+        .collect()
+        .await
+        .map_err(|_| Failure::Broken)?
+        .to_bytes();
+    let mut headers = head.headers;
+    for name in HOP_HEADERS {
+        headers.remove(name);
+    }
+    Ok(Answer {
+        status: head.status,
+        headers,
+        body: Body::Whole(body),
+    })
+}
+
+fn headers(original: &HeaderMap, request: &id::Request) -> HeaderMap {
+    let mut headers = original.clone();
+    for name in HOP_HEADERS {
+        headers.remove(name);
+    }
+    for name in ROUTER_HEADERS {
+        headers.remove(name);
+    }
+    headers.remove(header::AUTHORIZATION);
+    headers.remove(header::CONTENT_LENGTH);
+    if let Ok(value) = HeaderValue::from_str(request.as_str()) {
+        headers.insert(HeaderName::from_static(names::REQUEST_ID), value);
+    }
+    headers
+}
+
+fn unclaimable() -> Refusal {
+    Refusal::not_run(
+        Kind::ClaimUnavailable,
+        "the idempotency key cannot be claimed; come back later with the same key",
+    )
+    .after(NO_ENDPOINT_RETRY)
+}
+
+fn no_endpoint() -> Refusal {
+    Refusal::not_run(
+        Kind::NoEndpoint,
+        "no endpoint of the service can be reached now; come back later",
+    )
+    .after(NO_ENDPOINT_RETRY)
+}
+
+fn unknown() -> Refusal {
+    Refusal::not_run(
+        Kind::OutcomeUnknown,
+        "the answer was lost and the request may have run; check before sending it again",
+    )
+    .ran(Ran::Unknown)
+}
--- /dev/null
+++ b/crates/papayayard/src/relay/client.rs
@@ -0,0 +1,87 @@
+//! HTTP client for endpoints.
+//!
+//! A connection goes back to the pool only after its answer has been read to
+//! the end, so an abandoned exchange closes its connection.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, Response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper_util::client::legacy;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use tokio::time;
+
+/// Time to connect to an endpoint.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time that an idle connection is kept.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Client of all endpoints.
+#[derive(Clone)]
+pub(crate) struct Client {
+    inner: legacy::Client<HttpConnector, Full<Bytes>>,
+}
+
+/// What is sent.
+pub(crate) struct Outgoing<'a> {
+    /// Address of the endpoint.
+    pub(crate) address: SocketAddr,
+    /// Method.
+    pub(crate) method: Method,
+    /// Path with its query.
+    pub(crate) path: &'a str,
+    /// Headers.
+    pub(crate) headers: HeaderMap,
+    /// Body.
+    pub(crate) body: Bytes,
+}
+
+/// Why there is no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Failure {
+    /// Nothing was sent.
+    Unreachable,
+    /// The request was sent, at least in part.
+    Broken,
+    /// The answer's head took too long.
+    TimedOut,
+}
+
+impl Client {
+    /// Makes a client.
+    pub(crate) fn new() -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        let inner = legacy::Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(IDLE_TIMEOUT)
+            .build(connector);
+        Self { inner }
+    }
+
+    /// Sends a request and waits for the head of its answer.
+    pub(crate) async fn send(
+        &self,
+        outgoing: Outgoing<'_>,
+        timeout: Duration,
+    ) -> Result<Response<Incoming>, Failure> {
+        let uri = format!("http://{}{}", outgoing.address, outgoing.path)
+            .parse::<http::Uri>()
+            .map_err(|_| Failure::Unreachable)?;
+        let mut request = Request::new(Full::new(outgoing.body));
+        *request.method_mut() = outgoing.method;
+        *request.uri_mut() = uri;
+        *request.headers_mut() = outgoing.headers;
+        match time::timeout(timeout, self.inner.request(request)).await {
+            Ok(Ok(response)) => Ok(response),
+            Ok(Err(error)) if error.is_connect() => Err(Failure::Unreachable),
+            Ok(Err(_)) => Err(Failure::Broken),
+            Err(_) => Err(Failure::TimedOut),
+        }
+    }
+}
--- /dev/null
+++ b/crates/papayayard/src/relay/completion.rs
@@ -0,0 +1,170 @@
+//! Relays completions, and asks another endpoint where one fails.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, Response, StatusCode, header};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use papayayard_wire::completion::Answer as Whole;
+use papayayard_wire::refusal::{Kind, Ran};
+use tokio::sync::mpsc;
+use tokio::time;
+
+use crate::controllers::fleet;
+use crate::exchange::Completion;
+use crate::metrics::{Metrics, Retry};
+use crate::refusal::Refusal;
+use crate::relay::attempt::{self, Reply};
+use crate::relay::client::{Client, Failure};
+use crate::relay::pump::Pump;
+use crate::relay::{Answer, Body};
+
+/// Most bytes of an answer that is not streamed.
+const MAX_ANSWER_BYTES: usize = 64 << 20;
+/// Longest wait for an answer that is not streamed.
+const WHOLE_TIMEOUT: Duration = Duration::from_mins(5);
+/// Events that wait for a slow caller before the endpoint is held back.
+const EVENT_BACKLOG: usize = 64;
+/// When to come back after an endpoint failed.
+const FAILED_RETRY: Duration = Duration::from_secs(1);
+
+/// What the relay of completions works with.
+#[derive(Clone)]
+pub(crate) struct Relay {
+    /// HTTP client.
+    pub(crate) client: Client,
+    /// Chooses endpoints.
+    pub(crate) fleet: fleet::Handle,
+    /// Counters.
+    pub(crate) metrics: Metrics,
+}
+
+impl Relay {
+    /// Answers a completion.
+    pub(crate) async fn serve(&self, completion: Completion) -> Result<Answer, Refusal> {
+        let mut query = fleet::Query::new(&completion);
+        loop {
+            let dispatch = self.fleet.choose(&query).await?;
+            match attempt::ask(&self.client, &completion, &dispatch, None).await {
+                Reply::Begun(response) if completion.stream => {
+                    return Ok(self.stream(completion, query, dispatch, response));
+                }
+                Reply::Begun(response) => match whole(response).await {
+                    Ok((body, cached)) => {
+                        self.fleet
+                            .settle(&dispatch, fleet::Outcome::Finished { cached });
+                        return Ok(json(body));
+                    }
+                    Err(failure) => self.failed(&mut query, &dispatch, failure).await?,
+                },
+                Reply::Rejected(response) => {
+                    self.fleet.settle(&dispatch, fleet::Outcome::Refused);
+                    return rejected(response).await;
+                }
+                Reply::Refused => {
+                    self.fleet.settle(&dispatch, fleet::Outcome::Refused);
+                    self.metrics.retried(Retry::EndpointRefused);
+                    query.exclude(&dispatch);
+                }
+                Reply::Failed(failure) => self.failed(&mut query, &dispatch, failure).await?,
+            }
+        }
+    }
+
+    fn stream(
+        &self,
+        completion: Completion,
+        query: fleet::Query,
+        dispatch: fleet::Dispatch,
+        response: Response<Incoming>,
+    ) -> Answer {
+        let (events, receiver) = mpsc::channel(EVENT_BACKLOG);
+        let pump = Pump::new(self.clone(), completion, query, events);
+        tokio::spawn(pump.run(dispatch, response));
+        let mut headers = HeaderMap::new();
+        headers.insert(
+            header::CONTENT_TYPE,
+            HeaderValue::from_static("text/event-stream"),
+        );
+        headers.insert(header::CACHE_CONTROL, HeaderValue::from_static("no-cache"));
+        Answer {
+            status: StatusCode::OK,
+            headers,
+            body: Body::Events(receiver),
+        }
+    }
+
+    /// Settles a failed attempt; refuses the request where no other may follow.
+    pub(crate) async fn failed(
+        &self,
+        query: &mut fleet::Query,
+        dispatch: &fleet::Dispatch,
+        failure: Failure,
+    ) -> Result<(), Refusal> {
+        query.exclude(dispatch);
+        let (outcome, reason) = match failure {
+            Failure::Unreachable => (fleet::Outcome::Unreachable, Retry::Unreachable),
+            Failure::Broken => (fleet::Outcome::Died, Retry::Broken),
+            Failure::TimedOut => (fleet::Outcome::Stalled, Retry::TimedOut),
+        };
+        let allowed = self.fleet.fail(dispatch, outcome).await?;
+        if !allowed {
+            return Err(Refusal::not_run(
+                Kind::EndpointFailed,
+                "the endpoint failed and the retry budget is spent; come back later",
+            )
+            .ran(ran(failure))
+            .after(FAILED_RETRY));
+        }
+        self.metrics.retried(reason);
+        Ok(())
+    }
+}
+
+fn ran(failure: Failure) -> Ran {
+    match failure {
+        Failure::Unreachable => Ran::No,
+        Failure::Broken | Failure::TimedOut => Ran::Unknown,
+    }
+}
+
+async fn whole(response: Response<Incoming>) -> Result<(Bytes, Option<u64>), Failure> {
+    let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect();
+    let body = time::timeout(WHOLE_TIMEOUT, body)
+        .await
+        .map_err(|_| Failure::TimedOut)?
+        .map_err(|_| Failure::Broken)?
+        .to_bytes();
+    let answer: Whole<'_> = serde_json::from_slice(&body).map_err(|_| Failure::Broken)?;
+    let cached = answer.usage.prompt_tokens_details.cached_tokens;
+    Ok((body, Some(cached)))
+}
+
+async fn rejected(response: Response<Incoming>) -> Result<Answer, Refusal> {
+    let status = response.status();
+    let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES)
+        .collect()
+        .await;
+    let text = body
+        .map(http_body_util::Collected::to_bytes)
+        .unwrap_or_default();
+    let message = String::from_utf8_lossy(&text);
+    Err(Refusal::not_run(
+        Kind::BadRequest,
+        format!("the endpoint rejected the request with status {status}: {message}"),
+    ))
+}
+
+fn json(body: Bytes) -> Answer {
+    let mut headers = HeaderMap::new();
+    headers.insert(
+        header::CONTENT_TYPE,
+        HeaderValue::from_static("application/json"),
+    );
+    Answer {
+        status: StatusCode::OK,
+        headers,
+        body: Body::Whole(body),
+    }
+}
--- /dev/null
+++ b/crates/papayayard/src/relay/mod.rs
@@ -0,0 +1,31 @@
+//! The one way out: requests that passed the filters go to endpoints here.
+
+use bytes::Bytes;
+use http::{HeaderMap, StatusCode};
+use tokio::sync::mpsc;
+
+pub(crate) mod attempt;
+pub(crate) mod call;
+pub(crate) mod client;
+pub(crate) mod completion;
+pub(crate) mod pump;
+pub(crate) mod sse;
+pub(crate) mod transcript;
+
+/// What the caller gets.
+pub(crate) struct Answer {
+    /// HTTP status code.
+    pub(crate) status: StatusCode,
+    /// Headers.
+    pub(crate) headers: HeaderMap,
+    /// Body.
+    pub(crate) body: Body,
+}
+
+/// Body of an answer.
+pub(crate) enum Body {
+    /// All of it.
+    Whole(Bytes),
+    /// Server-sent events as they come; a full channel holds the endpoint back.
+    Events(mpsc::Receiver<Bytes>),
+}
--- /dev/null
+++ b/crates/papayayard/src/settings.rs
@@ -0,0 +1,197 @@
+//! Settings of one host: who it is, where it listens and whom it talks to.
+//!
+//! Settings differ between hosts and stay as they are while the process
+//! runs. Everything that hosts must agree on is in the configuration
+//! document instead.
+
+use std::fs;
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use papayayard_wire::id;
+use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
+use snafu::{ResultExt, Snafu};
+
+/// Settings of a host.
+#[serde_as]
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Name of the host.
+    pub host: id::Host,
+    /// Availability zone that the host is in.
+    pub zone: id::Zone,
+    /// Addresses to listen on.
+    pub listen: Listen,
+    /// Addresses of the platform's services.
+    pub platform: Platform,
+    /// Addresses of other hosts' peer listeners, to start from.
+    #[serde(default)]
+    pub peers: Vec<SocketAddr>,
+    /// Secret that all hosts of a deployment share.
+    pub peer_secret: Secret,
+    /// How endpoints are chosen.
+    #[serde(default)]
+    pub policy: Policy,
+    /// Bounds on what a caller may send.
+    #[serde(default)]
+    pub limits: Limits,
+    /// Periods of the controllers.
+    #[serde(default)]
+    pub periods: Periods,
+    /// Time between the start of a planned stop and the end of listening.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "stop_grace_ms", default = "Settings::default_stop_grace")]
+    pub stop_grace: Duration,
+}
+
+impl Settings {
+    const fn default_stop_grace() -> Duration {
+        Duration::from_secs(2)
+    }
+}
+
+/// A secret, which is never shown.
+#[derive(Clone, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Secret(pub String);
+
+impl std::fmt::Debug for Secret {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.write_str("Secret")
+    }
+}
+
+/// Addresses to listen on; port 0 takes any free port.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Listen {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For other hosts.
+    pub peers: SocketAddr,
+    /// For operators; this listener only reads.
+    pub operators: SocketAddr,
+}
+
+/// Addresses of the platform's services.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Platform {
+    /// Log service.
+    pub log: SocketAddr,
+    /// List of hosts.
+    pub directory: SocketAddr,
+}
+
+/// How endpoints are chosen.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Policy {
+    /// One after the other.
+    RoundRobin,
+    /// Fewest requests.
+    LeastLoaded,
+    /// By a hash of the prefix alone.
+    Rendezvous,
+    /// Least estimated time to first token.
+    #[default]
+    Papayayard,
+}
+
+/// Bounds on what a caller may send.
+#[serde_as]
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Limits {
+    /// Most bytes of a body.
+    pub body_bytes: usize,
+    /// Most bytes of a request's headers.
+    pub header_bytes: usize,
+    /// Time to send a request.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "send_ms")]
+    pub send: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            body_bytes: 16 << 20,
+            header_bytes: 32 << 10,
+            send: Duration::from_secs(10),
+        }
+    }
+}
+
+/// Periods of the controllers.
+#[serde_as]
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Periods {
+    /// Between reads of the list of hosts.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "directory_ms")]
+    pub directory: Duration,
+    /// Between reads of an endpoint's report.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "report_ms")]
+    pub report: Duration,
+    /// Between reads of an endpoint's cache events.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "events_ms")]
+    pub events: Duration,
+    /// Between exchanges with peers.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "peers_ms")]
+    pub peers: Duration,
+    /// Bound on one call to the platform.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "platform_timeout_ms")]
+    pub platform_timeout: Duration,
+}
+
+impl Default for Periods {
+    fn default() -> Self {
+        Self {
+            directory: Duration::from_millis(500),
+            report: Duration::from_millis(250),
+            events: Duration::from_millis(250),
+            peers: Duration::from_secs(1),
+            platform_timeout: Duration::from_secs(2),
+        }
+    }
+}
+
+/// Why settings cannot be used.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// The file cannot be read.
+    #[snafu(display("cannot read {}: {source}; check the path and its permissions", path.display()))]
+    Read {
+        /// Path of the file.
+        path: PathBuf,
+        /// What the system reported.
+        source: io::Error,
+    },
+    /// The text has faults.
+    #[snafu(display("{} cannot be used: {reason}", path.display()))]
+    Invalid {
+        /// Path of the file.
+        path: PathBuf,
+        /// The faults.
+        reason: String,
+    },
+}
+
+/// Reads settings from a YAML file.
+pub fn read(path: &Path) -> Result<Settings, Error> {
+    let text = fs::read_to_string(path).context(ReadSnafu { path })?;
+    serde_saphyr::from_str(&text).map_err(|error| Error::Invalid {
+        path: path.to_owned(),
+        reason: error.to_string(),
+    })
+}
