Check a document whole, with line, key and remedy

Cause: a serde decoder stops at its first fault, so an operator would mend a document one run at a time; deny_unknown_fields doesn't hold together with flatten, and a plain scalar such as the version 1.10 could be read as a number.

Ruled out: decoding again and again with the faulty key masked (the order of faults would depend on the mask, and missing keys hide others); garde rules on the decoded types (they see no lines and nothing at all where decoding fails).

Change: the YAML library's own events become a tree whose values know their lines; a reader takes typed values from it and goes on after a fault. Names that may stand once, digests, names, routes, ranges, format and size have their rules. Aliases, anchors and tags are refused. The list of faults is bounded, since a record of the log may be hostile.

--- a/crates/papayayard_document/src/document.rs
+++ b/crates/papayayard_document/src/document.rs
@@ -3,7 +3,7 @@
 use papayayard_wire::id;
 use serde::{Deserialize, Serialize};
 
-use crate::fault;
+use crate::{decode, fault, reader};
 
 /// A whole configuration document.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -20,18 +20,9 @@
 }
 
 impl Document {
-    /// Reads a document and checks it; on failure lists its faults.
+    /// Reads a document and checks it whole; on failure lists every fault.
     pub fn parse(text: &str) -> Result<Self, Vec<fault::Fault>> {
-        serde_saphyr::from_str(text).map_err(|error| {
-            vec![fault::Fault {
-                line: error
-                    .location()
-                    .and_then(|place| usize::try_from(place.line()).ok()),
-                key: "document".to_owned(),
-                problem: error.to_string(),
-                remedy: "correct the text as the problem says".to_owned(),
-            }]
-        })
+        reader::Reader::read(text, decode::document)
     }
 }
 
--- a/crates/papayayard_document/src/fault.rs
+++ b/crates/papayayard_document/src/fault.rs
@@ -7,7 +7,7 @@
 pub struct Fault {
     /// Line in the text, from 1, where it is known.
     pub line: Option<usize>,
-    /// Path of the key, such as `accounts[2].id`.
+    /// Path of the key, such as `accounts[2].id`; empty for the whole text.
     pub key: String,
     /// What is wrong.
     pub problem: String,
@@ -20,6 +20,31 @@
         if let Some(line) = self.line {
             write!(formatter, "line {line}: ")?;
         }
-        write!(formatter, "{}: {}; {}", self.key, self.problem, self.remedy)
+        if !self.key.is_empty() {
+            write!(formatter, "{}: ", self.key)?;
+        }
+        write!(formatter, "{}; {}", self.problem, self.remedy)
+    }
+}
+
+/// Most faults that are listed; a hostile text could have one in each byte.
+pub const MAX_FAULTS: usize = 1000;
+
+/// Faults found so far.
+#[derive(Debug, Default)]
+pub struct List(Vec<Fault>);
+
+impl List {
+    /// Adds a fault, unless the list is full.
+    pub fn push(&mut self, fault: Fault) {
+        if self.0.len() < MAX_FAULTS {
+            self.0.push(fault);
+        }
+    }
+
+    /// The faults in the order of their lines.
+    pub fn into_sorted(mut self) -> Vec<Fault> {
+        self.0.sort_by_key(|fault| fault.line);
+        self.0
     }
 }
--- a/crates/papayayard_document/src/lib.rs
+++ b/crates/papayayard_document/src/lib.rs
@@ -5,5 +5,9 @@
 //! document names nothing of one environment: the same bytes are tried in
 //! trial and promoted to production.
 
+pub mod decode;
 pub mod document;
 pub mod fault;
+pub mod reader;
+pub mod rule;
+pub mod tree;
--- /dev/null
+++ b/crates/papayayard_document/src/reader.rs
@@ -0,0 +1,277 @@
+//! Reads typed values out of a tree and collects every fault on the way.
+//!
+//! A value that cannot be read gives `None` and a fault; reading goes on with
+//! the next one, so that one run lists all that is wrong. Configuration
+//! documents and the daemon's settings are read by the same functions.
+
+use std::fmt::Display;
+use std::net::SocketAddr;
+use std::ops::RangeInclusive;
+
+use crate::fault::{Fault, List};
+use crate::tree;
+
+/// Collects faults.
+#[derive(Debug, Default)]
+pub struct Reader {
+    faults: List,
+}
+
+/// A value and the path of its key.
+#[derive(Clone, Debug)]
+pub struct Place<'tree> {
+    /// Path from the root, such as `accounts[2].id`.
+    pub path: String,
+    /// Value.
+    pub node: &'tree tree::Node,
+}
+
+/// The keys of a mapping, of which each is asked for once.
+#[derive(Debug)]
+pub struct Fields<'tree> {
+    place: Place<'tree>,
+    entries: &'tree [tree::Entry],
+    known: Vec<&'static str>,
+}
+
+impl Reader {
+    /// Reads a whole text with `decode`; gives a value only where no fault was found.
+    pub fn read<Value, Decode>(text: &str, decode: Decode) -> Result<Value, Vec<Fault>>
+    where
+        Decode: FnOnce(&mut Self, &Place<'_>) -> Option<Value>,
+    {
+        let mut reader = Self::default();
+        let value = tree::parse(text, &mut reader.faults).and_then(|node| {
+            let place = Place {
+                path: String::new(),
+                node: &node,
+            };
+            decode(&mut reader, &place)
+        });
+        let faults = reader.faults.into_sorted();
+        match value {
+            Some(value) if faults.is_empty() => Ok(value),
+            _ => Err(faults),
+        }
+    }
+
+    /// Adds a fault at a place.
+    pub fn fault<Problem, Remedy>(&mut self, place: &Place<'_>, problem: Problem, remedy: Remedy)
+    where
+        Problem: Into<String>,
+        Remedy: Into<String>,
+    {
+        self.faults.push(Fault {
+            line: Some(place.node.line),
+            key: place.path.clone(),
+            problem: problem.into(),
+            remedy: remedy.into(),
+        });
+    }
+
+    /// The keys of a mapping.
+    pub fn fields<'tree>(&mut self, place: &Place<'tree>) -> Option<Fields<'tree>> {
+        if let tree::Value::Mapping(entries) = &place.node.value {
+            return Some(Fields {
+                place: place.clone(),
+                entries,
+                known: Vec::new(),
+            });
+        }
+        self.fault(place, "is no mapping", "write `key: value` lines below it");
+        None
+    }
+
+    /// The items of a list.
+    pub fn items<'tree>(&mut self, place: &Place<'tree>) -> Option<Vec<Place<'tree>>> {
+        if let tree::Value::Sequence(nodes) = &place.node.value {
+            let place_of = |(index, node)| Place {
+                path: tree::item_path(&place.path, index),
+                node,
+            };
+            return Some(nodes.iter().enumerate().map(place_of).collect());
+        }
+        self.fault(place, "is no list", "write `- item` lines below it");
+        None
+    }
+
+    /// Reads each item of a list; those with faults are left out.
+    pub fn list<Value, Decode>(
+        &mut self,
+        place: &Place<'_>,
+        mut decode: Decode,
+    ) -> Option<Vec<Value>>
+    where
+        Decode: FnMut(&mut Self, &Place<'_>) -> Option<Value>,
+    {
+        let items = self.items(place)?;
+        Some(items.iter().filter_map(|item| decode(self, item)).collect())
+    }
+
+    /// Reads each item of a list that may not be empty.
+    pub fn filled_list<Value, Decode>(
+        &mut self,
+        place: &Place<'_>,
+        decode: Decode,
+    ) -> Option<Vec<Value>>
+    where
+        Decode: FnMut(&mut Self, &Place<'_>) -> Option<Value>,
+    {
+        if matches!(&place.node.value, tree::Value::Sequence(nodes) if nodes.is_empty()) {
+            self.fault(place, "is an empty list", "add at least one item");
+        }
+        self.list(place, decode)
+    }
+
+    /// Text that is not empty.
+    pub fn text<'tree>(&mut self, place: &Place<'tree>) -> Option<&'tree str> {
+        match &place.node.value {
+            tree::Value::Scalar { text, plain } if !is_null(text, *plain) => Some(text),
+            tree::Value::Scalar { .. } => {
+                self.fault(place, "is empty", "write a value or remove the key");
+                None
+            }
+            _ => {
+                self.fault(place, "is a list or a mapping", "write one value");
+                None
+            }
+        }
+    }
+
+    /// A whole number within a range.
+    pub fn number<Number>(
+        &mut self,
+        place: &Place<'_>,
+        range: RangeInclusive<Number>,
+    ) -> Option<Number>
+    where
+        Number: Copy + Display + PartialOrd + TryFrom<i128> + Into<u64>,
+    {
+        let text = self.text(place)?;
+        let remedy = format!(
+            "write a whole number from {} to {}, without quotes",
+            range.start(),
+            range.end()
+        );
+        let quoted = matches!(place.node.value, tree::Value::Scalar { plain: false, .. });
+        let Ok(number) = text.parse::<i128>() else {
+            self.fault(place, format!("{text:?} is no whole number"), remedy);
+            return None;
+        };
+        if quoted {
+            self.fault(place, format!("{text:?} is text"), remedy);
+            return None;
+        }
+        match Number::try_from(number) {
+            Ok(number) if range.contains(&number) => Some(number),
+            _ => {
+                self.fault(place, format!("{number} is out of range"), remedy);
+                None
+            }
+        }
+    }
+
+    /// `true` or `false`.
+    pub fn flag(&mut self, place: &Place<'_>) -> Option<bool> {
+        self.choice(place, &[("true", true), ("false", false)])
+    }
+
+    /// One of some words.
+    pub fn choice<Value>(&mut self, place: &Place<'_>, words: &[(&str, Value)]) -> Option<Value>
+    where
+        Value: Copy,
+    {
+        let text = self.text(place)?;
+        let found = words.iter().find(|(word, _)| *word == text);
+        if found.is_none() {
+            let known: Vec<&str> = words.iter().map(|(word, _)| *word).collect();
+            let remedy = format!("write one of: {}", known.join(", "));
+            self.fault(place, format!("{text:?} is not known here"), remedy);
+        }
+        found.map(|(_, value)| *value)
+    }
+
+    /// An IP address and port.
+    pub fn address(&mut self, place: &Place<'_>) -> Option<SocketAddr> {
+        let text = self.text(place)?;
+        let address = text.parse().ok();
+        if address.is_none() {
+            let problem = format!("{text:?} is no address");
+            self.fault(
+                place,
+                problem,
+                "write an IP number and a port, such as 10.0.0.1:8080",
+            );
+        }
+        address
+    }
+}
+
+impl<'tree> Fields<'tree> {
+    /// Reads a key that must be there.
+    pub fn required<Value, Decode>(
+        &mut self,
+        reader: &mut Reader,
+        key: &'static str,
+        decode: Decode,
+    ) -> Option<Value>
+    where
+        Decode: FnOnce(&mut Reader, &Place<'tree>) -> Option<Value>,
+    {
+        if let Some(place) = self.find(key) {
+            return decode(reader, &place);
+        }
+        let missing = Place {
+            path: tree::field_path(&self.place.path, key),
+            node: self.place.node,
+        };
+        reader.fault(&missing, "is missing", format!("add the key `{key}`"));
+        None
+    }
+
+    /// Reads a key that may be absent; `default` then takes its place.
+    pub fn optional<Value, Decode>(
+        &mut self,
+        reader: &mut Reader,
+        key: &'static str,
+        default: Value,
+        decode: Decode,
+    ) -> Option<Value>
+    where
+        Decode: FnOnce(&mut Reader, &Place<'tree>) -> Option<Value>,
+    {
+        match self.find(key) {
+            Some(place) => decode(reader, &place),
+            None => Some(default),
+        }
+    }
+
+    /// The value of a key that may be absent.
+    pub fn find(&mut self, key: &'static str) -> Option<Place<'tree>> {
+        self.known.push(key);
+        let entry = self.entries.iter().find(|entry| entry.key == key)?;
+        Some(Place {
+            path: tree::field_path(&self.place.path, key),
+            node: &entry.node,
+        })
+    }
+
+    /// Adds a fault for each key that was not asked for.
+    pub fn close(self, reader: &mut Reader) {
+        for entry in self.entries {
+            if self.known.contains(&entry.key.as_str()) {
+                continue;
+            }
+            reader.faults.push(Fault {
+                line: Some(entry.line),
+                key: tree::field_path(&self.place.path, &entry.key),
+                problem: "is an unknown key".to_owned(),
+                remedy: format!("remove it, or use one of: {}", self.known.join(", ")),
+            });
+        }
+    }
+}
+
+fn is_null(text: &str, plain: bool) -> bool {
+    text.is_empty() || (plain && matches!(text, "~" | "null" | "Null" | "NULL"))
+}
--- /dev/null
+++ b/crates/papayayard_document/tests/hostile.rs
@@ -0,0 +1,56 @@
+//! Any bytes end in a document or in a list of faults, the same each time.
+
+use papayayard_document::document::Document;
+use proptest::prelude::{Just, Strategy, any, prop_assert, prop_assert_eq, prop_oneof, proptest};
+use proptest::test_runner::Config;
+
+const SMALL: &str = include_str!("fixtures/small.yaml");
+
+/// A valid document with a few passages replaced by others.
+fn damaged() -> impl Strategy<Value = String> {
+    let passage = prop_oneof![
+        Just(String::new()),
+        Just("\n".to_owned()),
+        Just("  - ".to_owned()),
+        Just("{".to_owned()),
+        Just("*a".to_owned()),
+        Just("&a ".to_owned()),
+        Just("? ".to_owned()),
+        Just("---\n".to_owned()),
+        "\\PC{0,8}",
+    ];
+    let damage = (0..SMALL.len(), 0..16_usize, passage);
+    proptest::collection::vec(damage, 1..6).prop_map(|damages| {
+        let mut text = SMALL.as_bytes().to_vec();
+        for (start, length, passage) in damages {
+            let start = start.min(text.len());
+            let end = (start + length).min(text.len());
+            text.splice(start..end, passage.bytes());
+        }
+        String::from_utf8_lossy(&text).into_owned()
+    })
+}
+
+fn check(text: &str) -> Result<(), proptest::test_runner::TestCaseError> {
+    let first = Document::parse(text);
+    if let Err(faults) = &first {
+        prop_assert!(!faults.is_empty(), "refused without a fault");
+        prop_assert!(faults.iter().all(|fault| !fault.remedy.is_empty()));
+    }
+    prop_assert_eq!(first, Document::parse(text));
+    Ok(())
+}
+
+proptest! {
+    #![proptest_config(Config { cases: 1000, failure_persistence: None, ..Config::default() })]
+
+    #[test]
+    fn damaged_documents(text in damaged()) {
+        check(&text)?;
+    }
+
+    #[test]
+    fn any_text(text in any::<String>()) {
+        check(&text)?;
+    }
+}
--- a/crates/papayayard_document/tests/parse.rs
+++ b/crates/papayayard_document/tests/parse.rs
@@ -1,49 +1,54 @@
-//! Documents are read from YAML.
+//! A document without faults is read into its types.
 
-use papayayard_document::document;
+use papayayard_document::document::{Document, Fencing, Kind};
+use rstest::rstest;
 
-const SMALL: &str = "\
-format: 1
-block: { unit: byte, size: 2048 }
-accounts:
-  - id: bergen-sentrum
-    key_digests: [0000000000000000000000000000000000000000000000000000000000000001]
-    requests_per_second: 100
-    open_requests: 50
-services:
-  - name: match-llm
-    replicas: 2
-    model:
-      name: match
-      version: '3'
-      loads_at_once: 1
-      fencing: checked
-      first_token_ms: 1400
-  - name: studio-app
-    replicas: 1
-    plain:
-      timeout_ms: 2000
-      routes:
-        - { method: GET, path: /schedule, idempotent: true }
-";
+const SMALL: &str = include_str!("fixtures/small.yaml");
 
 #[test]
-fn a_small_document_is_read() {
-    let document = document::Document::parse(SMALL).expect("the document has no fault");
+fn every_key_is_read() {
+    let document = Document::parse(SMALL).expect("the document has no fault");
     assert_eq!(document.block.bytes(), 2048);
-    assert_eq!(document.accounts[0].weight, 1);
-    assert!(matches!(
-        &document.services[0].kind,
-        document::Kind::Model(model) if model.version.as_str() == "3"
-    ));
-    assert!(matches!(
-        &document.services[1].kind,
-        document::Kind::Plain(plain) if plain.routes[0].idempotent
-    ));
+    let [city, voss] = document.accounts.as_slice() else {
+        panic!("two accounts, not {:?}", document.accounts);
+    };
+    assert_eq!((city.priority, city.weight), (0, 1));
+    assert_eq!((voss.priority, voss.weight), (1, 2));
+    assert_eq!((voss.requests_per_second, voss.open_requests), (20, 10));
+    assert_eq!(voss.key_digests, ["2".repeat(64)]);
+    assert_eq!(document.services[0].replicas, 18);
+    let Kind::Model(model) = &document.services[0].kind else {
+        panic!("match-llm is a model service");
+    };
+    assert_eq!(model.name.as_str(), "match");
+    assert_eq!(model.version.as_str(), "1.10");
+    assert_eq!(model.adapters.len(), 2);
+    assert_eq!((model.loads_at_once, model.first_token_ms), (3, 1400));
+    assert_eq!(model.fencing, Fencing::Checked);
+    let Kind::Plain(plain) = &document.services[1].kind else {
+        panic!("studio-app is a plain service");
+    };
+    assert_eq!(plain.timeout_ms, 2000);
+    let idempotent: Vec<bool> = plain.routes.iter().map(|route| route.idempotent).collect();
+    assert_eq!(idempotent, [true, false]);
 }
 
-#[test]
-fn a_broken_document_is_refused_with_its_line() {
-    let faults = document::Document::parse("format: 1\nblock: [\n").expect_err("it is broken");
-    assert!(faults[0].line.is_some(), "{faults:?}");
+#[rstest]
+#[case::service_named_like_the_product("name: studio-app", "name: papayayard")]
+#[case::account_named_like_the_product("id: voss", "id: papayayard")]
+#[case::model_with_parts("name: match\n", "name: fjordtakt/match\n")]
+#[case::same_word_for_service_and_model("name: match\n", "name: match-llm\n")]
+#[case::quoted_name("name: match\n", "name: 'match'\n")]
+#[case::route_of_the_whole_service("path: /schedule", "path: /")]
+#[case::no_routes(
+    "      routes:\n        - { method: GET, path: /schedule, idempotent: true }\n        - { method: POST, path: /bookings, idempotent: false }\n",
+    ""
+)]
+#[case::comment("format: 1", "# trial and production\nformat: 1 # the first")]
+#[case::lengths_in_tokens("unit: byte", "unit: token")]
+#[case::windows_line_ends("\n", "\r\n")]
+fn accepted(#[case] from: &str, #[case] to: &str) {
+    assert!(SMALL.contains(from), "{from:?} is not in the fixture");
+    let text = SMALL.replace(from, to);
+    Document::parse(&text).unwrap_or_else(|faults| panic!("{faults:#?}"));
 }
