Add the fleet, cache salts and policies of choice

The daemon needs a first shape to build against: the endpoints of a model service in a slotmap, the policies behind one small trait, and an index of cached blocks that the fleet owns, so that the end of a run clears its entries in the same step.

Numbers of runs carry no order (a restart only takes a new one), so ended runs are remembered and a report counts against them by the time of its figures; ordering by number was ruled out.

Cache salts are BLAKE3 with a derived context and lengths before the parts, cut to the 64 bits that block keys have.

--- /dev/null
+++ b/crates/papayayard_routing/src/choice/least_loaded.rs
@@ -0,0 +1,24 @@
+//! The shortest queue: a baseline.
+
+use crate::choice::{self, Pick, Policy, Query, Refusal};
+use crate::fleet;
+
+/// Takes the endpoint with the shortest wait.
+#[derive(Clone, Debug, Default)]
+pub struct LeastLoaded;
+
+impl Policy for LeastLoaded {
+    fn pick(&mut self, fleet: &fleet::Fleet, query: &Query<'_>) -> Result<Pick, Refusal> {
+        let (key, endpoint) = choice::candidates(fleet, query)
+            .min_by(|(_, left), (_, right)| rank(left, query).total_cmp(&rank(right, query)))
+            .ok_or(Refusal::NoEndpoint)?;
+        choice::admit(choice::cold(key, endpoint, query), query)
+    }
+}
+
+/// Wait, and among equal waits the occupancy.
+fn rank(endpoint: &fleet::Endpoint, query: &Query<'_>) -> f64 {
+    endpoint.load.wait(query.now) + OCCUPANCY_SECONDS * endpoint.load.occupancy()
+}
+
+const OCCUPANCY_SECONDS: f64 = 0.001;
--- /dev/null
+++ b/crates/papayayard_routing/src/fleet.rs
@@ -0,0 +1,327 @@
+//! The endpoints of one model service, as this host sees them.
+//!
+//! The table owns the index of cached blocks, so that an incarnation that
+//! ended takes its entries along in the same step. An endpoint is eligible
+//! only while its last report says ready with the weights version that the
+//! document asks for, and while it is neither leaving nor ejected.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use papayayard_wire::{block, endpoint, id};
+use slotmap::SlotMap;
+use xxhash_rust::xxh3;
+
+use crate::index;
+use crate::load;
+use crate::run;
+
+slotmap::new_key_type! {
+    /// Handle of an endpoint in a [`Fleet`].
+    pub struct Key;
+}
+
+/// What a fleet is told once.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Weights version that the document asks for.
+    pub version: id::Version,
+    /// Length of a cached piece in bytes of a prompt.
+    pub block_bytes: usize,
+    /// Blocks that the index holds at most.
+    pub index_blocks: usize,
+}
+
+/// One endpoint.
+#[derive(Clone, Debug)]
+pub struct Endpoint {
+    /// Name.
+    pub name: id::Endpoint,
+    /// Availability zone.
+    pub zone: id::Zone,
+    /// Load.
+    pub load: load::Load,
+    pub(crate) slot: index::Slot,
+    pub(crate) seed: u64,
+    pub(crate) eligible: bool,
+    runs: run::Tracker,
+    state: Option<endpoint::State>,
+    version: Option<id::Version>,
+    leaving: bool,
+    ejected: bool,
+}
+
+/// The endpoints of one model service.
+#[derive(Debug)]
+pub struct Fleet {
+    endpoints: SlotMap<Key, Endpoint>,
+    names: HashMap<id::Endpoint, Key>,
+    index: index::Index,
+    version: id::Version,
+    block_bytes: usize,
+    hosts: f64,
+}
+
+impl Fleet {
+    /// An empty fleet.
+    pub fn new(settings: Settings) -> Self {
+        Self {
+            endpoints: SlotMap::with_key(),
+            names: HashMap::new(),
+            index: index::Index::new(settings.index_blocks),
+            version: settings.version,
+            block_bytes: settings.block_bytes.max(1),
+            hosts: 1.0,
+        }
+    }
+
+    /// Sets how many hosts send to this fleet, this one included.
+    pub fn set_hosts(&mut self, hosts: u32) {
+        self.hosts = f64::from(hosts.max(1));
+    }
+
+    /// Sets the weights version that the document asks for.
+    pub fn set_version(&mut self, version: id::Version) {
+        self.version = version;
+        for endpoint in self.endpoints.values_mut() {
+            endpoint.judge(&self.version);
+        }
+    }
+
+    /// Adds an endpoint, or finds it under its name; a leaving one is back.
+    pub fn join(&mut self, name: &id::Endpoint, zone: &id::Zone) -> Key {
+        if let Some(&key) = self.names.get(name) {
+            let endpoint = &mut self.endpoints[key];
+            endpoint.leaving = false;
+            endpoint.zone = zone.clone();
+            endpoint.judge(&self.version);
+            return key;
+        }
+        let endpoint = Endpoint {
+            name: name.clone(),
+            zone: zone.clone(),
+            load: load::Load::default(),
+            slot: self.index.open(),
+            seed: xxh3::xxh3_64(name.as_str().as_bytes()),
+            eligible: false,
+            runs: run::Tracker::default(),
+            state: None,
+            version: None,
+            leaving: false,
+            ejected: false,
+        };
+        let key = self.endpoints.insert(endpoint);
+        self.names.insert(name.clone(), key);
+        key
+    }
+
+    /// Stops new work to an endpoint that is leaving.
+    pub fn leave(&mut self, key: Key) {
+        self.update(key, |endpoint| endpoint.leaving = true);
+    }
+
+    /// Forgets an endpoint.
+    pub fn remove(&mut self, key: Key) {
+        if let Some(endpoint) = self.endpoints.remove(key) {
+            self.names.remove(&endpoint.name);
+            self.index.close(endpoint.slot);
+        }
+    }
+
+    /// Leaves an endpoint out of the choice, or takes it back in.
+    pub fn set_ejected(&mut self, key: Key, ejected: bool) {
+        self.update(key, |endpoint| endpoint.ejected = ejected);
+    }
+
+    /// Takes a load report.
+    pub fn report(&mut self, key: Key, report: &endpoint::Report, now: Duration) -> run::Match {
+        let taken_at = now.saturating_sub(Duration::from_millis(report.age_ms));
+        let run = self.matched(key, report.incarnation, Some(taken_at), now);
+        let hosts = self.hosts;
+        if run != run::Match::Ended {
+            self.update(key, |endpoint| {
+                endpoint.state = Some(report.state);
+                endpoint.version = Some(report.version.clone());
+                endpoint.load.report(report, now, hosts);
+            });
+        }
+        run
+    }
+
+    /// Takes the run that an answer names. A new one clears the index entries
+    /// of the former at once.
+    pub fn seen(&mut self, key: Key, incarnation: id::Incarnation, now: Duration) -> run::Match {
+        self.matched(key, incarnation, None, now)
+    }
+
+    /// Takes a crash: the index entries are cleared, and nothing is sent
+    /// until a report that was taken later.
+    pub fn crashed(&mut self, key: Key, now: Duration) {
+        if let Some(endpoint) = self.endpoints.get_mut(key) {
+            endpoint.runs.end(now);
+            endpoint.ended(&self.version, now);
+            self.index.clear(endpoint.slot);
+        }
+    }
+
+    /// Takes a page of cache events.
+    pub fn events(&mut self, key: Key, page: &endpoint::Page, now: Duration) -> run::Match {
+        let run = self.matched(key, page.incarnation, None, now);
+        if run != run::Match::Ended {
+            self.index.events(self.endpoints[key].slot, page, now);
+        }
+        run
+    }
+
+    /// Counts a request that was sent; `cached_bytes` as the pick expected.
+    pub fn dispatched(
+        &mut self,
+        key: Key,
+        keys: &[block::Key],
+        prompt_bytes: usize,
+        cached_bytes: usize,
+        now: Duration,
+    ) {
+        let Some(endpoint) = self.endpoints.get_mut(key) else {
+            return;
+        };
+        let uncached = tokens(prompt_bytes.saturating_sub(cached_bytes));
+        endpoint.load.dispatched(uncached, now, self.hosts);
+        self.index.expect(endpoint.slot, keys, now);
+    }
+
+    /// Takes an answer's report of the tokens that it found in the cache.
+    pub fn answered(&mut self, key: Key, keys: &[block::Key], cached_tokens: u64, now: Duration) {
+        if let Some(endpoint) = self.endpoints.get(key) {
+            let cached = usize::try_from(cached_tokens).unwrap_or(usize::MAX);
+            let blocks = cached.saturating_mul(BYTES_PER_TOKEN) / self.block_bytes;
+            self.index.confirm(endpoint.slot, keys, blocks, now);
+        }
+    }
+
+    /// Counts a request that ended whole, `took` after it was sent.
+    pub fn finished(&mut self, key: Key, took: Duration, now: Duration) {
+        let hosts = self.hosts;
+        if let Some(endpoint) = self.endpoints.get_mut(key) {
+            endpoint.load.finished(took, now, hosts);
+        }
+    }
+
+    /// Counts a request that ended without a whole answer; what it was
+    /// expected to leave in the cache is no longer expected.
+    pub fn failed(&mut self, key: Key, keys: &[block::Key], now: Duration) {
+        let hosts = self.hosts;
+        if let Some(endpoint) = self.endpoints.get_mut(key) {
+            endpoint.load.ended(now, hosts);
+            self.index.confirm(endpoint.slot, keys, 0, now);
+        }
+    }
+
+    /// Handle of an endpoint.
+    pub fn find(&self, name: &id::Endpoint) -> Option<Key> {
+        self.names.get(name).copied()
+    }
+
+    /// An endpoint.
+    pub fn get(&self, key: Key) -> Option<&Endpoint> {
+        self.endpoints.get(key)
+    }
+
+    /// All endpoints.
+    pub fn iter(&self) -> impl Iterator<Item = (Key, &Endpoint)> {
+        self.endpoints.iter()
+    }
+
+    /// Whether an endpoint may be given new work.
+    pub fn eligible(&self, key: Key) -> bool {
+        self.endpoints
+            .get(key)
+            .is_some_and(|endpoint| endpoint.eligible)
+    }
+
+    /// Number of endpoints.
+    pub fn len(&self) -> usize {
+        self.endpoints.len()
+    }
+
+    /// Whether there is no endpoint.
+    pub fn is_empty(&self) -> bool {
+        self.endpoints.is_empty()
+    }
+
+    /// Length of a cached piece in bytes of a prompt.
+    pub const fn block_bytes(&self) -> usize {
+        self.block_bytes
+    }
+
+    /// The index of cached blocks.
+    pub const fn index(&self) -> &index::Index {
+        &self.index
+    }
+
+    fn matched(
+        &mut self,
+        key: Key,
+        incarnation: id::Incarnation,
+        taken_at: Option<Duration>,
+        now: Duration,
+    ) -> run::Match {
+        let Some(endpoint) = self.endpoints.get_mut(key) else {
+            return run::Match::Ended;
+        };
+        let run = endpoint.runs.seen(incarnation, taken_at, now);
+        if run == run::Match::New {
+            endpoint.ended(&self.version, now);
+            self.index.clear(endpoint.slot);
+        }
+        run
+    }
+
+    fn update<Edit>(&mut self, key: Key, edit: Edit)
+    where
+        Edit: FnOnce(&mut Endpoint),
+    {
+        if let Some(endpoint) = self.endpoints.get_mut(key) {
+            edit(endpoint);
+            endpoint.judge(&self.version);
+        }
+    }
+}
+
+impl Endpoint {
+    /// The current run of its process, once known.
+    pub const fn incarnation(&self) -> Option<id::Incarnation> {
+        self.runs.current()
+    }
+
+    /// Whether it is leaving.
+    pub const fn leaving(&self) -> bool {
+        self.leaving
+    }
+
+    /// Whether it is left out because it failed.
+    pub const fn ejected(&self) -> bool {
+        self.ejected
+    }
+
+    fn ended(&mut self, version: &id::Version, now: Duration) {
+        self.state = None;
+        self.version = None;
+        self.load.restart(now);
+        self.judge(version);
+    }
+
+    fn judge(&mut self, version: &id::Version) {
+        let ready = self.state == Some(endpoint::State::Ready);
+        let current = self.version.as_ref() == Some(version);
+        self.eligible = ready && current && !self.leaving && !self.ejected;
+    }
+}
+
+/// Mean length of a token in bytes of a prompt.
+pub const BYTES_PER_TOKEN: usize = papayayard_document::document::BYTES_PER_TOKEN;
+
+/// Tokens of a part of a prompt.
+pub(crate) fn tokens(bytes: usize) -> u32 {
+    u32::try_from(bytes / BYTES_PER_TOKEN).unwrap_or(u32::MAX)
+}
--- a/crates/papayayard_routing/src/lib.rs
+++ b/crates/papayayard_routing/src/lib.rs
@@ -1,4 +1,13 @@
 //! Pure decisions on where a request goes and whether it is admitted.
 //!
 //! Nothing here has a socket, a clock, a thread or a global: time and
-//! randomness are handed in, and decisions come back as values.
+//! randomness are handed in, and decisions come back as values. Times are
+//! durations since an epoch that the caller keeps for the process's life.
+
+pub mod choice;
+pub mod fleet;
+pub mod index;
+pub mod load;
+pub mod mix;
+pub mod run;
+pub mod salt;
--- /dev/null
+++ b/crates/papayayard_routing/src/load.rs
@@ -0,0 +1,158 @@
+//! Load of one endpoint, as well as this host can know it.
+//!
+//! A report is old when it arrives. The backlog of prompt tokens is therefore
+//! carried forward from the report's time: it drains at the reported prefill
+//! rate, and what this host sent since is added. Other hosts send as well;
+//! each token sent here counts as often as there are hosts, which is what the
+//! balancer's even spread makes of it.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use papayayard_wire::endpoint;
+
+const DEFAULT_PREFILL_RATE: f64 = 8_000.0;
+const DEFAULT_SLOTS: f64 = 16.0;
+const DEFAULT_SERVICE_TIME: f64 = 1.0;
+const SERVICE_TIME_WEIGHT: f64 = 0.1;
+const MAX_RECENT: usize = 512;
+
+/// Load of one endpoint.
+#[derive(Clone, Debug)]
+pub struct Load {
+    rate: f64,
+    slots: f64,
+    backlog: f64,
+    occupied: f64,
+    at: Duration,
+    taken_at: Duration,
+    recent: VecDeque<Change>,
+    open: u32,
+    service_time: f64,
+}
+
+/// What this host did to an endpoint.
+#[derive(Clone, Copy, Debug)]
+struct Change {
+    at: Duration,
+    tokens: f64,
+    requests: f64,
+}
+
+impl Default for Load {
+    fn default() -> Self {
+        Self {
+            rate: DEFAULT_PREFILL_RATE,
+            slots: DEFAULT_SLOTS,
+            backlog: 0.0,
+            occupied: 0.0,
+            at: Duration::ZERO,
+            taken_at: Duration::ZERO,
+            recent: VecDeque::new(),
+            open: 0,
+            service_time: DEFAULT_SERVICE_TIME,
+        }
+    }
+}
+
+impl Load {
+    /// Prompt tokens computed per second.
+    pub const fn rate(&self) -> f64 {
+        self.rate
+    }
+
+    /// Requests that this host has open here.
+    pub const fn open(&self) -> u32 {
+        self.open
+    }
+
+    /// Requests at the endpoint, in the batch or waiting, over its slots.
+    pub fn occupancy(&self) -> f64 {
+        self.occupied / self.slots
+    }
+
+    /// Seconds until a request that is sent now would begin to compute.
+    pub fn wait(&self, now: Duration) -> f64 {
+        let backlog = self.drained(now) / self.rate;
+        let excess = (self.occupied + 1.0 - self.slots).max(0.0);
+        backlog + excess * self.service_time / self.slots
+    }
+
+    /// Takes over a report that is `age` old at `now`; an older one than the
+    /// last is left aside.
+    pub fn report(&mut self, report: &endpoint::Report, now: Duration, hosts: f64) {
+        let taken_at = now.saturating_sub(Duration::from_millis(report.age_ms));
+        if taken_at < self.taken_at {
+            return;
+        }
+        self.taken_at = taken_at;
+        self.rate = f64::from(report.prefill_rate.max(1));
+        self.slots = f64::from(report.slots.max(1));
+        self.backlog = f64::from(u32::try_from(report.pending_tokens).unwrap_or(u32::MAX));
+        self.occupied = f64::from(report.running) + f64::from(report.queued);
+        self.at = taken_at;
+        while self
+            .recent
+            .front()
+            .is_some_and(|change| change.at <= taken_at)
+        {
+            self.recent.pop_front();
+        }
+        for index in 0..self.recent.len() {
+            let change = self.recent[index];
+            self.apply(change, hosts);
+        }
+    }
+
+    /// Counts a request that was sent with `tokens` to compute.
+    pub fn dispatched(&mut self, tokens: u32, now: Duration, hosts: f64) {
+        self.open += 1;
+        self.record(now, f64::from(tokens), 1.0, hosts);
+    }
+
+    /// Counts a request that ended after `took`.
+    pub fn finished(&mut self, took: Duration, now: Duration, hosts: f64) {
+        let difference = took.as_secs_f64() - self.service_time;
+        self.service_time += SERVICE_TIME_WEIGHT * difference;
+        self.ended(now, hosts);
+    }
+
+    /// Counts a request that ended without an answer.
+    pub fn ended(&mut self, now: Duration, hosts: f64) {
+        self.open = self.open.saturating_sub(1);
+        self.record(now, 0.0, -1.0, hosts);
+    }
+
+    /// Forgets everything that a dead process took with it.
+    pub fn restart(&mut self, now: Duration) {
+        self.backlog = 0.0;
+        self.occupied = 0.0;
+        self.at = now;
+        self.taken_at = now;
+        self.recent.clear();
+    }
+
+    fn record(&mut self, at: Duration, tokens: f64, requests: f64, hosts: f64) {
+        let change = Change {
+            at,
+            tokens,
+            requests,
+        };
+        if self.recent.len() == MAX_RECENT {
+            self.recent.pop_front();
+        }
+        self.recent.push_back(change);
+        self.apply(change, hosts);
+    }
+
+    fn apply(&mut self, change: Change, hosts: f64) {
+        self.backlog = self.drained(change.at) + change.tokens * hosts;
+        self.at = self.at.max(change.at);
+        self.occupied = (self.occupied + change.requests * hosts).max(f64::from(self.open.min(1)));
+    }
+
+    fn drained(&self, now: Duration) -> f64 {
+        let elapsed = now.saturating_sub(self.at).as_secs_f64();
+        (self.backlog - elapsed * self.rate).max(0.0)
+    }
+}
--- /dev/null
+++ b/crates/papayayard_routing/src/run.rs
@@ -0,0 +1,83 @@
+//! Which run of an endpoint's process is the current one.
+//!
+//! Messages of a run that ended may arrive after those of the next. Numbers
+//! of runs carry no order, so the ended ones are kept for a while. A report
+//! whose figures are newer than the supposed end proves that the run lives.
+
+use std::time::Duration;
+
+use papayayard_wire::id;
+
+const MAX_ENDED: usize = 4;
+
+/// Whether a message belongs to the current run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Match {
+    /// It does, or it is the first that is known.
+    Same,
+    /// It belongs to a new run; the former ended with all that it held.
+    New,
+    /// It belongs to a run that has ended.
+    Ended,
+}
+
+/// The runs of one endpoint's process.
+#[derive(Clone, Debug, Default)]
+pub struct Tracker {
+    current: Option<id::Incarnation>,
+    ended: Vec<End>,
+}
+
+/// A run that ended.
+#[derive(Clone, Copy, Debug)]
+struct End {
+    incarnation: id::Incarnation,
+    at: Duration,
+}
+
+impl Tracker {
+    /// The current run, once known.
+    pub const fn current(&self) -> Option<id::Incarnation> {
+        self.current
+    }
+
+    /// Takes a message that names a run. `taken_at` is when the message was
+    /// true, where that is known.
+    pub fn seen(
+        &mut self,
+        incarnation: id::Incarnation,
+        taken_at: Option<Duration>,
+        now: Duration,
+    ) -> Match {
+        if self.current == Some(incarnation) {
+            return Match::Same;
+        }
+        if self.is_ended(incarnation, taken_at) {
+            return Match::Ended;
+        }
+        self.ended.retain(|end| end.incarnation != incarnation);
+        let known = self.current.is_some() || !self.ended.is_empty();
+        self.end(now);
+        self.current = Some(incarnation);
+        if known { Match::New } else { Match::Same }
+    }
+
+    /// Ends the current run.
+    pub fn end(&mut self, now: Duration) {
+        let Some(incarnation) = self.current.take() else {
+            return;
+        };
+        if self.ended.len() == MAX_ENDED {
+            self.ended.remove(0);
+        }
+        self.ended.push(End {
+            incarnation,
+            at: now,
+        });
+    }
+
+    fn is_ended(&self, incarnation: id::Incarnation, taken_at: Option<Duration>) -> bool {
+        let end = self.ended.iter().find(|end| end.incarnation == incarnation);
+        end.is_some_and(|end| taken_at.is_none_or(|taken_at| taken_at <= end.at))
+    }
+}
--- /dev/null
+++ b/crates/papayayard_routing/src/salt.rs
@@ -0,0 +1,44 @@
+//! Cache salts.
+//!
+//! Block keys form a chain that starts at the salt. Two requests can share a
+//! block only if everything named in the scope is equal, so that no answer
+//! draws on another client account's state or on older weights.
+
+use papayayard_wire::{block, id};
+
+/// Everything that two prompts must have in common to share a block.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Scope<'a> {
+    /// Client account.
+    pub account: &'a id::Account,
+    /// Model service.
+    pub service: &'a id::Service,
+    /// Model.
+    pub model: &'a id::Model,
+    /// Adapter, if one was asked for.
+    pub adapter: Option<&'a id::Adapter>,
+    /// Version of the weights.
+    pub version: &'a id::Version,
+}
+
+const CONTEXT: &str = "papayayard 2026 cache salt";
+
+/// Computes the salt of a scope.
+pub fn compute(scope: &Scope<'_>) -> block::Salt {
+    let mut hasher = blake3::Hasher::new_derive_key(CONTEXT);
+    write(&mut hasher, scope.account.as_str());
+    write(&mut hasher, scope.service.as_str());
+    write(&mut hasher, scope.model.as_str());
+    hasher.update(&[u8::from(scope.adapter.is_some())]);
+    write(&mut hasher, scope.adapter.map_or("", id::Adapter::as_str));
+    write(&mut hasher, scope.version.as_str());
+    let mut bytes = [0; 8];
+    hasher.finalize_xof().fill(&mut bytes);
+    block::Salt(u64::from_le_bytes(bytes))
+}
+
+/// Writes the length before the text, so that fields cannot run together.
+fn write(hasher: &mut blake3::Hasher, text: &str) {
+    hasher.update(&(text.len() as u64).to_le_bytes());
+    hasher.update(text.as_bytes());
+}
--- /dev/null
+++ b/crates/papayayard_routing/tests/salt.rs
@@ -0,0 +1,51 @@
+//! Scopes never share a salt, and so never a block.
+
+use std::collections::HashSet;
+
+use papayayard_routing::salt;
+use papayayard_wire::{block, id};
+use proptest::prelude::*;
+
+type Parts = (String, String, String, Option<String>, String);
+
+fn compute(parts: &Parts) -> block::Salt {
+    let (account, service, model, adapter, version) = parts;
+    let adapter = adapter.as_deref().map(id::Adapter::from);
+    salt::compute(&salt::Scope {
+        account: &account.as_str().into(),
+        service: &service.as_str().into(),
+        model: &model.as_str().into(),
+        adapter: adapter.as_ref(),
+        version: &version.as_str().into(),
+    })
+}
+
+fn parts() -> impl Strategy<Value = Parts> {
+    let text = "[ab]{0,3}";
+    (text, text, text, proptest::option::of(text), text)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(1_000))]
+
+    #[test]
+    fn salts_are_equal_only_for_equal_scopes(left in parts(), right in parts()) {
+        prop_assert_eq!(compute(&left) == compute(&right), left == right);
+    }
+
+    #[test]
+    fn one_prompt_in_two_scopes_shares_no_key(
+        left in parts(),
+        right in parts(),
+        prompt in proptest::collection::vec(any::<u8>(), 64..256),
+    ) {
+        prop_assume!(left != right);
+        let keys = |parts: &Parts| {
+            let mut chain = block::Chain::new(compute(parts), 32);
+            chain.push(&prompt);
+            chain.finish()
+        };
+        let ours: HashSet<_> = keys(&left).into_iter().collect();
+        prop_assert!(keys(&right).iter().all(|key| !ours.contains(key)));
+    }
+}
