Choose endpoints by the routing crate's policies

The frame took the endpoint with the fewest requests of this host. It now holds one fleet of the routing crate for each model service, feeds it with dispatches, answers, reports and cache events, and moves running work away from a run that ended or stopped answering its observer.

The host takes a truth for the oracle as a type parameter, so that a bench can hand one in without dynamic dispatch. Not run against endpoints yet.

--- a/crates/papayayard/src/active.rs
+++ b/crates/papayayard/src/active.rs
@@ -76,6 +76,15 @@
         }
     }
 
+    /// The model of a service's name.
+    pub(crate) fn model_of(&self, service: &id::Service) -> Option<&document::Model> {
+        let index = *self.services.get(service)?;
+        match &self.document.services[index].kind {
+            document::Kind::Model(model) => Some(model),
+            document::Kind::Plain(_) => None,
+        }
+    }
+
     /// The plain service of a name.
     pub(crate) fn plain(&self, name: &str) -> Option<&document::Plain> {
         let index = *self.services.get(&id::Service::from(name))?;
--- a/crates/papayayard/src/callers.rs
+++ b/crates/papayayard/src/callers.rs
@@ -178,7 +178,7 @@
         service: Option<String>,
     ) -> Result<Arrival, Refusal> {
         if *self.stopping.borrow() {
-            return Err(stopping());
+            return Err(Refusal::stopping());
         }
         let path = request
             .uri()
@@ -325,11 +325,3 @@
         body: Body::Whole(body.into()),
     }
 }
-
-fn stopping() -> Refusal {
-    Refusal::not_run(
-        Kind::Stopping,
-        "this host is stopping; send the request to another host",
-    )
-    .after(Duration::from_secs(1))
-}
--- a/crates/papayayard/src/controllers/fleet.rs
+++ b/crates/papayayard/src/controllers/fleet.rs
@@ -4,32 +4,36 @@
 //! to it by messages, so that a choice and the dispatch it leads to are one
 //! step.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use papayayard_wire::refusal::Kind;
+use papayayard_routing::choice;
 use papayayard_wire::{block, directory, endpoint, id};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio_util::sync::CancellationToken;
 
+use crate::clock::Clock;
+use crate::controllers::configuration;
 use crate::exchange::Completion;
 use crate::refusal::Refusal;
 
+mod service;
+mod state;
+
 /// Messages that wait for the task.
 const BACKLOG: usize = 4096;
-/// When to come back where no endpoint takes the request.
-const NO_ENDPOINT_RETRY: Duration = Duration::from_secs(1);
 
 /// What a request asks of the fleet.
 #[derive(Clone, Debug)]
-#[expect(dead_code, reason = "read once the choice uses the prefix")]
 pub(crate) struct Query {
     service: id::Service,
     version: id::Version,
     keys: Arc<[block::Key]>,
     prompt_bytes: usize,
+    output_tokens: u32,
     fingerprint: u64,
+    deadline: Option<Duration>,
     excluded: Vec<id::Endpoint>,
 }
 
@@ -41,7 +45,9 @@
             version: completion.version.clone(),
             keys: completion.keys.clone().into(),
             prompt_bytes: completion.prompt_bytes,
+            output_tokens: completion.max_tokens.unwrap_or(DEFAULT_OUTPUT_TOKENS),
             fingerprint: completion.fingerprint,
+            deadline: completion.whole.known.deadline,
             excluded: Vec::new(),
         }
     }
@@ -52,6 +58,9 @@
     }
 }
 
+/// Tokens of an answer whose request states no maximum.
+const DEFAULT_OUTPUT_TOKENS: u32 = 256;
+
 /// A request's place at an endpoint.
 #[derive(Clone, Debug)]
 pub(crate) struct Dispatch {
@@ -59,7 +68,15 @@
     pub(crate) endpoint: id::Endpoint,
     /// Its address.
     pub(crate) address: SocketAddr,
+    /// Cancelled when the run of the endpoint's process that was chosen is
+    /// known to have ended or to answer no more.
+    pub(crate) lost: CancellationToken,
     incarnation: Option<id::Incarnation>,
+    service: id::Service,
+    keys: Arc<[block::Key]>,
+    #[expect(dead_code, reason = "read by the quarantine")]
+    fingerprint: u64,
+    sent: Duration,
 }
 
 impl Dispatch {
@@ -91,26 +108,26 @@
 }
 
 /// State of an endpoint, for operators.
-#[derive(Clone, Debug, serde::Serialize)]
-pub struct Status {
+#[derive(Clone, Debug)]
+pub(crate) struct Status {
     /// Endpoint.
-    pub endpoint: id::Endpoint,
+    pub(crate) endpoint: id::Endpoint,
     /// Service.
-    pub service: id::Service,
+    pub(crate) service: id::Service,
     /// Availability zone.
-    pub zone: id::Zone,
+    pub(crate) zone: id::Zone,
     /// What the platform plans for it.
-    pub plan: directory::State,
+    pub(crate) plan: directory::State,
+    /// Whether it gets new work.
+    pub(crate) eligible: bool,
     /// Requests of this host that it runs.
-    pub in_flight: u32,
+    pub(crate) in_flight: u32,
     /// Its last report.
-    pub report: Option<endpoint::Report>,
+    pub(crate) report: Option<endpoint::Report>,
 }
 
-#[expect(dead_code, reason = "read once the choice uses the prefix")]
 enum Message {
     Choose(Query, oneshot::Sender<Result<Dispatch, Refusal>>),
-    FirstToken(Dispatch),
     Settle(Dispatch, Outcome),
     Fail(Dispatch, Outcome, oneshot::Sender<bool>),
     Listed(Vec<directory::Endpoint>),
@@ -132,12 +149,7 @@
         let query = query.clone();
         self.ask(|reply| Message::Choose(query, reply))
             .await
-            .unwrap_or_else(|| Err(stopped()))
-    }
-
-    /// Takes down that the first token came.
-    pub(crate) fn first_token(&self, dispatch: &Dispatch) {
-        self.tell(Message::FirstToken(dispatch.clone()));
+            .unwrap_or_else(|| Err(Refusal::stopping()))
     }
 
     /// Takes down how a dispatched request ended.
@@ -154,7 +166,7 @@
         let dispatch = dispatch.clone();
         self.ask(|reply| Message::Fail(dispatch, outcome, reply))
             .await
-            .ok_or_else(stopped)
+            .ok_or_else(Refusal::stopping)
     }
 
     /// Takes in the platform's list.
@@ -205,148 +217,54 @@
     }
 }
 
-/// Starts the task.
-pub(crate) fn start() -> Handle {
-    let (sender, receiver) = mpsc::channel(BACKLOG);
-    tokio::spawn(run(receiver));
-    Handle { messages: sender }
-}
-
-async fn run(mut messages: mpsc::Receiver<Message>) {
-    let mut fleet = Fleet::default();
-    while let Some(message) = messages.recv().await {
-        fleet.take(message);
-    }
-}
-
-#[derive(Default)]
-struct Fleet {
-    members: BTreeMap<id::Endpoint, Member>,
+/// What the task is told once.
+pub(crate) struct Options<View> {
+    /// Host.
+    pub(crate) host: id::Host,
+    /// Availability zone of the host.
+    pub(crate) zone: id::Zone,
+    /// Policy of choice.
+    pub(crate) policy: choice::Name,
+    /// True state of the endpoints, for the policy that looks at it.
+    pub(crate) truth: View,
+    /// Clock.
+    pub(crate) clock: Clock,
 }
 
-struct Member {
-    listed: directory::Endpoint,
-    report: Option<endpoint::Report>,
-    in_flight: u32,
-    silent: bool,
+/// Starts the task; it ends with the last handle.
+pub(crate) fn start<View>(
+    options: Options<View>,
+    active: watch::Receiver<configuration::Current>,
+) -> Handle
+where
+    View: choice::Truth + Clone + Send + 'static,
+{
+    let (sender, receiver) = mpsc::channel(BACKLOG);
+    tokio::spawn(run(state::Fleet::new(options), receiver, active));
+    Handle { messages: sender }
 }
 
-impl Fleet {
-    fn take(&mut self, message: Message) {
-        match message {
-            Message::Choose(query, reply) => {
-                let choice = self.choose(&query);
-                // The caller may have gone; its dispatch is then undone.
-                if let Err(Ok(dispatch)) = reply.send(choice) {
-                    self.settle(&dispatch, Outcome::Cancelled);
+async fn run<View>(
+    mut fleet: state::Fleet<View>,
+    mut messages: mpsc::Receiver<Message>,
+    mut active: watch::Receiver<configuration::Current>,
+) where
+    View: choice::Truth + Clone,
+{
+    let mut follows = true;
+    loop {
+        tokio::select! {
+            biased;
+            changed = active.changed(), if follows => {
+                follows = changed.is_ok();
+                if let Some(current) = active.borrow_and_update().as_deref() {
+                    fleet.configure(current);
                 }
             }
-            Message::FirstToken(_) | Message::Events(..) => {}
-            Message::Settle(dispatch, outcome) => self.settle(&dispatch, outcome),
-            Message::Fail(dispatch, outcome, reply) => {
-                self.settle(&dispatch, outcome);
-                // The caller may have gone; then nothing is retried.
-                let _ = reply.send(true);
-            }
-            Message::Listed(endpoints) => self.list(endpoints),
-            Message::Reported(report) => self.report(report),
-            Message::Silent(endpoint) => {
-                if let Some(member) = self.members.get_mut(&endpoint) {
-                    member.silent = true;
-                }
-            }
-            Message::Status(reply) => {
-                // An operator that has gone needs no answer.
-                let _ = reply.send(self.status());
-            }
+            message = messages.recv() => match message {
+                Some(message) => fleet.take(message),
+                None => return,
+            },
         }
     }
-
-    fn list(&mut self, endpoints: Vec<directory::Endpoint>) {
-        let mut members = BTreeMap::new();
-        for listed in endpoints {
-            let member = match self.members.remove(&listed.id) {
-                Some(known) => Member { listed, ..known },
-                None => Member {
-                    listed,
-                    report: None,
-                    in_flight: 0,
-                    silent: false,
-                },
-            };
-            members.insert(member.listed.id.clone(), member);
-        }
-        self.members = members;
-    }
-
-    fn report(&mut self, report: endpoint::Report) {
-        if let Some(member) = self.members.get_mut(&report.endpoint) {
-            member.report = Some(report);
-            member.silent = false;
-        }
-    }
-
-    fn choose(&mut self, query: &Query) -> Result<Dispatch, Refusal> {
-        let member = self
-            .members
-            .values_mut()
-            .filter(|member| member.serves(query))
-            .min_by_key(|member| member.in_flight)
-            .ok_or_else(no_endpoint)?;
-        member.in_flight += 1;
-        Ok(Dispatch {
-            endpoint: member.listed.id.clone(),
-            address: member.listed.address,
-            incarnation: member.report.as_ref().map(|report| report.incarnation),
-        })
-    }
-
-    fn settle(&mut self, dispatch: &Dispatch, outcome: Outcome) {
-        if let Some(member) = self.members.get_mut(&dispatch.endpoint) {
-            member.in_flight = member.in_flight.saturating_sub(1);
-            if matches!(outcome, Outcome::Unreachable | Outcome::Died) {
-                member.silent = true;
-            }
-        }
-    }
-
-    fn status(&self) -> Vec<Status> {
-        let members = self.members.values();
-        members
-            .map(|member| Status {
-                endpoint: member.listed.id.clone(),
-                service: member.listed.service.clone(),
-                zone: member.listed.zone.clone(),
-                plan: member.listed.state,
-                in_flight: member.in_flight,
-                report: member.report.clone(),
-            })
-            .collect()
-    }
-}
-
-impl Member {
-    fn serves(&self, query: &Query) -> bool {
-        let Some(report) = &self.report else {
-            return false;
-        };
-        self.listed.service == query.service
-            && self.listed.state == directory::State::Live
-            && report.state == endpoint::State::Ready
-            && report.version == query.version
-            && !self.silent
-            && !query.excluded.contains(&self.listed.id)
-    }
-}
-
-fn no_endpoint() -> Refusal {
-    Refusal::not_run(
-        Kind::NoEndpoint,
-        "no endpoint can take the request now; come back later",
-    )
-    .after(NO_ENDPOINT_RETRY)
-}
-
-fn stopped() -> Refusal {
-    Refusal::not_run(Kind::Stopping, "this host is stopping; try another one")
 }
--- /dev/null
+++ b/crates/papayayard/src/controllers/fleet/state.rs
@@ -0,0 +1,168 @@
+//! The state of the fleet's task: one service after another.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use papayayard_document::document;
+use papayayard_routing::choice;
+use papayayard_wire::refusal::Kind;
+use papayayard_wire::{directory, id};
+use xxhash_rust::xxh3;
+
+use crate::active::Active;
+use crate::controllers::fleet::service::Service;
+use crate::controllers::fleet::{Dispatch, Message, Options, Outcome, Query, Status};
+use crate::refusal::Refusal;
+
+/// When to come back where no endpoint takes the request.
+const NO_ENDPOINT_RETRY: Duration = Duration::from_secs(1);
+
+/// All model services.
+pub(super) struct Fleet<View> {
+    options: Options<View>,
+    services: HashMap<id::Service, Service<View>>,
+    listed: Vec<directory::Endpoint>,
+}
+
+impl<View> Fleet<View>
+where
+    View: choice::Truth + Clone,
+{
+    /// A fleet without services.
+    pub(super) fn new(options: Options<View>) -> Self {
+        Self {
+            options,
+            services: HashMap::new(),
+            listed: Vec::new(),
+        }
+    }
+
+    /// Takes a configuration that came into force.
+    pub(super) fn configure(&mut self, active: &Active) {
+        let document = &active.document;
+        self.services
+            .retain(|name, _| active.model_of(name).is_some());
+        for service in &document.services {
+            let document::Kind::Model(model) = &service.kind else {
+                continue;
+            };
+            let options = &self.options;
+            let known = self
+                .services
+                .entry(service.name.clone())
+                .or_insert_with(|| {
+                    let seed = xxh3::xxh3_64(options.host.as_str().as_bytes());
+                    let policy = choice::Switch::new(options.policy, seed, options.truth.clone());
+                    Service::new(model, document.block, policy)
+                });
+            known.set_version(&model.version);
+        }
+        self.spread();
+    }
+
+    /// Takes one message.
+    pub(super) fn take(&mut self, message: Message) {
+        let now = self.options.clock.now();
+        match message {
+            Message::Choose(query, reply) => {
+                let choice = self.choose(&query, now);
+                // The request may have gone; its dispatch is then undone.
+                if let Err(Ok(dispatch)) = reply.send(choice) {
+                    self.settle(&dispatch, Outcome::Cancelled, now);
+                }
+            }
+            Message::Settle(dispatch, outcome) => self.settle(&dispatch, outcome, now),
+            Message::Fail(dispatch, outcome, reply) => {
+                self.settle(&dispatch, outcome, now);
+                // The request may have gone; then nothing is retried.
+                let _ = reply.send(true);
+            }
+            Message::Listed(endpoints) => {
+                self.listed = endpoints;
+                self.spread();
+            }
+            Message::Reported(report) => {
+                if let Some(service) = self.service_of(&report.endpoint) {
+                    service.report(report, now);
+                }
+            }
+            Message::Events(endpoint, page) => {
+                if let Some(service) = self.service_of(&endpoint) {
+                    service.events(&endpoint, &page, now);
+                }
+            }
+            Message::Silent(endpoint) => {
+                if let Some(service) = self.service_of(&endpoint) {
+                    service.silent(&endpoint);
+                }
+            }
+            Message::Status(reply) => {
+                // An operator that has gone needs no answer.
+                let _ = reply.send(self.status());
+            }
+        }
+    }
+
+    fn spread(&mut self) {
+        for (name, service) in &mut self.services {
+            let own: Vec<&directory::Endpoint> = self
+                .listed
+                .iter()
+                .filter(|endpoint| endpoint.service == *name)
+                .collect();
+            service.list(&own);
+        }
+    }
+
+    fn service_of(&mut self, endpoint: &id::Endpoint) -> Option<&mut Service<View>> {
+        let listed = self.listed.iter().find(|listed| listed.id == *endpoint)?;
+        self.services.get_mut(&listed.service)
+    }
+
+    fn choose(&mut self, query: &Query, now: Duration) -> Result<Dispatch, Refusal> {
+        let limit = match query.deadline {
+            Some(deadline) if deadline <= now => return Err(too_late()),
+            Some(deadline) => Some(deadline.saturating_sub(now)),
+            None => None,
+        };
+        let zone = &self.options.zone;
+        let service = self.services.get_mut(&query.service);
+        let chosen = service
+            .ok_or(choice::Refusal::NoEndpoint)
+            .and_then(|service| service.choose(query, zone, limit, now));
+        chosen.map_err(|refusal| refuse(&refusal))
+    }
+
+    fn settle(&mut self, dispatch: &Dispatch, outcome: Outcome, now: Duration) {
+        if let Some(service) = self.services.get_mut(&dispatch.service) {
+            service.settle(dispatch, outcome, now);
+        }
+    }
+
+    fn status(&self) -> Vec<Status> {
+        let services = self.services.iter();
+        let mut all: Vec<Status> = services
+            .flat_map(|(name, service)| service.status(name))
+            .collect();
+        all.sort_by(|left, right| left.endpoint.cmp(&right.endpoint));
+        all
+    }
+}
+
+fn refuse(refusal: &choice::Refusal) -> Refusal {
+    match refusal {
+        choice::Refusal::Overloaded { retry_after } => {
+            Refusal::not_run(Kind::Overloaded, refusal.to_string()).after(*retry_after)
+        }
+        choice::Refusal::NoEndpoint => {
+            Refusal::not_run(Kind::NoEndpoint, refusal.to_string()).after(NO_ENDPOINT_RETRY)
+        }
+    }
+}
+
+fn too_late() -> Refusal {
+    Refusal::not_run(
+        Kind::DeadlinePassed,
+        "the deadline has passed before an endpoint was asked; allow more time",
+    )
+}
--- a/crates/papayayard/src/exchange.rs
+++ b/crates/papayayard/src/exchange.rs
@@ -50,7 +50,6 @@
     /// Client account.
     pub(crate) account: Arc<document::Account>,
     /// Time by which the answer must begin, since the host's start.
-    #[expect(dead_code, reason = "read by admission")]
     pub(crate) deadline: Option<Duration>,
 }
 
@@ -81,7 +80,6 @@
     /// Whether tokens are sent as they are generated.
     pub(crate) stream: bool,
     /// Most tokens to generate.
-    #[expect(dead_code, reason = "read by admission")]
     pub(crate) max_tokens: Option<u32>,
     /// Identifies requests with the same content.
     pub(crate) fingerprint: u64,
--- a/crates/papayayard/src/filters/completion.rs
+++ b/crates/papayayard/src/filters/completion.rs
@@ -1,8 +1,8 @@
 //! Reads a completion: which model, and the keys of its prompt's pieces.
 
-use papayayard_document::document;
+use papayayard_routing::salt;
 use papayayard_wire::refusal::Kind;
-use papayayard_wire::{block, completion};
+use papayayard_wire::{block, completion, id};
 use xxhash_rust::xxh3;
 
 use crate::exchange::{Completion, Whole};
@@ -25,7 +25,14 @@
         {
             return Err(unknown(&request.model));
         }
-        let salt = salt(&whole, found.model, adapter);
+        let adapter = adapter.map(id::Adapter::from);
+        let salt = salt::compute(&salt::Scope {
+            account: &whole.known.account.id,
+            service: found.name,
+            model: &found.model.name,
+            adapter: adapter.as_ref(),
+            version: &found.model.version,
+        });
         let block_bytes = active.document.block.bytes();
         let mut chain = block::Chain::new(salt, block_bytes);
         let mut prompt_bytes = 0;
@@ -83,20 +90,3 @@
         format!("model {model:?} is not configured; `GET /v1/models` lists those that are"),
     )
 }
-
-fn salt(whole: &Whole, model: &document::Model, adapter: Option<&str>) -> block::Salt {
-    let mut hasher = blake3::Hasher::new();
-    let parts = [
-        whole.known.account.id.as_str(),
-        model.name.as_str(),
-        adapter.unwrap_or_default(),
-        model.version.as_str(),
-    ];
-    for part in parts {
-        hasher.update(&(part.len() as u64).to_le_bytes());
-        hasher.update(part.as_bytes());
-    }
-    let mut first = [0; 8];
-    first.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
-    block::Salt(u64::from_le_bytes(first))
-}
--- a/crates/papayayard/src/host.rs
+++ b/crates/papayayard/src/host.rs
@@ -3,9 +3,11 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use papayayard_platform::http::Client as Platform;
-use papayayard_wire::directory;
+use papayayard_routing::choice;
+use papayayard_wire::{block, directory, id};
 use salvo::conn::tcp::TcpAcceptor;
 use salvo::server::ServerHandle;
 use snafu::{ResultExt, Snafu};
@@ -82,8 +84,21 @@
     }
 }
 
-/// Starts a host.
-pub async fn start(settings: Settings) -> Result<Running, Error> {
+/// A truth that sees nothing, for every policy but the oracle.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Blind;
+
+impl choice::Truth for Blind {
+    fn look(&self, _: &id::Endpoint, _: &[block::Key], _: Duration) -> Option<choice::Sight> {
+        None
+    }
+}
+
+/// Starts a host; only a bench has a `truth` other than [`Blind`].
+pub async fn start<View>(settings: Settings, truth: View) -> Result<Running, Error>
+where
+    View: choice::Truth + Clone + Send + 'static,
+{
     let callers_socket = listen(settings.listen.callers).await?;
     let peers_socket = listen(settings.listen.peers).await?;
     let operators_socket = listen(settings.listen.operators).await?;
@@ -96,10 +111,17 @@
     let clock = Clock::start();
     let metrics = Metrics::new(clock);
     let client = Client::new();
-    let fleet = fleet::start();
     let open = TaskTracker::new();
     let (stopping, stopping_seen) = watch::channel(false);
     let (active_sender, active) = watch::channel(None);
+    let options = fleet::Options {
+        host: settings.host.clone(),
+        zone: settings.zone.clone(),
+        policy: settings.policy,
+        truth,
+        clock,
+    };
+    let fleet = fleet::start(options, active.clone());
     let (list_sender, list) = watch::channel(directory::List::default());
 
     let timeout = settings.periods.platform_timeout;
--- a/crates/papayayard/src/operators.rs
+++ b/crates/papayayard/src/operators.rs
@@ -52,6 +52,8 @@
     pub zone: id::Zone,
     /// What the platform plans for it.
     pub plan: directory::State,
+    /// Whether it gets new work.
+    pub eligible: bool,
     /// Requests of this host that it runs.
     pub in_flight: u32,
     /// Version of its weights, as last reported.
@@ -109,6 +111,7 @@
             service: status.service,
             zone: status.zone,
             plan: status.plan,
+            eligible: status.eligible,
             in_flight: status.in_flight,
             version: status.report.map(|report| report.version),
         }
--- a/crates/papayayard/src/refusal.rs
+++ b/crates/papayayard/src/refusal.rs
@@ -4,6 +4,9 @@
 
 use papayayard_wire::refusal::{Body, Error, Kind, Ran};
 
+/// When to come back after a host's stop.
+const STOPPING_RETRY: Duration = Duration::from_secs(1);
+
 /// Why a request got no answer.
 #[derive(Clone, Debug)]
 pub(crate) struct Refusal {
@@ -31,6 +34,15 @@
         }
     }
 
+    /// A refusal because this host is stopping.
+    pub(crate) fn stopping() -> Self {
+        Self::not_run(
+            Kind::Stopping,
+            "this host is stopping; send the request to another host",
+        )
+        .after(STOPPING_RETRY)
+    }
+
     /// Sets when to come back.
     pub(crate) fn after(mut self, delay: Duration) -> Self {
         self.retry_after = Some(delay);
--- a/crates/papayayard/src/relay/attempt.rs
+++ b/crates/papayayard/src/relay/attempt.rs
@@ -42,9 +42,11 @@
         headers: headers(completion),
         body: body(completion, continuation),
     };
-    match client.send(outgoing, HEAD_TIMEOUT).await {
-        Ok(response) => classify(completion, dispatch, response),
-        Err(failure) => Reply::Failed(failure),
+    let sent = client.send(outgoing, HEAD_TIMEOUT);
+    match dispatch.lost.run_until_cancelled(sent).await {
+        Some(Ok(response)) => classify(completion, dispatch, response),
+        Some(Err(failure)) => Reply::Failed(failure),
+        None => Reply::Failed(Failure::Broken),
     }
 }
 
--- a/crates/papayayard/src/relay/completion.rs
+++ b/crates/papayayard/src/relay/completion.rs
@@ -50,7 +50,7 @@
                 Reply::Begun(response) if completion.stream => {
                     return Ok(self.stream(completion, query, dispatch, response));
                 }
-                Reply::Begun(response) => match whole(response).await {
+                Reply::Begun(response) => match whole(&dispatch, response).await {
                     Ok((body, cached)) => {
                         self.fleet
                             .settle(&dispatch, fleet::Outcome::Finished { cached });
@@ -129,11 +129,16 @@
     }
 }
 
-async fn whole(response: Response<Incoming>) -> Result<(Bytes, Option<u64>), Failure> {
+async fn whole(
+    dispatch: &fleet::Dispatch,
+    response: Response<Incoming>,
+) -> Result<(Bytes, Option<u64>), Failure> {
     let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect();
-    let body = time::timeout(WHOLE_TIMEOUT, body)
+    let body = time::timeout(WHOLE_TIMEOUT, dispatch.lost.run_until_cancelled(body));
+    let body = body
         .await
         .map_err(|_| Failure::TimedOut)?
+        .ok_or(Failure::Broken)?
         .map_err(|_| Failure::Broken)?
         .to_bytes();
     let answer: Whole<'_> = serde_json::from_slice(&body).map_err(|_| Failure::Broken)?;
--- a/crates/papayayard/src/relay/pump.rs
+++ b/crates/papayayard/src/relay/pump.rs
@@ -101,6 +101,7 @@
         loop {
             let frame = tokio::select! {
                 () = self.events.closed() => return End::CallerGone,
+                () = dispatch.lost.cancelled() => return End::Failed(Failure::Broken),
                 frame = time::timeout(STALL_TIMEOUT, body.frame()) => frame,
             };
             let frame = match frame {
@@ -134,14 +135,13 @@
                 }
                 if first {
                     first = false;
-                    self.first_token(dispatch);
+                    self.first_token();
                 }
             }
         }
     }
 
-    fn first_token(&self, dispatch: &fleet::Dispatch) {
-        self.relay.fleet.first_token(dispatch);
+    fn first_token(&self) {
         let received = self.completion.whole.known.arrival.received;
         self.relay.metrics.first_token(received);
     }
--- a/crates/papayayard/src/settings.rs
+++ b/crates/papayayard/src/settings.rs
@@ -10,6 +10,7 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
+use papayayard_routing::choice;
 use papayayard_wire::id;
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
@@ -35,7 +36,7 @@
     pub peer_secret: Secret,
     /// How endpoints are chosen.
     #[serde(default)]
-    pub policy: Policy,
+    pub policy: choice::Name,
     /// Bounds on what a caller may send.
     #[serde(default)]
     pub limits: Limits,
@@ -87,21 +88,6 @@
     pub directory: SocketAddr,
 }
 
-/// How endpoints are chosen.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum Policy {
-    /// One after the other.
-    RoundRobin,
-    /// Fewest requests.
-    LeastLoaded,
-    /// By a hash of the prefix alone.
-    Rendezvous,
-    /// Least estimated time to first token.
-    #[default]
-    Papayayard,
-}
-
 /// Bounds on what a caller may send.
 #[serde_as]
 #[derive(Clone, Debug, Serialize, Deserialize)]
