--- a/crates/papayayard/src/relay/mod.rs
+++ b/crates/papayayard/src/relay/mod.rs
@@ -12,6 +12,11 @@
 pub(crate) mod sse;
 pub(crate) mod transcript;
 
+#[cfg(test)]
+mod sse_test;
+#[cfg(test)]
+mod transcript_test;
+
 /// What the caller gets.
 pub(crate) struct Answer {
     /// HTTP status code.
