--- a/crates/papayayard/src/host.rs
+++ b/crates/papayayard/src/host.rs
@@ -110,7 +110,7 @@
 
     let clock = Clock::start();
     let metrics = Metrics::new(clock);
-    let client = Client::new();
+    let client = Client::new(&settings.host);
     let open = TaskTracker::new();
     let (stopping, stopping_seen) = watch::channel(false);
     let (active_sender, active) = watch::channel(None);
@@ -125,8 +125,8 @@
     let (list_sender, list) = watch::channel(directory::List::default());
 
     let timeout = settings.periods.platform_timeout;
-    let log = Platform::new(settings.platform.log, timeout);
-    let hosts = Platform::new(settings.platform.directory, timeout);
+    let log = Platform::new(settings.platform.log, timeout).with_host(&settings.host);
+    let hosts = Platform::new(settings.platform.directory, timeout).with_host(&settings.host);
     let mut controllers = JoinSet::new();
     controllers.spawn(configuration::follow(log, active_sender));
     controllers.spawn(listing::follow(
--- a/crates/papayayard/src/relay/client.rs
+++ b/crates/papayayard/src/relay/client.rs
@@ -7,12 +7,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, Method, Request, Response};
+use http::{HeaderMap, HeaderValue, Method, Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper_util::client::legacy;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
+use papayayard_wire::{header, id};
 use tokio::time;
 
 /// Time to connect to an endpoint.
@@ -23,6 +24,7 @@
 /// Client of all endpoints.
 #[derive(Clone)]
 pub(crate) struct Client {
+    host: Option<HeaderValue>,
     inner: legacy::Client<HttpConnector, Full<Bytes>>,
 }
 
@@ -52,8 +54,8 @@
 }
 
 impl Client {
-    /// Makes a client.
-    pub(crate) fn new() -> Self {
+    /// Makes the client of a host, which names itself to endpoints.
+    pub(crate) fn new(host: &id::Host) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
@@ -61,7 +63,10 @@
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(IDLE_TIMEOUT)
             .build(connector);
-        Self { inner }
+        Self {
+            host: HeaderValue::from_str(host.as_str()).ok(),
+            inner,
+        }
     }
 
     /// Sends a request and waits for the head of its answer.
@@ -77,6 +82,9 @@
         *request.method_mut() = outgoing.method;
         *request.uri_mut() = uri;
         *request.headers_mut() = outgoing.headers;
+        if let Some(host) = &self.host {
+            request.headers_mut().insert(header::HOST_ID, host.clone());
+        }
         match time::timeout(timeout, self.inner.request(request)).await {
             Ok(Ok(response)) => Ok(response),
             Ok(Err(error)) if error.is_connect() => Err(Failure::Unreachable),
--- a/crates/papayayard_platform/src/http.rs
+++ b/crates/papayayard_platform/src/http.rs
@@ -4,12 +4,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Method, Request, Uri};
+use http::{HeaderValue, Method, Request, Uri};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper_util::client::legacy;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
-use papayayard_wire::{directory, id, log};
+use papayayard_wire::{directory, header, id, log};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::time;
@@ -26,6 +26,7 @@
 pub struct Client {
     address: SocketAddr,
     timeout: Duration,
+    host: Option<HeaderValue>,
     inner: legacy::Client<HttpConnector, Full<Bytes>>,
 }
 
@@ -38,10 +39,18 @@
         Self {
             address,
             timeout,
+            host: None,
             inner: legacy::Client::builder(TokioExecutor::new()).build(connector),
         }
     }
 
+    /// Names the entry host that calls, for the platform's own logs.
+    #[must_use]
+    pub fn with_host(mut self, host: &id::Host) -> Self {
+        self.host = HeaderValue::from_str(host.as_str()).ok();
+        self
+    }
+
     async fn call<Answer>(
         &self,
         method: Method,
@@ -70,6 +79,9 @@
         let mut request = Request::new(Full::new(body));
         *request.method_mut() = method;
         *request.uri_mut() = uri;
+        if let Some(host) = &self.host {
+            request.headers_mut().insert(header::HOST_ID, host.clone());
+        }
         let response = self.inner.request(request).await.map_err(|error| {
             if error.is_connect() {
                 Error::Unreachable {
