--- /dev/null
+++ b/crates/papayayard_coordination/src/configuration/refresh.rs
@@ -0,0 +1,48 @@
+//! When the accepted proposal is appended again.
+//!
+//! Each host draws its own time in the third quarter of the retention, counted
+//! from the newest record that carries the accepted proposal. The first host
+//! to reach its time appends, and its record resets all others.
+
+use std::time::Duration;
+
+/// When this host repeats the accepted proposal.
+#[derive(Clone, Debug)]
+pub struct Refresh {
+    retention: Duration,
+    carried: Option<Duration>,
+    due: Option<Duration>,
+}
+
+impl Refresh {
+    /// Makes a policy for a log that keeps records for `retention`.
+    pub fn new(retention: Duration) -> Self {
+        Self {
+            retention,
+            carried: None,
+            due: None,
+        }
+    }
+
+    /// Takes note of a record that carries the accepted proposal.
+    ///
+    /// `time` is the record's, by the log's clock; `draw` lies in 0 to 1.
+    pub fn carry(&mut self, time: Duration, draw: f64) {
+        if self.carried.is_some_and(|carried| time < carried) {
+            return;
+        }
+        let share = 0.5 + 0.25 * draw.clamp(0.0, 1.0);
+        self.carried = Some(time);
+        self.due = Some(time + self.retention.mul_f64(share));
+    }
+
+    /// Whether the proposal is to be appended at `now`.
+    pub fn is_due(&self, now: Duration) -> bool {
+        self.due.is_some_and(|due| now >= due)
+    }
+
+    /// Puts the next attempt off after an append.
+    pub fn attempted(&mut self, now: Duration, pause: Duration) {
+        self.due = Some(now + pause);
+    }
+}
--- a/crates/papayayard_coordination/src/lib.rs
+++ b/crates/papayayard_coordination/src/lib.rs
@@ -3,3 +3,5 @@
 //! Nothing here has a socket, a clock, a thread or a global: time and
 //! randomness are handed in, and decisions come back as values. The parts can
 //! be embedded by other programs and replayed from a seed.
+
+pub mod configuration;
--- /dev/null
+++ b/crates/papayayard_coordination/tests/refresh.rs
@@ -0,0 +1,62 @@
+//! When the accepted configuration is appended again, and by how many hosts.
+
+use std::time::Duration;
+
+use papayayard_coordination::configuration::Refresh;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+
+const RETENTION: Duration = Duration::from_hours(24);
+const STEP: usize = 5;
+const HOUR: Duration = Duration::from_hours(1);
+
+#[rstest]
+#[case::earliest(0.0, 12)]
+#[case::latest(1.0, 18)]
+#[case::draw_out_of_bounds(7.0, 18)]
+fn it_is_due_in_the_third_quarter_of_the_retention(#[case] draw: f64, #[case] hours: u32) {
+    let mut refresh = Refresh::new(RETENTION);
+    assert!(!refresh.is_due(Duration::MAX));
+    refresh.carry(HOUR, draw);
+    assert!(!refresh.is_due(HOUR * hours));
+    assert!(refresh.is_due(HOUR * (hours + 1)));
+}
+
+#[test]
+fn a_later_record_puts_it_off_and_an_earlier_one_does_not() {
+    let mut refresh = Refresh::new(RETENTION);
+    refresh.carry(HOUR * 10, 0.0);
+    refresh.carry(HOUR, 0.0);
+    assert!(!refresh.is_due(HOUR * 21));
+    refresh.carry(HOUR * 20, 0.0);
+    assert!(!refresh.is_due(HOUR * 31));
+    assert!(refresh.is_due(HOUR * 32));
+}
+
+/// 510 hosts over 5 days: one record or two in every half day.
+#[test]
+fn one_host_of_many_repeats_the_record() {
+    let mut random = ChaCha8Rng::seed_from_u64(4);
+    let seen_after = Duration::from_secs(STEP as u64);
+    let mut hosts = vec![Refresh::new(RETENTION); 510];
+    let mut records = vec![Duration::ZERO];
+    let mut appends = 0;
+    for second in (0..5 * 24 * 3600_u64).step_by(STEP) {
+        let now = Duration::from_secs(second);
+        while let Some(&time) = records.first().filter(|time| **time <= now) {
+            records.remove(0);
+            for host in &mut hosts {
+                host.carry(time, random.random());
+            }
+        }
+        for host in &mut hosts {
+            if host.is_due(now) {
+                host.attempted(now, HOUR);
+                records.push(now + seen_after);
+                appends += 1;
+            }
+        }
+    }
+    assert!((7..=20).contains(&appends), "{appends} appends");
+}
--- a/crates/papayayard_document/src/document.rs
+++ b/crates/papayayard_document/src/document.rs
@@ -3,6 +3,8 @@
 use papayayard_wire::id;
 use serde::{Deserialize, Serialize};
 
+use crate::fault::Fault;
+
 /// A whole configuration document.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -17,6 +19,20 @@
     pub services: Vec<Service>,
 }
 
+impl Document {
+    /// Reads a document and checks it whole.
+    pub fn parse(text: &str) -> Result<Self, Vec<Fault>> {
+        serde_saphyr::from_str(text).map_err(|error| {
+            vec![Fault {
+                line: None,
+                key: String::new(),
+                problem: error.to_string(),
+                remedy: "correct the document".to_owned(),
+            }]
+        })
+    }
+}
+
 /// Length of a cached piece.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/papayayard_wire/src/configuration.rs
+++ b/crates/papayayard_wire/src/configuration.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::id;
+use crate::{id, log};
 
 /// Name of the stream that operators publish configuration on.
 pub const STREAM: &str = "configuration";
@@ -27,3 +27,15 @@
     /// The document's bytes, YAML.
     pub document: String,
 }
+
+/// Content of a record of the stream: a proposal, or a repetition of one.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    /// What is proposed or repeated.
+    #[serde(flatten)]
+    pub proposal: Proposal,
+    /// On a repetition by a host: offset before which the host had read the
+    /// whole stream when `proposal` was the accepted one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub read_to: Option<log::Offset>,
+}
