--- a/crates/papayayard_coordination/src/lib.rs
+++ b/crates/papayayard_coordination/src/lib.rs
@@ -5,3 +5,7 @@
 //! be embedded by other programs and replayed from a seed.
 
 pub mod configuration;
+pub mod budget;
+pub mod membership;
+pub mod pace;
+pub mod replay;
