Bound the index and hold it against a true cache

Cause: the first index appended cells without end for a key that is stored and cleared again and again, took back blocks from a page that came twice, and evicted blindly.

Change: a dead cell of the bucket is used again, a key keeps 32 holders, the victim is the oldest of 8, and of an event whose number has passed only a removal counts. Ruled out: one cell for each block with an inline set of endpoints (24 bytes or more for the single holder that most blocks have, and a doubling table that needs twice the memory while it grows); a table of buckets without chains (hot keys overflow their bucket).

--- a/crates/papayayard_routing/src/fleet.rs
+++ b/crates/papayayard_routing/src/fleet.rs
@@ -190,12 +190,11 @@
         self.index.expect(endpoint.slot, keys, now);
     }
 
-    /// Takes an answer's report of the tokens that it found in the cache.
-    pub fn answered(&mut self, key: Key, keys: &[block::Key], cached_tokens: u64, now: Duration) {
+    /// Takes an answer's report of the tokens that it found in the cache: the
+    /// whole prompt is cached now.
+    pub fn answered(&mut self, key: Key, keys: &[block::Key], now: Duration) {
         if let Some(endpoint) = self.endpoints.get(key) {
-            let cached = usize::try_from(cached_tokens).unwrap_or(usize::MAX);
-            let blocks = cached.saturating_mul(BYTES_PER_TOKEN) / self.block_bytes;
-            self.index.confirm(endpoint.slot, keys, blocks, now);
+            self.index.expect(endpoint.slot, keys, now);
         }
     }
 
@@ -213,7 +212,7 @@
         let hosts = self.hosts;
         if let Some(endpoint) = self.endpoints.get_mut(key) {
             endpoint.load.ended(now, hosts);
-            self.index.confirm(endpoint.slot, keys, 0, now);
+            self.index.doubt(endpoint.slot, keys);
         }
     }
 
--- a/crates/papayayard_routing/src/index.rs
+++ b/crates/papayayard_routing/src/index.rs
@@ -35,6 +35,7 @@
 const NONE: u32 = u32::MAX;
 const LIFETIME_SECONDS: u32 = 120;
 const MAX_HOLDERS: usize = 32;
+const VICTIM_CANDIDATES: usize = 8;
 const MAX_CELLS: usize = NONE as usize - 1;
 
 /// One pair of block and endpoint.
@@ -120,23 +121,31 @@
         };
     }
 
+    /// Memory that the index takes when it is full, in bytes.
+    pub const fn capacity_bytes(&self) -> usize {
+        self.capacity * (size_of::<Cell>() + size_of::<u32>())
+    }
+
+    /// Cells that have been used so far.
+    pub const fn used(&self) -> usize {
+        self.cells.len()
+    }
+
     /// Number of slots given out so far.
     pub fn slots(&self) -> usize {
         self.sources.len()
     }
 
-    /// Takes a page of events of the endpoint's current run.
+    /// Takes a page of events of the endpoint's current run. Of an event that
+    /// was passed already only a removal counts: it can do no harm.
     pub fn events(&mut self, slot: Slot, page: &endpoint::Page, now: Duration) {
         for event in &page.events {
-            self.sequence(slot, event.sequence);
+            let next = self.advance(slot, event.sequence);
             match &event.change {
-                endpoint::Change::Stored { keys } => self.expect(slot, keys, now),
-                endpoint::Change::Removed { keys } => {
-                    for &key in keys {
-                        self.remove(slot, key);
-                    }
-                }
-                endpoint::Change::Cleared => self.empty(slot),
+                endpoint::Change::Removed { keys } => self.remove(slot, keys),
+                endpoint::Change::Stored { keys } if next => self.expect(slot, keys, now),
+                endpoint::Change::Cleared if next => self.empty(slot),
+                endpoint::Change::Stored { .. } | endpoint::Change::Cleared => {}
             }
         }
     }
@@ -144,16 +153,18 @@
     /// Notes blocks that an endpoint holds or is about to compute.
     pub fn expect(&mut self, slot: Slot, keys: &[block::Key], now: Duration) {
         for &key in keys {
-            self.insert(slot, key, now);
+            self.insert(slot, key, seconds(now));
         }
     }
 
-    /// Takes an answer's word: of `keys` the first `blocks` were cached. All
-    /// of them are now; where fewer were than was thought, others that were
-    /// stored at the same time are doubtful.
-    pub fn confirm(&mut self, slot: Slot, keys: &[block::Key], blocks: usize, now: Duration) {
-        let blocks = blocks.min(keys.len());
-        self.expect(slot, &keys[..blocks], now);
+    /// Marks blocks of an endpoint as doubtful.
+    pub fn doubt(&mut self, slot: Slot, keys: &[block::Key]) {
+        let Source { life, epoch, .. } = self.sources[slot.index()];
+        for &key in keys {
+            if let Some(at) = self.find(slot, key, life) {
+                self.cells[at as usize].epoch = epoch.wrapping_sub(1);
+            }
+        }
     }
 
     /// Passes the endpoints that hold `key` to `take`.
@@ -177,12 +188,17 @@
         }
     }
 
-    fn sequence(&mut self, slot: Slot, sequence: u64) {
+    /// Takes an event's number; whether it is a new one.
+    fn advance(&mut self, slot: Slot, sequence: u64) -> bool {
         let source = &mut self.sources[slot.index()];
-        if source.sequence != 0 && sequence > source.sequence + 1 {
+        if sequence <= source.sequence {
+            return false;
+        }
+        if sequence > source.sequence + 1 {
             source.epoch = source.epoch.wrapping_add(1);
         }
-        source.sequence = source.sequence.max(sequence);
+        source.sequence = sequence;
+        true
     }
 
     fn empty(&mut self, slot: Slot) {
@@ -191,33 +207,64 @@
         self.sources[slot.index()].sequence = sequence;
     }
 
-    fn insert(&mut self, slot: Slot, key: block::Key, now: Duration) {
+    fn insert(&mut self, slot: Slot, key: block::Key, stamp: u32) {
         let source = self.sources[slot.index()];
-        let stamp = seconds(now);
-        if let Some(at) = self.find(slot, key, source.life) {
-            let cell = &mut self.cells[at as usize];
-            cell.stamp = stamp;
-            cell.epoch = source.epoch;
-            return;
-        }
-        let at = self.take();
-        let bucket = self.bucket(key);
-        self.cells[at as usize] = Cell {
+        let cell = Cell {
             key,
             life: source.life,
-            next: self.heads[bucket],
+            next: NONE,
             stamp,
             slot,
             epoch: source.epoch,
         };
+        match self.place(slot, key, stamp) {
+            Some(at) => {
+                let next = self.cells[at as usize].next;
+                self.cells[at as usize] = Cell { next, ..cell };
+            }
+            None => self.link(cell),
+        }
+    }
+
+    /// A cell of the key's bucket to overwrite: the same pair, else a dead
+    /// one, else the oldest of a key that has many holders.
+    fn place(&self, slot: Slot, key: block::Key, stamp: u32) -> Option<u32> {
+        let mut at = self.heads[self.bucket(key)];
+        let mut dead = None;
+        let mut oldest = None;
+        let mut holders = 0;
+        while at != NONE {
+            let cell = &self.cells[at as usize];
+            if !self.live(cell, stamp) {
+                dead = Some(at);
+            } else if cell.key == key && cell.slot == slot {
+                return Some(at);
+            } else if cell.key == key {
+                holders += 1;
+                let age = (cell.stamp, at);
+                oldest = Some(oldest.map_or(age, |known: (u32, u32)| known.min(age)));
+            }
+            at = cell.next;
+        }
+        let full = holders >= MAX_HOLDERS;
+        dead.or(oldest.filter(|_| full).map(|(_, at)| at))
+    }
+
+    fn link(&mut self, cell: Cell) {
+        let at = self.take(cell.stamp);
+        let bucket = self.bucket(cell.key);
+        let next = self.heads[bucket];
+        self.cells[at as usize] = Cell { next, ..cell };
         self.heads[bucket] = at;
     }
 
-    fn remove(&mut self, slot: Slot, key: block::Key) {
+    fn remove(&mut self, slot: Slot, keys: &[block::Key]) {
         let life = self.sources[slot.index()].life;
-        if let Some(at) = self.find(slot, key, life) {
-            self.unlink(at);
-            self.release(at);
+        for &key in keys {
+            if let Some(at) = self.find(slot, key, life) {
+                self.unlink(at);
+                self.release(at);
+            }
         }
     }
 
@@ -233,8 +280,9 @@
         None
     }
 
-    /// A cell to fill: a free one, or else that under the hand.
-    fn take(&mut self) -> u32 {
+    /// A cell to fill: a free one, or else the oldest of a few under the
+    /// hand.
+    fn take(&mut self, stamp: u32) -> u32 {
         if self.free != NONE {
             let at = self.free;
             self.free = self.cells[at as usize].next;
@@ -244,12 +292,26 @@
             self.cells.push(FREE);
             return position(self.cells.len() - 1);
         }
-        let at = position(self.hand);
-        self.hand = (self.hand + 1) % self.capacity;
+        let at = self.victim(stamp);
         self.unlink(at);
         at
     }
 
+    fn victim(&mut self, stamp: u32) -> u32 {
+        let mut best = self.hand;
+        for _ in 0..VICTIM_CANDIDATES {
+            let at = self.hand;
+            self.hand = (self.hand + 1) % self.capacity;
+            if !self.live(&self.cells[at], stamp) {
+                return position(at);
+            }
+            if self.cells[at].stamp < self.cells[best].stamp {
+                best = at;
+            }
+        }
+        position(best)
+    }
+
     fn release(&mut self, at: u32) {
         self.cells[at as usize] = Cell {
             next: self.free,
--- a/crates/papayayard_routing/tests/salt.rs
+++ b/crates/papayayard_routing/tests/salt.rs
@@ -5,6 +5,7 @@
 use papayayard_routing::salt;
 use papayayard_wire::{block, id};
 use proptest::prelude::*;
+use rstest::rstest;
 
 type Parts = (String, String, String, Option<String>, String);
 
@@ -25,6 +26,30 @@
     (text, text, text, proptest::option::of(text), text)
 }
 
+fn named(parts: [&str; 4], adapter: Option<&str>) -> block::Salt {
+    let [account, service, model, version] = parts.map(String::from);
+    let adapter = adapter.map(String::from);
+    compute(&(account, service, model, adapter, version))
+}
+
+#[rstest]
+#[case::account(["x", "s", "m", "v"], Some("l"))]
+#[case::service(["a", "x", "m", "v"], Some("l"))]
+#[case::model(["a", "s", "x", "v"], Some("l"))]
+#[case::version(["a", "s", "m", "x"], Some("l"))]
+#[case::adapter(["a", "s", "m", "v"], Some("x"))]
+#[case::empty_adapter(["a", "s", "m", "v"], Some(""))]
+#[case::no_adapter(["a", "s", "m", "v"], None)]
+#[case::parts_run_together(["as", "", "m", "v"], Some("l"))]
+fn each_part_of_the_scope_counts(#[case] parts: [&str; 4], #[case] adapter: Option<&str>) {
+    let base = named(["a", "s", "m", "v"], Some("l"));
+    assert_ne!(named(parts, adapter), base);
+    let absent = named(["a", "s", "m", "v"], None);
+    if adapter.is_some() {
+        assert_ne!(named(parts, adapter), absent);
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(1_000))]
 
