Add the stand-ins and papayayardctl stand-in

The path of a request needs a platform, engines and a plain service to run against. Each is a small HTTP/1 server on hyper with a second listener for control, which no fault touches, so that a crashed or frozen stand-in can still be read and revived. Refused connections are accepted and reset, which keeps the port; closing and binding again was ruled out, since another process can take the port in between.

Engines batch continuously in steps: one token per decoding request, and a budget of prompt tokens shared by those in prefill. Generation depends on the prompt's digest and the position only, so any engine goes on with the same text.

--- a/crates/papayayardctl/src/main.rs
+++ b/crates/papayayardctl/src/main.rs
@@ -1,3 +1,15 @@
 //! The `papayayardctl` program, for operators and for trying papayayard out.
 
-fn main() {}
+mod command;
+mod stand_in;
+
+use std::process::ExitCode;
+
+use gumdrop::Options;
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    env_logger::init();
+    let arguments = command::Arguments::parse_args_default_or_exit();
+    command::run(arguments).await
+}
