--- /dev/null
+++ b/crates/papayayard/src/controllers/fleet.rs
@@ -0,0 +1,270 @@
+//! Owns what this host knows of the model endpoints and chooses among them.
+//!
+//! One task holds the state. Requests, the directory and the observers talk
+//! to it by messages, so that a choice and the dispatch it leads to are one
+//! step.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use papayayard_routing::choice;
+use papayayard_wire::{block, directory, endpoint, id};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio_util::sync::CancellationToken;
+
+use crate::clock::Clock;
+use crate::controllers::configuration;
+use crate::exchange::Completion;
+use crate::refusal::Refusal;
+
+mod service;
+mod state;
+
+/// Messages that wait for the task.
+const BACKLOG: usize = 4096;
+
+/// What a request asks of the fleet.
+#[derive(Clone, Debug)]
+pub(crate) struct Query {
+    service: id::Service,
+    version: id::Version,
+    keys: Arc<[block::Key]>,
+    prompt_bytes: usize,
+    output_tokens: u32,
+    fingerprint: u64,
+    deadline: Option<Duration>,
+    excluded: Vec<id::Endpoint>,
+}
+
+impl Query {
+    /// A query for a completion.
+    pub(crate) fn new(completion: &Completion) -> Self {
+        Self {
+            service: completion.service.clone(),
+            version: completion.version.clone(),
+            keys: completion.keys.clone().into(),
+            prompt_bytes: completion.prompt_bytes,
+            output_tokens: completion.max_tokens.unwrap_or(DEFAULT_OUTPUT_TOKENS),
+            fingerprint: completion.fingerprint,
+            deadline: completion.whole.known.deadline,
+            excluded: Vec::new(),
+        }
+    }
+
+    /// Leaves out the endpoint of an earlier attempt.
+    pub(crate) fn exclude(&mut self, dispatch: &Dispatch) {
+        self.excluded.push(dispatch.endpoint.clone());
+    }
+}
+
+/// Tokens of an answer whose request states no maximum.
+const DEFAULT_OUTPUT_TOKENS: u32 = 256;
+
+/// A request's place at an endpoint.
+#[derive(Clone, Debug)]
+pub(crate) struct Dispatch {
+    /// Endpoint.
+    pub(crate) endpoint: id::Endpoint,
+    /// Its address.
+    pub(crate) address: SocketAddr,
+    /// Cancelled when the run of the endpoint's process that was chosen is
+    /// known to have ended or to answer no more.
+    pub(crate) lost: CancellationToken,
+    incarnation: Option<id::Incarnation>,
+    service: id::Service,
+    keys: Arc<[block::Key]>,
+    #[expect(dead_code, reason = "read by the quarantine")]
+    fingerprint: u64,
+    sent: Duration,
+}
+
+impl Dispatch {
+    /// Whether an answer comes from the run that was chosen.
+    pub(crate) fn matches(&self, incarnation: u64) -> bool {
+        self.incarnation
+            .is_none_or(|chosen| chosen.0 == incarnation)
+    }
+}
+
+/// How a dispatched request ended at its endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Outcome {
+    /// It was answered whole.
+    Finished {
+        /// Prompt tokens that the endpoint found in its cache.
+        cached: Option<u64>,
+    },
+    /// The endpoint refused it.
+    Refused,
+    /// The caller went away.
+    Cancelled,
+    /// No connection could be made.
+    Unreachable,
+    /// The connection broke while it ran.
+    Died,
+    /// Nothing came for too long.
+    Stalled,
+}
+
+/// State of an endpoint, for operators.
+#[derive(Clone, Debug)]
+pub(crate) struct Status {
+    /// Endpoint.
+    pub(crate) endpoint: id::Endpoint,
+    /// Service.
+    pub(crate) service: id::Service,
+    /// Availability zone.
+    pub(crate) zone: id::Zone,
+    /// What the platform plans for it.
+    pub(crate) plan: directory::State,
+    /// Whether it gets new work.
+    pub(crate) eligible: bool,
+    /// Requests of this host that it runs.
+    pub(crate) in_flight: u32,
+    /// Its last report.
+    pub(crate) report: Option<endpoint::Report>,
+}
+
+enum Message {
+    Choose(Query, oneshot::Sender<Result<Dispatch, Refusal>>),
+    Settle(Dispatch, Outcome),
+    Fail(Dispatch, Outcome, oneshot::Sender<bool>),
+    Listed(Vec<directory::Endpoint>),
+    Reported(endpoint::Report),
+    Events(id::Endpoint, endpoint::Page),
+    Silent(id::Endpoint),
+    Status(oneshot::Sender<Vec<Status>>),
+}
+
+/// Talks to the fleet's task.
+#[derive(Clone)]
+pub(crate) struct Handle {
+    messages: mpsc::Sender<Message>,
+}
+
+impl Handle {
+    /// Chooses an endpoint and counts the request there.
+    pub(crate) async fn choose(&self, query: &Query) -> Result<Dispatch, Refusal> {
+        let query = query.clone();
+        self.ask(|reply| Message::Choose(query, reply))
+            .await
+            .unwrap_or_else(|| Err(Refusal::stopping()))
+    }
+
+    /// Takes down how a dispatched request ended.
+    pub(crate) fn settle(&self, dispatch: &Dispatch, outcome: Outcome) {
+        self.tell(Message::Settle(dispatch.clone(), outcome));
+    }
+
+    /// Takes down a failure; answers whether the request may be retried.
+    pub(crate) async fn fail(
+        &self,
+        dispatch: &Dispatch,
+        outcome: Outcome,
+    ) -> Result<bool, Refusal> {
+        let dispatch = dispatch.clone();
+        self.ask(|reply| Message::Fail(dispatch, outcome, reply))
+            .await
+            .ok_or_else(Refusal::stopping)
+    }
+
+    /// Takes in the platform's list.
+    pub(crate) async fn listed(&self, endpoints: Vec<directory::Endpoint>) {
+        self.send(Message::Listed(endpoints)).await;
+    }
+
+    /// Takes in an endpoint's report.
+    pub(crate) async fn reported(&self, report: endpoint::Report) {
+        self.send(Message::Reported(report)).await;
+    }
+
+    /// Takes in an endpoint's cache events.
+    pub(crate) async fn events(&self, endpoint: id::Endpoint, page: endpoint::Page) {
+        self.send(Message::Events(endpoint, page)).await;
+    }
+
+    /// Takes down that an endpoint does not answer.
+    pub(crate) async fn silent(&self, endpoint: id::Endpoint) {
+        self.send(Message::Silent(endpoint)).await;
+    }
+
+    /// State of all endpoints.
+    pub(crate) async fn status(&self) -> Vec<Status> {
+        self.ask(Message::Status).await.unwrap_or_default()
+    }
+
+    async fn ask<Reply, Make>(&self, make: Make) -> Option<Reply>
+    where
+        Make: FnOnce(oneshot::Sender<Reply>) -> Message,
+    {
+        let (sender, receiver) = oneshot::channel();
+        self.messages.send(make(sender)).await.ok()?;
+        receiver.await.ok()
+    }
+
+    fn tell(&self, message: Message) {
+        if let Err(mpsc::error::TrySendError::Full(message)) = self.messages.try_send(message) {
+            let messages = self.messages.clone();
+            tokio::spawn(async move { messages.send(message).await });
+        }
+    }
+
+    async fn send(&self, message: Message) {
+        if self.messages.send(message).await.is_err() {
+            log::debug!("the fleet's task has ended");
+        }
+    }
+}
+
+/// What the task is told once.
+pub(crate) struct Options<View> {
+    /// Host.
+    pub(crate) host: id::Host,
+    /// Availability zone of the host.
+    pub(crate) zone: id::Zone,
+    /// Policy of choice.
+    pub(crate) policy: choice::Name,
+    /// True state of the endpoints, for the policy that looks at it.
+    pub(crate) truth: View,
+    /// Clock.
+    pub(crate) clock: Clock,
+}
+
+/// Starts the task; it ends with the last handle.
+pub(crate) fn start<View>(
+    options: Options<View>,
+    active: watch::Receiver<configuration::Current>,
+) -> Handle
+where
+    View: choice::Truth + Clone + Send + 'static,
+{
+    let (sender, receiver) = mpsc::channel(BACKLOG);
+    tokio::spawn(run(state::Fleet::new(options), receiver, active));
+    Handle { messages: sender }
+}
+
+async fn run<View>(
+    mut fleet: state::Fleet<View>,
+    mut messages: mpsc::Receiver<Message>,
+    mut active: watch::Receiver<configuration::Current>,
+) where
+    View: choice::Truth + Clone,
+{
+    let mut follows = true;
+    loop {
+        tokio::select! {
+            biased;
+            changed = active.changed(), if follows => {
+                follows = changed.is_ok();
+                if let Some(current) = active.borrow_and_update().as_deref() {
+                    fleet.configure(current);
+                }
+            }
+            message = messages.recv() => match message {
+                Some(message) => fleet.take(message),
+                None => return,
+            },
+        }
+    }
+}
--- a/crates/papayayard_document/src/document.rs
+++ b/crates/papayayard_document/src/document.rs
@@ -3,6 +3,8 @@
 use papayayard_wire::id;
 use serde::{Deserialize, Serialize};
 
+use crate::{decode, fault, reader};
+
 /// A whole configuration document.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -17,6 +19,13 @@
     pub services: Vec<Service>,
 }
 
+impl Document {
+    /// Reads a document and checks it whole; on failure lists every fault.
+    pub fn parse(text: &str) -> Result<Self, Vec<fault::Fault>> {
+        reader::Reader::read(text, decode::document)
+    }
+}
+
 /// Length of a cached piece.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
