--- a/crates/papayayard_coordination/src/lib.rs
+++ b/crates/papayayard_coordination/src/lib.rs
@@ -5,3 +5,4 @@
 //! be embedded by other programs and replayed from a seed.
 
 pub mod configuration;
+pub mod journal;
