--- a/crates/papayayard_document/src/document.rs
+++ b/crates/papayayard_document/src/document.rs
@@ -3,7 +3,7 @@
 use papayayard_wire::id;
 use serde::{Deserialize, Serialize};
 
-use crate::fault::Fault;
+use crate::{decode, fault, reader};
 
 /// A whole configuration document.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -20,16 +20,9 @@
 }
 
 impl Document {
-    /// Reads a document and checks it whole.
-    pub fn parse(text: &str) -> Result<Self, Vec<Fault>> {
-        serde_saphyr::from_str(text).map_err(|error| {
-            vec![Fault {
-                line: None,
-                key: String::new(),
-                problem: error.to_string(),
-                remedy: "correct the document".to_owned(),
-            }]
-        })
+    /// Reads a document and checks it whole; on failure lists every fault.
+    pub fn parse(text: &str) -> Result<Self, Vec<fault::Fault>> {
+        reader::Reader::read(text, decode::document)
     }
 }
 
