--- a/crates/papayayard/src/controllers/fleet.rs
+++ b/crates/papayayard/src/controllers/fleet.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use papayayard_routing::choice;
+use papayayard_wire::refusal::{Kind, Ran};
 use papayayard_wire::{block, directory, endpoint, id};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio_util::sync::CancellationToken;
@@ -35,6 +36,7 @@
     fingerprint: u64,
     deadline: Option<Duration>,
     excluded: Vec<id::Endpoint>,
+    ran: Ran,
 }
 
 impl Query {
@@ -49,21 +51,39 @@
             fingerprint: completion.fingerprint,
             deadline: completion.whole.known.deadline,
             excluded: Vec::new(),
+            ran: Ran::No,
         }
     }
 
     /// Leaves out the endpoint of an earlier attempt.
-    pub(crate) fn exclude(&mut self, dispatch: &Dispatch) {
-        self.excluded.push(dispatch.endpoint.clone());
+    pub(crate) fn exclude(&mut self, place: &Place) {
+        self.excluded.push(place.endpoint.clone());
+    }
+
+    /// A refusal that says whether an earlier attempt may have run.
+    pub(crate) fn refusal(&self, kind: Kind, message: &str, after: Duration) -> Refusal {
+        Refusal::not_run(kind, message).ran(self.ran).after(after)
+    }
+
+    /// Takes down that an attempt may have run the request.
+    pub(crate) fn may_have_run(&mut self) {
+        self.ran = Ran::Unknown;
     }
 }
 
 /// Tokens of an answer whose request states no maximum.
 const DEFAULT_OUTPUT_TOKENS: u32 = 256;
 
-/// A request's place at an endpoint.
-#[derive(Clone, Debug)]
+/// A request's place at an endpoint; dropping it unsettled cancels it.
+#[derive(Debug)]
 pub(crate) struct Dispatch {
+    place: Place,
+    messages: Option<mpsc::Sender<Message>>,
+}
+
+/// Where a request was sent and what it is expected to leave there.
+#[derive(Clone, Debug)]
+pub(crate) struct Place {
     /// Endpoint.
     pub(crate) endpoint: id::Endpoint,
     /// Its address.
@@ -80,6 +100,40 @@
 }
 
 impl Dispatch {
+    /// Where the request was sent.
+    pub(crate) fn place(&self) -> &Place {
+        &self.place
+    }
+
+    /// Takes down how the request ended.
+    pub(crate) fn settle(mut self, outcome: Outcome) {
+        self.tell(outcome);
+    }
+
+    /// Takes down a failure; answers whether the request may be retried.
+    pub(crate) async fn fail(mut self, outcome: Outcome) -> Result<bool, Refusal> {
+        let messages = self.messages.take().ok_or_else(Refusal::stopping)?;
+        let place = self.place.clone();
+        Handle { messages }
+            .ask(|reply| Message::Fail(place, outcome, reply))
+            .await
+            .ok_or_else(Refusal::stopping)
+    }
+
+    fn tell(&mut self, outcome: Outcome) {
+        if let Some(messages) = self.messages.take() {
+            Handle { messages }.tell(Message::Settle(self.place.clone(), outcome));
+        }
+    }
+}
+
+impl Drop for Dispatch {
+    fn drop(&mut self) {
+        self.tell(Outcome::Cancelled);
+    }
+}
+
+impl Place {
     /// Whether an answer comes from the run that was chosen.
     pub(crate) fn matches(&self, incarnation: u64) -> bool {
         self.incarnation
@@ -91,10 +145,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Outcome {
     /// It was answered whole.
-    Finished {
-        /// Prompt tokens that the endpoint found in its cache.
-        cached: Option<u64>,
-    },
+    Finished,
     /// The endpoint refused it.
     Refused,
     /// The caller went away.
@@ -126,10 +177,11 @@
     pub(crate) report: Option<endpoint::Report>,
 }
 
+#[derive(Debug)]
 enum Message {
-    Choose(Query, oneshot::Sender<Result<Dispatch, Refusal>>),
-    Settle(Dispatch, Outcome),
-    Fail(Dispatch, Outcome, oneshot::Sender<bool>),
+    Choose(Query, oneshot::Sender<Result<Place, Refusal>>),
+    Settle(Place, Outcome),
+    Fail(Place, Outcome, oneshot::Sender<bool>),
     Listed(Vec<directory::Endpoint>),
     Reported(endpoint::Report),
     Events(id::Endpoint, endpoint::Page),
@@ -146,27 +198,15 @@
 impl Handle {
     /// Chooses an endpoint and counts the request there.
     pub(crate) async fn choose(&self, query: &Query) -> Result<Dispatch, Refusal> {
-        let query = query.clone();
-        self.ask(|reply| Message::Choose(query, reply))
-            .await
-            .unwrap_or_else(|| Err(Refusal::stopping()))
-    }
-
-    /// Takes down how a dispatched request ended.
-    pub(crate) fn settle(&self, dispatch: &Dispatch, outcome: Outcome) {
-        self.tell(Message::Settle(dispatch.clone(), outcome));
-    }
-
-    /// Takes down a failure; answers whether the request may be retried.
-    pub(crate) async fn fail(
-        &self,
-        dispatch: &Dispatch,
-        outcome: Outcome,
-    ) -> Result<bool, Refusal> {
-        let dispatch = dispatch.clone();
-        self.ask(|reply| Message::Fail(dispatch, outcome, reply))
-            .await
-            .ok_or_else(Refusal::stopping)
+        let asked = query.clone();
+        let choice = self.ask(|reply| Message::Choose(asked, reply)).await;
+        match choice.unwrap_or_else(|| Err(Refusal::stopping())) {
+            Ok(place) => Ok(Dispatch {
+                place,
+                messages: Some(self.messages.clone()),
+            }),
+            Err(refusal) => Err(refusal.ran(query.ran)),
+        }
     }
 
     /// Takes in the platform's list.
--- a/crates/papayayard/src/controllers/fleet/service.rs
+++ b/crates/papayayard/src/controllers/fleet/service.rs
@@ -10,7 +10,7 @@
 use papayayard_wire::{directory, endpoint, id};
 use tokio_util::sync::CancellationToken;
 
-use crate::controllers::fleet::{Dispatch, Outcome, Query, Status};
+use crate::controllers::fleet::{Outcome, Place, Query, Status};
 
 /// Blocks that the index of a service holds at most.
 const INDEX_BLOCKS: usize = 1 << 22;
@@ -155,7 +155,7 @@
         zone: &id::Zone,
         limit: Option<Duration>,
         now: Duration,
-    ) -> Result<Dispatch, choice::Refusal> {
+    ) -> Result<Place, choice::Refusal> {
         if query.version != self.version {
             return Err(choice::Refusal::NoEndpoint);
         }
@@ -180,7 +180,7 @@
         let chosen = chosen.ok_or(choice::Refusal::NoEndpoint)?;
         let member = self.members.get(&chosen.name);
         let member = member.ok_or(choice::Refusal::NoEndpoint)?;
-        let dispatch = Dispatch {
+        let place = Place {
             endpoint: chosen.name.clone(),
             address: member.address,
             lost: member.lost.clone(),
@@ -197,28 +197,26 @@
             pick.cached_bytes,
             now,
         );
-        Ok(dispatch)
+        Ok(place)
     }
 
     /// Takes down how a dispatched request ended.
-    pub(super) fn settle(&mut self, dispatch: &Dispatch, outcome: Outcome, now: Duration) {
-        let Some(member) = self.members.get_mut(&dispatch.endpoint) else {
+    pub(super) fn settle(&mut self, place: &Place, outcome: Outcome, now: Duration) {
+        let Some(member) = self.members.get_mut(&place.endpoint) else {
             return;
         };
         let key = member.key;
         match outcome {
-            Outcome::Finished { cached } => {
-                let took = now.saturating_sub(dispatch.sent);
+            Outcome::Finished => {
+                let took = now.saturating_sub(place.sent);
                 self.fleet.finished(key, took, now);
-                if let Some(cached) = cached {
-                    self.fleet.answered(key, &dispatch.keys, cached, now);
-                }
+                self.fleet.answered(key, &place.keys, now);
             }
-            Outcome::Cancelled | Outcome::Refused => self.fleet.failed(key, &dispatch.keys, now),
+            Outcome::Cancelled | Outcome::Refused => self.fleet.failed(key, &place.keys, now),
             Outcome::Unreachable | Outcome::Stalled | Outcome::Died => {
-                self.fleet.failed(key, &dispatch.keys, now);
-                let same_run = self.fleet.get(key).and_then(fleet::Endpoint::incarnation)
-                    == dispatch.incarnation;
+                self.fleet.failed(key, &place.keys, now);
+                let same_run =
+                    self.fleet.get(key).and_then(fleet::Endpoint::incarnation) == place.incarnation;
                 if same_run {
                     self.fleet.set_ejected(key, true);
                 }
--- a/crates/papayayard/src/controllers/fleet/state.rs
+++ b/crates/papayayard/src/controllers/fleet/state.rs
@@ -11,7 +11,7 @@
 
 use crate::active::Active;
 use crate::controllers::fleet::service::Service;
-use crate::controllers::fleet::{Dispatch, Message, Options, Outcome, Query, Status};
+use crate::controllers::fleet::{Message, Options, Outcome, Place, Query, Status};
 use crate::refusal::Refusal;
 
 /// When to come back where no endpoint takes the request.
@@ -67,13 +67,13 @@
             Message::Choose(query, reply) => {
                 let choice = self.choose(&query, now);
                 // The request may have gone; its dispatch is then undone.
-                if let Err(Ok(dispatch)) = reply.send(choice) {
-                    self.settle(&dispatch, Outcome::Cancelled, now);
+                if let Err(Ok(place)) = reply.send(choice) {
+                    self.settle(&place, Outcome::Cancelled, now);
                 }
             }
-            Message::Settle(dispatch, outcome) => self.settle(&dispatch, outcome, now),
-            Message::Fail(dispatch, outcome, reply) => {
-                self.settle(&dispatch, outcome, now);
+            Message::Settle(place, outcome) => self.settle(&place, outcome, now),
+            Message::Fail(place, outcome, reply) => {
+                self.settle(&place, outcome, now);
                 // The request may have gone; then nothing is retried.
                 let _ = reply.send(true);
             }
@@ -119,7 +119,7 @@
         self.services.get_mut(&listed.service)
     }
 
-    fn choose(&mut self, query: &Query, now: Duration) -> Result<Dispatch, Refusal> {
+    fn choose(&mut self, query: &Query, now: Duration) -> Result<Place, Refusal> {
         let limit = match query.deadline {
             Some(deadline) if deadline <= now => return Err(too_late()),
             Some(deadline) => Some(deadline.saturating_sub(now)),
@@ -133,9 +133,9 @@
         chosen.map_err(|refusal| refuse(&refusal))
     }
 
-    fn settle(&mut self, dispatch: &Dispatch, outcome: Outcome, now: Duration) {
-        if let Some(service) = self.services.get_mut(&dispatch.service) {
-            service.settle(dispatch, outcome, now);
+    fn settle(&mut self, place: &Place, outcome: Outcome, now: Duration) {
+        if let Some(service) = self.services.get_mut(&place.service) {
+            service.settle(place, outcome, now);
         }
     }
 
--- a/crates/papayayard/src/metrics.rs
+++ b/crates/papayayard/src/metrics.rs
@@ -5,6 +5,7 @@
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
+use papayayard_wire::completion::Usage;
 use papayayard_wire::refusal::Kind;
 use prometheus::{Encoder, Registry, TextEncoder};
 
@@ -47,6 +48,8 @@
     requests: Counter<u64>,
     refusals: Counter<u64>,
     retries: Counter<u64>,
+    prompt_tokens: Counter<u64>,
+    generated_tokens: Counter<u64>,
     first_token: Histogram<f64>,
 }
 
@@ -74,6 +77,14 @@
                 .u64_counter("papayayard_retries")
                 .with_description("Requests sent again, by reason")
                 .build(),
+            prompt_tokens: meter
+                .u64_counter("papayayard_prompt_tokens")
+                .with_description("Prompt tokens of complete answers, by where they came from")
+                .build(),
+            generated_tokens: meter
+                .u64_counter("papayayard_generated_tokens")
+                .with_description("Generated tokens of complete answers")
+                .build(),
             first_token: meter
                 .f64_histogram("papayayard_first_token_seconds")
                 .with_description("Time from a request's arrival to its first token")
@@ -101,6 +112,17 @@
             .add(1, &[KeyValue::new("reason", reason.as_str())]);
     }
 
+    /// Counts the tokens of a complete answer.
+    pub(crate) fn answered(&self, usage: &Usage) {
+        let cached = usage.prompt_tokens_details.cached_tokens;
+        let computed = usage.prompt_tokens.saturating_sub(cached);
+        self.prompt_tokens
+            .add(cached, &[KeyValue::new("source", "cache")]);
+        self.prompt_tokens
+            .add(computed, &[KeyValue::new("source", "computed")]);
+        self.generated_tokens.add(usage.completion_tokens, &[]);
+    }
+
     /// Takes down the time to first token of a request received at `received`.
     pub(crate) fn first_token(&self, received: Duration) {
         let elapsed = self.clock.now().saturating_sub(received);
--- a/crates/papayayard/src/operators.rs
+++ b/crates/papayayard/src/operators.rs
@@ -58,6 +58,8 @@
     pub in_flight: u32,
     /// Version of its weights, as last reported.
     pub version: Option<id::Version>,
+    /// Run of its process, as last reported.
+    pub incarnation: Option<id::Incarnation>,
 }
 
 /// What the listener reads.
@@ -113,7 +115,8 @@
             plan: status.plan,
             eligible: status.eligible,
             in_flight: status.in_flight,
-            version: status.report.map(|report| report.version),
+            version: status.report.as_ref().map(|report| report.version.clone()),
+            incarnation: status.report.map(|report| report.incarnation),
         }
     }
 }
--- a/crates/papayayard/src/relay/attempt.rs
+++ b/crates/papayayard/src/relay/attempt.rs
@@ -31,30 +31,26 @@
 pub(crate) async fn ask(
     client: &Client,
     completion: &Completion,
-    dispatch: &fleet::Dispatch,
+    place: &fleet::Place,
     continuation: Option<&Continuation>,
 ) -> Reply {
     let head = &completion.whole.known.arrival.head;
     let outgoing = Outgoing {
-        address: dispatch.address,
+        address: place.address,
         method: Method::POST,
         path: &head.path,
         headers: headers(completion),
         body: body(completion, continuation),
     };
     let sent = client.send(outgoing, HEAD_TIMEOUT);
-    match dispatch.lost.run_until_cancelled(sent).await {
-        Some(Ok(response)) => classify(completion, dispatch, response),
+    match place.lost.run_until_cancelled(sent).await {
+        Some(Ok(response)) => classify(completion, place, response),
         Some(Err(failure)) => Reply::Failed(failure),
         None => Reply::Failed(Failure::Broken),
     }
 }
 
-fn classify(
-    completion: &Completion,
-    dispatch: &fleet::Dispatch,
-    response: Response<Incoming>,
-) -> Reply {
+fn classify(completion: &Completion, place: &fleet::Place, response: Response<Incoming>) -> Reply {
     let status = response.status();
     if status.is_success() {
         let id = completion.whole.known.arrival.id.as_str();
@@ -62,7 +58,7 @@
         let incarnation = text(response.headers(), names::INCARNATION);
         let same_run = incarnation.and_then(|number| number.parse().ok());
         return match (own, same_run) {
-            (true, Some(number)) if dispatch.matches(number) => Reply::Begun(response),
+            (true, Some(number)) if place.matches(number) => Reply::Begun(response),
             _ => Reply::Failed(Failure::Broken),
         };
     }
--- a/crates/papayayard/src/relay/call.rs
+++ b/crates/papayayard/src/relay/call.rs
@@ -64,9 +64,10 @@
             return Err(unclaimable());
         }
         let mut excluded = Vec::new();
+        let mut ran = Ran::No;
         loop {
             let Some(endpoint) = self.choose(&call.service, &excluded) else {
-                return Err(no_endpoint());
+                return Err(no_endpoint().ran(ran));
             };
             let failure = match self.send(&call, &endpoint).await {
                 Ok(answer) => return Ok(answer),
@@ -75,6 +76,9 @@
             if failure != Failure::Unreachable && !call.idempotent {
                 return Err(unknown());
             }
+            if failure != Failure::Unreachable {
+                ran = Ran::Unknown;
+            }
             self.metrics.retried(match failure {
                 Failure::Unreachable => Retry::Unreachable,
                 Failure::Broken => Retry::Broken,
--- a/crates/papayayard/src/relay/completion.rs
+++ b/crates/papayayard/src/relay/completion.rs
@@ -6,8 +6,8 @@
 use http::{HeaderMap, HeaderValue, Response, StatusCode, header};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use papayayard_wire::completion::Answer as Whole;
-use papayayard_wire::refusal::{Kind, Ran};
+use papayayard_wire::completion::{Answer as Whole, Usage};
+use papayayard_wire::refusal::Kind;
 use tokio::sync::mpsc;
 use tokio::time;
 
@@ -46,28 +46,24 @@
         let mut query = fleet::Query::new(&completion);
         loop {
             let dispatch = self.fleet.choose(&query).await?;
-            match attempt::ask(&self.client, &completion, &dispatch, None).await {
+            match attempt::ask(&self.client, &completion, dispatch.place(), None).await {
                 Reply::Begun(response) if completion.stream => {
                     return Ok(self.stream(completion, query, dispatch, response));
                 }
-                Reply::Begun(response) => match whole(&dispatch, response).await {
-                    Ok((body, cached)) => {
-                        self.fleet
-                            .settle(&dispatch, fleet::Outcome::Finished { cached });
+                Reply::Begun(response) => match whole(dispatch.place(), response).await {
+                    Ok((body, usage)) => {
+                        self.metrics.answered(&usage);
+                        dispatch.settle(fleet::Outcome::Finished);
                         return Ok(json(body));
                     }
-                    Err(failure) => self.failed(&mut query, &dispatch, failure).await?,
+                    Err(failure) => self.failed(&mut query, dispatch, failure).await?,
                 },
                 Reply::Rejected(response) => {
-                    self.fleet.settle(&dispatch, fleet::Outcome::Refused);
+                    dispatch.settle(fleet::Outcome::Refused);
                     return rejected(response).await;
                 }
-                Reply::Refused => {
-                    self.fleet.settle(&dispatch, fleet::Outcome::Refused);
-                    self.metrics.retried(Retry::EndpointRefused);
-                    query.exclude(&dispatch);
-                }
-                Reply::Failed(failure) => self.failed(&mut query, &dispatch, failure).await?,
+                Reply::Refused => self.refused(&mut query, dispatch),
+                Reply::Failed(failure) => self.failed(&mut query, dispatch, failure).await?,
             }
         }
     }
@@ -95,46 +91,47 @@
         }
     }
 
+    /// Settles an attempt that the endpoint refused without running it.
+    pub(crate) fn refused(&self, query: &mut fleet::Query, dispatch: fleet::Dispatch) {
+        query.exclude(dispatch.place());
+        dispatch.settle(fleet::Outcome::Refused);
+        self.metrics.retried(Retry::EndpointRefused);
+    }
+
     /// Settles a failed attempt; refuses the request where no other may follow.
     pub(crate) async fn failed(
         &self,
         query: &mut fleet::Query,
-        dispatch: &fleet::Dispatch,
+        dispatch: fleet::Dispatch,
         failure: Failure,
     ) -> Result<(), Refusal> {
-        query.exclude(dispatch);
+        query.exclude(dispatch.place());
+        if failure != Failure::Unreachable {
+            query.may_have_run();
+        }
         let (outcome, reason) = match failure {
             Failure::Unreachable => (fleet::Outcome::Unreachable, Retry::Unreachable),
             Failure::Broken => (fleet::Outcome::Died, Retry::Broken),
             Failure::TimedOut => (fleet::Outcome::Stalled, Retry::TimedOut),
         };
-        let allowed = self.fleet.fail(dispatch, outcome).await?;
-        if !allowed {
-            return Err(Refusal::not_run(
+        if !dispatch.fail(outcome).await? {
+            return Err(query.refusal(
                 Kind::EndpointFailed,
                 "the endpoint failed and the retry budget is spent; come back later",
-            )
-            .ran(ran(failure))
-            .after(FAILED_RETRY));
+                FAILED_RETRY,
+            ));
         }
         self.metrics.retried(reason);
         Ok(())
     }
 }
 
-fn ran(failure: Failure) -> Ran {
-    match failure {
-        Failure::Unreachable => Ran::No,
-        Failure::Broken | Failure::TimedOut => Ran::Unknown,
-    }
-}
-
 async fn whole(
-    dispatch: &fleet::Dispatch,
+    place: &fleet::Place,
     response: Response<Incoming>,
-) -> Result<(Bytes, Option<u64>), Failure> {
+) -> Result<(Bytes, Usage), Failure> {
     let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect();
-    let body = time::timeout(WHOLE_TIMEOUT, dispatch.lost.run_until_cancelled(body));
+    let body = time::timeout(WHOLE_TIMEOUT, place.lost.run_until_cancelled(body));
     let body = body
         .await
         .map_err(|_| Failure::TimedOut)?
@@ -142,8 +139,8 @@
         .map_err(|_| Failure::Broken)?
         .to_bytes();
     let answer: Whole<'_> = serde_json::from_slice(&body).map_err(|_| Failure::Broken)?;
-    let cached = answer.usage.prompt_tokens_details.cached_tokens;
-    Ok((body, Some(cached)))
+    let usage = answer.usage;
+    Ok((body, usage))
 }
 
 async fn rejected(response: Response<Incoming>) -> Result<Answer, Refusal> {
--- a/crates/papayayard/src/relay/pump.rs
+++ b/crates/papayayard/src/relay/pump.rs
@@ -68,14 +68,9 @@
     pub(crate) async fn run(mut self, mut dispatch: fleet::Dispatch, response: Response<Incoming>) {
         let mut response = response;
         loop {
-            let failure = match self.drain(&dispatch, response).await {
-                End::Complete => return self.complete(&dispatch),
-                End::CallerGone => {
-                    return self
-                        .relay
-                        .fleet
-                        .settle(&dispatch, fleet::Outcome::Cancelled);
-                }
+            let failure = match self.drain(dispatch.place(), response).await {
+                End::Complete => return self.complete(dispatch),
+                End::CallerGone => return dispatch.settle(fleet::Outcome::Cancelled),
                 End::Failed(failure) => failure,
             };
             match self.resume(dispatch, failure).await {
@@ -86,22 +81,21 @@
         }
     }
 
-    fn complete(&self, dispatch: &fleet::Dispatch) {
-        let usage = self.transcript.usage();
-        let cached = usage.map(|usage| usage.prompt_tokens_details.cached_tokens);
-        self.relay
-            .fleet
-            .settle(dispatch, fleet::Outcome::Finished { cached });
+    fn complete(&self, dispatch: fleet::Dispatch) {
+        if let Some(usage) = self.transcript.usage() {
+            self.relay.metrics.answered(&usage);
+        }
+        dispatch.settle(fleet::Outcome::Finished);
     }
 
-    async fn drain(&mut self, dispatch: &fleet::Dispatch, response: Response<Incoming>) -> End {
+    async fn drain(&mut self, place: &fleet::Place, response: Response<Incoming>) -> End {
         let mut body = response.into_body();
         let mut splitter = Splitter::default();
         let mut first = true;
         loop {
             let frame = tokio::select! {
                 () = self.events.closed() => return End::CallerGone,
-                () = dispatch.lost.cancelled() => return End::Failed(Failure::Broken),
+                () = place.lost.cancelled() => return End::Failed(Failure::Broken),
                 frame = time::timeout(STALL_TIMEOUT, body.frame()) => frame,
             };
             let frame = match frame {
@@ -121,7 +115,7 @@
                     Err(mismatch) => {
                         log::warn!(
                             request:% = self.completion.whole.known.arrival.id,
-                            endpoint:% = dispatch.endpoint;
+                            endpoint:% = place.endpoint;
                             "an event does not fit the stream: {mismatch:?}"
                         );
                         return End::Failed(Failure::Broken);
@@ -156,19 +150,19 @@
         let mut failure = failure;
         loop {
             if self.transcript.finished() {
-                self.complete(&failed);
+                self.complete(failed);
                 let end = Bytes::from_static(END_EVENT);
                 // A caller that has gone needs no end mark.
                 let _ = self.events.send(end).await;
                 return Ok(None);
             }
-            self.relay.failed(&mut self.query, &failed, failure).await?;
+            self.relay.failed(&mut self.query, failed, failure).await?;
             let dispatch = self.relay.fleet.choose(&self.query).await?;
             let continuation = self.transcript.continuation();
             let asked = attempt::ask(
                 &self.relay.client,
                 &self.completion,
-                &dispatch,
+                dispatch.place(),
                 continuation.as_ref(),
             );
             match asked.await {
--- /dev/null
+++ b/crates/papayayard/tests/plain.rs
@@ -0,0 +1,55 @@
+//! A non-idempotent request runs at most once, and a refusal that says that a
+//! request was not run is true.
+
+mod support;
+
+use http::{Method, StatusCode};
+use papayayard_stand_in::service::Fault;
+use papayayard_wire::refusal::{Kind, Ran};
+use rstest::rstest;
+use support::Bed;
+
+/// What the caller is told of a non-idempotent request agrees with the ledger.
+#[rstest]
+#[case::answer_lost(Fault::LoseAnswers { count: 10 }, Kind::OutcomeUnknown, Ran::Unknown, 1)]
+#[case::other_answer(Fault::WrongIds { count: 10 }, Kind::OutcomeUnknown, Ran::Unknown, 1)]
+#[case::frozen(Fault::Freeze, Kind::OutcomeUnknown, Ran::Unknown, 0)]
+#[case::crashed(Fault::Crash { down_ms: 600_000 }, Kind::NoEndpoint, Ran::No, 0)]
+#[tokio::test]
+async fn a_booking_is_sent_at_most_once(
+    #[case] fault: Fault,
+    #[case] kind: Kind,
+    #[case] ran: Ran,
+    #[case] most_runs: usize,
+) {
+    let bed = Bed::start(0, 3).await;
+    bed.publish(0, &support::document("v1", 1)).await;
+    let host = bed.ready_host("entry-1").await;
+    for service in &bed.services {
+        service.fault(fault.clone());
+    }
+    let reply = support::service(&host, Method::POST, "/bookings", None, "lesson").await;
+    let refusal = reply.expect("the exchange is whole").refusal();
+    assert_eq!((refusal.error.kind, refusal.error.ran), (kind, ran));
+    let runs = bed.service_ledger().len();
+    assert!(runs <= most_runs, "{runs} runs");
+}
+
+/// An idempotent request is sent to another endpoint where one fails.
+#[rstest]
+#[case::answer_lost(Fault::LoseAnswers { count: 10 })]
+#[case::other_answer(Fault::WrongIds { count: 10 })]
+#[case::crashed(Fault::Crash { down_ms: 600_000 })]
+#[tokio::test]
+async fn a_look_up_is_answered_although_an_endpoint_fails(#[case] fault: Fault) {
+    let bed = Bed::start(0, 3).await;
+    bed.publish(0, &support::document("v1", 1)).await;
+    let host = bed.ready_host("entry-1").await;
+    bed.services[0].fault(fault.clone());
+    bed.services[1].fault(fault);
+    for _ in 0..8 {
+        let reply = support::service(&host, Method::GET, "/schedule", None, "").await;
+        let reply = reply.expect("the exchange is whole");
+        assert_eq!(reply.status, StatusCode::OK, "{}", reply.text());
+    }
+}
