--- a/crates/papayayard/src/controllers/configuration.rs
+++ b/crates/papayayard/src/controllers/configuration.rs
@@ -64,7 +64,7 @@
     if proposal.base != accepted {
         return;
     }
-    let Ok(document) = serde_saphyr::from_str::<Document>(&proposal.document) else {
+    let Ok(document) = Document::parse(&proposal.document) else {
         return;
     };
     let active = Active::new(proposal.revision, proposal.digest, document);
--- a/crates/papayayard/src/settings.rs
+++ b/crates/papayayard/src/settings.rs
@@ -10,16 +10,18 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
+use papayayard_document::{fault, reader};
 use papayayard_routing::choice;
 use papayayard_wire::id;
-use serde::{Deserialize, Serialize};
+use serde::Serialize;
 use serde_with::{DurationMilliSeconds, serde_as};
 use snafu::{ResultExt, Snafu};
 
+mod decode;
+
 /// Settings of a host.
 #[serde_as]
-#[derive(Clone, Debug, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Clone, Debug, Serialize)]
 pub struct Settings {
     /// Name of the host.
     pub host: id::Host,
@@ -30,33 +32,33 @@
     /// Addresses of the platform's services.
     pub platform: Platform,
     /// Addresses of other hosts' peer listeners, to start from.
-    #[serde(default)]
     pub peers: Vec<SocketAddr>,
     /// Secret that all hosts of a deployment share.
     pub peer_secret: Secret,
     /// How endpoints are chosen.
-    #[serde(default)]
     pub policy: choice::Name,
     /// Bounds on what a caller may send.
-    #[serde(default)]
     pub limits: Limits,
     /// Periods of the controllers.
-    #[serde(default)]
     pub periods: Periods,
     /// Time between the start of a planned stop and the end of listening.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
-    #[serde(rename = "stop_grace_ms", default = "Settings::default_stop_grace")]
+    #[serde(rename = "stop_grace_ms")]
     pub stop_grace: Duration,
 }
 
 impl Settings {
-    const fn default_stop_grace() -> Duration {
-        Duration::from_secs(2)
+    /// Time between the start of a planned stop and the end of listening.
+    const DEFAULT_STOP_GRACE: Duration = Duration::from_secs(2);
+
+    /// Reads settings and checks them whole; on failure lists every fault.
+    pub fn parse(text: &str) -> Result<Self, Vec<fault::Fault>> {
+        reader::Reader::read(text, decode::settings)
     }
 }
 
 /// A secret, which is never shown.
-#[derive(Clone, Serialize, Deserialize)]
+#[derive(Clone, Serialize)]
 #[serde(transparent)]
 pub struct Secret(pub String);
 
@@ -67,8 +69,7 @@
 }
 
 /// Addresses to listen on; port 0 takes any free port.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Clone, Debug, Serialize)]
 pub struct Listen {
     /// For callers.
     pub callers: SocketAddr,
@@ -79,8 +80,7 @@
 }
 
 /// Addresses of the platform's services.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Clone, Debug, Serialize)]
 pub struct Platform {
     /// Log service.
     pub log: SocketAddr,
@@ -90,8 +90,7 @@
 
 /// Bounds on what a caller may send.
 #[serde_as]
-#[derive(Clone, Debug, Serialize, Deserialize)]
-#[serde(deny_unknown_fields, default)]
+#[derive(Clone, Debug, Serialize)]
 pub struct Limits {
     /// Most bytes of a body.
     pub body_bytes: usize,
@@ -115,8 +114,7 @@
 
 /// Periods of the controllers.
 #[serde_as]
-#[derive(Clone, Debug, Serialize, Deserialize)]
-#[serde(deny_unknown_fields, default)]
+#[derive(Clone, Debug, Serialize)]
 pub struct Periods {
     /// Between reads of the list of hosts.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
@@ -164,20 +162,20 @@
         source: io::Error,
     },
     /// The text has faults.
-    #[snafu(display("{} cannot be used: {reason}", path.display()))]
+    #[snafu(display("{} cannot be used:\n{}", path.display(), fault::lines(faults)))]
     Invalid {
         /// Path of the file.
         path: PathBuf,
-        /// The faults.
-        reason: String,
+        /// All of them.
+        faults: Vec<fault::Fault>,
     },
 }
 
 /// Reads settings from a YAML file.
 pub fn read(path: &Path) -> Result<Settings, Error> {
     let text = fs::read_to_string(path).context(ReadSnafu { path })?;
-    serde_saphyr::from_str(&text).map_err(|error| Error::Invalid {
+    Settings::parse(&text).map_err(|faults| Error::Invalid {
         path: path.to_owned(),
-        reason: error.to_string(),
+        faults,
     })
 }
--- a/crates/papayayard_document/src/document.rs
+++ b/crates/papayayard_document/src/document.rs
@@ -1,13 +1,12 @@
 //! The types of a configuration document.
 
 use papayayard_wire::id;
-use serde::{Deserialize, Serialize};
+use serde::Serialize;
 
 use crate::{decode, fault, reader};
 
 /// A whole configuration document.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Document {
     /// Version of the document format.
     pub format: u32,
@@ -27,8 +26,7 @@
 }
 
 /// Length of a cached piece.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 pub struct Block {
     /// Unit of `size`.
     pub unit: Unit,
@@ -50,7 +48,7 @@
 pub const BYTES_PER_TOKEN: usize = 4;
 
 /// Unit of a piece's length.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Unit {
     /// Bytes of text.
@@ -60,8 +58,7 @@
 }
 
 /// A client account.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Account {
     /// Name.
     pub id: id::Account,
@@ -72,22 +69,13 @@
     /// Open requests over all hosts.
     pub open_requests: u32,
     /// Priority of its requests, 0 the lowest.
-    #[serde(default)]
     pub priority: u8,
     /// Share of a full service, against the other accounts'.
-    #[serde(default = "Account::default_weight")]
     pub weight: u32,
 }
 
-impl Account {
-    const fn default_weight() -> u32 {
-        1
-    }
-}
-
 /// A service that requests are routed to.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Service {
     /// Name.
     pub name: id::Service,
@@ -99,7 +87,7 @@
 }
 
 /// What a service does.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Kind {
     /// Serves completions of one model.
@@ -109,15 +97,13 @@
 }
 
 /// A model service.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Model {
     /// Public name of the model.
     pub name: id::Model,
     /// Version of the weights.
     pub version: id::Version,
     /// Adapters, asked for as `model:adapter`.
-    #[serde(default)]
     pub adapters: Vec<id::Adapter>,
     /// Replicas that load weights at once.
     pub loads_at_once: u32,
@@ -128,7 +114,7 @@
 }
 
 /// What an endpoint does with an old fencing number.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Fencing {
     /// Refuses the order.
@@ -138,19 +124,16 @@
 }
 
 /// A plain service.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Plain {
     /// Routes; a request that matches none is not idempotent.
-    #[serde(default)]
     pub routes: Vec<Route>,
     /// Time that a request may take, in milliseconds.
     pub timeout_ms: u32,
 }
 
 /// A route of a plain service.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct Route {
     /// HTTP method.
     pub method: String,
--- a/crates/papayayard_document/src/fault.rs
+++ b/crates/papayayard_document/src/fault.rs
@@ -27,6 +27,12 @@
     }
 }
 
+/// Faults as text, one a line.
+pub fn lines(faults: &[Fault]) -> String {
+    let lines: Vec<String> = faults.iter().map(Fault::to_string).collect();
+    lines.join("\n")
+}
+
 /// Most faults that are listed; a hostile text could have one in each byte.
 pub const MAX_FAULTS: usize = 1000;
 
--- a/crates/papayayard_document/src/reader.rs
+++ b/crates/papayayard_document/src/reader.rs
@@ -7,6 +7,7 @@
 use std::fmt::Display;
 use std::net::SocketAddr;
 use std::ops::RangeInclusive;
+use std::time::Duration;
 
 use crate::fault::{Fault, List};
 use crate::tree;
@@ -145,7 +146,7 @@
         range: RangeInclusive<Number>,
     ) -> Option<Number>
     where
-        Number: Copy + Display + PartialOrd + TryFrom<i128> + Into<u64>,
+        Number: Copy + Display + PartialOrd + TryFrom<i128>,
     {
         let text = self.text(place)?;
         let remedy = format!(
@@ -171,6 +172,15 @@
         }
     }
 
+    /// A duration, written as a whole number of milliseconds.
+    pub fn milliseconds(
+        &mut self,
+        place: &Place<'_>,
+        range: RangeInclusive<u64>,
+    ) -> Option<Duration> {
+        self.number(place, range).map(Duration::from_millis)
+    }
+
     /// `true` or `false`.
     pub fn flag(&mut self, place: &Place<'_>) -> Option<bool> {
         self.choice(place, &[("true", true), ("false", false)])
