Add check, publish, promote, show and status for operators

Cause: operators had no command to put a document in force.

Ruled out: taking the highest proposal of the stream as the accepted one (a loser of a race can be the highest; only the hosts' own fold knows); sending an append again whose answer was lost (the log stores it twice).

Change: a command folds the stream as the hosts do, appends one proposal with the accepted base, and waits for the fold's verdict on that record's id. A lost answer is looked up in the stream; where the record doesn't show up and no other one has won, the outcome is said to be unknown.

Exit codes: 0 done, 1 bad file, 2 bad arguments (gumdrop's), 3 refused, 4 no answer, 5 outcome unknown.

--- a/crates/papayayardctl/src/command.rs
+++ b/crates/papayayardctl/src/command.rs
@@ -5,7 +5,8 @@
 
 use gumdrop::Options;
 
-use crate::stand_in;
+use crate::failure::Failure;
+use crate::{check, promote, publish, stand_in, status};
 
 /// Arguments of the program.
 #[derive(Debug, Options)]
@@ -19,6 +20,16 @@
 /// One subcommand.
 #[derive(Debug, Options)]
 pub(crate) enum Command {
+    /// Lists every fault of a document or settings file
+    Check(check::Arguments),
+    /// Puts a document in force
+    Publish(publish::Arguments),
+    /// Puts the document in force in trial in force elsewhere
+    Promote(promote::Arguments),
+    /// Prints the document in force
+    Show(publish::ShowArguments),
+    /// Shows what hosts have in force and which endpoints they see
+    Status(status::Arguments),
     /// Runs a stand-in engine, service or platform
     StandIn(stand_in::Arguments),
 }
@@ -31,10 +42,26 @@
             eprintln!("\n{}", Arguments::command_list().unwrap_or_default());
             ExitCode::FAILURE
         }
+        Some(Command::Check(arguments)) => conclude(check::run(&arguments)),
+        Some(Command::Publish(arguments)) => conclude(publish::run(arguments).await),
+        Some(Command::Promote(arguments)) => conclude(promote::run(arguments).await),
+        Some(Command::Show(arguments)) => conclude(publish::show(arguments).await),
+        Some(Command::Status(arguments)) => conclude(status::run(arguments).await),
         Some(Command::StandIn(arguments)) => finish(stand_in::run(arguments).await),
     }
 }
 
+/// Ends a command of an operator with the exit code of its failure.
+fn conclude(result: Result<(), Failure>) -> ExitCode {
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(failure) => {
+            eprintln!("{failure}");
+            failure.exit_code()
+        }
+    }
+}
+
 fn finish<Error>(result: Result<(), Error>) -> ExitCode
 where
     Error: Display,
--- a/crates/papayayardctl/src/main.rs
+++ b/crates/papayayardctl/src/main.rs
@@ -1,7 +1,16 @@
 //! The `papayayardctl` program, for operators and for trying papayayard out.
 
+mod address;
+mod check;
 mod command;
+mod failure;
+mod promote;
+mod publish;
 mod stand_in;
+mod status;
+mod stream;
+#[cfg(test)]
+mod stream_test;
 
 use std::process::ExitCode;
 
