--- /dev/null
+++ b/crates/papayayard_routing/src/bucket.rs
@@ -0,0 +1,57 @@
+//! Token bucket: a rate with a bounded burst.
+
+use std::time::Duration;
+
+/// Tokens that flow in at a rate.
+#[derive(Clone, Copy, Debug)]
+pub struct Bucket {
+    per_second: f64,
+    burst: f64,
+    tokens: f64,
+    at: Duration,
+}
+
+impl Bucket {
+    /// A full bucket.
+    pub const fn new(per_second: f64, burst: f64, now: Duration) -> Self {
+        Self {
+            per_second,
+            burst,
+            tokens: burst,
+            at: now,
+        }
+    }
+
+    /// Changes the rate from now on; tokens over the burst are lost.
+    pub fn set_rate(&mut self, per_second: f64, burst: f64, now: Duration) {
+        self.refill(now);
+        self.per_second = per_second;
+        self.burst = burst;
+        self.tokens = self.tokens.min(burst);
+    }
+
+    /// Takes a token, or tells how long until there is one.
+    pub fn take(&mut self, now: Duration) -> Result<(), Duration> {
+        self.refill(now);
+        if self.tokens >= 1.0 {
+            self.tokens -= 1.0;
+            return Ok(());
+        }
+        let seconds = (1.0 - self.tokens) / self.per_second;
+        Err(Duration::try_from_secs_f64(seconds).unwrap_or(NEVER))
+    }
+
+    /// Gives a token back that was not used.
+    pub fn put_back(&mut self) {
+        self.tokens = (self.tokens + 1.0).min(self.burst);
+    }
+
+    fn refill(&mut self, now: Duration) {
+        let elapsed = now.saturating_sub(self.at).as_secs_f64();
+        self.tokens = (self.tokens + elapsed * self.per_second).min(self.burst);
+        self.at = self.at.max(now);
+    }
+}
+
+/// Wait that is given where the rate is 0.
+const NEVER: Duration = Duration::from_hours(1);
--- a/crates/papayayard_routing/src/choice.rs
+++ b/crates/papayayard_routing/src/choice.rs
@@ -88,7 +88,7 @@
 ) -> impl Iterator<Item = (fleet::Key, &'a fleet::Endpoint)> {
     fleet
         .iter()
-        .filter(|(key, endpoint)| endpoint.eligible && !query.excluded.contains(key))
+        .filter(|(key, endpoint)| endpoint.accepts(query.now) && !query.excluded.contains(key))
 }
 
 /// Checks an estimate against the request's limit.
--- /dev/null
+++ b/crates/papayayard_routing/src/ejection.rs
@@ -0,0 +1,97 @@
+//! Health of one endpoint, from the requests that were sent to it.
+//!
+//! After a few failures in a row an endpoint is left out for a while that
+//! doubles each time. It is then probed by one request; each whole answer
+//! doubles how many may be open at once, until it is healthy again.
+
+use std::time::Duration;
+
+const FAILURES: u32 = 3;
+const FIRST_ABSENCE: Duration = Duration::from_millis(500);
+const LONGEST_ABSENCE: Duration = Duration::from_secs(30);
+const HEALTHY_PERMITS: u32 = 16;
+const DOUBLINGS: u32 = 8;
+
+/// Health of one endpoint.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Health {
+    state: State,
+    failures: u32,
+    ejections: u32,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+enum State {
+    #[default]
+    Healthy,
+    Ejected {
+        until: Duration,
+    },
+    Probed {
+        permits: u32,
+    },
+}
+
+impl Health {
+    /// Whether one more request may be sent while `open` are open.
+    pub fn permits(&self, open: u32, now: Duration) -> bool {
+        match self.state {
+            State::Healthy => true,
+            State::Ejected { until } => now >= until && open == 0,
+            State::Probed { permits } => open < permits,
+        }
+    }
+
+    /// Whether it is left out now.
+    pub fn is_ejected(&self, now: Duration) -> bool {
+        matches!(self.state, State::Ejected { until } if now < until)
+    }
+
+    /// Whether the next failure ejects it.
+    pub const fn is_failing(&self) -> bool {
+        match self.state {
+            State::Healthy => self.failures + 1 >= FAILURES,
+            State::Ejected { .. } | State::Probed { .. } => true,
+        }
+    }
+
+    /// Counts a whole answer. While it is left out one proves nothing: the
+    /// request was sent before.
+    pub fn succeeded(&mut self, now: Duration) {
+        self.failures = 0;
+        self.state = match self.state {
+            State::Healthy => State::Healthy,
+            State::Ejected { until } if now < until => self.state,
+            State::Ejected { .. } => State::Probed { permits: 2 },
+            State::Probed { permits } if permits * 2 >= HEALTHY_PERMITS => {
+                self.ejections = 0;
+                State::Healthy
+            }
+            State::Probed { permits } => State::Probed {
+                permits: permits * 2,
+            },
+        };
+    }
+
+    /// Counts a failure.
+    pub fn failed(&mut self, now: Duration) {
+        if self.is_ejected(now) {
+            return;
+        }
+        if self.is_failing() {
+            self.eject(now);
+        } else {
+            self.failures += 1;
+        }
+    }
+
+    fn eject(&mut self, now: Duration) {
+        let doublings = self.ejections.min(DOUBLINGS);
+        let absence = FIRST_ABSENCE * 2_u32.pow(doublings);
+        self.ejections += 1;
+        self.failures = 0;
+        self.state = State::Ejected {
+            until: now + absence.min(LONGEST_ABSENCE),
+        };
+    }
+}
--- a/crates/papayayard_routing/src/fleet.rs
+++ b/crates/papayayard_routing/src/fleet.rs
@@ -12,6 +12,7 @@
 use slotmap::SlotMap;
 use xxhash_rust::xxh3;
 
+use crate::ejection;
 use crate::index;
 use crate::load;
 use crate::run;
@@ -41,9 +42,11 @@
     pub zone: id::Zone,
     /// Load.
     pub load: load::Load,
+    /// Health, from the requests that were sent.
+    pub health: ejection::Health,
     pub(crate) slot: index::Slot,
     pub(crate) seed: u64,
-    pub(crate) eligible: bool,
+    eligible: bool,
     runs: run::Tracker,
     state: Option<endpoint::State>,
     version: Option<id::Version>,
@@ -101,6 +104,7 @@
             name: name.clone(),
             zone: zone.clone(),
             load: load::Load::default(),
+            health: ejection::Health::default(),
             slot: self.index.open(),
             seed: xxh3::xxh3_64(name.as_str().as_bytes()),
             eligible: false,
@@ -203,12 +207,29 @@
         let hosts = self.hosts;
         if let Some(endpoint) = self.endpoints.get_mut(key) {
             endpoint.load.finished(took, now, hosts);
+            endpoint.health.succeeded(now);
         }
     }
 
-    /// Counts a request that ended without a whole answer; what it was
-    /// expected to leave in the cache is no longer expected.
+    /// Counts a request that the endpoint failed to answer whole. What it was
+    /// to leave in the cache is doubtful. At most half of the endpoints are
+    /// ejected at once: past that the fault is not theirs.
     pub fn failed(&mut self, key: Key, keys: &[block::Key], now: Duration) {
+        let hosts = self.hosts;
+        let endpoints = self.endpoints.values();
+        let ejected = endpoints.filter(|one| one.health.is_ejected(now)).count();
+        let may_eject = (ejected + 1) * 2 <= self.endpoints.len();
+        if let Some(endpoint) = self.endpoints.get_mut(key) {
+            endpoint.load.ended(now, hosts);
+            if may_eject || !endpoint.health.is_failing() {
+                endpoint.health.failed(now);
+            }
+            self.index.doubt(endpoint.slot, keys);
+        }
+    }
+
+    /// Counts a request that its caller gave up.
+    pub fn cancelled(&mut self, key: Key, keys: &[block::Key], now: Duration) {
         let hosts = self.hosts;
         if let Some(endpoint) = self.endpoints.get_mut(key) {
             endpoint.load.ended(now, hosts);
@@ -232,10 +253,9 @@
     }
 
     /// Whether an endpoint may be given new work.
-    pub fn eligible(&self, key: Key) -> bool {
-        self.endpoints
-            .get(key)
-            .is_some_and(|endpoint| endpoint.eligible)
+    pub fn eligible(&self, key: Key, now: Duration) -> bool {
+        let endpoint = self.endpoints.get(key);
+        endpoint.is_some_and(|endpoint| endpoint.accepts(now))
     }
 
     /// Number of endpoints.
@@ -293,6 +313,11 @@
         self.runs.current()
     }
 
+    /// Whether it may be given new work.
+    pub fn accepts(&self, now: Duration) -> bool {
+        self.eligible && self.health.permits(self.load.open(), now)
+    }
+
     /// Whether it is leaving.
     pub const fn leaving(&self) -> bool {
         self.leaving
--- a/crates/papayayard_routing/src/lib.rs
+++ b/crates/papayayard_routing/src/lib.rs
@@ -4,10 +4,15 @@
 //! randomness are handed in, and decisions come back as values. Times are
 //! durations since an epoch that the caller keeps for the process's life.
 
+pub mod admission;
+pub mod bucket;
 pub mod choice;
+pub mod ejection;
 pub mod fleet;
 pub mod index;
 pub mod load;
 pub mod mix;
+pub mod quarantine;
+pub mod retry;
 pub mod run;
 pub mod salt;
--- /dev/null
+++ b/crates/papayayard_routing/tests/ejection.rs
@@ -0,0 +1,68 @@
+//! Leaving a failing endpoint out, and taking it back slowly.
+
+use std::time::Duration;
+
+use papayayard_routing::ejection::Health;
+use rstest::rstest;
+
+fn ms(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+fn failed(times: u32) -> Health {
+    let mut health = Health::default();
+    for _ in 0..times {
+        health.failed(ms(0));
+    }
+    health
+}
+
+#[rstest]
+#[case::one(1, true)]
+#[case::two(2, true)]
+#[case::three(3, false)]
+fn three_failures_in_a_row_eject(#[case] failures: u32, #[case] permits: bool) {
+    assert_eq!(failed(failures).permits(0, ms(1)), permits);
+}
+
+#[test]
+fn a_whole_answer_between_failures_counts() {
+    let mut health = failed(2);
+    health.succeeded(ms(0));
+    health.failed(ms(0));
+    assert!(health.permits(0, ms(1)));
+}
+
+#[test]
+fn one_probe_then_twice_as_many_each_time() {
+    let mut health = failed(3);
+    let now = ms(500);
+    assert!(health.permits(0, now));
+    assert!(!health.permits(1, now), "one probe at a time");
+    for permits in [2, 4, 8] {
+        health.succeeded(now);
+        assert!(health.permits(permits - 1, now));
+        assert!(!health.permits(permits, now));
+    }
+    health.succeeded(now);
+    assert!(health.permits(1_000, now));
+}
+
+#[test]
+fn absence_doubles_and_is_capped() {
+    let mut health = failed(3);
+    let mut now = ms(0);
+    for absence in [500, 1_000, 2_000, 4_000, 8_000, 16_000, 30_000, 30_000] {
+        assert!(!health.permits(0, now + ms(absence - 1)));
+        now += ms(absence);
+        assert!(health.permits(0, now));
+        health.failed(now);
+    }
+}
+
+#[test]
+fn an_answer_to_an_earlier_request_does_not_end_the_absence() {
+    let mut health = failed(3);
+    health.succeeded(ms(100));
+    assert!(!health.permits(0, ms(200)));
+}
--- a/crates/papayayard_routing/tests/index.rs
+++ b/crates/papayayard_routing/tests/index.rs
@@ -95,7 +95,7 @@
                 seen: HashSet::new(),
             })
             .collect();
-        let mut last: Option<(index::Slot, endpoint::Page)> = None;
+        let mut delivered: Option<(index::Slot, endpoint::Page)> = None;
         for step in 0..STEPS {
             let now = Duration::from_secs(step as u64);
             let engine = &mut engines[rng.next_u32() as usize % 3];
@@ -105,7 +105,7 @@
                 engine.cache.clear();
                 engine.seen.clear();
                 index.clear(engine.slot);
-                last = None;
+                delivered = None;
                 for number in 0..KEYS {
                     let held = holders(&index, number, now);
                     let left = held.iter().any(|(slot, _)| *slot == engine.slot);
@@ -118,9 +118,9 @@
                 let sent = page(engine.sequence, change);
                 index.events(engine.slot, &sent, now);
                 engine.seen.clone_from(&engine.cache);
-                last = Some((engine.slot, sent));
+                delivered = Some((engine.slot, sent));
             }
-            if let Some((slot, page)) = last.as_ref().filter(|_| step % 7 == 0) {
+            if let Some((slot, page)) = delivered.as_ref().filter(|_| step % 7 == 0) {
                 index.events(*slot, page, now);
             }
             check(&index, &engines, now, seed);
