Hold accounts to their limits; stop requests that end their endpoints

Cause: limits of client accounts were not held, retries had no budget, and a request that crashes its endpoint was sent on until none was left.

Change: an admission task gives permits, which a request keeps until its answer is whole; capacity follows the endpoints' reported slots. Failures spend the routing crate's retry budget. A broken answer is followed by a probe: the same run still answering means a broken stream, anything else a death, and deaths are what the quarantine counts.

Ruled out: counting each broken stream as a death. A cut connection would make suspects of requests that did no harm.

--- a/crates/papayayard/src/controllers/fleet.rs
+++ b/crates/papayayard/src/controllers/fleet.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use papayayard_routing::choice;
+use papayayard_routing::{choice, quarantine, retry};
 use papayayard_wire::refusal::{Kind, Ran};
 use papayayard_wire::{block, directory, endpoint, id};
 use tokio::sync::{mpsc, oneshot, watch};
@@ -29,13 +29,15 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Query {
     service: id::Service,
+    account: id::Account,
     version: id::Version,
     keys: Arc<[block::Key]>,
     prompt_bytes: usize,
     output_tokens: u32,
-    fingerprint: u64,
+    fingerprint: quarantine::Fingerprint,
     deadline: Option<Duration>,
     excluded: Vec<id::Endpoint>,
+    attempts: u32,
     ran: Ran,
 }
 
@@ -44,6 +46,7 @@
     pub(crate) fn new(completion: &Completion) -> Self {
         Self {
             service: completion.service.clone(),
+            account: completion.whole.known.account.id.clone(),
             version: completion.version.clone(),
             keys: completion.keys.clone().into(),
             prompt_bytes: completion.prompt_bytes,
@@ -51,13 +54,16 @@
             fingerprint: completion.fingerprint,
             deadline: completion.whole.known.deadline,
             excluded: Vec::new(),
+            attempts: 0,
             ran: Ran::No,
         }
     }
 
-    /// Leaves out the endpoint of an earlier attempt.
-    pub(crate) fn exclude(&mut self, place: &Place) {
-        self.excluded.push(place.endpoint.clone());
+    /// Takes down that the caller has the first token: from here on the
+    /// deadline is met, and the request has run.
+    pub(crate) fn begun(&mut self) {
+        self.deadline = None;
+        self.ran = Ran::Yes;
     }
 
     /// A refusal that says whether an earlier attempt may have run.
@@ -65,9 +71,10 @@
         Refusal::not_run(kind, message).ran(self.ran).after(after)
     }
 
-    /// Takes down that an attempt may have run the request.
-    pub(crate) fn may_have_run(&mut self) {
-        self.ran = Ran::Unknown;
+    fn may_have_run(&mut self) {
+        if self.ran == Ran::No {
+            self.ran = Ran::Unknown;
+        }
     }
 }
 
@@ -93,9 +100,9 @@
     pub(crate) lost: CancellationToken,
     incarnation: Option<id::Incarnation>,
     service: id::Service,
+    account: id::Account,
     keys: Arc<[block::Key]>,
-    #[expect(dead_code, reason = "read by the quarantine")]
-    fingerprint: u64,
+    fingerprint: quarantine::Fingerprint,
     sent: Duration,
 }
 
@@ -110,14 +117,31 @@
         self.tell(outcome);
     }
 
-    /// Takes down a failure; answers whether the request may be retried.
-    pub(crate) async fn fail(mut self, outcome: Outcome) -> Result<bool, Refusal> {
-        let messages = self.messages.take().ok_or_else(Refusal::stopping)?;
+    /// Takes down a failure; a request that may be retried asks another
+    /// endpoint with the same query.
+    pub(crate) async fn fail(
+        mut self,
+        outcome: Outcome,
+        query: &mut Query,
+    ) -> Result<(), retry::Denial> {
+        query.excluded.push(self.place.endpoint.clone());
+        query.attempts += 1;
+        if !matches!(outcome, Outcome::Refused | Outcome::Unreachable) {
+            query.may_have_run();
+        }
+        let failure = retry::Failure {
+            ran: query.ran,
+            idempotent: true,
+            attempts: query.attempts,
+        };
+        let Some(messages) = self.messages.take() else {
+            return Err(retry::Denial::Attempts);
+        };
         let place = self.place.clone();
         Handle { messages }
-            .ask(|reply| Message::Fail(place, outcome, reply))
+            .ask(|reply| Message::Fail(place, outcome, failure, reply))
             .await
-            .ok_or_else(Refusal::stopping)
+            .unwrap_or(Err(retry::Denial::Attempts))
     }
 
     fn tell(&mut self, outcome: Outcome) {
@@ -135,9 +159,8 @@
 
 impl Place {
     /// Whether an answer comes from the run that was chosen.
-    pub(crate) fn matches(&self, incarnation: u64) -> bool {
-        self.incarnation
-            .is_none_or(|chosen| chosen.0 == incarnation)
+    pub(crate) fn matches(&self, incarnation: id::Incarnation) -> bool {
+        self.incarnation.is_none_or(|chosen| chosen == incarnation)
     }
 }
 
@@ -152,7 +175,9 @@
     Cancelled,
     /// No connection could be made.
     Unreachable,
-    /// The connection broke while it ran.
+    /// The answer broke off while the endpoint's process lives on.
+    Broken,
+    /// The endpoint's process ended while it ran.
     Died,
     /// Nothing came for too long.
     Stalled,
@@ -181,7 +206,14 @@
 enum Message {
     Choose(Query, oneshot::Sender<Result<Place, Refusal>>),
     Settle(Place, Outcome),
-    Fail(Place, Outcome, oneshot::Sender<bool>),
+    Fail(
+        Place,
+        Outcome,
+        retry::Failure,
+        oneshot::Sender<Result<(), retry::Denial>>,
+    ),
+    Verdicts(oneshot::Sender<Vec<quarantine::Verdict>>),
+    Import(Vec<quarantine::Verdict>),
     Listed(Vec<directory::Endpoint>),
     Reported(endpoint::Report),
     Events(id::Endpoint, endpoint::Page),
@@ -229,6 +261,18 @@
         self.send(Message::Silent(endpoint)).await;
     }
 
+    /// Fingerprints that this host has quarantined.
+    #[expect(dead_code, reason = "read by the peers' controller")]
+    pub(crate) async fn verdicts(&self) -> Vec<quarantine::Verdict> {
+        self.ask(Message::Verdicts).await.unwrap_or_default()
+    }
+
+    /// Takes in fingerprints that another host has quarantined.
+    #[expect(dead_code, reason = "read by the peers' controller")]
+    pub(crate) async fn import(&self, verdicts: Vec<quarantine::Verdict>) {
+        self.send(Message::Import(verdicts)).await;
+    }
+
     /// State of all endpoints.
     pub(crate) async fn status(&self) -> Vec<Status> {
         self.ask(Message::Status).await.unwrap_or_default()
@@ -267,6 +311,8 @@
     pub(crate) policy: choice::Name,
     /// True state of the endpoints, for the policy that looks at it.
     pub(crate) truth: View,
+    /// Gets the number of requests that all endpoints together can run.
+    pub(crate) capacity: watch::Sender<u32>,
     /// Clock.
     pub(crate) clock: Clock,
 }
--- a/crates/papayayard/src/controllers/fleet/service.rs
+++ b/crates/papayayard/src/controllers/fleet/service.rs
@@ -6,7 +6,7 @@
 
 use papayayard_document::document;
 use papayayard_routing::choice::{self, Policy};
-use papayayard_routing::{fleet, run};
+use papayayard_routing::{fleet, quarantine, run};
 use papayayard_wire::{directory, endpoint, id};
 use tokio_util::sync::CancellationToken;
 
@@ -22,9 +22,24 @@
     fleet: fleet::Fleet,
     policy: choice::Switch<View>,
     members: HashMap<id::Endpoint, Member>,
+    quarantine: quarantine::Table,
     version: id::Version,
 }
 
+/// Why a request gets no endpoint.
+pub(super) enum Barred {
+    /// Nothing was chosen.
+    Choice(choice::Refusal),
+    /// Requests like this one end the endpoints that run them.
+    Quarantined,
+}
+
+impl From<choice::Refusal> for Barred {
+    fn from(refusal: choice::Refusal) -> Self {
+        Self::Choice(refusal)
+    }
+}
+
 struct Member {
     key: fleet::Key,
     address: SocketAddr,
@@ -61,6 +76,7 @@
             fleet: fleet::Fleet::new(settings),
             policy,
             members: HashMap::new(),
+            quarantine: quarantine::Table::default(),
             version: model.version.clone(),
         }
     }
@@ -119,7 +135,10 @@
         };
         match self.fleet.report(member.key, &report, now) {
             run::Match::Same => {}
-            run::Match::New => member.lose(),
+            run::Match::New => {
+                self.quarantine.died(member.key, now);
+                member.lose();
+            }
             run::Match::Ended => return,
         }
         member.missed = 0;
@@ -132,6 +151,7 @@
         if let Some(member) = self.members.get_mut(name)
             && self.fleet.events(member.key, page, now) == run::Match::New
         {
+            self.quarantine.died(member.key, now);
             member.lose();
         }
     }
@@ -155,15 +175,16 @@
         zone: &id::Zone,
         limit: Option<Duration>,
         now: Duration,
-    ) -> Result<Place, choice::Refusal> {
+    ) -> Result<Place, Barred> {
         if query.version != self.version {
-            return Err(choice::Refusal::NoEndpoint);
+            return Err(choice::Refusal::NoEndpoint.into());
         }
-        let excluded: Vec<fleet::Key> = query
-            .excluded
-            .iter()
-            .filter_map(|name| self.fleet.find(name))
-            .collect();
+        if self.quarantine.standing(query.fingerprint, now) == quarantine::Standing::Quarantined {
+            return Err(Barred::Quarantined);
+        }
+        let mut excluded = self.quarantine.ruled_out(query.fingerprint, now);
+        let asked = query.excluded.iter();
+        excluded.extend(asked.filter_map(|name| self.fleet.find(name)));
         let pick = self.policy.pick(
             &self.fleet,
             &choice::Query {
@@ -186,10 +207,12 @@
             lost: member.lost.clone(),
             incarnation: chosen.incarnation(),
             service: query.service.clone(),
+            account: query.account.clone(),
             keys: query.keys.clone(),
             fingerprint: query.fingerprint,
             sent: now,
         };
+        self.quarantine.started(query.fingerprint, pick.endpoint);
         self.fleet.dispatched(
             pick.endpoint,
             &query.keys,
@@ -209,23 +232,62 @@
         match outcome {
             Outcome::Finished => {
                 let took = now.saturating_sub(place.sent);
+                self.quarantine.finished(place.fingerprint, key);
                 self.fleet.finished(key, took, now);
                 self.fleet.answered(key, &place.keys, now);
             }
-            Outcome::Cancelled | Outcome::Refused => self.fleet.failed(key, &place.keys, now),
-            Outcome::Unreachable | Outcome::Stalled | Outcome::Died => {
+            Outcome::Cancelled | Outcome::Refused => {
+                self.quarantine.ended(place.fingerprint, key);
+                self.fleet.cancelled(key, &place.keys, now);
+            }
+            Outcome::Unreachable | Outcome::Stalled | Outcome::Broken => {
+                self.quarantine.ended(place.fingerprint, key);
+                self.fleet.failed(key, &place.keys, now);
+            }
+            Outcome::Died => {
                 self.fleet.failed(key, &place.keys, now);
-                let same_run =
-                    self.fleet.get(key).and_then(fleet::Endpoint::incarnation) == place.incarnation;
-                if same_run {
-                    self.fleet.set_ejected(key, true);
-                }
+                self.died(place, key, now);
             }
         }
     }
 
+    /// Takes the death of the run that a request was sent to, once.
+    fn died(&mut self, place: &Place, key: fleet::Key, now: Duration) {
+        let current = self.fleet.get(key).and_then(fleet::Endpoint::incarnation);
+        if current.is_none() || current != place.incarnation {
+            return;
+        }
+        if let Some(culprit) = self.quarantine.died(key, now) {
+            log::warn!(endpoint:% = place.endpoint, fingerprint = culprit.0; "quarantined");
+        }
+        self.fleet.crashed(key, now);
+        if let Some(member) = self.members.get_mut(&place.endpoint) {
+            member.lose();
+        }
+    }
+
+    /// Fingerprints that are quarantined.
+    pub(super) fn verdicts(&self, now: Duration) -> Vec<quarantine::Verdict> {
+        self.quarantine.export(now)
+    }
+
+    /// Takes in fingerprints that another host has quarantined.
+    pub(super) fn import(&mut self, verdicts: &[quarantine::Verdict], now: Duration) {
+        self.quarantine.import(verdicts, now);
+    }
+
+    /// Requests that all endpoints with a report can run at once.
+    pub(super) fn slots(&self) -> u32 {
+        let reports = self.members.values().filter_map(|m| m.report.as_ref());
+        reports.map(|report| report.slots).sum()
+    }
+
     /// State of the endpoints, for operators.
-    pub(super) fn status(&self, service: &id::Service) -> impl Iterator<Item = Status> {
+    pub(super) fn status(
+        &self,
+        service: &id::Service,
+        now: Duration,
+    ) -> impl Iterator<Item = Status> {
         self.members.iter().filter_map(move |(name, member)| {
             let endpoint = self.fleet.get(member.key)?;
             Some(Status {
@@ -233,7 +295,7 @@
                 service: service.clone(),
                 zone: endpoint.zone.clone(),
                 plan: member.plan,
-                eligible: self.fleet.eligible(member.key),
+                eligible: self.fleet.eligible(member.key, now),
                 in_flight: endpoint.load.open(),
                 report: member.report.clone(),
             })
--- a/crates/papayayard/src/controllers/fleet/state.rs
+++ b/crates/papayayard/src/controllers/fleet/state.rs
@@ -4,24 +4,32 @@
 use std::time::Duration;
 
 use papayayard_document::document;
-use papayayard_routing::choice;
+use papayayard_routing::{choice, retry};
 use papayayard_wire::refusal::Kind;
 use papayayard_wire::{directory, id};
 use xxhash_rust::xxh3;
 
 use crate::active::Active;
-use crate::controllers::fleet::service::Service;
+use crate::controllers::fleet::service::{Barred, Service};
 use crate::controllers::fleet::{Message, Options, Outcome, Place, Query, Status};
 use crate::refusal::Refusal;
 
 /// When to come back where no endpoint takes the request.
 const NO_ENDPOINT_RETRY: Duration = Duration::from_secs(1);
 
+/// Limits on retries.
+const RETRIES: retry::Settings = retry::Settings {
+    per_success: 0.1,
+    reserve: 50.0,
+    attempts: 4,
+};
+
 /// All model services.
 pub(super) struct Fleet<View> {
     options: Options<View>,
     services: HashMap<id::Service, Service<View>>,
     listed: Vec<directory::Endpoint>,
+    budget: retry::Budget,
 }
 
 impl<View> Fleet<View>
@@ -34,6 +42,7 @@
             options,
             services: HashMap::new(),
             listed: Vec::new(),
+            budget: retry::Budget::new(RETRIES),
         }
     }
 
@@ -72,10 +81,22 @@
                 }
             }
             Message::Settle(place, outcome) => self.settle(&place, outcome, now),
-            Message::Fail(place, outcome, reply) => {
+            Message::Fail(place, outcome, failure, reply) => {
                 self.settle(&place, outcome, now);
+                let leave = self.budget.retry(&place.service, &place.account, failure);
                 // The request may have gone; then nothing is retried.
-                let _ = reply.send(true);
+                let _ = reply.send(leave);
+            }
+            Message::Verdicts(reply) => {
+                let services = self.services.values();
+                let verdicts = services.flat_map(|service| service.verdicts(now));
+                // A host that is stopping needs no answer.
+                let _ = reply.send(verdicts.collect());
+            }
+            Message::Import(verdicts) => {
+                for service in self.services.values_mut() {
+                    service.import(&verdicts, now);
+                }
             }
             Message::Listed(endpoints) => {
                 self.listed = endpoints;
@@ -85,6 +106,7 @@
                 if let Some(service) = self.service_of(&report.endpoint) {
                     service.report(report, now);
                 }
+                self.announce_capacity();
             }
             Message::Events(endpoint, page) => {
                 if let Some(service) = self.service_of(&endpoint) {
@@ -98,7 +120,7 @@
             }
             Message::Status(reply) => {
                 // An operator that has gone needs no answer.
-                let _ = reply.send(self.status());
+                let _ = reply.send(self.status(now));
             }
         }
     }
@@ -114,6 +136,15 @@
         }
     }
 
+    fn announce_capacity(&self) {
+        let total = self.services.values().map(Service::slots).sum();
+        self.options.capacity.send_if_modified(|known| {
+            let changed = *known != total;
+            *known = total;
+            changed
+        });
+    }
+
     fn service_of(&mut self, endpoint: &id::Endpoint) -> Option<&mut Service<View>> {
         let listed = self.listed.iter().find(|listed| listed.id == *endpoint)?;
         self.services.get_mut(&listed.service)
@@ -128,21 +159,27 @@
         let zone = &self.options.zone;
         let service = self.services.get_mut(&query.service);
         let chosen = service
-            .ok_or(choice::Refusal::NoEndpoint)
+            .ok_or(Barred::Choice(choice::Refusal::NoEndpoint))
             .and_then(|service| service.choose(query, zone, limit, now));
-        chosen.map_err(|refusal| refuse(&refusal))
+        chosen.map_err(|barred| match barred {
+            Barred::Choice(refusal) => refuse(&refusal),
+            Barred::Quarantined => quarantined(),
+        })
     }
 
     fn settle(&mut self, place: &Place, outcome: Outcome, now: Duration) {
+        if outcome == Outcome::Finished {
+            self.budget.succeeded(&place.service, &place.account);
+        }
         if let Some(service) = self.services.get_mut(&place.service) {
             service.settle(place, outcome, now);
         }
     }
 
-    fn status(&self) -> Vec<Status> {
+    fn status(&self, now: Duration) -> Vec<Status> {
         let services = self.services.iter();
         let mut all: Vec<Status> = services
-            .flat_map(|(name, service)| service.status(name))
+            .flat_map(|(name, service)| service.status(name, now))
             .collect();
         all.sort_by(|left, right| left.endpoint.cmp(&right.endpoint));
         all
@@ -160,6 +197,13 @@
     }
 }
 
+fn quarantined() -> Refusal {
+    Refusal::not_run(
+        Kind::Quarantined,
+        "requests like this one ended the endpoints that ran them; do not send it again",
+    )
+}
+
 fn too_late() -> Refusal {
     Refusal::not_run(
         Kind::DeadlinePassed,
--- a/crates/papayayard/src/controllers/mod.rs
+++ b/crates/papayayard/src/controllers/mod.rs
@@ -1,5 +1,6 @@
 //! Controllers: tasks that keep the state which filters and relays read.
 
+pub(crate) mod admission;
 pub(crate) mod configuration;
 pub(crate) mod directory;
 pub(crate) mod fleet;
--- a/crates/papayayard/src/exchange.rs
+++ b/crates/papayayard/src/exchange.rs
@@ -9,11 +9,13 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method};
 use papayayard_document::document;
+use papayayard_routing::quarantine;
 use papayayard_wire::{block, id};
 use salvo::http::ReqBody;
 use tokio_util::task::task_tracker::TaskTrackerToken;
 
 use crate::active::Active;
+use crate::controllers::admission;
 
 /// A request whose head has been read.
 pub(crate) struct Arrival {
@@ -81,8 +83,10 @@
     pub(crate) stream: bool,
     /// Most tokens to generate.
     pub(crate) max_tokens: Option<u32>,
+    /// Time to first token that the document asks for.
+    pub(crate) first_token: Duration,
     /// Identifies requests with the same content.
-    pub(crate) fingerprint: u64,
+    pub(crate) fingerprint: quarantine::Fingerprint,
 }
 
 /// A request for a plain service.
@@ -98,3 +102,11 @@
     /// Time that the request may take.
     pub(crate) timeout: Duration,
 }
+
+/// A request that may run.
+pub(crate) struct Admitted<Work> {
+    /// The request.
+    pub(crate) work: Work,
+    /// Leave to run, given back at the end.
+    pub(crate) _permit: admission::Permit,
+}
--- a/crates/papayayard/src/filters/chain.rs
+++ b/crates/papayayard/src/filters/chain.rs
@@ -2,8 +2,9 @@
 
 use tokio::sync::watch;
 
-use crate::controllers::configuration;
+use crate::controllers::{admission, configuration};
 use crate::filters::Then;
+use crate::filters::admit::Admit;
 use crate::filters::authenticate::Authenticate;
 use crate::filters::call::Classify;
 use crate::filters::completion::Parse;
@@ -11,22 +12,26 @@
 use crate::settings;
 
 /// Filters of a completion.
-pub(crate) type Completions = Then<Then<Authenticate, Read>, Parse>;
+pub(crate) type Completions = Then<Then<Then<Authenticate, Read>, Parse>, Admit>;
 /// Filters of a plain service's request.
-pub(crate) type Calls = Then<Then<Authenticate, Read>, Classify>;
+pub(crate) type Calls = Then<Then<Then<Authenticate, Read>, Classify>, Admit>;
 
 /// Makes the chain of a completion.
 pub(crate) fn completions(
     active: watch::Receiver<configuration::Current>,
     limits: &settings::Limits,
+    admission: admission::Handle,
 ) -> Completions {
-    Then(Then(Authenticate::new(active), Read::new(limits)), Parse)
+    let whole = Then(Authenticate::new(active), Read::new(limits));
+    Then(Then(whole, Parse), Admit::new(admission))
 }
 
 /// Makes the chain of a plain service's request.
 pub(crate) fn calls(
     active: watch::Receiver<configuration::Current>,
     limits: &settings::Limits,
+    admission: admission::Handle,
 ) -> Calls {
-    Then(Then(Authenticate::new(active), Read::new(limits)), Classify)
+    let whole = Then(Authenticate::new(active), Read::new(limits));
+    Then(Then(whole, Classify), Admit::new(admission))
 }
--- a/crates/papayayard/src/filters/completion.rs
+++ b/crates/papayayard/src/filters/completion.rs
@@ -1,9 +1,10 @@
 //! Reads a completion: which model, and the keys of its prompt's pieces.
 
-use papayayard_routing::salt;
+use std::time::Duration;
+
+use papayayard_routing::{quarantine, salt};
 use papayayard_wire::refusal::Kind;
 use papayayard_wire::{block, completion, id};
-use xxhash_rust::xxh3;
 
 use crate::exchange::{Completion, Whole};
 use crate::filters::Filter;
@@ -49,7 +50,8 @@
             prompt_bytes,
             stream: request.stream,
             max_tokens: request.max_tokens,
-            fingerprint: xxh3::xxh3_64_with_seed(&whole.body, salt.0),
+            first_token: Duration::from_millis(found.model.first_token_ms.into()),
+            fingerprint: quarantine::Fingerprint::of(salt, &whole.body),
             whole,
         })
     }
--- a/crates/papayayard/src/filters/mod.rs
+++ b/crates/papayayard/src/filters/mod.rs
@@ -5,6 +5,7 @@
 
 use crate::refusal::Refusal;
 
+pub(crate) mod admit;
 pub(crate) mod authenticate;
 pub(crate) mod call;
 pub(crate) mod chain;
--- a/crates/papayayard/src/host.rs
+++ b/crates/papayayard/src/host.rs
@@ -19,7 +19,7 @@
 
 use crate::callers;
 use crate::clock::Clock;
-use crate::controllers::{configuration, directory as listing, fleet, observer};
+use crate::controllers::{admission, configuration, directory as listing, fleet, observer};
 use crate::filters::chain;
 use crate::metrics::Metrics;
 use crate::operators;
@@ -114,11 +114,13 @@
     let open = TaskTracker::new();
     let (stopping, stopping_seen) = watch::channel(false);
     let (active_sender, active) = watch::channel(None);
+    let (capacity_sender, capacity) = watch::channel(0);
     let options = fleet::Options {
         host: settings.host.clone(),
         zone: settings.zone.clone(),
         policy: settings.policy,
         truth,
+        capacity: capacity_sender,
         clock,
     };
     let fleet = fleet::start(options, active.clone());
@@ -150,6 +152,21 @@
     };
     controllers.spawn(operators::serve(operators_socket.0, view));
 
+    let agreed = watch::channel(admission::Shares::new()).1;
+    let sources = admission::Sources {
+        active: active.clone(),
+        list: list.clone(),
+        capacity,
+        shares: agreed,
+        known_hosts: settings.peers.len() + 1,
+    };
+    let uncapped = admission::Sources {
+        capacity: watch::channel(0).1,
+        ..sources.clone()
+    };
+    let completions = admission::start(sources, clock);
+    let calls = admission::start(uncapped, clock);
+
     let shared = Arc::new(callers::Shared {
         host: settings.host.clone(),
         clock,
@@ -157,8 +174,8 @@
         active: active.clone(),
         stopping: stopping_seen,
         open: open.clone(),
-        completions: chain::completions(active.clone(), &settings.limits),
-        calls: chain::calls(active, &settings.limits),
+        completions: chain::completions(active.clone(), &settings.limits, completions),
+        calls: chain::calls(active, &settings.limits, calls),
         completion_relay: completion::Relay {
             client: client.clone(),
             fleet,
--- a/crates/papayayard/src/metrics.rs
+++ b/crates/papayayard/src/metrics.rs
@@ -5,6 +5,7 @@
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
+use papayayard_routing::retry;
 use papayayard_wire::completion::Usage;
 use papayayard_wire::refusal::Kind;
 use prometheus::{Encoder, Registry, TextEncoder};
@@ -14,30 +15,6 @@
 /// Bounds of the first-token histogram, in seconds.
 const FIRST_TOKEN_BOUNDS: [f64; 10] = [0.025, 0.05, 0.1, 0.2, 0.4, 0.7, 1.0, 1.4, 2.8, 5.6];
 
-/// Why a request was sent again.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Retry {
-    /// The endpoint refused it without running it.
-    EndpointRefused,
-    /// No connection could be made.
-    Unreachable,
-    /// The connection broke.
-    Broken,
-    /// Nothing came for too long.
-    TimedOut,
-}
-
-impl Retry {
-    const fn as_str(self) -> &'static str {
-        match self {
-            Self::EndpointRefused => "endpoint_refused",
-            Self::Unreachable => "unreachable",
-            Self::Broken => "broken",
-            Self::TimedOut => "timed_out",
-        }
-    }
-}
-
 /// All counters of a host.
 #[derive(Clone)]
 pub(crate) struct Metrics {
@@ -48,6 +25,7 @@
     requests: Counter<u64>,
     refusals: Counter<u64>,
     retries: Counter<u64>,
+    denials: Counter<u64>,
     prompt_tokens: Counter<u64>,
     generated_tokens: Counter<u64>,
     first_token: Histogram<f64>,
@@ -77,6 +55,10 @@
                 .u64_counter("papayayard_retries")
                 .with_description("Requests sent again, by reason")
                 .build(),
+            denials: meter
+                .u64_counter("papayayard_retry_denials")
+                .with_description("Retries that were not allowed, by reason")
+                .build(),
             prompt_tokens: meter
                 .u64_counter("papayayard_prompt_tokens")
                 .with_description("Prompt tokens of complete answers, by where they came from")
@@ -107,11 +89,17 @@
     }
 
     /// Counts a retry.
-    pub(crate) fn retried(&self, reason: Retry) {
+    pub(crate) fn retried(&self, reason: retry::Reason) {
         self.retries
             .add(1, &[KeyValue::new("reason", reason.as_str())]);
     }
 
+    /// Counts a retry that was not allowed.
+    pub(crate) fn denied(&self, denial: retry::Denial) {
+        self.denials
+            .add(1, &[KeyValue::new("reason", denial.as_str())]);
+    }
+
     /// Counts the tokens of a complete answer.
     pub(crate) fn answered(&self, usage: &Usage) {
         let cached = usage.prompt_tokens_details.cached_tokens;
--- a/crates/papayayard/src/relay/attempt.rs
+++ b/crates/papayayard/src/relay/attempt.rs
@@ -4,9 +4,12 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Response, header};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use papayayard_wire::completion::Continuation;
 use papayayard_wire::header as names;
+use papayayard_wire::{endpoint, id};
+use tokio::time;
 
 use crate::controllers::fleet;
 use crate::exchange::Completion;
@@ -15,6 +18,9 @@
 /// Longest wait for the head of an answer.
 pub(crate) const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Longest wait for a sign of life.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// How an endpoint answered.
 pub(crate) enum Reply {
     /// The answer has begun.
@@ -46,7 +52,7 @@
     match place.lost.run_until_cancelled(sent).await {
         Some(Ok(response)) => classify(completion, place, response),
         Some(Err(failure)) => Reply::Failed(failure),
-        None => Reply::Failed(Failure::Broken),
+        None => Reply::Failed(Failure::Lost),
     }
 }
 
@@ -56,11 +62,12 @@
         let id = completion.whole.known.arrival.id.as_str();
         let own = text(response.headers(), names::REQUEST_ID) == Some(id);
         let incarnation = text(response.headers(), names::INCARNATION);
-        let same_run = incarnation.and_then(|number| number.parse().ok());
-        return match (own, same_run) {
-            (true, Some(number)) if place.matches(number) => Reply::Begun(response),
-            _ => Reply::Failed(Failure::Broken),
-        };
+        let run = incarnation.and_then(|number| number.parse().ok());
+        let same_run = run.is_some_and(|number| place.matches(id::Incarnation(number)));
+        if own && same_run {
+            return Reply::Begun(response);
+        }
+        return Reply::Failed(Failure::Mismatched);
     }
     if status.is_client_error() {
         return Reply::Rejected(response);
@@ -71,6 +78,27 @@
     Reply::Failed(Failure::Broken)
 }
 
+/// Whether the run that a request was sent to still answers.
+pub(crate) async fn alive(client: &Client, place: &fleet::Place) -> bool {
+    let outgoing = Outgoing {
+        address: place.address,
+        method: Method::GET,
+        path: "/report",
+        headers: HeaderMap::new(),
+        body: Bytes::new(),
+    };
+    let probe = async {
+        let response = client.send(outgoing, PROBE_TIMEOUT).await.ok()?;
+        let body = response.into_body().collect().await.ok()?.to_bytes();
+        serde_json::from_slice::<endpoint::Report>(&body).ok()
+    };
+    let report = time::timeout(PROBE_TIMEOUT, probe).await;
+    report
+        .ok()
+        .flatten()
+        .is_some_and(|report| place.matches(report.incarnation))
+}
+
 fn headers(completion: &Completion) -> HeaderMap {
     let known = &completion.whole.known;
     let mut headers = HeaderMap::new();
--- a/crates/papayayard/src/relay/call.rs
+++ b/crates/papayayard/src/relay/call.rs
@@ -15,8 +15,8 @@
 use tokio::sync::watch;
 use tokio::time;
 
-use crate::exchange::Call;
-use crate::metrics::{Metrics, Retry};
+use crate::exchange::{Admitted, Call};
+use crate::metrics::Metrics;
 use crate::refusal::Refusal;
 use crate::relay::client::{Client, Failure, Outgoing};
 use crate::relay::{Answer, Body};
@@ -59,7 +59,8 @@
 
 impl Relay {
     /// Answers a plain service's request.
-    pub(crate) async fn serve(&self, call: Call) -> Result<Answer, Refusal> {
+    pub(crate) async fn serve(&self, admitted: Admitted<Call>) -> Result<Answer, Refusal> {
+        let call = &admitted.work;
         if call.key.is_some() {
             return Err(unclaimable());
         }
@@ -69,7 +70,7 @@
             let Some(endpoint) = self.choose(&call.service, &excluded) else {
                 return Err(no_endpoint().ran(ran));
             };
-            let failure = match self.send(&call, &endpoint).await {
+            let failure = match self.send(call, &endpoint).await {
                 Ok(answer) => return Ok(answer),
                 Err(failure) => failure,
             };
@@ -79,11 +80,7 @@
             if failure != Failure::Unreachable {
                 ran = Ran::Unknown;
             }
-            self.metrics.retried(match failure {
-                Failure::Unreachable => Retry::Unreachable,
-                Failure::Broken => Retry::Broken,
-                Failure::TimedOut => Retry::TimedOut,
-            });
+            self.metrics.retried(failure.reason());
             excluded.push(endpoint.id);
         }
     }
@@ -120,7 +117,7 @@
         let response = self.client.send(outgoing, call.timeout).await?;
         let answer_id = response.headers().get(names::REQUEST_ID);
         if answer_id.is_some_and(|value| value.as_bytes() != arrival.id.as_str().as_bytes()) {
-            return Err(Failure::Broken);
+            return Err(Failure::Mismatched);
         }
         time::timeout(call.timeout, collect(response))
             .await
--- a/crates/papayayard/src/relay/client.rs
+++ b/crates/papayayard/src/relay/client.rs
@@ -13,6 +13,7 @@
 use hyper_util::client::legacy;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
+use papayayard_routing::retry;
 use papayayard_wire::{header, id};
 use tokio::time;
 
@@ -49,10 +50,27 @@
     Unreachable,
     /// The request was sent, at least in part.
     Broken,
-    /// The answer's head took too long.
+    /// The answer belongs to another request or another run.
+    Mismatched,
+    /// The endpoint was reported lost while the request ran there.
+    Lost,
+    /// The answer took too long.
     TimedOut,
 }
 
+impl Failure {
+    /// Name of the retry that follows, in metrics.
+    pub(crate) const fn reason(self) -> retry::Reason {
+        match self {
+            Self::Unreachable => retry::Reason::Unreachable,
+            Self::Broken => retry::Reason::Broken,
+            Self::Mismatched => retry::Reason::Mismatched,
+            Self::Lost => retry::Reason::Crashed,
+            Self::TimedOut => retry::Reason::TimedOut,
+        }
+    }
+}
+
 impl Client {
     /// Makes the client of a host, which names itself to endpoints.
     pub(crate) fn new(host: &id::Host) -> Self {
--- a/crates/papayayard/src/relay/completion.rs
+++ b/crates/papayayard/src/relay/completion.rs
@@ -6,14 +6,15 @@
 use http::{HeaderMap, HeaderValue, Response, StatusCode, header};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
+use papayayard_routing::retry;
 use papayayard_wire::completion::{Answer as Whole, Usage};
 use papayayard_wire::refusal::Kind;
 use tokio::sync::mpsc;
 use tokio::time;
 
 use crate::controllers::fleet;
-use crate::exchange::Completion;
-use crate::metrics::{Metrics, Retry};
+use crate::exchange::{Admitted, Completion};
+use crate::metrics::Metrics;
 use crate::refusal::Refusal;
 use crate::relay::attempt::{self, Reply};
 use crate::relay::client::{Client, Failure};
@@ -42,13 +43,14 @@
 
 impl Relay {
     /// Answers a completion.
-    pub(crate) async fn serve(&self, completion: Completion) -> Result<Answer, Refusal> {
-        let mut query = fleet::Query::new(&completion);
+    pub(crate) async fn serve(&self, admitted: Admitted<Completion>) -> Result<Answer, Refusal> {
+        let completion = &admitted.work;
+        let mut query = fleet::Query::new(completion);
         loop {
             let dispatch = self.fleet.choose(&query).await?;
-            match attempt::ask(&self.client, &completion, dispatch.place(), None).await {
+            match attempt::ask(&self.client, completion, dispatch.place(), None).await {
                 Reply::Begun(response) if completion.stream => {
-                    return Ok(self.stream(completion, query, dispatch, response));
+                    return Ok(self.stream(admitted, query, dispatch, response));
                 }
                 Reply::Begun(response) => match whole(dispatch.place(), response).await {
                     Ok((body, usage)) => {
@@ -62,7 +64,7 @@
                     dispatch.settle(fleet::Outcome::Refused);
                     return rejected(response).await;
                 }
-                Reply::Refused => self.refused(&mut query, dispatch),
+                Reply::Refused => self.refused(&mut query, dispatch).await?,
                 Reply::Failed(failure) => self.failed(&mut query, dispatch, failure).await?,
             }
         }
@@ -70,13 +72,13 @@
 
     fn stream(
         &self,
-        completion: Completion,
+        admitted: Admitted<Completion>,
         query: fleet::Query,
         dispatch: fleet::Dispatch,
         response: Response<Incoming>,
     ) -> Answer {
         let (events, receiver) = mpsc::channel(EVENT_BACKLOG);
-        let pump = Pump::new(self.clone(), completion, query, events);
+        let pump = Pump::new(self.clone(), admitted, query, events);
         tokio::spawn(pump.run(dispatch, response));
         let mut headers = HeaderMap::new();
         headers.insert(
@@ -92,10 +94,13 @@
     }
 
     /// Settles an attempt that the endpoint refused without running it.
-    pub(crate) fn refused(&self, query: &mut fleet::Query, dispatch: fleet::Dispatch) {
-        query.exclude(dispatch.place());
-        dispatch.settle(fleet::Outcome::Refused);
-        self.metrics.retried(Retry::EndpointRefused);
+    pub(crate) async fn refused(
+        &self,
+        query: &mut fleet::Query,
+        dispatch: fleet::Dispatch,
+    ) -> Result<(), Refusal> {
+        let leave = dispatch.fail(fleet::Outcome::Refused, query).await;
+        self.retry(query, leave, retry::Reason::Refused)
     }
 
     /// Settles a failed attempt; refuses the request where no other may follow.
@@ -105,24 +110,42 @@
         dispatch: fleet::Dispatch,
         failure: Failure,
     ) -> Result<(), Refusal> {
-        query.exclude(dispatch.place());
-        if failure != Failure::Unreachable {
-            query.may_have_run();
-        }
-        let (outcome, reason) = match failure {
-            Failure::Unreachable => (fleet::Outcome::Unreachable, Retry::Unreachable),
-            Failure::Broken => (fleet::Outcome::Died, Retry::Broken),
-            Failure::TimedOut => (fleet::Outcome::Stalled, Retry::TimedOut),
+        let outcome = match failure {
+            Failure::Unreachable => fleet::Outcome::Unreachable,
+            Failure::Mismatched => fleet::Outcome::Broken,
+            Failure::TimedOut => fleet::Outcome::Stalled,
+            Failure::Broken | Failure::Lost => {
+                if attempt::alive(&self.client, dispatch.place()).await {
+                    fleet::Outcome::Broken
+                } else {
+                    fleet::Outcome::Died
+                }
+            }
         };
-        if !dispatch.fail(outcome).await? {
-            return Err(query.refusal(
-                Kind::EndpointFailed,
-                "the endpoint failed and the retry budget is spent; come back later",
-                FAILED_RETRY,
-            ));
+        let leave = dispatch.fail(outcome, query).await;
+        self.retry(query, leave, failure.reason())
+    }
+
+    fn retry(
+        &self,
+        query: &fleet::Query,
+        leave: Result<(), retry::Denial>,
+        reason: retry::Reason,
+    ) -> Result<(), Refusal> {
+        match leave {
+            Ok(()) => {
+                self.metrics.retried(reason);
+                Ok(())
+            }
+            Err(denial) => {
+                self.metrics.denied(denial);
+                Err(query.refusal(
+                    Kind::EndpointFailed,
+                    "the endpoint failed and no further retry is allowed; come back later",
+                    FAILED_RETRY,
+                ))
+            }
         }
-        self.metrics.retried(reason);
-        Ok(())
     }
 }
 
@@ -135,7 +158,7 @@
     let body = body
         .await
         .map_err(|_| Failure::TimedOut)?
-        .ok_or(Failure::Broken)?
+        .ok_or(Failure::Lost)?
         .map_err(|_| Failure::Broken)?
         .to_bytes();
     let answer: Whole<'_> = serde_json::from_slice(&body).map_err(|_| Failure::Broken)?;
--- a/crates/papayayard/src/relay/pump.rs
+++ b/crates/papayayard/src/relay/pump.rs
@@ -9,12 +9,11 @@
 use http::Response;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use papayayard_wire::refusal::Ran;
 use tokio::sync::mpsc;
 use tokio::time;
 
 use crate::controllers::fleet;
-use crate::exchange::Completion;
+use crate::exchange::{Admitted, Completion};
 use crate::refusal::Refusal;
 use crate::relay::attempt::{self, Reply};
 use crate::relay::client::Failure;
@@ -30,7 +29,7 @@
 /// Moves one stream.
 pub(crate) struct Pump {
     relay: Relay,
-    completion: Completion,
+    admitted: Admitted<Completion>,
     query: fleet::Query,
     events: mpsc::Sender<Bytes>,
     transcript: Transcript,
@@ -50,14 +49,14 @@
     /// Makes a pump.
     pub(crate) fn new(
         relay: Relay,
-        completion: Completion,
+        admitted: Admitted<Completion>,
         query: fleet::Query,
         events: mpsc::Sender<Bytes>,
     ) -> Self {
-        let transcript = Transcript::new(completion.whole.known.arrival.id.as_str());
+        let transcript = Transcript::new(admitted.work.whole.known.arrival.id.as_str());
         Self {
             relay,
-            completion,
+            admitted,
             query,
             events,
             transcript,
@@ -95,7 +94,7 @@
         loop {
             let frame = tokio::select! {
                 () = self.events.closed() => return End::CallerGone,
-                () = place.lost.cancelled() => return End::Failed(Failure::Broken),
+                () = place.lost.cancelled() => return End::Failed(Failure::Lost),
                 frame = time::timeout(STALL_TIMEOUT, body.frame()) => frame,
             };
             let frame = match frame {
@@ -114,11 +113,11 @@
                     Ok(step) => step,
                     Err(mismatch) => {
                         log::warn!(
-                            request:% = self.completion.whole.known.arrival.id,
+                            request:% = self.admitted.work.whole.known.arrival.id,
                             endpoint:% = place.endpoint;
                             "an event does not fit the stream: {mismatch:?}"
                         );
-                        return End::Failed(Failure::Broken);
+                        return End::Failed(Failure::Mismatched);
                     }
                 };
                 if self.events.send(event).await.is_err() {
@@ -135,8 +134,9 @@
         }
     }
 
-    fn first_token(&self) {
-        let received = self.completion.whole.known.arrival.received;
+    fn first_token(&mut self) {
+        self.query.begun();
+        let received = self.admitted.work.whole.known.arrival.received;
         self.relay.metrics.first_token(received);
     }
 
@@ -146,42 +146,39 @@
         failed: fleet::Dispatch,
         failure: Failure,
     ) -> Result<Option<(fleet::Dispatch, Response<Incoming>)>, Refusal> {
-        let mut failed = failed;
-        let mut failure = failure;
+        if self.transcript.finished() {
+            self.complete(failed);
+            let end = Bytes::from_static(END_EVENT);
+            // A caller that has gone needs no end mark.
+            let _ = self.events.send(end).await;
+            return Ok(None);
+        }
+        self.relay.failed(&mut self.query, failed, failure).await?;
         loop {
-            if self.transcript.finished() {
-                self.complete(failed);
-                let end = Bytes::from_static(END_EVENT);
-                // A caller that has gone needs no end mark.
-                let _ = self.events.send(end).await;
-                return Ok(None);
-            }
-            self.relay.failed(&mut self.query, failed, failure).await?;
             let dispatch = self.relay.fleet.choose(&self.query).await?;
             let continuation = self.transcript.continuation();
-            let asked = attempt::ask(
+            let reply = attempt::ask(
                 &self.relay.client,
-                &self.completion,
+                &self.admitted.work,
                 dispatch.place(),
                 continuation.as_ref(),
             );
-            match asked.await {
+            match reply.await {
                 Reply::Begun(response) => return Ok(Some((dispatch, response))),
-                Reply::Refused | Reply::Rejected(_) => failure = Failure::Unreachable,
-                Reply::Failed(again) => failure = again,
+                Reply::Refused | Reply::Rejected(_) => {
+                    self.relay.refused(&mut self.query, dispatch).await?;
+                }
+                Reply::Failed(failure) => {
+                    self.relay
+                        .failed(&mut self.query, dispatch, failure)
+                        .await?;
+                }
             }
-            failed = dispatch;
         }
     }
 
     /// Ends the stream with an explicit error event.
     async fn abort(&self, refusal: Refusal) {
-        let started = self.transcript.continuation().is_some();
-        let refusal = if started {
-            refusal.ran(Ran::Yes)
-        } else {
-            refusal
-        };
         self.relay.metrics.refused(refusal.kind);
         let event = format!("data: {}\n\n", refusal.json());
         // A caller that has gone needs no error event.
