Add papayayardctl load: an open loop that checks every answer

A run has to know what each caller got: positions in order, the text that the prompt's generator gives, the end mark, and the kind of each refusal. Times to first token count from the scheduled moment, so that a slow answer doesn't hide the next ones. Ledgers are compared by the id that the answer bears: ran twice, said not run but ran, complete but never run.

--- a/crates/papayayardctl/src/command.rs
+++ b/crates/papayayardctl/src/command.rs
@@ -5,7 +5,7 @@
 
 use gumdrop::Options;
 
-use crate::stand_in;
+use crate::{load, stand_in};
 
 /// Arguments of the program.
 #[derive(Debug, Options)]
@@ -21,6 +21,8 @@
 pub(crate) enum Command {
     /// Runs a stand-in engine, service or platform
     StandIn(stand_in::Arguments),
+    /// Sends a load and checks every answer
+    Load(load::Arguments),
 }
 
 /// Runs the subcommand; the exit code tells whether it went well.
@@ -32,6 +34,7 @@
             ExitCode::FAILURE
         }
         Some(Command::StandIn(arguments)) => finish(stand_in::run(arguments).await),
+        Some(Command::Load(arguments)) => finish(load::run(arguments).await),
     }
 }
 
--- /dev/null
+++ b/crates/papayayardctl/src/load/run.rs
@@ -0,0 +1,122 @@
+//! An open loop: each request is sent at its time, however the others fare.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use papayayard_stand_in::ledger::Entry;
+use tokio::sync::mpsc;
+use tokio::time;
+
+use super::caller::{self, Call, Client, Seen};
+use super::tally::Tally;
+use crate::workload::Planned;
+
+/// Where and as whom to send.
+#[derive(Clone, Debug)]
+pub(crate) struct Options {
+    /// Hosts or endpoints, taken in turn.
+    pub(crate) targets: Vec<SocketAddr>,
+    /// Keys of the accounts, taken by the account's index.
+    pub(crate) keys: Vec<String>,
+    /// Model.
+    pub(crate) model: String,
+    /// Factor by which the run is faster than its plan.
+    pub(crate) time_scale: f64,
+    /// Longest time that a caller waits, in real time.
+    pub(crate) patience: Duration,
+    /// Whether callers name their requests, which endpoints take over.
+    pub(crate) names: bool,
+}
+
+/// What one caller saw and when its request was due.
+#[derive(Clone, Debug)]
+pub(crate) struct Finished {
+    /// Time of the plan.
+    pub(crate) at: Duration,
+    /// What the caller saw.
+    pub(crate) seen: Seen,
+}
+
+/// A run's results.
+#[derive(Debug)]
+pub(crate) struct Results {
+    /// Counts and times.
+    pub(crate) tally: Tally,
+    /// Each request, in order of its end.
+    pub(crate) finished: Vec<Finished>,
+    /// Real time from the first request to the last answer.
+    pub(crate) elapsed: Duration,
+}
+
+/// Sends a plan; `progress` learns of each end.
+pub(crate) async fn run<Progress>(
+    options: &Options,
+    plan: &[Planned],
+    mut progress: Progress,
+) -> Results
+where
+    Progress: FnMut(&Tally),
+{
+    let client = caller::client();
+    let (sender, mut receiver) = mpsc::unbounded_channel();
+    let start = Instant::now();
+    let sending = send_all(options, plan, &client, start, sender);
+    let mut tally = Tally::new(options.time_scale);
+    let mut finished = Vec::with_capacity(plan.len());
+    let collecting = async {
+        while let Some(done) = receiver.recv().await {
+            let done: Finished = done;
+            tally.add(&done.seen);
+            progress(&tally);
+            finished.push(done);
+        }
+    };
+    tokio::join!(sending, collecting);
+    Results {
+        tally,
+        finished,
+        elapsed: start.elapsed(),
+    }
+}
+
+async fn send_all(
+    options: &Options,
+    plan: &[Planned],
+    client: &Client,
+    start: Instant,
+    results: mpsc::UnboundedSender<Finished>,
+) {
+    for (index, planned) in plan.iter().enumerate() {
+        let scheduled = start + planned.at.div_f64(options.time_scale);
+        let call = Call {
+            target: options.targets[index % options.targets.len()],
+            key: options.keys[planned.account % options.keys.len()].clone(),
+            model: options.model.clone(),
+            prompt: planned.prompt(),
+            max_tokens: planned.max_tokens,
+            request: options.names.then(|| format!("load-{index}")),
+        };
+        time::sleep_until(scheduled.into()).await;
+        let client = client.clone();
+        let results = results.clone();
+        let patience = options.patience;
+        let at = planned.at;
+        tokio::spawn(async move {
+            let seen = time::timeout(patience, caller::call(&client, &call, scheduled)).await;
+            let seen = seen.unwrap_or_else(|_| Seen::lost());
+            let _ = results.send(Finished { at, seen });
+        });
+    }
+}
+
+/// All entries of some ledgers.
+pub(crate) async fn ledgers(addresses: &[SocketAddr]) -> Result<Vec<Entry>, String> {
+    let mut entries = Vec::new();
+    for address in addresses {
+        let client = papayayard_stand_in::client::Client::new(*address);
+        let ledger = client.get::<papayayard_stand_in::ledger::Ledger>("/ledger");
+        let ledger = ledger.await.map_err(|error| error.to_string())?;
+        entries.extend(ledger.entries);
+    }
+    Ok(entries)
+}
--- a/crates/papayayardctl/src/main.rs
+++ b/crates/papayayardctl/src/main.rs
@@ -1,7 +1,12 @@
 //! The `papayayardctl` program, for operators and for trying papayayard out.
 
 mod command;
+mod format;
+#[expect(dead_code, reason = "the demo, which follows, uses the rest")]
+mod load;
 mod stand_in;
+#[expect(dead_code, reason = "the demo, which follows, uses the rest")]
+mod workload;
 
 use std::process::ExitCode;
 
