--- a/crates/papayayard_coordination/src/lib.rs
+++ b/crates/papayayard_coordination/src/lib.rs
@@ -4,4 +4,9 @@
 //! randomness are handed in, and decisions come back as values. The parts can
 //! be embedded by other programs and replayed from a seed.
 
+pub mod budget;
 pub mod configuration;
+pub mod journal;
+pub mod membership;
+pub mod pace;
+pub mod replay;
