--- a/crates/papayayardctl/src/command.rs
+++ b/crates/papayayardctl/src/command.rs
@@ -6,7 +6,7 @@
 use gumdrop::Options;
 
 use crate::failure::Failure;
-use crate::{check, promote, publish, stand_in, status};
+use crate::{check, load, promote, publish, stand_in, status};
 
 /// Arguments of the program.
 #[derive(Debug, Options)]
@@ -32,6 +32,8 @@
     Status(status::Arguments),
     /// Runs a stand-in engine, service or platform
     StandIn(stand_in::Arguments),
+    /// Sends a load and checks every answer
+    Load(load::Arguments),
 }
 
 /// Runs the subcommand; the exit code tells whether it went well.
@@ -48,6 +50,7 @@
         Some(Command::Show(arguments)) => conclude(publish::show(arguments).await),
         Some(Command::Status(arguments)) => conclude(status::run(arguments).await),
         Some(Command::StandIn(arguments)) => finish(stand_in::run(arguments).await),
+        Some(Command::Load(arguments)) => finish(load::run(arguments).await),
     }
 }
 
--- a/crates/papayayardctl/src/main.rs
+++ b/crates/papayayardctl/src/main.rs
@@ -4,6 +4,9 @@
 mod check;
 mod command;
 mod failure;
+mod format;
+#[expect(dead_code, reason = "the demo, which follows, uses the rest")]
+mod load;
 mod promote;
 mod publish;
 mod stand_in;
@@ -11,6 +14,8 @@
 mod stream;
 #[cfg(test)]
 mod stream_test;
+#[expect(dead_code, reason = "the demo, which follows, uses the rest")]
+mod workload;
 
 use std::process::ExitCode;
 
--- a/crates/papayayardctl/src/status.rs
+++ b/crates/papayayardctl/src/status.rs
@@ -4,7 +4,6 @@
 use std::collections::BTreeMap;
 use std::fmt::Write;
 use std::net::SocketAddr;
-use std::str::FromStr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -22,6 +21,7 @@
 
 use crate::address::Address;
 use crate::failure::Failure;
+use crate::format::Format;
 
 /// Bound on one host's answer.
 const TIMEOUT: Duration = Duration::from_secs(3);
@@ -43,25 +43,6 @@
     format: Format,
 }
 
-/// Form of the output.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Format {
-    Table,
-    Json,
-}
-
-impl FromStr for Format {
-    type Err = String;
-
-    fn from_str(text: &str) -> Result<Self, Self::Err> {
-        match text {
-            "table" => Ok(Self::Table),
-            "json" => Ok(Self::Json),
-            _ => Err(format!("{text:?} is no format; write table or json")),
-        }
-    }
-}
-
 /// What one host answered.
 #[derive(Debug, Serialize)]
 pub(crate) struct Answer {
--- a/crates/papayayardctl/tests/check.rs
+++ b/crates/papayayardctl/tests/check.rs
@@ -55,7 +55,7 @@
 #[case::no_address(&["publish", "--platform", "log-service", "x.yaml"], 2, "is no address")]
 #[case::no_platform(&["show"], 2, "platform")]
 #[case::no_host(&["status"], 2, "host")]
-#[case::unknown_format(&["status", "--host", "127.0.0.1:1", "--format", "xml"], 2, "table or json")]
+#[case::unknown_format(&["status", "--host", "127.0.0.1:1", "--format", "xml"], 2, "choose table or json")]
 #[case::bad_operator(&["promote", "--from", "127.0.0.1:1", "--to", "127.0.0.1:1", "--by", "a b"], 1, "operator's name")]
 #[case::no_command(&[], 1, "publish")]
 #[tokio::test]
