Add shares of limits over hosts, and departures of endpoints

Cause: a limit has to hold over all hosts without a coordinator and in a cut; an endpoint that leaves by any channel has to get no new work.

Change: coordination::demand lends shares for a stated time: the lender stops using a part when it answers, the asker counts from when it asked, less a margin for clocks. A restarted host uses what it never lends until peers have dropped their grants or the time is over. coordination::departure joins list, reports, orders, deaths and peers' word in a gossip::Set.

Ruled out: spreading each host's demand for each account to all hosts, whose size grows with hosts times accounts and cannot fit 2 KB/s.

--- /dev/null
+++ b/crates/papayayard_coordination/src/amount.rs
@@ -0,0 +1,108 @@
+//! Amounts of a client account's two limits.
+
+use papayayard_wire::{id, peer};
+
+/// A rate and a number of open requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Amount {
+    /// Thousandths of a request per second.
+    pub rate: u64,
+    /// Open requests.
+    pub open: u64,
+}
+
+impl Amount {
+    /// An amount of whole requests per second and open requests.
+    pub const fn new(requests_per_second: u32, open_requests: u32) -> Self {
+        Self {
+            rate: requests_per_second as u64 * 1_000,
+            open: open_requests as u64,
+        }
+    }
+
+    /// Requests per second.
+    pub fn requests_per_second(self) -> f64 {
+        let milli = u32::try_from(self.rate).unwrap_or(u32::MAX);
+        f64::from(milli) / 1_000.0
+    }
+
+    /// Open requests.
+    pub fn open_requests(self) -> u32 {
+        u32::try_from(self.open).unwrap_or(u32::MAX)
+    }
+
+    pub(crate) const fn of(share: &peer::Share) -> Self {
+        Self {
+            rate: share.rate,
+            open: share.open,
+        }
+    }
+
+    pub(crate) const fn share(self, account: id::Account) -> peer::Share {
+        peer::Share {
+            account,
+            rate: self.rate,
+            open: self.open,
+        }
+    }
+
+    pub(crate) const fn is_zero(self) -> bool {
+        self.rate == 0 && self.open == 0
+    }
+
+    pub(crate) fn plus(self, other: Self) -> Self {
+        self.both(other, u64::saturating_add)
+    }
+
+    pub(crate) fn minus(self, other: Self) -> Self {
+        self.both(other, u64::saturating_sub)
+    }
+
+    pub(crate) fn least(self, other: Self) -> Self {
+        self.both(other, u64::min)
+    }
+
+    pub(crate) fn most(self, other: Self) -> Self {
+        self.both(other, u64::max)
+    }
+
+    /// So many hundredths, rounded down.
+    pub(crate) const fn percent(self, percent: u64) -> Self {
+        Self {
+            rate: self.rate.saturating_mul(percent) / 100,
+            open: self.open.saturating_mul(percent) / 100,
+        }
+    }
+
+    /// One of `count` equal parts, rounded up.
+    pub(crate) fn divided(self, count: usize) -> Self {
+        let count = count.max(1) as u64;
+        Self {
+            rate: self.rate.div_ceil(count),
+            open: self.open.div_ceil(count),
+        }
+    }
+
+    /// The part at `rank` of `count` parts that sum to the whole.
+    pub(crate) const fn part(self, rank: u64, count: u64) -> Self {
+        Self {
+            rate: part(self.rate, rank, count),
+            open: part(self.open, rank, count),
+        }
+    }
+
+    fn both<Operation>(self, other: Self, operation: Operation) -> Self
+    where
+        Operation: Fn(u64, u64) -> u64,
+    {
+        Self {
+            rate: operation(self.rate, other.rate),
+            open: operation(self.open, other.open),
+        }
+    }
+}
+
+const fn part(whole: u64, rank: u64, count: u64) -> u64 {
+    let rest = whole % count;
+    whole / count + if rank < rest { 1 } else { 0 }
+}
--- /dev/null
+++ b/crates/papayayard_coordination/src/demand.rs
@@ -0,0 +1,269 @@
+//! Each host's share of the client accounts' limits.
+//!
+//! A limit is divided evenly over the counted hosts. A host that needs more
+//! asks peers, and a peer that needs less releases a part for a stated time:
+//! it stops using the part when it answers, and takes it back when the time is
+//! over by its own clock. The asking host counts the time from when it asked,
+//! less a margin, so it stops first even when the answer was slow, and a cut
+//! at any moment leaves the sum of all shares at or below the limit. A host
+//! never promises more than it can forget: what it keeps back is all that it
+//! uses after a restart, until each peer has dropped what it was granted.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use papayayard_wire::{id, peer};
+
+use crate::amount::Amount;
+use crate::grant;
+
+/// Bounds of what is lent.
+#[derive(Clone, Debug)]
+pub struct Limits {
+    /// Time that a share is released for.
+    pub ttl: Duration,
+    /// Part of that time that the asking host leaves unused, in percent; it
+    /// covers clocks that run at different rates.
+    pub margin_percent: u32,
+    /// Longest time that a request stays open; open requests are taken back
+    /// later by this time.
+    pub longest_request: Duration,
+    /// Part of the own share that is never released, in percent.
+    pub keep_percent: u64,
+    /// What a host wants above its recent demand, in percent of that.
+    pub headroom_percent: u64,
+    /// Most accounts in one message.
+    pub accounts: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            ttl: Duration::from_secs(30),
+            margin_percent: 10,
+            longest_request: Duration::from_mins(2),
+            keep_percent: 10,
+            headroom_percent: 25,
+            accounts: 8,
+        }
+    }
+}
+
+/// Shares of all client accounts.
+#[derive(Debug)]
+pub struct Table {
+    me: id::Host,
+    limits: Limits,
+    hosts: Vec<id::Host>,
+    accounts: BTreeMap<id::Account, grant::Ledger>,
+    partners: Vec<id::Host>,
+    started_at: Duration,
+    confirmed: BTreeSet<id::Host>,
+    dropped_at: BTreeMap<id::Host, Duration>,
+    orders: BTreeMap<id::Host, u64>,
+}
+
+impl Table {
+    /// Shares of a host that starts at `now`.
+    pub fn new(me: id::Host, limits: Limits, now: Duration) -> Self {
+        Self {
+            hosts: vec![me.clone()],
+            me,
+            limits,
+            accounts: BTreeMap::new(),
+            partners: Vec::new(),
+            started_at: now,
+            confirmed: BTreeSet::new(),
+            dropped_at: BTreeMap::new(),
+            orders: BTreeMap::new(),
+        }
+    }
+
+    /// Takes the accounts' limits.
+    pub fn configure(&mut self, limits: &BTreeMap<id::Account, Amount>) {
+        self.accounts
+            .retain(|account, _| limits.contains_key(account));
+        for (account, limit) in limits {
+            self.accounts.entry(account.clone()).or_default().limit = *limit;
+        }
+    }
+
+    /// Takes the hosts that limits are divided over, sorted, and those of
+    /// them that shares are exchanged with.
+    pub fn count(&mut self, hosts: Vec<id::Host>, partners: Vec<id::Host>) {
+        self.hosts = hosts;
+        self.partners = partners;
+    }
+
+    /// Takes recent demand: requests that came, admitted or not.
+    pub fn observe(&mut self, account: &id::Account, demand: Amount) {
+        if let Some(ledger) = self.accounts.get_mut(account) {
+            ledger.demand = demand;
+        }
+    }
+
+    /// What this host may use of an account's limits.
+    pub fn share(&self, account: &id::Account, now: Duration) -> Amount {
+        let Some(ledger) = self.accounts.get(account) else {
+            return Amount::default();
+        };
+        let own = self.own(account, ledger, now);
+        own.plus(ledger.received(now))
+    }
+
+    /// Whether a peer may still use shares that this host released before it
+    /// restarted.
+    pub fn is_fresh(&self, now: Duration) -> bool {
+        let until = self.started_at + self.limits.ttl + self.limits.longest_request;
+        let is_known = |host: &id::Host| *host == self.me || self.confirmed.contains(host);
+        now < until && !self.partners.iter().all(is_known)
+    }
+
+    /// Whether some account's demand is above its share.
+    pub fn is_short(&self, now: Duration) -> bool {
+        self.accounts
+            .iter()
+            .any(|(account, ledger)| !ledger.demand.minus(self.share(account, now)).is_zero())
+    }
+
+    /// What to ask a peer for; from now on no more than this is used of its.
+    pub fn wants(&mut self, peer: &id::Host, now: Duration) -> Vec<peer::Share> {
+        let mut wants: Vec<(id::Account, Amount, bool)> = Vec::new();
+        for (account, ledger) in &self.accounts {
+            let held = ledger.received_from(peer, now);
+            let rest = self.share(account, now).minus(held);
+            let target = ledger.demand.percent(100 + self.limits.headroom_percent);
+            let want = target.minus(rest);
+            if !want.is_zero() || !held.is_zero() {
+                wants.push((account.clone(), want, held.is_zero()));
+            }
+        }
+        // Renewals and returns first: what is not repeated is still held.
+        wants.sort_by_key(|(_, want, is_new)| (*is_new, std::cmp::Reverse(*want)));
+        wants.truncate(self.limits.accounts);
+        for (account, want, _) in &wants {
+            if let Some(ledger) = self.accounts.get_mut(account) {
+                ledger.lower(peer, *want);
+            }
+        }
+        let wants = wants.into_iter();
+        wants
+            .map(|(account, want, _)| want.share(account))
+            .collect()
+    }
+
+    /// Releases what a peer asked for and this host does not need; `order`
+    /// grows from each call of the peer to the next.
+    pub fn release(
+        &mut self,
+        peer: &id::Host,
+        wants: &[peer::Share],
+        order: u64,
+        now: Duration,
+    ) -> Vec<peer::Grant> {
+        // A late call would lower what a later one has raised.
+        let last = self.orders.entry(peer.clone()).or_insert(0);
+        if order <= *last || !self.partners.contains(peer) {
+            return Vec::new();
+        }
+        *last = order;
+        let wants = wants.iter().take(self.limits.accounts);
+        let released: Vec<Option<peer::Grant>> = wants
+            .map(|want| self.release_one(peer, want, now))
+            .collect();
+        released.into_iter().flatten().collect()
+    }
+
+    /// Takes what a peer released in answer to a call sent at `sent_at`.
+    pub fn accept(&mut self, peer: &id::Host, grants: &[peer::Grant], sent_at: Duration) {
+        let dropped_at = self.dropped_at.get(peer);
+        if dropped_at.is_some_and(|at| sent_at <= *at) {
+            return;
+        }
+        for grant in grants.iter().take(self.limits.accounts) {
+            let Some(ledger) = self.accounts.get_mut(&grant.share.account) else {
+                continue;
+            };
+            let ttl = Duration::from_millis(grant.ttl_ms).min(self.limits.ttl);
+            let used = ttl * (100 - self.limits.margin_percent) / 100;
+            ledger.receive(peer, Amount::of(&grant.share), sent_at + used);
+        }
+    }
+
+    /// Stops using what a restarted peer no longer knows that it released.
+    pub fn forget(&mut self, peer: &id::Host, now: Duration) {
+        for ledger in self.accounts.values_mut() {
+            ledger.drop_from(peer);
+        }
+        self.dropped_at.insert(peer.clone(), now);
+    }
+
+    /// Takes a peer's answer to a call that said that this host is fresh.
+    pub fn confirm(&mut self, peer: &id::Host) {
+        self.confirmed.insert(peer.clone());
+    }
+
+    fn release_one(
+        &mut self,
+        peer: &id::Host,
+        want: &peer::Share,
+        now: Duration,
+    ) -> Option<peer::Grant> {
+        let base = self.base(&want.account, self.accounts.get(&want.account)?.limit);
+        let is_fresh = self.is_fresh(now);
+        let ledger = self.accounts.get_mut(&want.account)?;
+        let wanted = Amount::of(want);
+        ledger.expire(now);
+        ledger.returned(peer, wanted);
+        ledger.asked(peer, wanted, now);
+        let kept = base.minus(base.percent(100 - self.limits.keep_percent));
+        let needed = ledger.demand.percent(100 + self.limits.headroom_percent);
+        let idle = base.minus(kept.most(needed));
+        let part = idle.divided(ledger.askers(now, self.limits.ttl));
+        let part = part.least(idle.minus(ledger.released_to_others(peer, now)));
+        let amount = if is_fresh {
+            Amount::default()
+        } else {
+            wanted.least(part)
+        };
+        if amount.is_zero() {
+            return None;
+        }
+        let until = now + self.limits.ttl;
+        let released = grant::Released {
+            amount,
+            rate_until: until,
+            open_until: until + self.limits.longest_request,
+        };
+        ledger.release(peer, released);
+        Some(peer::Grant {
+            share: amount.share(want.account.clone()),
+            ttl_ms: u64::try_from(self.limits.ttl.as_millis()).unwrap_or(u64::MAX),
+        })
+    }
+
+    fn own(&self, account: &id::Account, ledger: &grant::Ledger, now: Duration) -> Amount {
+        let base = self.base(account, ledger.limit);
+        let mut own = base.minus(ledger.released(now));
+        if self.is_fresh(now) {
+            let kept = base.minus(base.percent(100 - self.limits.keep_percent));
+            let is_rate_back = now >= self.started_at + self.limits.ttl;
+            own.rate = if is_rate_back { own.rate } else { kept.rate };
+            own.open = kept.open;
+        }
+        own
+    }
+
+    /// This host's part of an even division whose parts sum to the limit.
+    fn base(&self, account: &id::Account, limit: Amount) -> Amount {
+        let count = self.hosts.len() as u64;
+        let Some(position) = self.hosts.iter().position(|host| *host == self.me) else {
+            return Amount::default();
+        };
+        // Accounts start at different hosts, so that remainders spread.
+        let mut digest = peer::Digest::default();
+        digest.add(account.as_str().as_bytes());
+        let rank = (position as u64 + digest.0 % count) % count;
+        limit.part(rank, count)
+    }
+}
--- /dev/null
+++ b/crates/papayayard_coordination/src/gossip.rs
@@ -0,0 +1,127 @@
+//! Sets of short-lived facts that hosts tell each other.
+//!
+//! Each fact has the time of its first sign and is forgotten after a fixed
+//! time. Hosts compare digests of their sets and send items only where those
+//! differ. Ages are sent, not times, so clocks need not agree.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use papayayard_wire::peer;
+use rand::{Rng, RngExt};
+
+/// A fact that can be told to peers.
+pub trait Item: Clone + Ord {
+    /// Bytes that tell it from all others.
+    fn bytes(&self) -> Vec<u8>;
+}
+
+/// Facts with the time of their first sign.
+#[derive(Clone, Debug)]
+pub struct Set<Fact> {
+    ttl: Duration,
+    capacity: usize,
+    facts: BTreeMap<Fact, Duration>,
+    withdrawn: BTreeMap<Fact, Duration>,
+}
+
+impl<Fact> Set<Fact>
+where
+    Fact: Item,
+{
+    /// An empty set that keeps a fact for `ttl`, and at most `capacity` facts.
+    pub const fn new(ttl: Duration, capacity: usize) -> Self {
+        Self {
+            ttl,
+            capacity,
+            facts: BTreeMap::new(),
+            withdrawn: BTreeMap::new(),
+        }
+    }
+
+    /// Adds a fact whose first sign was `age` ago; whether it is new.
+    pub fn insert(&mut self, fact: Fact, age: Duration, now: Duration) -> bool {
+        self.expire(now);
+        let sign = now.saturating_sub(age);
+        let is_withdrawn = self.withdrawn.get(&fact).is_some_and(|at| sign <= *at);
+        if age >= self.ttl || is_withdrawn {
+            return false;
+        }
+        if let Some(known) = self.facts.get_mut(&fact) {
+            // The earlier sign stands, so that telling it anew keeps nothing alive.
+            *known = sign.min(*known);
+            return false;
+        }
+        if self.facts.len() >= self.capacity {
+            return false;
+        }
+        self.facts.insert(fact, sign);
+        true
+    }
+
+    /// Removes a fact that no longer holds; peers' older word of it is ignored.
+    pub fn withdraw(&mut self, fact: &Fact, now: Duration) -> bool {
+        let is_known = self.facts.remove(fact).is_some();
+        if is_known {
+            self.withdrawn.insert(fact.clone(), now);
+        }
+        is_known
+    }
+
+    /// Whether the fact holds.
+    pub fn contains(&self, fact: &Fact, now: Duration) -> bool {
+        self.sign(fact, now).is_some()
+    }
+
+    /// Time of the first sign, while the fact holds.
+    pub fn sign(&self, fact: &Fact, now: Duration) -> Option<Duration> {
+        let sign = *self.facts.get(fact)?;
+        (now < sign + self.ttl).then_some(sign)
+    }
+
+    /// All facts that hold.
+    pub fn iter(&self, now: Duration) -> impl Iterator<Item = &Fact> {
+        let live = move |sign: &Duration| now < *sign + self.ttl;
+        let facts = self.facts.iter();
+        facts
+            .filter(move |(_, sign)| live(sign))
+            .map(|(fact, _)| fact)
+    }
+
+    /// Digest of the facts that hold.
+    pub fn digest(&mut self, now: Duration) -> peer::Digest {
+        self.expire(now);
+        let mut digest = peer::Digest::default();
+        for fact in self.facts.keys() {
+            digest.add(&fact.bytes());
+        }
+        digest
+    }
+
+    /// At most `limit` facts with their ages, from a random place on; a fixed
+    /// order could show each peer the same part every time.
+    pub fn part<Random>(
+        &mut self,
+        limit: usize,
+        now: Duration,
+        random: &mut Random,
+    ) -> Vec<(Fact, Duration)>
+    where
+        Random: Rng,
+    {
+        self.expire(now);
+        let count = self.facts.len();
+        let start = random.random_range(0..count.max(1));
+        let facts = self.facts.iter().cycle().skip(start);
+        facts
+            .take(limit.min(count))
+            .map(|(fact, sign)| (fact.clone(), now.saturating_sub(*sign)))
+            .collect()
+    }
+
+    fn expire(&mut self, now: Duration) {
+        let ttl = self.ttl;
+        self.facts.retain(|_, sign| now < *sign + ttl);
+        self.withdrawn.retain(|_, at| now < *at + ttl);
+    }
+}
--- a/crates/papayayard_coordination/src/lib.rs
+++ b/crates/papayayard_coordination/src/lib.rs
@@ -4,7 +4,12 @@
 //! randomness are handed in, and decisions come back as values. The parts can
 //! be embedded by other programs and replayed from a seed.
 
+pub mod amount;
 pub mod budget;
+pub mod demand;
+pub mod departure;
+pub mod gossip;
+mod grant;
 pub mod membership;
 pub mod pace;
 pub mod replay;
--- a/crates/papayayard_coordination/src/membership.rs
+++ b/crates/papayayard_coordination/src/membership.rs
@@ -282,11 +282,24 @@
         Random: Rng,
     {
         self.turn = self.turn.wrapping_add(1);
-        let is_far = self.turn.is_multiple_of(self.limits.far_every.max(1));
+        let is_far = self.turn.is_multiple_of(self.far_every());
         self.take(is_far, now, random)
             .or_else(|| self.take(!is_far, now, random))
     }
 
+    /// Zones of few hosts call the others as often as their own.
+    fn far_every(&self) -> u32 {
+        let near = self
+            .members
+            .values()
+            .filter(|member| member.zone == self.zone);
+        if near.count() < self.limits.few {
+            2
+        } else {
+            self.limits.far_every.max(1)
+        }
+    }
+
     /// Takes the next peer of a round that may be called, and starts a new
     /// round when the old one has none left.
     fn take<Random>(&mut self, is_far: bool, now: Duration, random: &mut Random) -> Option<Target>
--- a/crates/papayayard_coordination/src/pace.rs
+++ b/crates/papayayard_coordination/src/pace.rs
@@ -11,6 +11,8 @@
     pub period: Duration,
     /// One call in so many goes to another zone.
     pub far_every: u32,
+    /// Peers in the own zone below which every second call goes to another.
+    pub few: usize,
     /// Calls made at once when there is urgent news.
     pub urgent_calls: u32,
     /// Failed calls in a row after which a peer is suspected.
@@ -31,6 +33,7 @@
         Self {
             period: Duration::from_millis(1_500),
             far_every: 4,
+            few: 8,
             urgent_calls: 3,
             suspect_after: 3,
             probe_max: Duration::from_secs(30),
--- /dev/null
+++ b/crates/papayayard_coordination/tests/departure_test.rs
@@ -0,0 +1,179 @@
+//! Leaving endpoints: every channel, and signs that no longer hold.
+
+use std::time::Duration;
+
+use papayayard_coordination::departure;
+use papayayard_wire::peer::Cause;
+use papayayard_wire::{directory, endpoint, id, peer};
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng;
+use rstest::rstest;
+
+const RUN: id::Incarnation = id::Incarnation(4);
+
+fn name() -> id::Endpoint {
+    id::Endpoint::from("llm-1")
+}
+
+fn list(state: directory::State) -> directory::List {
+    let entry = directory::Endpoint {
+        id: name(),
+        service: id::Service::from("match-llm"),
+        zone: id::Zone::from("bergen-a"),
+        address: ([127, 0, 0, 1], 9_000).into(),
+        state,
+    };
+    directory::List {
+        hosts: Vec::new(),
+        endpoints: vec![entry],
+    }
+}
+
+fn report(state: endpoint::State, run: id::Incarnation, age_ms: u64) -> endpoint::Report {
+    endpoint::Report {
+        endpoint: name(),
+        incarnation: run,
+        state,
+        model: id::Model::from("m"),
+        version: id::Version::from("1"),
+        running: 0,
+        queued: 0,
+        pending_tokens: 0,
+        slots: 8,
+        prefill_rate: 1,
+        cache_blocks: 1,
+        sequence: 0,
+        age_ms,
+    }
+}
+
+fn word(cause: Cause, incarnation: Option<id::Incarnation>, age_ms: u64) -> peer::Departure {
+    peer::Departure {
+        endpoint: name(),
+        incarnation,
+        cause,
+        age_ms,
+    }
+}
+
+/// Tells the table by one channel; whether it was news.
+fn tell(table: &mut departure::Table, channel: &str, now: Duration) -> bool {
+    match channel {
+        "list" => table.listed(&list(directory::State::Leaving), now),
+        "report" => table.reported(&report(endpoint::State::Draining, RUN, 0), now),
+        "order" => table.ordered(&name(), RUN, now),
+        "death" => table.died(&name(), RUN, now),
+        "peer" => table.heard(&[word(Cause::Draining, Some(RUN), 500)], now),
+        _ => panic!("no such channel"),
+    }
+}
+
+#[rstest]
+#[case::list("list", Cause::Leaving)]
+#[case::report("report", Cause::Draining)]
+#[case::order("order", Cause::Ordered)]
+#[case::death("death", Cause::Dead)]
+#[case::peer("peer", Cause::Draining)]
+fn one_sign_by_any_channel_is_enough(#[case] channel: &str, #[case] cause: Cause) {
+    let mut table = departure::Table::default();
+    let now = Duration::from_hours(1);
+    assert_eq!(table.cause(&name(), RUN, now), None);
+    assert!(tell(&mut table, channel, now));
+    assert!(!tell(&mut table, channel, now), "told twice is no news");
+    assert_eq!(table.cause(&name(), RUN, now), Some(cause));
+}
+
+#[rstest]
+#[case::list("list", true)]
+#[case::report("report", false)]
+#[case::order("order", false)]
+#[case::death("death", false)]
+fn a_new_run_is_free_of_the_old_ones_signs(#[case] channel: &str, #[case] stays_out: bool) {
+    let mut table = departure::Table::default();
+    let now = Duration::from_hours(1);
+    tell(&mut table, channel, now);
+    let next = id::Incarnation(5);
+    assert_eq!(table.cause(&name(), next, now).is_some(), stays_out);
+}
+
+#[rstest]
+#[case::report_is_older(1, 0, true)]
+#[case::report_lags(20, 15_000, true)]
+#[case::report_is_younger(20, 0, false)]
+fn a_clearly_younger_report_ends_a_sign(
+    #[case] after_s: u64,
+    #[case] age_ms: u64,
+    #[case] stays_out: bool,
+) {
+    let mut table = departure::Table::default();
+    let start = Duration::from_hours(1);
+    table.ordered(&name(), RUN, start);
+    let now = start + Duration::from_secs(after_s);
+    table.reported(&report(endpoint::State::Ready, RUN, age_ms), now);
+    assert_eq!(table.cause(&name(), RUN, now).is_some(), stays_out);
+    table.heard(&[word(Cause::Ordered, Some(RUN), after_s * 1_000)], now);
+    let stale = table.cause(&name(), RUN, now).is_some();
+    assert_eq!(stale, stays_out, "a peer's old word does not bring it back");
+}
+
+#[test]
+fn the_list_takes_back_what_it_said_and_keeps_what_it_says() {
+    let mut table = departure::Table::default();
+    let start = Duration::from_hours(1);
+    table.listed(&list(directory::State::Leaving), start);
+    let later = start + departure::TTL * 3;
+    assert_eq!(table.cause(&name(), RUN, later), Some(Cause::Leaving));
+    table.listed(&list(directory::State::Live), later);
+    assert_eq!(table.cause(&name(), RUN, later), None);
+}
+
+#[rstest]
+#[case::ancient(u64::MAX)]
+#[case::just_over(120_000)]
+fn a_peer_that_lies_about_age_is_not_heard(#[case] age_ms: u64) {
+    let mut table = departure::Table::default();
+    let now = Duration::from_hours(1);
+    assert!(!table.heard(&[word(Cause::Dead, Some(RUN), age_ms)], now));
+}
+
+#[test]
+fn a_peer_that_repeats_itself_keeps_no_sign_alive() {
+    let mut table = departure::Table::default();
+    let start = Duration::from_hours(1);
+    table.heard(&[word(Cause::Dead, Some(RUN), 0)], start);
+    let late = start + departure::TTL * 9 / 10;
+    table.heard(&[word(Cause::Dead, Some(RUN), 0)], late);
+    let over = start + departure::TTL;
+    assert_eq!(table.cause(&name(), RUN, over), None);
+}
+
+/// Tables that exchange differing parts agree, whatever the order.
+#[test]
+fn tables_that_talk_agree() {
+    for seed in 0..1_000 {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut tables = [const { None }; 3].map(|_: Option<()>| departure::Table::default());
+        let mut now = Duration::from_hours(1);
+        for _ in 0..random.random_range(1..100) {
+            now += Duration::from_millis(random.random_range(0..200));
+            let endpoint = id::Endpoint::from(format!("e{}", random.random_range(0..60)));
+            let table = &mut tables[random.random_range(0..3)];
+            table.died(&endpoint, RUN, now);
+        }
+        let agreed = (0..120).any(|round| {
+            talk(&mut tables, round, now, &mut random);
+            let digests = tables.each_mut().map(|table| table.digest(now));
+            digests.iter().all(|digest| *digest == digests[0])
+        });
+        assert!(agreed, "seed {seed}");
+    }
+}
+
+fn talk(tables: &mut [departure::Table; 3], round: usize, now: Duration, random: &mut ChaCha8Rng) {
+    let (one, other) = (round % 3, (round + 1) % 3);
+    let part = tables[one].part(16, now, random);
+    tables[other].heard(&part, now);
+    let part = tables[other].part(16, now, random);
+    tables[one].heard(&part, now);
+}
--- a/crates/papayayard_wire/src/peer.rs
+++ b/crates/papayayard_wire/src/peer.rs
@@ -7,8 +7,8 @@
 //! both sides speak, and a reader skips fields that it does not know.
 //!
 //! - Version 1: state, configuration, directory, departures, quarantine.
-//! - Version 2: adds `wants` and `grants`, which move shares of a client
-//!   account's limits between hosts.
+//! - Version 2: adds `fresh`, `wants` and `grants`, which move shares of a
+//!   client account's limits between hosts.
 
 use std::net::SocketAddr;
 
@@ -53,7 +53,12 @@
     /// Contents whose digests differ.
     #[serde(default, skip_serializing_if = "Contents::is_empty")]
     pub contents: Contents,
-    /// Shares that the sender lacks. Since version 2.
+    /// Whether the sender has just started and knows of no share that it has
+    /// released; the receiver stops using those. Since version 2.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub fresh: bool,
+    /// Shares that the sender asks the receiver for. From the sending on it
+    /// uses no more than these of the receiver's. Since version 2.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub wants: Vec<Share>,
     /// Shares that the sender releases to the receiver. Since version 2.
@@ -74,6 +79,7 @@
             departures: Digest::default(),
             quarantine: Digest::default(),
             contents: Contents::default(),
+            fresh: false,
             wants: Vec::new(),
             grants: Vec::new(),
         }
@@ -84,6 +90,7 @@
     pub fn at(mut self, speaks: u32) -> Self {
         self.version = self.speaks.min(speaks).max(LOWEST);
         if self.version < SHARES {
+            self.fresh = false;
             self.wants.clear();
             self.grants.clear();
         }
@@ -229,7 +236,6 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Grant {
     /// What is released.
-    #[serde(flatten)]
     pub share: Share,
     /// Time that it is released for, counted from the sending of the call
     /// that asked for it, in milliseconds.
