--- a/crates/papayayard_coordination/src/lib.rs
+++ b/crates/papayayard_coordination/src/lib.rs
@@ -6,10 +6,12 @@
 
 pub mod amount;
 pub mod budget;
+pub mod configuration;
 pub mod demand;
 pub mod departure;
 pub mod gossip;
 mod grant;
+pub mod journal;
 pub mod membership;
 pub mod pace;
 pub mod replay;
--- /dev/null
+++ b/crates/papayayard_routing/src/index.rs
@@ -0,0 +1,359 @@
+//! Which endpoint holds which cached blocks, as well as this host can know.
+//!
+//! Engines evict within seconds and their events come late and with gaps, so
+//! the index is a cache of hints in a fixed amount of memory. Each pair of
+//! block and endpoint is one cell in a pool; cells of one bucket are chained.
+//! A cell counts only while its `life` is the endpoint's current one, so that
+//! a crash clears an endpoint's entries by taking a new number. A gap in the
+//! events takes a new `epoch`: older cells stay, but are doubtful until they
+//! are confirmed.
+
+use std::time::Duration;
+
+use papayayard_wire::{block, endpoint};
+
+/// Position of an endpoint in the index.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Slot(u16);
+
+impl Slot {
+    /// Position in a table of all slots.
+    pub const fn index(self) -> usize {
+        self.0 as usize
+    }
+}
+
+/// A block that an endpoint is thought to hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Holder {
+    /// The endpoint.
+    pub slot: Slot,
+    /// Whether events that might have said otherwise were lost.
+    pub doubtful: bool,
+}
+
+const NONE: u32 = u32::MAX;
+const LIFETIME_SECONDS: u32 = 120;
+const MAX_HOLDERS: usize = 32;
+const VICTIM_CANDIDATES: usize = 8;
+const MAX_CELLS: usize = NONE as usize - 1;
+
+/// One pair of block and endpoint.
+#[derive(Clone, Copy, Debug)]
+struct Cell {
+    key: block::Key,
+    life: u32,
+    next: u32,
+    stamp: u32,
+    slot: Slot,
+    epoch: u16,
+}
+
+const FREE: Cell = Cell {
+    key: block::Key(0),
+    life: 0,
+    next: NONE,
+    stamp: 0,
+    slot: Slot(0),
+    epoch: 0,
+};
+
+/// What is kept for each endpoint.
+#[derive(Clone, Copy, Debug, Default)]
+struct Source {
+    life: u32,
+    epoch: u16,
+    sequence: u64,
+}
+
+/// Hints on cached blocks.
+#[derive(Debug)]
+pub struct Index {
+    heads: Vec<u32>,
+    cells: Vec<Cell>,
+    capacity: usize,
+    free: u32,
+    hand: usize,
+    sources: Vec<Source>,
+    vacant: Vec<Slot>,
+    lives: u32,
+}
+
+impl Index {
+    /// An index of at most `blocks` pairs of block and endpoint.
+    pub fn new(blocks: usize) -> Self {
+        let capacity = blocks.clamp(1, MAX_CELLS);
+        Self {
+            heads: vec![NONE; capacity],
+            cells: Vec::with_capacity(capacity),
+            capacity,
+            free: NONE,
+            hand: 0,
+            sources: Vec::new(),
+            vacant: Vec::new(),
+            lives: 0,
+        }
+    }
+
+    /// Takes a slot for an endpoint; slots past the last share one that is
+    /// never filled.
+    pub fn open(&mut self) -> Slot {
+        let slot = self.vacant.pop().unwrap_or_else(|| {
+            self.sources.push(Source::default());
+            Slot(u16::try_from(self.sources.len() - 1).unwrap_or(u16::MAX))
+        });
+        self.clear(slot);
+        slot
+    }
+
+    /// Gives a slot back.
+    pub fn close(&mut self, slot: Slot) {
+        self.clear(slot);
+        self.vacant.push(slot);
+    }
+
+    /// Drops all entries of an endpoint, in constant time.
+    pub fn clear(&mut self, slot: Slot) {
+        self.lives = self.lives.wrapping_add(1);
+        self.sources[slot.index()] = Source {
+            life: self.lives,
+            ..Source::default()
+        };
+    }
+
+    /// Memory that the index takes when it is full, in bytes.
+    pub const fn capacity_bytes(&self) -> usize {
+        self.capacity * (size_of::<Cell>() + size_of::<u32>())
+    }
+
+    /// Cells that have been used so far.
+    pub const fn used(&self) -> usize {
+        self.cells.len()
+    }
+
+    /// Number of slots given out so far.
+    pub fn slots(&self) -> usize {
+        self.sources.len()
+    }
+
+    /// Takes a page of events of the endpoint's current run. Of an event that
+    /// was passed already only a removal counts: it can do no harm.
+    pub fn events(&mut self, slot: Slot, page: &endpoint::Page, now: Duration) {
+        for event in &page.events {
+            let next = self.advance(slot, event.sequence);
+            match &event.change {
+                endpoint::Change::Removed { keys } => self.remove(slot, keys),
+                endpoint::Change::Stored { keys } if next => self.expect(slot, keys, now),
+                endpoint::Change::Cleared if next => self.empty(slot),
+                endpoint::Change::Stored { .. } | endpoint::Change::Cleared => {}
+            }
+        }
+    }
+
+    /// Notes blocks that an endpoint holds or is about to compute.
+    pub fn expect(&mut self, slot: Slot, keys: &[block::Key], now: Duration) {
+        for &key in keys {
+            self.insert(slot, key, seconds(now));
+        }
+    }
+
+    /// Marks blocks of an endpoint as doubtful.
+    pub fn doubt(&mut self, slot: Slot, keys: &[block::Key]) {
+        let Source { life, epoch, .. } = self.sources[slot.index()];
+        for &key in keys {
+            if let Some(at) = self.find(slot, key, life) {
+                self.cells[at as usize].epoch = epoch.wrapping_sub(1);
+            }
+        }
+    }
+
+    /// Passes the endpoints that hold `key` to `take`.
+    pub fn holders<Take>(&self, key: block::Key, now: Duration, mut take: Take)
+    where
+        Take: FnMut(Holder),
+    {
+        let stamp = seconds(now);
+        let mut at = self.heads[self.bucket(key)];
+        let mut found = 0;
+        while at != NONE && found < MAX_HOLDERS {
+            let cell = &self.cells[at as usize];
+            if cell.key == key && self.live(cell, stamp) {
+                found += 1;
+                take(Holder {
+                    slot: cell.slot,
+                    doubtful: cell.epoch != self.sources[cell.slot.index()].epoch,
+                });
+            }
+            at = cell.next;
+        }
+    }
+
+    /// Takes an event's number; whether it is a new one.
+    fn advance(&mut self, slot: Slot, sequence: u64) -> bool {
+        let source = &mut self.sources[slot.index()];
+        if sequence <= source.sequence {
+            return false;
+        }
+        if sequence > source.sequence + 1 {
+            source.epoch = source.epoch.wrapping_add(1);
+        }
+        source.sequence = sequence;
+        true
+    }
+
+    fn empty(&mut self, slot: Slot) {
+        let sequence = self.sources[slot.index()].sequence;
+        self.clear(slot);
+        self.sources[slot.index()].sequence = sequence;
+    }
+
+    fn insert(&mut self, slot: Slot, key: block::Key, stamp: u32) {
+        let source = self.sources[slot.index()];
+        let cell = Cell {
+            key,
+            life: source.life,
+            next: NONE,
+            stamp,
+            slot,
+            epoch: source.epoch,
+        };
+        match self.place(slot, key, stamp) {
+            Some(at) => {
+                let next = self.cells[at as usize].next;
+                self.cells[at as usize] = Cell { next, ..cell };
+            }
+            None => self.link(cell),
+        }
+    }
+
+    /// A cell of the key's bucket to overwrite: the same pair, else a dead
+    /// one, else the oldest of a key that has many holders.
+    fn place(&self, slot: Slot, key: block::Key, stamp: u32) -> Option<u32> {
+        let mut at = self.heads[self.bucket(key)];
+        let mut dead = None;
+        let mut oldest = None;
+        let mut holders = 0;
+        while at != NONE {
+            let cell = &self.cells[at as usize];
+            if !self.live(cell, stamp) {
+                dead = Some(at);
+            } else if cell.key == key && cell.slot == slot {
+                return Some(at);
+            } else if cell.key == key {
+                holders += 1;
+                let age = (cell.stamp, at);
+                oldest = Some(oldest.map_or(age, |known: (u32, u32)| known.min(age)));
+            }
+            at = cell.next;
+        }
+        let full = holders >= MAX_HOLDERS;
+        dead.or(oldest.filter(|_| full).map(|(_, at)| at))
+    }
+
+    fn link(&mut self, cell: Cell) {
+        let at = self.take(cell.stamp);
+        let bucket = self.bucket(cell.key);
+        let next = self.heads[bucket];
+        self.cells[at as usize] = Cell { next, ..cell };
+        self.heads[bucket] = at;
+    }
+
+    fn remove(&mut self, slot: Slot, keys: &[block::Key]) {
+        let life = self.sources[slot.index()].life;
+        for &key in keys {
+            if let Some(at) = self.find(slot, key, life) {
+                self.unlink(at);
+                self.release(at);
+            }
+        }
+    }
+
+    fn find(&self, slot: Slot, key: block::Key, life: u32) -> Option<u32> {
+        let mut at = self.heads[self.bucket(key)];
+        while at != NONE {
+            let cell = &self.cells[at as usize];
+            if cell.key == key && cell.slot == slot && cell.life == life {
+                return Some(at);
+            }
+            at = cell.next;
+        }
+        None
+    }
+
+    /// A cell to fill: a free one, or else the oldest of a few under the
+    /// hand.
+    fn take(&mut self, stamp: u32) -> u32 {
+        if self.free != NONE {
+            let at = self.free;
+            self.free = self.cells[at as usize].next;
+            return at;
+        }
+        if self.cells.len() < self.capacity {
+            self.cells.push(FREE);
+            return position(self.cells.len() - 1);
+        }
+        let at = self.victim(stamp);
+        self.unlink(at);
+        at
+    }
+
+    fn victim(&mut self, stamp: u32) -> u32 {
+        let mut best = self.hand;
+        for _ in 0..VICTIM_CANDIDATES {
+            let at = self.hand;
+            self.hand = (self.hand + 1) % self.capacity;
+            if !self.live(&self.cells[at], stamp) {
+                return position(at);
+            }
+            if self.cells[at].stamp < self.cells[best].stamp {
+                best = at;
+            }
+        }
+        position(best)
+    }
+
+    fn release(&mut self, at: u32) {
+        self.cells[at as usize] = Cell {
+            next: self.free,
+            ..FREE
+        };
+        self.free = at;
+    }
+
+    fn unlink(&mut self, at: u32) {
+        let Cell { key, next, .. } = self.cells[at as usize];
+        let bucket = self.bucket(key);
+        if self.heads[bucket] == at {
+            self.heads[bucket] = next;
+            return;
+        }
+        let mut before = self.heads[bucket];
+        while before != NONE {
+            let cell = &mut self.cells[before as usize];
+            if cell.next == at {
+                cell.next = next;
+                return;
+            }
+            before = cell.next;
+        }
+    }
+
+    fn live(&self, cell: &Cell, stamp: u32) -> bool {
+        cell.life == self.sources[cell.slot.index()].life
+            && stamp.saturating_sub(cell.stamp) <= LIFETIME_SECONDS
+    }
+
+    /// Buckets by the key's high bits: keys are hashes already.
+    fn bucket(&self, key: block::Key) -> usize {
+        let wide = u128::from(key.0) * self.heads.len() as u128;
+        usize::try_from(wide >> 64).unwrap_or(0)
+    }
+}
+
+fn seconds(now: Duration) -> u32 {
+    u32::try_from(now.as_secs()).unwrap_or(u32::MAX)
+}
+
+fn position(index: usize) -> u32 {
+    u32::try_from(index).unwrap_or(NONE)
+}
