Refuse lists, broken UTF-8 and hidden paths of callers

Ruled out: normalising the path in the router (it would send another request than the caller wrote).

Change, the smallest in the maintainer's filters: a body must be UTF-8 and a JSON object; paths with dot segments, encoded or not, encoded separators or a backslash are refused, and so is an encoded service name.

--- a/crates/papayayard/src/callers.rs
+++ b/crates/papayayard/src/callers.rs
@@ -186,7 +186,7 @@
             .map(http::uri::PathAndQuery::as_str)
             .unwrap_or_default();
         let path = match &service {
-            Some(name) => below_service(path, name),
+            Some(name) => below_service(path, name).ok_or_else(encoded_name)?,
             None => path,
         };
         Ok(Arrival {
@@ -266,11 +266,20 @@
     }
 }
 
-fn below_service<'a>(path: &'a str, service: &str) -> &'a str {
-    path.strip_prefix("/services/")
-        .and_then(|rest| rest.strip_prefix(service))
-        .filter(|rest| rest.starts_with('/'))
-        .unwrap_or("/")
+/// The path below a service; `None` where the name stands there encoded.
+fn below_service<'a>(path: &'a str, service: &str) -> Option<&'a str> {
+    let rest = path.strip_prefix("/services/")?.strip_prefix(service)?;
+    match rest {
+        "" => Some("/"),
+        rest => rest.starts_with('/').then_some(rest),
+    }
+}
+
+fn encoded_name() -> Refusal {
+    Refusal::not_run(
+        Kind::BadRequest,
+        "the service's name stands encoded in the path; send it as it is, followed by `/`",
+    )
 }
 
 fn request_id(host: &id::Host) -> id::Request {
--- a/crates/papayayard/src/filters/call.rs
+++ b/crates/papayayard/src/filters/call.rs
@@ -22,6 +22,7 @@
 
     async fn apply(&self, whole: Whole) -> Result<Call, Refusal> {
         let head = &whole.known.arrival.head;
+        check_path(&head.path)?;
         let service = head.service.clone().ok_or_else(|| unknown("/"))?;
         let plain = whole.known.active.plain(service.as_str());
         let plain = plain.ok_or_else(|| unknown(service.as_str()))?;
@@ -36,6 +37,26 @@
     }
 }
 
+/// Refuses a path that an endpoint may take for another one, since routes are
+/// told apart by it.
+fn check_path(path: &str) -> Result<(), Refusal> {
+    let path = path.split('?').next().unwrap_or_default();
+    let decoded = path.to_ascii_lowercase().replace("%2e", ".");
+    let hidden = ["%2f", "%5c", "\\"]
+        .iter()
+        .any(|mark| decoded.contains(mark));
+    let dots = decoded
+        .split('/')
+        .any(|segment| matches!(segment, "." | ".."));
+    if hidden || dots {
+        return Err(Refusal::not_run(
+            Kind::BadRequest,
+            "the path has `.` or `..` segments or an encoded separator; send the path that is meant",
+        ));
+    }
+    Ok(())
+}
+
 fn idempotent(plain: &document::Plain, method: &str, path: &str) -> bool {
     let path = path.split('?').next().unwrap_or_default();
     let route = plain
--- a/crates/papayayard/src/filters/completion.rs
+++ b/crates/papayayard/src/filters/completion.rs
@@ -1,5 +1,6 @@
 //! Reads a completion: which model, and the keys of its prompt's pieces.
 
+use std::fmt;
 use std::time::Duration;
 
 use papayayard_routing::{quarantine, salt};
@@ -58,12 +59,13 @@
 }
 
 fn parse(body: &[u8]) -> Result<completion::Request<'_>, Refusal> {
-    let request: completion::Request<'_> = serde_json::from_slice(body).map_err(|error| {
-        Refusal::not_run(
-            Kind::BadRequest,
-            format!("the body is not a completion request: {error}"),
-        )
-    })?;
+    let text = str::from_utf8(body).map_err(|error| malformed(&error))?;
+    // A list would be read as the fields in their order.
+    if !text.trim_ascii_start().starts_with('{') {
+        return Err(malformed(&"it is no JSON object"));
+    }
+    let request: completion::Request<'_> =
+        serde_json::from_str(text).map_err(|error| malformed(&error))?;
     if request.continuation.is_some() {
         return Err(Refusal::not_run(
             Kind::BadRequest,
@@ -79,6 +81,16 @@
     Ok(request)
 }
 
+fn malformed<Reason>(reason: &Reason) -> Refusal
+where
+    Reason: fmt::Display,
+{
+    Refusal::not_run(
+        Kind::BadRequest,
+        format!("the body is not a completion request: {reason}; send one JSON object in UTF-8"),
+    )
+}
+
 fn split(model: &str) -> (&str, Option<&str>) {
     match model.split_once(':') {
         Some((name, adapter)) => (name, Some(adapter)),
