--- a/crates/papayayard/tests/bad_input.rs
+++ b/crates/papayayard/tests/bad_input.rs
@@ -444,3 +444,17 @@
     assert!(salts[0].is_some());
     assert_eq!(salts[0], salts[1], "the salt is the router's own");
 }
+
+/// What docs/METRICS.md says of heads that cannot be read.
+#[rstest]
+#[case::malformed("x priority: 9\r\n\r\n", "HTTP/1.1 400 ")]
+#[case::too_long(&format!("x-long: {}\r\n\r\n", "a".repeat(2 * HEADER_BYTES)), "HTTP/1.1 431 ")]
+#[case::stalled("content-le", "")]
+#[tokio::test]
+async fn answers_of_the_http_library(#[case] more: &str, #[case] start_of_answer: &str) {
+    let (bed, host) = start().await;
+    let answer = raw(host.addresses().callers, &head(BOOKING, more), false).await;
+    assert!(answer.starts_with(start_of_answer), "{answer}");
+    assert!(!start_of_answer.is_empty() || answer.is_empty(), "{answer}");
+    expect_unharmed(&bed, &host).await;
+}
--- /dev/null
+++ b/crates/papayayard/tests/documentation.rs
@@ -0,0 +1,107 @@
+//! The pages name every metric, refusal, key and exit code that exists.
+
+mod support;
+
+use http::Method;
+use papayayard::settings::Settings;
+use papayayard_document::document::Document;
+use papayayard_document::fault::Fault;
+use papayayard_routing::retry;
+use papayayard_wire::refusal::Kind;
+use rstest::rstest;
+use support::Bed;
+
+const METRICS: &str = include_str!("../../../docs/METRICS.md");
+const CONFIGURATION: &str = include_str!("../../../docs/CONFIGURATION.md");
+const SOURCE: &str = include_str!("../src/metrics.rs");
+const DOCUMENT: &str = include_str!("../../../examples/fjordtakt.yaml");
+const SETTINGS: &str = include_str!("fixtures/settings.yaml");
+
+fn quoted(page: &str, word: &str) -> bool {
+    page.contains(&format!("`{word}`"))
+}
+
+#[test]
+fn every_instrument_is_listed() {
+    let names = SOURCE
+        .split('"')
+        .filter(|text| text.starts_with("papayayard_"));
+    let missing: Vec<&str> = names.filter(|name| !METRICS.contains(*name)).collect();
+    assert!(missing.is_empty(), "not in docs/METRICS.md: {missing:?}");
+}
+
+#[test]
+fn every_refusal_is_listed() {
+    let names = Kind::ALL.map(Kind::as_str);
+    let missing: Vec<&str> = names
+        .into_iter()
+        .filter(|name| !quoted(METRICS, name))
+        .collect();
+    assert!(missing.is_empty(), "not in docs/METRICS.md: {missing:?}");
+}
+
+#[test]
+fn every_reason_of_a_retry_is_listed() {
+    let names = retry::Reason::ALL.map(retry::Reason::as_str);
+    let missing: Vec<&str> = names
+        .into_iter()
+        .filter(|name| !quoted(METRICS, name))
+        .collect();
+    assert!(missing.is_empty(), "not in docs/METRICS.md: {missing:?}");
+}
+
+/// Names as Prometheus reads them.
+#[tokio::test]
+async fn names_that_a_host_exports_are_listed() {
+    let bed = Bed::start(1, 0).await;
+    bed.publish(0, &support::document("v1", 1)).await;
+    let host = bed.ready_host("entry-1").await;
+    let reply = support::complete(&host, "hello", 4).await;
+    reply.expect("the exchange is whole").complete_stream();
+    let callers = host.addresses().callers;
+    let _ = support::call(callers, Method::GET, "/nowhere", &[], "").await;
+    let reply = support::call(callers, Method::GET, "/metrics", &[], "").await;
+    let text = reply.expect("the exchange is whole").text();
+    let types = text.lines().filter_map(|line| line.strip_prefix("# TYPE "));
+    let names: Vec<&str> = types.filter_map(|line| line.split(' ').next()).collect();
+    assert!(names.len() >= 3, "{text}");
+    let missing: Vec<&&str> = names.iter().filter(|name| !quoted(METRICS, name)).collect();
+    assert!(missing.is_empty(), "not in docs/METRICS.md: {missing:?}");
+}
+
+/// The remedy of an unknown key lists the known ones.
+fn known_keys(faults: &[Fault]) -> Vec<&str> {
+    let remedies = faults
+        .iter()
+        .filter_map(|fault| fault.remedy.split_once("one of: "));
+    remedies.flat_map(|(_, keys)| keys.split(", ")).collect()
+}
+
+/// Adds an unknown key to every mapping of a text.
+fn with_unknown_keys(text: &str) -> String {
+    let mut lines = Vec::new();
+    for line in text.lines() {
+        lines.push(line.to_owned());
+        let indent = line.len() - line.trim_start_matches([' ', '-']).len();
+        if line.contains(": ") && !line.contains('{') && !line.trim_start().starts_with('#') {
+            lines.push(format!("{}unknown-{}: 1", " ".repeat(indent), lines.len()));
+        }
+        if let Some(start) = line.strip_suffix(" }") {
+            lines.pop();
+            lines.push(format!("{start}, unknown: 1 }}"));
+        }
+    }
+    lines.join("\n")
+}
+
+#[rstest]
+#[case::document(Document::parse(&with_unknown_keys(DOCUMENT)).expect_err("unknown keys"), 18)]
+#[case::settings(Settings::parse(&with_unknown_keys(SETTINGS)).expect_err("unknown keys"), 20)]
+fn every_key_is_described(#[case] faults: Vec<Fault>, #[case] least: usize) {
+    let mut keys = known_keys(&faults);
+    keys.sort_unstable();
+    keys.dedup();
+    assert!(keys.len() >= least, "{keys:?} of {faults:#?}");
+    keys.retain(|key| !quoted(CONFIGURATION, key));
+    assert!(keys.is_empty(), "not in docs/CONFIGURATION.md: {keys:?}");
+}
