--- a/crates/papayayardctl/tests/status.rs
+++ b/crates/papayayardctl/tests/status.rs
@@ -20,7 +20,7 @@
 /// An operators' listener with one answer.
 enum Listener {
     Answers(Status),
-    Fails,
+    Fails(Status),
     Drops,
     Babbles,
 }
@@ -30,7 +30,7 @@
         assert_eq!(request.uri().path(), "/status");
         match self {
             Self::Answers(status) => Ok(answer::ok(status)),
-            Self::Fails => Ok(answer::json(StatusCode::INTERNAL_SERVER_ERROR, &())),
+            Self::Fails(status) => Ok(answer::json(StatusCode::INTERNAL_SERVER_ERROR, status)),
             Self::Drops => Err(Dropped),
             Self::Babbles => Ok(answer::ok(&"status")),
         }
@@ -147,7 +147,7 @@
 
 #[rstest]
 #[case::dropped(Listener::Drops)]
-#[case::failing(Listener::Fails)]
+#[case::failing(Listener::Fails(host("entry-1", 4, Vec::new())))]
 #[case::no_status(Listener::Babbles)]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_host_that_does_not_answer_is_told(#[case] listener: Listener) {
