Let the caller's connection pull a stream's events

Cause: each stream had a task and a channel of its own, so every token woke two tasks, and up to 64 events waited for each slow caller.

Change: the pump is the body that the connection polls; all whole events of a frame pass in one piece, checked one by one. A caller that goes away drops the pump and with it the connection to the endpoint.

--- a/crates/papayayard/src/callers.rs
+++ b/crates/papayayard/src/callers.rs
@@ -292,10 +292,10 @@
         Body::Whole(body) => {
             response.body(body);
         }
-        Body::Events(receiver) => {
-            let events = stream::unfold(receiver, |mut receiver| async move {
-                let event = receiver.recv().await?;
-                Some((event, receiver))
+        Body::Events(pump) => {
+            let events = stream::unfold(pump, |mut pump| async move {
+                let events = pump.next().await?;
+                Some((events, pump))
             });
             response.stream(events.map(Ok::<_, Infallible>));
         }
--- a/crates/papayayard/src/relay/completion.rs
+++ b/crates/papayayard/src/relay/completion.rs
@@ -9,7 +9,6 @@
 use papayayard_routing::retry;
 use papayayard_wire::completion::{Answer as Whole, Usage};
 use papayayard_wire::refusal::Kind;
-use tokio::sync::mpsc;
 use tokio::time;
 
 use crate::controllers::fleet;
@@ -25,8 +24,6 @@
 const MAX_ANSWER_BYTES: usize = 64 << 20;
 /// Longest wait for an answer that is not streamed.
 const WHOLE_TIMEOUT: Duration = Duration::from_mins(5);
-/// Events that wait for a slow caller before the endpoint is held back.
-const EVENT_BACKLOG: usize = 64;
 /// When to come back after an endpoint failed.
 const FAILED_RETRY: Duration = Duration::from_secs(1);
 
@@ -77,9 +74,7 @@
         dispatch: fleet::Dispatch,
         response: Response<Incoming>,
     ) -> Answer {
-        let (events, receiver) = mpsc::channel(EVENT_BACKLOG);
-        let pump = Pump::new(self.clone(), admitted, query, events);
-        tokio::spawn(pump.run(dispatch, response));
+        let pump = Pump::new(self.clone(), admitted, query, dispatch, response);
         let mut headers = HeaderMap::new();
         headers.insert(
             header::CONTENT_TYPE,
@@ -89,7 +84,7 @@
         Answer {
             status: StatusCode::OK,
             headers,
-            body: Body::Events(receiver),
+            body: Body::Events(Box::new(pump)),
         }
     }
 
--- a/crates/papayayard/src/relay/mod.rs
+++ b/crates/papayayard/src/relay/mod.rs
@@ -2,7 +2,6 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, StatusCode};
-use tokio::sync::mpsc;
 
 pub(crate) mod attempt;
 pub(crate) mod call;
@@ -31,6 +30,6 @@
 pub(crate) enum Body {
     /// All of it.
     Whole(Bytes),
-    /// Server-sent events as they come; a full channel holds the endpoint back.
-    Events(mpsc::Receiver<Bytes>),
+    /// Server-sent events as the caller's connection pulls them.
+    Events(Box<pump::Pump>),
 }
--- a/crates/papayayard/src/relay/pump.rs
+++ b/crates/papayayard/src/relay/pump.rs
@@ -1,7 +1,9 @@
 //! Moves a stream's events from endpoints to the caller.
 //!
-//! A pump is a task of its own. It ends when the stream is complete, when no
-//! endpoint can go on, or when the caller goes away, which closes the channel.
+//! The caller's connection pulls the events, so a slow caller holds the
+//! endpoint back, and a caller that goes away drops the pump, which closes the
+//! connection to the endpoint. Where an endpoint fails, another one continues
+//! from what the caller has.
 
 use std::time::Duration;
 
@@ -9,7 +11,6 @@
 use http::Response;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use tokio::sync::mpsc;
 use tokio::time;
 
 use crate::controllers::fleet;
@@ -18,7 +19,7 @@
 use crate::relay::attempt::{self, Reply};
 use crate::relay::client::Failure;
 use crate::relay::completion::Relay;
-use crate::relay::sse::Splitter;
+use crate::relay::sse::{self, Joiner};
 use crate::relay::transcript::{Step, Transcript};
 
 /// Longest wait for the next event of a stream.
@@ -31,157 +32,211 @@
     relay: Relay,
     admitted: Admitted<Completion>,
     query: fleet::Query,
-    events: mpsc::Sender<Bytes>,
     transcript: Transcript,
+    joiner: Joiner,
+    source: Option<Source>,
+    has_begun: bool,
 }
 
-/// How the events of one endpoint ended.
-enum End {
-    /// The stream is complete.
-    Complete,
-    /// The caller went away.
-    CallerGone,
-    /// The endpoint failed.
-    Failed(Failure),
+/// An endpoint's answer.
+struct Source {
+    dispatch: fleet::Dispatch,
+    body: Incoming,
+    failure: Option<Failure>,
+}
+
+impl Source {
+    fn new(dispatch: fleet::Dispatch, response: Response<Incoming>) -> Self {
+        Self {
+            dispatch,
+            body: response.into_body(),
+            failure: None,
+        }
+    }
+
+    /// Waits for the next frame.
+    async fn frame(&mut self) -> Result<Bytes, Failure> {
+        if let Some(failure) = self.failure {
+            return Err(failure);
+        }
+        loop {
+            let frame = tokio::select! {
+                biased;
+                frame = time::timeout(STALL_TIMEOUT, self.body.frame()) => frame,
+                () = self.dispatch.place().lost.cancelled() => return Err(Failure::Lost),
+            };
+            match frame {
+                Ok(Some(Ok(frame))) => {
+                    if let Ok(data) = frame.into_data() {
+                        return Ok(data);
+                    }
+                }
+                Ok(Some(Err(_)) | None) => return Err(Failure::Broken),
+                Err(_) => return Err(Failure::TimedOut),
+            }
+        }
+    }
+}
+
+/// Events that fit the stream.
+struct Fit {
+    bytes: Bytes,
+    is_end: bool,
+    failure: Option<Failure>,
 }
 
 impl Pump {
-    /// Makes a pump.
+    /// Makes a pump for an answer that has begun.
     pub(crate) fn new(
         relay: Relay,
         admitted: Admitted<Completion>,
         query: fleet::Query,
-        events: mpsc::Sender<Bytes>,
+        dispatch: fleet::Dispatch,
+        response: Response<Incoming>,
     ) -> Self {
         let transcript = Transcript::new(admitted.work.whole.known.arrival.id.as_str());
         Self {
             relay,
             admitted,
             query,
-            events,
             transcript,
+            joiner: Joiner::default(),
+            source: Some(Source::new(dispatch, response)),
+            has_begun: false,
         }
     }
 
-    /// Moves events until the stream ends one way or the other.
-    pub(crate) async fn run(mut self, mut dispatch: fleet::Dispatch, response: Response<Incoming>) {
-        let mut response = response;
+    /// The next events for the caller; `None` after the last.
+    pub(crate) async fn next(&mut self) -> Option<Bytes> {
         loop {
-            let failure = match self.drain(dispatch.place(), response).await {
-                End::Complete => return self.complete(dispatch),
-                End::CallerGone => return dispatch.settle(fleet::Outcome::Cancelled),
-                End::Failed(failure) => failure,
+            let source = self.source.as_mut()?;
+            let failure = match source.frame().await {
+                Ok(frame) => match self.check(frame) {
+                    Some(fit) if fit.bytes.is_empty() && fit.failure.is_none() => continue,
+                    Some(fit) => {
+                        if let Some(bytes) = self.pass(fit) {
+                            return Some(bytes);
+                        }
+                        continue;
+                    }
+                    None => Failure::Broken,
+                },
+                Err(failure) => failure,
             };
-            match self.resume(dispatch, failure).await {
-                Ok(Some(next)) => (dispatch, response) = next,
-                Ok(None) => return,
-                Err(refusal) => return self.abort(refusal).await,
+            if let Some(last) = self.recover(failure).await {
+                return Some(last);
+            }
+        }
+    }
+
+    /// Checks a frame's events against the transcript.
+    fn check(&mut self, frame: Bytes) -> Option<Fit> {
+        let mut whole = self.joiner.push(frame).ok()?;
+        let mut fit = Fit {
+            bytes: Bytes::new(),
+            is_end: false,
+            failure: None,
+        };
+        let mut length = 0;
+        for event in sse::events(&whole) {
+            match self.transcript.take(event) {
+                Ok(step) => {
+                    length += event.len();
+                    fit.is_end = step == Step::End;
+                }
+                Err(mismatch) => {
+                    let known = &self.admitted.work.whole.known;
+                    log::warn!(
+                        request:% = known.arrival.id;
+                        "an event does not fit the stream: {mismatch:?}"
+                    );
+                    fit.failure = Some(Failure::Mismatched);
+                    break;
+                }
             }
         }
+        fit.bytes = whole.split_to(length);
+        Some(fit)
     }
 
-    fn complete(&self, dispatch: fleet::Dispatch) {
+    /// Takes down what the events mean; answers those that the caller gets.
+    fn pass(&mut self, fit: Fit) -> Option<Bytes> {
+        if let Some(source) = &mut self.source {
+            source.failure = fit.failure;
+        }
+        if fit.bytes.is_empty() {
+            return None;
+        }
+        if !self.has_begun {
+            self.has_begun = true;
+            self.query.begun();
+            let received = self.admitted.work.whole.known.arrival.received;
+            self.relay.metrics.first_token(received);
+        }
+        if fit.is_end {
+            self.complete();
+        }
+        Some(fit.bytes)
+    }
+
+    fn complete(&mut self) {
         if let Some(usage) = self.transcript.usage() {
             self.relay.metrics.answered(&usage);
         }
-        dispatch.settle(fleet::Outcome::Finished);
+        if let Some(source) = self.source.take() {
+            source.dispatch.settle(fleet::Outcome::Finished);
+        }
     }
 
-    async fn drain(&mut self, place: &fleet::Place, response: Response<Incoming>) -> End {
-        let mut body = response.into_body();
-        let mut splitter = Splitter::default();
-        let mut first = true;
-        loop {
-            let frame = tokio::select! {
-                () = self.events.closed() => return End::CallerGone,
-                () = place.lost.cancelled() => return End::Failed(Failure::Lost),
-                frame = time::timeout(STALL_TIMEOUT, body.frame()) => frame,
-            };
-            let frame = match frame {
-                Ok(Some(Ok(frame))) => frame,
-                Ok(Some(Err(_)) | None) => return End::Failed(Failure::Broken),
-                Err(_) => return End::Failed(Failure::TimedOut),
-            };
-            let Ok(data) = frame.into_data() else {
-                continue;
-            };
-            if splitter.push(data).is_err() {
-                return End::Failed(Failure::Broken);
-            }
-            while let Some(event) = splitter.next() {
-                let step = match self.transcript.take(&event) {
-                    Ok(step) => step,
-                    Err(mismatch) => {
-                        log::warn!(
-                            request:% = self.admitted.work.whole.known.arrival.id,
-                            endpoint:% = place.endpoint;
-                            "an event does not fit the stream: {mismatch:?}"
-                        );
-                        return End::Failed(Failure::Mismatched);
-                    }
-                };
-                if self.events.send(event).await.is_err() {
-                    return End::CallerGone;
-                }
-                if step == Step::End {
-                    return End::Complete;
-                }
-                if first {
-                    first = false;
-                    self.first_token();
-                }
+    /// Finds an endpoint that goes on; answers the last event where the
+    /// stream ends instead.
+    async fn recover(&mut self, failure: Failure) -> Option<Bytes> {
+        if self.transcript.finished() {
+            self.complete();
+            return Some(Bytes::from_static(END_EVENT));
+        }
+        self.joiner.clear();
+        let source = self.source.take()?;
+        match self.resume(source.dispatch, failure).await {
+            Ok(source) => {
+                self.source = Some(source);
+                None
             }
+            Err(refusal) => Some(self.abort(&refusal)),
         }
     }
 
-    fn first_token(&mut self) {
-        self.query.begun();
-        let received = self.admitted.work.whole.known.arrival.received;
-        self.relay.metrics.first_token(received);
-    }
-
-    /// Finds an endpoint that goes on from what the caller has.
     async fn resume(
         &mut self,
         failed: fleet::Dispatch,
         failure: Failure,
-    ) -> Result<Option<(fleet::Dispatch, Response<Incoming>)>, Refusal> {
-        if self.transcript.finished() {
-            self.complete(failed);
-            let end = Bytes::from_static(END_EVENT);
-            // A caller that has gone needs no end mark.
-            let _ = self.events.send(end).await;
-            return Ok(None);
-        }
-        self.relay.failed(&mut self.query, failed, failure).await?;
+    ) -> Result<Source, Refusal> {
+        let relay = &self.relay;
+        relay.failed(&mut self.query, failed, failure).await?;
         loop {
-            let dispatch = self.relay.fleet.choose(&self.query).await?;
+            let dispatch = relay.fleet.choose(&self.query).await?;
             let continuation = self.transcript.continuation();
             let reply = attempt::ask(
-                &self.relay.client,
+                &relay.client,
                 &self.admitted.work,
                 dispatch.place(),
                 continuation.as_ref(),
             );
             match reply.await {
-                Reply::Begun(response) => return Ok(Some((dispatch, response))),
+                Reply::Begun(response) => return Ok(Source::new(dispatch, response)),
                 Reply::Refused | Reply::Rejected(_) => {
-                    self.relay.refused(&mut self.query, dispatch).await?;
+                    relay.refused(&mut self.query, dispatch).await?;
                 }
                 Reply::Failed(failure) => {
-                    self.relay
-                        .failed(&mut self.query, dispatch, failure)
-                        .await?;
+                    relay.failed(&mut self.query, dispatch, failure).await?;
                 }
             }
         }
     }
 
-    /// Ends the stream with an explicit error event.
-    async fn abort(&self, refusal: Refusal) {
+    /// The explicit error event that ends a stream which nothing goes on with.
+    fn abort(&self, refusal: &Refusal) -> Bytes {
         self.relay.metrics.refused(refusal.kind);
-        let event = format!("data: {}\n\n", refusal.json());
-        // A caller that has gone needs no error event.
-        let _ = self.events.send(Bytes::from(event)).await;
+        Bytes::from(format!("data: {}\n\n", refusal.json()))
     }
 }
--- a/crates/papayayard/src/relay/sse.rs
+++ b/crates/papayayard/src/relay/sse.rs
@@ -8,48 +8,53 @@
 /// What ends an event.
 const SEPARATOR: &[u8] = b"\n\n";
 
-/// Cuts frames of any length into events.
+/// Joins frames of any length to whole events.
 #[derive(Default)]
-pub(crate) struct Splitter {
+pub(crate) struct Joiner {
     partial: BytesMut,
-    ready: Bytes,
 }
 
 /// An event is longer than the bound.
 #[derive(Debug, PartialEq, Eq)]
 pub(crate) struct TooLong;
 
-impl Splitter {
-    /// Adds the next frame. Take all events before the next call.
-    pub(crate) fn push(&mut self, frame: Bytes) -> Result<(), TooLong> {
-        if self.partial.is_empty() {
-            self.ready = frame;
-            return Ok(());
+impl Joiner {
+    /// Adds the next frame; answers the events that are whole with it.
+    pub(crate) fn push(&mut self, frame: Bytes) -> Result<Bytes, TooLong> {
+        let mut all = frame;
+        if !self.partial.is_empty() {
+            self.partial.extend_from_slice(&all);
+            all = self.partial.split().freeze();
         }
-        if self.partial.len() > MAX_EVENT_BYTES {
+        let rest = all.split_off(end_of_last_event(&all));
+        if rest.len() > MAX_EVENT_BYTES {
             return Err(TooLong);
         }
-        self.partial.extend_from_slice(&frame);
-        self.ready = self.partial.split().freeze();
-        Ok(())
+        self.partial.extend_from_slice(&rest);
+        Ok(all)
     }
 
-    /// Takes the next whole event, its separator included.
-    pub(crate) fn next(&mut self) -> Option<Bytes> {
-        if let Some(end) = end_of_event(&self.ready) {
-            return Some(self.ready.split_to(end));
-        }
-        self.partial.extend_from_slice(&self.ready);
-        self.ready = Bytes::new();
-        None
+    /// Forgets the part of an event that was not whole.
+    pub(crate) fn clear(&mut self) {
+        self.partial.clear();
     }
 }
 
-fn end_of_event(bytes: &[u8]) -> Option<usize> {
-    let start = bytes
-        .windows(SEPARATOR.len())
-        .position(|window| window == SEPARATOR)?;
-    Some(start + SEPARATOR.len())
+fn end_of_last_event(bytes: &[u8]) -> usize {
+    let mut windows = bytes.windows(SEPARATOR.len());
+    let start = windows.rposition(|window| window == SEPARATOR);
+    start.map_or(0, |start| start + SEPARATOR.len())
+}
+
+/// Cuts bytes that hold whole events into events, separators included.
+pub(crate) fn events(mut bytes: &[u8]) -> impl Iterator<Item = &[u8]> {
+    std::iter::from_fn(move || {
+        let mut windows = bytes.windows(SEPARATOR.len());
+        let start = windows.position(|window| window == SEPARATOR)?;
+        let (event, rest) = bytes.split_at(start + SEPARATOR.len());
+        bytes = rest;
+        Some(event)
+    })
 }
 
 /// The data of an event, without the field's name and the line's end.
--- a/crates/papayayard/src/relay/sse_test.rs
+++ b/crates/papayayard/src/relay/sse_test.rs
@@ -3,19 +3,19 @@
 use bytes::Bytes;
 use rstest::rstest;
 
-use crate::relay::sse::{Splitter, TooLong, data};
+use crate::relay::sse::{Joiner, TooLong, data, events};
 
 fn cut(frames: &[&str]) -> Vec<String> {
-    let mut splitter = Splitter::default();
-    let mut events = Vec::new();
+    let mut joiner = Joiner::default();
+    let mut all = Vec::new();
     for frame in frames {
         let frame = Bytes::copy_from_slice(frame.as_bytes());
-        splitter.push(frame).expect("the events are short");
-        while let Some(event) = splitter.next() {
-            events.push(String::from_utf8(event.to_vec()).expect("the events are text"));
+        let whole = joiner.push(frame).expect("the events are short");
+        for event in events(&whole) {
+            all.push(String::from_utf8(event.to_vec()).expect("the events are text"));
         }
     }
-    events
+    all
 }
 
 #[rstest]
@@ -26,17 +26,17 @@
 #[case::cut_byte_by_byte(&["d", "a", "t", "a", ":", "\n", "\n"], &["data:\n\n"])]
 #[case::empty_frame(&["data: a", "", "\n\n"], &["data: a\n\n"])]
 #[case::unfinished_event(&["data: a\n\ndata: b"], &["data: a\n\n"])]
-fn events_are_cut_at_their_ends(#[case] frames: &[&str], #[case] events: &[&str]) {
-    assert_eq!(cut(frames), events);
+fn events_are_cut_at_their_ends(#[case] frames: &[&str], #[case] expected: &[&str]) {
+    assert_eq!(cut(frames), expected);
 }
 
 #[rstest]
 fn an_event_without_end_is_refused() {
-    let mut splitter = Splitter::default();
+    let mut joiner = Joiner::default();
     let frame = Bytes::from(vec![b'a'; 1 << 19]);
     let outcome = (0..8).try_for_each(|_| {
-        splitter.push(frame.clone())?;
-        assert_eq!(splitter.next(), None);
+        let whole = joiner.push(frame.clone())?;
+        assert!(whole.is_empty());
         Ok(())
     });
     assert_eq!(outcome, Err(TooLong));
