--- a/crates/papayayard/src/controllers/fleet/service.rs
+++ b/crates/papayayard/src/controllers/fleet/service.rs
@@ -212,7 +212,8 @@
                 self.fleet.finished(key, took, now);
                 self.fleet.answered(key, &place.keys, now);
             }
-            Outcome::Cancelled | Outcome::Refused => self.fleet.failed(key, &place.keys, now),
+            Outcome::Cancelled => self.fleet.cancelled(key, &place.keys, now),
+            Outcome::Refused => self.fleet.failed(key, &place.keys, now),
             Outcome::Unreachable | Outcome::Stalled | Outcome::Died => {
                 self.fleet.failed(key, &place.keys, now);
                 let same_run =
--- a/crates/papayayard_routing/src/choice.rs
+++ b/crates/papayayard_routing/src/choice.rs
@@ -86,9 +86,22 @@
     fleet: &'a fleet::Fleet,
     query: &'a Query<'_>,
 ) -> impl Iterator<Item = (fleet::Key, &'a fleet::Endpoint)> {
-    fleet
-        .iter()
-        .filter(|(key, endpoint)| endpoint.accepts(query.now) && !query.excluded.contains(key))
+    let seats = fleet.seats().iter();
+    seats.filter_map(|seat| Some((seat.key, candidate(fleet, query, seat)?)))
+}
+
+/// The endpoint of a seat, if a request may go to it.
+fn candidate<'a>(
+    fleet: &'a fleet::Fleet,
+    query: &Query<'_>,
+    seat: &fleet::Seat,
+) -> Option<&'a fleet::Endpoint> {
+    if !seat.eligible || query.excluded.contains(&seat.key) {
+        return None;
+    }
+    let endpoint = fleet.get(seat.key)?;
+    let permits = endpoint.health.permits(endpoint.load.open(), query.now);
+    permits.then_some(endpoint)
 }
 
 /// Checks an estimate against the request's limit.
@@ -101,17 +114,18 @@
     }
 }
 
-/// Seconds to compute a part of a prompt.
+/// Seconds to compute a part of a prompt, without any wait.
 fn compute_seconds(bytes: usize, endpoint: &fleet::Endpoint) -> f64 {
     f64::from(fleet::tokens(bytes)) / endpoint.load.rate()
 }
 
 /// A pick that expects nothing in the cache.
 fn cold(key: fleet::Key, endpoint: &fleet::Endpoint, query: &Query<'_>) -> Pick {
-    let compute = compute_seconds(query.prompt_bytes, endpoint);
+    let tokens = fleet::tokens(query.prompt_bytes);
+    let first_token = endpoint.load.first_token(tokens, query.now);
     Pick {
         endpoint: key,
         cached_bytes: 0,
-        first_token: Duration::from_secs_f64(endpoint.load.wait(query.now) + compute),
+        first_token: Duration::from_secs_f64(first_token),
     }
 }
--- a/crates/papayayard_routing/src/choice/least_loaded.rs
+++ b/crates/papayayard_routing/src/choice/least_loaded.rs
@@ -18,7 +18,7 @@
 
 /// Wait, and among equal waits the occupancy.
 fn rank(endpoint: &fleet::Endpoint, query: &Query<'_>) -> f64 {
-    endpoint.load.wait(query.now) + OCCUPANCY_SECONDS * endpoint.load.occupancy()
+    endpoint.load.backlog_seconds(query.now) + OCCUPANCY_SECONDS * endpoint.load.occupancy()
 }
 
 const OCCUPANCY_SECONDS: f64 = 0.001;
--- a/crates/papayayard_routing/src/choice/papayayard.rs
+++ b/crates/papayayard_routing/src/choice/papayayard.rs
@@ -4,7 +4,8 @@
 //! does not hold, plus a cost for another zone. A copy of a prefix on one more
 //! endpoint is paid for again later and takes room from other prefixes, so
 //! outside the endpoints that the prefix hashes to, what is not cached counts
-//! more. Estimates that differ by less than the noise of the load reports are
+//! more. A small cost for being outside lets a prefix that was hot leave the
+//! endpoints that it was spread to. Estimates that differ by less than the noise of the load reports are
 //! ties, which each host breaks in an order of its own: hosts that see the
 //! same state at one instant then take different endpoints.
 
@@ -17,27 +18,35 @@
 use crate::fleet;
 use crate::mix;
 
-const ZONE_SECONDS: f64 = 0.002;
+const ZONE_SECONDS: f64 = 0.02;
 const TIE_SECONDS: f64 = 0.005;
 const HOME_ENDPOINTS: usize = 2;
+const AWAY_SECONDS: f64 = 0.01;
 const COPY_WEIGHT: f64 = 0.5;
 const DOUBT_WEIGHT: f64 = 0.5;
+const SCAN_ENDPOINTS: usize = 48;
+const SAMPLES: u64 = 12;
 
 /// Takes the least estimated time to first token.
 #[derive(Debug)]
 pub struct Papayayard {
     seed: u64,
     picks: u64,
-    depths: Vec<Depth>,
-    ranked: Vec<rendezvous::Ranked>,
+    views: Vec<View>,
+    listed: Vec<usize>,
+    home: rendezvous::Home,
     scored: Vec<Scored>,
 }
 
-/// Leading blocks of a prompt that an endpoint is thought to hold.
+/// What is known of one endpoint towards one prompt.
 #[derive(Clone, Copy, Debug, Default)]
-struct Depth {
+struct View {
+    /// Leading blocks that it is thought to hold.
     blocks: usize,
+    /// Leading blocks without doubt.
     sure: usize,
+    listed: bool,
+    home: bool,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -49,32 +58,38 @@
 
 impl Papayayard {
     /// A policy for one host; `seed` differs between hosts.
-    pub const fn new(seed: u64) -> Self {
+    pub fn new(seed: u64) -> Self {
         Self {
             seed,
             picks: 0,
-            depths: Vec::new(),
-            ranked: Vec::new(),
+            views: Vec::new(),
+            listed: Vec::new(),
+            home: rendezvous::Home::default(),
             scored: Vec::new(),
         }
     }
 
     /// Walks the prompt's keys while any endpoint holds them.
-    fn measure(&mut self, fleet: &fleet::Fleet, query: &Query<'_>) {
-        let index = fleet.index();
-        self.depths.clear();
-        self.depths.resize(index.slots(), Depth::default());
+    fn list_holders(&mut self, fleet: &fleet::Fleet, query: &Query<'_>) {
+        self.listed.clear();
+        self.views.clear();
+        self.views.resize(fleet.seats().len(), View::default());
         for (level, &key) in query.keys.iter().enumerate() {
             let mut any = false;
-            index.holders(key, query.now, |holder| {
-                let depth = &mut self.depths[holder.slot.index()];
-                if depth.blocks != level {
+            fleet.index().holders(key, query.now, |holder| {
+                let slot = holder.slot.index();
+                let view = &mut self.views[slot];
+                if view.blocks != level {
                     return;
                 }
                 any = true;
-                depth.blocks = level + 1;
-                if !holder.doubtful && depth.sure == level {
-                    depth.sure = level + 1;
+                view.blocks = level + 1;
+                if !holder.doubtful && view.sure == level {
+                    view.sure = level + 1;
+                }
+                if !view.listed {
+                    view.listed = true;
+                    self.listed.push(slot);
                 }
             });
             if !any {
@@ -83,64 +98,113 @@
         }
     }
 
-    fn home(&mut self, fleet: &fleet::Fleet, query: &Query<'_>) {
-        self.ranked.clear();
-        let all = choice::candidates(fleet, query);
-        self.ranked
-            .extend(all.map(|(key, endpoint)| rendezvous::Ranked::new(key, endpoint)));
-        rendezvous::narrow(&mut self.ranked, query.keys, HOME_ENDPOINTS);
+    /// Adds the endpoints that the prefix hashes to.
+    fn list_home(&mut self, fleet: &fleet::Fleet, query: &Query<'_>) {
+        let slots = self.home.find(fleet, query.keys);
+        let usable = slots.iter().copied().filter(|slot| {
+            let seat = &fleet.seats()[*slot];
+            choice::candidate(fleet, query, seat).is_some()
+        });
+        for slot in usable.take(HOME_ENDPOINTS) {
+            self.views[slot].home = true;
+            list(&mut self.views, &mut self.listed, slot);
+        }
+    }
+
+    /// Adds all endpoints of a small fleet, and a few of a large one.
+    fn list_others(&mut self, fleet: &fleet::Fleet) {
+        let count = fleet.seats().len();
+        if count <= SCAN_ENDPOINTS {
+            self.list_all(fleet);
+            return;
+        }
+        for sample in 0..SAMPLES {
+            let random = mix::pair(self.seed ^ self.picks, sample);
+            let slot = usize::try_from(random).unwrap_or(0) % count;
+            list(&mut self.views, &mut self.listed, slot);
+        }
+    }
+
+    fn list_all(&mut self, fleet: &fleet::Fleet) {
+        for slot in 0..fleet.seats().len() {
+            list(&mut self.views, &mut self.listed, slot);
+        }
     }
 
     fn score(&mut self, fleet: &fleet::Fleet, query: &Query<'_>) {
         self.scored.clear();
-        for (key, endpoint) in choice::candidates(fleet, query) {
-            let depth = self.depths[endpoint.slot.index()];
-            let home = self.ranked.iter().any(|ranked| ranked.key == key);
-            let scored = estimate(key, endpoint, depth, home, query, fleet.block_bytes());
-            self.scored.push(scored);
+        for &slot in &self.listed {
+            let seat = &fleet.seats()[slot];
+            if let Some(endpoint) = choice::candidate(fleet, query, seat) {
+                let view = self.views[slot];
+                let scored = estimate(seat, endpoint, view, query, fleet.block_bytes());
+                self.scored.push(scored);
+            }
         }
     }
+
+    /// The least score; of those about as low, another for each host and pick.
+    fn best(&self) -> Option<Pick> {
+        let scores = self.scored.iter().map(|scored| scored.score);
+        let least = scores.min_by(f64::total_cmp)?;
+        let turn = mix::pair(self.seed, self.picks);
+        let low = self.scored.iter();
+        let ties = low.filter(|scored| scored.score <= least + TIE_SECONDS);
+        let best = ties.max_by_key(|scored| mix::pair(turn, scored.seed))?;
+        Some(best.pick)
+    }
 }
 
 impl Policy for Papayayard {
     fn pick(&mut self, fleet: &fleet::Fleet, query: &Query<'_>) -> Result<Pick, Refusal> {
-        self.measure(fleet, query);
-        self.home(fleet, query);
-        self.score(fleet, query);
-        let scores = self.scored.iter().map(|scored| scored.score);
-        let least = scores.min_by(f64::total_cmp).ok_or(Refusal::NoEndpoint)?;
         self.picks = self.picks.wrapping_add(1);
-        let turn = mix::pair(self.seed, self.picks);
-        let ties = self.scored.iter();
-        let best = ties
-            .filter(|scored| scored.score <= least + TIE_SECONDS)
-            .max_by_key(|scored| mix::pair(turn, scored.seed))
-            .ok_or(Refusal::NoEndpoint)?;
-        choice::admit(best.pick, query)
+        self.list_holders(fleet, query);
+        self.list_home(fleet, query);
+        self.list_others(fleet);
+        self.score(fleet, query);
+        if self.scored.is_empty() {
+            self.list_all(fleet);
+            self.score(fleet, query);
+        }
+        let pick = self.best().ok_or(Refusal::NoEndpoint)?;
+        choice::admit(pick, query)
+    }
+}
+
+fn list(views: &mut [View], listed: &mut Vec<usize>, slot: usize) {
+    if !views[slot].listed {
+        views[slot].listed = true;
+        listed.push(slot);
     }
 }
 
 fn estimate(
-    key: fleet::Key,
+    seat: &fleet::Seat,
     endpoint: &fleet::Endpoint,
-    depth: Depth,
-    home: bool,
+    view: View,
     query: &Query<'_>,
     block_bytes: usize,
 ) -> Scored {
-    let cached_bytes = (depth.blocks * block_bytes).min(query.prompt_bytes);
-    let sure_bytes = (depth.sure * block_bytes).min(cached_bytes);
+    let cached_bytes = (view.blocks * block_bytes).min(query.prompt_bytes);
+    let sure_bytes = (view.sure * block_bytes).min(cached_bytes);
+    let uncached_bytes = query.prompt_bytes - cached_bytes;
     let doubt = DOUBT_WEIGHT * choice::compute_seconds(cached_bytes - sure_bytes, endpoint);
-    let compute = choice::compute_seconds(query.prompt_bytes - cached_bytes, endpoint) + doubt;
-    let time = endpoint.load.wait(query.now) + compute + zone_seconds(&endpoint.zone, query.zone);
-    let copy = if home { 0.0 } else { COPY_WEIGHT * compute };
+    let wait = endpoint
+        .load
+        .first_token(fleet::tokens(uncached_bytes), query.now);
+    let time = wait + doubt + zone_seconds(&endpoint.zone, query.zone);
+    let copy = if view.home {
+        0.0
+    } else {
+        AWAY_SECONDS + COPY_WEIGHT * choice::compute_seconds(uncached_bytes, endpoint)
+    };
     Scored {
         pick: Pick {
-            endpoint: key,
+            endpoint: seat.key,
             cached_bytes,
             first_token: Duration::from_secs_f64(time),
         },
-        seed: endpoint.seed,
+        seed: seat.seed,
         score: time + copy,
     }
 }
--- a/crates/papayayard_routing/src/choice/rendezvous.rs
+++ b/crates/papayayard_routing/src/choice/rendezvous.rs
@@ -17,59 +17,75 @@
 /// Takes the endpoint that the prefix hashes to.
 #[derive(Clone, Debug, Default)]
 pub struct Rendezvous {
-    ranked: Vec<Ranked>,
-}
-
-/// An endpoint while candidates are narrowed.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Ranked {
-    pub(crate) key: fleet::Key,
-    pub(crate) seed: u64,
-    weight: u64,
+    home: Home,
 }
 
 impl Policy for Rendezvous {
     fn pick(&mut self, fleet: &fleet::Fleet, query: &Query<'_>) -> Result<Pick, Refusal> {
-        self.ranked.clear();
-        let all = choice::candidates(fleet, query);
-        self.ranked
-            .extend(all.map(|(key, endpoint)| Ranked::new(key, endpoint)));
-        narrow(&mut self.ranked, query.keys, 1);
-        let key = self.ranked.first().ok_or(Refusal::NoEndpoint)?.key;
-        let endpoint = fleet.get(key).ok_or(Refusal::NoEndpoint)?;
+        let seats = self.home.find(fleet, query.keys);
+        let mut homes = seats.iter().map(|slot| fleet.seats()[*slot]);
+        let first = homes.find(|seat| choice::candidate(fleet, query, seat).is_some());
+        let pick = match first {
+            Some(seat) => fleet.get(seat.key).map(|found| (seat.key, found)),
+            None => choice::candidates(fleet, query).next(),
+        };
+        let (key, endpoint) = pick.ok_or(Refusal::NoEndpoint)?;
         choice::admit(choice::cold(key, endpoint, query), query)
     }
 }
 
-impl Ranked {
-    pub(crate) const fn new(key: fleet::Key, endpoint: &fleet::Endpoint) -> Self {
-        Self {
-            key,
-            seed: endpoint.seed,
-            weight: 0,
-        }
-    }
+/// Finds the endpoints that a prefix hashes to.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Home {
+    slots: Vec<usize>,
+    half: Vec<usize>,
 }
 
-/// Keeps the `keep` endpoints that the prefix hashes to, the first the best.
-pub(crate) fn narrow(ranked: &mut Vec<Ranked>, keys: &[block::Key], keep: usize) {
-    let mut depth = 1;
-    while ranked.len() > keep && depth <= keys.len() {
-        let half = ranked.len().div_ceil(2).max(keep);
-        retain(ranked, keys[depth - 1], half);
-        depth *= 2;
-    }
-    let deepest = keys.last().copied().unwrap_or_default();
-    retain(ranked, deepest, keep);
-}
+/// Endpoints that [`Home::find`] gives, so that some may be down.
+pub(crate) const HOMES: usize = 4;
 
-fn retain(ranked: &mut Vec<Ranked>, key: block::Key, keep: usize) {
-    for entry in ranked.iter_mut() {
-        entry.weight = mix::pair(key.0, entry.seed);
+impl Home {
+    /// Positions of the seats that the prefix hashes to, the best first.
+    pub(crate) fn find(&mut self, fleet: &fleet::Fleet, keys: &[block::Key]) -> &[usize] {
+        let seats = fleet.seats();
+        self.slots.clear();
+        self.slots.extend(0..seats.len());
+        self.keep(|slot| seats[slot].eligible, 0);
+        let mut depth = 1;
+        while self.slots.len() > HOMES && depth <= keys.len() {
+            let root = mix::spread(keys[depth - 1].0);
+            let half = |slot: usize| mix::spread(root ^ seats[slot].seed) & 1 == 1;
+            self.keep(half, HOMES);
+            depth *= 2;
+        }
+        let deepest = keys.last().copied().unwrap_or_default();
+        let root = mix::spread(deepest.0);
+        let weight = |slot: &usize| Reverse(mix::spread(root ^ seats[*slot].seed));
+        if self.slots.len() > HOMES {
+            self.slots.select_nth_unstable_by_key(HOMES, weight);
+            self.slots.truncate(HOMES);
+        }
+        self.slots.sort_unstable_by_key(weight);
+        &self.slots
     }
-    if ranked.len() > keep && keep > 0 {
-        ranked.select_nth_unstable_by_key(keep - 1, |entry| Reverse(entry.weight));
+
+    /// Keeps the slots that pass, if they are `least` or more. Every slot is
+    /// written and the position moves only past those that pass: a branch on
+    /// a hash would be mispredicted half of the time.
+    fn keep<Pass>(&mut self, pass: Pass, least: usize)
+    where
+        Pass: Fn(usize) -> bool,
+    {
+        self.half.clear();
+        self.half.resize(self.slots.len(), 0);
+        let mut kept = 0;
+        for &slot in &self.slots {
+            self.half[kept] = slot;
+            kept += usize::from(pass(slot));
+        }
+        if kept >= least {
+            self.half.truncate(kept);
+            std::mem::swap(&mut self.slots, &mut self.half);
+        }
     }
-    ranked.truncate(keep);
-    ranked.sort_unstable_by_key(|entry| Reverse(entry.weight));
 }
--- a/crates/papayayard_routing/src/fleet.rs
+++ b/crates/papayayard_routing/src/fleet.rs
@@ -8,15 +8,16 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use papayayard_wire::{block, endpoint, id};
+use papayayard_wire::{block, endpoint as wire, id};
 use slotmap::SlotMap;
-use xxhash_rust::xxh3;
 
-use crate::ejection;
 use crate::index;
-use crate::load;
 use crate::run;
 
+mod endpoint;
+
+pub use endpoint::Endpoint;
+
 slotmap::new_key_type! {
     /// Handle of an endpoint in a [`Fleet`].
     pub struct Key;
@@ -33,31 +34,19 @@
     pub index_blocks: usize,
 }
 
-/// One endpoint.
-#[derive(Clone, Debug)]
-pub struct Endpoint {
-    /// Name.
-    pub name: id::Endpoint,
-    /// Availability zone.
-    pub zone: id::Zone,
-    /// Load.
-    pub load: load::Load,
-    /// Health, from the requests that were sent.
-    pub health: ejection::Health,
-    pub(crate) slot: index::Slot,
+/// What the choice scans, dense and by slot.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Seat {
+    pub(crate) key: Key,
     pub(crate) seed: u64,
-    eligible: bool,
-    runs: run::Tracker,
-    state: Option<endpoint::State>,
-    version: Option<id::Version>,
-    leaving: bool,
-    ejected: bool,
+    pub(crate) eligible: bool,
 }
 
 /// The endpoints of one model service.
 #[derive(Debug)]
 pub struct Fleet {
     endpoints: SlotMap<Key, Endpoint>,
+    seats: Vec<Seat>,
     names: HashMap<id::Endpoint, Key>,
     index: index::Index,
     version: id::Version,
@@ -70,6 +59,7 @@
     pub fn new(settings: Settings) -> Self {
         Self {
             endpoints: SlotMap::with_key(),
+            seats: Vec::new(),
             names: HashMap::new(),
             index: index::Index::new(settings.index_blocks),
             version: settings.version,
@@ -86,36 +76,32 @@
     /// Sets the weights version that the document asks for.
     pub fn set_version(&mut self, version: id::Version) {
         self.version = version;
-        for endpoint in self.endpoints.values_mut() {
-            endpoint.judge(&self.version);
+        for endpoint in self.endpoints.values() {
+            let seat = &mut self.seats[endpoint.slot.index()];
+            seat.eligible = endpoint.is_eligible(&self.version);
         }
     }
 
     /// Adds an endpoint, or finds it under its name; a leaving one is back.
     pub fn join(&mut self, name: &id::Endpoint, zone: &id::Zone) -> Key {
         if let Some(&key) = self.names.get(name) {
-            let endpoint = &mut self.endpoints[key];
-            endpoint.leaving = false;
-            endpoint.zone = zone.clone();
-            endpoint.judge(&self.version);
+            self.update(key, |endpoint| {
+                endpoint.leaving = false;
+                endpoint.zone = zone.clone();
+            });
             return key;
         }
-        let endpoint = Endpoint {
-            name: name.clone(),
-            zone: zone.clone(),
-            load: load::Load::default(),
-            health: ejection::Health::default(),
-            slot: self.index.open(),
-            seed: xxh3::xxh3_64(name.as_str().as_bytes()),
-            eligible: false,
-            runs: run::Tracker::default(),
-            state: None,
-            version: None,
-            leaving: false,
-            ejected: false,
-        };
+        let slot = self.index.open();
+        let endpoint = Endpoint::new(name, zone, slot);
+        let seed = endpoint.seed;
         let key = self.endpoints.insert(endpoint);
         self.names.insert(name.clone(), key);
+        self.seats.resize(self.index.slots(), Seat::default());
+        self.seats[slot.index()] = Seat {
+            key,
+            seed,
+            eligible: false,
+        };
         key
     }
 
@@ -128,6 +114,7 @@
     pub fn remove(&mut self, key: Key) {
         if let Some(endpoint) = self.endpoints.remove(key) {
             self.names.remove(&endpoint.name);
+            self.seats[endpoint.slot.index()] = Seat::default();
             self.index.close(endpoint.slot);
         }
     }
@@ -138,7 +125,7 @@
     }
 
     /// Takes a load report.
-    pub fn report(&mut self, key: Key, report: &endpoint::Report, now: Duration) -> run::Match {
+    pub fn report(&mut self, key: Key, report: &wire::Report, now: Duration) -> run::Match {
         let taken_at = now.saturating_sub(Duration::from_millis(report.age_ms));
         let run = self.matched(key, report.incarnation, Some(taken_at), now);
         let hosts = self.hosts;
@@ -161,15 +148,12 @@
     /// Takes a crash: the index entries are cleared, and nothing is sent
     /// until a report that was taken later.
     pub fn crashed(&mut self, key: Key, now: Duration) {
-        if let Some(endpoint) = self.endpoints.get_mut(key) {
-            endpoint.runs.end(now);
-            endpoint.ended(&self.version, now);
-            self.index.clear(endpoint.slot);
-        }
+        self.update(key, |endpoint| endpoint.runs.end(now));
+        self.run_ended(key, now);
     }
 
     /// Takes a page of cache events.
-    pub fn events(&mut self, key: Key, page: &endpoint::Page, now: Duration) -> run::Match {
+    pub fn events(&mut self, key: Key, page: &wire::Page, now: Duration) -> run::Match {
         let run = self.matched(key, page.incarnation, None, now);
         if run != run::Match::Ended {
             self.index.events(self.endpoints[key].slot, page, now);
@@ -252,10 +236,22 @@
         self.endpoints.iter()
     }
 
-    /// Whether an endpoint may be given new work.
-    pub fn eligible(&self, key: Key, now: Duration) -> bool {
+    /// Whether an endpoint is ready with the document's weights version, and
+    /// neither leaving nor ejected.
+    pub fn eligible(&self, key: Key) -> bool {
         let endpoint = self.endpoints.get(key);
-        endpoint.is_some_and(|endpoint| endpoint.accepts(now))
+        endpoint.is_some_and(|endpoint| self.seats[endpoint.slot.index()].eligible)
+    }
+
+    /// Whether an endpoint may be given one more request now.
+    pub fn accepts(&self, key: Key, now: Duration) -> bool {
+        let endpoint = self.endpoints.get(key);
+        let permits = |endpoint: &Endpoint| endpoint.health.permits(endpoint.load.open(), now);
+        self.eligible(key) && endpoint.is_some_and(permits)
+    }
+
+    pub(crate) fn seats(&self) -> &[Seat] {
+        &self.seats
     }
 
     /// Number of endpoints.
@@ -290,58 +286,30 @@
         };
         let run = endpoint.runs.seen(incarnation, taken_at, now);
         if run == run::Match::New {
-            endpoint.ended(&self.version, now);
-            self.index.clear(endpoint.slot);
+            self.run_ended(key, now);
         }
         run
     }
 
+    fn run_ended(&mut self, key: Key, now: Duration) {
+        self.update(key, |endpoint| endpoint.ended(now));
+        if let Some(endpoint) = self.endpoints.get(key) {
+            self.index.clear(endpoint.slot);
+        }
+    }
+
     fn update<Edit>(&mut self, key: Key, edit: Edit)
     where
         Edit: FnOnce(&mut Endpoint),
     {
         if let Some(endpoint) = self.endpoints.get_mut(key) {
             edit(endpoint);
-            endpoint.judge(&self.version);
+            let seat = &mut self.seats[endpoint.slot.index()];
+            seat.eligible = endpoint.is_eligible(&self.version);
         }
     }
 }
 
-impl Endpoint {
-    /// The current run of its process, once known.
-    pub const fn incarnation(&self) -> Option<id::Incarnation> {
-        self.runs.current()
-    }
-
-    /// Whether it may be given new work.
-    pub fn accepts(&self, now: Duration) -> bool {
-        self.eligible && self.health.permits(self.load.open(), now)
-    }
-
-    /// Whether it is leaving.
-    pub const fn leaving(&self) -> bool {
-        self.leaving
-    }
-
-    /// Whether it is left out because it failed.
-    pub const fn ejected(&self) -> bool {
-        self.ejected
-    }
-
-    fn ended(&mut self, version: &id::Version, now: Duration) {
-        self.state = None;
-        self.version = None;
-        self.load.restart(now);
-        self.judge(version);
-    }
-
-    fn judge(&mut self, version: &id::Version) {
-        let ready = self.state == Some(endpoint::State::Ready);
-        let current = self.version.as_ref() == Some(version);
-        self.eligible = ready && current && !self.leaving && !self.ejected;
-    }
-}
-
 /// Mean length of a token in bytes of a prompt.
 pub const BYTES_PER_TOKEN: usize = papayayard_document::document::BYTES_PER_TOKEN;
 
--- a/crates/papayayard_routing/src/index.rs
+++ b/crates/papayayard_routing/src/index.rs
@@ -32,11 +32,13 @@
     pub doubtful: bool,
 }
 
-const NONE: u32 = u32::MAX;
+/// No cell; positions in chains count from 1, so that memory which was never
+/// used stays untouched.
+const NONE: u32 = 0;
 const LIFETIME_SECONDS: u32 = 120;
 const MAX_HOLDERS: usize = 32;
 const VICTIM_CANDIDATES: usize = 8;
-const MAX_CELLS: usize = NONE as usize - 1;
+const MAX_CELLS: usize = u32::MAX as usize - 1;
 
 /// One pair of block and endpoint.
 #[derive(Clone, Copy, Debug)]
@@ -162,7 +164,7 @@
         let Source { life, epoch, .. } = self.sources[slot.index()];
         for &key in keys {
             if let Some(at) = self.find(slot, key, life) {
-                self.cells[at as usize].epoch = epoch.wrapping_sub(1);
+                self.cells[offset(at)].epoch = epoch.wrapping_sub(1);
             }
         }
     }
@@ -176,7 +178,7 @@
         let mut at = self.heads[self.bucket(key)];
         let mut found = 0;
         while at != NONE && found < MAX_HOLDERS {
-            let cell = &self.cells[at as usize];
+            let cell = &self.cells[offset(at)];
             if cell.key == key && self.live(cell, stamp) {
                 found += 1;
                 take(Holder {
@@ -219,8 +221,8 @@
         };
         match self.place(slot, key, stamp) {
             Some(at) => {
-                let next = self.cells[at as usize].next;
-                self.cells[at as usize] = Cell { next, ..cell };
+                let next = self.cells[offset(at)].next;
+                self.cells[offset(at)] = Cell { next, ..cell };
             }
             None => self.link(cell),
         }
@@ -234,7 +236,7 @@
         let mut oldest = None;
         let mut holders = 0;
         while at != NONE {
-            let cell = &self.cells[at as usize];
+            let cell = &self.cells[offset(at)];
             if !self.live(cell, stamp) {
                 dead = Some(at);
             } else if cell.key == key && cell.slot == slot {
@@ -254,7 +256,7 @@
         let at = self.take(cell.stamp);
         let bucket = self.bucket(cell.key);
         let next = self.heads[bucket];
-        self.cells[at as usize] = Cell { next, ..cell };
+        self.cells[offset(at)] = Cell { next, ..cell };
         self.heads[bucket] = at;
     }
 
@@ -271,7 +273,7 @@
     fn find(&self, slot: Slot, key: block::Key, life: u32) -> Option<u32> {
         let mut at = self.heads[self.bucket(key)];
         while at != NONE {
-            let cell = &self.cells[at as usize];
+            let cell = &self.cells[offset(at)];
             if cell.key == key && cell.slot == slot && cell.life == life {
                 return Some(at);
             }
@@ -285,7 +287,7 @@
     fn take(&mut self, stamp: u32) -> u32 {
         if self.free != NONE {
             let at = self.free;
-            self.free = self.cells[at as usize].next;
+            self.free = self.cells[offset(at)].next;
             return at;
         }
         if self.cells.len() < self.capacity {
@@ -313,7 +315,7 @@
     }
 
     fn release(&mut self, at: u32) {
-        self.cells[at as usize] = Cell {
+        self.cells[offset(at)] = Cell {
             next: self.free,
             ..FREE
         };
@@ -321,7 +323,7 @@
     }
 
     fn unlink(&mut self, at: u32) {
-        let Cell { key, next, .. } = self.cells[at as usize];
+        let Cell { key, next, .. } = self.cells[offset(at)];
         let bucket = self.bucket(key);
         if self.heads[bucket] == at {
             self.heads[bucket] = next;
@@ -329,7 +331,7 @@
         }
         let mut before = self.heads[bucket];
         while before != NONE {
-            let cell = &mut self.cells[before as usize];
+            let cell = &mut self.cells[offset(before)];
             if cell.next == at {
                 cell.next = next;
                 return;
@@ -355,5 +357,9 @@
 }
 
 fn position(index: usize) -> u32 {
-    u32::try_from(index).unwrap_or(NONE)
+    u32::try_from(index + 1).unwrap_or(NONE)
+}
+
+const fn offset(position: u32) -> usize {
+    position as usize - 1
 }
--- a/crates/papayayard_routing/src/load.rs
+++ b/crates/papayayard_routing/src/load.rs
@@ -14,6 +14,8 @@
 const DEFAULT_PREFILL_RATE: f64 = 8_000.0;
 const DEFAULT_SLOTS: f64 = 16.0;
 const DEFAULT_SERVICE_TIME: f64 = 1.0;
+const DEFAULT_MEAN_TOKENS: f64 = 1_000.0;
+const MEAN_TOKENS_WEIGHT: f64 = 0.05;
 const SERVICE_TIME_WEIGHT: f64 = 0.1;
 const MAX_RECENT: usize = 512;
 
@@ -29,6 +31,7 @@
     recent: VecDeque<Change>,
     open: u32,
     service_time: f64,
+    mean_tokens: f64,
 }
 
 /// What this host did to an endpoint.
@@ -51,6 +54,7 @@
             recent: VecDeque::new(),
             open: 0,
             service_time: DEFAULT_SERVICE_TIME,
+            mean_tokens: DEFAULT_MEAN_TOKENS,
         }
     }
 }
@@ -71,11 +75,25 @@
         self.occupied / self.slots
     }
 
-    /// Seconds until a request that is sent now would begin to compute.
-    pub fn wait(&self, now: Duration) -> f64 {
-        let backlog = self.drained(now) / self.rate;
+    /// Seconds until all that waits now is computed and a slot is free.
+    pub fn backlog_seconds(&self, now: Duration) -> f64 {
+        self.drained(now) / self.rate + self.slot_seconds()
+    }
+
+    /// Seconds to the first token of a request that is sent now with `tokens`
+    /// to compute. A batch shares its prefill, so that a short prompt waits
+    /// only for its share of longer ones.
+    pub fn first_token(&self, tokens: u32, now: Duration) -> f64 {
+        let tokens = f64::from(tokens);
+        let share = (tokens / self.mean_tokens).min(1.0);
+        let shared = self.drained(now) * share;
+        (tokens + shared) / self.rate + self.slot_seconds()
+    }
+
+    /// Seconds until a slot is free.
+    fn slot_seconds(&self) -> f64 {
         let excess = (self.occupied + 1.0 - self.slots).max(0.0);
-        backlog + excess * self.service_time / self.slots
+        excess * self.service_time / self.slots
     }
 
     /// Takes over a report that is `age` old at `now`; an older one than the
@@ -107,6 +125,8 @@
     /// Counts a request that was sent with `tokens` to compute.
     pub fn dispatched(&mut self, tokens: u32, now: Duration, hosts: f64) {
         self.open += 1;
+        let difference = f64::from(tokens) - self.mean_tokens;
+        self.mean_tokens = (self.mean_tokens + MEAN_TOKENS_WEIGHT * difference).max(1.0);
         self.record(now, f64::from(tokens), 1.0, hosts);
     }
 
--- a/crates/papayayard_routing/tests/admission.rs
+++ b/crates/papayayard_routing/tests/admission.rs
@@ -104,7 +104,7 @@
     admission.set_share(&account, share, ms(0));
     let now = ms(60_000);
     let offers = (0..100).map(|_| admission.offer(&demand(&account, now), now, 0));
-    assert_eq!(offers.filter(Result::is_ok).count(), 5);
+    assert_eq!(offers.flatten().count(), 5);
 }
 
 #[test]
--- a/crates/papayayard_routing/tests/fleet.rs
+++ b/crates/papayayard_routing/tests/fleet.rs
@@ -80,9 +80,9 @@
     #[case] eligible: bool,
 ) {
     let (mut fleet, key) = fleet();
-    assert!(!fleet.eligible(key, second(9)), "nothing is known yet");
+    assert!(!fleet.eligible(key), "nothing is known yet");
     fleet.report(key, &report(1, version, state, 0), second(1));
-    assert_eq!(fleet.eligible(key, second(9)), eligible);
+    assert_eq!(fleet.eligible(key), eligible);
 }
 
 #[test]
@@ -90,10 +90,10 @@
     let (mut fleet, key) = fleet();
     fleet.report(key, &ready(1), second(1));
     fleet.set_version("v2".into());
-    assert!(!fleet.eligible(key, second(9)));
+    assert!(!fleet.eligible(key));
     let loaded = report(1, "v2", endpoint::State::Ready, 0);
     fleet.report(key, &loaded, second(2));
-    assert!(fleet.eligible(key, second(9)));
+    assert!(fleet.eligible(key));
 }
 
 #[rstest]
@@ -108,7 +108,7 @@
     let (mut fleet, key) = fleet();
     fleet.report(key, &ready(1), second(1));
     act(&mut fleet, key);
-    assert!(!fleet.eligible(key, second(9)));
+    assert!(!fleet.eligible(key));
     let query = choice::Query {
         keys: &[],
         prompt_bytes: 10,
@@ -133,10 +133,7 @@
         run::Match::New
     );
     assert_eq!(held(&fleet, 1, second(2)), 0);
-    assert!(
-        !fleet.eligible(key, second(9)),
-        "until its own report says so"
-    );
+    assert!(!fleet.eligible(key), "until its own report says so");
 }
 
 #[test]
@@ -149,7 +146,7 @@
     assert_eq!(held(&fleet, 1, second(6)), 0);
     let late = report(1, "v1", endpoint::State::Ready, 3_000);
     assert_eq!(fleet.report(key, &late, second(6)), run::Match::Ended);
-    assert!(fleet.eligible(key, second(9)));
+    assert!(fleet.eligible(key));
 }
 
 #[test]
@@ -159,10 +156,10 @@
     fleet.crashed(key, second(5));
     let before = report(1, "v1", endpoint::State::Ready, 2_000);
     fleet.report(key, &before, second(6));
-    assert!(!fleet.eligible(key, second(9)));
+    assert!(!fleet.eligible(key));
     let after = report(1, "v1", endpoint::State::Ready, 500);
     fleet.report(key, &after, second(6));
-    assert!(fleet.eligible(key, second(9)));
+    assert!(fleet.eligible(key));
 }
 
 #[test]
@@ -178,7 +175,7 @@
             fleet.failed(*key, &[], second(1));
         }
     }
-    let eligible = keys.iter().filter(|key| fleet.eligible(**key, second(1)));
+    let eligible = keys.iter().filter(|key| fleet.accepts(**key, second(1)));
     assert_eq!(eligible.count(), 2);
 }
 
