--- a/crates/papayayardctl/src/main.rs
+++ b/crates/papayayardctl/src/main.rs
@@ -1,7 +1,21 @@
 //! The `papayayardctl` program, for operators and for trying papayayard out.
 
+mod address;
+mod check;
 mod command;
+mod failure;
+mod format;
+#[expect(dead_code, reason = "the demo, which follows, uses the rest")]
+mod load;
+mod promote;
+mod publish;
 mod stand_in;
+mod status;
+mod stream;
+#[cfg(test)]
+mod stream_test;
+#[expect(dead_code, reason = "the demo, which follows, uses the rest")]
+mod workload;
 
 use std::process::ExitCode;
 
