--- a/crates/papayayard_coordination/tests/journal.rs
+++ b/crates/papayayard_coordination/tests/journal.rs
@@ -82,14 +82,14 @@
     }
 }
 
-fn missed(from: u64, to: u64) -> Option<Gap> {
+fn missed(from: u64, to: u64) -> Gap {
     let (from, to) = (log::Offset(from), log::Offset(to));
-    Some(Gap::Missed { from, to })
+    Gap::Missed { from, to }
 }
 
-fn rewound(end: u64) -> Option<Gap> {
+fn rewound(end: u64) -> Gap {
     let (end, next) = (log::Offset(end), log::Offset(3));
-    Some(Gap::Rewound { end, next })
+    Gap::Rewound { end, next }
 }
 
 #[rstest]
@@ -97,11 +97,11 @@
 #[case::nothing_new(page(0, 3, &[]), None, &[], 3)]
 #[case::overlap(page(0, 5, &[1, 2, 3, 4]), None, &[3, 4], 5)]
 #[case::all_known(page(0, 3, &[1, 2]), None, &[], 3)]
-#[case::retention_passed(page(7, 9, &[7, 8]), missed(3, 7), &[7, 8], 9)]
-#[case::retention_took_all(page(9, 9, &[]), missed(3, 9), &[], 9)]
-#[case::hole_before(page(0, 9, &[6, 7]), missed(3, 6), &[6, 7], 8)]
+#[case::retention_passed(page(7, 9, &[7, 8]), Some(missed(3, 7)), &[7, 8], 9)]
+#[case::retention_took_all(page(9, 9, &[]), Some(missed(3, 9)), &[], 9)]
+#[case::hole_before(page(0, 9, &[6, 7]), Some(missed(3, 6)), &[6, 7], 8)]
 #[case::hole_within(page(0, 9, &[3, 4, 7]), None, &[3, 4], 5)]
-#[case::log_lost_records(page(0, 2, &[0, 1]), rewound(2), &[], 3)]
+#[case::log_lost_records(page(0, 2, &[0, 1]), Some(rewound(2)), &[], 3)]
 fn a_page_moves_the_position(
     #[case] page: log::Page,
     #[case] gap: Option<Gap>,
