--- a/crates/papayayard/src/controllers/fleet.rs
+++ b/crates/papayayard/src/controllers/fleet.rs
@@ -8,7 +8,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use papayayard_routing::choice;
+use papayayard_routing::{choice, quarantine, retry};
+use papayayard_wire::refusal::{Kind, Ran};
 use papayayard_wire::{block, directory, endpoint, id};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio_util::sync::CancellationToken;
@@ -28,13 +29,16 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Query {
     service: id::Service,
+    account: id::Account,
     version: id::Version,
     keys: Arc<[block::Key]>,
     prompt_bytes: usize,
     output_tokens: u32,
-    fingerprint: u64,
+    fingerprint: quarantine::Fingerprint,
     deadline: Option<Duration>,
     excluded: Vec<id::Endpoint>,
+    attempts: u32,
+    ran: Ran,
 }
 
 impl Query {
@@ -42,6 +46,7 @@
     pub(crate) fn new(completion: &Completion) -> Self {
         Self {
             service: completion.service.clone(),
+            account: completion.whole.known.account.id.clone(),
             version: completion.version.clone(),
             keys: completion.keys.clone().into(),
             prompt_bytes: completion.prompt_bytes,
@@ -49,21 +54,43 @@
             fingerprint: completion.fingerprint,
             deadline: completion.whole.known.deadline,
             excluded: Vec::new(),
+            attempts: 0,
+            ran: Ran::No,
         }
     }
 
-    /// Leaves out the endpoint of an earlier attempt.
-    pub(crate) fn exclude(&mut self, dispatch: &Dispatch) {
-        self.excluded.push(dispatch.endpoint.clone());
+    /// Takes down that the caller has the first token: from here on the
+    /// deadline is met, and the request has run.
+    pub(crate) fn begun(&mut self) {
+        self.deadline = None;
+        self.ran = Ran::Yes;
+    }
+
+    /// A refusal that says whether an earlier attempt may have run.
+    pub(crate) fn refusal(&self, kind: Kind, message: &str, after: Duration) -> Refusal {
+        Refusal::not_run(kind, message).ran(self.ran).after(after)
+    }
+
+    fn may_have_run(&mut self) {
+        if self.ran == Ran::No {
+            self.ran = Ran::Unknown;
+        }
     }
 }
 
 /// Tokens of an answer whose request states no maximum.
 const DEFAULT_OUTPUT_TOKENS: u32 = 256;
 
-/// A request's place at an endpoint.
-#[derive(Clone, Debug)]
+/// A request's place at an endpoint; dropping it unsettled cancels it.
+#[derive(Debug)]
 pub(crate) struct Dispatch {
+    place: Place,
+    messages: Option<mpsc::Sender<Message>>,
+}
+
+/// Where a request was sent and what it is expected to leave there.
+#[derive(Clone, Debug)]
+pub(crate) struct Place {
     /// Endpoint.
     pub(crate) endpoint: id::Endpoint,
     /// Its address.
@@ -73,17 +100,67 @@
     pub(crate) lost: CancellationToken,
     incarnation: Option<id::Incarnation>,
     service: id::Service,
+    account: id::Account,
     keys: Arc<[block::Key]>,
-    #[expect(dead_code, reason = "read by the quarantine")]
-    fingerprint: u64,
+    fingerprint: quarantine::Fingerprint,
     sent: Duration,
 }
 
 impl Dispatch {
+    /// Where the request was sent.
+    pub(crate) fn place(&self) -> &Place {
+        &self.place
+    }
+
+    /// Takes down how the request ended.
+    pub(crate) fn settle(mut self, outcome: Outcome) {
+        self.tell(outcome);
+    }
+
+    /// Takes down a failure; a request that may be retried asks another
+    /// endpoint with the same query.
+    pub(crate) async fn fail(
+        mut self,
+        outcome: Outcome,
+        query: &mut Query,
+    ) -> Result<(), retry::Denial> {
+        query.excluded.push(self.place.endpoint.clone());
+        query.attempts += 1;
+        if !matches!(outcome, Outcome::Refused | Outcome::Unreachable) {
+            query.may_have_run();
+        }
+        let failure = retry::Failure {
+            ran: query.ran,
+            idempotent: true,
+            attempts: query.attempts,
+        };
+        let Some(messages) = self.messages.take() else {
+            return Err(retry::Denial::Attempts);
+        };
+        let place = self.place.clone();
+        Handle { messages }
+            .ask(|reply| Message::Fail(place, outcome, failure, reply))
+            .await
+            .unwrap_or(Err(retry::Denial::Attempts))
+    }
+
+    fn tell(&mut self, outcome: Outcome) {
+        if let Some(messages) = self.messages.take() {
+            Handle { messages }.tell(Message::Settle(self.place.clone(), outcome));
+        }
+    }
+}
+
+impl Drop for Dispatch {
+    fn drop(&mut self) {
+        self.tell(Outcome::Cancelled);
+    }
+}
+
+impl Place {
     /// Whether an answer comes from the run that was chosen.
-    pub(crate) fn matches(&self, incarnation: u64) -> bool {
-        self.incarnation
-            .is_none_or(|chosen| chosen.0 == incarnation)
+    pub(crate) fn matches(&self, incarnation: id::Incarnation) -> bool {
+        self.incarnation.is_none_or(|chosen| chosen == incarnation)
     }
 }
 
@@ -91,17 +168,16 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Outcome {
     /// It was answered whole.
-    Finished {
-        /// Prompt tokens that the endpoint found in its cache.
-        cached: Option<u64>,
-    },
+    Finished,
     /// The endpoint refused it.
     Refused,
     /// The caller went away.
     Cancelled,
     /// No connection could be made.
     Unreachable,
-    /// The connection broke while it ran.
+    /// The answer broke off while the endpoint's process lives on.
+    Broken,
+    /// The endpoint's process ended while it ran.
     Died,
     /// Nothing came for too long.
     Stalled,
@@ -126,10 +202,18 @@
     pub(crate) report: Option<endpoint::Report>,
 }
 
+#[derive(Debug)]
 enum Message {
-    Choose(Query, oneshot::Sender<Result<Dispatch, Refusal>>),
-    Settle(Dispatch, Outcome),
-    Fail(Dispatch, Outcome, oneshot::Sender<bool>),
+    Choose(Query, oneshot::Sender<Result<Place, Refusal>>),
+    Settle(Place, Outcome),
+    Fail(
+        Place,
+        Outcome,
+        retry::Failure,
+        oneshot::Sender<Result<(), retry::Denial>>,
+    ),
+    Verdicts(oneshot::Sender<Vec<quarantine::Verdict>>),
+    Import(Vec<quarantine::Verdict>),
     Listed(Vec<directory::Endpoint>),
     Reported(endpoint::Report),
     Events(id::Endpoint, endpoint::Page),
@@ -146,27 +230,15 @@
 impl Handle {
     /// Chooses an endpoint and counts the request there.
     pub(crate) async fn choose(&self, query: &Query) -> Result<Dispatch, Refusal> {
-        let query = query.clone();
-        self.ask(|reply| Message::Choose(query, reply))
-            .await
-            .unwrap_or_else(|| Err(Refusal::stopping()))
-    }
-
-    /// Takes down how a dispatched request ended.
-    pub(crate) fn settle(&self, dispatch: &Dispatch, outcome: Outcome) {
-        self.tell(Message::Settle(dispatch.clone(), outcome));
-    }
-
-    /// Takes down a failure; answers whether the request may be retried.
-    pub(crate) async fn fail(
-        &self,
-        dispatch: &Dispatch,
-        outcome: Outcome,
-    ) -> Result<bool, Refusal> {
-        let dispatch = dispatch.clone();
-        self.ask(|reply| Message::Fail(dispatch, outcome, reply))
-            .await
-            .ok_or_else(Refusal::stopping)
+        let asked = query.clone();
+        let choice = self.ask(|reply| Message::Choose(asked, reply)).await;
+        match choice.unwrap_or_else(|| Err(Refusal::stopping())) {
+            Ok(place) => Ok(Dispatch {
+                place,
+                messages: Some(self.messages.clone()),
+            }),
+            Err(refusal) => Err(refusal.ran(query.ran)),
+        }
     }
 
     /// Takes in the platform's list.
@@ -189,6 +261,18 @@
         self.send(Message::Silent(endpoint)).await;
     }
 
+    /// Fingerprints that this host has quarantined.
+    #[expect(dead_code, reason = "read by the peers' controller")]
+    pub(crate) async fn verdicts(&self) -> Vec<quarantine::Verdict> {
+        self.ask(Message::Verdicts).await.unwrap_or_default()
+    }
+
+    /// Takes in fingerprints that another host has quarantined.
+    #[expect(dead_code, reason = "read by the peers' controller")]
+    pub(crate) async fn import(&self, verdicts: Vec<quarantine::Verdict>) {
+        self.send(Message::Import(verdicts)).await;
+    }
+
     /// State of all endpoints.
     pub(crate) async fn status(&self) -> Vec<Status> {
         self.ask(Message::Status).await.unwrap_or_default()
@@ -227,6 +311,8 @@
     pub(crate) policy: choice::Name,
     /// True state of the endpoints, for the policy that looks at it.
     pub(crate) truth: View,
+    /// Gets the number of requests that all endpoints together can run.
+    pub(crate) capacity: watch::Sender<u32>,
     /// Clock.
     pub(crate) clock: Clock,
 }
--- a/crates/papayayard/src/metrics.rs
+++ b/crates/papayayard/src/metrics.rs
@@ -5,6 +5,8 @@
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
+use papayayard_routing::retry;
+use papayayard_wire::completion::Usage;
 use papayayard_wire::refusal::Kind;
 use prometheus::{Encoder, Registry, TextEncoder};
 
@@ -13,30 +15,6 @@
 /// Bounds of the first-token histogram, in seconds.
 const FIRST_TOKEN_BOUNDS: [f64; 10] = [0.025, 0.05, 0.1, 0.2, 0.4, 0.7, 1.0, 1.4, 2.8, 5.6];
 
-/// Why a request was sent again.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Retry {
-    /// The endpoint refused it without running it.
-    EndpointRefused,
-    /// No connection could be made.
-    Unreachable,
-    /// The connection broke.
-    Broken,
-    /// Nothing came for too long.
-    TimedOut,
-}
-
-impl Retry {
-    const fn as_str(self) -> &'static str {
-        match self {
-            Self::EndpointRefused => "endpoint_refused",
-            Self::Unreachable => "unreachable",
-            Self::Broken => "broken",
-            Self::TimedOut => "timed_out",
-        }
-    }
-}
-
 /// All counters of a host.
 #[derive(Clone)]
 pub(crate) struct Metrics {
@@ -47,6 +25,9 @@
     requests: Counter<u64>,
     refusals: Counter<u64>,
     retries: Counter<u64>,
+    denials: Counter<u64>,
+    prompt_tokens: Counter<u64>,
+    generated_tokens: Counter<u64>,
     first_token: Histogram<f64>,
 }
 
@@ -74,6 +55,18 @@
                 .u64_counter("papayayard_retries")
                 .with_description("Requests sent again, by reason")
                 .build(),
+            denials: meter
+                .u64_counter("papayayard_retry_denials")
+                .with_description("Retries that were not allowed, by reason")
+                .build(),
+            prompt_tokens: meter
+                .u64_counter("papayayard_prompt_tokens")
+                .with_description("Prompt tokens of complete answers, by where they came from")
+                .build(),
+            generated_tokens: meter
+                .u64_counter("papayayard_generated_tokens")
+                .with_description("Generated tokens of complete answers")
+                .build(),
             first_token: meter
                 .f64_histogram("papayayard_first_token_seconds")
                 .with_description("Time from a request's arrival to its first token")
@@ -96,11 +89,28 @@
     }
 
     /// Counts a retry.
-    pub(crate) fn retried(&self, reason: Retry) {
+    pub(crate) fn retried(&self, reason: retry::Reason) {
         self.retries
             .add(1, &[KeyValue::new("reason", reason.as_str())]);
     }
 
+    /// Counts a retry that was not allowed.
+    pub(crate) fn denied(&self, denial: retry::Denial) {
+        self.denials
+            .add(1, &[KeyValue::new("reason", denial.as_str())]);
+    }
+
+    /// Counts the tokens of a complete answer.
+    pub(crate) fn answered(&self, usage: &Usage) {
+        let cached = usage.prompt_tokens_details.cached_tokens;
+        let computed = usage.prompt_tokens.saturating_sub(cached);
+        self.prompt_tokens
+            .add(cached, &[KeyValue::new("source", "cache")]);
+        self.prompt_tokens
+            .add(computed, &[KeyValue::new("source", "computed")]);
+        self.generated_tokens.add(usage.completion_tokens, &[]);
+    }
+
     /// Takes down the time to first token of a request received at `received`.
     pub(crate) fn first_token(&self, received: Duration) {
         let elapsed = self.clock.now().saturating_sub(received);
--- a/crates/papayayard/src/relay/completion.rs
+++ b/crates/papayayard/src/relay/completion.rs
@@ -6,14 +6,15 @@
 use http::{HeaderMap, HeaderValue, Response, StatusCode, header};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use papayayard_wire::completion::Answer as Whole;
-use papayayard_wire::refusal::{Kind, Ran};
+use papayayard_routing::retry;
+use papayayard_wire::completion::{Answer as Whole, Usage};
+use papayayard_wire::refusal::Kind;
 use tokio::sync::mpsc;
 use tokio::time;
 
 use crate::controllers::fleet;
-use crate::exchange::Completion;
-use crate::metrics::{Metrics, Retry};
+use crate::exchange::{Admitted, Completion};
+use crate::metrics::Metrics;
 use crate::refusal::Refusal;
 use crate::relay::attempt::{self, Reply};
 use crate::relay::client::{Client, Failure};
@@ -42,45 +43,42 @@
 
 impl Relay {
     /// Answers a completion.
-    pub(crate) async fn serve(&self, completion: Completion) -> Result<Answer, Refusal> {
-        let mut query = fleet::Query::new(&completion);
+    pub(crate) async fn serve(&self, admitted: Admitted<Completion>) -> Result<Answer, Refusal> {
+        let completion = &admitted.work;
+        let mut query = fleet::Query::new(completion);
         loop {
             let dispatch = self.fleet.choose(&query).await?;
-            match attempt::ask(&self.client, &completion, &dispatch, None).await {
+            match attempt::ask(&self.client, completion, dispatch.place(), None).await {
                 Reply::Begun(response) if completion.stream => {
-                    return Ok(self.stream(completion, query, dispatch, response));
+                    return Ok(self.stream(admitted, query, dispatch, response));
                 }
-                Reply::Begun(response) => match whole(&dispatch, response).await {
-                    Ok((body, cached)) => {
-                        self.fleet
-                            .settle(&dispatch, fleet::Outcome::Finished { cached });
+                Reply::Begun(response) => match whole(dispatch.place(), response).await {
+                    Ok((body, usage)) => {
+                        self.metrics.answered(&usage);
+                        dispatch.settle(fleet::Outcome::Finished);
                         return Ok(json(body));
                     }
-                    Err(failure) => self.failed(&mut query, &dispatch, failure).await?,
+                    Err(failure) => self.failed(&mut query, dispatch, failure).await?,
                 },
                 Reply::Rejected(response) => {
-                    self.fleet.settle(&dispatch, fleet::Outcome::Refused);
+                    dispatch.settle(fleet::Outcome::Refused);
                     return rejected(response).await;
                 }
-                Reply::Refused => {
-                    self.fleet.settle(&dispatch, fleet::Outcome::Refused);
-                    self.metrics.retried(Retry::EndpointRefused);
-                    query.exclude(&dispatch);
-                }
-                Reply::Failed(failure) => self.failed(&mut query, &dispatch, failure).await?,
+                Reply::Refused => self.refused(&mut query, dispatch).await?,
+                Reply::Failed(failure) => self.failed(&mut query, dispatch, failure).await?,
             }
         }
     }
 
     fn stream(
         &self,
-        completion: Completion,
+        admitted: Admitted<Completion>,
         query: fleet::Query,
         dispatch: fleet::Dispatch,
         response: Response<Incoming>,
     ) -> Answer {
         let (events, receiver) = mpsc::channel(EVENT_BACKLOG);
-        let pump = Pump::new(self.clone(), completion, query, events);
+        let pump = Pump::new(self.clone(), admitted, query, events);
         tokio::spawn(pump.run(dispatch, response));
         let mut headers = HeaderMap::new();
         headers.insert(
@@ -95,55 +93,77 @@
         }
     }
 
+    /// Settles an attempt that the endpoint refused without running it.
+    pub(crate) async fn refused(
+        &self,
+        query: &mut fleet::Query,
+        dispatch: fleet::Dispatch,
+    ) -> Result<(), Refusal> {
+        let leave = dispatch.fail(fleet::Outcome::Refused, query).await;
+        self.retry(query, leave, retry::Reason::Refused)
+    }
+
     /// Settles a failed attempt; refuses the request where no other may follow.
     pub(crate) async fn failed(
         &self,
         query: &mut fleet::Query,
-        dispatch: &fleet::Dispatch,
+        dispatch: fleet::Dispatch,
         failure: Failure,
     ) -> Result<(), Refusal> {
-        query.exclude(dispatch);
-        let (outcome, reason) = match failure {
-            Failure::Unreachable => (fleet::Outcome::Unreachable, Retry::Unreachable),
-            Failure::Broken => (fleet::Outcome::Died, Retry::Broken),
-            Failure::TimedOut => (fleet::Outcome::Stalled, Retry::TimedOut),
+        let outcome = match failure {
+            Failure::Unreachable => fleet::Outcome::Unreachable,
+            Failure::Mismatched => fleet::Outcome::Broken,
+            Failure::TimedOut => fleet::Outcome::Stalled,
+            Failure::Broken | Failure::Lost => {
+                if attempt::alive(&self.client, dispatch.place()).await {
+                    fleet::Outcome::Broken
+                } else {
+                    fleet::Outcome::Died
+                }
+            }
         };
-        let allowed = self.fleet.fail(dispatch, outcome).await?;
-        if !allowed {
-            return Err(Refusal::not_run(
-                Kind::EndpointFailed,
-                "the endpoint failed and the retry budget is spent; come back later",
-            )
-            .ran(ran(failure))
-            .after(FAILED_RETRY));
-        }
-        self.metrics.retried(reason);
-        Ok(())
+        let leave = dispatch.fail(outcome, query).await;
+        self.retry(query, leave, failure.reason())
     }
-}
 
-fn ran(failure: Failure) -> Ran {
-    match failure {
-        Failure::Unreachable => Ran::No,
-        Failure::Broken | Failure::TimedOut => Ran::Unknown,
+    fn retry(
+        &self,
+        query: &fleet::Query,
+        leave: Result<(), retry::Denial>,
+        reason: retry::Reason,
+    ) -> Result<(), Refusal> {
+        match leave {
+            Ok(()) => {
+                self.metrics.retried(reason);
+                Ok(())
+            }
+            Err(denial) => {
+                self.metrics.denied(denial);
+                Err(query.refusal(
+                    Kind::EndpointFailed,
+                    "the endpoint failed and no further retry is allowed; come back later",
+                    FAILED_RETRY,
+                ))
+            }
+        }
     }
 }
 
 async fn whole(
-    dispatch: &fleet::Dispatch,
+    place: &fleet::Place,
     response: Response<Incoming>,
-) -> Result<(Bytes, Option<u64>), Failure> {
+) -> Result<(Bytes, Usage), Failure> {
     let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect();
-    let body = time::timeout(WHOLE_TIMEOUT, dispatch.lost.run_until_cancelled(body));
+    let body = time::timeout(WHOLE_TIMEOUT, place.lost.run_until_cancelled(body));
     let body = body
         .await
         .map_err(|_| Failure::TimedOut)?
-        .ok_or(Failure::Broken)?
+        .ok_or(Failure::Lost)?
         .map_err(|_| Failure::Broken)?
         .to_bytes();
     let answer: Whole<'_> = serde_json::from_slice(&body).map_err(|_| Failure::Broken)?;
-    let cached = answer.usage.prompt_tokens_details.cached_tokens;
-    Ok((body, Some(cached)))
+    let usage = answer.usage;
+    Ok((body, usage))
 }
 
 async fn rejected(response: Response<Incoming>) -> Result<Answer, Refusal> {
