Add what hosts exchange, with its cost measured

Cause: revisions, departures, quarantine and shares have to reach all hosts within the budget of 2 KB/s and 3.4% of a core per host.

Change: coordination::exchange composes calls, replies and one further call where digests differ; tests run whole deployments in memory with real encodings.

--- a/crates/papayayard_coordination/src/lib.rs
+++ b/crates/papayayard_coordination/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod configuration;
 pub mod demand;
 pub mod departure;
+pub mod exchange;
 pub mod gossip;
 mod grant;
 pub mod journal;
--- a/crates/papayayard_coordination/src/membership.rs
+++ b/crates/papayayard_coordination/src/membership.rs
@@ -240,6 +240,16 @@
         hosts
     }
 
+    /// Hosts that shares of limits are exchanged with: all where they are few,
+    /// else those of the own zone.
+    pub fn partners(&self) -> Vec<id::Host> {
+        let is_small = self.members.len() < pace::PARTNERS;
+        let members = self.members.iter();
+        let partners = members.filter(|(_, member)| is_small || member.zone == self.zone);
+        let partners = partners.filter(|(_, member)| member.state != Some(peer::State::Left));
+        partners.map(|(host, _)| host.clone()).collect()
+    }
+
     /// Whether this host, on its own, takes the peer to be out of reach.
     pub fn is_suspected(&self, host: &id::Host) -> bool {
         self.members
--- a/crates/papayayard_coordination/src/pace.rs
+++ b/crates/papayayard_coordination/src/pace.rs
@@ -46,6 +46,8 @@
 
 /// Bytes that a call and its reply cost when nothing differs.
 pub(crate) const CALL_BYTES: usize = 1_200;
+/// Hosts up to which shares are exchanged with all of them.
+pub(crate) const PARTNERS: usize = 64;
 /// Share of a period by which calls are spread, in percent.
 const JITTER_PERCENT: u32 = 20;
 
--- a/crates/papayayard_wire/src/peer.rs
+++ b/crates/papayayard_wire/src/peer.rs
@@ -158,9 +158,9 @@
 /// Contents that follow digests.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Contents {
-    /// The accepted proposal.
+    /// The accepted proposal, and how far the sender had read.
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub proposal: Option<configuration::Proposal>,
+    pub configuration: Option<configuration::Entry>,
     /// The platform's list, for a host that has none.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub directory: Option<directory::List>,
@@ -175,7 +175,7 @@
 impl Contents {
     /// Whether there is nothing in it.
     pub const fn is_empty(&self) -> bool {
-        self.proposal.is_none()
+        self.configuration.is_none()
             && self.directory.is_none()
             && self.departures.is_empty()
             && self.quarantine.is_empty()
