--- a/crates/papayayard/tests/documentation.rs
+++ b/crates/papayayard/tests/documentation.rs
@@ -2,6 +2,9 @@
 
 mod support;
 
+use std::fs;
+use std::path::Path;
+
 use http::Method;
 use papayayard::settings::Settings;
 use papayayard_document::document::Document;
@@ -105,3 +108,24 @@
     keys.retain(|key| !quoted(CONFIGURATION, key));
     assert!(keys.is_empty(), "not in docs/CONFIGURATION.md: {keys:?}");
 }
+
+#[test]
+fn links_lead_to_files() {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
+    let pages = fs::read_dir(root.join("docs")).expect("there are pages");
+    let pages = pages.map(|page| page.expect("the directory can be read").path());
+    let front = ["README.md", "CONTRIBUTING.md"].map(|name| root.join(name));
+    let mut missing = Vec::new();
+    for page in pages.chain(front) {
+        let text = fs::read_to_string(&page).expect("a page is text");
+        let parts = text.split("](").skip(1);
+        let links = parts.filter_map(|rest| rest.split(')').next());
+        for link in links.filter(|link| !link.starts_with("http")) {
+            let target = page.with_file_name(link.split('#').next().unwrap_or(link));
+            if !target.exists() {
+                missing.push(format!("{} in {}", link, page.display()));
+            }
+        }
+    }
+    assert!(missing.is_empty(), "{missing:#?}");
+}
