--- a/crates/papayayard_stand_in/src/engine.rs
+++ b/crates/papayayard_stand_in/src/engine.rs
@@ -94,12 +94,12 @@
             time_scale: 1.0,
             rates: batch::Rates {
                 slots: 32,
-                prefill_rate: 20_000,
+                prefill_rate: 40_000,
                 decode_time: Duration::from_millis(20),
             },
-            cache_blocks: 512,
+            cache_blocks: 1024,
             cache_lifetime: Duration::from_secs(8),
-            block_bytes: 8192,
+            block_bytes: 2048,
             report_lag: Duration::from_millis(250),
             event_delay: Duration::from_millis(100),
             fencing: Fencing::Checked,
@@ -135,6 +135,11 @@
         self.shared.apply(fault);
     }
 
+    /// Availability zone.
+    pub fn zone(&self) -> id::Zone {
+        self.shared.lock().options.zone.clone()
+    }
+
     /// What really ran.
     pub fn ledger(&self) -> Vec<Entry> {
         self.shared.lock().ledger().to_vec()
@@ -162,6 +167,12 @@
         self.0.lock().cached(keys, now)
     }
 
+    /// Whether the engine is up and takes requests.
+    pub fn is_ready(&self) -> bool {
+        let core = self.0.lock();
+        !core.down && core.state == endpoint::State::Ready
+    }
+
     /// Load and state now.
     pub fn report(&self) -> endpoint::Report {
         let now = self.0.clock.now();
--- a/crates/papayayardctl/src/command.rs
+++ b/crates/papayayardctl/src/command.rs
@@ -5,7 +5,7 @@
 
 use gumdrop::Options;
 
-use crate::{load, stand_in};
+use crate::{demo, load, stand_in};
 
 /// Arguments of the program.
 #[derive(Debug, Options)]
@@ -23,6 +23,8 @@
     StandIn(stand_in::Arguments),
     /// Sends a load and checks every answer
     Load(load::Arguments),
+    /// Runs hosts and stand-ins in one process and sends a burst
+    Demo(demo::Arguments),
 }
 
 /// Runs the subcommand; the exit code tells whether it went well.
@@ -35,6 +37,7 @@
         }
         Some(Command::StandIn(arguments)) => finish(stand_in::run(arguments).await),
         Some(Command::Load(arguments)) => finish(load::run(arguments).await),
+        Some(Command::Demo(arguments)) => finish(demo::run(arguments).await),
     }
 }
 
--- a/crates/papayayardctl/src/load.rs
+++ b/crates/papayayardctl/src/load.rs
@@ -15,6 +15,7 @@
 use gumdrop::Options;
 use serde::Serialize;
 use snafu::Snafu;
+use tokio::sync::watch;
 
 use crate::format::Format;
 use crate::workload::{self, Planned};
@@ -217,7 +218,7 @@
         return Ok(None);
     }
     let options = run::Options {
-        targets: targets.to_vec(),
+        targets: watch::Sender::new(targets.to_vec()).subscribe(),
         keys: if arguments.key.is_empty() {
             vec![String::new()]
         } else {
--- a/crates/papayayardctl/src/load/caller.rs
+++ b/crates/papayayardctl/src/load/caller.rs
@@ -31,8 +31,6 @@
 /// What to send.
 #[derive(Clone, Debug)]
 pub(crate) struct Call {
-    /// Host or endpoint.
-    pub(crate) target: SocketAddr,
     /// Bearer key.
     pub(crate) key: String,
     /// Model.
@@ -58,6 +56,8 @@
     Cut,
     /// No answer came.
     Lost,
+    /// No connection was made, so nothing was sent.
+    Unreachable,
     /// The answer is not the expected one.
     Wrong(&'static str),
 }
@@ -102,16 +102,26 @@
 }
 
 /// Sends a streamed completion and reads it to its end.
-pub(crate) async fn call(client: &Client, call: &Call, scheduled: Instant) -> Seen {
+pub(crate) async fn call(
+    client: &Client,
+    target: SocketAddr,
+    call: &Call,
+    scheduled: Instant,
+) -> Seen {
     let mut check = Check::new(call, scheduled);
-    let Some(request) = build(call) else {
+    let Some(request) = build(target, call) else {
         return check.end(End::Wrong("the request cannot be built"));
     };
     let response = match client.request(request).await {
         Ok(response) => response,
         Err(error) => {
             log::debug!(error:? = error; "no answer");
-            return check.end(End::Lost);
+            let unreachable = error.is_connect();
+            return check.end(if unreachable {
+                End::Unreachable
+            } else {
+                End::Lost
+            });
         }
     };
     check.request = response
@@ -127,14 +137,14 @@
     check.end(end)
 }
 
-fn build(call: &Call) -> Option<Request<Full<Bytes>>> {
+fn build(target: SocketAddr, call: &Call) -> Option<Request<Full<Bytes>>> {
     let asked = Asked {
         model: &call.model,
         prompt: &call.prompt,
         max_tokens: call.max_tokens,
         stream: true,
     };
-    let mut builder = Request::post(format!("http://{}/v1/completions", call.target))
+    let mut builder = Request::post(format!("http://{}/v1/completions", target))
         .header(header::AUTHORIZATION, format!("Bearer {}", call.key))
         .header(header::CONTENT_TYPE, "application/json");
     if let Some(id) = &call.request {
--- a/crates/papayayardctl/src/load/run.rs
+++ b/crates/papayayardctl/src/load/run.rs
@@ -4,18 +4,21 @@
 use std::time::{Duration, Instant};
 
 use papayayard_stand_in::ledger::Entry;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::time;
 
-use super::caller::{self, Call, Client, Seen};
+use super::caller::{self, Call, Client, End, Seen};
 use super::tally::Tally;
 use crate::workload::Planned;
 
+/// Pause after no target could be connected to.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(20);
+
 /// Where and as whom to send.
 #[derive(Clone, Debug)]
 pub(crate) struct Options {
     /// Hosts or endpoints, taken in turn.
-    pub(crate) targets: Vec<SocketAddr>,
+    pub(crate) targets: watch::Receiver<Vec<SocketAddr>>,
     /// Keys of the accounts, taken by the account's index.
     pub(crate) keys: Vec<String>,
     /// Model.
@@ -89,7 +92,6 @@
     for (index, planned) in plan.iter().enumerate() {
         let scheduled = start + planned.at.div_f64(options.time_scale);
         let call = Call {
-            target: options.targets[index % options.targets.len()],
             key: options.keys[planned.account % options.keys.len()].clone(),
             model: options.model.clone(),
             prompt: planned.prompt(),
@@ -97,18 +99,52 @@
             request: options.names.then(|| format!("load-{index}")),
         };
         time::sleep_until(scheduled.into()).await;
-        let client = client.clone();
+        let balancer = Balancer {
+            client: client.clone(),
+            targets: options.targets.clone(),
+            next: index,
+        };
         let results = results.clone();
         let patience = options.patience;
         let at = planned.at;
         tokio::spawn(async move {
-            let seen = time::timeout(patience, caller::call(&client, &call, scheduled)).await;
+            let seen = time::timeout(patience, balancer.send(&call, scheduled)).await;
             let seen = seen.unwrap_or_else(|_| Seen::lost());
             let _ = results.send(Finished { at, seen });
         });
     }
 }
 
+/// Stands in for the platform's balancer.
+struct Balancer {
+    client: Client,
+    targets: watch::Receiver<Vec<SocketAddr>>,
+    next: usize,
+}
+
+impl Balancer {
+    /// Sends to the first target that can be connected to.
+    async fn send(mut self, call: &Call, scheduled: Instant) -> Seen {
+        loop {
+            for _ in 0..self.targets.borrow().len() {
+                let target = self.target();
+                let seen = caller::call(&self.client, target, call, scheduled).await;
+                if seen.end != End::Unreachable {
+                    return seen;
+                }
+            }
+            time::sleep(RECONNECT_PAUSE).await;
+        }
+    }
+
+    fn target(&mut self) -> SocketAddr {
+        let targets = self.targets.borrow();
+        let target = targets[self.next % targets.len()];
+        self.next += 1;
+        target
+    }
+}
+
 /// All entries of some ledgers.
 pub(crate) async fn ledgers(addresses: &[SocketAddr]) -> Result<Vec<Entry>, String> {
     let mut entries = Vec::new();
--- a/crates/papayayardctl/src/load/tally.rs
+++ b/crates/papayayardctl/src/load/tally.rs
@@ -117,7 +117,7 @@
                 self.cut += 1;
                 Told::Other
             }
-            End::Lost => {
+            End::Lost | End::Unreachable => {
                 self.unanswered += 1;
                 Told::Other
             }
--- a/crates/papayayardctl/src/main.rs
+++ b/crates/papayayardctl/src/main.rs
@@ -1,11 +1,11 @@
 //! The `papayayardctl` program, for operators and for trying papayayard out.
 
 mod command;
+mod demo;
 mod format;
-#[expect(dead_code, reason = "the demo, which follows, uses the rest")]
 mod load;
+mod plot;
 mod stand_in;
-#[expect(dead_code, reason = "the demo, which follows, uses the rest")]
 mod workload;
 
 use std::process::ExitCode;
--- a/crates/papayayardctl/src/stand_in.rs
+++ b/crates/papayayardctl/src/stand_in.rs
@@ -62,19 +62,19 @@
     #[options(no_short, meta = "N", default = "32")]
     slots: usize,
     /// Prompt tokens computed per second
-    #[options(no_short, meta = "N", default = "20000")]
+    #[options(no_short, meta = "N", default = "40000")]
     prefill_rate: u32,
     /// Milliseconds between two tokens of a request
     #[options(no_short, meta = "MS", default = "20")]
     decode_ms: u64,
     /// Blocks that the cache holds at most
-    #[options(no_short, meta = "N", default = "512")]
+    #[options(no_short, meta = "N", default = "1024")]
     cache_blocks: usize,
     /// Milliseconds that a block stays after its last use
     #[options(no_short, meta = "MS", default = "8000")]
     cache_lifetime_ms: u64,
     /// Length of a block in bytes, where a request does not say
-    #[options(no_short, meta = "BYTES", default = "8192")]
+    #[options(no_short, meta = "BYTES", default = "2048")]
     block_bytes: usize,
     /// Lag of load reports in milliseconds
     #[options(no_short, meta = "MS", default = "250")]
--- a/crates/papayayardctl/src/workload.rs
+++ b/crates/papayayardctl/src/workload.rs
@@ -5,6 +5,7 @@
 //! texts follow from the workload and the names of the levels, so that a
 //! prompt is only built when it is sent.
 
+use std::collections::HashSet;
 use std::str::FromStr;
 use std::time::Duration;
 
@@ -41,9 +42,6 @@
 }
 
 impl Name {
-    /// All workloads with shared prefixes.
-    pub(crate) const SHARED: [Self; 3] = [Self::ClassStart, Self::Handover, Self::MixedDay];
-
     /// Name on the command line.
     pub(crate) const fn as_str(self) -> &'static str {
         match self {
@@ -117,6 +115,8 @@
     pub(crate) account: usize,
     /// Tokens of the answer.
     pub(crate) max_tokens: u32,
+    /// Text at the end of the prompt.
+    pub(crate) marker: Option<&'static str>,
     group: u32,
     member: u32,
     question: u64,
@@ -139,7 +139,8 @@
         push_words(&mut text, account_seed, account);
         push_words(&mut text, group_seed, group);
         push_words(&mut text, member_seed, member);
-        push_words(&mut text, mix(member_seed, self.question + 1), question);
+        push_words(&mut text, mix(member_seed, self.question), question);
+        text.push_str(self.marker.unwrap_or_default());
         text
     }
 }
@@ -248,6 +249,7 @@
         at,
         account,
         max_tokens: options.max_tokens.unwrap_or(max_tokens),
+        marker: None,
         group,
         member: random.random_range(0..members),
         question: mix(options.seed, index as u64),
@@ -279,6 +281,27 @@
     }
 }
 
+/// Prompt tokens of a plan when each prefix is computed once.
+pub(crate) fn distinct_tokens(plan: &[Planned]) -> u64 {
+    let mut seen = HashSet::new();
+    let mut total = 0;
+    for planned in plan {
+        let lengths = planned.lengths;
+        let levels = [
+            (None, None, lengths.account),
+            (Some(planned.group), None, lengths.group),
+            (Some(planned.group), Some(planned.member), lengths.member),
+        ];
+        for (group, member, length) in levels {
+            if seen.insert((planned.account, group, member, length)) {
+                total += length;
+            }
+        }
+        total += lengths.question;
+    }
+    total as u64
+}
+
 /// Adds the words of a level; the text follows from the seed.
 fn push_words(text: &mut String, seed: u64, tokens: usize) {
     let mut state = seed;
