--- a/crates/papayayard_stand_in/src/engine/batch.rs
+++ b/crates/papayayard_stand_in/src/engine/batch.rs
@@ -1,9 +1,11 @@
 //! Continuous batching: slots, a queue by priority, chunked prefill, decode.
 //!
 //! The engine works in steps. A step gives each decoding request one token
-//! and shares a budget of prompt tokens equally among the requests in
-//! prefill. It takes as long as the longer of both. No socket, clock or task
-//! is in here: time is handed in.
+//! and spends a budget of prompt tokens on the requests in prefill, those of
+//! higher priority first and then in order of arrival. It takes as long as
+//! the longer of both. A request looks its prefix up when its first prompt
+//! token is scheduled, so that it finds what the ones before it computed. No
+//! socket, clock or task is in here: time is handed in.
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -48,6 +50,7 @@
 #[derive(Debug)]
 struct Entry {
     job: Job,
+    started: bool,
     computed: u64,
     planned: u64,
     position: u64,
@@ -82,9 +85,9 @@
     fn change(&mut self, change: Change);
 }
 
-/// A request that entered the batch.
+/// A request that began to compute.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Admission {
+pub struct Start {
     /// The request.
     pub handle: Handle,
     /// Prompt tokens found in the cache.
@@ -96,8 +99,8 @@
 pub struct Step {
     /// How long it takes.
     pub duration: Duration,
-    /// Requests that entered the batch.
-    pub admitted: Vec<Admission>,
+    /// Requests that began to compute.
+    pub started: Vec<Start>,
 }
 
 /// Requests of one engine, queued and running.
@@ -144,7 +147,11 @@
 
     /// Prompt tokens that are still to be computed.
     pub fn pending_tokens(&self, now: Duration) -> u64 {
-        let running: u64 = self.running.values().map(Entry::remaining).sum();
+        let running: u64 = self
+            .running
+            .values()
+            .map(|entry| self.left(entry, now))
+            .sum();
         let queued: u64 = self
             .queue
             .values()
@@ -153,6 +160,13 @@
         running + queued
     }
 
+    fn left(&self, entry: &Entry, now: Duration) -> u64 {
+        if entry.started {
+            return entry.remaining();
+        }
+        entry.job.prompt_tokens - self.cached_tokens(&entry.job, now)
+    }
+
     /// Queues a request.
     pub fn push(&mut self, job: Job) -> Handle {
         let handle = Handle(self.next);
@@ -169,11 +183,11 @@
 
     /// Starts a step; none where there is nothing to do.
     pub fn begin(&mut self, now: Duration) -> Option<Step> {
-        let admitted = self.admit(now);
+        self.admit();
         if self.running.is_empty() {
             return None;
         }
-        let planned = self.plan_prefill();
+        let (planned, started) = self.plan_prefill(now);
         let prefill = Duration::from_secs_f64(tokens_f64(planned) / self.prefill_rate());
         let decoding = self.running.values().any(|entry| entry.remaining() == 0);
         let decode = if decoding {
@@ -183,7 +197,7 @@
         };
         Some(Step {
             duration: prefill.max(decode),
-            admitted,
+            started,
         })
     }
 
@@ -239,57 +253,71 @@
         }
     }
 
-    fn admit(&mut self, now: Duration) -> Vec<Admission> {
-        let mut admitted = Vec::new();
+    fn admit(&mut self) {
         while self.running.len() < self.rates.slots {
             let Some(((_, handle), job)) = self.queue.pop_first() else {
-                break;
+                return;
             };
-            self.cache.lookup(&job.keys, now);
-            let cached_tokens = self.cached_tokens(&job, now);
-            admitted.push(Admission {
-                handle,
-                cached_tokens,
-            });
             let entry = Entry {
-                computed: cached_tokens,
+                started: false,
+                computed: 0,
                 planned: 0,
                 position: job.from,
                 job,
             };
             self.running.insert(handle, entry);
         }
-        admitted
     }
 
-    /// Tokens of a prompt that need no computing; the last one always does.
     fn cached_tokens(&self, job: &Job, now: Duration) -> u64 {
-        let blocks = self.cache.peek(&job.keys, now) as u64;
-        let tokens = blocks * job.block_tokens;
-        tokens.min(job.prompt_tokens.saturating_sub(1))
+        cached_tokens(&self.cache, job, now)
     }
 
-    /// Shares the step's budget of prompt tokens equally.
-    fn plan_prefill(&mut self) -> u64 {
+    /// Spends the step's budget of prompt tokens.
+    fn plan_prefill(&mut self, now: Duration) -> (u64, Vec<Start>) {
         let budget = self.prefill_rate() * self.rates.decode_time.as_secs_f64();
         #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-        let mut budget = (budget as u64).max(1);
-        let mut waiting: Vec<&mut Entry> = self
-            .running
-            .values_mut()
-            .filter(|entry| entry.remaining() > 0)
+        let budget = (budget as u64).max(1);
+        let mut left = budget;
+        let mut started = Vec::new();
+        for handle in self.prefill_order() {
+            if left == 0 {
+                break;
+            }
+            started.extend(self.start(handle, now));
+            let Some(entry) = self.running.get_mut(&handle) else {
+                continue;
+            };
+            entry.planned = left.min(entry.remaining());
+            left -= entry.planned;
+        }
+        (budget - left, started)
+    }
+
+    fn prefill_order(&self) -> Vec<Handle> {
+        let waiting = self.running.iter();
+        let waiting = waiting.filter(|(_, entry)| entry.remaining() > 0);
+        let mut order: Vec<_> = waiting
+            .map(|(handle, entry)| (Reverse(entry.job.priority), *handle))
             .collect();
-        waiting.sort_by_key(|entry| entry.remaining());
-        let mut planned = 0;
-        let mut left = waiting.len() as u64;
-        for entry in waiting {
-            let share = budget.div_ceil(left).min(entry.remaining());
-            entry.planned = share;
-            planned += share;
-            budget -= share;
-            left -= 1;
+        order.sort_unstable();
+        order.into_iter().map(|(_, handle)| handle).collect()
+    }
+
+    /// Looks a request's prefix up, the first time that it computes.
+    fn start(&mut self, handle: Handle, now: Duration) -> Option<Start> {
+        let entry = self.running.get_mut(&handle)?;
+        if entry.started {
+            return None;
         }
-        planned
+        entry.started = true;
+        self.cache.lookup(&entry.job.keys, now);
+        let cached_tokens = cached_tokens(&self.cache, &entry.job, now);
+        entry.computed = cached_tokens;
+        Some(Start {
+            handle,
+            cached_tokens,
+        })
     }
 
     fn prefill_rate(&self) -> f64 {
@@ -297,6 +325,13 @@
     }
 }
 
+/// Tokens of a prompt that need no computing; the last one always does.
+fn cached_tokens(cache: &Cache, job: &Job, now: Duration) -> u64 {
+    let blocks = cache.peek(&job.keys, now) as u64;
+    let tokens = blocks * job.block_tokens;
+    tokens.min(job.prompt_tokens.saturating_sub(1))
+}
+
 /// Whole blocks of a request that are computed.
 fn whole_blocks(entry: &Entry) -> usize {
     let blocks = entry.computed / entry.job.block_tokens.max(1);
--- a/crates/papayayard_stand_in/src/engine/core.rs
+++ b/crates/papayayard_stand_in/src/engine/core.rs
@@ -91,7 +91,7 @@
     Idle,
     /// A step of this duration runs.
     Step(Duration),
-    /// A request that was admitted crashes the engine.
+    /// A request that began to compute crashes the engine.
     Crash,
 }
 
@@ -152,12 +152,12 @@
         let Some(step) = self.batch.begin(now) else {
             return Begin::Idle;
         };
-        for admission in step.admitted {
-            let Some(reader) = self.readers.open.get(&admission.handle) else {
+        for start in step.started {
+            let Some(reader) = self.readers.open.get(&start.handle) else {
                 continue;
             };
             let entry = &mut self.readers.ledger[reader.entry];
-            entry.cached_tokens = admission.cached_tokens;
+            entry.cached_tokens = start.cached_tokens;
             if reader.kills {
                 return Begin::Crash;
             }
--- a/crates/papayayardctl/src/demo.rs
+++ b/crates/papayayardctl/src/demo.rs
@@ -19,7 +19,7 @@
 use tokio::time;
 
 use crate::format::Format;
-use crate::load::run;
+use crate::load;
 use crate::load::tally::Tally;
 use crate::plot;
 use crate::workload::{self, Planned};
@@ -226,8 +226,8 @@
         &self,
         policy: choice::Name,
         cluster: &mut Cluster,
-    ) -> Result<run::Results, Error> {
-        let options = run::Options {
+    ) -> Result<load::run::Results, Error> {
+        let options = load::run::Options {
             targets: cluster.targets(),
             keys: cluster.deployment().keys.clone(),
             model: cluster.deployment().model.to_string(),
@@ -236,7 +236,7 @@
             names: false,
         };
         let mut progress = Progress::new(policy.as_str(), self.plan.len());
-        let running = run::run(&options, &self.plan, |tally| progress.show(tally));
+        let running = load::run::run(&options, &self.plan, |tally| progress.show(tally));
         let fault = async {
             time::sleep(self.fault_at).await;
             self.fault.begin(cluster).await
--- a/crates/papayayardctl/src/demo/cluster.rs
+++ b/crates/papayayardctl/src/demo/cluster.rs
@@ -20,7 +20,7 @@
 use tokio::time;
 
 use super::Error;
-use super::deployment::Deployment;
+use super::deployment::{self, Deployment};
 
 /// Entry hosts of a demo.
 const HOSTS: usize = 3;
@@ -161,13 +161,11 @@
             let zone = self.deployment.zones[index % self.deployment.zones.len()].clone();
             let id = id::Host::from(format!("entry-{}-{index}", self.generation));
             let platform = self.platform.address();
-            let policy = self.policy.as_str();
-            let text = self
-                .deployment
-                .settings(id.as_str(), &zone, platform, policy);
-            let settings = Settings::parse(&text).map_err(|faults| Error::Settings {
+            let text = deployment::settings(id.as_str(), &zone, platform);
+            let mut settings = Settings::parse(&text).map_err(|faults| Error::Settings {
                 reason: fault::lines(&faults),
             })?;
+            settings.policy = self.policy;
             let running = host::start(settings, self.sights()).await?;
             self.platform.put_host(directory::Host {
                 id: id.clone(),
--- a/crates/papayayardctl/src/demo/deployment.rs
+++ b/crates/papayayardctl/src/demo/deployment.rs
@@ -1,6 +1,7 @@
 //! The users' deployments, from the example documents.
 
 use std::fmt::Write;
+use std::net::SocketAddr;
 
 use papayayard_document::document::{Document, Kind};
 use papayayard_document::fault;
@@ -81,25 +82,19 @@
             ..engine::Options::default()
         }
     }
+}
 
-    /// Settings of a host in YAML.
-    pub(crate) fn settings(
-        &self,
-        name: &str,
-        zone: &id::Zone,
-        platform: std::net::SocketAddr,
-        policy: &str,
-    ) -> String {
-        let mut text = format!("host: {name}\nzone: {zone}\nlisten:\n");
-        for listener in ["callers", "peers", "operators"] {
-            let _ = writeln!(text, "  {listener}: 127.0.0.1:0");
-        }
-        let _ = writeln!(
-            text,
-            "platform:\n  log: {platform}\n  directory: {platform}"
-        );
-        let _ = writeln!(text, "peer_secret: demo-secret-of-this-process");
-        let _ = writeln!(text, "policy: {policy}\nstop_grace_ms: 500");
-        text
+/// Settings of a host in YAML; the bench sets the policy.
+pub(crate) fn settings(name: &str, zone: &id::Zone, platform: SocketAddr) -> String {
+    let mut text = format!("host: {name}\nzone: {zone}\nlisten:\n");
+    for listener in ["callers", "peers", "operators"] {
+        let _ = writeln!(text, "  {listener}: 127.0.0.1:0");
     }
+    let _ = writeln!(
+        text,
+        "platform:\n  log: {platform}\n  directory: {platform}"
+    );
+    let _ = writeln!(text, "peer_secret: demo-secret-of-this-process");
+    let _ = writeln!(text, "stop_grace_ms: 500");
+    text
 }
--- a/crates/papayayardctl/src/demo/fault.rs
+++ b/crates/papayayardctl/src/demo/fault.rs
@@ -73,11 +73,10 @@
             return;
         };
         for again in 0..KILLER_TRIES {
-            plan.push(Planned {
-                at: killer.at + KILLER_PERIOD * again,
-                marker: Some(MARKER),
-                ..killer.clone()
-            });
+            let mut killer = killer.clone();
+            killer.at += KILLER_PERIOD * again;
+            killer.marker = Some(MARKER);
+            plan.push(killer);
         }
         plan.sort_by_key(|planned| planned.at);
     }
--- a/crates/papayayardctl/src/load/caller.rs
+++ b/crates/papayayardctl/src/load/caller.rs
@@ -144,7 +144,7 @@
         max_tokens: call.max_tokens,
         stream: true,
     };
-    let mut builder = Request::post(format!("http://{}/v1/completions", target))
+    let mut builder = Request::post(format!("http://{target}/v1/completions"))
         .header(header::AUTHORIZATION, format!("Bearer {}", call.key))
         .header(header::CONTENT_TYPE, "application/json");
     if let Some(id) = &call.request {
--- a/crates/papayayardctl/src/load/run.rs
+++ b/crates/papayayardctl/src/load/run.rs
@@ -126,7 +126,8 @@
     /// Sends to the first target that can be connected to.
     async fn send(mut self, call: &Call, scheduled: Instant) -> Seen {
         loop {
-            for _ in 0..self.targets.borrow().len() {
+            let targets = self.targets.borrow().len();
+            for _ in 0..targets {
                 let target = self.target();
                 let seen = caller::call(&self.client, target, call, scheduled).await;
                 if seen.end != End::Unreachable {
