--- a/crates/papayayard/src/controllers/fleet/service.rs
+++ b/crates/papayayard/src/controllers/fleet/service.rs
@@ -295,7 +295,7 @@
                 service: service.clone(),
                 zone: endpoint.zone.clone(),
                 plan: member.plan,
-                eligible: self.fleet.eligible(member.key, now),
+                eligible: self.fleet.accepts(member.key, now),
                 in_flight: endpoint.load.open(),
                 report: member.report.clone(),
             })
--- a/crates/papayayard_coordination/src/lib.rs
+++ b/crates/papayayard_coordination/src/lib.rs
@@ -4,8 +4,14 @@
 //! randomness are handed in, and decisions come back as values. The parts can
 //! be embedded by other programs and replayed from a seed.
 
+pub mod amount;
 pub mod budget;
 pub mod configuration;
+pub mod demand;
+pub mod departure;
+pub mod exchange;
+pub mod gossip;
+mod grant;
 pub mod journal;
 pub mod membership;
 pub mod pace;
--- a/crates/papayayard_coordination/src/membership.rs
+++ b/crates/papayayard_coordination/src/membership.rs
@@ -240,6 +240,16 @@
         hosts
     }
 
+    /// Hosts that shares of limits are exchanged with: all where they are few,
+    /// else those of the own zone.
+    pub fn partners(&self) -> Vec<id::Host> {
+        let is_small = self.members.len() < pace::PARTNERS;
+        let members = self.members.iter();
+        let partners = members.filter(|(_, member)| is_small || member.zone == self.zone);
+        let partners = partners.filter(|(_, member)| member.state != Some(peer::State::Left));
+        partners.map(|(host, _)| host.clone()).collect()
+    }
+
     /// Whether this host, on its own, takes the peer to be out of reach.
     pub fn is_suspected(&self, host: &id::Host) -> bool {
         self.members
@@ -282,11 +292,24 @@
         Random: Rng,
     {
         self.turn = self.turn.wrapping_add(1);
-        let is_far = self.turn.is_multiple_of(self.limits.far_every.max(1));
+        let is_far = self.turn.is_multiple_of(self.far_every());
         self.take(is_far, now, random)
             .or_else(|| self.take(!is_far, now, random))
     }
 
+    /// Zones of few hosts call the others as often as their own.
+    fn far_every(&self) -> u32 {
+        let near = self
+            .members
+            .values()
+            .filter(|member| member.zone == self.zone);
+        if near.count() < self.limits.few {
+            2
+        } else {
+            self.limits.far_every.max(1)
+        }
+    }
+
     /// Takes the next peer of a round that may be called, and starts a new
     /// round when the old one has none left.
     fn take<Random>(&mut self, is_far: bool, now: Duration, random: &mut Random) -> Option<Target>
--- a/crates/papayayardctl/src/main.rs
+++ b/crates/papayayardctl/src/main.rs
@@ -1,11 +1,20 @@
 //! The `papayayardctl` program, for operators and for trying papayayard out.
 
+mod address;
+mod check;
 mod command;
 mod demo;
+mod failure;
 mod format;
 mod load;
 mod plot;
+mod promote;
+mod publish;
 mod stand_in;
+mod status;
+mod stream;
+#[cfg(test)]
+mod stream_test;
 mod workload;
 
 use std::process::ExitCode;
