Let hosts talk: the peers' controller over JSON-RPC

Cause: hosts knew nothing of each other.

Change: controllers::peers (listener, calls, the task that owns the node), counters papayayard_peer_refusals, _failures and _bytes; the fleet keeps new work off endpoints whose run is leaving by any channel; admission gets agreed shares.

Ruled out: passing the envelope through a JSON value, which reorders keys and breaks the proof; it stays raw text.

Taken out once each, and the tests failed: the replay window, refusing unreadable versions, greeting the settings' peers without a list, keeping work off leaving runs.

Not done: both admissions (completions and plain calls) are given the same share, so an account that uses both may reach twice its limit.

--- a/crates/papayayard/src/controllers/admission.rs
+++ b/crates/papayayard/src/controllers/admission.rs
@@ -89,7 +89,6 @@
     }
 
     /// What each account asked since the last call.
-    #[expect(dead_code, reason = "read by the peers' controller")]
     pub(crate) async fn uses(&self) -> HashMap<id::Account, Use> {
         let (sender, receiver) = oneshot::channel();
         match self.messages.send(Message::Uses(sender)) {
--- a/crates/papayayard/src/controllers/fleet.rs
+++ b/crates/papayayard/src/controllers/fleet.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use papayayard_coordination::departure;
 use papayayard_routing::{choice, quarantine, retry};
 use papayayard_wire::refusal::{Kind, Ran};
 use papayayard_wire::{block, directory, endpoint, id};
@@ -214,6 +215,7 @@
     ),
     Verdicts(oneshot::Sender<Vec<quarantine::Verdict>>),
     Import(Vec<quarantine::Verdict>),
+    Departing(Vec<departure::Sign>),
     Listed(Vec<directory::Endpoint>),
     Reported(endpoint::Report),
     Events(id::Endpoint, endpoint::Page),
@@ -262,17 +264,20 @@
     }
 
     /// Fingerprints that this host has quarantined.
-    #[expect(dead_code, reason = "read by the peers' controller")]
     pub(crate) async fn verdicts(&self) -> Vec<quarantine::Verdict> {
         self.ask(Message::Verdicts).await.unwrap_or_default()
     }
 
     /// Takes in fingerprints that another host has quarantined.
-    #[expect(dead_code, reason = "read by the peers' controller")]
     pub(crate) async fn import(&self, verdicts: Vec<quarantine::Verdict>) {
         self.send(Message::Import(verdicts)).await;
     }
 
+    /// Takes in the signs that endpoints are leaving.
+    pub(crate) async fn departing(&self, signs: Vec<departure::Sign>) {
+        self.send(Message::Departing(signs)).await;
+    }
+
     /// State of all endpoints.
     pub(crate) async fn status(&self) -> Vec<Status> {
         self.ask(Message::Status).await.unwrap_or_default()
--- a/crates/papayayard/src/controllers/fleet/service.rs
+++ b/crates/papayayard/src/controllers/fleet/service.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use papayayard_coordination::departure;
 use papayayard_document::document;
 use papayayard_routing::choice::{self, Policy};
 use papayayard_routing::{fleet, quarantine, run};
@@ -23,6 +24,7 @@
     policy: choice::Switch<View>,
     members: HashMap<id::Endpoint, Member>,
     quarantine: quarantine::Table,
+    departing: Vec<departure::Sign>,
     version: id::Version,
 }
 
@@ -77,6 +79,7 @@
             policy,
             members: HashMap::new(),
             quarantine: quarantine::Table::default(),
+            departing: Vec::new(),
             version: model.version.clone(),
         }
     }
@@ -183,6 +186,7 @@
             return Err(Barred::Quarantined);
         }
         let mut excluded = self.quarantine.ruled_out(query.fingerprint, now);
+        excluded.extend(self.departing());
         let asked = query.excluded.iter();
         excluded.extend(asked.filter_map(|name| self.fleet.find(name)));
         let pick = self.policy.pick(
@@ -223,6 +227,23 @@
         Ok(place)
     }
 
+    /// Takes the signs that endpoints are leaving.
+    pub(super) fn set_departing(&mut self, signs: &[departure::Sign]) {
+        let own = signs.iter();
+        let own = own.filter(|sign| self.members.contains_key(&sign.endpoint));
+        self.departing = own.cloned().collect();
+    }
+
+    /// Endpoints whose present run is leaving.
+    fn departing(&self) -> impl Iterator<Item = fleet::Key> {
+        self.departing.iter().filter_map(|sign| {
+            let key = self.members.get(&sign.endpoint)?.key;
+            let run = self.fleet.get(key)?.incarnation();
+            let is_meant = sign.incarnation.is_none() || sign.incarnation == run;
+            is_meant.then_some(key)
+        })
+    }
+
     /// Takes down how a dispatched request ended.
     pub(super) fn settle(&mut self, place: &Place, outcome: Outcome, now: Duration) {
         let Some(member) = self.members.get_mut(&place.endpoint) else {
@@ -288,6 +309,7 @@
         service: &id::Service,
         now: Duration,
     ) -> impl Iterator<Item = Status> {
+        let departing: Vec<fleet::Key> = self.departing().collect();
         self.members.iter().filter_map(move |(name, member)| {
             let endpoint = self.fleet.get(member.key)?;
             Some(Status {
@@ -295,7 +317,7 @@
                 service: service.clone(),
                 zone: endpoint.zone.clone(),
                 plan: member.plan,
-                eligible: self.fleet.eligible(member.key, now),
+                eligible: self.fleet.eligible(member.key, now) && !departing.contains(&member.key),
                 in_flight: endpoint.load.open(),
                 report: member.report.clone(),
             })
--- a/crates/papayayard/src/controllers/fleet/state.rs
+++ b/crates/papayayard/src/controllers/fleet/state.rs
@@ -98,6 +98,11 @@
                     service.import(&verdicts, now);
                 }
             }
+            Message::Departing(signs) => {
+                for service in self.services.values_mut() {
+                    service.set_departing(&signs);
+                }
+            }
             Message::Listed(endpoints) => {
                 self.listed = endpoints;
                 self.spread();
--- a/crates/papayayard/src/controllers/mod.rs
+++ b/crates/papayayard/src/controllers/mod.rs
@@ -5,3 +5,4 @@
 pub(crate) mod directory;
 pub(crate) mod fleet;
 pub(crate) mod observer;
+pub(crate) mod peers;
--- a/crates/papayayard/src/host.rs
+++ b/crates/papayayard/src/host.rs
@@ -5,9 +5,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use papayayard_coordination::exchange;
 use papayayard_platform::http::Client as Platform;
 use papayayard_routing::choice;
-use papayayard_wire::{block, directory, id};
+use papayayard_wire::{block, directory, id, peer};
 use salvo::conn::tcp::TcpAcceptor;
 use salvo::server::ServerHandle;
 use snafu::{ResultExt, Snafu};
@@ -19,13 +20,13 @@
 
 use crate::callers;
 use crate::clock::Clock;
-use crate::controllers::{admission, configuration, directory as listing, fleet, observer};
+use crate::controllers::{admission, configuration, directory as listing, fleet, observer, peers};
 use crate::filters::chain;
 use crate::metrics::Metrics;
 use crate::operators;
 use crate::relay::client::Client;
 use crate::relay::{call, completion};
-use crate::settings::Settings;
+use crate::settings::{self, Settings};
 
 /// Why a host cannot start.
 #[derive(Debug, Snafu)]
@@ -99,14 +100,8 @@
 where
     View: choice::Truth + Clone + Send + 'static,
 {
-    let callers_socket = listen(settings.listen.callers).await?;
-    let peers_socket = listen(settings.listen.peers).await?;
-    let operators_socket = listen(settings.listen.operators).await?;
-    let addresses = Addresses {
-        callers: callers_socket.1,
-        peers: peers_socket.1,
-        operators: operators_socket.1,
-    };
+    let sockets = Sockets::listen(&settings.listen).await?;
+    let addresses = sockets.addresses;
 
     let clock = Clock::start();
     let metrics = Metrics::new(clock);
@@ -130,17 +125,14 @@
     let log = Platform::new(settings.platform.log, timeout).with_host(&settings.host);
     let hosts = Platform::new(settings.platform.directory, timeout).with_host(&settings.host);
     let mut controllers = JoinSet::new();
-    controllers.spawn(configuration::follow(log, active_sender));
+    let (link, accepted, adopt) = configuration::link();
+    controllers.spawn(configuration::follow(log, active_sender, link));
     controllers.spawn(listing::follow(
         hosts,
         settings.periods.directory,
-        list_sender,
+        list_sender.clone(),
     ));
-    let observer = observer::Observer {
-        client: client.clone(),
-        fleet: fleet.clone(),
-        periods: settings.periods.clone(),
-    };
+    let observer = observer(&settings, &client, &fleet);
     controllers.spawn(observer::supervise(observer, list.clone(), active.clone()));
     let view = operators::View {
         host: settings.host.clone(),
@@ -150,9 +142,9 @@
         open: open.clone(),
         fleet: fleet.clone(),
     };
-    controllers.spawn(operators::serve(operators_socket.0, view));
+    controllers.spawn(operators::serve(sockets.operators, view));
 
-    let agreed = watch::channel(admission::Shares::new()).1;
+    let (shares_sender, agreed) = watch::channel(admission::Shares::new());
     let sources = admission::Sources {
         active: active.clone(),
         list: list.clone(),
@@ -160,12 +152,23 @@
         shares: agreed,
         known_hosts: settings.peers.len() + 1,
     };
-    let uncapped = admission::Sources {
-        capacity: watch::channel(0).1,
-        ..sources.clone()
+    let (completions, calls) = admissions(sources, clock);
+
+    let options = peer_options(&settings, addresses.peers, clock, metrics.clone());
+    let links = peers::Links {
+        active: active.clone(),
+        accepted,
+        adopt,
+        list: list_sender,
+        stopping: stopping_seen.clone(),
+        fleet: fleet.clone(),
+        admissions: vec![completions.clone(), calls.clone()],
+        shares: shares_sender,
     };
-    let completions = admission::start(sources, clock);
-    let calls = admission::start(uncapped, clock);
+    let peers = peers::start(sockets.peers, options, links);
+    controllers.spawn(peers.context(ListenSnafu {
+        address: addresses.peers,
+    })?);
 
     let shared = Arc::new(callers::Shared {
         host: settings.host.clone(),
@@ -187,7 +190,7 @@
             metrics,
         },
     });
-    let (server, callers) = callers::server(callers_socket.0, &settings.limits);
+    let (server, callers) = callers::server(sockets.callers, &settings.limits);
     let callers_task = tokio::spawn(server.serve(callers::router(&shared)));
     log::info!(host:% = settings.host, callers:% = addresses.callers; "started");
     Ok(Running {
@@ -201,6 +204,32 @@
     })
 }
 
+/// Sockets that a host listens on.
+struct Sockets {
+    addresses: Addresses,
+    callers: TcpAcceptor,
+    peers: std::net::TcpListener,
+    operators: TcpAcceptor,
+}
+
+impl Sockets {
+    async fn listen(wanted: &settings::Listen) -> Result<Self, Error> {
+        let callers = listen(wanted.callers).await?;
+        let peers = listen_plain(wanted.peers)?;
+        let operators = listen(wanted.operators).await?;
+        Ok(Self {
+            addresses: Addresses {
+                callers: callers.1,
+                peers: peers.1,
+                operators: operators.1,
+            },
+            callers: callers.0,
+            peers: peers.0,
+            operators: operators.0,
+        })
+    }
+}
+
 async fn listen(address: SocketAddr) -> Result<(TcpAcceptor, SocketAddr), Error> {
     let listener = TcpListener::bind(address)
         .await
@@ -209,3 +238,55 @@
     let acceptor = TcpAcceptor::try_from(listener).context(ListenSnafu { address })?;
     Ok((acceptor, bound))
 }
+
+/// Admission of completions, which endpoints' slots bound, and of calls.
+fn admissions(sources: admission::Sources, clock: Clock) -> (admission::Handle, admission::Handle) {
+    let uncapped = admission::Sources {
+        capacity: watch::channel(0).1,
+        ..sources.clone()
+    };
+    let completions = admission::start(sources, clock);
+    let calls = admission::start(uncapped, clock);
+    (completions, calls)
+}
+
+fn observer(settings: &Settings, client: &Client, fleet: &fleet::Handle) -> observer::Observer {
+    observer::Observer {
+        client: client.clone(),
+        fleet: fleet.clone(),
+        periods: settings.periods.clone(),
+    }
+}
+
+fn peer_options(
+    settings: &Settings,
+    address: SocketAddr,
+    clock: Clock,
+    metrics: Metrics,
+) -> peers::Options {
+    let identity = exchange::Identity {
+        host: settings.host.clone(),
+        member: peer::Member {
+            zone: settings.zone.clone(),
+            peer: address,
+        },
+        speaks: peer::VERSION,
+    };
+    peers::Options {
+        identity,
+        secret: settings.peer_secret.0.clone(),
+        seeds: settings.peers.clone(),
+        period: settings.periods.peers,
+        clock,
+        metrics,
+    }
+}
+
+fn listen_plain(address: SocketAddr) -> Result<(std::net::TcpListener, SocketAddr), Error> {
+    let listener = std::net::TcpListener::bind(address).context(ListenSnafu { address })?;
+    listener
+        .set_nonblocking(true)
+        .context(ListenSnafu { address })?;
+    let bound = listener.local_addr().context(ListenSnafu { address })?;
+    Ok((listener, bound))
+}
--- a/crates/papayayard/src/metrics.rs
+++ b/crates/papayayard/src/metrics.rs
@@ -29,6 +29,9 @@
     prompt_tokens: Counter<u64>,
     generated_tokens: Counter<u64>,
     first_token: Histogram<f64>,
+    peer_refusals: Counter<u64>,
+    peer_failures: Counter<u64>,
+    peer_bytes: Counter<u64>,
 }
 
 impl Metrics {
@@ -72,6 +75,18 @@
                 .with_description("Time from a request's arrival to its first token")
                 .with_boundaries(FIRST_TOKEN_BOUNDS.to_vec())
                 .build(),
+            peer_refusals: meter
+                .u64_counter("papayayard_peer_refusals")
+                .with_description("Calls of peers that were not believed, by reason")
+                .build(),
+            peer_failures: meter
+                .u64_counter("papayayard_peer_failures")
+                .with_description("Calls to peers that had no answer")
+                .build(),
+            peer_bytes: meter
+                .u64_counter("papayayard_peer_bytes")
+                .with_description("Bytes exchanged with peers, both ways")
+                .build(),
             registry,
             _provider: provider,
         }
@@ -117,6 +132,22 @@
         self.first_token.record(elapsed.as_secs_f64(), &[]);
     }
 
+    /// Counts a peer's call that is not believed.
+    pub(crate) fn peer_refused(&self, reason: &'static str) {
+        self.peer_refusals
+            .add(1, &[KeyValue::new("reason", reason)]);
+    }
+
+    /// Counts a call to a peer that had no answer.
+    pub(crate) fn peer_failed(&self) {
+        self.peer_failures.add(1, &[]);
+    }
+
+    /// Counts the bytes of a call and its reply.
+    pub(crate) fn peer_exchanged(&self, bytes: usize) {
+        self.peer_bytes.add(bytes as u64, &[]);
+    }
+
     /// All figures as Prometheus text.
     pub(crate) fn text(&self) -> Vec<u8> {
         let mut text = Vec::new();
--- a/crates/papayayard/src/settings.rs
+++ b/crates/papayayard/src/settings.rs
@@ -144,7 +144,7 @@
             directory: Duration::from_millis(500),
             report: Duration::from_millis(250),
             events: Duration::from_millis(250),
-            peers: Duration::from_secs(1),
+            peers: Duration::from_millis(1_500),
             platform_timeout: Duration::from_secs(2),
         }
     }
--- a/crates/papayayard_coordination/src/exchange.rs
+++ b/crates/papayayard_coordination/src/exchange.rs
@@ -126,6 +126,11 @@
         message.at(target.speaks)
     }
 
+    /// A call to a peer of which only the address is known.
+    pub fn greet(&mut self, now: Duration) -> peer::Message {
+        self.digests(now).at(peer::LOWEST)
+    }
+
     /// Takes a peer's call and answers it; `order` grows from each call of the
     /// peer to the next.
     pub fn answer<Random>(
--- a/crates/papayayard_coordination/src/membership.rs
+++ b/crates/papayayard_coordination/src/membership.rs
@@ -174,6 +174,14 @@
         self.call_at = self.call_at.min(now + soon);
     }
 
+    /// Asks for calls to all partners now, because this host has just started.
+    pub fn introduce(&mut self, now: Duration) {
+        let partners = u32::try_from(self.partners().len()).unwrap_or(u32::MAX);
+        // Calls alternate between zones, so one zone takes half of them.
+        self.urgent = partners.saturating_mul(2);
+        self.call_at = now;
+    }
+
     /// When [`Self::tick`] is to be called next.
     pub const fn next_at(&self) -> Duration {
         self.call_at
