--- a/crates/papayayard/src/controllers/fleet/service.rs
+++ b/crates/papayayard/src/controllers/fleet/service.rs
@@ -317,7 +317,7 @@
                 service: service.clone(),
                 zone: endpoint.zone.clone(),
                 plan: member.plan,
-                eligible: self.fleet.eligible(member.key, now) && !departing.contains(&member.key),
+                eligible: self.fleet.accepts(member.key, now) && !departing.contains(&member.key),
                 in_flight: endpoint.load.open(),
                 report: member.report.clone(),
             })
