Hold completions and service calls to one limit

Cause: completions and calls had an admission each, and each was given the account's whole share, so an account that used both could reach twice its limit. Ruled out: splitting the share, since the mix is not known before.

Change: one admission; a service call is held to its account's rate and open requests and takes none of the endpoints' slots.

--- a/crates/papayayard/src/controllers/admission.rs
+++ b/crates/papayayard/src/controllers/admission.rs
@@ -36,6 +36,8 @@
     pub(crate) cost: u32,
     /// Latest time at which it may start, since the host's start.
     pub(crate) deadline: Duration,
+    /// Whether it takes one of the endpoints' slots.
+    pub(crate) needs_slot: bool,
 }
 
 /// A share of each account's limits that this host may use.
@@ -230,6 +232,7 @@
             priority: request.priority,
             cost: request.cost,
             deadline: request.deadline,
+            needs_place: request.needs_slot,
         };
         match self.admission.offer(&demand, now, rand::random()) {
             Ok(Verdict::Start(ticket)) => self.begin(ticket, reply),
--- a/crates/papayayard/src/controllers/peers.rs
+++ b/crates/papayayard/src/controllers/peers.rs
@@ -54,7 +54,7 @@
     /// Model endpoints.
     pub(crate) fleet: fleet::Handle,
     /// Admission of completions and of calls.
-    pub(crate) admissions: Vec<admission::Handle>,
+    pub(crate) admission: admission::Handle,
     /// Gets this host's shares.
     pub(crate) shares: watch::Sender<admission::Shares>,
 }
--- a/crates/papayayard/src/controllers/peers/local.rs
+++ b/crates/papayayard/src/controllers/peers/local.rs
@@ -1,11 +1,10 @@
 //! What the task takes from this host and gives to it.
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 
 use papayayard_coordination::{departure, exchange};
 use papayayard_routing::admission as routing;
-use papayayard_wire::{endpoint, id};
+use papayayard_wire::endpoint;
 
 use super::task::Task;
 use crate::controllers::admission;
@@ -48,15 +47,7 @@
 
     async fn measure(&mut self) {
         let now = self.clock.now();
-        let mut uses: BTreeMap<id::Account, admission::Use> = BTreeMap::new();
-        for admission in &self.links.admissions {
-            for (account, used) in admission.uses().await {
-                let sum = uses.entry(account).or_default();
-                sum.requests += used.requests;
-                sum.open += used.open;
-            }
-        }
-        for (account, used) in uses {
+        for (account, used) in self.links.admission.uses().await {
             let share = self.node.shares.share(&account, now);
             let demand = self.meter.sample(&account, used, share, PERIOD);
             self.node.shares.observe(&account, demand);
--- a/crates/papayayard/src/filters/admit.rs
+++ b/crates/papayayard/src/filters/admit.rs
@@ -36,7 +36,7 @@
         let computed = completion.prompt_bytes / document::BYTES_PER_TOKEN;
         let computed = u32::try_from(computed).unwrap_or(u32::MAX);
         let cost = computed.saturating_add(completion.max_tokens.unwrap_or_default());
-        let request = request(known, cost, deadline);
+        let request = request(known, Some(cost), deadline);
         let permit = self.admission.admit(request).await?;
         Ok(Admitted {
             work: completion,
@@ -52,7 +52,7 @@
         let known = &call.whole.known;
         let latest = known.arrival.received + call.timeout;
         let deadline = known.deadline.map_or(latest, |stated| stated.min(latest));
-        let permit = self.admission.admit(request(known, 1, deadline)).await?;
+        let permit = self.admission.admit(request(known, None, deadline)).await?;
         Ok(Admitted {
             work: call,
             _permit: permit,
@@ -60,11 +60,13 @@
     }
 }
 
-fn request(known: &Known, cost: u32, deadline: Duration) -> admission::Request {
+/// A request for a permit; what has no `cost` takes no endpoint's slot.
+fn request(known: &Known, cost: Option<u32>, deadline: Duration) -> admission::Request {
     admission::Request {
         account: known.account.id.clone(),
         priority: known.account.priority,
-        cost,
+        cost: cost.unwrap_or(1),
         deadline,
+        needs_slot: cost.is_some(),
     }
 }
--- a/crates/papayayard/src/host.rs
+++ b/crates/papayayard/src/host.rs
@@ -152,7 +152,7 @@
         shares: agreed,
         known_hosts: settings.peers.len() + 1,
     };
-    let (completions, calls) = admissions(sources, clock);
+    let admission = admission::start(sources, clock);
 
     let options = peer_options(&settings, addresses.peers, clock, metrics.clone());
     let links = peers::Links {
@@ -162,7 +162,7 @@
         list: list_sender,
         stopping: stopping_seen.clone(),
         fleet: fleet.clone(),
-        admissions: vec![completions.clone(), calls.clone()],
+        admission: admission.clone(),
         shares: shares_sender,
     };
     let peers = peers::start(sockets.peers, options, links);
@@ -177,8 +177,8 @@
         active: active.clone(),
         stopping: stopping_seen,
         open: open.clone(),
-        completions: chain::completions(active.clone(), &settings.limits, completions),
-        calls: chain::calls(active, &settings.limits, calls),
+        completions: chain::completions(active.clone(), &settings.limits, admission.clone()),
+        calls: chain::calls(active, &settings.limits, admission),
         completion_relay: completion::Relay {
             client: client.clone(),
             fleet,
@@ -239,17 +239,6 @@
     Ok((acceptor, bound))
 }
 
-/// Admission of completions, which endpoints' slots bound, and of calls.
-fn admissions(sources: admission::Sources, clock: Clock) -> (admission::Handle, admission::Handle) {
-    let uncapped = admission::Sources {
-        capacity: watch::channel(0).1,
-        ..sources.clone()
-    };
-    let completions = admission::start(sources, clock);
-    let calls = admission::start(uncapped, clock);
-    (completions, calls)
-}
-
 fn observer(settings: &Settings, client: &Client, fleet: &fleet::Handle) -> observer::Observer {
     observer::Observer {
         client: client.clone(),
--- a/crates/papayayard_routing/src/admission.rs
+++ b/crates/papayayard_routing/src/admission.rs
@@ -56,6 +56,9 @@
     pub cost: u32,
     /// Latest time at which it may start.
     pub deadline: Duration,
+    /// Whether it needs one of the places that run at once; a request that
+    /// needs none is held to its account's limits only.
+    pub needs_place: bool,
 }
 
 /// An admitted request.
@@ -97,6 +100,7 @@
 struct Request {
     account: id::Account,
     started: Option<Duration>,
+    needs_place: bool,
 }
 
 /// Admission to one service.
@@ -175,8 +179,10 @@
         let ticket = self.requests.insert(Request {
             account: demand.account.clone(),
             started: None,
+            needs_place: demand.needs_place,
         });
-        if self.running < self.settings.capacity && self.queue.is_empty() {
+        let has_place = self.running < self.settings.capacity && self.queue.is_empty();
+        if has_place || !demand.needs_place {
             self.start(ticket, now);
             return Ok(Verdict::Start(ticket));
         }
@@ -200,7 +206,7 @@
         };
         self.queue.remove(ticket);
         self.release(&request.account);
-        if let Some(started) = request.started {
+        if let Some(started) = request.started.filter(|_| request.needs_place) {
             self.running = self.running.saturating_sub(1);
             let took = now.saturating_sub(started).as_secs_f64();
             self.service_time += SERVICE_TIME_WEIGHT * (took - self.service_time);
@@ -291,7 +297,7 @@
     fn start(&mut self, ticket: Ticket, now: Duration) {
         if let Some(request) = self.requests.get_mut(ticket) {
             request.started = Some(now);
-            self.running += 1;
+            self.running += u32::from(request.needs_place);
         }
     }
 
--- a/crates/papayayard_routing/tests/admission.rs
+++ b/crates/papayayard_routing/tests/admission.rs
@@ -35,6 +35,7 @@
         priority: 0,
         cost: 1_000,
         deadline,
+        needs_place: true,
     }
 }
 
@@ -273,3 +274,26 @@
         }
     }
 }
+
+#[rstest]
+fn a_request_that_needs_no_place_is_held_to_its_account_only() {
+    let account = id::Account::from("a");
+    let mut admission = admission(1, 8);
+    admission.set_share(&account, Share { open: 4, ..OPEN }, ms(0));
+    let placed = demand(&account, ms(10_000));
+    let free = Demand {
+        needs_place: false,
+        ..placed
+    };
+    let mut started = |demand: &Demand<'_>| {
+        let verdict = admission.offer(demand, ms(0), 0);
+        verdict.map(|verdict| matches!(verdict, Verdict::Start(_)))
+    };
+    assert_eq!(started(&placed), Ok(true));
+    assert_eq!(started(&free), Ok(true));
+    assert_eq!(started(&placed), Ok(false));
+    assert_eq!(started(&free), Ok(true));
+    let over = started(&free).map_err(|refusal| refusal.kind);
+    assert_eq!(over, Err(refusal::Kind::TooManyOpen));
+    assert_eq!(admission.running(), 1);
+}
