Drive the configuration fold from the daemon

Cause: the daemon accepted whatever followed its own revision, and took the first kept record after a gap.

Found on the way: with a log clock far behind the host's, each repetition was due again at once and the host appended without end.

The log's retention is a constant of 24 hours until the settings carry it.

--- a/crates/papayayard/src/controllers/configuration.rs
+++ b/crates/papayayard/src/controllers/configuration.rs
@@ -1,73 +1,271 @@
-//! Follows the log's configuration stream and publishes what is in force.
+//! Follows the log's configuration stream and the peers, and publishes what is
+//! in force.
 
+use std::collections::HashSet;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use papayayard_coordination::configuration::{Adoption, Fold, Refresh, Snapshot, Verdict};
+use papayayard_coordination::journal::Gap;
 use papayayard_document::document::Document;
 use papayayard_platform::service;
-use papayayard_wire::configuration::{self, Proposal};
+use papayayard_wire::configuration::{Entry, STREAM};
 use papayayard_wire::{id, log as stream};
-use tokio::sync::watch;
-use tokio::time;
+use tokio::sync::{mpsc, watch};
+use tokio::time::Instant;
 
 use crate::active::Active;
+use crate::controllers::journal::Tail;
 
 /// The configuration in force, if there is one.
 pub(crate) type Current = Option<Arc<Active>>;
 
-/// Most records of one read.
-const READ_RECORDS: u32 = 256;
-/// Time that a read waits for a new record.
-const READ_WAIT: Duration = Duration::from_secs(5);
-/// Pause after a failed read.
-const FAILED_PAUSE: Duration = Duration::from_millis(200);
+/// Time that the log keeps a record at least.
+const RETENTION: Duration = Duration::from_hours(24);
+/// Pause after a repetition was appended.
+const REPEAT_PAUSE: Duration = Duration::from_hours(3);
+/// Pause after a repetition may not have been appended.
+const FAILED_PAUSE: Duration = Duration::from_mins(1);
+/// Time to hear of an anchor before this host offers one; doubled by jitter.
+const ANCHOR_WAIT: Duration = Duration::from_secs(5);
 
-/// Follows the stream until nobody listens any more.
-pub(crate) async fn follow<Log>(log: Log, current: watch::Sender<Current>)
+/// Ways to the peers' controller.
+pub(crate) struct Link {
+    /// Gets the accepted proposal.
+    pub(crate) accepted: watch::Sender<Option<Entry>>,
+    /// Gives proposals that peers have accepted.
+    pub(crate) adopt: mpsc::Receiver<Entry>,
+}
+
+impl Link {
+    /// Ways that lead nowhere, for a host without peers.
+    pub(crate) fn alone() -> Self {
+        Self {
+            accepted: watch::channel(None).0,
+            adopt: mpsc::channel(1).1,
+        }
+    }
+}
+
+/// Follows the stream and the peers until nobody listens any more.
+pub(crate) async fn follow<Log>(log: Log, current: watch::Sender<Current>, link: Link)
+where
+    Log: service::Log + Clone,
+{
+    let name = id::Stream::from(STREAM);
+    let mut follower = Follower {
+        tail: Tail::new(log.clone(), name.clone()),
+        log,
+        name,
+        fold: Fold::default(),
+        refresh: Refresh::new(RETENTION),
+        offer_at: None,
+        complained: HashSet::new(),
+        wall: Wall::start(),
+        current,
+        link,
+    };
+    follower.run().await;
+}
+
+struct Follower<Log> {
+    tail: Tail<Log>,
+    log: Log,
+    name: id::Stream,
+    fold: Fold<Document>,
+    refresh: Refresh,
+    offer_at: Option<Duration>,
+    complained: HashSet<&'static str>,
+    wall: Wall,
+    current: watch::Sender<Current>,
+    link: Link,
+}
+
+impl<Log> Follower<Log>
 where
     Log: service::Log,
 {
-    let name = id::Stream::from(configuration::STREAM);
-    let mut next = stream::Offset(0);
-    while !current.is_closed() {
-        let query = service::Query {
-            from: next,
-            limit: READ_RECORDS,
-            wait: READ_WAIT,
-        };
-        match log.read(&name, &query).await {
-            Ok(page) => {
-                next = page
-                    .records
-                    .last()
-                    .map_or(page.first.max(next), |record| record.offset.next());
-                for record in &page.records {
-                    offer(record, &current);
+    async fn run(&mut self) {
+        while !self.current.is_closed() {
+            tokio::select! {
+                Some(entry) = self.link.adopt.recv() => self.adopt(entry),
+                page = self.tail.page() => self.take(&page),
+            }
+            self.publish();
+            if let Some(entry) = self.repetition(self.wall.now()) {
+                self.repeat(&entry).await;
+            }
+        }
+    }
+
+    fn take(&mut self, page: &stream::Page) {
+        let (gap, records) = self.tail.take(page);
+        if let Some(Gap::Missed { to, .. }) = gap {
+            self.fold.skip_to(to);
+        }
+        for record in records {
+            let verdict = self.fold.apply(record);
+            self.report(record, &verdict);
+            if carries(&verdict) {
+                let time = Duration::from_millis(record.time_ms);
+                self.refresh.carry(time, rand::random());
+            }
+            if let Verdict::Anchored { resume } = verdict {
+                self.tail.reader.seek(resume);
+                return;
+            }
+        }
+    }
+
+    fn adopt(&mut self, entry: Entry) {
+        let adoption = self.fold.adopt(Snapshot {
+            proposal: entry.proposal,
+            read_to: entry.read_to,
+        });
+        match adoption {
+            Adoption::Adopted { resume } => {
+                if let Some(resume) = resume {
+                    self.tail.reader.seek(resume);
                 }
+                // The age of the record is not known, so it counts as half
+                // through its retention.
+                let carried = self.wall.now().saturating_sub(RETENTION / 2);
+                self.refresh.carry(carried, rand::random());
+            }
+            Adoption::Known => {}
+            Adoption::Conflict => self.complain(
+                "conflict",
+                "a peer holds another document for the accepted revision; publish a new revision",
+            ),
+            Adoption::Rejected(rejection) => self.complain(
+                rejection.as_str(),
+                &format!("a peer's configuration is rejected: {rejection}"),
+            ),
+        }
+    }
+
+    fn publish(&mut self) {
+        let (Some(active), Some(snapshot)) = (self.fold.active(), self.fold.snapshot()) else {
+            return;
+        };
+        let proposal = &active.proposal;
+        let known = self.current.borrow().as_ref().map(|known| known.revision);
+        if known != Some(proposal.revision) {
+            let document = active.document.clone();
+            let active = Active::new(proposal.revision, proposal.digest.clone(), document);
+            log::info!(revision = active.revision.0; "configuration in force");
+            self.current.send_replace(Some(Arc::new(active)));
+        }
+        let entry = Entry {
+            proposal: snapshot.proposal,
+            read_to: snapshot.read_to,
+        };
+        self.link.accepted.send_if_modified(|known| {
+            let is_changed = known.as_ref() != Some(&entry);
+            *known = Some(entry);
+            is_changed
+        });
+    }
+
+    /// What is to be appended at `now`: the accepted proposal before the log
+    /// forgets it, or an anchor where nobody else has given one.
+    fn repetition(&mut self, now: Duration) -> Option<Entry> {
+        if !self.tail.reader.is_caught_up() {
+            return None;
+        }
+        if self.fold.is_anchored() {
+            self.offer_at = None;
+            return self.fold.repetition().filter(|_| self.refresh.is_due(now));
+        }
+        let jitter = ANCHOR_WAIT.mul_f64(rand::random());
+        let offer_at = *self.offer_at.get_or_insert(now + ANCHOR_WAIT + jitter);
+        self.fold.repetition().filter(|_| now >= offer_at)
+    }
+
+    async fn repeat(&mut self, entry: &Entry) {
+        self.pause(FAILED_PAUSE);
+        let Ok(payload) = serde_json::value::to_raw_value(entry) else {
+            return;
+        };
+        let draft = stream::Draft {
+            id: id::Record::from(format!("{:032x}", rand::random::<u128>())),
+            payload,
+        };
+        let records = vec![draft];
+        match self
+            .log
+            .append(&self.name, &stream::Batch { records })
+            .await
+        {
+            Ok(_) => {
+                self.pause(REPEAT_PAUSE);
+                log::info!(revision = entry.proposal.revision.0; "configuration repeated");
             }
-            Err(error) => {
-                log::warn!("the configuration stream cannot be read: {error}");
-                time::sleep(FAILED_PAUSE).await;
+            // A repetition that is stored twice changes nothing.
+            Err(error) => log::warn!("the configuration cannot be repeated: {error}"),
+        }
+    }
+
+    fn pause(&mut self, pause: Duration) {
+        let now = self.wall.now();
+        self.refresh.attempted(now, pause);
+        self.offer_at = Some(now + FAILED_PAUSE);
+    }
+
+    fn report(&mut self, record: &stream::Record, verdict: &Verdict) {
+        let offset = record.offset.0;
+        match verdict {
+            Verdict::Accepted | Verdict::Refreshed | Verdict::Anchored { .. } | Verdict::Held => {
+                log::debug!(offset; "configuration record: {verdict:?}");
+            }
+            Verdict::Rejected(rejection) => {
+                log::info!(offset; "a proposal is rejected: {rejection}");
             }
+            Verdict::Skipped(skip) => self.complain(
+                skip.as_str(),
+                &format!(
+                    "the record at offset {offset} is skipped as {}",
+                    skip.as_str()
+                ),
+            ),
+        }
+    }
+
+    /// Warns about the first case of a kind; the others are for debugging.
+    fn complain(&mut self, kind: &'static str, message: &str) {
+        if self.complained.insert(kind) {
+            log::warn!("{message}");
+        } else {
+            log::debug!("{message}");
         }
     }
 }
 
-fn offer(record: &stream::Record, current: &watch::Sender<Current>) {
-    let Ok(proposal) = serde_json::from_str::<Proposal>(record.payload.get()) else {
-        return;
-    };
-    let accepted = current
-        .borrow()
-        .as_ref()
-        .map_or(id::Revision(0), |active| active.revision);
-    if proposal.base != accepted {
-        return;
+fn carries(verdict: &Verdict) -> bool {
+    matches!(
+        verdict,
+        Verdict::Accepted | Verdict::Refreshed | Verdict::Anchored { .. }
+    )
+}
+
+/// Time since 1970, to compare with the log's clock.
+#[derive(Clone, Copy, Debug)]
+struct Wall {
+    started: Duration,
+    instant: Instant,
+}
+
+impl Wall {
+    fn start() -> Self {
+        Self {
+            started: SystemTime::now()
+                .duration_since(UNIX_EPOCH)
+                .unwrap_or_default(),
+            instant: Instant::now(),
+        }
+    }
+
+    fn now(self) -> Duration {
+        self.started + self.instant.elapsed()
     }
-    let Ok(document) = Document::parse(&proposal.document) else {
-        return;
-    };
-    let active = Active::new(proposal.revision, proposal.digest, document);
-    log::info!(revision = active.revision.0; "configuration in force");
-    current.send_replace(Some(Arc::new(active)));
 }
--- a/crates/papayayard/src/controllers/mod.rs
+++ b/crates/papayayard/src/controllers/mod.rs
@@ -4,4 +4,10 @@
 pub(crate) mod configuration;
 pub(crate) mod directory;
 pub(crate) mod fleet;
+pub(crate) mod journal;
 pub(crate) mod observer;
+
+#[cfg(test)]
+mod configuration_test;
+#[cfg(test)]
+mod fake_log_test;
--- a/crates/papayayard/src/host.rs
+++ b/crates/papayayard/src/host.rs
@@ -130,7 +130,8 @@
     let log = Platform::new(settings.platform.log, timeout).with_host(&settings.host);
     let hosts = Platform::new(settings.platform.directory, timeout).with_host(&settings.host);
     let mut controllers = JoinSet::new();
-    controllers.spawn(configuration::follow(log, active_sender));
+    let link = configuration::Link::alone();
+    controllers.spawn(configuration::follow(log, active_sender, link));
     controllers.spawn(listing::follow(
         hosts,
         settings.periods.directory,
--- a/crates/papayayard_coordination/src/configuration/refresh.rs
+++ b/crates/papayayard_coordination/src/configuration/refresh.rs
@@ -2,7 +2,9 @@
 //!
 //! Each host draws its own time in the third quarter of the retention, counted
 //! from the newest record that carries the accepted proposal. The first host
-//! to reach its time appends, and its record resets all others.
+//! to reach its time appends, and its record resets all others. An attempt is
+//! followed by a pause that no record shortens, so that a log whose clock is
+//! far behind the host's is not flooded.
 
 use std::time::Duration;
 
@@ -12,6 +14,7 @@
     retention: Duration,
     carried: Option<Duration>,
     due: Option<Duration>,
+    not_before: Duration,
 }
 
 impl Refresh {
@@ -21,6 +24,7 @@
             retention,
             carried: None,
             due: None,
+            not_before: Duration::ZERO,
         }
     }
 
@@ -38,11 +42,11 @@
 
     /// Whether the proposal is to be appended at `now`.
     pub fn is_due(&self, now: Duration) -> bool {
-        self.due.is_some_and(|due| now >= due)
+        now >= self.not_before && self.due.is_some_and(|due| now >= due)
     }
 
     /// Puts the next attempt off after an append.
     pub fn attempted(&mut self, now: Duration, pause: Duration) {
-        self.due = Some(now + pause);
+        self.not_before = now + pause;
     }
 }
--- a/crates/papayayard_coordination/tests/refresh.rs
+++ b/crates/papayayard_coordination/tests/refresh.rs
@@ -34,6 +34,18 @@
     assert!(refresh.is_due(HOUR * 32));
 }
 
+#[test]
+fn a_log_whose_clock_is_behind_is_not_flooded() {
+    let mut refresh = Refresh::new(RETENTION);
+    let now = HOUR * 1_000;
+    refresh.carry(HOUR, 0.5);
+    assert!(refresh.is_due(now));
+    refresh.attempted(now, HOUR);
+    refresh.carry(HOUR * 2, 0.5);
+    assert!(!refresh.is_due(now + HOUR / 2));
+    assert!(refresh.is_due(now + HOUR));
+}
+
 /// 510 hosts over 5 days: one record or two in every half day.
 #[test]
 fn one_host_of_many_repeats_the_record() {
