--- a/crates/papayayard/src/controllers/configuration.rs
+++ b/crates/papayayard/src/controllers/configuration.rs
@@ -20,6 +20,8 @@
 /// The configuration in force, if there is one.
 pub(crate) type Current = Option<Arc<Active>>;
 
+/// Proposals of peers that wait.
+const BACKLOG: usize = 16;
 /// Time that the log keeps a record at least.
 const RETENTION: Duration = Duration::from_hours(24);
 /// Pause after a repetition was appended.
@@ -37,14 +39,11 @@
     pub(crate) adopt: mpsc::Receiver<Entry>,
 }
 
-impl Link {
-    /// Ways that lead nowhere, for a host without peers.
-    pub(crate) fn alone() -> Self {
-        Self {
-            accepted: watch::channel(None).0,
-            adopt: mpsc::channel(1).1,
-        }
-    }
+/// A link, with what the peers' controller follows and tells.
+pub(crate) fn link() -> (Link, watch::Receiver<Option<Entry>>, mpsc::Sender<Entry>) {
+    let (accepted, accepted_seen) = watch::channel(None);
+    let (adopted, adopt) = mpsc::channel(BACKLOG);
+    (Link { accepted, adopt }, accepted_seen, adopted)
 }
 
 /// Follows the stream and the peers until nobody listens any more.
--- a/crates/papayayard/src/controllers/configuration_test.rs
+++ b/crates/papayayard/src/controllers/configuration_test.rs
@@ -8,7 +8,7 @@
 use tokio::task::JoinHandle;
 use tokio::time;
 
-use super::configuration::{Current, Link, follow};
+use super::configuration::{Current, follow, link};
 use super::fake_log_test::Log;
 
 const DOCUMENT: &str = include_str!("../../../../examples/fjordtakt.yaml");
@@ -23,12 +23,7 @@
 impl Host {
     fn start(log: &Log) -> Self {
         let (current_sender, current) = watch::channel(None);
-        let (accepted_sender, accepted) = watch::channel(None);
-        let (adopt, adopt_receiver) = mpsc::channel(4);
-        let link = Link {
-            accepted: accepted_sender,
-            adopt: adopt_receiver,
-        };
+        let (link, accepted, adopt) = link();
         let task = tokio::spawn(follow(log.clone(), current_sender, link));
         Self {
             current,
--- a/crates/papayayard/src/controllers/mod.rs
+++ b/crates/papayayard/src/controllers/mod.rs
@@ -6,6 +6,7 @@
 pub(crate) mod fleet;
 pub(crate) mod journal;
 pub(crate) mod observer;
+pub(crate) mod peers;
 
 #[cfg(test)]
 mod configuration_test;
--- a/crates/papayayard_coordination/src/membership.rs
+++ b/crates/papayayard_coordination/src/membership.rs
@@ -174,6 +174,14 @@
         self.call_at = self.call_at.min(now + soon);
     }
 
+    /// Asks for calls to all partners now, because this host has just started.
+    pub fn introduce(&mut self, now: Duration) {
+        let partners = u32::try_from(self.partners().len()).unwrap_or(u32::MAX);
+        // Calls alternate between zones, so one zone takes half of them.
+        self.urgent = partners.saturating_mul(2);
+        self.call_at = now;
+    }
+
     /// When [`Self::tick`] is to be called next.
     pub const fn next_at(&self) -> Duration {
         self.call_at
@@ -240,6 +248,16 @@
         hosts
     }
 
+    /// Hosts that shares of limits are exchanged with: all where they are few,
+    /// else those of the own zone.
+    pub fn partners(&self) -> Vec<id::Host> {
+        let is_small = self.members.len() < pace::PARTNERS;
+        let members = self.members.iter();
+        let partners = members.filter(|(_, member)| is_small || member.zone == self.zone);
+        let partners = partners.filter(|(_, member)| member.state != Some(peer::State::Left));
+        partners.map(|(host, _)| host.clone()).collect()
+    }
+
     /// Whether this host, on its own, takes the peer to be out of reach.
     pub fn is_suspected(&self, host: &id::Host) -> bool {
         self.members
