--- a/crates/papayayard/src/controllers/fake_log_test.rs
+++ b/crates/papayayard/src/controllers/fake_log_test.rs
@@ -10,6 +10,7 @@
 
 /// What happens to an append.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[allow(dead_code, reason = "the tests of claims use the rest")]
 pub(super) enum Fault {
     /// It has no effect, and the client knows.
     Unreachable,
@@ -68,6 +69,7 @@
     }
 
     /// Faults of the next appends, in order.
+    #[allow(dead_code, reason = "the tests of claims use it")]
     pub(super) fn fail(&self, faults: &[Fault]) {
         self.inner.lock().unwrap().faults = faults.iter().rev().copied().collect();
     }
