Audit what callers are told against what endpoints ran

Found by the audit: a plain service's answer that says the request was not run went to the caller as the service's own 503, without kind or whether it ran, although another endpoint could take it. Now the next endpoint is asked, also for what is not idempotent, since the contract says that nothing ran; router headers in a service's answer are dropped.

--- a/crates/papayayard/src/relay/call.rs
+++ b/crates/papayayard/src/relay/call.rs
@@ -74,10 +74,10 @@
                 Ok(answer) => return Ok(answer),
                 Err(failure) => failure,
             };
-            if failure != Failure::Unreachable && !call.idempotent {
+            if failure.may_have_run() && !call.idempotent {
                 return Err(unknown());
             }
-            if failure != Failure::Unreachable {
+            if failure.may_have_run() {
                 ran = Ran::Unknown;
             }
             self.metrics.retried(failure.reason());
@@ -119,12 +119,21 @@
         if answer_id.is_some_and(|value| value.as_bytes() != arrival.id.as_str().as_bytes()) {
             return Err(Failure::Mismatched);
         }
+        if is_refusal(&response) {
+            return Err(Failure::Refused);
+        }
         time::timeout(call.timeout, collect(response))
             .await
             .unwrap_or(Err(Failure::TimedOut))
     }
 }
 
+/// Whether the endpoint's contract says that the request was not run.
+fn is_refusal(response: &Response<Incoming>) -> bool {
+    let ran = response.headers().get(names::RAN);
+    !response.status().is_success() && ran.is_some_and(|ran| ran == "no")
+}
+
 async fn collect(response: Response<Incoming>) -> Result<Answer, Failure> {
     let (head, body) = response.into_parts();
     let body: Bytes = Limited::new(body, MAX_ANSWER_BYTES)
@@ -136,6 +145,9 @@
     for name in HOP_HEADERS {
         headers.remove(name);
     }
+    for name in ROUTER_HEADERS {
+        headers.remove(name);
+    }
     Ok(Answer {
         status: head.status,
         headers,
--- a/crates/papayayard/src/relay/client.rs
+++ b/crates/papayayard/src/relay/client.rs
@@ -48,6 +48,8 @@
 pub(crate) enum Failure {
     /// Nothing was sent.
     Unreachable,
+    /// The endpoint refused the request and did not run it.
+    Refused,
     /// The request was sent, at least in part.
     Broken,
     /// The answer belongs to another request or another run.
@@ -59,10 +61,16 @@
 }
 
 impl Failure {
+    /// Whether the request may have run.
+    pub(crate) const fn may_have_run(self) -> bool {
+        !matches!(self, Self::Unreachable | Self::Refused)
+    }
+
     /// Name of the retry that follows, in metrics.
     pub(crate) const fn reason(self) -> retry::Reason {
         match self {
             Self::Unreachable => retry::Reason::Unreachable,
+            Self::Refused => retry::Reason::Refused,
             Self::Broken => retry::Reason::Broken,
             Self::Mismatched => retry::Reason::Mismatched,
             Self::Lost => retry::Reason::Crashed,
--- a/crates/papayayard/src/relay/completion.rs
+++ b/crates/papayayard/src/relay/completion.rs
@@ -107,6 +107,7 @@
     ) -> Result<(), Refusal> {
         let outcome = match failure {
             Failure::Unreachable => fleet::Outcome::Unreachable,
+            Failure::Refused => fleet::Outcome::Refused,
             Failure::Mismatched => fleet::Outcome::Broken,
             Failure::TimedOut => fleet::Outcome::Stalled,
             Failure::Broken | Failure::Lost => {
