--- a/crates/papayayard/tests/documentation.rs
+++ b/crates/papayayard/tests/documentation.rs
@@ -6,7 +6,7 @@
 use std::path::Path;
 
 use http::Method;
-use papayayard::settings::Settings;
+use papayayard::settings::{self, Settings};
 use papayayard_document::document::Document;
 use papayayard_document::fault::Fault;
 use papayayard_routing::retry;
@@ -109,6 +109,45 @@
     assert!(keys.is_empty(), "not in docs/CONFIGURATION.md: {keys:?}");
 }
 
+fn grouped(number: u128) -> String {
+    let digits = number.to_string();
+    let mut text = String::new();
+    for (index, digit) in digits.chars().enumerate() {
+        if index > 0 && (digits.len() - index).is_multiple_of(3) {
+            text.push(',');
+        }
+        text.push(digit);
+    }
+    text
+}
+
+#[test]
+fn defaults_are_stated() {
+    let limits = settings::Limits::default();
+    let periods = settings::Periods::default();
+    let bytes = |bytes: usize| u128::try_from(bytes).expect("a length fits");
+    let defaults = [
+        ("body_bytes", bytes(limits.body_bytes)),
+        ("header_bytes", bytes(limits.header_bytes)),
+        ("send_ms", limits.send.as_millis()),
+        ("directory_ms", periods.directory.as_millis()),
+        ("report_ms", periods.report.as_millis()),
+        ("events_ms", periods.events.as_millis()),
+        ("peers_ms", periods.peers.as_millis()),
+        ("platform_timeout_ms", periods.platform_timeout.as_millis()),
+    ];
+    for (key, default) in defaults {
+        let row = format!("| `{key}` |");
+        let row = CONFIGURATION.lines().find(|line| line.starts_with(&row));
+        let row = row.unwrap_or_else(|| panic!("no row of {key}"));
+        let stated = format!("default {} |", grouped(default));
+        assert!(
+            row.ends_with(&stated),
+            "{row:?} does not end with {stated:?}"
+        );
+    }
+}
+
 #[test]
 fn links_lead_to_files() {
     let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
