Claim idempotency keys in the log before their requests are sent

Cause: a keyed request has to run at most once over all hosts and zones, though hosts die, answers to appends are lost and the log forgets.

Ruled out: a claim record that is simply dropped when its append was lost (it may turn up later and hold the key for ever, or run a request that was refused as not run); expiring a holder so that another may run (its host may only be paused); remembering outcomes in memory (unbounded).

Change: `claim::Shard` folds a stream: the first claim in offset order holds the key; a try that lost or was given up never holds it again, whichever of its records is stored first; keys are remembered for a stated time of the log's clock, and a reader that has not seen that much judges nothing.

--- a/crates/papayayard_coordination/src/lib.rs
+++ b/crates/papayayard_coordination/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod amount;
 pub mod budget;
+pub mod claim;
 pub mod configuration;
 pub mod demand;
 pub mod departure;
