Add leases in the log and orders under their fencing numbers

Cause: one host at a time has to bring endpoints to the document's weights, few at once, also when a holder is paused past its lease, and endpoints may ignore fencing numbers.

Change: coordination::lease folds records by the log's own time; holder counts its own time from before its append, less a margin; order reconciles wanted with reported state. controllers::orders follows the stream of leases, asks for those of a few services by rank, gives orders and releases at a planned stop, for which host::Running::stop waits at most 3 s.

Ruled out: naming a holder by its host alone, since a release or extension of an ended process could then take effect for its successor; a holder is one run of a process.

--- a/crates/papayayard/src/controllers/mod.rs
+++ b/crates/papayayard/src/controllers/mod.rs
@@ -5,4 +5,5 @@
 pub(crate) mod directory;
 pub(crate) mod fleet;
 pub(crate) mod observer;
+pub(crate) mod orders;
 pub(crate) mod peers;
--- a/crates/papayayard/src/host.rs
+++ b/crates/papayayard/src/host.rs
@@ -20,7 +20,9 @@
 
 use crate::callers;
 use crate::clock::Clock;
-use crate::controllers::{admission, configuration, directory as listing, fleet, observer, peers};
+use crate::controllers::{
+    admission, configuration, directory as listing, fleet, observer, orders, peers,
+};
 use crate::filters::chain;
 use crate::metrics::Metrics;
 use crate::operators;
@@ -28,6 +30,9 @@
 use crate::relay::{call, completion};
 use crate::settings::{self, Settings};
 
+/// Longest wait for the handover of leases at a planned stop.
+const HANDOVER_WAIT: Duration = Duration::from_secs(3);
+
 /// Why a host cannot start.
 #[derive(Debug, Snafu)]
 pub enum Error {
@@ -60,6 +65,7 @@
     open: TaskTracker,
     callers: ServerHandle,
     callers_task: JoinHandle<()>,
+    released: watch::Receiver<bool>,
     _controllers: JoinSet<()>,
 }
 
@@ -71,7 +77,7 @@
 
     /// Stops as planned: readiness turns false at once, requests are taken
     /// for the grace period, and the host ends when the last one has ended.
-    pub async fn stop(self) {
+    pub async fn stop(mut self) {
         log::info!(open = self.open.len(); "planned stop");
         self.stopping.send_replace(true);
         time::sleep(self.settings.stop_grace).await;
@@ -81,6 +87,10 @@
         if self.callers_task.await.is_err() {
             log::warn!("the callers' listener ended early");
         }
+        let released = self.released.wait_for(|released| *released);
+        if !matches!(time::timeout(HANDOVER_WAIT, released).await, Ok(Ok(_))) {
+            log::warn!("leases were not handed over; they end by themselves");
+        }
         log::info!("stopped");
     }
 }
@@ -121,27 +131,25 @@
     let fleet = fleet::start(options, active.clone());
     let (list_sender, list) = watch::channel(directory::List::default());
 
-    let timeout = settings.periods.platform_timeout;
-    let log = Platform::new(settings.platform.log, timeout).with_host(&settings.host);
-    let hosts = Platform::new(settings.platform.directory, timeout).with_host(&settings.host);
+    let (log, hosts) = (platform_log(&settings), platform_directory(&settings));
     let mut controllers = JoinSet::new();
     let (link, accepted, adopt) = configuration::link();
     controllers.spawn(configuration::follow(log, active_sender, link));
-    controllers.spawn(listing::follow(
-        hosts,
-        settings.periods.directory,
-        list_sender.clone(),
-    ));
-    let observer = observer(&settings, &client, &fleet);
-    controllers.spawn(observer::supervise(observer, list.clone(), active.clone()));
-    let view = operators::View {
-        host: settings.host.clone(),
-        zone: settings.zone.clone(),
+    let period = settings.periods.directory;
+    controllers.spawn(listing::follow(hosts, period, list_sender.clone()));
+    let parts = Parts {
+        client: client.clone(),
+        clock,
+        fleet: fleet.clone(),
         active: active.clone(),
+        list: list.clone(),
         stopping: stopping_seen.clone(),
-        open: open.clone(),
-        fleet: fleet.clone(),
     };
+    let observer = parts.observer(&settings);
+    controllers.spawn(observer::supervise(observer, list.clone(), active.clone()));
+    let (links, released) = parts.order_links(&settings.host);
+    controllers.spawn(orders::follow(platform_log(&settings), links));
+    let view = parts.view(&settings, &open);
     controllers.spawn(operators::serve(sockets.operators, view));
 
     let (shares_sender, agreed) = watch::channel(admission::Shares::new());
@@ -200,6 +208,7 @@
         open,
         callers,
         callers_task,
+        released,
         _controllers: controllers,
     })
 }
@@ -239,6 +248,16 @@
     Ok((acceptor, bound))
 }
 
+fn platform_log(settings: &Settings) -> Platform {
+    let timeout = settings.periods.platform_timeout;
+    Platform::new(settings.platform.log, timeout).with_host(&settings.host)
+}
+
+fn platform_directory(settings: &Settings) -> Platform {
+    let timeout = settings.periods.platform_timeout;
+    Platform::new(settings.platform.directory, timeout).with_host(&settings.host)
+}
+
 /// Admission of completions, which endpoints' slots bound, and of calls.
 fn admissions(sources: admission::Sources, clock: Clock) -> (admission::Handle, admission::Handle) {
     let uncapped = admission::Sources {
@@ -250,11 +269,49 @@
     (completions, calls)
 }
 
-fn observer(settings: &Settings, client: &Client, fleet: &fleet::Handle) -> observer::Observer {
-    observer::Observer {
-        client: client.clone(),
-        fleet: fleet.clone(),
-        periods: settings.periods.clone(),
+/// Handles that several controllers share.
+struct Parts {
+    client: Client,
+    clock: Clock,
+    fleet: fleet::Handle,
+    active: watch::Receiver<configuration::Current>,
+    list: watch::Receiver<directory::List>,
+    stopping: watch::Receiver<bool>,
+}
+
+impl Parts {
+    fn observer(&self, settings: &Settings) -> observer::Observer {
+        observer::Observer {
+            client: self.client.clone(),
+            fleet: self.fleet.clone(),
+            periods: settings.periods.clone(),
+        }
+    }
+
+    fn view(&self, settings: &Settings, open: &TaskTracker) -> operators::View {
+        operators::View {
+            host: settings.host.clone(),
+            zone: settings.zone.clone(),
+            active: self.active.clone(),
+            stopping: self.stopping.clone(),
+            open: open.clone(),
+            fleet: self.fleet.clone(),
+        }
+    }
+
+    fn order_links(&self, host: &id::Host) -> (orders::Links, watch::Receiver<bool>) {
+        let (released, released_seen) = watch::channel(false);
+        let links = orders::Links {
+            host: host.clone(),
+            active: self.active.clone(),
+            list: self.list.clone(),
+            stopping: self.stopping.clone(),
+            fleet: self.fleet.clone(),
+            client: self.client.clone(),
+            clock: self.clock,
+            released,
+        };
+        (links, released_seen)
     }
 }
 
--- /dev/null
+++ b/crates/papayayard_coordination/tests/lease_test.rs
@@ -0,0 +1,250 @@
+//! Leases: who holds what by the log, and who may act by its own clock.
+
+use std::time::Duration;
+
+use papayayard_coordination::holder::{Holder, Step, Times};
+use papayayard_coordination::lease::{self, Action, Table, Verdict};
+use papayayard_wire::{id, log};
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng;
+use rstest::rstest;
+
+const NAME: &str = "orders/match-llm";
+const HOLD: Action = Action::Hold { ttl_ms: 12_000 };
+
+fn name(index: usize) -> id::Host {
+    id::Host::from(format!("entry-{index}"))
+}
+
+fn record(offset: u64, time_ms: u64, holder: usize, action: Action) -> log::Record {
+    let content = lease::Record {
+        format: lease::FORMAT,
+        lease: NAME.to_owned(),
+        holder: name(holder % 10),
+        run: holder as u64 / 10,
+        action,
+    };
+    log::Record {
+        offset: log::Offset(offset),
+        id: id::Record::from(format!("r{offset}")),
+        time_ms,
+        payload: serde_json::value::to_raw_value(&content).unwrap(),
+    }
+}
+
+#[rstest]
+#[case::free(&[(0, 1, HOLD)], Verdict::Taken(id::Fence(0)))]
+#[case::held(&[(0, 1, HOLD), (11_999, 2, HOLD)], Verdict::Refused)]
+#[case::over(&[(0, 1, HOLD), (12_000, 2, HOLD)], Verdict::Taken(id::Fence(1)))]
+#[case::extended(&[(0, 1, HOLD), (6_000, 1, HOLD)], Verdict::Extended(id::Fence(0)))]
+#[case::held_longer(&[(0, 1, HOLD), (6_000, 1, HOLD), (17_999, 2, HOLD)], Verdict::Refused)]
+#[case::too_late_to_extend(&[(0, 1, HOLD), (12_000, 1, HOLD)], Verdict::Taken(id::Fence(1)))]
+#[case::released(&[(0, 1, HOLD), (1, 1, Action::Release), (2, 2, HOLD)],
+    Verdict::Taken(id::Fence(2)))]
+#[case::released_by_another(&[(0, 1, HOLD), (1, 2, Action::Release)], Verdict::Refused)]
+#[case::by_another_run(&[(0, 1, HOLD), (1, 11, HOLD)], Verdict::Refused)]
+#[case::released_by_another_run(&[(0, 11, HOLD), (1, 1, Action::Release)], Verdict::Refused)]
+#[case::clock_steps_back(&[(9_000, 1, HOLD), (0, 1, HOLD), (20_999, 2, HOLD)], Verdict::Refused)]
+#[case::clock_is_set_right(&[(9_000, 1, HOLD), (9_000, 1, Action::Release), (0, 2, HOLD),
+    (13_000, 1, HOLD)], Verdict::Refused)]
+#[case::extended_by_less(&[(0, 1, HOLD), (1, 1, Action::Hold { ttl_ms: 1 }), (5_000, 2, HOLD)],
+    Verdict::Refused)]
+#[case::too_long(&[(0, 1, Action::Hold { ttl_ms: 120_001 })], Verdict::Skipped)]
+#[case::endless(&[(0, 1, Action::Hold { ttl_ms: u64::MAX })], Verdict::Skipped)]
+fn the_log_decides(#[case] records: &[(u64, usize, Action)], #[case] last: Verdict) {
+    let mut table = Table::default();
+    let mut verdict = Verdict::Skipped;
+    for (offset, (time_ms, holder, action)) in (0..).zip(records) {
+        verdict = table.apply(&record(offset, *time_ms, *holder, *action));
+    }
+    assert_eq!(verdict, last);
+}
+
+#[rstest]
+#[case::not_ours("{\"a\":1}")]
+#[case::truncated("\"{\"")]
+#[case::other_format(r#"{"format":9,"lease":"x","holder":"h","run":1,"action":"release"}"#)]
+fn other_records_are_skipped(#[case] payload: &str) {
+    let mut table = Table::default();
+    let mut foreign = record(0, 0, 1, HOLD);
+    foreign.payload = serde_json::value::RawValue::from_string(payload.to_owned()).unwrap();
+    assert_eq!(table.apply(&foreign), Verdict::Skipped);
+    assert_eq!(table.next(), log::Offset(1));
+    assert!(table.get(NAME).is_none());
+}
+
+#[test]
+fn a_record_that_is_stored_twice_counts_once() {
+    let mut table = Table::default();
+    let first = record(0, 0, 1, HOLD);
+    assert_eq!(table.apply(&first), Verdict::Taken(id::Fence(0)));
+    let mut again = record(1, 5_000, 1, HOLD);
+    again.id = first.id.clone();
+    assert_eq!(table.apply(&again), Verdict::Refused);
+    assert_eq!(table.get(NAME).unwrap().until_ms, 12_000);
+}
+
+/// Run of a process that starts at `now`; the first starts at zero.
+fn run_at(now: Duration) -> u64 {
+    u64::try_from(now.as_millis()).unwrap()
+}
+
+/// A host of the simulation, with a clock of its own rate.
+struct Host {
+    holder: Holder,
+    table: Table,
+    clock_percent: u32,
+    paused_until: Duration,
+    run: u64,
+}
+
+impl Host {
+    fn new(index: usize, clock_percent: u32, now: Duration) -> Self {
+        let at = now * clock_percent / 100;
+        let delay = Duration::from_secs(index as u64);
+        let run = run_at(now);
+        Self {
+            holder: Holder::new(name(index), run, Times::default(), delay, at),
+            table: Table::default(),
+            clock_percent,
+            paused_until: now,
+            run,
+        }
+    }
+
+    fn at(&self, now: Duration) -> Duration {
+        now * self.clock_percent / 100
+    }
+
+    fn read(&mut self, stream: &[log::Record], now: Duration) {
+        let at = self.at(now);
+        let from = usize::try_from(self.table.next().0).unwrap();
+        for record in &stream[from..] {
+            let verdict = self.table.apply(record);
+            let lease = self.table.get(NAME);
+            self.holder.learn(&record.id, verdict, lease, at);
+        }
+    }
+}
+
+/// An append under way: the time that it takes effect, and its content.
+type Flight = (Duration, usize, id::Record, Action);
+
+fn land(stream: &mut Vec<log::Record>, flight: Flight) {
+    let (at, holder, id, action) = flight;
+    let time_ms = u64::try_from(at.as_millis()).unwrap();
+    let mut stored = record(stream.len() as u64, time_ms, holder, action);
+    stored.id = id;
+    stream.push(stored);
+}
+
+/// Pauses past the end, lost and late appends, outages of the log, drifting
+/// clocks, planned stops and restarts: never do two hosts act at one time.
+#[test]
+fn two_hosts_never_act_at_one_time() {
+    let mut held = 0;
+    for seed in 0..1_000 {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut now = Duration::from_secs(100);
+        let mut hosts: Vec<Host> = (0..3)
+            .map(|index| Host::new(index, random.random_range(95..=105), now))
+            .collect();
+        let mut stream: Vec<log::Record> = Vec::new();
+        let mut flights: Vec<Flight> = Vec::new();
+        let mut number = 0;
+        let mut last = id::Fence(0);
+        for _ in 0..300 {
+            now += Duration::from_millis(random.random_range(0..800));
+            flights.sort_by_key(|flight| flight.0);
+            let landed = flights.iter().take_while(|flight| flight.0 <= now).count();
+            for flight in flights.drain(..landed) {
+                land(&mut stream, flight);
+            }
+            let index = random.random_range(0..3);
+            let host = &mut hosts[index];
+            if now >= host.paused_until {
+                match random.random_range(0..40) {
+                    0 => host.paused_until = now + Duration::from_secs(random.random_range(5..30)),
+                    1 => host.holder.stop(),
+                    2 => *host = Host::new(index, host.clock_percent, now),
+                    3..=20 => host.read(&stream, now),
+                    _ => {
+                        let at = host.at(now);
+                        if let Step::Append(action) = host.holder.step(at) {
+                            number += 1;
+                            let id = id::Record::from(format!("a{number}"));
+                            host.holder.sent(id.clone(), at);
+                            let late = Duration::from_millis(random.random_range(0..15_000));
+                            if random.random_bool(0.8) {
+                                let holder = index + 10 * usize::try_from(host.run).unwrap();
+                                flights.push((now + late / 5, holder, id, action));
+                            }
+                        }
+                    }
+                }
+            }
+            let acting: Vec<id::Fence> = hosts
+                .iter()
+                .filter_map(|host| host.holder.fence(host.at(now)))
+                .collect();
+            assert!(acting.len() <= 1, "seed {seed} at {now:?}: {acting:?}");
+            if let Some(fence) = acting.first() {
+                assert!(
+                    *fence >= last,
+                    "seed {seed} at {now:?}: {fence:?} after {last:?}"
+                );
+                last = *fence;
+                held += 1;
+            }
+        }
+    }
+    assert!(held > 30_000, "the lease was rarely held: {held}");
+}
+
+#[test]
+fn a_holder_that_was_paused_past_its_end_may_not_act() {
+    let mut host = Host::new(0, 100, Duration::ZERO);
+    let start = Duration::from_secs(1);
+    assert_eq!(host.holder.step(start), Step::Append(HOLD));
+    host.holder.sent(id::Record::from("r0"), start);
+    host.read(&[record(0, 1_000, 0, HOLD)], start);
+    assert_eq!(host.holder.fence(start), Some(id::Fence(0)));
+    let end = start + Times::default().ttl.saturating_sub(Times::default().margin);
+    assert_eq!(host.holder.fence(end), None);
+}
+
+#[test]
+fn an_answer_that_comes_late_gives_no_more_time() {
+    let mut host = Host::new(0, 100, Duration::ZERO);
+    host.holder.sent(id::Record::from("r0"), Duration::ZERO);
+    let late = Duration::from_secs(10);
+    host.read(&[record(0, 9_000, 0, HOLD)], late);
+    assert_eq!(host.holder.fence(late), None);
+}
+
+#[test]
+fn a_planned_stop_hands_the_lease_over() {
+    let mut hosts = [
+        Host::new(0, 100, Duration::ZERO),
+        Host::new(1, 100, Duration::ZERO),
+    ];
+    let mut stream = vec![record(0, 0, 0, HOLD)];
+    hosts[0].holder.sent(id::Record::from("r0"), Duration::ZERO);
+    for host in &mut hosts {
+        host.read(&stream, Duration::ZERO);
+    }
+    let now = Duration::from_secs(2);
+    hosts[0].holder.stop();
+    assert_eq!(hosts[0].holder.fence(now), None);
+    assert!(!hosts[0].holder.is_released(now));
+    assert_eq!(hosts[0].holder.step(now), Step::Append(Action::Release));
+    hosts[0].holder.sent(id::Record::from("r1"), now);
+    stream.push(record(1, 2_000, 0, Action::Release));
+    for host in &mut hosts {
+        host.read(&stream, now);
+    }
+    assert!(hosts[0].holder.is_released(now));
+    let soon = now + Duration::from_secs(1);
+    assert_eq!(hosts[1].holder.step(soon), Step::Append(HOLD));
+}
--- /dev/null
+++ b/crates/papayayard_coordination/tests/order_test.rs
@@ -0,0 +1,319 @@
+//! Orders to endpoints that check the fencing number and that ignore it.
+
+use std::time::Duration;
+
+use papayayard_coordination::order::{self, Reconciler, Seen, Wanted};
+use papayayard_wire::endpoint::{Goal, Order, Report, State};
+use papayayard_wire::{directory, id};
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng;
+use rstest::rstest;
+
+const LOAD: Duration = Duration::from_millis(1_300);
+const TICK: Duration = Duration::from_millis(250);
+
+/// An endpoint as the brief describes it.
+struct Endpoint {
+    report: Report,
+    plan: directory::State,
+    is_fencing: bool,
+    fence: id::Fence,
+    load: Option<(id::Version, Duration)>,
+}
+
+impl Endpoint {
+    fn new(index: usize, is_fencing: bool) -> Self {
+        let report = Report {
+            endpoint: id::Endpoint::from(format!("llm-{index}")),
+            incarnation: id::Incarnation(1),
+            state: State::Ready,
+            model: id::Model::from("m"),
+            version: id::Version::from("v1"),
+            running: 0,
+            queued: 0,
+            pending_tokens: 0,
+            slots: 8,
+            prefill_rate: 1,
+            cache_blocks: 1,
+            sequence: 0,
+            age_ms: 0,
+        };
+        Self {
+            report,
+            plan: directory::State::Live,
+            is_fencing,
+            fence: id::Fence(0),
+            load: None,
+        }
+    }
+
+    fn take(&mut self, order: &Order, now: Duration) -> bool {
+        if self.is_fencing && order.fence < self.fence {
+            return false;
+        }
+        self.fence = self.fence.max(order.fence);
+        match &order.goal {
+            Goal::Drain => {
+                self.load = None;
+                self.report.state = State::Draining;
+            }
+            Goal::Load { version, .. } => {
+                self.load = Some((version.clone(), now + LOAD));
+                self.report.state = State::Loading;
+            }
+        }
+        true
+    }
+
+    fn run(&mut self, now: Duration) {
+        if let Some((version, _)) = self.load.take_if(|(_, until)| now >= *until) {
+            self.report.version = version;
+            self.report.state = State::Ready;
+        }
+    }
+
+    fn crash(&mut self) {
+        self.report.incarnation.0 += 1;
+        self.report.state = State::Ready;
+        self.fence = id::Fence(0);
+        self.load = None;
+    }
+}
+
+fn wanted(version: &str, loads_at_once: u32) -> Wanted {
+    Wanted {
+        model: id::Model::from("m"),
+        version: id::Version::from(version),
+        loads_at_once,
+    }
+}
+
+fn look(
+    reconciler: &mut Reconciler,
+    endpoints: &[Endpoint],
+    wanted: &Wanted,
+    fence: u64,
+    now: Duration,
+) -> Vec<order::Given> {
+    let seen: Vec<Seen<'_>> = endpoints
+        .iter()
+        .map(|endpoint| Seen {
+            endpoint: &endpoint.report.endpoint,
+            plan: endpoint.plan,
+            report: Some(&endpoint.report),
+        })
+        .collect();
+    reconciler.reconcile(wanted, &seen, id::Fence(fence), now)
+}
+
+fn deliver(endpoints: &mut [Endpoint], given: &order::Given, now: Duration) -> bool {
+    let endpoint = endpoints
+        .iter_mut()
+        .find(|endpoint| endpoint.report.endpoint == given.endpoint);
+    endpoint.unwrap().take(&given.order, now)
+}
+
+fn run(endpoints: &mut [Endpoint], now: Duration) {
+    for endpoint in endpoints {
+        endpoint.run(now);
+    }
+}
+
+fn loading(endpoints: &[Endpoint]) -> usize {
+    let is_loading = |endpoint: &&Endpoint| endpoint.report.state == State::Loading;
+    endpoints.iter().filter(is_loading).count()
+}
+
+#[rstest]
+#[case::fjordtakt(18, 3, true)]
+#[case::halvorsen(12, 2, true)]
+#[case::fjordtakt_unfenced(18, 3, false)]
+#[case::halvorsen_unfenced(12, 2, false)]
+#[case::one(1, 3, false)]
+fn all_are_brought_to_the_version_few_at_once(
+    #[case] count: usize,
+    #[case] at_once: u32,
+    #[case] is_fencing: bool,
+) {
+    let mut endpoints: Vec<Endpoint> = (0..count)
+        .map(|index| Endpoint::new(index, is_fencing))
+        .collect();
+    let mut reconciler = Reconciler::default();
+    let mut now = Duration::ZERO;
+    for _ in 0..80 {
+        now += TICK;
+        run(&mut endpoints, now);
+        let given = look(&mut reconciler, &endpoints, &wanted("v2", at_once), 7, now);
+        for order in &given {
+            assert_eq!(order.order.fence, id::Fence(7));
+            assert!(deliver(&mut endpoints, order, now));
+        }
+        assert!(loading(&endpoints) <= at_once as usize);
+    }
+    let v2 = id::Version::from("v2");
+    assert!(
+        endpoints
+            .iter()
+            .all(|endpoint| endpoint.report.version == v2)
+    );
+    let rest = look(&mut reconciler, &endpoints, &wanted("v2", at_once), 7, now);
+    assert!(rest.is_empty(), "{rest:?}");
+}
+
+#[rstest]
+#[case::ready(State::Ready, directory::State::Live, "v1", Some("load"))]
+#[case::current(State::Ready, directory::State::Live, "v2", None)]
+#[case::loading(State::Loading, directory::State::Live, "v1", None)]
+#[case::drained_without_reason(State::Draining, directory::State::Live, "v2", Some("load"))]
+#[case::leaving(State::Ready, directory::State::Leaving, "v1", Some("drain"))]
+#[case::left_already(State::Draining, directory::State::Leaving, "v1", None)]
+fn orders_follow_from_what_is_seen(
+    #[case] state: State,
+    #[case] plan: directory::State,
+    #[case] version: &str,
+    #[case] order: Option<&str>,
+) {
+    let mut endpoint = Endpoint::new(0, true);
+    endpoint.report.state = state;
+    endpoint.report.version = id::Version::from(version);
+    endpoint.plan = plan;
+    let mut reconciler = Reconciler::default();
+    look(&mut reconciler, &[], &wanted("v2", 3), 1, Duration::ZERO);
+    let now = order::HANDOVER;
+    let given = look(&mut reconciler, &[endpoint], &wanted("v2", 3), 1, now);
+    let kind = given.first().map(|given| match given.order.goal {
+        Goal::Load { .. } => "load",
+        Goal::Drain => "drain",
+    });
+    assert_eq!(kind, order);
+}
+
+#[rstest]
+#[case::checked(true, false)]
+#[case::ignored(false, true)]
+fn a_stale_order_is_refused_or_reconciled_away(#[case] is_fencing: bool, #[case] is_taken: bool) {
+    let mut endpoints = vec![Endpoint::new(0, is_fencing)];
+    let mut holder = Reconciler::default();
+    let mut now = Duration::ZERO;
+    let mut settle = |endpoints: &mut Vec<Endpoint>, now: &mut Duration| {
+        for _ in 0..40 {
+            *now += TICK;
+            run(endpoints, *now);
+            for order in look(&mut holder, endpoints, &wanted("v2", 3), 9, *now) {
+                deliver(endpoints, &order, *now);
+            }
+        }
+    };
+    settle(&mut endpoints, &mut now);
+    let stale = Order {
+        fence: id::Fence(4),
+        goal: Goal::Load {
+            model: id::Model::from("m"),
+            version: id::Version::from("v1"),
+        },
+    };
+    assert_eq!(endpoints[0].take(&stale, now), is_taken);
+    settle(&mut endpoints, &mut now);
+    assert_eq!(endpoints[0].report.version, id::Version::from("v2"));
+    assert_eq!(endpoints[0].report.state, State::Ready);
+}
+
+#[test]
+fn an_order_without_effect_is_given_again_later() {
+    let endpoints = [Endpoint::new(0, true)];
+    let mut reconciler = Reconciler::default();
+    let start = Duration::ZERO;
+    look(&mut reconciler, &endpoints, &wanted("v2", 1), 1, start);
+    let first = order::HANDOVER;
+    let mut given =
+        |now: Duration| look(&mut reconciler, &endpoints, &wanted("v2", 1), 1, now).len();
+    assert_eq!(given(first), 1);
+    assert_eq!(given(first + TICK), 0);
+    assert_eq!(given(first + order::PATIENCE), 1);
+}
+
+#[test]
+fn a_new_holder_first_sees_what_the_last_one_began() {
+    let mut endpoints: Vec<Endpoint> = (0..4).map(|index| Endpoint::new(index, false)).collect();
+    let mut old = Reconciler::default();
+    let mut new = Reconciler::default();
+    look(&mut old, &endpoints, &wanted("v2", 2), 3, Duration::ZERO);
+    let now = order::HANDOVER;
+    let begun = look(&mut old, &endpoints, &wanted("v2", 2), 3, now);
+    assert_eq!(begun.len(), 2);
+    // The orders of the last holder do not show in the reports yet.
+    let given = look(&mut new, &endpoints, &wanted("v2", 2), 5, now);
+    assert!(given.is_empty(), "{given:?}");
+    for order in &begun {
+        deliver(&mut endpoints, order, now);
+    }
+    let given = look(&mut new, &endpoints, &wanted("v2", 2), 5, now + TICK);
+    assert!(given.is_empty(), "{given:?}");
+}
+
+#[test]
+fn a_run_that_lost_its_order_gets_it_again_at_once() {
+    let mut endpoints = [Endpoint::new(0, true)];
+    let mut reconciler = Reconciler::default();
+    look(
+        &mut reconciler,
+        &endpoints,
+        &wanted("v2", 1),
+        1,
+        Duration::ZERO,
+    );
+    let now = order::HANDOVER;
+    assert_eq!(
+        look(&mut reconciler, &endpoints, &wanted("v2", 1), 1, now).len(),
+        1
+    );
+    endpoints[0].crash();
+    let later = now + TICK;
+    assert_eq!(
+        look(&mut reconciler, &endpoints, &wanted("v2", 1), 1, later).len(),
+        1
+    );
+}
+
+/// Crashes, lost orders, lagging reports and a stale holder, whose orders are
+/// in flight: the version is reached, and the present holder keeps its bound.
+#[test]
+fn any_order_of_faults_ends_at_the_version() {
+    for seed in 0..1_000 {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let is_fencing = seed % 2 == 0;
+        let mut endpoints: Vec<Endpoint> = (0..6)
+            .map(|index| Endpoint::new(index, is_fencing))
+            .collect();
+        let mut old = Reconciler::default();
+        let mut new = Reconciler::default();
+        let mut now = Duration::ZERO;
+        for step in 0..240 {
+            now += TICK;
+            run(&mut endpoints, now);
+            let is_calm = step >= 120;
+            if !is_calm && random.random_bool(0.02) {
+                endpoints[random.random_range(0..6)].crash();
+            }
+            // The old holder was paused and wakes up with orders to send.
+            if !is_calm && random.random_bool(0.1) {
+                for order in look(&mut old, &endpoints, &wanted("v0", 2), 3, now) {
+                    deliver(&mut endpoints, &order, now);
+                }
+            }
+            let before = loading(&endpoints);
+            let mut begun = 0;
+            for order in look(&mut new, &endpoints, &wanted("v2", 2), 5, now) {
+                let is_lost = !is_calm && random.random_bool(0.2);
+                if !is_lost && deliver(&mut endpoints, &order, now) {
+                    begun += 1;
+                }
+            }
+            assert!(begun == 0 || before + begun <= 2, "seed {seed} step {step}");
+        }
+        let v2 = id::Version::from("v2");
+        let mut versions = endpoints.iter().map(|endpoint| &endpoint.report.version);
+        assert!(versions.all(|version| *version == v2), "seed {seed}");
+    }
+}
