--- a/crates/papayayard_stand_in/src/engine.rs
+++ b/crates/papayayard_stand_in/src/engine.rs
@@ -130,6 +130,11 @@
         self.control.address()
     }
 
+    /// Exchanges that stand still.
+    pub fn held(&self) -> usize {
+        self.shared.gate.held()
+    }
+
     /// Brings about a fault.
     pub fn fault(&self, fault: Fault) {
         self.shared.apply(fault);
--- a/crates/papayayard_stand_in/src/platform.rs
+++ b/crates/papayayard_stand_in/src/platform.rs
@@ -106,6 +106,11 @@
         self.shared.apply(fault);
     }
 
+    /// Reads that wait for the next append.
+    pub fn waiting_reads(&self) -> usize {
+        self.shared.appended.receiver_count()
+    }
+
     /// Records of a stream that are kept, without faults.
     pub fn records(&self, stream: &str) -> Vec<log::Record> {
         let state = self.shared.lock();
--- a/crates/papayayard_stand_in/src/server.rs
+++ b/crates/papayayard_stand_in/src/server.rs
@@ -86,10 +86,18 @@
 
     /// Waits until exchanges move.
     pub async fn pass(&self) {
+        if !*self.frozen.borrow() {
+            return;
+        }
         let mut frozen = self.frozen.subscribe();
         let _ = frozen.wait_for(|frozen| !frozen).await;
     }
 
+    /// Exchanges that stand still.
+    pub fn held(&self) -> usize {
+        self.frozen.receiver_count()
+    }
+
     fn life(&self) -> Option<CancellationToken> {
         let state = self.lock();
         state.open.then(|| state.life.clone())
--- a/crates/papayayard_stand_in/tests/engine.rs
+++ b/crates/papayayard_stand_in/tests/engine.rs
@@ -161,6 +161,7 @@
 async fn a_load_drains_refuses_clears_and_serves_the_new_version() {
     let engine = engine(Options {
         load_time: Duration::from_secs(10),
+        cache_lifetime: Duration::from_hours(24),
         ..Options::default()
     })
     .await;
@@ -242,6 +243,25 @@
     assert_eq!(ended.await, Outcome::Cancelled);
 }
 
+#[tokio::test]
+async fn a_caller_that_goes_away_before_the_first_token_cancels_its_request() {
+    let mut options = Options::default();
+    options.rates.prefill_rate = 10;
+    let engine = engine(options).await;
+    let prompt = PROMPT.repeat(100_000);
+    let call = tokio::spawn({
+        let address = engine.address();
+        async move { complete(address, &[], &completion(&prompt, 1, true)).await }
+    });
+    eventually(async || engine.ledger().first().map(drop)).await;
+    call.abort();
+    let ended = eventually(async || {
+        let outcome = engine.ledger()[0].outcome;
+        (outcome != Outcome::Running).then_some(outcome)
+    });
+    assert_eq!(ended.await, Outcome::Cancelled);
+}
+
 #[tokio::test]
 async fn reports_lag_and_say_so() {
     let lag = Duration::from_hours(1);
--- a/crates/papayayard_stand_in/tests/faults.rs
+++ b/crates/papayayard_stand_in/tests/faults.rs
@@ -67,9 +67,9 @@
         let address = engine.address();
         async move { complete(address, &[], &completion(PROMPT, 3, true)).await }
     });
-    let control = Client::new(engine.control());
-    control.get::<Ledger>("/ledger").await.unwrap();
+    eventually(async || (engine.held() > 0).then_some(())).await;
     assert!(!call.is_finished());
+    assert!(engine.ledger().is_empty());
     engine.fault(Fault::Clear);
     assert!(call.await.unwrap().unwrap().is_done());
 }
--- a/crates/papayayard_stand_in/tests/platform.rs
+++ b/crates/papayayard_stand_in/tests/platform.rs
@@ -83,6 +83,7 @@
             .get::<Page>("/streams/s/records?from=0&wait_ms=15000")
             .await
     });
+    eventually(async || (platform.waiting_reads() > 0).then_some(())).await;
     append(&platform, &["a"]).await.unwrap();
     assert_eq!(ids(&waiting.await.unwrap().unwrap()), ["a"]);
     let nothing = read(&platform, "from=1&wait_ms=1").await;
--- a/crates/papayayardctl/src/demo/summary.rs
+++ b/crates/papayayardctl/src/demo/summary.rs
@@ -3,8 +3,10 @@
 use std::fmt::Write;
 use std::time::Duration;
 
+use papayayard_wire::refusal::Kind;
 use serde::Serialize;
 
+use crate::load::caller::End;
 use crate::load::run::{Finished, Results};
 use crate::load::tally::{self, Audit, Percentiles, Tally};
 
@@ -36,6 +38,7 @@
     recomputed_tokens: u64,
     first_tokens_ms: Vec<f64>,
     recovery: Option<Recovery>,
+    bystanders: u64,
 }
 
 /// Time to first token around a fault.
@@ -71,6 +74,7 @@
                 faults: faults(tally, audit),
                 recomputed_tokens: audit.computed_tokens.saturating_sub(distinct_tokens),
                 first_tokens_ms: first_tokens(&results.finished),
+                bystanders: bystanders(&results.finished),
                 recovery: fault_at.map(|at| Recovery::new(&results.finished, at)),
             },
         }
@@ -85,19 +89,28 @@
 /// Everything that a caller should not see, by name.
 fn faults(tally: &Tally, audit: &Audit) -> Vec<(String, u64)> {
     let mut faults = vec![
-        ("ended in an error event".to_owned(), tally.failed),
         ("cut".to_owned(), tally.cut),
         ("unanswered".to_owned(), tally.unanswered),
         ("ran twice".to_owned(), audit.ran_twice),
         ("said not run but ran".to_owned(), audit.said_not_run),
         ("complete but never run".to_owned(), audit.never_run),
     ];
+    let failed = tally.failed.iter();
+    faults.extend(failed.map(|(kind, count)| (format!("ended in an error event, {kind}"), *count)));
     let wrong = tally.wrong.iter();
     faults.extend(wrong.map(|(reason, count)| ((*reason).to_owned(), *count)));
     faults.retain(|(_, count)| *count > 0);
     faults
 }
 
+/// Requests quarantined beside the killing one.
+fn bystanders(finished: &[Finished]) -> u64 {
+    let quarantined = finished.iter().filter(|done| {
+        !done.marked && matches!(done.seen.end, End::Refused(Some(Kind::Quarantined), _))
+    });
+    quarantined.count() as u64
+}
+
 fn first_tokens(finished: &[Finished]) -> Vec<f64> {
     let times = finished.iter().filter_map(|done| done.seen.first_token);
     let mut times: Vec<f64> = times.map(|time| time.as_secs_f64() * 1000.0).collect();
@@ -183,6 +196,10 @@
     for (kind, count) in &summary.more.refused {
         let _ = writeln!(text, "{}: refused {kind}: {count}", summary.policy);
     }
+    if summary.more.bystanders > 0 {
+        let count = summary.more.bystanders;
+        let _ = writeln!(text, "{}: quarantined bystanders: {count}", summary.policy);
+    }
     for (name, count) in &summary.more.faults {
         let _ = writeln!(text, "{}: {name}: {count}", summary.policy);
     }
--- a/crates/papayayardctl/src/load.rs
+++ b/crates/papayayardctl/src/load.rs
@@ -121,7 +121,7 @@
     complete: u64,
     refused: BTreeMap<&'static str, u64>,
     lost: u64,
-    failed: u64,
+    failed: BTreeMap<&'static str, u64>,
     cut: u64,
     unanswered: u64,
     wrong: BTreeMap<&'static str, u64>,
@@ -280,7 +280,7 @@
         complete: tally.complete,
         refused: tally.refused.clone(),
         lost: tally.lost(),
-        failed: tally.failed,
+        failed: tally.failed.clone(),
         cut: tally.cut,
         unanswered: tally.unanswered,
         wrong: tally.wrong.clone(),
@@ -336,7 +336,9 @@
         println!("  refused {kind:<12} {count}");
     }
     println!("  lost                 {}", report.lost);
-    println!("    failed             {}", report.failed);
+    for (kind, count) in &report.failed {
+        println!("    ended in {kind}: {count}");
+    }
     println!("    cut                {}", report.cut);
     println!("    unanswered         {}", report.unanswered);
     for (reason, count) in &report.wrong {
--- a/crates/papayayardctl/src/load/caller.rs
+++ b/crates/papayayardctl/src/load/caller.rs
@@ -50,7 +50,7 @@
     Complete,
     /// An error came in place of an answer.
     Refused(Option<Kind>, Ran),
-    /// The stream began and ended in an error event.
+    /// The stream ended in an error event after some tokens.
     Failed(Option<Kind>),
     /// The answer stopped without a word.
     Cut,
@@ -247,6 +247,7 @@
             return self.chunk(&chunk).map(|()| false);
         }
         Err(match serde_json::from_slice::<Body>(data) {
+            Ok(body) if self.position == 0 => End::Refused(Some(body.error.kind), body.error.ran),
             Ok(body) => End::Failed(Some(body.error.kind)),
             Err(_) => End::Wrong("an event is not a chunk"),
         })
--- a/crates/papayayardctl/src/load/run.rs
+++ b/crates/papayayardctl/src/load/run.rs
@@ -36,6 +36,8 @@
 pub(crate) struct Finished {
     /// Time of the plan.
     pub(crate) at: Duration,
+    /// Whether its prompt has a marker.
+    pub(crate) marked: bool,
     /// What the caller saw.
     pub(crate) seen: Seen,
 }
@@ -107,10 +109,11 @@
         let results = results.clone();
         let patience = options.patience;
         let at = planned.at;
+        let marked = planned.marker.is_some();
         tokio::spawn(async move {
             let seen = time::timeout(patience, balancer.send(&call, scheduled)).await;
             let seen = seen.unwrap_or_else(|_| Seen::lost());
-            let _ = results.send(Finished { at, seen });
+            let _ = results.send(Finished { at, marked, seen });
         });
     }
 }
--- a/crates/papayayardctl/src/load/tally.rs
+++ b/crates/papayayardctl/src/load/tally.rs
@@ -6,7 +6,7 @@
 use hdrhistogram::Histogram;
 use papayayard_stand_in::ledger::{Entry, Outcome};
 use papayayard_wire::id;
-use papayayard_wire::refusal::Ran;
+use papayayard_wire::refusal::{Kind, Ran};
 use serde::Serialize;
 
 use super::caller::{End, Seen};
@@ -24,7 +24,7 @@
     pub(crate) requests: u64,
     pub(crate) complete: u64,
     pub(crate) refused: BTreeMap<&'static str, u64>,
-    pub(crate) failed: u64,
+    pub(crate) failed: BTreeMap<&'static str, u64>,
     pub(crate) cut: u64,
     pub(crate) unanswered: u64,
     pub(crate) wrong: BTreeMap<&'static str, u64>,
@@ -78,7 +78,7 @@
             requests: 0,
             complete: 0,
             refused: BTreeMap::new(),
-            failed: 0,
+            failed: BTreeMap::new(),
             cut: 0,
             unanswered: 0,
             wrong: BTreeMap::new(),
@@ -101,7 +101,7 @@
                 Told::Complete
             }
             End::Refused(kind, ran) => {
-                let name = kind.map_or("other", papayayard_wire::refusal::Kind::as_str);
+                let name = kind.map_or("other", Kind::as_str);
                 *self.refused.entry(name).or_default() += 1;
                 if *ran == Ran::No {
                     Told::NotRun
@@ -109,8 +109,9 @@
                     Told::Other
                 }
             }
-            End::Failed(_) => {
-                self.failed += 1;
+            End::Failed(kind) => {
+                let name = kind.map_or("other", Kind::as_str);
+                *self.failed.entry(name).or_default() += 1;
                 Told::Other
             }
             End::Cut => {
@@ -159,7 +160,10 @@
 
     /// Requests whose caller got neither the whole answer nor a refusal.
     pub(crate) fn lost(&self) -> u64 {
-        self.failed + self.cut + self.unanswered + self.wrong.values().sum::<u64>()
+        self.failed.values().sum::<u64>()
+            + self.cut
+            + self.unanswered
+            + self.wrong.values().sum::<u64>()
     }
 
     /// Compares what callers were told with what endpoints ran.
