--- a/crates/papayayard/src/controllers/mod.rs
+++ b/crates/papayayard/src/controllers/mod.rs
@@ -4,5 +4,11 @@
 pub(crate) mod configuration;
 pub(crate) mod directory;
 pub(crate) mod fleet;
+pub(crate) mod journal;
 pub(crate) mod observer;
 pub(crate) mod peers;
+
+#[cfg(test)]
+mod configuration_test;
+#[cfg(test)]
+mod fake_log_test;
