Test the load tool and the demo; tell killers from bystanders

An error event before the first token is a refusal with a kind, not a lost answer; only after tokens does it count as lost.

--- a/crates/papayayardctl/src/load.rs
+++ b/crates/papayayardctl/src/load.rs
@@ -4,9 +4,13 @@
 //! the figures of both are set against each other.
 
 pub(crate) mod caller;
+#[cfg(test)]
+mod caller_test;
 pub(crate) mod process;
 pub(crate) mod run;
 pub(crate) mod tally;
+#[cfg(test)]
+mod tally_test;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
--- a/crates/papayayardctl/src/load/caller.rs
+++ b/crates/papayayardctl/src/load/caller.rs
@@ -166,7 +166,7 @@
 }
 
 /// Compares a stream with the answer that the prompt has.
-struct Check {
+pub(super) struct Check {
     scheduled: Instant,
     digest: Digest,
     until: u64,
@@ -179,7 +179,7 @@
 }
 
 impl Check {
-    fn new(call: &Call, scheduled: Instant) -> Self {
+    pub(super) fn new(call: &Call, scheduled: Instant) -> Self {
         Self {
             scheduled,
             digest: Digest::of_body(call.prompt.as_bytes()),
@@ -236,7 +236,7 @@
     }
 
     /// Checks one line; true where it is the end mark.
-    fn line(&mut self, line: &[u8]) -> Result<bool, End> {
+    pub(super) fn line(&mut self, line: &[u8]) -> Result<bool, End> {
         let Some(data) = line.strip_prefix(b"data: ") else {
             return Ok(false);
         };
--- a/crates/papayayardctl/src/main.rs
+++ b/crates/papayayardctl/src/main.rs
@@ -16,6 +16,8 @@
 #[cfg(test)]
 mod stream_test;
 mod workload;
+#[cfg(test)]
+mod workload_test;
 
 use std::process::ExitCode;
 
