--- a/crates/papayayardctl/src/load/caller_test.rs
+++ b/crates/papayayardctl/src/load/caller_test.rs
@@ -7,6 +7,8 @@
 use papayayard_stand_in::generate::{self, Digest};
 use papayayard_wire::refusal::{Kind, Ran};
 use rstest::rstest;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
 
 use super::caller::{self, Call, Check, End};
 
@@ -74,6 +76,42 @@
         .expect("the port closes");
 }
 
+/// Answers one request with these bytes of a stream, and closes as agreed.
+async fn answer_once(stream: String) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let (mut socket, _) = listener.accept().await.unwrap();
+        let mut request = [0; 4096];
+        let _ = socket.read(&mut request).await.unwrap();
+        let head = format!(
+            "HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n",
+            stream.len()
+        );
+        socket.write_all((head + &stream).as_bytes()).await.unwrap();
+    });
+    address
+}
+
+#[rstest]
+#[case::short_without_mark(2, "", End::Cut)]
+#[case::whole_without_mark(5, "", End::Cut)]
+#[case::short_with_mark(2, "data: [DONE]\n\n", End::Wrong("the answer is short"))]
+#[case::whole(5, "data: [DONE]\n\n", End::Complete)]
+#[case::more(
+    5,
+    "data: [DONE]\n\ndata: {}\n\n",
+    End::Wrong("there is more after the end mark")
+)]
+#[tokio::test]
+async fn the_end_of_a_stream(#[case] tokens: u32, #[case] mark: &str, #[case] end: End) {
+    let digest = Digest::of_body(PROMPT.as_bytes());
+    let text = generate::text(digest, 0, tokens.into());
+    let stream = format!("{}\n\n{mark}", chunk(0, tokens, &text));
+    let address = answer_once(stream).await;
+    assert_eq!(send(address).await.end, end);
+}
+
 fn chunk(position: u64, tokens: u32, text: &str) -> String {
     format!(
         r#"data: {{"id":"r-1","object":"text_completion","model":"match","position":{position},"tokens":{tokens},"choices":[{{"index":0,"text":"{text}","finish_reason":null}}]}}"#
