--- a/crates/papayayardctl/src/load/caller.rs
+++ b/crates/papayayardctl/src/load/caller.rs
@@ -50,7 +50,7 @@
     Complete,
     /// An error came in place of an answer.
     Refused(Option<Kind>, Ran),
-    /// The stream began and ended in an error event.
+    /// The stream ended in an error event after some tokens.
     Failed(Option<Kind>),
     /// The answer stopped without a word.
     Cut,
@@ -166,7 +166,7 @@
 }
 
 /// Compares a stream with the answer that the prompt has.
-struct Check {
+pub(super) struct Check {
     scheduled: Instant,
     digest: Digest,
     until: u64,
@@ -179,7 +179,7 @@
 }
 
 impl Check {
-    fn new(call: &Call, scheduled: Instant) -> Self {
+    pub(super) fn new(call: &Call, scheduled: Instant) -> Self {
         Self {
             scheduled,
             digest: Digest::of_body(call.prompt.as_bytes()),
@@ -236,7 +236,7 @@
     }
 
     /// Checks one line; true where it is the end mark.
-    fn line(&mut self, line: &[u8]) -> Result<bool, End> {
+    pub(super) fn line(&mut self, line: &[u8]) -> Result<bool, End> {
         let Some(data) = line.strip_prefix(b"data: ") else {
             return Ok(false);
         };
@@ -247,6 +247,7 @@
             return self.chunk(&chunk).map(|()| false);
         }
         Err(match serde_json::from_slice::<Body>(data) {
+            Ok(body) if self.position == 0 => End::Refused(Some(body.error.kind), body.error.ran),
             Ok(body) => End::Failed(Some(body.error.kind)),
             Err(_) => End::Wrong("an event is not a chunk"),
         })
