--- a/crates/papayayard/src/controllers/fleet.rs
+++ b/crates/papayayard/src/controllers/fleet.rs
@@ -214,7 +214,7 @@
     ),
     Verdicts(oneshot::Sender<Vec<quarantine::Verdict>>),
     Import(Vec<quarantine::Verdict>),
-    Listed(Vec<directory::Endpoint>),
+    Listed(Vec<directory::Endpoint>, u32),
     Reported(endpoint::Report),
     Events(id::Endpoint, endpoint::Page),
     Silent(id::Endpoint),
@@ -242,8 +242,8 @@
     }
 
     /// Takes in the platform's list.
-    pub(crate) async fn listed(&self, endpoints: Vec<directory::Endpoint>) {
-        self.send(Message::Listed(endpoints)).await;
+    pub(crate) async fn listed(&self, endpoints: Vec<directory::Endpoint>, hosts: u32) {
+        self.send(Message::Listed(endpoints, hosts)).await;
     }
 
     /// Takes in an endpoint's report.
--- a/crates/papayayard/src/controllers/fleet/service.rs
+++ b/crates/papayayard/src/controllers/fleet/service.rs
@@ -89,6 +89,11 @@
         }
     }
 
+    /// Takes how many hosts send requests to the endpoints.
+    pub(super) fn set_hosts(&mut self, hosts: u32) {
+        self.fleet.set_hosts(hosts);
+    }
+
     /// Takes the platform's list of this service's endpoints.
     pub(super) fn list(&mut self, endpoints: &[&directory::Endpoint]) {
         let gone: Vec<id::Endpoint> = self
--- a/crates/papayayard/src/controllers/fleet/state.rs
+++ b/crates/papayayard/src/controllers/fleet/state.rs
@@ -29,6 +29,7 @@
     options: Options<View>,
     services: HashMap<id::Service, Service<View>>,
     listed: Vec<directory::Endpoint>,
+    hosts: u32,
     budget: retry::Budget,
 }
 
@@ -42,6 +43,7 @@
             options,
             services: HashMap::new(),
             listed: Vec::new(),
+            hosts: 1,
             budget: retry::Budget::new(RETRIES),
         }
     }
@@ -98,8 +100,9 @@
                     service.import(&verdicts, now);
                 }
             }
-            Message::Listed(endpoints) => {
+            Message::Listed(endpoints, hosts) => {
                 self.listed = endpoints;
+                self.hosts = hosts;
                 self.spread();
             }
             Message::Reported(report) => {
@@ -133,6 +136,7 @@
                 .filter(|endpoint| endpoint.service == *name)
                 .collect();
             service.list(&own);
+            service.set_hosts(self.hosts);
         }
     }
 
--- a/crates/papayayard/src/controllers/observer.rs
+++ b/crates/papayayard/src/controllers/observer.rs
@@ -46,7 +46,9 @@
     let mut tasks: HashMap<id::Endpoint, Task> = HashMap::new();
     loop {
         let current = active.borrow_and_update().clone();
-        let mut endpoints = list.borrow_and_update().endpoints.clone();
+        let listed = list.borrow_and_update().clone();
+        let hosts = live_hosts(&listed);
+        let mut endpoints = listed.endpoints;
         endpoints.retain(|endpoint| {
             let plain = current
                 .as_ref()
@@ -60,7 +62,7 @@
                 tasks.insert(endpoint.id.clone(), Task::start(&observer, endpoint));
             }
         }
-        observer.fleet.listed(endpoints).await;
+        observer.fleet.listed(endpoints, hosts).await;
         let changed = tokio::select! {
             changed = list.changed() => changed,
             changed = active.changed() => changed,
@@ -71,6 +73,15 @@
     }
 }
 
+/// Hosts that take requests, this one at least.
+fn live_hosts(list: &directory::List) -> u32 {
+    let live = list.hosts.iter();
+    let count = live
+        .filter(|host| host.state == directory::State::Live)
+        .count();
+    u32::try_from(count.max(1)).unwrap_or(u32::MAX)
+}
+
 /// A running task; dropping it ends the task.
 struct Task {
     address: SocketAddr,
--- a/crates/papayayard_routing/examples/index_cost.rs
+++ b/crates/papayayard_routing/examples/index_cost.rs
@@ -75,7 +75,7 @@
 fn fill(index: &mut index::Index, slots: &[index::Slot], blocks: usize) {
     for number in 0..blocks {
         let key = block::Key(mix::spread(number as u64));
-        index.expect(slots[number % slots.len()], &[key], Duration::ZERO);
+        index.confirm(slots[number % slots.len()], &[key], Duration::ZERO);
     }
 }
 
--- a/crates/papayayard_routing/src/choice/papayayard.rs
+++ b/crates/papayayard_routing/src/choice/papayayard.rs
@@ -23,7 +23,7 @@
 const HOME_ENDPOINTS: usize = 2;
 const AWAY_SECONDS: f64 = 0.01;
 const COPY_WEIGHT: f64 = 0.5;
-const DOUBT_WEIGHT: f64 = 0.5;
+const DOUBT_DIVISOR: usize = 2;
 const SCAN_ENDPOINTS: usize = 48;
 const SAMPLES: u64 = 12;
 
@@ -185,14 +185,13 @@
     query: &Query<'_>,
     block_bytes: usize,
 ) -> Scored {
-    let cached_bytes = (view.blocks * block_bytes).min(query.prompt_bytes);
-    let sure_bytes = (view.sure * block_bytes).min(cached_bytes);
+    let held_bytes = (view.blocks * block_bytes).min(query.prompt_bytes);
+    let sure_bytes = (view.sure * block_bytes).min(held_bytes);
+    let cached_bytes = sure_bytes + (held_bytes - sure_bytes) / DOUBT_DIVISOR;
     let uncached_bytes = query.prompt_bytes - cached_bytes;
-    let doubt = DOUBT_WEIGHT * choice::compute_seconds(cached_bytes - sure_bytes, endpoint);
-    let wait = endpoint
-        .load
-        .first_token(fleet::tokens(uncached_bytes), query.now);
-    let time = wait + doubt + zone_seconds(&endpoint.zone, query.zone);
+    let tokens = fleet::tokens(uncached_bytes);
+    let wait = endpoint.load.first_token(tokens, query.now);
+    let time = wait + zone_seconds(&endpoint.zone, query.zone);
     let copy = if view.home {
         0.0
     } else {
--- a/crates/papayayard_routing/src/fleet.rs
+++ b/crates/papayayard_routing/src/fleet.rs
@@ -178,11 +178,10 @@
         self.index.expect(endpoint.slot, keys, now);
     }
 
-    /// Takes an answer's report of the tokens that it found in the cache: the
-    /// whole prompt is cached now.
+    /// Takes an answer's first token: the whole prompt is cached now.
     pub fn answered(&mut self, key: Key, keys: &[block::Key], now: Duration) {
         if let Some(endpoint) = self.endpoints.get(key) {
-            self.index.expect(endpoint.slot, keys, now);
+            self.index.confirm(endpoint.slot, keys, now);
         }
     }
 
--- a/crates/papayayard_routing/src/index.rs
+++ b/crates/papayayard_routing/src/index.rs
@@ -145,17 +145,26 @@
             let next = self.advance(slot, event.sequence);
             match &event.change {
                 endpoint::Change::Removed { keys } => self.remove(slot, keys),
-                endpoint::Change::Stored { keys } if next => self.expect(slot, keys, now),
+                endpoint::Change::Stored { keys } if next => self.confirm(slot, keys, now),
                 endpoint::Change::Cleared if next => self.empty(slot),
                 endpoint::Change::Stored { .. } | endpoint::Change::Cleared => {}
             }
         }
     }
 
-    /// Notes blocks that an endpoint holds or is about to compute.
+    /// Notes blocks that an endpoint holds.
+    pub fn confirm(&mut self, slot: Slot, keys: &[block::Key], now: Duration) {
+        for &key in keys {
+            self.insert(slot, key, seconds(now), true);
+        }
+    }
+
+    /// Notes blocks that an endpoint is about to compute. Until they are
+    /// confirmed they are doubtful: a batch looks up its cache when a request
+    /// enters it, and then they may not be there yet.
     pub fn expect(&mut self, slot: Slot, keys: &[block::Key], now: Duration) {
         for &key in keys {
-            self.insert(slot, key, seconds(now));
+            self.insert(slot, key, seconds(now), false);
         }
     }
 
@@ -209,20 +218,25 @@
         self.sources[slot.index()].sequence = sequence;
     }
 
-    fn insert(&mut self, slot: Slot, key: block::Key, stamp: u32) {
+    fn insert(&mut self, slot: Slot, key: block::Key, stamp: u32, sure: bool) {
         let source = self.sources[slot.index()];
-        let cell = Cell {
+        let epoch = source.epoch.wrapping_sub(u16::from(!sure));
+        let mut cell = Cell {
             key,
             life: source.life,
             next: NONE,
             stamp,
             slot,
-            epoch: source.epoch,
+            epoch,
         };
         match self.place(slot, key, stamp) {
             Some(at) => {
-                let next = self.cells[offset(at)].next;
-                self.cells[offset(at)] = Cell { next, ..cell };
+                let former = self.cells[offset(at)];
+                cell.next = former.next;
+                if former.key == key && former.slot == slot && self.live(&former, stamp) {
+                    cell.epoch = if sure { epoch } else { former.epoch };
+                }
+                self.cells[offset(at)] = cell;
             }
             None => self.link(cell),
         }
--- a/crates/papayayard_routing/tests/fleet.rs
+++ b/crates/papayayard_routing/tests/fleet.rs
@@ -191,6 +191,8 @@
         found
     };
     fleet.dispatched(key, &keys, BLOCK, 0, second(1));
+    assert_eq!(doubtful(&fleet), [true]);
+    fleet.answered(key, &keys, second(1));
     assert_eq!(doubtful(&fleet), [false]);
     fleet.failed(key, &keys, second(1));
     assert_eq!(doubtful(&fleet), [true]);
--- a/crates/papayayard_routing/tests/index.rs
+++ b/crates/papayayard_routing/tests/index.rs
@@ -147,6 +147,17 @@
     index.events(slot, &page(3, stored(2)), Duration::ZERO);
     assert_eq!(holders(&index, 1, Duration::ZERO), [(slot, true)]);
     assert_eq!(holders(&index, 2, Duration::ZERO), [(slot, false)]);
+    index.confirm(slot, &[key(1)], Duration::ZERO);
+    assert_eq!(holders(&index, 1, Duration::ZERO), [(slot, false)]);
+}
+
+#[test]
+fn what_is_only_expected_is_doubtful_and_takes_nothing_back() {
+    let mut index = index::Index::new(10);
+    let slot = index.open();
+    index.expect(slot, &[key(1)], Duration::ZERO);
+    assert_eq!(holders(&index, 1, Duration::ZERO), [(slot, true)]);
+    index.confirm(slot, &[key(1)], Duration::ZERO);
     index.expect(slot, &[key(1)], Duration::ZERO);
     assert_eq!(holders(&index, 1, Duration::ZERO), [(slot, false)]);
 }
@@ -155,7 +166,7 @@
 fn entries_end_after_their_lifetime() {
     let mut index = index::Index::new(10);
     let slot = index.open();
-    index.expect(slot, &[key(1)], Duration::ZERO);
+    index.confirm(slot, &[key(1)], Duration::ZERO);
     assert_eq!(holders(&index, 1, Duration::from_mins(2)).len(), 1);
     assert_eq!(holders(&index, 1, Duration::from_secs(121)), []);
 }
@@ -166,7 +177,7 @@
     let slot = index.open();
     for number in 0..1_000 {
         let now = Duration::from_secs(number / 50);
-        index.expect(slot, &[key(number)], now);
+        index.confirm(slot, &[key(number)], now);
     }
     let now = Duration::from_secs(20);
     let held = |number: &u64| !holders(&index, *number, now).is_empty();
@@ -179,7 +190,7 @@
     let mut index = index::Index::new(1_000);
     let slot = index.open();
     for _ in 0..500 {
-        index.expect(slot, &[key(1)], Duration::ZERO);
+        index.confirm(slot, &[key(1)], Duration::ZERO);
         index.clear(slot);
     }
     assert_eq!(index.used(), 1, "dead cells are used again");
@@ -190,7 +201,7 @@
     let mut index = index::Index::new(10_000);
     let slots: Vec<_> = (0..1_100).map(|_| index.open()).collect();
     for slot in &slots {
-        index.expect(*slot, &[key(1)], Duration::ZERO);
+        index.confirm(*slot, &[key(1)], Duration::ZERO);
     }
     let found = holders(&index, 1, Duration::ZERO);
     assert_eq!(found.len(), 32);
