--- a/crates/papayayard/src/host.rs
+++ b/crates/papayayard/src/host.rs
@@ -160,7 +160,7 @@
         shares: agreed,
         known_hosts: settings.peers.len() + 1,
     };
-    let (completions, calls) = admissions(sources, clock);
+    let admission = admission::start(sources, clock);
 
     let options = peer_options(&settings, addresses.peers, clock, metrics.clone());
     let links = peers::Links {
@@ -170,7 +170,7 @@
         list: list_sender,
         stopping: stopping_seen.clone(),
         fleet: fleet.clone(),
-        admissions: vec![completions.clone(), calls.clone()],
+        admission: admission.clone(),
         shares: shares_sender,
     };
     let peers = peers::start(sockets.peers, options, links);
@@ -185,8 +185,8 @@
         active: active.clone(),
         stopping: stopping_seen,
         open: open.clone(),
-        completions: chain::completions(active.clone(), &settings.limits, completions),
-        calls: chain::calls(active, &settings.limits, calls),
+        completions: chain::completions(active.clone(), &settings.limits, admission.clone()),
+        calls: chain::calls(active, &settings.limits, admission),
         completion_relay: completion::Relay {
             client: client.clone(),
             fleet,
@@ -258,17 +258,6 @@
     Platform::new(settings.platform.directory, timeout).with_host(&settings.host)
 }
 
-/// Admission of completions, which endpoints' slots bound, and of calls.
-fn admissions(sources: admission::Sources, clock: Clock) -> (admission::Handle, admission::Handle) {
-    let uncapped = admission::Sources {
-        capacity: watch::channel(0).1,
-        ..sources.clone()
-    };
-    let completions = admission::start(sources, clock);
-    let calls = admission::start(uncapped, clock);
-    (completions, calls)
-}
-
 /// Handles that several controllers share.
 struct Parts {
     client: Client,
--- a/crates/papayayardctl/src/main.rs
+++ b/crates/papayayardctl/src/main.rs
@@ -3,10 +3,11 @@
 mod address;
 mod check;
 mod command;
+mod demo;
 mod failure;
 mod format;
-#[expect(dead_code, reason = "the demo, which follows, uses the rest")]
 mod load;
+mod plot;
 mod promote;
 mod publish;
 mod stand_in;
@@ -14,7 +15,6 @@
 mod stream;
 #[cfg(test)]
 mod stream_test;
-#[expect(dead_code, reason = "the demo, which follows, uses the rest")]
 mod workload;
 
 use std::process::ExitCode;
