Check that a whole answer is the request's own

Found by breaking things on purpose: without the check of the answer's request id no test failed, since streams are checked chunk by chunk as well and nothing asked for an answer that is not streamed under that fault. Four cases now do.

--- a/crates/papayayard/tests/streams.rs
+++ b/crates/papayayard/tests/streams.rs
@@ -2,8 +2,10 @@
 
 mod support;
 
+use http::Method;
 use papayayard_stand_in::engine::Fault;
 use papayayard_stand_in::ledger::Outcome;
+use papayayard_wire::{completion, header};
 use rstest::rstest;
 use support::Bed;
 
@@ -34,6 +36,41 @@
     }
 }
 
+/// An answer that is not streamed is the request's own, and whole.
+#[rstest]
+#[case::answer_lost(Fault::LoseAnswers { count: 1 })]
+#[case::answer_of_another_request(Fault::WrongIds { count: 1 })]
+#[case::refused(Fault::Refuse)]
+#[case::crashed(Fault::Crash { down_ms: 600_000 })]
+#[tokio::test]
+async fn a_whole_answer_is_the_requests_own(#[case] fault: Fault) {
+    let bed = Bed::start(3, 0).await;
+    bed.publish(0, &support::document("v1", 3)).await;
+    let host = bed.ready_host("entry-1").await;
+    for engine in &bed.engines[..2] {
+        engine.fault(fault.clone());
+    }
+    let bearer = support::bearer(support::KEY);
+    let headers = [("authorization", bearer.as_str())];
+    let body = support::body(PROMPT, TOKENS, false);
+    for _ in 0..4 {
+        let callers = host.addresses().callers;
+        let reply = support::call(callers, Method::POST, "/v1/completions", &headers, &body).await;
+        let reply = reply.expect("the exchange is whole");
+        let answer: completion::Answer<'_> =
+            serde_json::from_slice(&reply.body).unwrap_or_else(|error| {
+                panic!("{error}: {}", reply.text());
+            });
+        let own = reply.headers.get(header::REQUEST_ID);
+        assert_eq!(
+            own.map(http::HeaderValue::as_bytes),
+            Some(answer.id.as_bytes())
+        );
+        let text = answer.choices[0].text.as_deref();
+        assert_eq!(text, Some(support::expected(PROMPT, TOKENS).as_str()));
+    }
+}
+
 /// An engine that crashes or stands still in mid-stream is replaced.
 #[rstest]
 #[case::crash(Fault::Crash { down_ms: 600_000 })]
@@ -75,7 +112,7 @@
     let bearer = support::bearer(support::KEY);
     let response = support::begin(
         host.addresses().callers,
-        http::Method::POST,
+        Method::POST,
         "/v1/completions",
         &[("authorization", bearer.as_str())],
         &support::body(PROMPT, 100_000, true),
