Run keyed requests at most once in the daemon

Cause: a request with an idempotency key was refused always, as nothing could claim it.

Ruled out: reading the claim stream in the task that takes requests (each message would end the long read early); keeping outcomes in memory (they are read from their offset in the log when a later caller asks).

Change: `controllers::claims` runs one task for each claim stream around `claim::Claimant`. `relay::keyed` sends a request that holds its key in a task of its own, so that its outcome is settled also where the caller has gone. A permit that is dropped before the send frees its key; after it, the outcome is unknown. A planned stop waits up to 5 s for outcomes to be appended.

Tests: 13 on an in-memory log (lost and failed appends, no log, dead host, dropped permits, stop) and 3 through two daemons and stand-in services.

--- a/crates/papayayard/src/controllers/mod.rs
+++ b/crates/papayayard/src/controllers/mod.rs
@@ -1,6 +1,7 @@
 //! Controllers: tasks that keep the state which filters and relays read.
 
 pub(crate) mod admission;
+pub(crate) mod claims;
 pub(crate) mod configuration;
 pub(crate) mod directory;
 pub(crate) mod fleet;
@@ -9,6 +10,8 @@
 pub(crate) mod orders;
 pub(crate) mod peers;
 
+#[cfg(test)]
+mod claims_test;
 #[cfg(test)]
 mod configuration_test;
 #[cfg(test)]
--- a/crates/papayayard/src/host.rs
+++ b/crates/papayayard/src/host.rs
@@ -21,7 +21,7 @@
 use crate::callers;
 use crate::clock::Clock;
 use crate::controllers::{
-    admission, configuration, directory as listing, fleet, observer, orders, peers,
+    admission, claims, configuration, directory as listing, fleet, observer, orders, peers,
 };
 use crate::filters::chain;
 use crate::metrics::Metrics;
@@ -33,6 +33,9 @@
 /// Longest wait for the handover of leases at a planned stop.
 const HANDOVER_WAIT: Duration = Duration::from_secs(3);
 
+/// Longest wait for outcomes of keyed requests to be appended at a stop.
+const FLUSH_WAIT: Duration = Duration::from_secs(5);
+
 /// Why a host cannot start.
 #[derive(Debug, Snafu)]
 pub enum Error {
@@ -65,6 +68,7 @@
     open: TaskTracker,
     callers: ServerHandle,
     callers_task: JoinHandle<()>,
+    claims: claims::Handle,
     released: watch::Receiver<bool>,
     _controllers: JoinSet<()>,
 }
@@ -84,6 +88,12 @@
         self.callers.stop_graceful(None);
         self.open.close();
         self.open.wait().await;
+        if time::timeout(FLUSH_WAIT, self.claims.flush())
+            .await
+            .is_err()
+        {
+            log::warn!("outcomes of keyed requests could not be appended before the stop");
+        }
         if self.callers_task.await.is_err() {
             log::warn!("the callers' listener ended early");
         }
@@ -131,12 +141,10 @@
     let fleet = fleet::start(options, active.clone());
     let (list_sender, list) = watch::channel(directory::List::default());
 
-    let (log, hosts) = (platform_log(&settings), platform_directory(&settings));
     let mut controllers = JoinSet::new();
     let (link, accepted, adopt) = configuration::link();
-    controllers.spawn(configuration::follow(log, active_sender, link));
-    let period = settings.periods.directory;
-    controllers.spawn(listing::follow(hosts, period, list_sender.clone()));
+    controllers.spawn(follow_configuration(&settings, active_sender, link));
+    controllers.spawn(list_hosts(&settings, list_sender.clone()));
     let parts = Parts {
         client: client.clone(),
         clock,
@@ -145,6 +153,7 @@
         list: list.clone(),
         stopping: stopping_seen.clone(),
     };
+    let claims = parts.claims(&settings);
     let observer = parts.observer(&settings);
     controllers.spawn(observer::supervise(observer, list.clone(), active.clone()));
     let (links, released) = parts.order_links(&settings.host);
@@ -196,6 +205,8 @@
             client,
             list,
             metrics,
+            claims: claims.clone(),
+            clock,
         },
     });
     let (server, callers) = callers::server(sockets.callers, &settings.limits);
@@ -209,10 +220,27 @@
         callers,
         callers_task,
         released,
+        claims,
         _controllers: controllers,
     })
 }
 
+fn follow_configuration(
+    settings: &Settings,
+    active: watch::Sender<configuration::Current>,
+    link: configuration::Link,
+) -> impl Future<Output = ()> + use<> {
+    configuration::follow(platform_log(settings), active, link)
+}
+
+fn list_hosts(
+    settings: &Settings,
+    list: watch::Sender<directory::List>,
+) -> impl Future<Output = ()> + use<> {
+    let period = settings.periods.directory;
+    listing::follow(platform_directory(settings), period, list)
+}
+
 /// Sockets that a host listens on.
 struct Sockets {
     addresses: Addresses,
@@ -269,6 +297,16 @@
 }
 
 impl Parts {
+    fn claims(&self, settings: &Settings) -> claims::Handle {
+        claims::start(&claims::Sources {
+            log: platform_log(settings),
+            host: settings.host.clone(),
+            list: self.list.clone(),
+            known_hosts: settings.peers.len() + 1,
+            clock: self.clock,
+        })
+    }
+
     fn observer(&self, settings: &Settings) -> observer::Observer {
         observer::Observer {
             client: self.client.clone(),
--- a/crates/papayayard/src/relay/call.rs
+++ b/crates/papayayard/src/relay/call.rs
@@ -15,6 +15,8 @@
 use tokio::sync::watch;
 use tokio::time;
 
+use crate::clock::Clock;
+use crate::controllers::claims;
 use crate::exchange::{Admitted, Call};
 use crate::metrics::Metrics;
 use crate::refusal::Refusal;
@@ -55,15 +57,19 @@
     pub(crate) list: watch::Receiver<directory::List>,
     /// Counters.
     pub(crate) metrics: Metrics,
+    /// Claims of idempotency keys.
+    pub(crate) claims: claims::Handle,
+    /// Clock of the deadlines.
+    pub(crate) clock: Clock,
 }
 
 impl Relay {
     /// Answers a plain service's request.
     pub(crate) async fn serve(&self, admitted: Admitted<Call>) -> Result<Answer, Refusal> {
-        let call = &admitted.work;
-        if call.key.is_some() {
-            return Err(unclaimable());
+        if let Some(key) = admitted.work.key.clone() {
+            return self.serve_keyed(admitted, &key).await;
         }
+        let call = &admitted.work;
         let mut excluded = Vec::new();
         let mut ran = Ran::No;
         loop {
@@ -85,7 +91,7 @@
         }
     }
 
-    fn choose(
+    pub(super) fn choose(
         &self,
         service: &id::Service,
         excluded: &[id::Endpoint],
@@ -105,7 +111,11 @@
         Some(live[index].clone())
     }
 
-    async fn send(&self, call: &Call, endpoint: &directory::Endpoint) -> Result<Answer, Failure> {
+    pub(super) async fn send(
+        &self,
+        call: &Call,
+        endpoint: &directory::Endpoint,
+    ) -> Result<Answer, Failure> {
         let arrival = &call.whole.known.arrival;
         let outgoing = Outgoing {
             address: endpoint.address,
@@ -171,15 +181,7 @@
     headers
 }
 
-fn unclaimable() -> Refusal {
-    Refusal::not_run(
-        Kind::ClaimUnavailable,
-        "the idempotency key cannot be claimed; come back later with the same key",
-    )
-    .after(NO_ENDPOINT_RETRY)
-}
-
-fn no_endpoint() -> Refusal {
+pub(super) fn no_endpoint() -> Refusal {
     Refusal::not_run(
         Kind::NoEndpoint,
         "no endpoint of the service can be reached now; come back later",
@@ -187,7 +189,7 @@
     .after(NO_ENDPOINT_RETRY)
 }
 
-fn unknown() -> Refusal {
+pub(super) fn unknown() -> Refusal {
     Refusal::not_run(
         Kind::OutcomeUnknown,
         "the answer was lost and the request may have run; check before sending it again",
--- a/crates/papayayard/src/relay/mod.rs
+++ b/crates/papayayard/src/relay/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod call;
 pub(crate) mod client;
 pub(crate) mod completion;
+mod keyed;
 pub(crate) mod pump;
 pub(crate) mod sse;
 pub(crate) mod transcript;
--- a/crates/papayayard/tests/plain.rs
+++ b/crates/papayayard/tests/plain.rs
@@ -53,3 +53,61 @@
         assert_eq!(reply.status, StatusCode::OK, "{}", reply.text());
     }
 }
+
+/// A keyed booking that is repeated on any host runs once, and each caller
+/// gets the first one's answer.
+#[tokio::test]
+async fn a_keyed_booking_runs_once_over_all_hosts() {
+    let bed = Bed::start(0, 3).await;
+    bed.publish(0, &support::document("v1", 1)).await;
+    let hosts = [
+        bed.ready_host("entry-1").await,
+        bed.ready_host("entry-2").await,
+    ];
+    let calls = (0..6).map(|index| {
+        let host = &hosts[index % 2];
+        support::service(host, Method::POST, "/bookings", Some("k1"), "lesson")
+    });
+    let replies = futures_util::future::join_all(calls).await;
+    let texts: Vec<String> = replies
+        .into_iter()
+        .map(|reply| reply.expect("the exchange is whole"))
+        .inspect(|reply| assert_eq!(reply.status, StatusCode::OK, "{}", reply.text()))
+        .map(|reply| reply.text())
+        .collect();
+    assert!(texts.iter().all(|text| *text == texts[0]), "{texts:?}");
+    assert_eq!(bed.service_ledger().len(), 1);
+    let reply = support::service(&hosts[0], Method::POST, "/bookings", Some("k1"), "other").await;
+    let refusal = reply.expect("the exchange is whole").refusal();
+    assert_eq!(refusal.error.kind, Kind::KeyReused);
+    assert_eq!(bed.service_ledger().len(), 1);
+}
+
+/// What is told of a keyed booking agrees with the ledger, also when it is
+/// sent again to another host.
+#[rstest]
+#[case::answer_lost(Fault::LoseAnswers { count: 10 }, Kind::OutcomeUnknown, Ran::Unknown, 1)]
+#[case::crashed(Fault::Crash { down_ms: 600_000 }, Kind::NoEndpoint, Ran::No, 0)]
+#[tokio::test]
+async fn a_failed_keyed_booking_is_not_sent_twice(
+    #[case] fault: Fault,
+    #[case] kind: Kind,
+    #[case] ran: Ran,
+    #[case] runs: usize,
+) {
+    let bed = Bed::start(0, 3).await;
+    bed.publish(0, &support::document("v1", 1)).await;
+    let hosts = [
+        bed.ready_host("entry-1").await,
+        bed.ready_host("entry-2").await,
+    ];
+    for service in &bed.services {
+        service.fault(fault.clone());
+    }
+    for host in hosts.iter().cycle().take(4) {
+        let reply = support::service(host, Method::POST, "/bookings", Some("k1"), "lesson").await;
+        let refusal = reply.expect("the exchange is whole").refusal();
+        assert_eq!((refusal.error.kind, refusal.error.ran), (kind, ran));
+    }
+    assert_eq!(bed.service_ledger().len(), runs);
+}
