--- a/crates/papayayard/src/controllers/fleet/state.rs
+++ b/crates/papayayard/src/controllers/fleet/state.rs
@@ -29,6 +29,7 @@
     options: Options<View>,
     services: HashMap<id::Service, Service<View>>,
     listed: Vec<directory::Endpoint>,
+    hosts: u32,
     budget: retry::Budget,
 }
 
@@ -42,6 +43,7 @@
             options,
             services: HashMap::new(),
             listed: Vec::new(),
+            hosts: 1,
             budget: retry::Budget::new(RETRIES),
         }
     }
@@ -103,8 +105,9 @@
                     service.set_departing(&signs);
                 }
             }
-            Message::Listed(endpoints) => {
+            Message::Listed(endpoints, hosts) => {
                 self.listed = endpoints;
+                self.hosts = hosts;
                 self.spread();
             }
             Message::Reported(report) => {
@@ -138,6 +141,7 @@
                 .filter(|endpoint| endpoint.service == *name)
                 .collect();
             service.list(&own);
+            service.set_hosts(self.hosts);
         }
     }
 
