--- a/crates/papayayard/tests/audit.rs
+++ b/crates/papayayard/tests/audit.rs
@@ -9,7 +9,7 @@
 use http::{Method, StatusCode};
 use papayayard::host;
 use papayayard_stand_in::ledger::Entry;
-use papayayard_stand_in::{engine, service};
+use papayayard_stand_in::{engine, platform, service};
 use papayayard_wire::refusal::{self, Ran};
 use papayayard_wire::{header, id};
 use rand::rngs::SmallRng;
@@ -101,6 +101,26 @@
     all
 }
 
+/// Books one lesson after the other under a key, each through both hosts at
+/// once, as a caller does that sends again before its answer has come.
+async fn book_by_key(hosts: &[host::Running; 2], caller: u64) -> Vec<[Told; 2]> {
+    let mut all = Vec::new();
+    for number in 0..REQUESTS {
+        let body = format!("caller {caller} books {number} by key");
+        let key = format!("key-{caller}-{number}");
+        let send = |host| support::service(host, Method::POST, "/bookings", Some(&key), &body);
+        let (first, second) = tokio::join!(send(&hosts[0]), send(&hosts[1]));
+        if let (Some(first), Some(second)) = (&first, &second)
+            && first.status == StatusCode::OK
+            && second.status == StatusCode::OK
+        {
+            assert_eq!(first.body, second.body, "two answers to {key}");
+        }
+        all.push([first, second].map(|reply| told(reply, body.clone(), true)));
+    }
+    all
+}
+
 /// Brings about one fault after the other.
 async fn disturb(bed: &Bed, seed: u64) {
     let mut random = SmallRng::seed_from_u64(seed);
@@ -119,6 +139,12 @@
             4 => engine::Fault::Refuse,
             _ => engine::Fault::Clear,
         });
+        bed.platform.fault(match random.random_range(0..6) {
+            0 => platform::Fault::Down,
+            1 => platform::Fault::LoseAppends { count: 1 },
+            2 => platform::Fault::Slow { delay_ms: 30 },
+            _ => platform::Fault::Clear,
+        });
         let service = &bed.services[random.random_range(0..SERVICES)];
         service.fault(match random.random_range(0..5) {
             0 => service::Fault::Crash { down_ms: 100 },
@@ -152,9 +178,13 @@
             let host = &hosts[usize::try_from(caller % 2).unwrap_or(0)];
             async move { tokio::join!(ask(host, caller), book(host, caller)) }
         });
-        futures_util::future::join_all(callers).await
+        let keyed = (0..CALLERS).map(|caller| book_by_key(&hosts, caller));
+        tokio::join!(
+            futures_util::future::join_all(callers),
+            futures_util::future::join_all(keyed),
+        )
     };
-    let results = tokio::select! {
+    let (results, keyed) = tokio::select! {
         results = work => results,
         () = disturb(&bed, seed) => unreachable!("faults go on"),
     };
@@ -187,6 +217,21 @@
             _ => {}
         }
     }
+    let mut booked = 0;
+    for pair in keyed.iter().flatten() {
+        let ran: usize = pair.iter().map(|told| runs(&ledger, told).count()).sum();
+        let complete = pair.iter().any(|told| told.outcome == Outcome::Complete);
+        let not_run =
+            |told: &Told| matches!(&told.outcome, Outcome::Refused(error) if error.ran == Ran::No);
+        assert!(!complete || ran == 1, "seed {seed}: {}", pair[0].body);
+        assert!(
+            !pair.iter().all(not_run) || ran == 0,
+            "seed {seed}: {}",
+            pair[0].body
+        );
+        booked += usize::from(complete);
+    }
+    assert!(booked > 0, "seed {seed}: nothing was booked by key");
     let all = streams.iter().flatten();
     let whole = all.filter(|told| told.outcome == Outcome::Complete).count();
     assert!(whole > 0, "seed {seed}: nothing was answered");
