--- a/crates/papayayard/src/host.rs
+++ b/crates/papayayard/src/host.rs
@@ -130,15 +130,7 @@
     let open = TaskTracker::new();
     let (stopping, stopping_seen) = watch::channel(false);
     let (active_sender, active) = watch::channel(None);
-    let (capacity_sender, capacity) = watch::channel(0);
-    let options = fleet::Options {
-        host: settings.host.clone(),
-        zone: settings.zone.clone(),
-        policy: settings.policy,
-        truth,
-        capacity: capacity_sender,
-        clock,
-    };
+    let (options, capacity) = fleet_options(&settings, truth, clock);
     let fleet = fleet::start(options, active.clone());
     let (list_sender, list) = watch::channel(directory::List::default());
 
@@ -280,6 +272,23 @@
     Ok((acceptor, bound))
 }
 
+fn fleet_options<View>(
+    settings: &Settings,
+    truth: View,
+    clock: Clock,
+) -> (fleet::Options<View>, watch::Receiver<u32>) {
+    let (capacity, capacity_seen) = watch::channel(0);
+    let options = fleet::Options {
+        host: settings.host.clone(),
+        zone: settings.zone.clone(),
+        policy: settings.policy,
+        truth,
+        capacity,
+        clock,
+    };
+    (options, capacity_seen)
+}
+
 fn platform_log(settings: &Settings) -> Platform {
     let timeout = settings.periods.platform_timeout;
     Platform::new(settings.platform.log, timeout).with_host(&settings.host)
