--- a/crates/papayayard/src/controllers/claims.rs
+++ b/crates/papayayard/src/controllers/claims.rs
@@ -27,9 +27,9 @@
 /// Least time between two appends of a host.
 const MIN_PERIOD: Duration = Duration::from_millis(5);
 /// Time that a key is remembered, which is below the log's retention.
-const KEEP: Duration = Duration::from_hours(12);
+const KEEP: Duration = Duration::from_hours(2);
 /// Most keys that are remembered.
-const MAX_KEYS: usize = 400_000;
+const MAX_KEYS: usize = 600_000;
 /// Most bytes of an outcome's body that are kept.
 const MAX_BODY_BYTES: usize = 16 << 10;
 /// Time after which a request without outcome counts as unknown.
@@ -436,6 +436,7 @@
             backoff_cap: BACKOFF_CAP,
         },
         outcome_within: OUTCOME_WITHIN,
+        mark_after: (KEEP / 4).mul_f64(1.0 + rand::random::<f64>()),
         body_bytes: MAX_BODY_BYTES,
     }
 }
--- a/crates/papayayard_coordination/src/claim/claimant.rs
+++ b/crates/papayayard_coordination/src/claim/claimant.rs
@@ -30,6 +30,9 @@
     pub writer: journal::Limits,
     /// Time after which a holder without outcome is given up as unknown.
     pub outcome_within: Duration,
+    /// Time without a record after which one is appended, so that a host that
+    /// starts can tell how far back the stream goes; drawn for each host.
+    pub mark_after: Duration,
     /// Most bytes of an outcome's body that are kept.
     pub body_bytes: usize,
 }
@@ -101,6 +104,7 @@
     records: u64,
     shard: Shard,
     clock_seen: Duration,
+    quiet_since: Duration,
     writer: journal::Writer,
     waits: SlotMap<Ticket, Wait>,
     by_key: HashMap<Digest, Vec<Ticket>>,
@@ -115,6 +119,7 @@
             records: 0,
             shard: Shard::new(options.limits),
             clock_seen: Duration::ZERO,
+            quiet_since: Duration::ZERO,
             writer: journal::Writer::new(options.writer.clone()),
             waits: SlotMap::with_key(),
             by_key: HashMap::new(),
@@ -190,6 +195,7 @@
 
     /// Applies the next record of the stream.
     pub fn apply(&mut self, record: &log::Record, now: Duration) -> Result<(), super::Skip> {
+        self.quiet_since = now;
         let before = self.shard.clock_ms();
         let applied = self.shard.apply(record);
         if self.shard.clock_ms() > before {
@@ -203,7 +209,7 @@
         Ok(())
     }
 
-    /// Refuses the requests whose deadline has come.
+    /// Refuses the requests whose deadline has come, and marks a quiet stream.
     pub fn expire(&mut self, now: Duration) {
         let late: Vec<Ticket> = self
             .waits
@@ -214,6 +220,16 @@
         for ticket in late {
             self.refuse_late(ticket, now);
         }
+        self.mark(now);
+    }
+
+    fn mark(&mut self, now: Duration) {
+        let is_quiet = now >= self.quiet_since + self.options.mark_after;
+        if is_quiet && self.writer.waiting() == 0 {
+            self.quiet_since = now;
+            let nothing = [0; DIGEST_BYTES];
+            self.append(Digest(nothing), Attempt(nothing), Event::Mark);
+        }
     }
 
     fn follow(&mut self, ticket: Ticket, attempt: Attempt, effect: Effect, now: Duration) {
--- a/crates/papayayard_coordination/src/claim/shard.rs
+++ b/crates/papayayard_coordination/src/claim/shard.rs
@@ -188,6 +188,7 @@
             Event::Claim { request, .. } => self.claim(entry.key, entry.attempt, *request),
             Event::Abandon => self.abandon(entry.key, entry.attempt),
             Event::Outcome(outcome) => self.settle(&entry, outcome, record.offset),
+            Event::Mark => Effect::None,
         };
         Ok(Applied {
             key: entry.key,
--- a/crates/papayayard_coordination/tests/claim.rs
+++ b/crates/papayayard_coordination/tests/claim.rs
@@ -34,6 +34,7 @@
             backoff_cap: MS * 10,
         },
         outcome_within: MS * 100,
+        mark_after: MS * 120,
         body_bytes: 16,
     }
 }
@@ -492,3 +493,43 @@
     let refused = Decision::Refuse(Reason::Unavailable);
     assert_eq!(decision(&mut host), Some(refused));
 }
+
+#[test]
+fn a_quiet_stream_is_marked_by_one_host() {
+    let mut log = Log::default();
+    let mut hosts = [Host::new(1), Host::new(2)];
+    for host in &mut hosts {
+        host.claimant.expire(MS * 119);
+        assert_eq!(host.claimant.writer().waiting(), 0);
+    }
+    let [first, second] = &mut hosts;
+    first.claimant.expire(MS * 120);
+    flush(first, &mut log, MS * 120);
+    second.read(&log, 9, MS * 121);
+    second.claimant.expire(MS * 240);
+    assert_eq!(second.claimant.writer().waiting(), 0);
+    assert_eq!(log.records.len(), 1);
+}
+
+/// All claims are forgotten; a host that starts judges by the marks it finds.
+#[test]
+fn a_host_that_starts_on_a_quiet_stream_judges_claims() {
+    let mut log = Log::default();
+    let mut old = Host::new(1);
+    for time_ms in (0..5_000_u32).step_by(10) {
+        let now = MS * time_ms;
+        log.now_ms = time_ms.into();
+        log.forget();
+        old.read(&log, 9, now);
+        old.claimant.expire(now);
+        flush(&mut old, &mut log, now);
+    }
+    assert!(log.first > 0, "the log has forgotten nothing");
+    let mut fresh = Host::new(2);
+    let now = MS * 5_000;
+    fresh.read(&log, 99, now);
+    fresh.claimant.claim(request(1, 1, 5_050), now);
+    flush(&mut fresh, &mut log, now);
+    fresh.read(&log, 99, now);
+    assert_eq!(decision(&mut fresh), Some(Decision::Run));
+}
--- a/crates/papayayard_coordination/tests/shard.rs
+++ b/crates/papayayard_coordination/tests/shard.rs
@@ -150,6 +150,23 @@
     assert_eq!(shard.len(), 1);
 }
 
+/// A key whose entry waits behind a younger one is forgotten in time.
+#[test]
+fn a_key_is_forgotten_though_a_younger_one_is_kept() {
+    let mut shard = shard(100);
+    let records = [
+        (0, claim(1)),
+        (900, claim(2)),
+        (950, claim_of(2, 1)),
+        (1_001, claim_of(3, 1)),
+    ];
+    for (offset, (time_ms, payload)) in (0..).zip(&records) {
+        shard.apply(&record(offset, *time_ms, payload)).unwrap();
+    }
+    let late = record(4, 1_920, &claim(3));
+    assert_eq!(shard.apply(&late).unwrap().effect, Effect::Won);
+}
+
 #[test]
 fn a_reader_with_a_gap_judges_no_claim_until_it_has_read_enough() {
     let mut shard = shard(100);
--- a/crates/papayayard_wire/src/claim.rs
+++ b/crates/papayayard_wire/src/claim.rs
@@ -59,6 +59,9 @@
     Abandon,
     /// The request was sent.
     Outcome(Outcome),
+    /// Nothing; shows a later reader how far back the stream goes. The
+    /// record's key and try mean nothing.
+    Mark,
 }
 
 /// What became of a request that was sent.
