Count only a run's own ledger entries; split the report from load

load left out the ledger entries whose id had been seen before its run. Ledgers only grow, so the entries that were there before are now left out by number. A test sends the same seed twice and another one to one engine.

--- a/crates/papayayardctl/src/load.rs
+++ b/crates/papayayardctl/src/load.rs
@@ -7,24 +7,23 @@
 #[cfg(test)]
 mod caller_test;
 pub(crate) mod process;
+mod report;
 pub(crate) mod run;
 pub(crate) mod tally;
 #[cfg(test)]
 mod tally_test;
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use gumdrop::Options;
-use serde::Serialize;
 use snafu::Snafu;
 use tokio::sync::watch;
 
 use crate::format::Format;
 use crate::workload::{self, Planned};
 
-use tally::{Audit, Percentiles};
+use report::{Comparison, Report};
 
 /// Arguments of `load`.
 #[derive(Debug, Options)]
@@ -114,59 +113,6 @@
     },
 }
 
-/// Figures of one phase.
-#[derive(Debug, Serialize)]
-pub(crate) struct Report {
-    phase: &'static str,
-    workload: &'static str,
-    seed: u64,
-    time_scale: f64,
-    requests: u64,
-    complete: u64,
-    refused: BTreeMap<&'static str, u64>,
-    lost: u64,
-    failed: BTreeMap<&'static str, u64>,
-    cut: u64,
-    unanswered: u64,
-    wrong: BTreeMap<&'static str, u64>,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    audit: Option<Audit>,
-    prefix_hit_rate: f64,
-    ttft_ms: Percentiles,
-    token_gap_ms: Percentiles,
-    tokens: u64,
-    tokens_per_second: f64,
-    requests_per_second: f64,
-    seconds: f64,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    process: Option<Process>,
-}
-
-/// What the observed process spent.
-#[derive(Debug, Serialize)]
-struct Process {
-    processor_seconds: f64,
-    processor_seconds_per_million_tokens: f64,
-    resident_mib: f64,
-}
-
-/// Both phases, where there are two.
-#[derive(Debug, Serialize)]
-struct Comparison {
-    direct: Option<Report>,
-    target: Option<Report>,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    ratio: Option<Ratio>,
-}
-
-/// The load through hosts against the load sent directly.
-#[derive(Debug, Serialize)]
-struct Ratio {
-    added_ttft_p50_ms: f64,
-    added_ttft_p99_ms: f64,
-    tokens_per_second: f64,
-}
-
 /// Runs the load and prints its figures.
 pub(crate) async fn run(arguments: Arguments) -> Result<(), Error> {
     check(&arguments)?;
@@ -183,14 +129,8 @@
     });
     let direct = phase(&arguments, &plan, "direct", &arguments.direct).await?;
     let target = phase(&arguments, &plan, "target", &arguments.target).await?;
-    let ratio = direct.as_ref().zip(target.as_ref());
-    let ratio = ratio.map(|(direct, target)| compare(direct, target));
-    let comparison = Comparison {
-        direct,
-        target,
-        ratio,
-    };
-    print(&arguments, &comparison);
+    let comparison = Comparison::new(direct, target);
+    report::print(arguments.format, &comparison);
     judge(&comparison)
 }
 
@@ -234,25 +174,21 @@
         names: name == "direct",
     };
     let ledgers = |reason| Error::Ledger { reason };
-    let skip = run::ledgers(&arguments.ledger).await.map_err(ledgers)?;
+    let earlier = run::ledgers(&arguments.ledger).await.map_err(ledgers)?;
     let before = observe(arguments)?;
     let results = run::run(&options, plan, |_| {}).await;
     let after = observe(arguments)?;
-    let entries = run::ledgers(&arguments.ledger).await.map_err(ledgers)?;
-    let new = entries
+    let ledgers = run::ledgers(&arguments.ledger).await.map_err(ledgers)?;
+    let new: Vec<_> = ledgers
         .into_iter()
-        .filter(|entry| !skip.iter().any(|old| old.request == entry.request));
-    let new: Vec<_> = new.collect();
+        .zip(earlier)
+        .flat_map(|(ledger, earlier)| ledger.into_iter().skip(earlier.len()))
+        .collect();
     let audit = (!arguments.ledger.is_empty()).then(|| results.tally.audit(&new));
-    let mut report = report(arguments, name, &results, audit);
-    report.process = before.zip(after).map(|(before, after)| {
-        let seconds = after.processor_seconds - before.processor_seconds;
-        Process {
-            processor_seconds: seconds,
-            processor_seconds_per_million_tokens: seconds * 1e6 / to_f64(report.tokens).max(1.0),
-            resident_mib: after.resident_mib,
-        }
-    });
+    let mut report = Report::new(arguments, name, &results, audit);
+    report.process = before
+        .zip(after)
+        .map(|(before, after)| report::Process::new(before, after, report.tokens));
     Ok(Some(report))
 }
 
@@ -267,117 +203,6 @@
     Ok(Some(usage))
 }
 
-fn report(
-    arguments: &Arguments,
-    phase: &'static str,
-    results: &run::Results,
-    audit: Option<Audit>,
-) -> Report {
-    let tally = &results.tally;
-    let seconds = results.elapsed.as_secs_f64();
-    Report {
-        phase,
-        workload: arguments.workload.as_str(),
-        seed: arguments.seed,
-        time_scale: arguments.time_scale,
-        requests: tally.requests,
-        complete: tally.complete,
-        refused: tally.refused.clone(),
-        lost: tally.lost(),
-        failed: tally.failed.clone(),
-        cut: tally.cut,
-        unanswered: tally.unanswered,
-        wrong: tally.wrong.clone(),
-        audit,
-        prefix_hit_rate: tally::ratio(tally.cached_tokens, tally.prompt_tokens),
-        ttft_ms: tally::percentiles(&tally.first_token),
-        token_gap_ms: tally::percentiles(&tally.gaps),
-        tokens: tally.tokens,
-        tokens_per_second: to_f64(tally.tokens) / seconds,
-        requests_per_second: to_f64(tally.requests) / seconds,
-        seconds,
-        process: None,
-    }
-}
-
-fn compare(direct: &Report, target: &Report) -> Ratio {
-    Ratio {
-        added_ttft_p50_ms: target.ttft_ms.p50 - direct.ttft_ms.p50,
-        added_ttft_p99_ms: target.ttft_ms.p99 - direct.ttft_ms.p99,
-        tokens_per_second: target.tokens_per_second / direct.tokens_per_second.max(1.0),
-    }
-}
-
-fn print(arguments: &Arguments, comparison: &Comparison) {
-    match arguments.format {
-        Format::Json => {
-            let text = serde_json::to_string(comparison).unwrap_or_default();
-            println!("{text}");
-        }
-        Format::Table => {
-            let reports = [&comparison.direct, &comparison.target];
-            for report in reports.into_iter().flatten() {
-                print_report(report);
-            }
-            if let Some(ratio) = &comparison.ratio {
-                println!("through hosts against direct:");
-                println!("  added ttft p50 ms    {:.3}", ratio.added_ttft_p50_ms);
-                println!("  added ttft p99 ms    {:.3}", ratio.added_ttft_p99_ms);
-                println!("  tokens/s ratio       {:.3}", ratio.tokens_per_second);
-            }
-        }
-    }
-}
-
-fn print_report(report: &Report) {
-    println!(
-        "{}: workload {}, seed {}, time scale {}",
-        report.phase, report.workload, report.seed, report.time_scale
-    );
-    println!("  requests             {}", report.requests);
-    println!("  complete             {}", report.complete);
-    for (kind, count) in &report.refused {
-        println!("  refused {kind:<12} {count}");
-    }
-    println!("  lost                 {}", report.lost);
-    for (kind, count) in &report.failed {
-        println!("    ended in {kind}: {count}");
-    }
-    println!("    cut                {}", report.cut);
-    println!("    unanswered         {}", report.unanswered);
-    for (reason, count) in &report.wrong {
-        println!("    wrong: {reason}: {count}");
-    }
-    if let Some(audit) = &report.audit {
-        println!("  ran twice            {}", audit.ran_twice);
-        println!("  said not run but ran {}", audit.said_not_run);
-        println!("  complete, never run  {}", audit.never_run);
-    }
-    let ttft = report.ttft_ms;
-    println!("  prefix hit rate      {:.3}", report.prefix_hit_rate);
-    println!(
-        "  ttft ms              p50 {:.2}  p95 {:.2}  p99 {:.2}",
-        ttft.p50, ttft.p95, ttft.p99
-    );
-    let gap = report.token_gap_ms;
-    println!(
-        "  between tokens ms    p50 {:.2}  p95 {:.2}  p99 {:.2}",
-        gap.p50, gap.p95, gap.p99
-    );
-    println!("  tokens               {}", report.tokens);
-    println!("  tokens/s             {:.0}", report.tokens_per_second);
-    println!("  requests/s           {:.1}", report.requests_per_second);
-    println!("  seconds              {:.2}", report.seconds);
-    if let Some(process) = &report.process {
-        println!("  processor s          {:.2}", process.processor_seconds);
-        println!(
-            "  processor s/M tokens {:.2}",
-            process.processor_seconds_per_million_tokens
-        );
-        println!("  resident MiB         {:.1}", process.resident_mib);
-    }
-}
-
 fn judge(comparison: &Comparison) -> Result<(), Error> {
     let reports = || {
         [&comparison.direct, &comparison.target]
@@ -395,8 +220,3 @@
     }
     Ok(())
 }
-
-#[expect(clippy::cast_precision_loss)]
-const fn to_f64(number: u64) -> f64 {
-    number as f64
-}
--- a/crates/papayayardctl/src/load/run.rs
+++ b/crates/papayayardctl/src/load/run.rs
@@ -3,7 +3,8 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use papayayard_stand_in::ledger::Entry;
+use papayayard_stand_in::client;
+use papayayard_stand_in::ledger::{Entry, Ledger};
 use tokio::sync::{mpsc, watch};
 use tokio::time;
 
@@ -149,14 +150,13 @@
     }
 }
 
-/// All entries of some ledgers.
-pub(crate) async fn ledgers(addresses: &[SocketAddr]) -> Result<Vec<Entry>, String> {
-    let mut entries = Vec::new();
+/// The entries of each of some ledgers.
+pub(crate) async fn ledgers(addresses: &[SocketAddr]) -> Result<Vec<Vec<Entry>>, String> {
+    let mut ledgers = Vec::new();
     for address in addresses {
-        let client = papayayard_stand_in::client::Client::new(*address);
-        let ledger = client.get::<papayayard_stand_in::ledger::Ledger>("/ledger");
-        let ledger = ledger.await.map_err(|error| error.to_string())?;
-        entries.extend(ledger.entries);
+        let client = client::Client::new(*address);
+        let ledger = client.get::<Ledger>("/ledger").await;
+        ledgers.push(ledger.map_err(|error| error.to_string())?.entries);
     }
-    Ok(entries)
+    Ok(ledgers)
 }
--- a/crates/papayayardctl/tests/load.rs
+++ b/crates/papayayardctl/tests/load.rs
@@ -57,6 +57,19 @@
     assert!(report["process"]["resident_mib"].as_f64() > Some(0.0));
 }
 
+#[tokio::test]
+async fn a_second_load_is_not_blamed_for_the_first() {
+    let engine = engine::start(engine::Options::default()).await.unwrap();
+    for seed in [5, 5, 6] {
+        let options = format!("load --rate 20 --duration 0.5 --seed {seed} --max-tokens 2");
+        let mut arguments = words(&options);
+        arguments.extend(["--direct".to_owned(), engine.address().to_string()]);
+        arguments.extend(["--ledger".to_owned(), engine.control().to_string()]);
+        let output = papayayardctl(arguments).await;
+        assert!(output.status.success(), "{output:?}");
+    }
+}
+
 #[rstest]
 #[case::nowhere("load", "--target or --direct")]
 #[case::no_rate("load --direct 127.0.0.1:1 --rate 0", "--rate must be above zero")]
