--- a/crates/papayayard/tests/scope.rs
+++ b/crates/papayayard/tests/scope.rs
@@ -3,8 +3,12 @@
 
 mod support;
 
+use std::time::Duration;
+
 use http::Method;
+use papayayard::host;
 use papayayard_stand_in::engine::Fault;
+use papayayard_stand_in::ledger::Outcome;
 use papayayard_wire::{endpoint, id};
 use rstest::rstest;
 use support::Bed;
@@ -14,7 +18,7 @@
     "The partner history of the studio. ".repeat(2_000)
 }
 
-async fn cached(host: &papayayard::host::Running, key: &str, prompt: &str) -> u64 {
+async fn cached(host: &host::Running, key: &str, prompt: &str) -> u64 {
     let bearer = support::bearer(key);
     let headers = [("authorization", bearer.as_str())];
     let body = support::body(prompt, 2, false);
@@ -59,13 +63,50 @@
     assert_eq!(cached(&host, support::KEY, &prompt).await, 0);
 }
 
+/// An answer of a run that began after the choice is not used: what the choice
+/// relied on died with the run before.
+#[rstest]
+#[tokio::test]
+async fn an_answer_of_another_run_is_not_used() {
+    let bed = Bed::start(2, 0).await;
+    bed.publish(0, &support::document("v1", 2)).await;
+    let mut settings = bed.settings("entry-1", "bergen-a", &[]);
+    settings.periods.report = Duration::from_hours(1);
+    settings.periods.events = Duration::from_hours(1);
+    let host = host::start(settings, host::Blind).await;
+    let host = host.expect("the host starts");
+    support::wait_until(&host, |status| {
+        status.endpoints.iter().filter(|one| one.eligible).count() == 2
+    })
+    .await;
+    let prompt = long_prompt();
+    cached(&host, support::KEY, &prompt).await;
+    let first = usize::from(bed.engines[0].ledger().is_empty());
+    let before = bed.engines[first].truth().report().incarnation;
+    bed.engines[first].fault(Fault::Crash { down_ms: 1 });
+    let address = bed.engines[first].address();
+    loop {
+        let reply = support::call(address, Method::GET, "/report", &[], "").await;
+        let report = reply.and_then(|reply| serde_json::from_slice(&reply.body).ok());
+        if report.is_some_and(|report: endpoint::Report| report.incarnation != before) {
+            break;
+        }
+    }
+    cached(&host, support::KEY, &prompt).await;
+    let answered = bed.engines[1 - first].ledger();
+    let complete = answered
+        .iter()
+        .filter(|entry| entry.outcome == Outcome::Complete);
+    assert_eq!(complete.count(), 1);
+}
+
 /// New weights: no request runs on the old ones once the host has the new
 /// document, and the caller is told that a request was not run.
 #[rstest]
 #[tokio::test]
 async fn older_weights_get_no_request() {
     let bed = Bed::with(2, 0, |options| {
-        options.load_time = std::time::Duration::from_millis(50);
+        options.load_time = Duration::from_millis(50);
     })
     .await;
     bed.publish(0, &support::document("v1", 2)).await;
