Count the log's records and failed appends

Cause: skipped and rejected records and failed appends were logged and not counted.

Change: `papayayard_log_records` by stream and result, `papayayard_log_failures` by reason, both in the page of metrics.

--- a/crates/papayayard/src/controllers/claims.rs
+++ b/crates/papayayard/src/controllers/claims.rs
@@ -20,6 +20,7 @@
 
 use crate::clock::Clock;
 use crate::controllers::journal::Tail;
+use crate::metrics::Metrics;
 use crate::refusal::Refusal;
 
 /// Appends a second of all hosts together, below the log's 300.
@@ -60,6 +61,8 @@
     pub(crate) known_hosts: usize,
     /// Clock of the deadlines.
     pub(crate) clock: Clock,
+    /// Counters.
+    pub(crate) metrics: Metrics,
 }
 
 /// Way to the claims' tasks; the last one's drop ends them.
@@ -321,7 +324,9 @@
                 if writer.failures() == 0 {
                     log::warn!(stream:% = self.name; "claims cannot be appended: {error}");
                 }
-                writer.failed(failure(&error), now, rand::random());
+                let failure = failure(&error);
+                self.sources.metrics.append_failed(failure.as_str());
+                writer.failed(failure, now, rand::random());
             }
             Done::LookedUp(Ok(page)) => {
                 writer.looked_up(&page);
@@ -379,6 +384,7 @@
 
     fn skipped(&mut self, record: &stream::Record, skip: claim::Skip) {
         let offset = record.offset.0;
+        self.sources.metrics.recorded("claims", skip.as_str());
         if self.has_skipped {
             log::debug!(stream:% = self.name, offset; "record skipped as {}", skip.as_str());
         } else {
--- a/crates/papayayard/src/controllers/claims_test.rs
+++ b/crates/papayayard/src/controllers/claims_test.rs
@@ -12,6 +12,7 @@
 use super::claims::{Claimed, Handle, Permit, Sources, start};
 use super::fake_log_test::{Fault, Log};
 use crate::clock::Clock;
+use crate::metrics::Metrics;
 use crate::refusal::Refusal;
 
 const STREAM: &str = "claims-00";
@@ -20,6 +21,7 @@
 struct Host {
     handle: Handle,
     clock: Clock,
+    metrics: Metrics,
     _list: watch::Sender<directory::List>,
 }
 
@@ -27,16 +29,19 @@
     fn start(log: &Log, name: &str) -> Self {
         let (list_sender, list) = watch::channel(directory::List::default());
         let clock = Clock::start();
+        let metrics = Metrics::new(clock);
         let handle = start(&Sources {
             log: log.clone(),
             host: id::Host::from(name),
             list,
             known_hosts: 3,
             clock,
+            metrics: metrics.clone(),
         });
         Self {
             handle,
             clock,
+            metrics,
             _list: list_sender,
         }
     }
@@ -207,3 +212,19 @@
     log.put(STREAM, "{\"format\":7}");
     let _other = host.permit("l").await;
 }
+
+#[tokio::test(start_paused = true)]
+async fn skipped_records_and_failed_appends_are_counted() {
+    let log = Log::new();
+    log.put(STREAM, "[1,2]");
+    let host = Host::start(&log, "a");
+    log.fail(&[Fault::LostAfter]);
+    let _permit = host.permit("k").await;
+    let text = String::from_utf8(host.metrics.text()).unwrap();
+    let counts = |name: &str, label: &str| {
+        let mut lines = text.lines().filter(|line| line.starts_with(name));
+        lines.any(|line| line.contains(label) && line.ends_with(" 1"))
+    };
+    assert!(counts("papayayard_log_records_total", "result=\"foreign\""));
+    assert!(counts("papayayard_log_failures_total", "reason=\"lost\""));
+}
--- a/crates/papayayard/src/controllers/configuration.rs
+++ b/crates/papayayard/src/controllers/configuration.rs
@@ -16,6 +16,7 @@
 
 use crate::active::Active;
 use crate::controllers::journal::Tail;
+use crate::metrics::Metrics;
 
 /// The configuration in force, if there is one.
 pub(crate) type Current = Option<Arc<Active>>;
@@ -47,8 +48,12 @@
 }
 
 /// Follows the stream and the peers until nobody listens any more.
-pub(crate) async fn follow<Log>(log: Log, current: watch::Sender<Current>, link: Link)
-where
+pub(crate) async fn follow<Log>(
+    log: Log,
+    current: watch::Sender<Current>,
+    link: Link,
+    metrics: Metrics,
+) where
     Log: service::Log + Clone,
 {
     let name = id::Stream::from(STREAM);
@@ -63,6 +68,7 @@
         wall: Wall::start(),
         current,
         link,
+        metrics,
     };
     follower.run().await;
 }
@@ -78,6 +84,7 @@
     wall: Wall,
     current: watch::Sender<Current>,
     link: Link,
+    metrics: Metrics,
 }
 
 impl<Log> Follower<Log>
@@ -213,6 +220,7 @@
 
     fn report(&mut self, record: &stream::Record, verdict: &Verdict) {
         let offset = record.offset.0;
+        self.metrics.recorded(STREAM, verdict.as_str());
         match verdict {
             Verdict::Accepted | Verdict::Refreshed | Verdict::Anchored { .. } | Verdict::Held => {
                 log::debug!(offset; "configuration record: {verdict:?}");
--- a/crates/papayayard/src/controllers/configuration_test.rs
+++ b/crates/papayayard/src/controllers/configuration_test.rs
@@ -10,6 +10,8 @@
 
 use super::configuration::{Current, follow, link};
 use super::fake_log_test::Log;
+use crate::clock::Clock;
+use crate::metrics::Metrics;
 
 const DOCUMENT: &str = include_str!("../../../../examples/fjordtakt.yaml");
 
@@ -24,7 +26,8 @@
     fn start(log: &Log) -> Self {
         let (current_sender, current) = watch::channel(None);
         let (link, accepted, adopt) = link();
-        let task = tokio::spawn(follow(log.clone(), current_sender, link));
+        let metrics = Metrics::new(Clock::start());
+        let task = tokio::spawn(follow(log.clone(), current_sender, link, metrics));
         Self {
             current,
             accepted,
--- a/crates/papayayard/src/host.rs
+++ b/crates/papayayard/src/host.rs
@@ -143,7 +143,12 @@
 
     let mut controllers = JoinSet::new();
     let (link, accepted, adopt) = configuration::link();
-    controllers.spawn(follow_configuration(&settings, active_sender, link));
+    controllers.spawn(follow_configuration(
+        &settings,
+        active_sender,
+        link,
+        &metrics,
+    ));
     controllers.spawn(list_hosts(&settings, list_sender.clone()));
     let parts = Parts {
         client: client.clone(),
@@ -153,7 +158,7 @@
         list: list.clone(),
         stopping: stopping_seen.clone(),
     };
-    let claims = parts.claims(&settings);
+    let claims = parts.claims(&settings, &metrics);
     let observer = parts.observer(&settings);
     controllers.spawn(observer::supervise(observer, list.clone(), active.clone()));
     let (links, released) = parts.order_links(&settings.host);
@@ -196,18 +201,8 @@
         open: open.clone(),
         completions: chain::completions(active.clone(), &settings.limits, admission.clone()),
         calls: chain::calls(active, &settings.limits, admission),
-        completion_relay: completion::Relay {
-            client: client.clone(),
-            fleet,
-            metrics: metrics.clone(),
-        },
-        call_relay: call::Relay {
-            client,
-            list,
-            metrics,
-            claims: claims.clone(),
-            clock,
-        },
+        completion_relay: parts.completion_relay(&metrics),
+        call_relay: parts.call_relay(&metrics, &claims),
     });
     let (server, callers) = callers::server(sockets.callers, &settings.limits);
     let callers_task = tokio::spawn(server.serve(callers::router(&shared)));
@@ -229,8 +224,9 @@
     settings: &Settings,
     active: watch::Sender<configuration::Current>,
     link: configuration::Link,
+    metrics: &Metrics,
 ) -> impl Future<Output = ()> + use<> {
-    configuration::follow(platform_log(settings), active, link)
+    configuration::follow(platform_log(settings), active, link, metrics.clone())
 }
 
 fn list_hosts(
@@ -297,13 +293,32 @@
 }
 
 impl Parts {
-    fn claims(&self, settings: &Settings) -> claims::Handle {
+    fn completion_relay(&self, metrics: &Metrics) -> completion::Relay {
+        completion::Relay {
+            client: self.client.clone(),
+            fleet: self.fleet.clone(),
+            metrics: metrics.clone(),
+        }
+    }
+
+    fn call_relay(&self, metrics: &Metrics, claims: &claims::Handle) -> call::Relay {
+        call::Relay {
+            client: self.client.clone(),
+            list: self.list.clone(),
+            metrics: metrics.clone(),
+            claims: claims.clone(),
+            clock: self.clock,
+        }
+    }
+
+    fn claims(&self, settings: &Settings, metrics: &Metrics) -> claims::Handle {
         claims::start(&claims::Sources {
             log: platform_log(settings),
             host: settings.host.clone(),
             list: self.list.clone(),
             known_hosts: settings.peers.len() + 1,
             clock: self.clock,
+            metrics: metrics.clone(),
         })
     }
 
--- a/crates/papayayard/src/metrics.rs
+++ b/crates/papayayard/src/metrics.rs
@@ -28,6 +28,8 @@
     denials: Counter<u64>,
     prompt_tokens: Counter<u64>,
     generated_tokens: Counter<u64>,
+    log_records: Counter<u64>,
+    log_failures: Counter<u64>,
     first_token: Histogram<f64>,
     peer_refusals: Counter<u64>,
     peer_failures: Counter<u64>,
@@ -70,6 +72,14 @@
                 .u64_counter("papayayard_generated_tokens")
                 .with_description("Generated tokens of complete answers")
                 .build(),
+            log_records: meter
+                .u64_counter("papayayard_log_records")
+                .with_description("Records read from the log, by stream and result")
+                .build(),
+            log_failures: meter
+                .u64_counter("papayayard_log_failures")
+                .with_description("Appends without an answer, by reason")
+                .build(),
             first_token: meter
                 .f64_histogram("papayayard_first_token_seconds")
                 .with_description("Time from a request's arrival to its first token")
@@ -103,6 +113,20 @@
             .add(1, &[KeyValue::new("kind", kind.as_str())]);
     }
 
+    /// Counts a record read from the log.
+    pub(crate) fn recorded(&self, stream: &'static str, result: &'static str) {
+        let labels = [
+            KeyValue::new("stream", stream),
+            KeyValue::new("result", result),
+        ];
+        self.log_records.add(1, &labels);
+    }
+
+    /// Counts an append without an answer.
+    pub(crate) fn append_failed(&self, reason: &'static str) {
+        self.log_failures.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
     /// Counts a retry.
     pub(crate) fn retried(&self, reason: retry::Reason) {
         self.retries
--- a/crates/papayayard_coordination/src/configuration.rs
+++ b/crates/papayayard_coordination/src/configuration.rs
@@ -53,6 +53,20 @@
     Skipped(Skip),
 }
 
+impl Verdict {
+    /// Name in metrics.
+    pub const fn as_str(&self) -> &'static str {
+        match self {
+            Self::Accepted => "accepted",
+            Self::Refreshed => "refreshed",
+            Self::Anchored { .. } => "anchored",
+            Self::Held => "held",
+            Self::Rejected(rejection) => rejection.as_str(),
+            Self::Skipped(skip) => skip.as_str(),
+        }
+    }
+}
+
 /// Why a proposal is not accepted.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
 pub enum Rejection {
--- a/crates/papayayard_coordination/src/journal/writer.rs
+++ b/crates/papayayard_coordination/src/journal/writer.rs
@@ -42,6 +42,17 @@
     Refused,
 }
 
+impl Failure {
+    /// Name in metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::NotSent => "not_sent",
+            Self::Lost => "lost",
+            Self::Refused => "refused",
+        }
+    }
+}
+
 /// What the owner of the connection does next.
 #[derive(Debug)]
 pub enum Action {
