--- a/crates/papayayard/src/host.rs
+++ b/crates/papayayard/src/host.rs
@@ -23,6 +23,7 @@
 use crate::controllers::{
     admission, claims, configuration, directory as listing, fleet, observer, orders, peers,
 };
+use crate::filters::authenticate::Authenticate;
 use crate::filters::chain;
 use crate::metrics::Metrics;
 use crate::operators;
@@ -129,15 +130,7 @@
     let open = TaskTracker::new();
     let (stopping, stopping_seen) = watch::channel(false);
     let (active_sender, active) = watch::channel(None);
-    let (capacity_sender, capacity) = watch::channel(0);
-    let options = fleet::Options {
-        host: settings.host.clone(),
-        zone: settings.zone.clone(),
-        policy: settings.policy,
-        truth,
-        capacity: capacity_sender,
-        clock,
-    };
+    let (options, capacity) = fleet_options(&settings, truth, clock);
     let fleet = fleet::start(options, active.clone());
     let (list_sender, list) = watch::channel(directory::List::default());
 
@@ -163,8 +156,10 @@
     controllers.spawn(observer::supervise(observer, list.clone(), active.clone()));
     let (links, released) = parts.order_links(&settings.host);
     controllers.spawn(orders::follow(platform_log(&settings), links));
-    let view = parts.view(&settings, &open);
-    controllers.spawn(operators::serve(sockets.operators, view));
+    controllers.spawn(operators::serve(
+        sockets.operators,
+        parts.view(&settings, &open),
+    ));
 
     let (shares_sender, agreed) = watch::channel(admission::Shares::new());
     let sources = admission::Sources {
@@ -199,6 +194,7 @@
         active: active.clone(),
         stopping: stopping_seen,
         open: open.clone(),
+        authenticate: Authenticate::new(active.clone()),
         completions: chain::completions(active.clone(), &settings.limits, admission.clone()),
         calls: chain::calls(active, &settings.limits, admission),
         completion_relay: parts.completion_relay(&metrics),
@@ -272,6 +268,23 @@
     Ok((acceptor, bound))
 }
 
+fn fleet_options<View>(
+    settings: &Settings,
+    truth: View,
+    clock: Clock,
+) -> (fleet::Options<View>, watch::Receiver<u32>) {
+    let (capacity, capacity_seen) = watch::channel(0);
+    let options = fleet::Options {
+        host: settings.host.clone(),
+        zone: settings.zone.clone(),
+        policy: settings.policy,
+        truth,
+        capacity,
+        clock,
+    };
+    (options, capacity_seen)
+}
+
 fn platform_log(settings: &Settings) -> Platform {
     let timeout = settings.periods.platform_timeout;
     Platform::new(settings.platform.log, timeout).with_host(&settings.host)
