Follow the links of pages in directories below docs

Cause: `links_lead_to_files` read each entry of docs/ as a file, so the first directory there (design notes, operators' pages) ended it with an error.

Change: it walks the directories below as well, so that their links are held to the same rule; nothing is left out.

--- a/crates/papayayard/tests/documentation.rs
+++ b/crates/papayayard/tests/documentation.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use std::fs;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 use http::Method;
 use papayayard::settings::{self, Settings};
@@ -148,11 +148,24 @@
     }
 }
 
+/// All pages of a directory and of those below it.
+fn pages(directory: &Path) -> Vec<PathBuf> {
+    let entries = fs::read_dir(directory).expect("there are pages");
+    let paths = entries.map(|entry| entry.expect("the directory can be read").path());
+    let below = |path: PathBuf| {
+        if path.is_dir() {
+            pages(&path)
+        } else {
+            vec![path]
+        }
+    };
+    paths.flat_map(below).collect()
+}
+
 #[test]
 fn links_lead_to_files() {
     let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
-    let pages = fs::read_dir(root.join("docs")).expect("there are pages");
-    let pages = pages.map(|page| page.expect("the directory can be read").path());
+    let pages = pages(&root.join("docs")).into_iter();
     let front = ["README.md", "CONTRIBUTING.md"].map(|name| root.join(name));
     let mut missing = Vec::new();
     for page in pages.chain(front) {
