Stop a host step by step, and tell the peers at its end

Change: coordination::stop is the sequence as a state machine; host::Running drives it. Envelopes are counted whole in the byte budget; papayayard_peer_farewells counts farewells.

--- a/crates/papayayard/src/controllers/peers.rs
+++ b/crates/papayayard/src/controllers/peers.rs
@@ -51,6 +51,8 @@
     pub(crate) list: watch::Sender<directory::List>,
     /// Whether this host is stopping.
     pub(crate) stopping: watch::Receiver<bool>,
+    /// The farewell at the end of a planned stop.
+    pub(crate) farewell: Farewell,
     /// Model endpoints.
     pub(crate) fleet: fleet::Handle,
     /// Admission of completions and of calls.
@@ -59,6 +61,19 @@
     pub(crate) shares: watch::Sender<admission::Shares>,
 }
 
+/// The end of a planned stop, as the task sees it.
+pub(crate) struct Farewell {
+    leaving: watch::Receiver<bool>,
+    told: watch::Sender<bool>,
+}
+
+/// A farewell, with the order to say it and the sign that it was said.
+pub(crate) fn farewell() -> (Farewell, watch::Sender<bool>, watch::Receiver<bool>) {
+    let (order, leaving) = watch::channel(false);
+    let (told, sign) = watch::channel(false);
+    (Farewell { leaving, told }, order, sign)
+}
+
 /// A message to the task.
 enum Message {
     /// A peer calls.
--- a/crates/papayayard/src/controllers/peers/client.rs
+++ b/crates/papayayard/src/controllers/peers/client.rs
@@ -90,7 +90,7 @@
     let from = address.from.clone();
     let call = secret.seal(address, &sent.message);
     let call = call.map_err(|error| error.to_string())?;
-    let call_bytes = call.body.get().len();
+    let call_bytes = call.bytes();
     let reply: Result<proof::Envelope, _> = client.request(peer::METHOD, rpc_params![call]).await;
     let reply = reply.map_err(|error| error.to_string())?;
     let message: Result<peer::Message, _> = secret.open(proof::Direction::Reply, &reply);
@@ -101,7 +101,7 @@
         return Err(format!("{} answered another call", reply.from));
     }
     Ok(Reply {
-        bytes: call_bytes + reply.body.get().len() + FRAME_BYTES,
+        bytes: call_bytes + reply.bytes() + FRAME_BYTES,
         from: reply.from,
         message,
     })
--- a/crates/papayayard/src/controllers/peers/task.rs
+++ b/crates/papayayard/src/controllers/peers/task.rs
@@ -81,6 +81,7 @@
         let mut active = self.links.active.clone();
         let mut accepted = self.links.accepted.clone();
         let mut stopping = self.links.stopping.clone();
+        let mut leaving = self.links.farewell.leaving.clone();
         let mut observe = time::interval(local::PERIOD);
         observe.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
         self.configure(active.borrow_and_update().clone());
@@ -105,10 +106,16 @@
                     }
                     self.hurry();
                 }
+                Ok(()) = leaving.changed() => {
+                    self.node.members.introduce(self.clock.now());
+                    self.call();
+                }
                 _ = observe.tick() => self.observe().await,
                 () = time::sleep(pause) => self.call(),
             }
             self.publish().await;
+            let is_told = *leaving.borrow() && self.busy.is_empty();
+            self.links.farewell.told.send_replace(is_told);
         }
     }
 
@@ -131,6 +138,10 @@
                 reason: format!("version {} is not read here", call.version),
             });
         }
+        if call.state == peer::State::Left {
+            self.metrics.peer_left();
+            log::info!(peer:% = envelope.from; "a peer has left");
+        }
         let now = self.clock.now();
         self.node.set_state(self.state());
         let order = envelope.nonce;
@@ -145,7 +156,7 @@
             nonce: envelope.nonce,
         };
         let sealed = self.secret.seal(address, &reply)?;
-        let bytes = envelope.body.get().len() + sealed.body.get().len() + client::FRAME_BYTES;
+        let bytes = envelope.bytes() + sealed.bytes() + client::FRAME_BYTES;
         self.charge(bytes, now);
         self.tell(news).await;
         Ok(sealed)
@@ -249,6 +260,9 @@
     }
 
     fn state(&self) -> peer::State {
+        if *self.links.farewell.leaving.borrow() {
+            return peer::State::Left;
+        }
         if *self.links.stopping.borrow() {
             return peer::State::Stopping;
         }
--- a/crates/papayayard/src/host.rs
+++ b/crates/papayayard/src/host.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use papayayard_coordination::exchange;
+use papayayard_coordination::{exchange, stop};
 use papayayard_platform::http::Client as Platform;
 use papayayard_routing::choice;
 use papayayard_wire::{block, directory, id, peer};
@@ -33,6 +33,9 @@
 /// Longest wait for the handover of leases at a planned stop.
 const HANDOVER_WAIT: Duration = Duration::from_secs(3);
 
+/// Longest wait for peers to hear the farewell at a planned stop.
+const FAREWELL_WAIT: Duration = Duration::from_secs(1);
+
 /// Why a host cannot start.
 #[derive(Debug, Snafu)]
 pub enum Error {
@@ -66,6 +69,9 @@
     callers: ServerHandle,
     callers_task: JoinHandle<()>,
     released: watch::Receiver<bool>,
+    leaving: watch::Sender<bool>,
+    told: watch::Receiver<bool>,
+    clock: Clock,
     _controllers: JoinSet<()>,
 }
 
@@ -76,23 +82,60 @@
     }
 
     /// Stops as planned: readiness turns false at once, requests are taken
-    /// for the grace period, and the host ends when the last one has ended.
+    /// for the grace period, and the host ends when the last one has ended,
+    /// its leases are handed over and its peers know.
     pub async fn stop(mut self) {
         log::info!(open = self.open.len(); "planned stop");
-        self.stopping.send_replace(true);
-        time::sleep(self.settings.stop_grace).await;
-        self.callers.stop_graceful(None);
-        self.open.close();
-        self.open.wait().await;
+        let mut machine = stop::Machine::new(stop::Times {
+            grace: self.settings.stop_grace,
+            handover: HANDOVER_WAIT,
+            farewell: FAREWELL_WAIT,
+        });
+        let mut event = stop::Event::Asked;
+        loop {
+            if let Some(action) = machine.take(event, self.clock.now()) {
+                self.act(action);
+            }
+            if machine.phase() == stop::Phase::Left {
+                break;
+            }
+            event = self.event(&machine).await;
+        }
         if self.callers_task.await.is_err() {
             log::warn!("the callers' listener ended early");
         }
-        let released = self.released.wait_for(|released| *released);
-        if !matches!(time::timeout(HANDOVER_WAIT, released).await, Ok(Ok(_))) {
-            log::warn!("leases were not handed over; they end by themselves");
-        }
         log::info!("stopped");
     }
+
+    fn act(&self, action: stop::Action) {
+        match action {
+            stop::Action::Announce => {
+                self.stopping.send_replace(true);
+            }
+            stop::Action::StopListening => {
+                self.callers.stop_graceful(None);
+                self.open.close();
+            }
+            stop::Action::Farewell => {
+                self.leaving.send_replace(true);
+            }
+            stop::Action::Exit => {}
+        }
+    }
+
+    /// Waits for what the stop waits for in its present phase.
+    async fn event(&mut self, machine: &stop::Machine) -> stop::Event {
+        let pause = machine.next_at().saturating_sub(self.clock.now());
+        let phase = machine.phase();
+        tokio::select! {
+            () = self.open.wait(), if phase == stop::Phase::Finishing => stop::Event::Idle,
+            Ok(_) = self.released.wait_for(|released| *released),
+                if phase == stop::Phase::HandingOver => stop::Event::Released,
+            Ok(_) = self.told.wait_for(|told| *told),
+                if phase == stop::Phase::Leaving => stop::Event::Told,
+            () = time::sleep(pause) => stop::Event::Tick,
+        }
+    }
 }
 
 /// A truth that sees nothing, for every policy but the oracle.
@@ -119,15 +162,7 @@
     let open = TaskTracker::new();
     let (stopping, stopping_seen) = watch::channel(false);
     let (active_sender, active) = watch::channel(None);
-    let (capacity_sender, capacity) = watch::channel(0);
-    let options = fleet::Options {
-        host: settings.host.clone(),
-        zone: settings.zone.clone(),
-        policy: settings.policy,
-        truth,
-        capacity: capacity_sender,
-        clock,
-    };
+    let (options, capacity) = fleet_options(&settings, truth, clock);
     let fleet = fleet::start(options, active.clone());
     let (list_sender, list) = watch::channel(directory::List::default());
 
@@ -163,20 +198,21 @@
     let admission = admission::start(sources, clock);
 
     let options = peer_options(&settings, addresses.peers, clock, metrics.clone());
+    let (farewell, leaving, told) = peers::farewell();
     let links = peers::Links {
         active: active.clone(),
         accepted,
         adopt,
         list: list_sender,
         stopping: stopping_seen.clone(),
+        farewell,
         fleet: fleet.clone(),
         admission: admission.clone(),
         shares: shares_sender,
     };
     let peers = peers::start(sockets.peers, options, links);
-    controllers.spawn(peers.context(ListenSnafu {
-        address: addresses.peers,
-    })?);
+    let address = addresses.peers;
+    controllers.spawn(peers.context(ListenSnafu { address })?);
 
     let shared = Arc::new(callers::Shared {
         host: settings.host.clone(),
@@ -209,6 +245,9 @@
         callers,
         callers_task,
         released,
+        leaving,
+        told,
+        clock,
         _controllers: controllers,
     })
 }
@@ -248,6 +287,23 @@
     Ok((acceptor, bound))
 }
 
+fn fleet_options<View>(
+    settings: &Settings,
+    truth: View,
+    clock: Clock,
+) -> (fleet::Options<View>, watch::Receiver<u32>) {
+    let (capacity, capacity_seen) = watch::channel(0);
+    let options = fleet::Options {
+        host: settings.host.clone(),
+        zone: settings.zone.clone(),
+        policy: settings.policy,
+        truth,
+        capacity,
+        clock,
+    };
+    (options, capacity_seen)
+}
+
 fn platform_log(settings: &Settings) -> Platform {
     let timeout = settings.periods.platform_timeout;
     Platform::new(settings.platform.log, timeout).with_host(&settings.host)
--- a/crates/papayayard/src/metrics.rs
+++ b/crates/papayayard/src/metrics.rs
@@ -32,6 +32,7 @@
     peer_refusals: Counter<u64>,
     peer_failures: Counter<u64>,
     peer_bytes: Counter<u64>,
+    peer_farewells: Counter<u64>,
 }
 
 impl Metrics {
@@ -83,6 +84,10 @@
                 .u64_counter("papayayard_peer_failures")
                 .with_description("Calls to peers that had no answer")
                 .build(),
+            peer_farewells: meter
+                .u64_counter("papayayard_peer_farewells")
+                .with_description("Peers that said that they leave")
+                .build(),
             peer_bytes: meter
                 .u64_counter("papayayard_peer_bytes")
                 .with_description("Bytes exchanged with peers, both ways")
@@ -143,6 +148,11 @@
         self.peer_failures.add(1, &[]);
     }
 
+    /// Counts a peer that leaves.
+    pub(crate) fn peer_left(&self) {
+        self.peer_farewells.add(1, &[]);
+    }
+
     /// Counts the bytes of a call and its reply.
     pub(crate) fn peer_exchanged(&self, bytes: usize) {
         self.peer_bytes.add(bytes as u64, &[]);
--- a/crates/papayayard/tests/peers.rs
+++ b/crates/papayayard/tests/peers.rs
@@ -12,6 +12,7 @@
 use rstest::rstest;
 use serde_json::{Value, json};
 use support::Bed;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 fn listed(name: &str, zone: &str, address: SocketAddr) -> directory::Host {
     directory::Host {
@@ -235,3 +236,75 @@
         support::wait_until(host, |status| status.revision == id::Revision(2)).await;
     }
 }
+
+/// Reads one HTTP message with a stated length; gives its bytes and its body's.
+async fn read_http(stream: &mut tokio::net::TcpStream) -> (usize, usize) {
+    let mut read = Vec::new();
+    loop {
+        let mut buffer = [0; 4096];
+        let count = stream.read(&mut buffer).await.unwrap();
+        assert!(count > 0, "the connection ended early");
+        read.extend_from_slice(&buffer[..count]);
+        let text = String::from_utf8_lossy(&read).to_ascii_lowercase();
+        let Some((head, body)) = text.split_once("\r\n\r\n") else {
+            continue;
+        };
+        let length = head
+            .lines()
+            .find_map(|line| line.strip_prefix("content-length: "));
+        let length: usize = length.expect("a stated length").trim().parse().unwrap();
+        if body.len() >= length {
+            return (read.len(), length);
+        }
+    }
+}
+
+/// The budget counts a fixed number of bytes around a call and its reply.
+#[tokio::test]
+async fn framing_costs_no_more_than_is_counted() {
+    let bed = Bed::start(0, 0).await;
+    let fake = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let peers = [fake.local_addr().unwrap()];
+    let mut settings = bed.settings("entry-1", "local", &peers);
+    settings.platform.directory = settings.platform.log;
+    bed.platform.fault(Fault::Down);
+    let host = host::start(settings, host::Blind).await.unwrap();
+    let (mut stream, _) = fake.accept().await.unwrap();
+    let (call, call_body) = read_http(&mut stream).await;
+
+    let message = peer::Message::new(peer::State::Serving);
+    let envelope = seal("secret", "entry-1", unix_ms(), &message);
+    let body = format!(r#"{{"jsonrpc":"2.0","id":1,"method":"exchange","params":[{envelope}]}}"#);
+    let request = format!(
+        "POST / HTTP/1.1\r\nhost: h\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    let address = host.addresses().peers;
+    let mut stream = tokio::net::TcpStream::connect(address).await.unwrap();
+    stream.write_all(request.as_bytes()).await.unwrap();
+    let (reply, reply_body) = read_http(&mut stream).await;
+    let json_rpc = body.len() - envelope.len() + r#"{"jsonrpc":"2.0","id":1,"result":}"#.len();
+    let framing = (call - call_body) + (reply - reply_body) + json_rpc;
+    assert!(framing <= 450, "{framing}");
+    println!("framing of a call and its reply: {framing} bytes");
+}
+
+#[tokio::test]
+async fn a_planned_stop_tells_the_peers_before_it_ends() {
+    let bed = Bed::start(0, 0).await;
+    bed.publish(0, &support::document("v1", 1)).await;
+    let mut hosts = hosts(&bed, &["entry-1", "entry-2", "entry-3"]).await;
+    let started = |host: &host::Running| host.addresses().peers;
+    let first = started(&hosts[0]);
+    for host in &hosts {
+        support::wait_until(host, |status| status.revision == id::Revision(1)).await;
+    }
+    for host in &hosts {
+        wait_for_metric(host, "papayayard_peer_bytes_total").await;
+    }
+    hosts.remove(0).stop().await;
+    for host in &hosts {
+        wait_for_metric(host, "papayayard_peer_farewells_total").await;
+    }
+    assert!(tokio::net::TcpStream::connect(first).await.is_err());
+}
--- a/crates/papayayard_coordination/src/lib.rs
+++ b/crates/papayayard_coordination/src/lib.rs
@@ -19,3 +19,4 @@
 pub mod order;
 pub mod pace;
 pub mod replay;
+pub mod stop;
--- a/crates/papayayard_wire/src/proof.rs
+++ b/crates/papayayard_wire/src/proof.rs
@@ -18,6 +18,8 @@
 /// Longest message in bytes.
 pub const MESSAGE_LIMIT: usize = 4 * 1024 * 1024;
 
+/// Bytes of an envelope beside its names and its message.
+const OUTSIDE_BYTES: usize = 120;
 const REASON_CHARS: usize = 200;
 const CONTEXT: &str = "papayayard 2026 proof of a message between entry hosts";
 
@@ -41,6 +43,14 @@
     pub body: Box<RawValue>,
 }
 
+impl Envelope {
+    /// Length as JSON, in bytes; times and nonces of these decades.
+    pub fn bytes(&self) -> usize {
+        let to = self.to.as_ref().map_or(0, |to| to.as_str().len());
+        OUTSIDE_BYTES + self.from.as_str().len() + to + self.body.get().len()
+    }
+}
+
 /// Whether an envelope is a call or the reply to one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Direction {
--- a/crates/papayayard_wire/tests/peer_test.rs
+++ b/crates/papayayard_wire/tests/peer_test.rs
@@ -151,3 +151,20 @@
     assert_eq!(error.as_str(), "malformed");
     assert!(error.to_string().len() < 400);
 }
+
+#[test]
+fn the_counted_length_is_that_of_the_envelope() {
+    let mut address = address();
+    address.time_ms = 1_790_000_000_000;
+    address.nonce = 1_790_000_000_000_000;
+    let envelope = proof::Secret::new("shared")
+        .seal(address, &message())
+        .unwrap();
+    let text = serde_json::to_string(&envelope).unwrap();
+    assert!(
+        envelope.bytes().abs_diff(text.len()) <= 8,
+        "{} {}",
+        envelope.bytes(),
+        text.len()
+    );
+}
