--- a/crates/papayayard_coordination/src/lib.rs
+++ b/crates/papayayard_coordination/src/lib.rs
@@ -20,3 +20,4 @@
 pub mod order;
 pub mod pace;
 pub mod replay;
+pub mod stop;
