--- a/crates/papayayard/src/host.rs
+++ b/crates/papayayard/src/host.rs
@@ -34,6 +34,8 @@
 /// Longest wait for the handover of leases at a planned stop.
 const HANDOVER_WAIT: Duration = Duration::from_secs(3);
 
+/// Longest wait for outcomes of keyed requests to be appended at a stop.
+const FLUSH_WAIT: Duration = Duration::from_secs(5);
 /// Longest wait for peers to hear the farewell at a planned stop.
 const FAREWELL_WAIT: Duration = Duration::from_secs(1);
 
@@ -88,18 +90,6 @@
     /// its leases are handed over and its peers know.
     pub async fn stop(mut self) {
         log::info!(open = self.open.len(); "planned stop");
-<<<<<<< HEAD
-        self.stopping.send_replace(true);
-        time::sleep(self.settings.stop_grace).await;
-        self.callers.stop_graceful(None);
-        self.open.close();
-        self.open.wait().await;
-        if time::timeout(FLUSH_WAIT, self.claims.flush())
-            .await
-            .is_err()
-        {
-            log::warn!("outcomes of keyed requests could not be appended before the stop");
-=======
         let mut machine = stop::Machine::new(stop::Times {
             grace: self.settings.stop_grace,
             handover: HANDOVER_WAIT,
@@ -114,7 +104,12 @@
                 break;
             }
             event = self.event(&machine).await;
->>>>>>> peers
+        }
+        if time::timeout(FLUSH_WAIT, self.claims.flush())
+            .await
+            .is_err()
+        {
+            log::warn!("outcomes of keyed requests could not be appended before the stop");
         }
         if self.callers_task.await.is_err() {
             log::warn!("the callers' listener ended early");
@@ -259,13 +254,10 @@
         callers,
         callers_task,
         released,
-<<<<<<< HEAD
         claims,
-=======
         leaving,
         told,
         clock,
->>>>>>> peers
         _controllers: controllers,
     })
 }
