--- a/crates/papayayard/src/controllers/fleet.rs
+++ b/crates/papayayard/src/controllers/fleet.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use papayayard_coordination::departure;
 use papayayard_routing::{choice, quarantine, retry};
 use papayayard_wire::refusal::{Kind, Ran};
 use papayayard_wire::{block, directory, endpoint, id};
@@ -214,7 +215,8 @@
     ),
     Verdicts(oneshot::Sender<Vec<quarantine::Verdict>>),
     Import(Vec<quarantine::Verdict>),
-    Listed(Vec<directory::Endpoint>, u32),
+    Departing(Vec<departure::Sign>),
+    Listed(Vec<directory::Endpoint>, Vec<id::Zone>),
     Reported(endpoint::Report),
     Events(id::Endpoint, endpoint::Page),
     Silent(id::Endpoint),
@@ -242,7 +244,7 @@
     }
 
     /// Takes in the platform's list.
-    pub(crate) async fn listed(&self, endpoints: Vec<directory::Endpoint>, hosts: u32) {
+    pub(crate) async fn listed(&self, endpoints: Vec<directory::Endpoint>, hosts: Vec<id::Zone>) {
         self.send(Message::Listed(endpoints, hosts)).await;
     }
 
@@ -262,17 +264,20 @@
     }
 
     /// Fingerprints that this host has quarantined.
-    #[expect(dead_code, reason = "read by the peers' controller")]
     pub(crate) async fn verdicts(&self) -> Vec<quarantine::Verdict> {
         self.ask(Message::Verdicts).await.unwrap_or_default()
     }
 
     /// Takes in fingerprints that another host has quarantined.
-    #[expect(dead_code, reason = "read by the peers' controller")]
     pub(crate) async fn import(&self, verdicts: Vec<quarantine::Verdict>) {
         self.send(Message::Import(verdicts)).await;
     }
 
+    /// Takes in the signs that endpoints are leaving.
+    pub(crate) async fn departing(&self, signs: Vec<departure::Sign>) {
+        self.send(Message::Departing(signs)).await;
+    }
+
     /// State of all endpoints.
     pub(crate) async fn status(&self) -> Vec<Status> {
         self.ask(Message::Status).await.unwrap_or_default()
--- a/crates/papayayard/src/controllers/fleet/state.rs
+++ b/crates/papayayard/src/controllers/fleet/state.rs
@@ -100,9 +100,15 @@
                     service.import(&verdicts, now);
                 }
             }
+            Message::Departing(signs) => {
+                for service in self.services.values_mut() {
+                    service.set_departing(&signs);
+                }
+            }
             Message::Listed(endpoints, hosts) => {
                 self.listed = endpoints;
-                self.hosts = hosts;
+                let near = hosts.iter().filter(|zone| **zone == self.options.zone);
+                self.hosts = u32::try_from(near.count()).unwrap_or(u32::MAX);
                 self.spread();
             }
             Message::Reported(report) => {
--- a/crates/papayayard_wire/src/lib.rs
+++ b/crates/papayayard_wire/src/lib.rs
@@ -6,6 +6,7 @@
 //! share one definition of what passes between them.
 
 pub mod block;
+pub mod claim;
 pub mod completion;
 pub mod configuration;
 pub mod directory;
--- a/crates/papayayardctl/src/command.rs
+++ b/crates/papayayardctl/src/command.rs
@@ -6,7 +6,7 @@
 use gumdrop::Options;
 
 use crate::failure::Failure;
-use crate::{check, load, promote, publish, stand_in, status};
+use crate::{check, demo, load, promote, publish, stand_in, status};
 
 /// Arguments of the program.
 #[derive(Debug, Options)]
@@ -34,6 +34,8 @@
     StandIn(stand_in::Arguments),
     /// Sends a load and checks every answer
     Load(load::Arguments),
+    /// Runs hosts and stand-ins in one process and sends a burst
+    Demo(demo::Arguments),
 }
 
 /// Runs the subcommand; the exit code tells whether it went well.
@@ -51,6 +53,7 @@
         Some(Command::Status(arguments)) => conclude(status::run(arguments).await),
         Some(Command::StandIn(arguments)) => finish(stand_in::run(arguments).await),
         Some(Command::Load(arguments)) => finish(load::run(arguments).await),
+        Some(Command::Demo(arguments)) => finish(demo::run(arguments).await),
     }
 }
 
