--- a/crates/papayayard/src/controllers/fleet/state.rs
+++ b/crates/papayayard/src/controllers/fleet/state.rs
@@ -107,7 +107,8 @@
             }
             Message::Listed(endpoints, hosts) => {
                 self.listed = endpoints;
-                self.hosts = hosts;
+                let near = hosts.iter().filter(|zone| **zone == self.options.zone);
+                self.hosts = u32::try_from(near.count()).unwrap_or(u32::MAX);
                 self.spread();
             }
             Message::Reported(report) => {
--- a/crates/papayayard/src/controllers/observer.rs
+++ b/crates/papayayard/src/controllers/observer.rs
@@ -73,13 +73,11 @@
     }
 }
 
-/// Hosts that take requests, this one at least.
-fn live_hosts(list: &directory::List) -> u32 {
+/// Zones of the hosts that take requests, one for each host.
+fn live_hosts(list: &directory::List) -> Vec<id::Zone> {
     let live = list.hosts.iter();
-    let count = live
-        .filter(|host| host.state == directory::State::Live)
-        .count();
-    u32::try_from(count.max(1)).unwrap_or(u32::MAX)
+    let live = live.filter(|host| host.state == directory::State::Live);
+    live.map(|host| host.zone.clone()).collect()
 }
 
 /// A running task; dropping it ends the task.
--- a/crates/papayayard_routing/src/load.rs
+++ b/crates/papayayard_routing/src/load.rs
@@ -3,8 +3,8 @@
 //! A report is old when it arrives. The backlog of prompt tokens is therefore
 //! carried forward from the report's time: it drains at the reported prefill
 //! rate, and what this host sent since is added. Other hosts send as well;
-//! each token sent here counts as often as there are hosts, which is what the
-//! balancer's even spread makes of it.
+//! each token sent here counts as often as there are hosts in the zone, which is
+//! what the balancer's even spread makes of it.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -16,6 +16,7 @@
 const DEFAULT_SERVICE_TIME: f64 = 1.0;
 const DEFAULT_MEAN_TOKENS: f64 = 1_000.0;
 const MEAN_TOKENS_WEIGHT: f64 = 0.05;
+const MIN_SHARE: f64 = 0.25;
 const SERVICE_TIME_WEIGHT: f64 = 0.1;
 const MAX_RECENT: usize = 512;
 
@@ -81,11 +82,12 @@
     }
 
     /// Seconds to the first token of a request that is sent now with `tokens`
-    /// to compute. A batch shares its prefill, so that a short prompt waits
-    /// only for its share of longer ones.
+    /// to compute. Engines differ in whether a batch shares its prefill
+    /// or keeps the order, so that a short prompt waits for a share of the
+    /// longer ones, but for no less than a fixed part.
     pub fn first_token(&self, tokens: u32, now: Duration) -> f64 {
         let tokens = f64::from(tokens);
-        let share = (tokens / self.mean_tokens).min(1.0);
+        let share = (tokens / self.mean_tokens).clamp(MIN_SHARE, 1.0);
         let shared = self.drained(now) * share;
         (tokens + shared) / self.rate + self.slot_seconds()
     }
