--- a/crates/papayayard/tests/leaving.rs
+++ b/crates/papayayard/tests/leaving.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use http::{Method, StatusCode};
+use papayayard_stand_in::caller;
 use papayayard_stand_in::{engine, ledger};
 use papayayard_wire::refusal::{Kind, Ran};
 use papayayard_wire::{directory, endpoint, id};
@@ -103,7 +104,7 @@
     let bearer = support::bearer(support::KEY);
     let headers = [("authorization", bearer.as_str())];
     let many = support::body(PROMPT, 100, true);
-    let long = support::begin(callers, Method::POST, "/v1/completions", &headers, &many);
+    let long = caller::begin(callers, Method::POST, "/v1/completions", &headers, &many);
     let long = long.await.expect("the stream begins");
 
     let stopped = tokio::spawn(host.stop());
--- a/crates/papayayard/tests/streams.rs
+++ b/crates/papayayard/tests/streams.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use http::Method;
+use papayayard_stand_in::caller;
 use papayayard_stand_in::engine::Fault;
 use papayayard_stand_in::ledger::Outcome;
 use papayayard_wire::{completion, header};
@@ -120,7 +121,7 @@
     bed.publish(0, &support::document("v1", 1)).await;
     let host = bed.ready_host("entry-1").await;
     let bearer = support::bearer(support::KEY);
-    let response = support::begin(
+    let response = caller::begin(
         host.addresses().callers,
         Method::POST,
         "/v1/completions",
--- a/crates/papayayard/tests/support/mod.rs
+++ b/crates/papayayard/tests/support/mod.rs
@@ -6,17 +6,12 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::{HeaderMap, Method, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
-use hyper_util::client::legacy;
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::TokioExecutor;
+use http::{HeaderMap, Method, StatusCode};
 use papayayard::{host, operators, settings};
 use papayayard_platform::http::Client as Platform;
 use papayayard_platform::service::Log;
 use papayayard_stand_in::ledger::Entry;
-use papayayard_stand_in::{engine, generate, platform, service};
+use papayayard_stand_in::{caller, engine, generate, platform, service};
 use papayayard_wire::configuration::{self, Proposal};
 use papayayard_wire::refusal::Body as Refusal;
 use papayayard_wire::{completion, id, log};
@@ -338,38 +333,14 @@
     headers: &[(&str, &str)],
     body: &str,
 ) -> Option<Reply> {
-    let response = begin(address, method, path, headers, body).await?;
-    let (head, body) = response.into_parts();
-    let body = body.collect().await.ok()?.to_bytes();
+    let reply = caller::send(address, method, path, headers, body).await?;
     Some(Reply {
-        status: head.status,
-        headers: head.headers,
-        body,
+        status: reply.status,
+        headers: reply.headers,
+        body: reply.body,
     })
 }
 
-/// Sends a request and waits for the head of its answer.
-pub(crate) async fn begin(
-    address: SocketAddr,
-    method: Method,
-    path: &str,
-    headers: &[(&str, &str)],
-    body: &str,
-) -> Option<Response<Incoming>> {
-    let client: legacy::Client<HttpConnector, Full<Bytes>> =
-        legacy::Client::builder(TokioExecutor::new()).build_http();
-    let mut request = Request::builder()
-        .method(method)
-        .uri(format!("http://{address}{path}"));
-    for (name, value) in headers {
-        request = request.header(*name, *value);
-    }
-    let request = request
-        .body(Full::new(Bytes::copy_from_slice(body.as_bytes())))
-        .expect("the request is well formed");
-    client.request(request).await.ok()
-}
-
 /// A field of a JSON answer.
 pub(crate) fn field<'a>(value: &'a Value, name: &str) -> &'a Value {
     value
--- a/crates/papayayard_stand_in/src/lib.rs
+++ b/crates/papayayard_stand_in/src/lib.rs
@@ -5,6 +5,7 @@
 //! Every stand-in keeps a second listener for control, which no fault touches.
 
 pub mod answer;
+pub mod caller;
 pub mod client;
 pub mod clock;
 pub mod engine;
--- a/crates/papayayard_stand_in/tests/common/mod.rs
+++ b/crates/papayayard_stand_in/tests/common/mod.rs
@@ -4,12 +4,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http::{HeaderMap, Request, StatusCode};
-use http_body_util::{BodyExt, Full};
-use hyper_util::client::legacy;
-use hyper_util::rt::TokioExecutor;
-use papayayard_stand_in::engine;
+use http::{HeaderMap, StatusCode};
+use http_body_util::BodyExt;
+use papayayard_stand_in::{caller, engine};
 use papayayard_wire::completion::Chunk;
 use serde_json::{Value, json};
 
@@ -75,17 +72,8 @@
     headers: &[(&str, &str)],
     body: &str,
 ) -> Option<Answer> {
-    let client = legacy::Client::builder(TokioExecutor::new()).build_http::<Full<Bytes>>();
-    let mut request = Request::builder()
-        .method(method)
-        .uri(format!("http://{address}{path}"));
-    for (name, value) in headers {
-        request = request.header(*name, *value);
-    }
-    let request = request
-        .body(Full::new(Bytes::from(body.to_owned())))
-        .expect("the request is well formed");
-    let response = client.request(request).await.ok()?;
+    let method = method.parse().expect("the method is well formed");
+    let response = caller::begin(address, method, path, headers, body).await?;
     let (parts, mut incoming) = response.into_parts();
     let mut answer = Answer {
         status: parts.status,
--- a/crates/papayayardctl/tests/support/mod.rs
+++ b/crates/papayayardctl/tests/support/mod.rs
@@ -14,13 +14,9 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
-use http::{HeaderMap, Method, Request, StatusCode};
-use http_body_util::{BodyExt, Full};
-use hyper_util::client::legacy;
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::TokioExecutor;
+use http::Method;
 use papayayard::operators;
+pub(crate) use papayayard_stand_in::caller::{Reply, send};
 use rustix::process::{Pid, Signal, kill_process};
 
 /// Longest wait for anything that a test waits for.
@@ -245,42 +241,6 @@
     control().with_file_name("papayayard")
 }
 
-/// An answer.
-pub(crate) struct Reply {
-    pub(crate) status: StatusCode,
-    pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
-}
-
-/// Sends one request; `None` where the exchange broke.
-pub(crate) async fn send(
-    address: SocketAddr,
-    method: Method,
-    path: &str,
-    headers: &[(&str, &str)],
-    body: &str,
-) -> Option<Reply> {
-    let client: legacy::Client<HttpConnector, Full<Bytes>> =
-        legacy::Client::builder(TokioExecutor::new()).build_http();
-    let mut request = Request::builder()
-        .method(method)
-        .uri(format!("http://{address}{path}"));
-    for (name, value) in headers {
-        request = request.header(*name, *value);
-    }
-    let request = request
-        .body(Full::new(Bytes::copy_from_slice(body.as_bytes())))
-        .expect("the request is well formed");
-    let response = client.request(request).await.ok()?;
-    let (head, body) = response.into_parts();
-    let body = body.collect().await.ok()?.to_bytes();
-    Some(Reply {
-        status: head.status,
-        headers: head.headers,
-        body,
-    })
-}
-
 /// Sends a request of the test's client account.
 pub(crate) async fn call(
     address: SocketAddr,
