--- a/crates/papayayard/src/host.rs
+++ b/crates/papayayard/src/host.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use papayayard_coordination::exchange;
+use papayayard_coordination::{exchange, stop};
 use papayayard_platform::http::Client as Platform;
 use papayayard_routing::choice;
 use papayayard_wire::{block, directory, id, peer};
@@ -20,7 +20,10 @@
 
 use crate::callers;
 use crate::clock::Clock;
-use crate::controllers::{admission, configuration, directory as listing, fleet, observer, peers};
+use crate::controllers::{
+    admission, claims, configuration, directory as listing, fleet, observer, orders, peers,
+};
+use crate::filters::authenticate::Authenticate;
 use crate::filters::chain;
 use crate::metrics::Metrics;
 use crate::operators;
@@ -28,6 +31,14 @@
 use crate::relay::{call, completion};
 use crate::settings::{self, Settings};
 
+/// Longest wait for the handover of leases at a planned stop.
+const HANDOVER_WAIT: Duration = Duration::from_secs(3);
+
+/// Longest wait for outcomes of keyed requests to be appended at a stop.
+const FLUSH_WAIT: Duration = Duration::from_secs(5);
+/// Longest wait for peers to hear the farewell at a planned stop.
+const FAREWELL_WAIT: Duration = Duration::from_secs(1);
+
 /// Why a host cannot start.
 #[derive(Debug, Snafu)]
 pub enum Error {
@@ -60,6 +71,11 @@
     open: TaskTracker,
     callers: ServerHandle,
     callers_task: JoinHandle<()>,
+    claims: claims::Handle,
+    released: watch::Receiver<bool>,
+    leaving: watch::Sender<bool>,
+    told: watch::Receiver<bool>,
+    clock: Clock,
     _controllers: JoinSet<()>,
 }
 
@@ -70,19 +86,66 @@
     }
 
     /// Stops as planned: readiness turns false at once, requests are taken
-    /// for the grace period, and the host ends when the last one has ended.
-    pub async fn stop(self) {
+    /// for the grace period, and the host ends when the last one has ended,
+    /// its leases are handed over and its peers know.
+    pub async fn stop(mut self) {
         log::info!(open = self.open.len(); "planned stop");
-        self.stopping.send_replace(true);
-        time::sleep(self.settings.stop_grace).await;
-        self.callers.stop_graceful(None);
-        self.open.close();
-        self.open.wait().await;
+        let mut machine = stop::Machine::new(stop::Times {
+            grace: self.settings.stop_grace,
+            handover: HANDOVER_WAIT,
+            farewell: FAREWELL_WAIT,
+        });
+        let mut event = stop::Event::Asked;
+        loop {
+            if let Some(action) = machine.take(event, self.clock.now()) {
+                self.act(action);
+            }
+            if machine.phase() == stop::Phase::Left {
+                break;
+            }
+            event = self.event(&machine).await;
+        }
+        if time::timeout(FLUSH_WAIT, self.claims.flush())
+            .await
+            .is_err()
+        {
+            log::warn!("outcomes of keyed requests could not be appended before the stop");
+        }
         if self.callers_task.await.is_err() {
             log::warn!("the callers' listener ended early");
         }
         log::info!("stopped");
     }
+
+    fn act(&self, action: stop::Action) {
+        match action {
+            stop::Action::Announce => {
+                self.stopping.send_replace(true);
+            }
+            stop::Action::StopListening => {
+                self.callers.stop_graceful(None);
+                self.open.close();
+            }
+            stop::Action::Farewell => {
+                self.leaving.send_replace(true);
+            }
+            stop::Action::Exit => {}
+        }
+    }
+
+    /// Waits for what the stop waits for in its present phase.
+    async fn event(&mut self, machine: &stop::Machine) -> stop::Event {
+        let pause = machine.next_at().saturating_sub(self.clock.now());
+        let phase = machine.phase();
+        tokio::select! {
+            () = self.open.wait(), if phase == stop::Phase::Finishing => stop::Event::Idle,
+            Ok(_) = self.released.wait_for(|released| *released),
+                if phase == stop::Phase::HandingOver => stop::Event::Released,
+            Ok(_) = self.told.wait_for(|told| *told),
+                if phase == stop::Phase::Leaving => stop::Event::Told,
+            () = time::sleep(pause) => stop::Event::Tick,
+        }
+    }
 }
 
 /// A truth that sees nothing, for every policy but the oracle.
@@ -109,40 +172,36 @@
     let open = TaskTracker::new();
     let (stopping, stopping_seen) = watch::channel(false);
     let (active_sender, active) = watch::channel(None);
-    let (capacity_sender, capacity) = watch::channel(0);
-    let options = fleet::Options {
-        host: settings.host.clone(),
-        zone: settings.zone.clone(),
-        policy: settings.policy,
-        truth,
-        capacity: capacity_sender,
-        clock,
-    };
+    let (options, capacity) = fleet_options(&settings, truth, clock);
     let fleet = fleet::start(options, active.clone());
     let (list_sender, list) = watch::channel(directory::List::default());
 
-    let timeout = settings.periods.platform_timeout;
-    let log = Platform::new(settings.platform.log, timeout).with_host(&settings.host);
-    let hosts = Platform::new(settings.platform.directory, timeout).with_host(&settings.host);
     let mut controllers = JoinSet::new();
     let (link, accepted, adopt) = configuration::link();
-    controllers.spawn(configuration::follow(log, active_sender, link));
-    controllers.spawn(listing::follow(
-        hosts,
-        settings.periods.directory,
-        list_sender.clone(),
+    controllers.spawn(follow_configuration(
+        &settings,
+        active_sender,
+        link,
+        &metrics,
     ));
-    let observer = observer(&settings, &client, &fleet);
-    controllers.spawn(observer::supervise(observer, list.clone(), active.clone()));
-    let view = operators::View {
-        host: settings.host.clone(),
-        zone: settings.zone.clone(),
+    controllers.spawn(list_hosts(&settings, list_sender.clone()));
+    let parts = Parts {
+        client: client.clone(),
+        clock,
+        fleet: fleet.clone(),
         active: active.clone(),
+        list: list.clone(),
         stopping: stopping_seen.clone(),
-        open: open.clone(),
-        fleet: fleet.clone(),
     };
-    controllers.spawn(operators::serve(sockets.operators, view));
+    let claims = parts.claims(&settings, &metrics);
+    let observer = parts.observer(&settings);
+    controllers.spawn(observer::supervise(observer, list.clone(), active.clone()));
+    let (links, released) = parts.order_links(&settings.host);
+    controllers.spawn(orders::follow(platform_log(&settings), links));
+    controllers.spawn(operators::serve(
+        sockets.operators,
+        parts.view(&settings, &open),
+    ));
 
     let (shares_sender, agreed) = watch::channel(admission::Shares::new());
     let sources = admission::Sources {
@@ -155,20 +214,21 @@
     let admission = admission::start(sources, clock);
 
     let options = peer_options(&settings, addresses.peers, clock, metrics.clone());
+    let (farewell, leaving, told) = peers::farewell();
     let links = peers::Links {
         active: active.clone(),
         accepted,
         adopt,
         list: list_sender,
         stopping: stopping_seen.clone(),
+        farewell,
         fleet: fleet.clone(),
         admission: admission.clone(),
         shares: shares_sender,
     };
     let peers = peers::start(sockets.peers, options, links);
-    controllers.spawn(peers.context(ListenSnafu {
-        address: addresses.peers,
-    })?);
+    let address = addresses.peers;
+    controllers.spawn(peers.context(ListenSnafu { address })?);
 
     let shared = Arc::new(callers::Shared {
         host: settings.host.clone(),
@@ -177,18 +237,11 @@
         active: active.clone(),
         stopping: stopping_seen,
         open: open.clone(),
+        authenticate: Authenticate::new(active.clone()),
         completions: chain::completions(active.clone(), &settings.limits, admission.clone()),
         calls: chain::calls(active, &settings.limits, admission),
-        completion_relay: completion::Relay {
-            client: client.clone(),
-            fleet,
-            metrics: metrics.clone(),
-        },
-        call_relay: call::Relay {
-            client,
-            list,
-            metrics,
-        },
+        completion_relay: parts.completion_relay(&metrics),
+        call_relay: parts.call_relay(&metrics, &claims),
     });
     let (server, callers) = callers::server(sockets.callers, &settings.limits);
     let callers_task = tokio::spawn(server.serve(callers::router(&shared)));
@@ -200,10 +253,32 @@
         open,
         callers,
         callers_task,
+        released,
+        claims,
+        leaving,
+        told,
+        clock,
         _controllers: controllers,
     })
 }
 
+fn follow_configuration(
+    settings: &Settings,
+    active: watch::Sender<configuration::Current>,
+    link: configuration::Link,
+    metrics: &Metrics,
+) -> impl Future<Output = ()> + use<> {
+    configuration::follow(platform_log(settings), active, link, metrics.clone())
+}
+
+fn list_hosts(
+    settings: &Settings,
+    list: watch::Sender<directory::List>,
+) -> impl Future<Output = ()> + use<> {
+    let period = settings.periods.directory;
+    listing::follow(platform_directory(settings), period, list)
+}
+
 /// Sockets that a host listens on.
 struct Sockets {
     addresses: Addresses,
@@ -239,11 +314,105 @@
     Ok((acceptor, bound))
 }
 
-fn observer(settings: &Settings, client: &Client, fleet: &fleet::Handle) -> observer::Observer {
-    observer::Observer {
-        client: client.clone(),
-        fleet: fleet.clone(),
-        periods: settings.periods.clone(),
+fn fleet_options<View>(
+    settings: &Settings,
+    truth: View,
+    clock: Clock,
+) -> (fleet::Options<View>, watch::Receiver<u32>) {
+    let (capacity, capacity_seen) = watch::channel(0);
+    let options = fleet::Options {
+        host: settings.host.clone(),
+        zone: settings.zone.clone(),
+        policy: settings.policy,
+        truth,
+        capacity,
+        clock,
+    };
+    (options, capacity_seen)
+}
+
+fn platform_log(settings: &Settings) -> Platform {
+    let timeout = settings.periods.platform_timeout;
+    Platform::new(settings.platform.log, timeout).with_host(&settings.host)
+}
+
+fn platform_directory(settings: &Settings) -> Platform {
+    let timeout = settings.periods.platform_timeout;
+    Platform::new(settings.platform.directory, timeout).with_host(&settings.host)
+}
+
+/// Handles that several controllers share.
+struct Parts {
+    client: Client,
+    clock: Clock,
+    fleet: fleet::Handle,
+    active: watch::Receiver<configuration::Current>,
+    list: watch::Receiver<directory::List>,
+    stopping: watch::Receiver<bool>,
+}
+
+impl Parts {
+    fn completion_relay(&self, metrics: &Metrics) -> completion::Relay {
+        completion::Relay {
+            client: self.client.clone(),
+            fleet: self.fleet.clone(),
+            metrics: metrics.clone(),
+        }
+    }
+
+    fn call_relay(&self, metrics: &Metrics, claims: &claims::Handle) -> call::Relay {
+        call::Relay {
+            client: self.client.clone(),
+            list: self.list.clone(),
+            metrics: metrics.clone(),
+            claims: claims.clone(),
+            clock: self.clock,
+        }
+    }
+
+    fn claims(&self, settings: &Settings, metrics: &Metrics) -> claims::Handle {
+        claims::start(&claims::Sources {
+            log: platform_log(settings),
+            host: settings.host.clone(),
+            list: self.list.clone(),
+            known_hosts: settings.peers.len() + 1,
+            clock: self.clock,
+            metrics: metrics.clone(),
+        })
+    }
+
+    fn observer(&self, settings: &Settings) -> observer::Observer {
+        observer::Observer {
+            client: self.client.clone(),
+            fleet: self.fleet.clone(),
+            periods: settings.periods.clone(),
+        }
+    }
+
+    fn view(&self, settings: &Settings, open: &TaskTracker) -> operators::View {
+        operators::View {
+            host: settings.host.clone(),
+            zone: settings.zone.clone(),
+            active: self.active.clone(),
+            stopping: self.stopping.clone(),
+            open: open.clone(),
+            fleet: self.fleet.clone(),
+        }
+    }
+
+    fn order_links(&self, host: &id::Host) -> (orders::Links, watch::Receiver<bool>) {
+        let (released, released_seen) = watch::channel(false);
+        let links = orders::Links {
+            host: host.clone(),
+            active: self.active.clone(),
+            list: self.list.clone(),
+            stopping: self.stopping.clone(),
+            fleet: self.fleet.clone(),
+            client: self.client.clone(),
+            clock: self.clock,
+            released,
+        };
+        (links, released_seen)
     }
 }
 
--- a/crates/papayayard/src/metrics.rs
+++ b/crates/papayayard/src/metrics.rs
@@ -28,10 +28,13 @@
     denials: Counter<u64>,
     prompt_tokens: Counter<u64>,
     generated_tokens: Counter<u64>,
+    log_records: Counter<u64>,
+    log_failures: Counter<u64>,
     first_token: Histogram<f64>,
     peer_refusals: Counter<u64>,
     peer_failures: Counter<u64>,
     peer_bytes: Counter<u64>,
+    peer_farewells: Counter<u64>,
 }
 
 impl Metrics {
@@ -70,6 +73,14 @@
                 .u64_counter("papayayard_generated_tokens")
                 .with_description("Generated tokens of complete answers")
                 .build(),
+            log_records: meter
+                .u64_counter("papayayard_log_records")
+                .with_description("Records read from the log, by stream and result")
+                .build(),
+            log_failures: meter
+                .u64_counter("papayayard_log_failures")
+                .with_description("Appends without an answer, by reason")
+                .build(),
             first_token: meter
                 .f64_histogram("papayayard_first_token_seconds")
                 .with_description("Time from a request's arrival to its first token")
@@ -83,6 +94,10 @@
                 .u64_counter("papayayard_peer_failures")
                 .with_description("Calls to peers that had no answer")
                 .build(),
+            peer_farewells: meter
+                .u64_counter("papayayard_peer_farewells")
+                .with_description("Peers that said that they leave")
+                .build(),
             peer_bytes: meter
                 .u64_counter("papayayard_peer_bytes")
                 .with_description("Bytes exchanged with peers, both ways")
@@ -103,6 +118,20 @@
             .add(1, &[KeyValue::new("kind", kind.as_str())]);
     }
 
+    /// Counts a record read from the log.
+    pub(crate) fn recorded(&self, stream: &'static str, result: &'static str) {
+        let labels = [
+            KeyValue::new("stream", stream),
+            KeyValue::new("result", result),
+        ];
+        self.log_records.add(1, &labels);
+    }
+
+    /// Counts an append without an answer.
+    pub(crate) fn append_failed(&self, reason: &'static str) {
+        self.log_failures.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
     /// Counts a retry.
     pub(crate) fn retried(&self, reason: retry::Reason) {
         self.retries
@@ -143,6 +172,11 @@
         self.peer_failures.add(1, &[]);
     }
 
+    /// Counts a peer that leaves.
+    pub(crate) fn peer_left(&self) {
+        self.peer_farewells.add(1, &[]);
+    }
+
     /// Counts the bytes of a call and its reply.
     pub(crate) fn peer_exchanged(&self, bytes: usize) {
         self.peer_bytes.add(bytes as u64, &[]);
--- a/crates/papayayard/src/relay/call.rs
+++ b/crates/papayayard/src/relay/call.rs
@@ -15,37 +15,18 @@
 use tokio::sync::watch;
 use tokio::time;
 
+use crate::clock::Clock;
+use crate::controllers::claims;
 use crate::exchange::{Admitted, Call};
 use crate::metrics::Metrics;
 use crate::refusal::Refusal;
 use crate::relay::client::{Client, Failure, Outgoing};
-use crate::relay::{Answer, Body};
+use crate::relay::{Answer, Body, hop};
 
 /// Most bytes of an answer.
 const MAX_ANSWER_BYTES: usize = 64 << 20;
 /// When to come back where no endpoint takes the request.
 const NO_ENDPOINT_RETRY: Duration = Duration::from_secs(1);
-/// Headers that end at each hop.
-const HOP_HEADERS: [HeaderName; 7] = [
-    header::CONNECTION,
-    header::HOST,
-    header::PROXY_AUTHORIZATION,
-    header::TE,
-    header::TRAILER,
-    header::TRANSFER_ENCODING,
-    header::UPGRADE,
-];
-/// Headers that only the router may set.
-const ROUTER_HEADERS: [&str; 7] = [
-    names::REQUEST_ID,
-    names::CACHE_SALT,
-    names::BLOCK_SIZE,
-    names::PRIORITY,
-    names::WEIGHTS_VERSION,
-    names::INCARNATION,
-    names::RAN,
-];
-
 /// What the relay of plain services works with.
 #[derive(Clone)]
 pub(crate) struct Relay {
@@ -55,15 +36,19 @@
     pub(crate) list: watch::Receiver<directory::List>,
     /// Counters.
     pub(crate) metrics: Metrics,
+    /// Claims of idempotency keys.
+    pub(crate) claims: claims::Handle,
+    /// Clock of the deadlines.
+    pub(crate) clock: Clock,
 }
 
 impl Relay {
     /// Answers a plain service's request.
     pub(crate) async fn serve(&self, admitted: Admitted<Call>) -> Result<Answer, Refusal> {
-        let call = &admitted.work;
-        if call.key.is_some() {
-            return Err(unclaimable());
+        if let Some(key) = admitted.work.key.clone() {
+            return self.serve_keyed(admitted, &key).await;
         }
+        let call = &admitted.work;
         let mut excluded = Vec::new();
         let mut ran = Ran::No;
         loop {
@@ -85,7 +70,7 @@
         }
     }
 
-    fn choose(
+    pub(super) fn choose(
         &self,
         service: &id::Service,
         excluded: &[id::Endpoint],
@@ -105,7 +90,11 @@
         Some(live[index].clone())
     }
 
-    async fn send(&self, call: &Call, endpoint: &directory::Endpoint) -> Result<Answer, Failure> {
+    pub(super) async fn send(
+        &self,
+        call: &Call,
+        endpoint: &directory::Endpoint,
+    ) -> Result<Answer, Failure> {
         let arrival = &call.whole.known.arrival;
         let outgoing = Outgoing {
             address: endpoint.address,
@@ -142,12 +131,7 @@
         .map_err(|_| Failure::Broken)?
         .to_bytes();
     let mut headers = head.headers;
-    for name in HOP_HEADERS {
-        headers.remove(name);
-    }
-    for name in ROUTER_HEADERS {
-        headers.remove(name);
-    }
+    hop::strip(&mut headers);
     Ok(Answer {
         status: head.status,
         headers,
@@ -157,12 +141,7 @@
 
 fn headers(original: &HeaderMap, request: &id::Request) -> HeaderMap {
     let mut headers = original.clone();
-    for name in HOP_HEADERS {
-        headers.remove(name);
-    }
-    for name in ROUTER_HEADERS {
-        headers.remove(name);
-    }
+    hop::strip(&mut headers);
     headers.remove(header::AUTHORIZATION);
     headers.remove(header::CONTENT_LENGTH);
     if let Ok(value) = HeaderValue::from_str(request.as_str()) {
@@ -171,15 +150,7 @@
     headers
 }
 
-fn unclaimable() -> Refusal {
-    Refusal::not_run(
-        Kind::ClaimUnavailable,
-        "the idempotency key cannot be claimed; come back later with the same key",
-    )
-    .after(NO_ENDPOINT_RETRY)
-}
-
-fn no_endpoint() -> Refusal {
+pub(super) fn no_endpoint() -> Refusal {
     Refusal::not_run(
         Kind::NoEndpoint,
         "no endpoint of the service can be reached now; come back later",
@@ -187,7 +158,7 @@
     .after(NO_ENDPOINT_RETRY)
 }
 
-fn unknown() -> Refusal {
+pub(super) fn unknown() -> Refusal {
     Refusal::not_run(
         Kind::OutcomeUnknown,
         "the answer was lost and the request may have run; check before sending it again",
