--- a/crates/papayayard/src/controllers/journal.rs
+++ b/crates/papayayard/src/controllers/journal.rs
@@ -14,7 +14,7 @@
 /// Wait after the first failed read.
 const BACKOFF: Duration = Duration::from_millis(100);
 /// Longest wait after a failed read.
-const BACKOFF_CAP: Duration = Duration::from_secs(2);
+const BACKOFF_CAP: Duration = Duration::from_secs(1);
 
 /// A stream and the position in it.
 pub(crate) struct Tail<Log> {
