--- a/crates/papayayard/src/controllers/claims.rs
+++ b/crates/papayayard/src/controllers/claims.rs
@@ -3,6 +3,8 @@
 //! A task owns its stream's state and connection. Requests reach it by
 //! messages; a request that may run holds a [`Permit`], whose drop settles it.
 
+mod refusals;
+
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -12,7 +14,6 @@
 use papayayard_coordination::journal::{self, Action, Failure, Gap};
 use papayayard_platform::service;
 use papayayard_wire::claim::{Answer, Digest, Entry, Event, Outcome};
-use papayayard_wire::refusal::{Kind, Ran};
 use papayayard_wire::{directory, id, log as stream};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinSet;
@@ -45,8 +46,6 @@
 const BACKOFF_CAP: Duration = Duration::from_secs(1);
 /// Parts of the stream that wait.
 const FEED: usize = 4;
-/// When to come back after a refusal.
-const RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// What the claims' tasks work with.
 #[derive(Clone)]
@@ -135,10 +134,10 @@
         let (sender, receiver) = oneshot::channel();
         let shard = &self.shards[usize::from(claim::shard(key))];
         let sent = shard.send(Command::Claim(request, sender));
-        sent.map_err(|_| refusal(Reason::Unavailable))?;
+        sent.map_err(|_| refusals::of(Reason::Unavailable))?;
         receiver
             .await
-            .unwrap_or_else(|_| Err(refusal(Reason::Unavailable)))
+            .unwrap_or_else(|_| Err(refusals::of(Reason::Unavailable)))
     }
 
     /// Waits until all outcomes are in the log.
@@ -347,7 +346,7 @@
                 Decision::Run => self.permit(ticket, reply),
                 Decision::Replay(offset) => self.replay(offset, reply),
                 Decision::Refuse(reason) => {
-                    let _ = reply.send(Err(refusal(reason)));
+                    let _ = reply.send(Err(refusals::of(reason)));
                 }
             }
         }
@@ -378,7 +377,7 @@
             };
             let page = log.read(&name, &query).await;
             let answer = page.ok().and_then(|page| outcome(&page, offset));
-            let _ = reply.send(answer.map(Claimed::Replay).ok_or_else(unreadable));
+            let _ = reply.send(answer.map(Claimed::Replay).ok_or_else(refusals::unreadable));
         });
     }
 
@@ -471,36 +470,3 @@
         _ => None,
     }
 }
-
-fn unreadable() -> Refusal {
-    Refusal::not_run(
-        Kind::OutcomeUnknown,
-        "the first request with this key was answered, and its answer is no longer kept",
-    )
-    .ran(Ran::Yes)
-}
-
-fn refusal(reason: Reason) -> Refusal {
-    match reason {
-        Reason::Unavailable => Refusal::not_run(
-            Kind::ClaimUnavailable,
-            "the idempotency key cannot be claimed; come back later with the same key",
-        )
-        .after(RETRY_AFTER),
-        Reason::Reused => Refusal::not_run(
-            Kind::KeyReused,
-            "the idempotency key belongs to another request; use a new key",
-        ),
-        Reason::InProgress => Refusal::not_run(
-            Kind::KeyInProgress,
-            "the first request with this key still runs; come back later with the same key",
-        )
-        .ran(Ran::Unknown)
-        .after(RETRY_AFTER),
-        Reason::Unknown => Refusal::not_run(
-            Kind::OutcomeUnknown,
-            "the outcome of the first request with this key is not known; check before using a new key",
-        )
-        .ran(Ran::Unknown),
-    }
-}
