--- a/crates/papayayard/src/controllers/fleet.rs
+++ b/crates/papayayard/src/controllers/fleet.rs
@@ -216,7 +216,7 @@
     Verdicts(oneshot::Sender<Vec<quarantine::Verdict>>),
     Import(Vec<quarantine::Verdict>),
     Departing(Vec<departure::Sign>),
-    Listed(Vec<directory::Endpoint>),
+    Listed(Vec<directory::Endpoint>, u32),
     Reported(endpoint::Report),
     Events(id::Endpoint, endpoint::Page),
     Silent(id::Endpoint),
@@ -244,8 +244,8 @@
     }
 
     /// Takes in the platform's list.
-    pub(crate) async fn listed(&self, endpoints: Vec<directory::Endpoint>) {
-        self.send(Message::Listed(endpoints)).await;
+    pub(crate) async fn listed(&self, endpoints: Vec<directory::Endpoint>, hosts: u32) {
+        self.send(Message::Listed(endpoints, hosts)).await;
     }
 
     /// Takes in an endpoint's report.
--- a/crates/papayayard/src/host.rs
+++ b/crates/papayayard/src/host.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use papayayard_coordination::{exchange, stop};
+use papayayard_coordination::exchange;
 use papayayard_platform::http::Client as Platform;
 use papayayard_routing::choice;
 use papayayard_wire::{block, directory, id, peer};
@@ -15,14 +15,14 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::{JoinHandle, JoinSet};
-use tokio::time;
 use tokio_util::task::TaskTracker;
 
 use crate::callers;
 use crate::clock::Clock;
 use crate::controllers::{
-    admission, configuration, directory as listing, fleet, observer, orders, peers,
+    admission, claims, configuration, directory as listing, fleet, observer, orders, peers,
 };
+use crate::filters::authenticate::Authenticate;
 use crate::filters::chain;
 use crate::metrics::Metrics;
 use crate::operators;
@@ -30,11 +30,7 @@
 use crate::relay::{call, completion};
 use crate::settings::{self, Settings};
 
-/// Longest wait for the handover of leases at a planned stop.
-const HANDOVER_WAIT: Duration = Duration::from_secs(3);
-
-/// Longest wait for peers to hear the farewell at a planned stop.
-const FAREWELL_WAIT: Duration = Duration::from_secs(1);
+mod stopping;
 
 /// Why a host cannot start.
 #[derive(Debug, Snafu)]
@@ -68,6 +64,7 @@
     open: TaskTracker,
     callers: ServerHandle,
     callers_task: JoinHandle<()>,
+    claims: claims::Handle,
     released: watch::Receiver<bool>,
     leaving: watch::Sender<bool>,
     told: watch::Receiver<bool>,
@@ -80,62 +77,6 @@
     pub fn addresses(&self) -> Addresses {
         self.addresses
     }
-
-    /// Stops as planned: readiness turns false at once, requests are taken
-    /// for the grace period, and the host ends when the last one has ended,
-    /// its leases are handed over and its peers know.
-    pub async fn stop(mut self) {
-        log::info!(open = self.open.len(); "planned stop");
-        let mut machine = stop::Machine::new(stop::Times {
-            grace: self.settings.stop_grace,
-            handover: HANDOVER_WAIT,
-            farewell: FAREWELL_WAIT,
-        });
-        let mut event = stop::Event::Asked;
-        loop {
-            if let Some(action) = machine.take(event, self.clock.now()) {
-                self.act(action);
-            }
-            if machine.phase() == stop::Phase::Left {
-                break;
-            }
-            event = self.event(&machine).await;
-        }
-        if self.callers_task.await.is_err() {
-            log::warn!("the callers' listener ended early");
-        }
-        log::info!("stopped");
-    }
-
-    fn act(&self, action: stop::Action) {
-        match action {
-            stop::Action::Announce => {
-                self.stopping.send_replace(true);
-            }
-            stop::Action::StopListening => {
-                self.callers.stop_graceful(None);
-                self.open.close();
-            }
-            stop::Action::Farewell => {
-                self.leaving.send_replace(true);
-            }
-            stop::Action::Exit => {}
-        }
-    }
-
-    /// Waits for what the stop waits for in its present phase.
-    async fn event(&mut self, machine: &stop::Machine) -> stop::Event {
-        let pause = machine.next_at().saturating_sub(self.clock.now());
-        let phase = machine.phase();
-        tokio::select! {
-            () = self.open.wait(), if phase == stop::Phase::Finishing => stop::Event::Idle,
-            Ok(_) = self.released.wait_for(|released| *released),
-                if phase == stop::Phase::HandingOver => stop::Event::Released,
-            Ok(_) = self.told.wait_for(|told| *told),
-                if phase == stop::Phase::Leaving => stop::Event::Told,
-            () = time::sleep(pause) => stop::Event::Tick,
-        }
-    }
 }
 
 /// A truth that sees nothing, for every policy but the oracle.
@@ -166,12 +107,10 @@
     let fleet = fleet::start(options, active.clone());
     let (list_sender, list) = watch::channel(directory::List::default());
 
-    let (log, hosts) = (platform_log(&settings), platform_directory(&settings));
     let mut controllers = JoinSet::new();
     let (link, accepted, adopt) = configuration::link();
-    controllers.spawn(configuration::follow(log, active_sender, link));
-    let period = settings.periods.directory;
-    controllers.spawn(listing::follow(hosts, period, list_sender.clone()));
+    controllers.spawn(follow_configuration(&settings, active_sender, link));
+    controllers.spawn(list_hosts(&settings, list_sender.clone()));
     let parts = Parts {
         client: client.clone(),
         clock,
@@ -180,12 +119,15 @@
         list: list.clone(),
         stopping: stopping_seen.clone(),
     };
+    let claims = parts.claims(&settings);
     let observer = parts.observer(&settings);
     controllers.spawn(observer::supervise(observer, list.clone(), active.clone()));
     let (links, released) = parts.order_links(&settings.host);
     controllers.spawn(orders::follow(platform_log(&settings), links));
-    let view = parts.view(&settings, &open);
-    controllers.spawn(operators::serve(sockets.operators, view));
+    controllers.spawn(operators::serve(
+        sockets.operators,
+        parts.view(&settings, &open),
+    ));
 
     let (shares_sender, agreed) = watch::channel(admission::Shares::new());
     let sources = admission::Sources {
@@ -221,6 +163,7 @@
         active: active.clone(),
         stopping: stopping_seen,
         open: open.clone(),
+        authenticate: Authenticate::new(active.clone()),
         completions: chain::completions(active.clone(), &settings.limits, admission.clone()),
         calls: chain::calls(active, &settings.limits, admission),
         completion_relay: completion::Relay {
@@ -232,6 +175,8 @@
             client,
             list,
             metrics,
+            claims: claims.clone(),
+            clock,
         },
     });
     let (server, callers) = callers::server(sockets.callers, &settings.limits);
@@ -248,10 +193,27 @@
         leaving,
         told,
         clock,
+        claims,
         _controllers: controllers,
     })
 }
 
+fn follow_configuration(
+    settings: &Settings,
+    active: watch::Sender<configuration::Current>,
+    link: configuration::Link,
+) -> impl Future<Output = ()> + use<> {
+    configuration::follow(platform_log(settings), active, link)
+}
+
+fn list_hosts(
+    settings: &Settings,
+    list: watch::Sender<directory::List>,
+) -> impl Future<Output = ()> + use<> {
+    let period = settings.periods.directory;
+    listing::follow(platform_directory(settings), period, list)
+}
+
 /// Sockets that a host listens on.
 struct Sockets {
     addresses: Addresses,
@@ -325,6 +287,16 @@
 }
 
 impl Parts {
+    fn claims(&self, settings: &Settings) -> claims::Handle {
+        claims::start(&claims::Sources {
+            log: platform_log(settings),
+            host: settings.host.clone(),
+            list: self.list.clone(),
+            known_hosts: settings.peers.len() + 1,
+            clock: self.clock,
+        })
+    }
+
     fn observer(&self, settings: &Settings) -> observer::Observer {
         observer::Observer {
             client: self.client.clone(),
--- a/crates/papayayardctl/src/load/run.rs
+++ b/crates/papayayardctl/src/load/run.rs
@@ -3,7 +3,8 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use papayayard_stand_in::ledger::Entry;
+use papayayard_stand_in::client;
+use papayayard_stand_in::ledger::{Entry, Ledger};
 use tokio::sync::{mpsc, watch};
 use tokio::time;
 
@@ -36,6 +37,8 @@
 pub(crate) struct Finished {
     /// Time of the plan.
     pub(crate) at: Duration,
+    /// Whether its prompt has a marker.
+    pub(crate) marked: bool,
     /// What the caller saw.
     pub(crate) seen: Seen,
 }
@@ -107,10 +110,11 @@
         let results = results.clone();
         let patience = options.patience;
         let at = planned.at;
+        let marked = planned.marker.is_some();
         tokio::spawn(async move {
             let seen = time::timeout(patience, balancer.send(&call, scheduled)).await;
             let seen = seen.unwrap_or_else(|_| Seen::lost());
-            let _ = results.send(Finished { at, seen });
+            let _ = results.send(Finished { at, marked, seen });
         });
     }
 }
@@ -146,14 +150,13 @@
     }
 }
 
-/// All entries of some ledgers.
-pub(crate) async fn ledgers(addresses: &[SocketAddr]) -> Result<Vec<Entry>, String> {
-    let mut entries = Vec::new();
+/// The entries of each of some ledgers.
+pub(crate) async fn ledgers(addresses: &[SocketAddr]) -> Result<Vec<Vec<Entry>>, String> {
+    let mut ledgers = Vec::new();
     for address in addresses {
-        let client = papayayard_stand_in::client::Client::new(*address);
-        let ledger = client.get::<papayayard_stand_in::ledger::Ledger>("/ledger");
-        let ledger = ledger.await.map_err(|error| error.to_string())?;
-        entries.extend(ledger.entries);
+        let client = client::Client::new(*address);
+        let ledger = client.get::<Ledger>("/ledger").await;
+        ledgers.push(ledger.map_err(|error| error.to_string())?.entries);
     }
-    Ok(entries)
+    Ok(ledgers)
 }
