--- a/crates/papayayard/src/controllers/fleet.rs
+++ b/crates/papayayard/src/controllers/fleet.rs
@@ -216,7 +216,7 @@
     Verdicts(oneshot::Sender<Vec<quarantine::Verdict>>),
     Import(Vec<quarantine::Verdict>),
     Departing(Vec<departure::Sign>),
-    Listed(Vec<directory::Endpoint>, u32),
+    Listed(Vec<directory::Endpoint>, Vec<id::Zone>),
     Reported(endpoint::Report),
     Events(id::Endpoint, endpoint::Page),
     Silent(id::Endpoint),
@@ -244,7 +244,7 @@
     }
 
     /// Takes in the platform's list.
-    pub(crate) async fn listed(&self, endpoints: Vec<directory::Endpoint>, hosts: u32) {
+    pub(crate) async fn listed(&self, endpoints: Vec<directory::Endpoint>, hosts: Vec<id::Zone>) {
         self.send(Message::Listed(endpoints, hosts)).await;
     }
 
--- a/crates/papayayard_routing/src/choice/papayayard.rs
+++ b/crates/papayayard_routing/src/choice/papayayard.rs
@@ -1,7 +1,9 @@
 //! The least estimated time to first token.
 //!
 //! An endpoint's estimate is its wait, plus the time to compute what its cache
-//! does not hold, plus a cost for another zone. A copy of a prefix on one more
+//! does not hold, plus a cost for another zone. Hosts of another zone are the
+//! ones whose work shows latest, so each keeps to the endpoints of its own
+//! until the gain elsewhere is larger than a report is late. A copy of a prefix on one more
 //! endpoint is paid for again later and takes room from other prefixes, so
 //! outside the endpoints that the prefix hashes to, what is not cached counts
 //! more. A small cost for being outside lets a prefix that was hot leave the
@@ -18,11 +20,11 @@
 use crate::fleet;
 use crate::mix;
 
-const ZONE_SECONDS: f64 = 0.02;
-const TIE_SECONDS: f64 = 0.005;
+const ZONE_SECONDS: f64 = 0.3;
+const TIE_SECONDS: f64 = 0.02;
 const HOME_ENDPOINTS: usize = 2;
-const AWAY_SECONDS: f64 = 0.01;
-const COPY_WEIGHT: f64 = 0.5;
+const AWAY_SECONDS: f64 = 0.03;
+const COPY_WEIGHT: f64 = 0.3;
 const DOUBT_DIVISOR: usize = 2;
 const SCAN_ENDPOINTS: usize = 48;
 const SAMPLES: u64 = 12;
