--- a/crates/papayayard/src/host.rs
+++ b/crates/papayayard/src/host.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use papayayard_coordination::{exchange, stop};
+use papayayard_coordination::exchange;
 use papayayard_platform::http::Client as Platform;
 use papayayard_routing::choice;
 use papayayard_wire::{block, directory, id, peer};
@@ -15,7 +15,6 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::{JoinHandle, JoinSet};
-use tokio::time;
 use tokio_util::task::TaskTracker;
 
 use crate::callers;
@@ -31,13 +30,7 @@
 use crate::relay::{call, completion};
 use crate::settings::{self, Settings};
 
-/// Longest wait for the handover of leases at a planned stop.
-const HANDOVER_WAIT: Duration = Duration::from_secs(3);
-
-/// Longest wait for outcomes of keyed requests to be appended at a stop.
-const FLUSH_WAIT: Duration = Duration::from_secs(5);
-/// Longest wait for peers to hear the farewell at a planned stop.
-const FAREWELL_WAIT: Duration = Duration::from_secs(1);
+mod stopping;
 
 /// Why a host cannot start.
 #[derive(Debug, Snafu)]
@@ -84,68 +77,6 @@
     pub fn addresses(&self) -> Addresses {
         self.addresses
     }
-
-    /// Stops as planned: readiness turns false at once, requests are taken
-    /// for the grace period, and the host ends when the last one has ended,
-    /// its leases are handed over and its peers know.
-    pub async fn stop(mut self) {
-        log::info!(open = self.open.len(); "planned stop");
-        let mut machine = stop::Machine::new(stop::Times {
-            grace: self.settings.stop_grace,
-            handover: HANDOVER_WAIT,
-            farewell: FAREWELL_WAIT,
-        });
-        let mut event = stop::Event::Asked;
-        loop {
-            if let Some(action) = machine.take(event, self.clock.now()) {
-                self.act(action);
-            }
-            if machine.phase() == stop::Phase::Left {
-                break;
-            }
-            event = self.event(&machine).await;
-        }
-        if time::timeout(FLUSH_WAIT, self.claims.flush())
-            .await
-            .is_err()
-        {
-            log::warn!("outcomes of keyed requests could not be appended before the stop");
-        }
-        if self.callers_task.await.is_err() {
-            log::warn!("the callers' listener ended early");
-        }
-        log::info!("stopped");
-    }
-
-    fn act(&self, action: stop::Action) {
-        match action {
-            stop::Action::Announce => {
-                self.stopping.send_replace(true);
-            }
-            stop::Action::StopListening => {
-                self.callers.stop_graceful(None);
-                self.open.close();
-            }
-            stop::Action::Farewell => {
-                self.leaving.send_replace(true);
-            }
-            stop::Action::Exit => {}
-        }
-    }
-
-    /// Waits for what the stop waits for in its present phase.
-    async fn event(&mut self, machine: &stop::Machine) -> stop::Event {
-        let pause = machine.next_at().saturating_sub(self.clock.now());
-        let phase = machine.phase();
-        tokio::select! {
-            () = self.open.wait(), if phase == stop::Phase::Finishing => stop::Event::Idle,
-            Ok(_) = self.released.wait_for(|released| *released),
-                if phase == stop::Phase::HandingOver => stop::Event::Released,
-            Ok(_) = self.told.wait_for(|told| *told),
-                if phase == stop::Phase::Leaving => stop::Event::Told,
-            () = time::sleep(pause) => stop::Event::Tick,
-        }
-    }
 }
 
 /// A truth that sees nothing, for every policy but the oracle.
@@ -254,10 +185,10 @@
         callers,
         callers_task,
         released,
-        claims,
         leaving,
         told,
         clock,
+        claims,
         _controllers: controllers,
     })
 }
