Let another zone cost as much as waits; ask the own zone's services first

Plain services: the own zone's endpoints first, at most four attempts. A lease holder that is paused past its end is tried with real processes.

another_zones_cache_is_used_while_little_waits fails without the wait in the cost.

--- a/crates/papayayard/src/controllers/peers.rs
+++ b/crates/papayayard/src/controllers/peers.rs
@@ -23,6 +23,7 @@
 
 /// Messages that wait for the task.
 const BACKLOG: usize = 1_024;
+
 /// What the task is told once.
 pub(crate) struct Options {
     /// Who this host is.
--- a/crates/papayayard/src/host.rs
+++ b/crates/papayayard/src/host.rs
@@ -120,6 +120,7 @@
     ));
     controllers.spawn(list_hosts(&settings, list_sender.clone()));
     let parts = Parts {
+        zone: settings.zone.clone(),
         client: client.clone(),
         clock,
         fleet: fleet.clone(),
@@ -288,6 +289,7 @@
 
 /// Handles that several controllers share.
 struct Parts {
+    zone: id::Zone,
     client: Client,
     clock: Clock,
     fleet: fleet::Handle,
@@ -309,6 +311,7 @@
         call::Relay {
             client: self.client.clone(),
             list: self.list.clone(),
+            zone: self.zone.clone(),
             metrics: metrics.clone(),
             claims: claims.clone(),
             clock: self.clock,
--- a/crates/papayayard/src/relay/call.rs
+++ b/crates/papayayard/src/relay/call.rs
@@ -27,6 +27,9 @@
 const MAX_ANSWER_BYTES: usize = 64 << 20;
 /// When to come back where no endpoint takes the request.
 const NO_ENDPOINT_RETRY: Duration = Duration::from_secs(1);
+/// Endpoints that one request is sent to at most.
+const MAX_ATTEMPTS: usize = 4;
+
 /// What the relay of plain services works with.
 #[derive(Clone)]
 pub(crate) struct Relay {
@@ -34,6 +37,8 @@
     pub(crate) client: Client,
     /// The platform's list of hosts.
     pub(crate) list: watch::Receiver<directory::List>,
+    /// Availability zone of this host.
+    pub(crate) zone: id::Zone,
     /// Counters.
     pub(crate) metrics: Metrics,
     /// Claims of idempotency keys.
@@ -70,19 +75,26 @@
         }
     }
 
+    /// Any live endpoint of the own zone, or of another where it has none.
     pub(super) fn choose(
         &self,
         service: &id::Service,
         excluded: &[id::Endpoint],
     ) -> Option<directory::Endpoint> {
+        if excluded.len() >= MAX_ATTEMPTS {
+            return None;
+        }
         let list = self.list.borrow();
-        let live: Vec<&directory::Endpoint> = list
+        let mut live: Vec<&directory::Endpoint> = list
             .endpoints
             .iter()
             .filter(|endpoint| endpoint.service == *service)
             .filter(|endpoint| endpoint.state == directory::State::Live)
             .filter(|endpoint| !excluded.contains(&endpoint.id))
             .collect();
+        if live.iter().any(|endpoint| endpoint.zone == self.zone) {
+            live.retain(|endpoint| endpoint.zone == self.zone);
+        }
         if live.is_empty() {
             return None;
         }
--- a/crates/papayayard/tests/plain.rs
+++ b/crates/papayayard/tests/plain.rs
@@ -4,7 +4,7 @@
 mod support;
 
 use http::{Method, StatusCode};
-use papayayard_stand_in::service::Fault;
+use papayayard_stand_in::service::{self, Fault};
 use papayayard_wire::refusal::{Kind, Ran};
 use rstest::rstest;
 use support::Bed;
@@ -111,3 +111,32 @@
     }
     assert_eq!(bed.service_ledger().len(), runs);
 }
+
+/// Endpoints of the own zone come first; another zone's serve where they fail.
+#[rstest]
+#[tokio::test]
+async fn the_own_zone_is_asked_first() {
+    let bed = Bed::start(0, 0).await;
+    let mut services = Vec::new();
+    for zone in ["bergen-a", "bergen-b"] {
+        let options = service::Options {
+            endpoint: format!("app-{zone}").into(),
+            zone: zone.into(),
+            platform: Some(bed.platform.address()),
+            ..service::Options::default()
+        };
+        services.push(service::start(options).await.expect("the service starts"));
+    }
+    bed.publish(0, &support::document("v1", 1)).await;
+    let host = bed.ready_host("entry-1").await;
+    let look_up = || support::service(&host, Method::GET, "/schedule", None, "");
+    for _ in 0..8 {
+        let reply = look_up().await.expect("the exchange is whole");
+        assert_eq!(reply.status, StatusCode::OK, "{}", reply.text());
+    }
+    assert_eq!(services[0].ledger().len(), 8);
+    services[0].fault(Fault::Crash { down_ms: 600_000 });
+    let reply = look_up().await.expect("the exchange is whole");
+    assert_eq!(reply.status, StatusCode::OK, "{}", reply.text());
+    assert_eq!(services[1].ledger().len(), 1);
+}
--- a/crates/papayayard_routing/src/choice/papayayard.rs
+++ b/crates/papayayard_routing/src/choice/papayayard.rs
@@ -3,24 +3,25 @@
 //! An endpoint's estimate is its wait, plus the time to compute what its cache
 //! does not hold, plus a cost for another zone. Hosts of another zone are the
 //! ones whose work shows latest, so each keeps to the endpoints of its own
-//! until the gain elsewhere is larger than a report is late. A copy of a prefix on one more
-//! endpoint is paid for again later and takes room from other prefixes, so
-//! outside the endpoints that the prefix hashes to, what is not cached counts
-//! more. A small cost for being outside lets a prefix that was hot leave the
-//! endpoints that it was spread to. Estimates that differ by less than the noise of the load reports are
-//! ties, which each host breaks in an order of its own: hosts that see the
-//! same state at one instant then take different endpoints.
+//! until the gain elsewhere is larger than what may be hidden there, which
+//! grows with the work that waits. A copy of a prefix on one more endpoint is
+//! paid for again later and takes room from other prefixes, so outside the
+//! endpoints that the prefix hashes to, what is not cached counts more. A small
+//! cost for being outside lets a prefix that was hot leave the endpoints that
+//! it was spread to. Estimates that differ by less than the noise of the load
+//! reports are ties, which each host breaks in an order of its own: hosts that
+//! see the same state at one instant then take different endpoints.
 
 use std::time::Duration;
 
-use papayayard_wire::id;
-
 use crate::choice::rendezvous;
 use crate::choice::{self, Pick, Policy, Query, Refusal};
 use crate::fleet;
 use crate::mix;
 
-const ZONE_SECONDS: f64 = 0.3;
+const LEAST_ZONE_SECONDS: f64 = 0.06;
+const MOST_ZONE_SECONDS: f64 = 0.3;
+const ZONE_SECONDS_PER_WAIT: f64 = 6.0;
 const TIE_SECONDS: f64 = 0.02;
 const HOME_ENDPOINTS: usize = 2;
 const AWAY_SECONDS: f64 = 0.03;
@@ -133,14 +134,31 @@
         }
     }
 
+    /// Cost of another zone: the more work waits, the likelier is work of
+    /// that zone's hosts which no report shows yet.
+    fn zone_seconds(&self, fleet: &fleet::Fleet, query: &Query<'_>) -> f64 {
+        let seats = self.listed.iter().map(|slot| &fleet.seats()[*slot]);
+        let endpoints = seats.filter_map(|seat| choice::candidate(fleet, query, seat));
+        let (mut sum, mut count) = (0.0, 0.0_f64);
+        for endpoint in endpoints {
+            sum += endpoint.load.backlog_seconds(query.now);
+            count += 1.0;
+        }
+        let wait = sum / count.max(1.0);
+        (wait * ZONE_SECONDS_PER_WAIT).clamp(LEAST_ZONE_SECONDS, MOST_ZONE_SECONDS)
+    }
+
     fn score(&mut self, fleet: &fleet::Fleet, query: &Query<'_>) {
+        let zone_seconds = self.zone_seconds(fleet, query);
         self.scored.clear();
         for &slot in &self.listed {
             let seat = &fleet.seats()[slot];
             if let Some(endpoint) = choice::candidate(fleet, query, seat) {
                 let view = self.views[slot];
-                let scored = estimate(seat, endpoint, view, query, fleet.block_bytes());
-                self.scored.push(scored);
+                let time = estimate(endpoint, view, query, fleet.block_bytes());
+                let away = endpoint.zone != *query.zone;
+                let zone = if away { zone_seconds } else { 0.0 };
+                self.scored.push(time.score(seat, zone));
             }
         }
     }
@@ -180,36 +198,47 @@
     }
 }
 
+/// Times that an endpoint would take, in seconds.
+struct Estimate {
+    first_token: f64,
+    copy: f64,
+    cached_bytes: usize,
+}
+
+impl Estimate {
+    fn score(&self, seat: &fleet::Seat, zone_seconds: f64) -> Scored {
+        let time = self.first_token + zone_seconds;
+        Scored {
+            pick: Pick {
+                endpoint: seat.key,
+                cached_bytes: self.cached_bytes,
+                first_token: Duration::from_secs_f64(self.first_token),
+            },
+            seed: seat.seed,
+            score: time + self.copy,
+        }
+    }
+}
+
 fn estimate(
-    seat: &fleet::Seat,
     endpoint: &fleet::Endpoint,
     view: View,
     query: &Query<'_>,
     block_bytes: usize,
-) -> Scored {
+) -> Estimate {
     let held_bytes = (view.blocks * block_bytes).min(query.prompt_bytes);
     let sure_bytes = (view.sure * block_bytes).min(held_bytes);
     let cached_bytes = sure_bytes + (held_bytes - sure_bytes) / DOUBT_DIVISOR;
     let uncached_bytes = query.prompt_bytes - cached_bytes;
     let tokens = fleet::tokens(uncached_bytes);
-    let wait = endpoint.load.first_token(tokens, query.now);
-    let time = wait + zone_seconds(&endpoint.zone, query.zone);
     let copy = if view.home {
         0.0
     } else {
         AWAY_SECONDS + COPY_WEIGHT * choice::compute_seconds(uncached_bytes, endpoint)
     };
-    Scored {
-        pick: Pick {
-            endpoint: seat.key,
-            cached_bytes,
-            first_token: Duration::from_secs_f64(time),
-        },
-        seed: seat.seed,
-        score: time + copy,
+    Estimate {
+        first_token: endpoint.load.first_token(tokens, query.now),
+        copy,
+        cached_bytes,
     }
 }
-
-fn zone_seconds(left: &id::Zone, right: &id::Zone) -> f64 {
-    if left == right { 0.0 } else { ZONE_SECONDS }
-}
--- a/crates/papayayard_routing/tests/choice.rs
+++ b/crates/papayayard_routing/tests/choice.rs
@@ -317,3 +317,27 @@
     assert!(used[1] >= 8, "{used:?}");
     assert!(used[2] <= 4, "{used:?}");
 }
+
+/// A prefix that only another zone holds is fetched there while little waits;
+/// under load the own zone computes it, as work of the other's hosts may hide.
+#[rstest]
+#[case::idle(0, "b")]
+#[case::loaded(800, "a")]
+fn another_zones_cache_is_used_while_little_waits(#[case] pending: u64, #[case] zone: &str) {
+    let (mut fleet, ends) = fleet(6);
+    for (number, end) in ends.iter().enumerate() {
+        let own = number < 3;
+        let name = format!("e{number}").into();
+        fleet.join(&name, &if own { "a" } else { "b" }.into());
+        fleet.report(*end, &report(pending), NOW);
+    }
+    for name in 0..20 {
+        let keys = prompt(name, 2);
+        for end in &ends[3..] {
+            fleet.answered(*end, &keys, NOW);
+        }
+        let pick = picked(&mut choice::Papayayard::new(name), &fleet, &keys);
+        let chosen = &fleet.get(pick.endpoint).expect("it is there").zone;
+        assert_eq!(chosen.as_str(), zone);
+    }
+}
--- a/crates/papayayardctl/tests/processes.rs
+++ b/crates/papayayardctl/tests/processes.rs
@@ -13,6 +13,9 @@
 /// Time in which a host that starts has to serve.
 const READY_BOUND: Duration = Duration::from_secs(1);
 
+/// Longest wait for a lease to end and for weights to load after it.
+const LEASE_PATIENCE: Duration = Duration::from_secs(40);
+
 struct Deployment {
     platform: support::StandIn,
     engines: Vec<support::StandIn>,
@@ -210,3 +213,45 @@
     let (reply, ()) = tokio::join!(stream(&host, 50), pause);
     assert_whole(&reply.expect("the exchange is whole"), 50);
 }
+
+/// Each of two hosts in turn is stopped for longer than a lease lasts while
+/// new weights are published. One of them holds the lease: the other takes it
+/// over, and the paused one changes nothing when it goes on.
+#[rstest]
+#[tokio::test]
+async fn a_paused_lease_holder_changes_nothing() {
+    let deployment = Deployment::start(2, 1);
+    let first = deployment.host("entry-1", &[]);
+    let second = deployment.host("entry-2", &[first.peers]);
+    let document = support::document(2);
+    support::publish(deployment.platform.address, &document);
+    deployment.ready(&first).await;
+    deployment.ready(&second).await;
+
+    first.process.signal(Signal::STOP);
+    let newer = document.replace("version: v1", "version: v2");
+    support::publish(deployment.platform.address, &newer);
+    wait_for_version(&second, "v2").await;
+    first.process.signal(Signal::CONT);
+    wait_for_version(&first, "v2").await;
+
+    second.process.signal(Signal::STOP);
+    let newest = document.replace("version: v1", "version: v3");
+    support::publish(deployment.platform.address, &newest);
+    wait_for_version(&first, "v3").await;
+    second.process.signal(Signal::CONT);
+    wait_for_version(&second, "v3").await;
+    let reply = stream(&second, 8).await;
+    assert_whole(&reply.expect("the exchange is whole"), 8);
+    wait_for_version(&first, "v3").await;
+}
+
+async fn wait_for_version(host: &support::Host, version: &str) {
+    host.wait_within(LEASE_PATIENCE, |status| {
+        let loaded = |one: &&operators::Endpoint| {
+            one.eligible && one.version.as_ref().is_some_and(|v| v.as_str() == version)
+        };
+        status.endpoints.iter().filter(loaded).count() == 2
+    })
+    .await;
+}
--- a/crates/papayayardctl/tests/support/mod.rs
+++ b/crates/papayayardctl/tests/support/mod.rs
@@ -120,6 +120,18 @@
 
     /// Waits until what operators see meets a condition.
     pub(crate) async fn wait_until<Condition>(&self, condition: Condition) -> operators::Status
+    where
+        Condition: Fn(&operators::Status) -> bool,
+    {
+        self.wait_within(PATIENCE, condition).await
+    }
+
+    /// Waits at most `limit` until what operators see meets a condition.
+    pub(crate) async fn wait_within<Condition>(
+        &self,
+        limit: Duration,
+        condition: Condition,
+    ) -> operators::Status
     where
         Condition: Fn(&operators::Status) -> bool,
     {
@@ -131,7 +143,7 @@
             if let Some(status) = status.as_ref().filter(|status| condition(status)) {
                 return status.clone();
             }
-            assert!(start.elapsed() < PATIENCE, "last status: {status:?}");
+            assert!(start.elapsed() < limit, "last status: {status:?}");
         }
     }
 }
