--- a/crates/papayayard/src/host.rs
+++ b/crates/papayayard/src/host.rs
@@ -92,7 +92,8 @@
     }
 }
 
-/// Starts a host on the runtime that it is called on; only a bench has a `truth` other than [`Blind`].
+/// Starts a host on the runtime that it is called on; only a bench has a
+/// `truth` other than [`Blind`].
 pub fn start<View>(settings: Settings, truth: View) -> Result<Running, Error>
 where
     View: choice::Truth + Clone + Send + 'static,
