Find an endpoint's service by its members; set headers in one place

Each report and each page of events searched the platform's whole list, by name, for the endpoint's service; the services' own tables answer that by a hash. A prompt's keys were copied twice on the way to the choice and are shared now.

Behaviour and tests are unchanged; no figure was taken.

--- a/crates/papayayard/src/callers.rs
+++ b/crates/papayayard/src/callers.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use futures_util::{StreamExt, stream};
-use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
+use http::{HeaderMap, HeaderValue, StatusCode, header};
 use papayayard_document::document;
 use papayayard_wire::header as names;
 use papayayard_wire::id;
@@ -26,7 +26,7 @@
 use crate::filters::{Filter, chain};
 use crate::metrics::Metrics;
 use crate::refusal::Refusal;
-use crate::relay::{Answer, Body, call, completion};
+use crate::relay::{Answer, Body, call, completion, hop};
 use crate::settings;
 
 /// What all callers' routes share.
@@ -129,8 +129,8 @@
         let id = request_id(&shared.host);
         let outcome = self.answer(request, &id).await;
         let headers = response.headers_mut();
-        set(headers, names::REQUEST_ID, id.as_str());
-        set(headers, names::HOST_ID, shared.host.as_str());
+        hop::set(headers, names::REQUEST_ID, id.as_str());
+        hop::set(headers, names::HOST_ID, shared.host.as_str());
         match outcome {
             Ok(answer) => write(answer, response),
             Err(refusal) => {
@@ -285,12 +285,6 @@
     id::Request::from(format!("{host}-{:016x}", rand::random::<u64>()))
 }
 
-fn set(headers: &mut HeaderMap, name: &'static str, value: &str) {
-    if let Ok(value) = HeaderValue::from_str(value) {
-        headers.insert(HeaderName::from_static(name), value);
-    }
-}
-
 fn write(answer: Answer, response: &mut Response) {
     response.status_code(answer.status);
     for (name, value) in &answer.headers {
--- a/crates/papayayard/src/controllers/fleet.rs
+++ b/crates/papayayard/src/controllers/fleet.rs
@@ -49,7 +49,7 @@
             service: completion.service.clone(),
             account: completion.whole.known.account.id.clone(),
             version: completion.version.clone(),
-            keys: completion.keys.clone().into(),
+            keys: completion.keys.clone(),
             prompt_bytes: completion.prompt_bytes,
             output_tokens: completion.max_tokens.unwrap_or(DEFAULT_OUTPUT_TOKENS),
             fingerprint: completion.fingerprint,
--- a/crates/papayayard/src/controllers/fleet/service.rs
+++ b/crates/papayayard/src/controllers/fleet/service.rs
@@ -136,6 +136,11 @@
         member.plan = listed.state;
     }
 
+    /// Whether an endpoint is listed as one of this service's.
+    pub(super) fn contains(&self, endpoint: &id::Endpoint) -> bool {
+        self.members.contains_key(endpoint)
+    }
+
     /// Takes an endpoint's report.
     pub(super) fn report(&mut self, report: endpoint::Report, now: Duration) {
         let Some(member) = self.members.get_mut(&report.endpoint) else {
--- a/crates/papayayard/src/controllers/fleet/state.rs
+++ b/crates/papayayard/src/controllers/fleet/state.rs
@@ -156,8 +156,8 @@
     }
 
     fn service_of(&mut self, endpoint: &id::Endpoint) -> Option<&mut Service<View>> {
-        let listed = self.listed.iter().find(|listed| listed.id == *endpoint)?;
-        self.services.get_mut(&listed.service)
+        let mut services = self.services.values_mut();
+        services.find(|service| service.contains(endpoint))
     }
 
     fn choose(&mut self, query: &Query, now: Duration) -> Result<Place, Refusal> {
--- a/crates/papayayard/src/exchange.rs
+++ b/crates/papayayard/src/exchange.rs
@@ -76,7 +76,7 @@
     /// Length of a cached piece in bytes.
     pub(crate) block_bytes: usize,
     /// Keys of the prompt's pieces.
-    pub(crate) keys: Vec<block::Key>,
+    pub(crate) keys: Arc<[block::Key]>,
     /// Length of the prompt in bytes.
     pub(crate) prompt_bytes: usize,
     /// Whether tokens are sent as they are generated.
--- a/crates/papayayard/src/filters/completion.rs
+++ b/crates/papayayard/src/filters/completion.rs
@@ -47,7 +47,7 @@
             version: found.model.version.clone(),
             salt,
             block_bytes,
-            keys: chain.finish(),
+            keys: chain.finish().into(),
             prompt_bytes,
             stream: request.stream,
             max_tokens: request.max_tokens,
--- a/crates/papayayard/src/relay/attempt.rs
+++ b/crates/papayayard/src/relay/attempt.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, HeaderName, HeaderValue, Method, Response, header};
+use http::{HeaderMap, HeaderValue, Method, Response, header};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use papayayard_wire::completion::Continuation;
@@ -16,6 +16,7 @@
 use crate::controllers::fleet;
 use crate::exchange::Completion;
 use crate::relay::client::{Client, Failure, Outgoing};
+use crate::relay::hop;
 
 /// Longest wait for the head of an answer.
 pub(crate) const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
@@ -108,27 +109,21 @@
         header::CONTENT_TYPE,
         HeaderValue::from_static("application/json"),
     );
-    set(&mut headers, names::REQUEST_ID, known.arrival.id.as_str());
+    hop::set(&mut headers, names::REQUEST_ID, known.arrival.id.as_str());
     let salt = format!("{:016x}", completion.salt.0);
-    set(&mut headers, names::CACHE_SALT, &salt);
+    hop::set(&mut headers, names::CACHE_SALT, &salt);
     let block_bytes = completion.block_bytes.to_string();
-    set(&mut headers, names::BLOCK_SIZE, &block_bytes);
-    set(
+    hop::set(&mut headers, names::BLOCK_SIZE, &block_bytes);
+    hop::set(
         &mut headers,
         names::WEIGHTS_VERSION,
         completion.version.as_str(),
     );
     let priority = known.account.priority.to_string();
-    set(&mut headers, names::PRIORITY, &priority);
+    hop::set(&mut headers, names::PRIORITY, &priority);
     headers
 }
 
-fn set(headers: &mut HeaderMap, name: &'static str, value: &str) {
-    if let Ok(value) = HeaderValue::from_str(value) {
-        headers.insert(HeaderName::from_static(name), value);
-    }
-}
-
 /// The caller's body, with the continuation added; all other fields stay as
 /// the caller wrote them.
 fn body(completion: &Completion, continuation: Option<&Continuation>) -> Bytes {
--- a/crates/papayayard/src/relay/call.rs
+++ b/crates/papayayard/src/relay/call.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, HeaderName, HeaderValue, Response, header};
+use http::{HeaderMap, Response, header};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use papayayard_wire::header as names;
@@ -156,9 +156,7 @@
     hop::strip(&mut headers);
     headers.remove(header::AUTHORIZATION);
     headers.remove(header::CONTENT_LENGTH);
-    if let Ok(value) = HeaderValue::from_str(request.as_str()) {
-        headers.insert(HeaderName::from_static(names::REQUEST_ID), value);
-    }
+    hop::set(&mut headers, names::REQUEST_ID, request.as_str());
     headers
 }
 
--- a/crates/papayayard/src/relay/hop.rs
+++ b/crates/papayayard/src/relay/hop.rs
@@ -1,6 +1,6 @@
-//! Headers that must not pass through the router to a plain service or back.
+//! Headers at the router: what it sets, and what must not pass through it.
 
-use http::{HeaderMap, HeaderName, header};
+use http::{HeaderMap, HeaderName, HeaderValue, header};
 use papayayard_wire::header as names;
 
 /// Headers that end at each hop.
@@ -41,6 +41,13 @@
     }
 }
 
+/// Sets a header; a value that cannot stand in one is left out.
+pub(crate) fn set(headers: &mut HeaderMap, name: &'static str, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        headers.insert(HeaderName::from_static(name), value);
+    }
+}
+
 fn named_by_connection(headers: &HeaderMap) -> Vec<HeaderName> {
     let values = headers.get_all(header::CONNECTION).iter();
     let texts = values.filter_map(|value| value.to_str().ok());
