--- a/crates/papayayard/src/main.rs
+++ b/crates/papayayard/src/main.rs
@@ -1,11 +1,19 @@
 //! The `papayayard` program, which every entry host runs.
+//!
+//! With `--settings` a host serves its own interface by the configuration
+//! document. With `--routes` it passes requests between callers and endpoints
+//! of the platform that the `platform` crate translates for.
 
-use std::path::PathBuf;
+use std::fmt::Display;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 use gumdrop::Options as _;
 use papayayard::{host, logging, settings};
-use tokio::signal::unix::{SignalKind, signal};
+use papayayard_gateway as gateway;
+use platform::Adapter;
+use tokio::runtime::{Builder, Runtime};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 
 /// Exit code for settings that cannot be used.
 const BAD_SETTINGS: u8 = 1;
@@ -19,44 +27,118 @@
     help: bool,
 
     /// settings of this host, a YAML file
-    #[options(required, meta = "FILE")]
-    settings: PathBuf,
+    #[options(meta = "FILE")]
+    settings: Option<PathBuf>,
+
+    /// settings of this host as one that serves routes, a YAML file
+    #[options(meta = "FILE")]
+    routes: Option<PathBuf>,
+}
+
+/// Why the program ends.
+enum Failure {
+    Settings(String),
+    Start(String),
 }
 
-#[tokio::main]
-async fn main() -> ExitCode {
+fn main() -> ExitCode {
     let options = Options::parse_args_default_or_exit();
     logging::start();
-    let settings = match settings::read(&options.settings) {
-        Ok(settings) => settings,
-        Err(error) => {
-            eprintln!("{error}");
-            return ExitCode::from(BAD_SETTINGS);
-        }
-    };
-    let (Ok(mut terminate), Ok(mut interrupt)) = (
-        signal(SignalKind::terminate()),
-        signal(SignalKind::interrupt()),
-    ) else {
-        eprintln!("signals cannot be received; start the program as an ordinary process");
-        return ExitCode::from(CANNOT_START);
+    let outcome = match (options.settings, options.routes) {
+        (Some(path), None) => serve_document(&path),
+        (None, Some(path)) => serve_routes(&path),
+        _ => Err(Failure::Settings(
+            "give one of --settings FILE and --routes FILE".to_owned(),
+        )),
     };
-    let running = match host::start(settings, host::Blind) {
-        Ok(running) => running,
-        Err(error) => {
-            eprintln!("{error}");
-            return ExitCode::from(CANNOT_START);
+    match outcome {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(Failure::Settings(problem)) => {
+            eprintln!("{problem}");
+            ExitCode::from(BAD_SETTINGS)
+        }
+        Err(Failure::Start(problem)) => {
+            eprintln!("{problem}");
+            ExitCode::from(CANNOT_START)
         }
-    };
-    let addresses = running.addresses();
-    println!(
-        "listening on callers={} peers={} operators={}",
-        addresses.callers, addresses.peers, addresses.operators
-    );
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
     }
-    running.stop().await;
-    ExitCode::SUCCESS
+}
+
+fn serve_document(path: &Path) -> Result<(), Failure> {
+    let settings = settings::read(path).map_err(settings_failure)?;
+    let runtime = Runtime::new().map_err(start_failure)?;
+    runtime.block_on(async {
+        let mut signals = Signals::listen()?;
+        let running = host::start(settings, host::Blind).map_err(start_failure)?;
+        let addresses = running.addresses();
+        println!(
+            "listening on callers={} peers={} operators={}",
+            addresses.callers, addresses.peers, addresses.operators
+        );
+        signals.stop().await;
+        running.stop().await;
+        Ok(())
+    })
+}
+
+/// One thread serves all, since hosts have a part of one core and little
+/// memory.
+fn serve_routes(path: &Path) -> Result<(), Failure> {
+    let settings = gateway::settings::read(path).map_err(settings_failure)?;
+    let runtime = Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(start_failure)?;
+    runtime.block_on(async {
+        let mut signals = Signals::listen()?;
+        let running = gateway::host::start(settings, Adapter).map_err(start_failure)?;
+        signals.stop().await;
+        running.stop().await;
+        Ok(())
+    })
+}
+
+/// Signals that operators send.
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    reload: Signal,
+}
+
+impl Signals {
+    fn listen() -> Result<Self, Failure> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate()).map_err(start_failure)?,
+            interrupt: signal(SignalKind::interrupt()).map_err(start_failure)?,
+            reload: signal(SignalKind::hangup()).map_err(start_failure)?,
+        })
+    }
+
+    /// Waits for a signal to stop. Settings are read at the start only, so a
+    /// signal to reload them changes nothing.
+    async fn stop(&mut self) {
+        loop {
+            tokio::select! {
+                _ = self.terminate.recv() => return,
+                _ = self.interrupt.recv() => return,
+                _ = self.reload.recv() => {
+                    log::info!("reload asked for; settings are read at the next start");
+                }
+            }
+        }
+    }
+}
+
+fn settings_failure<Error>(error: Error) -> Failure
+where
+    Error: Display,
+{
+    Failure::Settings(error.to_string())
+}
+
+fn start_failure<Error>(error: Error) -> Failure
+where
+    Error: Display,
+{
+    Failure::Start(error.to_string())
 }
--- a/crates/papayayard_coordination/src/lib.rs
+++ b/crates/papayayard_coordination/src/lib.rs
@@ -20,4 +20,6 @@
 pub mod order;
 pub mod pace;
 pub mod replay;
+pub mod rollout;
 pub mod stop;
+pub mod turn;
--- /dev/null
+++ b/crates/papayayard_gateway/src/attempt.rs
@@ -0,0 +1,218 @@
+//! Sends a request to one endpoint and judges the head of its answer.
+//!
+//! What can be known of a failure matters more than its cause: a request that
+//! was not sent, or that the endpoint says it refused, did not run. After any
+//! other failure it may have run.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::response::Parts;
+use http::{HeaderMap, Method, Request, StatusCode, header};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use papayayard_routing::placement::{Outcome, Placement};
+use tokio::time;
+
+use crate::clock::Clock;
+use crate::dial::{self, Connection};
+use crate::exchange::{Codec, Forwarding, Reply};
+use crate::job::Job;
+use crate::pool::Pool;
+
+/// Most bytes of a refusal's body that are read to keep a connection.
+const REFUSAL_BYTES: usize = 64 << 10;
+/// Time to read a refusal's body.
+const REFUSAL_TIME: Duration = Duration::from_millis(100);
+
+/// An answer whose head has come.
+pub(crate) struct Open {
+    /// Head.
+    pub(crate) head: Parts,
+    /// Body, not read yet.
+    pub(crate) body: Incoming,
+    /// Connection that the body comes on.
+    pub(crate) connection: Connection,
+}
+
+/// Why an endpoint gave no answer that can be used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Failure {
+    /// No connection came about.
+    Unreachable,
+    /// The endpoint states that it did not run the request.
+    Refused,
+    /// Another endpoint has the address, or it has other weights.
+    Mismatched,
+    /// The connection ended before the answer did.
+    Broken,
+    /// The answer is another request's, or no endpoint's.
+    Foreign,
+    /// No answer came in time.
+    Silent,
+}
+
+impl Failure {
+    /// Name in logs and metrics.
+    pub(crate) const fn as_str(self) -> &'static str {
+        match self {
+            Self::Unreachable => "unreachable",
+            Self::Refused => "refused",
+            Self::Mismatched => "mismatched",
+            Self::Broken => "broken",
+            Self::Foreign => "foreign",
+            Self::Silent => "silent",
+        }
+    }
+
+    /// Whether the request certainly did not run.
+    pub(crate) const fn is_not_run(self) -> bool {
+        matches!(self, Self::Unreachable | Self::Refused | Self::Mismatched)
+    }
+
+    /// What the scheduler is told.
+    pub(crate) const fn outcome(self) -> Outcome {
+        match self {
+            Self::Unreachable => Outcome::Unreachable,
+            Self::Refused => Outcome::Refused,
+            Self::Mismatched => Outcome::Mismatched,
+            Self::Broken | Self::Foreign | Self::Silent => Outcome::Failed,
+        }
+    }
+}
+
+/// Sends requests to endpoints.
+#[derive(Clone)]
+pub(crate) struct Sender<Platform> {
+    /// Translates headers.
+    pub(crate) codec: Platform,
+    /// Kept connections.
+    pub(crate) pool: Pool,
+    /// Clock.
+    pub(crate) clock: Clock,
+}
+
+impl<Platform> Sender<Platform>
+where
+    Platform: Codec,
+{
+    /// Sends a request and waits for the head of the answer.
+    pub(crate) async fn send(
+        &self,
+        job: &Job,
+        placement: &Placement,
+        position: Option<u64>,
+        patience: Duration,
+    ) -> Result<Open, Failure> {
+        let started = self.clock.now();
+        let runs_once = !job.route.kind.is_repeatable();
+        let mut kept = self.pool.take(placement.address, runs_once);
+        loop {
+            let is_kept = kept.is_some();
+            let mut connection = match kept.take() {
+                Some(connection) => connection,
+                None => dial::connect(placement.address).await.map_err(|error| {
+                    log::debug!(request:% = job.id, address:% = placement.address, error:%; "not connected");
+                    self.pool.forget(placement.address);
+                    Failure::Unreachable
+                })?,
+            };
+            let left = (started + patience).saturating_sub(self.clock.now());
+            let request = self.request(job, placement, position);
+            let sent = connection.sender.try_send_request(request);
+            match time::timeout(left, sent).await {
+                Err(_) => return Err(Failure::Silent),
+                Ok(Err(mut error)) => match error.take_message() {
+                    // The endpoint had closed the kept connection.
+                    Some(_) if is_kept => {}
+                    Some(_) => return Err(Failure::Unreachable),
+                    None => return Err(Failure::Broken),
+                },
+                Ok(Ok(response)) => {
+                    let (head, body) = response.into_parts();
+                    let open = Open {
+                        head,
+                        body,
+                        connection,
+                    };
+                    return self.judge(job, placement, open).await;
+                }
+            }
+        }
+    }
+
+    fn request(
+        &self,
+        job: &Job,
+        placement: &Placement,
+        position: Option<u64>,
+    ) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(job.body.clone()));
+        *request.method_mut() = job.method.clone();
+        *request.uri_mut() = job.uri.clone();
+        *request.headers_mut() = job.headers.clone();
+        let now = self.clock.now();
+        let forwarding = Forwarding {
+            endpoint: &placement.endpoint,
+            time_left: job.deadline.saturating_sub(now),
+            account: job.account.as_ref().map(|account| &account.name),
+            priority: job.priority(),
+            version: placement.version,
+            salt: placement.salt.as_ref(),
+            fetch: placement.fetch,
+            save: placement.save,
+            position,
+        };
+        self.codec.forward(request.headers_mut(), &forwarding);
+        request
+    }
+
+    async fn judge(&self, job: &Job, placement: &Placement, open: Open) -> Result<Open, Failure> {
+        let reply = self.codec.reply(open.head.status, &open.head.headers);
+        if reply.not_run {
+            let failure = not_run(&reply, placement, open.head.status);
+            self.drain(placement, open).await;
+            return Err(failure);
+        }
+        let is_own = reply.request.as_ref() == Some(&job.id);
+        let is_plain = !open.head.headers.contains_key(header::CONTENT_ENCODING);
+        if is_own && reply.is_signed && is_plain {
+            return Ok(open);
+        }
+        log::warn!(
+            request:% = job.id, endpoint:% = placement.endpoint,
+            status = open.head.status.as_u16(), own = is_own, signed = reply.is_signed;
+            "answer is not the endpoint's to this request"
+        );
+        Err(Failure::Foreign)
+    }
+
+    /// Reads the rest of a refusal, so that its connection can be kept.
+    async fn drain(&self, placement: &Placement, open: Open) {
+        let body = Limited::new(open.body, REFUSAL_BYTES).collect();
+        if let Ok(Ok(_)) = time::timeout(REFUSAL_TIME, body).await {
+            let headers = &open.head.headers;
+            self.keep(placement, open.connection, headers);
+        }
+    }
+
+    /// Keeps a connection whose answer was read to its end.
+    pub(crate) fn keep(&self, placement: &Placement, connection: Connection, headers: &HeaderMap) {
+        self.pool.put(placement.address, connection, headers);
+    }
+}
+
+fn not_run(reply: &Reply, placement: &Placement, status: StatusCode) -> Failure {
+    let other = reply.endpoint.as_ref();
+    let is_other = other.is_some_and(|endpoint| *endpoint != placement.endpoint);
+    if is_other || status == StatusCode::MISDIRECTED_REQUEST {
+        Failure::Mismatched
+    } else {
+        Failure::Refused
+    }
+}
+
+/// Whether an answer to a method has no body, whatever its head says.
+pub(crate) fn has_no_body(method: &Method) -> bool {
+    *method == Method::HEAD
+}
--- /dev/null
+++ b/crates/papayayard_gateway/src/body.rs
@@ -0,0 +1,52 @@
+//! Bodies of answers to callers.
+
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use http_body::{Frame, SizeHint};
+use snafu::Snafu;
+use tokio::sync::mpsc;
+
+/// An answer broke off; the caller sees that it has no end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
+#[snafu(display("the answer broke off; send the request again if it may be repeated"))]
+pub struct Broken;
+
+/// Body of an answer.
+#[derive(Debug)]
+pub enum Body {
+    /// All of it.
+    Whole(Bytes),
+    /// Pieces as they come; it ends when the channel closes.
+    Pieces(mpsc::Receiver<Result<Bytes, Broken>>),
+}
+
+impl http_body::Body for Body {
+    type Data = Bytes;
+    type Error = Broken;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
+        match &mut *self {
+            Self::Whole(bytes) if bytes.is_empty() => Poll::Ready(None),
+            Self::Whole(bytes) => Poll::Ready(Some(Ok(Frame::data(std::mem::take(bytes))))),
+            Self::Pieces(pieces) => pieces
+                .poll_recv(context)
+                .map(|piece| piece.map(|piece| piece.map(Frame::data))),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, Self::Whole(bytes) if bytes.is_empty())
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(bytes) => SizeHint::with_exact(bytes.len() as u64),
+            Self::Pieces(_) => SizeHint::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/papayayard_gateway/src/front.rs
@@ -0,0 +1,145 @@
+//! The callers' listener and its planned stop.
+//!
+//! A stop takes steps, so that no request is lost: first the host says that it
+//! is not ready, while it goes on serving and asks each caller to close; then
+//! it closes idle connections; then it takes no new ones and waits for those
+//! that are at work.
+
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use http::{HeaderValue, Request, Response, header};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::watch;
+use tokio::time;
+use tokio_util::task::TaskTracker;
+
+use crate::body::Body;
+use crate::exchange::Codec;
+use crate::relay::Relay;
+
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 1024;
+/// Most open connections from callers.
+const MOST_CONNECTIONS: usize = 2500;
+/// Least size of a connection's buffer, which the HTTP library asks for.
+const LEAST_BUFFER: usize = 8 << 10;
+/// Pause after the system could not accept a connection.
+const ACCEPT_RETRY: Duration = Duration::from_millis(20);
+
+/// How far a stop has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Stage {
+    /// No stop.
+    Serving,
+    /// Serves, says that it is not ready, and asks callers to close.
+    Leaving,
+    /// Closes idle connections and accepts new ones for one request each.
+    Closing,
+    /// Accepts nothing.
+    Closed,
+}
+
+/// Listens on an address, with connections that send at once.
+pub(crate) fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.set_nodelay(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+/// Accepts callers until the last stage of a stop.
+pub(crate) async fn serve<Platform>(
+    listener: TcpListener,
+    relay: Relay<Platform>,
+    mut stage: watch::Receiver<Stage>,
+    open: TaskTracker,
+) where
+    Platform: Codec,
+{
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = reached(&mut stage, Stage::Closed) => return,
+        };
+        let stream = match accepted {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!(error:%; "a connection cannot be accepted");
+                time::sleep(ACCEPT_RETRY).await;
+                continue;
+            }
+        };
+        if open.len() >= MOST_CONNECTIONS {
+            log::warn!(open = open.len(); "too many connections; one is closed");
+            continue;
+        }
+        open.spawn(connection(stream, relay.clone(), stage.clone()));
+    }
+}
+
+async fn connection<Platform>(
+    stream: TcpStream,
+    relay: Relay<Platform>,
+    mut stage: watch::Receiver<Stage>,
+) where
+    Platform: Codec,
+{
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!(error:%; "a caller has left at once");
+        return;
+    }
+    let limits = relay.limits();
+    let seen = stage.clone();
+    let service = service_fn(move |request: Request<Incoming>| {
+        let relay = relay.clone();
+        let seen = seen.clone();
+        async move {
+            let response = relay.serve(request).await;
+            let stage = *seen.borrow();
+            Ok::<_, Infallible>(mark(response, stage))
+        }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.idle)
+        .max_buf_size(limits.header_bytes.max(LEAST_BUFFER))
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let outcome = tokio::select! {
+        outcome = connection.as_mut() => outcome,
+        () = reached(&mut stage, Stage::Closing) => {
+            connection.as_mut().graceful_shutdown();
+            connection.as_mut().await
+        }
+    };
+    if let Err(error) = outcome {
+        log::debug!(error:%; "a caller's connection ended");
+    }
+}
+
+/// Waits for a stage of the stop; the end of the host is the last one.
+async fn reached(stage: &mut watch::Receiver<Stage>, wanted: Stage) {
+    if stage.wait_for(|stage| *stage >= wanted).await.is_err() {
+        log::debug!("the host has ended");
+    }
+}
+
+/// Asks the caller to close where the host is about to stop.
+fn mark(mut response: Response<Body>, stage: Stage) -> Response<Body> {
+    if stage > Stage::Serving {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    response
+}
--- /dev/null
+++ b/crates/papayayard_gateway/src/host.rs
@@ -0,0 +1,220 @@
+//! Puts a host together and takes it apart again.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use papayayard_routing::placement::{self, Scheduler};
+use papayayard_routing::repeat;
+use snafu::{ResultExt, Snafu};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+use tokio::time;
+use tokio_util::task::TaskTracker;
+
+use crate::attempt::Sender;
+use crate::beliefs::{Configuration, Endpoints, Operators};
+use crate::clock::Clock;
+use crate::follow::{self, Beat, Store};
+use crate::front::{self, Stage};
+use crate::metrics::Metrics;
+use crate::pool::Pool;
+use crate::relay::Relay;
+use crate::settings::Settings;
+use crate::store::Topic;
+use crate::{exchange, feeds, hosts, operators, orders, schedule, store};
+
+/// Time for which older weights count as no loss.
+const OLD_WEIGHTS_GRACE: Duration = Duration::from_millis(1200);
+/// How what operators publish is read: keys that were taken away must be known
+/// in time, so that a reading is never old.
+const OPERATORS: Beat = Beat {
+    wait: Duration::from_millis(1000),
+    pause: Duration::ZERO,
+};
+/// How endpoints' records are read: they change all the time, so that a
+/// reading is put off for some to add up.
+const ENDPOINTS: Beat = Beat {
+    wait: Duration::from_millis(1000),
+    pause: Duration::from_millis(450),
+};
+/// How the turn's topic is read: seldom written, and wanted at once.
+const ORDERS: Beat = Beat {
+    wait: Duration::from_secs(4),
+    pause: Duration::ZERO,
+};
+/// Period in which idle connections are looked at.
+const SWEEP: Duration = Duration::from_millis(500);
+/// Parts of the time for a stop: until idle connections close, until no new
+/// ones are accepted, and until those at work are cut.
+const CLOSING_PART: f64 = 0.35;
+const CLOSED_PART: f64 = 0.7;
+const END_PART: f64 = 0.96;
+
+/// Why a host cannot start.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// An address cannot be listened on.
+    #[snafu(display("cannot listen on {address}: {source}; choose a free address of this host"))]
+    Listen {
+        /// Address.
+        address: SocketAddr,
+        /// What the system reported.
+        source: io::Error,
+    },
+}
+
+/// A running host; dropping it ends its controllers.
+pub struct Running {
+    settings: Settings,
+    stage: watch::Sender<Stage>,
+    open: TaskTracker,
+    _controllers: JoinSet<()>,
+}
+
+/// Starts a host on the runtime that it is called on.
+pub fn start<Platform>(settings: Settings, codec: Platform) -> Result<Running, Error>
+where
+    Platform: store::Codec + exchange::Codec,
+{
+    let callers = listen(settings.callers)?;
+    let operators = listen(settings.operators)?;
+    let clock = Clock::start();
+    let metrics = Metrics::new();
+    let (stage, stage_seen) = watch::channel(Stage::Serving);
+    let (configuration_sender, configuration) = watch::channel(Configuration::default());
+    let (word_sender, word) = watch::channel(None);
+    let (list_sender, endpoints) = watch::channel(Vec::new());
+    let (hosts_sender, hosts) = watch::channel(hosts::ASSUMED);
+    let (standing_sender, standing) = watch::channel(orders::Standing::default());
+    let mut scheduler = Scheduler::new(placement::Settings {
+        zone: settings.zone.clone(),
+        old_weights: settings.bounds.old_weights,
+        old_weights_grace: OLD_WEIGHTS_GRACE,
+    });
+    scheduler.set_hosts(hosts::ASSUMED);
+    let schedule = schedule::start(scheduler, clock);
+    let store = Store {
+        codec: codec.clone(),
+        address: settings.store,
+        clock,
+    };
+
+    let mut controllers = JoinSet::new();
+    let fold = Operators::new(
+        codec.clone(),
+        configuration_sender,
+        word_sender,
+        schedule.clone(),
+    );
+    controllers.spawn(follow::follow(
+        store.clone(),
+        Topic::Operators,
+        OPERATORS,
+        fold,
+    ));
+    let fold = Endpoints::new(codec.clone(), list_sender, schedule.clone());
+    controllers.spawn(follow::follow(
+        store.clone(),
+        Topic::Endpoints,
+        ENDPOINTS,
+        fold,
+    ));
+    let fold = orders::Announcements::new(standing_sender, schedule.clone());
+    controllers.spawn(follow::follow(store.clone(), Topic::Orders, ORDERS, fold));
+    let host = settings.host.clone();
+    controllers.spawn(hosts::count(
+        store.clone(),
+        host,
+        hosts_sender,
+        schedule.clone(),
+    ));
+    controllers.spawn(feeds::follow(
+        codec.clone(),
+        endpoints.clone(),
+        configuration.clone(),
+        schedule.clone(),
+    ));
+    controllers.spawn(orders::run(orders::Parts {
+        store,
+        host: settings.host.clone(),
+        lease: settings.bounds.lease,
+        old_weights: settings.bounds.old_weights,
+        configuration: configuration.clone(),
+        endpoints: endpoints.clone(),
+        standing,
+        schedule: schedule.clone(),
+        metrics: metrics.clone(),
+        clock,
+    }));
+    let pool = Pool::new(clock);
+    controllers.spawn(sweep(pool.clone()));
+    controllers.spawn(operators::serve(
+        operators,
+        operators::View {
+            host: settings.host.clone(),
+            zone: settings.zone.clone(),
+            clock,
+            metrics: metrics.clone(),
+            stage: stage_seen.clone(),
+            configuration: configuration.clone(),
+            endpoints,
+            hosts: hosts.clone(),
+            word: word.clone(),
+            revocation: settings.bounds.revocation,
+        },
+    ));
+    let relay = Relay {
+        sender: Sender { codec, pool, clock },
+        clock,
+        schedule,
+        configuration,
+        word,
+        revocation: settings.bounds.revocation,
+        hosts,
+        budget: Arc::new(Mutex::new(repeat::Budget::new(settings.bounds.repeats))),
+        metrics,
+    };
+    let open = TaskTracker::new();
+    controllers.spawn(front::serve(callers, relay, stage_seen, open.clone()));
+    log::info!(host:% = settings.host, zone:% = settings.zone, callers:% = settings.callers; "started");
+    Ok(Running {
+        settings,
+        stage,
+        open,
+        _controllers: controllers,
+    })
+}
+
+impl Running {
+    /// Stops step by step; see the module `front`.
+    pub async fn stop(self) {
+        let stop = self.settings.bounds.stop;
+        let started = time::Instant::now();
+        log::info!(host:% = self.settings.host, open = self.open.len(); "stopping");
+        self.stage.send_replace(Stage::Leaving);
+        time::sleep_until(started + stop.mul_f64(CLOSING_PART)).await;
+        self.stage.send_replace(Stage::Closing);
+        time::sleep_until(started + stop.mul_f64(CLOSED_PART)).await;
+        self.stage.send_replace(Stage::Closed);
+        self.open.close();
+        let end = started + stop.mul_f64(END_PART);
+        let is_done = time::timeout_at(end, self.open.wait()).await.is_ok();
+        log::info!(host:% = self.settings.host, whole = is_done, open = self.open.len(); "stopped");
+    }
+}
+
+async fn sweep(pool: Pool) {
+    let mut interval = time::interval(SWEEP);
+    interval.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+    loop {
+        interval.tick().await;
+        pool.sweep();
+    }
+}
+
+fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
+    front::listen(address).context(ListenSnafu { address })
+}
--- /dev/null
+++ b/crates/papayayard_gateway/src/job.rs
@@ -0,0 +1,66 @@
+//! One caller's request, from its arrival to its end.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Uri};
+use papayayard_routing::placement::Ask;
+use papayayard_routing::prompt::Prompt;
+use papayayard_routing::table::{Account, Route};
+use papayayard_wire::id;
+
+/// Urgency of a request whose route and account name none, 0 first.
+const MOST_PRIORITY: u8 = 9;
+
+/// A request that has been read.
+#[derive(Clone, Debug)]
+pub(crate) struct Job {
+    /// The caller's name for the request.
+    pub(crate) id: id::Request,
+    /// Method.
+    pub(crate) method: Method,
+    /// Path and query.
+    pub(crate) uri: Uri,
+    /// Headers that go along.
+    pub(crate) headers: HeaderMap,
+    /// Body.
+    pub(crate) body: Bytes,
+    /// Route.
+    pub(crate) route: Arc<Route>,
+    /// Service.
+    pub(crate) service: id::Service,
+    /// Client account of the request's key.
+    pub(crate) account: Option<Arc<Account>>,
+    /// Declared prompt.
+    pub(crate) prompt: Option<Arc<Prompt>>,
+    /// Last event that the caller has.
+    pub(crate) position: Option<u64>,
+    /// Time by which the answer should begin.
+    pub(crate) target: Duration,
+    /// Time by which the answer must be whole.
+    pub(crate) deadline: Duration,
+}
+
+impl Job {
+    /// Urgency, 0 first.
+    pub(crate) fn priority(&self) -> u8 {
+        let of_account = self.account.as_ref().and_then(|account| account.priority);
+        of_account.unwrap_or(self.route.priority).min(MOST_PRIORITY)
+    }
+
+    /// What the scheduler is asked.
+    pub(crate) fn ask(&self, tried: &[id::Endpoint]) -> Ask {
+        let isolated = self.account.as_ref().filter(|account| account.isolated);
+        Ask {
+            service: self.service.clone(),
+            prompt: self.prompt.clone(),
+            wall: isolated.map(|account| account.name.clone()),
+            priority: self.priority(),
+            target: self.target,
+            target_latency: self.route.target_latency,
+            deadline: self.deadline,
+            tried: tried.to_vec(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/papayayard_gateway/src/metrics.rs
@@ -0,0 +1,105 @@
+//! Counters and histograms, in Prometheus text on request.
+
+use std::time::Duration;
+
+use http::StatusCode;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use papayayard_wire::refusal::Kind;
+use prometheus::{Encoder, Registry, TextEncoder};
+
+/// Bounds of the first-event histogram, in seconds.
+const FIRST_EVENT_BOUNDS: [f64; 9] = [0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 1.0, 2.0];
+
+/// All counters of a host.
+#[derive(Clone)]
+pub(crate) struct Metrics {
+    registry: Registry,
+    // Keeps the instruments connected to the registry.
+    _provider: SdkMeterProvider,
+    requests: Counter<u64>,
+    answers: Counter<u64>,
+    refusals: Counter<u64>,
+    repeats: Counter<u64>,
+    orders: Counter<u64>,
+    first_event: Histogram<f64>,
+}
+
+impl Metrics {
+    /// Makes the instruments.
+    pub(crate) fn new() -> Self {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .expect("a new registry takes the exporter");
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("papayayard_gateway");
+        Self {
+            registry,
+            requests: meter
+                .u64_counter("papayayard_route_requests")
+                .with_description("Requests by route")
+                .build(),
+            answers: meter
+                .u64_counter("papayayard_route_answers")
+                .with_description("Endpoints' whole answers by status")
+                .build(),
+            refusals: meter
+                .u64_counter("papayayard_route_refusals")
+                .with_description("Refused and failed requests by kind")
+                .build(),
+            repeats: meter
+                .u64_counter("papayayard_route_repeats")
+                .with_description("Requests sent again by reason")
+                .build(),
+            orders: meter
+                .u64_counter("papayayard_weight_orders")
+                .with_description("Orders to load weights by answer")
+                .build(),
+            first_event: meter
+                .f64_histogram("papayayard_first_event_seconds")
+                .with_description("Time from a request's arrival to its stream's first event")
+                .with_boundaries(FIRST_EVENT_BOUNDS.to_vec())
+                .build(),
+            _provider: provider,
+        }
+    }
+
+    pub(crate) fn requested(&self, route: &str) {
+        let route = KeyValue::new("route", route.to_owned());
+        self.requests.add(1, &[route]);
+    }
+
+    pub(crate) fn answered(&self, status: StatusCode) {
+        let status = KeyValue::new("status", i64::from(status.as_u16()));
+        self.answers.add(1, &[status]);
+    }
+
+    pub(crate) fn refused(&self, kind: Kind) {
+        self.refusals
+            .add(1, &[KeyValue::new("kind", kind.as_str())]);
+    }
+
+    pub(crate) fn repeated(&self, reason: &'static str) {
+        self.repeats.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
+    pub(crate) fn ordered(&self, answer: &'static str) {
+        self.orders.add(1, &[KeyValue::new("answer", answer)]);
+    }
+
+    pub(crate) fn first_event(&self, time: Duration) {
+        self.first_event.record(time.as_secs_f64(), &[]);
+    }
+
+    /// All of them as text.
+    pub(crate) fn text(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+            log::error!(error:%; "metrics cannot be written");
+        }
+        text
+    }
+}
--- /dev/null
+++ b/crates/papayayard_gateway/src/orders.rs
@@ -0,0 +1,556 @@
+//! Brings endpoints to the newest weights, one host at a time for all.
+//!
+//! The host that has the turn plans, announces and orders; what it announces
+//! is a record that all hosts read, so that none sends to an endpoint that is
+//! about to load. The decisions are in `papayayard_coordination`: `turn` says
+//! who may order, `rollout` what is to be ordered.
+
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use papayayard_coordination::rollout::{Answer, Member, Rollout};
+use papayayard_coordination::turn::Turn;
+use papayayard_routing::placement::Endpoint;
+use papayayard_wire::id;
+use serde::{Deserialize, Serialize};
+use tokio::sync::{mpsc, watch};
+use tokio::task::JoinSet;
+use tokio::time;
+
+use crate::beliefs::Configuration;
+use crate::call::{self, Caller};
+use crate::clock::Clock;
+use crate::exchange::{Codec as EndpointCodec, Order, OrderReply, Report};
+use crate::follow::{Fold, Store};
+use crate::metrics::Metrics;
+use crate::schedule::{Handle, Message};
+use crate::store::{Codec, Error, Record, Topic};
+
+/// Key of the turn's record.
+const KEY: &str = "turn";
+/// Period of the planning while there is work.
+const TICK: Duration = Duration::from_millis(50);
+/// Time for a call to an endpoint.
+const CALL_TIMEOUT: Duration = Duration::from_millis(700);
+/// Longest wait of a host that does not hold the turn before it takes it, so
+/// that not all hosts try at once.
+const LONGEST_HESITATION: Duration = Duration::from_millis(400);
+/// Time to try again after the store failed.
+const STORE_RETRY: Duration = Duration::from_millis(150);
+/// Part of the time for old weights after which open requests are broken off
+/// for a load.
+const BREAK_OFF_PART: f64 = 0.7;
+
+/// What the holder of the turn announces.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Announcement {
+    /// Host that has the turn.
+    holder: String,
+    /// Endpoints that take no requests for now.
+    away: Vec<String>,
+    /// Endpoints that have loaded weights lately.
+    loaded: Vec<Loaded>,
+}
+
+/// An endpoint that has loaded a version.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Loaded {
+    endpoint: String,
+    model: String,
+    version: u64,
+}
+
+/// What is known of the turn's topic.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Standing {
+    /// Offset after the last record; unknown before the first reading.
+    end: Option<u64>,
+    /// Newest announcement, its offset and the time of its reading.
+    newest: Option<(Announcement, u64, Duration)>,
+}
+
+/// Folds the turn's topic.
+pub(crate) struct Announcements {
+    standing: watch::Sender<Standing>,
+    known: Standing,
+    schedule: Handle,
+}
+
+impl Announcements {
+    /// A fold that nothing is known to.
+    pub(crate) fn new(standing: watch::Sender<Standing>, schedule: Handle) -> Self {
+        Self {
+            standing,
+            known: Standing::default(),
+            schedule,
+        }
+    }
+}
+
+impl Fold for Announcements {
+    fn record(&mut self, record: &Record, now: Duration) {
+        let Some(value) = record.value.as_ref().filter(|_| record.key == KEY) else {
+            return;
+        };
+        match serde_json::from_slice::<Announcement>(value) {
+            Ok(announcement) => {
+                apply(&announcement, &self.schedule);
+                self.known.newest = Some((announcement, record.offset, now));
+            }
+            Err(error) => log::warn!(error:%; "announcement skipped"),
+        }
+    }
+
+    fn whole(&mut self, _keys: &HashSet<String>, _now: Duration) {}
+
+    fn caught_up(&mut self, _asked: Duration, next: u64, _now: Duration) {
+        self.known.end = Some(next);
+        self.standing.send_replace(self.known.clone());
+    }
+}
+
+/// Tells the scheduler what was announced.
+fn apply(announcement: &Announcement, schedule: &Handle) {
+    for loaded in &announcement.loaded {
+        let endpoint = id::Endpoint::from(loaded.endpoint.as_str());
+        let model = id::Model::from(loaded.model.as_str());
+        schedule.tell(Message::Loaded(endpoint, model, loaded.version));
+    }
+    let away = announcement.away.iter();
+    let away = away.map(|id| id::Endpoint::from(id.as_str())).collect();
+    schedule.tell(Message::Loading(away));
+}
+
+/// What the controller is made of.
+pub(crate) struct Parts<Platform> {
+    pub(crate) store: Store<Platform>,
+    pub(crate) host: id::Host,
+    pub(crate) lease: Duration,
+    pub(crate) old_weights: Duration,
+    pub(crate) configuration: watch::Receiver<Configuration>,
+    pub(crate) endpoints: watch::Receiver<Vec<Endpoint>>,
+    pub(crate) standing: watch::Receiver<Standing>,
+    pub(crate) schedule: Handle,
+    pub(crate) metrics: Metrics,
+    pub(crate) clock: Clock,
+}
+
+/// What a call to an endpoint has brought.
+enum Event {
+    Ordered(id::Endpoint, id::Model, Answered),
+    Checked(id::Endpoint, id::Model, Option<Report>),
+}
+
+#[derive(Clone, Copy)]
+enum Answered {
+    Step(Answer),
+    Fenced,
+}
+
+/// Plans and orders for as long as the process runs.
+pub(crate) async fn run<Platform>(parts: Parts<Platform>)
+where
+    Platform: Codec + EndpointCodec,
+{
+    let (sender, events) = mpsc::unbounded_channel();
+    let controller = Controller {
+        turn: Turn::new(parts.host.clone(), parts.lease),
+        caller: Caller::new(parts.store.address),
+        rollouts: HashMap::new(),
+        loaded: HashMap::new(),
+        announced: Announcement::default(),
+        wait_until: Duration::ZERO,
+        hesitates: None,
+        calls: JoinSet::new(),
+        sender,
+        parts,
+    };
+    controller.run(events).await;
+}
+
+struct Controller<Platform> {
+    parts: Parts<Platform>,
+    turn: Turn,
+    caller: Caller,
+    rollouts: HashMap<id::Model, Rollout>,
+    /// Versions that endpoints have reported to this host.
+    loaded: HashMap<(id::Endpoint, id::Model), u64>,
+    announced: Announcement,
+    /// Time before which the store is not tried again.
+    wait_until: Duration,
+    /// Time until which this host leaves the turn to others.
+    hesitates: Option<Duration>,
+    calls: JoinSet<()>,
+    sender: mpsc::UnboundedSender<Event>,
+}
+
+impl<Platform> Controller<Platform>
+where
+    Platform: Codec + EndpointCodec,
+{
+    async fn run(mut self, mut events: mpsc::UnboundedReceiver<Event>) {
+        loop {
+            self.observe();
+            let has_work = self.step().await;
+            while self.calls.try_join_next().is_some() {}
+            if has_work {
+                tokio::select! {
+                    event = events.recv() => self.take(event),
+                    () = time::sleep(TICK) => {}
+                }
+                continue;
+            }
+            self.hesitates = None;
+            let configuration = &mut self.parts.configuration;
+            let endpoints = &mut self.parts.endpoints;
+            let changed = tokio::select! {
+                changed = configuration.changed() => changed.is_ok(),
+                changed = endpoints.changed() => changed.is_ok(),
+                event = events.recv() => {
+                    self.take(event);
+                    true
+                }
+            };
+            if !changed {
+                return;
+            }
+        }
+    }
+
+    /// Takes over what others have announced.
+    fn observe(&mut self) {
+        let standing = self.parts.standing.borrow_and_update();
+        if let Some((announcement, offset, at)) = &standing.newest {
+            let holder = id::Host::from(announcement.holder.as_str());
+            self.turn.seen(&holder, *offset, *at);
+        }
+    }
+
+    /// Does what is due; `false` where nothing is left to do.
+    async fn step(&mut self) -> bool {
+        let now = self.parts.clock.now();
+        let behind = self.behind();
+        let must_clear = self.turn.was_last() && !self.announced.away.is_empty();
+        if behind.is_empty() && !must_clear {
+            return false;
+        }
+        if !self.turn.may_append(now) {
+            self.rollouts.clear();
+            return true;
+        }
+        if !self.turn.was_last() && self.is_hesitating(now) {
+            return true;
+        }
+        let is_changed = self.plan(&behind, now);
+        if (is_changed || self.turn.needs_renewal(now)) && now >= self.wait_until {
+            self.announce().await;
+        }
+        self.order(&behind);
+        true
+    }
+
+    fn is_hesitating(&mut self, now: Duration) -> bool {
+        let until = self
+            .hesitates
+            .get_or_insert_with(|| now + LONGEST_HESITATION.mul_f64(rand::random()));
+        now < *until
+    }
+
+    /// Models with endpoints on older weights than the newest.
+    fn behind(&self) -> HashMap<id::Model, (u64, Vec<Member>)> {
+        let configuration = self.parts.configuration.borrow();
+        let endpoints = self.parts.endpoints.borrow();
+        let mut behind = HashMap::new();
+        for (model, named) in &configuration.named {
+            let Some((newest, _)) = named.newest() else {
+                continue;
+            };
+            let members = self.members(&endpoints, model);
+            if members.iter().any(|member| member.version < newest) {
+                behind.insert(model.clone(), (newest, members));
+            }
+        }
+        behind
+    }
+
+    fn members(&self, endpoints: &[Endpoint], model: &id::Model) -> Vec<Member> {
+        let own = endpoints
+            .iter()
+            .filter(|one| !one.leaving && one.weights.contains_key(model));
+        own.map(|one| {
+            let listed = one.weights.get(model).copied().unwrap_or(0);
+            let reported = self.loaded.get(&(one.id.clone(), model.clone()));
+            Member {
+                endpoint: one.id.clone(),
+                zone: one.zone.clone(),
+                version: reported.map_or(listed, |reported| listed.max(*reported)),
+            }
+        })
+        .collect()
+    }
+
+    fn plan(&mut self, behind: &HashMap<id::Model, (u64, Vec<Member>)>, now: Duration) -> bool {
+        self.rollouts.retain(|model, _| behind.contains_key(model));
+        for (model, (newest, members)) in behind {
+            let rollout = self.rollouts.entry(model.clone()).or_default();
+            rollout.plan(members, *newest, now);
+        }
+        self.announcement() != self.announced
+    }
+
+    fn announcement(&self) -> Announcement {
+        let mut away: Vec<String> = self
+            .rollouts
+            .values()
+            .flat_map(Rollout::away)
+            .map(|endpoint| endpoint.as_str().to_owned())
+            .collect();
+        away.sort_unstable();
+        let mut loaded: Vec<Loaded> = self
+            .loaded
+            .iter()
+            .map(|((endpoint, model), version)| Loaded {
+                endpoint: endpoint.as_str().to_owned(),
+                model: model.as_str().to_owned(),
+                version: *version,
+            })
+            .collect();
+        loaded.sort_unstable_by(|one, other| one.endpoint.cmp(&other.endpoint));
+        Announcement {
+            holder: self.parts.host.as_str().to_owned(),
+            away,
+            loaded,
+        }
+    }
+
+    /// Takes or renews the turn with what is to be announced.
+    async fn announce(&mut self) {
+        let Some(end) = self.parts.standing.borrow().end else {
+            return;
+        };
+        let at = self
+            .turn
+            .last_offset()
+            .map_or(end, |last| end.max(last + 1));
+        let announcement = self.announcement();
+        let value = serde_json::to_vec(&announcement).unwrap_or_default();
+        let sent = self.parts.clock.now();
+        let record = (KEY, value.as_slice());
+        let store = &self.parts.store;
+        let outcome = store
+            .append(&mut self.caller, Topic::Orders, Some(at), record)
+            .await;
+        let now = self.parts.clock.now();
+        match outcome {
+            Ok(offset) => {
+                if !self.turn.was_last() {
+                    log::info!(offset; "this host has the turn at giving orders");
+                }
+                self.turn.appended(offset, sent, now);
+                apply(&announcement, &self.parts.schedule);
+                self.announced = announcement;
+            }
+            Err(error) => {
+                self.wait_until = now + STORE_RETRY;
+                if !matches!(error, Error::Moved { .. }) {
+                    log::info!(error:%; "the turn was not renewed");
+                }
+            }
+        }
+    }
+
+    /// Gives the orders that are due, while this host has the turn.
+    fn order(&mut self, behind: &HashMap<id::Model, (u64, Vec<Member>)>) {
+        let now = self.parts.clock.now();
+        let Some(fence) = self.turn.fence(now) else {
+            return;
+        };
+        let configuration = self.parts.configuration.borrow().clone();
+        for (model, (newest, members)) in behind {
+            let Some(rollout) = self.rollouts.get_mut(model) else {
+                continue;
+            };
+            let named = configuration.named.get(model);
+            let learnt = named.and_then(|named| named.newest()).map(|(_, at)| at);
+            let is_pressed =
+                learnt.is_some_and(|at| at + self.parts.old_weights.mul_f64(BREAK_OFF_PART) <= now);
+            let actions = rollout.actions(members.len(), now);
+            for endpoint in &actions.order {
+                // Until the answer comes the endpoint counts as ordered.
+                rollout.answered(endpoint, Answer::Lost, now);
+            }
+            for endpoint in actions.order {
+                self.spawn_order(&endpoint, model, *newest, fence, is_pressed);
+            }
+            for endpoint in actions.check {
+                self.spawn_check(&endpoint, model);
+            }
+        }
+    }
+
+    fn address(&self, endpoint: &id::Endpoint) -> Option<SocketAddr> {
+        let endpoints = self.parts.endpoints.borrow();
+        let found = endpoints.iter().find(|one| one.id == *endpoint)?;
+        Some(found.address)
+    }
+
+    fn spawn_order(
+        &mut self,
+        endpoint: &id::Endpoint,
+        model: &id::Model,
+        version: u64,
+        fence: id::Fence,
+        breaks_off: bool,
+    ) {
+        let Some(address) = self.address(endpoint) else {
+            return;
+        };
+        log::info!(endpoint:%, model:%, version, fence = fence.0, breaks_off; "ordering weights");
+        let codec = self.parts.store.codec.clone();
+        let holder = self.parts.host.clone();
+        let (endpoint, model) = (endpoint.clone(), model.clone());
+        let sender = self.sender.clone();
+        self.calls.spawn(async move {
+            let report = report(&codec, address).await;
+            let order = Order {
+                endpoint: &endpoint,
+                model: &model,
+                version,
+                holder: &holder,
+                fence,
+                accepted_before: report.map(|report| report.accepted),
+                breaks_off,
+            };
+            let answered = give(&codec, address, &order).await;
+            if sender
+                .send(Event::Ordered(endpoint, model, answered))
+                .is_err()
+            {
+                log::debug!("the controller of orders has ended");
+            }
+        });
+    }
+
+    fn spawn_check(&mut self, endpoint: &id::Endpoint, model: &id::Model) {
+        let Some(address) = self.address(endpoint) else {
+            return;
+        };
+        let codec = self.parts.store.codec.clone();
+        let (endpoint, model) = (endpoint.clone(), model.clone());
+        let sender = self.sender.clone();
+        self.calls.spawn(async move {
+            let report = report(&codec, address).await;
+            if sender
+                .send(Event::Checked(endpoint, model, report))
+                .is_err()
+            {
+                log::debug!("the controller of orders has ended");
+            }
+        });
+    }
+
+    fn take(&mut self, event: Option<Event>) {
+        let now = self.parts.clock.now();
+        match event {
+            None => {}
+            Some(Event::Ordered(endpoint, model, answered)) => {
+                self.ordered(&endpoint, &model, answered, now);
+            }
+            Some(Event::Checked(endpoint, model, Some(report))) => {
+                self.checked(&endpoint, &model, &report, now);
+            }
+            Some(Event::Checked(endpoint, _, None)) => {
+                log::info!(endpoint:%; "an endpoint that loads gives no report");
+            }
+        }
+    }
+
+    fn ordered(
+        &mut self,
+        endpoint: &id::Endpoint,
+        model: &id::Model,
+        answered: Answered,
+        now: Duration,
+    ) {
+        match answered {
+            Answered::Fenced => {
+                log::info!(endpoint:%; "another host has given later orders");
+                self.parts.metrics.ordered("fenced");
+                self.turn.lost();
+            }
+            Answered::Step(answer) => {
+                log::info!(endpoint:%, answer:? = answer; "order answered");
+                self.parts.metrics.ordered(name(answer));
+                if let Some(rollout) = self.rollouts.get_mut(model) {
+                    rollout.answered(endpoint, answer, now);
+                }
+            }
+        }
+    }
+
+    fn checked(
+        &mut self,
+        endpoint: &id::Endpoint,
+        model: &id::Model,
+        report: &Report,
+        now: Duration,
+    ) {
+        let found = report.weights.iter().find(|(name, _)| name == model);
+        let version = found.map_or(0, |(_, version)| *version);
+        let key = (endpoint.clone(), model.clone());
+        let known = self.loaded.entry(key).or_default();
+        if version > *known {
+            log::info!(endpoint:%, version; "weights in place");
+            *known = version;
+        }
+        if !report.is_busy
+            && let Some(rollout) = self.rollouts.get_mut(model)
+        {
+            rollout.idle(endpoint, version, now);
+        }
+    }
+}
+
+async fn report<Platform>(codec: &Platform, address: SocketAddr) -> Option<Report>
+where
+    Platform: EndpointCodec,
+{
+    match call::once(address, codec.report(), CALL_TIMEOUT).await {
+        Ok(reply) => codec.decode_report(&reply),
+        Err(error) => {
+            log::info!(error:%; "no report");
+            None
+        }
+    }
+}
+
+async fn give<Platform>(codec: &Platform, address: SocketAddr, order: &Order<'_>) -> Answered
+where
+    Platform: EndpointCodec,
+{
+    match call::once(address, codec.order(order), CALL_TIMEOUT).await {
+        Ok(reply) => match codec.decode_order(reply.status) {
+            OrderReply::Accepted => Answered::Step(Answer::Accepted),
+            OrderReply::Holds => Answered::Step(Answer::Holds),
+            OrderReply::Busy | OrderReply::Rejected => Answered::Step(Answer::Busy),
+            OrderReply::Mismatched => Answered::Step(Answer::Gone),
+            OrderReply::Fenced => Answered::Fenced,
+        },
+        Err(call::Error::Unreachable { .. }) => Answered::Step(Answer::Gone),
+        Err(error) => {
+            log::info!(error:%; "an order's answer is lost");
+            Answered::Step(Answer::Lost)
+        }
+    }
+}
+
+const fn name(answer: Answer) -> &'static str {
+    match answer {
+        Answer::Accepted => "accepted",
+        Answer::Holds => "holds",
+        Answer::Busy => "busy",
+        Answer::Lost => "lost",
+        Answer::Gone => "gone",
+    }
+}
--- /dev/null
+++ b/crates/papayayard_gateway/src/pool.rs
@@ -0,0 +1,108 @@
+//! Connections to endpoints that are kept for further requests.
+//!
+//! An endpoint closes idle connections, at times without notice. A request
+//! that may run only once is not sent on a connection that has been idle for
+//! long, since a close that crosses it leaves open whether it ran.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use http::HeaderMap;
+
+use crate::clock::Clock;
+use crate::dial::Connection;
+
+/// Time for which an idle connection is kept where the endpoint states none.
+const IDLE: Duration = Duration::from_secs(2);
+/// Time before the stated end of an idle connection at which it is given up.
+const MARGIN: Duration = Duration::from_millis(1000);
+/// Longest idle time of a connection for requests that may run only once.
+const IDLE_FOR_ONCE: Duration = Duration::from_millis(400);
+/// Most idle connections to one address.
+const MOST_IDLE: usize = 16;
+
+/// Idle connections by address.
+#[derive(Clone)]
+pub(crate) struct Pool {
+    clock: Clock,
+    idle: Arc<Mutex<HashMap<SocketAddr, Vec<Idle>>>>,
+}
+
+struct Idle {
+    connection: Connection,
+    since: Duration,
+    until: Duration,
+}
+
+impl Pool {
+    /// An empty pool.
+    pub(crate) fn new(clock: Clock) -> Self {
+        Self {
+            clock,
+            idle: Arc::default(),
+        }
+    }
+
+    /// The connection to an address that was used last, if one is kept.
+    pub(crate) fn take(&self, address: SocketAddr, runs_once: bool) -> Option<Connection> {
+        let now = self.clock.now();
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let kept = idle.get_mut(&address)?;
+        while let Some(last) = kept.pop() {
+            let stale = last.until <= now || runs_once && last.since + IDLE_FOR_ONCE <= now;
+            if stale {
+                kept.clear();
+                return None;
+            }
+            if last.connection.sender.is_ready() {
+                return Some(last.connection);
+            }
+        }
+        None
+    }
+
+    /// Keeps a connection after a whole answer.
+    pub(crate) fn put(&self, address: SocketAddr, connection: Connection, headers: &HeaderMap) {
+        if connection.sender.is_closed() {
+            return;
+        }
+        let now = self.clock.now();
+        let time = stated_idle(headers).map_or(IDLE, |stated| stated.saturating_sub(MARGIN));
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let kept = idle.entry(address).or_default();
+        if kept.len() < MOST_IDLE {
+            kept.push(Idle {
+                connection,
+                since: now,
+                until: now + time,
+            });
+        }
+    }
+
+    /// Closes connections that have been idle for too long.
+    pub(crate) fn sweep(&self) {
+        let now = self.clock.now();
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.retain(|_, kept| {
+            kept.retain(|one| now < one.until && !one.connection.sender.is_closed());
+            !kept.is_empty()
+        });
+    }
+
+    /// Closes the idle connections to an address.
+    pub(crate) fn forget(&self, address: SocketAddr) {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.remove(&address);
+    }
+}
+
+/// The idle time that a `Keep-Alive` header states.
+fn stated_idle(headers: &HeaderMap) -> Option<Duration> {
+    let text = headers.get("keep-alive")?.to_str().ok()?;
+    let seconds = text
+        .split(',')
+        .find_map(|part| part.trim().strip_prefix("timeout="))?;
+    seconds.trim().parse().ok().map(Duration::from_secs)
+}
--- /dev/null
+++ b/crates/papayayard_gateway/src/pump.rs
@@ -0,0 +1,224 @@
+//! Passes a stream's events on as they come.
+//!
+//! Only whole events are passed on. Where a stream breaks off and its route
+//! allows it, another endpoint goes on after the last event that was passed
+//! on, inside the same answer; otherwise the answer breaks off as well. The
+//! task ends with the caller: its channel closes.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use papayayard_routing::placement::{Decision, Outcome, Placement};
+use papayayard_routing::table::Kind;
+use papayayard_wire::id;
+use tokio::sync::mpsc;
+use tokio::time;
+
+use crate::attempt::{Failure, Open};
+use crate::body::Broken;
+use crate::events::Splitter;
+use crate::exchange::Codec;
+use crate::job::Job;
+use crate::relay::{Relay, Tried};
+use crate::schedule::Permit;
+
+/// Silence after which a stream that can go on elsewhere does so.
+const PAUSE: Duration = Duration::from_millis(1100);
+/// Pieces that wait for a slow caller.
+const CHANNEL: usize = 4;
+
+/// One run of a stream at an endpoint.
+pub(crate) struct Run {
+    /// Where it runs.
+    pub(crate) placement: Placement,
+    /// The answer.
+    pub(crate) open: Open,
+    /// Leave to use the endpoint.
+    pub(crate) permit: Permit,
+}
+
+/// Starts passing on; the receiver gets the pieces.
+pub(crate) fn start<Platform>(
+    relay: Relay<Platform>,
+    job: Job,
+    run: Run,
+    tried: Tried,
+) -> mpsc::Receiver<Result<Bytes, Broken>>
+where
+    Platform: Codec,
+{
+    let (sender, receiver) = mpsc::channel(CHANNEL);
+    let pump = Pump {
+        splitter: Splitter::after(job.position),
+        relay,
+        job,
+        tried,
+        pieces: sender,
+        has_begun: false,
+    };
+    tokio::spawn(pump.run(run));
+    receiver
+}
+
+struct Pump<Platform> {
+    relay: Relay<Platform>,
+    job: Job,
+    tried: Tried,
+    pieces: mpsc::Sender<Result<Bytes, Broken>>,
+    splitter: Splitter,
+    has_begun: bool,
+}
+
+/// How one run of a stream ended.
+enum End {
+    Whole,
+    Left,
+    Late,
+    Broken(Failure),
+}
+
+impl<Platform> Pump<Platform>
+where
+    Platform: Codec,
+{
+    async fn run(mut self, mut run: Run) {
+        loop {
+            let end = self.pass(&mut run).await;
+            let Run {
+                placement,
+                open,
+                permit,
+            } = run;
+            match end {
+                End::Whole => {
+                    self.relay
+                        .sender
+                        .keep(&placement, open.connection, &open.head.headers);
+                    permit.end(Outcome::Whole);
+                    return;
+                }
+                End::Left => return,
+                End::Late => {
+                    log::info!(request:% = self.job.id, endpoint:% = placement.endpoint; "stream cut at its deadline");
+                    self.break_off().await;
+                    return;
+                }
+                End::Broken(failure) => {
+                    drop(open);
+                    permit.end(failure.outcome());
+                    log::info!(
+                        request:% = self.job.id, endpoint:% = placement.endpoint,
+                        reason = failure.as_str(), position = self.splitter.position().unwrap_or(0);
+                        "stream broke off"
+                    );
+                    let Some(next) = self.go_on(&placement.endpoint).await else {
+                        self.break_off().await;
+                        return;
+                    };
+                    run = next;
+                }
+            }
+        }
+    }
+
+    /// Passes one run's events on.
+    async fn pass(&mut self, run: &mut Run) -> End {
+        let can_go_on = self.can_go_on();
+        loop {
+            let left = self.job.deadline.saturating_sub(self.relay.clock.now());
+            let patience = if can_go_on { PAUSE.min(left) } else { left };
+            let frame = tokio::select! {
+                () = self.pieces.closed() => return End::Left,
+                frame = time::timeout(patience, run.open.body.frame()) => frame,
+            };
+            let data = match frame {
+                Err(_) if patience == left => return End::Late,
+                Err(_) => return End::Broken(Failure::Silent),
+                Ok(None) if self.splitter.is_at_boundary() => return End::Whole,
+                Ok(None | Some(Err(_))) => return End::Broken(Failure::Broken),
+                Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
+            };
+            let Ok(events) = self.splitter.push(&data) else {
+                return End::Broken(Failure::Foreign);
+            };
+            if events.is_empty() {
+                continue;
+            }
+            if !self.has_begun {
+                self.has_begun = true;
+                self.relay.first_event(&self.job);
+            }
+            run.permit.begun();
+            if self.pieces.send(Ok(events)).await.is_err() {
+                return End::Left;
+            }
+        }
+    }
+
+    fn can_go_on(&self) -> bool {
+        matches!(self.job.route.kind, Kind::Stream { resumable: true })
+            && self.tried.runs < self.job.route.attempts
+    }
+
+    /// Another run, after the last event that was passed on.
+    async fn go_on(&mut self, failed: &id::Endpoint) -> Option<Run> {
+        self.tried.endpoints.push(failed.clone());
+        let position = self.splitter.position();
+        while self.can_go_on() && self.relay.may_repeat(&self.job) {
+            let decision = self
+                .relay
+                .schedule
+                .place(self.job.ask(&self.tried.endpoints))
+                .await;
+            let Decision::Placed(placement) = decision else {
+                return None;
+            };
+            let permit = self.relay.schedule.permit(&placement);
+            let patience = self.relay.patience(&self.job, &placement, &self.tried);
+            let sent = self
+                .relay
+                .sender
+                .send(&self.job, &placement, position, patience);
+            let sent = tokio::select! {
+                () = self.pieces.closed() => return None,
+                sent = sent => sent,
+            };
+            match sent {
+                Ok(open) if open.head.status.is_success() => {
+                    self.tried.runs += 1;
+                    self.splitter = Splitter::after(position);
+                    log::info!(
+                        request:% = self.job.id, endpoint:% = placement.endpoint,
+                        position = position.unwrap_or(0);
+                        "stream goes on elsewhere"
+                    );
+                    return Some(Run {
+                        placement,
+                        open,
+                        permit,
+                    });
+                }
+                Ok(_) => {
+                    self.tried.runs += 1;
+                    self.tried.endpoints.push(placement.endpoint.clone());
+                }
+                Err(failure) => {
+                    if !failure.is_not_run() {
+                        self.tried.runs += 1;
+                    }
+                    self.tried.endpoints.push(placement.endpoint.clone());
+                    permit.end(failure.outcome());
+                }
+            }
+        }
+        None
+    }
+
+    async fn break_off(&self) {
+        self.relay.broken(&self.job);
+        if self.pieces.send(Err(Broken)).await.is_err() {
+            log::debug!(request:% = self.job.id; "the caller has left");
+        }
+    }
+}
--- /dev/null
+++ b/crates/papayayard_gateway/src/relay.rs
@@ -0,0 +1,468 @@
+//! Serves one request: finds its route, account and endpoint, sends it there,
+//! and decides what follows a failure.
+
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::FutureExt;
+use http::{Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use papayayard_routing::placement::{Decision, Outcome, Placement, Refused};
+use papayayard_routing::repeat;
+use papayayard_routing::table::{Account, Limits, Table};
+use papayayard_wire::id;
+use papayayard_wire::refusal::Kind;
+use tokio::sync::watch;
+use tokio::time;
+
+use crate::attempt::{self, Failure, Sender};
+use crate::beliefs::{Configuration, Word};
+use crate::body::Body;
+use crate::clock::Clock;
+use crate::exchange::{Arrival, Codec};
+use crate::hop;
+use crate::job::Job;
+use crate::metrics::Metrics;
+use crate::pump;
+use crate::refusal::Refusal;
+use crate::schedule;
+
+/// Most bytes of an answer that are read before it is passed on.
+const WHOLE_ANSWER: usize = 1 << 20;
+/// Time to come back when this host knows too little to serve.
+const UNREADY_RETRY: Duration = Duration::from_millis(300);
+/// Part of a bound after which keys are refused for want of news; the rest
+/// covers the way to the endpoint.
+const WORD_PART: f64 = 0.86;
+/// Times the expected time to a first event, after which it is asked elsewhere.
+const PATIENCE_FACTOR: u32 = 3;
+/// Shortest time after which a silent endpoint is given up.
+const LEAST_PATIENCE: Duration = Duration::from_millis(900);
+/// Time for an answer of a plain service, as a multiple of its target.
+const PLAIN_PATIENCE: f64 = 2.0;
+
+/// Serves requests.
+#[derive(Clone)]
+pub(crate) struct Relay<Platform> {
+    /// Sends requests to endpoints.
+    pub(crate) sender: Sender<Platform>,
+    /// Clock.
+    pub(crate) clock: Clock,
+    /// Scheduler.
+    pub(crate) schedule: schedule::Handle,
+    /// Configuration in force.
+    pub(crate) configuration: watch::Receiver<Configuration>,
+    /// Age of the newest reading.
+    pub(crate) word: watch::Receiver<Word>,
+    /// Bound on the age of a reading for requests with a key.
+    pub(crate) revocation: Option<Duration>,
+    /// Number of hosts.
+    pub(crate) hosts: watch::Receiver<usize>,
+    /// Repeats that are left.
+    pub(crate) budget: Arc<Mutex<repeat::Budget>>,
+    /// Counters.
+    pub(crate) metrics: Metrics,
+}
+
+/// Where a request has been.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Tried {
+    /// Endpoints that failed it.
+    pub(crate) endpoints: Vec<id::Endpoint>,
+    /// Endpoints that may have run it.
+    pub(crate) runs: u32,
+}
+
+/// What follows an attempt.
+enum Next {
+    /// The caller gets this.
+    Answer(Response<Body>),
+    /// It failed in this way.
+    Failed(Failure),
+    /// The endpoint ran it and answered with an error.
+    Error(Response<Body>),
+}
+
+impl<Platform> Relay<Platform>
+where
+    Platform: Codec,
+{
+    /// Serves a request.
+    pub(crate) async fn serve(&self, request: Request<Incoming>) -> Response<Body> {
+        let received = self.clock.now();
+        let (head, body) = request.into_parts();
+        let arrival = match self.sender.codec.arrival(&head.headers) {
+            Ok(arrival) => arrival,
+            Err(error) => {
+                log::info!(error:%; "request cannot be read");
+                let refusal = Refusal::not_run(Kind::BadRequest, "a header cannot be read");
+                return self.refuse(None, &refusal);
+            }
+        };
+        let id = arrival.id.clone();
+        match self.admit(head, body, arrival, received).await {
+            Ok(job) => self.run(job).await,
+            Err(refusal) => self.refuse(id.as_ref(), &refusal),
+        }
+    }
+
+    async fn admit(
+        &self,
+        head: http::request::Parts,
+        body: Incoming,
+        arrival: Arrival,
+        received: Duration,
+    ) -> Result<Job, Refusal> {
+        let Some(id) = arrival.id else {
+            return Err(Refusal::not_run(Kind::BadRequest, "the request has no id"));
+        };
+        let table = self.table()?;
+        let host = head
+            .headers
+            .get(header::HOST)
+            .and_then(|value| value.to_str().ok())
+            .or_else(|| head.uri.host())
+            .unwrap_or_default();
+        let route = table.route(host, head.uri.path()).cloned();
+        let route = route.ok_or(Refusal::not_run(Kind::NotFound, "no route for this path"))?;
+        let account = if route.public {
+            None
+        } else {
+            self.account(&table, arrival.key.as_deref())?
+        };
+        let service = route.service(&id).cloned();
+        let service = service.ok_or(Refusal::not_run(
+            Kind::NoEndpoint,
+            "the route sends to no service",
+        ))?;
+        let patience = arrival.patience.unwrap_or(route.timeout);
+        let limit = table.limits.body_bytes;
+        let body = read_body(body, limit, route.timeout).await?;
+        self.lock_budget().requested(&service, received);
+        self.metrics.requested(&route.name);
+        let mut headers = head.headers;
+        hop::strip(&mut headers);
+        headers.remove(header::EXPECT);
+        Ok(Job {
+            id,
+            method: head.method,
+            uri: origin_form(&head.uri),
+            headers,
+            body,
+            service,
+            account,
+            prompt: arrival.prompt.map(Arc::new),
+            position: arrival.position,
+            target: received + route.target_latency,
+            deadline: received + patience.min(route.timeout),
+            route,
+        })
+    }
+
+    /// Bounds on what callers send.
+    pub(crate) fn limits(&self) -> Limits {
+        let configuration = self.configuration.borrow();
+        let table = configuration.table.as_ref();
+        table.map_or_else(Limits::default, |table| table.limits)
+    }
+
+    fn table(&self) -> Result<Arc<Table>, Refusal> {
+        let known = self.configuration.borrow().table.clone();
+        known.ok_or(
+            Refusal::not_run(Kind::NotReady, "this host has no configuration yet")
+                .after(UNREADY_RETRY),
+        )
+    }
+
+    fn account(&self, table: &Table, key: Option<&str>) -> Result<Option<Arc<Account>>, Refusal> {
+        if !table.accounts.are_required() {
+            return Ok(None);
+        }
+        self.check_word()?;
+        let account = key.and_then(|key| table.accounts.find(key));
+        let account = account.ok_or(Refusal::not_run(
+            Kind::Unauthorized,
+            "no client account has this key",
+        ))?;
+        Ok(Some(Arc::clone(account)))
+    }
+
+    /// Refuses requests with a key while a withdrawal may have been missed.
+    fn check_word(&self) -> Result<(), Refusal> {
+        let Some(bound) = self.revocation else {
+            return Ok(());
+        };
+        let bound = bound.mul_f64(WORD_PART);
+        let is_fresh = self
+            .word
+            .borrow()
+            .is_some_and(|asked| self.clock.now() < asked + bound);
+        if is_fresh {
+            return Ok(());
+        }
+        let message = "this host cannot tell whether the key still holds; try another host";
+        Err(Refusal::not_run(Kind::NotReady, message).after(UNREADY_RETRY))
+    }
+
+    async fn run(&self, job: Job) -> Response<Body> {
+        let mut tried = Tried::default();
+        let mut error = None;
+        loop {
+            if job.account.is_some()
+                && let Err(refusal) = self.check_word()
+            {
+                return self.give_up(&job, &tried, error, &refusal);
+            }
+            let placement = match self.place(&job, &tried).await {
+                Ok(placement) => placement,
+                Err(refusal) => return self.give_up(&job, &tried, error, &refusal),
+            };
+            let endpoint = placement.endpoint.clone();
+            let next = self.attempt(&job, placement, &tried).await;
+            let failure = match next {
+                Next::Answer(response) => return response,
+                Next::Error(response) => {
+                    tried.runs += 1;
+                    error = Some(response);
+                    None
+                }
+                Next::Failed(failure) => {
+                    if !failure.is_not_run() {
+                        tried.runs += 1;
+                    }
+                    Some(failure)
+                }
+            };
+            let reason = failure.map_or("error", Failure::as_str);
+            log::info!(request:% = job.id, endpoint:% = endpoint, reason; "attempt failed");
+            tried.endpoints.push(endpoint);
+            if !self.may_go_on(&job, &tried, reason) {
+                let refusal = Refusal::not_run(Kind::Overloaded, "the endpoints refused")
+                    .after(UNREADY_RETRY);
+                return self.give_up(&job, &tried, error, &refusal);
+            }
+        }
+    }
+
+    async fn place(&self, job: &Job, tried: &Tried) -> Result<Placement, Refusal> {
+        match self.schedule.place(job.ask(&tried.endpoints)).await {
+            Decision::Placed(placement) => {
+                log::info!(
+                    request:% = job.id, service:% = job.service, endpoint:% = placement.endpoint,
+                    version = placement.version.unwrap_or(0),
+                    expected_ms = millis(placement.first_event),
+                    fetch = placement.fetch.is_some(), save = placement.save.is_some(),
+                    attempt = tried.endpoints.len();
+                    "placed"
+                );
+                Ok(placement)
+            }
+            Decision::Refused { why, retry_after } => {
+                let (kind, message) = match why {
+                    Refused::NoEndpoint => (Kind::NoEndpoint, "the service has no endpoint"),
+                    Refused::Overloaded => (Kind::Overloaded, "all endpoints are full"),
+                    Refused::AllTried => (Kind::Overloaded, "all endpoints refused"),
+                };
+                Err(Refusal::not_run(kind, message).after(retry_after))
+            }
+        }
+    }
+
+    /// Whether another endpoint may be asked.
+    fn may_go_on(&self, job: &Job, tried: &Tried, reason: &'static str) -> bool {
+        let may_run_again =
+            tried.runs == 0 || (job.route.kind.is_repeatable() && tried.runs < job.route.attempts);
+        let is_in_time = self.clock.now() < job.deadline;
+        let goes_on = may_run_again && is_in_time && self.may_repeat(job);
+        if goes_on {
+            self.metrics.repeated(reason);
+        }
+        goes_on
+    }
+
+    /// Takes leave to send a request once more.
+    pub(crate) fn may_repeat(&self, job: &Job) -> bool {
+        let hosts = *self.hosts.borrow();
+        let now = self.clock.now();
+        let allowed = self.lock_budget().spend(&job.service, hosts, now);
+        if !allowed {
+            log::info!(request:% = job.id, service:% = job.service; "no repeat is left");
+        }
+        allowed
+    }
+
+    fn lock_budget(&self) -> std::sync::MutexGuard<'_, repeat::Budget> {
+        self.budget.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The last word to the caller: an endpoint's own error goes first, and
+    /// only what certainly did not run is called so.
+    fn give_up(
+        &self,
+        job: &Job,
+        tried: &Tried,
+        error: Option<Response<Body>>,
+        refusal: &Refusal,
+    ) -> Response<Body> {
+        if let Some(response) = error {
+            return response;
+        }
+        if tried.runs == 0 {
+            return self.refuse(Some(&job.id), refusal);
+        }
+        let failed = if self.clock.now() < job.deadline {
+            Refusal::unknown(Kind::EndpointFailed, "the endpoint failed")
+        } else {
+            Refusal::unknown(Kind::DeadlinePassed, "no answer came in time")
+        };
+        self.refuse(Some(&job.id), &failed)
+    }
+
+    /// Time that an endpoint is given before another is asked.
+    pub(crate) fn patience(&self, job: &Job, placement: &Placement, tried: &Tried) -> Duration {
+        let left = job.deadline.saturating_sub(self.clock.now());
+        let is_last = tried.runs + 1 >= job.route.attempts;
+        if is_last || !job.route.kind.is_repeatable() {
+            return left;
+        }
+        let patience = if job.route.kind.is_stream() {
+            (placement.first_event * PATIENCE_FACTOR).max(LEAST_PATIENCE)
+        } else {
+            job.route.target_latency.mul_f64(PLAIN_PATIENCE)
+        };
+        patience.min(left)
+    }
+
+    async fn attempt(&self, job: &Job, placement: Placement, tried: &Tried) -> Next {
+        let permit = self.schedule.permit(&placement);
+        let patience = self.patience(job, &placement, tried);
+        let sent = self.sender.send(job, &placement, job.position, patience);
+        let open = match sent.await {
+            Ok(open) => open,
+            Err(failure) => {
+                permit.end(failure.outcome());
+                return Next::Failed(failure);
+            }
+        };
+        if job.route.kind.is_stream() && open.head.status.is_success() {
+            let run = pump::Run {
+                placement,
+                open,
+                permit,
+            };
+            return Next::Answer(self.stream(job, run, tried));
+        }
+        match self.whole(job, &placement, open).await {
+            Ok(response) => {
+                let status = response.status();
+                let is_error = status.is_server_error() && status != StatusCode::GATEWAY_TIMEOUT;
+                permit.end(Outcome::Whole);
+                if is_error && job.route.kind.is_repeatable() {
+                    return Next::Error(response);
+                }
+                Next::Answer(response)
+            }
+            Err(failure) => {
+                permit.end(failure.outcome());
+                Next::Failed(failure)
+            }
+        }
+    }
+
+    fn stream(&self, job: &Job, run: pump::Run, tried: &Tried) -> Response<Body> {
+        let status = run.open.head.status;
+        let mut headers = run.open.head.headers.clone();
+        hop::strip(&mut headers);
+        headers.remove(header::CONTENT_LENGTH);
+        let mut tried = tried.clone();
+        tried.runs += 1;
+        let pieces = pump::start(self.clone(), job.clone(), run, tried);
+        let mut response = Response::new(Body::Pieces(pieces));
+        *response.status_mut() = status;
+        *response.headers_mut() = headers;
+        response
+    }
+
+    /// Reads a whole answer before any of it is passed on, so that one that
+    /// breaks off can still be asked for elsewhere.
+    async fn whole(
+        &self,
+        job: &Job,
+        placement: &Placement,
+        open: attempt::Open,
+    ) -> Result<Response<Body>, Failure> {
+        let left = job.deadline.saturating_sub(self.clock.now());
+        let body = Limited::new(open.body, WHOLE_ANSWER).collect();
+        let body = match time::timeout(left, body).await {
+            Err(_) => return Err(Failure::Silent),
+            Ok(Err(_)) => return Err(Failure::Broken),
+            Ok(Ok(body)) => body.to_bytes(),
+        };
+        let mut headers = open.head.headers;
+        self.sender.keep(placement, open.connection, &headers);
+        hop::strip(&mut headers);
+        if !attempt::has_no_body(&job.method) {
+            headers.remove(header::CONTENT_LENGTH);
+        }
+        let mut response = Response::new(Body::Whole(body));
+        *response.status_mut() = open.head.status;
+        *response.headers_mut() = headers;
+        self.metrics.answered(open.head.status);
+        Ok(response)
+    }
+
+    /// Notes a stream's first event.
+    pub(crate) fn first_event(&self, job: &Job) {
+        let received = job.target.saturating_sub(job.route.target_latency);
+        let time = self.clock.now().saturating_sub(received);
+        self.metrics.first_event(time);
+        log::info!(request:% = job.id, first_event_ms = millis(time); "first event");
+    }
+
+    /// Notes a stream that the caller gets no end of.
+    pub(crate) fn broken(&self, job: &Job) {
+        self.metrics.refused(Kind::EndpointFailed);
+        log::info!(request:% = job.id; "stream ends broken");
+    }
+
+    fn refuse(&self, request: Option<&id::Request>, refusal: &Refusal) -> Response<Body> {
+        self.metrics.refused(refusal.kind);
+        let request = request.map_or("", id::Request::as_str);
+        let retry_ms = refusal.retry_after.map_or(0, millis);
+        log::info!(request, kind = refusal.kind.as_str(), retry_ms; "refused: {}", refusal.message);
+        refusal.response()
+    }
+}
+
+async fn read_body(body: Incoming, limit: usize, time: Duration) -> Result<Bytes, Refusal> {
+    let whole = Limited::new(body, limit).collect().map(|outcome| {
+        outcome
+            .map(http_body_util::Collected::to_bytes)
+            .map_err(|error| {
+                if error.is::<http_body_util::LengthLimitError>() {
+                    Refusal::not_run(Kind::TooLarge, "the body is too large")
+                } else {
+                    Refusal::not_run(Kind::BadRequest, "the body broke off")
+                }
+            })
+    });
+    match time::timeout(time, whole).await {
+        Ok(outcome) => outcome,
+        Err(_) => Err(Refusal::not_run(
+            Kind::SlowRequest,
+            "the body took too long; send it faster",
+        )),
+    }
+}
+
+/// Path and query alone, as endpoints are asked.
+fn origin_form(uri: &http::Uri) -> http::Uri {
+    let path = uri.path_and_query().cloned();
+    path.map_or_else(http::Uri::default, http::Uri::from)
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/papayayard_gateway/src/schedule.rs
@@ -0,0 +1,227 @@
+//! The task that owns the scheduler.
+//!
+//! Requests ask it for an endpoint and wait for its answer; controllers tell
+//! it what they learn. A request whose caller leaves drops its permit or its
+//! place in the queue, and the task takes that into account.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use papayayard_routing::placement::{
+    Ask, Decision, Endpoint, Outcome, Placement, Scheduler, Ticket, Waiting,
+};
+use papayayard_routing::prompt;
+use papayayard_routing::table::Table;
+use papayayard_routing::weights::Named;
+use papayayard_wire::id;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time;
+
+use crate::clock::Clock;
+
+/// Period in which waiting requests are looked at.
+const TICK: Duration = Duration::from_millis(20);
+/// Ticks between looks at endpoints that are silent.
+const TICKS_PER_CHECK: u32 = 10;
+
+/// Holder of cached parts.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) enum Holder {
+    /// An endpoint.
+    Endpoint(id::Endpoint),
+    /// The store of cached prompts.
+    Store,
+}
+
+/// What the task is told.
+pub(crate) enum Message {
+    /// A request wants an endpoint.
+    Ask(Box<Ask>, oneshot::Sender<Decision>),
+    /// A request's first event has come.
+    Begun(Ticket),
+    /// A placed request has ended.
+    Finished(Ticket, Outcome),
+    /// The routing table.
+    Table(Arc<Table>),
+    /// Named versions of weights.
+    Named(HashMap<id::Model, Named>),
+    /// The list of endpoints.
+    Endpoints(Vec<Endpoint>),
+    /// Number of hosts.
+    Hosts(usize),
+    /// Endpoints that load weights.
+    Loading(Vec<id::Endpoint>),
+    /// An endpoint has loaded a version.
+    Loaded(id::Endpoint, id::Model, u64),
+    /// Parts of which a holder keeps other amounts than before.
+    Told(Holder, Vec<(prompt::Key, u32)>),
+    /// A holder keeps nothing that is known.
+    Forget(Holder),
+}
+
+/// Sends messages to the task.
+#[derive(Clone)]
+pub(crate) struct Handle(mpsc::UnboundedSender<Message>);
+
+impl Handle {
+    /// Tells the task something; it ends only with the process.
+    pub(crate) fn tell(&self, message: Message) {
+        if self.0.send(message).is_err() {
+            log::error!("the scheduler's task has ended; restart the host");
+        }
+    }
+
+    /// Waits for an endpoint.
+    pub(crate) async fn place(&self, ask: Ask) -> Decision {
+        let (reply, decision) = oneshot::channel();
+        self.tell(Message::Ask(Box::new(ask), reply));
+        decision.await.unwrap_or(Decision::Refused {
+            why: papayayard_routing::placement::Refused::NoEndpoint,
+            retry_after: Duration::ZERO,
+        })
+    }
+
+    /// A permit for a placed request.
+    pub(crate) fn permit(&self, placement: &Placement) -> Permit {
+        Permit {
+            handle: self.clone(),
+            ticket: placement.ticket,
+            outcome: Outcome::Abandoned,
+        }
+    }
+}
+
+/// Leave to use an endpoint, given back when it is dropped.
+pub(crate) struct Permit {
+    handle: Handle,
+    ticket: Ticket,
+    outcome: Outcome,
+}
+
+impl Permit {
+    /// Notes that the first event has come.
+    pub(crate) fn begun(&self) {
+        self.handle.tell(Message::Begun(self.ticket));
+    }
+
+    /// Gives the permit back with an outcome.
+    pub(crate) fn end(mut self, outcome: Outcome) {
+        self.outcome = outcome;
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        let message = Message::Finished(self.ticket, self.outcome);
+        self.handle.tell(message);
+    }
+}
+
+/// Starts the task; it ends when all handles are gone.
+pub(crate) fn start(scheduler: Scheduler, clock: Clock) -> Handle {
+    let (sender, messages) = mpsc::unbounded_channel();
+    let task = Task {
+        scheduler,
+        clock,
+        replies: HashMap::new(),
+    };
+    tokio::spawn(task.run(messages));
+    Handle(sender)
+}
+
+struct Task {
+    scheduler: Scheduler,
+    clock: Clock,
+    replies: HashMap<Waiting, oneshot::Sender<Decision>>,
+}
+
+impl Task {
+    async fn run(mut self, mut messages: mpsc::UnboundedReceiver<Message>) {
+        let mut ticks = 0_u32;
+        let mut interval = time::interval(TICK);
+        interval.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+        let mut check = time::interval(TICK * TICKS_PER_CHECK);
+        check.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                message = messages.recv() => {
+                    let Some(message) = message else { return };
+                    self.take(message);
+                    while let Ok(message) = messages.try_recv() {
+                        self.take(message);
+                    }
+                }
+                _ = interval.tick(), if self.scheduler.has_waiting() => {
+                    ticks = ticks.wrapping_add(1);
+                }
+                _ = check.tick() => self.scheduler.check_silence(self.clock.now()),
+            }
+            self.decide();
+        }
+    }
+
+    fn take(&mut self, message: Message) {
+        let now = self.clock.now();
+        let scheduler = &mut self.scheduler;
+        match message {
+            Message::Ask(ask, reply) => {
+                let waiting = scheduler.ask(*ask, now);
+                self.replies.insert(waiting, reply);
+            }
+            Message::Begun(ticket) => scheduler.begun(ticket, now),
+            Message::Finished(ticket, outcome) => scheduler.finished(ticket, outcome, now),
+            Message::Table(table) => scheduler.set_table(table),
+            Message::Named(named) => scheduler.set_named(named),
+            Message::Endpoints(list) => scheduler.set_endpoints(&list, now),
+            Message::Hosts(hosts) => scheduler.set_hosts(hosts),
+            Message::Loading(endpoints) => scheduler.set_loading(&endpoints, now),
+            Message::Loaded(endpoint, model, version) => {
+                scheduler.loaded(&endpoint, &model, version);
+            }
+            Message::Told(holder, parts) => self.told(&holder, &parts),
+            Message::Forget(Holder::Endpoint(endpoint)) => scheduler.forget(&endpoint),
+            Message::Forget(Holder::Store) => scheduler.forget_store(),
+        }
+    }
+
+    fn told(&mut self, holder: &Holder, parts: &[(prompt::Key, u32)]) {
+        for (key, tokens) in parts {
+            match holder {
+                Holder::Endpoint(endpoint) => self.scheduler.told(endpoint, *key, *tokens),
+                Holder::Store => self.scheduler.store_told(*key, *tokens),
+            }
+        }
+    }
+
+    fn decide(&mut self) {
+        if !self.scheduler.has_waiting() {
+            return;
+        }
+        self.forget_left();
+        let now = self.clock.now();
+        for (waiting, decision) in self.scheduler.decide(now) {
+            let Some(reply) = self.replies.remove(&waiting) else {
+                continue;
+            };
+            if let Err(Decision::Placed(placement)) = reply.send(decision) {
+                self.scheduler
+                    .finished(placement.ticket, Outcome::Abandoned, now);
+            }
+        }
+    }
+
+    /// Forgets waiting requests whose callers have left.
+    fn forget_left(&mut self) {
+        let left: Vec<Waiting> = self
+            .replies
+            .iter()
+            .filter(|(_, reply)| reply.is_closed())
+            .map(|(waiting, _)| *waiting)
+            .collect();
+        for waiting in left {
+            self.replies.remove(&waiting);
+            self.scheduler.withdraw(waiting);
+        }
+    }
+}
--- /dev/null
+++ b/crates/papayayard_gateway/src/settings.rs
@@ -0,0 +1,174 @@
+//! Settings of a host that serves routes.
+
+use std::fs;
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use papayayard_document::fault;
+use papayayard_document::reader::{Fields, Place, Reader};
+use papayayard_document::rule;
+use papayayard_routing::repeat;
+use papayayard_wire::id;
+use snafu::{ResultExt, Snafu};
+
+/// Longest duration that a setting may have, in ms.
+const MOST_MS: f64 = 3_600_000.0;
+
+/// Settings of a host.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Name of the host.
+    pub host: id::Host,
+    /// Zone that the host is in.
+    pub zone: id::Zone,
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address for operators and health checks.
+    pub operators: SocketAddr,
+    /// Address of the platform's store.
+    pub store: SocketAddr,
+    /// Bounds that the host keeps to.
+    pub bounds: Bounds,
+}
+
+/// Bounds that a host keeps to.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// Time within which a key that was taken away is refused.
+    pub revocation: Option<Duration>,
+    /// Time for which requests may begin on older weights.
+    pub old_weights: Duration,
+    /// Time between orders of different hosts.
+    pub lease: Duration,
+    /// Time from a stop's signal to its end.
+    pub stop: Duration,
+    /// Repeats of requests.
+    pub repeats: repeat::Bounds,
+}
+
+/// Why settings cannot be used.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// The file cannot be read.
+    #[snafu(display("cannot read {}: {source}; check the path", path.display()))]
+    Read {
+        /// Path of the file.
+        path: PathBuf,
+        /// What the system reported.
+        source: io::Error,
+    },
+    /// The text has faults.
+    #[snafu(display("{} cannot be used:\n{}", path.display(), fault::lines(faults)))]
+    Invalid {
+        /// Path of the file.
+        path: PathBuf,
+        /// All of them.
+        faults: Vec<fault::Fault>,
+    },
+}
+
+/// Reads settings from a YAML file.
+pub fn read(path: &Path) -> Result<Settings, Error> {
+    let text = fs::read_to_string(path).context(ReadSnafu { path })?;
+    parse(&text).map_err(|faults| Error::Invalid {
+        path: path.to_owned(),
+        faults,
+    })
+}
+
+/// Reads settings from a YAML text.
+pub fn parse(text: &str) -> Result<Settings, Vec<fault::Fault>> {
+    Reader::read(text, settings)
+}
+
+fn settings(reader: &mut Reader, place: &Place<'_>) -> Option<Settings> {
+    let mut fields = reader.fields(place)?;
+    let host = fields.required(reader, "host", rule::name);
+    let zone = fields.required(reader, "zone", rule::name);
+    let listen = fields.required(reader, "listen", listen);
+    let store = fields.required(reader, "store", Reader::address);
+    let bounds = fields.required(reader, "bounds", bounds);
+    fields.close(reader);
+    let (callers, operators) = listen?;
+    Some(Settings {
+        host: host?,
+        zone: zone?,
+        callers,
+        operators,
+        store: store?,
+        bounds: bounds?,
+    })
+}
+
+fn listen(reader: &mut Reader, place: &Place<'_>) -> Option<(SocketAddr, SocketAddr)> {
+    let mut fields = reader.fields(place)?;
+    let callers = fields.required(reader, "callers", Reader::address);
+    let operators = fields.required(reader, "operators", Reader::address);
+    fields.close(reader);
+    Some((callers?, operators?))
+}
+
+fn bounds(reader: &mut Reader, place: &Place<'_>) -> Option<Bounds> {
+    let mut fields = reader.fields(place)?;
+    let strict = fields.optional(reader, "strict_revocation", false, Reader::flag);
+    let revocation = duration(reader, &mut fields, "revocation_ms", Duration::from_secs(5));
+    let old_weights = duration(
+        reader,
+        &mut fields,
+        "old_weights_ms",
+        Duration::from_mins(1),
+    );
+    let lease = duration(reader, &mut fields, "lease_ms", Duration::from_secs(3));
+    let stop = duration(reader, &mut fields, "stop_ms", Duration::from_secs(8));
+    let window = duration(
+        reader,
+        &mut fields,
+        "repeat_window_ms",
+        Duration::from_secs(10),
+    );
+    let ratio = fields.optional(reader, "repeat_ratio", 0.1, |reader, place| {
+        decimal(reader, place, 10.0)
+    });
+    let slack = fields.optional(reader, "repeat_slack", 10.0, |reader, place| {
+        decimal(reader, place, 1e6)
+    });
+    fields.close(reader);
+    Some(Bounds {
+        revocation: revocation.filter(|_| strict == Some(true)),
+        old_weights: old_weights?,
+        lease: lease?,
+        stop: stop?,
+        repeats: repeat::Bounds {
+            ratio: ratio?,
+            slack: slack?,
+            window: window?,
+        },
+    })
+}
+
+fn duration(
+    reader: &mut Reader,
+    fields: &mut Fields<'_>,
+    key: &'static str,
+    default: Duration,
+) -> Option<Duration> {
+    fields.optional(reader, key, default, |reader, place| {
+        let ms = decimal(reader, place, MOST_MS)?;
+        Some(Duration::from_secs_f64(ms / 1000.0))
+    })
+}
+
+/// A number from 0 to a bound, with or without a fraction.
+fn decimal(reader: &mut Reader, place: &Place<'_>, most: f64) -> Option<f64> {
+    let text = reader.text(place)?;
+    match text.parse::<f64>() {
+        Ok(number) if (0.0..=most).contains(&number) => Some(number),
+        _ => {
+            let remedy = format!("write a number from 0 to {most}");
+            reader.fault(place, format!("{text:?} is no such number"), remedy);
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/papayayard_routing/src/listing.rs
@@ -0,0 +1,90 @@
+//! The list of endpoints, folded from the records that they write.
+//!
+//! A record stands until its key is dropped. While the store of records is
+//! away, records lapse there although their endpoints live, and are written
+//! again soon after its return; so what is missing right after an outage is
+//! kept for a moment before it counts as gone.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use papayayard_wire::id;
+
+use crate::placement::Endpoint;
+
+/// Time without a reading after which a missing record may be back soon.
+const OUTAGE: Duration = Duration::from_secs(2);
+/// Time within which a lapsed record is written again.
+const RETURN: Duration = Duration::from_millis(1800);
+
+/// Records of endpoints, by their keys.
+#[derive(Debug, Default)]
+pub struct Listing {
+    endpoints: HashMap<id::Endpoint, Listed>,
+    read_at: Option<Duration>,
+    lenient_until: Duration,
+}
+
+#[derive(Debug)]
+struct Listed {
+    endpoint: Endpoint,
+    gone_at: Option<Duration>,
+}
+
+impl Listing {
+    /// Notes a reading of the store, before its records are taken over.
+    pub fn reading(&mut self, now: Duration) {
+        let outage = self.read_at.is_some_and(|at| at + OUTAGE < now);
+        if outage {
+            self.lenient_until = now + RETURN;
+        }
+        self.read_at = Some(now);
+    }
+
+    /// Takes over a record.
+    pub fn put(&mut self, endpoint: Endpoint) {
+        let listed = Listed {
+            endpoint,
+            gone_at: None,
+        };
+        self.endpoints.insert(listed.endpoint.id.clone(), listed);
+    }
+
+    /// Takes over that a key has no record any more.
+    pub fn drop(&mut self, id: &id::Endpoint, now: Duration) {
+        if now >= self.lenient_until {
+            self.endpoints.remove(id);
+        } else if let Some(listed) = self.endpoints.get_mut(id) {
+            listed.gone_at.get_or_insert(self.lenient_until);
+        }
+    }
+
+    /// Drops every key that a whole reading did not show.
+    pub fn keep_only<Shown>(&mut self, shown: Shown, now: Duration)
+    where
+        Shown: Fn(&id::Endpoint) -> bool,
+    {
+        let missing: Vec<id::Endpoint> = self
+            .endpoints
+            .keys()
+            .filter(|id| !shown(id))
+            .cloned()
+            .collect();
+        for id in &missing {
+            self.drop(id, now);
+        }
+    }
+
+    /// The endpoints that count as there.
+    pub fn endpoints(&mut self, now: Duration) -> Vec<Endpoint> {
+        self.endpoints
+            .retain(|_, listed| listed.gone_at.is_none_or(|at| now < at));
+        let listed = self.endpoints.values();
+        listed.map(|listed| listed.endpoint.clone()).collect()
+    }
+
+    /// When the list changes by itself next.
+    pub fn next_change(&self) -> Option<Duration> {
+        self.endpoints.values().filter_map(|one| one.gone_at).min()
+    }
+}
--- /dev/null
+++ b/crates/papayayard_routing/src/placement.rs
@@ -0,0 +1,705 @@
+//! Places requests at endpoints, lets them wait, and turns them away.
+//!
+//! The scheduler holds what a host believes of all endpoints. A request that
+//! has no place waits by urgency and then by arrival, for a part of the time
+//! in which its answer is due; then it is refused and told when to come back.
+//! What cannot be served at all is refused at once.
+
+use std::cmp::Reverse;
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use papayayard_wire::id;
+use slotmap::SlotMap;
+
+use crate::prompt;
+use crate::table::{self, Table};
+use crate::weights;
+
+mod ask;
+mod backend;
+mod cache;
+mod cost;
+mod link;
+mod load;
+
+use backend::Backend;
+
+pub use ask::{Ask, BackendKey, Decision, Outcome, Placement, Refused, Ticket, Waiting};
+pub use backend::Endpoint;
+pub use cache::Cache;
+pub use link::{Link, transfer_time};
+pub use load::{Amounts, Load};
+
+/// Part of the time to the target that a request may wait for a place.
+const WAIT_PART: f64 = 0.4;
+/// Part of the time to the deadline within which the first event must come.
+const LATEST_PART: f64 = 0.7;
+/// Time to come back in when no better time is known.
+const RETRY_AFTER: Duration = Duration::from_millis(400);
+/// Part of the time left that callers wait at most before they come back.
+const RETRY_PART: f64 = 0.3;
+/// Time for which an endpoint that refused is left alone.
+const REFUSAL_PAUSE: Duration = Duration::from_millis(150);
+/// Time beyond the expected one after which a silent endpoint is failing.
+const SILENCE: Duration = Duration::from_millis(1200);
+/// Failures in a row that one lost connection counts for.
+const UNREACHABLE_FAILURES: usize = 3;
+/// Time to which a service time is taken before one was seen, in ms.
+const UNKNOWN_SERVICE_MS: f64 = 30.0;
+/// Wait on a shared link from which on a transfer is not started any more.
+const LONGEST_TRANSFER_WAIT: Duration = Duration::from_millis(1500);
+/// Times that a transfer between availability zones takes longer.
+const OTHER_ZONE_TRANSFER: u32 = 2;
+/// Longest time for which an endpoint that loads weights is left out.
+const LONGEST_LOADING: Duration = Duration::from_secs(8);
+
+/// Where this host is and what bounds it.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Zone of this host.
+    pub zone: id::Zone,
+    /// Time for which older weights may be used.
+    pub old_weights: Duration,
+    /// Time from which on older weights count as a loss.
+    pub old_weights_grace: Duration,
+}
+
+/// Endpoints, what is believed of them, and the requests that wait.
+pub struct Scheduler {
+    settings: Settings,
+    table: Arc<Table>,
+    hosts: usize,
+    backends: SlotMap<BackendKey, Backend>,
+    by_id: HashMap<id::Endpoint, BackendKey>,
+    store: Cache,
+    store_link: Link,
+    named: HashMap<id::Model, weights::Named>,
+    tickets: SlotMap<Ticket, Placed>,
+    waiting: SlotMap<Waiting, Pending>,
+    arrivals: u64,
+}
+
+struct Pending {
+    ask: Ask,
+    arrival: u64,
+    since: Duration,
+}
+
+struct Placed {
+    backend: BackendKey,
+    endpoint: id::Endpoint,
+    amounts: Amounts,
+    sent: Duration,
+    expected: Duration,
+    begun: bool,
+    overdue: bool,
+}
+
+struct Candidate {
+    key: BackendKey,
+    estimate: cost::Estimate,
+    version: u64,
+    fetch: Option<Fetch>,
+}
+
+#[derive(Clone, Copy)]
+struct Fetch {
+    address: SocketAddr,
+    source: cost::Source,
+    from_store: bool,
+}
+
+/// A prompt's shared parts under one version of the weights.
+struct Shared<'a> {
+    keys: Vec<prompt::Key>,
+    holders: Vec<Holder<'a>>,
+    stored: u32,
+}
+
+struct Holder<'a> {
+    key: BackendKey,
+    endpoint: &'a Endpoint,
+    tokens: u32,
+}
+
+impl Scheduler {
+    /// A scheduler without endpoints.
+    pub fn new(settings: Settings) -> Self {
+        Self {
+            settings,
+            table: Arc::default(),
+            hosts: 1,
+            backends: SlotMap::with_key(),
+            by_id: HashMap::new(),
+            store: Cache::default(),
+            store_link: Link::default(),
+            named: HashMap::new(),
+            tickets: SlotMap::with_key(),
+            waiting: SlotMap::with_key(),
+            arrivals: 0,
+        }
+    }
+
+    /// Takes over a routing table.
+    pub fn set_table(&mut self, table: Arc<Table>) {
+        self.table = table;
+    }
+
+    /// Takes over the number of hosts that send requests.
+    pub fn set_hosts(&mut self, hosts: usize) {
+        self.hosts = hosts.max(1);
+    }
+
+    /// Takes over the versions of weights that operators have named.
+    pub fn set_named(&mut self, named: HashMap<id::Model, weights::Named>) {
+        self.named = named;
+    }
+
+    /// Takes over the list of endpoints.
+    pub fn set_endpoints(&mut self, list: &[Endpoint], now: Duration) {
+        let present: HashSet<&id::Endpoint> = list.iter().map(|one| &one.id).collect();
+        let gone: Vec<BackendKey> = self
+            .by_id
+            .iter()
+            .filter(|(id, _)| !present.contains(id))
+            .map(|(_, key)| *key)
+            .collect();
+        for key in gone {
+            self.remove(key);
+        }
+        for endpoint in list {
+            self.set_endpoint(endpoint, now);
+        }
+    }
+
+    /// Leaves out endpoints that load weights, and no others.
+    pub fn set_loading(&mut self, loading: &[id::Endpoint], now: Duration) {
+        let loading: HashSet<&id::Endpoint> = loading.iter().collect();
+        for backend in self.backends.values_mut() {
+            if loading.contains(&backend.endpoint.id) {
+                backend.loading_until.get_or_insert(now + LONGEST_LOADING);
+            } else if backend.loading_until.take().is_some() {
+                backend.fresh_since = now;
+            }
+        }
+    }
+
+    /// Takes over that an endpoint has loaded a version.
+    pub fn loaded(&mut self, endpoint: &id::Endpoint, model: &id::Model, version: u64) {
+        if let Some(backend) = self.backend_mut(endpoint) {
+            let known = backend.endpoint.weights.entry(model.clone()).or_default();
+            *known = (*known).max(version);
+        }
+    }
+
+    /// Takes over what an endpoint keeps of a part; 0 tokens drop it.
+    pub fn told(&mut self, endpoint: &id::Endpoint, key: prompt::Key, tokens: u32) {
+        if let Some(backend) = self.backend_mut(endpoint) {
+            backend.cache.told(key, tokens);
+        }
+    }
+
+    /// Forgets what an endpoint keeps.
+    pub fn forget(&mut self, endpoint: &id::Endpoint) {
+        if let Some(backend) = self.backend_mut(endpoint) {
+            backend.cache.clear();
+        }
+    }
+
+    /// Takes over what the store of cached prompts keeps of a part.
+    pub fn store_told(&mut self, key: prompt::Key, tokens: u32) {
+        self.store.told(key, tokens);
+    }
+
+    /// Forgets what the store of cached prompts keeps.
+    pub fn forget_store(&mut self) {
+        self.store.clear();
+    }
+
+    /// Number of cached parts that are known, over all holders.
+    pub fn known_parts(&self) -> usize {
+        let engines: usize = self.backends.values().map(|one| one.cache.len()).sum();
+        engines + self.store.len()
+    }
+
+    /// Lets a request wait for an endpoint; see [`Self::decide`].
+    pub fn ask(&mut self, ask: Ask, now: Duration) -> Waiting {
+        self.arrivals += 1;
+        self.waiting.insert(Pending {
+            ask,
+            arrival: self.arrivals,
+            since: now,
+        })
+    }
+
+    /// Forgets a waiting request whose caller has left.
+    pub fn withdraw(&mut self, waiting: Waiting) {
+        self.waiting.remove(waiting);
+    }
+
+    /// Whether requests wait.
+    pub fn has_waiting(&self) -> bool {
+        !self.waiting.is_empty()
+    }
+
+    /// Decides on the waiting requests, the most urgent first.
+    pub fn decide(&mut self, now: Duration) -> Vec<(Waiting, Decision)> {
+        let mut order: Vec<(u8, u64, Waiting)> = self
+            .waiting
+            .iter()
+            .map(|(key, pending)| (pending.ask.priority, pending.arrival, key))
+            .collect();
+        order.sort_unstable();
+        let mut decisions = Vec::new();
+        for (_, _, key) in order {
+            let Some(decision) = self.decide_one(key, now) else {
+                continue;
+            };
+            self.waiting.remove(key);
+            decisions.push((key, decision));
+        }
+        decisions
+    }
+
+    /// Notes that a request's first event has come.
+    pub fn begun(&mut self, ticket: Ticket, now: Duration) {
+        let Some(placed) = self.tickets.get_mut(ticket) else {
+            return;
+        };
+        if placed.begun {
+            return;
+        }
+        placed.begun = true;
+        let unread = Amounts {
+            unread: placed.amounts.unread,
+            ..Amounts::default()
+        };
+        placed.amounts.unread = 0.0;
+        if let Some(backend) = self.backends.get_mut(placed.backend) {
+            backend.load.remove(unread, now);
+        }
+    }
+
+    /// Notes how a placed request ended.
+    pub fn finished(&mut self, ticket: Ticket, outcome: Outcome, now: Duration) {
+        let Some(placed) = self.tickets.remove(ticket) else {
+            return;
+        };
+        let Some(backend) = self.backends.get_mut(placed.backend) else {
+            return;
+        };
+        backend.load.remove(placed.amounts, now);
+        if backend.endpoint.id != placed.endpoint {
+            return;
+        }
+        match outcome {
+            Outcome::Whole => {
+                backend.health.succeeded(now);
+                backend.served(now.saturating_sub(placed.sent));
+            }
+            Outcome::Abandoned => {}
+            Outcome::Refused | Outcome::Mismatched => {
+                backend.refuses_until = now + REFUSAL_PAUSE;
+            }
+            Outcome::Unreachable => {
+                for _ in 0..UNREACHABLE_FAILURES {
+                    backend.health.failed(now);
+                }
+            }
+            Outcome::Failed => backend.health.failed(now),
+        }
+    }
+
+    /// Counts endpoints that are silent for too long as failing.
+    pub fn check_silence(&mut self, now: Duration) {
+        for placed in self.tickets.values_mut() {
+            let due = placed.sent + placed.expected + SILENCE;
+            if placed.begun || placed.overdue || now < due {
+                continue;
+            }
+            placed.overdue = true;
+            if let Some(backend) = self.backends.get_mut(placed.backend) {
+                backend.health.failed(now);
+            }
+        }
+        self.store.prune(now);
+        for backend in self.backends.values_mut() {
+            backend.cache.prune(now);
+        }
+    }
+
+    fn set_endpoint(&mut self, endpoint: &Endpoint, now: Duration) {
+        if let Some(key) = self.by_id.get(&endpoint.id).copied() {
+            let backend = &mut self.backends[key];
+            if backend.endpoint.started == endpoint.started
+                && backend.endpoint.address == endpoint.address
+            {
+                update(&mut backend.endpoint, endpoint);
+                return;
+            }
+            self.remove(key);
+        }
+        let backend = Backend::new(endpoint.clone(), UNKNOWN_SERVICE_MS, now);
+        let key = self.backends.insert(backend);
+        self.by_id.insert(endpoint.id.clone(), key);
+    }
+
+    fn remove(&mut self, key: BackendKey) {
+        if let Some(backend) = self.backends.remove(key) {
+            self.by_id.remove(&backend.endpoint.id);
+        }
+    }
+
+    fn backend_mut(&mut self, endpoint: &id::Endpoint) -> Option<&mut Backend> {
+        let key = self.by_id.get(endpoint)?;
+        self.backends.get_mut(*key)
+    }
+
+    fn decide_one(&mut self, key: Waiting, now: Duration) -> Option<Decision> {
+        let pending = &self.waiting[key];
+        let ask = pending.ask.clone();
+        let since = pending.since;
+        if let Some(candidate) = self.best(&ask, now) {
+            return Some(Decision::Placed(self.place(&ask, &candidate, now)));
+        }
+        let patience = ask.target.saturating_sub(since).mul_f64(WAIT_PART);
+        let why = self.obstacle(&ask);
+        if why == Refused::Overloaded && now < since + patience && now < ask.deadline {
+            return None;
+        }
+        Some(Decision::Refused {
+            why,
+            retry_after: retry_after(&ask, now),
+        })
+    }
+
+    fn obstacle(&self, ask: &Ask) -> Refused {
+        let mut own = self
+            .backends
+            .values()
+            .filter(|one| one.endpoint.service == ask.service && !one.endpoint.leaving)
+            .peekable();
+        if own.peek().is_none() {
+            return Refused::NoEndpoint;
+        }
+        if own.all(|one| ask.tried.contains(&one.endpoint.id)) {
+            return Refused::AllTried;
+        }
+        Refused::Overloaded
+    }
+
+    fn best(&self, ask: &Ask, now: Duration) -> Option<Candidate> {
+        let service = self.table.services.get(&ask.service);
+        let engine = service.and_then(|service| service.engine.as_ref());
+        let connections = service.map_or(u32::MAX, |service| service.max_connections);
+        let share = f64::from(connections) / float(self.hosts);
+        let usable = self.backends.iter().filter(|(_, one)| {
+            one.endpoint.service == ask.service
+                && !ask.tried.contains(&one.endpoint.id)
+                && one.is_usable(now)
+                && one.load.own().open + 1.0 <= share.max(1.0)
+        });
+        let best = match (engine, &ask.prompt) {
+            (Some(engine), Some(prompt)) => self.best_engine(ask, prompt, engine, usable, now),
+            _ => self.best_plain(usable, now),
+        }?;
+        let left = ask.deadline.saturating_sub(now).as_secs_f64() * 1000.0;
+        (best.estimate.first_event_ms <= left * LATEST_PART).then_some(best)
+    }
+
+    fn best_plain<'a, Usable>(&self, usable: Usable, now: Duration) -> Option<Candidate>
+    where
+        Usable: Iterator<Item = (BackendKey, &'a Backend)>,
+    {
+        let candidates = usable.map(|(key, backend)| Candidate {
+            key,
+            estimate: cost::of_plain(backend, &self.settings.zone, self.hosts, now),
+            version: 0,
+            fetch: None,
+        });
+        cheapest(candidates)
+    }
+
+    fn best_engine<'a, Usable>(
+        &self,
+        ask: &Ask,
+        prompt: &prompt::Prompt,
+        engine: &table::Engine,
+        usable: Usable,
+        now: Duration,
+    ) -> Option<Candidate>
+    where
+        Usable: Iterator<Item = (BackendKey, &'a Backend)>,
+    {
+        let named = self.named.get(&prompt.model);
+        let oldest = named.map_or(0, |one| one.oldest_allowed(self.settings.old_weights, now));
+        let newest = named.and_then(weights::Named::newest);
+        let mut ranked: Vec<(BackendKey, &Backend)> = usable
+            .filter(|(_, one)| one.version(&prompt.model) >= oldest)
+            .collect();
+        ranked.sort_by_cached_key(|(_, one)| Reverse(cost::preference(&one.endpoint.id, prompt)));
+
+        let mut versions: HashMap<u64, Shared<'_>> = HashMap::new();
+        let mut candidates = Vec::with_capacity(ranked.len());
+        for (rank, (key, backend)) in ranked.into_iter().enumerate() {
+            let version = backend.version(&prompt.model);
+            let shared = versions
+                .entry(version)
+                .or_insert_with(|| self.shared(ask, prompt, version, now));
+            let grace = self.settings.old_weights_grace;
+            let need = cost::Need {
+                prompt,
+                keys: &shared.keys,
+                target: ask.target_latency,
+                hosts: self.hosts,
+                is_old: newest.is_some_and(|(newest, at)| version < newest && at + grace <= now),
+                zone: &self.settings.zone,
+                rank,
+            };
+            let cached = backend.cache.prefix(prompt.shared(), &shared.keys, now);
+            let fetch = self.source(engine, shared, (key, backend), cached, now);
+            let source = fetch.map(|fetch| fetch.source);
+            if let Some(estimate) = cost::of_engine(backend, engine, &need, source, now) {
+                candidates.push(Candidate {
+                    key,
+                    estimate,
+                    version,
+                    fetch,
+                });
+            }
+        }
+        cheapest(candidates.into_iter())
+    }
+
+    /// What is known of a prompt's shared parts under one version.
+    fn shared<'a>(
+        &'a self,
+        ask: &Ask,
+        prompt: &prompt::Prompt,
+        version: u64,
+        now: Duration,
+    ) -> Shared<'a> {
+        let keys = shared_keys(prompt, version, ask.wall.as_ref());
+        let parts = prompt.shared();
+        let engines = self.backends.iter().filter(|(_, one)| {
+            one.endpoint.service == ask.service
+                && !one.endpoint.leaving
+                && !one.health.is_ejected(now)
+                && one.version(&prompt.model) == version
+        });
+        let holders = engines
+            .map(|(key, one)| Holder {
+                key,
+                endpoint: &one.endpoint,
+                tokens: one.cache.fetchable(parts, &keys, now),
+            })
+            .filter(|holder| holder.tokens > 0)
+            .collect();
+        let stored = self.store.fetchable(parts, &keys, now);
+        Shared {
+            keys,
+            holders,
+            stored,
+        }
+    }
+
+    /// The holder of the most shared parts beyond what an endpoint has.
+    fn source(
+        &self,
+        engine: &table::Engine,
+        shared: &Shared<'_>,
+        wants: (BackendKey, &Backend),
+        cached: u32,
+        now: Duration,
+    ) -> Option<Fetch> {
+        let (key, backend) = wants;
+        let mut best: Option<Fetch> = None;
+        for holder in &shared.holders {
+            if holder.key == key || holder.tokens <= cached {
+                continue;
+            }
+            let same_zone = holder.endpoint.zone == backend.endpoint.zone;
+            let distance = if same_zone { 1 } else { OTHER_ZONE_TRANSFER };
+            let tokens = holder.tokens - cached;
+            let time = transfer_time(tokens, engine.token_bytes, engine.link_mbps);
+            let fetch = Fetch {
+                address: holder.endpoint.address,
+                source: cost::Source {
+                    tokens: holder.tokens,
+                    time: time * distance,
+                },
+                from_store: false,
+            };
+            best = better(best, fetch);
+        }
+        let Some(store) = self.table.cache_store() else {
+            return best;
+        };
+        let wait = self.store_link.wait(now);
+        if shared.stored > cached && wait < LONGEST_TRANSFER_WAIT {
+            let tokens = shared.stored - cached;
+            let time = transfer_time(tokens, engine.token_bytes, store.link_mbps);
+            let fetch = Fetch {
+                address: store.address,
+                source: cost::Source {
+                    tokens: shared.stored,
+                    time: wait + time,
+                },
+                from_store: true,
+            };
+            best = better(best, fetch);
+        }
+        best
+    }
+
+    fn place(&mut self, ask: &Ask, candidate: &Candidate, now: Duration) -> Placement {
+        let first_event = milliseconds(candidate.estimate.first_event_ms);
+        let mut amounts = Amounts {
+            open: 1.0,
+            ..Amounts::default()
+        };
+        let mut salt = None;
+        let mut save = None;
+        let mut fetch = None;
+        let mut version = None;
+        if let Some(prompt) = &ask.prompt {
+            amounts.unread = f64::from(candidate.estimate.unread);
+            let memory = prompt.tokens - candidate.estimate.cached + prompt.output_tokens();
+            amounts.memory = f64::from(memory);
+            let keys = shared_keys(prompt, candidate.version, ask.wall.as_ref());
+            fetch = candidate
+                .fetch
+                .filter(|fetch| fetch.source.tokens > candidate.estimate.cached);
+            save = self.save(prompt, &keys, now + first_event, now);
+            if let Some(fetch) = fetch.filter(|fetch| fetch.from_store) {
+                let link = self.link_of_store();
+                let time = transfer_time(
+                    fetch.source.tokens - candidate.estimate.cached,
+                    link.0,
+                    link.1,
+                );
+                self.store_link.transfer(time, self.hosts, now);
+            }
+            let cache = &mut self.backends[candidate.key].cache;
+            for (part, key) in prompt.shared().iter().zip(&keys) {
+                cache.expect(*key, part.tokens, now + first_event);
+            }
+            salt = Some(prompt::salt(
+                &prompt.model,
+                candidate.version,
+                ask.wall.as_ref(),
+            ));
+            version = (candidate.version > 0).then_some(candidate.version);
+        }
+        let backend = &mut self.backends[candidate.key];
+        backend.load.add(amounts, now);
+        let endpoint = backend.endpoint.id.clone();
+        let address = backend.endpoint.address;
+        let ticket = self.tickets.insert(Placed {
+            backend: candidate.key,
+            endpoint: endpoint.clone(),
+            amounts,
+            sent: now,
+            expected: first_event,
+            begun: false,
+            overdue: false,
+        });
+        Placement {
+            ticket,
+            endpoint,
+            address,
+            version,
+            salt,
+            fetch: fetch.map(|fetch| fetch.address),
+            save,
+            first_event,
+        }
+    }
+
+    /// The store's address if it lacks shared parts, which are then expected.
+    fn save(
+        &mut self,
+        prompt: &prompt::Prompt,
+        keys: &[prompt::Key],
+        from: Duration,
+        now: Duration,
+    ) -> Option<SocketAddr> {
+        let store = self.table.cache_store()?;
+        let shared = prompt.shared();
+        let all: u32 = shared.iter().map(|part| part.tokens).sum();
+        if self.store.prefix(shared, keys, now) >= all {
+            return None;
+        }
+        for (part, key) in shared.iter().zip(keys) {
+            self.store.expect(*key, part.tokens, from);
+        }
+        Some(store.address)
+    }
+
+    fn link_of_store(&self) -> (u64, u64) {
+        let mut services = self.table.services.values();
+        let token_bytes = services
+            .find_map(|one| one.engine.as_ref())
+            .map_or(0, |engine| engine.token_bytes);
+        let link = self.table.cache_store().map_or(1, |store| store.link_mbps);
+        (token_bytes, link)
+    }
+}
+
+fn update(known: &mut Endpoint, listed: &Endpoint) {
+    let mut weights = listed.weights.clone();
+    for (model, version) in &known.weights {
+        let listed = weights.entry(model.clone()).or_default();
+        *listed = (*listed).max(*version);
+    }
+    *known = Endpoint {
+        weights,
+        ..listed.clone()
+    };
+}
+
+fn cheapest<Candidates>(candidates: Candidates) -> Option<Candidate>
+where
+    Candidates: Iterator<Item = Candidate>,
+{
+    candidates.min_by(|one, other| one.estimate.cost_ms.total_cmp(&other.estimate.cost_ms))
+}
+
+fn better(best: Option<Fetch>, other: Fetch) -> Option<Fetch> {
+    match best {
+        Some(best)
+            if best.source.tokens > other.source.tokens
+                || (best.source.tokens == other.source.tokens
+                    && best.source.time <= other.source.time) =>
+        {
+            Some(best)
+        }
+        _ => Some(other),
+    }
+}
+
+fn shared_keys(
+    prompt: &prompt::Prompt,
+    version: u64,
+    wall: Option<&id::Account>,
+) -> Vec<prompt::Key> {
+    let salt = prompt::salt(&prompt.model, version, wall);
+    let parts = prompt.shared().iter();
+    parts.map(|part| prompt::key(&salt, &part.name)).collect()
+}
+
+fn retry_after(ask: &Ask, now: Duration) -> Duration {
+    let left = ask.deadline.saturating_sub(now);
+    RETRY_AFTER.min(left.mul_f64(RETRY_PART))
+}
+
+fn milliseconds(ms: f64) -> Duration {
+    Duration::from_secs_f64(ms.max(0.0) / 1000.0)
+}
+
+fn float(number: usize) -> f64 {
+    f64::from(u32::try_from(number).unwrap_or(u32::MAX))
+}
--- /dev/null
+++ b/crates/papayayard_routing/src/placement/ask.rs
@@ -0,0 +1,113 @@
+//! What is asked of the scheduler, and what it decides.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use papayayard_wire::id;
+
+use crate::prompt;
+
+slotmap::new_key_type! {
+    /// A request that waits for an endpoint.
+    pub struct Waiting;
+    /// A request that was placed.
+    pub struct Ticket;
+    /// An endpoint.
+    pub struct BackendKey;
+}
+
+/// A request that wants an endpoint.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    /// Service.
+    pub service: id::Service,
+    /// Declared prompt, for model services.
+    pub prompt: Option<Arc<prompt::Prompt>>,
+    /// The client account, where it shares no cached prompts.
+    pub wall: Option<id::Account>,
+    /// Urgency, 0 first.
+    pub priority: u8,
+    /// Time by which the answer should begin.
+    pub target: Duration,
+    /// Time from arrival to `target`.
+    pub target_latency: Duration,
+    /// Time by which the answer must be whole.
+    pub deadline: Duration,
+    /// Endpoints that have failed this request.
+    pub tried: Vec<id::Endpoint>,
+}
+
+/// Where a request goes.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Placement {
+    /// Ticket, given back at the end.
+    pub ticket: Ticket,
+    /// Endpoint.
+    pub endpoint: id::Endpoint,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Version of the weights that the request is to begin on.
+    pub version: Option<u64>,
+    /// Set of cached parts that the request may use and add to.
+    pub salt: Option<prompt::Salt>,
+    /// Holder of shared parts that the endpoint lacks.
+    pub fetch: Option<SocketAddr>,
+    /// Store of cached prompts that lacks shared parts.
+    pub save: Option<SocketAddr>,
+    /// Expected time to the first event.
+    pub first_event: Duration,
+}
+
+/// Why a request gets no endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refused {
+    /// No endpoint of the service is known.
+    NoEndpoint,
+    /// Endpoints are full, and none would have room in time.
+    Overloaded,
+    /// All that the service has failed this request already.
+    AllTried,
+}
+
+impl Refused {
+    /// Name in logs.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::NoEndpoint => "no_endpoint",
+            Self::Overloaded => "overloaded",
+            Self::AllTried => "all_tried",
+        }
+    }
+}
+
+/// A decision on a waiting request.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Decision {
+    /// It goes there.
+    Placed(Placement),
+    /// It is turned away.
+    Refused {
+        /// Why.
+        why: Refused,
+        /// When to come back.
+        retry_after: Duration,
+    },
+}
+
+/// How a placed request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// Whole answer.
+    Whole,
+    /// The caller left, or its time was over.
+    Abandoned,
+    /// The endpoint refused to run it.
+    Refused,
+    /// The endpoint has other weights, or another endpoint has the address.
+    Mismatched,
+    /// No connection came about, or it was reset.
+    Unreachable,
+    /// The answer broke off, was spoilt or did not come.
+    Failed,
+}
--- /dev/null
+++ b/crates/papayayard_routing/src/placement/backend.rs
@@ -0,0 +1,103 @@
+//! One endpoint as the scheduler sees it.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use papayayard_wire::id;
+
+use super::cache::Cache;
+use super::load::Load;
+use crate::ejection;
+
+/// Weight of the newest time in the average of service times.
+const NEWEST_PART: f64 = 0.1;
+
+/// An endpoint that may be sent requests.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Endpoint {
+    /// Identifier.
+    pub id: id::Endpoint,
+    /// Start of its process, which tells restarts under one identifier apart.
+    pub started: id::Incarnation,
+    /// Service.
+    pub service: id::Service,
+    /// Address.
+    pub address: SocketAddr,
+    /// Availability zone.
+    pub zone: id::Zone,
+    /// Requests that run at once.
+    pub slots: u32,
+    /// Versions of the weights in place, by model.
+    pub weights: HashMap<id::Model, u64>,
+    /// Whether it takes no new requests.
+    pub leaving: bool,
+}
+
+/// What the scheduler believes of an endpoint.
+#[derive(Clone, Debug)]
+pub(super) struct Backend {
+    /// As it was listed.
+    pub(super) endpoint: Endpoint,
+    /// Work there.
+    pub(super) load: Load,
+    /// Parts of prompts that it keeps.
+    pub(super) cache: Cache,
+    /// Health from passive signs.
+    pub(super) health: ejection::Health,
+    /// Left out until this time, after it refused.
+    pub(super) refuses_until: Duration,
+    /// Set while other weights are being loaded there.
+    pub(super) loading_until: Option<Duration>,
+    /// When it came into use, or its weights did.
+    pub(super) fresh_since: Duration,
+    /// Average time of whole answers, in ms.
+    pub(super) service_ms: f64,
+}
+
+impl Backend {
+    /// An endpoint that nothing is known of.
+    pub(super) fn new(endpoint: Endpoint, service_ms: f64, now: Duration) -> Self {
+        Self {
+            endpoint,
+            load: Load::default(),
+            cache: Cache::default(),
+            health: ejection::Health::default(),
+            refuses_until: Duration::ZERO,
+            loading_until: None,
+            fresh_since: now,
+            service_ms,
+        }
+    }
+
+    /// Version of a model's weights; 0 where it isn't known.
+    pub(super) fn version(&self, model: &id::Model) -> u64 {
+        self.endpoint.weights.get(model).copied().unwrap_or(0)
+    }
+
+    /// Whether it takes requests now, as far as passive signs tell.
+    pub(super) fn is_usable(&self, now: Duration) -> bool {
+        let open = self.load.own().open.round();
+        let loading = self.loading_until.is_some_and(|until| now < until);
+        !self.endpoint.leaving
+            && !loading
+            && self.refuses_until <= now
+            && self.health.permits(whole(open), now)
+    }
+
+    /// Counts the time of a whole answer.
+    pub(super) fn served(&mut self, time: Duration) {
+        let ms = time.as_secs_f64() * 1000.0;
+        self.service_ms += (ms - self.service_ms) * NEWEST_PART;
+    }
+}
+
+fn whole(number: f64) -> u32 {
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "open requests are few and not negative"
+    )]
+    let whole = number.max(0.0) as u32;
+    whole
+}
--- /dev/null
+++ b/crates/papayayard_routing/src/placement/cost.rs
@@ -0,0 +1,183 @@
+//! What it would cost to place a request at an endpoint, in milliseconds.
+//!
+//! The cost is the expected time to the first event and what counts beside it:
+//! older weights, another availability zone, shared parts computed again. It
+//! answers two patterns. At a class's start many callers bring the same long
+//! history: one engine reads it, others fetch it. At a change of weights the
+//! few engines that have the new ones fill up to the point where callers would
+//! wait too long, and the others go on serving.
+
+use std::time::Duration;
+
+use papayayard_wire::id;
+use xxhash_rust::xxh3;
+
+use super::backend::Backend;
+use crate::prompt;
+use crate::table;
+
+/// Prompt tokens that an engine reads in a millisecond.
+const READ_TOKENS_PER_MS: f64 = 70.0;
+/// Delay of a first event by each request that runs already, in ms.
+const PER_OPEN_MS: f64 = 1.5;
+/// Time that computing a token again counts beyond its own, for it takes an
+/// engine from other callers.
+const REREAD_FACTOR: f64 = 2.0;
+/// Part of an engine's memory that open requests may hold; the rest leaves
+/// room for answers that grow longer than expected.
+const MEMORY_PART: f64 = 0.85;
+/// Cost of an endpoint in another availability zone, in ms.
+const OTHER_ZONE_MS: f64 = 4.0;
+/// Cost of an endpoint that isn't the prompt's home, in ms.
+const NOT_HOME_MS: f64 = 12.0;
+/// Cost of an endpoint that isn't even the second choice for a prompt, in ms.
+const FAR_FROM_HOME_MS: f64 = 18.0;
+/// Cost of older weights as a part of the time that a first event may take.
+const OLD_WEIGHTS_PART: f64 = 0.4;
+/// Time in which an endpoint that has just come into use is filled slowly: the
+/// other hosts find it at the same moment.
+const SLOW_START: Duration = Duration::from_millis(600);
+/// Cost at the beginning of a slow start, in ms.
+const SLOW_START_MS: f64 = 120.0;
+
+/// What a request asks of an engine.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Need<'a> {
+    /// The prompt.
+    pub(super) prompt: &'a prompt::Prompt,
+    /// Keys of the shared parts under the endpoint's salt.
+    pub(super) keys: &'a [prompt::Key],
+    /// Time that a first event may take.
+    pub(super) target: Duration,
+    /// Hosts that send requests.
+    pub(super) hosts: usize,
+    /// Whether newer weights than the endpoint's are in place.
+    pub(super) is_old: bool,
+    /// Zone of this host.
+    pub(super) zone: &'a id::Zone,
+    /// Place of the endpoint in the prompt's order of preference.
+    pub(super) rank: usize,
+}
+
+/// What a placement is expected to bring.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) struct Estimate {
+    /// Time to the first event, in ms.
+    pub(super) first_event_ms: f64,
+    /// Cost that placements are compared by, in ms.
+    pub(super) cost_ms: f64,
+    /// Shared tokens that lie at the endpoint.
+    pub(super) cached: u32,
+    /// Tokens of prompts that it will have to read.
+    pub(super) unread: u32,
+}
+
+/// Where shared parts can be fetched from.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Source {
+    /// Leading shared tokens that are there.
+    pub(super) tokens: u32,
+    /// Time of waiting and transfer.
+    pub(super) time: Duration,
+}
+
+/// Estimates a placement at an engine; `None` where memory has no room.
+pub(super) fn of_engine(
+    backend: &Backend,
+    engine: &table::Engine,
+    need: &Need<'_>,
+    source: Option<Source>,
+    now: Duration,
+) -> Option<Estimate> {
+    let load = backend.load.of_all(need.hosts, now);
+    if load.open >= f64::from(engine.slots) {
+        return None;
+    }
+    let shared = need.prompt.shared();
+    let cached = backend.cache.prefix(shared, need.keys, now);
+    let fetched = source.map_or(0, |source| source.tokens.saturating_sub(cached));
+    let unread = need.prompt.tokens.saturating_sub(cached + fetched);
+    let memory = need.prompt.tokens - cached + need.prompt.output_tokens();
+    if load.memory + f64::from(memory) > float(engine.memory_tokens) * MEMORY_PART {
+        return None;
+    }
+
+    let fetch_ms = source
+        .filter(|_| fetched > 0)
+        .map_or(0.0, |source| source.time.as_secs_f64() * 1000.0);
+    let reread = unread.saturating_sub(need.prompt.own_tokens());
+    let first_event_ms =
+        (load.unread + f64::from(unread)) / READ_TOKENS_PER_MS + load.open * PER_OPEN_MS + fetch_ms;
+    let cost_ms = first_event_ms
+        + f64::from(reread) / READ_TOKENS_PER_MS * REREAD_FACTOR
+        + zone_ms(backend, need.zone)
+        + rank_ms(need.rank)
+        + slow_start_ms(backend, now)
+        + if need.is_old {
+            need.target.as_secs_f64() * 1000.0 * OLD_WEIGHTS_PART
+        } else {
+            0.0
+        };
+    Some(Estimate {
+        first_event_ms,
+        cost_ms,
+        cached,
+        unread,
+    })
+}
+
+/// Estimates a placement at an endpoint of a plain service.
+pub(super) fn of_plain(
+    backend: &Backend,
+    zone: &id::Zone,
+    hosts: usize,
+    now: Duration,
+) -> Estimate {
+    let open = backend.load.of_all(hosts, now).open;
+    let slots = f64::from(backend.endpoint.slots.max(1));
+    let waits = (open + 1.0 - slots).max(0.0) / slots;
+    let busy = open / slots;
+    let first_event_ms = backend.service_ms * (1.0 + waits);
+    let cost_ms = backend.service_ms * (1.0 + waits + busy)
+        + zone_ms(backend, zone)
+        + slow_start_ms(backend, now) * 0.1;
+    Estimate {
+        first_event_ms,
+        cost_ms,
+        cached: 0,
+        unread: 0,
+    }
+}
+
+/// Weight of an endpoint in a prompt's order of preference; highest first.
+pub(super) fn preference(endpoint: &id::Endpoint, prompt: &prompt::Prompt) -> u64 {
+    let part = prompt.shared().last().map_or("", |part| part.name.as_str());
+    let seed = xxh3::xxh3_64(part.as_bytes());
+    xxh3::xxh3_64_with_seed(endpoint.as_str().as_bytes(), seed)
+}
+
+fn zone_ms(backend: &Backend, zone: &id::Zone) -> f64 {
+    if backend.endpoint.zone == *zone {
+        0.0
+    } else {
+        OTHER_ZONE_MS
+    }
+}
+
+fn rank_ms(rank: usize) -> f64 {
+    match rank {
+        0 => 0.0,
+        1 => NOT_HOME_MS,
+        _ => FAR_FROM_HOME_MS,
+    }
+}
+
+fn slow_start_ms(backend: &Backend, now: Duration) -> f64 {
+    let age = now.saturating_sub(backend.fresh_since);
+    let left = SLOW_START.saturating_sub(age);
+    SLOW_START_MS * left.as_secs_f64() / SLOW_START.as_secs_f64()
+}
+
+fn float(number: u64) -> f64 {
+    f64::from(u32::try_from(number).unwrap_or(u32::MAX))
+}
--- /dev/null
+++ b/crates/papayayard_routing/src/prompt.rs
@@ -0,0 +1,77 @@
+//! Prompts that callers declare: parts with their lengths in tokens.
+//!
+//! Requests whose first parts are the same can share what an engine has
+//! computed for them. Cached parts are kept apart by a salt that holds the
+//! model, the version of its weights and, for an isolated client account, the
+//! account; so nothing is ever found under other weights or across a wall.
+
+use papayayard_wire::id;
+use xxhash_rust::xxh3::Xxh3;
+
+/// A declared prompt.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Prompt {
+    /// Model.
+    pub model: id::Model,
+    /// Length of the whole prompt, in tokens.
+    pub tokens: u32,
+    /// Most tokens of the answer.
+    pub most_output: u32,
+    /// The caller's estimate of the answer's tokens.
+    pub likely_output: Option<u32>,
+    /// Parts in their order; the last is the request's own.
+    pub parts: Vec<Part>,
+}
+
+/// A part of a prompt.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Part {
+    /// Name, the same for the same text.
+    pub name: String,
+    /// Length in tokens.
+    pub tokens: u32,
+}
+
+impl Prompt {
+    /// The parts that other requests may share: all but the last.
+    pub fn shared(&self) -> &[Part] {
+        let end = self.parts.len().saturating_sub(1);
+        &self.parts[..end]
+    }
+
+    /// Tokens that no other request has.
+    pub fn own_tokens(&self) -> u32 {
+        let shared: u32 = self.shared().iter().map(|part| part.tokens).sum();
+        self.tokens.saturating_sub(shared)
+    }
+
+    /// Tokens of the answer that an engine should have room for.
+    pub fn output_tokens(&self) -> u32 {
+        let likely = self.likely_output.unwrap_or(self.most_output);
+        likely.min(self.most_output)
+    }
+}
+
+/// Names a set of cached parts that may be shared.
+pub type Salt = String;
+
+/// The salt of a model's weights and, for an isolated account, the account.
+pub fn salt(model: &id::Model, version: u64, wall: Option<&id::Account>) -> Salt {
+    match wall {
+        Some(account) => format!("{model}/{version}/{account}"),
+        None => format!("{model}/{version}"),
+    }
+}
+
+/// A cached part under its salt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Key(u64);
+
+/// Key of a part under a salt.
+pub fn key(salt: &str, part: &str) -> Key {
+    let mut hash = Xxh3::new();
+    hash.update(salt.as_bytes());
+    hash.update(&[0]);
+    hash.update(part.as_bytes());
+    Key(hash.digest())
+}
--- /dev/null
+++ b/crates/papayayard_routing/src/weights.rs
@@ -0,0 +1,42 @@
+//! Versions of a model's weights that operators have named.
+//!
+//! Requests should begin on the newest version. An older one is allowed for a
+//! bounded time after a newer one was named, so that endpoints can load it in
+//! turns; after that requests wait for endpoints that have it.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Part of the bound that is used; the rest covers what passes between an
+/// operator's naming and this host's reading of it.
+const USED_PART: f64 = 0.9;
+
+/// Named versions of one model, with the time each was learnt of.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Named {
+    seen: BTreeMap<u64, Duration>,
+}
+
+impl Named {
+    /// Takes over a named version; `false` if it was known.
+    pub fn name(&mut self, version: u64, now: Duration) -> bool {
+        if self.seen.contains_key(&version) {
+            return false;
+        }
+        self.seen.insert(version, now);
+        true
+    }
+
+    /// The newest version and the time it was learnt of.
+    pub fn newest(&self) -> Option<(u64, Duration)> {
+        let (version, at) = self.seen.last_key_value()?;
+        Some((*version, *at))
+    }
+
+    /// The oldest version that a request may begin on now.
+    pub fn oldest_allowed(&self, bound: Duration, now: Duration) -> u64 {
+        let bound = bound.mul_f64(USED_PART);
+        let due = self.seen.iter().rev().find(|(_, at)| **at + bound <= now);
+        due.map_or(0, |(version, _)| *version)
+    }
+}
