Refuse in time what a planned stop would cut

Ruled out: an early close of the connection; the stream was still running at 0.96 of the bound. Change: coordination::shutdown says until when long requests are taken.

--- a/crates/papayayard_coordination/src/lib.rs
+++ b/crates/papayayard_coordination/src/lib.rs
@@ -21,5 +21,6 @@
 pub mod pace;
 pub mod replay;
 pub mod rollout;
+pub mod shutdown;
 pub mod stop;
 pub mod turn;
--- a/crates/papayayard_gateway/src/front.rs
+++ b/crates/papayayard_gateway/src/front.rs
@@ -15,6 +15,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use papayayard_coordination::shutdown::{Shutdown, Stage};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 use tokio::time;
@@ -33,17 +34,19 @@
 /// Pause after the system could not accept a connection.
 const ACCEPT_RETRY: Duration = Duration::from_millis(20);
 
-/// How far a stop has come.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) enum Stage {
-    /// No stop.
-    Serving,
-    /// Serves, says that it is not ready, and asks callers to close.
-    Leaving,
-    /// Closes idle connections and accepts new ones for one request each.
-    Closing,
-    /// Accepts nothing.
-    Closed,
+/// How far a stop has come, and its times once there is one.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Progress {
+    pub(crate) stage: Stage,
+    pub(crate) shutdown: Option<Shutdown>,
+}
+
+impl Progress {
+    /// No stop was asked for.
+    pub(crate) const SERVING: Self = Self {
+        stage: Stage::Serving,
+        shutdown: None,
+    };
 }
 
 /// Listens on an address, with connections that send at once.
@@ -62,7 +65,7 @@
 pub(crate) async fn serve<Platform>(
     listener: TcpListener,
     relay: Relay<Platform>,
-    mut stage: watch::Receiver<Stage>,
+    mut progress: watch::Receiver<Progress>,
     open: TaskTracker,
 ) where
     Platform: Codec,
@@ -70,7 +73,7 @@
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            () = reached(&mut stage, Stage::Closed) => return,
+            () = reached(&mut progress, Stage::Closed) => return,
         };
         let stream = match accepted {
             Ok((stream, _)) => stream,
@@ -84,14 +87,14 @@
             log::warn!(open = open.len(); "too many connections; one is closed");
             continue;
         }
-        open.spawn(connection(stream, relay.clone(), stage.clone()));
+        open.spawn(connection(stream, relay.clone(), progress.clone()));
     }
 }
 
 async fn connection<Platform>(
     stream: TcpStream,
     relay: Relay<Platform>,
-    mut stage: watch::Receiver<Stage>,
+    mut progress: watch::Receiver<Progress>,
 ) where
     Platform: Codec,
 {
@@ -100,13 +103,13 @@
         return;
     }
     let limits = relay.limits();
-    let seen = stage.clone();
+    let seen = progress.clone();
     let service = service_fn(move |request: Request<Incoming>| {
         let relay = relay.clone();
         let seen = seen.clone();
         async move {
             let response = relay.serve(request).await;
-            let stage = *seen.borrow();
+            let stage = seen.borrow().stage;
             Ok::<_, Infallible>(mark(response, stage))
         }
     });
@@ -118,7 +121,7 @@
     tokio::pin!(connection);
     let outcome = tokio::select! {
         outcome = connection.as_mut() => outcome,
-        () = reached(&mut stage, Stage::Closing) => {
+        () = reached(&mut progress, Stage::Closing) => {
             connection.as_mut().graceful_shutdown();
             connection.as_mut().await
         }
@@ -129,8 +132,12 @@
 }
 
 /// Waits for a stage of the stop; the end of the host is the last one.
-async fn reached(stage: &mut watch::Receiver<Stage>, wanted: Stage) {
-    if stage.wait_for(|stage| *stage >= wanted).await.is_err() {
+async fn reached(progress: &mut watch::Receiver<Progress>, wanted: Stage) {
+    if progress
+        .wait_for(|progress| progress.stage >= wanted)
+        .await
+        .is_err()
+    {
         log::debug!("the host has ended");
     }
 }
--- a/crates/papayayard_gateway/src/host.rs
+++ b/crates/papayayard_gateway/src/host.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use papayayard_coordination::shutdown::{Shutdown, Stage};
 use papayayard_routing::placement::{self, Scheduler};
 use papayayard_routing::repeat;
 use snafu::{ResultExt, Snafu};
@@ -18,7 +19,7 @@
 use crate::beliefs::{Configuration, Endpoints, Operators};
 use crate::clock::Clock;
 use crate::follow::{self, Beat, Store};
-use crate::front::{self, Stage};
+use crate::front::{self, Progress};
 use crate::metrics::Metrics;
 use crate::pool::Pool;
 use crate::relay::Relay;
@@ -47,12 +48,6 @@
 };
 /// Period in which idle connections are looked at.
 const SWEEP: Duration = Duration::from_millis(500);
-/// Parts of the time for a stop: until idle connections close, until no new
-/// ones are accepted, and until those at work are cut.
-const CLOSING_PART: f64 = 0.35;
-const CLOSED_PART: f64 = 0.7;
-const END_PART: f64 = 0.96;
-
 /// Why a host cannot start.
 #[derive(Debug, Snafu)]
 pub enum Error {
@@ -69,7 +64,8 @@
 /// A running host; dropping it ends its controllers.
 pub struct Running {
     settings: Settings,
-    stage: watch::Sender<Stage>,
+    progress: watch::Sender<Progress>,
+    clock: Clock,
     open: TaskTracker,
     _controllers: JoinSet<()>,
 }
@@ -83,7 +79,7 @@
     let operators = listen(settings.operators)?;
     let clock = Clock::start();
     let metrics = Metrics::new();
-    let (stage, stage_seen) = watch::channel(Stage::Serving);
+    let (progress, progress_seen) = watch::channel(Progress::SERVING);
     let (configuration_sender, configuration) = watch::channel(Configuration::default());
     let (word_sender, word) = watch::channel(None);
     let (list_sender, endpoints) = watch::channel(Vec::new());
@@ -158,7 +154,7 @@
             zone: settings.zone.clone(),
             clock,
             metrics: metrics.clone(),
-            stage: stage_seen.clone(),
+            progress: progress_seen.clone(),
             configuration: configuration.clone(),
             endpoints,
             hosts: hosts.clone(),
@@ -173,16 +169,18 @@
         configuration,
         word,
         revocation: settings.bounds.revocation,
+        progress: progress_seen.clone(),
         hosts,
         budget: Arc::new(Mutex::new(repeat::Budget::new(settings.bounds.repeats))),
         metrics,
     };
     let open = TaskTracker::new();
-    controllers.spawn(front::serve(callers, relay, stage_seen, open.clone()));
+    controllers.spawn(front::serve(callers, relay, progress_seen, open.clone()));
     log::info!(host:% = settings.host, zone:% = settings.zone, callers:% = settings.callers; "started");
     Ok(Running {
         settings,
-        stage,
+        progress,
+        clock,
         open,
         _controllers: controllers,
     })
@@ -191,19 +189,24 @@
 impl Running {
     /// Stops step by step; see the module `front`.
     pub async fn stop(self) {
-        let stop = self.settings.bounds.stop;
-        let started = time::Instant::now();
+        let shutdown = Shutdown::new(self.clock.now(), self.settings.bounds.stop);
         log::info!(host:% = self.settings.host, open = self.open.len(); "stopping");
-        self.stage.send_replace(Stage::Leaving);
-        time::sleep_until(started + stop.mul_f64(CLOSING_PART)).await;
-        self.stage.send_replace(Stage::Closing);
-        time::sleep_until(started + stop.mul_f64(CLOSED_PART)).await;
-        self.stage.send_replace(Stage::Closed);
+        for stage in [Stage::Leaving, Stage::Closing, Stage::Closed] {
+            time::sleep(self.until(shutdown.begins(stage))).await;
+            self.progress.send_replace(Progress {
+                stage,
+                shutdown: Some(shutdown),
+            });
+        }
         self.open.close();
-        let end = started + stop.mul_f64(END_PART);
-        let is_done = time::timeout_at(end, self.open.wait()).await.is_ok();
+        let left = self.until(shutdown.end());
+        let is_done = time::timeout(left, self.open.wait()).await.is_ok();
         log::info!(host:% = self.settings.host, whole = is_done, open = self.open.len(); "stopped");
     }
+
+    fn until(&self, at: Duration) -> Duration {
+        at.saturating_sub(self.clock.now())
+    }
 }
 
 async fn sweep(pool: Pool) {
--- a/crates/papayayard_gateway/src/operators.rs
+++ b/crates/papayayard_gateway/src/operators.rs
@@ -9,6 +9,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use papayayard_coordination::shutdown::Stage;
 use papayayard_routing::placement::Endpoint;
 use papayayard_wire::id;
 use serde::Serialize;
@@ -18,7 +19,7 @@
 use crate::beliefs::{Configuration, Word};
 use crate::body::Body;
 use crate::clock::Clock;
-use crate::front::Stage;
+use crate::front::Progress;
 use crate::metrics::Metrics;
 
 /// Time for which an operator's connection may be idle.
@@ -31,7 +32,7 @@
     pub(crate) zone: id::Zone,
     pub(crate) clock: Clock,
     pub(crate) metrics: Metrics,
-    pub(crate) stage: watch::Receiver<Stage>,
+    pub(crate) progress: watch::Receiver<Progress>,
     pub(crate) configuration: watch::Receiver<Configuration>,
     pub(crate) endpoints: watch::Receiver<Vec<Endpoint>>,
     pub(crate) hosts: watch::Receiver<usize>,
@@ -54,7 +55,7 @@
 impl View {
     /// Whether callers should be sent here.
     fn is_ready(&self) -> bool {
-        let is_serving = *self.stage.borrow() == Stage::Serving;
+        let is_serving = self.progress.borrow().stage == Stage::Serving;
         let knows_routes = self.configuration.borrow().table.is_some();
         let knows_endpoints = !self.endpoints.borrow().is_empty();
         let is_current = self
--- a/crates/papayayard_gateway/src/relay.rs
+++ b/crates/papayayard_gateway/src/relay.rs
@@ -22,6 +22,7 @@
 use crate::body::Body;
 use crate::clock::Clock;
 use crate::exchange::{Arrival, Codec};
+use crate::front::Progress;
 use crate::hop;
 use crate::job::Job;
 use crate::metrics::Metrics;
@@ -33,6 +34,8 @@
 const WHOLE_ANSWER: usize = 1 << 20;
 /// Time to come back when this host knows too little to serve.
 const UNREADY_RETRY: Duration = Duration::from_millis(300);
+/// Time to come back when this host is stopping: others take the request.
+const STOPPING_RETRY: Duration = Duration::from_millis(20);
 /// Part of a bound after which keys are refused for want of news; the rest
 /// covers the way to the endpoint.
 const WORD_PART: f64 = 0.86;
@@ -58,6 +61,8 @@
     pub(crate) word: watch::Receiver<Word>,
     /// Bound on the age of a reading for requests with a key.
     pub(crate) revocation: Option<Duration>,
+    /// How far a stop has come.
+    pub(crate) progress: watch::Receiver<Progress>,
     /// Number of hosts.
     pub(crate) hosts: watch::Receiver<usize>,
     /// Repeats that are left.
@@ -138,6 +143,8 @@
             "the route sends to no service",
         ))?;
         let patience = arrival.patience.unwrap_or(route.timeout);
+        let deadline = received + patience.min(route.timeout);
+        self.check_stop(deadline)?;
         let limit = table.limits.body_bytes;
         let body = read_body(body, limit, route.timeout).await?;
         self.lock_budget().requested(&service, received);
@@ -156,7 +163,7 @@
             prompt: arrival.prompt.map(Arc::new),
             position: arrival.position,
             target: received + route.target_latency,
-            deadline: received + patience.min(route.timeout),
+            deadline,
             route,
         })
     }
@@ -189,6 +196,16 @@
         Ok(Some(Arc::clone(account)))
     }
 
+    /// Refuses what a stop of this host would cut.
+    fn check_stop(&self, deadline: Duration) -> Result<(), Refusal> {
+        let shutdown = self.progress.borrow().shutdown;
+        if shutdown.is_none_or(|shutdown| shutdown.takes(deadline, self.clock.now())) {
+            return Ok(());
+        }
+        let message = "this host is stopping; send the request to another host";
+        Err(Refusal::not_run(Kind::Stopping, message).after(STOPPING_RETRY))
+    }
+
     /// Refuses requests with a key while a withdrawal may have been missed.
     fn check_word(&self) -> Result<(), Refusal> {
         let Some(bound) = self.revocation else {
