Learn from others when weights were named

Ruled out: the bound itself, which is used to nine tenths only. Change: the holder of the turn announces how long ago versions were named, and the earlier time counts.

--- a/crates/papayayard_gateway/src/clock.rs
+++ b/crates/papayayard_gateway/src/clock.rs
@@ -2,12 +2,16 @@
 //!
 //! A host can be suspended, and the steady clock stands still meanwhile. What
 //! a host believes grows old all the same, so decisions take the time since
-//! the start of the process with suspensions included.
+//! the start of the process, with suspensions included.
 
 use std::time::Duration;
 
 use rustix::time::{ClockId, clock_gettime};
 
+/// Time on the clock at the start of the process, so that moments before the
+/// start can be told.
+const ORIGIN: Duration = Duration::from_hours(1);
+
 /// A clock that starts with the host.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
@@ -20,9 +24,9 @@
         Self { start: boot_time() }
     }
 
-    /// Time since the start.
+    /// Time since the start, and [`ORIGIN`].
     pub fn now(self) -> Duration {
-        boot_time().saturating_sub(self.start)
+        ORIGIN + boot_time().saturating_sub(self.start)
     }
 }
 
--- a/crates/papayayard_gateway/src/orders.rs
+++ b/crates/papayayard_gateway/src/orders.rs
@@ -12,6 +12,7 @@
 use papayayard_coordination::rollout::{Answer, Member, Rollout};
 use papayayard_coordination::turn::Turn;
 use papayayard_routing::placement::Endpoint;
+use papayayard_routing::weights::Named;
 use papayayard_wire::id;
 use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, watch};
@@ -23,6 +24,7 @@
 use crate::clock::Clock;
 use crate::exchange::{Codec as EndpointCodec, Order, OrderReply, Report};
 use crate::follow::{Fold, Store};
+use crate::hosts::unix_ms;
 use crate::metrics::Metrics;
 use crate::schedule::{Handle, Message};
 use crate::store::{Codec, Error, Record, Topic};
@@ -38,6 +40,9 @@
 const LONGEST_HESITATION: Duration = Duration::from_millis(400);
 /// Time to try again after the store failed.
 const STORE_RETRY: Duration = Duration::from_millis(150);
+/// Longest time that a record is taken to have lain in the store; clocks of
+/// hosts can be wrong.
+const LONGEST_LAIN: Duration = Duration::from_mins(1);
 /// Part of the time for old weights after which open requests are broken off
 /// for a load.
 const BREAK_OFF_PART: f64 = 0.7;
@@ -51,6 +56,21 @@
     away: Vec<String>,
     /// Endpoints that have loaded weights lately.
     loaded: Vec<Loaded>,
+    /// Versions that were named, for hosts that start later.
+    #[serde(default)]
+    named: Vec<Age>,
+    /// Time of writing, in ms since the Unix epoch.
+    #[serde(default)]
+    written_ms: u64,
+}
+
+/// How long ago a version was named.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Age {
+    model: String,
+    version: u64,
+    /// Time from the naming to the writing, in ms.
+    age_ms: u64,
 }
 
 /// An endpoint that has loaded a version.
@@ -70,6 +90,27 @@
     newest: Option<(Announcement, u64, Duration)>,
 }
 
+impl Announcement {
+    /// Times at which versions were named at the latest.
+    fn named(&self, now: Duration) -> HashMap<id::Model, Named> {
+        let lain_ms = unix_ms().saturating_sub(self.written_ms);
+        let lain = Duration::from_millis(lain_ms).min(LONGEST_LAIN);
+        let mut named: HashMap<id::Model, Named> = HashMap::new();
+        for one in &self.named {
+            let age = Duration::from_millis(one.age_ms) + lain;
+            let model = id::Model::from(one.model.as_str());
+            let known = named.entry(model).or_default();
+            known.name(one.version, now.saturating_sub(age));
+        }
+        named
+    }
+
+    /// Whether hosts have to learn of another one.
+    fn says_the_same(&self, other: &Self) -> bool {
+        self.holder == other.holder && self.away == other.away && self.loaded == other.loaded
+    }
+}
+
 /// Folds the turn's topic.
 pub(crate) struct Announcements {
     standing: watch::Sender<Standing>,
@@ -96,6 +137,8 @@
         match serde_json::from_slice::<Announcement>(value) {
             Ok(announcement) => {
                 apply(&announcement, &self.schedule);
+                let named = announcement.named(now);
+                self.schedule.tell(Message::Named(named));
                 self.known.newest = Some((announcement, record.offset, now));
             }
             Err(error) => log::warn!(error:%; "announcement skipped"),
@@ -296,10 +339,10 @@
             let rollout = self.rollouts.entry(model.clone()).or_default();
             rollout.plan(members, *newest, now);
         }
-        self.announcement() != self.announced
+        !self.announcement(now).says_the_same(&self.announced)
     }
 
-    fn announcement(&self) -> Announcement {
+    fn announcement(&self, now: Duration) -> Announcement {
         let mut away: Vec<String> = self
             .rollouts
             .values()
@@ -321,9 +364,25 @@
             holder: self.parts.host.as_str().to_owned(),
             away,
             loaded,
+            named: self.ages(now),
+            written_ms: unix_ms(),
         }
     }
 
+    fn ages(&self, now: Duration) -> Vec<Age> {
+        let configuration = self.parts.configuration.borrow();
+        let newest = configuration.named.iter().filter_map(|(model, named)| {
+            let (version, at) = named.newest()?;
+            let age = now.saturating_sub(at).as_millis();
+            Some(Age {
+                model: model.as_str().to_owned(),
+                version,
+                age_ms: u64::try_from(age).unwrap_or(u64::MAX),
+            })
+        });
+        newest.collect()
+    }
+
     /// Takes or renews the turn with what is to be announced.
     async fn announce(&mut self) {
         let Some(end) = self.parts.standing.borrow().end else {
@@ -333,9 +392,9 @@
             .turn
             .last_offset()
             .map_or(end, |last| end.max(last + 1));
-        let announcement = self.announcement();
-        let value = serde_json::to_vec(&announcement).unwrap_or_default();
         let sent = self.parts.clock.now();
+        let announcement = self.announcement(sent);
+        let value = serde_json::to_vec(&announcement).unwrap_or_default();
         let record = (KEY, value.as_slice());
         let store = &self.parts.store;
         let outcome = store
--- a/crates/papayayard_gateway/src/schedule.rs
+++ b/crates/papayayard_gateway/src/schedule.rs
@@ -172,7 +172,7 @@
             Message::Begun(ticket) => scheduler.begun(ticket, now),
             Message::Finished(ticket, outcome) => scheduler.finished(ticket, outcome, now),
             Message::Table(table) => scheduler.set_table(table),
-            Message::Named(named) => scheduler.set_named(named),
+            Message::Named(named) => scheduler.add_named(&named),
             Message::Endpoints(list) => scheduler.set_endpoints(&list, now),
             Message::Hosts(hosts) => scheduler.set_hosts(hosts),
             Message::Loading(endpoints) => scheduler.set_loading(&endpoints, now),
--- a/crates/papayayard_routing/src/placement.rs
+++ b/crates/papayayard_routing/src/placement.rs
@@ -153,9 +153,11 @@
         self.hosts = hosts.max(1);
     }
 
-    /// Takes over the versions of weights that operators have named.
-    pub fn set_named(&mut self, named: HashMap<id::Model, weights::Named>) {
-        self.named = named;
+    /// Takes over versions of weights that operators have named.
+    pub fn add_named(&mut self, named: &HashMap<id::Model, weights::Named>) {
+        for (model, named) in named {
+            self.named.entry(model.clone()).or_default().merge(named);
+        }
     }
 
     /// Takes over the list of endpoints.
--- a/crates/papayayard_routing/src/weights.rs
+++ b/crates/papayayard_routing/src/weights.rs
@@ -18,15 +18,25 @@
 }
 
 impl Named {
-    /// Takes over a named version; `false` if it was known.
-    pub fn name(&mut self, version: u64, now: Duration) -> bool {
-        if self.seen.contains_key(&version) {
+    /// Takes over a version that was named at a time or before; `false` where
+    /// that was known. A host that has just started learns of the time from
+    /// others, for its own reading came later.
+    pub fn name(&mut self, version: u64, at: Duration) -> bool {
+        let known = self.seen.get(&version);
+        if known.is_some_and(|known| *known <= at) {
             return false;
         }
-        self.seen.insert(version, now);
+        self.seen.insert(version, at);
         true
     }
 
+    /// Takes over all that another has.
+    pub fn merge(&mut self, other: &Self) {
+        for (version, at) in &other.seen {
+            self.name(*version, *at);
+        }
+    }
+
     /// The newest version and the time it was learnt of.
     pub fn newest(&self) -> Option<(u64, Duration)> {
         let (version, at) = self.seen.last_key_value()?;
