--- a/crates/papayayard_gateway/src/relay.rs
+++ b/crates/papayayard_gateway/src/relay.rs
@@ -270,6 +270,8 @@
                     request:% = job.id, service:% = job.service, endpoint:% = placement.endpoint,
                     version = placement.version.unwrap_or(0),
                     expected_ms = millis(placement.first_event),
+                    cached = placement.cached, unread = placement.unread,
+                    parts = job.prompt.as_ref().map_or(0, |prompt| prompt.tokens),
                     fetch = placement.fetch.is_some(), save = placement.save.is_some(),
                     attempt = tried.endpoints.len();
                     "placed"
--- a/crates/papayayard_routing/src/placement.rs
+++ b/crates/papayayard_routing/src/placement.rs
@@ -618,6 +618,8 @@
             fetch: fetch.map(|fetch| fetch.address),
             save,
             first_event,
+            cached: candidate.estimate.cached,
+            unread: candidate.estimate.unread,
         }
     }
 
--- a/crates/papayayard_routing/src/placement/ask.rs
+++ b/crates/papayayard_routing/src/placement/ask.rs
@@ -57,6 +57,10 @@
     pub save: Option<SocketAddr>,
     /// Expected time to the first event.
     pub first_event: Duration,
+    /// Shared tokens that are expected at the endpoint.
+    pub cached: u32,
+    /// Tokens that the endpoint will have to read.
+    pub unread: u32,
 }
 
 /// Why a request gets no endpoint.
