Learn how late first events are; refuse at crowded engines; count rereads dear

Ruled out: waiting in our own queue (200 ms at most). Change: delays seen at an endpoint and by all are added to what load explains; an engine beyond 1.3 target latencies takes no more; a token computed again costs 0.15 ms; Retry-After as late as callers wait, spread; the store's contents are listed after a gap; loads are announced just in time.

--- a/crates/papayayard_coordination/src/rollout.rs
+++ b/crates/papayayard_coordination/src/rollout.rs
@@ -1,9 +1,9 @@
 //! Brings the endpoints of a service to the newest weights, a few at a time.
 //!
 //! An endpoint that loads weights serves nothing, and loads slow one another
-//! down beyond a number. So at most that many load at once, while as many more
-//! are announced: all hosts stop sending to these, their open requests end,
-//! and they load next. A version that was named meanwhile goes before the one
+//! down beyond a number. So at most that many load at once. The next ones are
+//! announced shortly before a load ends: all hosts stop sending to them and
+//! their open requests end, while no more endpoints than needed are idle. A version that was named meanwhile goes before the one
 //! that is being loaded; what has loaded the older one comes last.
 
 use std::collections::{BTreeMap, HashMap};
@@ -14,6 +14,10 @@
 /// Time between an announcement and the order, in which hosts learn of it and
 /// short answers end.
 const NOTICE: Duration = Duration::from_millis(450);
+/// Time that a load is taken to last before one was seen.
+const USUAL_LOAD: Duration = Duration::from_millis(1400);
+/// Weight of the newest load in the average.
+const NEWEST_PART: f64 = 0.3;
 /// Time that a load takes at least; only then an endpoint is looked at.
 const FIRST_CHECK: Duration = Duration::from_millis(600);
 /// Time between two looks at an endpoint that loads.
@@ -63,9 +67,10 @@
 }
 
 /// The state of one roll-out.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Rollout {
     target: u64,
+    load: Duration,
     steps: BTreeMap<id::Endpoint, Step>,
 }
 
@@ -76,6 +81,16 @@
     Ordered { at: Duration, checked: Duration },
 }
 
+impl Default for Rollout {
+    fn default() -> Self {
+        Self {
+            target: 0,
+            load: USUAL_LOAD,
+            steps: BTreeMap::new(),
+        }
+    }
+}
+
 impl Rollout {
     /// Starts or goes on; `true` where the announcement has changed.
     pub fn plan(&mut self, members: &[Member], target: u64, now: Duration) -> bool {
@@ -91,9 +106,8 @@
             step.time_out(now);
         }
         let limit = loads_at_once(members.len());
-        let behind = members.iter().filter(|one| one.version < target).count();
-        let announced = (2 * limit).min(members.len().saturating_sub(1).max(1));
-        while self.steps.len() < announced.min(behind) {
+        let most = members.len().saturating_sub(1).max(1);
+        while self.occupied(now) < limit && self.steps.len() < most {
             let Some(next) = self.next(members, target) else {
                 break;
             };
@@ -102,6 +116,16 @@
         self.away() != before
     }
 
+    /// Steps that will not have ended when an endpoint that is announced now
+    /// could load.
+    fn occupied(&self, now: Duration) -> usize {
+        let ends_soon = |step: &&Step| match step {
+            Step::Ordered { at, .. } => *at + self.load <= now + NOTICE,
+            Step::Announced { .. } | Step::Due { .. } => false,
+        };
+        self.steps.len() - self.steps.values().filter(ends_soon).count()
+    }
+
     /// Endpoints that take no requests for now.
     pub fn away(&self) -> Vec<id::Endpoint> {
         self.steps.keys().cloned().collect()
@@ -159,7 +183,10 @@
     /// Takes over that an endpoint reports a version and carries out no order.
     pub fn idle(&mut self, endpoint: &id::Endpoint, version: u64, now: Duration) {
         if version >= self.target {
-            self.steps.remove(endpoint);
+            if let Some(Step::Ordered { at, .. }) = self.steps.remove(endpoint) {
+                let load = now.saturating_sub(at);
+                self.load = self.load.mul_f64(1.0 - NEWEST_PART) + load.mul_f64(NEWEST_PART);
+            }
         } else if let Some(step) = self.steps.get_mut(endpoint) {
             *step = Step::Due { at: now };
         }
--- a/crates/papayayard_gateway/src/attempt.rs
+++ b/crates/papayayard_gateway/src/attempt.rs
@@ -121,12 +121,18 @@
             let request = self.request(job, placement, position);
             let sent = connection.sender.try_send_request(request);
             match time::timeout(left, sent).await {
-                Err(_) => return Err(Failure::Silent),
+                Err(_) => {
+                    self.pool.forget(placement.address);
+                    return Err(Failure::Silent);
+                }
                 Ok(Err(mut error)) => match error.take_message() {
                     // The endpoint had closed the kept connection.
                     Some(_) if is_kept => {}
                     Some(_) => return Err(Failure::Unreachable),
-                    None => return Err(Failure::Broken),
+                    None => {
+                        self.pool.forget(placement.address);
+                        return Err(Failure::Broken);
+                    }
                 },
                 Ok(Ok(response)) => {
                     let (head, body) = response.into_parts();
--- a/crates/papayayard_gateway/src/exchange.rs
+++ b/crates/papayayard_gateway/src/exchange.rs
@@ -170,6 +170,12 @@
     /// Asks for changes of a cache since a number, waiting for one to come.
     fn changes(&self, since: u64, wait: Duration) -> http::Request<Bytes>;
 
+    /// Asks for all that a cache keeps.
+    fn contents(&self) -> http::Request<Bytes>;
+
+    /// Reads all that a cache keeps.
+    fn decode_contents(&self, reply: &call::Reply) -> Option<Changes>;
+
     /// Reads changes of a cache.
     fn decode_changes(&self, reply: &call::Reply) -> Option<Changes>;
 }
--- a/crates/papayayard_gateway/src/feeds.rs
+++ b/crates/papayayard_gateway/src/feeds.rs
@@ -22,6 +22,8 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(800);
 /// Time between two readings, in which changes add up.
 const PAUSE: Duration = Duration::from_millis(250);
+/// Time for a whole list.
+const LIST_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time to try again after a failure.
 const RETRY: Duration = Duration::from_millis(700);
 
@@ -119,6 +121,13 @@
             log::info!(address:% = source.address; "holder of cached parts has restarted");
             schedule.tell(Message::Forget(source.holder.clone()));
         }
+        // An engine's cache turns over within seconds, so that a gap there
+        // closes by itself; the store keeps parts for long.
+        let is_gap = changes.has_gap && source.holder == Holder::Store;
+        let changes = match is_gap {
+            true => contents(&codec, &mut caller).await.unwrap_or(changes),
+            false => changes,
+        };
         run = Some(changes.run);
         since = changes.next;
         tell(&source.holder, &changes, &schedule);
@@ -126,6 +135,25 @@
     }
 }
 
+/// All that a holder keeps.
+async fn contents<Platform>(codec: &Platform, caller: &mut Caller) -> Option<Changes>
+where
+    Platform: Codec,
+{
+    match caller.call(codec.contents(), LIST_TIMEOUT).await {
+        Ok(reply) => {
+            let contents = codec.decode_contents(&reply);
+            let parts = contents.as_ref().map_or(0, |contents| contents.parts.len());
+            log::info!(parts; "contents of a cache read");
+            contents
+        }
+        Err(error) => {
+            log::info!(error:%; "contents of a cache not read");
+            None
+        }
+    }
+}
+
 fn tell(holder: &Holder, changes: &Changes, schedule: &Handle) {
     if changes.parts.is_empty() {
         return;
--- a/crates/papayayard_routing/src/placement.rs
+++ b/crates/papayayard_routing/src/placement.rs
@@ -22,6 +22,7 @@
 mod backend;
 mod cache;
 mod cost;
+mod delay;
 mod link;
 mod load;
 
@@ -30,6 +31,7 @@
 pub use ask::{Ask, BackendKey, Decision, Outcome, Placement, Refused, Ticket, Waiting};
 pub use backend::Endpoint;
 pub use cache::Cache;
+pub use delay::{Delay, Usual};
 pub use link::{Link, transfer_time};
 pub use load::{Amounts, Load};
 
@@ -37,10 +39,15 @@
 const WAIT_PART: f64 = 0.4;
 /// Part of the time to the deadline within which the first event must come.
 const LATEST_PART: f64 = 0.7;
-/// Time to come back in when no better time is known.
-const RETRY_AFTER: Duration = Duration::from_millis(400);
+/// Times the target latency that a first event may take at an engine. Beyond
+/// that the engine is crowded, and one more request would make others late.
+const CROWDED_FACTOR: f64 = 1.3;
+/// Longest time to come back in.
+const LONGEST_RETRY: Duration = Duration::from_millis(2500);
 /// Part of the time left that callers wait at most before they come back.
 const RETRY_PART: f64 = 0.3;
+/// Part of the time to come back in by which callers are spread.
+const RETRY_SPREAD: f64 = 0.4;
 /// Time for which an endpoint that refused is left alone.
 const REFUSAL_PAUSE: Duration = Duration::from_millis(150);
 /// Time beyond the expected one after which a silent endpoint is failing.
@@ -77,6 +84,8 @@
     store: Cache,
     store_link: Link,
     named: HashMap<id::Model, weights::Named>,
+    usual: Usual,
+    refusals: u64,
     tickets: SlotMap<Ticket, Placed>,
     waiting: SlotMap<Waiting, Pending>,
     arrivals: u64,
@@ -94,6 +103,9 @@
     amounts: Amounts,
     sent: Duration,
     expected: Duration,
+    /// The part of it that load and the prompt explain, in ms.
+    explained_ms: f64,
+    is_stream: bool,
     begun: bool,
     overdue: bool,
 }
@@ -117,6 +129,7 @@
     keys: Vec<prompt::Key>,
     holders: Vec<Holder<'a>>,
     stored: u32,
+    known: u32,
 }
 
 struct Holder<'a> {
@@ -137,6 +150,8 @@
             store: Cache::default(),
             store_link: Link::default(),
             named: HashMap::new(),
+            usual: Usual::default(),
+            refusals: 0,
             tickets: SlotMap::with_key(),
             waiting: SlotMap::with_key(),
             arrivals: 0,
@@ -280,8 +295,14 @@
             ..Amounts::default()
         };
         placed.amounts.unread = 0.0;
+        let late_ms = elapsed_ms(placed.sent, now) - placed.explained_ms;
+        let is_stream = placed.is_stream;
         if let Some(backend) = self.backends.get_mut(placed.backend) {
             backend.load.remove(unread, now);
+            if is_stream {
+                backend.delay.observe(late_ms - self.usual.ms(), now);
+                self.usual.observe(late_ms);
+            }
         }
     }
 
@@ -318,12 +339,22 @@
     /// Counts endpoints that are silent for too long as failing.
     pub fn check_silence(&mut self, now: Duration) {
         for placed in self.tickets.values_mut() {
-            let due = placed.sent + placed.expected + SILENCE;
-            if placed.begun || placed.overdue || now < due {
+            if placed.begun || now < placed.sent + placed.expected {
+                continue;
+            }
+            let Some(backend) = self.backends.get_mut(placed.backend) else {
                 continue;
+            };
+            if placed.is_stream {
+                // What is late already will be later still.
+                let late_ms = elapsed_ms(placed.sent, now) - placed.explained_ms;
+                let delay_ms = late_ms - self.usual.ms();
+                if delay_ms > backend.delay.at(now) {
+                    backend.delay.observe(delay_ms, now);
+                }
             }
-            placed.overdue = true;
-            if let Some(backend) = self.backends.get_mut(placed.backend) {
+            if !placed.overdue && placed.sent + placed.expected + SILENCE <= now {
+                placed.overdue = true;
                 backend.health.failed(now);
             }
         }
@@ -372,9 +403,10 @@
         if why == Refused::Overloaded && now < since + patience && now < ask.deadline {
             return None;
         }
+        self.refusals += 1;
         Some(Decision::Refused {
             why,
-            retry_after: retry_after(&ask, now),
+            retry_after: retry_after(&ask, self.refusals, now),
         })
     }
 
@@ -408,8 +440,10 @@
             (Some(engine), Some(prompt)) => self.best_engine(ask, prompt, engine, usable, now),
             _ => self.best_plain(usable, now),
         }?;
-        let left = ask.deadline.saturating_sub(now).as_secs_f64() * 1000.0;
-        (best.estimate.first_event_ms <= left * LATEST_PART).then_some(best)
+        let left_ms = ms(ask.deadline.saturating_sub(now));
+        let crowded_ms = ms(ask.target_latency) * CROWDED_FACTOR;
+        let latest_ms = (left_ms * LATEST_PART).min(crowded_ms);
+        (best.estimate.first_event_ms <= latest_ms).then_some(best)
     }
 
     fn best_plain<'a, Usable>(&self, usable: Usable, now: Duration) -> Option<Candidate>
@@ -460,6 +494,8 @@
                 is_old: newest.is_some_and(|(newest, at)| version < newest && at + grace <= now),
                 zone: &self.settings.zone,
                 rank,
+                known: shared.known,
+                usual_ms: self.usual.ms(),
             };
             let cached = backend.cache.prefix(prompt.shared(), &shared.keys, now);
             let fetch = self.source(engine, shared, (key, backend), cached, now);
@@ -501,10 +537,18 @@
             .filter(|holder| holder.tokens > 0)
             .collect();
         let stored = self.store.fetchable(parts, &keys, now);
+        let at_engines = self.backends.values().filter(|one| {
+            one.endpoint.service == ask.service && one.version(&prompt.model) == version
+        });
+        let known = at_engines
+            .map(|one| one.cache.prefix(parts, &keys, now))
+            .max();
+        let known = known.unwrap_or(0).max(stored);
         Shared {
             keys,
             holders,
             stored,
+            known,
         }
     }
 
@@ -606,6 +650,8 @@
             amounts,
             sent: now,
             expected: first_event,
+            explained_ms: candidate.estimate.explained_ms,
+            is_stream: ask.prompt.is_some(),
             begun: false,
             overdue: false,
         });
@@ -695,9 +741,23 @@
     parts.map(|part| prompt::key(&salt, &part.name)).collect()
 }
 
-fn retry_after(ask: &Ask, now: Duration) -> Duration {
+/// When to come back: as late as callers wait, and spread, so that they do not
+/// come together into the same crowd.
+fn retry_after(ask: &Ask, refusals: u64, now: Duration) -> Duration {
     let left = ask.deadline.saturating_sub(now);
-    RETRY_AFTER.min(left.mul_f64(RETRY_PART))
+    let latest = LONGEST_RETRY.min(left.mul_f64(RETRY_PART));
+    // Steps of the golden ratio spread any number of callers evenly.
+    let steps = f64::from(u32::try_from(refusals % 1000).unwrap_or(0));
+    let spread = (steps * 0.618_034).fract() * RETRY_SPREAD;
+    latest.mul_f64(1.0 - spread)
+}
+
+fn ms(duration: Duration) -> f64 {
+    duration.as_secs_f64() * 1000.0
+}
+
+fn elapsed_ms(since: Duration, now: Duration) -> f64 {
+    ms(now.saturating_sub(since))
 }
 
 fn milliseconds(ms: f64) -> Duration {
--- a/crates/papayayard_routing/src/placement/backend.rs
+++ b/crates/papayayard_routing/src/placement/backend.rs
@@ -7,6 +7,7 @@
 use papayayard_wire::id;
 
 use super::cache::Cache;
+use super::delay::Delay;
 use super::load::Load;
 use crate::ejection;
 
@@ -51,6 +52,8 @@
     pub(super) loading_until: Option<Duration>,
     /// When it came into use, or its weights did.
     pub(super) fresh_since: Duration,
+    /// Delay of first events.
+    pub(super) delay: Delay,
     /// Average time of whole answers, in ms.
     pub(super) service_ms: f64,
 }
@@ -66,6 +69,7 @@
             refuses_until: Duration::ZERO,
             loading_until: None,
             fresh_since: now,
+            delay: Delay::default(),
             service_ms,
         }
     }
--- a/crates/papayayard_routing/src/placement/cost.rs
+++ b/crates/papayayard_routing/src/placement/cost.rs
@@ -20,9 +20,9 @@
 const READ_TOKENS_PER_MS: f64 = 70.0;
 /// Delay of a first event by each request that runs already, in ms.
 const PER_OPEN_MS: f64 = 1.5;
-/// Time that computing a token again counts beyond its own, for it takes an
-/// engine from other callers.
-const REREAD_FACTOR: f64 = 2.0;
+/// Cost of a token that is computed again though another holder has it, in ms:
+/// a long history costs more than an answer that comes late.
+const REREAD_MS: f64 = 0.15;
 /// Part of an engine's memory that open requests may hold; the rest leaves
 /// room for answers that grow longer than expected.
 const MEMORY_PART: f64 = 0.85;
@@ -57,6 +57,10 @@
     pub(super) zone: &'a id::Zone,
     /// Place of the endpoint in the prompt's order of preference.
     pub(super) rank: usize,
+    /// Leading shared tokens that some holder has or is about to have.
+    pub(super) known: u32,
+    /// Time that first events take beyond what load explains, in ms.
+    pub(super) usual_ms: f64,
 }
 
 /// What a placement is expected to bring.
@@ -64,6 +68,8 @@
 pub(super) struct Estimate {
     /// Time to the first event, in ms.
     pub(super) first_event_ms: f64,
+    /// The part of it that load and the prompt explain, in ms.
+    pub(super) explained_ms: f64,
     /// Cost that placements are compared by, in ms.
     pub(super) cost_ms: f64,
     /// Shared tokens that lie at the endpoint.
@@ -105,11 +111,12 @@
     let fetch_ms = source
         .filter(|_| fetched > 0)
         .map_or(0.0, |source| source.time.as_secs_f64() * 1000.0);
-    let reread = unread.saturating_sub(need.prompt.own_tokens());
-    let first_event_ms =
+    let reread = need.known.saturating_sub(cached + fetched);
+    let explained_ms =
         (load.unread + f64::from(unread)) / READ_TOKENS_PER_MS + load.open * PER_OPEN_MS + fetch_ms;
+    let first_event_ms = explained_ms + need.usual_ms + backend.delay.at(now);
     let cost_ms = first_event_ms
-        + f64::from(reread) / READ_TOKENS_PER_MS * REREAD_FACTOR
+        + f64::from(reread) * REREAD_MS
         + zone_ms(backend, need.zone)
         + rank_ms(need.rank)
         + slow_start_ms(backend, now)
@@ -120,6 +127,7 @@
         };
     Some(Estimate {
         first_event_ms,
+        explained_ms,
         cost_ms,
         cached,
         unread,
@@ -143,6 +151,7 @@
         + slow_start_ms(backend, now) * 0.1;
     Estimate {
         first_event_ms,
+        explained_ms: first_event_ms,
         cost_ms,
         cached: 0,
         unread: 0,
