Let endpoints drain before they load weights

Ruled out: late reports, lost orders. Change: twice as many endpoints are announced as load; one is ordered once it is empty, after a second with one request left, or after 2.5 s breaking off the rest. Connects give up after 150 ms, silent streams after 2 s.

--- a/crates/papayayard_coordination/src/rollout.rs
+++ b/crates/papayayard_coordination/src/rollout.rs
@@ -1,27 +1,31 @@
 //! Brings the endpoints of a service to the newest weights, a few at a time.
 //!
 //! An endpoint that loads weights serves nothing, and loads slow one another
-//! down beyond a number. So at most that many load at once. The next ones are
-//! announced shortly before a load ends: all hosts stop sending to them and
-//! their open requests end, while no more endpoints than needed are idle. A version that was named meanwhile goes before the one
-//! that is being loaded; what has loaded the older one comes last.
+//! down beyond a number. So at most that many load at once, while as many more
+//! drain: all hosts stop sending to them and their open requests end. One is
+//! ordered to load once it is empty, so that no load waits for a long answer. A
+//! version that was named meanwhile goes before the one that is being loaded;
+//! what has loaded the older one comes last.
 
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
 use papayayard_wire::id;
 
-/// Time between an announcement and the order, in which hosts learn of it and
-/// short answers end.
-const NOTICE: Duration = Duration::from_millis(450);
-/// Time that a load is taken to last before one was seen.
-const USUAL_LOAD: Duration = Duration::from_millis(1400);
-/// Weight of the newest load in the average.
-const NEWEST_PART: f64 = 0.3;
+/// Time in which hosts learn of an announcement, and reports show it.
+const NOTICE: Duration = Duration::from_millis(350);
+/// Longest time for an endpoint to drain. What is open then may go on for as
+/// long as its caller waits, and is broken off.
+const LONGEST_DRAIN: Duration = Duration::from_millis(2500);
+/// Time to drain after which no more than [`FEW_OPEN`] requests are waited for:
+/// most answers have ended by then, and what is left may last very long.
+const USUAL_DRAIN: Duration = Duration::from_millis(1000);
+/// See [`USUAL_DRAIN`].
+const FEW_OPEN: u32 = 1;
 /// Time that a load takes at least; only then an endpoint is looked at.
 const FIRST_CHECK: Duration = Duration::from_millis(600);
-/// Time between two looks at an endpoint that loads.
-const CHECK_PERIOD: Duration = Duration::from_millis(200);
+/// Time between two looks at an endpoint.
+const CHECK_PERIOD: Duration = Duration::from_millis(180);
 /// Time after which an order counts as lost.
 const ORDER_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time after which an order that was refused is given again.
@@ -45,12 +49,21 @@
 /// What is to be done now.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Actions {
-    /// Endpoints to order the version at.
-    pub order: Vec<id::Endpoint>,
+    /// Orders to give.
+    pub order: Vec<Due>,
     /// Endpoints whose version is to be asked for.
     pub check: Vec<id::Endpoint>,
 }
 
+/// An order that is due.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Due {
+    /// Endpoint that is to load.
+    pub endpoint: id::Endpoint,
+    /// Whether its open requests are broken off.
+    pub breaks_off: bool,
+}
+
 /// How an order was answered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Answer {
@@ -67,28 +80,31 @@
 }
 
 /// The state of one roll-out.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Rollout {
     target: u64,
-    load: Duration,
     steps: BTreeMap<id::Endpoint, Step>,
 }
 
+/// What an endpoint reports.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Step {
-    Announced { at: Duration },
-    Due { at: Duration },
-    Ordered { at: Duration, checked: Duration },
+pub struct Look {
+    /// Version of its weights.
+    pub version: u64,
+    /// Whether it carries out an order.
+    pub is_busy: bool,
+    /// Requests that run or wait there.
+    pub open: u32,
 }
 
-impl Default for Rollout {
-    fn default() -> Self {
-        Self {
-            target: 0,
-            load: USUAL_LOAD,
-            steps: BTreeMap::new(),
-        }
-    }
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Step {
+    /// Takes no new requests; looked at from a time on.
+    Draining { since: Duration, check: Duration },
+    /// To be ordered from a time on.
+    Due { at: Duration, breaks_off: bool },
+    /// Was ordered; looked at from a time on.
+    Ordered { at: Duration, check: Duration },
 }
 
 impl Rollout {
@@ -106,26 +122,22 @@
             step.time_out(now);
         }
         let limit = loads_at_once(members.len());
+        // One endpoint at least goes on serving.
         let most = members.len().saturating_sub(1).max(1);
-        while self.occupied(now) < limit && self.steps.len() < most {
+        let away = (2 * limit).min(most);
+        while self.steps.len() < away {
             let Some(next) = self.next(members, target) else {
                 break;
             };
-            self.steps.insert(next, Step::Announced { at: now });
+            let step = Step::Draining {
+                since: now,
+                check: now + NOTICE,
+            };
+            self.steps.insert(next, step);
         }
         self.away() != before
     }
 
-    /// Steps that will not have ended when an endpoint that is announced now
-    /// could load.
-    fn occupied(&self, now: Duration) -> usize {
-        let ends_soon = |step: &&Step| match step {
-            Step::Ordered { at, .. } => *at + self.load <= now + NOTICE,
-            Step::Announced { .. } | Step::Due { .. } => false,
-        };
-        self.steps.len() - self.steps.values().filter(ends_soon).count()
-    }
-
     /// Endpoints that take no requests for now.
     pub fn away(&self) -> Vec<id::Endpoint> {
         self.steps.keys().cloned().collect()
@@ -141,18 +153,21 @@
         let mut actions = Actions::default();
         let loading = self.steps.values().filter(|step| step.is_ordered()).count();
         let mut free = loads_at_once(members).saturating_sub(loading);
-        let mut due: Vec<(Duration, &id::Endpoint)> = self
+        let mut due: Vec<(Duration, &id::Endpoint, bool)> = self
             .steps
             .iter()
-            .filter_map(|(id, step)| step.due(now).map(|at| (at, id)))
+            .filter_map(|(id, step)| step.due(now).map(|(at, breaks_off)| (at, id, breaks_off)))
             .collect();
         due.sort_unstable();
-        for (_, id) in due {
+        for (_, id, breaks_off) in due {
             if free == 0 {
                 break;
             }
             free -= 1;
-            actions.order.push(id.clone());
+            actions.order.push(Due {
+                endpoint: id.clone(),
+                breaks_off,
+            });
         }
         for (id, step) in &mut self.steps {
             if step.check(now) {
@@ -170,25 +185,40 @@
         *step = match answer {
             Answer::Accepted | Answer::Lost => Step::Ordered {
                 at: now,
-                checked: now,
+                check: now + FIRST_CHECK,
+            },
+            Answer::Busy | Answer::Gone => Step::Due {
+                at: now + RETRY,
+                breaks_off: false,
             },
-            Answer::Busy | Answer::Gone => Step::Due { at: now + RETRY },
             Answer::Holds => Step::Ordered {
                 at: now,
-                checked: Duration::ZERO,
+                check: now,
             },
         };
     }
 
-    /// Takes over that an endpoint reports a version and carries out no order.
-    pub fn idle(&mut self, endpoint: &id::Endpoint, version: u64, now: Duration) {
-        if version >= self.target {
-            if let Some(Step::Ordered { at, .. }) = self.steps.remove(endpoint) {
-                let load = now.saturating_sub(at);
-                self.load = self.load.mul_f64(1.0 - NEWEST_PART) + load.mul_f64(NEWEST_PART);
+    /// Takes over what an endpoint reports.
+    pub fn looked(&mut self, endpoint: &id::Endpoint, look: Look, now: Duration) {
+        let Some(step) = self.steps.get_mut(endpoint) else {
+            return;
+        };
+        match *step {
+            Step::Draining { since, .. } => {
+                let is_usual = since + USUAL_DRAIN <= now;
+                let most_open = if is_usual { FEW_OPEN } else { 0 };
+                if look.open <= most_open {
+                    *step = Step::Due {
+                        at: now,
+                        breaks_off: look.open > 0,
+                    };
+                }
+            }
+            Step::Ordered { .. } if !look.is_busy && look.version >= self.target => {
+                self.steps.remove(endpoint);
             }
-        } else if let Some(step) = self.steps.get_mut(endpoint) {
-            *step = Step::Due { at: now };
+            Step::Ordered { .. } if !look.is_busy => *step = Step::again(now),
+            Step::Ordered { .. } | Step::Due { .. } => {}
         }
     }
 
@@ -217,28 +247,36 @@
         matches!(self, Self::Ordered { .. })
     }
 
-    fn due(self, now: Duration) -> Option<Duration> {
+    const fn again(now: Duration) -> Self {
+        Self::Due {
+            at: now,
+            breaks_off: false,
+        }
+    }
+
+    /// Since when an order is due, and whether it breaks off what is open.
+    fn due(self, now: Duration) -> Option<(Duration, bool)> {
         match self {
-            Self::Announced { at } if at + NOTICE <= now => Some(at),
-            Self::Due { at } if at <= now => Some(at),
+            Self::Draining { since, .. } if since + LONGEST_DRAIN <= now => Some((since, true)),
+            Self::Due { at, breaks_off } if at <= now => Some((at, breaks_off)),
             _ => None,
         }
     }
 
     fn check(&mut self, now: Duration) -> bool {
-        let Self::Ordered { at, checked } = self else {
+        let (Self::Draining { check, .. } | Self::Ordered { check, .. }) = self else {
             return false;
         };
-        if now < *at + FIRST_CHECK || now < *checked + CHECK_PERIOD {
+        if now < *check {
             return false;
         }
-        *checked = now;
+        *check = now + CHECK_PERIOD;
         true
     }
 
     fn time_out(&mut self, now: Duration) {
         if matches!(self, Self::Ordered { at, .. } if *at + ORDER_TIMEOUT <= now) {
-            *self = Self::Due { at: now };
+            *self = Self::again(now);
         }
     }
 }
--- a/crates/papayayard_gateway/src/dial.rs
+++ b/crates/papayayard_gateway/src/dial.rs
@@ -13,8 +13,9 @@
 use tokio::task::JoinHandle;
 use tokio::time;
 
-/// Time to open a connection: a few round trips between zones.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time to open a connection: many round trips between zones, and little of
+/// the time in which an answer is due.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 /// Time after which sent bytes that nobody acknowledged end a connection; a
 /// lost packet is sent again well within it.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(900);
--- a/crates/papayayard_gateway/src/exchange.rs
+++ b/crates/papayayard_gateway/src/exchange.rs
@@ -118,6 +118,8 @@
     pub is_busy: bool,
     /// Orders that it has accepted.
     pub accepted: u64,
+    /// Requests that run or wait there.
+    pub open: u32,
 }
 
 /// What has changed in an endpoint's cache.
--- a/crates/papayayard_gateway/src/host.rs
+++ b/crates/papayayard_gateway/src/host.rs
@@ -137,7 +137,6 @@
         store,
         host: settings.host.clone(),
         lease: settings.bounds.lease,
-        old_weights: settings.bounds.old_weights,
         configuration: configuration.clone(),
         endpoints: endpoints.clone(),
         standing,
--- a/crates/papayayard_gateway/src/orders.rs
+++ b/crates/papayayard_gateway/src/orders.rs
@@ -9,7 +9,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use papayayard_coordination::rollout::{Answer, Member, Rollout};
+use papayayard_coordination::rollout::{Answer, Due, Look, Member, Rollout};
 use papayayard_coordination::turn::Turn;
 use papayayard_routing::placement::Endpoint;
 use papayayard_routing::weights::Named;
@@ -43,10 +43,6 @@
 /// Longest time that a record is taken to have lain in the store; clocks of
 /// hosts can be wrong.
 const LONGEST_LAIN: Duration = Duration::from_mins(1);
-/// Part of the time for old weights after which open requests are broken off
-/// for a load.
-const BREAK_OFF_PART: f64 = 0.7;
-
 /// What the holder of the turn announces.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Announcement {
@@ -170,7 +166,6 @@
     pub(crate) store: Store<Platform>,
     pub(crate) host: id::Host,
     pub(crate) lease: Duration,
-    pub(crate) old_weights: Duration,
     pub(crate) configuration: watch::Receiver<Configuration>,
     pub(crate) endpoints: watch::Receiver<Vec<Endpoint>>,
     pub(crate) standing: watch::Receiver<Standing>,
@@ -425,22 +420,17 @@
         let Some(fence) = self.turn.fence(now) else {
             return;
         };
-        let configuration = self.parts.configuration.borrow().clone();
         for (model, (newest, members)) in behind {
             let Some(rollout) = self.rollouts.get_mut(model) else {
                 continue;
             };
-            let named = configuration.named.get(model);
-            let learnt = named.and_then(|named| named.newest()).map(|(_, at)| at);
-            let is_pressed =
-                learnt.is_some_and(|at| at + self.parts.old_weights.mul_f64(BREAK_OFF_PART) <= now);
             let actions = rollout.actions(members.len(), now);
-            for endpoint in &actions.order {
+            for due in &actions.order {
                 // Until the answer comes the endpoint counts as ordered.
-                rollout.answered(endpoint, Answer::Lost, now);
+                rollout.answered(&due.endpoint, Answer::Lost, now);
             }
-            for endpoint in actions.order {
-                self.spawn_order(&endpoint, model, *newest, fence, is_pressed);
+            for due in &actions.order {
+                self.spawn_order(due, model, *newest, fence);
             }
             for endpoint in actions.check {
                 self.spawn_check(&endpoint, model);
@@ -454,21 +444,18 @@
         Some(found.address)
     }
 
-    fn spawn_order(
-        &mut self,
-        endpoint: &id::Endpoint,
-        model: &id::Model,
-        version: u64,
-        fence: id::Fence,
-        breaks_off: bool,
-    ) {
-        let Some(address) = self.address(endpoint) else {
+    fn spawn_order(&mut self, due: &Due, model: &id::Model, version: u64, fence: id::Fence) {
+        let Due {
+            endpoint,
+            breaks_off,
+        } = due.clone();
+        let Some(address) = self.address(&endpoint) else {
             return;
         };
         log::info!(endpoint:%, model:%, version, fence = fence.0, breaks_off; "ordering weights");
         let codec = self.parts.store.codec.clone();
         let holder = self.parts.host.clone();
-        let (endpoint, model) = (endpoint.clone(), model.clone());
+        let model = model.clone();
         let sender = self.sender.clone();
         self.calls.spawn(async move {
             let report = report(&codec, address).await;
@@ -563,10 +550,13 @@
             log::info!(endpoint:%, version; "weights in place");
             *known = version;
         }
-        if !report.is_busy
-            && let Some(rollout) = self.rollouts.get_mut(model)
-        {
-            rollout.idle(endpoint, version, now);
+        let look = Look {
+            version,
+            is_busy: report.is_busy,
+            open: report.open,
+        };
+        if let Some(rollout) = self.rollouts.get_mut(model) {
+            rollout.looked(endpoint, look, now);
         }
     }
 }
--- a/crates/papayayard_routing/src/placement.rs
+++ b/crates/papayayard_routing/src/placement.rs
@@ -51,9 +51,9 @@
 /// Time for which an endpoint that refused is left alone.
 const REFUSAL_PAUSE: Duration = Duration::from_millis(150);
 /// Time beyond the expected one after which a silent endpoint is failing.
-const SILENCE: Duration = Duration::from_millis(1200);
-/// Failures in a row that one lost connection counts for.
-const UNREACHABLE_FAILURES: usize = 3;
+const SILENCE: Duration = Duration::from_millis(2000);
+/// Failures in a row that one refused or unanswered connection counts for.
+const UNREACHABLE_FAILURES: usize = 2;
 /// Time to which a service time is taken before one was seen, in ms.
 const UNKNOWN_SERVICE_MS: f64 = 30.0;
 /// Wait on a shared link from which on a transfer is not started any more.
