Take the mean of all endpoints into what other hosts have at one

Ruled out: slots; the connections' part. Change: the average at one endpoint is shrunk to the mean of its kind, the more the fewer requests were seen there; what cannot be repeated prefers its zone.

--- a/crates/papayayard_gateway/src/job.rs
+++ b/crates/papayayard_gateway/src/job.rs
@@ -56,6 +56,7 @@
             service: self.service.clone(),
             prompt: self.prompt.clone(),
             wall: isolated.map(|account| account.name.clone()),
+            is_repeatable: self.route.kind.is_repeatable(),
             priority: self.priority(),
             target: self.target,
             target_latency: self.route.target_latency,
--- a/crates/papayayard_gateway/src/relay.rs
+++ b/crates/papayayard_gateway/src/relay.rs
@@ -278,7 +278,17 @@
                 );
                 Ok(placement)
             }
-            Decision::Refused { why, retry_after } => {
+            Decision::Refused {
+                why,
+                retry_after,
+                seen,
+            } => {
+                log::info!(
+                    request:% = job.id, service:% = job.service, reason = why.as_str(),
+                    usable = seen.usable, with_room = seen.with_room,
+                    first_event_ms = millis(seen.first_event);
+                    "no place"
+                );
                 let (kind, message) = match why {
                     Refused::NoEndpoint => (Kind::NoEndpoint, "the service has no endpoint"),
                     Refused::Overloaded => (Kind::Overloaded, "all endpoints are full"),
--- a/crates/papayayard_gateway/src/schedule.rs
+++ b/crates/papayayard_gateway/src/schedule.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use papayayard_routing::placement::{
-    Ask, Decision, Endpoint, Outcome, Placement, Scheduler, Ticket, Waiting,
+    Ask, Decision, Endpoint, Outcome, Placement, Scheduler, Seen, Ticket, Waiting,
 };
 use papayayard_routing::prompt;
 use papayayard_routing::table::Table;
@@ -79,6 +79,7 @@
         decision.await.unwrap_or(Decision::Refused {
             why: papayayard_routing::placement::Refused::NoEndpoint,
             retry_after: Duration::ZERO,
+            seen: Seen::default(),
         })
     }
 
--- a/crates/papayayard_routing/src/placement.rs
+++ b/crates/papayayard_routing/src/placement.rs
@@ -28,7 +28,7 @@
 
 use backend::Backend;
 
-pub use ask::{Ask, BackendKey, Decision, Outcome, Placement, Refused, Ticket, Waiting};
+pub use ask::{Ask, BackendKey, Decision, Outcome, Placement, Refused, Seen, Ticket, Waiting};
 pub use backend::Endpoint;
 pub use cache::Cache;
 pub use delay::{Delay, Usual};
@@ -395,7 +395,8 @@
         let pending = &self.waiting[key];
         let ask = pending.ask.clone();
         let since = pending.since;
-        if let Some(candidate) = self.best(&ask, now) {
+        let mut seen = Seen::default();
+        if let Some(candidate) = self.best(&ask, &mut seen, now) {
             return Some(Decision::Placed(self.place(&ask, &candidate, now)));
         }
         let patience = ask.target.saturating_sub(since).mul_f64(WAIT_PART);
@@ -407,6 +408,7 @@
         Some(Decision::Refused {
             why,
             retry_after: retry_after(&ask, self.refusals, now),
+            seen,
         })
     }
 
@@ -425,7 +427,7 @@
         Refused::Overloaded
     }
 
-    fn best(&self, ask: &Ask, now: Duration) -> Option<Candidate> {
+    fn best(&self, ask: &Ask, seen: &mut Seen, now: Duration) -> Option<Candidate> {
         let service = self.table.services.get(&ask.service);
         let engine = service.and_then(|service| service.engine.as_ref());
         let connections = service.map_or(u32::MAX, |service| service.max_connections);
@@ -436,49 +438,65 @@
                 && one.is_usable(now)
                 && one.load.own().open + 1.0 <= share.max(1.0)
         });
-        let best = match (engine, &ask.prompt) {
-            (Some(engine), Some(prompt)) => self.best_engine(ask, prompt, engine, usable, now),
-            _ => self.best_plain(usable, now),
-        }?;
+        let usable: Vec<(BackendKey, &Backend)> = usable.collect();
+        seen.usable = usable.len();
+        let candidates = match (engine, &ask.prompt) {
+            (Some(engine), Some(prompt)) => self.engines(ask, prompt, engine, usable, now),
+            _ => self.plain(usable, ask, now),
+        };
+        seen.with_room = candidates.len();
+        let best = cheapest(candidates)?;
+        seen.first_event = milliseconds(best.estimate.first_event_ms);
         let left_ms = ms(ask.deadline.saturating_sub(now));
         let crowded_ms = ms(ask.target_latency) * CROWDED_FACTOR;
         let latest_ms = (left_ms * LATEST_PART).min(crowded_ms);
         (best.estimate.first_event_ms <= latest_ms).then_some(best)
     }
 
-    fn best_plain<'a, Usable>(&self, usable: Usable, now: Duration) -> Option<Candidate>
-    where
-        Usable: Iterator<Item = (BackendKey, &'a Backend)>,
-    {
-        let candidates = usable.map(|(key, backend)| Candidate {
+    fn plain(
+        &self,
+        usable: Vec<(BackendKey, &Backend)>,
+        ask: &Ask,
+        now: Duration,
+    ) -> Vec<Candidate> {
+        let zone = cost::Zone::new(&self.settings.zone, ask.is_repeatable);
+        let mean = Amounts::mean(usable.iter().map(|(_, one)| one.load.average(now)));
+        let candidates = usable.into_iter().map(|(key, backend)| Candidate {
             key,
-            estimate: cost::of_plain(backend, &self.settings.zone, self.hosts, now),
+            estimate: cost::of_plain(backend, zone, mean, self.hosts, now),
             version: 0,
             fetch: None,
         });
-        cheapest(candidates)
+        candidates.collect()
     }
 
-    fn best_engine<'a, Usable>(
+    fn engines(
         &self,
         ask: &Ask,
         prompt: &prompt::Prompt,
         engine: &table::Engine,
-        usable: Usable,
+        usable: Vec<(BackendKey, &Backend)>,
         now: Duration,
-    ) -> Option<Candidate>
-    where
-        Usable: Iterator<Item = (BackendKey, &'a Backend)>,
-    {
+    ) -> Vec<Candidate> {
         let named = self.named.get(&prompt.model);
         let oldest = named.map_or(0, |one| one.oldest_allowed(self.settings.old_weights, now));
         let newest = named.and_then(weights::Named::newest);
         let mut ranked: Vec<(BackendKey, &Backend)> = usable
+            .into_iter()
             .filter(|(_, one)| one.version(&prompt.model) >= oldest)
             .collect();
         ranked.sort_by_cached_key(|(_, one)| Reverse(cost::preference(&one.endpoint.id, prompt)));
 
         let mut versions: HashMap<u64, Shared<'_>> = HashMap::new();
+        let mut means: HashMap<u64, Amounts> = HashMap::new();
+        for (_, backend) in &ranked {
+            let version = backend.version(&prompt.model);
+            means.entry(version).or_insert_with(|| {
+                let alike = ranked.iter().map(|(_, one)| one);
+                let alike = alike.filter(|one| one.version(&prompt.model) == version);
+                Amounts::mean(alike.map(|one| one.load.average(now)))
+            });
+        }
         let mut candidates = Vec::with_capacity(ranked.len());
         for (rank, (key, backend)) in ranked.into_iter().enumerate() {
             let version = backend.version(&prompt.model);
@@ -491,8 +509,9 @@
                 keys: &shared.keys,
                 target: ask.target_latency,
                 hosts: self.hosts,
+                mean: means.get(&version).copied().unwrap_or_default(),
                 is_old: newest.is_some_and(|(newest, at)| version < newest && at + grace <= now),
-                zone: &self.settings.zone,
+                zone: cost::Zone::new(&self.settings.zone, ask.is_repeatable),
                 rank,
                 known: shared.known,
                 usual_ms: self.usual.ms(),
@@ -509,7 +528,7 @@
                 });
             }
         }
-        cheapest(candidates.into_iter())
+        candidates
     }
 
     /// What is known of a prompt's shared parts under one version.
@@ -711,10 +730,8 @@
     };
 }
 
-fn cheapest<Candidates>(candidates: Candidates) -> Option<Candidate>
-where
-    Candidates: Iterator<Item = Candidate>,
-{
+fn cheapest(candidates: Vec<Candidate>) -> Option<Candidate> {
+    let candidates = candidates.into_iter();
     candidates.min_by(|one, other| one.estimate.cost_ms.total_cmp(&other.estimate.cost_ms))
 }
 
--- a/crates/papayayard_routing/src/placement/ask.rs
+++ b/crates/papayayard_routing/src/placement/ask.rs
@@ -26,6 +26,8 @@
     pub prompt: Option<Arc<prompt::Prompt>>,
     /// The client account, where it shares no cached prompts.
     pub wall: Option<id::Account>,
+    /// Whether it can be sent again after it may have run.
+    pub is_repeatable: bool,
     /// Urgency, 0 first.
     pub priority: u8,
     /// Time by which the answer should begin.
@@ -96,9 +98,22 @@
         why: Refused,
         /// When to come back.
         retry_after: Duration,
+        /// What was seen of the service's endpoints.
+        seen: Seen,
     },
 }
 
+/// What a decision saw of a service's endpoints.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Seen {
+    /// Endpoints that could be sent requests.
+    pub usable: usize,
+    /// Those of them that had room.
+    pub with_room: usize,
+    /// Shortest expected time to a first event among these.
+    pub first_event: Duration,
+}
+
 /// How a placed request ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
--- a/crates/papayayard_routing/src/placement/cost.rs
+++ b/crates/papayayard_routing/src/placement/cost.rs
@@ -13,6 +13,7 @@
 use xxhash_rust::xxh3;
 
 use super::backend::Backend;
+use super::load::Amounts;
 use crate::prompt;
 use crate::table;
 
@@ -27,7 +28,9 @@
 /// room for answers that grow longer than expected.
 const MEMORY_PART: f64 = 0.85;
 /// Cost of an endpoint in another availability zone, in ms.
-const OTHER_ZONE_MS: f64 = 4.0;
+const OTHER_ZONE_MS: f64 = 5.0;
+/// The same for a request that is lost when zones are cut off from each other.
+const OTHER_ZONE_ONCE_MS: f64 = 40.0;
 /// Cost of an endpoint that isn't the prompt's home, in ms.
 const NOT_HOME_MS: f64 = 12.0;
 /// Cost of an endpoint that isn't even the second choice for a prompt, in ms.
@@ -51,10 +54,12 @@
     pub(super) target: Duration,
     /// Hosts that send requests.
     pub(super) hosts: usize,
+    /// Work of this host at an endpoint of the kind, on average.
+    pub(super) mean: Amounts,
     /// Whether newer weights than the endpoint's are in place.
     pub(super) is_old: bool,
-    /// Zone of this host.
-    pub(super) zone: &'a id::Zone,
+    /// Where the request comes from.
+    pub(super) zone: Zone<'a>,
     /// Place of the endpoint in the prompt's order of preference.
     pub(super) rank: usize,
     /// Leading shared tokens that some holder has or is about to have.
@@ -63,6 +68,33 @@
     pub(super) usual_ms: f64,
 }
 
+/// The zone of this host, and what leaving it costs a request.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Zone<'a> {
+    zone: &'a id::Zone,
+    leaving_ms: f64,
+}
+
+impl<'a> Zone<'a> {
+    /// The cost for a request that can be repeated, or not.
+    pub(super) fn new(zone: &'a id::Zone, is_repeatable: bool) -> Self {
+        let leaving_ms = if is_repeatable {
+            OTHER_ZONE_MS
+        } else {
+            OTHER_ZONE_ONCE_MS
+        };
+        Self { zone, leaving_ms }
+    }
+
+    fn cost_ms(self, backend: &Backend) -> f64 {
+        if backend.endpoint.zone == *self.zone {
+            0.0
+        } else {
+            self.leaving_ms
+        }
+    }
+}
+
 /// What a placement is expected to bring.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) struct Estimate {
@@ -95,7 +127,7 @@
     source: Option<Source>,
     now: Duration,
 ) -> Option<Estimate> {
-    let load = backend.load.of_all(need.hosts, now);
+    let load = backend.load.of_all(need.mean, need.hosts, now);
     if load.open >= f64::from(engine.slots) {
         return None;
     }
@@ -117,7 +149,7 @@
     let first_event_ms = explained_ms + need.usual_ms + backend.delay.at(now);
     let cost_ms = first_event_ms
         + f64::from(reread) * REREAD_MS
-        + zone_ms(backend, need.zone)
+        + need.zone.cost_ms(backend)
         + rank_ms(need.rank)
         + slow_start_ms(backend, now)
         + if need.is_old {
@@ -137,17 +169,18 @@
 /// Estimates a placement at an endpoint of a plain service.
 pub(super) fn of_plain(
     backend: &Backend,
-    zone: &id::Zone,
+    zone: Zone<'_>,
+    mean: Amounts,
     hosts: usize,
     now: Duration,
 ) -> Estimate {
-    let open = backend.load.of_all(hosts, now).open;
+    let open = backend.load.of_all(mean, hosts, now).open;
     let slots = f64::from(backend.endpoint.slots.max(1));
     let waits = (open + 1.0 - slots).max(0.0) / slots;
     let busy = open / slots;
     let first_event_ms = backend.service_ms * (1.0 + waits);
     let cost_ms = backend.service_ms * (1.0 + waits + busy)
-        + zone_ms(backend, zone)
+        + zone.cost_ms(backend)
         + slow_start_ms(backend, now) * 0.1;
     Estimate {
         first_event_ms,
@@ -165,14 +198,6 @@
     xxh3::xxh3_64_with_seed(endpoint.as_str().as_bytes(), seed)
 }
 
-fn zone_ms(backend: &Backend, zone: &id::Zone) -> f64 {
-    if backend.endpoint.zone == *zone {
-        0.0
-    } else {
-        OTHER_ZONE_MS
-    }
-}
-
 fn rank_ms(rank: usize) -> f64 {
     match rank {
         0 => 0.0,
--- a/crates/papayayard_routing/src/placement/load.rs
+++ b/crates/papayayard_routing/src/placement/load.rs
@@ -1,20 +1,28 @@
 //! What one endpoint has to do, as one host can tell.
 //!
 //! A host sees its own requests at once and those of other hosts not at all.
-//! Callers are spread over the hosts, so what this host had at the endpoint on
-//! average stands for each of the others. That follows a change of load within
-//! the time constant and needs no message.
+//! Callers are spread over the hosts, so what this host had at an endpoint on
+//! average stands for each of the others. One host alone has too few requests
+//! at one endpoint for a steady average, so the mean over all endpoints of a
+//! kind takes part in it: the fewer requests this host had there, the more.
+//! That follows a change of load within the time constant, needs no message,
+//! and grows neither with the hosts nor with the endpoints.
 
 use std::time::Duration;
 
 /// Time constant of the averages.
-const MEMORY: Duration = Duration::from_millis(400);
+const MEMORY: Duration = Duration::from_millis(600);
+/// Time constant of the number of requests.
+const COUNTED: Duration = Duration::from_secs(2);
+/// Requests at one endpoint from which on they outweigh the mean of all.
+const ENOUGH: f64 = 6.0;
 
 /// Work of this host at an endpoint, and the average of it.
 #[derive(Clone, Debug, Default)]
 pub struct Load {
     now: Amounts,
     average: Amounts,
+    recent: f64,
     at: Duration,
 }
 
@@ -34,6 +42,7 @@
     pub fn add(&mut self, amounts: Amounts, now: Duration) {
         self.settle(now);
         self.now = self.now.plus(amounts, 1.0);
+        self.recent += amounts.open;
     }
 
     /// Takes work of a request away.
@@ -47,17 +56,33 @@
         self.now
     }
 
-    /// Work that all hosts are expected to have there.
-    pub fn of_all(&self, hosts: usize, now: Duration) -> Amounts {
+    /// Work that all hosts are expected to have there, where an endpoint of
+    /// the kind has `mean` from this host.
+    pub fn of_all(&self, mean: Amounts, hosts: usize, now: Duration) -> Amounts {
         let others = f64::from(u32::try_from(hosts.max(1) - 1).unwrap_or(u32::MAX));
-        self.now.plus(self.average_at(now), others)
+        let recent = self.recent_at(now);
+        let own_part = recent / (recent + ENOUGH);
+        let average = self.average_at(now).scaled(own_part);
+        let average = average.plus(mean, 1.0 - own_part);
+        self.now.plus(average, others)
+    }
+
+    /// Work of this host, averaged over the time constant.
+    pub fn average(&self, now: Duration) -> Amounts {
+        self.average_at(now)
     }
 
     fn settle(&mut self, now: Duration) {
         self.average = self.average_at(now);
+        self.recent = self.recent_at(now);
         self.at = now;
     }
 
+    fn recent_at(&self, now: Duration) -> f64 {
+        let elapsed = now.saturating_sub(self.at).as_secs_f64();
+        self.recent * (-elapsed / COUNTED.as_secs_f64()).exp()
+    }
+
     fn average_at(&self, now: Duration) -> Amounts {
         let elapsed = now.saturating_sub(self.at).as_secs_f64();
         let kept = (-elapsed / MEMORY.as_secs_f64()).exp();
@@ -66,6 +91,24 @@
 }
 
 impl Amounts {
+    /// The mean of some.
+    pub fn mean<All>(all: All) -> Self
+    where
+        All: Iterator<Item = Self>,
+    {
+        let mut count = 0.0;
+        let mut sum = Self::default();
+        for one in all {
+            sum = sum.plus(one, 1.0);
+            count += 1.0;
+        }
+        if count > 0.0 {
+            sum.scaled(1.0 / count)
+        } else {
+            sum
+        }
+    }
+
     fn scaled(self, factor: f64) -> Self {
         Self::default().plus(self, factor)
     }
