--- a/crates/papayayard_coordination/src/rollout.rs
+++ b/crates/papayayard_coordination/src/rollout.rs
@@ -16,10 +16,10 @@
 const NOTICE: Duration = Duration::from_millis(350);
 /// Longest time for an endpoint to drain. What is open then may go on for as
 /// long as its caller waits, and is broken off.
-const LONGEST_DRAIN: Duration = Duration::from_millis(2500);
+const LONGEST_DRAIN: Duration = Duration::from_millis(3000);
 /// Time to drain after which no more than [`FEW_OPEN`] requests are waited for:
 /// most answers have ended by then, and what is left may last very long.
-const USUAL_DRAIN: Duration = Duration::from_millis(1000);
+const USUAL_DRAIN: Duration = Duration::from_millis(1600);
 /// See [`USUAL_DRAIN`].
 const FEW_OPEN: u32 = 1;
 /// Time that a load takes at least; only then an endpoint is looked at.
