Let one host of a zone read the store for the others

Change: hosts of a zone order themselves alike, by capacity; the first reads, the others ask it over JSON-RPC with the store's own offsets, count the age of its reading from the moment they asked, and go round one that is silent or old. Records that say nothing new are not passed on. Stores of cached prompts divide the prompts. Ruled out: fewer readings by each host, which the bounds on revocation do not allow.

--- /dev/null
+++ b/crates/papayayard_coordination/src/reader.rs
@@ -0,0 +1,96 @@
+//! Which host of a zone reads the platform's store for the others.
+//!
+//! Bytes within a zone are free and calls to the store are not, so one host
+//! reads and the others ask it. All hosts of a zone order the hosts alike: those
+//! with more capacity first, then by a hash. A host asks the first that it has
+//! not found wanting of late; where several in a row were, or it comes first
+//! itself, it reads the store. A wrong view of the hosts costs calls, nothing
+//! else.
+
+use std::cmp::Reverse;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use papayayard_wire::id;
+use xxhash_rust::xxh3;
+
+/// Time for which a host that had nothing new is not asked.
+const AVOIDED: Duration = Duration::from_secs(3);
+/// Hosts that are asked, one after the other, before the store.
+const MOST_ASKED: usize = 2;
+
+/// A host of the zone.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Candidate {
+    /// Host.
+    pub host: id::Host,
+    /// Where it answers other hosts.
+    pub address: SocketAddr,
+    /// What it can do, in any unit that all hosts share.
+    pub capacity: u32,
+}
+
+/// Where to read from.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// The store.
+    Store,
+    /// Another host of the zone.
+    Peer {
+        /// Host.
+        host: id::Host,
+        /// Its address.
+        address: SocketAddr,
+    },
+}
+
+/// The choice of one host.
+#[derive(Clone, Debug)]
+pub struct Readers {
+    own: id::Host,
+    order: Vec<Candidate>,
+    avoided: HashMap<id::Host, Duration>,
+}
+
+impl Readers {
+    /// A choice that knows no other host.
+    pub fn new(own: id::Host) -> Self {
+        Self {
+            own,
+            order: Vec::new(),
+            avoided: HashMap::new(),
+        }
+    }
+
+    /// Takes over the hosts of the zone, this one among them.
+    pub fn set(&mut self, mut hosts: Vec<Candidate>) {
+        hosts.sort_by_cached_key(|one| {
+            let hash = xxh3::xxh3_64(one.host.as_str().as_bytes());
+            (Reverse(one.capacity), hash, one.host.clone())
+        });
+        self.order = hosts;
+    }
+
+    /// Where to read from now.
+    pub fn source(&self, now: Duration) -> Source {
+        let before = self.order.iter().take_while(|one| one.host != self.own);
+        let peer = before
+            .take(MOST_ASKED)
+            .find(|one| !self.is_avoided(&one.host, now));
+        peer.map_or(Source::Store, |one| Source::Peer {
+            host: one.host.clone(),
+            address: one.address,
+        })
+    }
+
+    /// Notes that a host gave no answer, or an old one.
+    pub fn failed(&mut self, host: &id::Host, now: Duration) {
+        self.avoided.retain(|_, until| now < *until);
+        self.avoided.insert(host.clone(), now + AVOIDED);
+    }
+
+    fn is_avoided(&self, host: &id::Host, now: Duration) -> bool {
+        self.avoided.get(host).is_some_and(|until| now < *until)
+    }
+}
--- /dev/null
+++ b/crates/papayayard_coordination/tests/reader_test.rs
@@ -0,0 +1,68 @@
+//! Hosts of a zone agree on who reads, and go round one that fails.
+
+use std::time::Duration;
+
+use papayayard_coordination::reader::{Candidate, Readers, Source};
+use papayayard_wire::id;
+
+const NOW: Duration = Duration::from_secs(100);
+
+fn zone(capacities: &[u32]) -> Vec<Candidate> {
+    let hosts = capacities.iter().enumerate();
+    hosts
+        .map(|(index, capacity)| Candidate {
+            host: id::Host::from(format!("host-{index}")),
+            address: format!("10.0.0.{}:7000", index + 1).parse().unwrap(),
+            capacity: *capacity,
+        })
+        .collect()
+}
+
+fn readers(own: usize, hosts: &[Candidate]) -> Readers {
+    let mut readers = Readers::new(hosts[own].host.clone());
+    readers.set(hosts.to_vec());
+    readers
+}
+
+fn asked(source: &Source) -> Option<&id::Host> {
+    match source {
+        Source::Store => None,
+        Source::Peer { host, .. } => Some(host),
+    }
+}
+
+#[test]
+fn all_hosts_ask_the_same_one_and_that_one_asks_the_store() {
+    let hosts = zone(&[5, 5, 5, 5]);
+    let sources: Vec<Source> = (0..4).map(|own| readers(own, &hosts).source(NOW)).collect();
+    let stores = sources.iter().filter(|one| **one == Source::Store).count();
+    assert_eq!(stores, 1);
+    let mut peers: Vec<&id::Host> = sources.iter().filter_map(asked).collect();
+    peers.dedup();
+    assert_eq!(peers.len(), 1);
+}
+
+#[test]
+fn the_host_with_the_most_capacity_reads() {
+    let hosts = zone(&[1, 9, 1]);
+    assert_eq!(readers(1, &hosts).source(NOW), Source::Store);
+    assert_eq!(asked(&readers(0, &hosts).source(NOW)), Some(&hosts[1].host));
+}
+
+#[test]
+fn a_host_that_fails_is_gone_round_for_a_while() {
+    let hosts = zone(&[1, 9, 8, 1]);
+    let mut readers = readers(0, &hosts);
+    readers.failed(&hosts[1].host, NOW);
+    assert_eq!(asked(&readers.source(NOW)), Some(&hosts[2].host));
+    readers.failed(&hosts[2].host, NOW);
+    assert_eq!(readers.source(NOW), Source::Store);
+    let later = NOW + Duration::from_secs(4);
+    assert_eq!(asked(&readers.source(later)), Some(&hosts[1].host));
+}
+
+#[test]
+fn a_host_alone_reads_the_store() {
+    let own = Readers::new(id::Host::from("host-0"));
+    assert_eq!(own.source(NOW), Source::Store);
+}
--- a/crates/papayayard_gateway/src/beliefs.rs
+++ b/crates/papayayard_gateway/src/beliefs.rs
@@ -60,28 +60,30 @@
         }
     }
 
-    fn table(&mut self, table: Table) {
+    fn table(&mut self, table: Table) -> bool {
         let known = self.known.table.as_ref().map(|known| known.revision);
         if known.is_some_and(|known| table.revision <= known) {
             log::warn!(revision = table.revision.0; "older configuration skipped");
-            return;
+            return false;
         }
         log::info!(revision = table.revision.0; "configuration in force");
         let table = Arc::new(table);
         self.schedule.tell(Message::Table(Arc::clone(&table)));
         self.known.table = Some(table);
         self.is_changed = true;
+        true
     }
 
-    fn weights(&mut self, model: id::Model, version: u64, now: Duration) {
+    fn weights(&mut self, model: id::Model, version: u64, now: Duration) -> bool {
         let named = self.known.named.entry(model.clone()).or_default();
         if !named.name(version, now) {
-            return;
+            return false;
         }
         log::info!(model:%, version; "weights named");
         let named = self.known.named.clone();
         self.schedule.tell(Message::Named(named));
         self.is_changed = true;
+        true
     }
 }
 
@@ -89,15 +91,18 @@
 where
     Platform: Codec,
 {
-    fn record(&mut self, record: &Record, now: Duration) {
+    fn record(&mut self, record: &Record, now: Duration) -> bool {
         let Some(value) = &record.value else {
-            return;
+            return false;
         };
         match self.codec.published(&record.key, value) {
             Ok(Published::Table(table)) => self.table(*table),
             Ok(Published::Weights { model, version }) => self.weights(model, version, now),
-            Ok(Published::Unknown) => {}
-            Err(error) => log::warn!(key = record.key.as_str(), error:%; "record skipped"),
+            Ok(Published::Unknown) => false,
+            Err(error) => {
+                log::warn!(key = record.key.as_str(), error:%; "record skipped");
+                false
+            }
         }
     }
 
@@ -147,17 +152,18 @@
         self.listing.reading(now);
     }
 
-    fn record(&mut self, record: &Record, now: Duration) {
+    fn record(&mut self, record: &Record, now: Duration) -> bool {
         let id = id::Endpoint::from(record.key.as_str());
         let Some(value) = &record.value else {
             self.listing.drop(&id, now);
-            return;
+            return true;
         };
         match self.codec.endpoint(&record.key, value) {
             Ok(endpoint) => self.listing.put(endpoint),
             Err(error) => {
                 log::warn!(endpoint:% = id, error:%; "endpoint's record skipped");
                 self.listing.drop(&id, now);
+                true
             }
         }
     }
--- a/crates/papayayard_gateway/src/feeds.rs
+++ b/crates/papayayard_gateway/src/feeds.rs
@@ -85,8 +85,8 @@
             address: endpoint.address,
         })
         .collect();
-    sources.extend(table.cache_store().map(|store| Source {
-        holder: Holder::Store,
+    sources.extend(table.cache_stores().map(|(name, store)| Source {
+        holder: Holder::Store(name.clone()),
         started: id::Incarnation::default(),
         address: store.address,
     }));
@@ -123,7 +123,7 @@
         }
         // An engine's cache turns over within seconds, so that a gap there
         // closes by itself; the store keeps parts for long.
-        let is_gap = changes.has_gap && source.holder == Holder::Store;
+        let is_gap = changes.has_gap && matches!(source.holder, Holder::Store(_));
         let changes = match is_gap {
             true => contents(&codec, &mut caller).await.unwrap_or(changes),
             false => changes,
--- a/crates/papayayard_gateway/src/follow.rs
+++ b/crates/papayayard_gateway/src/follow.rs
@@ -3,17 +3,24 @@
 //!
 //! The store can be away, slow or refuse this host alone; what was read stays
 //! valid meanwhile, and grows old. Where records have expired before they were
-//! read, the newest ones are read again.
+//! read, the newest ones are read again. One host of a zone reads the store and
+//! the others ask that host, with the same offsets, so that any of them can
+//! take over from it.
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use papayayard_coordination::journal::Backoff;
+use papayayard_coordination::reader::{Candidate, Readers, Source};
+use papayayard_wire::id;
+use tokio::sync::watch;
 use tokio::time;
 
 use crate::call::Caller;
 use crate::clock::Clock;
+use crate::mirror::Mirror;
+use crate::peers;
 use crate::store::{Codec, Error, Record, Topic};
 
 /// Time for an answer beyond the time that the store was asked to wait.
@@ -23,10 +30,15 @@
 /// Longest wait after a failure.
 const LONGEST_RETRY: Duration = Duration::from_millis(500);
 
+/// Age of another host's reading, beyond the time that it may wait for one,
+/// from which on the next host is asked.
+const OLD: Duration = Duration::from_millis(1300);
+
 /// What is made of a topic's records.
 pub(crate) trait Fold {
-    /// Takes over a record; later ones of a key replace earlier ones.
-    fn record(&mut self, record: &Record, now: Duration);
+    /// Takes over a record; later ones of a key replace earlier ones. Tells
+    /// whether it says anything new.
+    fn record(&mut self, record: &Record, now: Duration) -> bool;
 
     /// A reading has begun that will show all keys.
     fn whole(&mut self, keys: &HashSet<String>, now: Duration);
@@ -99,11 +111,22 @@
     }
 }
 
+/// Where a topic's records come from and go to.
+pub(crate) struct Links {
+    /// This host.
+    pub(crate) host: id::Host,
+    /// Hosts of the zone.
+    pub(crate) zone: watch::Receiver<Vec<Candidate>>,
+    /// What other hosts are told.
+    pub(crate) mirror: watch::Sender<Mirror>,
+}
+
 /// Follows a topic for as long as the process runs.
 pub(crate) async fn follow<Platform, Target>(
     store: Store<Platform>,
     topic: Topic,
     beat: Beat,
+    links: Links,
     fold: Target,
 ) where
     Platform: Codec,
@@ -111,9 +134,12 @@
 {
     let follower = Follower {
         caller: Caller::new(store.address),
+        readers: Readers::new(links.host.clone()),
+        peer: None,
         store,
         topic,
         beat,
+        links,
         fold,
         offsets: HashMap::new(),
         next: None,
@@ -124,8 +150,11 @@
 struct Follower<Platform, Target> {
     store: Store<Platform>,
     caller: Caller,
+    readers: Readers,
+    peer: Option<peers::Client>,
     topic: Topic,
     beat: Beat,
+    links: Links,
     fold: Target,
     offsets: HashMap<String, u64>,
     next: Option<u64>,
@@ -140,7 +169,8 @@
         let mut backoff = Backoff::new(FIRST_RETRY, LONGEST_RETRY);
         loop {
             match self.step().await {
-                Ok(()) => {
+                Ok(Source::Peer { .. }) => backoff.succeed(),
+                Ok(Source::Store) => {
                     if backoff.failures() > 0 {
                         log::info!(topic = self.topic.as_str(); "store reached again");
                     }
@@ -161,11 +191,56 @@
         }
     }
 
-    async fn step(&mut self) -> Result<(), Error> {
+    /// Reads once, and tells from where.
+    async fn step(&mut self) -> Result<Source, Error> {
+        let zone = self.links.zone.borrow_and_update().clone();
+        self.readers.set(zone);
+        loop {
+            let source = self.readers.source(self.store.clock.now());
+            let Source::Peer { host, address } = &source else {
+                break;
+            };
+            match self.ask(*address).await {
+                Ok(()) => return Ok(source),
+                Err(problem) => {
+                    let topic = self.topic.as_str();
+                    log::info!(topic, host:%, problem:%; "another host has nothing new");
+                    self.readers.failed(host, self.store.clock.now());
+                }
+            }
+        }
         match self.next {
-            None => self.read_newest().await,
-            Some(from) => self.read_on(from).await,
+            None => self.read_newest().await?,
+            Some(from) => self.read_on(from).await?,
+        }
+        Ok(Source::Store)
+    }
+
+    /// Asks another host of the zone.
+    async fn ask(&mut self, address: SocketAddr) -> Result<(), String> {
+        let wait = self.beat.wait;
+        let clock = self.store.clock;
+        let kept = self.peer.take().filter(|peer| peer.address() == address);
+        let client = match kept {
+            Some(client) => client,
+            None => peers::Client::new(address, wait)?,
+        };
+        let part = client.read(self.topic, self.next, wait, clock).await?;
+        self.peer = Some(client);
+        let now = clock.now();
+        if part.asked + wait + OLD < now {
+            return Err("its reading is old".to_owned());
+        }
+        self.fold.reading(now);
+        if part.is_whole {
+            self.take_whole(&part.records, part.next, now);
+        } else {
+            for record in &part.records {
+                self.take(record, now);
+            }
         }
+        self.caught_up(part.asked, part.next, now);
+        Ok(())
     }
 
     async fn read_newest(&mut self) -> Result<(), Error> {
@@ -173,13 +248,8 @@
         let (records, end) = self.store.newest(&mut self.caller, self.topic).await?;
         let now = self.store.clock.now();
         self.fold.reading(now);
-        let keys: HashSet<String> = records.iter().map(|one| one.key.clone()).collect();
-        for record in &records {
-            self.take(record, now);
-        }
-        self.fold.whole(&keys, now);
-        self.fold.caught_up(asked, end, now);
-        self.next = Some(end);
+        self.take_whole(&records, end, now);
+        self.caught_up(asked, end, now);
         Ok(())
     }
 
@@ -194,18 +264,40 @@
         for record in &page.records {
             self.take(record, now);
         }
-        self.next = Some(page.next);
-        self.fold.caught_up(asked, page.next, now);
+        self.caught_up(asked, page.next, now);
         Ok(())
     }
 
+    /// Takes over the newest records of all keys.
+    fn take_whole(&mut self, records: &[Record], end: u64, now: Duration) {
+        self.links.mirror.send_modify(|mirror| mirror.restart(end));
+        for record in records {
+            self.take(record, now);
+        }
+        let keys: HashSet<String> = records.iter().map(|one| one.key.clone()).collect();
+        self.fold.whole(&keys, now);
+    }
+
     fn take(&mut self, record: &Record, now: Duration) {
         let known = self.offsets.get(&record.key);
-        if known.is_some_and(|offset| record.offset <= *offset) {
-            return;
+        let is_known = known.is_some_and(|offset| record.offset <= *offset);
+        let is_news = !is_known && self.fold.record(record, now);
+        if !is_known {
+            self.offsets.insert(record.key.clone(), record.offset);
         }
-        self.offsets.insert(record.key.clone(), record.offset);
-        self.fold.record(record, now);
+        self.links.mirror.send_if_modified(|mirror| {
+            mirror.put(record, is_news);
+            // Hosts that wait are woken once all of a reading is in.
+            false
+        });
+    }
+
+    fn caught_up(&mut self, asked: Duration, next: u64, now: Duration) {
+        self.next = Some(next);
+        self.links
+            .mirror
+            .send_modify(|mirror| mirror.caught_up(next, asked));
+        self.fold.caught_up(asked, next, now);
     }
 }
 
--- a/crates/papayayard_gateway/src/host.rs
+++ b/crates/papayayard_gateway/src/host.rs
@@ -21,11 +21,12 @@
 use crate::follow::{self, Beat, Store};
 use crate::front::{self, Progress};
 use crate::metrics::Metrics;
+use crate::mirror::Mirror;
 use crate::pool::Pool;
 use crate::relay::Relay;
 use crate::settings::Settings;
 use crate::store::Topic;
-use crate::{exchange, feeds, hosts, operators, orders, schedule, store};
+use crate::{exchange, feeds, hosts, operators, orders, peers, schedule, store};
 
 /// Time for which older weights count as no loss.
 const OLD_WEIGHTS_GRACE: Duration = Duration::from_millis(1200);
@@ -77,6 +78,7 @@
 {
     let callers = listen(settings.callers)?;
     let operators = listen(settings.operators)?;
+    let peer_listener = listen_plain(settings.peers)?;
     let clock = Clock::start();
     let metrics = Metrics::new();
     let (progress, progress_seen) = watch::channel(Progress::SERVING);
@@ -99,34 +101,49 @@
     };
 
     let mut controllers = JoinSet::new();
+    let (zone_sender, zone) = watch::channel(Vec::new());
+    let mut mirrors = peers::Mirrors::new();
+    let mut links = |topic: Topic| {
+        let (mirror, mirror_seen) = watch::channel(Mirror::default());
+        mirrors.insert(topic.as_str(), mirror_seen);
+        follow::Links {
+            host: settings.host.clone(),
+            zone: zone.clone(),
+            mirror,
+        }
+    };
     let fold = Operators::new(
         codec.clone(),
         configuration_sender,
         word_sender,
         schedule.clone(),
     );
-    controllers.spawn(follow::follow(
-        store.clone(),
-        Topic::Operators,
-        OPERATORS,
-        fold,
-    ));
+    let topic = Topic::Operators;
+    let follower = follow::follow(store.clone(), topic, OPERATORS, links(topic), fold);
+    controllers.spawn(follower);
     let fold = Endpoints::new(codec.clone(), list_sender, schedule.clone());
-    controllers.spawn(follow::follow(
-        store.clone(),
-        Topic::Endpoints,
-        ENDPOINTS,
-        fold,
-    ));
+    let topic = Topic::Endpoints;
+    let follower = follow::follow(store.clone(), topic, ENDPOINTS, links(topic), fold);
+    controllers.spawn(follower);
     let fold = orders::Announcements::new(standing_sender, schedule.clone());
-    controllers.spawn(follow::follow(store.clone(), Topic::Orders, ORDERS, fold));
-    let host = settings.host.clone();
-    controllers.spawn(hosts::count(
-        store.clone(),
-        host,
-        hosts_sender,
-        schedule.clone(),
-    ));
+    let topic = Topic::Orders;
+    let follower = follow::follow(store.clone(), topic, ORDERS, links(topic), fold);
+    controllers.spawn(follower);
+    let address = settings.peers;
+    let served = peers::serve(peer_listener, mirrors, clock);
+    controllers.spawn(served.context(ListenSnafu { address })?);
+    let own = hosts::Own {
+        host: settings.host.clone(),
+        zone: settings.zone.clone(),
+        peers: settings.peers,
+        capacity: settings.capacity,
+    };
+    let counted = hosts::Links {
+        number: hosts_sender,
+        zone: zone_sender,
+        schedule: schedule.clone(),
+    };
+    controllers.spawn(hosts::count(store.clone(), own, counted));
     controllers.spawn(feeds::follow(
         codec.clone(),
         endpoints.clone(),
@@ -220,3 +237,8 @@
 fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
     front::listen(address).context(ListenSnafu { address })
 }
+
+fn listen_plain(address: SocketAddr) -> Result<std::net::TcpListener, Error> {
+    let listener = front::listen(address).and_then(TcpListener::into_std);
+    listener.context(ListenSnafu { address })
+}
--- a/crates/papayayard_gateway/src/orders.rs
+++ b/crates/papayayard_gateway/src/orders.rs
@@ -126,9 +126,9 @@
 }
 
 impl Fold for Announcements {
-    fn record(&mut self, record: &Record, now: Duration) {
+    fn record(&mut self, record: &Record, now: Duration) -> bool {
         let Some(value) = record.value.as_ref().filter(|_| record.key == KEY) else {
-            return;
+            return false;
         };
         match serde_json::from_slice::<Announcement>(value) {
             Ok(announcement) => {
@@ -136,8 +136,12 @@
                 let named = announcement.named(now);
                 self.schedule.tell(Message::Named(named));
                 self.known.newest = Some((announcement, record.offset, now));
+                true
+            }
+            Err(error) => {
+                log::warn!(error:%; "announcement skipped");
+                false
             }
-            Err(error) => log::warn!(error:%; "announcement skipped"),
         }
     }
 
--- /dev/null
+++ b/crates/papayayard_gateway/src/peers.rs
@@ -0,0 +1,203 @@
+//! Hosts of a zone ask one another for what they have read.
+//!
+//! One JSON-RPC method over HTTP. A call waits for news at most for the time
+//! that it names. The answer tells the age of the reading, and the caller
+//! counts that age from the moment it asked: however long the answer was on its
+//! way, what it says is not older than that.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use jsonrpsee::RpcModule;
+use jsonrpsee::core::client::ClientT;
+use jsonrpsee::http_client::{HttpClient, HttpClientBuilder};
+use jsonrpsee::rpc_params;
+use jsonrpsee::server::{Server, ServerConfig, ServerHandle};
+use jsonrpsee::types::ErrorObjectOwned;
+use serde::{Deserialize, Serialize};
+use serde_with::base64::Base64;
+use serde_with::{DurationMilliSeconds, serde_as};
+use tokio::sync::watch;
+use tokio::time;
+
+use crate::clock::Clock;
+use crate::mirror::{Mirror, Part};
+use crate::store::{Record, Topic};
+
+/// Name of the method.
+const METHOD: &str = "read";
+/// JSON-RPC error code where nothing was read yet.
+const NOTHING_READ: i32 = -32_002;
+/// Most connections of other hosts; each has one for each topic.
+const CONNECTIONS: u32 = 512;
+/// Most bytes of an answer.
+const ANSWER_BYTES: u32 = 8 << 20;
+/// Longest time that a call may wait.
+const LONGEST_WAIT: Duration = Duration::from_secs(5);
+/// Time for an answer beyond the wait.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(350);
+
+/// What a host asks for.
+#[serde_as]
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct Call {
+    /// Name of the topic.
+    topic: String,
+    /// Offset up to which the caller has followed.
+    from: Option<u64>,
+    /// Time to wait for news.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    wait_ms: Duration,
+}
+
+/// What a host answers.
+#[serde_as]
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct Answer {
+    /// Whether these are the newest records of all keys.
+    is_whole: bool,
+    /// Records.
+    records: Vec<Entry>,
+    /// Offset to go on from.
+    next: u64,
+    /// Time since the reading was asked for.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    age_ms: Duration,
+}
+
+#[serde_as]
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct Entry {
+    offset: u64,
+    key: String,
+    #[serde_as(as = "Option<Base64>")]
+    value: Option<Vec<u8>>,
+}
+
+/// What this host has read, by the names of topics.
+pub(crate) type Mirrors = HashMap<&'static str, watch::Receiver<Mirror>>;
+
+struct Context {
+    mirrors: Mirrors,
+    clock: Clock,
+}
+
+/// Answers other hosts until the handle is dropped.
+pub(crate) fn serve(
+    listener: std::net::TcpListener,
+    mirrors: Mirrors,
+    clock: Clock,
+) -> io::Result<impl Future<Output = ()> + use<>> {
+    let config = ServerConfig::builder()
+        .http_only()
+        .max_connections(CONNECTIONS)
+        .max_response_body_size(ANSWER_BYTES)
+        .build();
+    let server = Server::builder()
+        .set_config(config)
+        .build_from_tcp(listener)?;
+    let mut module = RpcModule::new(Context { mirrors, clock });
+    module
+        .register_async_method(METHOD, |params, context, _| async move {
+            let call = params.one::<Call>()?;
+            answer(&context, &call).await
+        })
+        .expect("a new module has no method of this name");
+    let handle: ServerHandle = server.start(module);
+    Ok(handle.stopped())
+}
+
+async fn answer(context: &Context, call: &Call) -> Result<Answer, ErrorObjectOwned> {
+    let mirror = context.mirrors.get(call.topic.as_str());
+    let mut mirror = mirror.cloned().ok_or_else(nothing_read)?;
+    let wait = call.wait_ms.min(LONGEST_WAIT);
+    let news = mirror.wait_for(|mirror| mirror.has_news(call.from));
+    if let Ok(Err(_)) = time::timeout(wait, news).await {
+        return Err(nothing_read());
+    }
+    let part = mirror.borrow().part(call.from).ok_or_else(nothing_read)?;
+    Ok(Answer {
+        is_whole: part.is_whole,
+        records: part.records.into_iter().map(Entry::from).collect(),
+        next: part.next,
+        age_ms: context.clock.now().saturating_sub(part.asked),
+    })
+}
+
+fn nothing_read() -> ErrorObjectOwned {
+    let message = "nothing was read of the topic yet; ask another host";
+    ErrorObjectOwned::owned(NOTHING_READ, message, None::<()>)
+}
+
+impl From<Record> for Entry {
+    fn from(record: Record) -> Self {
+        Self {
+            offset: record.offset,
+            key: record.key,
+            value: record.value.map(|value| value.to_vec()),
+        }
+    }
+}
+
+impl From<Entry> for Record {
+    fn from(entry: Entry) -> Self {
+        Self {
+            offset: entry.offset,
+            key: entry.key,
+            value: entry.value.map(Bytes::from),
+        }
+    }
+}
+
+/// Asks one host.
+pub(crate) struct Client {
+    address: SocketAddr,
+    client: HttpClient,
+}
+
+impl Client {
+    /// A client for calls that wait at most for a time.
+    pub(crate) fn new(address: SocketAddr, wait: Duration) -> Result<Self, String> {
+        let client = HttpClientBuilder::new()
+            .request_timeout(wait + ANSWER_TIMEOUT)
+            .max_response_size(ANSWER_BYTES)
+            .build(format!("http://{address}"))
+            .map_err(|error| error.to_string())?;
+        Ok(Self { address, client })
+    }
+
+    /// Address of the host.
+    pub(crate) const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Asks for what came since an offset.
+    pub(crate) async fn read(
+        &self,
+        topic: Topic,
+        from: Option<u64>,
+        wait: Duration,
+        clock: Clock,
+    ) -> Result<Part, String> {
+        let call = Call {
+            topic: topic.as_str().to_owned(),
+            from,
+            wait_ms: wait,
+        };
+        let asked = clock.now();
+        let answer: Answer = self
+            .client
+            .request(METHOD, rpc_params![call])
+            .await
+            .map_err(|error| error.to_string())?;
+        Ok(Part {
+            is_whole: answer.is_whole,
+            records: answer.records.into_iter().map(Record::from).collect(),
+            next: answer.next,
+            asked: asked.saturating_sub(answer.age_ms),
+        })
+    }
+}
--- a/crates/papayayard_gateway/src/schedule.rs
+++ b/crates/papayayard_gateway/src/schedule.rs
@@ -30,8 +30,8 @@
 pub(crate) enum Holder {
     /// An endpoint.
     Endpoint(id::Endpoint),
-    /// The store of cached prompts.
-    Store,
+    /// A store of cached prompts.
+    Store(id::Service),
 }
 
 /// What the task is told.
@@ -182,7 +182,7 @@
             }
             Message::Told(holder, parts) => self.told(&holder, &parts),
             Message::Forget(Holder::Endpoint(endpoint)) => scheduler.forget(&endpoint),
-            Message::Forget(Holder::Store) => scheduler.forget_store(),
+            Message::Forget(Holder::Store(store)) => scheduler.forget_store(&store),
         }
     }
 
@@ -190,7 +190,7 @@
         for (key, tokens) in parts {
             match holder {
                 Holder::Endpoint(endpoint) => self.scheduler.told(endpoint, *key, *tokens),
-                Holder::Store => self.scheduler.store_told(*key, *tokens),
+                Holder::Store(store) => self.scheduler.store_told(store, *key, *tokens),
             }
         }
     }
--- a/crates/papayayard_gateway/src/settings.rs
+++ b/crates/papayayard_gateway/src/settings.rs
@@ -27,6 +27,10 @@
     pub callers: SocketAddr,
     /// Address for operators and health checks.
     pub operators: SocketAddr,
+    /// Address for other hosts.
+    pub peers: SocketAddr,
+    /// What the host can do against others, in any unit that all hosts share.
+    pub capacity: u32,
     /// Address of the platform's store.
     pub store: SocketAddr,
     /// Bounds that the host keeps to.
@@ -90,24 +94,51 @@
     let listen = fields.required(reader, "listen", listen);
     let store = fields.required(reader, "store", Reader::address);
     let bounds = fields.required(reader, "bounds", bounds);
+    let capacity = fields.optional(reader, "capacity", 1.0, |reader, place| {
+        decimal(reader, place, 1e6)
+    });
     fields.close(reader);
-    let (callers, operators) = listen?;
+    let listen = listen?;
     Some(Settings {
         host: host?,
         zone: zone?,
-        callers,
-        operators,
+        callers: listen.callers,
+        operators: listen.operators,
+        peers: listen.peers,
+        capacity: thousandths(capacity?),
         store: store?,
         bounds: bounds?,
     })
 }
 
-fn listen(reader: &mut Reader, place: &Place<'_>) -> Option<(SocketAddr, SocketAddr)> {
+/// Addresses to listen on.
+struct Listen {
+    callers: SocketAddr,
+    operators: SocketAddr,
+    peers: SocketAddr,
+}
+
+fn listen(reader: &mut Reader, place: &Place<'_>) -> Option<Listen> {
     let mut fields = reader.fields(place)?;
     let callers = fields.required(reader, "callers", Reader::address);
     let operators = fields.required(reader, "operators", Reader::address);
+    let peers = fields.required(reader, "peers", Reader::address);
     fields.close(reader);
-    Some((callers?, operators?))
+    Some(Listen {
+        callers: callers?,
+        operators: operators?,
+        peers: peers?,
+    })
+}
+
+fn thousandths(number: f64) -> u32 {
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "the number is checked to be from 0 to a million"
+    )]
+    let thousandths = (number * 1000.0) as u32;
+    thousandths
 }
 
 fn bounds(reader: &mut Reader, place: &Place<'_>) -> Option<Bounds> {
--- a/crates/papayayard_routing/src/listing.rs
+++ b/crates/papayayard_routing/src/listing.rs
@@ -41,13 +41,17 @@
         self.read_at = Some(now);
     }
 
-    /// Takes over a record.
-    pub fn put(&mut self, endpoint: Endpoint) {
+    /// Takes over a record; `false` where it says what was known.
+    pub fn put(&mut self, endpoint: Endpoint) -> bool {
+        let known = self.endpoints.get(&endpoint.id);
+        let is_news =
+            known.is_none_or(|known| known.gone_at.is_some() || known.endpoint != endpoint);
         let listed = Listed {
             endpoint,
             gone_at: None,
         };
         self.endpoints.insert(listed.endpoint.id.clone(), listed);
+        is_news
     }
 
     /// Takes over that a key has no record any more.
--- a/crates/papayayard_routing/src/placement.rs
+++ b/crates/papayayard_routing/src/placement.rs
@@ -81,8 +81,7 @@
     hosts: usize,
     backends: SlotMap<BackendKey, Backend>,
     by_id: HashMap<id::Endpoint, BackendKey>,
-    store: Cache,
-    store_link: Link,
+    stores: HashMap<id::Service, Store>,
     named: HashMap<id::Model, weights::Named>,
     usual: Usual,
     refusals: u64,
@@ -91,6 +90,13 @@
     arrivals: u64,
 }
 
+/// A store of cached prompts.
+#[derive(Default)]
+struct Store {
+    cache: Cache,
+    link: Link,
+}
+
 struct Pending {
     ask: Ask,
     arrival: u64,
@@ -121,13 +127,16 @@
 struct Fetch {
     address: SocketAddr,
     source: cost::Source,
-    from_store: bool,
+    time: Duration,
+    store: bool,
 }
 
 /// A prompt's shared parts under one version of the weights.
 struct Shared<'a> {
     keys: Vec<prompt::Key>,
     holders: Vec<Holder<'a>>,
+    store: Option<&'a table::CacheStore>,
+    store_wait: Duration,
     stored: u32,
     known: u32,
 }
@@ -147,8 +156,7 @@
             hosts: 1,
             backends: SlotMap::with_key(),
             by_id: HashMap::new(),
-            store: Cache::default(),
-            store_link: Link::default(),
+            stores: HashMap::new(),
             named: HashMap::new(),
             usual: Usual::default(),
             refusals: 0,
@@ -226,20 +234,22 @@
         }
     }
 
-    /// Takes over what the store of cached prompts keeps of a part.
-    pub fn store_told(&mut self, key: prompt::Key, tokens: u32) {
-        self.store.told(key, tokens);
+    /// Takes over what a store of cached prompts keeps of a part.
+    pub fn store_told(&mut self, store: &id::Service, key: prompt::Key, tokens: u32) {
+        let store = self.stores.entry(store.clone()).or_default();
+        store.cache.told(key, tokens);
     }
 
-    /// Forgets what the store of cached prompts keeps.
-    pub fn forget_store(&mut self) {
-        self.store.clear();
+    /// Forgets what a store of cached prompts keeps.
+    pub fn forget_store(&mut self, store: &id::Service) {
+        self.stores.remove(store);
     }
 
     /// Number of cached parts that are known, over all holders.
     pub fn known_parts(&self) -> usize {
         let engines: usize = self.backends.values().map(|one| one.cache.len()).sum();
-        engines + self.store.len()
+        let stores: usize = self.stores.values().map(|one| one.cache.len()).sum();
+        engines + stores
     }
 
     /// Lets a request wait for an endpoint; see [`Self::decide`].
@@ -358,7 +368,9 @@
                 backend.health.failed(now);
             }
         }
-        self.store.prune(now);
+        for store in self.stores.values_mut() {
+            store.cache.prune(now);
+        }
         for backend in self.backends.values_mut() {
             backend.cache.prune(now);
         }
@@ -485,7 +497,9 @@
             .into_iter()
             .filter(|(_, one)| one.version(&prompt.model) >= oldest)
             .collect();
-        ranked.sort_by_cached_key(|(_, one)| Reverse(cost::preference(&one.endpoint.id, prompt)));
+        ranked.sort_by_cached_key(|(_, one)| {
+            Reverse(cost::preference(one.endpoint.id.as_str(), prompt))
+        });
 
         let mut versions: HashMap<u64, Shared<'_>> = HashMap::new();
         let mut means: HashMap<u64, Amounts> = HashMap::new();
@@ -555,7 +569,9 @@
             })
             .filter(|holder| holder.tokens > 0)
             .collect();
-        let stored = self.store.fetchable(parts, &keys, now);
+        let store = self.store_of(prompt);
+        let kept = store.and_then(|(name, _)| self.stores.get(name));
+        let stored = kept.map_or(0, |kept| kept.cache.fetchable(parts, &keys, now));
         let at_engines = self.backends.values().filter(|one| {
             one.endpoint.service == ask.service && one.version(&prompt.model) == version
         });
@@ -566,6 +582,8 @@
         Shared {
             keys,
             holders,
+            store: store.map(|(_, store)| store),
+            store_wait: kept.map_or(Duration::ZERO, |kept| kept.link.wait(now)),
             stored,
             known,
         }
@@ -589,37 +607,45 @@
             let same_zone = holder.endpoint.zone == backend.endpoint.zone;
             let distance = if same_zone { 1 } else { OTHER_ZONE_TRANSFER };
             let tokens = holder.tokens - cached;
-            let time = transfer_time(tokens, engine.token_bytes, engine.link_mbps);
+            let time = transfer_time(tokens, engine.token_bytes, engine.link_mbps) * distance;
             let fetch = Fetch {
                 address: holder.endpoint.address,
                 source: cost::Source {
                     tokens: holder.tokens,
-                    time: time * distance,
+                    time,
                 },
-                from_store: false,
+                time,
+                store: false,
             };
             best = better(best, fetch);
         }
-        let Some(store) = self.table.cache_store() else {
+        let Some(store) = shared.store else {
             return best;
         };
-        let wait = self.store_link.wait(now);
-        if shared.stored > cached && wait < LONGEST_TRANSFER_WAIT {
+        if shared.stored > cached && shared.store_wait < LONGEST_TRANSFER_WAIT {
             let tokens = shared.stored - cached;
             let time = transfer_time(tokens, engine.token_bytes, store.link_mbps);
             let fetch = Fetch {
                 address: store.address,
                 source: cost::Source {
                     tokens: shared.stored,
-                    time: wait + time,
+                    time: shared.store_wait + time,
                 },
-                from_store: true,
+                time,
+                store: true,
             };
             best = better(best, fetch);
         }
         best
     }
 
+    /// The store that keeps a prompt's shared parts: each store has its own
+    /// prompts, so that together they hold more.
+    fn store_of(&self, prompt: &prompt::Prompt) -> Option<(&id::Service, &table::CacheStore)> {
+        let stores = self.table.cache_stores();
+        stores.max_by_key(|(name, _)| cost::preference(name.as_str(), prompt))
+    }
+
     fn place(&mut self, ask: &Ask, candidate: &Candidate, now: Duration) -> Placement {
         let first_event = milliseconds(candidate.estimate.first_event_ms);
         let mut amounts = Amounts {
@@ -639,14 +665,8 @@
                 .fetch
                 .filter(|fetch| fetch.source.tokens > candidate.estimate.cached);
             save = self.save(prompt, &keys, now + first_event, now);
-            if let Some(fetch) = fetch.filter(|fetch| fetch.from_store) {
-                let link = self.link_of_store();
-                let time = transfer_time(
-                    fetch.source.tokens - candidate.estimate.cached,
-                    link.0,
-                    link.1,
-                );
-                self.store_link.transfer(time, self.hosts, now);
+            if let Some(fetch) = fetch.filter(|fetch| fetch.store) {
+                self.fetched_from_store(prompt, fetch.time, now);
             }
             let cache = &mut self.backends[candidate.key].cache;
             for (part, key) in prompt.shared().iter().zip(&keys) {
@@ -696,25 +716,26 @@
         from: Duration,
         now: Duration,
     ) -> Option<SocketAddr> {
-        let store = self.table.cache_store()?;
+        let (name, store) = self.store_of(prompt)?;
+        let (name, address) = (name.clone(), store.address);
         let shared = prompt.shared();
         let all: u32 = shared.iter().map(|part| part.tokens).sum();
-        if self.store.prefix(shared, keys, now) >= all {
+        let kept = self.stores.entry(name).or_default();
+        if kept.cache.prefix(shared, keys, now) >= all {
             return None;
         }
         for (part, key) in shared.iter().zip(keys) {
-            self.store.expect(*key, part.tokens, from);
+            kept.cache.expect(*key, part.tokens, from);
         }
-        Some(store.address)
+        Some(address)
     }
 
-    fn link_of_store(&self) -> (u64, u64) {
-        let mut services = self.table.services.values();
-        let token_bytes = services
-            .find_map(|one| one.engine.as_ref())
-            .map_or(0, |engine| engine.token_bytes);
-        let link = self.table.cache_store().map_or(1, |store| store.link_mbps);
-        (token_bytes, link)
+    fn fetched_from_store(&mut self, prompt: &prompt::Prompt, time: Duration, now: Duration) {
+        let Some(name) = self.store_of(prompt).map(|(name, _)| name.clone()) else {
+            return;
+        };
+        let store = self.stores.entry(name).or_default();
+        store.link.transfer(time, self.hosts, now);
     }
 }
 
--- a/crates/papayayard_routing/src/placement/cost.rs
+++ b/crates/papayayard_routing/src/placement/cost.rs
@@ -191,11 +191,11 @@
     }
 }
 
-/// Weight of an endpoint in a prompt's order of preference; highest first.
-pub(super) fn preference(endpoint: &id::Endpoint, prompt: &prompt::Prompt) -> u64 {
+/// Weight of a holder in a prompt's order of preference; highest first.
+pub(super) fn preference(holder: &str, prompt: &prompt::Prompt) -> u64 {
     let part = prompt.shared().last().map_or("", |part| part.name.as_str());
     let seed = xxh3::xxh3_64(part.as_bytes());
-    xxh3::xxh3_64_with_seed(endpoint.as_str().as_bytes(), seed)
+    xxh3::xxh3_64_with_seed(holder.as_bytes(), seed)
 }
 
 fn rank_ms(rank: usize) -> f64 {
--- a/crates/papayayard_routing/src/table.rs
+++ b/crates/papayayard_routing/src/table.rs
@@ -102,6 +102,8 @@
 pub struct Engine {
     /// Requests that run at once.
     pub slots: u32,
+    /// Callers that may ask an endpoint for its cache's changes at once.
+    pub cache_readers: u32,
     /// Memory in tokens.
     pub memory_tokens: u64,
     /// Bytes of one cached token.
@@ -221,10 +223,10 @@
         routes.iter().find(|route| path.starts_with(&route.prefix))
     }
 
-    /// The store of cached prompts, if there is one.
-    pub fn cache_store(&self) -> Option<&CacheStore> {
-        let mut services = self.services.values();
-        services.find_map(|service| service.cache_store.as_ref())
+    /// The stores of cached prompts.
+    pub fn cache_stores(&self) -> impl Iterator<Item = (&id::Service, &CacheStore)> {
+        let services = self.services.iter();
+        services.filter_map(|(name, service)| Some((name, service.cache_store.as_ref()?)))
     }
 }
 
