Let one host of a zone read caches for the others in a large deployment

Change: where hosts exceed what holders answer, the zone's first host reads and passes on the latest amount of each part. An endpoint without a report leaves its place in a roll-out to another.

--- a/crates/papayayard_coordination/src/rollout.rs
+++ b/crates/papayayard_coordination/src/rollout.rs
@@ -30,6 +30,8 @@
 const ORDER_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time after which an order that was refused is given again.
 const RETRY: Duration = Duration::from_millis(300);
+/// Time for which an endpoint that cannot be reached is left out.
+const ABSENCE: Duration = Duration::from_secs(2);
 /// Endpoints for each one that loads at the same time.
 const ENDPOINTS_PER_LOAD: usize = 6;
 /// Fewest endpoints that load at the same time, where there are enough.
@@ -83,6 +85,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Rollout {
     target: u64,
+    /// Endpoints that could not be reached, and until when they are left out.
+    absent: BTreeMap<id::Endpoint, Duration>,
     steps: BTreeMap<id::Endpoint, Step>,
 }
 
@@ -118,6 +122,7 @@
             .collect();
         self.steps
             .retain(|id, _| versions.get(id).is_some_and(|version| *version < target));
+        self.absent.retain(|_, until| now < *until);
         for step in self.steps.values_mut() {
             step.time_out(now);
         }
@@ -198,6 +203,14 @@
         };
     }
 
+    /// Takes over that an endpoint gave no report; another takes its place.
+    pub fn unreachable(&mut self, endpoint: &id::Endpoint, now: Duration) {
+        if matches!(self.steps.get(endpoint), Some(Step::Draining { .. })) {
+            self.steps.remove(endpoint);
+            self.absent.insert(endpoint.clone(), now + ABSENCE);
+        }
+    }
+
     /// Takes over what an endpoint reports.
     pub fn looked(&mut self, endpoint: &id::Endpoint, look: Look, now: Duration) {
         let Some(step) = self.steps.get_mut(endpoint) else {
--- a/crates/papayayard_gateway/src/feeds.rs
+++ b/crates/papayayard_gateway/src/feeds.rs
@@ -1,9 +1,14 @@
-//! Reads what endpoints and the store of cached prompts keep.
+//! Reads what endpoints and the stores of cached prompts keep.
+//!
+//! Holders answer a bounded number of callers at once. While all hosts fit into
+//! that, each reads for itself; in a larger deployment one host of a zone reads
+//! and the others ask it.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use papayayard_coordination::reader::{Candidate, Readers, Source as Reader};
 use papayayard_routing::placement::Endpoint;
 use papayayard_routing::prompt;
 use papayayard_wire::id;
@@ -12,8 +17,11 @@
 use tokio::time;
 
 use crate::beliefs::Configuration;
+use crate::cache_news::News;
 use crate::call::Caller;
+use crate::clock::Clock;
 use crate::exchange::{Changes, Codec};
+use crate::peers;
 use crate::schedule::{Handle, Holder, Message};
 
 /// Time that a holder waits for a change.
@@ -26,20 +34,121 @@
 const LIST_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time to try again after a failure.
 const RETRY: Duration = Duration::from_millis(700);
+/// Part of the callers that a holder answers at once which hosts may be.
+const READERS_PART: f64 = 0.8;
 
-/// Keeps a reader for each holder of cached parts.
-pub(crate) async fn follow<Platform>(
-    codec: Platform,
-    mut endpoints: watch::Receiver<Vec<Endpoint>>,
-    mut configuration: watch::Receiver<Configuration>,
-    schedule: Handle,
-) where
+/// What the readers are made of.
+pub(crate) struct Parts<Platform> {
+    pub(crate) codec: Platform,
+    pub(crate) host: id::Host,
+    pub(crate) clock: Clock,
+    pub(crate) endpoints: watch::Receiver<Vec<Endpoint>>,
+    pub(crate) configuration: watch::Receiver<Configuration>,
+    pub(crate) hosts: watch::Receiver<usize>,
+    pub(crate) zone: watch::Receiver<Vec<Candidate>>,
+    pub(crate) news: watch::Sender<News>,
+    pub(crate) schedule: Handle,
+}
+
+/// Reads, or asks the host that reads, for as long as the process runs.
+pub(crate) async fn follow<Platform>(parts: Parts<Platform>)
+where
     Platform: Codec,
 {
-    let mut readers: HashMap<Source, AbortHandle> = HashMap::new();
+    let mut feeds = Feeds {
+        readers: HashMap::new(),
+        choice: Readers::new(parts.host.clone()),
+        peer: None,
+        since: 0,
+        parts,
+    };
     loop {
-        let wanted = sources(&endpoints.borrow(), &configuration.borrow());
-        readers.retain(|source, reader| {
+        if !feeds.step().await {
+            return;
+        }
+    }
+}
+
+struct Feeds<Platform> {
+    parts: Parts<Platform>,
+    readers: HashMap<Source, AbortHandle>,
+    choice: Readers,
+    peer: Option<peers::Client>,
+    /// Number up to which the other host was followed.
+    since: u64,
+}
+
+impl<Platform> Feeds<Platform>
+where
+    Platform: Codec,
+{
+    /// Does one thing; `false` where the host has ended.
+    async fn step(&mut self) -> bool {
+        let zone = self.parts.zone.borrow_and_update().clone();
+        self.choice.set(zone);
+        let now = self.parts.clock.now();
+        match self.choice.source(now) {
+            Reader::Peer { host, address } if self.is_large() => {
+                self.stop();
+                if let Err(problem) = self.ask(address).await {
+                    log::info!(host:%, problem:%; "no news of caches from another host");
+                    self.choice.failed(&host, self.parts.clock.now());
+                }
+                time::sleep(PAUSE).await;
+                true
+            }
+            _ => {
+                self.read();
+                self.changed().await
+            }
+        }
+    }
+
+    /// Whether holders cannot answer all hosts.
+    fn is_large(&self) -> bool {
+        let configuration = self.parts.configuration.borrow();
+        let Some(table) = &configuration.table else {
+            return false;
+        };
+        let engines = table
+            .services
+            .values()
+            .filter_map(|one| one.engine.as_ref());
+        let readers = engines.map(|engine| engine.cache_readers).min();
+        let most = f64::from(readers.unwrap_or(u32::MAX)) * READERS_PART;
+        let hosts = u32::try_from(*self.parts.hosts.borrow()).unwrap_or(u32::MAX);
+        f64::from(hosts) > most
+    }
+
+    async fn ask(&mut self, address: SocketAddr) -> Result<(), String> {
+        let kept = self.peer.take().filter(|peer| peer.address() == address);
+        let client = if let Some(client) = kept {
+            client
+        } else {
+            self.since = 0;
+            peers::Client::new(address, WAIT)?
+        };
+        let batch = client.caches(self.since, WAIT).await?;
+        self.peer = Some(client);
+        self.since = batch.next;
+        batch.tell(&self.parts.schedule);
+        Ok(())
+    }
+
+    /// Stops reading from holders.
+    fn stop(&mut self) {
+        for (_, reader) in self.readers.drain() {
+            reader.abort();
+        }
+    }
+
+    /// Reads from each holder in a task.
+    fn read(&mut self) {
+        let wanted = sources(
+            &self.parts.endpoints.borrow_and_update(),
+            &self.parts.configuration.borrow_and_update(),
+        );
+        self.readers.retain(|source, reader| {
             let is_wanted = wanted.contains(source);
             if !is_wanted {
                 reader.abort();
@@ -47,18 +156,27 @@
             is_wanted
         });
         for source in wanted {
-            readers.entry(source).or_insert_with_key(|source| {
-                let reader = read(codec.clone(), source.clone(), schedule.clone());
+            let parts = &self.parts;
+            self.readers.entry(source).or_insert_with_key(|source| {
+                let teller = Teller {
+                    holder: source.holder.clone(),
+                    schedule: parts.schedule.clone(),
+                    news: parts.news.clone(),
+                };
+                let reader = read(parts.codec.clone(), source.clone(), teller);
                 tokio::spawn(reader).abort_handle()
             });
         }
+    }
+
+    async fn changed(&mut self) -> bool {
         let changed = tokio::select! {
-            changed = endpoints.changed() => changed,
-            changed = configuration.changed() => changed,
+            changed = self.parts.endpoints.changed() => changed,
+            changed = self.parts.configuration.changed() => changed,
+            changed = self.parts.hosts.changed() => changed,
+            changed = self.parts.zone.changed() => changed,
         };
-        if changed.is_err() {
-            return;
-        }
+        changed.is_ok()
     }
 }
 
@@ -93,7 +211,34 @@
     sources
 }
 
-async fn read<Platform>(codec: Platform, source: Source, schedule: Handle)
+/// Tells what one holder keeps.
+struct Teller {
+    holder: Holder,
+    schedule: Handle,
+    news: watch::Sender<News>,
+}
+
+impl Teller {
+    fn forget(&self) {
+        self.schedule.tell(Message::Forget(self.holder.clone()));
+        self.news.send_modify(|news| news.forget(&self.holder));
+    }
+
+    fn tell(&self, changes: &Changes) {
+        if changes.parts.is_empty() {
+            return;
+        }
+        let parts = changes.parts.iter();
+        let parts: Vec<(prompt::Key, u32)> = parts
+            .map(|one| (prompt::key(&one.salt, &one.part), one.tokens))
+            .collect();
+        self.news.send_modify(|news| news.add(&self.holder, &parts));
+        self.schedule
+            .tell(Message::Told(self.holder.clone(), parts));
+    }
+}
+
+async fn read<Platform>(codec: Platform, source: Source, teller: Teller)
 where
     Platform: Codec,
 {
@@ -119,18 +264,19 @@
         };
         if run.is_some_and(|run| run != changes.run) {
             log::info!(address:% = source.address; "holder of cached parts has restarted");
-            schedule.tell(Message::Forget(source.holder.clone()));
+            teller.forget();
         }
         // An engine's cache turns over within seconds, so that a gap there
-        // closes by itself; the store keeps parts for long.
+        // closes by itself; a store keeps parts for long.
         let is_gap = changes.has_gap && matches!(source.holder, Holder::Store(_));
-        let changes = match is_gap {
-            true => contents(&codec, &mut caller).await.unwrap_or(changes),
-            false => changes,
+        let changes = if is_gap {
+            contents(&codec, &mut caller).await.unwrap_or(changes)
+        } else {
+            changes
         };
         run = Some(changes.run);
         since = changes.next;
-        tell(&source.holder, &changes, &schedule);
+        teller.tell(&changes);
         time::sleep(PAUSE).await;
     }
 }
@@ -153,14 +299,3 @@
         }
     }
 }
-
-fn tell(holder: &Holder, changes: &Changes, schedule: &Handle) {
-    if changes.parts.is_empty() {
-        return;
-    }
-    let parts = changes.parts.iter();
-    let parts = parts
-        .map(|one| (prompt::key(&one.salt, &one.part), one.tokens))
-        .collect();
-    schedule.tell(Message::Told(holder.clone(), parts));
-}
--- a/crates/papayayard_gateway/src/follow.rs
+++ b/crates/papayayard_gateway/src/follow.rs
@@ -57,6 +57,8 @@
     pub(crate) wait: Duration,
     /// Time between two readings.
     pub(crate) pause: Duration,
+    /// Whether a newer reading counts even without news.
+    pub(crate) wants_newer: bool,
 }
 
 /// Where the store is, and how it is spoken to.
@@ -225,7 +227,7 @@
             Some(client) => client,
             None => peers::Client::new(address, wait)?,
         };
-        let part = client.read(self.topic, self.next, wait, clock).await?;
+        let part = client.read(self.topic, self.next, self.beat, clock).await?;
         self.peer = Some(client);
         let now = clock.now();
         if part.asked + wait + OLD < now {
--- a/crates/papayayard_gateway/src/host.rs
+++ b/crates/papayayard_gateway/src/host.rs
@@ -17,6 +17,7 @@
 
 use crate::attempt::Sender;
 use crate::beliefs::{Configuration, Endpoints, Operators};
+use crate::cache_news::News;
 use crate::clock::Clock;
 use crate::follow::{self, Beat, Store};
 use crate::front::{self, Progress};
@@ -35,17 +36,20 @@
 const OPERATORS: Beat = Beat {
     wait: Duration::from_millis(1000),
     pause: Duration::ZERO,
+    wants_newer: true,
 };
 /// How endpoints' records are read: they change all the time, so that a
 /// reading is put off for some to add up.
 const ENDPOINTS: Beat = Beat {
     wait: Duration::from_millis(1000),
     pause: Duration::from_millis(450),
+    wants_newer: false,
 };
 /// How the turn's topic is read: seldom written, and wanted at once.
 const ORDERS: Beat = Beat {
     wait: Duration::from_secs(4),
     pause: Duration::ZERO,
+    wants_newer: false,
 };
 /// Period in which idle connections are looked at.
 const SWEEP: Duration = Duration::from_millis(500);
@@ -130,7 +134,8 @@
     let follower = follow::follow(store.clone(), topic, ORDERS, links(topic), fold);
     controllers.spawn(follower);
     let address = settings.peers;
-    let served = peers::serve(peer_listener, mirrors, clock);
+    let (news, news_seen) = watch::channel(News::default());
+    let served = peers::serve(peer_listener, mirrors, news_seen, clock);
     controllers.spawn(served.context(ListenSnafu { address })?);
     let own = hosts::Own {
         host: settings.host.clone(),
@@ -144,12 +149,17 @@
         schedule: schedule.clone(),
     };
     controllers.spawn(hosts::count(store.clone(), own, counted));
-    controllers.spawn(feeds::follow(
-        codec.clone(),
-        endpoints.clone(),
-        configuration.clone(),
-        schedule.clone(),
-    ));
+    controllers.spawn(feeds::follow(feeds::Parts {
+        codec: codec.clone(),
+        host: settings.host.clone(),
+        clock,
+        endpoints: endpoints.clone(),
+        configuration: configuration.clone(),
+        hosts: hosts.clone(),
+        zone,
+        news,
+        schedule: schedule.clone(),
+    }));
     controllers.spawn(orders::run(orders::Parts {
         store,
         host: settings.host.clone(),
--- a/crates/papayayard_gateway/src/lib.rs
+++ b/crates/papayayard_gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod attempt;
 mod beliefs;
 mod body;
+mod cache_news;
 mod clock;
 mod dial;
 mod events;
--- a/crates/papayayard_gateway/src/mirror.rs
+++ b/crates/papayayard_gateway/src/mirror.rs
@@ -69,6 +69,11 @@
         self.asked = Some(asked);
     }
 
+    /// When the newest reading was asked for.
+    pub(crate) const fn asked(&self) -> Option<Duration> {
+        self.asked
+    }
+
     /// Whether a host that has followed up to an offset gets something new.
     pub(crate) fn has_news(&self, from: Option<u64>) -> bool {
         let Some(from) = from.filter(|from| *from >= self.floor) else {
--- a/crates/papayayard_gateway/src/orders.rs
+++ b/crates/papayayard_gateway/src/orders.rs
@@ -510,8 +510,11 @@
             Some(Event::Checked(endpoint, model, Some(report))) => {
                 self.checked(&endpoint, &model, &report, now);
             }
-            Some(Event::Checked(endpoint, _, None)) => {
+            Some(Event::Checked(endpoint, model, None)) => {
                 log::info!(endpoint:%; "an endpoint that loads gives no report");
+                if let Some(rollout) = self.rollouts.get_mut(&model) {
+                    rollout.unreachable(&endpoint, now);
+                }
             }
         }
     }
--- a/crates/papayayard_gateway/src/peers.rs
+++ b/crates/papayayard_gateway/src/peers.rs
@@ -1,9 +1,9 @@
 //! Hosts of a zone ask one another for what they have read.
 //!
-//! One JSON-RPC method over HTTP. A call waits for news at most for the time
-//! that it names. The answer tells the age of the reading, and the caller
-//! counts that age from the moment it asked: however long the answer was on its
-//! way, what it says is not older than that.
+//! JSON-RPC over HTTP. A call waits for news at most for the time
+//! that it names. The answer tells when the reading was asked for, against the
+//! arrival of the call, and the caller counts from the moment it called: however
+//! long call and answer were on their way, the reading is not older than that.
 
 use std::collections::HashMap;
 use std::io;
@@ -23,12 +23,16 @@
 use tokio::sync::watch;
 use tokio::time;
 
+use crate::cache_news::{Batch, News};
 use crate::clock::Clock;
+use crate::follow::Beat;
 use crate::mirror::{Mirror, Part};
 use crate::store::{Record, Topic};
 
-/// Name of the method.
-const METHOD: &str = "read";
+/// Method that reads a topic.
+const READ: &str = "read";
+/// Method that reads changes of caches.
+const CACHES: &str = "caches";
 /// JSON-RPC error code where nothing was read yet.
 const NOTHING_READ: i32 = -32_002;
 /// Most connections of other hosts; each has one for each topic.
@@ -51,10 +55,11 @@
     /// Time to wait for news.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     wait_ms: Duration,
+    /// Whether a newer reading without news is worth an answer.
+    wants_newer: bool,
 }
 
 /// What a host answers.
-#[serde_as]
 #[derive(Clone, Debug, Serialize, Deserialize)]
 struct Answer {
     /// Whether these are the newest records of all keys.
@@ -63,9 +68,9 @@
     records: Vec<Entry>,
     /// Offset to go on from.
     next: u64,
-    /// Time since the reading was asked for.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
-    age_ms: Duration,
+    /// When the reading was asked for, in ms after the call's arrival; mostly
+    /// before it, and then negative.
+    asked_ms: i64,
 }
 
 #[serde_as]
@@ -82,6 +87,7 @@
 
 struct Context {
     mirrors: Mirrors,
+    caches: watch::Receiver<News>,
     clock: Clock,
 }
 
@@ -89,6 +95,7 @@
 pub(crate) fn serve(
     listener: std::net::TcpListener,
     mirrors: Mirrors,
+    caches: watch::Receiver<News>,
     clock: Clock,
 ) -> io::Result<impl Future<Output = ()> + use<>> {
     let config = ServerConfig::builder()
@@ -99,13 +106,23 @@
     let server = Server::builder()
         .set_config(config)
         .build_from_tcp(listener)?;
-    let mut module = RpcModule::new(Context { mirrors, clock });
+    let mut module = RpcModule::new(Context {
+        mirrors,
+        caches,
+        clock,
+    });
     module
-        .register_async_method(METHOD, |params, context, _| async move {
+        .register_async_method(READ, |params, context, _| async move {
             let call = params.one::<Call>()?;
             answer(&context, &call).await
         })
         .expect("a new module has no method of this name");
+    module
+        .register_async_method(CACHES, |params, context, _| async move {
+            let call = params.one::<CachesCall>()?;
+            Ok::<_, ErrorObjectOwned>(changes(&context, &call).await)
+        })
+        .expect("a new module has no method of this name");
     let handle: ServerHandle = server.start(module);
     Ok(handle.stopped())
 }
@@ -113,8 +130,12 @@
 async fn answer(context: &Context, call: &Call) -> Result<Answer, ErrorObjectOwned> {
     let mirror = context.mirrors.get(call.topic.as_str());
     let mut mirror = mirror.cloned().ok_or_else(nothing_read)?;
+    let arrived = context.clock.now();
     let wait = call.wait_ms.min(LONGEST_WAIT);
-    let news = mirror.wait_for(|mirror| mirror.has_news(call.from));
+    let known = mirror.borrow().asked();
+    let news = mirror.wait_for(|mirror| {
+        mirror.has_news(call.from) || call.wants_newer && mirror.asked() > known
+    });
     if let Ok(Err(_)) = time::timeout(wait, news).await {
         return Err(nothing_read());
     }
@@ -123,10 +144,30 @@
         is_whole: part.is_whole,
         records: part.records.into_iter().map(Entry::from).collect(),
         next: part.next,
-        age_ms: context.clock.now().saturating_sub(part.asked),
+        asked_ms: millis(part.asked) - millis(arrived),
     })
 }
 
+/// Asks for changes of caches.
+#[serde_as]
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct CachesCall {
+    /// Number to go on from.
+    since: u64,
+    /// Time to wait for a change.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    wait_ms: Duration,
+}
+
+async fn changes(context: &Context, call: &CachesCall) -> Batch {
+    let mut caches = context.caches.clone();
+    let wait = call.wait_ms.min(LONGEST_WAIT);
+    let news = caches.wait_for(|news| news.next() != call.since);
+    // Without a change in time the answer has none.
+    let _ = time::timeout(wait, news).await;
+    caches.borrow().since(call.since)
+}
+
 fn nothing_read() -> ErrorObjectOwned {
     let message = "nothing was read of the topic yet; ask another host";
     ErrorObjectOwned::owned(NOTHING_READ, message, None::<()>)
@@ -174,30 +215,55 @@
         self.address
     }
 
+    /// Asks for changes of caches since a number.
+    pub(crate) async fn caches(&self, since: u64, wait: Duration) -> Result<Batch, String> {
+        let call = CachesCall {
+            since,
+            wait_ms: wait,
+        };
+        let answer = self.client.request(CACHES, rpc_params![call]).await;
+        answer.map_err(|error| error.to_string())
+    }
+
     /// Asks for what came since an offset.
     pub(crate) async fn read(
         &self,
         topic: Topic,
         from: Option<u64>,
-        wait: Duration,
+        beat: Beat,
         clock: Clock,
     ) -> Result<Part, String> {
         let call = Call {
             topic: topic.as_str().to_owned(),
             from,
-            wait_ms: wait,
+            wait_ms: beat.wait,
+            wants_newer: beat.wants_newer,
         };
-        let asked = clock.now();
+        let called = clock.now();
         let answer: Answer = self
             .client
-            .request(METHOD, rpc_params![call])
+            .request(READ, rpc_params![call])
             .await
             .map_err(|error| error.to_string())?;
         Ok(Part {
             is_whole: answer.is_whole,
             records: answer.records.into_iter().map(Record::from).collect(),
             next: answer.next,
-            asked: asked.saturating_sub(answer.age_ms),
+            asked: moved(called, answer.asked_ms),
         })
     }
 }
+
+fn millis(duration: Duration) -> i64 {
+    i64::try_from(duration.as_millis()).unwrap_or(i64::MAX)
+}
+
+/// A moment so many milliseconds after another, or before it.
+fn moved(moment: Duration, ms: i64) -> Duration {
+    let by = Duration::from_millis(ms.unsigned_abs());
+    if ms < 0 {
+        moment.saturating_sub(by)
+    } else {
+        moment + by
+    }
+}
--- a/crates/papayayard_routing/src/placement.rs
+++ b/crates/papayayard_routing/src/placement.rs
@@ -531,7 +531,7 @@
                 usual_ms: self.usual.ms(),
             };
             let cached = backend.cache.prefix(prompt.shared(), &shared.keys, now);
-            let fetch = self.source(engine, shared, (key, backend), cached, now);
+            let fetch = self.source(engine, shared, (key, backend), cached);
             let source = fetch.map(|fetch| fetch.source);
             if let Some(estimate) = cost::of_engine(backend, engine, &need, source, now) {
                 candidates.push(Candidate {
@@ -596,7 +596,6 @@
         shared: &Shared<'_>,
         wants: (BackendKey, &Backend),
         cached: u32,
-        now: Duration,
     ) -> Option<Fetch> {
         let (key, backend) = wants;
         let mut best: Option<Fetch> = None;
--- a/crates/papayayard_routing/src/prompt.rs
+++ b/crates/papayayard_routing/src/prompt.rs
@@ -67,6 +67,18 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Key(u64);
 
+impl Key {
+    /// The key as hosts send it to one another.
+    pub const fn number(self) -> u64 {
+        self.0
+    }
+
+    /// The key that another host has sent.
+    pub const fn from_number(number: u64) -> Self {
+        Self(number)
+    }
+}
+
 /// Key of a part under a salt.
 pub fn key(salt: &str, part: &str) -> Key {
     let mut hash = Xxh3::new();
