Split requests between old and new weights by what the new ones can serve

A host sees its own load only. Change: each host lets the part of its requests prefer new weights that their endpoints can serve if all hosts do so; hosts follow their own records as a topic; a fifth of the endpoints load at once; small prompts are not stored. The search for a source of shared parts has a file of its own; host.rs is taken apart.

--- a/crates/papayayard_coordination/src/rollout.rs
+++ b/crates/papayayard_coordination/src/rollout.rs
@@ -16,10 +16,10 @@
 const NOTICE: Duration = Duration::from_millis(350);
 /// Longest time for an endpoint to drain. What is open then may go on for as
 /// long as its caller waits, and is broken off.
-const LONGEST_DRAIN: Duration = Duration::from_millis(3000);
+const LONGEST_DRAIN: Duration = Duration::from_millis(3500);
 /// Time to drain after which no more than [`FEW_OPEN`] requests are waited for:
 /// most answers have ended by then, and what is left may last very long.
-const USUAL_DRAIN: Duration = Duration::from_millis(1600);
+const USUAL_DRAIN: Duration = Duration::from_secs(2);
 /// See [`USUAL_DRAIN`].
 const FEW_OPEN: u32 = 1;
 /// Time that a load takes at least; only then an endpoint is looked at.
@@ -33,9 +33,7 @@
 /// Time for which an endpoint that cannot be reached is left out.
 const ABSENCE: Duration = Duration::from_secs(2);
 /// Endpoints for each one that loads at the same time.
-const ENDPOINTS_PER_LOAD: usize = 6;
-/// Fewest endpoints that load at the same time, where there are enough.
-const FEWEST_LOADS: usize = 2;
+const ENDPOINTS_PER_LOAD: usize = 5;
 
 /// An endpoint of the service.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -85,6 +83,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct Rollout {
     target: u64,
+    /// Most endpoints that the service was seen to have; those that have
+    /// crashed do not change what can load at once.
+    size: usize,
     /// Endpoints that could not be reached, and until when they are left out.
     absent: BTreeMap<id::Endpoint, Duration>,
     steps: BTreeMap<id::Endpoint, Step>,
@@ -126,7 +127,8 @@
         for step in self.steps.values_mut() {
             step.time_out(now);
         }
-        let limit = loads_at_once(members.len());
+        self.size = self.size.max(members.len());
+        let limit = loads_at_once(self.size);
         // One endpoint at least goes on serving.
         let most = members.len().saturating_sub(1).max(1);
         let away = (2 * limit).min(most);
@@ -153,11 +155,11 @@
         self.steps.is_empty()
     }
 
-    /// What is due now; `members` counts the service's endpoints.
-    pub fn actions(&mut self, members: usize, now: Duration) -> Actions {
+    /// What is due now.
+    pub fn actions(&mut self, now: Duration) -> Actions {
         let mut actions = Actions::default();
         let loading = self.steps.values().filter(|step| step.is_ordered()).count();
-        let mut free = loads_at_once(members).saturating_sub(loading);
+        let mut free = loads_at_once(self.size).saturating_sub(loading);
         let mut due: Vec<(Duration, &id::Endpoint, bool)> = self
             .steps
             .iter()
@@ -296,5 +298,5 @@
 
 /// Loads that do not slow one another down.
 fn loads_at_once(members: usize) -> usize {
-    members.div_ceil(ENDPOINTS_PER_LOAD).max(FEWEST_LOADS)
+    (members / ENDPOINTS_PER_LOAD).max(1)
 }
--- a/crates/papayayard_gateway/src/beliefs.rs
+++ b/crates/papayayard_gateway/src/beliefs.rs
@@ -74,7 +74,7 @@
         true
     }
 
-    fn weights(&mut self, model: id::Model, version: u64, now: Duration) -> bool {
+    fn weights(&mut self, model: &id::Model, version: u64, now: Duration) -> bool {
         let named = self.known.named.entry(model.clone()).or_default();
         if !named.name(version, now) {
             return false;
@@ -97,7 +97,7 @@
         };
         match self.codec.published(&record.key, value) {
             Ok(Published::Table(table)) => self.table(*table),
-            Ok(Published::Weights { model, version }) => self.weights(model, version, now),
+            Ok(Published::Weights { model, version }) => self.weights(&model, version, now),
             Ok(Published::Unknown) => false,
             Err(error) => {
                 log::warn!(key = record.key.as_str(), error:%; "record skipped");
--- a/crates/papayayard_gateway/src/body.rs
+++ b/crates/papayayard_gateway/src/body.rs
@@ -11,11 +11,11 @@
 /// An answer broke off; the caller sees that it has no end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
 #[snafu(display("the answer broke off; send the request again if it may be repeated"))]
-pub struct Broken;
+pub(crate) struct Broken;
 
 /// Body of an answer.
 #[derive(Debug)]
-pub enum Body {
+pub(crate) enum Body {
     /// All of it.
     Whole(Bytes),
     /// Pieces as they come; it ends when the channel closes.
--- a/crates/papayayard_gateway/src/clock.rs
+++ b/crates/papayayard_gateway/src/clock.rs
@@ -14,18 +14,18 @@
 
 /// A clock that starts with the host.
 #[derive(Clone, Copy, Debug)]
-pub struct Clock {
+pub(crate) struct Clock {
     start: Duration,
 }
 
 impl Clock {
     /// Starts the clock.
-    pub fn start() -> Self {
+    pub(crate) fn start() -> Self {
         Self { start: boot_time() }
     }
 
     /// Time since the start, and [`ORIGIN`].
-    pub fn now(self) -> Duration {
+    pub(crate) fn now(self) -> Duration {
         ORIGIN + boot_time().saturating_sub(self.start)
     }
 }
--- a/crates/papayayard_gateway/src/feeds.rs
+++ b/crates/papayayard_gateway/src/feeds.rs
@@ -45,7 +45,7 @@
     pub(crate) endpoints: watch::Receiver<Vec<Endpoint>>,
     pub(crate) configuration: watch::Receiver<Configuration>,
     pub(crate) hosts: watch::Receiver<usize>,
-    pub(crate) zone: watch::Receiver<Vec<Candidate>>,
+    pub(crate) zone: watch::Receiver<Option<Vec<Candidate>>>,
     pub(crate) news: watch::Sender<News>,
     pub(crate) schedule: Handle,
 }
@@ -85,7 +85,7 @@
     /// Does one thing; `false` where the host has ended.
     async fn step(&mut self) -> bool {
         let zone = self.parts.zone.borrow_and_update().clone();
-        self.choice.set(zone);
+        self.choice.set(zone.unwrap_or_default());
         let now = self.parts.clock.now();
         match self.choice.source(now) {
             Reader::Peer { host, address } if self.is_large() => {
--- a/crates/papayayard_gateway/src/follow.rs
+++ b/crates/papayayard_gateway/src/follow.rs
@@ -25,6 +25,11 @@
 
 /// Time for an answer beyond the time that the store was asked to wait.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(600);
+/// Time after its start at which a host counts all hosts: those that start
+/// together do so within some hundred milliseconds.
+const FIRST_COUNT: Duration = Duration::from_millis(400);
+/// Longest time to wait for that count.
+const LONGEST_COUNT: Duration = Duration::from_millis(800);
 /// First wait after a failure.
 const FIRST_RETRY: Duration = Duration::from_millis(60);
 /// Longest wait after a failure.
@@ -87,7 +92,10 @@
         let mut end = None;
         loop {
             let request = self.codec.newest(topic, after.as_deref());
-            let reply = caller.call(request, ANSWER_TIMEOUT).await.map_err(lost)?;
+            let reply = caller
+                .call(request, ANSWER_TIMEOUT)
+                .await
+                .map_err(|error| lost(&error))?;
             let page = self.codec.decode_newest(&reply)?;
             // Pages are no snapshot, so reading goes on from the first one's end.
             end.get_or_insert(page.end);
@@ -108,7 +116,10 @@
         record: (&str, &[u8]),
     ) -> Result<u64, Error> {
         let request = self.codec.append(topic, at, record.0, record.1);
-        let reply = caller.call(request, ANSWER_TIMEOUT).await.map_err(lost)?;
+        let reply = caller
+            .call(request, ANSWER_TIMEOUT)
+            .await
+            .map_err(|error| lost(&error))?;
         Ok(self.codec.decode_append(&reply)?.offset)
     }
 }
@@ -117,8 +128,8 @@
 pub(crate) struct Links {
     /// This host.
     pub(crate) host: id::Host,
-    /// Hosts of the zone.
-    pub(crate) zone: watch::Receiver<Vec<Candidate>>,
+    /// Hosts of the zone; none before the first count.
+    pub(crate) zone: watch::Receiver<Option<Vec<Candidate>>>,
     /// What other hosts are told.
     pub(crate) mirror: watch::Sender<Mirror>,
 }
@@ -168,6 +179,7 @@
     Target: Fold,
 {
     async fn run(mut self) {
+        self.begin().await;
         let mut backoff = Backoff::new(FIRST_RETRY, LONGEST_RETRY);
         loop {
             match self.step().await {
@@ -193,10 +205,23 @@
         }
     }
 
+    /// Lets all hosts that start together write their records, so that most
+    /// begin with asking another one.
+    async fn begin(&mut self) {
+        if self.topic == Topic::Hosts {
+            time::sleep(FIRST_COUNT).await;
+            return;
+        }
+        let counted = self.links.zone.wait_for(Option::is_some);
+        if time::timeout(LONGEST_COUNT, counted).await.is_err() {
+            log::info!(topic = self.topic.as_str(); "hosts are not counted yet");
+        }
+    }
+
     /// Reads once, and tells from where.
     async fn step(&mut self) -> Result<Source, Error> {
         let zone = self.links.zone.borrow_and_update().clone();
-        self.readers.set(zone);
+        self.readers.set(zone.unwrap_or_default());
         loop {
             let source = self.readers.source(self.store.clock.now());
             let Source::Peer { host, address } = &source else {
@@ -259,7 +284,11 @@
         let asked = self.store.clock.now();
         let request = self.store.codec.read(self.topic, from, self.beat.wait);
         let timeout = self.beat.wait + ANSWER_TIMEOUT;
-        let reply = self.caller.call(request, timeout).await.map_err(lost)?;
+        let reply = self
+            .caller
+            .call(request, timeout)
+            .await
+            .map_err(|error| lost(&error))?;
         let page = self.store.codec.decode_read(from, &reply)?;
         let now = self.store.clock.now();
         self.fold.reading(now);
@@ -303,7 +332,7 @@
     }
 }
 
-fn lost(error: crate::call::Error) -> Error {
+fn lost(error: &crate::call::Error) -> Error {
     Error::NoAnswer {
         problem: error.to_string(),
     }
--- a/crates/papayayard_gateway/src/host.rs
+++ b/crates/papayayard_gateway/src/host.rs
@@ -5,8 +5,9 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use papayayard_coordination::reader::Candidate;
 use papayayard_coordination::shutdown::{Shutdown, Stage};
-use papayayard_routing::placement::{self, Scheduler};
+use papayayard_routing::placement::{self, Endpoint, Scheduler};
 use papayayard_routing::repeat;
 use snafu::{ResultExt, Snafu};
 use tokio::net::TcpListener;
@@ -16,10 +17,10 @@
 use tokio_util::task::TaskTracker;
 
 use crate::attempt::Sender;
-use crate::beliefs::{Configuration, Endpoints, Operators};
+use crate::beliefs::{Configuration, Endpoints, Operators, Word};
 use crate::cache_news::News;
 use crate::clock::Clock;
-use crate::follow::{self, Beat, Store};
+use crate::follow::{self, Beat, Fold, Store};
 use crate::front::{self, Progress};
 use crate::metrics::Metrics;
 use crate::mirror::Mirror;
@@ -34,14 +35,14 @@
 /// How what operators publish is read: keys that were taken away must be known
 /// in time, so that a reading is never old.
 const OPERATORS: Beat = Beat {
-    wait: Duration::from_millis(1000),
+    wait: Duration::from_secs(1),
     pause: Duration::ZERO,
     wants_newer: true,
 };
 /// How endpoints' records are read: they change all the time, so that a
 /// reading is put off for some to add up.
 const ENDPOINTS: Beat = Beat {
-    wait: Duration::from_millis(1000),
+    wait: Duration::from_secs(1),
     pause: Duration::from_millis(450),
     wants_newer: false,
 };
@@ -51,6 +52,12 @@
     pause: Duration::ZERO,
     wants_newer: false,
 };
+/// How hosts' records are read: they change when hosts come and go.
+const HOSTS: Beat = Beat {
+    wait: Duration::from_secs(4),
+    pause: Duration::from_millis(1500),
+    wants_newer: false,
+};
 /// Period in which idle connections are looked at.
 const SWEEP: Duration = Duration::from_millis(500);
 /// Why a host cannot start.
@@ -80,138 +87,230 @@
 where
     Platform: store::Codec + exchange::Codec,
 {
-    let callers = listen(settings.callers)?;
-    let operators = listen(settings.operators)?;
-    let peer_listener = listen_plain(settings.peers)?;
+    let sockets = Sockets::listen(&settings)?;
     let clock = Clock::start();
     let metrics = Metrics::new();
     let (progress, progress_seen) = watch::channel(Progress::SERVING);
-    let (configuration_sender, configuration) = watch::channel(Configuration::default());
-    let (word_sender, word) = watch::channel(None);
-    let (list_sender, endpoints) = watch::channel(Vec::new());
-    let (hosts_sender, hosts) = watch::channel(hosts::ASSUMED);
-    let (standing_sender, standing) = watch::channel(orders::Standing::default());
-    let mut scheduler = Scheduler::new(placement::Settings {
-        zone: settings.zone.clone(),
-        old_weights: settings.bounds.old_weights,
-        old_weights_grace: OLD_WEIGHTS_GRACE,
-    });
-    scheduler.set_hosts(hosts::ASSUMED);
-    let schedule = schedule::start(scheduler, clock);
-    let store = Store {
-        codec: codec.clone(),
-        address: settings.store,
-        clock,
-    };
-
-    let mut controllers = JoinSet::new();
-    let (zone_sender, zone) = watch::channel(Vec::new());
-    let mut mirrors = peers::Mirrors::new();
-    let mut links = |topic: Topic| {
-        let (mirror, mirror_seen) = watch::channel(Mirror::default());
-        mirrors.insert(topic.as_str(), mirror_seen);
-        follow::Links {
-            host: settings.host.clone(),
-            zone: zone.clone(),
-            mirror,
-        }
-    };
-    let fold = Operators::new(
-        codec.clone(),
-        configuration_sender,
-        word_sender,
-        schedule.clone(),
-    );
-    let topic = Topic::Operators;
-    let follower = follow::follow(store.clone(), topic, OPERATORS, links(topic), fold);
-    controllers.spawn(follower);
-    let fold = Endpoints::new(codec.clone(), list_sender, schedule.clone());
-    let topic = Topic::Endpoints;
-    let follower = follow::follow(store.clone(), topic, ENDPOINTS, links(topic), fold);
-    controllers.spawn(follower);
-    let fold = orders::Announcements::new(standing_sender, schedule.clone());
-    let topic = Topic::Orders;
-    let follower = follow::follow(store.clone(), topic, ORDERS, links(topic), fold);
-    controllers.spawn(follower);
-    let address = settings.peers;
-    let (news, news_seen) = watch::channel(News::default());
-    let served = peers::serve(peer_listener, mirrors, news_seen, clock);
-    controllers.spawn(served.context(ListenSnafu { address })?);
-    let own = hosts::Own {
-        host: settings.host.clone(),
-        zone: settings.zone.clone(),
-        peers: settings.peers,
-        capacity: settings.capacity,
-    };
-    let counted = hosts::Links {
-        number: hosts_sender,
-        zone: zone_sender,
-        schedule: schedule.clone(),
-    };
-    controllers.spawn(hosts::count(store.clone(), own, counted));
-    controllers.spawn(feeds::follow(feeds::Parts {
-        codec: codec.clone(),
-        host: settings.host.clone(),
-        clock,
-        endpoints: endpoints.clone(),
-        configuration: configuration.clone(),
-        hosts: hosts.clone(),
-        zone,
-        news,
-        schedule: schedule.clone(),
-    }));
-    controllers.spawn(orders::run(orders::Parts {
-        store,
-        host: settings.host.clone(),
-        lease: settings.bounds.lease,
-        configuration: configuration.clone(),
-        endpoints: endpoints.clone(),
-        standing,
-        schedule: schedule.clone(),
-        metrics: metrics.clone(),
-        clock,
-    }));
+    let schedule = scheduler(&settings, clock);
     let pool = Pool::new(clock);
-    controllers.spawn(sweep(pool.clone()));
-    controllers.spawn(operators::serve(
-        operators,
+    let mut parts = Parts {
+        store: Store {
+            codec,
+            address: settings.store,
+            clock,
+        },
+        settings,
+        schedule,
+        metrics,
+        mirrors: peers::Mirrors::new(),
+        zone: watch::channel(None).1,
+        controllers: JoinSet::new(),
+    };
+    let hosts = parts.count_hosts();
+    let (configuration, word) = parts.follow_operators();
+    let endpoints = parts.follow_endpoints();
+    parts.give_orders(&configuration, &endpoints);
+    let news = parts.follow_caches(&configuration, &endpoints, &hosts);
+    parts.serve_peers(sockets.peers, news)?;
+    parts.controllers.spawn(sweep(pool.clone()));
+    let revocation = parts.settings.bounds.revocation;
+    parts.controllers.spawn(operators::serve(
+        sockets.operators,
         operators::View {
-            host: settings.host.clone(),
-            zone: settings.zone.clone(),
+            host: parts.settings.host.clone(),
+            zone: parts.settings.zone.clone(),
             clock,
-            metrics: metrics.clone(),
+            metrics: parts.metrics.clone(),
             progress: progress_seen.clone(),
             configuration: configuration.clone(),
             endpoints,
             hosts: hosts.clone(),
             word: word.clone(),
-            revocation: settings.bounds.revocation,
+            revocation,
         },
     ));
+    let codec = parts.store.codec.clone();
+    let repeats = parts.settings.bounds.repeats;
     let relay = Relay {
         sender: Sender { codec, pool, clock },
         clock,
-        schedule,
+        schedule: parts.schedule.clone(),
         configuration,
         word,
-        revocation: settings.bounds.revocation,
+        revocation,
         progress: progress_seen.clone(),
         hosts,
-        budget: Arc::new(Mutex::new(repeat::Budget::new(settings.bounds.repeats))),
-        metrics,
+        budget: Arc::new(Mutex::new(repeat::Budget::new(repeats))),
+        metrics: parts.metrics.clone(),
     };
     let open = TaskTracker::new();
-    controllers.spawn(front::serve(callers, relay, progress_seen, open.clone()));
+    let callers = front::serve(sockets.callers, relay, progress_seen, open.clone());
+    parts.controllers.spawn(callers);
+    let settings = parts.settings;
     log::info!(host:% = settings.host, zone:% = settings.zone, callers:% = settings.callers; "started");
     Ok(Running {
         settings,
         progress,
         clock,
         open,
-        _controllers: controllers,
+        _controllers: parts.controllers,
     })
 }
 
+/// Sockets that a host listens on.
+struct Sockets {
+    callers: TcpListener,
+    operators: TcpListener,
+    peers: std::net::TcpListener,
+}
+
+impl Sockets {
+    fn listen(settings: &Settings) -> Result<Self, Error> {
+        let address = settings.peers;
+        let peers = listen(address)?.into_std();
+        Ok(Self {
+            callers: listen(settings.callers)?,
+            operators: listen(settings.operators)?,
+            peers: peers.context(ListenSnafu { address })?,
+        })
+    }
+}
+
+fn scheduler(settings: &Settings, clock: Clock) -> schedule::Handle {
+    let mut scheduler = Scheduler::new(placement::Settings {
+        zone: settings.zone.clone(),
+        old_weights: settings.bounds.old_weights,
+        old_weights_grace: OLD_WEIGHTS_GRACE,
+    });
+    scheduler.set_hosts(hosts::ASSUMED);
+    schedule::start(scheduler, clock)
+}
+
+/// What the controllers are made of.
+struct Parts<Platform> {
+    store: Store<Platform>,
+    settings: Settings,
+    schedule: schedule::Handle,
+    metrics: Metrics,
+    mirrors: peers::Mirrors,
+    /// Hosts of the zone; none before the first count.
+    zone: watch::Receiver<Option<Vec<Candidate>>>,
+    controllers: JoinSet<()>,
+}
+
+impl<Platform> Parts<Platform>
+where
+    Platform: store::Codec + exchange::Codec,
+{
+    fn follow<Target>(&mut self, topic: Topic, beat: Beat, fold: Target)
+    where
+        Target: Fold + Send + 'static,
+    {
+        let (mirror, mirror_seen) = watch::channel(Mirror::default());
+        self.mirrors.insert(topic.as_str(), mirror_seen);
+        let links = follow::Links {
+            host: self.settings.host.clone(),
+            zone: self.zone.clone(),
+            mirror,
+        };
+        let follower = follow::follow(self.store.clone(), topic, beat, links, fold);
+        self.controllers.spawn(follower);
+    }
+
+    fn count_hosts(&mut self) -> watch::Receiver<usize> {
+        let (number, number_seen) = watch::channel(hosts::ASSUMED);
+        let (zone, zone_seen) = watch::channel(None);
+        self.zone = zone_seen;
+        let own = hosts::Own {
+            host: self.settings.host.clone(),
+            zone: self.settings.zone.clone(),
+            peers: self.settings.peers,
+            capacity: self.settings.capacity,
+        };
+        let announcing = hosts::announce(self.store.clone(), own.clone());
+        self.controllers.spawn(announcing);
+        let links = hosts::Links {
+            number,
+            zone,
+            schedule: self.schedule.clone(),
+        };
+        self.follow(Topic::Hosts, HOSTS, hosts::Presences::new(own, links));
+        number_seen
+    }
+
+    fn follow_operators(&mut self) -> (watch::Receiver<Configuration>, watch::Receiver<Word>) {
+        let (configuration, configuration_seen) = watch::channel(Configuration::default());
+        let (word, word_seen) = watch::channel(None);
+        let codec = self.store.codec.clone();
+        let fold = Operators::new(codec, configuration, word, self.schedule.clone());
+        self.follow(Topic::Operators, OPERATORS, fold);
+        (configuration_seen, word_seen)
+    }
+
+    fn follow_endpoints(&mut self) -> watch::Receiver<Vec<Endpoint>> {
+        let (list, list_seen) = watch::channel(Vec::new());
+        let codec = self.store.codec.clone();
+        let fold = Endpoints::new(codec, list, self.schedule.clone());
+        self.follow(Topic::Endpoints, ENDPOINTS, fold);
+        list_seen
+    }
+
+    fn give_orders(
+        &mut self,
+        configuration: &watch::Receiver<Configuration>,
+        endpoints: &watch::Receiver<Vec<Endpoint>>,
+    ) {
+        let (standing, standing_seen) = watch::channel(orders::Standing::default());
+        let fold = orders::Announcements::new(standing, self.schedule.clone());
+        self.follow(Topic::Orders, ORDERS, fold);
+        self.controllers.spawn(orders::run(orders::Parts {
+            store: self.store.clone(),
+            host: self.settings.host.clone(),
+            lease: self.settings.bounds.lease,
+            configuration: configuration.clone(),
+            endpoints: endpoints.clone(),
+            standing: standing_seen,
+            schedule: self.schedule.clone(),
+            metrics: self.metrics.clone(),
+            clock: self.store.clock,
+        }));
+    }
+
+    fn follow_caches(
+        &mut self,
+        configuration: &watch::Receiver<Configuration>,
+        endpoints: &watch::Receiver<Vec<Endpoint>>,
+        hosts: &watch::Receiver<usize>,
+    ) -> watch::Receiver<News> {
+        let (news, news_seen) = watch::channel(News::default());
+        self.controllers.spawn(feeds::follow(feeds::Parts {
+            codec: self.store.codec.clone(),
+            host: self.settings.host.clone(),
+            clock: self.store.clock,
+            endpoints: endpoints.clone(),
+            configuration: configuration.clone(),
+            hosts: hosts.clone(),
+            zone: self.zone.clone(),
+            news,
+            schedule: self.schedule.clone(),
+        }));
+        news_seen
+    }
+
+    fn serve_peers(
+        &mut self,
+        listener: std::net::TcpListener,
+        news: watch::Receiver<News>,
+    ) -> Result<(), Error> {
+        let address = self.settings.peers;
+        let mirrors = std::mem::take(&mut self.mirrors);
+        let served = peers::serve(listener, mirrors, news, self.store.clock);
+        self.controllers
+            .spawn(served.context(ListenSnafu { address })?);
+        Ok(())
+    }
+}
+
 impl Running {
     /// Stops step by step; see the module `front`.
     pub async fn stop(self) {
@@ -247,8 +346,3 @@
 fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
     front::listen(address).context(ListenSnafu { address })
 }
-
-fn listen_plain(address: SocketAddr) -> Result<std::net::TcpListener, Error> {
-    let listener = front::listen(address).and_then(TcpListener::into_std);
-    listener.context(ListenSnafu { address })
-}
--- a/crates/papayayard_gateway/src/hosts.rs
+++ b/crates/papayayard_gateway/src/hosts.rs
@@ -4,6 +4,7 @@
 //! counts until its record is old, so that parts are rather too small. Hosts of
 //! one zone ask one another for what they have read.
 
+use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddr;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -14,20 +15,18 @@
 use tokio::time;
 
 use crate::call::Caller;
-use crate::follow::Store;
+use crate::follow::{Fold, Store};
 use crate::schedule::{Handle, Message};
-use crate::store::{Codec, Error, Topic};
+use crate::store::{Codec, Error, Record, Topic};
 
 /// Hosts that are assumed until they were counted.
 pub(crate) const ASSUMED: usize = 9;
 /// Time between two records of a host.
-const PERIOD: Duration = Duration::from_secs(15);
-/// Time after which the first count follows the first record.
-const FIRST_COUNT: Duration = Duration::from_millis(1500);
+const PERIOD: Duration = Duration::from_secs(20);
 /// Time to try again after a failure.
 const RETRY: Duration = Duration::from_secs(1);
 /// Age of a record, against the newest, from which on a host has ended.
-const OLDEST: Duration = Duration::from_secs(35);
+const OLDEST: Duration = Duration::from_secs(45);
 
 /// Content of a host's record.
 #[derive(Debug, Serialize, Deserialize)]
@@ -55,31 +54,26 @@
 pub(crate) struct Links {
     /// Number of all hosts.
     pub(crate) number: watch::Sender<usize>,
-    /// Hosts of this zone.
-    pub(crate) zone: watch::Sender<Vec<Candidate>>,
+    /// Hosts of this zone; none before the first count.
+    pub(crate) zone: watch::Sender<Option<Vec<Candidate>>>,
     /// Scheduler.
     pub(crate) schedule: Handle,
 }
 
-/// Keeps a host's record and counts all of them.
-pub(crate) async fn count<Platform>(store: Store<Platform>, own: Own, links: Links)
+/// Writes this host's record from time to time.
+pub(crate) async fn announce<Platform>(store: Store<Platform>, own: Own)
 where
     Platform: Codec,
 {
     let mut caller = Caller::new(store.address);
-    let mut pause = FIRST_COUNT;
     loop {
-        if let Err(error) = write(&store, &mut caller, &own).await {
-            log::info!(error:%; "this host's record was not written");
-            time::sleep(RETRY).await;
-            continue;
+        match write(&store, &mut caller, &own).await {
+            Ok(()) => time::sleep(PERIOD).await,
+            Err(error) => {
+                log::info!(error:%; "this host's record was not written");
+                time::sleep(RETRY).await;
+            }
         }
-        time::sleep(pause).await;
-        match read(&store, &mut caller).await {
-            Ok(hosts) => tell(&hosts, &own, &links),
-            Err(error) => log::info!(error:%; "hosts were not counted"),
-        }
-        pause = PERIOD;
     }
 }
 
@@ -103,52 +97,86 @@
     Ok(())
 }
 
-async fn read<Platform>(
-    store: &Store<Platform>,
-    caller: &mut Caller,
-) -> Result<Vec<(id::Host, Presence)>, Error>
-where
-    Platform: Codec,
-{
-    let (records, _) = store.newest(caller, Topic::Hosts).await?;
-    let mut hosts = Vec::new();
-    for record in &records {
+/// Folds the records of all hosts.
+pub(crate) struct Presences {
+    own: Own,
+    links: Links,
+    hosts: BTreeMap<id::Host, Presence>,
+    told: usize,
+}
+
+impl Presences {
+    /// A fold that no host is known to.
+    pub(crate) fn new(own: Own, links: Links) -> Self {
+        Self {
+            own,
+            links,
+            hosts: BTreeMap::new(),
+            told: 0,
+        }
+    }
+
+    fn tell(&mut self) {
+        keep_living(&mut self.hosts);
+        let number = self.hosts.len().max(1);
+        if number != self.told {
+            log::info!(number; "hosts counted");
+            self.told = number;
+            self.links.number.send_replace(number);
+            self.links.schedule.tell(Message::Hosts(number));
+        }
+        let in_zone = self.hosts.iter();
+        let in_zone = in_zone.filter(|(_, one)| one.zone == self.own.zone.as_str());
+        let zone: Vec<Candidate> = in_zone
+            .map(|(host, one)| Candidate {
+                host: host.clone(),
+                address: one.peers,
+                capacity: one.capacity,
+            })
+            .collect();
+        self.links.zone.send_if_modified(|known| {
+            let is_new = known.as_ref() != Some(&zone);
+            if is_new {
+                *known = Some(zone);
+            }
+            is_new
+        });
+    }
+}
+
+impl Fold for Presences {
+    fn record(&mut self, record: &Record, _now: Duration) -> bool {
+        let host = id::Host::from(record.key.as_str());
         let Some(value) = &record.value else {
-            continue;
+            return self.hosts.remove(&host).is_some();
         };
         match serde_json::from_slice(value) {
-            Ok(presence) => hosts.push((id::Host::from(record.key.as_str()), presence)),
-            Err(error) => log::warn!(host = record.key.as_str(), error:%; "host's record skipped"),
+            Ok(presence) => {
+                self.hosts.insert(host, presence);
+                true
+            }
+            Err(error) => {
+                log::warn!(host:%, error:%; "host's record skipped");
+                false
+            }
         }
     }
-    keep_living(&mut hosts);
-    Ok(hosts)
+
+    fn whole(&mut self, keys: &HashSet<String>, _now: Duration) {
+        self.hosts.retain(|host, _| keys.contains(host.as_str()));
+    }
+
+    fn caught_up(&mut self, _asked: Duration, _next: u64, _now: Duration) {
+        self.tell();
+    }
 }
 
 /// Drops hosts whose records are much older than the newest.
-fn keep_living(hosts: &mut Vec<(id::Host, Presence)>) {
-    let newest = hosts.iter().map(|(_, one)| one.written_ms).max();
+fn keep_living(hosts: &mut BTreeMap<id::Host, Presence>) {
+    let newest = hosts.values().map(|one| one.written_ms).max();
     let longest = u64::try_from(OLDEST.as_millis()).unwrap_or(u64::MAX);
     let oldest = newest.unwrap_or(0).saturating_sub(longest);
-    hosts.retain(|(_, one)| one.written_ms >= oldest);
-}
-
-fn tell(hosts: &[(id::Host, Presence)], own: &Own, links: &Links) {
-    let number = hosts.len().max(1);
-    let before = links.number.send_replace(number);
-    if before != number {
-        log::info!(number; "hosts counted");
-    }
-    links.schedule.tell(Message::Hosts(number));
-    let in_zone = hosts
-        .iter()
-        .filter(|(_, one)| one.zone == own.zone.as_str());
-    let zone = in_zone.map(|(host, one)| Candidate {
-        host: host.clone(),
-        address: one.peers,
-        capacity: one.capacity,
-    });
-    links.zone.send_replace(zone.collect());
+    hosts.retain(|_, one| one.written_ms >= oldest);
 }
 
 /// Time of day, in ms since the Unix epoch.
--- a/crates/papayayard_gateway/src/orders.rs
+++ b/crates/papayayard_gateway/src/orders.rs
@@ -66,7 +66,7 @@
     model: String,
     version: u64,
     /// Time from the naming to the writing, in ms.
-    age_ms: u64,
+    lain_ms: u64,
 }
 
 /// An endpoint that has loaded a version.
@@ -93,7 +93,7 @@
         let lain = Duration::from_millis(lain_ms).min(LONGEST_LAIN);
         let mut named: HashMap<id::Model, Named> = HashMap::new();
         for one in &self.named {
-            let age = Duration::from_millis(one.age_ms) + lain;
+            let age = Duration::from_millis(one.lain_ms) + lain;
             let model = id::Model::from(one.model.as_str());
             let known = named.entry(model).or_default();
             known.name(one.version, now.saturating_sub(age));
@@ -376,7 +376,7 @@
             Some(Age {
                 model: model.as_str().to_owned(),
                 version,
-                age_ms: u64::try_from(age).unwrap_or(u64::MAX),
+                lain_ms: u64::try_from(age).unwrap_or(u64::MAX),
             })
         });
         newest.collect()
@@ -424,11 +424,11 @@
         let Some(fence) = self.turn.fence(now) else {
             return;
         };
-        for (model, (newest, members)) in behind {
+        for (model, (newest, _)) in behind {
             let Some(rollout) = self.rollouts.get_mut(model) else {
                 continue;
             };
-            let actions = rollout.actions(members.len(), now);
+            let actions = rollout.actions(now);
             for due in &actions.order {
                 // Until the answer comes the endpoint counts as ordered.
                 rollout.answered(&due.endpoint, Answer::Lost, now);
--- a/crates/papayayard_gateway/src/pool.rs
+++ b/crates/papayayard_gateway/src/pool.rs
@@ -17,7 +17,7 @@
 /// Time for which an idle connection is kept where the endpoint states none.
 const IDLE: Duration = Duration::from_secs(2);
 /// Time before the stated end of an idle connection at which it is given up.
-const MARGIN: Duration = Duration::from_millis(1000);
+const MARGIN: Duration = Duration::from_secs(1);
 /// Longest idle time of a connection for requests that may run only once.
 const IDLE_FOR_ONCE: Duration = Duration::from_millis(400);
 /// Most idle connections to one address.
--- a/crates/papayayard_gateway/src/relay.rs
+++ b/crates/papayayard_gateway/src/relay.rs
@@ -42,7 +42,7 @@
 /// Times the expected time to a first event, after which it is asked elsewhere.
 const PATIENCE_FACTOR: u32 = 3;
 /// Shortest time after which a silent endpoint is given up.
-const LEAST_PATIENCE: Duration = Duration::from_millis(2000);
+const LEAST_PATIENCE: Duration = Duration::from_secs(2);
 /// Time for an answer of a plain service, as a multiple of its target.
 const PLAIN_PATIENCE: f64 = 2.0;
 
--- a/crates/papayayard_routing/src/placement.rs
+++ b/crates/papayayard_routing/src/placement.rs
@@ -23,10 +23,13 @@
 mod cache;
 mod cost;
 mod delay;
+mod fetch;
 mod link;
 mod load;
+mod split;
 
 use backend::Backend;
+use fetch::{Fetch, Holder, Shared};
 
 pub use ask::{Ask, BackendKey, Decision, Outcome, Placement, Refused, Seen, Ticket, Waiting};
 pub use backend::Endpoint;
@@ -34,6 +37,7 @@
 pub use delay::{Delay, Usual};
 pub use link::{Link, transfer_time};
 pub use load::{Amounts, Load};
+pub use split::{Demand, draw};
 
 /// Part of the time to the target that a request may wait for a place.
 const WAIT_PART: f64 = 0.4;
@@ -51,15 +55,14 @@
 /// Time for which an endpoint that refused is left alone.
 const REFUSAL_PAUSE: Duration = Duration::from_millis(150);
 /// Time beyond the expected one after which a silent endpoint is failing.
-const SILENCE: Duration = Duration::from_millis(2000);
+const SILENCE: Duration = Duration::from_secs(2);
 /// Failures in a row that one refused or unanswered connection counts for.
 const UNREACHABLE_FAILURES: usize = 2;
 /// Time to which a service time is taken before one was seen, in ms.
 const UNKNOWN_SERVICE_MS: f64 = 30.0;
-/// Wait on a shared link from which on a transfer is not started any more.
-const LONGEST_TRANSFER_WAIT: Duration = Duration::from_millis(1500);
-/// Times that a transfer between availability zones takes longer.
-const OTHER_ZONE_TRANSFER: u32 = 2;
+/// Shared tokens from which on the stores of cached prompts are used: fewer are
+/// computed sooner than they are fetched past long transfers.
+const FEWEST_STORED: u32 = 1000;
 /// Longest time for which an endpoint that loads weights is left out.
 const LONGEST_LOADING: Duration = Duration::from_secs(8);
 
@@ -84,6 +87,7 @@
     stores: HashMap<id::Service, Store>,
     named: HashMap<id::Model, weights::Named>,
     usual: Usual,
+    demand: Demand,
     refusals: u64,
     tickets: SlotMap<Ticket, Placed>,
     waiting: SlotMap<Waiting, Pending>,
@@ -123,30 +127,6 @@
     fetch: Option<Fetch>,
 }
 
-#[derive(Clone, Copy)]
-struct Fetch {
-    address: SocketAddr,
-    source: cost::Source,
-    time: Duration,
-    store: bool,
-}
-
-/// A prompt's shared parts under one version of the weights.
-struct Shared<'a> {
-    keys: Vec<prompt::Key>,
-    holders: Vec<Holder<'a>>,
-    store: Option<&'a table::CacheStore>,
-    store_wait: Duration,
-    stored: u32,
-    known: u32,
-}
-
-struct Holder<'a> {
-    key: BackendKey,
-    endpoint: &'a Endpoint,
-    tokens: u32,
-}
-
 impl Scheduler {
     /// A scheduler without endpoints.
     pub fn new(settings: Settings) -> Self {
@@ -159,6 +139,7 @@
             stores: HashMap::new(),
             named: HashMap::new(),
             usual: Usual::default(),
+            demand: Demand::default(),
             refusals: 0,
             tickets: SlotMap::with_key(),
             waiting: SlotMap::with_key(),
@@ -255,6 +236,9 @@
     /// Lets a request wait for an endpoint; see [`Self::decide`].
     pub fn ask(&mut self, ask: Ask, now: Duration) -> Waiting {
         self.arrivals += 1;
+        if let Some(prompt) = &ask.prompt {
+            self.demand.asked(prompt, now);
+        }
         self.waiting.insert(Pending {
             ask,
             arrival: self.arrivals,
@@ -407,8 +391,9 @@
         let pending = &self.waiting[key];
         let ask = pending.ask.clone();
         let since = pending.since;
+        let draw = split::draw(pending.arrival);
         let mut seen = Seen::default();
-        if let Some(candidate) = self.best(&ask, &mut seen, now) {
+        if let Some(candidate) = self.best(&ask, draw, &mut seen, now) {
             return Some(Decision::Placed(self.place(&ask, &candidate, now)));
         }
         let patience = ask.target.saturating_sub(since).mul_f64(WAIT_PART);
@@ -439,7 +424,7 @@
         Refused::Overloaded
     }
 
-    fn best(&self, ask: &Ask, seen: &mut Seen, now: Duration) -> Option<Candidate> {
+    fn best(&self, ask: &Ask, draw: f64, seen: &mut Seen, now: Duration) -> Option<Candidate> {
         let service = self.table.services.get(&ask.service);
         let engine = service.and_then(|service| service.engine.as_ref());
         let connections = service.map_or(u32::MAX, |service| service.max_connections);
@@ -453,7 +438,7 @@
         let usable: Vec<(BackendKey, &Backend)> = usable.collect();
         seen.usable = usable.len();
         let candidates = match (engine, &ask.prompt) {
-            (Some(engine), Some(prompt)) => self.engines(ask, prompt, engine, usable, now),
+            (Some(engine), Some(_)) => self.engines(ask, draw, engine, usable, now),
             _ => self.plain(usable, ask, now),
         };
         seen.with_room = candidates.len();
@@ -485,11 +470,14 @@
     fn engines(
         &self,
         ask: &Ask,
-        prompt: &prompt::Prompt,
+        draw: f64,
         engine: &table::Engine,
         usable: Vec<(BackendKey, &Backend)>,
         now: Duration,
     ) -> Vec<Candidate> {
+        let Some(prompt) = &ask.prompt else {
+            return Vec::new();
+        };
         let named = self.named.get(&prompt.model);
         let oldest = named.map_or(0, |one| one.oldest_allowed(self.settings.old_weights, now));
         let newest = named.and_then(weights::Named::newest);
@@ -502,36 +490,37 @@
         });
 
         let mut versions: HashMap<u64, Shared<'_>> = HashMap::new();
-        let mut means: HashMap<u64, Amounts> = HashMap::new();
-        for (_, backend) in &ranked {
-            let version = backend.version(&prompt.model);
-            means.entry(version).or_insert_with(|| {
-                let alike = ranked.iter().map(|(_, one)| one);
-                let alike = alike.filter(|one| one.version(&prompt.model) == version);
-                Amounts::mean(alike.map(|one| one.load.average(now)))
-            });
-        }
+        let newest = newest.filter(|(_, at)| *at + self.settings.old_weights_grace <= now);
+        let is_old =
+            |one: &Backend| newest.is_some_and(|(newest, _)| one.version(&prompt.model) < newest);
+        let mean = |old: bool| {
+            let alike = ranked.iter().filter(|(_, one)| is_old(one) == old);
+            Amounts::mean(alike.map(|(_, one)| one.load.average(now)))
+        };
+        let (mean_old, mean_new) = (mean(true), mean(false));
+        let new = ranked.iter().filter(|(_, one)| !is_old(one)).count();
+        let prefers_new = draw < self.demand.part(new, self.hosts, now);
         let mut candidates = Vec::with_capacity(ranked.len());
         for (rank, (key, backend)) in ranked.into_iter().enumerate() {
             let version = backend.version(&prompt.model);
             let shared = versions
                 .entry(version)
                 .or_insert_with(|| self.shared(ask, prompt, version, now));
-            let grace = self.settings.old_weights_grace;
+            let is_old = is_old(backend);
             let need = cost::Need {
                 prompt,
                 keys: &shared.keys,
                 target: ask.target_latency,
                 hosts: self.hosts,
-                mean: means.get(&version).copied().unwrap_or_default(),
-                is_old: newest.is_some_and(|(newest, at)| version < newest && at + grace <= now),
+                mean: if is_old { mean_old } else { mean_new },
+                is_avoided: newest.is_some() && is_old == prefers_new,
                 zone: cost::Zone::new(&self.settings.zone, ask.is_repeatable),
                 rank,
                 known: shared.known,
                 usual_ms: self.usual.ms(),
             };
             let cached = backend.cache.prefix(prompt.shared(), &shared.keys, now);
-            let fetch = self.source(engine, shared, (key, backend), cached);
+            let fetch = shared.source(engine, key, backend, cached);
             let source = fetch.map(|fetch| fetch.source);
             if let Some(estimate) = cost::of_engine(backend, engine, &need, source, now) {
                 candidates.push(Candidate {
@@ -582,65 +571,22 @@
         Shared {
             keys,
             holders,
-            store: store.map(|(_, store)| store),
-            store_wait: kept.map_or(Duration::ZERO, |kept| kept.link.wait(now)),
+            store: store.map(|(_, store)| {
+                let wait = kept.map_or(Duration::ZERO, |kept| kept.link.wait(now));
+                (store, wait)
+            }),
             stored,
             known,
         }
     }
 
-    /// The holder of the most shared parts beyond what an endpoint has.
-    fn source(
-        &self,
-        engine: &table::Engine,
-        shared: &Shared<'_>,
-        wants: (BackendKey, &Backend),
-        cached: u32,
-    ) -> Option<Fetch> {
-        let (key, backend) = wants;
-        let mut best: Option<Fetch> = None;
-        for holder in &shared.holders {
-            if holder.key == key || holder.tokens <= cached {
-                continue;
-            }
-            let same_zone = holder.endpoint.zone == backend.endpoint.zone;
-            let distance = if same_zone { 1 } else { OTHER_ZONE_TRANSFER };
-            let tokens = holder.tokens - cached;
-            let time = transfer_time(tokens, engine.token_bytes, engine.link_mbps) * distance;
-            let fetch = Fetch {
-                address: holder.endpoint.address,
-                source: cost::Source {
-                    tokens: holder.tokens,
-                    time,
-                },
-                time,
-                store: false,
-            };
-            best = better(best, fetch);
-        }
-        let Some(store) = shared.store else {
-            return best;
-        };
-        if shared.stored > cached && shared.store_wait < LONGEST_TRANSFER_WAIT {
-            let tokens = shared.stored - cached;
-            let time = transfer_time(tokens, engine.token_bytes, store.link_mbps);
-            let fetch = Fetch {
-                address: store.address,
-                source: cost::Source {
-                    tokens: shared.stored,
-                    time: shared.store_wait + time,
-                },
-                time,
-                store: true,
-            };
-            best = better(best, fetch);
-        }
-        best
-    }
-
     /// The store that keeps a prompt's shared parts: each store has its own
     /// prompts, so that together they hold more.
     fn store_of(&self, prompt: &prompt::Prompt) -> Option<(&id::Service, &table::CacheStore)> {
+        let shared: u32 = prompt.shared().iter().map(|part| part.tokens).sum();
+        if shared < FEWEST_STORED {
+            return None;
+        }
         let stores = self.table.cache_stores();
         stores.max_by_key(|(name, _)| cost::preference(name.as_str(), prompt))
     }
@@ -664,7 +610,7 @@
                 .fetch
                 .filter(|fetch| fetch.source.tokens > candidate.estimate.cached);
             save = self.save(prompt, &keys, now + first_event, now);
-            if let Some(fetch) = fetch.filter(|fetch| fetch.store) {
+            if let Some(fetch) = fetch.filter(|fetch| fetch.is_store) {
                 self.fetched_from_store(prompt, fetch.time, now);
             }
             let cache = &mut self.backends[candidate.key].cache;
@@ -755,19 +701,6 @@
     candidates.min_by(|one, other| one.estimate.cost_ms.total_cmp(&other.estimate.cost_ms))
 }
 
-fn better(best: Option<Fetch>, other: Fetch) -> Option<Fetch> {
-    match best {
-        Some(best)
-            if best.source.tokens > other.source.tokens
-                || (best.source.tokens == other.source.tokens
-                    && best.source.time <= other.source.time) =>
-        {
-            Some(best)
-        }
-        _ => Some(other),
-    }
-}
-
 fn shared_keys(
     prompt: &prompt::Prompt,
     version: u64,
--- a/crates/papayayard_routing/src/placement/cost.rs
+++ b/crates/papayayard_routing/src/placement/cost.rs
@@ -35,8 +35,9 @@
 const NOT_HOME_MS: f64 = 12.0;
 /// Cost of an endpoint that isn't even the second choice for a prompt, in ms.
 const FAR_FROM_HOME_MS: f64 = 18.0;
-/// Cost of older weights as a part of the time that a first event may take.
-const OLD_WEIGHTS_PART: f64 = 0.4;
+/// Cost of weights that a request is to avoid, as a part of the time that a
+/// first event may take.
+const OTHER_WEIGHTS_PART: f64 = 0.6;
 /// Time in which an endpoint that has just come into use is filled slowly: the
 /// other hosts find it at the same moment.
 const SLOW_START: Duration = Duration::from_millis(600);
@@ -56,8 +57,8 @@
     pub(super) hosts: usize,
     /// Work of this host at an endpoint of the kind, on average.
     pub(super) mean: Amounts,
-    /// Whether newer weights than the endpoint's are in place.
-    pub(super) is_old: bool,
+    /// Whether the request is to go to endpoints with other weights.
+    pub(super) is_avoided: bool,
     /// Where the request comes from.
     pub(super) zone: Zone<'a>,
     /// Place of the endpoint in the prompt's order of preference.
@@ -152,8 +153,8 @@
         + need.zone.cost_ms(backend)
         + rank_ms(need.rank)
         + slow_start_ms(backend, now)
-        + if need.is_old {
-            need.target.as_secs_f64() * 1000.0 * OLD_WEIGHTS_PART
+        + if need.is_avoided {
+            need.target.as_secs_f64() * 1000.0 * OTHER_WEIGHTS_PART
         } else {
             0.0
         };
