Choose among the endpoints that are in time, not the cheapest of all

Cause: the endpoint of the lowest cost was taken first and then found too late, so that a request waited or was refused although another endpoint would have been in time. Change: endpoints that are too late are left out before costs are compared.

--- a/crates/papayayard_routing/src/placement.rs
+++ b/crates/papayayard_routing/src/placement.rs
@@ -442,12 +442,17 @@
             _ => self.plain(usable, ask, now),
         };
         seen.with_room = candidates.len();
-        let best = cheapest(candidates)?;
-        seen.first_event = milliseconds(best.estimate.first_event_ms);
+        let soonest_ms = candidates
+            .iter()
+            .map(|one| one.estimate.first_event_ms)
+            .min_by(f64::total_cmp)?;
+        seen.first_event = milliseconds(soonest_ms);
         let left_ms = ms(ask.deadline.saturating_sub(now));
         let crowded_ms = ms(ask.target_latency) * CROWDED_FACTOR;
         let latest_ms = (left_ms * LATEST_PART).min(crowded_ms);
-        (best.estimate.first_event_ms <= latest_ms).then_some(best)
+        let in_time = candidates.into_iter();
+        let in_time = in_time.filter(|one| one.estimate.first_event_ms <= latest_ms);
+        in_time.min_by(|one, other| one.estimate.cost_ms.total_cmp(&other.estimate.cost_ms))
     }
 
     fn plain(
@@ -696,11 +701,6 @@
     };
 }
 
-fn cheapest(candidates: Vec<Candidate>) -> Option<Candidate> {
-    let candidates = candidates.into_iter();
-    candidates.min_by(|one, other| one.estimate.cost_ms.total_cmp(&other.estimate.cost_ms))
-}
-
 fn shared_keys(
     prompt: &prompt::Prompt,
     version: u64,
--- /dev/null
+++ b/crates/papayayard_routing/tests/placement/choice.rs
@@ -0,0 +1,176 @@
+//! One request: caches, stores, walls, zones, failures.
+
+use papayayard_routing::placement::{Decision, Outcome, Refused};
+use papayayard_wire::id;
+
+use crate::support::{self, NOW, ms};
+
+#[test]
+fn a_history_goes_where_it_lies() {
+    let mut scheduler = support::scheduler(&support::engines(6, 1), 1);
+    for (key, tokens) in support::keys("dancer", 1) {
+        scheduler.told(&id::Endpoint::from("e3"), key, tokens);
+    }
+    let ask = support::ask(support::history("dancer"), NOW);
+    let placement = support::place(&mut scheduler, ask, NOW);
+    assert_eq!(placement.endpoint.as_str(), "e3");
+    assert_eq!((placement.cached, placement.unread), (6_300, 2_890));
+    assert_eq!(placement.fetch, None);
+}
+
+#[test]
+fn a_busy_holder_is_fetched_from() {
+    let mut scheduler = support::scheduler(&support::engines(2, 1), 1);
+    for (key, tokens) in support::keys("dancer", 1) {
+        scheduler.told(&id::Endpoint::from("e0"), key, tokens);
+    }
+    for other in 0..8 {
+        let mut ask = support::ask(support::history(&format!("other-{other}")), NOW);
+        ask.tried = vec![id::Endpoint::from("e1")];
+        support::decide(&mut scheduler, ask, NOW);
+    }
+    let ask = support::ask(support::history("dancer"), NOW);
+    let placement = support::place(&mut scheduler, ask, NOW);
+    assert_eq!(placement.endpoint.as_str(), "e1");
+    assert!(placement.fetch.is_some());
+    assert_eq!(placement.unread, 2_890);
+}
+
+#[test]
+fn the_store_is_fetched_from_and_saved_to_once() {
+    let mut scheduler = support::scheduler(&support::engines(3, 1), 1);
+    let first = support::place(
+        &mut scheduler,
+        support::ask(support::history("a"), NOW),
+        NOW,
+    );
+    assert_eq!(first.save, "10.9.0.1:80".parse().ok());
+    let again = support::place(
+        &mut scheduler,
+        support::ask(support::history("a"), NOW),
+        NOW,
+    );
+    assert_eq!(again.save, None, "the first request saves it already");
+
+    for (key, tokens) in support::keys("b", 1) {
+        scheduler.store_told(&id::Service::from("kept"), key, tokens);
+    }
+    let fetched = support::place(
+        &mut scheduler,
+        support::ask(support::history("b"), NOW),
+        NOW,
+    );
+    assert_eq!(fetched.fetch, "10.9.0.1:80".parse().ok());
+    assert_eq!(fetched.save, None);
+}
+
+/// Two requests for one history at the same moment: the second follows the
+/// first rather than have it computed twice.
+#[test]
+fn first_readers_meet_at_one_engine() {
+    let mut scheduler = support::scheduler(&support::engines(18, 1), 9);
+    let one = support::place(
+        &mut scheduler,
+        support::ask(support::history("a"), NOW),
+        NOW,
+    );
+    let now = NOW + ms(5);
+    let two = support::place(
+        &mut scheduler,
+        support::ask(support::history("a"), now),
+        now,
+    );
+    assert_eq!(one.endpoint, two.endpoint);
+    assert_eq!(two.unread, 2_890);
+}
+
+/// Hosts that know nothing of one another choose the same engine.
+#[test]
+fn hosts_agree_on_the_home_of_a_history() {
+    let endpoints = support::engines(18, 1);
+    let homes: Vec<String> = (0..9)
+        .map(|_| {
+            let mut scheduler = support::scheduler(&endpoints, 9);
+            let ask = support::ask(support::history("a"), NOW);
+            let placement = support::place(&mut scheduler, ask, NOW);
+            placement.endpoint.as_str().to_owned()
+        })
+        .collect();
+    assert!(homes.iter().all(|home| *home == homes[0]), "{homes:?}");
+}
+
+#[test]
+fn nothing_is_shared_across_a_wall_or_other_weights() {
+    let mut scheduler = support::scheduler(&support::engines(3, 2), 1);
+    for (key, tokens) in support::keys("dancer", 1) {
+        scheduler.told(&id::Endpoint::from("e1"), key, tokens);
+    }
+    let ask = support::ask(support::history("dancer"), NOW);
+    let open = support::place(&mut scheduler, ask, NOW);
+    assert_eq!(open.cached, 0, "the parts were made by version 1");
+    assert_eq!(open.version, Some(2));
+
+    let mut walled = support::ask(support::history("dancer"), NOW);
+    walled.wall = Some(id::Account::from("studio"));
+    let walled = support::place(&mut scheduler, walled, NOW);
+    assert_ne!(open.salt, walled.salt);
+    assert_eq!((walled.cached, walled.fetch), (0, None));
+}
+
+#[test]
+fn what_cannot_be_repeated_stays_in_its_zone() {
+    let endpoints = [
+        support::engine("far-1", "b", 1),
+        support::engine("near", "a", 1),
+        support::engine("far-2", "c", 1),
+    ];
+    for subject in ["a", "b", "c", "d", "e"] {
+        let mut scheduler = support::scheduler(&endpoints, 1);
+        let mut ask = support::ask(support::history(subject), NOW);
+        ask.is_repeatable = false;
+        let placement = support::place(&mut scheduler, ask, NOW);
+        assert_eq!(placement.endpoint.as_str(), "near");
+    }
+}
+
+#[test]
+fn an_endpoint_without_connections_is_left_out() {
+    let mut scheduler = support::scheduler(&support::engines(2, 1), 1);
+    let mut failed = Vec::new();
+    for _ in 0..2 {
+        let ask = support::ask(support::history("a"), NOW);
+        let placement = support::place(&mut scheduler, ask, NOW);
+        scheduler.finished(placement.ticket, Outcome::Unreachable, NOW);
+        failed.push(placement.endpoint);
+    }
+    assert_eq!(failed[0], failed[1], "one refused connection may be chance");
+    let ask = support::ask(support::history("a"), NOW);
+    let placement = support::place(&mut scheduler, ask, NOW);
+    assert_ne!(placement.endpoint, failed[0]);
+}
+
+#[test]
+fn a_service_without_endpoints_refuses_at_once() {
+    let mut scheduler = support::scheduler(&[], 1);
+    let ask = support::ask(support::history("a"), NOW);
+    let decision = support::decide(&mut scheduler, ask, NOW);
+    assert!(matches!(
+        decision,
+        Some(Decision::Refused {
+            why: Refused::NoEndpoint,
+            ..
+        })
+    ));
+}
+
+#[test]
+fn a_leaving_endpoint_gets_nothing() {
+    let mut endpoints = support::engines(2, 1);
+    endpoints[0].leaving = true;
+    let mut scheduler = support::scheduler(&endpoints, 1);
+    for subject in ["a", "b", "c", "d"] {
+        let ask = support::ask(support::history(subject), NOW);
+        let placement = support::place(&mut scheduler, ask, NOW);
+        assert_eq!(placement.endpoint.as_str(), "e1");
+    }
+}
--- /dev/null
+++ b/crates/papayayard_routing/tests/placement/main.rs
@@ -0,0 +1,6 @@
+//! Where requests are placed, how they wait and when they are turned away.
+
+mod choice;
+mod crowd;
+mod support;
+mod weights;
--- /dev/null
+++ b/crates/papayayard_routing/tests/placement/support.rs
@@ -0,0 +1,155 @@
+//! A service of engines and requests for it.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use papayayard_routing::placement::{
+    Ask, Decision, Endpoint, Placement, Scheduler, Settings, Waiting,
+};
+use papayayard_routing::prompt::{self, Part, Prompt};
+use papayayard_routing::table::{self, Accounts, Limits, Table};
+use papayayard_routing::weights::Named;
+use papayayard_wire::id;
+
+/// Start of all tests.
+pub(crate) const NOW: Duration = Duration::from_secs(100);
+
+pub(crate) fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+pub(crate) fn model() -> id::Model {
+    id::Model::from("match")
+}
+
+/// An engine of the service `engines` in a zone.
+pub(crate) fn engine(name: &str, zone: &str, version: u64) -> Endpoint {
+    Endpoint {
+        id: id::Endpoint::from(name),
+        started: id::Incarnation(1),
+        service: id::Service::from("engines"),
+        address: "10.0.0.1:80".parse().unwrap(),
+        zone: id::Zone::from(zone),
+        slots: 64,
+        weights: HashMap::from([(model(), version)]),
+        leaving: false,
+    }
+}
+
+pub(crate) fn engines(number: usize, version: u64) -> Vec<Endpoint> {
+    let all = 0..number;
+    all.map(|index| engine(&format!("e{index}"), "a", version))
+        .collect()
+}
+
+fn table() -> Table {
+    let engine = table::Service {
+        max_connections: 1000,
+        engine: Some(table::Engine {
+            slots: 64,
+            cache_readers: 12,
+            memory_tokens: 120_000,
+            token_bytes: 35_136,
+            link_mbps: 1_100_000,
+        }),
+        cache_store: None,
+    };
+    let store = table::Service {
+        max_connections: 100,
+        engine: None,
+        cache_store: Some(table::CacheStore {
+            address: "10.9.0.1:80".parse().unwrap(),
+            zone: id::Zone::from("a"),
+            link_mbps: 120_000,
+        }),
+    };
+    Table::new(
+        id::Revision(1),
+        Limits::default(),
+        HashMap::from([
+            (id::Service::from("engines"), engine),
+            (id::Service::from("kept"), store),
+        ]),
+        Accounts::default(),
+        Vec::new(),
+    )
+}
+
+/// A scheduler of one of some hosts in zone `a`.
+pub(crate) fn scheduler(endpoints: &[Endpoint], hosts: usize) -> Scheduler {
+    let mut scheduler = Scheduler::new(Settings {
+        zone: id::Zone::from("a"),
+        old_weights: Duration::from_secs(12),
+        old_weights_grace: ms(1200),
+    });
+    scheduler.set_table(Arc::new(table()));
+    scheduler.set_hosts(hosts);
+    scheduler.set_endpoints(endpoints, NOW - Duration::from_secs(10));
+    scheduler
+}
+
+pub(crate) fn name(scheduler: &mut Scheduler, version: u64, at: Duration) {
+    let mut named = Named::default();
+    named.name(version, at);
+    scheduler.add_named(&HashMap::from([(model(), named)]));
+}
+
+/// A long history of a subject: 6,300 shared tokens and 2,890 of its own.
+pub(crate) fn history(subject: &str) -> Prompt {
+    let part = |name: &str, tokens| Part {
+        name: name.to_owned(),
+        tokens,
+    };
+    Prompt {
+        model: model(),
+        tokens: 9_190,
+        most_output: 10,
+        likely_output: None,
+        parts: vec![
+            part("studio", 2_520),
+            part(subject, 3_780),
+            part("own", 2_890),
+        ],
+    }
+}
+
+/// Keys of a history's shared parts under a version.
+pub(crate) fn keys(subject: &str, version: u64) -> Vec<(prompt::Key, u32)> {
+    let salt = prompt::salt(&model(), version, None);
+    let prompt = history(subject);
+    let parts = prompt.shared().iter();
+    parts
+        .map(|part| (prompt::key(&salt, &part.name), part.tokens))
+        .collect()
+}
+
+pub(crate) fn ask(prompt: Prompt, now: Duration) -> Ask {
+    Ask {
+        service: id::Service::from("engines"),
+        prompt: Some(Arc::new(prompt)),
+        wall: None,
+        is_repeatable: true,
+        priority: 1,
+        target: now + ms(500),
+        target_latency: ms(500),
+        deadline: now + ms(5000),
+        tried: Vec::new(),
+    }
+}
+
+/// Asks and decides at once.
+pub(crate) fn decide(scheduler: &mut Scheduler, ask: Ask, now: Duration) -> Option<Decision> {
+    let waiting: Waiting = scheduler.ask(ask, now);
+    let decisions = scheduler.decide(now);
+    let own = decisions.into_iter().find(|(one, _)| *one == waiting);
+    own.map(|(_, decision)| decision)
+}
+
+/// Places a request that has a place.
+pub(crate) fn place(scheduler: &mut Scheduler, ask: Ask, now: Duration) -> Placement {
+    match decide(scheduler, ask, now) {
+        Some(Decision::Placed(placement)) => placement,
+        other => panic!("the request has no place: {other:?}"),
+    }
+}
