--- /dev/null
+++ b/crates/papayayard_routing/tests/listing.rs
@@ -0,0 +1,76 @@
+//! Endpoints come and go, also while their store is away.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use papayayard_routing::listing::Listing;
+use papayayard_routing::placement::Endpoint;
+use papayayard_wire::id;
+
+const NOW: Duration = Duration::from_secs(100);
+
+fn endpoint(name: &str) -> Endpoint {
+    Endpoint {
+        id: id::Endpoint::from(name),
+        started: id::Incarnation(1),
+        service: id::Service::from("app"),
+        address: "10.0.0.1:80".parse().unwrap(),
+        zone: id::Zone::from("a"),
+        slots: 6,
+        weights: HashMap::new(),
+        leaving: false,
+    }
+}
+
+fn listing() -> Listing {
+    let mut listing = Listing::default();
+    listing.reading(NOW);
+    assert!(listing.put(endpoint("one")));
+    assert!(listing.put(endpoint("two")));
+    listing
+}
+
+fn names(listing: &mut Listing, now: Duration) -> Vec<String> {
+    let endpoints = listing.endpoints(now);
+    let mut names: Vec<String> = endpoints
+        .iter()
+        .map(|one| one.id.as_str().to_owned())
+        .collect();
+    names.sort_unstable();
+    names
+}
+
+#[test]
+fn a_dropped_key_is_gone_at_once() {
+    let mut listing = listing();
+    let now = NOW + Duration::from_millis(500);
+    listing.reading(now);
+    listing.drop(&id::Endpoint::from("one"), now);
+    assert_eq!(names(&mut listing, now), ["two"]);
+}
+
+#[test]
+fn a_record_that_says_the_same_is_no_news() {
+    let mut listing = listing();
+    assert!(!listing.put(endpoint("one")));
+    let mut leaving = endpoint("one");
+    leaving.leaving = true;
+    assert!(listing.put(leaving));
+}
+
+/// The store was away for 5 s; records lapsed there although their endpoints
+/// live. One is written again within two seconds, the other is not.
+#[test]
+fn what_lapsed_during_an_outage_has_two_seconds_to_come_back() {
+    let mut listing = listing();
+    let back = NOW + Duration::from_secs(5);
+    listing.reading(back);
+    listing.keep_only(|_| false, back);
+    assert_eq!(names(&mut listing, back), ["one", "two"]);
+    let soon = back + Duration::from_millis(900);
+    listing.reading(soon);
+    listing.put(endpoint("one"));
+    let later = back + Duration::from_secs(2);
+    listing.reading(later);
+    assert_eq!(names(&mut listing, later), ["one"]);
+}
--- /dev/null
+++ b/crates/papayayard_routing/tests/repeat.rs
@@ -0,0 +1,56 @@
+//! Repeats stay within a ratio and a slack over all hosts.
+
+use std::time::Duration;
+
+use papayayard_routing::repeat::{Bounds, Budget};
+use papayayard_wire::id;
+
+const BOUNDS: Bounds = Bounds {
+    ratio: 0.2,
+    slack: 58.0,
+    window: Duration::from_secs(10),
+};
+const HOSTS: usize = 9;
+
+fn service() -> id::Service {
+    id::Service::from("app")
+}
+
+/// Every request fails at once on all hosts.
+#[test]
+fn repeats_of_all_hosts_stay_within_the_bound() {
+    let mut repeats = 0;
+    let mut requests = 0;
+    for _ in 0..HOSTS {
+        let mut budget = Budget::new(BOUNDS);
+        for step in 0..200 {
+            let now = Duration::from_millis(50 * step);
+            budget.requested(&service(), now);
+            requests += 1;
+            repeats += u32::from(budget.spend(&service(), HOSTS, now));
+        }
+    }
+    let allowed = f64::from(requests) * BOUNDS.ratio + BOUNDS.slack;
+    assert!(f64::from(repeats) <= allowed, "{repeats} of {allowed}");
+    assert!(
+        f64::from(repeats) >= allowed / 2.0,
+        "{repeats} of {allowed}"
+    );
+}
+
+#[test]
+fn what_was_spent_comes_back_with_the_window() {
+    let mut budget = Budget::new(BOUNDS);
+    let now = Duration::from_secs(100);
+    while budget.spend(&service(), HOSTS, now) {}
+    assert!(!budget.spend(&service(), HOSTS, now + Duration::from_secs(9)));
+    assert!(budget.spend(&service(), HOSTS, now + Duration::from_secs(11)));
+}
+
+#[test]
+fn services_have_budgets_of_their_own() {
+    let mut budget = Budget::new(BOUNDS);
+    let now = Duration::from_secs(100);
+    while budget.spend(&service(), HOSTS, now) {}
+    assert!(budget.spend(&id::Service::from("other"), HOSTS, now));
+}
