Notice within two readings that another host's reading is old

Ruled out: the store's own answers; the hosts were in touch. Change: what operators publish is read twice a second by the reading host; a call whose answer would be old is answered at once, and the next host or the store is asked after one wait.

--- a/crates/papayayard_gateway/src/follow.rs
+++ b/crates/papayayard_gateway/src/follow.rs
@@ -35,9 +35,9 @@
 /// Longest wait after a failure.
 const LONGEST_RETRY: Duration = Duration::from_millis(500);
 
-/// Age of another host's reading, beyond the time that it may wait for one,
-/// from which on the next host is asked.
-const OLD: Duration = Duration::from_millis(1300);
+/// Age of another host's reading, beyond the time between two readings, from
+/// which on the next host is asked.
+const OLD: Duration = Duration::from_millis(350);
 
 /// What is made of a topic's records.
 pub(crate) trait Fold {
@@ -66,6 +66,18 @@
     pub(crate) wants_newer: bool,
 }
 
+impl Beat {
+    /// Whether a reading is older than the host that reads would have it.
+    pub(crate) fn is_old(&self, asked: Duration, now: Duration) -> bool {
+        asked + self.oldest() < now
+    }
+
+    /// Age of a reading from which on it is old.
+    pub(crate) fn oldest(&self) -> Duration {
+        self.wait + self.pause + OLD
+    }
+}
+
 /// Where the store is, and how it is spoken to.
 #[derive(Clone)]
 pub(crate) struct Store<Platform> {
@@ -245,17 +257,16 @@
 
     /// Asks another host of the zone.
     async fn ask(&mut self, address: SocketAddr) -> Result<(), String> {
-        let wait = self.beat.wait;
         let clock = self.store.clock;
         let kept = self.peer.take().filter(|peer| peer.address() == address);
         let client = match kept {
             Some(client) => client,
-            None => peers::Client::new(address, wait)?,
+            None => peers::Client::new(address, self.beat.wait)?,
         };
         let part = client.read(self.topic, self.next, self.beat, clock).await?;
         self.peer = Some(client);
         let now = clock.now();
-        if part.asked + wait + OLD < now {
+        if self.beat.is_old(part.asked, now) {
             return Err("its reading is old".to_owned());
         }
         self.fold.reading(now);
--- a/crates/papayayard_gateway/src/host.rs
+++ b/crates/papayayard_gateway/src/host.rs
@@ -32,23 +32,24 @@
 
 /// Time for which older weights count as no loss.
 const OLD_WEIGHTS_GRACE: Duration = Duration::from_millis(1200);
-/// How what operators publish is read: keys that were taken away must be known
-/// in time, so that a reading is never old.
+/// How what operators publish is read: it must be in force within two seconds
+/// also where the host that reads for others is cut off, which they notice after
+/// two readings at most.
 const OPERATORS: Beat = Beat {
-    wait: Duration::from_secs(1),
+    wait: Duration::from_millis(500),
     pause: Duration::ZERO,
     wants_newer: true,
 };
 /// How endpoints' records are read: they change all the time, so that a
 /// reading is put off for some to add up.
 const ENDPOINTS: Beat = Beat {
-    wait: Duration::from_secs(1),
+    wait: Duration::from_millis(600),
     pause: Duration::from_millis(450),
     wants_newer: false,
 };
 /// How the turn's topic is read: seldom written, and wanted at once.
 const ORDERS: Beat = Beat {
-    wait: Duration::from_secs(4),
+    wait: Duration::from_secs(2),
     pause: Duration::ZERO,
     wants_newer: false,
 };
--- a/crates/papayayard_gateway/src/peers.rs
+++ b/crates/papayayard_gateway/src/peers.rs
@@ -42,7 +42,7 @@
 /// Longest time that a call may wait.
 const LONGEST_WAIT: Duration = Duration::from_secs(5);
 /// Time for an answer beyond the wait.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(350);
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// What a host asks for.
 #[serde_as]
@@ -55,6 +55,10 @@
     /// Time to wait for news.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     wait_ms: Duration,
+    /// Age of a reading from which on the caller asks another host, so that it
+    /// is told at once.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    oldest_ms: Duration,
     /// Whether a newer reading without news is worth an answer.
     wants_newer: bool,
 }
@@ -133,8 +137,9 @@
     let arrived = context.clock.now();
     let wait = call.wait_ms.min(LONGEST_WAIT);
     let known = mirror.borrow().asked();
+    let is_old = known.is_some_and(|asked| asked + call.oldest_ms < arrived);
     let news = mirror.wait_for(|mirror| {
-        mirror.has_news(call.from) || call.wants_newer && mirror.asked() > known
+        is_old || mirror.has_news(call.from) || call.wants_newer && mirror.asked() > known
     });
     if let Ok(Err(_)) = time::timeout(wait, news).await {
         return Err(nothing_read());
@@ -237,6 +242,7 @@
             topic: topic.as_str().to_owned(),
             from,
             wait_ms: beat.wait,
+            oldest_ms: beat.oldest(),
             wants_newer: beat.wants_newer,
         };
         let called = clock.now();
