Test the whole path before a stand-in store and endpoints

The endpoints' topic is read a little more often, so that a leaving endpoint is noticed within two seconds past a host that is cut off; its test failed with the former beat.

--- a/crates/papayayard_gateway/src/cache_news.rs
+++ b/crates/papayayard_gateway/src/cache_news.rs
@@ -162,3 +162,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "cache_news_test.rs"]
+mod test;
--- /dev/null
+++ b/crates/papayayard_gateway/src/cache_news_test.rs
@@ -0,0 +1,55 @@
+use papayayard_routing::prompt;
+use papayayard_wire::id;
+
+use super::News;
+use crate::schedule::Holder;
+
+fn endpoint(name: &str) -> Holder {
+    Holder::Endpoint(id::Endpoint::from(name))
+}
+
+fn store() -> Holder {
+    Holder::Store(id::Service::from("kept"))
+}
+
+const fn part(number: u64, tokens: u32) -> (prompt::Key, u32) {
+    (prompt::Key::from_number(number), tokens)
+}
+
+#[test]
+fn the_latest_amount_of_each_part_is_told() {
+    let mut news = News::default();
+    news.add(&endpoint("e1"), &[part(1, 800), part(2, 400)]);
+    news.add(&endpoint("e1"), &[part(1, 0)]);
+    news.add(&store(), &[part(1, 800)]);
+    let batch = news.since(0);
+    assert_eq!(batch.next, 4);
+    let mut kept = batch.kept.clone();
+    kept.sort_unstable();
+    assert_eq!(kept, [(0, 1, 0), (0, 2, 400), (1, 1, 800)]);
+    assert_eq!(batch.holder(0), Some(endpoint("e1")));
+    assert_eq!(batch.holder(1), Some(store()));
+    assert_eq!(batch.holder(2), None);
+}
+
+#[test]
+fn what_a_holder_kept_before_its_restart_is_left_out() {
+    let mut news = News::default();
+    news.add(&endpoint("e1"), &[part(1, 800)]);
+    news.forget(&endpoint("e1"));
+    news.add(&endpoint("e1"), &[part(2, 400)]);
+    let batch = news.since(0);
+    assert_eq!(batch.forgotten, [0]);
+    assert_eq!(batch.kept, [(0, 2, 400)]);
+}
+
+#[test]
+fn a_host_goes_on_from_where_it_was() {
+    let mut news = News::default();
+    news.add(&endpoint("e1"), &[part(1, 800)]);
+    let next = news.since(0).next;
+    assert!(news.since(next).kept.is_empty());
+    news.add(&endpoint("e1"), &[part(2, 400)]);
+    assert_eq!(news.since(next).kept, [(0, 2, 400)]);
+    assert_eq!(news.since(999).kept.len(), 2, "another host's numbers");
+}
--- a/crates/papayayard_gateway/src/events.rs
+++ b/crates/papayayard_gateway/src/events.rs
@@ -73,3 +73,7 @@
         text.strip_prefix("id:")?.trim().parse().ok()
     })
 }
+
+#[cfg(test)]
+#[path = "events_test.rs"]
+mod test;
--- /dev/null
+++ b/crates/papayayard_gateway/src/events_test.rs
@@ -0,0 +1,45 @@
+use bytes::Bytes;
+use rstest::rstest;
+
+use super::Splitter;
+
+fn push(splitter: &mut Splitter, text: &'static str) -> String {
+    let events = splitter.push(&Bytes::from_static(text.as_bytes()));
+    String::from_utf8(events.expect("events").to_vec()).expect("text")
+}
+
+#[rstest]
+#[case::lines("id: 1\ndata: a\n\n", 1)]
+#[case::carriage_returns("id: 4\r\ndata: a\r\n\r\n", 4)]
+#[case::two("id: 1\ndata: a\n\nid: 2\ndata: b\n\n", 2)]
+#[case::other_lines_first("papayayard-weight-versions: 3\nid:9\ndata: x\n\n", 9)]
+fn whole_events_pass_unchanged(#[case] text: &'static str, #[case] position: u64) {
+    let mut splitter = Splitter::default();
+    assert_eq!(push(&mut splitter, text), text);
+    assert_eq!(splitter.position(), Some(position));
+    assert!(splitter.is_at_boundary());
+}
+
+/// An endpoint may stop in the middle of an event: what is not whole is not
+/// passed on, and does not count.
+#[test]
+fn a_cut_event_is_held_back() {
+    let mut splitter = Splitter::after(Some(5));
+    assert_eq!(
+        push(&mut splitter, "id: 6\ndata: a\n\nid: 7\nda"),
+        "id: 6\ndata: a\n\n"
+    );
+    assert_eq!(splitter.position(), Some(6));
+    assert!(!splitter.is_at_boundary());
+    assert_eq!(push(&mut splitter, "ta: b\n"), "");
+    assert_eq!(push(&mut splitter, "\n"), "id: 7\ndata: b\n\n");
+    assert!(splitter.is_at_boundary());
+}
+
+#[test]
+fn an_endless_event_is_an_error() {
+    let mut splitter = Splitter::default();
+    let piece = Bytes::from(vec![b'x'; 600 << 10]);
+    assert!(splitter.push(&piece).is_ok());
+    assert!(splitter.push(&piece).is_err());
+}
--- a/crates/papayayard_gateway/src/follow.rs
+++ b/crates/papayayard_gateway/src/follow.rs
@@ -348,3 +348,7 @@
         problem: error.to_string(),
     }
 }
+
+#[cfg(test)]
+#[path = "follow_test.rs"]
+mod test;
--- a/crates/papayayard_gateway/src/host.rs
+++ b/crates/papayayard_gateway/src/host.rs
@@ -35,16 +35,16 @@
 /// How what operators publish is read: it must be in force within two seconds
 /// also where the host that reads for others is cut off, which they notice after
 /// two readings at most.
-const OPERATORS: Beat = Beat {
+pub(crate) const OPERATORS: Beat = Beat {
     wait: Duration::from_millis(500),
     pause: Duration::ZERO,
     wants_newer: true,
 };
 /// How endpoints' records are read: they change all the time, so that a
 /// reading is put off for some to add up.
-const ENDPOINTS: Beat = Beat {
-    wait: Duration::from_millis(600),
-    pause: Duration::from_millis(450),
+pub(crate) const ENDPOINTS: Beat = Beat {
+    wait: Duration::from_millis(500),
+    pause: Duration::from_millis(400),
     wants_newer: false,
 };
 /// How the turn's topic is read: seldom written, and wanted at once.
--- a/crates/papayayard_gateway/src/mirror.rs
+++ b/crates/papayayard_gateway/src/mirror.rs
@@ -102,3 +102,7 @@
         })
     }
 }
+
+#[cfg(test)]
+#[path = "mirror_test.rs"]
+mod test;
--- a/crates/papayayard_gateway/src/peers.rs
+++ b/crates/papayayard_gateway/src/peers.rs
@@ -42,7 +42,7 @@
 /// Longest time that a call may wait.
 const LONGEST_WAIT: Duration = Duration::from_secs(5);
 /// Time for an answer beyond the wait.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(250);
+pub(crate) const ANSWER_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// What a host asks for.
 #[serde_as]
--- a/crates/papayayard_routing/tests/placement/support.rs
+++ b/crates/papayayard_routing/tests/placement/support.rs
@@ -12,6 +12,8 @@
 use papayayard_routing::weights::Named;
 use papayayard_wire::id;
 
+/// When endpoints came into use.
+const BEFORE: Duration = Duration::from_secs(90);
 /// Start of all tests.
 pub(crate) const NOW: Duration = Duration::from_secs(100);
 
@@ -85,7 +87,7 @@
     });
     scheduler.set_table(Arc::new(table()));
     scheduler.set_hosts(hosts);
-    scheduler.set_endpoints(endpoints, NOW - Duration::from_secs(10));
+    scheduler.set_endpoints(endpoints, BEFORE);
     scheduler
 }
 
