--- a/crates/papayayard/src/logging.rs
+++ b/crates/papayayard/src/logging.rs
@@ -1,19 +1,39 @@
-//! Logs as JSON lines on the standard error.
+//! Logs as JSON lines.
 //!
 //! Key-value pairs of a record become keys of the line, so that a request's
 //! id can be searched for. Keys and prompts are never passed to the log.
 
-use std::io::Write;
+use std::io::{self, Write};
 use std::time::{SystemTime, UNIX_EPOCH};
 
-use env_logger::Env;
+use env_logger::{Env, Target};
 use log::kv;
 use serde_json::{Map, Value};
 
+pub mod queue;
+
+/// Where lines go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Output {
+    /// Standard error, written at once.
+    Error,
+    /// Standard output, through a queue that loses lines rather than block.
+    Queued,
+}
+
 /// Starts logging; `RUST_LOG` sets the level, `info` where it is absent.
-pub fn start() {
+pub fn start(output: Output) {
     let env = Env::default().default_filter_or("info");
-    let outcome = env_logger::Builder::from_env(env)
+    let mut builder = env_logger::Builder::from_env(env);
+    if output == Output::Queued {
+        match queue::Queue::start(io::stdout()) {
+            Ok(queue) => {
+                builder.target(Target::Pipe(Box::new(queue)));
+            }
+            Err(error) => eprintln!("logs go to standard error: {error}"),
+        }
+    }
+    let outcome = builder
         .format(|out, record| {
             let line = line(record);
             writeln!(out, "{line}")
--- a/crates/papayayard/src/main.rs
+++ b/crates/papayayard/src/main.rs
@@ -7,6 +7,7 @@
 use std::fmt::Display;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::time::Duration;
 
 use gumdrop::Options as _;
 use papayayard::{host, logging, settings};
@@ -20,6 +21,9 @@
 /// Exit code for a host that cannot start.
 const CANNOT_START: u8 = 2;
 
+/// Time in which the log's last lines are written.
+const LAST_LINES: Duration = Duration::from_millis(20);
+
 /// Routes language-model traffic from callers to endpoints.
 #[derive(gumdrop::Options)]
 struct Options {
@@ -43,7 +47,12 @@
 
 fn main() -> ExitCode {
     let options = Options::parse_args_default_or_exit();
-    logging::start();
+    let output = if options.routes.is_some() {
+        logging::Output::Queued
+    } else {
+        logging::Output::Error
+    };
+    logging::start(output);
     let outcome = match (options.settings, options.routes) {
         (Some(path), None) => serve_document(&path),
         (None, Some(path)) => serve_routes(&path),
@@ -94,6 +103,7 @@
         let running = gateway::host::start(settings, Adapter).map_err(start_failure)?;
         signals.stop().await;
         running.stop().await;
+        tokio::time::sleep(LAST_LINES).await;
         Ok(())
     })
 }
--- a/crates/papayayard/tests/documentation.rs
+++ b/crates/papayayard/tests/documentation.rs
@@ -17,6 +17,8 @@
 const METRICS: &str = include_str!("../../../docs/METRICS.md");
 const CONFIGURATION: &str = include_str!("../../../docs/CONFIGURATION.md");
 const SOURCE: &str = include_str!("../src/metrics.rs");
+const ROUTES_SOURCE: &str = include_str!("../../papayayard_gateway/src/metrics.rs");
+const ROUTES_SETTINGS: &str = include_str!("../../papayayard_gateway/src/settings.rs");
 const DOCUMENT: &str = include_str!("../../../examples/fjordtakt.yaml");
 const SETTINGS: &str = include_str!("fixtures/settings.yaml");
 
@@ -28,11 +30,25 @@
 fn every_instrument_is_listed() {
     let names = SOURCE
         .split('"')
+        .chain(ROUTES_SOURCE.split('"'))
         .filter(|text| text.starts_with("papayayard_"));
     let missing: Vec<&str> = names.filter(|name| !METRICS.contains(*name)).collect();
     assert!(missing.is_empty(), "not in docs/METRICS.md: {missing:?}");
 }
 
+#[test]
+fn every_setting_of_routes_is_listed() {
+    let keys = ROUTES_SETTINGS.split("reader, &mut fields, \"").skip(1);
+    let keys = keys.filter_map(|rest| rest.split('"').next());
+    let missing: Vec<&str> = keys
+        .filter(|key| !quoted(CONFIGURATION, &format!("bounds.{key}")))
+        .collect();
+    assert!(
+        missing.is_empty(),
+        "not in docs/CONFIGURATION.md: {missing:?}"
+    );
+}
+
 #[test]
 fn every_refusal_is_listed() {
     let names = Kind::ALL.map(Kind::as_str);
--- a/crates/papayayard_coordination/tests/rollout_test.rs
+++ b/crates/papayayard_coordination/tests/rollout_test.rs
@@ -42,7 +42,7 @@
     loop {
         rollout.plan(&members, TARGET, now);
         if rollout.is_done() {
-            return (now - NOW, most_loading, most_away);
+            return (now.saturating_sub(NOW), most_loading, most_away);
         }
         let actions = rollout.actions(now);
         for due in actions.order {
@@ -68,7 +68,7 @@
         }
         now += ms(50);
         assert!(
-            now < NOW + Duration::from_secs(60),
+            now < NOW + Duration::from_mins(1),
             "the roll-out does not end"
         );
     }
--- a/crates/papayayard_gateway/src/metrics.rs
+++ b/crates/papayayard_gateway/src/metrics.rs
@@ -35,7 +35,7 @@
             .build()
             .expect("a new registry takes the exporter");
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("papayayard_gateway");
+        let meter = provider.meter("gateway");
         Self {
             registry,
             requests: meter
--- /dev/null
+++ b/crates/papayayard_gateway/tests/settings.rs
@@ -0,0 +1,50 @@
+//! Settings are checked whole, and every fault is told.
+
+use std::time::Duration;
+
+use papayayard_gateway::settings;
+use rstest::rstest;
+
+const GOOD: &str = r#"
+host: entry-1
+zone: a
+listen: { callers: "10.0.0.1:80", operators: "10.0.0.1:81", peers: "10.0.0.1:82" }
+capacity: 0.25
+store: "10.0.0.9:80"
+bounds:
+  strict_revocation: true
+  revocation_ms: 5000
+  old_weights_ms: 12000
+  repeat_ratio: 0.2
+  repeat_slack: 58
+"#;
+
+#[test]
+fn settings_are_read() {
+    let settings = settings::parse(GOOD).expect("settings");
+    assert_eq!(settings.host.as_str(), "entry-1");
+    assert_eq!(settings.bounds.revocation, Some(Duration::from_secs(5)));
+    assert_eq!(settings.bounds.old_weights, Duration::from_secs(12));
+    assert_eq!(settings.bounds.lease, Duration::from_secs(3), "the default");
+    assert_eq!(settings.capacity, 250);
+}
+
+#[test]
+fn without_strict_revocation_there_is_no_bound() {
+    let text = GOOD.replace("strict_revocation: true", "strict_revocation: false");
+    let settings = settings::parse(&text).expect("settings");
+    assert_eq!(settings.bounds.revocation, None);
+}
+
+#[rstest]
+#[case::no_host("host: entry-1", "", "host")]
+#[case::no_address("10.0.0.9:80", "store", "store")]
+#[case::negative("58", "-1", "bounds.repeat_slack")]
+#[case::no_number("ratio: 0.2", "ratio: many", "bounds.repeat_ratio")]
+#[case::too_long("12000", "99999999999", "bounds.old_weights_ms")]
+#[case::unknown("revocation_ms", "revoke", "bounds.revoke")]
+#[case::not_finite("58", "NaN", "bounds.repeat_slack")]
+fn a_fault_names_its_key(#[case] from: &str, #[case] to: &str, #[case] key: &str) {
+    let faults = settings::parse(&GOOD.replacen(from, to, 1)).expect_err("faults");
+    assert!(faults.iter().any(|fault| fault.key == key), "{faults:?}");
+}
