--- a/crates/papayayard_coordination/src/reader.rs
+++ b/crates/papayayard_coordination/src/reader.rs
@@ -15,8 +15,11 @@
 use papayayard_wire::id;
 use xxhash_rust::xxh3;
 
-/// Time for which a host that had nothing new is not asked.
-const AVOIDED: Duration = Duration::from_secs(3);
+/// Time for which a host that had nothing new is not asked at first: the store
+/// may have hesitated for a moment, and all hosts would read it meanwhile.
+const FIRST_AVOIDANCE: Duration = Duration::from_secs(1);
+/// The longest such time, after several failures without an answer between.
+const LONGEST_AVOIDANCE: Duration = Duration::from_secs(8);
 /// Hosts that are asked, one after the other, before the store.
 const MOST_ASKED: usize = 2;
 
@@ -50,7 +53,13 @@
 pub struct Readers {
     own: id::Host,
     order: Vec<Candidate>,
-    avoided: HashMap<id::Host, Duration>,
+    avoided: HashMap<id::Host, Avoided>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Avoided {
+    until: Duration,
+    next: Duration,
 }
 
 impl Readers {
@@ -86,11 +95,22 @@
 
     /// Notes that a host gave no answer, or an old one.
     pub fn failed(&mut self, host: &id::Host, now: Duration) {
-        self.avoided.retain(|_, until| now < *until);
-        self.avoided.insert(host.clone(), now + AVOIDED);
+        let known = self.avoided.get(host);
+        let time = known.map_or(FIRST_AVOIDANCE, |known| known.next);
+        let avoided = Avoided {
+            until: now + time,
+            next: (time * 2).min(LONGEST_AVOIDANCE),
+        };
+        self.avoided.insert(host.clone(), avoided);
+    }
+
+    /// Notes that a host gave an answer.
+    pub fn answered(&mut self, host: &id::Host) {
+        self.avoided.remove(host);
     }
 
     fn is_avoided(&self, host: &id::Host, now: Duration) -> bool {
-        self.avoided.get(host).is_some_and(|until| now < *until)
+        let avoided = self.avoided.get(host);
+        avoided.is_some_and(|avoided| now < avoided.until)
     }
 }
--- a/crates/papayayard_coordination/tests/reader_test.rs
+++ b/crates/papayayard_coordination/tests/reader_test.rs
@@ -61,6 +61,30 @@
     assert_eq!(asked(&readers.source(later)), Some(&hosts[1].host));
 }
 
+/// A store that hesitates makes every reading old for a moment; a host that is
+/// cut off stays so. The first is asked again soon, the second ever later.
+#[test]
+fn a_host_that_goes_on_failing_is_asked_ever_later() {
+    let hosts = zone(&[1, 9]);
+    let mut readers = readers(0, &hosts);
+    let host = &hosts[1].host;
+    let mut now = NOW;
+    for seconds in [1, 2, 4, 8, 8] {
+        readers.failed(host, now);
+        let end = now + Duration::from_secs(seconds);
+        assert_eq!(
+            readers.source(now + Duration::from_millis(seconds * 1000 - 1)),
+            Source::Store
+        );
+        assert_eq!(asked(&readers.source(end)), Some(host));
+        now = end;
+    }
+    readers.answered(host);
+    readers.failed(host, now);
+    let soon = now + Duration::from_secs(1);
+    assert_eq!(asked(&readers.source(soon)), Some(host));
+}
+
 #[test]
 fn a_host_alone_reads_the_store() {
     let own = Readers::new(id::Host::from("host-0"));
--- a/crates/papayayard_gateway/src/feeds.rs
+++ b/crates/papayayard_gateway/src/feeds.rs
@@ -90,9 +90,12 @@
         match self.choice.source(now) {
             Reader::Peer { host, address } if self.is_large() => {
                 self.stop();
-                if let Err(problem) = self.ask(address).await {
-                    log::info!(host:%, problem:%; "no news of caches from another host");
-                    self.choice.failed(&host, self.parts.clock.now());
+                match self.ask(address).await {
+                    Ok(()) => self.choice.answered(&host),
+                    Err(problem) => {
+                        log::info!(host:%, problem:%; "no news of caches from another host");
+                        self.choice.failed(&host, self.parts.clock.now());
+                    }
                 }
                 time::sleep(PAUSE).await;
                 true
--- a/crates/papayayard_gateway/src/follow.rs
+++ b/crates/papayayard_gateway/src/follow.rs
@@ -240,7 +240,10 @@
                 break;
             };
             match self.ask(*address).await {
-                Ok(()) => return Ok(source),
+                Ok(()) => {
+                    self.readers.answered(host);
+                    return Ok(source);
+                }
                 Err(problem) => {
                     let topic = self.topic.as_str();
                     log::info!(topic, host:%, problem:%; "another host has nothing new");
