Take a reading for old after two periods, when the next is overdue

Ruled out: slow peers; every topic but the operators' was concerned by its long wait alone. Change: old is two periods and 200 ms; calls between hosts wait for a newer reading and a little more than a period; periods are 400 and 450 ms, so that a host that is cut off is still noticed within two seconds.

--- a/crates/papayayard_gateway/src/follow.rs
+++ b/crates/papayayard_gateway/src/follow.rs
@@ -35,9 +35,11 @@
 /// Longest wait after a failure.
 const LONGEST_RETRY: Duration = Duration::from_millis(500);
 
-/// Age of another host's reading, beyond the time between two readings, from
-/// which on the next host is asked.
-const OLD: Duration = Duration::from_millis(350);
+/// Time beyond two periods after which a reading is old. A reading counts from
+/// when it was asked for, and is replaced when the next one ends.
+const OLD: Duration = Duration::from_millis(200);
+/// Time beyond one period for which another host is given to have read again.
+const READ_AGAIN: Duration = Duration::from_millis(150);
 
 /// What is made of a topic's records.
 pub(crate) trait Fold {
@@ -62,8 +64,6 @@
     pub(crate) wait: Duration,
     /// Time between two readings.
     pub(crate) pause: Duration,
-    /// Whether a newer reading counts even without news.
-    pub(crate) wants_newer: bool,
 }
 
 impl Beat {
@@ -74,7 +74,16 @@
 
     /// Age of a reading from which on it is old.
     pub(crate) fn oldest(&self) -> Duration {
-        self.wait + self.pause + OLD
+        self.period() * 2 + OLD
+    }
+
+    /// Time that another host is waited for.
+    pub(crate) fn patience(&self) -> Duration {
+        self.period() + READ_AGAIN
+    }
+
+    fn period(&self) -> Duration {
+        self.wait + self.pause
     }
 }
 
@@ -264,7 +273,7 @@
         let kept = self.peer.take().filter(|peer| peer.address() == address);
         let client = match kept {
             Some(client) => client,
-            None => peers::Client::new(address, self.beat.wait)?,
+            None => peers::Client::new(address, self.beat.patience())?,
         };
         let part = client.read(self.topic, self.next, self.beat, clock).await?;
         self.peer = Some(client);
--- a/crates/papayayard_gateway/src/host.rs
+++ b/crates/papayayard_gateway/src/host.rs
@@ -36,28 +36,24 @@
 /// also where the host that reads for others is cut off, which they notice after
 /// two readings at most.
 pub(crate) const OPERATORS: Beat = Beat {
-    wait: Duration::from_millis(500),
+    wait: Duration::from_millis(400),
     pause: Duration::ZERO,
-    wants_newer: true,
 };
 /// How endpoints' records are read: they change all the time, so that a
 /// reading is put off for some to add up.
 pub(crate) const ENDPOINTS: Beat = Beat {
-    wait: Duration::from_millis(500),
+    wait: Duration::from_millis(50),
     pause: Duration::from_millis(400),
-    wants_newer: false,
 };
 /// How the turn's topic is read: seldom written, and wanted at once.
 const ORDERS: Beat = Beat {
     wait: Duration::from_secs(2),
     pause: Duration::ZERO,
-    wants_newer: false,
 };
 /// How hosts' records are read: they change when hosts come and go.
 const HOSTS: Beat = Beat {
     wait: Duration::from_secs(4),
     pause: Duration::from_millis(1500),
-    wants_newer: false,
 };
 /// Period in which idle connections are looked at.
 const SWEEP: Duration = Duration::from_millis(500);
--- a/crates/papayayard_gateway/src/peers.rs
+++ b/crates/papayayard_gateway/src/peers.rs
@@ -1,6 +1,6 @@
 //! Hosts of a zone ask one another for what they have read.
 //!
-//! JSON-RPC over HTTP. A call waits for news at most for the time
+//! JSON-RPC over HTTP. A call waits for news or a newer reading at most for the time
 //! that it names. The answer tells when the reading was asked for, against the
 //! arrival of the call, and the caller counts from the moment it called: however
 //! long call and answer were on their way, the reading is not older than that.
@@ -59,8 +59,6 @@
     /// is told at once.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     oldest_ms: Duration,
-    /// Whether a newer reading without news is worth an answer.
-    wants_newer: bool,
 }
 
 /// What a host answers.
@@ -138,9 +136,8 @@
     let wait = call.wait_ms.min(LONGEST_WAIT);
     let known = mirror.borrow().asked();
     let is_old = known.is_some_and(|asked| asked + call.oldest_ms < arrived);
-    let news = mirror.wait_for(|mirror| {
-        is_old || mirror.has_news(call.from) || call.wants_newer && mirror.asked() > known
-    });
+    let news =
+        mirror.wait_for(|mirror| is_old || mirror.has_news(call.from) || mirror.asked() > known);
     if let Ok(Err(_)) = time::timeout(wait, news).await {
         return Err(nothing_read());
     }
@@ -241,9 +238,8 @@
         let call = Call {
             topic: topic.as_str().to_owned(),
             from,
-            wait_ms: beat.wait,
+            wait_ms: beat.patience(),
             oldest_ms: beat.oldest(),
-            wants_newer: beat.wants_newer,
         };
         let called = clock.now();
         let answer: Answer = self
