--- a/crates/papayayard/src/host.rs
+++ b/crates/papayayard/src/host.rs
@@ -12,7 +12,6 @@
 use salvo::conn::tcp::TcpAcceptor;
 use salvo::server::ServerHandle;
 use snafu::{ResultExt, Snafu};
-use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::watch;
 use tokio::task::{JoinHandle, JoinSet};
 use tokio_util::task::TaskTracker;
@@ -32,9 +31,6 @@
 
 mod stopping;
 
-/// Connections that wait to be accepted.
-const BACKLOG: u32 = 4096;
-
 /// Why a host cannot start.
 #[derive(Debug, Snafu)]
 pub enum Error {
@@ -242,25 +238,12 @@
 }
 
 fn listen(address: SocketAddr) -> Result<(TcpAcceptor, SocketAddr), Error> {
-    let listener = bind(address).context(ListenSnafu { address })?;
+    let listener = papayayard_gateway::listen::bind(address).context(ListenSnafu { address })?;
     let bound = listener.local_addr().context(ListenSnafu { address })?;
     let acceptor = TcpAcceptor::try_from(listener).context(ListenSnafu { address })?;
     Ok((acceptor, bound))
 }
 
-/// A listener whose connections send at once: they take the option over, and
-/// without it a stream's first event waits for the acknowledgement of its head.
-fn bind(address: SocketAddr) -> io::Result<TcpListener> {
-    let socket = match address {
-        SocketAddr::V4(_) => TcpSocket::new_v4()?,
-        SocketAddr::V6(_) => TcpSocket::new_v6()?,
-    };
-    socket.set_reuseaddr(true)?;
-    socket.set_nodelay(true)?;
-    socket.bind(address)?;
-    socket.listen(BACKLOG)
-}
-
 fn fleet_options<View>(
     settings: &Settings,
     truth: View,
--- /dev/null
+++ b/crates/papayayard_gateway/src/announcement.rs
@@ -0,0 +1,142 @@
+//! What the host that has the turn at giving orders announces to all hosts.
+
+use std::collections::{HashMap, HashSet};
+use std::time::Duration;
+
+use papayayard_routing::weights::Named;
+use papayayard_wire::id;
+use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
+
+use crate::follow::Fold;
+use crate::hosts::unix_ms;
+use crate::schedule::{Handle, Message};
+use crate::store::Record;
+
+/// Key of the turn's record.
+pub(crate) const KEY: &str = "turn";
+/// Longest time that a record is taken to have lain in the store; clocks of
+/// hosts can be wrong.
+const LONGEST_LAIN: Duration = Duration::from_mins(1);
+
+/// What the holder of the turn announces.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Announcement {
+    /// Host that has the turn.
+    pub(crate) holder: String,
+    /// Endpoints that take no requests for now.
+    pub(crate) away: Vec<String>,
+    /// Endpoints that have loaded weights lately.
+    pub(crate) loaded: Vec<Loaded>,
+    /// Versions that were named, for hosts that start later.
+    #[serde(default)]
+    pub(crate) named: Vec<Age>,
+    /// Time of writing, in ms since the Unix epoch.
+    #[serde(default)]
+    pub(crate) written_ms: u64,
+}
+
+/// How long ago a version was named.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Age {
+    pub(crate) model: String,
+    pub(crate) version: u64,
+    /// Time from the naming to the writing, in ms.
+    pub(crate) lain_ms: u64,
+}
+
+/// An endpoint that has loaded a version.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Loaded {
+    pub(crate) endpoint: String,
+    pub(crate) model: String,
+    pub(crate) version: u64,
+}
+
+/// What is known of the turn's topic.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Standing {
+    /// Offset after the last record; unknown before the first reading.
+    pub(crate) end: Option<u64>,
+    /// Newest announcement, its offset and the time of its reading.
+    pub(crate) newest: Option<(Announcement, u64, Duration)>,
+}
+
+impl Announcement {
+    /// Times at which versions were named at the latest.
+    fn named(&self, now: Duration) -> HashMap<id::Model, Named> {
+        let lain_ms = unix_ms().saturating_sub(self.written_ms);
+        let lain = Duration::from_millis(lain_ms).min(LONGEST_LAIN);
+        let mut named: HashMap<id::Model, Named> = HashMap::new();
+        for one in &self.named {
+            let age = Duration::from_millis(one.lain_ms) + lain;
+            let model = id::Model::from(one.model.as_str());
+            let known = named.entry(model).or_default();
+            known.name(one.version, now.saturating_sub(age));
+        }
+        named
+    }
+
+    /// Whether hosts have to learn of another one.
+    pub(crate) fn says_the_same(&self, other: &Self) -> bool {
+        self.holder == other.holder && self.away == other.away && self.loaded == other.loaded
+    }
+}
+
+/// Folds the turn's topic.
+pub(crate) struct Announcements {
+    standing: watch::Sender<Standing>,
+    known: Standing,
+    schedule: Handle,
+}
+
+impl Announcements {
+    /// A fold that nothing is known to.
+    pub(crate) fn new(standing: watch::Sender<Standing>, schedule: Handle) -> Self {
+        Self {
+            standing,
+            known: Standing::default(),
+            schedule,
+        }
+    }
+}
+
+impl Fold for Announcements {
+    fn record(&mut self, record: &Record, now: Duration) -> bool {
+        let Some(value) = record.value.as_ref().filter(|_| record.key == KEY) else {
+            return false;
+        };
+        match serde_json::from_slice::<Announcement>(value) {
+            Ok(announcement) => {
+                apply(&announcement, &self.schedule);
+                let named = announcement.named(now);
+                self.schedule.tell(Message::Named(named));
+                self.known.newest = Some((announcement, record.offset, now));
+                true
+            }
+            Err(error) => {
+                log::warn!(error:%; "announcement skipped");
+                false
+            }
+        }
+    }
+
+    fn whole(&mut self, _keys: &HashSet<String>, _now: Duration) {}
+
+    fn caught_up(&mut self, _asked: Duration, next: u64, _now: Duration) {
+        self.known.end = Some(next);
+        self.standing.send_replace(self.known.clone());
+    }
+}
+
+/// Tells the scheduler what was announced.
+pub(crate) fn apply(announcement: &Announcement, schedule: &Handle) {
+    for loaded in &announcement.loaded {
+        let endpoint = id::Endpoint::from(loaded.endpoint.as_str());
+        let model = id::Model::from(loaded.model.as_str());
+        schedule.tell(Message::Loaded(endpoint, model, loaded.version));
+    }
+    let away = announcement.away.iter();
+    let away = away.map(|id| id::Endpoint::from(id.as_str())).collect();
+    schedule.tell(Message::Loading(away));
+}
--- a/crates/papayayard_gateway/src/front.rs
+++ b/crates/papayayard_gateway/src/front.rs
@@ -6,8 +6,6 @@
 //! that are at work.
 
 use std::convert::Infallible;
-use std::io;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use http::{HeaderValue, Request, Response, header};
@@ -16,7 +14,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use papayayard_coordination::shutdown::{Shutdown, Stage};
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::time;
 use tokio_util::task::TaskTracker;
@@ -25,8 +23,6 @@
 use crate::exchange::Codec;
 use crate::relay::Relay;
 
-/// Connections that wait to be accepted.
-const BACKLOG: u32 = 1024;
 /// Most open connections from callers.
 const MOST_CONNECTIONS: usize = 2500;
 /// Least size of a connection's buffer, which the HTTP library asks for.
@@ -49,18 +45,6 @@
     };
 }
 
-/// Listens on an address, with connections that send at once.
-pub(crate) fn listen(address: SocketAddr) -> io::Result<TcpListener> {
-    let socket = match address {
-        SocketAddr::V4(_) => TcpSocket::new_v4()?,
-        SocketAddr::V6(_) => TcpSocket::new_v6()?,
-    };
-    socket.set_reuseaddr(true)?;
-    socket.set_nodelay(true)?;
-    socket.bind(address)?;
-    socket.listen(BACKLOG)
-}
-
 /// Accepts callers until the last stage of a stop.
 pub(crate) async fn serve<Platform>(
     listener: TcpListener,
--- a/crates/papayayard_gateway/src/host.rs
+++ b/crates/papayayard_gateway/src/host.rs
@@ -16,6 +16,7 @@
 use tokio::time;
 use tokio_util::task::TaskTracker;
 
+use crate::announcement::{Announcements, Standing};
 use crate::attempt::Sender;
 use crate::beliefs::{Configuration, Endpoints, Operators, Word};
 use crate::cache_news::News;
@@ -28,7 +29,7 @@
 use crate::relay::Relay;
 use crate::settings::Settings;
 use crate::store::Topic;
-use crate::{exchange, feeds, hosts, operators, orders, peers, schedule, store};
+use crate::{exchange, feeds, hosts, listen, operators, orders, peers, schedule, store};
 
 /// Time for which older weights count as no loss.
 const OLD_WEIGHTS_GRACE: Duration = Duration::from_millis(1200);
@@ -257,8 +258,8 @@
         configuration: &watch::Receiver<Configuration>,
         endpoints: &watch::Receiver<Vec<Endpoint>>,
     ) {
-        let (standing, standing_seen) = watch::channel(orders::Standing::default());
-        let fold = orders::Announcements::new(standing, self.schedule.clone());
+        let (standing, standing_seen) = watch::channel(Standing::default());
+        let fold = Announcements::new(standing, self.schedule.clone());
         self.follow(Topic::Orders, ORDERS, fold);
         self.controllers.spawn(orders::run(orders::Parts {
             store: self.store.clone(),
@@ -341,5 +342,5 @@
 }
 
 fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
-    front::listen(address).context(ListenSnafu { address })
+    listen::bind(address).context(ListenSnafu { address })
 }
--- a/crates/papayayard_gateway/src/lib.rs
+++ b/crates/papayayard_gateway/src/lib.rs
@@ -10,9 +10,11 @@
 pub mod call;
 pub mod exchange;
 pub mod host;
+pub mod listen;
 pub mod settings;
 pub mod store;
 
+mod announcement;
 mod attempt;
 mod beliefs;
 mod body;
--- a/crates/papayayard_gateway/src/orders.rs
+++ b/crates/papayayard_gateway/src/orders.rs
@@ -5,32 +5,29 @@
 //! about to load. The decisions are in `papayayard_coordination`: `turn` says
 //! who may order, `rollout` what is to be ordered.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use papayayard_coordination::rollout::{Answer, Due, Look, Member, Rollout};
 use papayayard_coordination::turn::Turn;
 use papayayard_routing::placement::Endpoint;
-use papayayard_routing::weights::Named;
 use papayayard_wire::id;
-use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
 use tokio::time;
 
+use crate::announcement::{Age, Announcement, KEY, Loaded, Standing, apply};
 use crate::beliefs::Configuration;
 use crate::call::{self, Caller};
 use crate::clock::Clock;
 use crate::exchange::{Codec as EndpointCodec, Order, OrderReply, Report};
-use crate::follow::{Fold, Store};
+use crate::follow::Store;
 use crate::hosts::unix_ms;
 use crate::metrics::Metrics;
-use crate::schedule::{Handle, Message};
-use crate::store::{Codec, Error, Record, Topic};
+use crate::schedule::Handle;
+use crate::store::{Codec, Error, Topic};
 
-/// Key of the turn's record.
-const KEY: &str = "turn";
 /// Period of the planning while there is work.
 const TICK: Duration = Duration::from_millis(50);
 /// Time for a call to an endpoint.
@@ -40,131 +37,6 @@
 const LONGEST_HESITATION: Duration = Duration::from_millis(400);
 /// Time to try again after the store failed.
 const STORE_RETRY: Duration = Duration::from_millis(150);
-/// Longest time that a record is taken to have lain in the store; clocks of
-/// hosts can be wrong.
-const LONGEST_LAIN: Duration = Duration::from_mins(1);
-/// What the holder of the turn announces.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct Announcement {
-    /// Host that has the turn.
-    holder: String,
-    /// Endpoints that take no requests for now.
-    away: Vec<String>,
-    /// Endpoints that have loaded weights lately.
-    loaded: Vec<Loaded>,
-    /// Versions that were named, for hosts that start later.
-    #[serde(default)]
-    named: Vec<Age>,
-    /// Time of writing, in ms since the Unix epoch.
-    #[serde(default)]
-    written_ms: u64,
-}
-
-/// How long ago a version was named.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-struct Age {
-    model: String,
-    version: u64,
-    /// Time from the naming to the writing, in ms.
-    lain_ms: u64,
-}
-
-/// An endpoint that has loaded a version.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-struct Loaded {
-    endpoint: String,
-    model: String,
-    version: u64,
-}
-
-/// What is known of the turn's topic.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct Standing {
-    /// Offset after the last record; unknown before the first reading.
-    end: Option<u64>,
-    /// Newest announcement, its offset and the time of its reading.
-    newest: Option<(Announcement, u64, Duration)>,
-}
-
-impl Announcement {
-    /// Times at which versions were named at the latest.
-    fn named(&self, now: Duration) -> HashMap<id::Model, Named> {
-        let lain_ms = unix_ms().saturating_sub(self.written_ms);
-        let lain = Duration::from_millis(lain_ms).min(LONGEST_LAIN);
-        let mut named: HashMap<id::Model, Named> = HashMap::new();
-        for one in &self.named {
-            let age = Duration::from_millis(one.lain_ms) + lain;
-            let model = id::Model::from(one.model.as_str());
-            let known = named.entry(model).or_default();
-            known.name(one.version, now.saturating_sub(age));
-        }
-        named
-    }
-
-    /// Whether hosts have to learn of another one.
-    fn says_the_same(&self, other: &Self) -> bool {
-        self.holder == other.holder && self.away == other.away && self.loaded == other.loaded
-    }
-}
-
-/// Folds the turn's topic.
-pub(crate) struct Announcements {
-    standing: watch::Sender<Standing>,
-    known: Standing,
-    schedule: Handle,
-}
-
-impl Announcements {
-    /// A fold that nothing is known to.
-    pub(crate) fn new(standing: watch::Sender<Standing>, schedule: Handle) -> Self {
-        Self {
-            standing,
-            known: Standing::default(),
-            schedule,
-        }
-    }
-}
-
-impl Fold for Announcements {
-    fn record(&mut self, record: &Record, now: Duration) -> bool {
-        let Some(value) = record.value.as_ref().filter(|_| record.key == KEY) else {
-            return false;
-        };
-        match serde_json::from_slice::<Announcement>(value) {
-            Ok(announcement) => {
-                apply(&announcement, &self.schedule);
-                let named = announcement.named(now);
-                self.schedule.tell(Message::Named(named));
-                self.known.newest = Some((announcement, record.offset, now));
-                true
-            }
-            Err(error) => {
-                log::warn!(error:%; "announcement skipped");
-                false
-            }
-        }
-    }
-
-    fn whole(&mut self, _keys: &HashSet<String>, _now: Duration) {}
-
-    fn caught_up(&mut self, _asked: Duration, next: u64, _now: Duration) {
-        self.known.end = Some(next);
-        self.standing.send_replace(self.known.clone());
-    }
-}
-
-/// Tells the scheduler what was announced.
-fn apply(announcement: &Announcement, schedule: &Handle) {
-    for loaded in &announcement.loaded {
-        let endpoint = id::Endpoint::from(loaded.endpoint.as_str());
-        let model = id::Model::from(loaded.model.as_str());
-        schedule.tell(Message::Loaded(endpoint, model, loaded.version));
-    }
-    let away = announcement.away.iter();
-    let away = away.map(|id| id::Endpoint::from(id.as_str())).collect();
-    schedule.tell(Message::Loading(away));
-}
-
 /// What the controller is made of.
 pub(crate) struct Parts<Platform> {
     pub(crate) store: Store<Platform>,
--- /dev/null
+++ b/crates/papayayard_routing/src/placement/select.rs
@@ -0,0 +1,242 @@
+//! The endpoint that a request goes to, of all that could take it now.
+
+use std::cmp::Reverse;
+use std::collections::HashMap;
+use std::time::Duration;
+
+use papayayard_wire::id;
+
+use super::ask::{Ask, BackendKey, Refused, Seen};
+use super::backend::Backend;
+use super::fetch::{Fetch, Holder, Shared};
+use super::load::Amounts;
+use super::{Scheduler, cost, float, milliseconds, ms};
+use crate::prompt;
+use crate::table;
+use crate::weights;
+
+/// Part of the time to the deadline within which the first event must come.
+const LATEST_PART: f64 = 0.7;
+/// Times the target latency that a first event may take at an engine. Beyond
+/// that the engine is crowded, and one more request would make others late.
+const CROWDED_FACTOR: f64 = 1.3;
+/// Shared tokens from which on the stores of cached prompts are used: fewer are
+/// computed sooner than they are fetched past long transfers.
+const FEWEST_STORED: u32 = 1000;
+
+/// A placement that could be made.
+pub(super) struct Candidate {
+    pub(super) key: BackendKey,
+    pub(super) estimate: cost::Estimate,
+    pub(super) version: u64,
+    pub(super) fetch: Option<Fetch>,
+}
+
+impl Scheduler {
+    pub(super) fn obstacle(&self, ask: &Ask) -> Refused {
+        let mut own = self
+            .backends
+            .values()
+            .filter(|one| one.endpoint.service == ask.service && !one.endpoint.leaving)
+            .peekable();
+        if own.peek().is_none() {
+            return Refused::NoEndpoint;
+        }
+        if own.all(|one| ask.tried.contains(&one.endpoint.id)) {
+            return Refused::AllTried;
+        }
+        Refused::Overloaded
+    }
+
+    pub(super) fn best(
+        &self,
+        ask: &Ask,
+        draw: f64,
+        seen: &mut Seen,
+        now: Duration,
+    ) -> Option<Candidate> {
+        let service = self.table.services.get(&ask.service);
+        let engine = service.and_then(|service| service.engine.as_ref());
+        let connections = service.map_or(u32::MAX, |service| service.max_connections);
+        let share = f64::from(connections) / float(self.hosts);
+        let usable = self.backends.iter().filter(|(_, one)| {
+            one.endpoint.service == ask.service
+                && !ask.tried.contains(&one.endpoint.id)
+                && one.is_usable(now)
+                && one.load.own().open + 1.0 <= share.max(1.0)
+        });
+        let usable: Vec<(BackendKey, &Backend)> = usable.collect();
+        seen.usable = usable.len();
+        let candidates = match (engine, &ask.prompt) {
+            (Some(engine), Some(_)) => self.engines(ask, draw, engine, usable, now),
+            _ => self.plain(usable, ask, now),
+        };
+        seen.with_room = candidates.len();
+        let soonest_ms = candidates
+            .iter()
+            .map(|one| one.estimate.first_event_ms)
+            .min_by(f64::total_cmp)?;
+        seen.first_event = milliseconds(soonest_ms);
+        let left_ms = ms(ask.deadline.saturating_sub(now));
+        let crowded_ms = ms(ask.target_latency) * CROWDED_FACTOR;
+        let latest_ms = (left_ms * LATEST_PART).min(crowded_ms);
+        let in_time = candidates.into_iter();
+        let in_time = in_time.filter(|one| one.estimate.first_event_ms <= latest_ms);
+        in_time.min_by(|one, other| one.estimate.cost_ms.total_cmp(&other.estimate.cost_ms))
+    }
+
+    fn plain(
+        &self,
+        usable: Vec<(BackendKey, &Backend)>,
+        ask: &Ask,
+        now: Duration,
+    ) -> Vec<Candidate> {
+        let zone = cost::Zone::new(&self.settings.zone, ask.is_repeatable);
+        let mean = Amounts::mean(usable.iter().map(|(_, one)| one.load.average(now)));
+        let candidates = usable.into_iter().map(|(key, backend)| Candidate {
+            key,
+            estimate: cost::of_plain(backend, zone, mean, self.hosts, now),
+            version: 0,
+            fetch: None,
+        });
+        candidates.collect()
+    }
+
+    fn engines(
+        &self,
+        ask: &Ask,
+        draw: f64,
+        engine: &table::Engine,
+        usable: Vec<(BackendKey, &Backend)>,
+        now: Duration,
+    ) -> Vec<Candidate> {
+        let Some(prompt) = &ask.prompt else {
+            return Vec::new();
+        };
+        let named = self.named.get(&prompt.model);
+        let oldest = named.map_or(0, |one| one.oldest_allowed(self.settings.old_weights, now));
+        let newest = named.and_then(weights::Named::newest);
+        let mut ranked: Vec<(BackendKey, &Backend)> = usable
+            .into_iter()
+            .filter(|(_, one)| one.version(&prompt.model) >= oldest)
+            .collect();
+        ranked.sort_by_cached_key(|(_, one)| {
+            Reverse(cost::preference(one.endpoint.id.as_str(), prompt))
+        });
+
+        let mut versions: HashMap<u64, Shared<'_>> = HashMap::new();
+        let newest = newest.filter(|(_, at)| *at + self.settings.old_weights_grace <= now);
+        let is_old =
+            |one: &Backend| newest.is_some_and(|(newest, _)| one.version(&prompt.model) < newest);
+        let mean = |old: bool| {
+            let alike = ranked.iter().filter(|(_, one)| is_old(one) == old);
+            Amounts::mean(alike.map(|(_, one)| one.load.average(now)))
+        };
+        let (mean_old, mean_new) = (mean(true), mean(false));
+        let new = ranked.iter().filter(|(_, one)| !is_old(one)).count();
+        let prefers_new = draw < self.demand.part(new, self.hosts, now);
+        let mut candidates = Vec::with_capacity(ranked.len());
+        for (rank, (key, backend)) in ranked.into_iter().enumerate() {
+            let version = backend.version(&prompt.model);
+            let shared = versions
+                .entry(version)
+                .or_insert_with(|| self.shared(ask, prompt, version, now));
+            let is_old = is_old(backend);
+            let need = cost::Need {
+                prompt,
+                keys: &shared.keys,
+                target: ask.target_latency,
+                hosts: self.hosts,
+                mean: if is_old { mean_old } else { mean_new },
+                is_avoided: newest.is_some() && is_old == prefers_new,
+                zone: cost::Zone::new(&self.settings.zone, ask.is_repeatable),
+                rank,
+                known: shared.known,
+                usual_ms: self.usual.ms(),
+            };
+            let cached = backend.cache.prefix(prompt.shared(), &shared.keys, now);
+            let fetch = shared.source(engine, key, backend, cached);
+            let source = fetch.map(|fetch| fetch.source);
+            if let Some(estimate) = cost::of_engine(backend, engine, &need, source, now) {
+                candidates.push(Candidate {
+                    key,
+                    estimate,
+                    version,
+                    fetch,
+                });
+            }
+        }
+        candidates
+    }
+
+    /// What is known of a prompt's shared parts under one version.
+    fn shared<'a>(
+        &'a self,
+        ask: &Ask,
+        prompt: &prompt::Prompt,
+        version: u64,
+        now: Duration,
+    ) -> Shared<'a> {
+        let keys = shared_keys(prompt, version, ask.wall.as_ref());
+        let parts = prompt.shared();
+        let engines = self.backends.iter().filter(|(_, one)| {
+            one.endpoint.service == ask.service
+                && !one.endpoint.leaving
+                && !one.health.is_ejected(now)
+                && one.version(&prompt.model) == version
+        });
+        let holders = engines
+            .map(|(key, one)| Holder {
+                key,
+                endpoint: &one.endpoint,
+                tokens: one.cache.fetchable(parts, &keys, now),
+            })
+            .filter(|holder| holder.tokens > 0)
+            .collect();
+        let store = self.store_of(prompt);
+        let kept = store.and_then(|(name, _)| self.stores.get(name));
+        let stored = kept.map_or(0, |kept| kept.cache.fetchable(parts, &keys, now));
+        let at_engines = self.backends.values().filter(|one| {
+            one.endpoint.service == ask.service && one.version(&prompt.model) == version
+        });
+        let known = at_engines
+            .map(|one| one.cache.prefix(parts, &keys, now))
+            .max();
+        let known = known.unwrap_or(0).max(stored);
+        Shared {
+            keys,
+            holders,
+            store: store.map(|(_, store)| {
+                let wait = kept.map_or(Duration::ZERO, |kept| kept.link.wait(now));
+                (store, wait)
+            }),
+            stored,
+            known,
+        }
+    }
+
+    /// The store that keeps a prompt's shared parts: each store has its own
+    /// prompts, so that together they hold more.
+    pub(super) fn store_of(
+        &self,
+        prompt: &prompt::Prompt,
+    ) -> Option<(&id::Service, &table::CacheStore)> {
+        let shared: u32 = prompt.shared().iter().map(|part| part.tokens).sum();
+        if shared < FEWEST_STORED {
+            return None;
+        }
+        let stores = self.table.cache_stores();
+        stores.max_by_key(|(name, _)| cost::preference(name.as_str(), prompt))
+    }
+}
+
+/// Keys of a prompt's shared parts under a version of the weights.
+pub(super) fn shared_keys(
+    prompt: &prompt::Prompt,
+    version: u64,
+    wall: Option<&id::Account>,
+) -> Vec<prompt::Key> {
+    let salt = prompt::salt(&prompt.model, version, wall);
+    let parts = prompt.shared().iter();
+    parts.map(|part| prompt::key(&salt, &part.name)).collect()
+}
