--- a/crates/papayayard/src/main.rs
+++ b/crates/papayayard/src/main.rs
@@ -18,6 +18,8 @@
 
 /// Exit code for settings that cannot be used.
 const BAD_SETTINGS: u8 = 1;
+/// Exit code for options that make no sense, as of the options' library.
+const BAD_USAGE: u8 = 2;
 /// Exit code for a host that cannot start.
 const CANNOT_START: u8 = 2;
 
@@ -41,6 +43,7 @@
 
 /// Why the program ends.
 enum Failure {
+    Usage(&'static str),
     Settings(String),
     Start(String),
 }
@@ -56,12 +59,16 @@
     let outcome = match (options.settings, options.routes) {
         (Some(path), None) => serve_document(&path),
         (None, Some(path)) => serve_routes(&path),
-        _ => Err(Failure::Settings(
-            "give one of --settings FILE and --routes FILE".to_owned(),
+        _ => Err(Failure::Usage(
+            "give one of --settings FILE and --routes FILE",
         )),
     };
     match outcome {
         Ok(()) => ExitCode::SUCCESS,
+        Err(Failure::Usage(problem)) => {
+            eprintln!("{problem}");
+            ExitCode::from(BAD_USAGE)
+        }
         Err(Failure::Settings(problem)) => {
             eprintln!("{problem}");
             ExitCode::from(BAD_SETTINGS)
--- a/crates/papayayard/tests/start.rs
+++ b/crates/papayayard/tests/start.rs
@@ -31,6 +31,8 @@
 #[case::no_option(&[], 2, "--settings")]
 #[case::unknown_option(&["--verbose"], 2, "verbose")]
 #[case::missing_file(&["--settings", "no-such-file.yaml"], 1, "check the path")]
+#[case::missing_routes_file(&["--routes", "no-such-file.yaml"], 1, "check the path")]
+#[case::both(&["--settings", "a.yaml", "--routes", "b.yaml"], 2, "give one of")]
 fn misuse(#[case] arguments: &[&str], #[case] code: i32, #[case] reason: &str) {
     let output = run(arguments);
     let told = told(&output);
