--- a/crates/papayayard_gateway/src/events_test.rs
+++ b/crates/papayayard_gateway/src/events_test.rs
@@ -12,7 +12,7 @@
 #[case::lines("id: 1\ndata: a\n\n", 1)]
 #[case::carriage_returns("id: 4\r\ndata: a\r\n\r\n", 4)]
 #[case::two("id: 1\ndata: a\n\nid: 2\ndata: b\n\n", 2)]
-#[case::other_lines_first("papayayard-weight-versions: 3\nid:9\ndata: x\n\n", 9)]
+#[case::other_lines_first("other: 3\nid:9\ndata: x\n\n", 9)]
 fn whole_events_pass_unchanged(#[case] text: &'static str, #[case] position: u64) {
     let mut splitter = Splitter::default();
     assert_eq!(push(&mut splitter, text), text);
--- a/crates/papayayard_gateway/src/schedule.rs
+++ b/crates/papayayard_gateway/src/schedule.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use papayayard_routing::placement::{
-    Ask, Decision, Endpoint, Outcome, Placement, Scheduler, Seen, Ticket, Waiting,
+    Ask, Decision, Endpoint, Outcome, Placement, Refused, Scheduler, Seen, Ticket, Waiting,
 };
 use papayayard_routing::prompt;
 use papayayard_routing::table::Table;
@@ -22,8 +22,8 @@
 
 /// Period in which waiting requests are looked at.
 const TICK: Duration = Duration::from_millis(20);
-/// Ticks between looks at endpoints that are silent.
-const TICKS_PER_CHECK: u32 = 10;
+/// Period in which endpoints that are silent are looked for.
+const CHECK: Duration = Duration::from_millis(200);
 
 /// Holder of cached parts.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -77,7 +77,7 @@
         let (reply, decision) = oneshot::channel();
         self.tell(Message::Ask(Box::new(ask), reply));
         decision.await.unwrap_or(Decision::Refused {
-            why: papayayard_routing::placement::Refused::NoEndpoint,
+            why: Refused::NoEndpoint,
             retry_after: Duration::ZERO,
             seen: Seen::default(),
         })
@@ -139,10 +139,9 @@
 
 impl Task {
     async fn run(mut self, mut messages: mpsc::UnboundedReceiver<Message>) {
-        let mut ticks = 0_u32;
         let mut interval = time::interval(TICK);
         interval.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
-        let mut check = time::interval(TICK * TICKS_PER_CHECK);
+        let mut check = time::interval(CHECK);
         check.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
         loop {
             tokio::select! {
@@ -153,9 +152,7 @@
                         self.take(message);
                     }
                 }
-                _ = interval.tick(), if self.scheduler.has_waiting() => {
-                    ticks = ticks.wrapping_add(1);
-                }
+                _ = interval.tick(), if self.scheduler.has_waiting() => {}
                 _ = check.tick() => self.scheduler.check_silence(self.clock.now()),
             }
             self.decide();
--- a/crates/papayayard_routing/src/listing.rs
+++ b/crates/papayayard_routing/src/listing.rs
@@ -86,9 +86,4 @@
         let listed = self.endpoints.values();
         listed.map(|listed| listed.endpoint.clone()).collect()
     }
-
-    /// When the list changes by itself next.
-    pub fn next_change(&self) -> Option<Duration> {
-        self.endpoints.values().filter_map(|one| one.gone_at).min()
-    }
 }
--- a/crates/papayayard_routing/src/placement.rs
+++ b/crates/papayayard_routing/src/placement.rs
@@ -211,13 +211,6 @@
         self.stores.remove(store);
     }
 
-    /// Number of cached parts that are known, over all holders.
-    pub fn known_parts(&self) -> usize {
-        let engines: usize = self.backends.values().map(|one| one.cache.len()).sum();
-        let stores: usize = self.stores.values().map(|one| one.cache.len()).sum();
-        engines + stores
-    }
-
     /// Lets a request wait for an endpoint; see [`Self::decide`].
     pub fn ask(&mut self, ask: Ask, now: Duration) -> Waiting {
         self.arrivals += 1;
--- a/crates/papayayard_routing/src/placement/cache.rs
+++ b/crates/papayayard_routing/src/placement/cache.rs
@@ -84,16 +84,6 @@
         })
     }
 
-    /// Number of parts.
-    pub fn len(&self) -> usize {
-        self.parts.len()
-    }
-
-    /// Whether nothing is kept.
-    pub fn is_empty(&self) -> bool {
-        self.parts.is_empty()
-    }
-
     fn leading<Accept>(&self, parts: &[Part], keys: &[Key], accept: Accept) -> u32
     where
         Accept: Fn(&Kept) -> bool,
