Keep one reading rate, one float and one count of milliseconds

The rate at which engines read prompts stood in the cost and in the split, and would have to change in both; the two small conversions stood twice as well. No behaviour changes.

--- a/crates/papayayard_gateway/src/refusal.rs
+++ b/crates/papayayard_gateway/src/refusal.rs
@@ -79,6 +79,7 @@
     }
 }
 
-fn millis(duration: Duration) -> u64 {
+/// Whole milliseconds, for messages and logs.
+pub(crate) fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/papayayard_gateway/src/relay.rs
+++ b/crates/papayayard_gateway/src/relay.rs
@@ -27,7 +27,7 @@
 use crate::job::Job;
 use crate::metrics::Metrics;
 use crate::pump;
-use crate::refusal::Refusal;
+use crate::refusal::{Refusal, millis};
 use crate::schedule;
 
 /// Most bytes of an answer that are read before it is passed on.
@@ -491,7 +491,3 @@
     let path = uri.path_and_query().cloned();
     path.map_or_else(http::Uri::default, http::Uri::from)
 }
-
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/papayayard_routing/src/placement/cost.rs
+++ b/crates/papayayard_routing/src/placement/cost.rs
@@ -18,7 +18,7 @@
 use crate::table;
 
 /// Prompt tokens that an engine reads in a millisecond.
-const READ_TOKENS_PER_MS: f64 = 70.0;
+pub(super) const READ_TOKENS_PER_MS: f64 = 70.0;
 /// Delay of a first event by each request that runs already, in ms.
 const PER_OPEN_MS: f64 = 1.5;
 /// Cost of a token that is computed again though another holder has it, in ms:
--- a/crates/papayayard_routing/src/placement/split.rs
+++ b/crates/papayayard_routing/src/placement/split.rs
@@ -8,14 +8,14 @@
 
 use std::time::Duration;
 
+use super::cost::READ_TOKENS_PER_MS;
+use super::float;
 use crate::prompt::Prompt;
 
 /// Time constant of the work that is asked for.
 const MEMORY: Duration = Duration::from_secs(2);
 /// Part of an endpoint's time that may be taken, so that requests seldom wait.
 const BUSY_PART: f64 = 0.85;
-/// Prompt tokens that an endpoint reads in a millisecond.
-const READ_TOKENS_PER_MS: f64 = 70.0;
 /// Time that one more token of an answer takes from others, in ms.
 const OUTPUT_TOKEN_MS: f64 = 1.0;
 
@@ -60,7 +60,3 @@
     let number = f64::from(u32::try_from(number % 10_000).unwrap_or(0));
     (number * 0.618_033_988_7).fract()
 }
-
-fn float(number: usize) -> f64 {
-    f64::from(u32::try_from(number).unwrap_or(u32::MAX))
-}
