Less read again on a grown site: what to fetch, from where, and when

An engine's memory turns over in about 4 s while news of it takes up to 0.8 s, so a fifth of what engines were taken to keep was gone; 1,700 requests fetched from where the first reading had not ended; hosts that restart know nothing. A store's link was taken to have a backlog of one transfer times 81 hosts (0.5 s) after each own transfer. And 36 of 90 engines were dark at once in each roll-out, 18 of them just waiting, empty, for a place to load. A log line names the last shared part and the source.

--- a/crates/papayayard_coordination/src/rollout.rs
+++ b/crates/papayayard_coordination/src/rollout.rs
@@ -1,7 +1,7 @@
 //! Brings the endpoints of a service to the newest weights, a few at a time.
 //!
 //! An endpoint that loads weights serves nothing, and loads slow one another
-//! down beyond a number. So at most that many load at once, while as many more
+//! down beyond a number. So at most that many load at once, while some more
 //! drain: all hosts stop sending to them and their open requests end. One is
 //! ordered to load once it is empty, so that no load waits for a long answer. A
 //! version that was named meanwhile goes before the one that is being loaded;
@@ -32,6 +32,10 @@
 const RETRY: Duration = Duration::from_millis(300);
 /// Time for which an endpoint that cannot be reached is left out.
 const ABSENCE: Duration = Duration::from_secs(2);
+/// Endpoints that serve nothing for each five that may load at the same time: a
+/// drain takes a little over half the time of a load, and what waits drained
+/// is missing for callers.
+const AWAY_PER_FIVE_LOADS: usize = 8;
 /// Endpoints for each one that loads at the same time.
 const ENDPOINTS_PER_LOAD: usize = 5;
 
@@ -131,7 +135,7 @@
         let limit = loads_at_once(self.size);
         // One endpoint at least goes on serving.
         let most = members.len().saturating_sub(1).max(1);
-        let away = (2 * limit).min(most);
+        let away = (limit * AWAY_PER_FIVE_LOADS).div_ceil(5).min(most);
         while self.steps.len() < away {
             let Some(next) = self.next(members, target) else {
                 break;
--- a/crates/papayayard_gateway/src/relay.rs
+++ b/crates/papayayard_gateway/src/relay.rs
@@ -266,6 +266,8 @@
     async fn place(&self, job: &Job, tried: &Tried) -> Result<Placement, Refusal> {
         match self.schedule.place(job.ask(&tried.endpoints)).await {
             Decision::Placed(placement) => {
+                let source = placement.fetch;
+                let source = source.map_or_else(|| "-".to_owned(), |source| source.to_string());
                 log::info!(
                     request:% = job.id, service:% = job.service, endpoint:% = placement.endpoint,
                     version = placement.version.unwrap_or(0),
@@ -273,7 +275,7 @@
                     cached = placement.cached, unread = placement.unread,
                     parts = job.prompt.as_ref().map_or(0, |prompt| prompt.tokens),
                     shared = job.prompt.as_ref().and_then(|prompt| prompt.longest_shared()).unwrap_or("-"),
-                    fetch = placement.fetch.is_some(), save = placement.save.is_some(),
+                    fetch:% = source, save = placement.save.is_some(),
                     attempt = tried.endpoints.len();
                     "placed"
                 );
--- a/crates/papayayard_routing/src/placement/cache.rs
+++ b/crates/papayayard_routing/src/placement/cache.rs
@@ -66,6 +66,14 @@
         entry.used = from;
     }
 
+    /// Notes that a part that was expected is there.
+    pub fn confirm(&mut self, key: Key, now: Duration) {
+        let kept = self.parts.get_mut(&key);
+        if let Some(expected) = kept.and_then(|kept| kept.expected.as_mut()) {
+            expected.from = expected.from.min(now);
+        }
+    }
+
     /// Forgets everything, as after a restart.
     pub fn clear(&mut self) {
         self.parts.clear();
--- a/crates/papayayard_routing/src/placement/cost.rs
+++ b/crates/papayayard_routing/src/placement/cost.rs
@@ -24,6 +24,9 @@
 /// Cost of a token that is computed again though another holder has it, in ms:
 /// a long history costs more than an answer that comes late.
 const REREAD_MS: f64 = 0.15;
+/// Cost of a token over a link that all endpoints share, in ms: when callers are
+/// many, that link is what runs out first.
+const SHARED_LINK_MS: f64 = 0.008;
 /// Part of an engine's memory that open requests may hold; the rest leaves
 /// room for answers that grow longer than expected.
 const MEMORY_PART: f64 = 0.85;
@@ -118,6 +121,8 @@
     pub(super) tokens: u32,
     /// Time of waiting and transfer.
     pub(super) time: Duration,
+    /// Whether the transfer takes a link that all endpoints share.
+    pub(super) is_shared: bool,
 }
 
 /// Estimates a placement at an engine; `None` where memory has no room.
@@ -150,6 +155,7 @@
     let first_event_ms = explained_ms + need.usual_ms + backend.delay.at(now);
     let cost_ms = first_event_ms
         + f64::from(reread) * REREAD_MS
+        + shared_link_ms(source, fetched)
         + need.zone.cost_ms(backend)
         + rank_ms(need.rank)
         + slow_start_ms(backend, now)
@@ -199,6 +205,15 @@
     xxh3::xxh3_64_with_seed(holder.as_bytes(), seed)
 }
 
+fn shared_link_ms(source: Option<Source>, fetched: u32) -> f64 {
+    let is_shared = source.is_some_and(|source| source.is_shared);
+    if is_shared {
+        f64::from(fetched) * SHARED_LINK_MS
+    } else {
+        0.0
+    }
+}
+
 fn rank_ms(rank: usize) -> f64 {
     match rank {
         0 => 0.0,
--- a/crates/papayayard_routing/src/placement/fetch.rs
+++ b/crates/papayayard_routing/src/placement/fetch.rs
@@ -70,6 +70,7 @@
                 source: cost::Source {
                     tokens: holder.tokens,
                     time,
+                    is_shared: false,
                 },
                 time,
                 is_store: false,
@@ -94,6 +95,7 @@
             source: cost::Source {
                 tokens: self.stored,
                 time: wait + time,
+                is_shared: true,
             },
             time,
             is_store: true,
--- a/crates/papayayard_routing/tests/placement/choice.rs
+++ b/crates/papayayard_routing/tests/placement/choice.rs
@@ -113,6 +113,46 @@
     }
 }
 
+/// What an engine still reads cannot be fetched from it.
+#[test]
+fn a_history_is_fetched_once_it_was_read() {
+    let mut scheduler = support::scheduler(&support::engines(3, 1), 1);
+    let ask = support::ask(support::history("a"), NOW);
+    let first = support::place(&mut scheduler, ask, NOW);
+    let late = NOW + first.first_event + ms(10);
+    let mut ask = support::ask(support::history("a"), late);
+    ask.tried = vec![first.endpoint.clone()];
+    let second = support::place(&mut scheduler, ask.clone(), late);
+    assert_eq!(second.fetch, None, "the first event is late");
+
+    scheduler.begun(first.ticket, late);
+    ask.tried.push(second.endpoint);
+    let third = support::place(&mut scheduler, ask, late);
+    assert_eq!(third.fetch, "10.0.0.1:80".parse().ok());
+}
+
+/// The link of a store runs out before engines do.
+#[test]
+fn a_history_is_not_moved_for_little() {
+    let endpoints = support::engines(18, 1);
+    let home = {
+        let mut scheduler = support::scheduler(&endpoints, 1);
+        let ask = support::ask(support::history("a"), NOW);
+        support::place(&mut scheduler, ask, NOW).endpoint
+    };
+    let holder = endpoints.iter().find(|one| one.id != home).unwrap();
+    let mut scheduler = support::scheduler(&endpoints, 1);
+    for (key, tokens) in support::keys("a", 1) {
+        scheduler.told(&holder.id, key, tokens, NOW);
+        scheduler.store_told(&id::Service::from("kept"), key, tokens, NOW);
+    }
+    // The holder may have dropped it, so that no other engine fetches there.
+    let now = NOW + ms(2_500);
+    let ask = support::ask(support::history("a"), now);
+    let placement = support::place(&mut scheduler, ask, now);
+    assert_eq!(placement.endpoint, holder.id);
+}
+
 /// Two requests for one history at the same moment: the second follows the
 /// first rather than have it computed twice.
 #[test]
