A zone that cannot be reached is left out, and a try without a connection is free

Change: three endpoints of a zone without a connection, with no answer between, speak for the zone for a second, then one more is enough; a try that found no connection takes no repeat.

--- a/crates/papayayard_gateway/src/relay.rs
+++ b/crates/papayayard_gateway/src/relay.rs
@@ -255,7 +255,7 @@
             let reason = failure.map_or("error", Failure::as_str);
             log::info!(request:% = job.id, endpoint:% = endpoint, reason; "attempt failed");
             tried.endpoints.push(endpoint);
-            if !self.may_go_on(&job, &tried, reason) {
+            if !self.may_go_on(&job, &tried, failure, reason) {
                 let refusal = Refusal::not_run(Kind::Overloaded, "the endpoints refused")
                     .after(UNREADY_RETRY);
                 return self.give_up(&job, &tried, error, &refusal);
@@ -303,11 +303,19 @@
     }
 
     /// Whether another endpoint may be asked.
-    fn may_go_on(&self, job: &Job, tried: &Tried, reason: &'static str) -> bool {
+    fn may_go_on(
+        &self,
+        job: &Job,
+        tried: &Tried,
+        failure: Option<Failure>,
+        reason: &'static str,
+    ) -> bool {
         let may_run_again =
             tried.runs == 0 || (job.route.kind.is_repeatable() && tried.runs < job.route.attempts);
         let is_in_time = self.clock.now() < job.deadline;
-        let goes_on = may_run_again && is_in_time && self.may_repeat(job);
+        // Without a connection nothing was sent that the next try repeats.
+        let is_free = failure == Some(Failure::Unreachable);
+        let goes_on = may_run_again && is_in_time && (is_free || self.may_repeat(job));
         if goes_on {
             self.metrics.repeated(reason);
         }
--- a/crates/papayayard_routing/src/placement.rs
+++ b/crates/papayayard_routing/src/placement.rs
@@ -25,6 +25,7 @@
 mod fetch;
 mod link;
 mod load;
+mod reach;
 mod select;
 mod split;
 
@@ -38,6 +39,7 @@
 pub use delay::{Delay, Usual};
 pub use link::{Link, transfer_time};
 pub use load::{Amounts, Load};
+pub use reach::Reach;
 pub use split::{Demand, draw};
 
 /// Part of the time to the target that a request may wait for a place.
@@ -84,6 +86,7 @@
     by_id: HashMap<id::Endpoint, BackendKey>,
     stores: HashMap<id::Service, Store>,
     named: HashMap<id::Model, weights::Named>,
+    reach: Reach,
     usual: Usual,
     demand: Demand,
     refusals: u64,
@@ -133,6 +136,7 @@
             by_id: HashMap::new(),
             stores: HashMap::new(),
             named: HashMap::new(),
+            reach: Reach::default(),
             usual: Usual::default(),
             demand: Demand::default(),
             refusals: 0,
@@ -287,6 +291,7 @@
         let late_ms = elapsed_ms(placed.sent, now) - placed.explained_ms;
         let is_stream = placed.is_stream;
         if let Some(backend) = self.backends.get_mut(placed.backend) {
+            self.reach.answered(&backend.endpoint.zone);
             backend.load.remove(unread, now);
             for key in &placed.keys {
                 backend.cache.confirm(*key, now);
@@ -310,16 +315,20 @@
         if backend.endpoint.id != placed.endpoint {
             return;
         }
+        let zone = &backend.endpoint.zone;
         match outcome {
             Outcome::Whole => {
+                self.reach.answered(zone);
                 backend.health.succeeded(now);
                 backend.served(now.saturating_sub(placed.sent));
             }
             Outcome::Abandoned => {}
             Outcome::Refused | Outcome::Mismatched => {
+                self.reach.answered(zone);
                 backend.refuses_until = now + REFUSAL_PAUSE;
             }
             Outcome::Unreachable => {
+                self.reach.failed(zone, &placed.endpoint, now);
                 for _ in 0..UNREACHABLE_FAILURES {
                     backend.health.failed(now);
                 }
--- /dev/null
+++ b/crates/papayayard_routing/src/placement/reach.rs
@@ -0,0 +1,52 @@
+//! Zones that this host cannot reach.
+//!
+//! When zones are cut off from each other, each host would find out endpoint by
+//! endpoint, and lose the time of a connection on each. Several endpoints of a
+//! zone that cannot be reached, with none that answers between, speak for the
+//! zone: the others there are left out too, and tried again a little later.
+
+use std::collections::{HashMap, HashSet};
+use std::time::Duration;
+
+use papayayard_wire::id;
+
+/// Endpoints without a connection that speak for their zone; fewer may have
+/// crashed together.
+const ENOUGH: usize = 3;
+/// Time for which a zone is left out before it is tried again.
+const PAUSE: Duration = Duration::from_secs(1);
+
+/// What this host reaches, by zone.
+#[derive(Clone, Debug, Default)]
+pub struct Reach {
+    zones: HashMap<id::Zone, Failing>,
+}
+
+/// A zone in which nothing has answered since some endpoint failed.
+#[derive(Clone, Debug, Default)]
+struct Failing {
+    endpoints: HashSet<id::Endpoint>,
+    out_until: Duration,
+}
+
+impl Reach {
+    /// Notes that no connection to an endpoint came about.
+    pub fn failed(&mut self, zone: &id::Zone, endpoint: &id::Endpoint, now: Duration) {
+        let failing = self.zones.entry(zone.clone()).or_default();
+        failing.endpoints.insert(endpoint.clone());
+        if failing.endpoints.len() >= ENOUGH {
+            failing.out_until = now + PAUSE;
+        }
+    }
+
+    /// Notes an answer from a zone.
+    pub fn answered(&mut self, zone: &id::Zone) {
+        self.zones.remove(zone);
+    }
+
+    /// Whether a zone is left out now.
+    pub fn is_out(&self, zone: &id::Zone, now: Duration) -> bool {
+        let failing = self.zones.get(zone);
+        failing.is_some_and(|failing| now < failing.out_until)
+    }
+}
--- a/crates/papayayard_routing/src/placement/select.rs
+++ b/crates/papayayard_routing/src/placement/select.rs
@@ -68,7 +68,11 @@
                 && one.is_usable(now)
                 && one.load.own().open + 1.0 <= share.max(1.0)
         });
-        let usable: Vec<(BackendKey, &Backend)> = usable.collect();
+        let mut usable: Vec<(BackendKey, &Backend)> = usable.collect();
+        let is_reached = |backend: &Backend| !self.reach.is_out(&backend.endpoint.zone, now);
+        if usable.iter().any(|(_, one)| is_reached(one)) {
+            usable.retain(|(_, one)| is_reached(one));
+        }
         seen.usable = usable.len();
         let candidates = match (engine, &ask.prompt) {
             (Some(engine), Some(_)) => self.engines(ask, draw, engine, usable, now),
--- a/crates/papayayard_routing/tests/placement/choice.rs
+++ b/crates/papayayard_routing/tests/placement/choice.rs
@@ -238,6 +238,53 @@
     assert_ne!(placement.endpoint, failed[0]);
 }
 
+/// A zone is cut off: three endpoints without a connection speak for the rest,
+/// for a second; then one is enough again, and one that answers speaks for all.
+#[test]
+fn a_zone_that_is_cut_off_is_left_out() {
+    let mut endpoints: Vec<_> = (0..6)
+        .map(|index| support::engine(&format!("cut-{index}"), "b", 1))
+        .collect();
+    let near = support::engines(6, 1);
+    endpoints.extend(near.clone());
+    let mut scheduler = support::scheduler(&endpoints, 1);
+    let to_cut = |scheduler: &mut Scheduler, now| {
+        let mut ask = support::ask(support::history("a"), now);
+        ask.tried = near.iter().map(|one| one.id.clone()).collect();
+        support::place(scheduler, ask, now).ticket
+    };
+    let uses_cut = |scheduler: &mut Scheduler, now| {
+        (0..20).any(|number| {
+            let mut history = support::history(&format!("s{number}"));
+            history.parts[0].name = format!("studio-{number}");
+            let placement = support::place(scheduler, support::ask(history, now), now);
+            scheduler.finished(placement.ticket, Outcome::Abandoned, now);
+            placement.endpoint.as_str().starts_with("cut")
+        })
+    };
+
+    // Each endpoint is tried twice before it is left out by itself.
+    for _ in 0..5 {
+        assert!(uses_cut(&mut scheduler, NOW));
+        let ticket = to_cut(&mut scheduler, NOW);
+        scheduler.finished(ticket, Outcome::Unreachable, NOW);
+    }
+    assert!(!uses_cut(&mut scheduler, NOW + ms(950)));
+
+    let later = NOW + ms(1_050);
+    assert!(uses_cut(&mut scheduler, later), "the zone is tried again");
+    let ticket = to_cut(&mut scheduler, later);
+    scheduler.finished(ticket, Outcome::Unreachable, later);
+    assert!(!uses_cut(&mut scheduler, later + ms(950)));
+
+    let healed = later + ms(1_050);
+    let ticket = to_cut(&mut scheduler, healed);
+    scheduler.finished(ticket, Outcome::Whole, healed);
+    let ticket = to_cut(&mut scheduler, healed);
+    scheduler.finished(ticket, Outcome::Unreachable, healed);
+    assert!(uses_cut(&mut scheduler, healed), "one may have crashed");
+}
+
 #[test]
 fn a_service_without_endpoints_refuses_at_once() {
     let mut scheduler = support::scheduler(&[], 1);
