--- a/crates/papayayard_routing/src/placement/split.rs
+++ b/crates/papayayard_routing/src/placement/split.rs
@@ -15,7 +15,7 @@
 /// Time constant of the work that is asked for.
 const MEMORY: Duration = Duration::from_secs(2);
 /// Part of an endpoint's time that may be taken, so that requests seldom wait.
-const BUSY_PART: f64 = 1.2;
+const BUSY_PART: f64 = 0.85;
 /// Time that one more token of an answer takes from others, in ms.
 const OUTPUT_TOKEN_MS: f64 = 1.0;
 
