--- a/crates/papayayard_coordination/src/rollout.rs
+++ b/crates/papayayard_coordination/src/rollout.rs
@@ -32,9 +32,8 @@
 const RETRY: Duration = Duration::from_millis(300);
 /// Time for which an endpoint that cannot be reached is left out.
 const ABSENCE: Duration = Duration::from_secs(2);
-/// Endpoints that serve nothing for each five that may load at the same time: a
-/// drain takes a little over half the time of a load, and what waits drained
-/// is missing for callers.
+/// Endpoints that serve nothing for each five that may load at the same time: with
+/// more that drain, loads would wait less, but callers more.
 const AWAY_PER_FIVE_LOADS: usize = 8;
 /// Endpoints for each one that loads at the same time.
 const ENDPOINTS_PER_LOAD: usize = 5;
--- a/crates/papayayard_routing/src/placement/course.rs
+++ b/crates/papayayard_routing/src/placement/course.rs
@@ -20,8 +20,11 @@
 pub(super) struct Placed {
     pub(super) backend: BackendKey,
     pub(super) endpoint: id::Endpoint,
+    /// What it adds to the endpoint's load.
     pub(super) amounts: Amounts,
+    /// When it was placed.
     pub(super) sent: Duration,
+    /// Expected time to the first event.
     pub(super) expected: Duration,
     /// The part of it that load and the prompt explain, in ms.
     pub(super) explained_ms: f64,
