Placement: count each thing once

Reading the change: an engine's cached tokens were looked up twice for each candidate; zones were collected for each decision though nothing was out; a fetch said twice whether its link is shared, and its transfer's time; shared tokens were summed in three places, and the last shared part found in two. Estimates and choices stay as they are.

--- a/crates/papayayard_routing/src/placement/cost.rs
+++ b/crates/papayayard_routing/src/placement/cost.rs
@@ -14,6 +14,7 @@
 
 use super::backend::Backend;
 use super::load::Amounts;
+use super::ms;
 use crate::prompt;
 use crate::table;
 
@@ -52,8 +53,6 @@
 pub(super) struct Need<'a> {
     /// The prompt.
     pub(super) prompt: &'a prompt::Prompt,
-    /// Keys of the shared parts under the endpoint's salt.
-    pub(super) keys: &'a [prompt::Key],
     /// Time that a first event may take.
     pub(super) target: Duration,
     /// Hosts that send requests.
@@ -119,17 +118,28 @@
 pub(super) struct Source {
     /// Leading shared tokens that are there.
     pub(super) tokens: u32,
-    /// Time of waiting and transfer.
-    pub(super) time: Duration,
+    /// Time until the source's link is free.
+    pub(super) wait: Duration,
+    /// Time that the transfer takes that link.
+    pub(super) transfer: Duration,
     /// Whether the transfer takes a link that all endpoints share.
     pub(super) is_shared: bool,
 }
 
-/// Estimates a placement at an engine; `None` where memory has no room.
+impl Source {
+    /// Time until the parts are there.
+    pub(super) fn time(self) -> Duration {
+        self.wait + self.transfer
+    }
+}
+
+/// Estimates a placement at an engine that has so many of the shared tokens;
+/// `None` where memory has no room.
 pub(super) fn of_engine(
     backend: &Backend,
     engine: &table::Engine,
     need: &Need<'_>,
+    cached: u32,
     source: Option<Source>,
     now: Duration,
 ) -> Option<Estimate> {
@@ -137,8 +147,6 @@
     if load.open >= f64::from(engine.slots) {
         return None;
     }
-    let shared = need.prompt.shared();
-    let cached = backend.cache.prefix(shared, need.keys, now);
     let fetched = source.map_or(0, |source| source.tokens.saturating_sub(cached));
     let unread = need.prompt.tokens.saturating_sub(cached + fetched);
     let memory = need.prompt.tokens - cached + need.prompt.output_tokens();
@@ -148,7 +156,7 @@
 
     let fetch_ms = source
         .filter(|_| fetched > 0)
-        .map_or(0.0, |source| source.time.as_secs_f64() * 1000.0);
+        .map_or(0.0, |source| ms(source.time()));
     let reread = need.known.saturating_sub(cached + fetched);
     let explained_ms =
         (load.unread + f64::from(unread)) / READ_TOKENS_PER_MS + load.open * PER_OPEN_MS + fetch_ms;
@@ -160,7 +168,7 @@
         + rank_ms(need.rank)
         + slow_start_ms(backend, now)
         + if need.is_avoided {
-            need.target.as_secs_f64() * 1000.0 * OTHER_WEIGHTS_PART
+            ms(need.target) * OTHER_WEIGHTS_PART
         } else {
             0.0
         };
@@ -200,7 +208,7 @@
 
 /// Weight of a holder in a prompt's order of preference; highest first.
 pub(super) fn preference(holder: &str, prompt: &prompt::Prompt) -> u64 {
-    let part = prompt.shared().last().map_or("", |part| part.name.as_str());
+    let part = prompt.longest_shared().unwrap_or_default();
     let seed = xxh3::xxh3_64(part.as_bytes());
     xxh3::xxh3_64_with_seed(holder.as_bytes(), seed)
 }
--- a/crates/papayayard_routing/src/placement/fetch.rs
+++ b/crates/papayayard_routing/src/placement/fetch.rs
@@ -24,9 +24,6 @@
 pub(super) struct Fetch {
     pub(super) address: SocketAddr,
     pub(super) source: cost::Source,
-    /// Time that the transfer takes the source's link.
-    pub(super) time: Duration,
-    pub(super) is_store: bool,
 }
 
 /// A prompt's shared parts under one version of the weights.
@@ -64,20 +61,19 @@
             let same_zone = holder.endpoint.zone == backend.endpoint.zone;
             let distance = if same_zone { 1 } else { OTHER_ZONE_TRANSFER };
             let tokens = holder.tokens - cached;
-            let time = transfer_time(tokens, engine.token_bytes, engine.link_mbps) * distance;
+            let transfer = transfer_time(tokens, engine.token_bytes, engine.link_mbps);
             Fetch {
                 address: holder.endpoint.address,
                 source: cost::Source {
                     tokens: holder.tokens,
-                    time,
+                    wait: Duration::ZERO,
+                    transfer: transfer * distance,
                     is_shared: false,
                 },
-                time,
-                is_store: false,
             }
         });
         let sources = engines.chain(self.at_store(engine, cached));
-        sources.min_by_key(|fetch| (u32::MAX - fetch.source.tokens, fetch.source.time))
+        sources.min_by_key(|fetch| (u32::MAX - fetch.source.tokens, fetch.source.time()))
     }
 
     /// The store is named as the source also where nothing is known to lie
@@ -89,16 +85,14 @@
             return None;
         }
         let tokens = self.stored.saturating_sub(cached);
-        let time = transfer_time(tokens, engine.token_bytes, store.link_mbps);
         Some(Fetch {
             address: store.address,
             source: cost::Source {
                 tokens: self.stored,
-                time: wait + time,
+                wait,
+                transfer: transfer_time(tokens, engine.token_bytes, store.link_mbps),
                 is_shared: true,
             },
-            time,
-            is_store: true,
         })
     }
 }
--- a/crates/papayayard_routing/src/placement/link.rs
+++ b/crates/papayayard_routing/src/placement/link.rs
@@ -10,6 +10,8 @@
 
 use std::time::Duration;
 
+use super::float;
+
 /// Time constant of the transfers that count.
 const MEMORY: Duration = Duration::from_secs(5);
 /// Busy part of the time above which the wait by chance grows no further.
@@ -52,8 +54,7 @@
 
     /// Part of the time that the link is busy; above 1 it cannot keep up.
     fn busy(&self, now: Duration) -> f64 {
-        let hosts = f64::from(u32::try_from(self.hosts).unwrap_or(u32::MAX));
-        self.taken_at(now).as_secs_f64() / MEMORY.as_secs_f64() * hosts
+        self.taken_at(now).as_secs_f64() / MEMORY.as_secs_f64() * float(self.hosts)
     }
 
     fn taken_at(&self, now: Duration) -> Duration {
--- a/crates/papayayard_routing/src/placement/place.rs
+++ b/crates/papayayard_routing/src/placement/place.rs
@@ -39,8 +39,8 @@
             let read = now + first_event * READ_BY;
             save = self.save(prompt, &keys, read + SAVE, now);
             let is_known = |fetch: &Fetch| fetch.source.tokens > candidate.estimate.cached;
-            if let Some(fetch) = fetch.filter(|fetch| fetch.is_store && is_known(fetch)) {
-                self.fetched_from_store(prompt, fetch.time, now);
+            if let Some(fetch) = fetch.filter(|fetch| fetch.source.is_shared && is_known(fetch)) {
+                self.fetched_from_store(prompt, fetch.source.transfer, now);
             }
             let cache = &mut self.backends[candidate.key].cache;
             for (part, key) in prompt.shared().iter().zip(&keys) {
@@ -95,9 +95,8 @@
         let (name, store) = self.store_of(prompt)?;
         let (name, address) = (name.clone(), store.address);
         let shared = prompt.shared();
-        let all: u32 = shared.iter().map(|part| part.tokens).sum();
         let kept = self.stores.entry(name).or_default();
-        if kept.cache.prefix(shared, keys, now) >= all {
+        if kept.cache.prefix(shared, keys, now) >= prompt.shared_tokens() {
             return None;
         }
         for (part, key) in shared.iter().zip(keys) {
--- a/crates/papayayard_routing/src/placement/reach.rs
+++ b/crates/papayayard_routing/src/placement/reach.rs
@@ -44,6 +44,11 @@
         self.zones.remove(zone);
     }
 
+    /// Whether some zone is left out now.
+    pub fn is_any_out(&self, now: Duration) -> bool {
+        self.zones.values().any(|failing| now < failing.out_until)
+    }
+
     /// Whether a zone is left out now.
     pub fn is_out(&self, zone: &id::Zone, now: Duration) -> bool {
         let failing = self.zones.get(zone);
--- a/crates/papayayard_routing/src/placement/select.rs
+++ b/crates/papayayard_routing/src/placement/select.rs
@@ -69,11 +69,14 @@
                 && one.load.own().open + 1.0 <= share.max(1.0)
         });
         let mut usable: Vec<(BackendKey, &Backend)> = usable.collect();
-        let is_reached = |backend: &Backend| !self.reach.is_out(&backend.endpoint.zone, now);
-        if usable.iter().any(|(_, one)| is_reached(one)) {
-            usable.retain(|(_, one)| is_reached(one));
+        let mut hosts = self.hosts;
+        if self.reach.is_any_out(now) {
+            let is_reached = |backend: &Backend| !self.reach.is_out(&backend.endpoint.zone, now);
+            if usable.iter().any(|(_, one)| is_reached(one)) {
+                usable.retain(|(_, one)| is_reached(one));
+            }
+            hosts = self.sending_hosts(&ask.service, now);
         }
-        let hosts = self.sending_hosts(&ask.service, now);
         seen.usable = usable.len();
         let candidates = match (engine, &ask.prompt) {
             (Some(engine), Some(_)) => self.engines(ask, draw, engine, usable, hosts, now),
@@ -168,7 +171,6 @@
             let is_old = is_old(backend);
             let need = cost::Need {
                 prompt,
-                keys: &shared.keys,
                 target: ask.target_latency,
                 hosts,
                 mean: if is_old { mean_old } else { mean_new },
@@ -181,7 +183,7 @@
             let cached = backend.cache.prefix(prompt.shared(), &shared.keys, now);
             let fetch = shared.source(engine, key, backend, cached);
             let source = fetch.map(|fetch| fetch.source);
-            if let Some(estimate) = cost::of_engine(backend, engine, &need, source, now) {
+            if let Some(estimate) = cost::of_engine(backend, engine, &need, cached, source, now) {
                 candidates.push(Candidate {
                     key,
                     estimate,
@@ -247,8 +249,7 @@
         &self,
         prompt: &prompt::Prompt,
     ) -> Option<(&id::Service, &table::CacheStore)> {
-        let shared: u32 = prompt.shared().iter().map(|part| part.tokens).sum();
-        if shared < FEWEST_STORED {
+        if prompt.shared_tokens() < FEWEST_STORED {
             return None;
         }
         let stores = self.table.cache_stores();
--- a/crates/papayayard_routing/src/prompt.rs
+++ b/crates/papayayard_routing/src/prompt.rs
@@ -44,10 +44,14 @@
         self.shared().last().map(|part| part.name.as_str())
     }
 
+    /// Tokens of the parts that other requests may share.
+    pub fn shared_tokens(&self) -> u32 {
+        self.shared().iter().map(|part| part.tokens).sum()
+    }
+
     /// Tokens that no other request has.
     pub fn own_tokens(&self) -> u32 {
-        let shared: u32 = self.shared().iter().map(|part| part.tokens).sum();
-        self.tokens.saturating_sub(shared)
+        self.tokens.saturating_sub(self.shared_tokens())
     }
 
     /// Tokens of the answer that an engine should have room for.
