Both kinds of host share their listening error, settings file, metrics text and hop names

One piece serves both now: listen::Error, papayayard_document::file, exposition, and hop::drop_named. The reason of an attempt's failure is named in one place.

--- a/crates/papayayard/src/host.rs
+++ b/crates/papayayard/src/host.rs
@@ -1,17 +1,17 @@
 //! Puts a host together and takes it apart again.
 
-use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use papayayard_coordination::exchange;
+use papayayard_gateway::listen;
 use papayayard_platform::http::Client as Platform;
 use papayayard_routing::choice;
 use papayayard_wire::{block, directory, id, peer};
 use salvo::conn::tcp::TcpAcceptor;
 use salvo::server::ServerHandle;
-use snafu::{ResultExt, Snafu};
+use snafu::ResultExt;
 use tokio::sync::watch;
 use tokio::task::{JoinHandle, JoinSet};
 use tokio_util::task::TaskTracker;
@@ -31,18 +31,7 @@
 
 mod stopping;
 
-/// Why a host cannot start.
-#[derive(Debug, Snafu)]
-pub enum Error {
-    /// An address cannot be listened on.
-    #[snafu(display("cannot listen on {address}: {source}; choose a free address of this host"))]
-    Listen {
-        /// Address.
-        address: SocketAddr,
-        /// What the system reported.
-        source: io::Error,
-    },
-}
+pub use papayayard_gateway::listen::Error;
 
 /// Addresses that a host listens on.
 #[derive(Clone, Copy, Debug)]
@@ -160,7 +149,7 @@
     };
     let peers = peers::start(sockets.peers, options, links);
     let address = addresses.peers;
-    controllers.spawn(peers.context(ListenSnafu { address })?);
+    controllers.spawn(peers.context(listen::ListenSnafu { address })?);
 
     let shared = Arc::new(callers::Shared {
         host: settings.host.clone(),
@@ -238,9 +227,11 @@
 }
 
 fn listen(address: SocketAddr) -> Result<(TcpAcceptor, SocketAddr), Error> {
-    let listener = papayayard_gateway::listen::bind(address).context(ListenSnafu { address })?;
-    let bound = listener.local_addr().context(ListenSnafu { address })?;
-    let acceptor = TcpAcceptor::try_from(listener).context(ListenSnafu { address })?;
+    let listener = listen::bind(address).context(listen::ListenSnafu { address })?;
+    let bound = listener
+        .local_addr()
+        .context(listen::ListenSnafu { address })?;
+    let acceptor = TcpAcceptor::try_from(listener).context(listen::ListenSnafu { address })?;
     Ok((acceptor, bound))
 }
 
@@ -373,10 +364,12 @@
 }
 
 fn listen_plain(address: SocketAddr) -> Result<(std::net::TcpListener, SocketAddr), Error> {
-    let listener = std::net::TcpListener::bind(address).context(ListenSnafu { address })?;
+    let listener = std::net::TcpListener::bind(address).context(listen::ListenSnafu { address })?;
     listener
         .set_nonblocking(true)
-        .context(ListenSnafu { address })?;
-    let bound = listener.local_addr().context(ListenSnafu { address })?;
+        .context(listen::ListenSnafu { address })?;
+    let bound = listener
+        .local_addr()
+        .context(listen::ListenSnafu { address })?;
     Ok((listener, bound))
 }
--- a/crates/papayayard/src/metrics.rs
+++ b/crates/papayayard/src/metrics.rs
@@ -3,12 +3,11 @@
 use std::time::Duration;
 
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
-use opentelemetry_sdk::metrics::SdkMeterProvider;
+use opentelemetry::metrics::{Counter, Histogram};
+use papayayard_gateway::exposition::Exposition;
 use papayayard_routing::retry;
 use papayayard_wire::completion::Usage;
 use papayayard_wire::refusal::Kind;
-use prometheus::{Encoder, Registry, TextEncoder};
 
 use crate::clock::Clock;
 
@@ -18,9 +17,7 @@
 /// All counters of a host.
 #[derive(Clone)]
 pub(crate) struct Metrics {
-    registry: Registry,
-    // Keeps the instruments connected to the registry.
-    _provider: SdkMeterProvider,
+    exposition: Exposition,
     clock: Clock,
     requests: Counter<u64>,
     refusals: Counter<u64>,
@@ -40,13 +37,8 @@
 impl Metrics {
     /// Makes the instruments.
     pub(crate) fn new(clock: Clock) -> Self {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .build()
-            .expect("a new registry takes the exporter");
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("papayayard");
+        let exposition = Exposition::empty();
+        let meter = exposition.meter("papayayard");
         Self {
             clock,
             requests: meter
@@ -102,8 +94,7 @@
                 .u64_counter("papayayard_peer_bytes")
                 .with_description("Bytes exchanged with peers, both ways")
                 .build(),
-            registry,
-            _provider: provider,
+            exposition,
         }
     }
 
@@ -184,11 +175,6 @@
 
     /// All figures as Prometheus text.
     pub(crate) fn text(&self) -> Vec<u8> {
-        let mut text = Vec::new();
-        let families = self.registry.gather();
-        if let Err(error) = TextEncoder::new().encode(&families, &mut text) {
-            log::warn!("metrics cannot be encoded: {error}");
-        }
-        text
+        self.exposition.text()
     }
 }
--- a/crates/papayayard/src/relay/hop.rs
+++ b/crates/papayayard/src/relay/hop.rs
@@ -1,6 +1,7 @@
 //! Headers at the router: what it sets, and what must not pass through it.
 
 use http::{HeaderMap, HeaderName, HeaderValue, header};
+use papayayard_gateway::hop;
 use papayayard_wire::header as names;
 
 /// Headers that end at each hop.
@@ -29,9 +30,7 @@
 
 /// Drops what ends here, the headers that `Connection` names included.
 pub(crate) fn strip(headers: &mut HeaderMap) {
-    for name in named_by_connection(headers) {
-        headers.remove(name);
-    }
+    hop::drop_named(headers);
     for name in HOP_HEADERS {
         headers.remove(name);
     }
@@ -47,12 +46,3 @@
         headers.insert(HeaderName::from_static(name), value);
     }
 }
-
-fn named_by_connection(headers: &HeaderMap) -> Vec<HeaderName> {
-    let values = headers.get_all(header::CONNECTION).iter();
-    let texts = values.filter_map(|value| value.to_str().ok());
-    texts
-        .flat_map(|text| text.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect()
-}
--- a/crates/papayayard/src/settings.rs
+++ b/crates/papayayard/src/settings.rs
@@ -4,18 +4,15 @@
 //! runs. Everything that hosts must agree on is in the configuration
 //! document instead.
 
-use std::fs;
-use std::io;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::time::Duration;
 
-use papayayard_document::{fault, reader};
+use papayayard_document::{fault, file, reader};
 use papayayard_routing::choice;
 use papayayard_wire::id;
 use serde::Serialize;
 use serde_with::{DurationMilliSeconds, serde_as};
-use snafu::{ResultExt, Snafu};
 
 mod decode;
 
@@ -150,32 +147,7 @@
     }
 }
 
-/// Why settings cannot be used.
-#[derive(Debug, Snafu)]
-pub enum Error {
-    /// The file cannot be read.
-    #[snafu(display("cannot read {}: {source}; check the path and its permissions", path.display()))]
-    Read {
-        /// Path of the file.
-        path: PathBuf,
-        /// What the system reported.
-        source: io::Error,
-    },
-    /// The text has faults.
-    #[snafu(display("{} cannot be used:\n{}", path.display(), fault::lines(faults)))]
-    Invalid {
-        /// Path of the file.
-        path: PathBuf,
-        /// All of them.
-        faults: Vec<fault::Fault>,
-    },
-}
-
 /// Reads settings from a YAML file.
-pub fn read(path: &Path) -> Result<Settings, Error> {
-    let text = fs::read_to_string(path).context(ReadSnafu { path })?;
-    Settings::parse(&text).map_err(|faults| Error::Invalid {
-        path: path.to_owned(),
-        faults,
-    })
+pub fn read(path: &Path) -> Result<Settings, file::Error> {
+    file::read(path, Settings::parse)
 }
--- a/crates/papayayard_document/src/lib.rs
+++ b/crates/papayayard_document/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod decode;
 pub mod document;
 pub mod fault;
+pub mod file;
 pub mod reader;
 pub mod rule;
 pub mod tree;
--- a/crates/papayayard_gateway/src/hop.rs
+++ b/crates/papayayard_gateway/src/hop.rs
@@ -15,6 +15,14 @@
 
 /// Drops what ends here, the headers that `Connection` names included.
 pub(crate) fn strip(headers: &mut HeaderMap) {
+    drop_named(headers);
+    for name in HOP_HEADERS {
+        headers.remove(name);
+    }
+}
+
+/// Drops the headers that `Connection` names.
+pub fn drop_named(headers: &mut HeaderMap) {
     let named: Vec<HeaderName> = headers
         .get_all(header::CONNECTION)
         .iter()
@@ -25,7 +33,4 @@
     for name in named {
         headers.remove(name);
     }
-    for name in HOP_HEADERS {
-        headers.remove(name);
-    }
 }
--- a/crates/papayayard_gateway/src/host.rs
+++ b/crates/papayayard_gateway/src/host.rs
@@ -1,6 +1,5 @@
 //! Puts a host together and takes it apart again.
 
-use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -9,7 +8,7 @@
 use papayayard_coordination::shutdown::{Shutdown, Stage};
 use papayayard_routing::placement::{self, Endpoint, Scheduler};
 use papayayard_routing::repeat;
-use snafu::{ResultExt, Snafu};
+use snafu::ResultExt;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
@@ -23,6 +22,7 @@
 use crate::clock::Clock;
 use crate::follow::{self, Beat, Fold, Store};
 use crate::front::{self, Progress};
+pub use crate::listen::Error;
 use crate::metrics::Metrics;
 use crate::mirror::Mirror;
 use crate::pool::Pool;
@@ -58,19 +58,6 @@
 };
 /// Period in which idle connections are looked at.
 const SWEEP: Duration = Duration::from_millis(500);
-/// Why a host cannot start.
-#[derive(Debug, Snafu)]
-pub enum Error {
-    /// An address cannot be listened on.
-    #[snafu(display("cannot listen on {address}: {source}; choose a free address of this host"))]
-    Listen {
-        /// Address.
-        address: SocketAddr,
-        /// What the system reported.
-        source: io::Error,
-    },
-}
-
 /// A running host; dropping it ends its controllers.
 pub struct Running {
     settings: Settings,
@@ -169,7 +156,7 @@
         Ok(Self {
             callers: listen(settings.callers)?,
             operators: listen(settings.operators)?,
-            peers: peers.context(ListenSnafu { address })?,
+            peers: peers.context(listen::ListenSnafu { address })?,
         })
     }
 }
@@ -304,7 +291,7 @@
         let mirrors = std::mem::take(&mut self.mirrors);
         let served = peers::serve(listener, mirrors, news, self.store.clock);
         self.controllers
-            .spawn(served.context(ListenSnafu { address })?);
+            .spawn(served.context(listen::ListenSnafu { address })?);
         Ok(())
     }
 }
@@ -342,5 +329,5 @@
 }
 
 fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
-    listen::bind(address).context(ListenSnafu { address })
+    listen::bind(address).context(listen::ListenSnafu { address })
 }
--- a/crates/papayayard_gateway/src/lib.rs
+++ b/crates/papayayard_gateway/src/lib.rs
@@ -9,6 +9,8 @@
 
 pub mod call;
 pub mod exchange;
+pub mod exposition;
+pub mod hop;
 pub mod host;
 pub mod listen;
 pub mod settings;
@@ -25,7 +27,6 @@
 mod feeds;
 mod follow;
 mod front;
-mod hop;
 mod hosts;
 mod job;
 mod metrics;
--- a/crates/papayayard_gateway/src/metrics.rs
+++ b/crates/papayayard_gateway/src/metrics.rs
@@ -4,10 +4,10 @@
 
 use http::StatusCode;
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
-use opentelemetry_sdk::metrics::SdkMeterProvider;
+use opentelemetry::metrics::{Counter, Histogram};
 use papayayard_wire::refusal::Kind;
-use prometheus::{Encoder, Registry, TextEncoder};
+
+use crate::exposition::Exposition;
 
 /// Bounds of the first-event histogram, in seconds.
 const FIRST_EVENT_BOUNDS: [f64; 9] = [0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 1.0, 2.0];
@@ -15,9 +15,7 @@
 /// All counters of a host.
 #[derive(Clone)]
 pub(crate) struct Metrics {
-    registry: Registry,
-    // Keeps the instruments connected to the registry.
-    _provider: SdkMeterProvider,
+    exposition: Exposition,
     requests: Counter<u64>,
     answers: Counter<u64>,
     refusals: Counter<u64>,
@@ -29,15 +27,9 @@
 impl Metrics {
     /// Makes the instruments.
     pub(crate) fn new() -> Self {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .build()
-            .expect("a new registry takes the exporter");
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("gateway");
+        let exposition = Exposition::empty();
+        let meter = exposition.meter("gateway");
         Self {
-            registry,
             requests: meter
                 .u64_counter("papayayard_route_requests")
                 .with_description("Requests by route")
@@ -63,7 +55,7 @@
                 .with_description("Time from a request's arrival to its stream's first event")
                 .with_boundaries(FIRST_EVENT_BOUNDS.to_vec())
                 .build(),
-            _provider: provider,
+            exposition,
         }
     }
 
@@ -96,10 +88,6 @@
 
     /// All of them as text.
     pub(crate) fn text(&self) -> Vec<u8> {
-        let mut text = Vec::new();
-        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
-            log::error!(error:%; "metrics cannot be written");
-        }
-        text
+        self.exposition.text()
     }
 }
--- a/crates/papayayard_gateway/src/relay.rs
+++ b/crates/papayayard_gateway/src/relay.rs
@@ -252,10 +252,12 @@
                     Some(failure)
                 }
             };
-            let reason = failure.map_or("error", Failure::as_str);
-            log::info!(request:% = job.id, endpoint:% = endpoint, reason; "attempt failed");
+            log::info!(
+                request:% = job.id, endpoint:% = endpoint, reason = reason(failure);
+                "attempt failed"
+            );
             tried.endpoints.push(endpoint);
-            if !self.may_go_on(&job, &tried, failure, reason) {
+            if !self.may_go_on(&job, &tried, failure) {
                 let refusal = Refusal::not_run(Kind::Overloaded, "the endpoints refused")
                     .after(UNREADY_RETRY);
                 return self.give_up(&job, &tried, error, &refusal);
@@ -268,13 +270,16 @@
             Decision::Placed(placement) => {
                 let source = placement.fetch;
                 let source = source.map_or_else(|| "-".to_owned(), |source| source.to_string());
+                let prompt = job.prompt.as_ref();
+                let shared = prompt.and_then(|prompt| prompt.longest_shared());
+                let shared = shared.unwrap_or("-");
                 log::info!(
                     request:% = job.id, service:% = job.service, endpoint:% = placement.endpoint,
                     version = placement.version.unwrap_or(0),
                     expected_ms = millis(placement.first_event),
                     cached = placement.cached, unread = placement.unread,
-                    parts = job.prompt.as_ref().map_or(0, |prompt| prompt.tokens),
-                    shared = job.prompt.as_ref().and_then(|prompt| prompt.longest_shared()).unwrap_or("-"),
+                    parts = prompt.map_or(0, |prompt| prompt.tokens),
+                    shared,
                     fetch:% = source, save = placement.save.is_some(),
                     attempt = tried.endpoints.len();
                     "placed"
@@ -303,13 +308,7 @@
     }
 
     /// Whether another endpoint may be asked.
-    fn may_go_on(
-        &self,
-        job: &Job,
-        tried: &Tried,
-        failure: Option<Failure>,
-        reason: &'static str,
-    ) -> bool {
+    fn may_go_on(&self, job: &Job, tried: &Tried, failure: Option<Failure>) -> bool {
         let may_run_again =
             tried.runs == 0 || (job.route.kind.is_repeatable() && tried.runs < job.route.attempts);
         let is_in_time = self.clock.now() < job.deadline;
@@ -317,7 +316,7 @@
         let is_free = failure == Some(Failure::Unreachable);
         let goes_on = may_run_again && is_in_time && (is_free || self.may_repeat(job));
         if goes_on {
-            self.metrics.repeated(reason);
+            self.metrics.repeated(reason(failure));
         }
         goes_on
     }
@@ -476,6 +475,12 @@
     }
 }
 
+/// Name of what was wrong, in logs and metrics; an endpoint's own error is none
+/// of the failures.
+fn reason(failure: Option<Failure>) -> &'static str {
+    failure.map_or("error", Failure::as_str)
+}
+
 async fn read_body(body: Incoming, limit: usize, time: Duration) -> Result<Bytes, Refusal> {
     let whole = Limited::new(body, limit).collect().map(|outcome| {
         outcome
--- a/crates/papayayard_gateway/src/settings.rs
+++ b/crates/papayayard_gateway/src/settings.rs
@@ -1,17 +1,13 @@
 //! Settings of a host that serves routes.
 
-use std::fs;
-use std::io;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::time::Duration;
 
-use papayayard_document::fault;
 use papayayard_document::reader::{Fields, Place, Reader};
-use papayayard_document::rule;
+use papayayard_document::{fault, file, rule};
 use papayayard_routing::repeat;
 use papayayard_wire::id;
-use snafu::{ResultExt, Snafu};
 
 /// Longest duration that a setting may have, in ms.
 const MOST_MS: f64 = 3_600_000.0;
@@ -52,34 +48,9 @@
     pub repeats: repeat::Bounds,
 }
 
-/// Why settings cannot be used.
-#[derive(Debug, Snafu)]
-pub enum Error {
-    /// The file cannot be read.
-    #[snafu(display("cannot read {}: {source}; check the path", path.display()))]
-    Read {
-        /// Path of the file.
-        path: PathBuf,
-        /// What the system reported.
-        source: io::Error,
-    },
-    /// The text has faults.
-    #[snafu(display("{} cannot be used:\n{}", path.display(), fault::lines(faults)))]
-    Invalid {
-        /// Path of the file.
-        path: PathBuf,
-        /// All of them.
-        faults: Vec<fault::Fault>,
-    },
-}
-
 /// Reads settings from a YAML file.
-pub fn read(path: &Path) -> Result<Settings, Error> {
-    let text = fs::read_to_string(path).context(ReadSnafu { path })?;
-    parse(&text).map_err(|faults| Error::Invalid {
-        path: path.to_owned(),
-        faults,
-    })
+pub fn read(path: &Path) -> Result<Settings, file::Error> {
+    file::read(path, parse)
 }
 
 /// Reads settings from a YAML text.
