--- a/crates/papayayard_coordination/src/lib.rs
+++ b/crates/papayayard_coordination/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod membership;
 pub mod order;
 pub mod pace;
+pub mod presence;
 pub mod reader;
 pub mod replay;
 pub mod rollout;
--- a/crates/papayayard_coordination/src/reader.rs
+++ b/crates/papayayard_coordination/src/reader.rs
@@ -6,6 +6,9 @@
 //! not found wanting of late; where several in a row were, or it comes first
 //! itself, it reads the store. A wrong view of the hosts costs calls, nothing
 //! else.
+//!
+//! The store can turn single hosts away, and be gone when a host starts. Then any
+//! host may know more, also one of another zone.
 
 use std::cmp::Reverse;
 use std::collections::HashMap;
@@ -53,6 +56,8 @@
 pub struct Readers {
     own: id::Host,
     order: Vec<Candidate>,
+    /// Hosts that may know more where the store does not answer.
+    others: Vec<Candidate>,
     avoided: HashMap<id::Host, Avoided>,
 }
 
@@ -68,6 +73,7 @@
         Self {
             own,
             order: Vec::new(),
+            others: Vec::new(),
             avoided: HashMap::new(),
         }
     }
@@ -81,6 +87,25 @@
         self.order = hosts;
     }
 
+    /// Takes over hosts beside those of the zone.
+    pub fn set_others(&mut self, mut hosts: Vec<Candidate>) {
+        // Each host has an order of its own, so that their calls are spread.
+        let seed = xxh3::xxh3_64(self.own.as_str().as_bytes());
+        hosts.sort_by_cached_key(|one| xxh3::xxh3_64_with_seed(one.host.as_str().as_bytes(), seed));
+        self.others = hosts;
+    }
+
+    /// Whether no host is known.
+    pub fn is_empty(&self) -> bool {
+        self.order.is_empty() && self.others.is_empty()
+    }
+
+    /// The host to ask where the store has not answered: first one of the zone.
+    pub fn fallback(&self, now: Duration) -> Option<&Candidate> {
+        let mut hosts = self.order.iter().chain(&self.others);
+        hosts.find(|one| one.host != self.own && !self.is_avoided(&one.host, now))
+    }
+
     /// Where to read from now.
     pub fn source(&self, now: Duration) -> Source {
         let before = self.order.iter().take_while(|one| one.host != self.own);
--- a/crates/papayayard_coordination/src/rollout.rs
+++ b/crates/papayayard_coordination/src/rollout.rs
@@ -80,6 +80,8 @@
     Lost,
     /// The endpoint cannot be reached, or is another one.
     Gone,
+    /// The order was not sent: the leave to give it had ended.
+    Unsent,
 }
 
 /// The state of one roll-out.
@@ -112,7 +114,11 @@
     /// To be ordered from a time on.
     Due { at: Duration, breaks_off: bool },
     /// Was ordered; looked at from a time on.
-    Ordered { at: Duration, check: Duration },
+    Ordered {
+        at: Duration,
+        check: Duration,
+        breaks_off: bool,
+    },
 }
 
 impl Rollout {
@@ -153,6 +159,11 @@
         self.steps.keys().cloned().collect()
     }
 
+    /// Version that endpoints are brought to.
+    pub const fn target(&self) -> u64 {
+        self.target
+    }
+
     /// Whether all endpoints have the version.
     pub fn is_done(&self) -> bool {
         self.steps.is_empty()
@@ -187,35 +198,50 @@
         actions
     }
 
+    /// Notes that an order is on its way; it counts as given until its answer
+    /// says otherwise.
+    pub fn sent(&mut self, due: &Due, now: Duration) {
+        if let Some(step) = self.steps.get_mut(&due.endpoint) {
+            *step = Step::ordered(due.breaks_off, now, now + FIRST_CHECK);
+        }
+    }
+
     /// Takes over the answer to an order.
-    pub fn answered(&mut self, endpoint: &id::Endpoint, answer: Answer, now: Duration) {
-        let Some(step) = self.steps.get_mut(endpoint) else {
+    pub fn answered(&mut self, due: &Due, answer: Answer, now: Duration) {
+        let Some(step) = self.steps.get_mut(&due.endpoint) else {
             return;
         };
+        let breaks_off = due.breaks_off;
         *step = match answer {
-            Answer::Accepted | Answer::Lost => Step::Ordered {
-                at: now,
-                check: now + FIRST_CHECK,
-            },
+            Answer::Accepted | Answer::Lost => Step::ordered(breaks_off, now, now + FIRST_CHECK),
+            Answer::Holds => Step::ordered(breaks_off, now, now),
             Answer::Busy | Answer::Gone => Step::Due {
                 at: now + RETRY,
-                breaks_off: false,
+                breaks_off,
             },
-            Answer::Holds => Step::Ordered {
+            Answer::Unsent => Step::Due {
                 at: now,
-                check: now,
+                breaks_off,
             },
         };
     }
 
-    /// Takes over that an endpoint gave no report; another takes its place.
+    /// Takes over that an endpoint that has no order gave no report; another
+    /// takes its place.
     pub fn unreachable(&mut self, endpoint: &id::Endpoint, now: Duration) {
-        if matches!(self.steps.get(endpoint), Some(Step::Draining { .. })) {
+        let step = self.steps.get(endpoint);
+        if step.is_some_and(|step| !step.is_ordered()) {
             self.steps.remove(endpoint);
             self.absent.insert(endpoint.clone(), now + ABSENCE);
         }
     }
 
+    /// Takes over that an order was not sent, for its endpoint gave no report.
+    pub fn withheld(&mut self, due: &Due, now: Duration) {
+        self.answered(due, Answer::Unsent, now);
+        self.unreachable(&due.endpoint, now);
+    }
+
     /// Takes over what an endpoint reports.
     pub fn looked(&mut self, endpoint: &id::Endpoint, look: Look, now: Duration) {
         let Some(step) = self.steps.get_mut(endpoint) else {
@@ -235,7 +261,12 @@
             Step::Ordered { .. } if !look.is_busy && look.version >= self.target => {
                 self.steps.remove(endpoint);
             }
-            Step::Ordered { .. } if !look.is_busy => *step = Step::again(now),
+            Step::Ordered { breaks_off, .. } if !look.is_busy => {
+                *step = Step::Due {
+                    at: now,
+                    breaks_off,
+                };
+            }
             Step::Ordered { .. } | Step::Due { .. } => {}
         }
     }
@@ -267,10 +298,11 @@
         matches!(self, Self::Ordered { .. })
     }
 
-    const fn again(now: Duration) -> Self {
-        Self::Due {
-            at: now,
-            breaks_off: false,
+    const fn ordered(breaks_off: bool, at: Duration, check: Duration) -> Self {
+        Self::Ordered {
+            at,
+            check,
+            breaks_off,
         }
     }
 
@@ -295,8 +327,14 @@
     }
 
     fn time_out(&mut self, now: Duration) {
-        if matches!(self, Self::Ordered { at, .. } if *at + ORDER_TIMEOUT <= now) {
-            *self = Self::again(now);
+        let Self::Ordered { at, breaks_off, .. } = *self else {
+            return;
+        };
+        if at + ORDER_TIMEOUT <= now {
+            *self = Self::Due {
+                at: now,
+                breaks_off,
+            };
         }
     }
 }
--- a/crates/papayayard_coordination/src/turn.rs
+++ b/crates/papayayard_coordination/src/turn.rs
@@ -6,13 +6,20 @@
 //! rises with each renewal. The holder gives orders for a short time after an
 //! append only, and others wait for longer than that since the last record
 //! they saw: between the orders of two hosts lies at least the lease.
+//!
+//! Not every endpoint compares fencing numbers, so the holder itself has to
+//! make sure that no order of its arrives late. A [`Leave`] says until when an
+//! order may be sent and when one that has no answer yet is cut off; both are
+//! checked by whoever sends it, just before it does.
 
 use std::time::Duration;
 
 use papayayard_wire::id;
 
-/// Time after an append was sent within which its holder gives orders.
-pub const ACTIVE: Duration = Duration::from_millis(1200);
+/// Time after an append was sent within which orders of its holder may arrive.
+pub const ACTIVE: Duration = Duration::from_millis(1400);
+/// Time for an order to arrive; none is sent later than this before the end.
+const UNDER_WAY: Duration = Duration::from_millis(400);
 /// Time after which a holder that has work left renews its turn.
 pub const RENEWAL: Duration = Duration::from_millis(500);
 /// Covers what passes between a record's writing and its reading.
@@ -27,6 +34,17 @@
     held: Option<Held>,
 }
 
+/// Leave to give orders.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Leave {
+    /// Fencing number of the orders.
+    pub fence: id::Fence,
+    /// Moment from which on no order is sent.
+    pub send_before: Duration,
+    /// Moment at which an order that has no answer is cut off.
+    pub end: Duration,
+}
+
 #[derive(Clone, Debug)]
 struct Seen {
     holder: id::Host,
@@ -40,6 +58,13 @@
     since: Duration,
 }
 
+impl Leave {
+    /// Whether an order may be sent now.
+    pub fn permits(&self, now: Duration) -> bool {
+        now < self.send_before
+    }
+}
+
 impl Turn {
     /// A turn that nobody is known to hold.
     pub fn new(host: id::Host, lease: Duration) -> Self {
@@ -71,7 +96,7 @@
         match &self.last {
             None => true,
             Some(last) if last.holder == self.host => true,
-            Some(last) => last.at + self.lease + ACTIVE + MARGIN <= now,
+            Some(last) => last.at + unrenewed(self.lease) <= now,
         }
     }
 
@@ -101,10 +126,16 @@
         self.held = None;
     }
 
-    /// The fencing number, while orders may be given.
-    pub fn fence(&self, now: Duration) -> Option<id::Fence> {
-        let held = self.held.filter(|held| now < held.since + ACTIVE)?;
-        Some(held.fence)
+    /// Leave to give orders, while there is one.
+    pub fn leave(&self, now: Duration) -> Option<Leave> {
+        let held = self.held?;
+        let end = held.since + ACTIVE;
+        let leave = Leave {
+            fence: held.fence,
+            send_before: end.saturating_sub(UNDER_WAY),
+            end,
+        };
+        leave.permits(now).then_some(leave)
     }
 
     /// Whether the turn has to be renewed for work that is left.
@@ -112,3 +143,8 @@
         self.held.is_none_or(|held| held.since + RENEWAL <= now)
     }
 }
+
+/// Time without a record after which other hosts may take the turn.
+pub fn unrenewed(lease: Duration) -> Duration {
+    lease + ACTIVE + MARGIN
+}
--- a/crates/papayayard_coordination/tests/reader_test.rs
+++ b/crates/papayayard_coordination/tests/reader_test.rs
@@ -90,3 +90,44 @@
     let own = Readers::new(id::Host::from("host-0"));
     assert_eq!(own.source(NOW), Source::Store);
 }
+
+/// The store turns this host away. Another one may have read it: first one of the
+/// zone, also one that comes after this host, then one of another zone.
+#[test]
+fn where_the_store_does_not_answer_any_other_host_is_asked() {
+    let hosts = zone(&[9, 5]);
+    let mut readers = readers(0, &hosts);
+    assert_eq!(
+        readers.source(NOW),
+        Source::Store,
+        "this host reads for its zone"
+    );
+    let far = Candidate {
+        host: id::Host::from("far"),
+        address: "10.1.0.1:7000".parse().unwrap(),
+        capacity: 9,
+    };
+    readers.set_others(vec![far.clone()]);
+    assert_eq!(readers.fallback(NOW), Some(&hosts[1]));
+    readers.failed(&hosts[1].host, NOW);
+    assert_eq!(readers.fallback(NOW), Some(&far));
+    readers.failed(&far.host, NOW);
+    assert_eq!(readers.fallback(NOW), None);
+    let later = NOW + Duration::from_secs(1);
+    assert_eq!(readers.fallback(later), Some(&hosts[1]));
+}
+
+#[test]
+fn hosts_of_other_zones_are_asked_in_different_orders() {
+    let others = zone(&[1; 20]);
+    let first = |own: &str| {
+        let mut readers = Readers::new(id::Host::from(own));
+        readers.set_others(others.clone());
+        readers.fallback(NOW).map(|one| one.host.clone())
+    };
+    let names = ["a", "b", "c", "d", "e", "f", "g", "h"];
+    let mut asked: Vec<_> = names.iter().map(|own| first(own)).collect();
+    asked.sort_unstable();
+    asked.dedup();
+    assert!(asked.len() > 3, "{asked:?}");
+}
--- a/crates/papayayard_gateway/src/announcement.rs
+++ b/crates/papayayard_gateway/src/announcement.rs
@@ -9,15 +9,11 @@
 use tokio::sync::watch;
 
 use crate::follow::Fold;
-use crate::hosts::unix_ms;
 use crate::schedule::{Handle, Message};
 use crate::store::Record;
 
 /// Key of the turn's record.
 pub(crate) const KEY: &str = "turn";
-/// Longest time that a record is taken to have lain in the store; clocks of
-/// hosts can be wrong.
-const LONGEST_LAIN: Duration = Duration::from_mins(1);
 
 /// What the holder of the turn announces.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -31,9 +27,6 @@
     /// Versions that were named, for hosts that start later.
     #[serde(default)]
     pub(crate) named: Vec<Age>,
-    /// Time of writing, in ms since the Unix epoch.
-    #[serde(default)]
-    pub(crate) written_ms: u64,
 }
 
 /// How long ago a version was named.
@@ -63,16 +56,15 @@
 }
 
 impl Announcement {
-    /// Times at which versions were named at the latest.
-    fn named(&self, now: Duration) -> HashMap<id::Model, Named> {
-        let lain_ms = unix_ms().saturating_sub(self.written_ms);
-        let lain = Duration::from_millis(lain_ms).min(LONGEST_LAIN);
+    /// Times at which versions were named at the latest, for an announcement that
+    /// was written at a time.
+    fn named(&self, written: Duration) -> HashMap<id::Model, Named> {
         let mut named: HashMap<id::Model, Named> = HashMap::new();
         for one in &self.named {
-            let age = Duration::from_millis(one.lain_ms) + lain;
+            let age = Duration::from_millis(one.lain_ms);
             let model = id::Model::from(one.model.as_str());
             let known = named.entry(model).or_default();
-            known.name(one.version, now.saturating_sub(age));
+            known.name(one.version, written.saturating_sub(age));
         }
         named
     }
@@ -87,29 +79,39 @@
 pub(crate) struct Announcements {
     standing: watch::Sender<Standing>,
     known: Standing,
+    /// Longest time for which nobody renews the turn while there is work.
+    unrenewed: Duration,
     schedule: Handle,
 }
 
 impl Announcements {
     /// A fold that nothing is known to.
-    pub(crate) fn new(standing: watch::Sender<Standing>, schedule: Handle) -> Self {
+    pub(crate) fn new(
+        standing: watch::Sender<Standing>,
+        unrenewed: Duration,
+        schedule: Handle,
+    ) -> Self {
         Self {
             standing,
             known: Standing::default(),
+            unrenewed,
             schedule,
         }
     }
 }
 
 impl Fold for Announcements {
-    fn record(&mut self, record: &Record, now: Duration) -> bool {
+    fn record(&mut self, record: &Record, learnt: Option<Duration>, now: Duration) -> bool {
         let Some(value) = record.value.as_ref().filter(|_| record.key == KEY) else {
             return false;
         };
         match serde_json::from_slice::<Announcement>(value) {
             Ok(announcement) => {
                 apply(&announcement, &self.schedule);
-                let named = announcement.named(now);
+                // One that lay there before is as old as it can be while weights
+                // are still to be ordered.
+                let written = learnt.unwrap_or(now.saturating_sub(self.unrenewed));
+                let named = announcement.named(written);
                 self.schedule.tell(Message::Named(named));
                 self.known.newest = Some((announcement, record.offset, now));
                 true
--- a/crates/papayayard_gateway/src/attempt.rs
+++ b/crates/papayayard_gateway/src/attempt.rs
@@ -19,6 +19,9 @@
 use crate::exchange::{Codec, Forwarding, Reply};
 use crate::job::Job;
 use crate::pool::Pool;
+use crate::quiet::Quiet;
+use crate::refusal::millis;
+use crate::schedule::{Handle, Message};
 
 /// Most bytes of a refusal's body that are read to keep a connection.
 const REFUSAL_BYTES: usize = 64 << 10;
@@ -88,6 +91,10 @@
     pub(crate) codec: Platform,
     /// Kept connections.
     pub(crate) pool: Pool,
+    /// Scheduler, which learns what endpoints say of themselves.
+    pub(crate) schedule: Handle,
+    /// Endpoints that want no requests for a time.
+    pub(crate) quiet: Quiet,
     /// Clock.
     pub(crate) clock: Clock,
 }
@@ -119,7 +126,7 @@
             };
             let left = (started + patience).saturating_sub(self.clock.now());
             let request = self.request(job, placement, position);
-            let sent = connection.sender.try_send_request(request);
+            let sent = connection.send(request);
             match time::timeout(left, sent).await {
                 Err(_) => {
                     self.pool.forget(placement.address);
@@ -175,6 +182,7 @@
 
     async fn judge(&self, job: &Job, placement: &Placement, open: Open) -> Result<Open, Failure> {
         let reply = self.codec.reply(open.head.status, &open.head.headers);
+        self.note(job, placement, &reply);
         if reply.not_run {
             let failure = not_run(&reply, placement, open.head.status);
             self.drain(placement, open).await;
@@ -193,6 +201,28 @@
         Err(Failure::Foreign)
     }
 
+    /// Takes over what an endpoint says of itself; an answer that another one
+    /// gave at its address says nothing of it.
+    fn note(&self, job: &Job, placement: &Placement, reply: &Reply) {
+        let other = reply.endpoint.as_ref();
+        if other.is_some_and(|other| *other != placement.endpoint) {
+            return;
+        }
+        if reply.is_leaving {
+            log::info!(request:% = job.id, endpoint:% = placement.endpoint; "the endpoint says that it leaves");
+            self.schedule.tell(Message::Leaving(placement.ticket));
+        }
+        if let Some(time) = reply.quiet {
+            log::info!(
+                request:% = job.id, endpoint:% = placement.endpoint, quiet_ms = millis(time);
+                "the endpoint wants no requests for a time"
+            );
+            self.schedule.tell(Message::Quiet(placement.ticket, time));
+            let until = self.clock.now() + time;
+            self.quiet.set(placement.address, until);
+        }
+    }
+
     /// Reads the rest of a refusal, so that its connection can be kept.
     async fn drain(&self, placement: &Placement, open: Open) {
         let body = Limited::new(open.body, REFUSAL_BYTES).collect();
--- a/crates/papayayard_gateway/src/beliefs.rs
+++ b/crates/papayayard_gateway/src/beliefs.rs
@@ -74,9 +74,9 @@
         true
     }
 
-    fn weights(&mut self, model: &id::Model, version: u64, now: Duration) -> bool {
+    fn weights(&mut self, model: &id::Model, version: u64, at: Duration) -> bool {
         let named = self.known.named.entry(model.clone()).or_default();
-        if !named.name(version, now) {
+        if !named.name(version, at) {
             return false;
         }
         log::info!(model:%, version; "weights named");
@@ -91,13 +91,15 @@
 where
     Platform: Codec,
 {
-    fn record(&mut self, record: &Record, now: Duration) -> bool {
+    fn record(&mut self, record: &Record, learnt: Option<Duration>, now: Duration) -> bool {
         let Some(value) = &record.value else {
             return false;
         };
         match self.codec.published(&record.key, value) {
             Ok(Published::Table(table)) => self.table(*table),
-            Ok(Published::Weights { model, version }) => self.weights(&model, version, now),
+            Ok(Published::Weights { model, version }) => {
+                self.weights(&model, version, learnt.unwrap_or(now))
+            }
             Ok(Published::Unknown) => false,
             Err(error) => {
                 log::warn!(key = record.key.as_str(), error:%; "record skipped");
@@ -148,11 +150,11 @@
 where
     Platform: Codec,
 {
-    fn reading(&mut self, now: Duration) {
-        self.listing.reading(now);
+    fn reading(&mut self, asked: Duration, now: Duration) {
+        self.listing.reading(asked, now);
     }
 
-    fn record(&mut self, record: &Record, now: Duration) -> bool {
+    fn record(&mut self, record: &Record, _learnt: Option<Duration>, now: Duration) -> bool {
         let id = id::Endpoint::from(record.key.as_str());
         let Some(value) = &record.value else {
             self.listing.drop(&id, now);
--- a/crates/papayayard_gateway/src/call.rs
+++ b/crates/papayayard_gateway/src/call.rs
@@ -12,8 +12,14 @@
 
 use crate::dial;
 
-/// Most bytes of an answer; a page of the store has at most two megabytes.
-const ANSWER_BYTES: usize = 8 << 20;
+/// What an answer may take; whoever is asked may send without end.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// Time until the whole answer is there.
+    pub time: Duration,
+    /// Bytes of its body.
+    pub bytes: usize,
+}
 
 /// An answer.
 #[derive(Clone, Debug)]
@@ -43,6 +49,12 @@
         /// What the connection reported.
         problem: String,
     },
+    /// The time for the request was over before it was sent.
+    #[snafu(display("nothing was sent to {address}: its time was over; try again"))]
+    Withheld {
+        /// Address.
+        address: SocketAddr,
+    },
     /// The answer did not come in time.
     #[snafu(display("{address} did not answer in time; try again later"))]
     Late {
@@ -70,17 +82,18 @@
     pub async fn call(
         &mut self,
         request: http::Request<Bytes>,
-        timeout: Duration,
+        bounds: Bounds,
     ) -> Result<Reply, Error> {
         let address = self.address;
-        let mut connection = match self.kept.take().filter(|kept| kept.sender.is_ready()) {
+        let mut connection = match self.kept.take().filter(dial::Connection::is_ready) {
             Some(kept) => kept,
             None => dial::connect(address)
                 .await
                 .context(UnreachableSnafu { address })?,
         };
         let request = prepare(request, address);
-        let outcome = time::timeout(timeout, exchange(&mut connection, request)).await;
+        let exchange = exchange(&mut connection, request, bounds.bytes);
+        let outcome = time::timeout(bounds.time, exchange).await;
         let reply = match outcome {
             Err(_) => return LateSnafu { address }.fail(),
             Ok(Err(problem)) => return LostSnafu { address, problem }.fail(),
@@ -95,9 +108,36 @@
 pub async fn once(
     address: SocketAddr,
     request: http::Request<Bytes>,
-    timeout: Duration,
+    bounds: Bounds,
 ) -> Result<Reply, Error> {
-    Caller::new(address).call(request, timeout).await
+    Caller::new(address).call(request, bounds).await
+}
+
+/// Sends a request, over a connection of its own, that must not arrive late.
+/// `bounds` is asked just before the sending, and gives `None` where nothing may
+/// be sent any more. After the time for the answer the connection is reset, so
+/// that what is on its way is lost.
+pub(crate) async fn punctual<Bounded>(
+    address: SocketAddr,
+    request: http::Request<Bytes>,
+    bounds: Bounded,
+) -> Result<Reply, Error>
+where
+    Bounded: FnOnce() -> Option<Bounds>,
+{
+    let mut connection = dial::connect_for_reset(address)
+        .await
+        .context(UnreachableSnafu { address })?;
+    let Some(bounds) = bounds() else {
+        return WithheldSnafu { address }.fail();
+    };
+    let request = prepare(request, address);
+    let exchange = exchange(&mut connection, request, bounds.bytes);
+    match time::timeout(bounds.time, exchange).await {
+        Err(_) => LateSnafu { address }.fail(),
+        Ok(Err(problem)) => LostSnafu { address, problem }.fail(),
+        Ok(Ok(reply)) => Ok(reply),
+    }
 }
 
 fn prepare(request: http::Request<Bytes>, address: SocketAddr) -> http::Request<Full<Bytes>> {
@@ -111,14 +151,12 @@
 async fn exchange(
     connection: &mut dial::Connection,
     request: http::Request<Full<Bytes>>,
+    most_bytes: usize,
 ) -> Result<Reply, String> {
-    let response = connection
-        .sender
-        .send_request(request)
-        .await
-        .map_err(|error| error.to_string())?;
+    let sent = connection.send(request).await;
+    let response = sent.map_err(|error| error.into_error().to_string())?;
     let (head, body) = response.into_parts();
-    let body = Limited::new(body, ANSWER_BYTES)
+    let body = Limited::new(body, most_bytes)
         .collect()
         .await
         .map_err(|error| error.to_string())?;
@@ -127,3 +165,7 @@
         body: body.to_bytes(),
     })
 }
+
+#[cfg(test)]
+#[path = "call_test.rs"]
+mod test;
--- a/crates/papayayard_gateway/src/events.rs
+++ b/crates/papayayard_gateway/src/events.rs
@@ -2,8 +2,10 @@
 
 use bytes::{Bytes, BytesMut};
 
+/// Bytes of the longest end of an event.
+const LONGEST_END: usize = 4;
 /// Most bytes of one event.
-const EVENT_BYTES: usize = 1 << 20;
+const EVENT_BYTES: usize = 256 << 10;
 
 /// Splits a stream after the last whole event.
 #[derive(Debug, Default)]
@@ -27,8 +29,11 @@
 
     /// Takes bytes and gives the whole events among them.
     pub(crate) fn push(&mut self, bytes: &Bytes) -> Result<Bytes, TooLong> {
+        // The end of an event may lie across the last bytes and these.
+        let searched = self.partial.len().saturating_sub(LONGEST_END - 1);
         self.partial.extend_from_slice(bytes);
-        let Some(end) = end_of_events(&self.partial) else {
+        let end = end_of_events(&self.partial[searched..]);
+        let Some(end) = end.map(|end| searched + end) else {
             if self.partial.len() > EVENT_BYTES {
                 return Err(TooLong);
             }
--- a/crates/papayayard_gateway/src/exchange.rs
+++ b/crates/papayayard_gateway/src/exchange.rs
@@ -71,6 +71,10 @@
     pub endpoint: Option<id::Endpoint>,
     /// Whether an endpoint has signed it.
     pub is_signed: bool,
+    /// Whether the endpoint says that it leaves.
+    pub is_leaving: bool,
+    /// Time for which the endpoint wants no further request from this host.
+    pub quiet: Option<Duration>,
 }
 
 /// An order to load weights.
--- a/crates/papayayard_gateway/src/feeds.rs
+++ b/crates/papayayard_gateway/src/feeds.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use papayayard_coordination::reader::{Candidate, Readers, Source as Reader};
+use papayayard_coordination::reader::{Readers, Source as Reader};
 use papayayard_routing::placement::Endpoint;
 use papayayard_routing::prompt;
 use papayayard_wire::id;
@@ -18,20 +18,28 @@
 
 use crate::beliefs::Configuration;
 use crate::cache_news::News;
-use crate::call::Caller;
+use crate::call::{Bounds, Caller};
 use crate::clock::Clock;
 use crate::exchange::{Changes, Codec};
+use crate::hosts::Neighbours;
 use crate::peers;
+use crate::quiet::Quiet;
 use crate::schedule::{Handle, Holder, Message};
 
 /// Time that a holder waits for a change.
 const WAIT: Duration = Duration::from_millis(950);
-/// Time for an answer beyond that.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(800);
 /// Time between two readings, in which changes add up.
 const PAUSE: Duration = Duration::from_millis(250);
-/// Time for a whole list.
-const LIST_TIMEOUT: Duration = Duration::from_secs(2);
+/// Bounds of an answer with changes, the wait included.
+const CHANGES: Bounds = Bounds {
+    time: Duration::from_millis(1750),
+    bytes: 1 << 20,
+};
+/// Bounds of a whole list.
+const LIST: Bounds = Bounds {
+    time: Duration::from_secs(2),
+    bytes: 8 << 20,
+};
 /// Time to try again after a failure.
 const RETRY: Duration = Duration::from_millis(700);
 /// Failures in a row after which a store of cached prompts is taken to be down.
@@ -47,8 +55,9 @@
     pub(crate) endpoints: watch::Receiver<Vec<Endpoint>>,
     pub(crate) configuration: watch::Receiver<Configuration>,
     pub(crate) hosts: watch::Receiver<usize>,
-    pub(crate) zone: watch::Receiver<Option<Vec<Candidate>>>,
+    pub(crate) neighbours: watch::Receiver<Neighbours>,
     pub(crate) news: watch::Sender<News>,
+    pub(crate) quiet: Quiet,
     pub(crate) schedule: Handle,
 }
 
@@ -86,8 +95,8 @@
 {
     /// Does one thing; `false` where the host has ended.
     async fn step(&mut self) -> bool {
-        let zone = self.parts.zone.borrow_and_update().clone();
-        self.choice.set(zone.unwrap_or_default());
+        let zone = self.parts.neighbours.borrow_and_update().zone.clone();
+        self.choice.set(zone);
         let now = self.parts.clock.now();
         match self.choice.source(now) {
             Reader::Peer { host, address } if self.is_large() => {
@@ -168,8 +177,14 @@
                     schedule: parts.schedule.clone(),
                     news: parts.news.clone(),
                 };
-                let reader = read(parts.codec.clone(), source.clone(), teller);
-                tokio::spawn(reader).abort_handle()
+                let reader = Reading {
+                    codec: parts.codec.clone(),
+                    clock: parts.clock,
+                    quiet: parts.quiet.clone(),
+                    source: source.clone(),
+                    teller,
+                };
+                tokio::spawn(reader.run()).abort_handle()
             });
         }
     }
@@ -179,7 +194,7 @@
             changed = self.parts.endpoints.changed() => changed,
             changed = self.parts.configuration.changed() => changed,
             changed = self.parts.hosts.changed() => changed,
-            changed = self.parts.zone.changed() => changed,
+            changed = self.parts.neighbours.changed() => changed,
         };
         changed.is_ok()
     }
@@ -243,56 +258,84 @@
     }
 }
 
-async fn read<Platform>(codec: Platform, source: Source, teller: Teller)
+/// Reads from one holder.
+struct Reading<Platform> {
+    codec: Platform,
+    clock: Clock,
+    quiet: Quiet,
+    source: Source,
+    teller: Teller,
+}
+
+impl<Platform> Reading<Platform>
 where
     Platform: Codec,
 {
-    let mut caller = Caller::new(source.address);
-    let mut run = None;
-    let mut since = 0;
-    let mut failures = 0;
-    // Holders are read at different moments, so that work is spread.
-    time::sleep(PAUSE.mul_f64(rand::random())).await;
-    loop {
-        let request = codec.changes(since, WAIT);
-        let reply = match caller.call(request, WAIT + ANSWER_TIMEOUT).await {
-            Ok(reply) => reply,
-            Err(error) => {
-                log::debug!(address:% = source.address, error:%; "no news of a cache");
-                failures += 1;
-                if failures == SILENT_AFTER && matches!(source.holder, Holder::Store(_)) {
-                    // Engines wait for a source that is down, so none is sent
-                    // there until it is read again, from its beginning.
-                    log::info!(address:% = source.address, failures; "a store of prompts is silent");
-                    teller.forget();
-                    since = 0;
+    async fn run(self) {
+        let address = self.source.address;
+        let mut caller = Caller::new(address);
+        let mut run = None;
+        let mut since = 0;
+        let mut failures = 0;
+        // Holders are read at different moments, so that work is spread.
+        time::sleep(PAUSE.mul_f64(rand::random())).await;
+        loop {
+            self.be_quiet().await;
+            let request = self.codec.changes(since, WAIT);
+            let reply = match caller.call(request, CHANGES).await {
+                Ok(reply) => reply,
+                Err(error) => {
+                    log::debug!(address:%, error:%; "no news of a cache");
+                    failures += 1;
+                    if failures == SILENT_AFTER && self.is_store() {
+                        // Engines wait for a source that is down, so none is sent
+                        // there until it is read again, from its beginning.
+                        log::info!(address:%, failures; "a store of prompts is silent");
+                        self.teller.forget();
+                        since = 0;
+                    }
+                    time::sleep(RETRY).await;
+                    continue;
                 }
+            };
+            failures = 0;
+            let Some(changes) = self.codec.decode_changes(&reply) else {
+                log::debug!(address:%, status = reply.status.as_u16(); "cache not told");
                 time::sleep(RETRY).await;
                 continue;
+            };
+            if run.is_some_and(|run| run != changes.run) {
+                log::info!(address:%; "holder of cached parts has restarted");
+                self.teller.forget();
             }
-        };
-        failures = 0;
-        let Some(changes) = codec.decode_changes(&reply) else {
-            log::debug!(address:% = source.address, status = reply.status.as_u16(); "cache not told");
-            time::sleep(RETRY).await;
-            continue;
-        };
-        if run.is_some_and(|run| run != changes.run) {
-            log::info!(address:% = source.address; "holder of cached parts has restarted");
-            teller.forget();
+            // An engine's cache turns over within seconds, so that a gap there
+            // closes by itself; a store keeps parts for long.
+            let changes = if changes.has_gap && self.is_store() {
+                let contents = contents(&self.codec, &mut caller).await;
+                contents.unwrap_or(changes)
+            } else {
+                changes
+            };
+            run = Some(changes.run);
+            since = changes.next;
+            self.teller.tell(&changes);
+            time::sleep(PAUSE).await;
+        }
+    }
+
+    fn is_store(&self) -> bool {
+        matches!(self.source.holder, Holder::Store(_))
+    }
+
+    /// Waits for as long as the holder wants to be left alone.
+    async fn be_quiet(&self) {
+        loop {
+            let left = self.quiet.left(self.source.address, self.clock.now());
+            if left.is_zero() {
+                return;
+            }
+            time::sleep(left).await;
         }
-        // An engine's cache turns over within seconds, so that a gap there
-        // closes by itself; a store keeps parts for long.
-        let is_gap = changes.has_gap && matches!(source.holder, Holder::Store(_));
-        let changes = if is_gap {
-            contents(&codec, &mut caller).await.unwrap_or(changes)
-        } else {
-            changes
-        };
-        run = Some(changes.run);
-        since = changes.next;
-        teller.tell(&changes);
-        time::sleep(PAUSE).await;
     }
 }
 
@@ -301,7 +344,7 @@
 where
     Platform: Codec,
 {
-    match caller.call(codec.contents(), LIST_TIMEOUT).await {
+    match caller.call(codec.contents(), LIST).await {
         Ok(reply) => {
             let contents = codec.decode_contents(&reply);
             let parts = contents.as_ref().map_or(0, |contents| contents.parts.len());
--- a/crates/papayayard_gateway/src/follow.rs
+++ b/crates/papayayard_gateway/src/follow.rs
@@ -5,26 +5,32 @@
 //! valid meanwhile, and grows old. Where records have expired before they were
 //! read, the newest ones are read again. One host of a zone reads the store and
 //! the others ask that host, with the same offsets, so that any of them can
-//! take over from it.
+//! take over from it. A host that gets nothing from the store takes over what
+//! any other has, if that is newer than its own, and keeps its age.
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use papayayard_coordination::journal::Backoff;
-use papayayard_coordination::reader::{Candidate, Readers, Source};
+use papayayard_coordination::reader::{Readers, Source};
 use papayayard_wire::id;
 use tokio::sync::watch;
 use tokio::time;
 
-use crate::call::Caller;
+use crate::call::{Bounds, Caller};
 use crate::clock::Clock;
-use crate::mirror::Mirror;
+use crate::hosts::Neighbours;
+use crate::mirror::{Mirror, Part, Told};
 use crate::peers;
 use crate::store::{Codec, Error, Record, Topic};
 
-/// Time for an answer beyond the time that the store was asked to wait.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(600);
+/// Bounds of an answer of the store beyond the time that it was asked to wait; its
+/// pages have at most two megabytes, and are written in base64.
+const ANSWER: Bounds = Bounds {
+    time: Duration::from_millis(600),
+    bytes: 8 << 20,
+};
 /// Time after its start at which a host counts all hosts: those that start
 /// together do so within some hundred milliseconds.
 const FIRST_COUNT: Duration = Duration::from_millis(400);
@@ -43,15 +49,17 @@
 
 /// What is made of a topic's records.
 pub(crate) trait Fold {
-    /// Takes over a record; later ones of a key replace earlier ones. Tells
-    /// whether it says anything new.
-    fn record(&mut self, record: &Record, now: Duration) -> bool;
+    /// Takes over a record; later ones of a key replace earlier ones. `learnt` is
+    /// the first time at which some host is known to have had it, or `None` where
+    /// it may have lain in the store for any time. Tells whether it says anything
+    /// new.
+    fn record(&mut self, record: &Record, learnt: Option<Duration>, now: Duration) -> bool;
 
     /// A reading has begun that will show all keys.
     fn whole(&mut self, keys: &HashSet<String>, now: Duration);
 
     /// A reading that was asked for at a time is about to be taken over.
-    fn reading(&mut self, _now: Duration) {}
+    fn reading(&mut self, _asked: Duration, _now: Duration) {}
 
     /// All records up to the time at which the reading was asked for are in.
     fn caught_up(&mut self, asked: Duration, next: u64, now: Duration);
@@ -114,7 +122,7 @@
         loop {
             let request = self.codec.newest(topic, after.as_deref());
             let reply = caller
-                .call(request, ANSWER_TIMEOUT)
+                .call(request, ANSWER)
                 .await
                 .map_err(|error| lost(&error))?;
             let page = self.codec.decode_newest(&reply)?;
@@ -138,7 +146,7 @@
     ) -> Result<u64, Error> {
         let request = self.codec.append(topic, at, record.0, record.1);
         let reply = caller
-            .call(request, ANSWER_TIMEOUT)
+            .call(request, ANSWER)
             .await
             .map_err(|error| lost(&error))?;
         Ok(self.codec.decode_append(&reply)?.offset)
@@ -149,8 +157,8 @@
 pub(crate) struct Links {
     /// This host.
     pub(crate) host: id::Host,
-    /// Hosts of the zone; none before the first count.
-    pub(crate) zone: watch::Receiver<Option<Vec<Candidate>>>,
+    /// Other hosts.
+    pub(crate) hosts: watch::Receiver<Neighbours>,
     /// What other hosts are told.
     pub(crate) mirror: watch::Sender<Mirror>,
 }
@@ -177,6 +185,7 @@
         fold,
         offsets: HashMap::new(),
         next: None,
+        asked: None,
     };
     follower.run().await;
 }
@@ -192,6 +201,8 @@
     fold: Target,
     offsets: HashMap<String, u64>,
     next: Option<u64>,
+    /// When the newest reading that was taken over was asked for.
+    asked: Option<Duration>,
 }
 
 impl<Platform, Target> Follower<Platform, Target>
@@ -220,6 +231,7 @@
                     if backoff.failures() == 0 {
                         log::warn!(topic = self.topic.as_str(), error:%; "store lost");
                     }
+                    self.ask_any().await;
                     time::sleep(backoff.fail(rand::random())).await;
                 }
             }
@@ -233,7 +245,7 @@
             time::sleep(FIRST_COUNT).await;
             return;
         }
-        let counted = self.links.zone.wait_for(Option::is_some);
+        let counted = self.links.hosts.wait_for(|hosts| hosts.are_counted);
         if time::timeout(LONGEST_COUNT, counted).await.is_err() {
             log::info!(topic = self.topic.as_str(); "hosts are not counted yet");
         }
@@ -241,8 +253,7 @@
 
     /// Reads once, and tells from where.
     async fn step(&mut self) -> Result<Source, Error> {
-        let zone = self.links.zone.borrow_and_update().clone();
-        self.readers.set(zone.unwrap_or_default());
+        self.take_hosts();
         loop {
             let source = self.readers.source(self.store.clock.now());
             let Source::Peer { host, address } = &source else {
@@ -267,7 +278,33 @@
         Ok(Source::Store)
     }
 
-    /// Asks another host of the zone.
+    fn take_hosts(&mut self) {
+        if !self.links.hosts.has_changed().unwrap_or(false) && !self.readers.is_empty() {
+            return;
+        }
+        let hosts = self.links.hosts.borrow_and_update().clone();
+        self.readers.set(hosts.zone);
+        self.readers.set_others(hosts.others);
+    }
+
+    /// Asks any host where the store has not answered.
+    async fn ask_any(&mut self) {
+        let now = self.store.clock.now();
+        let Some(candidate) = self.readers.fallback(now).cloned() else {
+            return;
+        };
+        let (topic, host) = (self.topic.as_str(), &candidate.host);
+        match self.ask(candidate.address).await {
+            Ok(()) => log::info!(topic, host:%; "another host has read the store"),
+            Err(problem) => {
+                log::debug!(topic, host:%, problem:%; "another host has nothing new either");
+                self.readers.failed(host, self.store.clock.now());
+            }
+        }
+    }
+
+    /// Asks another host. What it has is taken over if it is newer than what this
+    /// host knows; it is an error all the same if it is old.
     async fn ask(&mut self, address: SocketAddr) -> Result<(), String> {
         let clock = self.store.clock;
         let kept = self.peer.take().filter(|peer| peer.address() == address);
@@ -278,26 +315,33 @@
         let part = client.read(self.topic, self.next, self.beat, clock).await?;
         self.peer = Some(client);
         let now = clock.now();
+        if self.asked.is_none_or(|known| known < part.asked) {
+            self.take_part(&part, now);
+        }
         if self.beat.is_old(part.asked, now) {
             return Err("its reading is old".to_owned());
         }
-        self.fold.reading(now);
+        Ok(())
+    }
+
+    fn take_part(&mut self, part: &Part, now: Duration) {
+        self.fold.reading(part.asked, now);
         if part.is_whole {
             self.take_whole(&part.records, part.next, now);
         } else {
-            for record in &part.records {
-                self.take(record, now);
+            for told in &part.records {
+                self.take(told, now);
             }
         }
         self.caught_up(part.asked, part.next, now);
-        Ok(())
     }
 
     async fn read_newest(&mut self) -> Result<(), Error> {
         let asked = self.store.clock.now();
         let (records, end) = self.store.newest(&mut self.caller, self.topic).await?;
         let now = self.store.clock.now();
-        self.fold.reading(now);
+        self.fold.reading(asked, now);
+        let records: Vec<Told> = records.into_iter().map(Told::long_ago).collect();
         self.take_whole(&records, end, now);
         self.caught_up(asked, end, now);
         Ok(())
@@ -306,41 +350,46 @@
     async fn read_on(&mut self, from: u64) -> Result<(), Error> {
         let asked = self.store.clock.now();
         let request = self.store.codec.read(self.topic, from, self.beat.wait);
-        let timeout = self.beat.wait + ANSWER_TIMEOUT;
+        let bounds = Bounds {
+            time: self.beat.wait + ANSWER.time,
+            ..ANSWER
+        };
         let reply = self
             .caller
-            .call(request, timeout)
+            .call(request, bounds)
             .await
             .map_err(|error| lost(&error))?;
         let page = self.store.codec.decode_read(from, &reply)?;
         let now = self.store.clock.now();
-        self.fold.reading(now);
-        for record in &page.records {
-            self.take(record, now);
+        self.fold.reading(asked, now);
+        for record in page.records {
+            self.take(&Told::now(record, now), now);
         }
         self.caught_up(asked, page.next, now);
         Ok(())
     }
 
     /// Takes over the newest records of all keys.
-    fn take_whole(&mut self, records: &[Record], end: u64, now: Duration) {
+    fn take_whole(&mut self, records: &[Told], end: u64, now: Duration) {
         self.links.mirror.send_modify(|mirror| mirror.restart(end));
-        for record in records {
-            self.take(record, now);
+        for told in records {
+            self.take(told, now);
         }
-        let keys: HashSet<String> = records.iter().map(|one| one.key.clone()).collect();
+        let keys = records.iter().map(|told| told.record.key.clone());
+        let keys: HashSet<String> = keys.collect();
         self.fold.whole(&keys, now);
     }
 
-    fn take(&mut self, record: &Record, now: Duration) {
+    fn take(&mut self, told: &Told, now: Duration) {
+        let record = &told.record;
         let known = self.offsets.get(&record.key);
         let is_known = known.is_some_and(|offset| record.offset <= *offset);
-        let is_news = !is_known && self.fold.record(record, now);
+        let is_news = !is_known && self.fold.record(record, told.learnt, now);
         if !is_known {
             self.offsets.insert(record.key.clone(), record.offset);
         }
         self.links.mirror.send_if_modified(|mirror| {
-            mirror.put(record, is_news);
+            mirror.put(told, is_news);
             // Hosts that wait are woken once all of a reading is in.
             false
         });
@@ -348,6 +397,7 @@
 
     fn caught_up(&mut self, asked: Duration, next: u64, now: Duration) {
         self.next = Some(next);
+        self.asked = Some(asked);
         self.links
             .mirror
             .send_modify(|mirror| mirror.caught_up(next, asked));
--- a/crates/papayayard_gateway/src/host.rs
+++ b/crates/papayayard_gateway/src/host.rs
@@ -4,8 +4,8 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use papayayard_coordination::reader::Candidate;
 use papayayard_coordination::shutdown::{Shutdown, Stage};
+use papayayard_coordination::turn;
 use papayayard_routing::placement::{self, Endpoint, Scheduler};
 use papayayard_routing::repeat;
 use snafu::ResultExt;
@@ -22,10 +22,12 @@
 use crate::clock::Clock;
 use crate::follow::{self, Beat, Fold, Store};
 use crate::front::{self, Progress};
+use crate::hosts::Neighbours;
 pub use crate::listen::Error;
 use crate::metrics::Metrics;
 use crate::mirror::Mirror;
 use crate::pool::Pool;
+use crate::quiet::Quiet;
 use crate::relay::Relay;
 use crate::settings::Settings;
 use crate::store::Topic;
@@ -78,6 +80,7 @@
     let (progress, progress_seen) = watch::channel(Progress::SERVING);
     let schedule = scheduler(&settings, clock);
     let pool = Pool::new(clock);
+    let named = Neighbours::named(&settings.seeds, settings.peers);
     let mut parts = Parts {
         store: Store {
             codec,
@@ -87,8 +90,10 @@
         settings,
         schedule,
         metrics,
+        quiet: Quiet::default(),
         mirrors: peers::Mirrors::new(),
-        zone: watch::channel(None).1,
+        neighbours: watch::channel(named).1,
+        progress: progress_seen.clone(),
         controllers: JoinSet::new(),
     };
     let hosts = parts.count_hosts();
@@ -117,7 +122,13 @@
     let codec = parts.store.codec.clone();
     let repeats = parts.settings.bounds.repeats;
     let relay = Relay {
-        sender: Sender { codec, pool, clock },
+        sender: Sender {
+            codec,
+            pool,
+            schedule: parts.schedule.clone(),
+            quiet: parts.quiet.clone(),
+            clock,
+        },
         clock,
         schedule: parts.schedule.clone(),
         configuration,
@@ -177,9 +188,10 @@
     settings: Settings,
     schedule: schedule::Handle,
     metrics: Metrics,
+    quiet: Quiet,
     mirrors: peers::Mirrors,
-    /// Hosts of the zone; none before the first count.
-    zone: watch::Receiver<Option<Vec<Candidate>>>,
+    neighbours: watch::Receiver<Neighbours>,
+    progress: watch::Receiver<Progress>,
     controllers: JoinSet<()>,
 }
 
@@ -195,7 +207,7 @@
         self.mirrors.insert(topic.as_str(), mirror_seen);
         let links = follow::Links {
             host: self.settings.host.clone(),
-            zone: self.zone.clone(),
+            hosts: self.neighbours.clone(),
             mirror,
         };
         let follower = follow::follow(self.store.clone(), topic, beat, links, fold);
@@ -204,19 +216,21 @@
 
     fn count_hosts(&mut self) -> watch::Receiver<usize> {
         let (number, number_seen) = watch::channel(hosts::ASSUMED);
-        let (zone, zone_seen) = watch::channel(None);
-        self.zone = zone_seen;
+        let named = self.neighbours.borrow().clone();
+        let (neighbours, neighbours_seen) = watch::channel(named);
+        self.neighbours = neighbours_seen;
         let own = hosts::Own {
             host: self.settings.host.clone(),
             zone: self.settings.zone.clone(),
             peers: self.settings.peers,
             capacity: self.settings.capacity,
         };
-        let announcing = hosts::announce(self.store.clone(), own.clone());
+        let progress = self.progress.clone();
+        let announcing = hosts::announce(self.store.clone(), own.clone(), progress);
         self.controllers.spawn(announcing);
         let links = hosts::Links {
             number,
-            zone,
+            neighbours,
             schedule: self.schedule.clone(),
         };
         self.follow(Topic::Hosts, HOSTS, hosts::Presences::new(own, links));
@@ -246,7 +260,8 @@
         endpoints: &watch::Receiver<Vec<Endpoint>>,
     ) {
         let (standing, standing_seen) = watch::channel(Standing::default());
-        let fold = Announcements::new(standing, self.schedule.clone());
+        let unrenewed = turn::unrenewed(self.settings.bounds.lease);
+        let fold = Announcements::new(standing, unrenewed, self.schedule.clone());
         self.follow(Topic::Orders, ORDERS, fold);
         self.controllers.spawn(orders::run(orders::Parts {
             store: self.store.clone(),
@@ -256,6 +271,7 @@
             endpoints: endpoints.clone(),
             standing: standing_seen,
             schedule: self.schedule.clone(),
+            quiet: self.quiet.clone(),
             metrics: self.metrics.clone(),
             clock: self.store.clock,
         }));
@@ -275,8 +291,9 @@
             endpoints: endpoints.clone(),
             configuration: configuration.clone(),
             hosts: hosts.clone(),
-            zone: self.zone.clone(),
+            neighbours: self.neighbours.clone(),
             news,
+            quiet: self.quiet.clone(),
             schedule: self.schedule.clone(),
         }));
         news_seen
--- a/crates/papayayard_gateway/src/hosts.rs
+++ b/crates/papayayard_gateway/src/hosts.rs
@@ -1,14 +1,18 @@
 //! Which hosts there are: each writes a record from time to time.
 //!
 //! Limits over all hosts are divided by their number. A host that has ended
-//! counts until its record is old, so that parts are rather too small. Hosts of
-//! one zone ask one another for what they have read.
+//! counts until the others have written some records more, so that parts are
+//! rather too small; one that is stopped drops its record. Hosts of one zone ask
+//! one another for what they have read, and hosts of all zones where the store
+//! does not answer.
 
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
+use papayayard_coordination::presence::Census;
 use papayayard_coordination::reader::Candidate;
+use papayayard_coordination::shutdown::Stage;
 use papayayard_wire::id;
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
@@ -16,6 +20,7 @@
 
 use crate::call::Caller;
 use crate::follow::{Fold, Store};
+use crate::front::Progress;
 use crate::schedule::{Handle, Message};
 use crate::store::{Codec, Error, Record, Topic};
 
@@ -25,14 +30,10 @@
 const PERIOD: Duration = Duration::from_secs(20);
 /// Time to try again after a failure.
 const RETRY: Duration = Duration::from_secs(1);
-/// Age of a record, against the newest, from which on a host has ended.
-const OLDEST: Duration = Duration::from_secs(45);
 
 /// Content of a host's record.
 #[derive(Debug, Serialize, Deserialize)]
 struct Presence {
-    /// Time of writing, in ms since the Unix epoch.
-    written_ms: u64,
     /// Availability zone.
     zone: String,
     /// Where it answers other hosts.
@@ -50,58 +51,107 @@
     pub(crate) capacity: u32,
 }
 
+/// Other hosts that can be asked for what they have read.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Neighbours {
+    /// Whether the hosts were counted; before, `others` are those of the settings.
+    pub(crate) are_counted: bool,
+    /// Hosts of this zone, this one among them.
+    pub(crate) zone: Vec<Candidate>,
+    /// Hosts of other zones.
+    pub(crate) others: Vec<Candidate>,
+}
+
+impl Neighbours {
+    /// Hosts that the settings name, of which nothing else is known.
+    pub(crate) fn named(seeds: &[SocketAddr], own: SocketAddr) -> Self {
+        let others = seeds.iter().filter(|seed| **seed != own);
+        Self {
+            are_counted: false,
+            zone: Vec::new(),
+            others: others
+                .map(|seed| Candidate {
+                    host: id::Host::from(seed.to_string()),
+                    address: *seed,
+                    capacity: 0,
+                })
+                .collect(),
+        }
+    }
+}
+
 /// Where the counted hosts are told.
 pub(crate) struct Links {
     /// Number of all hosts.
     pub(crate) number: watch::Sender<usize>,
-    /// Hosts of this zone; none before the first count.
-    pub(crate) zone: watch::Sender<Option<Vec<Candidate>>>,
+    /// Hosts that can be asked.
+    pub(crate) neighbours: watch::Sender<Neighbours>,
     /// Scheduler.
     pub(crate) schedule: Handle,
 }
 
-/// Writes this host's record from time to time.
-pub(crate) async fn announce<Platform>(store: Store<Platform>, own: Own)
-where
+/// Writes this host's record from time to time, and drops it when the host is
+/// stopped.
+pub(crate) async fn announce<Platform>(
+    store: Store<Platform>,
+    own: Own,
+    mut progress: watch::Receiver<Progress>,
+) where
     Platform: Codec,
 {
     let mut caller = Caller::new(store.address);
+    let value = own.presence();
     loop {
-        match write(&store, &mut caller, &own).await {
-            Ok(()) => time::sleep(PERIOD).await,
+        let pause = match write(&store, &mut caller, &own, &value).await {
+            Ok(()) => PERIOD,
             Err(error) => {
                 log::info!(error:%; "this host's record was not written");
-                time::sleep(RETRY).await;
+                RETRY
             }
+        };
+        let stopping = progress.wait_for(|progress| progress.stage > Stage::Serving);
+        if time::timeout(pause, stopping).await.is_ok() {
+            break;
         }
     }
+    if let Err(error) = write(&store, &mut caller, &own, &[]).await {
+        log::info!(error:%; "this host's record was not dropped");
+    }
 }
 
 async fn write<Platform>(
     store: &Store<Platform>,
     caller: &mut Caller,
     own: &Own,
+    value: &[u8],
 ) -> Result<(), Error>
 where
     Platform: Codec,
 {
-    let presence = Presence {
-        written_ms: unix_ms(),
-        zone: own.zone.as_str().to_owned(),
-        peers: own.peers,
-        capacity: own.capacity,
-    };
-    let value = serde_json::to_vec(&presence).unwrap_or_default();
-    let record = (own.host.as_str(), value.as_slice());
+    let record = (own.host.as_str(), value);
     store.append(caller, Topic::Hosts, None, record).await?;
     Ok(())
 }
 
+impl Own {
+    /// This host's record.
+    fn presence(&self) -> Vec<u8> {
+        let presence = Presence {
+            zone: self.zone.as_str().to_owned(),
+            peers: self.peers,
+            capacity: self.capacity,
+        };
+        // A struct of texts and numbers always has a JSON form.
+        serde_json::to_vec(&presence).unwrap_or_default()
+    }
+}
+
 /// Folds the records of all hosts.
 pub(crate) struct Presences {
     own: Own,
     links: Links,
-    hosts: BTreeMap<id::Host, Presence>,
+    census: Census,
+    hosts: HashMap<id::Host, Presence>,
     told: usize,
 }
 
@@ -111,47 +161,65 @@
         Self {
             own,
             links,
-            hosts: BTreeMap::new(),
+            census: Census::default(),
+            hosts: HashMap::new(),
             told: 0,
         }
     }
 
-    fn tell(&mut self) {
-        keep_living(&mut self.hosts);
-        let number = self.hosts.len().max(1);
+    fn tell(&mut self, end: u64) {
+        let living = self.census.living(end);
+        let number = living.len().max(1);
+        let neighbours = self.neighbours(&living);
         if number != self.told {
             log::info!(number; "hosts counted");
             self.told = number;
             self.links.number.send_replace(number);
             self.links.schedule.tell(Message::Hosts(number));
         }
-        let in_zone = self.hosts.iter();
-        let in_zone = in_zone.filter(|(_, one)| one.zone == self.own.zone.as_str());
-        let zone: Vec<Candidate> = in_zone
-            .map(|(host, one)| Candidate {
-                host: host.clone(),
-                address: one.peers,
-                capacity: one.capacity,
-            })
-            .collect();
-        self.links.zone.send_if_modified(|known| {
-            let is_new = known.as_ref() != Some(&zone);
+        self.links.neighbours.send_if_modified(|known| {
+            let is_new = *known != neighbours;
             if is_new {
-                *known = Some(zone);
+                *known = neighbours;
             }
             is_new
         });
     }
+
+    fn neighbours(&self, living: &[&id::Host]) -> Neighbours {
+        let mut neighbours = Neighbours {
+            are_counted: true,
+            ..Neighbours::default()
+        };
+        for host in living {
+            let Some(one) = self.hosts.get(*host) else {
+                continue;
+            };
+            let candidate = Candidate {
+                host: (*host).clone(),
+                address: one.peers,
+                capacity: one.capacity,
+            };
+            if one.zone == self.own.zone.as_str() {
+                neighbours.zone.push(candidate);
+            } else {
+                neighbours.others.push(candidate);
+            }
+        }
+        neighbours
+    }
 }
 
 impl Fold for Presences {
-    fn record(&mut self, record: &Record, _now: Duration) -> bool {
+    fn record(&mut self, record: &Record, _learnt: Option<Duration>, _now: Duration) -> bool {
         let host = id::Host::from(record.key.as_str());
         let Some(value) = &record.value else {
+            self.census.ended(&host);
             return self.hosts.remove(&host).is_some();
         };
         match serde_json::from_slice(value) {
             Ok(presence) => {
+                self.census.seen(&host, record.offset);
                 self.hosts.insert(host, presence);
                 true
             }
@@ -163,26 +231,15 @@
     }
 
     fn whole(&mut self, keys: &HashSet<String>, _now: Duration) {
+        self.census.keep_only(|host| keys.contains(host.as_str()));
         self.hosts.retain(|host, _| keys.contains(host.as_str()));
     }
 
-    fn caught_up(&mut self, _asked: Duration, _next: u64, _now: Duration) {
-        self.tell();
+    fn caught_up(&mut self, _asked: Duration, next: u64, _now: Duration) {
+        self.tell(next);
     }
 }
 
-/// Drops hosts whose records are much older than the newest.
-fn keep_living(hosts: &mut BTreeMap<id::Host, Presence>) {
-    let newest = hosts.values().map(|one| one.written_ms).max();
-    let longest = u64::try_from(OLDEST.as_millis()).unwrap_or(u64::MAX);
-    let oldest = newest.unwrap_or(0).saturating_sub(longest);
-    hosts.retain(|_, one| one.written_ms >= oldest);
-}
-
-/// Time of day, in ms since the Unix epoch.
-pub(crate) fn unix_ms() -> u64 {
-    let time = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
+#[cfg(test)]
+#[path = "hosts_test.rs"]
+mod test;
--- a/crates/papayayard_gateway/src/mirror.rs
+++ b/crates/papayayard_gateway/src/mirror.rs
@@ -11,11 +11,39 @@
 /// Records with news that are kept.
 const MOST_RECENT: usize = 128;
 
+/// A record, and since when it is known.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Told {
+    /// Record.
+    pub(crate) record: Record,
+    /// First time at which some host is known to have had it; `None` where it may
+    /// have lain in the store for any time.
+    pub(crate) learnt: Option<Duration>,
+}
+
+impl Told {
+    /// A record that was in the store before it was looked for.
+    pub(crate) const fn long_ago(record: Record) -> Self {
+        Self {
+            record,
+            learnt: None,
+        }
+    }
+
+    /// A record that has just come.
+    pub(crate) const fn now(record: Record, now: Duration) -> Self {
+        Self {
+            record,
+            learnt: Some(now),
+        }
+    }
+}
+
 /// A topic's records.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Mirror {
-    newest: BTreeMap<String, Record>,
-    recent: VecDeque<Record>,
+    newest: BTreeMap<String, Told>,
+    recent: VecDeque<Told>,
     /// Offset from which on no news is missing among the recent records.
     floor: u64,
     /// Offset after the last record; none before the first reading.
@@ -30,7 +58,7 @@
     /// Whether these are the newest records of all keys.
     pub(crate) is_whole: bool,
     /// Records.
-    pub(crate) records: Vec<Record>,
+    pub(crate) records: Vec<Told>,
     /// Offset to go on from.
     pub(crate) next: u64,
     /// When the reading was asked for that they come from.
@@ -46,20 +74,21 @@
     }
 
     /// Takes over a record.
-    pub(crate) fn put(&mut self, record: &Record, is_news: bool) {
+    pub(crate) fn put(&mut self, told: &Told, is_news: bool) {
+        let record = &told.record;
         if record.value.is_some() {
-            self.newest.insert(record.key.clone(), record.clone());
+            self.newest.insert(record.key.clone(), told.clone());
         } else {
             self.newest.remove(&record.key);
         }
         if !is_news || record.offset < self.floor {
             return;
         }
-        self.recent.push_back(record.clone());
+        self.recent.push_back(told.clone());
         if self.recent.len() > MOST_RECENT
             && let Some(oldest) = self.recent.pop_front()
         {
-            self.floor = oldest.offset + 1;
+            self.floor = oldest.record.offset + 1;
         }
     }
 
@@ -79,7 +108,8 @@
         let Some(from) = from.filter(|from| *from >= self.floor) else {
             return self.next.is_some();
         };
-        self.recent.back().is_some_and(|last| last.offset >= from)
+        let last = self.recent.back();
+        last.is_some_and(|last| last.record.offset >= from)
     }
 
     /// What a host gets that has followed up to an offset.
@@ -90,7 +120,8 @@
         let records = match known {
             Some(from) => {
                 let recent = self.recent.iter();
-                recent.filter(|one| one.offset >= from).cloned().collect()
+                let news = recent.filter(|one| one.record.offset >= from);
+                news.cloned().collect()
             }
             None => self.newest.values().cloned().collect(),
         };
--- a/crates/papayayard_gateway/src/orders.rs
+++ b/crates/papayayard_gateway/src/orders.rs
@@ -19,19 +19,21 @@
 
 use crate::announcement::{Age, Announcement, KEY, Loaded, Standing, apply};
 use crate::beliefs::Configuration;
-use crate::call::{self, Caller};
+use crate::call::Caller;
 use crate::clock::Clock;
-use crate::exchange::{Codec as EndpointCodec, Order, OrderReply, Report};
+use crate::exchange::{Codec as EndpointCodec, Order, Report};
 use crate::follow::Store;
-use crate::hosts::unix_ms;
 use crate::metrics::Metrics;
+use crate::quiet::Quiet;
 use crate::schedule::Handle;
 use crate::store::{Codec, Error, Topic};
 
+mod endpoint;
+
+use endpoint::Answered;
+
 /// Period of the planning while there is work.
 const TICK: Duration = Duration::from_millis(50);
-/// Time for a call to an endpoint.
-const CALL_TIMEOUT: Duration = Duration::from_millis(700);
 /// Longest wait of a host that does not hold the turn before it takes it, so
 /// that not all hosts try at once.
 const LONGEST_HESITATION: Duration = Duration::from_millis(400);
@@ -46,22 +48,19 @@
     pub(crate) endpoints: watch::Receiver<Vec<Endpoint>>,
     pub(crate) standing: watch::Receiver<Standing>,
     pub(crate) schedule: Handle,
+    pub(crate) quiet: Quiet,
     pub(crate) metrics: Metrics,
     pub(crate) clock: Clock,
 }
 
 /// What a call to an endpoint has brought.
 enum Event {
-    Ordered(id::Endpoint, id::Model, Answered),
+    /// The report of an endpoint that is to be ordered.
+    Prepared(Due, id::Model, Option<Report>),
+    Ordered(Due, id::Model, Answered),
     Checked(id::Endpoint, id::Model, Option<Report>),
 }
 
-#[derive(Clone, Copy)]
-enum Answered {
-    Step(Answer),
-    Fenced,
-}
-
 /// Plans and orders for as long as the process runs.
 pub(crate) async fn run<Platform>(parts: Parts<Platform>)
 where
@@ -236,7 +235,6 @@
             away,
             loaded,
             named: self.ages(now),
-            written_ms: unix_ms(),
         }
     }
 
@@ -290,23 +288,22 @@
         }
     }
 
-    /// Gives the orders that are due, while this host has the turn.
+    /// Begins with the orders that are due, while this host has the turn.
     fn order(&mut self, behind: &HashMap<id::Model, (u64, Vec<Member>)>) {
         let now = self.parts.clock.now();
-        let Some(fence) = self.turn.fence(now) else {
+        if self.turn.leave(now).is_none() {
             return;
-        };
-        for (model, (newest, _)) in behind {
+        }
+        for model in behind.keys() {
             let Some(rollout) = self.rollouts.get_mut(model) else {
                 continue;
             };
             let actions = rollout.actions(now);
             for due in &actions.order {
-                // Until the answer comes the endpoint counts as ordered.
-                rollout.answered(&due.endpoint, Answer::Lost, now);
+                rollout.sent(due, now);
             }
-            for due in &actions.order {
-                self.spawn_order(due, model, *newest, fence);
+            for due in actions.order {
+                self.prepare(due, model);
             }
             for endpoint in actions.check {
                 self.spawn_check(&endpoint, model);
@@ -320,55 +317,70 @@
         Some(found.address)
     }
 
-    fn spawn_order(&mut self, due: &Due, model: &id::Model, version: u64, fence: id::Fence) {
-        let Due {
-            endpoint,
-            breaks_off,
-        } = due.clone();
-        let Some(address) = self.address(&endpoint) else {
-            return;
-        };
-        log::info!(endpoint:%, model:%, version, fence = fence.0, breaks_off; "ordering weights");
-        let codec = self.parts.store.codec.clone();
-        let holder = self.parts.host.clone();
+    /// Asks for the report that an order has to name.
+    fn prepare(&mut self, due: Due, model: &id::Model) {
+        let endpoint = due.endpoint.clone();
         let model = model.clone();
+        self.ask(&endpoint, |report| Event::Prepared(due, model, report));
+    }
+
+    fn spawn_check(&mut self, endpoint: &id::Endpoint, model: &id::Model) {
+        let (checked, model) = (endpoint.clone(), model.clone());
+        self.ask(endpoint, |report| Event::Checked(checked, model, report));
+    }
+
+    /// Asks an endpoint for its report; one that is not listed, or wants to be
+    /// left alone, gives none.
+    fn ask<Make>(&mut self, endpoint: &id::Endpoint, event: Make)
+    where
+        Make: FnOnce(Option<Report>) -> Event + Send + 'static,
+    {
+        let now = self.parts.clock.now();
+        let address = self
+            .address(endpoint)
+            .filter(|address| self.parts.quiet.left(*address, now).is_zero());
+        let codec = self.parts.store.codec.clone();
         let sender = self.sender.clone();
         self.calls.spawn(async move {
-            let report = report(&codec, address).await;
-            let order = Order {
-                endpoint: &endpoint,
-                model: &model,
-                version,
-                holder: &holder,
-                fence,
-                accepted_before: report.map(|report| report.accepted),
-                breaks_off,
+            let report = match address {
+                Some(address) => endpoint::report(&codec, address).await,
+                None => None,
             };
-            let answered = give(&codec, address, &order).await;
-            if sender
-                .send(Event::Ordered(endpoint, model, answered))
-                .is_err()
-            {
-                log::debug!("the controller of orders has ended");
-            }
+            tell(&sender, event(report));
         });
     }
 
-    fn spawn_check(&mut self, endpoint: &id::Endpoint, model: &id::Model) {
-        let Some(address) = self.address(endpoint) else {
+    /// Gives an order whose endpoint has reported, if there is still leave.
+    fn give(&mut self, due: Due, model: id::Model, report: &Report, now: Duration) {
+        let Some(version) = self.rollouts.get(&model).map(Rollout::target) else {
+            return;
+        };
+        let (Some(leave), Some(address)) = (self.turn.leave(now), self.address(&due.endpoint))
+        else {
+            self.ordered(&due, &model, Answered::Step(Answer::Unsent), now);
             return;
         };
+        let breaks_off = due.breaks_off;
+        log::info!(
+            endpoint:% = due.endpoint, model:%, version, fence = leave.fence.0, breaks_off;
+            "ordering weights"
+        );
+        let order = Order {
+            endpoint: &due.endpoint,
+            model: &model,
+            version,
+            holder: &self.parts.host,
+            fence: leave.fence,
+            accepted_before: Some(report.accepted),
+            breaks_off,
+        };
         let codec = self.parts.store.codec.clone();
-        let (endpoint, model) = (endpoint.clone(), model.clone());
+        let request = codec.order(&order);
+        let clock = self.parts.clock;
         let sender = self.sender.clone();
         self.calls.spawn(async move {
-            let report = report(&codec, address).await;
-            if sender
-                .send(Event::Checked(endpoint, model, report))
-                .is_err()
-            {
-                log::debug!("the controller of orders has ended");
-            }
+            let answered = endpoint::order(&codec, address, request, leave, clock).await;
+            tell(&sender, Event::Ordered(due, model, answered));
         });
     }
 
@@ -376,8 +388,17 @@
         let now = self.parts.clock.now();
         match event {
             None => {}
-            Some(Event::Ordered(endpoint, model, answered)) => {
-                self.ordered(&endpoint, &model, answered, now);
+            Some(Event::Prepared(due, model, Some(report))) => {
+                self.give(due, model, &report, now);
+            }
+            Some(Event::Prepared(due, model, None)) => {
+                log::info!(endpoint:% = due.endpoint; "no report, so no order is given");
+                if let Some(rollout) = self.rollouts.get_mut(&model) {
+                    rollout.withheld(&due, now);
+                }
+            }
+            Some(Event::Ordered(due, model, answered)) => {
+                self.ordered(&due, &model, answered, now);
             }
             Some(Event::Checked(endpoint, model, Some(report))) => {
                 self.checked(&endpoint, &model, &report, now);
@@ -391,13 +412,8 @@
         }
     }
 
-    fn ordered(
-        &mut self,
-        endpoint: &id::Endpoint,
-        model: &id::Model,
-        answered: Answered,
-        now: Duration,
-    ) {
+    fn ordered(&mut self, due: &Due, model: &id::Model, answered: Answered, now: Duration) {
+        let endpoint = &due.endpoint;
         match answered {
             Answered::Fenced => {
                 log::info!(endpoint:%; "another host has given later orders");
@@ -408,7 +424,7 @@
                 log::info!(endpoint:%, answer:? = answer; "order answered");
                 self.parts.metrics.ordered(name(answer));
                 if let Some(rollout) = self.rollouts.get_mut(model) {
-                    rollout.answered(endpoint, answer, now);
+                    rollout.answered(due, answer, now);
                 }
             }
         }
@@ -440,36 +456,9 @@
     }
 }
 
-async fn report<Platform>(codec: &Platform, address: SocketAddr) -> Option<Report>
-where
-    Platform: EndpointCodec,
-{
-    match call::once(address, codec.report(), CALL_TIMEOUT).await {
-        Ok(reply) => codec.decode_report(&reply),
-        Err(error) => {
-            log::info!(error:%; "no report");
-            None
-        }
-    }
-}
-
-async fn give<Platform>(codec: &Platform, address: SocketAddr, order: &Order<'_>) -> Answered
-where
-    Platform: EndpointCodec,
-{
-    match call::once(address, codec.order(order), CALL_TIMEOUT).await {
-        Ok(reply) => match codec.decode_order(reply.status) {
-            OrderReply::Accepted => Answered::Step(Answer::Accepted),
-            OrderReply::Holds => Answered::Step(Answer::Holds),
-            OrderReply::Busy | OrderReply::Rejected => Answered::Step(Answer::Busy),
-            OrderReply::Mismatched => Answered::Step(Answer::Gone),
-            OrderReply::Fenced => Answered::Fenced,
-        },
-        Err(call::Error::Unreachable { .. }) => Answered::Step(Answer::Gone),
-        Err(error) => {
-            log::info!(error:%; "an order's answer is lost");
-            Answered::Step(Answer::Lost)
-        }
+fn tell(sender: &mpsc::UnboundedSender<Event>, event: Event) {
+    if sender.send(event).is_err() {
+        log::debug!("the controller of orders has ended");
     }
 }
 
@@ -480,5 +469,6 @@
         Answer::Busy => "busy",
         Answer::Lost => "lost",
         Answer::Gone => "gone",
+        Answer::Unsent => "unsent",
     }
 }
--- a/crates/papayayard_gateway/src/peers.rs
+++ b/crates/papayayard_gateway/src/peers.rs
@@ -26,7 +26,7 @@
 use crate::cache_news::{Batch, News};
 use crate::clock::Clock;
 use crate::follow::Beat;
-use crate::mirror::{Mirror, Part};
+use crate::mirror::{Mirror, Part, Told};
 use crate::store::{Record, Topic};
 
 /// Method that reads a topic.
@@ -82,6 +82,11 @@
     key: String,
     #[serde_as(as = "Option<Base64>")]
     value: Option<Vec<u8>>,
+    /// Time for which it was known when the call arrived; none where it may have
+    /// been there for longer than any host knows.
+    #[serde(default)]
+    #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
+    known_ms: Option<Duration>,
 }
 
 /// What this host has read, by the names of topics.
@@ -144,7 +149,11 @@
     let part = mirror.borrow().part(call.from).ok_or_else(nothing_read)?;
     Ok(Answer {
         is_whole: part.is_whole,
-        records: part.records.into_iter().map(Entry::from).collect(),
+        records: part
+            .records
+            .into_iter()
+            .map(|told| Entry::new(told, arrived))
+            .collect(),
         next: part.next,
         asked_ms: millis(part.asked) - millis(arrived),
     })
@@ -175,22 +184,26 @@
     ErrorObjectOwned::owned(NOTHING_READ, message, None::<()>)
 }
 
-impl From<Record> for Entry {
-    fn from(record: Record) -> Self {
+impl Entry {
+    fn new(told: Told, arrived: Duration) -> Self {
+        let record = told.record;
         Self {
             offset: record.offset,
             key: record.key,
             value: record.value.map(|value| value.to_vec()),
+            known_ms: told.learnt.map(|learnt| arrived.saturating_sub(learnt)),
         }
     }
-}
 
-impl From<Entry> for Record {
-    fn from(entry: Entry) -> Self {
-        Self {
-            offset: entry.offset,
-            key: entry.key,
-            value: entry.value.map(Bytes::from),
+    /// The record, for a host that made the call at a time.
+    fn told(self, called: Duration) -> Told {
+        Told {
+            record: Record {
+                offset: self.offset,
+                key: self.key,
+                value: self.value.map(Bytes::from),
+            },
+            learnt: self.known_ms.map(|known| called.saturating_sub(known)),
         }
     }
 }
@@ -249,7 +262,11 @@
             .map_err(|error| error.to_string())?;
         Ok(Part {
             is_whole: answer.is_whole,
-            records: answer.records.into_iter().map(Record::from).collect(),
+            records: answer
+                .records
+                .into_iter()
+                .map(|entry| entry.told(called))
+                .collect(),
             next: answer.next,
             asked: moved(called, answer.asked_ms),
         })
--- a/crates/papayayard_gateway/src/pool.rs
+++ b/crates/papayayard_gateway/src/pool.rs
@@ -56,7 +56,7 @@
                 kept.clear();
                 return None;
             }
-            if last.connection.sender.is_ready() {
+            if last.connection.is_ready() {
                 return Some(last.connection);
             }
         }
@@ -65,7 +65,7 @@
 
     /// Keeps a connection after a whole answer.
     pub(crate) fn put(&self, address: SocketAddr, connection: Connection, headers: &HeaderMap) {
-        if connection.sender.is_closed() {
+        if connection.is_closed() {
             return;
         }
         let now = self.clock.now();
@@ -86,7 +86,7 @@
         let now = self.clock.now();
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         idle.retain(|_, kept| {
-            kept.retain(|one| now < one.until && !one.connection.sender.is_closed());
+            kept.retain(|one| now < one.until && !one.connection.is_closed());
             !kept.is_empty()
         });
     }
--- a/crates/papayayard_gateway/src/pump.rs
+++ b/crates/papayayard_gateway/src/pump.rs
@@ -2,8 +2,10 @@
 //!
 //! Only whole events are passed on. Where a stream breaks off and its route
 //! allows it, another endpoint goes on after the last event that was passed
-//! on, inside the same answer; otherwise the answer breaks off as well. The
-//! task ends with the caller: its channel closes.
+//! on, inside the same answer; otherwise the answer breaks off as well. A stream
+//! counts as silent by its events, so that one that is slow goes on and one that
+//! sends bytes without an event does not. The task ends with the caller: its
+//! channel closes.
 
 use std::time::Duration;
 
@@ -23,8 +25,11 @@
 use crate::relay::{Relay, Tried};
 use crate::schedule::Permit;
 
-/// Silence after which a stream that can go on elsewhere does so.
-const PAUSE: Duration = Duration::from_millis(1100);
+/// Pauses that are still on time after which a stream that can go on elsewhere
+/// does so: a sound endpoint is seldom silent for that long.
+const LONGEST_PAUSES: u32 = 3;
+/// The same time where the route states no pause.
+const LONGEST_SILENCE: Duration = Duration::from_millis(1100);
 /// Pieces that wait for a slow caller.
 const CHANNEL: usize = 4;
 
@@ -124,10 +129,13 @@
 
     /// Passes one run's events on.
     async fn pass(&mut self, run: &mut Run) -> End {
-        let can_go_on = self.can_go_on();
+        let longest = self.longest_silence();
+        let mut last_event = self.relay.clock.now();
         loop {
-            let left = self.job.deadline.saturating_sub(self.relay.clock.now());
-            let patience = if can_go_on { PAUSE.min(left) } else { left };
+            let now = self.relay.clock.now();
+            let left = self.job.deadline.saturating_sub(now);
+            let silent_at = longest.map(|longest| last_event + longest);
+            let patience = silent_at.map_or(left, |at| at.saturating_sub(now).min(left));
             let frame = tokio::select! {
                 () = self.pieces.closed() => return End::Left,
                 frame = time::timeout(patience, run.open.body.frame()) => frame,
@@ -145,6 +153,7 @@
             if events.is_empty() {
                 continue;
             }
+            last_event = self.relay.clock.now();
             if !self.has_begun {
                 self.has_begun = true;
                 self.relay.first_event(&self.job);
@@ -156,6 +165,13 @@
         }
     }
 
+    /// Silence after which a run is given up, where another one can go on.
+    fn longest_silence(&self) -> Option<Duration> {
+        let pause = self.job.route.pause;
+        let silence = pause.map_or(LONGEST_SILENCE, |pause| pause * LONGEST_PAUSES);
+        self.can_go_on().then_some(silence)
+    }
+
     fn can_go_on(&self) -> bool {
         matches!(self.job.route.kind, Kind::Stream { resumable: true })
             && self.tried.runs < self.job.route.attempts
--- a/crates/papayayard_gateway/src/schedule.rs
+++ b/crates/papayayard_gateway/src/schedule.rs
@@ -40,6 +40,10 @@
     Ask(Box<Ask>, oneshot::Sender<Decision>),
     /// A request's first event has come.
     Begun(Ticket),
+    /// The endpoint of a placed request says that it leaves.
+    Leaving(Ticket),
+    /// The endpoint of a placed request wants none for a time.
+    Quiet(Ticket, Duration),
     /// A placed request has ended.
     Finished(Ticket, Outcome),
     /// The routing table.
@@ -168,6 +172,8 @@
                 self.replies.insert(waiting, reply);
             }
             Message::Begun(ticket) => scheduler.begun(ticket, now),
+            Message::Leaving(ticket) => scheduler.states_leaving(ticket),
+            Message::Quiet(ticket, time) => scheduler.states_quiet(ticket, time, now),
             Message::Finished(ticket, outcome) => scheduler.finished(ticket, outcome, now),
             Message::Table(table) => scheduler.set_table(table),
             Message::Named(named) => scheduler.add_named(&named),
--- a/crates/papayayard_gateway/src/settings.rs
+++ b/crates/papayayard_gateway/src/settings.rs
@@ -25,6 +25,9 @@
     pub operators: SocketAddr,
     /// Address for other hosts.
     pub peers: SocketAddr,
+    /// Addresses at which hosts may answer others, to be asked while no host is
+    /// known and the store does not answer.
+    pub seeds: Vec<SocketAddr>,
     /// What the host can do against others, in any unit that all hosts share.
     pub capacity: u32,
     /// Address of the platform's store.
@@ -65,6 +68,9 @@
     let listen = fields.required(reader, "listen", listen);
     let store = fields.required(reader, "store", Reader::address);
     let bounds = fields.required(reader, "bounds", bounds);
+    let seeds = fields.optional(reader, "seeds", Vec::new(), |reader, place| {
+        reader.list(place, Reader::address)
+    });
     let capacity = fields.optional(reader, "capacity", 1.0, |reader, place| {
         decimal(reader, place, 1e6)
     });
@@ -76,6 +82,7 @@
         callers: listen.callers,
         operators: listen.operators,
         peers: listen.peers,
+        seeds: seeds?,
         capacity: thousandths(capacity?),
         store: store?,
         bounds: bounds?,
--- a/crates/papayayard_routing/src/listing.rs
+++ b/crates/papayayard_routing/src/listing.rs
@@ -32,13 +32,14 @@
 }
 
 impl Listing {
-    /// Notes a reading of the store, before its records are taken over.
-    pub fn reading(&mut self, now: Duration) {
-        let outage = self.read_at.is_some_and(|at| at + OUTAGE < now);
+    /// Notes a reading that the store was asked for at a time, before its
+    /// records are taken over.
+    pub fn reading(&mut self, asked: Duration, now: Duration) {
+        let outage = self.read_at.is_some_and(|at| at + OUTAGE < asked);
         if outage {
             self.lenient_until = now + RETURN;
         }
-        self.read_at = Some(now);
+        self.read_at = Some(asked);
     }
 
     /// Takes over a record; `false` where it says what was known.
--- a/crates/papayayard_routing/src/placement.rs
+++ b/crates/papayayard_routing/src/placement.rs
@@ -29,9 +29,11 @@
 mod reach;
 mod select;
 mod split;
+mod stated;
 
 use backend::Backend;
 use course::Placed;
+use stated::Stated;
 
 pub use ask::{Ask, BackendKey, Decision, Outcome, Placement, Refused, Seen, Ticket, Waiting};
 pub use backend::Endpoint;
@@ -69,6 +71,7 @@
     hosts: usize,
     backends: SlotMap<BackendKey, Backend>,
     by_id: HashMap<id::Endpoint, BackendKey>,
+    stated: HashMap<id::Endpoint, Stated>,
     stores: HashMap<id::Service, Store>,
     named: HashMap<id::Model, weights::Named>,
     reach: Reach,
@@ -104,6 +107,7 @@
             hosts: 1,
             backends: SlotMap::with_key(),
             by_id: HashMap::new(),
+            stated: HashMap::new(),
             stores: HashMap::new(),
             named: HashMap::new(),
             reach: Reach::default(),
@@ -168,14 +172,17 @@
             return Some(Decision::Placed(self.place(&ask, &candidate, now)));
         }
         let patience = ask.target.saturating_sub(since).mul_f64(WAIT_PART);
+        let until = (since + patience).min(ask.deadline);
         let why = self.obstacle(&ask);
-        if why == Refused::Overloaded && now < since + patience && now < ask.deadline {
+        let open = self.open_from(&ask, now);
+        if why == Refused::Overloaded && now < until && open < until {
             return None;
         }
         self.refusals += 1;
+        let retry_after = retry_after(&ask, self.refusals, now);
         Some(Decision::Refused {
             why,
-            retry_after: retry_after(&ask, self.refusals, now),
+            retry_after: retry_after.max(open.saturating_sub(now)),
             seen,
         })
     }
--- a/crates/papayayard_routing/src/placement/backend.rs
+++ b/crates/papayayard_routing/src/placement/backend.rs
@@ -9,6 +9,7 @@
 use super::cache::Cache;
 use super::delay::Delay;
 use super::load::Load;
+use super::stated::Stated;
 use crate::ejection;
 
 /// Weight of the newest time in the average of service times.
@@ -46,6 +47,8 @@
     pub(super) cache: Cache,
     /// Health from passive signs.
     pub(super) health: ejection::Health,
+    /// What it has said of itself in answers.
+    pub(super) stated: Stated,
     /// Left out until this time, after it refused.
     pub(super) refuses_until: Duration,
     /// Set while other weights are being loaded there.
@@ -60,9 +63,10 @@
 
 impl Backend {
     /// An endpoint that nothing is known of.
-    pub(super) fn new(endpoint: Endpoint, service_ms: f64, now: Duration) -> Self {
+    pub(super) fn new(endpoint: Endpoint, stated: Stated, service_ms: f64, now: Duration) -> Self {
         Self {
             endpoint,
+            stated,
             load: Load::default(),
             cache: Cache::default(),
             health: ejection::Health::default(),
@@ -79,12 +83,18 @@
         self.endpoint.weights.get(model).copied().unwrap_or(0)
     }
 
+    /// Whether it takes no new requests for good.
+    pub(super) fn is_leaving(&self) -> bool {
+        self.endpoint.leaving || self.stated.is_leaving
+    }
+
     /// Whether it takes requests now, as far as passive signs tell.
     pub(super) fn is_usable(&self, now: Duration) -> bool {
         let open = self.load.own().open.round();
         let loading = self.loading_until.is_some_and(|until| now < until);
         !self.endpoint.leaving
             && !loading
+            && self.stated.permits(now)
             && self.refuses_until <= now
             && self.health.permits(whole(open), now)
     }
--- a/crates/papayayard_routing/src/placement/course.rs
+++ b/crates/papayayard_routing/src/placement/course.rs
@@ -20,6 +20,8 @@
 pub(super) struct Placed {
     pub(super) backend: BackendKey,
     pub(super) endpoint: id::Endpoint,
+    /// Start of the endpoint's process.
+    pub(super) started: id::Incarnation,
     /// What it adds to the endpoint's load.
     pub(super) amounts: Amounts,
     /// When it was placed.
--- a/crates/papayayard_routing/src/placement/news.rs
+++ b/crates/papayayard_routing/src/placement/news.rs
@@ -117,7 +117,8 @@
             }
             self.remove(key);
         }
-        let backend = Backend::new(endpoint.clone(), UNKNOWN_SERVICE_MS, now);
+        let stated = self.stated(&endpoint.id, endpoint.started);
+        let backend = Backend::new(endpoint.clone(), stated, UNKNOWN_SERVICE_MS, now);
         let key = self.backends.insert(backend);
         self.by_id.insert(endpoint.id.clone(), key);
     }
@@ -128,7 +129,7 @@
         }
     }
 
-    fn backend_mut(&mut self, endpoint: &id::Endpoint) -> Option<&mut Backend> {
+    pub(super) fn backend_mut(&mut self, endpoint: &id::Endpoint) -> Option<&mut Backend> {
         let key = self.by_id.get(endpoint)?;
         self.backends.get_mut(*key)
     }
--- a/crates/papayayard_routing/src/placement/place.rs
+++ b/crates/papayayard_routing/src/placement/place.rs
@@ -57,10 +57,12 @@
         let backend = &mut self.backends[candidate.key];
         backend.load.add(amounts, now);
         let endpoint = backend.endpoint.id.clone();
+        let started = backend.endpoint.started;
         let address = backend.endpoint.address;
         let ticket = self.tickets.insert(Placed {
             backend: candidate.key,
             endpoint: endpoint.clone(),
+            started,
             amounts,
             sent: now,
             expected: first_event,
--- a/crates/papayayard_routing/src/placement/select.rs
+++ b/crates/papayayard_routing/src/placement/select.rs
@@ -40,7 +40,7 @@
         let mut own = self
             .backends
             .values()
-            .filter(|one| one.endpoint.service == ask.service && !one.endpoint.leaving)
+            .filter(|one| one.endpoint.service == ask.service && !one.is_leaving())
             .peekable();
         if own.peek().is_none() {
             return Refused::NoEndpoint;
@@ -51,6 +51,18 @@
         Refused::Overloaded
     }
 
+    /// When the first endpoint that this request has not failed at takes requests
+    /// again, as far as it has said.
+    pub(super) fn open_from(&self, ask: &Ask, now: Duration) -> Duration {
+        let own = self.backends.values().filter(|one| {
+            one.endpoint.service == ask.service
+                && !one.is_leaving()
+                && !ask.tried.contains(&one.endpoint.id)
+        });
+        let soonest = own.map(|one| one.stated.quiet_until).min();
+        soonest.unwrap_or(now).max(now)
+    }
+
     pub(super) fn best(
         &self,
         ask: &Ask,
@@ -207,7 +219,7 @@
         let parts = prompt.shared();
         let engines = self.backends.iter().filter(|(_, one)| {
             one.endpoint.service == ask.service
-                && !one.endpoint.leaving
+                && !one.is_leaving()
                 && !one.health.is_ejected(now)
                 && one.version(&prompt.model) == version
         });
--- a/crates/papayayard_routing/src/table.rs
+++ b/crates/papayayard_routing/src/table.rs
@@ -45,6 +45,9 @@
     pub timeout: Duration,
     /// Time within which an answer, or a stream's first event, is on time.
     pub target_latency: Duration,
+    /// Longest pause between a stream's events with which it is on time, where
+    /// operators have set one.
+    pub pause: Option<Duration>,
     /// Urgency, 0 first.
     pub priority: u8,
     /// Whether no key is asked for.
--- a/crates/papayayard_routing/tests/placement/main.rs
+++ b/crates/papayayard_routing/tests/placement/main.rs
@@ -3,5 +3,6 @@
 mod choice;
 mod crowd;
 mod link;
+mod stated;
 mod support;
 mod weights;
