--- a/crates/papayayard_coordination/src/reader.rs
+++ b/crates/papayayard_coordination/src/reader.rs
@@ -1,48 +1,30 @@
-//! Which host of a zone reads the platform's store for the others.
+//! Which host reads the platform's store for others.
 //!
-//! Bytes within a zone are free and calls to the store are not, so one host
-//! reads and the others ask it. All hosts of a zone order the hosts alike: those
-//! with more capacity first, then by a hash. A host asks the first that it has
-//! not found wanting of late; where several in a row were, or it comes first
-//! itself, it reads the store. A wrong view of the hosts costs calls, nothing
-//! else.
+//! Bytes between hosts cost little and calls to the store are counted, so one
+//! host of a zone reads and the others ask it. Of these the first of all zones
+//! reads the store, and the others ask that one: a zone that is cut off has its
+//! own reader at once.
 //!
 //! The store can turn single hosts away, and be gone when a host starts. Then any
 //! host may know more, also one of another zone.
 
-use std::cmp::Reverse;
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use papayayard_wire::id;
 use xxhash_rust::xxh3;
 
-/// Time for which a host that had nothing new is not asked at first: the store
-/// may have hesitated for a moment, and all hosts would read it meanwhile.
-const FIRST_AVOIDANCE: Duration = Duration::from_secs(1);
-/// The longest such time, after several failures without an answer between.
-const LONGEST_AVOIDANCE: Duration = Duration::from_secs(8);
+use crate::ranking::{Candidate, Choice, ranked};
+
 /// Hosts that are asked, one after the other, before the store.
 const MOST_ASKED: usize = 2;
 
-/// A host of the zone.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Candidate {
-    /// Host.
-    pub host: id::Host,
-    /// Where it answers other hosts.
-    pub address: SocketAddr,
-    /// What it can do, in any unit that all hosts share.
-    pub capacity: u32,
-}
-
 /// Where to read from.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Source {
     /// The store.
     Store,
-    /// Another host of the zone.
+    /// Another host.
     Peer {
         /// Host.
         host: id::Host,
@@ -51,67 +33,95 @@
     },
 }
 
+/// Which hosts read for others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reach {
+    /// One in each zone.
+    Zone,
+    /// One in each zone, and one of them for all zones.
+    All,
+}
+
 /// The choice of one host.
 #[derive(Clone, Debug)]
 pub struct Readers {
     own: id::Host,
-    order: Vec<Candidate>,
+    reach: Reach,
+    choice: Choice,
+    /// Whether this host reads for its zone.
+    is_first_of_zone: bool,
     /// Hosts that may know more where the store does not answer.
     others: Vec<Candidate>,
-    avoided: HashMap<id::Host, Avoided>,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Avoided {
-    until: Duration,
-    next: Duration,
 }
 
 impl Readers {
     /// A choice that knows no other host.
-    pub fn new(own: id::Host) -> Self {
+    pub fn new(own: id::Host, reach: Reach) -> Self {
         Self {
             own,
-            order: Vec::new(),
+            reach,
+            choice: Choice::default(),
+            is_first_of_zone: true,
             others: Vec::new(),
-            avoided: HashMap::new(),
         }
     }
 
-    /// Takes over the hosts of the zone, this one among them.
-    pub fn set(&mut self, mut hosts: Vec<Candidate>) {
-        hosts.sort_by_cached_key(|one| {
-            let hash = xxh3::xxh3_64(one.host.as_str().as_bytes());
-            (Reverse(one.capacity), hash, one.host.clone())
-        });
-        self.order = hosts;
+    /// Takes over hosts of which nothing is known but where they may answer. They
+    /// are asked where the store does not answer, and do not read for this host.
+    pub fn set_unknown(&mut self, others: Vec<Candidate>) {
+        self.choice.set(Vec::new());
+        self.is_first_of_zone = true;
+        self.others = self.fallbacks(&[], others);
     }
 
-    /// Takes over hosts beside those of the zone.
-    pub fn set_others(&mut self, mut hosts: Vec<Candidate>) {
-        // Each host has an order of its own, so that their calls are spread.
+    /// Takes over the hosts of the zone, this one among them, and those of other
+    /// zones.
+    pub fn set(&mut self, zone: Vec<Candidate>, others: Vec<Candidate>) {
+        let zone = ranked(zone);
+        let first = zone.first();
+        self.is_first_of_zone = first.is_none_or(|first| first.host == self.own);
+        let asked = match self.reach {
+            Reach::All if self.is_first_of_zone => {
+                let all = zone.iter().chain(&others).cloned().collect();
+                ranked(all)
+            }
+            _ => zone.clone(),
+        };
+        let before = asked.into_iter().take_while(|one| one.host != self.own);
+        self.choice.set(before.take(MOST_ASKED).collect());
+        self.others = self.fallbacks(&zone, others);
+    }
+
+    /// Hosts of the zone, then those of others, in an order of this host's own: so
+    /// calls are spread.
+    fn fallbacks(&self, zone: &[Candidate], mut others: Vec<Candidate>) -> Vec<Candidate> {
         let seed = xxh3::xxh3_64(self.own.as_str().as_bytes());
-        hosts.sort_by_cached_key(|one| xxh3::xxh3_64_with_seed(one.host.as_str().as_bytes(), seed));
-        self.others = hosts;
+        others.sort_by_cached_key(|one| {
+            xxh3::xxh3_64_with_seed(one.host.as_str().as_bytes(), seed)
+        });
+        let zone = zone.iter().filter(|one| one.host != self.own);
+        zone.cloned().chain(others).collect()
     }
 
-    /// Whether no host is known.
-    pub fn is_empty(&self) -> bool {
-        self.order.is_empty() && self.others.is_empty()
+    /// Whether this host reads for its zone, as far as it knows.
+    pub const fn is_first_of_zone(&self) -> bool {
+        self.is_first_of_zone
+    }
+
+    /// Whether no other host is known.
+    pub const fn is_alone(&self) -> bool {
+        self.others.is_empty()
     }
 
     /// The host to ask where the store has not answered: first one of the zone.
     pub fn fallback(&self, now: Duration) -> Option<&Candidate> {
-        let mut hosts = self.order.iter().chain(&self.others);
-        hosts.find(|one| one.host != self.own && !self.is_avoided(&one.host, now))
+        let mut hosts = self.others.iter();
+        hosts.find(|one| !self.choice.is_avoided(&one.host, now))
     }
 
     /// Where to read from now.
     pub fn source(&self, now: Duration) -> Source {
-        let before = self.order.iter().take_while(|one| one.host != self.own);
-        let peer = before
-            .take(MOST_ASKED)
-            .find(|one| !self.is_avoided(&one.host, now));
+        let peer = self.choice.first(now);
         peer.map_or(Source::Store, |one| Source::Peer {
             host: one.host.clone(),
             address: one.address,
@@ -120,22 +130,11 @@
 
     /// Notes that a host gave no answer, or an old one.
     pub fn failed(&mut self, host: &id::Host, now: Duration) {
-        let known = self.avoided.get(host);
-        let time = known.map_or(FIRST_AVOIDANCE, |known| known.next);
-        let avoided = Avoided {
-            until: now + time,
-            next: (time * 2).min(LONGEST_AVOIDANCE),
-        };
-        self.avoided.insert(host.clone(), avoided);
+        self.choice.failed(host, now);
     }
 
     /// Notes that a host gave an answer.
     pub fn answered(&mut self, host: &id::Host) {
-        self.avoided.remove(host);
-    }
-
-    fn is_avoided(&self, host: &id::Host, now: Duration) -> bool {
-        let avoided = self.avoided.get(host);
-        avoided.is_some_and(|avoided| now < avoided.until)
+        self.choice.answered(host);
     }
 }
--- /dev/null
+++ b/crates/papayayard_coordination/tests/dispatcher_test.rs
@@ -0,0 +1,71 @@
+//! Hosts agree on who places their requests, and each has a way without.
+
+use std::time::Duration;
+
+use papayayard_coordination::dispatcher;
+use papayayard_coordination::ranking::{Candidate, Choice};
+use papayayard_wire::id;
+use rstest::rstest;
+
+const NOW: Duration = Duration::from_secs(100);
+const ZONES: usize = 4;
+
+fn hosts(number: usize) -> Vec<Candidate> {
+    let all = 0..number;
+    all.map(|index| Candidate {
+        host: id::Host::from(format!("host-{index}")),
+        address: format!("10.0.{}.{}:7000", index / 200, index % 200 + 1)
+            .parse()
+            .unwrap(),
+        capacity: if index < ZONES * 2 { 500 } else { 120 },
+    })
+    .collect()
+}
+
+/// Whom a host asks.
+fn choice(all: &[Candidate], own: usize) -> Choice {
+    let in_zone = |index: usize| index % ZONES == own % ZONES;
+    let some = |wanted: bool| {
+        let some = all.iter().enumerate();
+        let some = some.filter(|(index, _)| in_zone(*index) == wanted);
+        some.map(|(_, one)| one.clone()).collect::<Vec<_>>()
+    };
+    let mut choice = Choice::default();
+    choice.set(dispatcher::order(&all[own].host, &some(true), &some(false)));
+    choice
+}
+
+#[rstest]
+#[case::small(8, 1)]
+#[case::grown(78, 1)]
+#[case::large(295, ZONES)]
+fn few_hosts_place_for_all(#[case] number: usize, #[case] dispatchers: usize) {
+    let all = hosts(number);
+    let own_work = (0..number).filter(|own| choice(&all, *own).first(NOW).is_none());
+    assert_eq!(own_work.count(), dispatchers);
+    let mut asked: Vec<id::Host> = (0..number)
+        .filter_map(|own| choice(&all, own).first(NOW).map(|one| one.host.clone()))
+        .collect();
+    asked.sort_unstable();
+    asked.dedup();
+    assert_eq!(asked.len(), dispatchers, "all agree on them");
+}
+
+/// A zone that is cut off finds a dispatcher of its own, and a host that finds
+/// none places by itself.
+#[test]
+fn a_host_without_its_dispatcher_asks_the_next_and_at_last_none() {
+    let all = hosts(78);
+    let mut choice = choice(&all, 70);
+    let mut asked = Vec::new();
+    while let Some(candidate) = choice.first(NOW).cloned() {
+        assert!(!asked.contains(&candidate.host));
+        choice.failed(&candidate.host, NOW);
+        asked.push(candidate.host);
+    }
+    assert!((2..=4).contains(&asked.len()), "{asked:?}");
+    let zone: Vec<&id::Host> = all.iter().skip(70 % ZONES).step_by(ZONES).map(|one| &one.host).collect();
+    assert!(zone.contains(&asked.last().unwrap()), "the last ones are of its zone");
+    let later = NOW + Duration::from_secs(1);
+    assert_eq!(choice.first(later).map(|one| &one.host), asked.first());
+}
--- a/crates/papayayard_coordination/tests/reader_test.rs
+++ b/crates/papayayard_coordination/tests/reader_test.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use papayayard_coordination::reader::{Candidate, Readers, Source};
+use papayayard_coordination::ranking::Candidate;
+use papayayard_coordination::reader::{Reach, Readers, Source};
 use papayayard_wire::id;
 
 const NOW: Duration = Duration::from_secs(100);
@@ -19,8 +20,8 @@
 }
 
 fn readers(own: usize, hosts: &[Candidate]) -> Readers {
-    let mut readers = Readers::new(hosts[own].host.clone());
-    readers.set(hosts.to_vec());
+    let mut readers = Readers::new(hosts[own].host.clone(), Reach::Zone);
+    readers.set(hosts.to_vec(), Vec::new());
     readers
 }
 
@@ -87,7 +88,7 @@
 
 #[test]
 fn a_host_alone_reads_the_store() {
-    let own = Readers::new(id::Host::from("host-0"));
+    let own = Readers::new(id::Host::from("host-0"), Reach::All);
     assert_eq!(own.source(NOW), Source::Store);
 }
 
@@ -107,7 +108,7 @@
         address: "10.1.0.1:7000".parse().unwrap(),
         capacity: 9,
     };
-    readers.set_others(vec![far.clone()]);
+    readers.set(hosts.clone(), vec![far.clone()]);
     assert_eq!(readers.fallback(NOW), Some(&hosts[1]));
     readers.failed(&hosts[1].host, NOW);
     assert_eq!(readers.fallback(NOW), Some(&far));
@@ -121,8 +122,8 @@
 fn hosts_of_other_zones_are_asked_in_different_orders() {
     let others = zone(&[1; 20]);
     let first = |own: &str| {
-        let mut readers = Readers::new(id::Host::from(own));
-        readers.set_others(others.clone());
+        let mut readers = Readers::new(id::Host::from(own), Reach::Zone);
+        readers.set(Vec::new(), others.clone());
         readers.fallback(NOW).map(|one| one.host.clone())
     };
     let names = ["a", "b", "c", "d", "e", "f", "g", "h"];
@@ -131,3 +132,40 @@
     asked.dedup();
     assert!(asked.len() > 3, "{asked:?}");
 }
+
+/// Three zones of three hosts: one host reads the store for all zones, and the
+/// first of each other zone asks it.
+#[test]
+fn one_host_reads_for_all_zones() {
+    let all = zone(&[3, 2, 2, 9, 2, 2, 5, 2, 2]);
+    let source = |own: usize| {
+        let (zone, others): (Vec<_>, Vec<_>) = all
+            .iter()
+            .cloned()
+            .enumerate()
+            .partition(|(index, _)| index / 3 == own / 3);
+        let hosts = |some: Vec<(usize, Candidate)>| some.into_iter().map(|(_, one)| one).collect();
+        let mut readers = Readers::new(all[own].host.clone(), Reach::All);
+        readers.set(hosts(zone), hosts(others));
+        (asked(&readers.source(NOW)).cloned(), readers)
+    };
+    let expected = [3, 0, 0, 99, 3, 3, 3, 6, 6];
+    for (own, first) in expected.into_iter().enumerate() {
+        let first = all.get(first).map(|one| one.host.clone());
+        assert_eq!(source(own).0, first, "host {own}");
+    }
+    let (_, mut cut_off) = source(6);
+    cut_off.failed(&all[3].host, NOW);
+    assert_eq!(asked(&cut_off.source(NOW)), None, "zones are cut off from each other");
+}
+
+/// Before the hosts are counted each reads the store: those that are named may be
+/// waiting for one another.
+#[test]
+fn hosts_of_which_nothing_is_known_are_asked_only_where_the_store_fails() {
+    let seeds = zone(&[0, 0]);
+    let mut readers = Readers::new(id::Host::from("own"), Reach::All);
+    readers.set_unknown(seeds.clone());
+    assert_eq!(readers.source(NOW), Source::Store);
+    assert!(readers.fallback(NOW).is_some_and(|one| seeds.contains(one)));
+}
--- a/crates/papayayard_gateway/src/attempt.rs
+++ b/crates/papayayard_gateway/src/attempt.rs
@@ -16,12 +16,12 @@
 
 use crate::clock::Clock;
 use crate::dial::{self, Connection};
+use crate::dispatch::Permit;
 use crate::exchange::{Codec, Forwarding, Reply};
 use crate::job::Job;
 use crate::pool::Pool;
 use crate::quiet::Quiet;
 use crate::refusal::millis;
-use crate::schedule::{Handle, Message};
 
 /// Most bytes of a refusal's body that are read to keep a connection.
 const REFUSAL_BYTES: usize = 64 << 10;
@@ -91,8 +91,6 @@
     pub(crate) codec: Platform,
     /// Kept connections.
     pub(crate) pool: Pool,
-    /// Scheduler, which learns what endpoints say of themselves.
-    pub(crate) schedule: Handle,
     /// Endpoints that want no requests for a time.
     pub(crate) quiet: Quiet,
     /// Clock.
@@ -107,7 +105,7 @@
     pub(crate) async fn send(
         &self,
         job: &Job,
-        placement: &Placement,
+        (placement, permit): (&Placement, &Permit),
         position: Option<u64>,
         patience: Duration,
     ) -> Result<Open, Failure> {
@@ -148,7 +146,7 @@
                         body,
                         connection,
                     };
-                    return self.judge(job, placement, open).await;
+                    return self.judge(job, (placement, permit), open).await;
                 }
             }
         }
@@ -180,9 +178,14 @@
         request
     }
 
-    async fn judge(&self, job: &Job, placement: &Placement, open: Open) -> Result<Open, Failure> {
+    async fn judge(
+        &self,
+        job: &Job,
+        (placement, permit): (&Placement, &Permit),
+        open: Open,
+    ) -> Result<Open, Failure> {
         let reply = self.codec.reply(open.head.status, &open.head.headers);
-        self.note(job, placement, &reply);
+        self.note(job, (placement, permit), &reply);
         if reply.not_run {
             let failure = not_run(&reply, placement, open.head.status);
             self.drain(placement, open).await;
@@ -203,21 +206,21 @@
 
     /// Takes over what an endpoint says of itself; an answer that another one
     /// gave at its address says nothing of it.
-    fn note(&self, job: &Job, placement: &Placement, reply: &Reply) {
+    fn note(&self, job: &Job, (placement, permit): (&Placement, &Permit), reply: &Reply) {
         let other = reply.endpoint.as_ref();
         if other.is_some_and(|other| *other != placement.endpoint) {
             return;
         }
         if reply.is_leaving {
             log::info!(request:% = job.id, endpoint:% = placement.endpoint; "the endpoint says that it leaves");
-            self.schedule.tell(Message::Leaving(placement.ticket));
+            permit.leaving();
         }
         if let Some(time) = reply.quiet {
             log::info!(
                 request:% = job.id, endpoint:% = placement.endpoint, quiet_ms = millis(time);
                 "the endpoint wants no requests for a time"
             );
-            self.schedule.tell(Message::Quiet(placement.ticket, time));
+            permit.quiet(time);
             let until = self.clock.now() + time;
             self.quiet.set(placement.address, until);
         }
--- a/crates/papayayard_gateway/src/feeds.rs
+++ b/crates/papayayard_gateway/src/feeds.rs
@@ -1,14 +1,14 @@
 //! Reads what endpoints and the stores of cached prompts keep.
 //!
 //! Holders answer a bounded number of callers at once. While all hosts fit into
-//! that, each reads for itself; in a larger deployment one host of a zone reads
-//! and the others ask it.
+//! that, each reads for itself. In a larger deployment only hosts that place
+//! requests follow, and of those in a zone one reads and the others ask it.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use papayayard_coordination::reader::{Readers, Source as Reader};
+use papayayard_coordination::reader::{Reach, Readers, Source as Reader};
 use papayayard_routing::placement::Endpoint;
 use papayayard_routing::prompt;
 use papayayard_wire::id;
@@ -20,6 +20,7 @@
 use crate::cache_news::News;
 use crate::call::{Bounds, Caller};
 use crate::clock::Clock;
+use crate::dispatch::Dispatch;
 use crate::exchange::{Changes, Codec};
 use crate::hosts::Neighbours;
 use crate::peers;
@@ -40,6 +41,8 @@
     time: Duration::from_secs(2),
     bytes: 8 << 20,
 };
+/// Period in which a host looks whether it still has to read.
+const LOOK: Duration = Duration::from_secs(2);
 /// Time to try again after a failure.
 const RETRY: Duration = Duration::from_millis(700);
 /// Failures in a row after which a store of cached prompts is taken to be down.
@@ -56,6 +59,7 @@
     pub(crate) configuration: watch::Receiver<Configuration>,
     pub(crate) hosts: watch::Receiver<usize>,
     pub(crate) neighbours: watch::Receiver<Neighbours>,
+    pub(crate) dispatch: Dispatch,
     pub(crate) news: watch::Sender<News>,
     pub(crate) quiet: Quiet,
     pub(crate) schedule: Handle,
@@ -68,7 +72,7 @@
 {
     let mut feeds = Feeds {
         readers: HashMap::new(),
-        choice: Readers::new(parts.host.clone()),
+        choice: Readers::new(parts.host.clone(), Reach::Zone),
         peer: None,
         since: 0,
         parts,
@@ -96,7 +100,12 @@
     /// Does one thing; `false` where the host has ended.
     async fn step(&mut self) -> bool {
         let zone = self.parts.neighbours.borrow_and_update().zone.clone();
-        self.choice.set(zone);
+        self.choice.set(zone, Vec::new());
+        if self.is_large() && !self.parts.dispatch.places() {
+            self.stop();
+            time::sleep(PAUSE).await;
+            return true;
+        }
         let now = self.parts.clock.now();
         match self.choice.source(now) {
             Reader::Peer { host, address } if self.is_large() => {
@@ -113,7 +122,9 @@
             }
             _ => {
                 self.read();
-                self.changed().await
+                // Whether this host still places requests is looked at again.
+                let changed = time::timeout(LOOK, self.changed()).await;
+                changed.unwrap_or(true)
             }
         }
     }
--- a/crates/papayayard_gateway/src/follow.rs
+++ b/crates/papayayard_gateway/src/follow.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 use papayayard_coordination::journal::Backoff;
-use papayayard_coordination::reader::{Readers, Source};
+use papayayard_coordination::reader::{Reach, Readers, Source};
 use papayayard_wire::id;
 use tokio::sync::watch;
 use tokio::time;
@@ -41,9 +41,8 @@
 /// Longest wait after a failure.
 const LONGEST_RETRY: Duration = Duration::from_millis(500);
 
-/// Time beyond two periods after which a reading is old. A reading counts from
-/// when it was asked for, and is replaced when the next one ends.
-const OLD: Duration = Duration::from_millis(200);
+/// See [`Beat::slack`].
+const SLACK: Duration = Duration::from_millis(200);
 /// Time beyond one period for which another host is given to have read again.
 const READ_AGAIN: Duration = Duration::from_millis(150);
 
@@ -65,6 +64,10 @@
     fn caught_up(&mut self, asked: Duration, next: u64, now: Duration);
 }
 
+/// Time by which the host that reads for its zone takes a reading for old sooner than
+/// the others do, so that they need not all read the store.
+const SOONER: Duration = Duration::from_millis(60);
+
 /// How often a topic is read.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Beat {
@@ -72,9 +75,29 @@
     pub(crate) wait: Duration,
     /// Time between two readings.
     pub(crate) pause: Duration,
+    /// Time beyond two periods after which a reading is old. A reading counts from
+    /// when it was asked for, and is replaced when the next one ends.
+    pub(crate) slack: Duration,
 }
 
 impl Beat {
+    /// A beat of a wait and a pause.
+    pub(crate) const fn new(wait: Duration, pause: Duration) -> Self {
+        Self {
+            wait,
+            pause,
+            slack: SLACK,
+        }
+    }
+
+    /// The beat of the host that reads for its zone.
+    pub(crate) fn of_first(self) -> Self {
+        Self {
+            slack: SLACK - SOONER,
+            ..self
+        }
+    }
+
     /// Whether a reading is older than the host that reads would have it.
     pub(crate) fn is_old(&self, asked: Duration, now: Duration) -> bool {
         asked + self.oldest() < now
@@ -82,7 +105,7 @@
 
     /// Age of a reading from which on it is old.
     pub(crate) fn oldest(&self) -> Duration {
-        self.period() * 2 + OLD
+        self.period() * 2 + self.slack
     }
 
     /// Time that another host is waited for.
@@ -176,7 +199,7 @@
 {
     let follower = Follower {
         caller: Caller::new(store.address),
-        readers: Readers::new(links.host.clone()),
+        readers: Readers::new(links.host.clone(), Reach::All),
         peer: None,
         store,
         topic,
@@ -279,12 +302,15 @@
     }
 
     fn take_hosts(&mut self) {
-        if !self.links.hosts.has_changed().unwrap_or(false) && !self.readers.is_empty() {
+        if !self.links.hosts.has_changed().unwrap_or(false) && !self.readers.is_alone() {
             return;
         }
         let hosts = self.links.hosts.borrow_and_update().clone();
-        self.readers.set(hosts.zone);
-        self.readers.set_others(hosts.others);
+        if hosts.are_counted {
+            self.readers.set(hosts.zone, hosts.others);
+        } else {
+            self.readers.set_unknown(hosts.others);
+        }
     }
 
     /// Asks any host where the store has not answered.
@@ -312,13 +338,18 @@
             Some(client) => client,
             None => peers::Client::new(address, self.beat.patience())?,
         };
-        let part = client.read(self.topic, self.next, self.beat, clock).await?;
+        let beat = if self.readers.is_first_of_zone() {
+            self.beat.of_first()
+        } else {
+            self.beat
+        };
+        let part = client.read(self.topic, self.next, beat, clock).await?;
         self.peer = Some(client);
         let now = clock.now();
         if self.asked.is_none_or(|known| known < part.asked) {
             self.take_part(&part, now);
         }
-        if self.beat.is_old(part.asked, now) {
+        if beat.is_old(part.asked, now) {
             return Err("its reading is old".to_owned());
         }
         Ok(())
--- a/crates/papayayard_gateway/src/host.rs
+++ b/crates/papayayard_gateway/src/host.rs
@@ -20,6 +20,7 @@
 use crate::beliefs::{Configuration, Endpoints, Operators, Word};
 use crate::cache_news::News;
 use crate::clock::Clock;
+use crate::dispatch::{Desk, Dispatch};
 use crate::follow::{self, Beat, Fold, Store};
 use crate::front::{self, Progress};
 use crate::hosts::Neighbours;
@@ -31,33 +32,21 @@
 use crate::relay::Relay;
 use crate::settings::Settings;
 use crate::store::Topic;
-use crate::{exchange, feeds, hosts, listen, operators, orders, peers, schedule, store};
+use crate::{dispatch, exchange, feeds, hosts, listen, operators, orders, peers, schedule, store};
 
 /// Time for which older weights count as no loss.
 const OLD_WEIGHTS_GRACE: Duration = Duration::from_millis(1200);
 /// How what operators publish is read: it must be in force within two seconds
 /// also where the host that reads for others is cut off, which they notice after
 /// two readings at most.
-pub(crate) const OPERATORS: Beat = Beat {
-    wait: Duration::from_millis(400),
-    pause: Duration::ZERO,
-};
+pub(crate) const OPERATORS: Beat = Beat::new(Duration::from_millis(400), Duration::ZERO);
 /// How endpoints' records are read: they change all the time, so that a
 /// reading is put off for some to add up.
-pub(crate) const ENDPOINTS: Beat = Beat {
-    wait: Duration::from_millis(50),
-    pause: Duration::from_millis(400),
-};
+pub(crate) const ENDPOINTS: Beat = Beat::new(Duration::from_millis(50), Duration::from_millis(400));
 /// How the turn's topic is read: seldom written, and wanted at once.
-const ORDERS: Beat = Beat {
-    wait: Duration::from_secs(2),
-    pause: Duration::ZERO,
-};
+const ORDERS: Beat = Beat::new(Duration::from_secs(2), Duration::ZERO);
 /// How hosts' records are read: they change when hosts come and go.
-const HOSTS: Beat = Beat {
-    wait: Duration::from_secs(4),
-    pause: Duration::from_millis(1500),
-};
+const HOSTS: Beat = Beat::new(Duration::from_secs(4), Duration::from_millis(1500));
 /// Period in which idle connections are looked at.
 const SWEEP: Duration = Duration::from_millis(500);
 /// A running host; dropping it ends its controllers.
@@ -100,8 +89,9 @@
     let (configuration, word) = parts.follow_operators();
     let endpoints = parts.follow_endpoints();
     parts.give_orders(&configuration, &endpoints);
-    let news = parts.follow_caches(&configuration, &endpoints, &hosts);
-    parts.serve_peers(sockets.peers, news)?;
+    let dispatch = parts.dispatch();
+    let news = parts.follow_caches(&configuration, &endpoints, &hosts, &dispatch);
+    parts.serve_peers(sockets.peers, news, dispatch.desk())?;
     parts.controllers.spawn(sweep(pool.clone()));
     let revocation = parts.settings.bounds.revocation;
     parts.controllers.spawn(operators::serve(
@@ -125,12 +115,12 @@
         sender: Sender {
             codec,
             pool,
-            schedule: parts.schedule.clone(),
             quiet: parts.quiet.clone(),
             clock,
         },
         clock,
-        schedule: parts.schedule.clone(),
+        dispatch,
+        zone: parts.settings.zone.clone(),
         configuration,
         word,
         revocation,
@@ -174,12 +164,11 @@
 
 fn scheduler(settings: &Settings, clock: Clock) -> schedule::Handle {
     let mut scheduler = Scheduler::new(placement::Settings {
-        zone: settings.zone.clone(),
         old_weights: settings.bounds.old_weights,
         old_weights_grace: OLD_WEIGHTS_GRACE,
     });
     scheduler.set_hosts(hosts::ASSUMED);
-    schedule::start(scheduler, clock)
+    schedule::start(scheduler, settings.zone.clone(), clock)
 }
 
 /// What the controllers are made of.
@@ -277,11 +266,24 @@
         }));
     }
 
+    fn dispatch(&mut self) -> Dispatch {
+        let dispatch = Dispatch::new(dispatch::Parts {
+            host: self.settings.host.clone(),
+            clock: self.store.clock,
+            schedule: self.schedule.clone(),
+            neighbours: self.neighbours.clone(),
+            metrics: self.metrics.clone(),
+        });
+        self.controllers.spawn(dispatch.clone().tell());
+        dispatch
+    }
+
     fn follow_caches(
         &mut self,
         configuration: &watch::Receiver<Configuration>,
         endpoints: &watch::Receiver<Vec<Endpoint>>,
         hosts: &watch::Receiver<usize>,
+        dispatch: &Dispatch,
     ) -> watch::Receiver<News> {
         let (news, news_seen) = watch::channel(News::default());
         self.controllers.spawn(feeds::follow(feeds::Parts {
@@ -292,6 +294,7 @@
             configuration: configuration.clone(),
             hosts: hosts.clone(),
             neighbours: self.neighbours.clone(),
+            dispatch: dispatch.clone(),
             news,
             quiet: self.quiet.clone(),
             schedule: self.schedule.clone(),
@@ -303,10 +306,16 @@
         &mut self,
         listener: std::net::TcpListener,
         news: watch::Receiver<News>,
+        desk: Desk,
     ) -> Result<(), Error> {
         let address = self.settings.peers;
-        let mirrors = std::mem::take(&mut self.mirrors);
-        let served = peers::serve(listener, mirrors, news, self.store.clock);
+        let context = peers::Context {
+            mirrors: std::mem::take(&mut self.mirrors),
+            caches: news,
+            desk,
+            clock: self.store.clock,
+        };
+        let served = peers::serve(listener, context);
         self.controllers
             .spawn(served.context(listen::ListenSnafu { address })?);
         Ok(())
--- a/crates/papayayard_gateway/src/hosts.rs
+++ b/crates/papayayard_gateway/src/hosts.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use papayayard_coordination::presence::Census;
-use papayayard_coordination::reader::Candidate;
+use papayayard_coordination::ranking::Candidate;
 use papayayard_coordination::shutdown::Stage;
 use papayayard_wire::id;
 use serde::{Deserialize, Serialize};
--- a/crates/papayayard_gateway/src/hosts_test.rs
+++ b/crates/papayayard_gateway/src/hosts_test.rs
@@ -22,14 +22,13 @@
     let (number, number_seen) = watch::channel(0);
     let (neighbours, neighbours_seen) = watch::channel(Neighbours::default());
     let scheduler = Scheduler::new(Settings {
-        zone: id::Zone::from("a"),
         old_weights: NOW,
         old_weights_grace: NOW,
     });
     let links = Links {
         number,
         neighbours,
-        schedule: schedule::start(scheduler, Clock::start()),
+        schedule: schedule::start(scheduler, id::Zone::from("a"), Clock::start()),
     };
     let told = Told {
         number: number_seen,
--- a/crates/papayayard_gateway/src/job.rs
+++ b/crates/papayayard_gateway/src/job.rs
@@ -50,10 +50,12 @@
     }
 
     /// What the scheduler is asked.
-    pub(crate) fn ask(&self, tried: &[id::Endpoint]) -> Ask {
+    pub(crate) fn ask(&self, zone: &id::Zone, tried: &[id::Endpoint]) -> Ask {
         let isolated = self.account.as_ref().filter(|account| account.isolated);
         Ask {
             service: self.service.clone(),
+            asker: None,
+            zone: zone.clone(),
             prompt: self.prompt.clone(),
             wall: isolated.map(|account| account.name.clone()),
             is_repeatable: self.route.kind.is_repeatable(),
@@ -61,7 +63,9 @@
             target: self.target,
             target_latency: self.route.target_latency,
             deadline: self.deadline,
+            waited: Duration::ZERO,
             tried: tried.to_vec(),
+            avoided: Vec::new(),
         }
     }
 }
--- a/crates/papayayard_gateway/src/lib.rs
+++ b/crates/papayayard_gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod cache_news;
 mod clock;
 mod dial;
+mod dispatch;
 mod events;
 mod feeds;
 mod follow;
--- a/crates/papayayard_gateway/src/metrics.rs
+++ b/crates/papayayard_gateway/src/metrics.rs
@@ -17,6 +17,7 @@
 pub(crate) struct Metrics {
     exposition: Exposition,
     requests: Counter<u64>,
+    placements: Counter<u64>,
     answers: Counter<u64>,
     refusals: Counter<u64>,
     repeats: Counter<u64>,
@@ -34,6 +35,10 @@
                 .u64_counter("papayayard_route_requests")
                 .with_description("Requests by route")
                 .build(),
+            placements: meter
+                .u64_counter("papayayard_route_placements")
+                .with_description("Decisions on where requests go, by who made them")
+                .build(),
             answers: meter
                 .u64_counter("papayayard_route_answers")
                 .with_description("Endpoints' whole answers by status")
@@ -64,6 +69,11 @@
         self.requests.add(1, &[route]);
     }
 
+    /// Counts a decision of the dispatcher or this host's own.
+    pub(crate) fn dispatched(&self, by: &'static str) {
+        self.placements.add(1, &[KeyValue::new("by", by)]);
+    }
+
     pub(crate) fn answered(&self, status: StatusCode) {
         let status = KeyValue::new("status", i64::from(status.as_u16()));
         self.answers.add(1, &[status]);
--- a/crates/papayayard_gateway/src/peers.rs
+++ b/crates/papayayard_gateway/src/peers.rs
@@ -25,6 +25,7 @@
 
 use crate::cache_news::{Batch, News};
 use crate::clock::Clock;
+use crate::dispatch::{Desk, DeskAnswer, DeskCall};
 use crate::follow::Beat;
 use crate::mirror::{Mirror, Part, Told};
 use crate::store::{Record, Topic};
@@ -33,10 +34,13 @@
 const READ: &str = "read";
 /// Method that reads changes of caches.
 const CACHES: &str = "caches";
+/// Method that asks for an endpoint, and tells what came of others.
+const DISPATCH: &str = "dispatch";
 /// JSON-RPC error code where nothing was read yet.
 const NOTHING_READ: i32 = -32_002;
-/// Most connections of other hosts; each has one for each topic.
-const CONNECTIONS: u32 = 512;
+/// Most connections of other hosts; each has one for each topic, and one for each
+/// request that waits for an endpoint.
+const CONNECTIONS: u32 = 2048;
 /// Most bytes of an answer.
 const ANSWER_BYTES: u32 = 8 << 20;
 /// Longest time that a call may wait.
@@ -92,18 +96,22 @@
 /// What this host has read, by the names of topics.
 pub(crate) type Mirrors = HashMap<&'static str, watch::Receiver<Mirror>>;
 
-struct Context {
-    mirrors: Mirrors,
-    caches: watch::Receiver<News>,
-    clock: Clock,
+/// What other hosts can ask for.
+pub(crate) struct Context {
+    /// What this host has read of topics.
+    pub(crate) mirrors: Mirrors,
+    /// What it has read of caches.
+    pub(crate) caches: watch::Receiver<News>,
+    /// Where endpoints are asked for.
+    pub(crate) desk: Desk,
+    /// Clock.
+    pub(crate) clock: Clock,
 }
 
 /// Answers other hosts until the handle is dropped.
 pub(crate) fn serve(
     listener: std::net::TcpListener,
-    mirrors: Mirrors,
-    caches: watch::Receiver<News>,
-    clock: Clock,
+    context: Context,
 ) -> io::Result<impl Future<Output = ()> + use<>> {
     let config = ServerConfig::builder()
         .http_only()
@@ -113,11 +121,7 @@
     let server = Server::builder()
         .set_config(config)
         .build_from_tcp(listener)?;
-    let mut module = RpcModule::new(Context {
-        mirrors,
-        caches,
-        clock,
-    });
+    let mut module = RpcModule::new(context);
     module
         .register_async_method(READ, |params, context, _| async move {
             let call = params.one::<Call>()?;
@@ -130,6 +134,12 @@
             Ok::<_, ErrorObjectOwned>(changes(&context, &call).await)
         })
         .expect("a new module has no method of this name");
+    module
+        .register_async_method(DISPATCH, |params, context, _| async move {
+            let call = params.one::<DeskCall>()?;
+            Ok::<_, ErrorObjectOwned>(context.desk.answer(call).await)
+        })
+        .expect("a new module has no method of this name");
     let handle: ServerHandle = server.start(module);
     Ok(handle.stopped())
 }
@@ -138,8 +148,11 @@
     let mirror = context.mirrors.get(call.topic.as_str());
     let mut mirror = mirror.cloned().ok_or_else(nothing_read)?;
     let arrived = context.clock.now();
-    let wait = call.wait_ms.min(LONGEST_WAIT);
     let known = mirror.borrow().asked();
+    // The caller is told at the moment at which the reading gets old for it.
+    let until_old = known.map(|asked| (asked + call.oldest_ms).saturating_sub(arrived));
+    let wait = call.wait_ms.min(LONGEST_WAIT);
+    let wait = until_old.map_or(wait, |until_old| wait.min(until_old));
     let is_old = known.is_some_and(|asked| asked + call.oldest_ms < arrived);
     let news =
         mirror.wait_for(|mirror| is_old || mirror.has_news(call.from) || mirror.asked() > known);
@@ -217,8 +230,13 @@
 impl Client {
     /// A client for calls that wait at most for a time.
     pub(crate) fn new(address: SocketAddr, wait: Duration) -> Result<Self, String> {
+        Self::within(address, wait + ANSWER_TIMEOUT)
+    }
+
+    /// A client for calls that are answered within a time.
+    pub(crate) fn within(address: SocketAddr, timeout: Duration) -> Result<Self, String> {
         let client = HttpClientBuilder::new()
-            .request_timeout(wait + ANSWER_TIMEOUT)
+            .request_timeout(timeout)
             .max_response_size(ANSWER_BYTES)
             .build(format!("http://{address}"))
             .map_err(|error| error.to_string())?;
@@ -230,6 +248,12 @@
         self.address
     }
 
+    /// Asks for an endpoint, and tells what came of others.
+    pub(crate) async fn dispatch(&self, call: DeskCall) -> Result<DeskAnswer, String> {
+        let answer = self.client.request(DISPATCH, rpc_params![call]).await;
+        answer.map_err(|error| error.to_string())
+    }
+
     /// Asks for changes of caches since a number.
     pub(crate) async fn caches(&self, since: u64, wait: Duration) -> Result<Batch, String> {
         let call = CachesCall {
--- a/crates/papayayard_gateway/src/pump.rs
+++ b/crates/papayayard_gateway/src/pump.rs
@@ -11,7 +11,7 @@
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use papayayard_routing::placement::{Decision, Outcome, Placement};
+use papayayard_routing::placement::{Outcome, Placement};
 use papayayard_routing::table::Kind;
 use papayayard_wire::id;
 use tokio::sync::mpsc;
@@ -19,11 +19,11 @@
 
 use crate::attempt::{Failure, Open};
 use crate::body::Broken;
+use crate::dispatch::{Found, Permit};
 use crate::events::Splitter;
 use crate::exchange::Codec;
 use crate::job::Job;
 use crate::relay::{Relay, Tried};
-use crate::schedule::Permit;
 
 /// Pauses that are still on time after which a stream that can go on elsewhere
 /// does so: a sound endpoint is seldom silent for that long.
@@ -182,20 +182,15 @@
         self.tried.endpoints.push(failed.clone());
         let position = self.splitter.position();
         while self.can_go_on() && self.relay.may_repeat(&self.job) {
-            let decision = self
-                .relay
-                .schedule
-                .place(self.job.ask(&self.tried.endpoints))
-                .await;
-            let Decision::Placed(placement) = decision else {
+            let found = self.relay.find(&self.job, &self.tried).await;
+            let Found::Place(placement, permit) = found else {
                 return None;
             };
-            let permit = self.relay.schedule.permit(&placement);
             let patience = self.relay.patience(&self.job, &placement, &self.tried);
             let sent = self
                 .relay
                 .sender
-                .send(&self.job, &placement, position, patience);
+                .send(&self.job, (&placement, &permit), position, patience);
             let sent = tokio::select! {
                 () = self.pieces.closed() => return None,
                 sent = sent => sent,
--- a/crates/papayayard_gateway/src/relay.rs
+++ b/crates/papayayard_gateway/src/relay.rs
@@ -9,7 +9,7 @@
 use http::{Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use papayayard_routing::placement::{Decision, Outcome, Placement, Refused};
+use papayayard_routing::placement::{Outcome, Placement, Refused};
 use papayayard_routing::repeat;
 use papayayard_routing::table::{Account, Limits, Table};
 use papayayard_wire::id;
@@ -21,6 +21,7 @@
 use crate::beliefs::{Configuration, Word};
 use crate::body::Body;
 use crate::clock::Clock;
+use crate::dispatch::{Dispatch, Found, Permit};
 use crate::exchange::{Arrival, Codec};
 use crate::front::Progress;
 use crate::hop;
@@ -28,7 +29,6 @@
 use crate::metrics::Metrics;
 use crate::pump;
 use crate::refusal::{Refusal, millis};
-use crate::schedule;
 
 /// Most bytes of an answer that are read before it is passed on.
 const WHOLE_ANSWER: usize = 1 << 20;
@@ -53,8 +53,10 @@
     pub(crate) sender: Sender<Platform>,
     /// Clock.
     pub(crate) clock: Clock,
-    /// Scheduler.
-    pub(crate) schedule: schedule::Handle,
+    /// Finds endpoints.
+    pub(crate) dispatch: Dispatch,
+    /// Zone of this host.
+    pub(crate) zone: id::Zone,
     /// Configuration in force.
     pub(crate) configuration: watch::Receiver<Configuration>,
     /// Age of the newest reading.
@@ -232,12 +234,12 @@
             {
                 return self.give_up(&job, &tried, error, &refusal);
             }
-            let placement = match self.place(&job, &tried).await {
-                Ok(placement) => placement,
+            let (placement, permit) = match self.place(&job, &tried).await {
+                Ok(placed) => placed,
                 Err(refusal) => return self.give_up(&job, &tried, error, &refusal),
             };
             let endpoint = placement.endpoint.clone();
-            let next = self.attempt(&job, placement, &tried).await;
+            let next = self.attempt(&job, placement, permit, &tried).await;
             let failure = match next {
                 Next::Answer(response) => return response,
                 Next::Error(response) => {
@@ -265,9 +267,15 @@
         }
     }
 
-    async fn place(&self, job: &Job, tried: &Tried) -> Result<Placement, Refusal> {
-        match self.schedule.place(job.ask(&tried.endpoints)).await {
-            Decision::Placed(placement) => {
+    /// Waits for an endpoint.
+    pub(crate) async fn find(&self, job: &Job, tried: &Tried) -> Found {
+        let ask = job.ask(&self.zone, &tried.endpoints);
+        self.dispatch.place(ask).await
+    }
+
+    async fn place(&self, job: &Job, tried: &Tried) -> Result<(Placement, Permit), Refusal> {
+        match self.find(job, tried).await {
+            Found::Place(placement, permit) => {
                 let source = placement.fetch;
                 let source = source.map_or_else(|| "-".to_owned(), |source| source.to_string());
                 let prompt = job.prompt.as_ref();
@@ -281,12 +289,12 @@
                     parts = prompt.map_or(0, |prompt| prompt.tokens),
                     shared,
                     fetch:% = source, save = placement.save.is_some(),
-                    attempt = tried.endpoints.len();
+                    by = permit.giver(), attempt = tried.endpoints.len();
                     "placed"
                 );
-                Ok(placement)
+                Ok((placement, permit))
             }
-            Decision::Refused {
+            Found::Refused {
                 why,
                 retry_after,
                 seen,
@@ -374,10 +382,16 @@
         patience.min(left)
     }
 
-    async fn attempt(&self, job: &Job, placement: Placement, tried: &Tried) -> Next {
-        let permit = self.schedule.permit(&placement);
+    async fn attempt(
+        &self,
+        job: &Job,
+        placement: Placement,
+        permit: Permit,
+        tried: &Tried,
+    ) -> Next {
         let patience = self.patience(job, &placement, tried);
-        let sent = self.sender.send(job, &placement, job.position, patience);
+        let to = (&placement, &permit);
+        let sent = self.sender.send(job, to, job.position, patience);
         let open = match sent.await {
             Ok(open) => open,
             Err(failure) => {
--- a/crates/papayayard_gateway/src/schedule.rs
+++ b/crates/papayayard_gateway/src/schedule.rs
@@ -15,7 +15,7 @@
 use papayayard_routing::table::Table;
 use papayayard_routing::weights::Named;
 use papayayard_wire::id;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time;
 
 use crate::clock::Clock;
@@ -38,6 +38,10 @@
 pub(crate) enum Message {
     /// A request wants an endpoint.
     Ask(Box<Ask>, oneshot::Sender<Decision>),
+    /// Another host has placed a request of this one.
+    Adopt(Box<(Ask, Placement)>, oneshot::Sender<Option<Ticket>>),
+    /// A process of another host has asked or told something.
+    Heard(id::Host, u64),
     /// A request's first event has come.
     Begun(Ticket),
     /// The endpoint of a placed request says that it leaves.
@@ -66,12 +70,15 @@
 
 /// Sends messages to the task.
 #[derive(Clone)]
-pub(crate) struct Handle(mpsc::UnboundedSender<Message>);
+pub(crate) struct Handle {
+    messages: mpsc::UnboundedSender<Message>,
+    avoided: watch::Receiver<Vec<id::Endpoint>>,
+}
 
 impl Handle {
     /// Tells the task something; it ends only with the process.
     pub(crate) fn tell(&self, message: Message) {
-        if self.0.send(message).is_err() {
+        if self.messages.send(message).is_err() {
             log::error!("the scheduler's task has ended; restart the host");
         }
     }
@@ -87,57 +94,45 @@
         })
     }
 
-    /// A permit for a placed request.
-    pub(crate) fn permit(&self, placement: &Placement) -> Permit {
-        Permit {
-            handle: self.clone(),
-            ticket: placement.ticket,
-            outcome: Outcome::Abandoned,
-        }
-    }
-}
-
-/// Leave to use an endpoint, given back when it is dropped.
-pub(crate) struct Permit {
-    handle: Handle,
-    ticket: Ticket,
-    outcome: Outcome,
-}
-
-impl Permit {
-    /// Notes that the first event has come.
-    pub(crate) fn begun(&self) {
-        self.handle.tell(Message::Begun(self.ticket));
-    }
-
-    /// Gives the permit back with an outcome.
-    pub(crate) fn end(mut self, outcome: Outcome) {
-        self.outcome = outcome;
+    /// Takes over a placement that another host has made.
+    pub(crate) async fn adopt(&self, ask: Ask, placement: Placement) -> Option<Ticket> {
+        let (reply, ticket) = oneshot::channel();
+        self.tell(Message::Adopt(Box::new((ask, placement)), reply));
+        ticket.await.ok()?
     }
-}
 
-impl Drop for Permit {
-    fn drop(&mut self) {
-        let message = Message::Finished(self.ticket, self.outcome);
-        self.handle.tell(message);
+    /// Endpoints that this host does not reach, or that want nothing from it.
+    pub(crate) fn avoided(&self) -> Vec<id::Endpoint> {
+        self.avoided.borrow().clone()
     }
 }
 
-/// Starts the task; it ends when all handles are gone.
-pub(crate) fn start(scheduler: Scheduler, clock: Clock) -> Handle {
+/// Starts the task of a host in a zone; it ends when all handles are gone.
+pub(crate) fn start(scheduler: Scheduler, zone: id::Zone, clock: Clock) -> Handle {
     let (sender, messages) = mpsc::unbounded_channel();
+    let (avoided, avoided_seen) = watch::channel(Vec::new());
     let task = Task {
         scheduler,
+        zone,
         clock,
+        avoided,
+        askers: HashMap::new(),
         replies: HashMap::new(),
     };
     tokio::spawn(task.run(messages));
-    Handle(sender)
+    Handle {
+        messages: sender,
+        avoided: avoided_seen,
+    }
 }
 
 struct Task {
     scheduler: Scheduler,
+    zone: id::Zone,
     clock: Clock,
+    avoided: watch::Sender<Vec<id::Endpoint>>,
+    /// Processes of hosts that ask.
+    askers: HashMap<id::Host, u64>,
     replies: HashMap<Waiting, oneshot::Sender<Decision>>,
 }
 
@@ -157,7 +152,7 @@
                     }
                 }
                 _ = interval.tick(), if self.scheduler.has_waiting() => {}
-                _ = check.tick() => self.scheduler.check_silence(self.clock.now()),
+                _ = check.tick() => self.check(),
             }
             self.decide();
         }
@@ -171,6 +166,14 @@
                 let waiting = scheduler.ask(*ask, now);
                 self.replies.insert(waiting, reply);
             }
+            Message::Adopt(adopted, reply) => {
+                let (ask, placement) = *adopted;
+                let ticket = scheduler.adopt(&ask, &placement, now);
+                if let (Err(_), Some(ticket)) = (reply.send(ticket), ticket) {
+                    scheduler.finished(ticket, Outcome::Abandoned, now);
+                }
+            }
+            Message::Heard(host, run) => self.heard(host, run, now),
             Message::Begun(ticket) => scheduler.begun(ticket, now),
             Message::Leaving(ticket) => scheduler.states_leaving(ticket),
             Message::Quiet(ticket, time) => scheduler.states_quiet(ticket, time, now),
@@ -189,6 +192,27 @@
         }
     }
 
+    fn check(&mut self) {
+        let now = self.clock.now();
+        self.scheduler.check_silence(now);
+        let avoided = self.scheduler.avoided(&self.zone, now);
+        self.avoided.send_if_modified(|known| {
+            let is_new = *known != avoided;
+            *known = avoided;
+            is_new
+        });
+    }
+
+    /// Another process of a host knows nothing of what the one before has placed.
+    fn heard(&mut self, host: id::Host, run: u64, now: Duration) {
+        self.scheduler.heard(&host, now);
+        let known = self.askers.insert(host.clone(), run);
+        if known.is_some_and(|known| known != run) {
+            log::info!(host:%; "a host that asks has started again");
+            self.scheduler.forget_asker(&host, now);
+        }
+    }
+
     fn told(&mut self, holder: &Holder, parts: &[(prompt::Key, u32)]) {
         let now = self.clock.now();
         for (key, tokens) in parts {
--- a/crates/papayayard_routing/src/placement.rs
+++ b/crates/papayayard_routing/src/placement.rs
@@ -16,6 +16,7 @@
 use crate::weights;
 
 mod ask;
+mod askers;
 mod backend;
 mod cache;
 mod cost;
@@ -31,6 +32,7 @@
 mod split;
 mod stated;
 
+use askers::Askers;
 use backend::Backend;
 use course::Placed;
 use stated::Stated;
@@ -53,11 +55,9 @@
 /// Part of the time to come back in by which callers are spread.
 const RETRY_SPREAD: f64 = 0.4;
 
-/// Where this host is and what bounds it.
-#[derive(Clone, Debug)]
+/// What bounds a scheduler.
+#[derive(Clone, Copy, Debug)]
 pub struct Settings {
-    /// Zone of this host.
-    pub zone: id::Zone,
     /// Time for which older weights may be used.
     pub old_weights: Duration,
     /// Time from which on older weights count as a loss.
@@ -68,7 +68,9 @@
 pub struct Scheduler {
     settings: Settings,
     table: Arc<Table>,
+    /// Schedulers that place requests at the same endpoints, this one included.
     hosts: usize,
+    askers: Askers,
     backends: SlotMap<BackendKey, Backend>,
     by_id: HashMap<id::Endpoint, BackendKey>,
     stated: HashMap<id::Endpoint, Stated>,
@@ -105,6 +107,7 @@
             settings,
             table: Arc::default(),
             hosts: 1,
+            askers: Askers::default(),
             backends: SlotMap::with_key(),
             by_id: HashMap::new(),
             stated: HashMap::new(),
@@ -126,10 +129,14 @@
         if let Some(prompt) = &ask.prompt {
             self.demand.asked(prompt, now);
         }
+        if let Some(asker) = &ask.asker {
+            self.heard(asker, now);
+        }
+        let since = now.saturating_sub(ask.waited);
         self.waiting.insert(Pending {
             ask,
             arrival: self.arrivals,
-            since: now,
+            since,
         })
     }
 
@@ -145,14 +152,14 @@
 
     /// Decides on the waiting requests, the most urgent first.
     pub fn decide(&mut self, now: Duration) -> Vec<(Waiting, Decision)> {
-        let mut order: Vec<(u8, u64, Waiting)> = self
+        let mut order: Vec<(u8, Duration, u64, Waiting)> = self
             .waiting
             .iter()
-            .map(|(key, pending)| (pending.ask.priority, pending.arrival, key))
+            .map(|(key, one)| (one.ask.priority, one.since, one.arrival, key))
             .collect();
         order.sort_unstable();
         let mut decisions = Vec::new();
-        for (_, _, key) in order {
+        for (.., key) in order {
             let Some(decision) = self.decide_one(key, now) else {
                 continue;
             };
--- a/crates/papayayard_routing/src/placement/ask.rs
+++ b/crates/papayayard_routing/src/placement/ask.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use papayayard_wire::id;
+use slotmap::{Key, KeyData};
 
 use crate::prompt;
 
@@ -17,11 +18,27 @@
     pub struct BackendKey;
 }
 
+impl Ticket {
+    /// The number that stands for it between hosts.
+    pub fn number(self) -> u64 {
+        self.data().as_ffi()
+    }
+
+    /// The ticket that a number stands for.
+    pub fn from_number(number: u64) -> Self {
+        Self::from(KeyData::from_ffi(number))
+    }
+}
+
 /// A request that wants an endpoint.
 #[derive(Clone, Debug)]
 pub struct Ask {
     /// Service.
     pub service: id::Service,
+    /// The host that asks, where it isn't this one.
+    pub asker: Option<id::Host>,
+    /// Zone of the host that sends the request.
+    pub zone: id::Zone,
     /// Declared prompt, for model services.
     pub prompt: Option<Arc<prompt::Prompt>>,
     /// The client account, where it shares no cached prompts.
@@ -36,8 +53,13 @@
     pub target_latency: Duration,
     /// Time by which the answer must be whole.
     pub deadline: Duration,
+    /// Time for which it has waited for a place already.
+    pub waited: Duration,
     /// Endpoints that have failed this request.
     pub tried: Vec<id::Endpoint>,
+    /// Endpoints that the host that sends it does not reach, or that want nothing
+    /// from it.
+    pub avoided: Vec<id::Endpoint>,
 }
 
 /// Where a request goes.
--- a/crates/papayayard_routing/src/placement/backend.rs
+++ b/crates/papayayard_routing/src/placement/backend.rs
@@ -49,6 +49,8 @@
     pub(super) health: ejection::Health,
     /// What it has said of itself in answers.
     pub(super) stated: Stated,
+    /// When it gave an answer last.
+    pub(super) answered_at: Duration,
     /// Left out until this time, after it refused.
     pub(super) refuses_until: Duration,
     /// Set while other weights are being loaded there.
@@ -70,6 +72,7 @@
             load: Load::default(),
             cache: Cache::default(),
             health: ejection::Health::default(),
+            answered_at: Duration::ZERO,
             refuses_until: Duration::ZERO,
             loading_until: None,
             fresh_since: now,
--- a/crates/papayayard_routing/src/placement/course.rs
+++ b/crates/papayayard_routing/src/placement/course.rs
@@ -16,8 +16,21 @@
 /// Failures in a row that one refused or unanswered connection counts for.
 const UNREACHABLE_FAILURES: usize = 2;
 
+/// Time beyond its deadline after which a request has ended though the host that
+/// sent it has not told so.
+const UNTOLD: Duration = Duration::from_secs(1);
+/// Time since the last answer of an endpoint within which another host's word that
+/// it cannot be reached speaks of that host's own way there.
+const REACHED: Duration = Duration::from_millis(500);
+
 /// A request that was placed.
 pub(super) struct Placed {
+    /// The host that sends it, where it isn't this one.
+    pub(super) asker: Option<id::Host>,
+    /// Zone of that host.
+    pub(super) zone: id::Zone,
+    /// Time by which its answer must be whole.
+    pub(super) deadline: Duration,
     pub(super) backend: BackendKey,
     pub(super) endpoint: id::Endpoint,
     /// Start of the endpoint's process.
@@ -37,7 +50,27 @@
     pub(super) overdue: bool,
 }
 
+impl Placed {
+    /// Whether the host that sends it should have told its end.
+    pub(super) fn is_lapsed(&self, now: Duration) -> bool {
+        self.asker.is_some() && self.deadline + UNTOLD <= now
+    }
+}
+
 impl Scheduler {
+    /// Ends placed requests of which nothing more will be heard.
+    pub(super) fn end_where<Matches>(&mut self, now: Duration, matches: Matches)
+    where
+        Matches: Fn(&Placed) -> bool,
+    {
+        let tickets = self.tickets.iter();
+        let ended = tickets.filter(|(_, placed)| matches(placed));
+        let ended: Vec<Ticket> = ended.map(|(ticket, _)| ticket).collect();
+        for ticket in ended {
+            self.finished(ticket, Outcome::Abandoned, now);
+        }
+    }
+
     /// Notes that a request's first event has come.
     pub fn begun(&mut self, ticket: Ticket, now: Duration) {
         let Some(placed) = self.tickets.get_mut(ticket) else {
@@ -54,8 +87,10 @@
         placed.amounts.unread = 0.0;
         let late_ms = elapsed_ms(placed.sent, now) - placed.explained_ms;
         let is_stream = placed.is_stream;
+        let placed_zone = placed.zone.clone();
         if let Some(backend) = self.backends.get_mut(placed.backend) {
-            self.reach.answered(&backend.endpoint.zone);
+            self.reach.answered(&placed_zone, &backend.endpoint.zone);
+            backend.answered_at = now;
             backend.load.remove(unread, now);
             for key in &placed.keys {
                 backend.cache.confirm(*key, now);
@@ -82,19 +117,24 @@
         let zone = &backend.endpoint.zone;
         match outcome {
             Outcome::Whole => {
-                self.reach.answered(zone);
+                self.reach.answered(&placed.zone, zone);
+                backend.answered_at = now;
                 backend.health.succeeded(now);
                 backend.served(now.saturating_sub(placed.sent));
             }
             Outcome::Abandoned => {}
             Outcome::Refused | Outcome::Mismatched => {
-                self.reach.answered(zone);
+                self.reach.answered(&placed.zone, zone);
+                backend.answered_at = now;
                 backend.refuses_until = now + REFUSAL_PAUSE;
             }
             Outcome::Unreachable => {
-                self.reach.failed(zone, &placed.endpoint, now);
-                for _ in 0..UNREACHABLE_FAILURES {
-                    backend.health.failed(now);
+                self.reach.failed(&placed.zone, zone, &placed.endpoint, now);
+                let is_reached = backend.answered_at + REACHED > now;
+                if placed.asker.is_none() || !is_reached {
+                    for _ in 0..UNREACHABLE_FAILURES {
+                        backend.health.failed(now);
+                    }
                 }
             }
             Outcome::Failed => backend.health.failed(now),
@@ -104,7 +144,13 @@
     /// Counts endpoints that are silent for too long as failing.
     pub fn check_silence(&mut self, now: Duration) {
         for placed in self.tickets.values_mut() {
-            if placed.begun || now < placed.sent + placed.expected {
+            let due = placed.sent + placed.expected;
+            if placed.begun || now < due {
+                continue;
+            }
+            // A host that is silent says nothing of the endpoint.
+            let heard = placed.asker.as_ref().map(|host| self.askers.last_heard(host));
+            if heard.is_some_and(|heard| heard.is_none_or(|heard| heard < due)) {
                 continue;
             }
             let Some(backend) = self.backends.get_mut(placed.backend) else {
@@ -123,6 +169,7 @@
                 backend.health.failed(now);
             }
         }
+        self.forget_silent(now);
         for store in self.stores.values_mut() {
             store.cache.prune(now);
         }
--- a/crates/papayayard_routing/src/placement/news.rs
+++ b/crates/papayayard_routing/src/placement/news.rs
@@ -25,11 +25,6 @@
         self.table = table;
     }
 
-    /// Takes over the number of hosts that send requests.
-    pub fn set_hosts(&mut self, hosts: usize) {
-        self.hosts = hosts.max(1);
-    }
-
     /// Takes over versions of weights that operators have named.
     pub fn add_named(&mut self, named: &HashMap<id::Model, weights::Named>) {
         for (model, named) in named {
--- a/crates/papayayard_routing/src/placement/place.rs
+++ b/crates/papayayard_routing/src/placement/place.rs
@@ -4,12 +4,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::ask::{Ask, Placement};
+use super::ask::{Ask, BackendKey, Placement, Ticket};
 use super::course::Placed;
 use super::fetch::Fetch;
 use super::load::Amounts;
 use super::select::{Candidate, shared_keys};
-use super::{Scheduler, milliseconds};
+use super::{Scheduler, milliseconds, ms};
 use crate::prompt;
 
 /// Times the expected time to the first event after which a prompt has been
@@ -20,70 +20,92 @@
 
 impl Scheduler {
     pub(super) fn place(&mut self, ask: &Ask, candidate: &Candidate, now: Duration) -> Placement {
-        let first_event = milliseconds(candidate.estimate.first_event_ms);
+        let estimate = &candidate.estimate;
+        let first_event = milliseconds(estimate.first_event_ms);
+        let mut placement = Placement {
+            ticket: Ticket::default(),
+            endpoint: self.backends[candidate.key].endpoint.id.clone(),
+            address: self.backends[candidate.key].endpoint.address,
+            version: None,
+            salt: None,
+            fetch: None,
+            save: None,
+            first_event,
+            cached: estimate.cached,
+            unread: estimate.unread,
+        };
+        if let Some(prompt) = &ask.prompt {
+            let wall = ask.wall.as_ref();
+            let keys = shared_keys(prompt, candidate.version, wall);
+            let fetch = candidate.fetch;
+            placement.save = self.save(prompt, &keys, read_by(first_event, now) + SAVE, now);
+            let is_known = |fetch: &Fetch| fetch.source.tokens > estimate.cached;
+            if let Some(fetch) = fetch.filter(|fetch| fetch.source.is_shared && is_known(fetch)) {
+                self.fetched_from_store(prompt, fetch.source.transfer, now);
+            }
+            placement.fetch = fetch.map(|fetch| fetch.address);
+            placement.salt = Some(prompt::salt(&prompt.model, candidate.version, wall));
+            placement.version = (candidate.version > 0).then_some(candidate.version);
+        }
+        placement.ticket = self.begin(candidate.key, ask, &placement, estimate.explained_ms, now);
+        placement
+    }
+
+    /// Takes over a placement that another host has made, so that this one knows
+    /// what it has sent when it has to place by itself; `None` where the endpoint
+    /// isn't known here.
+    pub fn adopt(&mut self, ask: &Ask, placement: &Placement, now: Duration) -> Option<Ticket> {
+        let key = self.by_id.get(&placement.endpoint).copied()?;
+        if let Some(prompt) = &ask.prompt {
+            self.demand.asked(prompt, now);
+        }
+        let explained_ms = ms(placement.first_event);
+        Some(self.begin(key, ask, placement, explained_ms, now))
+    }
+
+    /// Notes what a placement brings to its endpoint.
+    fn begin(
+        &mut self,
+        key: BackendKey,
+        ask: &Ask,
+        placement: &Placement,
+        explained_ms: f64,
+        now: Duration,
+    ) -> Ticket {
+        let backend = &mut self.backends[key];
         let mut amounts = Amounts {
             open: 1.0,
             ..Amounts::default()
         };
-        let mut shared = Vec::new();
-        let mut salt = None;
-        let mut save = None;
-        let mut fetch = None;
-        let mut version = None;
+        let mut keys = Vec::new();
         if let Some(prompt) = &ask.prompt {
-            amounts.unread = f64::from(candidate.estimate.unread);
-            let memory = prompt.tokens - candidate.estimate.cached + prompt.output_tokens();
+            amounts.unread = f64::from(placement.unread);
+            let memory = prompt.tokens.saturating_sub(placement.cached) + prompt.output_tokens();
             amounts.memory = f64::from(memory);
-            let keys = shared_keys(prompt, candidate.version, ask.wall.as_ref());
-            fetch = candidate.fetch;
-            let read = now + first_event * READ_BY;
-            save = self.save(prompt, &keys, read + SAVE, now);
-            let is_known = |fetch: &Fetch| fetch.source.tokens > candidate.estimate.cached;
-            if let Some(fetch) = fetch.filter(|fetch| fetch.source.is_shared && is_known(fetch)) {
-                self.fetched_from_store(prompt, fetch.source.transfer, now);
-            }
-            let cache = &mut self.backends[candidate.key].cache;
+            let version = placement.version.unwrap_or(0);
+            keys = shared_keys(prompt, version, ask.wall.as_ref());
+            let read = read_by(placement.first_event, now);
             for (part, key) in prompt.shared().iter().zip(&keys) {
-                cache.expect(*key, part.tokens, read);
+                backend.cache.expect(*key, part.tokens, read);
             }
-            shared = keys;
-            salt = Some(prompt::salt(
-                &prompt.model,
-                candidate.version,
-                ask.wall.as_ref(),
-            ));
-            version = (candidate.version > 0).then_some(candidate.version);
         }
-        let backend = &mut self.backends[candidate.key];
         backend.load.add(amounts, now);
-        let endpoint = backend.endpoint.id.clone();
-        let started = backend.endpoint.started;
-        let address = backend.endpoint.address;
-        let ticket = self.tickets.insert(Placed {
-            backend: candidate.key,
-            endpoint: endpoint.clone(),
-            started,
+        self.tickets.insert(Placed {
+            asker: ask.asker.clone(),
+            zone: ask.zone.clone(),
+            deadline: ask.deadline,
+            backend: key,
+            endpoint: backend.endpoint.id.clone(),
+            started: backend.endpoint.started,
             amounts,
             sent: now,
-            expected: first_event,
-            explained_ms: candidate.estimate.explained_ms,
-            keys: shared,
+            expected: placement.first_event,
+            explained_ms,
+            keys,
             is_stream: ask.prompt.is_some(),
             begun: false,
             overdue: false,
-        });
-        Placement {
-            ticket,
-            endpoint,
-            address,
-            version,
-            salt,
-            fetch: fetch.map(|fetch| fetch.address),
-            save,
-            first_event,
-            cached: candidate.estimate.cached,
-            unread: candidate.estimate.unread,
-        }
+        })
     }
 
     /// The store's address if it lacks shared parts, which are then expected.
@@ -115,3 +137,8 @@
         store.link.transfer(time, self.hosts, now);
     }
 }
+
+/// When a prompt has been read for sure, if its first event is not seen before.
+fn read_by(first_event: Duration, now: Duration) -> Duration {
+    now + first_event * READ_BY
+}
--- a/crates/papayayard_routing/src/placement/reach.rs
+++ b/crates/papayayard_routing/src/placement/reach.rs
@@ -1,9 +1,10 @@
-//! Zones that this host cannot reach.
+//! Zones that hosts cannot reach.
 //!
 //! When zones are cut off from each other, each host would find out endpoint by
 //! endpoint, and lose the time of a connection on each. Several endpoints of a
 //! zone that cannot be reached, with none that answers between, speak for the
-//! zone: the others there are left out too, and tried again a little later.
+//! zone: the others there are left out too, and tried again a little later. What
+//! hosts of one zone reach says nothing of those of another.
 
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
@@ -16,10 +17,10 @@
 /// Time for which a zone is left out before it is tried again.
 const PAUSE: Duration = Duration::from_secs(1);
 
-/// What this host reaches, by zone.
+/// What hosts reach, by their zone and the endpoints'.
 #[derive(Clone, Debug, Default)]
 pub struct Reach {
-    zones: HashMap<id::Zone, Failing>,
+    zones: HashMap<id::Zone, HashMap<id::Zone, Failing>>,
 }
 
 /// A zone in which nothing has answered since some endpoint failed.
@@ -31,8 +32,15 @@
 
 impl Reach {
     /// Notes that no connection to an endpoint came about.
-    pub fn failed(&mut self, zone: &id::Zone, endpoint: &id::Endpoint, now: Duration) {
-        let failing = self.zones.entry(zone.clone()).or_default();
+    pub fn failed(
+        &mut self,
+        from: &id::Zone,
+        zone: &id::Zone,
+        endpoint: &id::Endpoint,
+        now: Duration,
+    ) {
+        let zones = self.zones.entry(from.clone()).or_default();
+        let failing = zones.entry(zone.clone()).or_default();
         failing.endpoints.insert(endpoint.clone());
         if failing.endpoints.len() >= ENOUGH {
             failing.out_until = now + PAUSE;
@@ -40,18 +48,21 @@
     }
 
     /// Notes an answer from a zone.
-    pub fn answered(&mut self, zone: &id::Zone) {
-        self.zones.remove(zone);
+    pub fn answered(&mut self, from: &id::Zone, zone: &id::Zone) {
+        if let Some(zones) = self.zones.get_mut(from) {
+            zones.remove(zone);
+        }
     }
 
     /// Whether some zone is left out now.
-    pub fn is_any_out(&self, now: Duration) -> bool {
-        self.zones.values().any(|failing| now < failing.out_until)
+    pub fn is_any_out(&self, from: &id::Zone, now: Duration) -> bool {
+        let zones = self.zones.get(from);
+        zones.is_some_and(|zones| zones.values().any(|failing| now < failing.out_until))
     }
 
     /// Whether a zone is left out now.
-    pub fn is_out(&self, zone: &id::Zone, now: Duration) -> bool {
-        let failing = self.zones.get(zone);
+    pub fn is_out(&self, from: &id::Zone, zone: &id::Zone, now: Duration) -> bool {
+        let failing = self.zones.get(from).and_then(|zones| zones.get(zone));
         failing.is_some_and(|failing| now < failing.out_until)
     }
 }
--- a/crates/papayayard_routing/src/placement/select.rs
+++ b/crates/papayayard_routing/src/placement/select.rs
@@ -45,7 +45,10 @@
         if own.peek().is_none() {
             return Refused::NoEndpoint;
         }
-        if own.all(|one| ask.tried.contains(&one.endpoint.id)) {
+        let is_excluded = |one: &Backend| {
+            ask.tried.contains(&one.endpoint.id) || ask.avoided.contains(&one.endpoint.id)
+        };
+        if own.all(is_excluded) {
             return Refused::AllTried;
         }
         Refused::Overloaded
@@ -77,17 +80,19 @@
         let usable = self.backends.iter().filter(|(_, one)| {
             one.endpoint.service == ask.service
                 && !ask.tried.contains(&one.endpoint.id)
+                && !ask.avoided.contains(&one.endpoint.id)
                 && one.is_usable(now)
                 && one.load.own().open + 1.0 <= share.max(1.0)
         });
         let mut usable: Vec<(BackendKey, &Backend)> = usable.collect();
         let mut hosts = self.hosts;
-        if self.reach.is_any_out(now) {
-            let is_reached = |backend: &Backend| !self.reach.is_out(&backend.endpoint.zone, now);
+        if self.reach.is_any_out(&ask.zone, now) {
+            let is_reached =
+                |backend: &Backend| !self.reach.is_out(&ask.zone, &backend.endpoint.zone, now);
             if usable.iter().any(|(_, one)| is_reached(one)) {
                 usable.retain(|(_, one)| is_reached(one));
             }
-            hosts = self.sending_hosts(&ask.service, now);
+            hosts = self.sending_hosts(ask, now);
         }
         seen.usable = usable.len();
         let candidates = match (engine, &ask.prompt) {
@@ -110,11 +115,11 @@
 
     /// Hosts that send to the endpoints that this host reaches: those of a zone
     /// that is cut off send to their own.
-    fn sending_hosts(&self, service: &id::Service, now: Duration) -> usize {
+    fn sending_hosts(&self, ask: &Ask, now: Duration) -> usize {
         let own = self.backends.values();
-        let own = own.filter(|one| one.endpoint.service == *service);
+        let own = own.filter(|one| one.endpoint.service == ask.service);
         let zones: HashSet<&id::Zone> = own.map(|one| &one.endpoint.zone).collect();
-        let is_reached = |zone: &&&id::Zone| !self.reach.is_out(zone, now);
+        let is_reached = |zone: &&&id::Zone| !self.reach.is_out(&ask.zone, zone, now);
         let reached = zones.iter().filter(is_reached).count();
         if reached == 0 {
             return self.hosts;
@@ -129,7 +134,7 @@
         hosts: usize,
         now: Duration,
     ) -> Vec<Candidate> {
-        let zone = cost::Zone::new(&self.settings.zone, ask.is_repeatable);
+        let zone = cost::Zone::new(&ask.zone, ask.is_repeatable);
         let mean = Amounts::mean(usable.iter().map(|(_, one)| one.load.average(hosts, now)));
         let candidates = usable.into_iter().map(|(key, backend)| Candidate {
             key,
@@ -187,7 +192,7 @@
                 hosts,
                 mean: if is_old { mean_old } else { mean_new },
                 is_avoided: newest.is_some() && is_old == prefers_new,
-                zone: cost::Zone::new(&self.settings.zone, ask.is_repeatable),
+                zone: cost::Zone::new(&ask.zone, ask.is_repeatable),
                 rank,
                 known: shared.known,
                 usual_ms: self.usual.ms(),
--- a/crates/papayayard_routing/src/placement/stated.rs
+++ b/crates/papayayard_routing/src/placement/stated.rs
@@ -43,6 +43,17 @@
         });
     }
 
+    /// Endpoints that this host does not reach, or that want nothing from it.
+    pub fn avoided(&self, zone: &id::Zone, now: Duration) -> Vec<id::Endpoint> {
+        let backends = self.backends.values();
+        let avoided = backends.filter(|one| {
+            one.health.is_ejected(now)
+                || !one.stated.permits(now)
+                || self.reach.is_out(zone, &one.endpoint.zone, now)
+        });
+        avoided.map(|one| one.endpoint.id.clone()).collect()
+    }
+
     /// What a life of an endpoint has stated.
     pub(super) fn stated(&self, endpoint: &id::Endpoint, started: id::Incarnation) -> Stated {
         let known = self.stated.get(endpoint).copied();
--- a/crates/papayayard_routing/tests/placement/support.rs
+++ b/crates/papayayard_routing/tests/placement/support.rs
@@ -81,7 +81,6 @@
 /// A scheduler of one of some hosts in zone `a`.
 pub(crate) fn scheduler(endpoints: &[Endpoint], hosts: usize) -> Scheduler {
     let mut scheduler = Scheduler::new(Settings {
-        zone: id::Zone::from("a"),
         old_weights: Duration::from_secs(12),
         old_weights_grace: ms(1200),
     });
@@ -129,6 +128,10 @@
 pub(crate) fn ask(prompt: Prompt, now: Duration) -> Ask {
     Ask {
         service: id::Service::from("engines"),
+        asker: None,
+        zone: id::Zone::from("a"),
+        waited: Duration::ZERO,
+        avoided: Vec::new(),
         prompt: Some(Arc::new(prompt)),
         wall: None,
         is_repeatable: true,
