--- a/crates/papayayard_gateway/src/dispatch/message.rs
+++ b/crates/papayayard_gateway/src/dispatch/message.rs
@@ -117,6 +117,7 @@
     first_event_us: Duration,
     cached: u32,
     unread: u32,
+    reread: u32,
 }
 
 /// Why a request goes nowhere.
@@ -242,6 +243,7 @@
             first_event_us: placement.first_event,
             cached: placement.cached,
             unread: placement.unread,
+            reread: placement.reread,
         }
     }
 
@@ -258,6 +260,7 @@
             first_event: self.first_event_us,
             cached: self.cached,
             unread: self.unread,
+            reread: self.reread,
         };
         (placement, self.ticket)
     }
--- a/crates/papayayard_gateway/src/relay.rs
+++ b/crates/papayayard_gateway/src/relay.rs
@@ -285,7 +285,7 @@
                     request:% = job.id, service:% = job.service, endpoint:% = placement.endpoint,
                     version = placement.version.unwrap_or(0),
                     expected_ms = millis(placement.first_event),
-                    cached = placement.cached, unread = placement.unread,
+                    cached = placement.cached, unread = placement.unread, reread = placement.reread,
                     parts = prompt.map_or(0, |prompt| prompt.tokens),
                     shared,
                     fetch:% = source, save = placement.save.is_some(),
--- a/crates/papayayard_gateway/src/schedule.rs
+++ b/crates/papayayard_gateway/src/schedule.rs
@@ -214,11 +214,10 @@
     }
 
     fn told(&mut self, holder: &Holder, parts: &[(prompt::Key, u32)]) {
-        let now = self.clock.now();
         for (key, tokens) in parts {
             match holder {
-                Holder::Endpoint(endpoint) => self.scheduler.told(endpoint, *key, *tokens, now),
-                Holder::Store(store) => self.scheduler.store_told(store, *key, *tokens, now),
+                Holder::Endpoint(endpoint) => self.scheduler.told(endpoint, *key, *tokens),
+                Holder::Store(store) => self.scheduler.store_told(store, *key, *tokens),
             }
         }
     }
--- a/crates/papayayard_routing/src/placement.rs
+++ b/crates/papayayard_routing/src/placement.rs
@@ -26,6 +26,7 @@
 mod link;
 mod load;
 mod news;
+mod pace;
 mod place;
 mod reach;
 mod select;
@@ -42,6 +43,7 @@
 pub use cache::Cache;
 pub use delay::{Delay, Usual};
 pub use link::{Link, transfer_time};
+pub use pace::Pace;
 pub use load::{Amounts, Load};
 pub use reach::Reach;
 pub use split::{Demand, draw};
@@ -78,6 +80,7 @@
     named: HashMap<id::Model, weights::Named>,
     reach: Reach,
     usual: Usual,
+    paces: HashMap<id::Service, Pace>,
     demand: Demand,
     refusals: u64,
     tickets: SlotMap<Ticket, Placed>,
@@ -115,6 +118,7 @@
             named: HashMap::new(),
             reach: Reach::default(),
             usual: Usual::default(),
+            paces: HashMap::new(),
             demand: Demand::default(),
             refusals: 0,
             tickets: SlotMap::with_key(),
@@ -127,7 +131,8 @@
     pub fn ask(&mut self, ask: Ask, now: Duration) -> Waiting {
         self.arrivals += 1;
         if let Some(prompt) = &ask.prompt {
-            self.demand.asked(prompt, now);
+            let pace = self.pace(&ask.service);
+            self.demand.asked(prompt, pace, now);
         }
         if let Some(asker) = &ask.asker {
             self.heard(asker, now);
--- a/crates/papayayard_routing/src/placement/ask.rs
+++ b/crates/papayayard_routing/src/placement/ask.rs
@@ -85,6 +85,8 @@
     pub cached: u32,
     /// Tokens that the endpoint will have to read.
     pub unread: u32,
+    /// Those of them that are kept elsewhere or were about to be.
+    pub reread: u32,
 }
 
 /// Why a request gets no endpoint.
--- a/crates/papayayard_routing/src/placement/cache.rs
+++ b/crates/papayayard_routing/src/placement/cache.rs
@@ -2,7 +2,9 @@
 //!
 //! Endpoints tell of changes late and leave some out. So a part that this host
 //! has sent there counts as expected for a while: requests for the same part
-//! follow the first one rather than read it a second time elsewhere.
+//! follow the first one rather than read it a second time elsewhere. And since the
+//! least recently used parts yield, a part counts as surely there only until so
+//! much else has gone into the memory.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -16,13 +18,15 @@
 #[derive(Clone, Debug, Default)]
 pub struct Cache {
     parts: HashMap<Key, Kept>,
+    /// Tokens that have gone in so far.
+    filled: f64,
 }
 
 #[derive(Clone, Copy, Debug)]
 struct Kept {
     tokens: u32,
-    /// When the part was last told of, or used by a request of this host.
-    used: Duration,
+    /// Tokens that had gone in when the part was last told of or used.
+    used: f64,
     /// Set where only this host's own request speaks for it.
     expected: Option<Expected>,
 }
@@ -34,15 +38,20 @@
 }
 
 impl Cache {
+    /// Notes tokens that go in.
+    pub fn fill(&mut self, tokens: f64) {
+        self.filled += tokens;
+    }
+
     /// Takes over what the holder says of a part; 0 tokens drop it.
-    pub fn told(&mut self, key: Key, tokens: u32, now: Duration) {
+    pub fn told(&mut self, key: Key, tokens: u32) {
         if tokens == 0 {
             self.parts.remove(&key);
             return;
         }
         let kept = Kept {
             tokens,
-            used: now,
+            used: self.filled,
             expected: None,
         };
         self.parts.insert(key, kept);
@@ -56,14 +65,14 @@
         });
         let kept = Kept {
             tokens,
-            used: from,
+            used: self.filled,
             expected,
         };
         let entry = self.parts.entry(key).or_insert(kept);
         if entry.expected.is_some() || entry.tokens < tokens {
             *entry = kept;
         }
-        entry.used = from;
+        entry.used = kept.used;
     }
 
     /// Notes that a part that was expected is there.
@@ -92,14 +101,14 @@
         })
     }
 
-    /// Tokens of the leading parts that can be fetched now, of those that were
-    /// used not longer ago than a time.
-    pub fn fetchable(&self, parts: &[Part], keys: &[Key], unused: Duration, now: Duration) -> u32 {
+    /// Tokens of the leading parts that can be fetched now, of those since whose
+    /// last use not more than so many tokens have gone in.
+    pub fn fetchable(&self, parts: &[Part], keys: &[Key], room: f64, now: Duration) -> u32 {
         self.leading(parts, keys, |kept| {
             let is_there = kept
                 .expected
                 .is_none_or(|one| one.from <= now && now < one.until);
-            is_there && now.saturating_sub(kept.used) <= unused
+            is_there && self.filled - kept.used <= room
         })
     }
 
--- a/crates/papayayard_routing/src/placement/cost.rs
+++ b/crates/papayayard_routing/src/placement/cost.rs
@@ -18,16 +18,17 @@
 use crate::prompt;
 use crate::table;
 
-/// Prompt tokens that an engine reads in a millisecond.
-pub(super) const READ_TOKENS_PER_MS: f64 = 70.0;
 /// Delay of a first event by each request that runs already, in ms.
 const PER_OPEN_MS: f64 = 1.5;
 /// Cost of a token that is computed again though another holder has it, in ms:
 /// a long history costs more than an answer that comes late.
 const REREAD_MS: f64 = 0.15;
-/// Cost of a token over a link that all endpoints share, in ms: when callers are
-/// many, that link is what runs out first.
-const SHARED_LINK_MS: f64 = 0.008;
+/// Cost of time on a link that all endpoints share, as a multiple of it: when
+/// callers are many, that link is what runs out first.
+const SHARED_LINK_FACTOR: f64 = 3.0;
+/// Cost of a token that is fetched, as a part of the time to read it: it takes the
+/// place of another one in the engine's memory, which will be missed there.
+const FETCHED_PART: f64 = 0.5;
 /// Part of an engine's memory that open requests may hold; the rest leaves
 /// room for answers that grow longer than expected.
 const MEMORY_PART: f64 = 0.85;
@@ -69,6 +70,8 @@
     pub(super) known: u32,
     /// Time that first events take beyond what load explains, in ms.
     pub(super) usual_ms: f64,
+    /// Time to read a token, in ms.
+    pub(super) token_ms: f64,
 }
 
 /// The zone of this host, and what leaving it costs a request.
@@ -111,6 +114,11 @@
     pub(super) cached: u32,
     /// Tokens of prompts that it will have to read.
     pub(super) unread: u32,
+    /// Those of them that some holder has or is about to have.
+    pub(super) reread: u32,
+    /// Tokens that it reads before the first event, those of other prompts
+    /// included.
+    pub(super) ahead: f64,
 }
 
 /// Where shared parts can be fetched from.
@@ -158,11 +166,12 @@
         .filter(|_| fetched > 0)
         .map_or(0.0, |source| ms(source.time()));
     let reread = need.known.saturating_sub(cached + fetched);
-    let explained_ms =
-        (load.unread + f64::from(unread)) / READ_TOKENS_PER_MS + load.open * PER_OPEN_MS + fetch_ms;
+    let ahead = load.unread + f64::from(unread);
+    let explained_ms = ahead * need.token_ms + load.open * PER_OPEN_MS + fetch_ms;
     let first_event_ms = explained_ms + need.usual_ms + backend.delay.at(now);
     let cost_ms = first_event_ms
         + f64::from(reread) * REREAD_MS
+        + f64::from(fetched) * need.token_ms * FETCHED_PART
         + shared_link_ms(source, fetched)
         + need.zone.cost_ms(backend)
         + rank_ms(need.rank)
@@ -178,6 +187,8 @@
         cost_ms,
         cached,
         unread,
+        reread,
+        ahead,
     })
 }
 
@@ -203,6 +214,8 @@
         cost_ms,
         cached: 0,
         unread: 0,
+        reread: 0,
+        ahead: 0.0,
     }
 }
 
@@ -214,12 +227,8 @@
 }
 
 fn shared_link_ms(source: Option<Source>, fetched: u32) -> f64 {
-    let is_shared = source.is_some_and(|source| source.is_shared);
-    if is_shared {
-        f64::from(fetched) * SHARED_LINK_MS
-    } else {
-        0.0
-    }
+    let shared = source.filter(|source| source.is_shared && fetched > 0);
+    shared.map_or(0.0, |source| ms(source.transfer) * SHARED_LINK_FACTOR)
 }
 
 fn rank_ms(rank: usize) -> f64 {
--- a/crates/papayayard_routing/src/placement/course.rs
+++ b/crates/papayayard_routing/src/placement/course.rs
@@ -41,8 +41,8 @@
     pub(super) sent: Duration,
     /// Expected time to the first event.
     pub(super) expected: Duration,
-    /// The part of it that load and the prompt explain, in ms.
-    pub(super) explained_ms: f64,
+    /// The part of it that load and the prompt explain.
+    pub(super) explained: Explained,
     /// Keys of the shared parts.
     pub(super) keys: Vec<prompt::Key>,
     pub(super) is_stream: bool,
@@ -50,6 +50,15 @@
     pub(super) overdue: bool,
 }
 
+/// What explains the time to a first event.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Explained {
+    /// Time, in ms.
+    pub(super) ms: f64,
+    /// Tokens that are read before it.
+    pub(super) tokens: f64,
+}
+
 impl Placed {
     /// Whether the host that sends it should have told its end.
     pub(super) fn is_lapsed(&self, now: Duration) -> bool {
@@ -85,7 +94,9 @@
             ..Amounts::default()
         };
         placed.amounts.unread = 0.0;
-        let late_ms = elapsed_ms(placed.sent, now) - placed.explained_ms;
+        let elapsed_ms = elapsed_ms(placed.sent, now);
+        let late_ms = elapsed_ms - placed.explained.ms;
+        let tokens = placed.explained.tokens;
         let is_stream = placed.is_stream;
         let placed_zone = placed.zone.clone();
         if let Some(backend) = self.backends.get_mut(placed.backend) {
@@ -98,6 +109,9 @@
             if is_stream {
                 backend.delay.observe(late_ms - self.usual.ms(), now);
                 self.usual.observe(late_ms);
+                let service = backend.endpoint.service.clone();
+                let pace = self.paces.entry(service).or_default();
+                pace.observe(tokens, elapsed_ms);
             }
         }
     }
@@ -158,7 +172,7 @@
             };
             if placed.is_stream {
                 // What is late already will be later still.
-                let late_ms = elapsed_ms(placed.sent, now) - placed.explained_ms;
+                let late_ms = elapsed_ms(placed.sent, now) - placed.explained.ms;
                 let delay_ms = late_ms - self.usual.ms();
                 if delay_ms > backend.delay.at(now) {
                     backend.delay.observe(delay_ms, now);
--- a/crates/papayayard_routing/src/placement/fetch.rs
+++ b/crates/papayayard_routing/src/placement/fetch.rs
@@ -7,6 +7,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use papayayard_wire::id;
+
 use super::ask::BackendKey;
 use super::backend::{Backend, Endpoint};
 use super::cost;
@@ -58,10 +60,9 @@
         let others = self.holders.iter();
         let others = others.filter(|holder| holder.key != key && holder.tokens > cached);
         let engines = others.map(|holder| {
-            let same_zone = holder.endpoint.zone == backend.endpoint.zone;
-            let distance = if same_zone { 1 } else { OTHER_ZONE_TRANSFER };
             let tokens = holder.tokens - cached;
             let transfer = transfer_time(tokens, engine.token_bytes, engine.link_mbps);
+            let distance = distance(&holder.endpoint.zone, &backend.endpoint.zone);
             Fetch {
                 address: holder.endpoint.address,
                 source: cost::Source {
@@ -72,27 +73,33 @@
                 },
             }
         });
-        let sources = engines.chain(self.at_store(engine, cached));
+        let sources = engines.chain(self.at_store(engine, backend, cached));
         sources.min_by_key(|fetch| (u32::MAX - fetch.source.tokens, fetch.source.time()))
     }
 
     /// The store is named as the source also where nothing is known to lie
     /// there: this host may have missed it, and an engine may have dropped what
     /// it is taken to keep. Asking in vain costs a millisecond.
-    fn at_store(&self, engine: &table::Engine, cached: u32) -> Option<Fetch> {
+    fn at_store(&self, engine: &table::Engine, backend: &Backend, cached: u32) -> Option<Fetch> {
         let (store, wait) = self.store?;
         if wait >= LONGEST_TRANSFER_WAIT {
             return None;
         }
         let tokens = self.stored.saturating_sub(cached);
+        let transfer = transfer_time(tokens, engine.token_bytes, store.link_mbps);
         Some(Fetch {
             address: store.address,
             source: cost::Source {
                 tokens: self.stored,
                 wait,
-                transfer: transfer_time(tokens, engine.token_bytes, store.link_mbps),
+                transfer: transfer * distance(&store.zone, &backend.endpoint.zone),
                 is_shared: true,
             },
         })
     }
 }
+
+/// Times that a transfer from one zone to another takes longer than one within.
+pub(super) fn distance(from: &id::Zone, to: &id::Zone) -> u32 {
+    if from == to { 1 } else { OTHER_ZONE_TRANSFER }
+}
--- a/crates/papayayard_routing/src/placement/link.rs
+++ b/crates/papayayard_routing/src/placement/link.rs
@@ -2,11 +2,11 @@
 //!
 //! Transfers wait for one another, and one that would wait too long is not
 //! started: its tokens are computed again, which costs an engine far more. So
-//! the expected wait counts when a source is chosen. A host knows only its own
-//! transfers and takes the other hosts to have as many. In a large deployment
-//! that is one transfer now and then, which says how busy the link is on
-//! average and nothing about the moment: the wait follows from the part of the
-//! time that the link is busy, and from what piles up once that is all of it.
+//! the expected wait counts when a source is chosen. A scheduler that places all
+//! requests knows the queue. One of several knows only its own transfers and takes
+//! the others to have as many: that says how busy the link is on average and
+//! nothing about the moment, so the wait follows from the part of the time that
+//! the link is busy, and from what piles up once that is all of it.
 
 use std::time::Duration;
 
@@ -23,6 +23,8 @@
 /// How busy a link is.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Link {
+    /// Time that this host's transfers still take, as of `at`.
+    queued: Duration,
     /// Time that this host's recent transfers took.
     taken: Duration,
     /// Time of one of them, on average.
@@ -34,15 +36,20 @@
 impl Link {
     /// Time that a transfer is expected to wait now.
     pub fn wait(&self, now: Duration) -> Duration {
+        let queued = self.queued_at(now);
+        if self.hosts <= 1 {
+            return queued;
+        }
         let busy = self.busy(now);
         let by_chance = busy / (1.0 - busy.min(MOST_BUSY)) / 2.0;
         let piled_up = (busy - PILING_UP).max(0.0);
-        self.usual.mul_f64(by_chance) + MEMORY.mul_f64(piled_up)
+        queued.max(self.usual.mul_f64(by_chance) + MEMORY.mul_f64(piled_up))
     }
 
-    /// Adds a transfer of this host, which is one of some.
+    /// Adds a transfer of this scheduler, which is one of some.
     pub fn transfer(&mut self, time: Duration, hosts: usize, now: Duration) {
         self.taken = self.taken_at(now) + time;
+        self.queued = self.queued_at(now) + time;
         self.usual = if self.usual.is_zero() {
             time
         } else {
@@ -57,6 +64,10 @@
         self.taken_at(now).as_secs_f64() / MEMORY.as_secs_f64() * float(self.hosts)
     }
 
+    fn queued_at(&self, now: Duration) -> Duration {
+        self.queued.saturating_sub(now.saturating_sub(self.at))
+    }
+
     fn taken_at(&self, now: Duration) -> Duration {
         let elapsed = now.saturating_sub(self.at).as_secs_f64();
         self.taken.mul_f64((-elapsed / MEMORY.as_secs_f64()).exp())
--- a/crates/papayayard_routing/src/placement/news.rs
+++ b/crates/papayayard_routing/src/placement/news.rs
@@ -70,9 +70,9 @@
     }
 
     /// Takes over what an endpoint keeps of a part; 0 tokens drop it.
-    pub fn told(&mut self, endpoint: &id::Endpoint, key: prompt::Key, tokens: u32, now: Duration) {
+    pub fn told(&mut self, endpoint: &id::Endpoint, key: prompt::Key, tokens: u32) {
         if let Some(backend) = self.backend_mut(endpoint) {
-            backend.cache.told(key, tokens, now);
+            backend.cache.told(key, tokens);
         }
     }
 
@@ -84,16 +84,10 @@
     }
 
     /// Takes over what a store of cached prompts keeps of a part.
-    pub fn store_told(
-        &mut self,
-        store: &id::Service,
-        key: prompt::Key,
-        tokens: u32,
-        now: Duration,
-    ) {
+    pub fn store_told(&mut self, store: &id::Service, key: prompt::Key, tokens: u32) {
         let store = self.stores.entry(store.clone()).or_default();
         store.is_reached = true;
-        store.cache.told(key, tokens, now);
+        store.cache.told(key, tokens);
     }
 
     /// Forgets what a store of cached prompts keeps.
--- a/crates/papayayard_routing/src/placement/place.rs
+++ b/crates/papayayard_routing/src/placement/place.rs
@@ -4,9 +4,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use papayayard_wire::id;
+
 use super::ask::{Ask, BackendKey, Placement, Ticket};
-use super::course::Placed;
-use super::fetch::Fetch;
+use super::course::{Explained, Placed};
+use super::backend::Endpoint;
+use super::fetch::{Fetch, distance};
+use super::link::transfer_time;
 use super::load::Amounts;
 use super::select::{Candidate, shared_keys};
 use super::{Scheduler, milliseconds, ms};
@@ -15,6 +19,9 @@
 /// Times the expected time to the first event after which a prompt has been
 /// read for sure, if its first event was not seen before.
 const READ_BY: u32 = 2;
+/// Wait for a store's link from which on nothing more is saved there: a save takes
+/// the link for long, and fetches wait behind it.
+const BUSY: Duration = Duration::from_millis(100);
 /// Time from then on until a store has it.
 const SAVE: Duration = Duration::from_millis(300);
 
@@ -33,12 +40,15 @@
             first_event,
             cached: estimate.cached,
             unread: estimate.unread,
+            reread: estimate.reread,
         };
         if let Some(prompt) = &ask.prompt {
             let wall = ask.wall.as_ref();
             let keys = shared_keys(prompt, candidate.version, wall);
             let fetch = candidate.fetch;
-            placement.save = self.save(prompt, &keys, read_by(first_event, now) + SAVE, now);
+            let engine = self.backends[candidate.key].endpoint.clone();
+            let saved = read_by(first_event, now) + SAVE;
+            placement.save = self.save(&engine, prompt, &keys, saved, now);
             let is_known = |fetch: &Fetch| fetch.source.tokens > estimate.cached;
             if let Some(fetch) = fetch.filter(|fetch| fetch.source.is_shared && is_known(fetch)) {
                 self.fetched_from_store(prompt, fetch.source.transfer, now);
@@ -47,7 +57,11 @@
             placement.salt = Some(prompt::salt(&prompt.model, candidate.version, wall));
             placement.version = (candidate.version > 0).then_some(candidate.version);
         }
-        placement.ticket = self.begin(candidate.key, ask, &placement, estimate.explained_ms, now);
+        let explained = Explained {
+            ms: estimate.explained_ms,
+            tokens: estimate.ahead,
+        };
+        placement.ticket = self.begin(candidate.key, ask, &placement, explained, now);
         placement
     }
 
@@ -57,10 +71,14 @@
     pub fn adopt(&mut self, ask: &Ask, placement: &Placement, now: Duration) -> Option<Ticket> {
         let key = self.by_id.get(&placement.endpoint).copied()?;
         if let Some(prompt) = &ask.prompt {
-            self.demand.asked(prompt, now);
+            let pace = self.pace(&ask.service);
+            self.demand.asked(prompt, pace, now);
         }
-        let explained_ms = ms(placement.first_event);
-        Some(self.begin(key, ask, placement, explained_ms, now))
+        let explained = Explained {
+            ms: ms(placement.first_event),
+            tokens: f64::from(placement.unread),
+        };
+        Some(self.begin(key, ask, placement, explained, now))
     }
 
     /// Notes what a placement brings to its endpoint.
@@ -69,7 +87,7 @@
         key: BackendKey,
         ask: &Ask,
         placement: &Placement,
-        explained_ms: f64,
+        explained: Explained,
         now: Duration,
     ) -> Ticket {
         let backend = &mut self.backends[key];
@@ -82,6 +100,7 @@
             amounts.unread = f64::from(placement.unread);
             let memory = prompt.tokens.saturating_sub(placement.cached) + prompt.output_tokens();
             amounts.memory = f64::from(memory);
+            backend.cache.fill(f64::from(memory));
             let version = placement.version.unwrap_or(0);
             keys = shared_keys(prompt, version, ask.wall.as_ref());
             let read = read_by(placement.first_event, now);
@@ -100,7 +119,7 @@
             amounts,
             sent: now,
             expected: placement.first_event,
-            explained_ms,
+            explained,
             keys,
             is_stream: ask.prompt.is_some(),
             begun: false,
@@ -111,22 +130,35 @@
     /// The store's address if it lacks shared parts, which are then expected.
     fn save(
         &mut self,
+        engine: &Endpoint,
         prompt: &prompt::Prompt,
         keys: &[prompt::Key],
         from: Duration,
         now: Duration,
     ) -> Option<SocketAddr> {
         let (name, store) = self.store_of(prompt)?;
-        let (name, address) = (name.clone(), store.address);
+        let (name, store) = (name.clone(), store.clone());
+        let token_bytes = self.token_bytes(&engine.service)?;
         let shared = prompt.shared();
         let kept = self.stores.entry(name).or_default();
-        if kept.cache.prefix(shared, keys, now) >= prompt.shared_tokens() {
+        let known = kept.cache.prefix(shared, keys, now);
+        if known >= prompt.shared_tokens() || kept.link.wait(now) >= BUSY {
             return None;
         }
+        // The engine sends all that the store lacks, the request's own part too.
+        let sent = prompt.tokens.saturating_sub(known);
+        let time = transfer_time(sent, token_bytes, store.link_mbps);
+        let time = time * distance(&engine.zone, &store.zone);
+        kept.link.transfer(time, self.hosts, now);
         for (part, key) in shared.iter().zip(keys) {
             kept.cache.expect(*key, part.tokens, from);
         }
-        Some(address)
+        Some(store.address)
+    }
+
+    fn token_bytes(&self, service: &id::Service) -> Option<u64> {
+        let service = self.table.services.get(service)?;
+        Some(service.engine.as_ref()?.token_bytes)
     }
 
     fn fetched_from_store(&mut self, prompt: &prompt::Prompt, time: Duration, now: Duration) {
--- a/crates/papayayard_routing/src/placement/select.rs
+++ b/crates/papayayard_routing/src/placement/select.rs
@@ -10,6 +10,7 @@
 use super::backend::Backend;
 use super::fetch::{Fetch, Holder, Shared};
 use super::load::Amounts;
+use super::pace::Pace;
 use super::{Scheduler, cost, float, milliseconds, ms};
 use crate::prompt;
 use crate::table;
@@ -20,13 +21,15 @@
 /// Times the target latency that a first event may take at an engine. Beyond
 /// that the engine is crowded, and one more request would make others late.
 const CROWDED_FACTOR: f64 = 1.3;
-/// Time for which engines surely keep parts that are not used: under load their
-/// memory turns over in seconds, and they tell of what has gone late.
-const KEPT_UNUSED: Duration = Duration::from_secs(2);
 /// Shared tokens from which on the stores of cached prompts are used: fewer are
 /// computed sooner than they are fetched past long transfers.
 const FEWEST_STORED: u32 = 1000;
 
+/// Part of an engine's memory that is surely filled before unused parts yield.
+const SURE_PART: f64 = 0.6;
+/// Wait for a link from which on it is weighed against reading.
+const LONG_WAIT: Duration = Duration::from_millis(50);
+
 /// A placement that could be made.
 pub(super) struct Candidate {
     pub(super) key: BackendKey,
@@ -177,6 +180,7 @@
             Amounts::mean(alike.map(|(_, one)| one.load.average(hosts, now)))
         };
         let (mean_old, mean_new) = (mean(true), mean(false));
+        let token_ms = self.pace(&ask.service).ms_per_token();
         let new = ranked.iter().filter(|(_, one)| !is_old(one)).count();
         let prefers_new = draw < self.demand.part(new, hosts, now);
         let mut candidates = Vec::with_capacity(ranked.len());
@@ -196,22 +200,48 @@
                 rank,
                 known: shared.known,
                 usual_ms: self.usual.ms(),
+                token_ms,
             };
             let cached = backend.cache.prefix(prompt.shared(), &shared.keys, now);
             let fetch = shared.source(engine, key, backend, cached);
-            let source = fetch.map(|fetch| fetch.source);
-            if let Some(estimate) = cost::of_engine(backend, engine, &need, cached, source, now) {
-                candidates.push(Candidate {
+            // Where a link has a queue it can be better to read than to wait.
+            let sources = [fetch, None];
+            let ways = if fetch.is_some_and(|fetch| fetch.source.wait >= LONG_WAIT) {
+                &sources[..]
+            } else {
+                &sources[..1]
+            };
+            for fetch in ways {
+                let source = fetch.map(|fetch| fetch.source);
+                let estimate = cost::of_engine(backend, engine, &need, cached, source, now);
+                candidates.extend(estimate.map(|estimate| Candidate {
                     key,
                     estimate,
                     version,
-                    fetch,
-                });
+                    fetch: *fetch,
+                }));
             }
         }
         candidates
     }
 
+    /// Tokens that go into an engine's memory, as this scheduler counts them, before
+    /// parts that nobody uses may have gone.
+    fn room(&self, backend: &Backend) -> f64 {
+        let service = self.table.services.get(&backend.endpoint.service);
+        let engine = service.and_then(|service| service.engine.as_ref());
+        let memory = engine.map_or(0, |engine| engine.memory_tokens);
+        let memory = f64::from(u32::try_from(memory).unwrap_or(u32::MAX));
+        let schedulers = float(self.hosts);
+        let room = memory - backend.load.own().memory * schedulers;
+        (room / schedulers * SURE_PART).max(0.0)
+    }
+
+    /// How fast a service's engines read.
+    pub(super) fn pace(&self, service: &id::Service) -> Pace {
+        self.paces.get(service).copied().unwrap_or_default()
+    }
+
     /// What is known of a prompt's shared parts under one version.
     fn shared<'a>(
         &'a self,
@@ -232,14 +262,14 @@
             .map(|(key, one)| Holder {
                 key,
                 endpoint: &one.endpoint,
-                tokens: one.cache.fetchable(parts, &keys, KEPT_UNUSED, now),
+                tokens: one.cache.fetchable(parts, &keys, self.room(one), now),
             })
             .filter(|holder| holder.tokens > 0)
             .collect();
         let store = self.store_of(prompt);
         let kept = store.and_then(|(name, _)| self.stores.get(name));
         let stored = kept.map_or(0, |kept| {
-            kept.cache.fetchable(parts, &keys, Duration::MAX, now)
+            kept.cache.fetchable(parts, &keys, f64::INFINITY, now)
         });
         let at_engines = self.backends.values().filter(|one| {
             one.endpoint.service == ask.service && one.version(&prompt.model) == version
--- a/crates/papayayard_routing/src/placement/split.rs
+++ b/crates/papayayard_routing/src/placement/split.rs
@@ -8,8 +8,8 @@
 
 use std::time::Duration;
 
-use super::cost::READ_TOKENS_PER_MS;
 use super::float;
+use super::pace::Pace;
 use crate::prompt::Prompt;
 
 /// Time constant of the work that is asked for.
@@ -29,8 +29,8 @@
 
 impl Demand {
     /// Takes over a request.
-    pub fn asked(&mut self, prompt: &Prompt, now: Duration) {
-        let read_ms = f64::from(prompt.tokens) / READ_TOKENS_PER_MS;
+    pub fn asked(&mut self, prompt: &Prompt, pace: Pace, now: Duration) {
+        let read_ms = f64::from(prompt.tokens) * pace.ms_per_token();
         let output_ms = f64::from(prompt.output_tokens()) * OUTPUT_TOKEN_MS;
         let memory_ms = MEMORY.as_secs_f64() * 1000.0;
         self.busy = self.busy(now) + (read_ms + output_ms) / memory_ms;
--- a/crates/papayayard_routing/tests/placement/choice.rs
+++ b/crates/papayayard_routing/tests/placement/choice.rs
@@ -9,7 +9,7 @@
 fn a_history_goes_where_it_lies() {
     let mut scheduler = support::scheduler(&support::engines(6, 1), 1);
     for (key, tokens) in support::keys("dancer", 1) {
-        scheduler.told(&id::Endpoint::from("e3"), key, tokens, NOW);
+        scheduler.told(&id::Endpoint::from("e3"), key, tokens);
     }
     let ask = support::ask(support::history("dancer"), NOW);
     let placement = support::place(&mut scheduler, ask, NOW);
@@ -22,7 +22,7 @@
 fn a_busy_holder_is_fetched_from() {
     let mut scheduler = support::scheduler(&support::engines(2, 1), 1);
     for (key, tokens) in support::keys("dancer", 1) {
-        scheduler.told(&id::Endpoint::from("e0"), key, tokens, NOW);
+        scheduler.told(&id::Endpoint::from("e0"), key, tokens);
     }
     for other in 0..8 {
         let mut ask = support::ask(support::history(&format!("other-{other}")), NOW);
@@ -53,7 +53,7 @@
     assert_eq!(again.save, None, "the first request saves it already");
 
     for (key, tokens) in support::keys("b", 1) {
-        scheduler.store_told(&id::Service::from("kept"), key, tokens, NOW);
+        scheduler.store_told(&id::Service::from("kept"), key, tokens);
     }
     let fetched = support::place(
         &mut scheduler,
@@ -68,7 +68,7 @@
 fn with_store(endpoints: usize) -> Scheduler {
     let mut scheduler = support::scheduler(&support::engines(endpoints, 1), 1);
     for (key, tokens) in support::keys("another", 1) {
-        scheduler.store_told(&id::Service::from("kept"), key, tokens, NOW);
+        scheduler.store_told(&id::Service::from("kept"), key, tokens);
     }
     scheduler
 }
@@ -96,20 +96,29 @@
     );
 }
 
-/// Engines' memory turns over in seconds, and news of it comes late.
+/// Under load an engine's memory turns over in seconds, and news of it comes late;
+/// an idle engine keeps what it has.
 #[test]
 fn an_engine_is_fetched_from_while_it_surely_keeps_a_history() {
     let engine = "10.0.0.1:80".parse().ok();
-    for (unused, source) in [(500, engine), (2_500, "10.9.0.1:80".parse().ok())] {
+    let store = "10.9.0.1:80".parse().ok();
+    let cases = [
+        (0, 500, engine),
+        (20, 500, store),
+        (20, 2_500, store),
+        (0, 25_000, engine),
+    ];
+    for (other, unused, source) in cases {
         let mut scheduler = with_store(2);
         for (key, tokens) in support::keys("dancer", 1) {
-            scheduler.told(&id::Endpoint::from("e0"), key, tokens, NOW);
+            scheduler.told(&id::Endpoint::from("e0"), key, tokens);
         }
+        support::fill(&mut scheduler, &support::engines(2, 1), "e0", other);
         let now = NOW + ms(unused);
         let mut ask = support::ask(support::history("dancer"), now);
         ask.tried = vec![id::Endpoint::from("e0")];
         let placement = support::place(&mut scheduler, ask, now);
-        assert_eq!(placement.fetch, source, "after {unused} ms");
+        assert_eq!(placement.fetch, source, "{other} others, after {unused} ms");
     }
 }
 
@@ -143,9 +152,10 @@
     let holder = endpoints.iter().find(|one| one.id != home).unwrap();
     let mut scheduler = support::scheduler(&endpoints, 1);
     for (key, tokens) in support::keys("a", 1) {
-        scheduler.told(&holder.id, key, tokens, NOW);
-        scheduler.store_told(&id::Service::from("kept"), key, tokens, NOW);
+        scheduler.told(&holder.id, key, tokens);
+        scheduler.store_told(&id::Service::from("kept"), key, tokens);
     }
+    support::fill(&mut scheduler, &endpoints, holder.id.as_str(), 20);
     // The holder may have dropped it, so that no other engine fetches there.
     let now = NOW + ms(2_500);
     let ask = support::ask(support::history("a"), now);
@@ -192,7 +202,7 @@
 fn nothing_is_shared_across_a_wall_or_other_weights() {
     let mut scheduler = support::scheduler(&support::engines(3, 2), 1);
     for (key, tokens) in support::keys("dancer", 1) {
-        scheduler.told(&id::Endpoint::from("e1"), key, tokens, NOW);
+        scheduler.told(&id::Endpoint::from("e1"), key, tokens);
     }
     let ask = support::ask(support::history("dancer"), NOW);
     let open = support::place(&mut scheduler, ask, NOW);
--- a/crates/papayayard_routing/tests/placement/main.rs
+++ b/crates/papayayard_routing/tests/placement/main.rs
@@ -3,6 +3,7 @@
 mod choice;
 mod crowd;
 mod link;
+mod pace;
 mod stated;
 mod support;
 mod weights;
--- a/crates/papayayard_routing/tests/placement/support.rs
+++ b/crates/papayayard_routing/tests/placement/support.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use papayayard_routing::placement::{
-    Ask, Decision, Endpoint, Placement, Scheduler, Settings, Waiting,
+    Ask, Decision, Endpoint, Outcome, Placement, Scheduler, Settings, Waiting,
 };
 use papayayard_routing::prompt::{self, Part, Prompt};
 use papayayard_routing::table::{self, Accounts, Limits, Table};
@@ -143,6 +143,22 @@
     }
 }
 
+/// Lets an engine read so many other histories, which have ended.
+pub(crate) fn fill(scheduler: &mut Scheduler, all: &[Endpoint], engine: &str, number: usize) {
+    for index in 0..number {
+        let mut history = history("filling");
+        for part in &mut history.parts {
+            part.name = format!("filling-{}-{index}", part.name);
+        }
+        let mut ask = ask(history, NOW);
+        let others = all.iter().filter(|one| one.id.as_str() != engine);
+        ask.tried = others.map(|one| one.id.clone()).collect();
+        let placement = place(scheduler, ask, NOW);
+        scheduler.begun(placement.ticket, NOW);
+        scheduler.finished(placement.ticket, Outcome::Whole, NOW);
+    }
+}
+
 /// Asks and decides at once.
 pub(crate) fn decide(scheduler: &mut Scheduler, ask: Ask, now: Duration) -> Option<Decision> {
     let waiting: Waiting = scheduler.ask(ask, now);
