--- a/crates/papayayard_coordination/src/dispatcher.rs
+++ b/crates/papayayard_coordination/src/dispatcher.rs
@@ -5,7 +5,8 @@
 //! dispatcher, places the requests of many, and knows exactly what it has placed.
 //! In a small deployment it is one for all; in a large one each zone has its own.
 //! It holds no promise: a host whose dispatcher fails asks the next, and at last
-//! places by itself.
+//! places by itself. A dispatcher is kept as long as it answers: a host that starts
+//! and would come before it asks it too.
 
 use papayayard_wire::id;
 
@@ -19,6 +20,19 @@
 /// Hosts to ask for a placement, the preferred one first; none where this host is
 /// the dispatcher.
 pub fn order(own: &id::Host, zone: &[Candidate], others: &[Candidate]) -> Vec<Candidate> {
+    let order = candidates(zone, others);
+    let before = order.into_iter().take_while(|one| one.host != *own);
+    before.collect()
+}
+
+/// Hosts that may have placed requests before this one started: it leaves that to
+/// them, since they know what they have placed.
+pub fn incumbents(own: &id::Host, zone: &[Candidate], others: &[Candidate]) -> Vec<Candidate> {
+    let order = candidates(zone, others);
+    order.into_iter().filter(|one| one.host != *own).collect()
+}
+
+fn candidates(zone: &[Candidate], others: &[Candidate]) -> Vec<Candidate> {
     let all: Vec<Candidate> = zone.iter().chain(others).cloned().collect();
     let of_all = if all.len() <= MOST_HOSTS {
         ranked(all)
@@ -31,6 +45,5 @@
             order.push(candidate);
         }
     }
-    let before = order.into_iter().take_while(|one| one.host != *own);
-    before.collect()
+    order
 }
--- a/crates/papayayard_gateway/src/dispatch.rs
+++ b/crates/papayayard_gateway/src/dispatch.rs
@@ -7,20 +7,16 @@
 //! its dispatcher fails. Plain services are placed here: their endpoints are few
 //! and quick.
 
-use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use papayayard_coordination::dispatcher;
-use papayayard_coordination::ranking::{Candidate, Choice};
 use papayayard_routing::placement::{Ask, Decision, Placement, Refused, Seen};
 use papayayard_wire::id;
 use tokio::sync::{Notify, watch};
 use tokio::time;
 
 use crate::clock::Clock;
-use crate::hosts::Neighbours;
+use crate::hosts::{self, Neighbours};
 use crate::metrics::Metrics;
 use crate::schedule::Handle;
 
@@ -28,18 +24,26 @@
 mod link;
 mod message;
 mod permit;
+mod register;
+mod state;
 
 pub(crate) use desk::Desk;
 pub(crate) use message::{Answer as DeskAnswer, Call as DeskCall};
 pub(crate) use permit::Permit;
 
-use link::Link;
+use link::{Link, Own};
+use message::Elsewhere;
+use register::Register;
+use state::State;
 
 /// Time in which what is to be told adds up.
 const ADDS_UP: Duration = Duration::from_millis(25);
 /// Time without a question after which the dispatcher hears from this host all the
 /// same, so that it knows whose requests it places.
 const GREETING: Duration = Duration::from_secs(1);
+/// Times that a request is sent from one host to the next before this host decides:
+/// hosts may disagree for a moment.
+const MOST_REDIRECTS: u32 = 2;
 /// Time after a question of another host for which this host counts as a
 /// dispatcher.
 const ASKED: Duration = Duration::from_secs(3);
@@ -62,7 +66,7 @@
 /// What finding endpoints takes.
 pub(crate) struct Parts {
     /// This host.
-    pub(crate) host: id::Host,
+    pub(crate) own: hosts::Own,
     /// Clock.
     pub(crate) clock: Clock,
     /// This host's own scheduler.
@@ -78,41 +82,30 @@
 pub(crate) struct Dispatch(Arc<Shared>);
 
 struct Shared {
-    host: id::Host,
-    /// Tells this process from those before it.
-    run: u64,
+    own: Own,
     clock: Clock,
     schedule: Handle,
     metrics: Metrics,
     state: Mutex<State>,
-    /// Woken when something is to be told.
-    news: Arc<Notify>,
-}
-
-struct State {
-    neighbours: watch::Receiver<Neighbours>,
-    choice: Choice,
-    links: HashMap<SocketAddr, Arc<Link>>,
-    /// When another host asked last.
-    asked_at: Option<Duration>,
 }
 
 impl Dispatch {
     /// A way to find endpoints that knows no other host yet.
     pub(crate) fn new(parts: Parts) -> Self {
-        Self(Arc::new(Shared {
-            host: parts.host,
+        let own = Own {
+            host: parts.own.host,
+            zone: parts.own.zone,
+            // Tells this process from those before it.
             run: rand::random(),
+            register: Register::default(),
+            news: Arc::new(Notify::new()),
+        };
+        Self(Arc::new(Shared {
+            state: Mutex::new(State::new(own.clone(), parts.neighbours)),
+            own,
             clock: parts.clock,
             schedule: parts.schedule,
             metrics: parts.metrics,
-            state: Mutex::new(State {
-                neighbours: parts.neighbours,
-                choice: Choice::default(),
-                links: HashMap::new(),
-                asked_at: None,
-            }),
-            news: Arc::default(),
         }))
     }
 
@@ -123,8 +116,10 @@
 
     /// Waits for an endpoint.
     pub(crate) async fn place(&self, mut ask: Ask) -> Found {
-        while ask.prompt.is_some() {
-            let Some((host, link)) = self.dispatcher() else {
+        let number = self.0.own.register.number();
+        let mut redirects = 0;
+        while ask.prompt.is_some() && redirects <= MOST_REDIRECTS {
+            let Some(link) = self.dispatcher() else {
                 break;
             };
             let asked = self.0.clock.now();
@@ -132,131 +127,168 @@
                 break;
             }
             ask.avoided = self.0.schedule.avoided();
-            match link.ask(&ask, asked).await {
-                Ok(Some(decision)) => {
-                    self.state().choice.answered(&host);
-                    self.0.metrics.dispatched("dispatcher");
-                    return self.found(ask, decision, link).await;
+            match link.ask(number, &ask, asked).await {
+                Ok(answer) => {
+                    self.state().answered(&link, answer.elsewhere.as_ref());
+                    if let Some(decision) = answer.decision {
+                        self.0.metrics.dispatched("dispatcher");
+                        return self.found(ask, number, decision, link).await;
+                    }
+                    redirects += u32::from(answer.elsewhere.is_some());
+                    ask.waited += self.0.clock.now().saturating_sub(asked);
+                }
+                Err(problem) => {
+                    // It may have decided all the same.
+                    link.tell(number, message::What::Abandoned);
+                    self.failed(link.host(), &problem);
                 }
-                Ok(None) => ask.waited += self.0.clock.now().saturating_sub(asked),
-                Err(problem) => self.failed(&host, &problem),
             }
         }
         self.0.metrics.dispatched("own");
         ask.avoided.clear();
-        match self.0.schedule.place(ask).await {
-            Decision::Placed(placement) => {
-                let permit = Permit::own(self.0.schedule.clone(), placement.ticket);
-                Found::Place(placement, permit)
-            }
-            Decision::Refused {
-                why,
-                retry_after,
-                seen,
-            } => Found::Refused {
-                why,
-                retry_after,
-                seen,
-            },
-        }
+        self.own(ask, number).await
     }
 
     /// Whether this host places requests, for itself or for others.
     pub(crate) fn places(&self) -> bool {
         let now = self.0.clock.now();
-        let state = self.state();
-        let is_asked = state.asked_at.is_some_and(|at| now < at + ASKED);
-        is_asked || state.choice.first(now).is_none()
+        self.is_asked(now) || self.state().chosen(now).is_none()
     }
 
     /// Tells dispatchers what has come of placements, for as long as the process
     /// runs.
     pub(crate) async fn tell(self) {
         loop {
-            let woken = time::timeout(GREETING, self.0.news.notified()).await;
+            let woken = time::timeout(GREETING, self.0.own.news.notified()).await;
             if woken.is_ok() {
                 time::sleep(ADDS_UP).await;
             }
+            self.look_for_incumbent().await;
             let now = self.0.clock.now();
-            if let Some((_, link)) = self.dispatcher() {
-                link.greet(GREETING, now);
+            let dispatcher = self.dispatcher();
+            let is_due = |link: &Link| link.called() + GREETING <= now;
+            let greeted = dispatcher.filter(|link| is_due(link));
+            let mut links = self.state().links();
+            links.retain(|link| link.has_news());
+            if let Some(link) = greeted
+                && !links.iter().any(|one| Arc::ptr_eq(one, &link))
+            {
+                links.push(link);
             }
-            let links: Vec<Arc<Link>> = self.state().links.values().cloned().collect();
             for link in links {
-                if let Err(problem) = link.flush(now).await {
-                    self.failed(link.host(), &problem);
+                match link.greet(now).await {
+                    Ok(answer) => self.state().answered(&link, answer.elsewhere.as_ref()),
+                    Err(problem) => self.failed(link.host(), &problem),
                 }
             }
         }
     }
 
-    async fn found(&self, ask: Ask, decision: message::Decision, link: Arc<Link>) -> Found {
+    /// Lets this host, if it would place requests itself, find out whether another
+    /// one does that already.
+    async fn look_for_incumbent(&self) {
+        let links = self.state().take_unasked();
+        for link in links {
+            let answer = link.greet(self.0.clock.now()).await;
+            let mut state = self.state();
+            match answer {
+                Ok(answer) if answer.is_asked => state.follow(link.candidate().clone()),
+                Ok(answer) => state.answered(&link, answer.elsewhere.as_ref()),
+                Err(problem) => {
+                    log::info!(host:% = link.host(), problem:%; "a host that may place requests does not answer");
+                }
+            }
+            if state.has_incumbent() {
+                return;
+            }
+        }
+    }
+
+    async fn own(&self, ask: Ask, number: u64) -> Found {
+        let shared = &self.0;
+        let decision = shared.schedule.place(ask.clone(), number).await;
+        match decision {
+            Decision::Placed(placement) => {
+                let ticket = Some(placement.ticket);
+                Found::Place(placement.clone(), self.permit(&ask, number, &placement, ticket, None))
+            }
+            Decision::Refused {
+                why,
+                retry_after,
+                seen,
+            } => Found::Refused {
+                why,
+                retry_after,
+                seen,
+            },
+        }
+    }
+
+    async fn found(
+        &self,
+        ask: Ask,
+        number: u64,
+        decision: message::Decision,
+        link: Arc<Link>,
+    ) -> Found {
         match decision {
             message::Decision::Placed(placed) => {
-                let (placement, ticket) = placed.placement();
-                let schedule = self.0.schedule.clone();
-                let own = schedule.adopt(ask, placement.clone()).await;
-                let permit = Permit::granted(schedule, own, link, ticket);
+                let placement = placed.placement();
+                let adopted = self.0.schedule.adopt(ask.clone(), placement.clone());
+                let ticket = adopted.await;
+                let permit = self.permit(&ask, number, &placement, ticket, Some(link));
                 Found::Place(placement, permit)
             }
             message::Decision::Refused(refused) => refused.found(),
         }
     }
 
-    /// The host to ask now, and the link to it; none where this host decides.
-    fn dispatcher(&self) -> Option<(id::Host, Arc<Link>)> {
-        let mut state = self.state();
-        state.take_hosts(&self.0.host);
-        let candidate = state.choice.first(self.0.clock.now()).cloned()?;
-        match self.link(&mut state, &candidate) {
-            Ok(link) => Some((candidate.host, link)),
-            Err(problem) => {
-                log::warn!(host:% = candidate.host, problem:%; "a dispatcher cannot be asked");
-                None
-            }
-        }
+    fn permit(
+        &self,
+        ask: &Ask,
+        number: u64,
+        placement: &Placement,
+        ticket: Option<papayayard_routing::placement::Ticket>,
+        giver: Option<Arc<Link>>,
+    ) -> Permit {
+        let register = self.0.own.register.clone();
+        register.add(number, ask, placement);
+        Permit::new(self.0.schedule.clone(), ticket, number, register, giver)
     }
 
-    fn link(&self, state: &mut State, candidate: &Candidate) -> Result<Arc<Link>, String> {
-        if let Some(link) = state.links.get(&candidate.address) {
-            return Ok(Arc::clone(link));
-        }
-        let shared = &self.0;
-        let link = Link::new(
-            candidate,
-            shared.host.clone(),
-            shared.run,
-            Arc::clone(&shared.news),
-        );
-        let link = Arc::new(link?);
-        state.links.insert(candidate.address, Arc::clone(&link));
-        Ok(link)
+    /// The way to the host to ask now; none where this host decides.
+    fn dispatcher(&self) -> Option<Arc<Link>> {
+        self.state().dispatcher(self.0.clock.now())
+    }
+
+    /// Notes that another host has asked.
+    fn asked(&self, now: Duration) {
+        self.state().asked_at = Some(now);
+    }
+
+    /// Whether another host has asked of late.
+    fn is_asked(&self, now: Duration) -> bool {
+        let asked_at = self.state().asked_at;
+        asked_at.is_some_and(|at| now < at + ASKED)
+    }
+
+    /// The host that places this one's requests, unless that is the one that asks.
+    fn elsewhere(&self, asker: &id::Host, now: Duration) -> Option<Elsewhere> {
+        let state = self.state();
+        let chosen = state.chosen(now).filter(|one| one.host != *asker)?;
+        Some(Elsewhere {
+            host: chosen.host.as_str().to_owned(),
+            address: chosen.address,
+        })
     }
 
     fn failed(&self, host: &id::Host, problem: &str) {
         log::info!(host:%, problem; "the dispatcher does not answer");
         let now = self.0.clock.now();
-        self.state().choice.failed(host, now);
+        self.state().failed(host, now);
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
         self.0.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-impl State {
-    fn take_hosts(&mut self, own: &id::Host) {
-        if !self.neighbours.has_changed().unwrap_or(false) {
-            return;
-        }
-        let hosts = self.neighbours.borrow_and_update().clone();
-        if !hosts.are_counted {
-            return;
-        }
-        self.choice
-            .set(dispatcher::order(own, &hosts.zone, &hosts.others));
-        let known = hosts.zone.iter().chain(&hosts.others);
-        let known: Vec<SocketAddr> = known.map(|one| one.address).collect();
-        self.links.retain(|address, _| known.contains(address));
-    }
-}
--- a/crates/papayayard_gateway/src/dispatch/link.rs
+++ b/crates/papayayard_gateway/src/dispatch/link.rs
@@ -8,7 +8,8 @@
 use papayayard_wire::id;
 use tokio::sync::Notify;
 
-use super::message::{Call, Decision, Notice, Question, What};
+use super::message::{Answer, Call, Notice, Question, What};
+use super::register::Register;
 use crate::peers;
 
 /// Time that a dispatcher holds a question for which it has no place yet.
@@ -19,16 +20,25 @@
 /// Most notices that wait; a dispatcher that takes none has ended.
 const MOST_NOTICES: usize = 4096;
 
+/// This host, as dispatchers see it.
+#[derive(Clone)]
+pub(super) struct Own {
+    pub(super) host: id::Host,
+    pub(super) zone: id::Zone,
+    /// Its process.
+    pub(super) run: u64,
+    /// Its requests that run.
+    pub(super) register: Register,
+    /// Woken when something is to be told.
+    pub(super) news: Arc<Notify>,
+}
+
 /// The way to one dispatcher.
 pub(super) struct Link {
     /// The dispatcher.
-    host: id::Host,
-    /// This host.
-    own: id::Host,
-    /// This host's process.
-    run: u64,
+    candidate: Candidate,
+    own: Own,
     client: peers::Client,
-    news: Arc<Notify>,
     told: Mutex<Told>,
 }
 
@@ -37,89 +47,84 @@
 struct Told {
     notices: Vec<Notice>,
     /// The dispatcher's process, as its last answer named it.
-    of: u64,
+    of: Option<u64>,
     /// When it was called last.
     called: Duration,
-    is_due: bool,
 }
 
 impl Link {
-    pub(super) fn new(
-        candidate: &Candidate,
-        own: id::Host,
-        run: u64,
-        news: Arc<Notify>,
-    ) -> Result<Self, String> {
+    pub(super) fn new(candidate: &Candidate, own: Own) -> Result<Self, String> {
         Ok(Self {
-            host: candidate.host.clone(),
+            candidate: candidate.clone(),
             own,
-            run,
             client: peers::Client::within(candidate.address, HOLD + ANSWER)?,
-            news,
             told: Mutex::default(),
         })
     }
 
     /// The dispatcher.
     pub(super) const fn host(&self) -> &id::Host {
-        &self.host
+        &self.candidate.host
+    }
+
+    /// The dispatcher, and where it answers.
+    pub(super) const fn candidate(&self) -> &Candidate {
+        &self.candidate
     }
 
-    /// Asks for an endpoint; `None` where the request still waits for one.
-    pub(super) async fn ask(&self, ask: &Ask, now: Duration) -> Result<Option<Decision>, String> {
+    /// Asks for an endpoint.
+    pub(super) async fn ask(&self, number: u64, ask: &Ask, now: Duration) -> Result<Answer, String> {
         let prompt = ask.prompt.as_ref();
-        let question = prompt.map(|prompt| Question::new(ask, prompt, now));
+        let question = prompt.map(|prompt| Question::new(number, ask, prompt, now));
         self.call(question, now).await
     }
 
+    /// Lets the dispatcher hear from this host.
+    pub(super) async fn greet(&self, now: Duration) -> Result<Answer, String> {
+        self.call(None, now).await
+    }
+
     /// Notes something to be told soon.
-    pub(super) fn tell(&self, ticket: u64, what: What) {
+    pub(super) fn tell(&self, number: u64, what: What) {
         let mut told = self.told();
         if told.notices.len() < MOST_NOTICES {
-            told.notices.push(Notice { ticket, what });
+            told.notices.push(Notice { number, what });
         }
         drop(told);
-        self.news.notify_one();
+        self.own.news.notify_one();
     }
 
-    /// Lets the dispatcher hear from this host if it has not for a time.
-    pub(super) fn greet(&self, after: Duration, now: Duration) {
-        let mut told = self.told();
-        told.is_due |= told.called + after <= now;
+    /// Whether something is to be told.
+    pub(super) fn has_news(&self) -> bool {
+        !self.told().notices.is_empty()
     }
 
-    /// Tells what is to be told.
-    pub(super) async fn flush(&self, now: Duration) -> Result<(), String> {
-        {
-            let told = self.told();
-            if told.notices.is_empty() && !told.is_due {
-                return Ok(());
-            }
-        }
-        self.call(None, now).await?;
-        Ok(())
+    /// When it was called last.
+    pub(super) fn called(&self) -> Duration {
+        self.told().called
     }
 
-    async fn call(
-        &self,
-        question: Option<Question>,
-        now: Duration,
-    ) -> Result<Option<Decision>, String> {
+    async fn call(&self, question: Option<Question>, now: Duration) -> Result<Answer, String> {
         let call = {
             let mut told = self.told();
             told.called = now;
-            told.is_due = false;
             Call {
-                host: self.own.as_str().to_owned(),
-                run: self.run,
-                of: told.of,
+                host: self.own.host.as_str().to_owned(),
+                run: self.own.run,
+                zone: self.own.zone.as_str().to_owned(),
                 notices: std::mem::take(&mut told.notices),
                 question,
             }
         };
         let answer = self.client.dispatch(call).await?;
-        self.told().of = answer.run;
-        Ok(answer.decision)
+        let mut told = self.told();
+        if told.of != Some(answer.run) {
+            told.of = Some(answer.run);
+            told.notices.extend(self.own.register.notices(now));
+            self.own.news.notify_one();
+        }
+        drop(told);
+        Ok(answer)
     }
 
     fn told(&self) -> MutexGuard<'_, Told> {
--- a/crates/papayayard_gateway/src/dispatch/message.rs
+++ b/crates/papayayard_gateway/src/dispatch/message.rs
@@ -19,8 +19,8 @@
     pub(super) host: String,
     /// Its process.
     pub(super) run: u64,
-    /// The dispatcher's process that the tickets in `notices` are of.
-    pub(super) of: u64,
+    /// Its zone.
+    pub(super) zone: String,
     /// What has come of placements.
     pub(super) notices: Vec<Notice>,
     /// A request that wants an endpoint.
@@ -28,17 +28,19 @@
 }
 
 /// What has come of a placement.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct Notice {
-    /// Ticket, as a number.
-    pub(super) ticket: u64,
+    /// Number that the host has given to the request.
+    pub(super) number: u64,
     /// What is told.
     pub(super) what: What,
 }
 
 /// What is told of a placed request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) enum What {
+    /// It runs, as another dispatcher or the host itself has decided.
+    Open(Running),
     /// Its first event has come.
     Begun,
     /// Its endpoint says that it leaves.
@@ -57,12 +59,24 @@
     Failed,
 }
 
+/// A request that runs; times are counted from the call.
+#[serde_as]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct Running {
+    pub(super) endpoint: String,
+    pub(super) unread: u32,
+    pub(super) memory: u32,
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub(super) deadline_ms: Duration,
+}
+
 /// A request that wants an endpoint; times are counted from the call.
 #[serde_as]
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(super) struct Question {
+    /// Number that the host has given to the request.
+    pub(super) number: u64,
     service: String,
-    zone: String,
     model: String,
     tokens: u32,
     most_output: u32,
@@ -91,6 +105,17 @@
     pub(super) run: u64,
     /// The decision, unless there was none to make or the request still waits.
     pub(super) decision: Option<Decision>,
+    /// Whether other hosts ask this one.
+    pub(super) is_asked: bool,
+    /// The host that places this one's own requests, if another does.
+    pub(super) elsewhere: Option<Elsewhere>,
+}
+
+/// A host that places requests.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct Elsewhere {
+    pub(super) host: String,
+    pub(super) address: SocketAddr,
 }
 
 /// A decision on a request.
@@ -106,7 +131,6 @@
 #[serde_as]
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(super) struct Placed {
-    ticket: u64,
     endpoint: String,
     address: SocketAddr,
     version: Option<u64>,
@@ -155,9 +179,9 @@
 
 impl What {
     /// How the request ended, if it has.
-    pub(super) const fn outcome(self) -> Option<Outcome> {
+    pub(super) const fn outcome(&self) -> Option<Outcome> {
         match self {
-            Self::Begun | Self::Leaving => None,
+            Self::Open(_) | Self::Begun | Self::Leaving => None,
             Self::Whole => Some(Outcome::Whole),
             Self::Abandoned => Some(Outcome::Abandoned),
             Self::Refused => Some(Outcome::Refused),
@@ -170,11 +194,11 @@
 
 impl Question {
     /// The question for a request with a prompt.
-    pub(super) fn new(ask: &Ask, prompt: &Prompt, now: Duration) -> Self {
+    pub(super) fn new(number: u64, ask: &Ask, prompt: &Prompt, now: Duration) -> Self {
         let parts = prompt.parts.iter();
         Self {
+            number,
             service: ask.service.as_str().to_owned(),
-            zone: ask.zone.as_str().to_owned(),
             model: prompt.model.as_str().to_owned(),
             tokens: prompt.tokens,
             most_output: prompt.most_output,
@@ -193,7 +217,7 @@
     }
 
     /// The request as the dispatcher sees it.
-    pub(super) fn ask(self, host: id::Host, now: Duration) -> Ask {
+    pub(super) fn ask(self, host: id::Host, zone: id::Zone, now: Duration) -> Ask {
         let parts = self.parts.into_iter();
         let prompt = Prompt {
             model: id::Model::from(self.model),
@@ -205,7 +229,7 @@
         Ask {
             service: id::Service::from(self.service),
             asker: Some(host),
-            zone: id::Zone::from(self.zone),
+            zone,
             prompt: Some(Arc::new(prompt)),
             wall: self.wall.map(id::Account::from),
             is_repeatable: self.is_repeatable,
@@ -233,7 +257,6 @@
     /// A placement as it is sent.
     pub(super) fn new(placement: Placement) -> Self {
         Self {
-            ticket: placement.ticket.number(),
             endpoint: placement.endpoint.as_str().to_owned(),
             address: placement.address,
             version: placement.version,
@@ -247,9 +270,9 @@
         }
     }
 
-    /// The placement, and the number of the dispatcher's ticket for it.
-    pub(super) fn placement(self) -> (Placement, u64) {
-        let placement = Placement {
+    /// The placement; the ticket stays with the dispatcher.
+    pub(super) fn placement(self) -> Placement {
+        Placement {
             ticket: Ticket::default(),
             endpoint: id::Endpoint::from(self.endpoint),
             address: self.address,
@@ -261,8 +284,7 @@
             cached: self.cached,
             unread: self.unread,
             reread: self.reread,
-        };
-        (placement, self.ticket)
+        }
     }
 }
 
--- a/crates/papayayard_gateway/src/dispatch/permit.rs
+++ b/crates/papayayard_gateway/src/dispatch/permit.rs
@@ -7,6 +7,7 @@
 
 use super::link::Link;
 use super::message::What;
+use super::register::Register;
 use crate::schedule::{Handle, Message};
 
 /// Leave to use an endpoint, given back when it is dropped.
@@ -14,41 +15,30 @@
     schedule: Handle,
     /// Ticket of this host's own scheduler, if it knows the endpoint.
     ticket: Option<Ticket>,
+    /// Number of the request on this host.
+    number: u64,
+    register: Register,
     /// The dispatcher that gave it, if one did.
-    grant: Option<Grant>,
+    giver: Option<Arc<Link>>,
     outcome: Outcome,
     has_begun: bool,
 }
 
-struct Grant {
-    link: Arc<Link>,
-    /// The dispatcher's ticket, as a number.
-    ticket: u64,
-}
-
 impl Permit {
-    /// A permit that this host gave itself.
-    pub(super) const fn own(schedule: Handle, ticket: Ticket) -> Self {
-        Self {
-            schedule,
-            ticket: Some(ticket),
-            grant: None,
-            outcome: Outcome::Abandoned,
-            has_begun: false,
-        }
-    }
-
-    /// A permit that the dispatcher gave.
-    pub(super) const fn granted(
+    /// A permit of this host's scheduler, or of a dispatcher.
+    pub(super) const fn new(
         schedule: Handle,
-        own: Option<Ticket>,
-        link: Arc<Link>,
-        ticket: u64,
+        ticket: Option<Ticket>,
+        number: u64,
+        register: Register,
+        giver: Option<Arc<Link>>,
     ) -> Self {
         Self {
             schedule,
-            ticket: own,
-            grant: Some(Grant { link, ticket }),
+            ticket,
+            number,
+            register,
+            giver,
             outcome: Outcome::Abandoned,
             has_begun: false,
         }
@@ -56,9 +46,8 @@
 
     /// Name of who gave it, for logs.
     pub(crate) fn giver(&self) -> &str {
-        self.grant
-            .as_ref()
-            .map_or("own", |grant| grant.link.host().as_str())
+        let giver = self.giver.as_ref();
+        giver.map_or("own", |giver| giver.host().as_str())
     }
 
     /// Notes that an event has come; the first one counts.
@@ -67,6 +56,7 @@
             return;
         }
         self.has_begun = true;
+        self.register.begun(self.number);
         self.tell(Message::Begun, Some(What::Begun));
     }
 
@@ -92,14 +82,15 @@
         if let Some(ticket) = self.ticket {
             self.schedule.tell(own(ticket));
         }
-        if let (Some(grant), Some(what)) = (&self.grant, what) {
-            grant.link.tell(grant.ticket, what);
+        if let (Some(giver), Some(what)) = (&self.giver, what) {
+            giver.tell(self.number, what);
         }
     }
 }
 
 impl Drop for Permit {
     fn drop(&mut self) {
+        self.register.remove(self.number);
         let outcome = self.outcome;
         self.tell(
             |ticket| Message::Finished(ticket, outcome),
--- a/crates/papayayard_gateway/src/feeds.rs
+++ b/crates/papayayard_gateway/src/feeds.rs
@@ -288,8 +288,6 @@
         let mut run = None;
         let mut since = 0;
         let mut failures = 0;
-        // Holders are read at different moments, so that work is spread.
-        time::sleep(PAUSE.mul_f64(rand::random())).await;
         loop {
             self.be_quiet().await;
             let request = self.codec.changes(since, WAIT);
@@ -328,9 +326,15 @@
                 changes
             };
             run = Some(changes.run);
+            // Holders are read at different moments, so that work is spread.
+            let pause = if since == 0 {
+                PAUSE.mul_f64(rand::random())
+            } else {
+                PAUSE
+            };
             since = changes.next;
             self.teller.tell(&changes);
-            time::sleep(PAUSE).await;
+            time::sleep(pause).await;
         }
     }
 
--- a/crates/papayayard_gateway/src/follow.rs
+++ b/crates/papayayard_gateway/src/follow.rs
@@ -33,9 +33,9 @@
 };
 /// Time after its start at which a host counts all hosts: those that start
 /// together do so within some hundred milliseconds.
-const FIRST_COUNT: Duration = Duration::from_millis(400);
+const FIRST_COUNT: Duration = Duration::from_millis(200);
 /// Longest time to wait for that count.
-const LONGEST_COUNT: Duration = Duration::from_millis(800);
+const LONGEST_COUNT: Duration = Duration::from_millis(500);
 /// First wait after a failure.
 const FIRST_RETRY: Duration = Duration::from_millis(60);
 /// Longest wait after a failure.
--- a/crates/papayayard_gateway/src/host.rs
+++ b/crates/papayayard_gateway/src/host.rs
@@ -203,17 +203,22 @@
         self.controllers.spawn(follower);
     }
 
+    /// This host, as others see it.
+    fn own(&self) -> hosts::Own {
+        hosts::Own {
+            host: self.settings.host.clone(),
+            zone: self.settings.zone.clone(),
+            peers: self.settings.peers,
+            capacity: self.settings.capacity,
+        }
+    }
+
     fn count_hosts(&mut self) -> watch::Receiver<usize> {
         let (number, number_seen) = watch::channel(hosts::ASSUMED);
         let named = self.neighbours.borrow().clone();
         let (neighbours, neighbours_seen) = watch::channel(named);
         self.neighbours = neighbours_seen;
-        let own = hosts::Own {
-            host: self.settings.host.clone(),
-            zone: self.settings.zone.clone(),
-            peers: self.settings.peers,
-            capacity: self.settings.capacity,
-        };
+        let own = self.own();
         let progress = self.progress.clone();
         let announcing = hosts::announce(self.store.clone(), own.clone(), progress);
         self.controllers.spawn(announcing);
@@ -268,7 +273,7 @@
 
     fn dispatch(&mut self) -> Dispatch {
         let dispatch = Dispatch::new(dispatch::Parts {
-            host: self.settings.host.clone(),
+            own: self.own(),
             clock: self.store.clock,
             schedule: self.schedule.clone(),
             neighbours: self.neighbours.clone(),
--- a/crates/papayayard_gateway/src/schedule.rs
+++ b/crates/papayayard_gateway/src/schedule.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use papayayard_routing::placement::{
-    Ask, Decision, Endpoint, Outcome, Placement, Refused, Scheduler, Seen, Ticket, Waiting,
+    Ask, Decision, Endpoint, Open, Outcome, Placement, Refused, Scheduler, Seen, Ticket, Waiting,
 };
 use papayayard_routing::prompt;
 use papayayard_routing::table::Table;
@@ -36,12 +36,14 @@
 
 /// What the task is told.
 pub(crate) enum Message {
-    /// A request wants an endpoint.
-    Ask(Box<Ask>, oneshot::Sender<Decision>),
+    /// A request wants an endpoint; the host that asks has given it a number.
+    Ask(Box<Ask>, u64, oneshot::Sender<Decision>),
     /// Another host has placed a request of this one.
     Adopt(Box<(Ask, Placement)>, oneshot::Sender<Option<Ticket>>),
     /// A process of another host has asked or told something.
     Heard(id::Host, u64),
+    /// Another host tells of the request that it has given a number.
+    Notice(id::Host, u64, Told),
     /// A request's first event has come.
     Begun(Ticket),
     /// The endpoint of a placed request says that it leaves.
@@ -68,6 +70,18 @@
     Forget(Holder),
 }
 
+/// What another host tells of a request.
+pub(crate) enum Told {
+    /// It runs.
+    Open(Open),
+    /// Its first event has come.
+    Begun,
+    /// Its endpoint says that it leaves.
+    Leaving,
+    /// It has ended.
+    Finished(Outcome),
+}
+
 /// Sends messages to the task.
 #[derive(Clone)]
 pub(crate) struct Handle {
@@ -84,9 +98,9 @@
     }
 
     /// Waits for an endpoint.
-    pub(crate) async fn place(&self, ask: Ask) -> Decision {
+    pub(crate) async fn place(&self, ask: Ask, number: u64) -> Decision {
         let (reply, decision) = oneshot::channel();
-        self.tell(Message::Ask(Box::new(ask), reply));
+        self.tell(Message::Ask(Box::new(ask), number, reply));
         decision.await.unwrap_or(Decision::Refused {
             why: Refused::NoEndpoint,
             retry_after: Duration::ZERO,
@@ -117,6 +131,7 @@
         clock,
         avoided,
         askers: HashMap::new(),
+        tickets: HashMap::new(),
         replies: HashMap::new(),
     };
     tokio::spawn(task.run(messages));
@@ -126,6 +141,13 @@
     }
 }
 
+/// Where a decision goes.
+struct Reply {
+    sender: oneshot::Sender<Decision>,
+    /// Another host's number of the request.
+    number: Option<(id::Host, u64)>,
+}
+
 struct Task {
     scheduler: Scheduler,
     zone: id::Zone,
@@ -133,7 +155,9 @@
     avoided: watch::Sender<Vec<id::Endpoint>>,
     /// Processes of hosts that ask.
     askers: HashMap<id::Host, u64>,
-    replies: HashMap<Waiting, oneshot::Sender<Decision>>,
+    /// Tickets of other hosts' requests, by the numbers that they gave them.
+    tickets: HashMap<(id::Host, u64), Ticket>,
+    replies: HashMap<Waiting, Reply>,
 }
 
 impl Task {
@@ -162,9 +186,10 @@
         let now = self.clock.now();
         let scheduler = &mut self.scheduler;
         match message {
-            Message::Ask(ask, reply) => {
+            Message::Ask(ask, number, sender) => {
+                let number = ask.asker.clone().map(|host| (host, number));
                 let waiting = scheduler.ask(*ask, now);
-                self.replies.insert(waiting, reply);
+                self.replies.insert(waiting, Reply { sender, number });
             }
             Message::Adopt(adopted, reply) => {
                 let (ask, placement) = *adopted;
@@ -174,6 +199,7 @@
                 }
             }
             Message::Heard(host, run) => self.heard(host, run, now),
+            Message::Notice(host, number, told) => self.notice(host, number, told, now),
             Message::Begun(ticket) => scheduler.begun(ticket, now),
             Message::Leaving(ticket) => scheduler.states_leaving(ticket),
             Message::Quiet(ticket, time) => scheduler.states_quiet(ticket, time, now),
@@ -195,6 +221,7 @@
     fn check(&mut self) {
         let now = self.clock.now();
         self.scheduler.check_silence(now);
+        self.tickets.retain(|_, ticket| self.scheduler.is_open(*ticket));
         let avoided = self.scheduler.avoided(&self.zone, now);
         self.avoided.send_if_modified(|known| {
             let is_new = *known != avoided;
@@ -203,6 +230,24 @@
         });
     }
 
+    fn notice(&mut self, host: id::Host, number: u64, told: Told, now: Duration) {
+        let key = (host, number);
+        let known = self.tickets.get(&key).copied();
+        match (told, known) {
+            (Told::Open(open), None) => {
+                let taken = self.scheduler.take_over(&open, now);
+                self.tickets.extend(taken.map(|ticket| (key, ticket)));
+            }
+            (Told::Begun, Some(ticket)) => self.scheduler.begun(ticket, now),
+            (Told::Leaving, Some(ticket)) => self.scheduler.states_leaving(ticket),
+            (Told::Finished(outcome), Some(ticket)) => {
+                self.tickets.remove(&key);
+                self.scheduler.finished(ticket, outcome, now);
+            }
+            (Told::Open(_), Some(_)) | (_, None) => {}
+        }
+    }
+
     /// Another process of a host knows nothing of what the one before has placed.
     fn heard(&mut self, host: id::Host, run: u64, now: Duration) {
         self.scheduler.heard(&host, now);
@@ -232,7 +277,10 @@
             let Some(reply) = self.replies.remove(&waiting) else {
                 continue;
             };
-            if let Err(Decision::Placed(placement)) = reply.send(decision) {
+            if let (Decision::Placed(placement), Some(number)) = (&decision, reply.number) {
+                self.tickets.insert(number, placement.ticket);
+            }
+            if let Err(Decision::Placed(placement)) = reply.sender.send(decision) {
                 self.scheduler
                     .finished(placement.ticket, Outcome::Abandoned, now);
             }
@@ -244,7 +292,7 @@
         let left: Vec<Waiting> = self
             .replies
             .iter()
-            .filter(|(_, reply)| reply.is_closed())
+            .filter(|(_, reply)| reply.sender.is_closed())
             .map(|(waiting, _)| *waiting)
             .collect();
         for waiting in left {
--- a/crates/papayayard_routing/src/placement.rs
+++ b/crates/papayayard_routing/src/placement.rs
@@ -38,7 +38,7 @@
 use course::Placed;
 use stated::Stated;
 
-pub use ask::{Ask, BackendKey, Decision, Outcome, Placement, Refused, Seen, Ticket, Waiting};
+pub use ask::{Ask, BackendKey, Decision, Open, Outcome, Placement, Refused, Seen, Ticket, Waiting};
 pub use backend::Endpoint;
 pub use cache::Cache;
 pub use delay::{Delay, Usual};
--- a/crates/papayayard_routing/src/placement/ask.rs
+++ b/crates/papayayard_routing/src/placement/ask.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use papayayard_wire::id;
-use slotmap::{Key, KeyData};
 
 use crate::prompt;
 
@@ -18,18 +17,6 @@
     pub struct BackendKey;
 }
 
-impl Ticket {
-    /// The number that stands for it between hosts.
-    pub fn number(self) -> u64 {
-        self.data().as_ffi()
-    }
-
-    /// The ticket that a number stands for.
-    pub fn from_number(number: u64) -> Self {
-        Self::from(KeyData::from_ffi(number))
-    }
-}
-
 /// A request that wants an endpoint.
 #[derive(Clone, Debug)]
 pub struct Ask {
@@ -89,6 +76,23 @@
     pub reread: u32,
 }
 
+/// A placed request of another host, as that host knows it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Open {
+    /// The host.
+    pub asker: id::Host,
+    /// Its zone.
+    pub zone: id::Zone,
+    /// Endpoint that runs the request.
+    pub endpoint: id::Endpoint,
+    /// Tokens of its prompt that may still be unread.
+    pub unread: u32,
+    /// Tokens of memory that it holds.
+    pub memory: u32,
+    /// Time by which its answer must be whole.
+    pub deadline: Duration,
+}
+
 /// Why a request gets no endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Refused {
--- a/crates/papayayard_routing/src/placement/backend.rs
+++ b/crates/papayayard_routing/src/placement/backend.rs
@@ -54,7 +54,7 @@
     /// Left out until this time, after it refused.
     pub(super) refuses_until: Duration,
     /// Set while other weights are being loaded there.
-    pub(super) loading_until: Option<Duration>,
+    pub(super) loading: Option<Loading>,
     /// When it came into use, or its weights did.
     pub(super) fresh_since: Duration,
     /// Delay of first events.
@@ -63,6 +63,13 @@
     pub(super) service_ms: f64,
 }
 
+/// A load of weights, for which an endpoint is left out.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Loading {
+    pub(super) since: Duration,
+    pub(super) until: Duration,
+}
+
 impl Backend {
     /// An endpoint that nothing is known of.
     pub(super) fn new(endpoint: Endpoint, stated: Stated, service_ms: f64, now: Duration) -> Self {
@@ -74,7 +81,7 @@
             health: ejection::Health::default(),
             answered_at: Duration::ZERO,
             refuses_until: Duration::ZERO,
-            loading_until: None,
+            loading: None,
             fresh_since: now,
             delay: Delay::default(),
             service_ms,
@@ -94,7 +101,7 @@
     /// Whether it takes requests now, as far as passive signs tell.
     pub(super) fn is_usable(&self, now: Duration) -> bool {
         let open = self.load.own().open.round();
-        let loading = self.loading_until.is_some_and(|until| now < until);
+        let loading = self.loading.is_some_and(|loading| now < loading.until);
         !self.endpoint.leaving
             && !loading
             && self.stated.permits(now)
--- a/crates/papayayard_routing/src/placement/news.rs
+++ b/crates/papayayard_routing/src/placement/news.rs
@@ -9,7 +9,7 @@
 
 use super::Scheduler;
 use super::ask::BackendKey;
-use super::backend::{Backend, Endpoint};
+use super::backend::{Backend, Endpoint, Loading};
 use crate::prompt;
 use crate::table::Table;
 use crate::weights;
@@ -18,6 +18,9 @@
 const UNKNOWN_SERVICE_MS: f64 = 30.0;
 /// Longest time for which an endpoint that loads weights is left out.
 const LONGEST_LOADING: Duration = Duration::from_secs(8);
+/// Time for which it is left out after the holder of the turn said so last; one that
+/// goes on says so again sooner.
+const UNRENEWED_LOADING: Duration = Duration::from_millis(2500);
 
 impl Scheduler {
     /// Takes over a routing table.
@@ -54,8 +57,12 @@
         let loading: HashSet<&id::Endpoint> = loading.iter().collect();
         for backend in self.backends.values_mut() {
             if loading.contains(&backend.endpoint.id) {
-                backend.loading_until.get_or_insert(now + LONGEST_LOADING);
-            } else if backend.loading_until.take().is_some() {
+                let since = backend.loading.map_or(now, |loading| loading.since);
+                backend.loading = Some(Loading {
+                    since,
+                    until: (now + UNRENEWED_LOADING).min(since + LONGEST_LOADING),
+                });
+            } else if backend.loading.take().is_some() {
                 backend.fresh_since = now;
             }
         }
--- a/crates/papayayard_routing/src/placement/place.rs
+++ b/crates/papayayard_routing/src/placement/place.rs
@@ -6,7 +6,7 @@
 
 use papayayard_wire::id;
 
-use super::ask::{Ask, BackendKey, Placement, Ticket};
+use super::ask::{Ask, BackendKey, Open, Placement, Ticket};
 use super::course::{Explained, Placed};
 use super::backend::Endpoint;
 use super::fetch::{Fetch, distance};
@@ -81,6 +81,44 @@
         Some(self.begin(key, ask, placement, explained, now))
     }
 
+    /// Takes over a request that another host has sent to an endpoint; `None` where
+    /// the endpoint isn't known here.
+    pub fn take_over(&mut self, open: &Open, now: Duration) -> Option<Ticket> {
+        let key = self.by_id.get(&open.endpoint).copied()?;
+        let backend = &mut self.backends[key];
+        let amounts = Amounts {
+            open: 1.0,
+            unread: f64::from(open.unread),
+            memory: f64::from(open.memory),
+        };
+        backend.load.add(amounts, now);
+        Some(self.tickets.insert(Placed {
+            asker: Some(open.asker.clone()),
+            zone: open.zone.clone(),
+            deadline: open.deadline,
+            backend: key,
+            endpoint: open.endpoint.clone(),
+            started: backend.endpoint.started,
+            amounts,
+            sent: now,
+            expected: Duration::ZERO,
+            explained: Explained {
+                ms: 0.0,
+                tokens: 0.0,
+            },
+            keys: Vec::new(),
+            // What comes of it says nothing of when it was sent.
+            is_stream: false,
+            begun: true,
+            overdue: true,
+        }))
+    }
+
+    /// Whether a placed request has not ended.
+    pub fn is_open(&self, ticket: Ticket) -> bool {
+        self.tickets.contains_key(ticket)
+    }
+
     /// Notes what a placement brings to its endpoint.
     fn begin(
         &mut self,
