--- a/crates/papayayard_coordination/src/reader.rs
+++ b/crates/papayayard_coordination/src/reader.rs
@@ -18,12 +18,18 @@
 
 /// Hosts that are asked, one after the other, before the store.
 const MOST_ASKED: usize = 2;
+/// Time for which the store is left alone after it gave no answer, where another
+/// host can be asked; and the longest such time after several failures.
+const FIRST_PAUSE: Duration = Duration::from_secs(1);
+const LONGEST_PAUSE: Duration = Duration::from_secs(4);
 
 /// Where to read from.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Source {
     /// The store.
     Store,
+    /// The store, which gave no answer before: a short look whether it does again.
+    Probe,
     /// Another host.
     Peer {
         /// Host.
@@ -52,6 +58,14 @@
     is_first_of_zone: bool,
     /// Hosts that may know more where the store does not answer.
     others: Vec<Candidate>,
+    /// Set while the store gives this host no answer.
+    outage: Option<Outage>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Outage {
+    paused_until: Duration,
+    next_pause: Duration,
 }
 
 impl Readers {
@@ -63,6 +77,7 @@
             choice: Choice::default(),
             is_first_of_zone: true,
             others: Vec::new(),
+            outage: None,
         }
     }
 
@@ -121,11 +136,34 @@
 
     /// Where to read from now.
     pub fn source(&self, now: Duration) -> Source {
-        let peer = self.choice.first(now);
-        peer.map_or(Source::Store, |one| Source::Peer {
-            host: one.host.clone(),
-            address: one.address,
-        })
+        let is_paused = |outage: &Outage| now < outage.paused_until;
+        let fallback = || match &self.outage {
+            Some(outage) if is_paused(outage) => self.fallback(now),
+            _ => None,
+        };
+        let peer = self.choice.first(now).or_else(fallback);
+        match peer {
+            Some(one) => Source::Peer {
+                host: one.host.clone(),
+                address: one.address,
+            },
+            None if self.outage.is_some() => Source::Probe,
+            None => Source::Store,
+        }
+    }
+
+    /// Notes that the store gave this host no answer.
+    pub fn store_failed(&mut self, now: Duration) {
+        let pause = self.outage.map_or(FIRST_PAUSE, |outage| outage.next_pause);
+        self.outage = Some(Outage {
+            paused_until: now + pause,
+            next_pause: (pause * 2).min(LONGEST_PAUSE),
+        });
+    }
+
+    /// Notes that the store gave this host an answer.
+    pub const fn store_answered(&mut self) {
+        self.outage = None;
     }
 
     /// Notes that a host gave no answer, or an old one.
--- a/crates/papayayard_coordination/tests/reader_test.rs
+++ b/crates/papayayard_coordination/tests/reader_test.rs
@@ -27,7 +27,7 @@
 
 fn asked(source: &Source) -> Option<&id::Host> {
     match source {
-        Source::Store => None,
+        Source::Store | Source::Probe => None,
         Source::Peer { host, .. } => Some(host),
     }
 }
@@ -169,3 +169,30 @@
     assert_eq!(readers.source(NOW), Source::Store);
     assert!(readers.fallback(NOW).is_some_and(|one| seeds.contains(one)));
 }
+
+/// The store turns this host away for long. It follows another host meanwhile, and
+/// looks at the store now and then.
+#[test]
+fn a_host_without_the_store_follows_another() {
+    let hosts = zone(&[9, 5]);
+    let mut readers = readers(0, &hosts);
+    let mut now = NOW;
+    for seconds in [1, 2, 4, 4] {
+        readers.store_failed(now);
+        assert_eq!(asked(&readers.source(now)), Some(&hosts[1].host));
+        now += Duration::from_secs(seconds);
+        assert_eq!(readers.source(now), Source::Probe);
+    }
+    readers.store_answered();
+    assert_eq!(readers.source(now), Source::Store);
+}
+
+/// Nobody has anything new, as when the store is down for all.
+#[test]
+fn a_host_that_finds_nothing_anywhere_looks_at_the_store() {
+    let hosts = zone(&[9, 5]);
+    let mut readers = readers(0, &hosts);
+    readers.store_failed(NOW);
+    readers.failed(&hosts[1].host, NOW);
+    assert_eq!(readers.source(NOW), Source::Probe);
+}
--- a/crates/papayayard_gateway/src/follow.rs
+++ b/crates/papayayard_gateway/src/follow.rs
@@ -36,6 +36,10 @@
 const FIRST_COUNT: Duration = Duration::from_millis(200);
 /// Longest time to wait for that count.
 const LONGEST_COUNT: Duration = Duration::from_millis(500);
+/// Hosts that are asked in a row before the store is looked at.
+const MOST_ASKED: u32 = 3;
+/// Time for the answer of a store that has given none before.
+const PROBE: Duration = Duration::from_millis(300);
 /// First wait after a failure.
 const FIRST_RETRY: Duration = Duration::from_millis(60);
 /// Longest wait after a failure.
@@ -209,6 +213,7 @@
         offsets: HashMap::new(),
         next: None,
         asked: None,
+        is_lost: false,
     };
     follower.run().await;
 }
@@ -226,6 +231,8 @@
     next: Option<u64>,
     /// When the newest reading that was taken over was asked for.
     asked: Option<Duration>,
+    /// Whether the store has given no answer since it did last.
+    is_lost: bool,
 }
 
 impl<Platform, Target> Follower<Platform, Target>
@@ -239,10 +246,7 @@
         loop {
             match self.step().await {
                 Ok(Source::Peer { .. }) => backoff.succeed(),
-                Ok(Source::Store) => {
-                    if backoff.failures() > 0 {
-                        log::info!(topic = self.topic.as_str(); "store reached again");
-                    }
+                Ok(Source::Store | Source::Probe) => {
                     backoff.succeed();
                     time::sleep(self.beat.pause).await;
                 }
@@ -251,11 +255,14 @@
                     self.next = None;
                 }
                 Err(error) => {
-                    if backoff.failures() == 0 {
+                    if !self.is_lost {
+                        self.is_lost = true;
                         log::warn!(topic = self.topic.as_str(), error:%; "store lost");
                     }
-                    self.ask_any().await;
-                    time::sleep(backoff.fail(rand::random())).await;
+                    self.readers.store_failed(self.store.clock.now());
+                    if self.readers.is_alone() {
+                        time::sleep(backoff.fail(rand::random())).await;
+                    }
                 }
             }
         }
@@ -277,11 +284,16 @@
     /// Reads once, and tells from where.
     async fn step(&mut self) -> Result<Source, Error> {
         self.take_hosts();
-        loop {
+        let mut asked = 0;
+        let source = loop {
             let source = self.readers.source(self.store.clock.now());
             let Source::Peer { host, address } = &source else {
-                break;
+                break source;
             };
+            if asked == MOST_ASKED {
+                break Source::Probe;
+            }
+            asked += 1;
             match self.ask(*address).await {
                 Ok(()) => {
                     self.readers.answered(host);
@@ -293,12 +305,17 @@
                     self.readers.failed(host, self.store.clock.now());
                 }
             }
-        }
+        };
+        let is_probe = source == Source::Probe;
         match self.next {
             None => self.read_newest().await?,
-            Some(from) => self.read_on(from).await?,
+            Some(from) => self.read_on(from, is_probe).await?,
         }
-        Ok(Source::Store)
+        self.readers.store_answered();
+        if std::mem::take(&mut self.is_lost) {
+            log::info!(topic = self.topic.as_str(); "store reached again");
+        }
+        Ok(source)
     }
 
     fn take_hosts(&mut self) {
@@ -313,22 +330,6 @@
         }
     }
 
-    /// Asks any host where the store has not answered.
-    async fn ask_any(&mut self) {
-        let now = self.store.clock.now();
-        let Some(candidate) = self.readers.fallback(now).cloned() else {
-            return;
-        };
-        let (topic, host) = (self.topic.as_str(), &candidate.host);
-        match self.ask(candidate.address).await {
-            Ok(()) => log::info!(topic, host:%; "another host has read the store"),
-            Err(problem) => {
-                log::debug!(topic, host:%, problem:%; "another host has nothing new either");
-                self.readers.failed(host, self.store.clock.now());
-            }
-        }
-    }
-
     /// Asks another host. What it has is taken over if it is newer than what this
     /// host knows; it is an error all the same if it is old.
     async fn ask(&mut self, address: SocketAddr) -> Result<(), String> {
@@ -378,13 +379,15 @@
         Ok(())
     }
 
-    async fn read_on(&mut self, from: u64) -> Result<(), Error> {
+    async fn read_on(&mut self, from: u64, is_probe: bool) -> Result<(), Error> {
         let asked = self.store.clock.now();
-        let request = self.store.codec.read(self.topic, from, self.beat.wait);
-        let bounds = Bounds {
-            time: self.beat.wait + ANSWER.time,
-            ..ANSWER
+        let (wait, time) = if is_probe {
+            (Duration::ZERO, PROBE)
+        } else {
+            (self.beat.wait, self.beat.wait + ANSWER.time)
         };
+        let request = self.store.codec.read(self.topic, from, wait);
+        let bounds = Bounds { time, ..ANSWER };
         let reply = self
             .caller
             .call(request, bounds)
--- a/crates/papayayard_routing/src/placement/backend.rs
+++ b/crates/papayayard_routing/src/placement/backend.rs
@@ -53,6 +53,8 @@
     pub(super) answered_at: Duration,
     /// Left out until this time, after it refused.
     pub(super) refuses_until: Duration,
+    /// Refusals since it gave another answer.
+    pub(super) refusals: u32,
     /// Set while other weights are being loaded there.
     pub(super) loading: Option<Loading>,
     /// When it came into use, or its weights did.
@@ -81,6 +83,7 @@
             health: ejection::Health::default(),
             answered_at: Duration::ZERO,
             refuses_until: Duration::ZERO,
+            refusals: 0,
             loading: None,
             fresh_since: now,
             delay: Delay::default(),
--- a/crates/papayayard_routing/src/placement/course.rs
+++ b/crates/papayayard_routing/src/placement/course.rs
@@ -9,8 +9,10 @@
 use super::{Scheduler, ms};
 use crate::prompt;
 
-/// Time for which an endpoint that refused is left alone.
+/// Time for which an endpoint that refused is left alone, doubled with each refusal
+/// that follows without an answer between, so many times at most.
 const REFUSAL_PAUSE: Duration = Duration::from_millis(150);
+const REFUSAL_DOUBLINGS: u32 = 3;
 /// Time beyond the expected one after which a silent endpoint is failing.
 const SILENCE: Duration = Duration::from_secs(2);
 /// Failures in a row that one refused or unanswered connection counts for.
@@ -102,6 +104,7 @@
         if let Some(backend) = self.backends.get_mut(placed.backend) {
             self.reach.answered(&placed_zone, &backend.endpoint.zone);
             backend.answered_at = now;
+            backend.refusals = 0;
             backend.load.remove(unread, now);
             for key in &placed.keys {
                 backend.cache.confirm(*key, now);
@@ -133,6 +136,7 @@
             Outcome::Whole => {
                 self.reach.answered(&placed.zone, zone);
                 backend.answered_at = now;
+                backend.refusals = 0;
                 backend.health.succeeded(now);
                 backend.served(now.saturating_sub(placed.sent));
             }
@@ -140,7 +144,9 @@
             Outcome::Refused | Outcome::Mismatched => {
                 self.reach.answered(&placed.zone, zone);
                 backend.answered_at = now;
-                backend.refuses_until = now + REFUSAL_PAUSE;
+                let doublings = backend.refusals.min(REFUSAL_DOUBLINGS);
+                backend.refuses_until = now + REFUSAL_PAUSE * 2_u32.pow(doublings);
+                backend.refusals += 1;
             }
             Outcome::Unreachable => {
                 self.reach.failed(&placed.zone, zone, &placed.endpoint, now);
