--- a/crates/papayayard_coordination/src/ranking.rs
+++ b/crates/papayayard_coordination/src/ranking.rs
@@ -60,7 +60,9 @@
 
     /// The host to ask now; none where this host does the work itself.
     pub fn first(&self, now: Duration) -> Option<&Candidate> {
-        self.order.iter().find(|one| !self.is_avoided(&one.host, now))
+        self.order
+            .iter()
+            .find(|one| !self.is_avoided(&one.host, now))
     }
 
     /// Notes that a host gave no answer, or one that is of no use.
--- a/crates/papayayard_coordination/src/reader.rs
+++ b/crates/papayayard_coordination/src/reader.rs
@@ -111,9 +111,8 @@
     /// calls are spread.
     fn fallbacks(&self, zone: &[Candidate], mut others: Vec<Candidate>) -> Vec<Candidate> {
         let seed = xxh3::xxh3_64(self.own.as_str().as_bytes());
-        others.sort_by_cached_key(|one| {
-            xxh3::xxh3_64_with_seed(one.host.as_str().as_bytes(), seed)
-        });
+        others
+            .sort_by_cached_key(|one| xxh3::xxh3_64_with_seed(one.host.as_str().as_bytes(), seed));
         let zone = zone.iter().filter(|one| one.host != self.own);
         zone.cloned().chain(others).collect()
     }
--- a/crates/papayayard_coordination/src/turn.rs
+++ b/crates/papayayard_coordination/src/turn.rs
@@ -17,13 +17,14 @@
 use papayayard_wire::id;
 
 /// Time after an append was sent within which orders of its holder may arrive.
-pub const ACTIVE: Duration = Duration::from_millis(1400);
+pub const ACTIVE: Duration = Duration::from_millis(900);
 /// Time for an order to arrive; none is sent later than this before the end.
-const UNDER_WAY: Duration = Duration::from_millis(400);
+const UNDER_WAY: Duration = Duration::from_millis(300);
 /// Time after which a holder that has work left renews its turn.
-pub const RENEWAL: Duration = Duration::from_millis(500);
-/// Covers what passes between a record's writing and its reading.
-const MARGIN: Duration = Duration::from_millis(300);
+pub const RENEWAL: Duration = Duration::from_millis(300);
+/// Covers clocks that run at different rates. What passes between a record's writing
+/// and its reading only makes the wait longer.
+const MARGIN: Duration = Duration::from_millis(50);
 
 /// What a host knows of the turn.
 #[derive(Clone, Debug)]
--- a/crates/papayayard_coordination/tests/dispatcher_test.rs
+++ b/crates/papayayard_coordination/tests/dispatcher_test.rs
@@ -64,8 +64,16 @@
         asked.push(candidate.host);
     }
     assert!((2..=4).contains(&asked.len()), "{asked:?}");
-    let zone: Vec<&id::Host> = all.iter().skip(70 % ZONES).step_by(ZONES).map(|one| &one.host).collect();
-    assert!(zone.contains(&asked.last().unwrap()), "the last ones are of its zone");
+    let zone: Vec<&id::Host> = all
+        .iter()
+        .skip(70 % ZONES)
+        .step_by(ZONES)
+        .map(|one| &one.host)
+        .collect();
+    assert!(
+        zone.contains(&asked.last().unwrap()),
+        "the last ones are of its zone"
+    );
     let later = NOW + Duration::from_secs(1);
     assert_eq!(choice.first(later).map(|one| &one.host), asked.first());
 }
--- a/crates/papayayard_coordination/tests/reader_test.rs
+++ b/crates/papayayard_coordination/tests/reader_test.rs
@@ -156,7 +156,11 @@
     }
     let (_, mut cut_off) = source(6);
     cut_off.failed(&all[3].host, NOW);
-    assert_eq!(asked(&cut_off.source(NOW)), None, "zones are cut off from each other");
+    assert_eq!(
+        asked(&cut_off.source(NOW)),
+        None,
+        "zones are cut off from each other"
+    );
 }
 
 /// Before the hosts are counted each reads the store: those that are named may be
--- a/crates/papayayard_coordination/tests/turn_test.rs
+++ b/crates/papayayard_coordination/tests/turn_test.rs
@@ -17,7 +17,7 @@
     let mut turn = turn("a");
     assert!(turn.may_append(NOW));
     assert_eq!(turn.leave(NOW), None);
-    let answered = NOW + Duration::from_millis(900);
+    let answered = NOW + Duration::from_millis(400);
     turn.appended(7, NOW, answered);
     let leave = turn.leave(answered).expect("the turn is held");
     assert_eq!(leave.fence, id::Fence(8));
--- a/crates/papayayard_gateway/src/dispatch.rs
+++ b/crates/papayayard_gateway/src/dispatch.rs
@@ -10,7 +10,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use papayayard_routing::placement::{Ask, Decision, Placement, Refused, Seen};
+use papayayard_routing::placement::{Ask, Decision, Placement, Refused, Seen, Ticket};
 use papayayard_wire::id;
 use tokio::sync::{Notify, watch};
 use tokio::time;
@@ -51,7 +51,7 @@
 /// Where a request goes.
 pub(crate) enum Found {
     /// To an endpoint.
-    Place(Placement, Permit),
+    Place(Box<Placement>, Permit),
     /// Nowhere.
     Refused {
         /// Why.
@@ -210,7 +210,8 @@
         match decision {
             Decision::Placed(placement) => {
                 let ticket = Some(placement.ticket);
-                Found::Place(placement.clone(), self.permit(&ask, number, &placement, ticket, None))
+                let permit = self.permit(&ask, number, &placement, ticket, None);
+                Found::Place(Box::new(placement), permit)
             }
             Decision::Refused {
                 why,
@@ -237,7 +238,7 @@
                 let adopted = self.0.schedule.adopt(ask.clone(), placement.clone());
                 let ticket = adopted.await;
                 let permit = self.permit(&ask, number, &placement, ticket, Some(link));
-                Found::Place(placement, permit)
+                Found::Place(Box::new(placement), permit)
             }
             message::Decision::Refused(refused) => refused.found(),
         }
@@ -248,7 +249,7 @@
         ask: &Ask,
         number: u64,
         placement: &Placement,
-        ticket: Option<papayayard_routing::placement::Ticket>,
+        ticket: Option<Ticket>,
         giver: Option<Arc<Link>>,
     ) -> Permit {
         let register = self.0.own.register.clone();
--- a/crates/papayayard_gateway/src/dispatch/desk.rs
+++ b/crates/papayayard_gateway/src/dispatch/desk.rs
@@ -28,7 +28,11 @@
         let zone = id::Zone::from(call.zone);
         let now = shared.clock.now();
         let is_asked = self.0.is_asked(now);
-        let elsewhere = if is_asked { None } else { self.0.elsewhere(&host, now) };
+        let elsewhere = if is_asked {
+            None
+        } else {
+            self.0.elsewhere(&host, now)
+        };
         if elsewhere.is_none() && call.question.is_some() {
             self.0.asked(now);
         }
@@ -63,12 +67,7 @@
     }
 
     /// The decision, if there is one in time; the host asks again otherwise.
-    async fn decide(
-        &self,
-        question: Question,
-        host: id::Host,
-        zone: id::Zone,
-    ) -> Option<Decision> {
+    async fn decide(&self, question: Question, host: id::Host, zone: id::Zone) -> Option<Decision> {
         let shared = &self.0.0;
         let number = question.number;
         let ask = question.ask(host, zone, shared.clock.now());
--- a/crates/papayayard_gateway/src/dispatch/link.rs
+++ b/crates/papayayard_gateway/src/dispatch/link.rs
@@ -73,7 +73,12 @@
     }
 
     /// Asks for an endpoint.
-    pub(super) async fn ask(&self, number: u64, ask: &Ask, now: Duration) -> Result<Answer, String> {
+    pub(super) async fn ask(
+        &self,
+        number: u64,
+        ask: &Ask,
+        now: Duration,
+    ) -> Result<Answer, String> {
         let prompt = ask.prompt.as_ref();
         let question = prompt.map(|prompt| Question::new(number, ask, prompt, now));
         self.call(question, now).await
--- a/crates/papayayard_gateway/src/follow.rs
+++ b/crates/papayayard_gateway/src/follow.rs
@@ -97,7 +97,7 @@
     /// The beat of the host that reads for its zone.
     pub(crate) fn of_first(self) -> Self {
         Self {
-            slack: SLACK - SOONER,
+            slack: SLACK.saturating_sub(SOONER),
             ..self
         }
     }
--- a/crates/papayayard_gateway/src/orders.rs
+++ b/crates/papayayard_gateway/src/orders.rs
@@ -36,7 +36,7 @@
 const TICK: Duration = Duration::from_millis(50);
 /// Longest wait of a host that does not hold the turn before it takes it, so
 /// that not all hosts try at once.
-const LONGEST_HESITATION: Duration = Duration::from_millis(400);
+const LONGEST_HESITATION: Duration = Duration::from_millis(200);
 /// Time to try again after the store failed.
 const STORE_RETRY: Duration = Duration::from_millis(150);
 /// What the controller is made of.
--- a/crates/papayayard_gateway/src/pump.rs
+++ b/crates/papayayard_gateway/src/pump.rs
@@ -205,7 +205,7 @@
                         "stream goes on elsewhere"
                     );
                     return Some(Run {
-                        placement,
+                        placement: *placement,
                         open,
                         permit,
                     });
--- a/crates/papayayard_gateway/src/relay.rs
+++ b/crates/papayayard_gateway/src/relay.rs
@@ -292,7 +292,7 @@
                     by = permit.giver(), attempt = tried.endpoints.len();
                     "placed"
                 );
-                Ok((placement, permit))
+                Ok((*placement, permit))
             }
             Found::Refused {
                 why,
--- a/crates/papayayard_gateway/src/schedule.rs
+++ b/crates/papayayard_gateway/src/schedule.rs
@@ -198,7 +198,7 @@
                     scheduler.finished(ticket, Outcome::Abandoned, now);
                 }
             }
-            Message::Heard(host, run) => self.heard(host, run, now),
+            Message::Heard(host, run) => self.heard(&host, run, now),
             Message::Notice(host, number, told) => self.notice(host, number, told, now),
             Message::Begun(ticket) => scheduler.begun(ticket, now),
             Message::Leaving(ticket) => scheduler.states_leaving(ticket),
@@ -221,7 +221,8 @@
     fn check(&mut self) {
         let now = self.clock.now();
         self.scheduler.check_silence(now);
-        self.tickets.retain(|_, ticket| self.scheduler.is_open(*ticket));
+        self.tickets
+            .retain(|_, ticket| self.scheduler.is_open(*ticket));
         let avoided = self.scheduler.avoided(&self.zone, now);
         self.avoided.send_if_modified(|known| {
             let is_new = *known != avoided;
@@ -249,12 +250,12 @@
     }
 
     /// Another process of a host knows nothing of what the one before has placed.
-    fn heard(&mut self, host: id::Host, run: u64, now: Duration) {
-        self.scheduler.heard(&host, now);
+    fn heard(&mut self, host: &id::Host, run: u64, now: Duration) {
+        self.scheduler.heard(host, now);
         let known = self.askers.insert(host.clone(), run);
         if known.is_some_and(|known| known != run) {
             log::info!(host:%; "a host that asks has started again");
-            self.scheduler.forget_asker(&host, now);
+            self.scheduler.forget_asker(host, now);
         }
     }
 
--- a/crates/papayayard_routing/src/placement.rs
+++ b/crates/papayayard_routing/src/placement.rs
@@ -38,13 +38,15 @@
 use course::Placed;
 use stated::Stated;
 
-pub use ask::{Ask, BackendKey, Decision, Open, Outcome, Placement, Refused, Seen, Ticket, Waiting};
+pub use ask::{
+    Ask, BackendKey, Decision, Open, Outcome, Placement, Refused, Seen, Ticket, Waiting,
+};
 pub use backend::Endpoint;
 pub use cache::Cache;
 pub use delay::{Delay, Usual};
 pub use link::{Link, transfer_time};
-pub use pace::Pace;
 pub use load::{Amounts, Load};
+pub use pace::Pace;
 pub use reach::Reach;
 pub use split::{Demand, draw};
 
--- a/crates/papayayard_routing/src/placement/course.rs
+++ b/crates/papayayard_routing/src/placement/course.rs
@@ -169,7 +169,10 @@
                 continue;
             }
             // A host that is silent says nothing of the endpoint.
-            let heard = placed.asker.as_ref().map(|host| self.askers.last_heard(host));
+            let heard = placed
+                .asker
+                .as_ref()
+                .map(|host| self.askers.last_heard(host));
             if heard.is_some_and(|heard| heard.is_none_or(|heard| heard < due)) {
                 continue;
             }
--- a/crates/papayayard_routing/src/placement/place.rs
+++ b/crates/papayayard_routing/src/placement/place.rs
@@ -7,8 +7,8 @@
 use papayayard_wire::id;
 
 use super::ask::{Ask, BackendKey, Open, Placement, Ticket};
-use super::course::{Explained, Placed};
 use super::backend::Endpoint;
+use super::course::{Explained, Placed};
 use super::fetch::{Fetch, distance};
 use super::link::transfer_time;
 use super::load::Amounts;
@@ -21,7 +21,7 @@
 const READ_BY: u32 = 2;
 /// Wait for a store's link from which on nothing more is saved there: a save takes
 /// the link for long, and fetches wait behind it.
-const BUSY: Duration = Duration::from_millis(100);
+const BUSY: Duration = Duration::from_millis(50);
 /// Time from then on until a store has it.
 const SAVE: Duration = Duration::from_millis(300);
 
--- a/crates/papayayard_routing/src/placement/select.rs
+++ b/crates/papayayard_routing/src/placement/select.rs
@@ -100,7 +100,7 @@
         seen.usable = usable.len();
         let candidates = match (engine, &ask.prompt) {
             (Some(engine), Some(_)) => self.engines(ask, draw, engine, usable, hosts, now),
-            _ => self.plain(usable, ask, hosts, now),
+            _ => Self::plain(usable, ask, hosts, now),
         };
         seen.with_room = candidates.len();
         let soonest_ms = candidates
@@ -131,7 +131,6 @@
     }
 
     fn plain(
-        &self,
         usable: Vec<(BackendKey, &Backend)>,
         ask: &Ask,
         hosts: usize,
--- a/crates/papayayard_routing/tests/placement/main.rs
+++ b/crates/papayayard_routing/tests/placement/main.rs
@@ -2,6 +2,7 @@
 
 mod choice;
 mod crowd;
+mod dispatch;
 mod link;
 mod pace;
 mod stated;
--- a/crates/papayayard_routing/tests/placement/pace.rs
+++ b/crates/papayayard_routing/tests/placement/pace.rs
@@ -13,7 +13,7 @@
 fn learn(token_ms: f64, seed: u64, left_out: usize, number: usize) -> Vec<f64> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut pace = Pace::default();
-    let mut seen = Vec::new();
+    let mut paces = Vec::new();
     for index in 0..number {
         // Prompts are long or short, and a few others are ahead of some.
         let own = if rng.random_bool(0.6) { 3_000.0 } else { 600.0 };
@@ -26,10 +26,10 @@
         }
         pace.observe(own + ahead, ms);
         if index >= left_out {
-            seen.push(pace.ms_per_token());
+            paces.push(pace.ms_per_token());
         }
     }
-    seen
+    paces
 }
 
 /// At 20 requests a second, a hundred first events take five seconds.
--- a/crates/papayayard_routing/tests/placement/weights.rs
+++ b/crates/papayayard_routing/tests/placement/weights.rs
@@ -30,8 +30,8 @@
         open.retain(|(ticket, end)| {
             let is_open = now < *end;
             if !is_open {
-                scheduler.begun(*ticket, now);
-                scheduler.finished(*ticket, Outcome::Whole, now);
+                scheduler.begun(*ticket, *end);
+                scheduler.finished(*ticket, Outcome::Whole, *end);
             }
             is_open
         });
