--- a/crates/papayayard_gateway/tests/settings.rs
+++ b/crates/papayayard_gateway/tests/settings.rs
@@ -9,6 +9,7 @@
 host: entry-1
 zone: a
 listen: { callers: "10.0.0.1:80", operators: "10.0.0.1:81", peers: "10.0.0.1:82" }
+seeds: ["10.0.0.2:82", "10.0.0.3:82"]
 capacity: 0.25
 store: "10.0.0.9:80"
 bounds:
@@ -27,6 +28,7 @@
     assert_eq!(settings.bounds.old_weights, Duration::from_secs(12));
     assert_eq!(settings.bounds.lease, Duration::from_secs(3), "the default");
     assert_eq!(settings.capacity, 250);
+    assert_eq!(settings.seeds.len(), 2);
 }
 
 #[test]
@@ -43,6 +45,7 @@
 #[case::no_number("ratio: 0.2", "ratio: many", "bounds.repeat_ratio")]
 #[case::too_long("12000", "99999999999", "bounds.old_weights_ms")]
 #[case::unknown("revocation_ms", "revoke", "bounds.revoke")]
+#[case::no_seed("10.0.0.3:82", "three", "seeds[1]")]
 #[case::not_finite("58", "NaN", "bounds.repeat_slack")]
 fn a_fault_names_its_key(#[case] from: &str, #[case] to: &str, #[case] key: &str) {
     let faults = settings::parse(&GOOD.replacen(from, to, 1)).expect_err("faults");
