--- a/crates/papayayard_gateway/src/dispatch.rs
+++ b/crates/papayayard_gateway/src/dispatch.rs
@@ -37,7 +37,7 @@
 use state::State;
 
 /// Time in which what is to be told adds up.
-const ADDS_UP: Duration = Duration::from_millis(25);
+const ADDS_UP: Duration = Duration::from_millis(40);
 /// Time without a question after which the dispatcher hears from this host all the
 /// same, so that it knows whose requests it places.
 const GREETING: Duration = Duration::from_secs(1);
--- a/crates/papayayard_routing/src/placement/cost.rs
+++ b/crates/papayayard_routing/src/placement/cost.rs
@@ -108,6 +108,8 @@
     pub(super) first_event_ms: f64,
     /// The part of it that load and the prompt explain, in ms.
     pub(super) explained_ms: f64,
+    /// The part of it before the request's own prompt is read, in ms.
+    pub(super) wait_ms: f64,
     /// Cost that placements are compared by, in ms.
     pub(super) cost_ms: f64,
     /// Shared tokens that lie at the endpoint.
@@ -184,6 +186,7 @@
     Some(Estimate {
         first_event_ms,
         explained_ms,
+        wait_ms: load.unread * need.token_ms,
         cost_ms,
         cached,
         unread,
@@ -211,6 +214,7 @@
     Estimate {
         first_event_ms,
         explained_ms: first_event_ms,
+        wait_ms: backend.service_ms * waits,
         cost_ms,
         cached: 0,
         unread: 0,
--- a/crates/papayayard_routing/src/placement/select.rs
+++ b/crates/papayayard_routing/src/placement/select.rs
@@ -21,6 +21,11 @@
 /// Times the target latency that a first event may take at an engine. Beyond
 /// that the engine is crowded, and one more request would make others late.
 const CROWDED_FACTOR: f64 = 1.3;
+/// Part of the target latency of more urgent requests up to which a request may wait
+/// at an engine though it keeps it busy for longer than that latency. What is less
+/// urgent does not fill engines so far that what is more urgent is late, but a prompt
+/// that takes long by itself is served all the same.
+const SHORT_WAIT_PART: f64 = 0.2;
 /// Shared tokens from which on the stores of cached prompts are used: fewer are
 /// computed sooner than they are fetched past long transfers.
 const FEWEST_STORED: u32 = 1000;
@@ -110,9 +115,15 @@
         seen.first_event = milliseconds(soonest_ms);
         let left_ms = ms(ask.deadline.saturating_sub(now));
         let crowded_ms = ms(ask.target_latency) * CROWDED_FACTOR;
+        let urgent = self.table.urgent_target(&ask.service, ask.priority);
+        let urgent_ms = urgent.map_or(f64::INFINITY, ms);
         let latest_ms = (left_ms * LATEST_PART).min(crowded_ms);
         let in_time = candidates.into_iter();
-        let in_time = in_time.filter(|one| one.estimate.first_event_ms <= latest_ms);
+        let in_time = in_time.filter(|one| {
+            let leaves_room = one.estimate.first_event_ms <= urgent_ms
+                || one.estimate.wait_ms <= urgent_ms * SHORT_WAIT_PART;
+            one.estimate.first_event_ms <= latest_ms && leaves_room
+        });
         in_time.min_by(|one, other| one.estimate.cost_ms.total_cmp(&other.estimate.cost_ms))
     }
 
--- a/crates/papayayard_routing/src/table.rs
+++ b/crates/papayayard_routing/src/table.rs
@@ -226,6 +226,16 @@
         routes.iter().find(|route| path.starts_with(&route.prefix))
     }
 
+    /// The shortest time to a first event that a more urgent route to a service asks
+    /// for.
+    pub fn urgent_target(&self, service: &id::Service, priority: u8) -> Option<Duration> {
+        let routes = self.routes.values().flatten();
+        let urgent = routes.filter(|route| {
+            route.priority < priority && route.targets.iter().any(|one| one.service == *service)
+        });
+        urgent.map(|route| route.target_latency).min()
+    }
+
     /// The stores of cached prompts.
     pub fn cache_stores(&self) -> impl Iterator<Item = (&id::Service, &CacheStore)> {
         let services = self.services.iter();
