Orders are planned once a tick, and announcements hold what lists don't show

Ruled out: the number of checks alone; small twins, which have 18 engines, show nothing. Change: events are taken between ticks; a host without the turn looks at nothing else; announcements leave out what records show and come at most each 40 ms and half a millisecond for each host; the turn goes to hosts that can do most and do nothing else for others.

--- a/crates/papayayard_gateway/src/host.rs
+++ b/crates/papayayard_gateway/src/host.rs
@@ -88,8 +88,8 @@
     let hosts = parts.count_hosts();
     let (configuration, word) = parts.follow_operators();
     let endpoints = parts.follow_endpoints();
-    parts.give_orders(&configuration, &endpoints);
     let dispatch = parts.dispatch();
+    parts.give_orders(&configuration, &endpoints, &dispatch);
     let news = parts.follow_caches(&configuration, &endpoints, &hosts, &dispatch);
     parts.serve_peers(sockets.peers, news, dispatch.desk())?;
     parts.controllers.spawn(sweep(pool.clone()));
@@ -252,6 +252,7 @@
         &mut self,
         configuration: &watch::Receiver<Configuration>,
         endpoints: &watch::Receiver<Vec<Endpoint>>,
+        dispatch: &Dispatch,
     ) {
         let (standing, standing_seen) = watch::channel(Standing::default());
         let unrenewed = turn::unrenewed(self.settings.bounds.lease);
@@ -266,6 +267,8 @@
             standing: standing_seen,
             schedule: self.schedule.clone(),
             quiet: self.quiet.clone(),
+            neighbours: self.neighbours.clone(),
+            dispatch: dispatch.clone(),
             metrics: self.metrics.clone(),
             clock: self.store.clock,
         }));
--- a/crates/papayayard_gateway/src/orders.rs
+++ b/crates/papayayard_gateway/src/orders.rs
@@ -21,8 +21,10 @@
 use crate::beliefs::Configuration;
 use crate::call::Caller;
 use crate::clock::Clock;
+use crate::dispatch::Dispatch;
 use crate::exchange::{Codec as EndpointCodec, Order, Report};
 use crate::follow::Store;
+use crate::hosts::Neighbours;
 use crate::metrics::Metrics;
 use crate::quiet::Quiet;
 use crate::schedule::Handle;
@@ -34,6 +36,16 @@
 
 /// Period of the planning while there is work.
 const TICK: Duration = Duration::from_millis(50);
+/// Period in which a host looks whether the turn is free.
+const LOOK: Duration = Duration::from_millis(100);
+/// Least time between two announcements with changes, and what each host adds to it:
+/// all of them read each announcement.
+const LEAST_GAP: Duration = Duration::from_millis(40);
+const GAP_PER_HOST: Duration = Duration::from_micros(500);
+/// Time for which a host that does other work for many leaves the turn to others.
+const OTHER_WORK: Duration = Duration::from_millis(250);
+/// The same for a host that can do less than others.
+const SMALLER: Duration = Duration::from_millis(400);
 /// Longest wait of a host that does not hold the turn before it takes it, so
 /// that not all hosts try at once.
 const LONGEST_HESITATION: Duration = Duration::from_millis(200);
@@ -49,6 +61,8 @@
     pub(crate) standing: watch::Receiver<Standing>,
     pub(crate) schedule: Handle,
     pub(crate) quiet: Quiet,
+    pub(crate) neighbours: watch::Receiver<Neighbours>,
+    pub(crate) dispatch: Dispatch,
     pub(crate) metrics: Metrics,
     pub(crate) clock: Clock,
 }
@@ -73,6 +87,7 @@
         rollouts: HashMap::new(),
         loaded: HashMap::new(),
         announced: Announcement::default(),
+        announced_at: Duration::ZERO,
         wait_until: Duration::ZERO,
         hesitates: None,
         calls: JoinSet::new(),
@@ -88,8 +103,10 @@
     caller: Caller,
     rollouts: HashMap<id::Model, Rollout>,
     /// Versions that endpoints have reported to this host.
-    loaded: HashMap<(id::Endpoint, id::Model), u64>,
+    loaded: HashMap<id::Model, HashMap<id::Endpoint, u64>>,
     announced: Announcement,
+    /// When that was.
+    announced_at: Duration,
     /// Time before which the store is not tried again.
     wait_until: Duration,
     /// Time until which this host leaves the turn to others.
@@ -105,13 +122,10 @@
     async fn run(mut self, mut events: mpsc::UnboundedReceiver<Event>) {
         loop {
             self.observe();
-            let has_work = self.step().await;
+            let next = self.step().await;
             while self.calls.try_join_next().is_some() {}
-            if has_work {
-                tokio::select! {
-                    event = events.recv() => self.take(event),
-                    () = time::sleep(TICK) => {}
-                }
+            if let Some(pause) = next {
+                self.take_for(pause, &mut events).await;
                 continue;
             }
             self.hesitates = None;
@@ -131,6 +145,18 @@
         }
     }
 
+    /// Takes what calls bring for a time.
+    async fn take_for(&mut self, pause: Duration, events: &mut mpsc::UnboundedReceiver<Event>) {
+        let pause = time::sleep(pause);
+        tokio::pin!(pause);
+        loop {
+            tokio::select! {
+                event = events.recv() => self.take(event),
+                () = &mut pause => return,
+            }
+        }
+    }
+
     /// Takes over what others have announced.
     fn observe(&mut self) {
         let standing = self.parts.standing.borrow_and_update();
@@ -140,34 +166,62 @@
         }
     }
 
-    /// Does what is due; `false` where nothing is left to do.
-    async fn step(&mut self) -> bool {
+    /// Does what is due, and tells when to look again; none where nothing is left.
+    async fn step(&mut self) -> Option<Duration> {
         let now = self.parts.clock.now();
+        if !self.turn.may_append(now) {
+            self.rollouts.clear();
+            return Some(LOOK);
+        }
         let behind = self.behind();
         let must_clear = self.turn.was_last() && !self.announced.away.is_empty();
         if behind.is_empty() && !must_clear {
-            return false;
-        }
-        if !self.turn.may_append(now) {
-            self.rollouts.clear();
-            return true;
+            return None;
         }
         if !self.turn.was_last() && self.is_hesitating(now) {
-            return true;
+            return Some(TICK);
         }
-        let is_changed = self.plan(&behind, now);
+        let is_changed = self.plan(&behind, now) && self.announced_at + self.gap() <= now;
         if (is_changed || self.turn.needs_renewal(now)) && now >= self.wait_until {
             self.announce().await;
         }
         self.order(&behind);
-        true
+        Some(TICK)
+    }
+
+    /// Least time between two announcements with changes.
+    fn gap(&self) -> Duration {
+        let neighbours = self.parts.neighbours.borrow();
+        let hosts = neighbours.zone.len() + neighbours.others.len();
+        LEAST_GAP + GAP_PER_HOST * u32::try_from(hosts).unwrap_or(u32::MAX)
     }
 
     fn is_hesitating(&mut self, now: Duration) -> bool {
-        let until = self
-            .hesitates
-            .get_or_insert_with(|| now + LONGEST_HESITATION.mul_f64(rand::random()));
-        now < *until
+        if self.hesitates.is_none() {
+            self.hesitates = Some(now + self.hesitation());
+        }
+        self.hesitates.is_some_and(|until| now < until)
+    }
+
+    /// Time for which this host leaves a free turn to others: whoever can do most,
+    /// and does nothing else for them, takes it.
+    fn hesitation(&self) -> Duration {
+        let neighbours = self.parts.neighbours.borrow();
+        let all = neighbours.zone.iter().chain(&neighbours.others);
+        let most = all.map(|one| one.capacity).max().unwrap_or(0);
+        let own = neighbours
+            .zone
+            .iter()
+            .find(|one| one.host == self.parts.host);
+        let is_smaller = own.is_some_and(|own| own.capacity < most);
+        let mut hesitation = LONGEST_HESITATION.mul_f64(rand::random());
+        if is_smaller {
+            hesitation += SMALLER;
+        }
+        if self.parts.dispatch.places() {
+            hesitation += OTHER_WORK;
+        }
+        hesitation
     }
 
     /// Models with endpoints on older weights than the newest.
@@ -188,19 +242,19 @@
     }
 
     fn members(&self, endpoints: &[Endpoint], model: &id::Model) -> Vec<Member> {
-        let own = endpoints
-            .iter()
-            .filter(|one| !one.leaving && one.weights.contains_key(model));
-        own.map(|one| {
-            let listed = one.weights.get(model).copied().unwrap_or(0);
-            let reported = self.loaded.get(&(one.id.clone(), model.clone()));
-            Member {
-                endpoint: one.id.clone(),
-                zone: one.zone.clone(),
-                version: reported.map_or(listed, |reported| listed.max(*reported)),
-            }
-        })
-        .collect()
+        let reported = self.loaded.get(model);
+        let members = endpoints.iter().filter(|one| !one.leaving);
+        members
+            .filter_map(|one| {
+                let listed = *one.weights.get(model)?;
+                let reported = reported.and_then(|reported| reported.get(&one.id));
+                Some(Member {
+                    endpoint: one.id.clone(),
+                    zone: one.zone.clone(),
+                    version: reported.map_or(listed, |reported| listed.max(*reported)),
+                })
+            })
+            .collect()
     }
 
     fn plan(&mut self, behind: &HashMap<id::Model, (u64, Vec<Member>)>, now: Duration) -> bool {
@@ -220,24 +274,34 @@
             .map(|endpoint| endpoint.as_str().to_owned())
             .collect();
         away.sort_unstable();
-        let mut loaded: Vec<Loaded> = self
-            .loaded
-            .iter()
-            .map(|((endpoint, model), version)| Loaded {
-                endpoint: endpoint.as_str().to_owned(),
-                model: model.as_str().to_owned(),
-                version: *version,
-            })
-            .collect();
-        loaded.sort_unstable_by(|one, other| one.endpoint.cmp(&other.endpoint));
         Announcement {
             holder: self.parts.host.as_str().to_owned(),
             away,
-            loaded,
+            loaded: self.unlisted(),
             named: self.ages(now),
         }
     }
 
+    /// Loads that endpoints' records do not show yet.
+    fn unlisted(&self) -> Vec<Loaded> {
+        let endpoints = self.parts.endpoints.borrow();
+        let mut unlisted = Vec::new();
+        for (model, loaded) in &self.loaded {
+            for endpoint in endpoints.iter() {
+                let version = loaded.get(&endpoint.id).copied().unwrap_or(0);
+                let listed = endpoint.weights.get(model).copied();
+                if listed.is_some_and(|listed| listed < version) {
+                    unlisted.push(Loaded {
+                        endpoint: endpoint.id.as_str().to_owned(),
+                        model: model.as_str().to_owned(),
+                        version,
+                    });
+                }
+            }
+        }
+        unlisted
+    }
+
     fn ages(&self, now: Duration) -> Vec<Age> {
         let configuration = self.parts.configuration.borrow();
         let newest = configuration.named.iter().filter_map(|(model, named)| {
@@ -278,6 +342,7 @@
                 self.turn.appended(offset, sent, now);
                 apply(&announcement, &self.parts.schedule);
                 self.announced = announcement;
+                self.announced_at = now;
             }
             Err(error) => {
                 self.wait_until = now + STORE_RETRY;
@@ -439,8 +504,8 @@
     ) {
         let found = report.weights.iter().find(|(name, _)| name == model);
         let version = found.map_or(0, |(_, version)| *version);
-        let key = (endpoint.clone(), model.clone());
-        let known = self.loaded.entry(key).or_default();
+        let loaded = self.loaded.entry(model.clone()).or_default();
+        let known = loaded.entry(endpoint.clone()).or_default();
         if version > *known {
             log::info!(endpoint:%, version; "weights in place");
             *known = version;
