--- a/crates/papayayard_coordination/src/reader.rs
+++ b/crates/papayayard_coordination/src/reader.rs
@@ -6,7 +6,8 @@
 //! own reader at once.
 //!
 //! The store can turn single hosts away, and be gone when a host starts. Then any
-//! host may know more, also one of another zone.
+//! host may know more, also one of another zone; first those are asked that read
+//! for others. Where nobody has anything new, the store is looked at now and then.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -18,6 +19,8 @@
 
 /// Hosts that are asked, one after the other, before the store.
 const MOST_ASKED: usize = 2;
+/// Hosts that are kept in mind to be asked where the store does not answer.
+const MOST_FALLBACKS: usize = 12;
 /// Time for which the store is left alone after it gave no answer, where another
 /// host can be asked; and the longest such time after several failures.
 const FIRST_PAUSE: Duration = Duration::from_secs(1);
@@ -39,6 +42,17 @@
     },
 }
 
+/// A host's place among those of its zone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Rank {
+    /// It reads for the others.
+    First,
+    /// It reads when the first one does not.
+    Second,
+    /// It follows one of these.
+    Other,
+}
+
 /// Which hosts read for others.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reach {
@@ -53,11 +67,10 @@
 pub struct Readers {
     own: id::Host,
     reach: Reach,
+    rank: Rank,
     choice: Choice,
-    /// Whether this host reads for its zone.
-    is_first_of_zone: bool,
     /// Hosts that may know more where the store does not answer.
-    others: Vec<Candidate>,
+    fallbacks: Vec<Candidate>,
     /// Set while the store gives this host no answer.
     outage: Option<Outage>,
 }
@@ -74,9 +87,9 @@
         Self {
             own,
             reach,
+            rank: Rank::First,
             choice: Choice::default(),
-            is_first_of_zone: true,
-            others: Vec::new(),
+            fallbacks: Vec::new(),
             outage: None,
         }
     }
@@ -85,72 +98,94 @@
     /// are asked where the store does not answer, and do not read for this host.
     pub fn set_unknown(&mut self, others: Vec<Candidate>) {
         self.choice.set(Vec::new());
-        self.is_first_of_zone = true;
-        self.others = self.fallbacks(&[], others);
+        self.rank = Rank::First;
+        self.fallbacks = self.in_own_order(others);
     }
 
     /// Takes over the hosts of the zone, this one among them, and those of other
     /// zones.
     pub fn set(&mut self, zone: Vec<Candidate>, others: Vec<Candidate>) {
         let zone = ranked(zone);
-        let first = zone.first();
-        self.is_first_of_zone = first.is_none_or(|first| first.host == self.own);
-        let asked = match self.reach {
-            Reach::All if self.is_first_of_zone => {
-                let all = zone.iter().chain(&others).cloned().collect();
-                ranked(all)
-            }
-            _ => zone.clone(),
+        let place = zone.iter().position(|one| one.host == self.own);
+        self.rank = match place {
+            None | Some(0) => Rank::First,
+            Some(1) => Rank::Second,
+            Some(_) => Rank::Other,
+        };
+        let all = ranked(zone.iter().chain(&others).cloned().collect());
+        let asked = if self.reach == Reach::All && self.rank == Rank::First {
+            &all
+        } else {
+            &zone
         };
-        let before = asked.into_iter().take_while(|one| one.host != self.own);
-        self.choice.set(before.take(MOST_ASKED).collect());
-        self.others = self.fallbacks(&zone, others);
+        let before = asked.iter().take_while(|one| one.host != self.own);
+        self.choice.set(before.take(MOST_ASKED).cloned().collect());
+        self.fallbacks = self.fallbacks(&zone, &all, others);
+    }
+
+    /// Hosts that read for all and for the zone, then any.
+    fn fallbacks(
+        &self,
+        zone: &[Candidate],
+        all: &[Candidate],
+        others: Vec<Candidate>,
+    ) -> Vec<Candidate> {
+        let readers = all.iter().take(MOST_ASKED + 1);
+        let readers = readers.chain(zone.iter().take(MOST_ASKED));
+        let any = self.in_own_order(others);
+        let mut fallbacks: Vec<Candidate> = Vec::new();
+        for one in readers.chain(&any).chain(zone) {
+            let is_known = fallbacks.iter().any(|known| known.host == one.host);
+            if one.host != self.own && !is_known && fallbacks.len() < MOST_FALLBACKS {
+                fallbacks.push(one.clone());
+            }
+        }
+        fallbacks
     }
 
-    /// Hosts of the zone, then those of others, in an order of this host's own: so
-    /// calls are spread.
-    fn fallbacks(&self, zone: &[Candidate], mut others: Vec<Candidate>) -> Vec<Candidate> {
+    /// Hosts in an order of this host's own, so that calls are spread.
+    fn in_own_order(&self, mut hosts: Vec<Candidate>) -> Vec<Candidate> {
         let seed = xxh3::xxh3_64(self.own.as_str().as_bytes());
-        others
-            .sort_by_cached_key(|one| xxh3::xxh3_64_with_seed(one.host.as_str().as_bytes(), seed));
-        let zone = zone.iter().filter(|one| one.host != self.own);
-        zone.cloned().chain(others).collect()
+        hosts.sort_by_cached_key(|one| {
+            let host = one.host.as_str().as_bytes();
+            xxh3::xxh3_64_with_seed(host, seed)
+        });
+        hosts
     }
 
-    /// Whether this host reads for its zone, as far as it knows.
-    pub const fn is_first_of_zone(&self) -> bool {
-        self.is_first_of_zone
+    /// This host's place in its zone, as far as it knows.
+    pub const fn rank(&self) -> Rank {
+        self.rank
     }
 
     /// Whether no other host is known.
     pub const fn is_alone(&self) -> bool {
-        self.others.is_empty()
-    }
-
-    /// The host to ask where the store has not answered: first one of the zone.
-    pub fn fallback(&self, now: Duration) -> Option<&Candidate> {
-        let mut hosts = self.others.iter();
-        hosts.find(|one| !self.choice.is_avoided(&one.host, now))
+        self.fallbacks.is_empty()
     }
 
-    /// Where to read from now.
-    pub fn source(&self, now: Duration) -> Source {
-        let is_paused = |outage: &Outage| now < outage.paused_until;
-        let fallback = || match &self.outage {
-            Some(outage) if is_paused(outage) => self.fallback(now),
-            _ => None,
-        };
+    /// Where to read from now; nowhere where neither the store nor any host that is
+    /// known has had anything new a moment ago.
+    pub fn source(&self, now: Duration) -> Option<Source> {
+        let outage = self.outage.as_ref();
+        let is_paused = outage.is_some_and(|outage| now < outage.paused_until);
+        let fallback = || self.fallback(now).filter(|_| is_paused);
         let peer = self.choice.first(now).or_else(fallback);
         match peer {
-            Some(one) => Source::Peer {
+            Some(one) => Some(Source::Peer {
                 host: one.host.clone(),
                 address: one.address,
-            },
-            None if self.outage.is_some() => Source::Probe,
-            None => Source::Store,
+            }),
+            None if is_paused => None,
+            None if outage.is_some() => Some(Source::Probe),
+            None => Some(Source::Store),
         }
     }
 
+    fn fallback(&self, now: Duration) -> Option<&Candidate> {
+        let mut hosts = self.fallbacks.iter();
+        hosts.find(|one| !self.choice.is_avoided(&one.host, now))
+    }
+
     /// Notes that the store gave this host no answer.
     pub fn store_failed(&mut self, now: Duration) {
         let pause = self.outage.map_or(FIRST_PAUSE, |outage| outage.next_pause);
--- a/crates/papayayard_gateway/src/feeds.rs
+++ b/crates/papayayard_gateway/src/feeds.rs
@@ -108,7 +108,7 @@
         }
         let now = self.parts.clock.now();
         match self.choice.source(now) {
-            Reader::Peer { host, address } if self.is_large() => {
+            Some(Reader::Peer { host, address }) if self.is_large() => {
                 self.stop();
                 match self.ask(address).await {
                     Ok(()) => self.choice.answered(&host),
--- a/crates/papayayard_gateway/src/follow.rs
+++ b/crates/papayayard_gateway/src/follow.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 use papayayard_coordination::journal::Backoff;
-use papayayard_coordination::reader::{Reach, Readers, Source};
+use papayayard_coordination::reader::{Rank, Reach, Readers, Source};
 use papayayard_wire::id;
 use tokio::sync::watch;
 use tokio::time;
@@ -36,7 +36,7 @@
 const FIRST_COUNT: Duration = Duration::from_millis(200);
 /// Longest time to wait for that count.
 const LONGEST_COUNT: Duration = Duration::from_millis(500);
-/// Hosts that are asked in a row before the store is looked at.
+/// Hosts that are asked in a row.
 const MOST_ASKED: u32 = 3;
 /// Time for the answer of a store that has given none before.
 const PROBE: Duration = Duration::from_millis(300);
@@ -69,8 +69,12 @@
 }
 
 /// Time by which the host that reads for its zone takes a reading for old sooner than
-/// the others do, so that they need not all read the store.
+/// the second one does, and by which all others do so later: they find what one of
+/// these two has read, and need not all read the store at once.
 const SOONER: Duration = Duration::from_millis(60);
+const LATER: Duration = Duration::from_millis(150);
+/// Wait where neither the store nor any host has had anything new.
+const NOTHING_NEW: Duration = Duration::from_millis(150);
 
 /// How often a topic is read.
 #[derive(Clone, Copy, Debug)]
@@ -94,12 +98,14 @@
         }
     }
 
-    /// The beat of the host that reads for its zone.
-    pub(crate) fn of_first(self) -> Self {
-        Self {
-            slack: SLACK.saturating_sub(SOONER),
-            ..self
-        }
+    /// The beat of a host by its place in its zone.
+    pub(crate) const fn of(self, rank: Rank) -> Self {
+        let slack = match rank {
+            Rank::First => SLACK.saturating_sub(SOONER),
+            Rank::Second => SLACK,
+            Rank::Other => SLACK.saturating_add(LATER),
+        };
+        Self { slack, ..self }
     }
 
     /// Whether a reading is older than the host that reads would have it.
@@ -245,8 +251,9 @@
         let mut backoff = Backoff::new(FIRST_RETRY, LONGEST_RETRY);
         loop {
             match self.step().await {
-                Ok(Source::Peer { .. }) => backoff.succeed(),
-                Ok(Source::Store | Source::Probe) => {
+                Ok(None) => time::sleep(NOTHING_NEW).await,
+                Ok(Some(Source::Peer { .. })) => backoff.succeed(),
+                Ok(Some(Source::Store | Source::Probe)) => {
                     backoff.succeed();
                     time::sleep(self.beat.pause).await;
                 }
@@ -281,23 +288,25 @@
         }
     }
 
-    /// Reads once, and tells from where.
-    async fn step(&mut self) -> Result<Source, Error> {
+    /// Reads once, and tells from where; from nowhere if there is nobody to ask now.
+    async fn step(&mut self) -> Result<Option<Source>, Error> {
         self.take_hosts();
         let mut asked = 0;
         let source = loop {
-            let source = self.readers.source(self.store.clock.now());
+            let Some(source) = self.readers.source(self.store.clock.now()) else {
+                return Ok(None);
+            };
             let Source::Peer { host, address } = &source else {
                 break source;
             };
             if asked == MOST_ASKED {
-                break Source::Probe;
+                return Ok(None);
             }
             asked += 1;
             match self.ask(*address).await {
                 Ok(()) => {
                     self.readers.answered(host);
-                    return Ok(source);
+                    return Ok(Some(source));
                 }
                 Err(problem) => {
                     let topic = self.topic.as_str();
@@ -315,7 +324,7 @@
         if std::mem::take(&mut self.is_lost) {
             log::info!(topic = self.topic.as_str(); "store reached again");
         }
-        Ok(source)
+        Ok(Some(source))
     }
 
     fn take_hosts(&mut self) {
@@ -339,11 +348,7 @@
             Some(client) => client,
             None => peers::Client::new(address, self.beat.patience())?,
         };
-        let beat = if self.readers.is_first_of_zone() {
-            self.beat.of_first()
-        } else {
-            self.beat
-        };
+        let beat = self.beat.of(self.readers.rank());
         let part = client.read(self.topic, self.next, beat, clock).await?;
         self.peer = Some(client);
         let now = clock.now();
--- a/crates/papayayard_gateway/src/host.rs
+++ b/crates/papayayard_gateway/src/host.rs
@@ -226,6 +226,7 @@
             number,
             neighbours,
             schedule: self.schedule.clone(),
+            metrics: self.metrics.clone(),
         };
         self.follow(Topic::Hosts, HOSTS, hosts::Presences::new(own, links));
         number_seen
--- a/crates/papayayard_gateway/src/hosts.rs
+++ b/crates/papayayard_gateway/src/hosts.rs
@@ -21,6 +21,7 @@
 use crate::call::Caller;
 use crate::follow::{Fold, Store};
 use crate::front::Progress;
+use crate::metrics::Metrics;
 use crate::schedule::{Handle, Message};
 use crate::store::{Codec, Error, Record, Topic};
 
@@ -28,8 +29,10 @@
 pub(crate) const ASSUMED: usize = 9;
 /// Time between two records of a host.
 const PERIOD: Duration = Duration::from_secs(20);
-/// Time to try again after a failure.
-const RETRY: Duration = Duration::from_secs(1);
+/// First and longest time to try again after a failure: the record is missed only
+/// after several periods.
+const FIRST_RETRY: Duration = Duration::from_secs(1);
+const LONGEST_RETRY: Duration = Duration::from_secs(8);
 
 /// Content of a host's record.
 #[derive(Debug, Serialize, Deserialize)]
@@ -88,6 +91,8 @@
     pub(crate) neighbours: watch::Sender<Neighbours>,
     /// Scheduler.
     pub(crate) schedule: Handle,
+    /// Where their number is shown.
+    pub(crate) metrics: Metrics,
 }
 
 /// Writes this host's record from time to time, and drops it when the host is
@@ -101,12 +106,18 @@
 {
     let mut caller = Caller::new(store.address);
     let value = own.presence();
+    let mut retry = FIRST_RETRY;
     loop {
         let pause = match write(&store, &mut caller, &own, &value).await {
-            Ok(()) => PERIOD,
+            Ok(()) => {
+                retry = FIRST_RETRY;
+                PERIOD
+            }
             Err(error) => {
                 log::info!(error:%; "this host's record was not written");
-                RETRY
+                let pause = retry;
+                retry = (retry * 2).min(LONGEST_RETRY);
+                pause
             }
         };
         let stopping = progress.wait_for(|progress| progress.stage > Stage::Serving);
@@ -175,6 +186,7 @@
             log::info!(number; "hosts counted");
             self.told = number;
             self.links.number.send_replace(number);
+            self.links.metrics.counted_hosts(number as u64);
             self.links.schedule.tell(Message::Hosts(number));
         }
         self.links.neighbours.send_if_modified(|known| {
--- a/crates/papayayard_gateway/src/hosts_test.rs
+++ b/crates/papayayard_gateway/src/hosts_test.rs
@@ -8,6 +8,7 @@
 use super::{Links, Neighbours, Own, Presences};
 use crate::clock::Clock;
 use crate::follow::Fold;
+use crate::metrics::Metrics;
 use crate::schedule;
 use crate::store::Record;
 
@@ -29,6 +30,7 @@
         number,
         neighbours,
         schedule: schedule::start(scheduler, id::Zone::from("a"), Clock::start()),
+        metrics: Metrics::new(),
     };
     let told = Told {
         number: number_seen,
--- a/crates/papayayard_gateway/src/metrics.rs
+++ b/crates/papayayard_gateway/src/metrics.rs
@@ -4,7 +4,7 @@
 
 use http::StatusCode;
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram};
+use opentelemetry::metrics::{Counter, Gauge, Histogram};
 use papayayard_wire::refusal::Kind;
 
 use crate::exposition::Exposition;
@@ -23,6 +23,7 @@
     repeats: Counter<u64>,
     orders: Counter<u64>,
     first_event: Histogram<f64>,
+    hosts: Gauge<u64>,
 }
 
 impl Metrics {
@@ -60,6 +61,10 @@
                 .with_description("Time from a request's arrival to its stream's first event")
                 .with_boundaries(FIRST_EVENT_BOUNDS.to_vec())
                 .build(),
+            hosts: meter
+                .u64_gauge("papayayard_counted_hosts")
+                .with_description("Hosts that limits are divided by, this one included")
+                .build(),
             exposition,
         }
     }
@@ -96,6 +101,10 @@
         self.first_event.record(time.as_secs_f64(), &[]);
     }
 
+    pub(crate) fn counted_hosts(&self, number: u64) {
+        self.hosts.record(number, &[]);
+    }
+
     /// All of them as text.
     pub(crate) fn text(&self) -> Vec<u8> {
         self.exposition.text()
--- a/crates/papayayard_gateway/src/orders.rs
+++ b/crates/papayayard_gateway/src/orders.rs
@@ -51,6 +51,10 @@
 const LONGEST_HESITATION: Duration = Duration::from_millis(200);
 /// Time to try again after the store failed.
 const STORE_RETRY: Duration = Duration::from_millis(150);
+/// The same for a host that has not had the turn: the store may turn away this host
+/// alone, and others take the turn.
+const TAKING_RETRY: Duration = Duration::from_secs(2);
+
 /// What the controller is made of.
 pub(crate) struct Parts<Platform> {
     pub(crate) store: Store<Platform>,
@@ -345,7 +349,9 @@
                 self.announced_at = now;
             }
             Err(error) => {
-                self.wait_until = now + STORE_RETRY;
+                let is_taking = !self.turn.was_last() && !matches!(error, Error::Moved { .. });
+                let retry = if is_taking { TAKING_RETRY } else { STORE_RETRY };
+                self.wait_until = now + retry;
                 if !matches!(error, Error::Moved { .. }) {
                     log::info!(error:%; "the turn was not renewed");
                 }
