Logs tell a request by its fingerprint, and whether its endpoint has ended

Cause of the change: a caller sends a request again under a new id, and nothing in a log line said that two ids are one request. An answer that was cut, an order that breaks streams off and a process that has ended were one line, reason=broken.

Change: the fingerprint is over client account, method, path with query and body. After a break the endpoint is asked for a connection, once for all requests that broke off there; a refused one shows that the process has ended. Silence, and a question without an answer, wait for the list of endpoints. Counter papayayard_endpoint_ends. A retry after a break waits for the question: one round trip where the endpoint lives or has ended, 150 ms where nothing answers.

--- a/crates/papayayard_gateway/src/host.rs
+++ b/crates/papayayard_gateway/src/host.rs
@@ -21,6 +21,7 @@
 use crate::cache_news::News;
 use crate::clock::Clock;
 use crate::dispatch::{Desk, Dispatch};
+use crate::ends::Ends;
 use crate::follow::{self, Beat, Fold, Store};
 use crate::front::{self, Progress};
 use crate::hosts::Neighbours;
@@ -32,7 +33,9 @@
 use crate::relay::Relay;
 use crate::settings::Settings;
 use crate::store::Topic;
-use crate::{dispatch, exchange, feeds, hosts, listen, operators, orders, peers, schedule, store};
+use crate::{
+    dispatch, ends, exchange, feeds, hosts, listen, operators, orders, peers, schedule, store,
+};
 
 /// Time for which older weights count as no loss.
 const OLD_WEIGHTS_GRACE: Duration = Duration::from_millis(1200);
@@ -93,6 +96,7 @@
     let news = parts.follow_caches(&configuration, &endpoints, &hosts, &dispatch);
     parts.serve_peers(sockets.peers, news, dispatch.desk())?;
     parts.controllers.spawn(sweep(pool.clone()));
+    let ends = parts.look_at_ends(&endpoints);
     let revocation = parts.settings.bounds.revocation;
     parts.controllers.spawn(operators::serve(
         sockets.operators,
@@ -127,6 +131,7 @@
         progress: progress_seen.clone(),
         hosts,
         budget: Arc::new(Mutex::new(repeat::Budget::new(repeats))),
+        ends,
         metrics: parts.metrics.clone(),
     };
     let open = TaskTracker::new();
@@ -275,6 +280,16 @@
         }));
     }
 
+    fn look_at_ends(&mut self, endpoints: &watch::Receiver<Vec<Endpoint>>) -> Ends {
+        let (ends, looking) = ends::start(ends::Parts {
+            clock: self.store.clock,
+            endpoints: endpoints.clone(),
+            metrics: self.metrics.clone(),
+        });
+        self.controllers.spawn(looking);
+        ends
+    }
+
     fn dispatch(&mut self) -> Dispatch {
         let dispatch = Dispatch::new(dispatch::Parts {
             own: self.own(),
--- a/crates/papayayard_gateway/src/job.rs
+++ b/crates/papayayard_gateway/src/job.rs
@@ -7,6 +7,7 @@
 use http::{HeaderMap, Method, Uri};
 use papayayard_routing::placement::Ask;
 use papayayard_routing::prompt::Prompt;
+use papayayard_routing::quarantine::Fingerprint;
 use papayayard_routing::table::{Account, Route};
 use papayayard_wire::id;
 
@@ -26,6 +27,8 @@
     pub(crate) headers: HeaderMap,
     /// Body.
     pub(crate) body: Bytes,
+    /// What stays the same when the caller sends it again.
+    pub(crate) fingerprint: Fingerprint,
     /// Route.
     pub(crate) route: Arc<Route>,
     /// Service.
--- a/crates/papayayard_gateway/src/lib.rs
+++ b/crates/papayayard_gateway/src/lib.rs
@@ -24,6 +24,7 @@
 mod clock;
 mod dial;
 mod dispatch;
+mod ends;
 mod events;
 mod feeds;
 mod follow;
--- a/crates/papayayard_gateway/src/metrics.rs
+++ b/crates/papayayard_gateway/src/metrics.rs
@@ -22,6 +22,7 @@
     refusals: Counter<u64>,
     repeats: Counter<u64>,
     orders: Counter<u64>,
+    ends: Counter<u64>,
     first_event: Histogram<f64>,
     hosts: Gauge<u64>,
 }
@@ -56,6 +57,10 @@
                 .u64_counter("papayayard_weight_orders")
                 .with_description("Orders to load weights by answer")
                 .build(),
+            ends: meter
+                .u64_counter("papayayard_endpoint_ends")
+                .with_description("Endpoints that ended under requests, by what showed it")
+                .build(),
             first_event: meter
                 .f64_histogram("papayayard_first_event_seconds")
                 .with_description("Time from a request's arrival to its stream's first event")
@@ -97,6 +102,10 @@
         self.orders.add(1, &[KeyValue::new("answer", answer)]);
     }
 
+    pub(crate) fn ended(&self, shown_by: &'static str) {
+        self.ends.add(1, &[KeyValue::new("shown_by", shown_by)]);
+    }
+
     pub(crate) fn first_event(&self, time: Duration) {
         self.first_event.record(time.as_secs_f64(), &[]);
     }
--- a/crates/papayayard_gateway/src/pump.rs
+++ b/crates/papayayard_gateway/src/pump.rs
@@ -20,6 +20,7 @@
 use crate::attempt::{Failure, Open};
 use crate::body::Broken;
 use crate::dispatch::{Found, Permit};
+use crate::ends::Progress;
 use crate::events::Splitter;
 use crate::exchange::Codec;
 use crate::job::Job;
@@ -117,6 +118,10 @@
                         reason = failure.as_str(), position = self.splitter.position().unwrap_or(0);
                         "stream broke off"
                     );
+                    let progress = self.progress();
+                    self.relay
+                        .look_into(&self.job, &placement, failure, progress)
+                        .await;
                     let Some(next) = self.go_on(&placement.endpoint).await else {
                         self.break_off().await;
                         return;
@@ -165,6 +170,15 @@
         }
     }
 
+    /// How far the request has come.
+    const fn progress(&self) -> Progress {
+        if self.has_begun {
+            Progress::Begun
+        } else {
+            Progress::Waiting
+        }
+    }
+
     /// Silence after which a run is given up, where another one can go on.
     fn longest_silence(&self) -> Option<Duration> {
         let pause = self.job.route.pause;
@@ -220,6 +234,10 @@
                     }
                     self.tried.endpoints.push(placement.endpoint.clone());
                     permit.end(failure.outcome());
+                    let progress = self.progress();
+                    self.relay
+                        .look_into(&self.job, &placement, failure, progress)
+                        .await;
                 }
             }
         }
--- a/crates/papayayard_gateway/src/relay.rs
+++ b/crates/papayayard_gateway/src/relay.rs
@@ -10,6 +10,7 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use papayayard_routing::placement::{Outcome, Placement, Refused};
+use papayayard_routing::quarantine::Fingerprint;
 use papayayard_routing::repeat;
 use papayayard_routing::table::{Account, Limits, Table};
 use papayayard_wire::id;
@@ -22,8 +23,9 @@
 use crate::body::Body;
 use crate::clock::Clock;
 use crate::dispatch::{Dispatch, Found, Permit};
+use crate::ends::{Break, Ends, Progress};
 use crate::exchange::{Arrival, Codec};
-use crate::front::Progress;
+use crate::front;
 use crate::hop;
 use crate::job::Job;
 use crate::metrics::Metrics;
@@ -64,11 +66,13 @@
     /// Bound on the age of a reading for requests with a key.
     pub(crate) revocation: Option<Duration>,
     /// How far a stop has come.
-    pub(crate) progress: watch::Receiver<Progress>,
+    pub(crate) progress: watch::Receiver<front::Progress>,
     /// Number of hosts.
     pub(crate) hosts: watch::Receiver<usize>,
     /// Repeats that are left.
     pub(crate) budget: Arc<Mutex<repeat::Budget>>,
+    /// Looks into answers that broke off.
+    pub(crate) ends: Ends,
     /// Counters.
     pub(crate) metrics: Metrics,
 }
@@ -154,12 +158,17 @@
         let mut headers = head.headers;
         hop::strip(&mut headers);
         headers.remove(header::EXPECT);
+        let uri = origin_form(&head.uri);
+        let name = account.as_ref().map(|account| &account.name);
+        let method = head.method.as_str();
+        let fingerprint = Fingerprint::of_request(name, method, &uri.to_string(), &body);
         Ok(Job {
             id,
             method: head.method,
-            uri: origin_form(&head.uri),
+            uri,
             headers,
             body,
+            fingerprint,
             service,
             account,
             prompt: arrival.prompt.map(Arc::new),
@@ -282,7 +291,8 @@
                 let shared = prompt.and_then(|prompt| prompt.longest_shared());
                 let shared = shared.unwrap_or("-");
                 log::info!(
-                    request:% = job.id, service:% = job.service, endpoint:% = placement.endpoint,
+                    request:% = job.id, fingerprint:% = job.fingerprint,
+                    service:% = job.service, endpoint:% = placement.endpoint,
                     version = placement.version.unwrap_or(0),
                     expected_ms = millis(placement.first_event),
                     cached = placement.cached, unread = placement.unread, reread = placement.reread,
@@ -396,6 +406,8 @@
             Ok(open) => open,
             Err(failure) => {
                 permit.end(failure.outcome());
+                self.look_into(job, &placement, failure, Progress::Waiting)
+                    .await;
                 return Next::Failed(failure);
             }
         };
@@ -419,11 +431,28 @@
             }
             Err(failure) => {
                 permit.end(failure.outcome());
+                self.look_into(job, &placement, failure, Progress::Waiting)
+                    .await;
                 Next::Failed(failure)
             }
         }
     }
 
+    /// Finds out whether an endpoint has ended under a request that failed there.
+    pub(crate) async fn look_into(
+        &self,
+        job: &Job,
+        placement: &Placement,
+        failure: Failure,
+        progress: Progress,
+    ) {
+        match failure {
+            Failure::Broken => self.ends.broke(Break::new(job, placement, progress)).await,
+            Failure::Silent => self.ends.silent(Break::new(job, placement, progress)),
+            Failure::Unreachable | Failure::Refused | Failure::Mismatched | Failure::Foreign => {}
+        }
+    }
+
     fn stream(&self, job: &Job, run: pump::Run, tried: &Tried) -> Response<Body> {
         let status = run.open.head.status;
         let mut headers = run.open.head.headers.clone();
--- a/crates/papayayard_routing/src/quarantine.rs
+++ b/crates/papayayard_routing/src/quarantine.rs
@@ -8,9 +8,10 @@
 //! endpoint that died, none is quarantined yet: all are run apart once more.
 
 use std::collections::{HashMap, HashSet};
+use std::fmt;
 use std::time::Duration;
 
-use papayayard_wire::block;
+use papayayard_wire::{block, id};
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3;
 
@@ -26,6 +27,30 @@
     pub fn of(salt: block::Salt, body: &[u8]) -> Self {
         Self(xxh3::xxh3_64_with_seed(body, salt.0))
     }
+
+    /// Fingerprint of an opaque request: what its caller repeats under a new id.
+    pub fn of_request(
+        account: Option<&id::Account>,
+        method: &str,
+        target: &str,
+        body: &[u8],
+    ) -> Self {
+        let account = account.map_or("", id::Account::as_str);
+        let mut hasher = xxh3::Xxh3::new();
+        for part in [account, method, target] {
+            hasher.update(part.as_bytes());
+            // No name, method or path has this byte, so that parts don't run together.
+            hasher.update(&[0]);
+        }
+        hasher.update(body);
+        Self(hasher.digest())
+    }
+}
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:016x}", self.0)
+    }
 }
 
 /// How a request is looked upon.
