Bar requests that end the endpoints that run them, on all hosts

Cause: the promise stood in the first router only. papayayard_routing::quarantine is used by crates/papayayard; the gateway, which serves routes, knew a request by its id and held nothing against it. The only bound was the budget of repeats, which a caller's own new tries don't touch. Class: a promise of the product that the second router never took over.

Change: papayayard_routing::blame decides on a set of ends, each a run of an endpoint and how far the request had come: two before any event of the answer, or three of any kind, bar a request for ten minutes, doubled with each further end. A request that finishes clears itself, here and, where others bar it, there. Hosts exchange ends through a topic of the platform's log (read in beats of 1.2 s, so that a reader that is cut off is noticed within three seconds); a host that starts reads them first. A barred request is refused at once, 503 with ran=no and the time that is left; one under way ends as 502 or breaks off. Records are sorted by offset where a whole topic is read, since one may take back another.

--- a/crates/papayayard_gateway/src/ends.rs
+++ b/crates/papayayard_gateway/src/ends.rs
@@ -6,12 +6,18 @@
 //! does some seconds later: a run that goes from it without having said that it leaves
 //! has ended. One task does this for all requests of the host, so that an endpoint
 //! with many open requests is asked once.
+//!
+//! What was seen is told to all hosts by the platform's log, where hosts that start
+//! later find it. A host that cannot write keeps what it has seen for itself and
+//! writes it later.
 
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use papayayard_routing::blame::{Effect, Progress, Run, Standing, Table};
 use papayayard_routing::placement::{Endpoint, Placement};
 use papayayard_routing::quarantine::Fingerprint;
 use papayayard_wire::id;
@@ -23,19 +29,20 @@
 use crate::job::Job;
 use crate::metrics::Metrics;
 
+mod fold;
+mod news;
+mod write;
+
+pub(crate) use fold::News as Fold;
+pub(crate) use write::write;
+
+use news::News;
+use write::Letters;
+
 /// Time after a break within which the list may still show that the endpoint had
 /// ended: a silent record lapses after some heartbeats.
 const LISTED_WITHIN: Duration = Duration::from_secs(15);
 
-/// How far a request had come as its answer broke off.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Progress {
-    /// Nothing of its answer had come.
-    Waiting,
-    /// Events had come, from this endpoint or one before.
-    Begun,
-}
-
 /// A request whose answer broke off.
 #[derive(Clone, Debug)]
 pub(crate) struct Break {
@@ -67,13 +74,64 @@
     Silent(Break),
 }
 
-/// Tells of requests that broke off.
+/// Which requests are held responsible for the ends of endpoints, as this host knows.
+#[derive(Clone)]
+struct Known {
+    table: Arc<Mutex<Table>>,
+    clock: Clock,
+    /// What other hosts are to be told.
+    letters: Letters,
+}
+
+impl Known {
+    fn table(&self) -> MutexGuard<'_, Table> {
+        self.table.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes over that a run ended under a request.
+    fn ended(&self, fingerprint: Fingerprint, run: &Run, progress: Progress, at: Duration) -> bool {
+        let effect = self.table().ended(fingerprint, run, progress, at);
+        match effect {
+            Effect::Barred => {
+                log::warn!(fingerprint:%, endpoint:% = run.endpoint; "requests like this one are barred");
+            }
+            Effect::Disputed => {
+                log::info!(fingerprint:%; "a request that has finished since is barred by others");
+                self.letters.send(&News::Cleared { fingerprint });
+            }
+            Effect::Suspected | Effect::Nothing => {}
+        }
+        effect != Effect::Nothing
+    }
+}
+
+/// Tells of requests that broke off, and whether one may run.
 #[derive(Clone)]
 pub(crate) struct Ends {
     messages: mpsc::UnboundedSender<Message>,
+    known: Known,
 }
 
 impl Ends {
+    /// Whether a request may run.
+    pub(crate) fn standing(&self, fingerprint: Fingerprint) -> Standing {
+        let now = self.known.clock.now();
+        self.known.table().standing(fingerprint, now)
+    }
+
+    /// Takes over that an endpoint has answered a request to its end.
+    pub(crate) fn finished(&self, fingerprint: Fingerprint) {
+        if self.known.table().finished(fingerprint) {
+            log::info!(fingerprint:%; "a request that was barred has finished");
+            self.known.letters.send(&News::Cleared { fingerprint });
+        }
+    }
+
+    /// What other hosts tell.
+    pub(crate) fn fold(&self) -> Fold {
+        Fold::new(self.known.clone())
+    }
+
     /// Tells of an answer whose connection ended, and waits until its endpoint was
     /// asked whether it lives.
     pub(crate) async fn broke(&self, broke: Break) {
@@ -98,22 +156,35 @@
 
 /// What the task is made of.
 pub(crate) struct Parts {
+    pub(crate) host: id::Host,
     pub(crate) clock: Clock,
     pub(crate) endpoints: watch::Receiver<Vec<Endpoint>>,
     pub(crate) metrics: Metrics,
 }
 
-/// A way to tell of breaks, and the task that looks into them.
-pub(crate) fn start(parts: Parts) -> (Ends, impl Future<Output = ()>) {
+/// A way to tell of breaks, the task that looks into them, and what is to be written.
+pub(crate) fn start(parts: Parts) -> (Ends, impl Future<Output = ()>, write::Outbox) {
     let (sender, messages) = mpsc::unbounded_channel();
+    let (letters, written) = Letters::new(&parts.host);
+    let known = Known {
+        table: Arc::default(),
+        clock: parts.clock,
+        letters,
+    };
     let task = Task {
         parts,
+        known: known.clone(),
+        ended: HashMap::new(),
         listed: HashMap::new(),
         asked: HashMap::new(),
         questions: JoinSet::new(),
         unclear: Vec::new(),
     };
-    (Ends { messages: sender }, task.run(messages))
+    let ends = Ends {
+        messages: sender,
+        known,
+    };
+    (ends, task.run(messages), written)
 }
 
 /// An endpoint as it was listed last.
@@ -124,13 +195,6 @@
     gone: Option<Duration>,
 }
 
-/// One run of an endpoint.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-struct Run {
-    endpoint: id::Endpoint,
-    started: id::Incarnation,
-}
-
 /// What a question for a connection has shown.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Shown {
@@ -152,6 +216,12 @@
     }
 }
 
+/// Requests of this host that were open at a run as it ended.
+struct Ended {
+    at: Duration,
+    requests: Vec<(Fingerprint, Progress)>,
+}
+
 /// A break that a question did not explain.
 struct Unclear {
     run: Run,
@@ -161,6 +231,9 @@
 
 struct Task {
     parts: Parts,
+    known: Known,
+    /// Requests that were open at runs that have ended, as far as this host knows.
+    ended: HashMap<Run, Ended>,
     listed: HashMap<id::Endpoint, Listed>,
     /// Breaks at endpoints that are being asked.
     asked: HashMap<Run, Vec<(Break, oneshot::Sender<()>)>>,
@@ -203,6 +276,11 @@
                     done(looked);
                     return;
                 };
+                if self.ended.contains_key(&run) {
+                    self.ended(&run, vec![broke], "connection");
+                    done(looked);
+                    return;
+                }
                 let address = broke.address;
                 let waiting = self.asked.entry(run.clone()).or_default();
                 waiting.push((broke, looked));
@@ -290,9 +368,18 @@
         }
     }
 
-    /// Notes that a run has ended under requests.
+    /// Notes that a run has ended under requests, and tells all hosts.
     fn ended(&mut self, run: &Run, breaks: Vec<Break>, shown_by: &'static str) {
-        self.parts.metrics.ended(shown_by);
+        let now = self.parts.clock.now();
+        self.ended.retain(|_, ended| now < ended.at + LISTED_WITHIN);
+        let metrics = &self.parts.metrics;
+        let ended = self.ended.entry(run.clone()).or_insert_with(|| {
+            metrics.ended(shown_by);
+            Ended {
+                at: now,
+                requests: Vec::new(),
+            }
+        });
         for broke in breaks {
             log::warn!(
                 request:% = broke.request, fingerprint:% = broke.fingerprint,
@@ -300,7 +387,12 @@
                 begun = broke.progress == Progress::Begun;
                 "endpoint ended under a request"
             );
+            self.known
+                .ended(broke.fingerprint, run, broke.progress, now);
+            ended.requests.push((broke.fingerprint, broke.progress));
         }
+        let news = News::ended(run, &ended.requests);
+        self.known.letters.send(&news);
     }
 }
 
--- /dev/null
+++ b/crates/papayayard_gateway/src/ends/write.rs
@@ -0,0 +1,109 @@
+//! Writes to the platform's log what this host has seen of ends.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use papayayard_coordination::journal::Backoff;
+use papayayard_wire::id;
+use tokio::sync::mpsc;
+use tokio::time;
+
+use super::news::News;
+use crate::call::Caller;
+use crate::follow::Store;
+use crate::store::{Codec, Topic};
+
+/// Time in which what is to be written adds up: the requests that were open at one
+/// endpoint learn of its end one after the other.
+const ADDS_UP: Duration = Duration::from_millis(20);
+/// First and longest wait after a failure.
+const FIRST_RETRY: Duration = Duration::from_millis(100);
+const LONGEST_RETRY: Duration = Duration::from_secs(1);
+/// Records that wait while the log is away; the first of them by key are kept.
+const MOST_WAITING: usize = 1_024;
+
+/// A record that is to be written; an empty value drops it.
+struct Letter {
+    key: String,
+    value: Vec<u8>,
+}
+
+/// Where records that are to be written go.
+#[derive(Clone)]
+pub(super) struct Letters {
+    host: id::Host,
+    letters: mpsc::UnboundedSender<Letter>,
+}
+
+/// Records that are to be written.
+pub(crate) struct Outbox(mpsc::UnboundedReceiver<Letter>);
+
+impl Letters {
+    /// Both ends of the way to the writer.
+    pub(super) fn new(host: &id::Host) -> (Self, Outbox) {
+        let (letters, written) = mpsc::unbounded_channel();
+        let letters = Self {
+            host: host.clone(),
+            letters,
+        };
+        (letters, Outbox(written))
+    }
+
+    /// Has a record written.
+    pub(super) fn send(&self, news: &News) {
+        match serde_json::to_vec(news) {
+            Ok(value) => self.put(news.key(&self.host), value),
+            Err(error) => log::error!(error:%; "a record of an end cannot be written"),
+        }
+    }
+
+    /// Has a record dropped.
+    pub(super) fn drop_record(&self, key: &str) {
+        self.put(key.to_owned(), Vec::new());
+    }
+
+    fn put(&self, key: String, value: Vec<u8>) {
+        if self.letters.send(Letter { key, value }).is_err() {
+            log::debug!("the host ends before it has told of an endpoint's end");
+        }
+    }
+}
+
+/// Writes records as they come, for as long as the process runs.
+pub(crate) async fn write<Platform>(store: Store<Platform>, mut letters: Outbox)
+where
+    Platform: Codec,
+{
+    let mut caller = Caller::new(store.address);
+    let mut backoff = Backoff::new(FIRST_RETRY, LONGEST_RETRY);
+    let mut waiting: BTreeMap<String, Vec<u8>> = BTreeMap::new();
+    loop {
+        if waiting.is_empty() {
+            let Some(letter) = letters.0.recv().await else {
+                return;
+            };
+            waiting.insert(letter.key, letter.value);
+            time::sleep(ADDS_UP).await;
+        }
+        while let Ok(letter) = letters.0.try_recv() {
+            waiting.insert(letter.key, letter.value);
+        }
+        while waiting.len() > MOST_WAITING {
+            if let Some((key, _)) = waiting.pop_last() {
+                log::warn!(key = key.as_str(); "an end is not told: the log is away");
+            }
+        }
+        let Some((key, value)) = waiting.pop_first() else {
+            continue;
+        };
+        let record = (key.as_str(), value.as_slice());
+        match store.append(&mut caller, Topic::Ends, None, record).await {
+            Ok(_) => backoff.succeed(),
+            Err(error) => {
+                log::info!(key = key.as_str(), error:%; "an endpoint's end was not told; trying again");
+                waiting.entry(key).or_insert(value);
+                time::sleep(backoff.fail(rand::random())).await;
+            }
+        }
+    }
+}
--- a/crates/papayayard_gateway/src/follow.rs
+++ b/crates/papayayard_gateway/src/follow.rs
@@ -411,7 +411,10 @@
     /// Takes over the newest records of all keys.
     fn take_whole(&mut self, records: &[Told], end: u64, now: Duration) {
         self.links.mirror.send_modify(|mirror| mirror.restart(end));
-        for told in records {
+        // As they were written: one may take back what another one says.
+        let mut in_order: Vec<&Told> = records.iter().collect();
+        in_order.sort_unstable_by_key(|told| told.record.offset);
+        for told in in_order {
             self.take(told, now);
         }
         let keys = records.iter().map(|told| told.record.key.clone());
--- a/crates/papayayard_gateway/src/host.rs
+++ b/crates/papayayard_gateway/src/host.rs
@@ -50,6 +50,10 @@
 const ORDERS: Beat = Beat::new(Duration::from_secs(2), Duration::ZERO);
 /// How hosts' records are read: they change when hosts come and go.
 const HOSTS: Beat = Beat::new(Duration::from_secs(4), Duration::from_millis(1500));
+/// How ends of endpoints are read: they are seldom, and a request that causes them
+/// must be known everywhere soon, also where the host that reads for others is cut off,
+/// which they notice after two readings at most.
+const ENDS: Beat = Beat::new(Duration::from_millis(1200), Duration::ZERO);
 /// Period in which idle connections are looked at.
 const SWEEP: Duration = Duration::from_millis(500);
 /// A running host; dropping it ends its controllers.
@@ -94,9 +98,9 @@
     let dispatch = parts.dispatch();
     parts.give_orders(&configuration, &endpoints, &dispatch);
     let news = parts.follow_caches(&configuration, &endpoints, &hosts, &dispatch);
+    let ends = parts.look_at_ends(&endpoints);
     parts.serve_peers(sockets.peers, news, dispatch.desk())?;
     parts.controllers.spawn(sweep(pool.clone()));
-    let ends = parts.look_at_ends(&endpoints);
     let revocation = parts.settings.bounds.revocation;
     parts.controllers.spawn(operators::serve(
         sockets.operators,
@@ -281,12 +285,16 @@
     }
 
     fn look_at_ends(&mut self, endpoints: &watch::Receiver<Vec<Endpoint>>) -> Ends {
-        let (ends, looking) = ends::start(ends::Parts {
+        let (ends, looking, written) = ends::start(ends::Parts {
+            host: self.settings.host.clone(),
             clock: self.store.clock,
             endpoints: endpoints.clone(),
             metrics: self.metrics.clone(),
         });
         self.controllers.spawn(looking);
+        self.controllers
+            .spawn(ends::write(self.store.clone(), written));
+        self.follow(Topic::Ends, ENDS, ends.fold());
         ends
     }
 
--- a/crates/papayayard_gateway/src/pump.rs
+++ b/crates/papayayard_gateway/src/pump.rs
@@ -11,6 +11,7 @@
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
+use papayayard_routing::blame::Progress;
 use papayayard_routing::placement::{Outcome, Placement};
 use papayayard_routing::table::Kind;
 use papayayard_wire::id;
@@ -20,7 +21,6 @@
 use crate::attempt::{Failure, Open};
 use crate::body::Broken;
 use crate::dispatch::{Found, Permit};
-use crate::ends::Progress;
 use crate::events::Splitter;
 use crate::exchange::Codec;
 use crate::job::Job;
@@ -102,6 +102,7 @@
                         .sender
                         .keep(&placement, open.connection, &open.head.headers);
                     permit.end(Outcome::Whole);
+                    self.relay.ends.finished(self.job.fingerprint);
                     return;
                 }
                 End::Left => return,
@@ -191,15 +192,23 @@
             && self.tried.runs < self.job.route.attempts
     }
 
+    /// Whether no more endpoints have ended under the request than are borne.
+    fn may_run(&self) -> bool {
+        self.relay.check_standing(&self.job).is_ok()
+    }
+
     /// Another run, after the last event that was passed on.
     async fn go_on(&mut self, failed: &id::Endpoint) -> Option<Run> {
         self.tried.endpoints.push(failed.clone());
         let position = self.splitter.position();
-        while self.can_go_on() && self.relay.may_repeat(&self.job) {
+        while self.can_go_on() && self.may_run() && self.relay.may_repeat(&self.job) {
             let found = self.relay.find(&self.job, &self.tried).await;
             let Found::Place(placement, permit) = found else {
                 return None;
             };
+            if !self.may_run() {
+                return None;
+            }
             let patience = self.relay.patience(&self.job, &placement, &self.tried);
             let sent = self
                 .relay
--- a/crates/papayayard_gateway/src/refusal.rs
+++ b/crates/papayayard_gateway/src/refusal.rs
@@ -48,13 +48,22 @@
         self
     }
 
+    /// Status. Callers of routes take 503 for the promise that the request did not run
+    /// and for the time to come back, and know no other status that says both.
+    const fn status(&self) -> u16 {
+        match self.kind {
+            Kind::Quarantined => 503,
+            kind => kind.status(),
+        }
+    }
+
     /// The answer that the caller gets.
     pub(crate) fn response(&self) -> Response<Body> {
         let message = Message {
             error: Error {
                 message: self.message.to_owned(),
                 kind: self.kind,
-                code: self.kind.status(),
+                code: self.status(),
                 ran: self.ran,
                 retry_after_ms: self.retry_after.map(millis),
             },
@@ -65,7 +74,7 @@
         });
         let mut response = Response::new(Body::Whole(Bytes::from(text)));
         *response.status_mut() =
-            StatusCode::from_u16(self.kind.status()).unwrap_or(StatusCode::SERVICE_UNAVAILABLE);
+            StatusCode::from_u16(self.status()).unwrap_or(StatusCode::SERVICE_UNAVAILABLE);
         let headers = response.headers_mut();
         let json = HeaderValue::from_static("application/json");
         headers.insert(header::CONTENT_TYPE, json);
--- a/crates/papayayard_gateway/src/relay.rs
+++ b/crates/papayayard_gateway/src/relay.rs
@@ -9,6 +9,7 @@
 use http::{Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
+use papayayard_routing::blame::{Progress, Standing};
 use papayayard_routing::placement::{Outcome, Placement, Refused};
 use papayayard_routing::quarantine::Fingerprint;
 use papayayard_routing::repeat;
@@ -23,7 +24,7 @@
 use crate::body::Body;
 use crate::clock::Clock;
 use crate::dispatch::{Dispatch, Found, Permit};
-use crate::ends::{Break, Ends, Progress};
+use crate::ends::{Break, Ends};
 use crate::exchange::{Arrival, Codec};
 use crate::front;
 use crate::hop;
@@ -234,6 +235,16 @@
         Err(Refusal::not_run(Kind::NotReady, message).after(UNREADY_RETRY))
     }
 
+    /// Refuses requests that end the endpoints that run them.
+    pub(crate) fn check_standing(&self, job: &Job) -> Result<(), Refusal> {
+        let Standing::Barred { left } = self.ends.standing(job.fingerprint) else {
+            return Ok(());
+        };
+        log::info!(request:% = job.id, fingerprint:% = job.fingerprint, left_ms = millis(left); "barred");
+        let message = "endpoints have ended under this request; change it, or come back later";
+        Err(Refusal::not_run(Kind::Quarantined, message).after(left))
+    }
+
     async fn run(&self, job: Job) -> Response<Body> {
         let mut tried = Tried::default();
         let mut error = None;
@@ -243,10 +254,17 @@
             {
                 return self.give_up(&job, &tried, error, &refusal);
             }
+            if let Err(refusal) = self.check_standing(&job) {
+                return self.give_up(&job, &tried, error, &refusal);
+            }
             let (placement, permit) = match self.place(&job, &tried).await {
                 Ok(placed) => placed,
                 Err(refusal) => return self.give_up(&job, &tried, error, &refusal),
             };
+            // It may have waited for a place.
+            if let Err(refusal) = self.check_standing(&job) {
+                return self.give_up(&job, &tried, error, &refusal);
+            }
             let endpoint = placement.endpoint.clone();
             let next = self.attempt(&job, placement, permit, &tried).await;
             let failure = match next {
@@ -424,6 +442,7 @@
                 let status = response.status();
                 let is_error = status.is_server_error() && status != StatusCode::GATEWAY_TIMEOUT;
                 permit.end(Outcome::Whole);
+                self.ends.finished(job.fingerprint);
                 if is_error && job.route.kind.is_repeatable() {
                     return Next::Error(response);
                 }
--- a/crates/papayayard_gateway/src/store.rs
+++ b/crates/papayayard_gateway/src/store.rs
@@ -25,6 +25,8 @@
     Hosts,
     /// Turns at giving orders, and what is announced with them.
     Orders,
+    /// Ends of endpoints, and the requests that were open there.
+    Ends,
 }
 
 impl Topic {
@@ -35,6 +37,7 @@
             Self::Endpoints => "endpoints",
             Self::Hosts => "hosts",
             Self::Orders => "orders",
+            Self::Ends => "ends",
         }
     }
 }
--- /dev/null
+++ b/crates/papayayard_routing/src/blame.rs
@@ -0,0 +1,235 @@
+//! Which requests are held responsible for the ends of endpoints.
+//!
+//! A request may end each endpoint that begins to run it, and its caller sends it
+//! again, under a new id and at any host. Whatever was open at an endpoint as it ended
+//! may be the cause, and most of it is not. Three things tell them apart: the cause is
+//! there each time; it never finishes; and it seldom gives an event, so that a request
+//! that had begun to answer takes more ends to be barred. Hosts exchange what they
+//! have seen, in any order and more than once: what is known is a set of ends, and all
+//! who know the same ends judge alike.
+//!
+//! The load pattern it answers: one request among many, at a full endpoint, that comes
+//! back at every host for as long as it is let in.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use papayayard_wire::id;
+use serde::{Deserialize, Serialize};
+
+use crate::quarantine::Fingerprint;
+
+/// Ends before any event of an answer after which a request is barred. One is chance,
+/// since everything there has met it.
+const ENDS_WAITING: usize = 2;
+/// Ends of any kind after which it is barred.
+const ENDS: usize = 3;
+/// Time for which a request is barred at first; it doubles with each further end.
+const FIRST_BAR: Duration = Duration::from_mins(10);
+/// Most doublings.
+const MOST_DOUBLINGS: u32 = 10;
+/// Requests that are kept in mind. Several times what a large deployment runs at the
+/// endpoints that end together.
+const MOST_ENTRIES: usize = 8_192;
+
+/// Part of these that gives way once there are too many: one in so many.
+const GIVE_WAY: usize = 4;
+
+/// One run of an endpoint's process.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Run {
+    /// Endpoint.
+    pub endpoint: id::Endpoint,
+    /// Start of the process.
+    pub started: id::Incarnation,
+}
+
+/// How far a request had come as its endpoint ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Progress {
+    /// Events of its answer had come, from this endpoint or one before.
+    Begun,
+    /// Nothing of its answer had come.
+    Waiting,
+}
+
+/// Whether a request may run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// Nothing is held against it.
+    Clear,
+    /// Endpoints have ended under it: it runs where no other such request does.
+    Suspect,
+    /// It is not run for a time.
+    Barred {
+        /// Time that is left.
+        left: Duration,
+    },
+}
+
+/// What follows from an end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// It was known.
+    Nothing,
+    /// The request is a suspect.
+    Suspected,
+    /// It is barred from now on.
+    Barred,
+    /// Others bar it, who do not know that it has finished since.
+    Disputed,
+}
+
+/// Ends of endpoints, by the requests that were open there.
+#[derive(Debug, Default)]
+pub struct Table {
+    entries: HashMap<Fingerprint, Entry>,
+}
+
+#[derive(Debug, Default)]
+struct Entry {
+    ends: Vec<End>,
+    /// Ends that came before the request finished somewhere.
+    disproved: usize,
+    /// When the last end was learnt of.
+    last: Duration,
+}
+
+#[derive(Debug)]
+struct End {
+    run: Run,
+    progress: Progress,
+}
+
+impl Table {
+    /// Whether a request may run.
+    pub fn standing(&self, fingerprint: Fingerprint, now: Duration) -> Standing {
+        let Some(entry) = self.entries.get(&fingerprint) else {
+            return Standing::Clear;
+        };
+        let held = entry.held();
+        let until = entry.last + bar(held.len());
+        if is_enough(held) && now < until {
+            let left = until.saturating_sub(now);
+            return Standing::Barred { left };
+        }
+        if held.is_empty() || entry.is_over(now) {
+            return Standing::Clear;
+        }
+        Standing::Suspect
+    }
+
+    /// Takes over that an endpoint ended under a request.
+    pub fn ended(
+        &mut self,
+        fingerprint: Fingerprint,
+        run: &Run,
+        progress: Progress,
+        now: Duration,
+    ) -> Effect {
+        self.make_room(fingerprint, now);
+        let entry = self.entries.entry(fingerprint).or_default();
+        if entry.is_over(now) {
+            *entry = Entry::default();
+        }
+        let was_enough = is_enough(entry.held());
+        if !entry.add(run, progress) {
+            return Effect::Nothing;
+        }
+        entry.last = entry.last.max(now);
+        if is_enough(entry.held()) {
+            return if was_enough {
+                Effect::Suspected
+            } else {
+                Effect::Barred
+            };
+        }
+        if is_enough(&entry.ends) {
+            Effect::Disputed
+        } else {
+            Effect::Suspected
+        }
+    }
+
+    /// Takes over that a request has finished: it was not the cause of the ends that
+    /// are known. Tells whether others have to learn of it, who may bar it.
+    pub fn finished(&mut self, fingerprint: Fingerprint) -> bool {
+        let Some(entry) = self.entries.get_mut(&fingerprint) else {
+            return false;
+        };
+        let was_barred = is_enough(entry.held());
+        entry.disproved = entry.ends.len();
+        was_barred
+    }
+
+    /// Forgets what is over.
+    pub fn forget(&mut self, now: Duration) {
+        self.entries.retain(|_, entry| !entry.is_over(now));
+    }
+
+    /// Makes room for a request that is not known: those that have met the fewest
+    /// ends, and those long ago, give way.
+    fn make_room(&mut self, fingerprint: Fingerprint, now: Duration) {
+        if self.entries.len() < MOST_ENTRIES || self.entries.contains_key(&fingerprint) {
+            return;
+        }
+        self.forget(now);
+        if self.entries.len() < MOST_ENTRIES {
+            return;
+        }
+        let ranks = self.entries.values().map(Entry::rank);
+        let mut ranks: Vec<(usize, Duration)> = ranks.collect();
+        let (_, bound, _) = ranks.select_nth_unstable(MOST_ENTRIES / GIVE_WAY);
+        let bound = *bound;
+        self.entries.retain(|_, entry| entry.rank() > bound);
+    }
+}
+
+impl Entry {
+    /// Ends that are held against the request.
+    fn held(&self) -> &[End] {
+        &self.ends[self.disproved..]
+    }
+
+    /// What is kept longer comes later.
+    fn rank(&self) -> (usize, Duration) {
+        (self.held().len(), self.last)
+    }
+
+    /// Adds an end; `false` where it was known.
+    fn add(&mut self, run: &Run, progress: Progress) -> bool {
+        let known = self.ends.iter_mut().find(|end| end.run == *run);
+        match known {
+            Some(end) if end.progress >= progress => false,
+            Some(end) => {
+                end.progress = progress;
+                true
+            }
+            None => {
+                self.ends.push(End {
+                    run: run.clone(),
+                    progress,
+                });
+                true
+            }
+        }
+    }
+
+    /// Whether all of it was too long ago to count. A bar that ends leaves a request
+    /// suspect for as long again, so that it is barred at once where it goes on.
+    fn is_over(&self, now: Duration) -> bool {
+        self.last + bar(self.ends.len()) * 2 <= now
+    }
+}
+
+/// Whether ends suffice to bar a request.
+fn is_enough(ends: &[End]) -> bool {
+    let waiting = ends.iter().filter(|end| end.progress == Progress::Waiting);
+    waiting.count() >= ENDS_WAITING || ends.len() >= ENDS
+}
+
+/// Time for which a request with so many ends is barred.
+fn bar(ends: usize) -> Duration {
+    let doublings = u32::try_from(ends.saturating_sub(ENDS_WAITING)).unwrap_or(u32::MAX);
+    FIRST_BAR * 2_u32.pow(doublings.min(MOST_DOUBLINGS))
+}
--- a/crates/papayayard_routing/src/lib.rs
+++ b/crates/papayayard_routing/src/lib.rs
@@ -5,6 +5,7 @@
 //! durations since an epoch that the caller keeps for the process's life.
 
 pub mod admission;
+pub mod blame;
 pub mod bucket;
 pub mod choice;
 pub mod ejection;
