Watch over requests at endpoints until they are settled, callers that leave included

Cause: a request whose caller leaves was forgotten, although its endpoint may end under it a moment later; and what an endpoint's refused connection showed did not reach the requests that were still unclear there.

Change: each request at an endpoint has a watch, which is settled by what came of it; one that is dropped counts as unclear until the list shows more. An end takes all unclear requests of its run. An end that only the list showed is taken back for later breaks where the run is listed again: records lapse too where endpoints can't reach the store.

--- a/crates/papayayard_gateway/src/ends.rs
+++ b/crates/papayayard_gateway/src/ends.rs
@@ -11,7 +11,7 @@
 //! later find it. A host that cannot write keeps what it has seen for itself and
 //! writes it later.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -24,6 +24,7 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinSet;
 
+use crate::attempt::Failure;
 use crate::clock::Clock;
 use crate::dial;
 use crate::job::Job;
@@ -39,13 +40,13 @@
 use news::News;
 use write::Letters;
 
-/// Time after a break within which the list may still show that the endpoint had
+/// Time after a failure within which the list may still show that the endpoint had
 /// ended: a silent record lapses after some heartbeats.
 const LISTED_WITHIN: Duration = Duration::from_secs(15);
 
-/// A request whose answer broke off.
+/// A request at an endpoint that may have ended under it.
 #[derive(Clone, Debug)]
-pub(crate) struct Break {
+struct Case {
     request: id::Request,
     fingerprint: Fingerprint,
     progress: Progress,
@@ -53,15 +54,46 @@
     address: SocketAddr,
 }
 
-impl Break {
-    /// A request that broke off where it had been placed.
-    pub(crate) fn new(job: &Job, placement: &Placement, progress: Progress) -> Self {
-        Self {
-            request: job.id.clone(),
-            fingerprint: job.fingerprint,
-            progress,
-            endpoint: placement.endpoint.clone(),
-            address: placement.address,
+/// A request that is open at an endpoint. Where it is dropped before it was settled
+/// its caller has left, and the endpoint may end under it all the same.
+pub(crate) struct Open {
+    ends: Ends,
+    case: Option<Case>,
+}
+
+impl Open {
+    /// Notes that an event of the answer has come.
+    pub(crate) fn begun(&mut self) {
+        if let Some(case) = &mut self.case {
+            case.progress = Progress::Begun;
+        }
+    }
+
+    /// Takes over that the endpoint has answered to the end.
+    pub(crate) fn finished(mut self) {
+        if let Some(case) = self.case.take() {
+            self.ends.finished(case.fingerprint);
+        }
+    }
+
+    /// Takes over that the endpoint gave no answer that can be used. Where the
+    /// connection ended, waits until the endpoint was asked whether it lives.
+    pub(crate) async fn failed(mut self, failure: Failure) {
+        let Some(case) = self.case.take() else {
+            return;
+        };
+        match failure {
+            Failure::Broken => self.ends.broke(case).await,
+            Failure::Silent => self.ends.tell(Message::Silent(case)),
+            Failure::Unreachable | Failure::Refused | Failure::Mismatched | Failure::Foreign => {}
+        }
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        if let Some(case) = self.case.take() {
+            self.ends.tell(Message::Silent(case));
         }
     }
 }
@@ -69,9 +101,9 @@
 /// What the task is told.
 enum Message {
     /// The connection ended before the answer; the sender hears once it was looked into.
-    Broke(Break, oneshot::Sender<()>),
-    /// No answer came in time.
-    Silent(Break),
+    Broke(Case, oneshot::Sender<()>),
+    /// No answer came in time, or the caller did not wait for it.
+    Silent(Case),
 }
 
 /// Which requests are held responsible for the ends of endpoints, as this host knows.
@@ -105,7 +137,7 @@
     }
 }
 
-/// Tells of requests that broke off, and whether one may run.
+/// Watches over requests at endpoints, and tells whether one may run.
 #[derive(Clone)]
 pub(crate) struct Ends {
     messages: mpsc::UnboundedSender<Message>,
@@ -119,8 +151,21 @@
         self.known.table().standing(fingerprint, now)
     }
 
-    /// Takes over that an endpoint has answered a request to its end.
-    pub(crate) fn finished(&self, fingerprint: Fingerprint) {
+    /// Notes a request that is sent to an endpoint.
+    pub(crate) fn open(&self, job: &Job, placement: &Placement, progress: Progress) -> Open {
+        Open {
+            ends: self.clone(),
+            case: Some(Case {
+                request: job.id.clone(),
+                fingerprint: job.fingerprint,
+                progress,
+                endpoint: placement.endpoint.clone(),
+                address: placement.address,
+            }),
+        }
+    }
+
+    fn finished(&self, fingerprint: Fingerprint) {
         if self.known.table().finished(fingerprint) {
             log::info!(fingerprint:%; "a request that was barred has finished");
             self.known.letters.send(&News::Cleared { fingerprint });
@@ -132,21 +177,14 @@
         Fold::new(self.known.clone())
     }
 
-    /// Tells of an answer whose connection ended, and waits until its endpoint was
-    /// asked whether it lives.
-    pub(crate) async fn broke(&self, broke: Break) {
+    async fn broke(&self, case: Case) {
         let (looked, seen) = oneshot::channel();
-        self.tell(Message::Broke(broke, looked));
+        self.tell(Message::Broke(case, looked));
         if seen.await.is_err() {
             log::debug!("the host ends before an endpoint was looked at");
         }
     }
 
-    /// Tells of a request that got no answer in time.
-    pub(crate) fn silent(&self, broke: Break) {
-        self.tell(Message::Silent(broke));
-    }
-
     fn tell(&self, message: Message) {
         if self.messages.send(message).is_err() {
             log::error!("the task that looks at endpoints has ended; restart the host");
@@ -162,7 +200,7 @@
     pub(crate) metrics: Metrics,
 }
 
-/// A way to tell of breaks, the task that looks into them, and what is to be written.
+/// A watch over requests, the task that looks into failures, and what is to be written.
 pub(crate) fn start(parts: Parts) -> (Ends, impl Future<Output = ()>, write::Outbox) {
     let (sender, messages) = mpsc::unbounded_channel();
     let (letters, written) = Letters::new(&parts.host);
@@ -216,16 +254,36 @@
     }
 }
 
+/// What showed that a run has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Evidence {
+    /// It refused a connection.
+    Connection,
+    /// It is listed no more, or another run is.
+    List,
+}
+
+impl Evidence {
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Connection => "connection",
+            Self::List => "list",
+        }
+    }
+}
+
 /// Requests of this host that were open at a run as it ended.
 struct Ended {
     at: Duration,
+    /// Whether it is the list that showed it, which may have been wrong.
+    by_list: bool,
     requests: Vec<(Fingerprint, Progress)>,
 }
 
-/// A break that a question did not explain.
+/// A request of which it is not known whether its endpoint ended under it.
 struct Unclear {
     run: Run,
-    broke: Break,
+    case: Case,
     until: Duration,
 }
 
@@ -235,8 +293,8 @@
     /// Requests that were open at runs that have ended, as far as this host knows.
     ended: HashMap<Run, Ended>,
     listed: HashMap<id::Endpoint, Listed>,
-    /// Breaks at endpoints that are being asked.
-    asked: HashMap<Run, Vec<(Break, oneshot::Sender<()>)>>,
+    /// Requests at endpoints that are being asked.
+    asked: HashMap<Run, Vec<(Case, oneshot::Sender<()>)>>,
     questions: JoinSet<(Run, Shown)>,
     unclear: Vec<Unclear>,
 }
@@ -266,29 +324,31 @@
 
     fn take(&mut self, message: Message) {
         match message {
-            Message::Silent(broke) => {
-                if let Some(run) = self.run_of(&broke.endpoint) {
-                    self.keep(run, broke);
-                }
-            }
-            Message::Broke(broke, looked) => {
-                let Some(run) = self.run_of(&broke.endpoint) else {
-                    done(looked);
-                    return;
-                };
-                if self.ended.contains_key(&run) {
-                    self.ended(&run, vec![broke], "connection");
-                    done(looked);
-                    return;
-                }
-                let address = broke.address;
-                let waiting = self.asked.entry(run.clone()).or_default();
-                waiting.push((broke, looked));
-                if waiting.len() == 1 {
-                    self.questions
-                        .spawn(async move { (run, ask(address).await) });
+            Message::Silent(case) => {
+                if let Some(run) = self.run_of(&case.endpoint) {
+                    self.keep(run, case);
                 }
             }
+            Message::Broke(case, looked) => self.broke(case, looked),
+        }
+    }
+
+    fn broke(&mut self, case: Case, looked: oneshot::Sender<()>) {
+        let Some(run) = self.run_of(&case.endpoint) else {
+            done(looked);
+            return;
+        };
+        if self.ended.contains_key(&run) {
+            self.ended(&run, vec![case], Evidence::Connection);
+            done(looked);
+            return;
+        }
+        let address = case.address;
+        let waiting = self.asked.entry(run.clone()).or_default();
+        waiting.push((case, looked));
+        if waiting.len() == 1 {
+            self.questions
+                .spawn(async move { (run, ask(address).await) });
         }
     }
 
@@ -308,25 +368,25 @@
             endpoint:% = run.endpoint, shown = shown.as_str(), requests = waiting.len();
             "endpoint asked whether it lives"
         );
-        let (breaks, looked): (Vec<Break>, Vec<_>) = waiting.into_iter().unzip();
+        let (cases, looked): (Vec<Case>, Vec<_>) = waiting.into_iter().unzip();
         if shown == Shown::Ended {
-            self.ended(run, breaks, "connection");
+            self.ended(run, cases, Evidence::Connection);
         } else {
-            for broke in breaks {
-                self.keep(run.clone(), broke);
+            for case in cases {
+                self.keep(run.clone(), case);
             }
         }
         looked.into_iter().for_each(done);
     }
 
-    /// Keeps a break until the list shows more.
-    fn keep(&mut self, run: Run, broke: Break) {
-        if self.has_ended(&run) {
-            self.ended(&run, vec![broke], "list");
+    /// Keeps a request until more is known of its endpoint.
+    fn keep(&mut self, run: Run, case: Case) {
+        if self.ended.contains_key(&run) || self.has_ended(&run) {
+            self.ended(&run, vec![case], Evidence::List);
             return;
         }
         let until = self.parts.clock.now() + LISTED_WITHIN;
-        self.unclear.push(Unclear { run, broke, until });
+        self.unclear.push(Unclear { run, case, until });
     }
 
     /// Whether the list shows that a run has ended.
@@ -354,42 +414,46 @@
         }
         self.listed
             .retain(|_, listed| listed.gone.is_none_or(|at| now < at + LISTED_WITHIN));
-        let (ended, mut unclear): (Vec<Unclear>, Vec<Unclear>) = std::mem::take(&mut self.unclear)
-            .into_iter()
-            .partition(|one| self.has_ended(&one.run));
-        unclear.retain(|one| now < one.until);
-        self.unclear = unclear;
-        let mut by_run: HashMap<Run, Vec<Break>> = HashMap::new();
-        for one in ended {
-            by_run.entry(one.run).or_default().push(one.broke);
-        }
-        for (run, breaks) in by_run {
-            self.ended(&run, breaks, "list");
+        // Records lapse too where endpoints only cannot reach the store.
+        let listed = &self.listed;
+        self.ended.retain(|run, ended| {
+            let is_back = listed
+                .get(&run.endpoint)
+                .is_some_and(|one| one.gone.is_none() && one.started == run.started);
+            !(ended.by_list && is_back)
+        });
+        self.unclear.retain(|one| now < one.until);
+        let ended = self.unclear.iter().map(|one| &one.run);
+        let ended: HashSet<Run> = ended.filter(|run| self.has_ended(run)).cloned().collect();
+        for run in ended {
+            self.ended(&run, Vec::new(), Evidence::List);
         }
     }
 
     /// Notes that a run has ended under requests, and tells all hosts.
-    fn ended(&mut self, run: &Run, breaks: Vec<Break>, shown_by: &'static str) {
+    fn ended(&mut self, run: &Run, mut cases: Vec<Case>, shown_by: Evidence) {
         let now = self.parts.clock.now();
+        let of_run = self.unclear.extract_if(.., |one| one.run == *run);
+        cases.extend(of_run.map(|one| one.case));
         self.ended.retain(|_, ended| now < ended.at + LISTED_WITHIN);
         let metrics = &self.parts.metrics;
         let ended = self.ended.entry(run.clone()).or_insert_with(|| {
-            metrics.ended(shown_by);
+            metrics.ended(shown_by.as_str());
             Ended {
                 at: now,
+                by_list: shown_by == Evidence::List,
                 requests: Vec::new(),
             }
         });
-        for broke in breaks {
+        for case in cases {
             log::warn!(
-                request:% = broke.request, fingerprint:% = broke.fingerprint,
-                endpoint:% = run.endpoint, run = run.started.0, shown_by,
-                begun = broke.progress == Progress::Begun;
+                request:% = case.request, fingerprint:% = case.fingerprint,
+                endpoint:% = run.endpoint, run = run.started.0, shown_by = shown_by.as_str(),
+                begun = case.progress == Progress::Begun;
                 "endpoint ended under a request"
             );
-            self.known
-                .ended(broke.fingerprint, run, broke.progress, now);
-            ended.requests.push((broke.fingerprint, broke.progress));
+            self.known.ended(case.fingerprint, run, case.progress, now);
+            ended.requests.push((case.fingerprint, case.progress));
         }
         let news = News::ended(run, &ended.requests);
         self.known.letters.send(&news);
--- a/crates/papayayard_gateway/src/pump.rs
+++ b/crates/papayayard_gateway/src/pump.rs
@@ -21,6 +21,7 @@
 use crate::attempt::{Failure, Open};
 use crate::body::Broken;
 use crate::dispatch::{Found, Permit};
+use crate::ends;
 use crate::events::Splitter;
 use crate::exchange::Codec;
 use crate::job::Job;
@@ -42,6 +43,8 @@
     pub(crate) open: Open,
     /// Leave to use the endpoint.
     pub(crate) permit: Permit,
+    /// Watch over the endpoint.
+    pub(crate) watch: ends::Open,
 }
 
 /// Starts passing on; the receiver gets the pieces.
@@ -95,6 +98,7 @@
                 placement,
                 open,
                 permit,
+                watch,
             } = run;
             match end {
                 End::Whole => {
@@ -102,7 +106,7 @@
                         .sender
                         .keep(&placement, open.connection, &open.head.headers);
                     permit.end(Outcome::Whole);
-                    self.relay.ends.finished(self.job.fingerprint);
+                    watch.finished();
                     return;
                 }
                 End::Left => return,
@@ -119,10 +123,7 @@
                         reason = failure.as_str(), position = self.splitter.position().unwrap_or(0);
                         "stream broke off"
                     );
-                    let progress = self.progress();
-                    self.relay
-                        .look_into(&self.job, &placement, failure, progress)
-                        .await;
+                    watch.failed(failure).await;
                     let Some(next) = self.go_on(&placement.endpoint).await else {
                         self.break_off().await;
                         return;
@@ -165,6 +166,7 @@
                 self.relay.first_event(&self.job);
             }
             run.permit.begun();
+            run.watch.begun();
             if self.pieces.send(Ok(events)).await.is_err() {
                 return End::Left;
             }
@@ -210,6 +212,7 @@
                 return None;
             }
             let patience = self.relay.patience(&self.job, &placement, &self.tried);
+            let watch = self.relay.ends.open(&self.job, &placement, self.progress());
             let sent = self
                 .relay
                 .sender
@@ -231,9 +234,11 @@
                         placement: *placement,
                         open,
                         permit,
+                        watch,
                     });
                 }
                 Ok(_) => {
+                    watch.finished();
                     self.tried.runs += 1;
                     self.tried.endpoints.push(placement.endpoint.clone());
                 }
@@ -243,10 +248,7 @@
                     }
                     self.tried.endpoints.push(placement.endpoint.clone());
                     permit.end(failure.outcome());
-                    let progress = self.progress();
-                    self.relay
-                        .look_into(&self.job, &placement, failure, progress)
-                        .await;
+                    watch.failed(failure).await;
                 }
             }
         }
--- a/crates/papayayard_gateway/src/relay.rs
+++ b/crates/papayayard_gateway/src/relay.rs
@@ -24,7 +24,7 @@
 use crate::body::Body;
 use crate::clock::Clock;
 use crate::dispatch::{Dispatch, Found, Permit};
-use crate::ends::{Break, Ends};
+use crate::ends::Ends;
 use crate::exchange::{Arrival, Codec};
 use crate::front;
 use crate::hop;
@@ -72,7 +72,7 @@
     pub(crate) hosts: watch::Receiver<usize>,
     /// Repeats that are left.
     pub(crate) budget: Arc<Mutex<repeat::Budget>>,
-    /// Looks into answers that broke off.
+    /// Watches over requests at endpoints.
     pub(crate) ends: Ends,
     /// Counters.
     pub(crate) metrics: Metrics,
@@ -419,13 +419,13 @@
     ) -> Next {
         let patience = self.patience(job, &placement, tried);
         let to = (&placement, &permit);
+        let watch = self.ends.open(job, &placement, Progress::Waiting);
         let sent = self.sender.send(job, to, job.position, patience);
         let open = match sent.await {
             Ok(open) => open,
             Err(failure) => {
                 permit.end(failure.outcome());
-                self.look_into(job, &placement, failure, Progress::Waiting)
-                    .await;
+                watch.failed(failure).await;
                 return Next::Failed(failure);
             }
         };
@@ -434,6 +434,7 @@
                 placement,
                 open,
                 permit,
+                watch,
             };
             return Next::Answer(self.stream(job, run, tried));
         }
@@ -442,7 +443,7 @@
                 let status = response.status();
                 let is_error = status.is_server_error() && status != StatusCode::GATEWAY_TIMEOUT;
                 permit.end(Outcome::Whole);
-                self.ends.finished(job.fingerprint);
+                watch.finished();
                 if is_error && job.route.kind.is_repeatable() {
                     return Next::Error(response);
                 }
@@ -450,28 +451,12 @@
             }
             Err(failure) => {
                 permit.end(failure.outcome());
-                self.look_into(job, &placement, failure, Progress::Waiting)
-                    .await;
+                watch.failed(failure).await;
                 Next::Failed(failure)
             }
         }
     }
 
-    /// Finds out whether an endpoint has ended under a request that failed there.
-    pub(crate) async fn look_into(
-        &self,
-        job: &Job,
-        placement: &Placement,
-        failure: Failure,
-        progress: Progress,
-    ) {
-        match failure {
-            Failure::Broken => self.ends.broke(Break::new(job, placement, progress)).await,
-            Failure::Silent => self.ends.silent(Break::new(job, placement, progress)),
-            Failure::Unreachable | Failure::Refused | Failure::Mismatched | Failure::Foreign => {}
-        }
-    }
-
     fn stream(&self, job: &Job, run: pump::Run, tried: &Tried) -> Response<Body> {
         let status = run.open.head.status;
         let mut headers = run.open.head.headers.clone();
