--- a/crates/papayayard_gateway/src/ends.rs
+++ b/crates/papayayard_gateway/src/ends.rs
@@ -166,7 +166,8 @@
     }
 
     fn finished(&self, fingerprint: Fingerprint) {
-        if self.known.table().finished(fingerprint) {
+        let now = self.known.clock.now();
+        if self.known.table().finished(fingerprint, now) {
             log::info!(fingerprint:%; "a request that was barred has finished");
             self.known.letters.send(&News::Cleared { fingerprint });
         }
--- a/crates/papayayard_gateway/src/ends/fold.rs
+++ b/crates/papayayard_gateway/src/ends/fold.rs
@@ -50,7 +50,7 @@
                 waiting || begun
             }
             Record::Cleared { fingerprint } => {
-                self.known.table().finished(fingerprint);
+                self.known.table().finished(fingerprint, at);
                 true
             }
         }
--- a/crates/papayayard_routing/src/blame.rs
+++ b/crates/papayayard_routing/src/blame.rs
@@ -2,16 +2,19 @@
 //!
 //! A request may end each endpoint that begins to run it, and its caller sends it
 //! again, under a new id and at any host. Whatever was open at an endpoint as it ended
-//! may be the cause, and most of it is not. Three things tell them apart: the cause is
-//! there each time; it never finishes; and it seldom gives an event, so that a request
-//! that had begun to answer takes more ends to be barred. Hosts exchange what they
-//! have seen, in any order and more than once: what is known is a set of ends, and all
-//! who know the same ends judge alike.
+//! may be the cause, and most of it is not. Four things tell them apart: the cause is
+//! there each time, so that an end is explained by the request that has met the most;
+//! where two have met the same ends, neither is barred until one more tells; the cause
+//! never finishes; and it seldom gives an event, so that a request that had begun to
+//! answer takes more ends to be barred. Hosts exchange what they have seen, in any
+//! order and more than once: what is known is a set of ends, and all who know the same
+//! ends judge alike.
 //!
 //! The load pattern it answers: one request among many, at a full endpoint, that comes
-//! back at every host for as long as it is let in.
+//! back at every host for as long as it is let in, while what ran beside it is sent to
+//! the endpoints that remain.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
 use papayayard_wire::id;
@@ -19,11 +22,13 @@
 
 use crate::quarantine::Fingerprint;
 
-/// Ends before any event of an answer after which a request is barred. One is chance,
-/// since everything there has met it.
+/// Ends before any event of an answer after which a request is barred, if no other has
+/// met the same. One is chance, since everything there has met it.
 const ENDS_WAITING: usize = 2;
-/// Ends of any kind after which it is barred.
+/// Ends of any kind after which it is barred, if no other has met the same.
 const ENDS: usize = 3;
+/// Ends after which it is barred, whatever others have met.
+const MOST_ENDS: usize = 4;
 /// Time for which a request is barred at first; it doubles with each further end.
 const FIRST_BAR: Duration = Duration::from_mins(10);
 /// Most doublings.
@@ -84,6 +89,8 @@
 #[derive(Debug, Default)]
 pub struct Table {
     entries: HashMap<Fingerprint, Entry>,
+    /// Requests that were open at a run as it ended.
+    runs: HashMap<Run, HashSet<Fingerprint>>,
 }
 
 #[derive(Debug, Default)]
@@ -107,9 +114,9 @@
         let Some(entry) = self.entries.get(&fingerprint) else {
             return Standing::Clear;
         };
-        let held = entry.held();
+        let held = self.unexplained(fingerprint, entry);
         let until = entry.last + bar(held.len());
-        if is_enough(held) && now < until {
+        if self.is_enough(fingerprint, &held) && now < until {
             let left = until.saturating_sub(now);
             return Standing::Barred { left };
         }
@@ -128,23 +135,29 @@
         now: Duration,
     ) -> Effect {
         self.make_room(fingerprint, now);
+        let was_barred = self.is_barred(fingerprint, now);
         let entry = self.entries.entry(fingerprint).or_default();
         if entry.is_over(now) {
             *entry = Entry::default();
         }
-        let was_enough = is_enough(entry.held());
         if !entry.add(run, progress) {
             return Effect::Nothing;
         }
         entry.last = entry.last.max(now);
-        if is_enough(entry.held()) {
-            return if was_enough {
+        let is_disproved = entry.disproved > 0;
+        let all = entry.ends.len();
+        self.runs
+            .entry(run.clone())
+            .or_default()
+            .insert(fingerprint);
+        if self.is_barred(fingerprint, now) {
+            return if was_barred {
                 Effect::Suspected
             } else {
                 Effect::Barred
             };
         }
-        if is_enough(&entry.ends) {
+        if is_disproved && all >= ENDS_WAITING {
             Effect::Disputed
         } else {
             Effect::Suspected
@@ -153,18 +166,68 @@
 
     /// Takes over that a request has finished: it was not the cause of the ends that
     /// are known. Tells whether others have to learn of it, who may bar it.
-    pub fn finished(&mut self, fingerprint: Fingerprint) -> bool {
-        let Some(entry) = self.entries.get_mut(&fingerprint) else {
+    pub fn finished(&mut self, fingerprint: Fingerprint, now: Duration) -> bool {
+        let was_barred = self.is_barred(fingerprint, now);
+        if let Some(entry) = self.entries.get_mut(&fingerprint) {
+            entry.disproved = entry.ends.len();
+        }
+        was_barred
+    }
+
+    fn is_barred(&self, fingerprint: Fingerprint, now: Duration) -> bool {
+        matches!(self.standing(fingerprint, now), Standing::Barred { .. })
+    }
+
+    /// Ends that are held against a request, and that no other one explains that has
+    /// met more.
+    fn unexplained<'a>(&self, fingerprint: Fingerprint, entry: &'a Entry) -> Vec<&'a End> {
+        let held = entry.held();
+        let is_explained = |end: &End| {
+            self.others(&end.run, fingerprint)
+                .any(|(_, other)| other.held().len() > held.len())
+        };
+        held.iter().filter(|end| !is_explained(end)).collect()
+    }
+
+    /// Whether ends suffice to bar a request.
+    fn is_enough(&self, fingerprint: Fingerprint, ends: &[&End]) -> bool {
+        let waiting = ends.iter().filter(|end| end.progress == Progress::Waiting);
+        let is_likely = waiting.count() >= ENDS_WAITING || ends.len() >= ENDS;
+        ends.len() >= MOST_ENDS || (is_likely && !self.has_twin(fingerprint, ends))
+    }
+
+    /// Whether another request has met the same ends.
+    fn has_twin(&self, fingerprint: Fingerprint, ends: &[&End]) -> bool {
+        let Some(first) = ends.first() else {
             return false;
         };
-        let was_barred = is_enough(entry.held());
-        entry.disproved = entry.ends.len();
-        was_barred
+        self.others(&first.run, fingerprint)
+            .any(|(_, other)| ends.iter().all(|end| other.has_met(&end.run)))
+    }
+
+    /// Other requests that were open at a run as it ended.
+    fn others(
+        &self,
+        run: &Run,
+        fingerprint: Fingerprint,
+    ) -> impl Iterator<Item = (Fingerprint, &Entry)> {
+        let all = self.runs.get(run).into_iter().flatten();
+        let others = all.filter(move |one| **one != fingerprint);
+        others.filter_map(|one| Some((*one, self.entries.get(one)?)))
     }
 
     /// Forgets what is over.
     pub fn forget(&mut self, now: Duration) {
         self.entries.retain(|_, entry| !entry.is_over(now));
+        self.forget_runs();
+    }
+
+    fn forget_runs(&mut self) {
+        let entries = &self.entries;
+        self.runs.retain(|_, requests| {
+            requests.retain(|one| entries.contains_key(one));
+            !requests.is_empty()
+        });
     }
 
     /// Makes room for a request that is not known: those that have met the fewest
@@ -182,6 +245,7 @@
         let (_, bound, _) = ranks.select_nth_unstable(MOST_ENTRIES / GIVE_WAY);
         let bound = *bound;
         self.entries.retain(|_, entry| entry.rank() > bound);
+        self.forget_runs();
     }
 }
 
@@ -191,6 +255,10 @@
         &self.ends[self.disproved..]
     }
 
+    fn has_met(&self, run: &Run) -> bool {
+        self.held().iter().any(|end| end.run == *run)
+    }
+
     /// What is kept longer comes later.
     fn rank(&self) -> (usize, Duration) {
         (self.held().len(), self.last)
@@ -222,12 +290,6 @@
     }
 }
 
-/// Whether ends suffice to bar a request.
-fn is_enough(ends: &[End]) -> bool {
-    let waiting = ends.iter().filter(|end| end.progress == Progress::Waiting);
-    waiting.count() >= ENDS_WAITING || ends.len() >= ENDS
-}
-
 /// Time for which a request with so many ends is barred.
 fn bar(ends: usize) -> Duration {
     let doublings = u32::try_from(ends.saturating_sub(ENDS_WAITING)).unwrap_or(u32::MAX);
--- a/crates/papayayard_routing/tests/blame.rs
+++ b/crates/papayayard_routing/tests/blame.rs
@@ -70,7 +70,7 @@
 fn a_request_that_finishes_is_clear_and_others_learn_of_it_if_they_bar_it() {
     let mut table = Table::default();
     table.ended(DEADLY, &run(1), Progress::Waiting, NOW);
-    assert!(!table.finished(DEADLY), "nobody bars it");
+    assert!(!table.finished(DEADLY, NOW), "nobody bars it");
     assert_eq!(table.standing(DEADLY, NOW), Standing::Clear);
     // Others do not know that it has finished.
     let effect = table.ended(DEADLY, &run(2), Progress::Waiting, NOW);
@@ -78,7 +78,7 @@
     assert_eq!(table.standing(DEADLY, NOW), Standing::Suspect);
     let effect = table.ended(DEADLY, &run(3), Progress::Waiting, NOW);
     assert_eq!(effect, Effect::Barred);
-    assert!(table.finished(DEADLY), "one that was still running");
+    assert!(table.finished(DEADLY, NOW), "one that was still running");
     assert_eq!(table.standing(DEADLY, NOW), Standing::Clear);
 }
 
@@ -116,6 +116,65 @@
     }
 }
 
+/// What ran beside it twice is not barred, and after one more end not even suspect.
+#[test]
+fn what_met_the_same_ends_waits_for_one_more_to_tell() {
+    let beside = Fingerprint(1);
+    let mut table = Table::default();
+    for number in 0..2 {
+        table.ended(DEADLY, &run(number), Progress::Waiting, NOW);
+        table.ended(beside, &run(number), Progress::Waiting, NOW);
+    }
+    assert_eq!(table.standing(DEADLY, NOW), Standing::Suspect);
+    assert_eq!(table.standing(beside, NOW), Standing::Suspect);
+    let effect = table.ended(DEADLY, &run(2), Progress::Waiting, NOW);
+    assert_eq!(effect, Effect::Barred);
+    assert_eq!(table.standing(beside, NOW), Standing::Clear);
+}
+
+/// Requests run at random at six endpoints. One of them ends each endpoint that runs
+/// it, and what ran beside it is sent elsewhere at once, as it is itself.
+#[test]
+fn the_cause_is_barred_soon_and_bystanders_are_not() {
+    let mut barred = 0;
+    for seed in 0..500 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut table = Table::default();
+        let mut open: Vec<(Fingerprint, u64)> = (0..60)
+            .map(|number| (Fingerprint(number), rng.next_u64() % 6))
+            .collect();
+        let mut starts = [0; 6];
+        let mut ends = 0;
+        while !is_barred(&table, DEADLY, NOW) {
+            ends += 1;
+            assert!(ends <= 4, "seed {seed}: {ends} endpoints have ended");
+            let at = rng.next_u64() % 6;
+            starts[usize::try_from(at).expect("a small number")] += 1;
+            let ended = Run {
+                started: id::Incarnation(starts[usize::try_from(at).expect("a small number")]),
+                ..run(at)
+            };
+            table.ended(DEADLY, &ended, Progress::Waiting, NOW);
+            for (fingerprint, place) in &mut open {
+                if *place == at {
+                    let progress = if rng.next_u32().is_multiple_of(4) {
+                        Progress::Waiting
+                    } else {
+                        Progress::Begun
+                    };
+                    table.ended(*fingerprint, &ended, progress, NOW);
+                    *place = rng.next_u64() % 6;
+                }
+            }
+        }
+        let bystanders = (0..60).map(Fingerprint);
+        barred += bystanders
+            .filter(|one| is_barred(&table, *one, NOW))
+            .count();
+    }
+    assert!(barred <= 25, "{barred} of 30,000 bystanders are barred");
+}
+
 /// Over a day the caller comes back every second, at all hosts.
 #[test]
 fn over_a_day_few_endpoints_end_after_the_third() {
@@ -148,7 +207,8 @@
         table.ended(DEADLY, &run(number), Progress::Waiting, NOW);
     }
     for number in 0..40_000 {
-        table.ended(Fingerprint(1_000 + number), &run(1), Progress::Begun, NOW);
+        let end = run(100 + number / 64);
+        table.ended(Fingerprint(1_000 + number), &end, Progress::Begun, NOW);
     }
     let others = (0..40_000).map(|number| Fingerprint(1_000 + number));
     let known = others.filter(|one| table.standing(*one, NOW) == Standing::Suspect);
