A silent stream is given up only for a place at another endpoint

What callers saw: a stream whose endpoint was silent for three pauses was cut there, and where no other endpoint had a place, or no repeat was left, its answer broke off although the endpoint would have gone on.

Cause: the old run was dropped first and the next place was looked for after that.

Change: the place is looked for while the silent run is still read; an event ends the search, a search without a place or without a repeat left waits for another silence.

Tests: a_silent_stream_is_waited_for_where_it_cannot_go_on (two cases, both failed before), a_silent_stream_goes_on_elsewhere (held before).

--- a/crates/papayayard_gateway/src/pump.rs
+++ b/crates/papayayard_gateway/src/pump.rs
@@ -4,8 +4,9 @@
 //! allows it, another endpoint goes on after the last event that was passed
 //! on, inside the same answer; otherwise the answer breaks off as well. A stream
 //! counts as silent by its events, so that one that is slow goes on and one that
-//! sends bytes without an event does not. The task ends with the caller: its
-//! channel closes.
+//! sends bytes without an event does not. A silent run is given up only for a place
+//! at another endpoint: until there is one, its events are waited for. The task ends
+//! with the caller: its channel closes.
 
 use std::time::Duration;
 
@@ -16,6 +17,7 @@
 use papayayard_routing::table::Kind;
 use papayayard_wire::id;
 use tokio::sync::mpsc;
+use tokio::task::{JoinError, JoinSet};
 use tokio::time;
 
 use crate::attempt::{Failure, Open};
@@ -85,6 +87,14 @@
     Left,
     Late,
     Broken(Failure),
+    /// It is silent, and another endpoint has a place.
+    Silent(Place),
+}
+
+/// A place at another endpoint.
+struct Place {
+    placement: Box<Placement>,
+    permit: Permit,
 }
 
 impl<Platform> Pump<Platform>
@@ -100,7 +110,7 @@
                 permit,
                 watch,
             } = run;
-            match end {
+            let (failure, place) = match end {
                 End::Whole => {
                     self.relay
                         .sender
@@ -115,44 +125,55 @@
                     self.break_off().await;
                     return;
                 }
-                End::Broken(failure) => {
-                    drop(open);
-                    permit.end(failure.outcome());
-                    log::info!(
-                        request:% = self.job.id, endpoint:% = placement.endpoint,
-                        reason = failure.as_str(), position = self.splitter.position().unwrap_or(0);
-                        "stream broke off"
-                    );
-                    watch.failed(failure).await;
-                    let Some(next) = self.go_on(&placement.endpoint).await else {
-                        self.break_off().await;
-                        return;
-                    };
-                    run = next;
-                }
-            }
+                End::Broken(failure) => (failure, None),
+                End::Silent(place) => (Failure::Silent, Some(place)),
+            };
+            drop(open);
+            permit.end(failure.outcome());
+            log::info!(
+                request:% = self.job.id, endpoint:% = placement.endpoint,
+                reason = failure.as_str(), position = self.splitter.position().unwrap_or(0);
+                "stream broke off"
+            );
+            watch.failed(failure).await;
+            let Some(next) = self.go_on(&placement.endpoint, place).await else {
+                self.break_off().await;
+                return;
+            };
+            run = next;
         }
     }
 
     /// Passes one run's events on.
     async fn pass(&mut self, run: &mut Run) -> End {
         let longest = self.longest_silence();
-        let mut last_event = self.relay.clock.now();
+        let mut heard = self.relay.clock.now();
+        let mut searches = JoinSet::new();
         loop {
             let now = self.relay.clock.now();
             let left = self.job.deadline.saturating_sub(now);
-            let silent_at = longest.map(|longest| last_event + longest);
-            let patience = silent_at.map_or(left, |at| at.saturating_sub(now).min(left));
+            let patience = (heard + longest).saturating_sub(now);
+            let may_search = searches.is_empty() && self.can_go_on();
             let frame = tokio::select! {
                 () = self.pieces.closed() => return End::Left,
-                frame = time::timeout(patience, run.open.body.frame()) => frame,
+                frame = run.open.body.frame() => frame,
+                Some(found) = searches.join_next() => {
+                    if let Some(place) = self.place(found) {
+                        return End::Silent(place);
+                    }
+                    heard = self.relay.clock.now();
+                    continue;
+                }
+                () = time::sleep(patience), if may_search => {
+                    self.search(&run.placement.endpoint, &mut searches);
+                    continue;
+                }
+                () = time::sleep(left) => return End::Late,
             };
             let data = match frame {
-                Err(_) if patience == left => return End::Late,
-                Err(_) => return End::Broken(Failure::Silent),
-                Ok(None) if self.splitter.is_at_boundary() => return End::Whole,
-                Ok(None | Some(Err(_))) => return End::Broken(Failure::Broken),
-                Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
+                None if self.splitter.is_at_boundary() => return End::Whole,
+                None | Some(Err(_)) => return End::Broken(Failure::Broken),
+                Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
             };
             let Ok(events) = self.splitter.push(&data) else {
                 return End::Broken(Failure::Foreign);
@@ -160,7 +181,8 @@
             if events.is_empty() {
                 continue;
             }
-            last_event = self.relay.clock.now();
+            searches.abort_all();
+            heard = self.relay.clock.now();
             if !self.has_begun {
                 self.has_begun = true;
                 self.relay.first_event(&self.job);
@@ -173,6 +195,26 @@
         }
     }
 
+    /// Looks for a place at another endpoint than a silent one.
+    fn search(&self, silent: &id::Endpoint, searches: &mut JoinSet<Found>) {
+        log::info!(request:% = self.job.id, endpoint:% = silent; "stream is silent; looking for another endpoint");
+        let relay = self.relay.clone();
+        let job = self.job.clone();
+        let mut tried = self.tried.clone();
+        tried.endpoints.push(silent.clone());
+        searches.spawn(async move { relay.find(&job, &tried).await });
+    }
+
+    /// The place that a search has found, if the stream may go on there. A search ends
+    /// without one too where an event has come meanwhile.
+    fn place(&self, found: Result<Found, JoinError>) -> Option<Place> {
+        let Ok(Found::Place(placement, permit)) = found else {
+            return None;
+        };
+        let place = Place { placement, permit };
+        (self.may_run() && self.relay.may_repeat(&self.job)).then_some(place)
+    }
+
     /// How far the request has come.
     const fn progress(&self) -> Progress {
         if self.has_begun {
@@ -182,11 +224,10 @@
         }
     }
 
-    /// Silence after which a run is given up, where another one can go on.
-    fn longest_silence(&self) -> Option<Duration> {
+    /// Silence after which a place for another run is looked for.
+    fn longest_silence(&self) -> Duration {
         let pause = self.job.route.pause;
-        let silence = pause.map_or(LONGEST_SILENCE, |pause| pause * LONGEST_PAUSES);
-        self.can_go_on().then_some(silence)
+        pause.map_or(LONGEST_SILENCE, |pause| pause * LONGEST_PAUSES)
     }
 
     fn can_go_on(&self) -> bool {
@@ -199,18 +240,16 @@
         self.relay.check_standing(&self.job).is_ok()
     }
 
-    /// Another run, after the last event that was passed on.
-    async fn go_on(&mut self, failed: &id::Endpoint) -> Option<Run> {
+    /// Another run, after the last event that was passed on; at a place that was found,
+    /// or at one that is looked for.
+    async fn go_on(&mut self, failed: &id::Endpoint, mut place: Option<Place>) -> Option<Run> {
         self.tried.endpoints.push(failed.clone());
         let position = self.splitter.position();
-        while self.can_go_on() && self.may_run() && self.relay.may_repeat(&self.job) {
-            let found = self.relay.find(&self.job, &self.tried).await;
-            let Found::Place(placement, permit) = found else {
-                return None;
+        while self.can_go_on() && self.may_run() {
+            let Place { placement, permit } = match place.take() {
+                Some(place) => place,
+                None => self.next_place().await?,
             };
-            if !self.may_run() {
-                return None;
-            }
             let patience = self.relay.patience(&self.job, &placement, &self.tried);
             let watch = self.relay.ends.open(&self.job, &placement, self.progress());
             let sent = self
@@ -255,6 +294,16 @@
         None
     }
 
+    async fn next_place(&self) -> Option<Place> {
+        if !self.relay.may_repeat(&self.job) {
+            return None;
+        }
+        match self.relay.find(&self.job, &self.tried).await {
+            Found::Place(placement, permit) if self.may_run() => Some(Place { placement, permit }),
+            _ => None,
+        }
+    }
+
     async fn break_off(&self) {
         self.relay.broken(&self.job);
         if self.pieces.send(Err(Broken)).await.is_err() {
