A silent endpoint is given up only where another one may be asked

The same cause as in streams, before the head of an answer: after its patience a host dropped the run, and only then found that no repeat was left, so that the caller got 502 although the endpoint would have answered.

--- a/crates/papayayard_gateway/src/pump.rs
+++ b/crates/papayayard_gateway/src/pump.rs
@@ -181,7 +181,9 @@
             if events.is_empty() {
                 continue;
             }
-            searches.abort_all();
+            if !searches.is_empty() {
+                searches = JoinSet::new();
+            }
             heard = self.relay.clock.now();
             if !self.has_begun {
                 self.has_begun = true;
@@ -205,8 +207,7 @@
         searches.spawn(async move { relay.find(&job, &tried).await });
     }
 
-    /// The place that a search has found, if the stream may go on there. A search ends
-    /// without one too where an event has come meanwhile.
+    /// The place that a search has found, if the stream may go on there.
     fn place(&self, found: Result<Found, JoinError>) -> Option<Place> {
         let Ok(Found::Place(placement, permit)) = found else {
             return None;
--- a/crates/papayayard_gateway/src/relay.rs
+++ b/crates/papayayard_gateway/src/relay.rs
@@ -368,6 +368,13 @@
         allowed
     }
 
+    /// Whether a request could be sent once more now.
+    fn has_repeat(&self, job: &Job) -> bool {
+        let hosts = *self.hosts.borrow();
+        let now = self.clock.now();
+        self.lock_budget().is_left(&job.service, hosts, now)
+    }
+
     fn lock_budget(&self) -> std::sync::MutexGuard<'_, repeat::Budget> {
         self.budget.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -399,7 +406,7 @@
     pub(crate) fn patience(&self, job: &Job, placement: &Placement, tried: &Tried) -> Duration {
         let left = job.deadline.saturating_sub(self.clock.now());
         let is_last = tried.runs + 1 >= job.route.attempts;
-        if is_last || !job.route.kind.is_repeatable() {
+        if is_last || !job.route.kind.is_repeatable() || !self.has_repeat(job) {
             return left;
         }
         let patience = if job.route.kind.is_stream() {
--- a/crates/papayayard_routing/src/repeat.rs
+++ b/crates/papayayard_routing/src/repeat.rs
@@ -55,16 +55,21 @@
 
     /// Takes leave for one repeat; `false` where the budget is spent.
     pub fn spend(&mut self, service: &id::Service, hosts: usize, now: Duration) -> bool {
+        let is_left = self.is_left(service, hosts, now);
+        if is_left {
+            self.recent(service, now).repeats.push_back(now);
+        }
+        is_left
+    }
+
+    /// Whether there is leave for one repeat.
+    pub fn is_left(&mut self, service: &id::Service, hosts: usize, now: Duration) -> bool {
         let bounds = self.bounds;
         let recent = self.recent(service, now);
         let requests = count(recent.requests.len());
         let slack = bounds.slack / count(hosts.max(1));
         let allowed = (requests * bounds.ratio + slack) * MARGIN;
-        if count(recent.repeats.len()) + 1.0 > allowed {
-            return false;
-        }
-        recent.repeats.push_back(now);
-        true
+        count(recent.repeats.len()) + 1.0 <= allowed
     }
 
     fn recent(&mut self, service: &id::Service, now: Duration) -> &mut Recent {
