--- a/crates/papayayard_gateway/src/pump.rs
+++ b/crates/papayayard_gateway/src/pump.rs
@@ -152,8 +152,9 @@
         loop {
             let now = self.relay.clock.now();
             let left = self.job.deadline.saturating_sub(now);
-            let patience = (heard + longest).saturating_sub(now);
+            let silence = (heard + longest).saturating_sub(now);
             let may_search = searches.is_empty() && self.can_go_on();
+            let patience = if may_search { silence.min(left) } else { left };
             let frame = tokio::select! {
                 () = self.pieces.closed() => return End::Left,
                 frame = run.open.body.frame() => frame,
@@ -164,11 +165,13 @@
                     heard = self.relay.clock.now();
                     continue;
                 }
-                () = time::sleep(patience), if may_search => {
+                () = time::sleep(patience) => {
+                    if patience == left {
+                        return End::Late;
+                    }
                     self.search(&run.placement.endpoint, &mut searches);
                     continue;
                 }
-                () = time::sleep(left) => return End::Late,
             };
             let data = match frame {
                 None if self.splitter.is_at_boundary() => return End::Whole,
