Connections of callers are idle for as long as the newest configuration says

What callers saw: after a configuration with a longer idle time a host closed kept connections by the older, shorter one that stood when they were opened, while callers went on reusing them: a request that came at that moment got neither an answer nor a refusal.

Cause: the limit was given to the HTTP library once, when the connection was opened. Class: a copy of the configuration outlives the configuration.

Change: front::uses counts the requests of a connection, until the last byte of their answers, and the limit is looked up when a connection would be closed.

Tests: a_longer_idle_time_holds_for_open_connections_too failed before (canceled); an_idle_connection_is_closed_after_its_limit, used and never used.

--- a/crates/papayayard_gateway/src/front.rs
+++ b/crates/papayayard_gateway/src/front.rs
@@ -4,6 +4,10 @@
 //! is not ready, while it goes on serving and asks each caller to close; then
 //! it closes idle connections; then it takes no new ones and waits for those
 //! that are at work.
+//!
+//! Callers reuse a connection within the idle time of the newest configuration, also
+//! one that they opened under another, so that the time is looked up when a connection
+//! would be closed and not when it was opened.
 
 use std::convert::Infallible;
 use std::time::Duration;
@@ -23,10 +27,16 @@
 use crate::exchange::Codec;
 use crate::relay::Relay;
 
+mod uses;
+
+use uses::Uses;
+
 /// Most open connections from callers.
 const MOST_CONNECTIONS: usize = 2500;
 /// Least size of a connection's buffer, which the HTTP library asks for.
 const LEAST_BUFFER: usize = 8 << 10;
+/// Longest time that a connection may be idle under any configuration.
+const LONGEST_IDLE: Duration = Duration::from_hours(1);
 /// Pause after the system could not accept a connection.
 const ACCEPT_RETRY: Duration = Duration::from_millis(20);
 
@@ -88,18 +98,23 @@
     }
     let limits = relay.limits();
     let seen = progress.clone();
+    let uses = Uses::default();
+    let watched = uses.clone();
+    let served = relay.clone();
     let service = service_fn(move |request: Request<Incoming>| {
-        let relay = relay.clone();
+        let relay = served.clone();
         let seen = seen.clone();
+        let current = uses.begin();
         async move {
             let response = relay.serve(request).await;
             let stage = seen.borrow().stage;
-            Ok::<_, Infallible>(mark(response, stage))
+            let response = mark(response, stage).map(|body| uses::Body::new(body, current));
+            Ok::<_, Infallible>(response)
         }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(limits.idle)
+        .header_read_timeout(LONGEST_IDLE)
         .max_buf_size(limits.header_bytes.max(LEAST_BUFFER))
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
@@ -109,12 +124,40 @@
             connection.as_mut().graceful_shutdown();
             connection.as_mut().await
         }
+        () = idle(&relay, &watched) => {
+            connection.as_mut().graceful_shutdown();
+            // A request that had begun to come has as long again.
+            let again = async {
+                time::sleep(relay.limits().idle).await;
+                idle(&relay, &watched).await;
+            };
+            tokio::select! {
+                outcome = connection.as_mut() => outcome,
+                () = again => return,
+            }
+        }
     };
     if let Err(error) = outcome {
         log::debug!(error:%; "a caller's connection ended");
     }
 }
 
+/// Waits until a connection was idle for as long as it may be by now.
+async fn idle<Platform>(relay: &Relay<Platform>, uses: &Uses)
+where
+    Platform: Codec,
+{
+    loop {
+        let limit = relay.limits().idle;
+        let left = match uses.idle_for() {
+            None => limit,
+            Some(time) if time >= limit => return,
+            Some(time) => limit.saturating_sub(time),
+        };
+        time::sleep(left).await;
+    }
+}
+
 /// Waits for a stage of the stop; the end of the host is the last one.
 async fn reached(progress: &mut watch::Receiver<Progress>, wanted: Stage) {
     if progress
