--- a/crates/papayayard_gateway/src/follow_test.rs
+++ b/crates/papayayard_gateway/src/follow_test.rs
@@ -3,12 +3,14 @@
 use papayayard_coordination::reader::Rank;
 
 use super::Beat;
-use crate::host::{ENDPOINTS, OPERATORS};
+use crate::host::{ENDPOINTS, ENDS, OPERATORS};
 
 /// Time within which what operators publish is in force on every host.
 const IN_FORCE: Duration = Duration::from_secs(2);
 /// Time within which an endpoint that leaves gets no more requests.
 const LEAVING: Duration = Duration::from_secs(2);
+/// Time within which all hosts know under which requests endpoints have ended.
+const KNOWN: Duration = Duration::from_secs(3);
 /// Time for the call to the store that follows.
 const CALL: Duration = Duration::from_millis(300);
 
@@ -32,12 +34,17 @@
     assert!(longest_unnoticed(ENDPOINTS) + CALL <= LEAVING);
 }
 
+#[test]
+fn an_end_is_known_in_time_past_a_host_that_is_cut_off() {
+    assert!(longest_unnoticed(ENDS) + CALL <= KNOWN);
+}
+
 /// A host that reads without trouble is never taken for one that is cut off:
 /// just before a reading ends, the one before it is two periods old.
 #[test]
 fn a_reading_is_not_old_before_the_next_is_overdue() {
     let asked = Duration::from_secs(100);
-    for beat in [OPERATORS, ENDPOINTS] {
+    for beat in [OPERATORS, ENDPOINTS, ENDS] {
         let beat = beat.of(Rank::First);
         let call = Duration::from_millis(50);
         let replaced = asked + (beat.wait + beat.pause + call) * 2;
--- a/crates/papayayard_gateway/src/host.rs
+++ b/crates/papayayard_gateway/src/host.rs
@@ -53,7 +53,7 @@
 /// How ends of endpoints are read: they are seldom, and a request that causes them
 /// must be known everywhere soon, also where the host that reads for others is cut off,
 /// which they notice after two readings at most.
-const ENDS: Beat = Beat::new(Duration::from_millis(1200), Duration::ZERO);
+pub(crate) const ENDS: Beat = Beat::new(Duration::from_secs(1), Duration::ZERO);
 /// Period in which idle connections are looked at.
 const SWEEP: Duration = Duration::from_millis(500);
 /// A running host; dropping it ends its controllers.
