--- a/crates/papayayard_gateway/src/relay.rs
+++ b/crates/papayayard_gateway/src/relay.rs
@@ -1,19 +1,15 @@
-//! Serves one request: finds its route, account and endpoint, sends it there,
-//! and decides what follows a failure.
+//! Serves one request: finds an endpoint, sends it there, and decides what follows a
+//! failure.
 
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use bytes::Bytes;
-use futures_util::FutureExt;
 use http::{Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use papayayard_routing::blame::{Progress, Standing};
+use papayayard_routing::blame::Progress;
 use papayayard_routing::placement::{Outcome, Placement, Refused};
-use papayayard_routing::quarantine::Fingerprint;
 use papayayard_routing::repeat;
-use papayayard_routing::table::{Account, Limits, Table};
 use papayayard_wire::id;
 use papayayard_wire::refusal::Kind;
 use tokio::sync::watch;
@@ -25,7 +21,7 @@
 use crate::clock::Clock;
 use crate::dispatch::{Dispatch, Found, Permit};
 use crate::ends::Ends;
-use crate::exchange::{Arrival, Codec};
+use crate::exchange::Codec;
 use crate::front;
 use crate::hop;
 use crate::job::Job;
@@ -33,15 +29,12 @@
 use crate::pump;
 use crate::refusal::{Refusal, millis};
 
+mod admit;
+
 /// Most bytes of an answer that are read before it is passed on.
 const WHOLE_ANSWER: usize = 1 << 20;
 /// Time to come back when this host knows too little to serve.
 const UNREADY_RETRY: Duration = Duration::from_millis(300);
-/// Time to come back when this host is stopping: others take the request.
-const STOPPING_RETRY: Duration = Duration::from_millis(20);
-/// Part of a bound after which keys are refused for want of news; the rest
-/// covers the way to the endpoint.
-const WORD_PART: f64 = 0.86;
 /// Times the expected time to a first event, after which it is asked elsewhere.
 const PATIENCE_FACTOR: u32 = 3;
 /// Shortest time after which a silent endpoint is given up.
@@ -120,131 +113,6 @@
         }
     }
 
-    async fn admit(
-        &self,
-        head: http::request::Parts,
-        body: Incoming,
-        arrival: Arrival,
-        received: Duration,
-    ) -> Result<Job, Refusal> {
-        let Some(id) = arrival.id else {
-            return Err(Refusal::not_run(Kind::BadRequest, "the request has no id"));
-        };
-        let table = self.table()?;
-        let host = head
-            .headers
-            .get(header::HOST)
-            .and_then(|value| value.to_str().ok())
-            .or_else(|| head.uri.host())
-            .unwrap_or_default();
-        let route = table.route(host, head.uri.path()).cloned();
-        let route = route.ok_or(Refusal::not_run(Kind::NotFound, "no route for this path"))?;
-        let account = if route.public {
-            None
-        } else {
-            self.account(&table, arrival.key.as_deref())?
-        };
-        let service = route.service(&id).cloned();
-        let service = service.ok_or(Refusal::not_run(
-            Kind::NoEndpoint,
-            "the route sends to no service",
-        ))?;
-        let patience = arrival.patience.unwrap_or(route.timeout);
-        let deadline = received + patience.min(route.timeout);
-        self.check_stop(deadline)?;
-        let limit = table.limits.body_bytes;
-        let body = read_body(body, limit, route.timeout).await?;
-        self.lock_budget().requested(&service, received);
-        self.metrics.requested(&route.name);
-        let mut headers = head.headers;
-        hop::strip(&mut headers);
-        headers.remove(header::EXPECT);
-        let uri = origin_form(&head.uri);
-        let name = account.as_ref().map(|account| &account.name);
-        let method = head.method.as_str();
-        let fingerprint = Fingerprint::of_request(name, method, &uri.to_string(), &body);
-        Ok(Job {
-            id,
-            method: head.method,
-            uri,
-            headers,
-            body,
-            fingerprint,
-            service,
-            account,
-            prompt: arrival.prompt.map(Arc::new),
-            position: arrival.position,
-            target: received + route.target_latency,
-            deadline,
-            route,
-        })
-    }
-
-    /// Bounds on what callers send.
-    pub(crate) fn limits(&self) -> Limits {
-        let configuration = self.configuration.borrow();
-        let table = configuration.table.as_ref();
-        table.map_or_else(Limits::default, |table| table.limits)
-    }
-
-    fn table(&self) -> Result<Arc<Table>, Refusal> {
-        let known = self.configuration.borrow().table.clone();
-        known.ok_or(
-            Refusal::not_run(Kind::NotReady, "this host has no configuration yet")
-                .after(UNREADY_RETRY),
-        )
-    }
-
-    fn account(&self, table: &Table, key: Option<&str>) -> Result<Option<Arc<Account>>, Refusal> {
-        if !table.accounts.are_required() {
-            return Ok(None);
-        }
-        self.check_word()?;
-        let account = key.and_then(|key| table.accounts.find(key));
-        let account = account.ok_or(Refusal::not_run(
-            Kind::Unauthorized,
-            "no client account has this key",
-        ))?;
-        Ok(Some(Arc::clone(account)))
-    }
-
-    /// Refuses what a stop of this host would cut.
-    fn check_stop(&self, deadline: Duration) -> Result<(), Refusal> {
-        let shutdown = self.progress.borrow().shutdown;
-        if shutdown.is_none_or(|shutdown| shutdown.takes(deadline, self.clock.now())) {
-            return Ok(());
-        }
-        let message = "this host is stopping; send the request to another host";
-        Err(Refusal::not_run(Kind::Stopping, message).after(STOPPING_RETRY))
-    }
-
-    /// Refuses requests with a key while a withdrawal may have been missed.
-    fn check_word(&self) -> Result<(), Refusal> {
-        let Some(bound) = self.revocation else {
-            return Ok(());
-        };
-        let bound = bound.mul_f64(WORD_PART);
-        let is_fresh = self
-            .word
-            .borrow()
-            .is_some_and(|asked| self.clock.now() < asked + bound);
-        if is_fresh {
-            return Ok(());
-        }
-        let message = "this host cannot tell whether the key still holds; try another host";
-        Err(Refusal::not_run(Kind::NotReady, message).after(UNREADY_RETRY))
-    }
-
-    /// Refuses requests that end the endpoints that run them.
-    pub(crate) fn check_standing(&self, job: &Job) -> Result<(), Refusal> {
-        let Standing::Barred { left } = self.ends.standing(job.fingerprint) else {
-            return Ok(());
-        };
-        log::info!(request:% = job.id, fingerprint:% = job.fingerprint, left_ms = millis(left); "barred");
-        let message = "endpoints have ended under this request; change it, or come back later";
-        Err(Refusal::not_run(Kind::Quarantined, message).after(left))
-    }
-
     async fn run(&self, job: Job) -> Response<Body> {
         let mut tried = Tried::default();
         let mut error = None;
@@ -534,30 +402,3 @@
 fn reason(failure: Option<Failure>) -> &'static str {
     failure.map_or("error", Failure::as_str)
 }
-
-async fn read_body(body: Incoming, limit: usize, time: Duration) -> Result<Bytes, Refusal> {
-    let whole = Limited::new(body, limit).collect().map(|outcome| {
-        outcome
-            .map(http_body_util::Collected::to_bytes)
-            .map_err(|error| {
-                if error.is::<http_body_util::LengthLimitError>() {
-                    Refusal::not_run(Kind::TooLarge, "the body is too large")
-                } else {
-                    Refusal::not_run(Kind::BadRequest, "the body broke off")
-                }
-            })
-    });
-    match time::timeout(time, whole).await {
-        Ok(outcome) => outcome,
-        Err(_) => Err(Refusal::not_run(
-            Kind::SlowRequest,
-            "the body took too long; send it faster",
-        )),
-    }
-}
-
-/// Path and query alone, as endpoints are asked.
-fn origin_form(uri: &http::Uri) -> http::Uri {
-    let path = uri.path_and_query().cloned();
-    path.map_or_else(http::Uri::default, http::Uri::from)
-}
--- /dev/null
+++ b/crates/papayayard_gateway/src/relay/admit.rs
@@ -0,0 +1,185 @@
+//! What a request must pass before it is placed.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::FutureExt;
+use http::header;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use papayayard_routing::blame::Standing;
+use papayayard_routing::quarantine::Fingerprint;
+use papayayard_routing::table::{Account, Limits, Table};
+use papayayard_wire::refusal::Kind;
+use tokio::time;
+
+use super::{Relay, UNREADY_RETRY};
+use crate::exchange::{Arrival, Codec};
+use crate::hop;
+use crate::job::Job;
+use crate::refusal::{Refusal, millis};
+
+/// Time to come back when this host is stopping: others take the request.
+const STOPPING_RETRY: Duration = Duration::from_millis(20);
+/// Part of a bound after which keys are refused for want of news; the rest
+/// covers the way to the endpoint.
+const WORD_PART: f64 = 0.86;
+
+impl<Platform> Relay<Platform>
+where
+    Platform: Codec,
+{
+    /// Reads a request and finds its route, client account and service.
+    pub(super) async fn admit(
+        &self,
+        head: http::request::Parts,
+        body: Incoming,
+        arrival: Arrival,
+        received: Duration,
+    ) -> Result<Job, Refusal> {
+        let Some(id) = arrival.id else {
+            return Err(Refusal::not_run(Kind::BadRequest, "the request has no id"));
+        };
+        let table = self.table()?;
+        let host = head
+            .headers
+            .get(header::HOST)
+            .and_then(|value| value.to_str().ok())
+            .or_else(|| head.uri.host())
+            .unwrap_or_default();
+        let route = table.route(host, head.uri.path()).cloned();
+        let route = route.ok_or(Refusal::not_run(Kind::NotFound, "no route for this path"))?;
+        let account = if route.public {
+            None
+        } else {
+            self.account(&table, arrival.key.as_deref())?
+        };
+        let service = route.service(&id).cloned();
+        let service = service.ok_or(Refusal::not_run(
+            Kind::NoEndpoint,
+            "the route sends to no service",
+        ))?;
+        let patience = arrival.patience.unwrap_or(route.timeout);
+        let deadline = received + patience.min(route.timeout);
+        self.check_stop(deadline)?;
+        let limit = table.limits.body_bytes;
+        let body = read_body(body, limit, route.timeout).await?;
+        self.lock_budget().requested(&service, received);
+        self.metrics.requested(&route.name);
+        let mut headers = head.headers;
+        hop::strip(&mut headers);
+        headers.remove(header::EXPECT);
+        let uri = origin_form(&head.uri);
+        let name = account.as_ref().map(|account| &account.name);
+        let method = head.method.as_str();
+        let fingerprint = Fingerprint::of_request(name, method, &uri.to_string(), &body);
+        Ok(Job {
+            id,
+            method: head.method,
+            uri,
+            headers,
+            body,
+            fingerprint,
+            service,
+            account,
+            prompt: arrival.prompt.map(Arc::new),
+            position: arrival.position,
+            target: received + route.target_latency,
+            deadline,
+            route,
+        })
+    }
+
+    /// Bounds on what callers send.
+    pub(crate) fn limits(&self) -> Limits {
+        let configuration = self.configuration.borrow();
+        let table = configuration.table.as_ref();
+        table.map_or_else(Limits::default, |table| table.limits)
+    }
+
+    fn table(&self) -> Result<Arc<Table>, Refusal> {
+        let known = self.configuration.borrow().table.clone();
+        known.ok_or(
+            Refusal::not_run(Kind::NotReady, "this host has no configuration yet")
+                .after(UNREADY_RETRY),
+        )
+    }
+
+    fn account(&self, table: &Table, key: Option<&str>) -> Result<Option<Arc<Account>>, Refusal> {
+        if !table.accounts.are_required() {
+            return Ok(None);
+        }
+        self.check_word()?;
+        let account = key.and_then(|key| table.accounts.find(key));
+        let account = account.ok_or(Refusal::not_run(
+            Kind::Unauthorized,
+            "no client account has this key",
+        ))?;
+        Ok(Some(Arc::clone(account)))
+    }
+
+    /// Refuses what a stop of this host would cut.
+    fn check_stop(&self, deadline: Duration) -> Result<(), Refusal> {
+        let shutdown = self.progress.borrow().shutdown;
+        if shutdown.is_none_or(|shutdown| shutdown.takes(deadline, self.clock.now())) {
+            return Ok(());
+        }
+        let message = "this host is stopping; send the request to another host";
+        Err(Refusal::not_run(Kind::Stopping, message).after(STOPPING_RETRY))
+    }
+
+    /// Refuses requests with a key while a withdrawal may have been missed.
+    pub(super) fn check_word(&self) -> Result<(), Refusal> {
+        let Some(bound) = self.revocation else {
+            return Ok(());
+        };
+        let bound = bound.mul_f64(WORD_PART);
+        let is_fresh = self
+            .word
+            .borrow()
+            .is_some_and(|asked| self.clock.now() < asked + bound);
+        if is_fresh {
+            return Ok(());
+        }
+        let message = "this host cannot tell whether the key still holds; try another host";
+        Err(Refusal::not_run(Kind::NotReady, message).after(UNREADY_RETRY))
+    }
+
+    /// Refuses requests that end the endpoints that run them.
+    pub(crate) fn check_standing(&self, job: &Job) -> Result<(), Refusal> {
+        let Standing::Barred { left } = self.ends.standing(job.fingerprint) else {
+            return Ok(());
+        };
+        log::info!(request:% = job.id, fingerprint:% = job.fingerprint, left_ms = millis(left); "barred");
+        let message = "endpoints have ended under this request; change it, or come back later";
+        Err(Refusal::not_run(Kind::Quarantined, message).after(left))
+    }
+}
+
+async fn read_body(body: Incoming, limit: usize, time: Duration) -> Result<Bytes, Refusal> {
+    let whole = Limited::new(body, limit).collect().map(|outcome| {
+        outcome
+            .map(http_body_util::Collected::to_bytes)
+            .map_err(|error| {
+                if error.is::<http_body_util::LengthLimitError>() {
+                    Refusal::not_run(Kind::TooLarge, "the body is too large")
+                } else {
+                    Refusal::not_run(Kind::BadRequest, "the body broke off")
+                }
+            })
+    });
+    match time::timeout(time, whole).await {
+        Ok(outcome) => outcome,
+        Err(_) => Err(Refusal::not_run(
+            Kind::SlowRequest,
+            "the body took too long; send it faster",
+        )),
+    }
+}
+
+/// Path and query alone, as endpoints are asked.
+fn origin_form(uri: &http::Uri) -> http::Uri {
+    let path = uri.path_and_query().cloned();
+    path.map_or_else(http::Uri::default, http::Uri::from)
+}
