Four ends bar a request, also where another one explains them

Found on reading: a request that always met another one with more ends was excused without bound. Now four ends bar it, as the constant's comment said.

--- a/crates/papayayard_routing/src/blame.rs
+++ b/crates/papayayard_routing/src/blame.rs
@@ -36,7 +36,6 @@
 /// Requests that are kept in mind. Several times what a large deployment runs at the
 /// endpoints that end together.
 const MOST_ENTRIES: usize = 8_192;
-
 /// Part of these that gives way once there are too many: one in so many.
 const GIVE_WAY: usize = 4;
 
@@ -63,7 +62,7 @@
 pub enum Standing {
     /// Nothing is held against it.
     Clear,
-    /// Endpoints have ended under it: it runs where no other such request does.
+    /// Endpoints have ended under it, too few to bar it.
     Suspect,
     /// It is not run for a time.
     Barred {
@@ -114,13 +113,15 @@
         let Some(entry) = self.entries.get(&fingerprint) else {
             return Standing::Clear;
         };
-        let held = self.unexplained(fingerprint, entry);
-        let until = entry.last + bar(held.len());
-        if self.is_enough(fingerprint, &held) && now < until {
+        let until = entry.last + bar(entry.held().len());
+        let unexplained = self.unexplained(fingerprint, entry);
+        let is_enough =
+            entry.held().len() >= MOST_ENDS || self.is_enough(fingerprint, &unexplained);
+        if is_enough && now < until {
             let left = until.saturating_sub(now);
             return Standing::Barred { left };
         }
-        if held.is_empty() || entry.is_over(now) {
+        if unexplained.is_empty() || entry.is_over(now) {
             return Standing::Clear;
         }
         Standing::Suspect
@@ -184,7 +185,7 @@
         let held = entry.held();
         let is_explained = |end: &End| {
             self.others(&end.run, fingerprint)
-                .any(|(_, other)| other.held().len() > held.len())
+                .any(|other| other.held().len() > held.len())
         };
         held.iter().filter(|end| !is_explained(end)).collect()
     }
@@ -193,7 +194,7 @@
     fn is_enough(&self, fingerprint: Fingerprint, ends: &[&End]) -> bool {
         let waiting = ends.iter().filter(|end| end.progress == Progress::Waiting);
         let is_likely = waiting.count() >= ENDS_WAITING || ends.len() >= ENDS;
-        ends.len() >= MOST_ENDS || (is_likely && !self.has_twin(fingerprint, ends))
+        is_likely && !self.has_twin(fingerprint, ends)
     }
 
     /// Whether another request has met the same ends.
@@ -202,18 +203,14 @@
             return false;
         };
         self.others(&first.run, fingerprint)
-            .any(|(_, other)| ends.iter().all(|end| other.has_met(&end.run)))
+            .any(|other| ends.iter().all(|end| other.has_met(&end.run)))
     }
 
     /// Other requests that were open at a run as it ended.
-    fn others(
-        &self,
-        run: &Run,
-        fingerprint: Fingerprint,
-    ) -> impl Iterator<Item = (Fingerprint, &Entry)> {
+    fn others(&self, run: &Run, fingerprint: Fingerprint) -> impl Iterator<Item = &Entry> {
         let all = self.runs.get(run).into_iter().flatten();
         let others = all.filter(move |one| **one != fingerprint);
-        others.filter_map(|one| Some((*one, self.entries.get(one)?)))
+        others.filter_map(|one| self.entries.get(one))
     }
 
     /// Forgets what is over.
--- a/crates/papayayard_routing/tests/blame.rs
+++ b/crates/papayayard_routing/tests/blame.rs
@@ -132,6 +132,23 @@
     assert_eq!(table.standing(beside, NOW), Standing::Clear);
 }
 
+/// What one has met does not excuse the other for long.
+#[test]
+fn two_such_requests_that_meet_are_both_barred() {
+    let second = Fingerprint(667);
+    let mut table = Table::default();
+    for number in 0..4 {
+        table.ended(DEADLY, &run(number), Progress::Waiting, NOW);
+        if number > 0 {
+            table.ended(second, &run(number), Progress::Waiting, NOW);
+        }
+    }
+    assert!(is_barred(&table, DEADLY, NOW));
+    assert_eq!(table.standing(second, NOW), Standing::Clear);
+    table.ended(second, &run(4), Progress::Waiting, NOW);
+    assert!(is_barred(&table, second, NOW));
+}
+
 /// Requests run at random at six endpoints. One of them ends each endpoint that runs
 /// it, and what ran beside it is sent elsewhere at once, as it is itself.
 #[test]
