A request that has arrived is taken before its connection is closed

Found on reading: where a request and the end of the idle time, or of a stop's step, came in one turn of the process, one of them was drawn at random, and a connection could be closed over a request that lay in its socket. No test: which branch was drawn could not be set from outside.

--- a/crates/papayayard_gateway/src/front.rs
+++ b/crates/papayayard_gateway/src/front.rs
@@ -119,6 +119,8 @@
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     let outcome = tokio::select! {
+        // A request that has arrived is taken before the connection is closed.
+        biased;
         outcome = connection.as_mut() => outcome,
         () = reached(&mut progress, Stage::Closing) => {
             connection.as_mut().graceful_shutdown();
@@ -132,6 +134,7 @@
                 idle(&relay, &watched).await;
             };
             tokio::select! {
+                biased;
                 outcome = connection.as_mut() => outcome,
                 () = again => return,
             }
