--- a/crates/papayayard_gateway/src/ends.rs
+++ b/crates/papayayard_gateway/src/ends.rs
@@ -52,6 +52,7 @@
 struct Known {
     table: Arc<Mutex<Table>>,
     clock: Clock,
+    metrics: Metrics,
     /// What other hosts are to be told.
     letters: Letters,
 }
@@ -66,6 +67,7 @@
         let effect = self.table().ended(fingerprint, run, progress, at);
         match effect {
             Effect::Barred => {
+                self.metrics.barred();
                 log::warn!(fingerprint:%, endpoint:% = run.endpoint; "requests like this one are barred");
             }
             Effect::Disputed => {
@@ -140,6 +142,7 @@
     let known = Known {
         table: Arc::default(),
         clock: parts.clock,
+        metrics: parts.metrics.clone(),
         letters,
     };
     let task = Task::new(parts, known.clone());
--- a/crates/papayayard_gateway/src/metrics.rs
+++ b/crates/papayayard_gateway/src/metrics.rs
@@ -23,6 +23,7 @@
     repeats: Counter<u64>,
     orders: Counter<u64>,
     ends: Counter<u64>,
+    bars: Counter<u64>,
     first_event: Histogram<f64>,
     hosts: Gauge<u64>,
 }
@@ -61,6 +62,10 @@
                 .u64_counter("papayayard_endpoint_ends")
                 .with_description("Endpoints that ended under requests, by what showed it")
                 .build(),
+            bars: meter
+                .u64_counter("papayayard_barred_requests")
+                .with_description("Requests that this host has begun to bar, by their fingerprints")
+                .build(),
             first_event: meter
                 .f64_histogram("papayayard_first_event_seconds")
                 .with_description("Time from a request's arrival to its stream's first event")
@@ -106,6 +111,10 @@
         self.ends.add(1, &[KeyValue::new("shown_by", shown_by)]);
     }
 
+    pub(crate) fn barred(&self) {
+        self.bars.add(1, &[]);
+    }
+
     pub(crate) fn first_event(&self, time: Duration) {
         self.first_event.record(time.as_secs_f64(), &[]);
     }
