--- a/crates/papayayard_gateway/src/ends.rs
+++ b/crates/papayayard_gateway/src/ends.rs
@@ -24,27 +24,27 @@
 use crate::job::Job;
 use crate::metrics::Metrics;
 
+mod attempt;
 mod fold;
 mod news;
-mod open;
 mod task;
 mod write;
 
-pub(crate) use fold::News as Fold;
-pub(crate) use open::Open;
+pub(crate) use attempt::Watch;
+pub(crate) use fold::Seen;
 pub(crate) use write::write;
 
+use attempt::Attempt;
 use news::News;
-use open::Case;
 use task::Task;
-use write::Letters;
+use write::Outbox;
 
 /// What the task is told.
 enum Message {
     /// The connection ended before the answer; the sender hears once it was looked into.
-    Broke(Case, oneshot::Sender<()>),
+    Broke(Attempt, oneshot::Sender<()>),
     /// No answer came in time, or the caller did not wait for it.
-    Silent(Case),
+    Silent(Attempt),
 }
 
 /// Which requests are held responsible for the ends of endpoints, as this host knows.
@@ -54,7 +54,7 @@
     clock: Clock,
     metrics: Metrics,
     /// What other hosts are to be told.
-    letters: Letters,
+    outbox: Outbox,
 }
 
 impl Known {
@@ -66,13 +66,13 @@
     fn ended(&self, fingerprint: Fingerprint, run: &Run, progress: Progress, at: Duration) -> bool {
         let effect = self.table().ended(fingerprint, run, progress, at);
         match effect {
-            Effect::Barred => {
-                self.metrics.barred();
-                log::warn!(fingerprint:%, endpoint:% = run.endpoint; "requests like this one are barred");
+            Effect::Quarantined => {
+                self.metrics.quarantined();
+                log::warn!(fingerprint:%, endpoint:% = run.endpoint; "requests like this one are quarantined");
             }
             Effect::Disputed => {
-                log::info!(fingerprint:%; "a request that has finished since is barred by others");
-                self.letters.send(&News::Cleared { fingerprint });
+                log::info!(fingerprint:%; "a request that has finished since is quarantined by others");
+                self.outbox.send(&News::Cleared { fingerprint });
             }
             Effect::Suspected | Effect::Nothing => {}
         }
@@ -95,26 +95,26 @@
     }
 
     /// Notes a request that is sent to an endpoint.
-    pub(crate) fn open(&self, job: &Job, placement: &Placement, progress: Progress) -> Open {
-        Open::new(self.clone(), Case::new(job, placement, progress))
+    pub(crate) fn watch(&self, job: &Job, placement: &Placement, progress: Progress) -> Watch {
+        Watch::new(self.clone(), Attempt::new(job, placement, progress))
     }
 
     fn finished(&self, fingerprint: Fingerprint) {
         let now = self.known.clock.now();
         if self.known.table().finished(fingerprint, now) {
-            log::info!(fingerprint:%; "a request that was barred has finished");
-            self.known.letters.send(&News::Cleared { fingerprint });
+            log::info!(fingerprint:%; "a request that was quarantined has finished");
+            self.known.outbox.send(&News::Cleared { fingerprint });
         }
     }
 
     /// What other hosts tell.
-    pub(crate) fn fold(&self) -> Fold {
-        Fold::new(self.known.clone())
+    pub(crate) fn fold(&self) -> Seen {
+        Seen::new(self.known.clone())
     }
 
-    async fn broke(&self, case: Case) {
+    async fn broke(&self, attempt: Attempt) {
         let (looked, seen) = oneshot::channel();
-        self.tell(Message::Broke(case, looked));
+        self.tell(Message::Broke(attempt, looked));
         if seen.await.is_err() {
             log::debug!("the host ends before an endpoint was looked at");
         }
@@ -136,14 +136,14 @@
 }
 
 /// A watch over requests, the task that looks into failures, and what is to be written.
-pub(crate) fn start(parts: Parts) -> (Ends, impl Future<Output = ()>, write::Outbox) {
+pub(crate) fn start(parts: Parts) -> (Ends, impl Future<Output = ()>, write::Queue) {
     let (sender, messages) = mpsc::unbounded_channel();
-    let (letters, written) = Letters::new(&parts.host);
+    let (outbox, written) = Outbox::new(&parts.host);
     let known = Known {
         table: Arc::default(),
         clock: parts.clock,
         metrics: parts.metrics.clone(),
-        letters,
+        outbox,
     };
     let task = Task::new(parts, known.clone());
     let ends = Ends {
--- a/crates/papayayard_gateway/src/ends/open.rs
+++ b/crates/papayayard_gateway/src/ends/attempt.rs
@@ -13,7 +13,7 @@
 
 /// A request at an endpoint that may have ended under it.
 #[derive(Clone, Debug)]
-pub(super) struct Case {
+pub(super) struct Attempt {
     pub(super) request: id::Request,
     pub(super) fingerprint: Fingerprint,
     pub(super) progress: Progress,
@@ -21,7 +21,7 @@
     pub(super) address: SocketAddr,
 }
 
-impl Case {
+impl Attempt {
     /// A request where it was placed.
     pub(super) fn new(job: &Job, placement: &Placement, progress: Progress) -> Self {
         Self {
@@ -36,52 +36,52 @@
 
 /// A request that is open at an endpoint. Where it is dropped before it was settled
 /// its caller has left, and the endpoint may end under it all the same.
-pub(crate) struct Open {
+pub(crate) struct Watch {
     ends: Ends,
-    case: Option<Case>,
+    attempt: Option<Attempt>,
 }
 
-impl Open {
+impl Watch {
     /// A request that is about to be sent.
-    pub(super) const fn new(ends: Ends, case: Case) -> Self {
+    pub(super) const fn new(ends: Ends, attempt: Attempt) -> Self {
         Self {
             ends,
-            case: Some(case),
+            attempt: Some(attempt),
         }
     }
 
     /// Notes that an event of the answer has come.
     pub(crate) fn begun(&mut self) {
-        if let Some(case) = &mut self.case {
-            case.progress = Progress::Begun;
+        if let Some(attempt) = &mut self.attempt {
+            attempt.progress = Progress::Begun;
         }
     }
 
     /// Takes over that the endpoint has answered to the end.
     pub(crate) fn finished(mut self) {
-        if let Some(case) = self.case.take() {
-            self.ends.finished(case.fingerprint);
+        if let Some(attempt) = self.attempt.take() {
+            self.ends.finished(attempt.fingerprint);
         }
     }
 
     /// Takes over that the endpoint gave no answer that can be used. Where the
     /// connection ended, waits until the endpoint was asked whether it lives.
     pub(crate) async fn failed(mut self, failure: Failure) {
-        let Some(case) = self.case.take() else {
+        let Some(attempt) = self.attempt.take() else {
             return;
         };
         match failure {
-            Failure::Broken => self.ends.broke(case).await,
-            Failure::Silent => self.ends.tell(Message::Silent(case)),
+            Failure::Broken => self.ends.broke(attempt).await,
+            Failure::Silent => self.ends.tell(Message::Silent(attempt)),
             Failure::Unreachable | Failure::Refused | Failure::Mismatched | Failure::Foreign => {}
         }
     }
 }
 
-impl Drop for Open {
+impl Drop for Watch {
     fn drop(&mut self) {
-        if let Some(case) = self.case.take() {
-            self.ends.tell(Message::Silent(case));
+        if let Some(attempt) = self.attempt.take() {
+            self.ends.tell(Message::Silent(attempt));
         }
     }
 }
--- a/crates/papayayard_gateway/src/ends/fold.rs
+++ b/crates/papayayard_gateway/src/ends/fold.rs
@@ -7,7 +7,7 @@
 use papayayard_routing::quarantine::Fingerprint;
 
 use super::Known;
-use super::news::News as Record;
+use super::news::News;
 use crate::follow;
 use crate::store;
 
@@ -16,8 +16,8 @@
 /// Period in which records that are old are looked for.
 const SWEEP: Duration = Duration::from_mins(1);
 
-/// Folds the records.
-pub(crate) struct News {
+/// Folds what hosts have seen.
+pub(crate) struct Seen {
     known: Known,
     /// When records that stand in the log were learnt of, by their keys.
     learnt: HashMap<String, Duration>,
@@ -27,7 +27,7 @@
     swept: Duration,
 }
 
-impl News {
+impl Seen {
     /// A fold that nothing is known to.
     pub(super) fn new(known: Known) -> Self {
         Self {
@@ -38,9 +38,9 @@
         }
     }
 
-    fn take(&self, news: Record, at: Duration) -> bool {
+    fn take(&self, news: News, at: Duration) -> bool {
         match news {
-            Record::Ended {
+            News::Ended {
                 run,
                 waiting,
                 begun,
@@ -49,7 +49,7 @@
                 let begun = self.ended(&run, &begun, Progress::Begun, at);
                 waiting || begun
             }
-            Record::Cleared { fingerprint } => {
+            News::Cleared { fingerprint } => {
                 self.known.table().finished(fingerprint, at);
                 true
             }
@@ -69,13 +69,13 @@
         self.known.table().forget(now);
         for (key, learnt) in &self.learnt {
             if *learnt + self.kept <= now {
-                self.known.letters.drop_record(key);
+                self.known.outbox.drop_record(key);
             }
         }
     }
 }
 
-impl follow::Fold for News {
+impl follow::Fold for Seen {
     fn record(&mut self, record: &store::Record, learnt: Option<Duration>, now: Duration) -> bool {
         let Some(value) = &record.value else {
             self.learnt.remove(&record.key);
--- a/crates/papayayard_gateway/src/ends/task.rs
+++ b/crates/papayayard_gateway/src/ends/task.rs
@@ -11,8 +11,8 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::JoinSet;
 
+use super::attempt::Attempt;
 use super::news::News;
-use super::open::Case;
 use super::{Known, Message, Parts};
 use crate::dial;
 
@@ -78,7 +78,7 @@
 /// A request of which it is not known whether its endpoint ended under it.
 struct Unclear {
     run: Run,
-    case: Case,
+    attempt: Attempt,
     until: Duration,
 }
 
@@ -90,7 +90,7 @@
     ended: HashMap<Run, Ended>,
     listed: HashMap<id::Endpoint, Listed>,
     /// Requests at endpoints that are being asked.
-    asked: HashMap<Run, Vec<(Case, oneshot::Sender<()>)>>,
+    asked: HashMap<Run, Vec<(Attempt, oneshot::Sender<()>)>>,
     questions: JoinSet<(Run, Shown)>,
     unclear: Vec<Unclear>,
 }
@@ -134,28 +134,28 @@
 
     fn take(&mut self, message: Message) {
         match message {
-            Message::Silent(case) => {
-                if let Some(run) = self.run_of(&case.endpoint) {
-                    self.keep(run, case);
+            Message::Silent(attempt) => {
+                if let Some(run) = self.run_of(&attempt.endpoint) {
+                    self.keep(run, attempt);
                 }
             }
-            Message::Broke(case, looked) => self.broke(case, looked),
+            Message::Broke(attempt, looked) => self.broke(attempt, looked),
         }
     }
 
-    fn broke(&mut self, case: Case, looked: oneshot::Sender<()>) {
-        let Some(run) = self.run_of(&case.endpoint) else {
+    fn broke(&mut self, attempt: Attempt, looked: oneshot::Sender<()>) {
+        let Some(run) = self.run_of(&attempt.endpoint) else {
             done(looked);
             return;
         };
         if self.ended.contains_key(&run) {
-            self.ended(&run, vec![case], Evidence::Connection);
+            self.ended(&run, vec![attempt], Evidence::Connection);
             done(looked);
             return;
         }
-        let address = case.address;
+        let address = attempt.address;
         let waiting = self.asked.entry(run.clone()).or_default();
-        waiting.push((case, looked));
+        waiting.push((attempt, looked));
         if waiting.len() == 1 {
             self.questions
                 .spawn(async move { (run, ask(address).await) });
@@ -178,25 +178,29 @@
             endpoint:% = run.endpoint, shown = shown.as_str(), requests = waiting.len();
             "endpoint asked whether it lives"
         );
-        let (cases, looked): (Vec<Case>, Vec<_>) = waiting.into_iter().unzip();
+        let (attempts, looked): (Vec<Attempt>, Vec<_>) = waiting.into_iter().unzip();
         if shown == Shown::Ended {
-            self.ended(run, cases, Evidence::Connection);
+            self.ended(run, attempts, Evidence::Connection);
         } else {
-            for case in cases {
-                self.keep(run.clone(), case);
+            for attempt in attempts {
+                self.keep(run.clone(), attempt);
             }
         }
         looked.into_iter().for_each(done);
     }
 
     /// Keeps a request until more is known of its endpoint.
-    fn keep(&mut self, run: Run, case: Case) {
+    fn keep(&mut self, run: Run, attempt: Attempt) {
         if self.ended.contains_key(&run) || self.has_ended(&run) {
-            self.ended(&run, vec![case], Evidence::List);
+            self.ended(&run, vec![attempt], Evidence::List);
             return;
         }
         let until = self.parts.clock.now() + LISTED_WITHIN;
-        self.unclear.push(Unclear { run, case, until });
+        self.unclear.push(Unclear {
+            run,
+            attempt,
+            until,
+        });
     }
 
     /// Whether the list shows that a run has ended.
@@ -241,10 +245,10 @@
     }
 
     /// Notes that a run has ended under requests, and tells all hosts.
-    fn ended(&mut self, run: &Run, mut cases: Vec<Case>, shown_by: Evidence) {
+    fn ended(&mut self, run: &Run, mut attempts: Vec<Attempt>, shown_by: Evidence) {
         let now = self.parts.clock.now();
         let of_run = self.unclear.extract_if(.., |one| one.run == *run);
-        cases.extend(of_run.map(|one| one.case));
+        attempts.extend(of_run.map(|one| one.attempt));
         self.ended.retain(|_, ended| now < ended.at + LISTED_WITHIN);
         let metrics = &self.parts.metrics;
         let ended = self.ended.entry(run.clone()).or_insert_with(|| {
@@ -255,18 +259,19 @@
                 requests: Vec::new(),
             }
         });
-        for case in cases {
+        for attempt in attempts {
             log::warn!(
-                request:% = case.request, fingerprint:% = case.fingerprint,
+                request:% = attempt.request, fingerprint:% = attempt.fingerprint,
                 endpoint:% = run.endpoint, run = run.started.0, shown_by = shown_by.as_str(),
-                begun = case.progress == Progress::Begun;
+                begun = attempt.progress == Progress::Begun;
                 "endpoint ended under a request"
             );
-            self.known.ended(case.fingerprint, run, case.progress, now);
-            ended.requests.push((case.fingerprint, case.progress));
+            self.known
+                .ended(attempt.fingerprint, run, attempt.progress, now);
+            ended.requests.push((attempt.fingerprint, attempt.progress));
         }
         let news = News::ended(run, &ended.requests);
-        self.known.letters.send(&news);
+        self.known.outbox.send(&news);
     }
 }
 
--- a/crates/papayayard_gateway/src/ends/write.rs
+++ b/crates/papayayard_gateway/src/ends/write.rs
@@ -23,30 +23,30 @@
 const MOST_WAITING: usize = 1_024;
 
 /// A record that is to be written; an empty value drops it.
-struct Letter {
+struct Append {
     key: String,
     value: Vec<u8>,
 }
 
 /// Where records that are to be written go.
 #[derive(Clone)]
-pub(super) struct Letters {
+pub(super) struct Outbox {
     host: id::Host,
-    letters: mpsc::UnboundedSender<Letter>,
+    appends: mpsc::UnboundedSender<Append>,
 }
 
 /// Records that are to be written.
-pub(crate) struct Outbox(mpsc::UnboundedReceiver<Letter>);
+pub(crate) struct Queue(mpsc::UnboundedReceiver<Append>);
 
-impl Letters {
+impl Outbox {
     /// Both ends of the way to the writer.
-    pub(super) fn new(host: &id::Host) -> (Self, Outbox) {
-        let (letters, written) = mpsc::unbounded_channel();
-        let letters = Self {
+    pub(super) fn new(host: &id::Host) -> (Self, Queue) {
+        let (appends, written) = mpsc::unbounded_channel();
+        let appends = Self {
             host: host.clone(),
-            letters,
+            appends,
         };
-        (letters, Outbox(written))
+        (appends, Queue(written))
     }
 
     /// Has a record written.
@@ -63,14 +63,14 @@
     }
 
     fn put(&self, key: String, value: Vec<u8>) {
-        if self.letters.send(Letter { key, value }).is_err() {
+        if self.appends.send(Append { key, value }).is_err() {
             log::debug!("the host ends before it has told of an endpoint's end");
         }
     }
 }
 
 /// Writes records as they come, for as long as the process runs.
-pub(crate) async fn write<Platform>(store: Store<Platform>, mut letters: Outbox)
+pub(crate) async fn write<Platform>(store: Store<Platform>, mut appends: Queue)
 where
     Platform: Codec,
 {
@@ -79,14 +79,14 @@
     let mut waiting: BTreeMap<String, Vec<u8>> = BTreeMap::new();
     loop {
         if waiting.is_empty() {
-            let Some(letter) = letters.0.recv().await else {
+            let Some(append) = appends.0.recv().await else {
                 return;
             };
-            waiting.insert(letter.key, letter.value);
+            waiting.insert(append.key, append.value);
             time::sleep(ADDS_UP).await;
         }
-        while let Ok(letter) = letters.0.try_recv() {
-            waiting.insert(letter.key, letter.value);
+        while let Ok(append) = appends.0.try_recv() {
+            waiting.insert(append.key, append.value);
         }
         while waiting.len() > MOST_WAITING {
             if let Some((key, _)) = waiting.pop_last() {
--- a/crates/papayayard_gateway/src/metrics.rs
+++ b/crates/papayayard_gateway/src/metrics.rs
@@ -23,7 +23,7 @@
     repeats: Counter<u64>,
     orders: Counter<u64>,
     ends: Counter<u64>,
-    bars: Counter<u64>,
+    quarantines: Counter<u64>,
     first_event: Histogram<f64>,
     hosts: Gauge<u64>,
 }
@@ -62,9 +62,11 @@
                 .u64_counter("papayayard_endpoint_ends")
                 .with_description("Endpoints that ended under requests, by what showed it")
                 .build(),
-            bars: meter
-                .u64_counter("papayayard_barred_requests")
-                .with_description("Requests that this host has begun to bar, by their fingerprints")
+            quarantines: meter
+                .u64_counter("papayayard_quarantined_requests")
+                .with_description(
+                    "Requests that this host has begun to quarantine, by their fingerprints",
+                )
                 .build(),
             first_event: meter
                 .f64_histogram("papayayard_first_event_seconds")
@@ -111,8 +113,8 @@
         self.ends.add(1, &[KeyValue::new("shown_by", shown_by)]);
     }
 
-    pub(crate) fn barred(&self) {
-        self.bars.add(1, &[]);
+    pub(crate) fn quarantined(&self) {
+        self.quarantines.add(1, &[]);
     }
 
     pub(crate) fn first_event(&self, time: Duration) {
--- a/crates/papayayard_gateway/src/pump.rs
+++ b/crates/papayayard_gateway/src/pump.rs
@@ -46,7 +46,7 @@
     /// Leave to use the endpoint.
     pub(crate) permit: Permit,
     /// Watch over the endpoint.
-    pub(crate) watch: ends::Open,
+    pub(crate) watch: ends::Watch,
 }
 
 /// Starts passing on; the receiver gets the pieces.
@@ -255,7 +255,10 @@
                 None => self.next_place().await?,
             };
             let patience = self.relay.patience(&self.job, &placement, &self.tried);
-            let watch = self.relay.ends.open(&self.job, &placement, self.progress());
+            let watch = self
+                .relay
+                .ends
+                .watch(&self.job, &placement, self.progress());
             let sent = self
                 .relay
                 .sender
--- a/crates/papayayard_gateway/src/relay.rs
+++ b/crates/papayayard_gateway/src/relay.rs
@@ -294,7 +294,7 @@
     ) -> Next {
         let patience = self.patience(job, &placement, tried);
         let to = (&placement, &permit);
-        let watch = self.ends.open(job, &placement, Progress::Waiting);
+        let watch = self.ends.watch(job, &placement, Progress::Waiting);
         let sent = self.sender.send(job, to, job.position, patience);
         let open = match sent.await {
             Ok(open) => open,
--- a/crates/papayayard_gateway/src/relay/admit.rs
+++ b/crates/papayayard_gateway/src/relay/admit.rs
@@ -148,10 +148,10 @@
 
     /// Refuses requests that end the endpoints that run them.
     pub(crate) fn check_standing(&self, job: &Job) -> Result<(), Refusal> {
-        let Standing::Barred { left } = self.ends.standing(job.fingerprint) else {
+        let Standing::Quarantined { left } = self.ends.standing(job.fingerprint) else {
             return Ok(());
         };
-        log::info!(request:% = job.id, fingerprint:% = job.fingerprint, left_ms = millis(left); "barred");
+        log::info!(request:% = job.id, fingerprint:% = job.fingerprint, left_ms = millis(left); "refused as quarantined");
         let message = "endpoints have ended under this request; change it, or come back later";
         Err(Refusal::not_run(Kind::Quarantined, message).after(left))
     }
--- a/crates/papayayard_routing/src/blame.rs
+++ b/crates/papayayard_routing/src/blame.rs
@@ -4,9 +4,9 @@
 //! again, under a new id and at any host. Whatever was open at an endpoint as it ended
 //! may be the cause, and most of it is not. Four things tell them apart: the cause is
 //! there each time, so that an end is explained by the request that has met the most;
-//! where two have met the same ends, neither is barred until one more tells; the cause
+//! where two have met the same ends, neither is quarantined until one more tells; the cause
 //! never finishes; and it seldom gives an event, so that a request that had begun to
-//! answer takes more ends to be barred. Hosts exchange what they have seen, in any
+//! answer takes more ends to be quarantined. Hosts exchange what they have seen, in any
 //! order and more than once: what is known is a set of ends, and all who know the same
 //! ends judge alike.
 //!
@@ -22,15 +22,15 @@
 
 use crate::quarantine::Fingerprint;
 
-/// Ends before any event of an answer after which a request is barred, if no other has
+/// Ends before any event of an answer after which a request is quarantined, if no other has
 /// met the same. One is chance, since everything there has met it.
 const ENDS_WAITING: usize = 2;
-/// Ends of any kind after which it is barred, if no other has met the same.
+/// Ends of any kind after which it is quarantined, if no other has met the same.
 const ENDS: usize = 3;
-/// Ends after which it is barred, whatever others have met.
+/// Ends after which it is quarantined, whatever others have met.
 const MOST_ENDS: usize = 4;
-/// Time for which a request is barred at first; it doubles with each further end.
-const FIRST_BAR: Duration = Duration::from_mins(10);
+/// Time for which a request is quarantined at first; it doubles with each further end.
+const FIRST_QUARANTINE: Duration = Duration::from_mins(10);
 /// Most doublings.
 const MOST_DOUBLINGS: u32 = 10;
 /// Requests that are kept in mind. Several times what a large deployment runs at the
@@ -62,10 +62,10 @@
 pub enum Standing {
     /// Nothing is held against it.
     Clear,
-    /// Endpoints have ended under it, too few to bar it.
+    /// Endpoints have ended under it, too few to quarantine it.
     Suspect,
     /// It is not run for a time.
-    Barred {
+    Quarantined {
         /// Time that is left.
         left: Duration,
     },
@@ -78,9 +78,9 @@
     Nothing,
     /// The request is a suspect.
     Suspected,
-    /// It is barred from now on.
-    Barred,
-    /// Others bar it, who do not know that it has finished since.
+    /// It is quarantined from now on.
+    Quarantined,
+    /// Others quarantine it, who do not know that it has finished since.
     Disputed,
 }
 
@@ -113,13 +113,13 @@
         let Some(entry) = self.entries.get(&fingerprint) else {
             return Standing::Clear;
         };
-        let until = entry.last + bar(entry.held().len());
+        let until = entry.last + quarantine(entry.held().len());
         let unexplained = self.unexplained(fingerprint, entry);
         let is_enough =
             entry.held().len() >= MOST_ENDS || self.is_enough(fingerprint, &unexplained);
         if is_enough && now < until {
             let left = until.saturating_sub(now);
-            return Standing::Barred { left };
+            return Standing::Quarantined { left };
         }
         if unexplained.is_empty() || entry.is_over(now) {
             return Standing::Clear;
@@ -136,7 +136,7 @@
         now: Duration,
     ) -> Effect {
         self.make_room(fingerprint, now);
-        let was_barred = self.is_barred(fingerprint, now);
+        let was_quarantined = self.is_quarantined(fingerprint, now);
         let entry = self.entries.entry(fingerprint).or_default();
         if entry.is_over(now) {
             *entry = Entry::default();
@@ -151,11 +151,11 @@
             .entry(run.clone())
             .or_default()
             .insert(fingerprint);
-        if self.is_barred(fingerprint, now) {
-            return if was_barred {
+        if self.is_quarantined(fingerprint, now) {
+            return if was_quarantined {
                 Effect::Suspected
             } else {
-                Effect::Barred
+                Effect::Quarantined
             };
         }
         if is_disproved && all >= ENDS_WAITING {
@@ -166,17 +166,20 @@
     }
 
     /// Takes over that a request has finished: it was not the cause of the ends that
-    /// are known. Tells whether others have to learn of it, who may bar it.
+    /// are known. Tells whether others have to learn of it, who may quarantine it.
     pub fn finished(&mut self, fingerprint: Fingerprint, now: Duration) -> bool {
-        let was_barred = self.is_barred(fingerprint, now);
+        let was_quarantined = self.is_quarantined(fingerprint, now);
         if let Some(entry) = self.entries.get_mut(&fingerprint) {
             entry.disproved = entry.ends.len();
         }
-        was_barred
+        was_quarantined
     }
 
-    fn is_barred(&self, fingerprint: Fingerprint, now: Duration) -> bool {
-        matches!(self.standing(fingerprint, now), Standing::Barred { .. })
+    fn is_quarantined(&self, fingerprint: Fingerprint, now: Duration) -> bool {
+        matches!(
+            self.standing(fingerprint, now),
+            Standing::Quarantined { .. }
+        )
     }
 
     /// Ends that are held against a request, and that no other one explains that has
@@ -190,7 +193,7 @@
         held.iter().filter(|end| !is_explained(end)).collect()
     }
 
-    /// Whether ends suffice to bar a request.
+    /// Whether ends suffice to quarantine a request.
     fn is_enough(&self, fingerprint: Fingerprint, ends: &[&End]) -> bool {
         let waiting = ends.iter().filter(|end| end.progress == Progress::Waiting);
         let is_likely = waiting.count() >= ENDS_WAITING || ends.len() >= ENDS;
@@ -280,15 +283,15 @@
         }
     }
 
-    /// Whether all of it was too long ago to count. A bar that ends leaves a request
-    /// suspect for as long again, so that it is barred at once where it goes on.
+    /// Whether all of it was too long ago to count. A quarantine that is over leaves a request
+    /// suspect for as long again, so that it is quarantined at once where it goes on.
     fn is_over(&self, now: Duration) -> bool {
-        self.last + bar(self.ends.len()) * 2 <= now
+        self.last + quarantine(self.ends.len()) * 2 <= now
     }
 }
 
-/// Time for which a request with so many ends is barred.
-fn bar(ends: usize) -> Duration {
+/// Time for which a request with so many ends is quarantined.
+fn quarantine(ends: usize) -> Duration {
     let doublings = u32::try_from(ends.saturating_sub(ENDS_WAITING)).unwrap_or(u32::MAX);
-    FIRST_BAR * 2_u32.pow(doublings.min(MOST_DOUBLINGS))
+    FIRST_QUARANTINE * 2_u32.pow(doublings.min(MOST_DOUBLINGS))
 }
--- a/crates/papayayard_routing/tests/blame.rs
+++ b/crates/papayayard_routing/tests/blame.rs
@@ -1,4 +1,4 @@
-//! The request that ends its endpoints is barred everywhere, and others are not for long.
+//! The request that ends its endpoints is quarantined everywhere, and others are not for long.
 
 use std::time::Duration;
 
@@ -19,8 +19,11 @@
     }
 }
 
-fn is_barred(table: &Table, fingerprint: Fingerprint, now: Duration) -> bool {
-    matches!(table.standing(fingerprint, now), Standing::Barred { .. })
+fn is_quarantined(table: &Table, fingerprint: Fingerprint, now: Duration) -> bool {
+    matches!(
+        table.standing(fingerprint, now),
+        Standing::Quarantined { .. }
+    )
 }
 
 #[rstest]
@@ -29,12 +32,12 @@
 #[case::twice_once_begun(&[Progress::Waiting, Progress::Begun], false)]
 #[case::twice_begun(&[Progress::Begun, Progress::Begun], false)]
 #[case::three_times_however_far(&[Progress::Begun, Progress::Begun, Progress::Begun], true)]
-fn ends_bar_a_request(#[case] ends: &[Progress], #[case] barred: bool) {
+fn ends_quarantine_a_request(#[case] ends: &[Progress], #[case] quarantined: bool) {
     let mut table = Table::default();
     for (number, progress) in (0..).zip(ends) {
         table.ended(DEADLY, &run(number), *progress, NOW);
     }
-    assert_eq!(is_barred(&table, DEADLY, NOW), barred);
+    assert_eq!(is_quarantined(&table, DEADLY, NOW), quarantined);
     assert_eq!(table.standing(Fingerprint(1), NOW), Standing::Clear);
 }
 
@@ -51,7 +54,7 @@
         ..run(1)
     };
     let effect = table.ended(DEADLY, &restarted, Progress::Waiting, NOW);
-    assert_eq!(effect, Effect::Barred);
+    assert_eq!(effect, Effect::Quarantined);
 }
 
 #[test]
@@ -63,21 +66,21 @@
     assert_eq!(again, Effect::Nothing);
     table.ended(DEADLY, &run(1), Progress::Waiting, NOW);
     let effect = table.ended(DEADLY, &run(2), Progress::Waiting, NOW);
-    assert_eq!(effect, Effect::Barred);
+    assert_eq!(effect, Effect::Quarantined);
 }
 
 #[test]
-fn a_request_that_finishes_is_clear_and_others_learn_of_it_if_they_bar_it() {
+fn a_request_that_finishes_is_clear_and_others_learn_of_it_if_they_quarantine_it() {
     let mut table = Table::default();
     table.ended(DEADLY, &run(1), Progress::Waiting, NOW);
-    assert!(!table.finished(DEADLY, NOW), "nobody bars it");
+    assert!(!table.finished(DEADLY, NOW), "nobody quarantines it");
     assert_eq!(table.standing(DEADLY, NOW), Standing::Clear);
     // Others do not know that it has finished.
     let effect = table.ended(DEADLY, &run(2), Progress::Waiting, NOW);
     assert_eq!(effect, Effect::Disputed);
     assert_eq!(table.standing(DEADLY, NOW), Standing::Suspect);
     let effect = table.ended(DEADLY, &run(3), Progress::Waiting, NOW);
-    assert_eq!(effect, Effect::Barred);
+    assert_eq!(effect, Effect::Quarantined);
     assert!(table.finished(DEADLY, NOW), "one that was still running");
     assert_eq!(table.standing(DEADLY, NOW), Standing::Clear);
 }
@@ -116,7 +119,7 @@
     }
 }
 
-/// What ran beside it twice is not barred, and after one more end not even suspect.
+/// What ran beside it twice is not quarantined, and after one more end not even suspect.
 #[test]
 fn what_met_the_same_ends_waits_for_one_more_to_tell() {
     let beside = Fingerprint(1);
@@ -128,13 +131,13 @@
     assert_eq!(table.standing(DEADLY, NOW), Standing::Suspect);
     assert_eq!(table.standing(beside, NOW), Standing::Suspect);
     let effect = table.ended(DEADLY, &run(2), Progress::Waiting, NOW);
-    assert_eq!(effect, Effect::Barred);
+    assert_eq!(effect, Effect::Quarantined);
     assert_eq!(table.standing(beside, NOW), Standing::Clear);
 }
 
 /// What one has met does not excuse the other for long.
 #[test]
-fn two_such_requests_that_meet_are_both_barred() {
+fn two_such_requests_that_meet_are_both_quarantined() {
     let second = Fingerprint(667);
     let mut table = Table::default();
     for number in 0..4 {
@@ -143,17 +146,17 @@
             table.ended(second, &run(number), Progress::Waiting, NOW);
         }
     }
-    assert!(is_barred(&table, DEADLY, NOW));
+    assert!(is_quarantined(&table, DEADLY, NOW));
     assert_eq!(table.standing(second, NOW), Standing::Clear);
     table.ended(second, &run(4), Progress::Waiting, NOW);
-    assert!(is_barred(&table, second, NOW));
+    assert!(is_quarantined(&table, second, NOW));
 }
 
 /// Requests run at random at six endpoints. One of them ends each endpoint that runs
 /// it, and what ran beside it is sent elsewhere at once, as it is itself.
 #[test]
-fn the_cause_is_barred_soon_and_bystanders_are_not() {
-    let mut barred = 0;
+fn the_cause_is_quarantined_soon_and_bystanders_are_not() {
+    let mut quarantined = 0;
     for seed in 0..500 {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let mut table = Table::default();
@@ -162,7 +165,7 @@
             .collect();
         let mut starts = [0; 6];
         let mut ends = 0;
-        while !is_barred(&table, DEADLY, NOW) {
+        while !is_quarantined(&table, DEADLY, NOW) {
             ends += 1;
             assert!(ends <= 4, "seed {seed}: {ends} endpoints have ended");
             let at = rng.next_u64() % 6;
@@ -185,11 +188,14 @@
             }
         }
         let bystanders = (0..60).map(Fingerprint);
-        barred += bystanders
-            .filter(|one| is_barred(&table, *one, NOW))
+        quarantined += bystanders
+            .filter(|one| is_quarantined(&table, *one, NOW))
             .count();
     }
-    assert!(barred <= 25, "{barred} of 30,000 bystanders are barred");
+    assert!(
+        quarantined <= 25,
+        "{quarantined} of 30,000 bystanders are quarantined"
+    );
 }
 
 /// Over a day the caller comes back every second, at all hosts.
@@ -199,7 +205,7 @@
     let mut ends = 0;
     for second in 0..24 * 3_600 {
         let now = NOW + Duration::from_secs(second);
-        if !is_barred(&table, DEADLY, now) {
+        if !is_quarantined(&table, DEADLY, now) {
             ends += 1;
             table.ended(DEADLY, &run(ends), Progress::Waiting, now);
         }
@@ -218,7 +224,7 @@
 }
 
 #[test]
-fn the_table_is_bounded_and_keeps_what_is_barred() {
+fn the_table_is_bounded_and_keeps_what_is_quarantined() {
     let mut table = Table::default();
     for number in 0..2 {
         table.ended(DEADLY, &run(number), Progress::Waiting, NOW);
@@ -230,5 +236,5 @@
     let others = (0..40_000).map(|number| Fingerprint(1_000 + number));
     let known = others.filter(|one| table.standing(*one, NOW) == Standing::Suspect);
     assert!(known.count() < 10_000);
-    assert!(is_barred(&table, DEADLY, NOW));
+    assert!(is_quarantined(&table, DEADLY, NOW));
 }
