Ends: answers that nobody read go

Known::ended and the fold's take told whether anything was new, and nobody looked: a record of an end is passed on in any case. A name that said appends for the outbox. No change of behaviour; clippy is clean on the crate and on platform, the path tests of requests that end endpoints pass.

--- a/crates/papayayard_gateway/src/ends.rs
+++ b/crates/papayayard_gateway/src/ends.rs
@@ -63,7 +63,7 @@
     }
 
     /// Takes over that a run ended under a request.
-    fn ended(&self, fingerprint: Fingerprint, run: &Run, progress: Progress, at: Duration) -> bool {
+    fn ended(&self, fingerprint: Fingerprint, run: &Run, progress: Progress, at: Duration) {
         let effect = self.table().ended(fingerprint, run, progress, at);
         match effect {
             Effect::Quarantined => {
@@ -76,7 +76,6 @@
             }
             Effect::Suspected | Effect::Nothing => {}
         }
-        effect != Effect::Nothing
     }
 }
 
--- a/crates/papayayard_gateway/src/ends/fold.rs
+++ b/crates/papayayard_gateway/src/ends/fold.rs
@@ -38,30 +38,26 @@
         }
     }
 
-    fn take(&self, news: News, at: Duration) -> bool {
+    fn take(&self, news: News, at: Duration) {
         match news {
             News::Ended {
                 run,
                 waiting,
                 begun,
             } => {
-                let waiting = self.ended(&run, &waiting, Progress::Waiting, at);
-                let begun = self.ended(&run, &begun, Progress::Begun, at);
-                waiting || begun
+                self.ended(&run, &waiting, Progress::Waiting, at);
+                self.ended(&run, &begun, Progress::Begun, at);
             }
             News::Cleared { fingerprint } => {
                 self.known.table().finished(fingerprint, at);
-                true
             }
         }
     }
 
-    fn ended(&self, run: &Run, requests: &[Fingerprint], progress: Progress, at: Duration) -> bool {
-        let mut is_news = false;
+    fn ended(&self, run: &Run, requests: &[Fingerprint], progress: Progress, at: Duration) {
         for fingerprint in requests {
-            is_news |= self.known.ended(*fingerprint, run, progress, at);
+            self.known.ended(*fingerprint, run, progress, at);
         }
-        is_news
     }
 
     fn sweep(&mut self, now: Duration) {
--- a/crates/papayayard_gateway/src/ends/write.rs
+++ b/crates/papayayard_gateway/src/ends/write.rs
@@ -42,11 +42,11 @@
     /// Both ends of the way to the writer.
     pub(super) fn new(host: &id::Host) -> (Self, Queue) {
         let (appends, written) = mpsc::unbounded_channel();
-        let appends = Self {
+        let outbox = Self {
             host: host.clone(),
             appends,
         };
-        (appends, Queue(written))
+        (outbox, Queue(written))
     }
 
     /// Has a record written.
