Gateway: log and count answers in which an endpoint names a limit

From the record one could not tell whether hosts were never told of a limit or were told and did not keep it. The header is decoded, written as "the endpoint limits requests" and counted as papayayard_endpoint_limits; a limit that can't be read is logged with its reason. No decision uses it yet.

--- a/crates/papayayard_gateway/src/attempt.rs
+++ b/crates/papayayard_gateway/src/attempt.rs
@@ -20,6 +20,7 @@
 use crate::dispatch::Permit;
 use crate::exchange::{Codec, Forwarding, ResponseHead};
 use crate::job::Job;
+use crate::metrics::Metrics;
 use crate::pool::Pool;
 use crate::refusal::millis;
 
@@ -92,6 +93,7 @@
     /// Backoffs requested by endpoints.
     pub(crate) backoffs: Backoffs,
     pub(crate) clock: Clock,
+    pub(crate) metrics: Metrics,
 }
 
 impl<Platform> Sender<Platform>
@@ -228,6 +230,19 @@
             let until = self.clock.now() + time;
             self.backoffs.set(placement.address, until);
         }
+        match &reported.limit {
+            Ok(None) => {}
+            Ok(Some(limit)) => {
+                log::info!(
+                    request:% = job.id, endpoint:% = placement.endpoint, per_second = limit.per_second();
+                    "the endpoint limits requests"
+                );
+                self.metrics.limit_named();
+            }
+            Err(error) => {
+                log::warn!(request:% = job.id, endpoint:% = placement.endpoint, error:%; "limit ignored");
+            }
+        }
     }
 
     /// Reads the rest of a refusal, so that its connection can be reused.
--- a/crates/papayayard_gateway/src/exchange.rs
+++ b/crates/papayayard_gateway/src/exchange.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, StatusCode};
 use papayayard_routing::prompt::{Prompt, Salt};
+use papayayard_routing::rate::Rate;
 use papayayard_wire::id;
 use snafu::Snafu;
 
@@ -61,7 +62,7 @@
 }
 
 /// Values in the head of an endpoint's response.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct ResponseHead {
     /// Whether the endpoint reports that the request did not run.
     pub not_run: bool,
@@ -75,6 +76,8 @@
     pub is_leaving: bool,
     /// Time for which the endpoint requests that this host send nothing.
     pub backoff: Option<Duration>,
+    /// Rate of requests that the endpoint accepts from all hosts together, if it names one.
+    pub limit: Result<Option<Rate>, InvalidHeader>,
 }
 
 /// An order to an endpoint to load weights.
--- a/crates/papayayard_gateway/src/host.rs
+++ b/crates/papayayard_gateway/src/host.rs
@@ -127,6 +127,7 @@
             pool,
             backoffs: parts.backoffs.clone(),
             clock,
+            metrics: parts.metrics.clone(),
         },
         clock,
         dispatch,
--- a/crates/papayayard_gateway/src/metrics.rs
+++ b/crates/papayayard_gateway/src/metrics.rs
@@ -24,6 +24,7 @@
     orders: Counter<u64>,
     crashes: Counter<u64>,
     quarantines: Counter<u64>,
+    limits: Counter<u64>,
     first_event: Histogram<f64>,
     hosts: Gauge<u64>,
 }
@@ -68,6 +69,10 @@
                     "Requests that this host has begun to quarantine, by their fingerprints",
                 )
                 .build(),
+            limits: meter
+                .u64_counter("papayayard_endpoint_limits")
+                .with_description("Answers in which endpoints named a limit on requests")
+                .build(),
             first_event: meter
                 .f64_histogram("papayayard_first_event_seconds")
                 .with_description("Time from a request's arrival to its stream's first event")
@@ -118,6 +123,10 @@
         self.quarantines.add(1, &[]);
     }
 
+    pub(crate) fn limit_named(&self) {
+        self.limits.add(1, &[]);
+    }
+
     pub(crate) fn first_event(&self, time: Duration) {
         self.first_event.record(time.as_secs_f64(), &[]);
     }
--- a/crates/papayayard_routing/src/lib.rs
+++ b/crates/papayayard_routing/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod placement;
 pub mod prompt;
 pub mod quarantine;
+pub mod rate;
 pub mod retry;
 pub mod retry_budget;
 pub mod run;
