Keep the limits that endpoints name, all hosts together

Cause: no host read the limit. Shown by the record (each host sent as before after an answer that named it) and by the test with callers at one host only. That each host keeps the whole limit, or that retries and polls pass it by, would have come next; the tests hold both.

The scheduler has a bucket for each endpoint that has named a limit; a placement takes from it. The limit belongs to the hosts of the endpoint's zone in equal parts, and a scheduler uses the parts of the hosts whose requests it places: a dispatcher uses all of it, hosts that lose their dispatcher use no more together, and nobody asks anybody before a request. Reports of limits and the list of all of them ride on calls that are made anyway. Plain requests go through the dispatcher while one of their endpoints has a limit, polls of its cache pause. A stricter limit holds at once; a looser one, or none, only by the answer to a request that was placed after the limit was last named, since answers overtake one another. A request waits only if its turn comes in time, and is refused at once otherwise, with the time at which it can be served.

--- a/crates/papayayard_gateway/src/attempt.rs
+++ b/crates/papayayard_gateway/src/attempt.rs
@@ -230,16 +230,18 @@
             let until = self.clock.now() + time;
             self.backoffs.set(placement.address, until);
         }
-        match &reported.limit {
-            Ok(None) => {}
-            Ok(Some(limit)) => {
-                log::info!(
-                    request:% = job.id, endpoint:% = placement.endpoint, per_second = limit.per_second();
-                    "the endpoint limits requests"
-                );
-                self.metrics.limit_named();
+        match reported.limit {
+            Ok(limit) => {
+                if let Some(limit) = limit {
+                    log::info!(
+                        request:% = job.id, endpoint:% = placement.endpoint, per_second = limit.per_second();
+                        "the endpoint limits requests"
+                    );
+                    self.metrics.limit_named();
+                }
+                permit.set_limit(&placement.endpoint, limit);
             }
-            Err(error) => {
+            Err(ref error) => {
                 log::warn!(request:% = job.id, endpoint:% = placement.endpoint, error:%; "limit ignored");
             }
         }
--- a/crates/papayayard_gateway/src/dispatch.rs
+++ b/crates/papayayard_gateway/src/dispatch.rs
@@ -4,7 +4,8 @@
 //! `papayayard_coordination::dispatcher`. Progress and outcomes of requests are reported
 //! to it with the next placement request, or a moment later. This host records them too,
 //! so that it can place requests itself as soon as its dispatcher fails. Requests to
-//! plain services are always placed here: their endpoints are few and quick.
+//! plain services are placed here, since their endpoints are few and quick, except while
+//! one of the endpoints limits the requests of all hosts together.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -19,7 +20,7 @@
 use crate::clock::Clock;
 use crate::hosts::{self, Neighbours};
 use crate::metrics::Metrics;
-use crate::schedule::Handle;
+use crate::schedule::{Handle, Message};
 
 mod handler;
 mod link;
@@ -33,7 +34,7 @@
 pub(crate) use permit::Permit;
 
 use link::{Link, Local};
-use message::Redirect;
+use message::{Limits, Redirect};
 use register::Register;
 use state::State;
 
@@ -114,7 +115,7 @@
     pub(crate) async fn place(&self, mut query: Query) -> Selection {
         let number = self.0.local.register.number();
         let mut redirects = 0;
-        while query.prompt.is_some() && redirects <= MAX_REDIRECTS {
+        while self.is_dispatched(&query) && redirects <= MAX_REDIRECTS {
             let Some(link) = self.dispatcher() else {
                 break;
             };
@@ -126,6 +127,7 @@
             match link.request_placement(number, &query, requested_at).await {
                 Ok(answer) => {
                     self.state().answered(&link, answer.elsewhere.as_ref());
+                    self.set_limits(answer.limits, requested_at);
                     if let Some(decision) = answer.decision {
                         self.0.metrics.dispatched("dispatcher");
                         return self.adopt(query, number, decision, link).await;
@@ -145,6 +147,19 @@
         self.place_locally(query, number).await
     }
 
+    /// Whether a dispatcher places a request.
+    fn is_dispatched(&self, query: &Query) -> bool {
+        query.prompt.is_some() || self.0.schedule.has_limits(&query.service)
+    }
+
+    /// Adopts the limits that the dispatcher knew when it was called.
+    fn set_limits(&self, limits: Option<Limits>, called_at: Duration) {
+        if let Some(limits) = limits {
+            let message = Message::Limits(limits.into_limits(), called_at);
+            self.0.schedule.send(message);
+        }
+    }
+
     /// Whether this host places requests, its own or those of other hosts.
     pub(crate) fn places_requests(&self) -> bool {
         let now = self.0.clock.now();
@@ -163,17 +178,21 @@
             let now = self.0.clock.now();
             let dispatcher = self.dispatcher();
             let is_due = |link: &Link| link.called_at() + HEARTBEAT_PERIOD <= now;
-            let due = dispatcher.filter(|link| is_due(link));
+            let is_dispatcher = |link: &Arc<Link>| {
+                let dispatcher = dispatcher.as_ref();
+                dispatcher.is_some_and(|dispatcher| Arc::ptr_eq(dispatcher, link))
+            };
             let mut links = self.state().links();
-            links.retain(|link| link.has_notices());
-            if let Some(link) = due
-                && !links.iter().any(|other| Arc::ptr_eq(other, &link))
-            {
-                links.push(link);
-            }
+            links.retain(|link| link.has_notices() || (is_dispatcher(link) && is_due(link)));
             for link in links {
-                match link.send_heartbeat(now).await {
-                    Ok(answer) => self.state().answered(&link, answer.elsewhere.as_ref()),
+                let is_used = is_dispatcher(&link);
+                match link.send_heartbeat(is_used, now).await {
+                    Ok(answer) => {
+                        self.state().answered(&link, answer.elsewhere.as_ref());
+                        if is_used {
+                            self.set_limits(answer.limits, now);
+                        }
+                    }
                     Err(problem) => self.failed(link.host(), &problem),
                 }
             }
@@ -185,7 +204,7 @@
     async fn find_incumbent(&self) {
         let links = self.state().take_unprobed();
         for link in links {
-            let answer = link.send_heartbeat(self.0.clock.now()).await;
+            let answer = link.send_heartbeat(false, self.0.clock.now()).await;
             let mut state = self.state();
             match answer {
                 Ok(answer) if answer.is_asked => state.set_incumbent(link.candidate().clone()),
--- a/crates/papayayard_gateway/src/dispatch/handler.rs
+++ b/crates/papayayard_gateway/src/dispatch/handler.rs
@@ -8,7 +8,9 @@
 
 use super::Dispatch;
 use super::link::HOLD_TIMEOUT;
-use super::message::{Answer, Call, Decision, Event, Notice, Placed, Refusal, Request, Running};
+use super::message::{
+    Answer, Call, Decision, Event, Limits, Notice, Placed, Refusal, Request, Running,
+};
 use crate::schedule::{Message, Progress};
 
 #[derive(Clone)]
@@ -38,6 +40,17 @@
         shared
             .schedule
             .send(Message::Contact(host.clone(), call.run));
+        if elsewhere.is_none() && call.is_used {
+            shared
+                .schedule
+                .send(Message::Use(host.clone(), zone.clone()));
+        }
+        for named in call.named {
+            let progress = Progress::Limit(named.limit);
+            shared
+                .schedule
+                .send(Message::Notice(host.clone(), named.number, progress));
+        }
         for notice in call.notices {
             self.record(&host, &zone, notice, now);
         }
@@ -45,11 +58,15 @@
             Some(request) if elsewhere.is_none() => self.decide(request, host, zone).await,
             _ => None,
         };
+        let limits = shared.schedule.limits();
+        let is_current = call.limits_revision == Some(limits.revision);
+        let limits = (!is_current && elsewhere.is_none()).then(|| Limits::new(&limits));
         Answer {
             run: shared.local.run,
             decision,
             is_asked,
             elsewhere,
+            limits,
         }
     }
 
--- a/crates/papayayard_gateway/src/dispatch/link.rs
+++ b/crates/papayayard_gateway/src/dispatch/link.rs
@@ -5,10 +5,11 @@
 
 use papayayard_coordination::ranking::Candidate;
 use papayayard_routing::placement::Query;
+use papayayard_routing::rate::Rate;
 use papayayard_wire::id;
 use tokio::sync::Notify;
 
-use super::message::{Answer, Call, Event, Notice, Request};
+use super::message::{Answer, Call, Event, NamedLimit, Notice, Request};
 use super::register::Register;
 use crate::peers;
 
@@ -45,6 +46,9 @@
 #[derive(Default)]
 struct Outbox {
     notices: Vec<Notice>,
+    named: Vec<NamedLimit>,
+    /// Revision of the limits in the last answer that had any.
+    limits_revision: Option<u64>,
     /// Random process ID in the dispatcher's last answer.
     run: Option<u64>,
     /// Time of the last call.
@@ -78,14 +82,18 @@
         query: &Query,
         now: Duration,
     ) -> Result<Answer, String> {
-        let prompt = query.prompt.as_ref();
-        let request = prompt.map(|prompt| Request::new(number, query, prompt, now));
-        self.call(request, now).await
+        let request = Request::new(number, query, now);
+        self.call(Some(request), true, now).await
     }
 
-    /// Sends the queued notices, if any, without a placement request.
-    pub(super) async fn send_heartbeat(&self, now: Duration) -> Result<Answer, String> {
-        self.call(None, now).await
+    /// Sends the queued notices, if any, without a placement request. `is_used` states
+    /// whether this host requests its placements there.
+    pub(super) async fn send_heartbeat(
+        &self,
+        is_used: bool,
+        now: Duration,
+    ) -> Result<Answer, String> {
+        self.call(None, is_used, now).await
     }
 
     /// Queues a notice for the next call.
@@ -101,8 +109,19 @@
         self.local.wakeup.notify_one();
     }
 
+    /// Queues the limit that the answer to a request names for the next call.
+    pub(super) fn notify_limit(&self, number: u64, limit: Option<Rate>) {
+        let mut outbox = self.outbox();
+        if outbox.named.len() < MAX_NOTICES {
+            outbox.named.push(NamedLimit { number, limit });
+        }
+        drop(outbox);
+        self.local.wakeup.notify_one();
+    }
+
     pub(super) fn has_notices(&self) -> bool {
-        !self.outbox().notices.is_empty()
+        let outbox = self.outbox();
+        !outbox.notices.is_empty() || !outbox.named.is_empty()
     }
 
     /// Time of the last call.
@@ -110,7 +129,12 @@
         self.outbox().called_at
     }
 
-    async fn call(&self, request: Option<Request>, now: Duration) -> Result<Answer, String> {
+    async fn call(
+        &self,
+        request: Option<Request>,
+        is_used: bool,
+        now: Duration,
+    ) -> Result<Answer, String> {
         let call = {
             let mut outbox = self.outbox();
             outbox.called_at = now;
@@ -119,6 +143,9 @@
                 run: self.local.run,
                 zone: self.local.zone.as_str().to_owned(),
                 notices: std::mem::take(&mut outbox.notices),
+                named: std::mem::take(&mut outbox.named),
+                is_used,
+                limits_revision: outbox.limits_revision,
                 question: request,
             }
         };
@@ -126,9 +153,13 @@
         let mut outbox = self.outbox();
         if outbox.run != Some(answer.run) {
             outbox.run = Some(answer.run);
+            outbox.limits_revision = None;
             outbox.notices.extend(self.local.register.notices(now));
             self.local.wakeup.notify_one();
         }
+        if let Some(limits) = &answer.limits {
+            outbox.limits_revision = Some(limits.revision);
+        }
         drop(outbox);
         Ok(answer)
     }
--- a/crates/papayayard_gateway/src/dispatch/message.rs
+++ b/crates/papayayard_gateway/src/dispatch/message.rs
@@ -5,14 +5,16 @@
 use std::time::Duration;
 
 use papayayard_routing::placement::{
-    Availability, Outcome, Placement, Query, RefusalReason, Ticket,
+    Availability, Limit, Outcome, Placement, Query, RefusalReason, Ticket,
 };
 use papayayard_routing::prompt::{Part, Prompt};
+use papayayard_routing::rate::Rate;
 use papayayard_wire::id;
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMicroSeconds, DurationMilliSeconds, serde_as};
 
 use super::Selection;
+use crate::schedule;
 
 /// Call of a host to its dispatcher: notices, and possibly a placement request.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -25,10 +27,44 @@
     pub(super) zone: String,
     /// Progress and outcomes of requests.
     pub(super) notices: Vec<Notice>,
+    /// Limits that endpoints name in answers to requests.
+    #[serde(default)]
+    pub(super) named: Vec<NamedLimit>,
+    /// Whether the requesting host uses the called one as its dispatcher.
+    #[serde(default)]
+    pub(super) is_used: bool,
+    /// Revision of the limits that the requesting host has from the called one.
+    #[serde(default)]
+    pub(super) limits_revision: Option<u64>,
     /// Request to be placed.
     pub(super) question: Option<Request>,
 }
 
+/// Limit that the answer to a request names, or that it names none.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub(super) struct NamedLimit {
+    /// Number of the request on the requesting host.
+    pub(super) number: u64,
+    pub(super) limit: Option<Rate>,
+}
+
+/// Limit of an endpoint.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(super) struct EndpointLimit {
+    endpoint: String,
+    started: id::Incarnation,
+    service: String,
+    rate: Rate,
+}
+
+/// All limits that a dispatcher knows.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(super) struct Limits {
+    /// Number of changes since the dispatcher's start.
+    pub(super) revision: u64,
+    pub(super) list: Vec<EndpointLimit>,
+}
+
 /// Progress or outcome of a request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct Notice {
@@ -84,6 +120,9 @@
     likely_output: Option<u32>,
     /// Name and number of tokens of each prompt part.
     parts: Vec<(String, u32)>,
+    /// Whether the request declares no prompt; the fields above are then empty.
+    #[serde(default)]
+    is_plain: bool,
     /// Client account, if it shares no cached prompts with other accounts.
     wall: Option<String>,
     is_repeatable: bool,
@@ -111,6 +150,9 @@
     pub(super) is_asked: bool,
     /// Dispatcher of the answering host, if it uses another host.
     pub(super) elsewhere: Option<Redirect>,
+    /// Limits of endpoints, if they differ from those that the requesting host has.
+    #[serde(default)]
+    pub(super) limits: Option<Limits>,
 }
 
 /// Another host to use as dispatcher.
@@ -193,17 +235,46 @@
     }
 }
 
+impl Limits {
+    pub(super) fn new(limits: &schedule::Limits) -> Self {
+        let list = limits.list.iter().map(|limit| EndpointLimit {
+            endpoint: limit.endpoint.as_str().to_owned(),
+            started: limit.started,
+            service: limit.service.as_str().to_owned(),
+            rate: limit.rate,
+        });
+        Self {
+            revision: limits.revision,
+            list: list.collect(),
+        }
+    }
+
+    /// Converts the limits for the scheduler.
+    pub(super) fn into_limits(self) -> Vec<Limit> {
+        let list = self.list.into_iter().map(|limit| Limit {
+            endpoint: id::Endpoint::from(limit.endpoint),
+            started: limit.started,
+            service: id::Service::from(limit.service),
+            rate: limit.rate,
+        });
+        list.collect()
+    }
+}
+
 impl Request {
-    pub(super) fn new(number: u64, query: &Query, prompt: &Prompt, now: Duration) -> Self {
-        let parts = prompt.parts.iter();
+    pub(super) fn new(number: u64, query: &Query, now: Duration) -> Self {
+        let prompt = query.prompt.as_ref();
+        let parts = prompt.iter().flat_map(|prompt| &prompt.parts);
+        let model = prompt.map_or("", |prompt| prompt.model.as_str());
         Self {
             number,
             service: query.service.as_str().to_owned(),
-            model: prompt.model.as_str().to_owned(),
-            tokens: prompt.tokens,
-            most_output: prompt.max_output,
-            likely_output: prompt.expected_output,
+            model: model.to_owned(),
+            tokens: prompt.map_or(0, |prompt| prompt.tokens),
+            most_output: prompt.map_or(0, |prompt| prompt.max_output),
+            likely_output: prompt.and_then(|prompt| prompt.expected_output),
             parts: parts.map(|part| (part.name.clone(), part.tokens)).collect(),
+            is_plain: prompt.is_none(),
             wall: query
                 .isolation
                 .as_ref()
@@ -233,7 +304,7 @@
             service: id::Service::from(self.service),
             requesting_host: Some(host),
             zone,
-            prompt: Some(Arc::new(prompt)),
+            prompt: (!self.is_plain).then(|| Arc::new(prompt)),
             isolation: self.wall.map(id::Account::from),
             is_repeatable: self.is_repeatable,
             priority: self.priority,
--- a/crates/papayayard_gateway/src/dispatch/permit.rs
+++ b/crates/papayayard_gateway/src/dispatch/permit.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use papayayard_routing::placement::{Outcome, Ticket};
+use papayayard_routing::rate::Rate;
+use papayayard_wire::id;
 
 use super::link::Link;
 use super::message::Event;
@@ -70,6 +72,17 @@
         self.report(|ticket| Message::Backoff(ticket, time), None);
     }
 
+    /// Records the limit that the endpoint names in its answer, or that it names none.
+    pub(crate) fn set_limit(&self, endpoint: &id::Endpoint, limit: Option<Rate>) {
+        if limit.is_none() && !self.schedule.is_limited(endpoint) {
+            return;
+        }
+        self.report(|ticket| Message::Limit(ticket, limit), None);
+        if let Some(dispatcher) = &self.dispatcher {
+            dispatcher.notify_limit(self.number, limit);
+        }
+    }
+
     /// Reports the outcome and drops the permit.
     pub(crate) fn end(mut self, outcome: Outcome) {
         self.outcome = outcome;
--- a/crates/papayayard_gateway/src/feeds.rs
+++ b/crates/papayayard_gateway/src/feeds.rs
@@ -296,7 +296,7 @@
         let mut since = 0;
         let mut failures = 0;
         loop {
-            self.wait_for_backoff().await;
+            self.wait_until_wanted().await;
             let request = self.codec.changes(since, POLL_WAIT);
             let reply = match caller.call(request, CHANGES_BOUNDS).await {
                 Ok(reply) => reply,
@@ -351,9 +351,13 @@
         matches!(self.source.holder, Holder::Store(_))
     }
 
-    /// Waits for as long as the holder has requested a backoff.
-    async fn wait_for_backoff(&self) {
+    /// Waits for as long as the holder has requested a backoff or limits requests: polls would
+    /// take the place of callers' requests.
+    async fn wait_until_wanted(&self) {
         loop {
+            if let Holder::Endpoint(endpoint) = &self.source.holder {
+                self.publisher.schedule.until_unlimited(endpoint).await;
+            }
             let left = self
                 .backoffs
                 .remaining(self.source.address, self.clock.now());
--- a/crates/papayayard_gateway/src/host.rs
+++ b/crates/papayayard_gateway/src/host.rs
@@ -178,6 +178,7 @@
     let mut scheduler = Scheduler::new(placement::Settings {
         old_weights: settings.bounds.old_weights,
         old_weights_grace: OLD_WEIGHTS_GRACE,
+        limit_phase: rand::random(),
     });
     scheduler.set_hosts(hosts::ASSUMED_COUNT);
     schedule::start(scheduler, settings.zone.clone(), clock)
--- a/crates/papayayard_gateway/src/hosts.rs
+++ b/crates/papayayard_gateway/src/hosts.rs
@@ -12,6 +12,7 @@
 use papayayard_coordination::presence::Tracker;
 use papayayard_coordination::ranking::Candidate;
 use papayayard_coordination::shutdown::Stage;
+use papayayard_routing::placement::HostCounts;
 use papayayard_wire::id;
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
@@ -162,6 +163,7 @@
     census: Tracker,
     hosts: HashMap<id::Host, Presence>,
     last_number: usize,
+    last_counts: Option<HostCounts>,
 }
 
 impl Presences {
@@ -172,6 +174,7 @@
             census: Tracker::default(),
             hosts: HashMap::new(),
             last_number: 0,
+            last_counts: None,
         }
     }
 
@@ -179,6 +182,11 @@
         let living = self.census.live_hosts(end);
         let number = living.len().max(1);
         let neighbours = self.neighbours(&living);
+        let counts = self.counts(&living);
+        if self.last_counts.as_ref() != Some(&counts) {
+            self.last_counts = Some(counts.clone());
+            self.links.schedule.send(Message::HostCounts(counts));
+        }
         if number != self.last_number {
             log::info!(number; "hosts counted");
             self.last_number = number;
@@ -195,6 +203,19 @@
         });
     }
 
+    fn counts(&self, living: &[&id::Host]) -> HostCounts {
+        let mut by_zone = HashMap::new();
+        let known = living.iter().filter_map(|host| self.hosts.get(*host));
+        for presence in known {
+            let zone = id::Zone::from(presence.zone.as_str());
+            *by_zone.entry(zone).or_default() += 1;
+        }
+        HostCounts {
+            local: self.own.zone.clone(),
+            by_zone,
+        }
+    }
+
     fn neighbours(&self, living: &[&id::Host]) -> Neighbours {
         let mut neighbours = Neighbours {
             are_counted: true,
--- a/crates/papayayard_gateway/src/hosts_test.rs
+++ b/crates/papayayard_gateway/src/hosts_test.rs
@@ -25,6 +25,7 @@
     let scheduler = Scheduler::new(Settings {
         old_weights: NOW,
         old_weights_grace: NOW,
+        limit_phase: 0.0,
     });
     let links = Links {
         number,
--- a/crates/papayayard_gateway/src/schedule.rs
+++ b/crates/papayayard_gateway/src/schedule.rs
@@ -10,10 +10,11 @@
 use std::time::Duration;
 
 use papayayard_routing::placement::{
-    Availability, Decision, Endpoint, InFlight, Outcome, PendingKey, Placement, Query,
-    RefusalReason, Scheduler, Ticket,
+    Availability, Decision, Endpoint, HostCounts, InFlight, Limit, Outcome, PendingKey, Placement,
+    Query, RefusalReason, Scheduler, Ticket,
 };
 use papayayard_routing::prompt;
+use papayayard_routing::rate::Rate;
 use papayayard_routing::table::Table;
 use papayayard_routing::weights::TargetVersions;
 use papayayard_wire::id;
@@ -35,6 +36,20 @@
     Store(id::Service),
 }
 
+/// Limits that endpoints have named.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Limits {
+    /// Number of changes since the process started.
+    pub(crate) revision: u64,
+    pub(crate) list: Vec<Limit>,
+}
+
+impl Limits {
+    fn has(&self, endpoint: &id::Endpoint) -> bool {
+        self.list.iter().any(|limit| limit.endpoint == *endpoint)
+    }
+}
+
 /// Message to the scheduler task.
 pub(crate) enum Message {
     /// Request to be placed, with its number on the requesting host.
@@ -43,6 +58,8 @@
     Adopt(Box<(Query, Placement)>, oneshot::Sender<Option<Ticket>>),
     /// Call of another host, with the random ID of its process.
     Contact(id::Host, u64),
+    /// A host of a zone requests its placements from this one.
+    Use(id::Host, id::Zone),
     /// Progress of another host's request, with its number on that host.
     Notice(id::Host, u64, Progress),
     /// The first event of a placed request has arrived.
@@ -51,6 +68,10 @@
     Leaving(Ticket),
     /// The endpoint of a placed request requested a backoff.
     Backoff(Ticket, Duration),
+    /// The answer to a placed request names a limit of its endpoint, or none.
+    Limit(Ticket, Option<Rate>),
+    /// All limits that the dispatcher knew at a time.
+    Limits(Vec<Limit>, Duration),
     /// A placed request has finished.
     Finished(Ticket, Outcome),
     /// New routing table.
@@ -61,6 +82,8 @@
     Endpoints(Vec<Endpoint>),
     /// Number of hosts.
     Hosts(usize),
+    /// Number of hosts in each zone.
+    HostCounts(HostCounts),
     /// All endpoints that currently load weights.
     Loading(Vec<id::Endpoint>),
     /// An endpoint has loaded a version of a model's weights.
@@ -78,6 +101,8 @@
     Begun,
     /// The endpoint announced its shutdown.
     Leaving,
+    /// The answer names a limit of the endpoint, or none.
+    Limit(Option<Rate>),
     Finished(Outcome),
 }
 
@@ -86,6 +111,7 @@
 pub(crate) struct Handle {
     messages: mpsc::UnboundedSender<Message>,
     avoided: watch::Receiver<Vec<id::Endpoint>>,
+    limits: watch::Receiver<Limits>,
 }
 
 impl Handle {
@@ -119,17 +145,44 @@
     pub(crate) fn avoided(&self) -> Vec<id::Endpoint> {
         self.avoided.borrow().clone()
     }
+
+    /// Limits that endpoints have named.
+    pub(crate) fn limits(&self) -> watch::Ref<'_, Limits> {
+        self.limits.borrow()
+    }
+
+    /// Whether an endpoint has named a limit.
+    pub(crate) fn is_limited(&self, endpoint: &id::Endpoint) -> bool {
+        self.limits.borrow().has(endpoint)
+    }
+
+    /// Whether an endpoint of a service has named a limit.
+    pub(crate) fn has_limits(&self, service: &id::Service) -> bool {
+        let limits = self.limits.borrow();
+        limits.list.iter().any(|limit| limit.service == *service)
+    }
+
+    /// Waits until an endpoint has no limit.
+    pub(crate) async fn until_unlimited(&self, endpoint: &id::Endpoint) {
+        let mut limits = self.limits.clone();
+        let unlimited = limits.wait_for(|limits| !limits.has(endpoint));
+        if unlimited.await.is_err() {
+            log::debug!("the scheduler's task has ended");
+        }
+    }
 }
 
 /// Starts the task of a host in `zone`; the task ends when all handles are dropped.
 pub(crate) fn start(scheduler: Scheduler, zone: id::Zone, clock: Clock) -> Handle {
     let (sender, messages) = mpsc::unbounded_channel();
     let (avoided, avoided_receiver) = watch::channel(Vec::new());
+    let (limits, limits_receiver) = watch::channel(Limits::default());
     let task = Task {
         scheduler,
         zone,
         clock,
         avoided,
+        limits,
         runs: HashMap::new(),
         tickets: HashMap::new(),
         replies: HashMap::new(),
@@ -138,6 +191,7 @@
     Handle {
         messages: sender,
         avoided: avoided_receiver,
+        limits: limits_receiver,
     }
 }
 
@@ -153,6 +207,7 @@
     zone: id::Zone,
     clock: Clock,
     avoided: watch::Sender<Vec<id::Endpoint>>,
+    limits: watch::Sender<Limits>,
     /// Random process IDs of the hosts that call this one.
     runs: HashMap<id::Host, u64>,
     /// Tickets of other hosts' requests, by host and number of the request there.
@@ -178,6 +233,7 @@
                 _ = interval.tick(), if self.scheduler.has_waiting() => {}
                 _ = check.tick() => self.check(),
             }
+            self.publish_limits();
             self.decide();
         }
     }
@@ -198,6 +254,7 @@
                     scheduler.record_outcome(ticket, Outcome::Abandoned, now);
                 }
             }
+            Message::Use(host, zone) => scheduler.record_use(&host, &zone, now),
             Message::Contact(host, run) => self.record_contact(&host, run, now),
             Message::Notice(host, number, progress) => {
                 self.record_notice(host, number, progress, now);
@@ -205,11 +262,14 @@
             Message::Begun(ticket) => scheduler.record_first_event(ticket, now),
             Message::Leaving(ticket) => scheduler.mark_leaving(ticket),
             Message::Backoff(ticket, time) => scheduler.set_backoff(ticket, time, now),
+            Message::Limit(ticket, limit) => scheduler.record_limit(ticket, limit, now),
+            Message::Limits(limits, listed_at) => scheduler.set_limits(&limits, listed_at, now),
             Message::Finished(ticket, outcome) => scheduler.record_outcome(ticket, outcome, now),
             Message::Table(table) => scheduler.set_table(table),
             Message::TargetVersions(targets) => scheduler.add_target_versions(&targets),
             Message::Endpoints(list) => scheduler.set_endpoints(&list, now),
             Message::Hosts(hosts) => scheduler.set_hosts(hosts),
+            Message::HostCounts(counts) => scheduler.set_host_counts(counts),
             Message::Loading(endpoints) => scheduler.set_loading(&endpoints, now),
             Message::Loaded(endpoint, model, version) => {
                 scheduler.record_loaded(&endpoint, &model, version);
@@ -233,6 +293,19 @@
         });
     }
 
+    fn publish_limits(&self) {
+        let list = self.scheduler.limits();
+        self.limits.send_if_modified(|current| {
+            if current.list == list {
+                return false;
+            }
+            log_changes(&current.list, &list);
+            current.revision += 1;
+            current.list = list;
+            true
+        });
+    }
+
     fn record_notice(&mut self, host: id::Host, number: u64, progress: Progress, now: Duration) {
         let key = (host, number);
         let ticket = self.tickets.get(&key).copied();
@@ -242,6 +315,9 @@
                 self.tickets.extend(recorded.map(|ticket| (key, ticket)));
             }
             (Progress::Begun, Some(ticket)) => self.scheduler.record_first_event(ticket, now),
+            (Progress::Limit(limit), Some(ticket)) => {
+                self.scheduler.record_limit(ticket, limit, now);
+            }
             (Progress::Leaving, Some(ticket)) => self.scheduler.mark_leaving(ticket),
             (Progress::Finished(outcome), Some(ticket)) => {
                 self.tickets.remove(&key);
@@ -305,3 +381,20 @@
         }
     }
 }
+
+/// Logs limits that were named, changed or withdrawn.
+fn log_changes(before: &[Limit], now: &[Limit]) {
+    let is_in = |limits: &[Limit], limit: &Limit| {
+        let mut limits = limits.iter();
+        limits.any(|other| other.endpoint == limit.endpoint)
+    };
+    for limit in now.iter().filter(|limit| !before.contains(limit)) {
+        log::info!(
+            endpoint:% = limit.endpoint, service:% = limit.service, per_second = limit.rate.per_second();
+            "limit of an endpoint in force"
+        );
+    }
+    for limit in before.iter().filter(|limit| !is_in(now, limit)) {
+        log::info!(endpoint:% = limit.endpoint, service:% = limit.service; "limit of an endpoint withdrawn");
+    }
+}
--- a/crates/papayayard_routing/src/placement.rs
+++ b/crates/papayayard_routing/src/placement.rs
@@ -19,6 +19,7 @@
 mod cost;
 mod delay;
 mod fetch;
+mod limit;
 mod link;
 mod load;
 mod place;
@@ -33,6 +34,7 @@
 mod updates;
 
 use backend::Backend;
+use limit::Limits;
 use progress::Placed;
 use requesting_hosts::RequestingHosts;
 use signals::Signals;
@@ -40,6 +42,7 @@
 pub use backend::Endpoint;
 pub use cache::Cache;
 pub use delay::{Baseline, Delay};
+pub use limit::Limit;
 pub use link::{Link, transfer_time};
 pub use load::{Amounts, Load};
 pub use prefill::Prefill;
@@ -48,6 +51,7 @@
     RefusalReason, Ticket,
 };
 pub use reachability::Reachability;
+pub use requesting_hosts::HostCounts;
 pub use split::{Demand, draw};
 
 /// Fraction of the time until a request's target that it may wait for placement.
@@ -66,6 +70,9 @@
     pub old_weights: Duration,
     /// Age of the target version from which older weights add to the placement cost.
     pub old_weights_grace: Duration,
+    /// Position from 0 to 1, different on each host, in the interval between two requests to an
+    /// endpoint that limits requests.
+    pub limit_phase: f64,
 }
 
 /// Places requests from one host's view of the endpoints.
@@ -78,6 +85,7 @@
     backends: SlotMap<BackendKey, Backend>,
     by_id: HashMap<id::Endpoint, BackendKey>,
     signals: HashMap<id::Endpoint, Signals>,
+    limits: Limits,
     stores: HashMap<id::Service, Store>,
     target_versions: HashMap<id::Model, weights::TargetVersions>,
     reachability: Reachability,
@@ -116,6 +124,7 @@
             backends: SlotMap::with_key(),
             by_id: HashMap::new(),
             signals: HashMap::new(),
+            limits: Limits::new(settings.limit_phase),
             stores: HashMap::new(),
             target_versions: HashMap::new(),
             reachability: Reachability::default(),
@@ -139,6 +148,9 @@
         if let Some(requesting_host) = &query.requesting_host {
             self.record_contact(requesting_host, now);
         }
+        let requesting_host = query.requesting_host.as_ref();
+        self.requesting_hosts
+            .record_use(requesting_host, &query.zone, now);
         let arrived_at = now.saturating_sub(query.waited);
         self.waiting.insert(Pending {
             query,
@@ -164,9 +176,14 @@
             .map(|(key, entry)| (entry.query.priority, entry.arrived_at, entry.arrival, key))
             .collect();
         order.sort_unstable();
+        self.limits.refill(&self.requesting_hosts, now);
+        let mut waiting: HashMap<id::Service, u32> = HashMap::new();
         let mut decisions = Vec::new();
         for (.., key) in order {
-            let Some(decision) = self.decide_pending(key, now) else {
+            let service = self.waiting[key].query.service.clone();
+            let ahead = waiting.entry(service).or_default();
+            let Some(decision) = self.decide_pending(key, *ahead, now) else {
+                *ahead += 1;
                 continue;
             };
             self.waiting.remove(key);
@@ -175,7 +192,8 @@
         decisions
     }
 
-    fn decide_pending(&mut self, key: PendingKey, now: Duration) -> Option<Decision> {
+    /// Decides on a request; `ahead` others of its service remain in the queue before it.
+    fn decide_pending(&mut self, key: PendingKey, ahead: u32, now: Duration) -> Option<Decision> {
         let pending = &self.waiting[key];
         let query = pending.query.clone();
         let arrived_at = pending.arrived_at;
@@ -190,7 +208,7 @@
             .mul_f64(MAX_WAIT_FRACTION);
         let wait_until = (arrived_at + max_wait).min(query.deadline);
         let reason = self.refusal(&query);
-        let available_at = self.next_available(&query, now);
+        let available_at = self.next_available(&query, ahead, now);
         if reason == RefusalReason::Overloaded && now < wait_until && available_at < wait_until {
             return None;
         }
--- /dev/null
+++ b/crates/papayayard_routing/src/placement/limit.rs
@@ -0,0 +1,254 @@
+//! Limits on requests that endpoints name in their answers and mean for all hosts together.
+//!
+//! Hosts do not ask one another before a request. Each limit belongs to the hosts of the
+//! endpoint's zone in equal parts, and a scheduler may use the parts of the hosts whose requests
+//! it places. A dispatcher thus uses whole limits, and while hosts place their own requests the
+//! parts still add up to no more than the limit. Hosts of other zones send to a limited endpoint
+//! only through a dispatcher that also places requests of the endpoint's zone.
+//!
+//! A stricter limit applies at once. Answers can overtake one another, so that a limit is raised
+//! or withdrawn only by an answer to a request that was placed after the limit was last named.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use papayayard_wire::id;
+
+use super::backend::Endpoint;
+use super::query::{BackendKey, Query, Ticket};
+use super::requesting_hosts::RequestingHosts;
+use super::{Backend, Scheduler};
+use crate::rate::Rate;
+
+/// Rate at which an endpoint gets requests even if its limit is lower, in requests per second:
+/// only an answer shows that the limit was raised or withdrawn.
+const MIN_RATE: f64 = 0.2;
+/// Time over which unused requests accumulate, in seconds.
+const BURST_TIME: f64 = 0.25;
+/// Age of a limit that another host's list may withdraw: that host may not have heard of a
+/// newer one.
+const LIST_LAG: Duration = Duration::from_millis(500);
+
+/// A limit that an endpoint has named.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Limit {
+    pub endpoint: id::Endpoint,
+    /// Start of the endpoint's process.
+    pub started: id::Incarnation,
+    pub service: id::Service,
+    pub rate: Rate,
+}
+
+/// The limits of all endpoints, and the requests that this scheduler may still send.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Limits {
+    buckets: HashMap<id::Endpoint, Bucket>,
+    /// Fraction of a request that a limit starts with.
+    phase: f64,
+}
+
+/// State of one limit.
+#[derive(Clone, Debug)]
+struct Bucket {
+    limit: Limit,
+    zone: id::Zone,
+    /// When an answer last named the limit.
+    named_at: Duration,
+    /// Requests that may be sent.
+    tokens: f64,
+    /// Tokens that are added per second.
+    per_second: f64,
+    refilled_at: Duration,
+}
+
+impl Bucket {
+    fn refill(&mut self, share: f64, now: Duration) {
+        let elapsed = now.saturating_sub(self.refilled_at).as_secs_f64();
+        self.refilled_at = self.refilled_at.max(now);
+        self.per_second = self.limit.rate.per_second().max(MIN_RATE) * share;
+        let burst = (self.per_second * BURST_TIME).max(1.0);
+        self.tokens = (self.tokens + elapsed * self.per_second).min(burst);
+    }
+
+    /// Time until `number` requests may be sent; `None` if there is no such time.
+    fn wait_for(&self, number: u32) -> Option<Duration> {
+        let missing = f64::from(number) - self.tokens;
+        if missing <= 0.0 {
+            return Some(Duration::ZERO);
+        }
+        Duration::try_from_secs_f64(missing / self.per_second).ok()
+    }
+
+    fn is_of(&self, endpoint: &Endpoint) -> bool {
+        self.limit.started == endpoint.started
+    }
+}
+
+impl Limits {
+    /// Creates an empty set. Hosts with different phases, from 0 to 1, do not all send their
+    /// first request at the same moment.
+    pub(super) fn new(phase: f64) -> Self {
+        Self {
+            buckets: HashMap::new(),
+            phase,
+        }
+    }
+
+    /// Whether an endpoint may get a request.
+    pub(super) fn permits(&self, endpoint: &Endpoint) -> bool {
+        let bucket = self.bucket(endpoint);
+        bucket.is_none_or(|bucket| bucket.tokens >= 1.0)
+    }
+
+    /// Counts a request to an endpoint.
+    pub(super) fn take(&mut self, endpoint: &id::Endpoint) {
+        if let Some(bucket) = self.buckets.get_mut(endpoint) {
+            bucket.tokens -= 1.0;
+        }
+    }
+
+    /// Adds the tokens for the time since the last refill.
+    pub(super) fn refill(&mut self, hosts: &RequestingHosts, now: Duration) {
+        for bucket in self.buckets.values_mut() {
+            bucket.refill(hosts.share(&bucket.zone, now), now);
+        }
+    }
+
+    fn bucket(&self, endpoint: &Endpoint) -> Option<&Bucket> {
+        let bucket = self.buckets.get(&endpoint.id)?;
+        Some(bucket).filter(|bucket| bucket.is_of(endpoint))
+    }
+
+    fn set(&mut self, endpoint: &Endpoint, rate: Rate, now: Duration) {
+        let known = self.buckets.get_mut(&endpoint.id);
+        if let Some(bucket) = known.filter(|bucket| bucket.is_of(endpoint)) {
+            bucket.limit.rate = rate;
+            bucket.named_at = now;
+            return;
+        }
+        let bucket = Bucket {
+            limit: Limit {
+                endpoint: endpoint.id.clone(),
+                started: endpoint.started,
+                service: endpoint.service.clone(),
+                rate,
+            },
+            zone: endpoint.zone.clone(),
+            named_at: now,
+            tokens: self.phase,
+            per_second: 0.0,
+            refilled_at: now,
+        };
+        self.buckets.insert(endpoint.id.clone(), bucket);
+    }
+
+    /// Applies what the answer to a request placed at `placed_at` states.
+    fn observe(
+        &mut self,
+        endpoint: &Endpoint,
+        stated: Option<Rate>,
+        placed_at: Duration,
+        now: Duration,
+    ) {
+        let known = self.bucket(endpoint);
+        let is_newer = known.is_none_or(|bucket| bucket.named_at <= placed_at);
+        match stated {
+            Some(rate) if is_newer || known.is_some_and(|known| rate <= known.limit.rate) => {
+                self.set(endpoint, rate, now);
+            }
+            None if is_newer => {
+                self.buckets.remove(&endpoint.id);
+            }
+            Some(_) | None => {}
+        }
+    }
+}
+
+impl Scheduler {
+    /// Records the limit that the endpoint of a placed request names in its answer, or that it
+    /// names none.
+    pub fn record_limit(&mut self, ticket: Ticket, stated: Option<Rate>, now: Duration) {
+        let Some(placed) = self.tickets.get(ticket) else {
+            return;
+        };
+        let listed = self.by_id.get(&placed.endpoint);
+        let listed = listed.map(|key| &self.backends[*key].endpoint);
+        if let Some(endpoint) = listed.filter(|listed| listed.started == placed.started) {
+            self.limits.observe(endpoint, stated, placed.sent, now);
+        }
+    }
+
+    /// Applies the list of all limits that the dispatcher of this host knew at `listed_at`.
+    pub fn set_limits(&mut self, list: &[Limit], listed_at: Duration, now: Duration) {
+        for limit in list {
+            let listed = self.by_id.get(&limit.endpoint);
+            let endpoint = listed.map(|key| &self.backends[*key].endpoint);
+            let Some(endpoint) = endpoint.filter(|endpoint| endpoint.started == limit.started)
+            else {
+                continue;
+            };
+            let known = self.limits.bucket(endpoint);
+            if known.is_none_or(|known| known.named_at <= listed_at) {
+                self.limits.set(endpoint, limit.rate, now);
+            }
+        }
+        self.limits.buckets.retain(|id, bucket| {
+            let is_listed = list.iter().any(|limit| limit.endpoint == *id);
+            is_listed || bucket.named_at + LIST_LAG > listed_at
+        });
+    }
+
+    /// Limits of all listed endpoints, in the order of their names.
+    pub fn limits(&self) -> Vec<Limit> {
+        let buckets = self.limits.buckets.values().filter(|bucket| {
+            let listed = self.by_id.get(&bucket.limit.endpoint);
+            listed.is_some_and(|key| bucket.is_of(&self.backends[*key].endpoint))
+        });
+        let mut limits: Vec<Limit> = buckets.map(|bucket| bucket.limit.clone()).collect();
+        limits.sort_unstable_by(|a, b| a.endpoint.as_str().cmp(b.endpoint.as_str()));
+        limits
+    }
+
+    /// Time at which limits allow one more request of this service than those ahead of it;
+    /// `None` if there is no such time, `now` unless all its endpoints have limits.
+    pub(super) fn allowed_at(&self, query: &Query, ahead: u32, now: Duration) -> Option<Duration> {
+        let mut counts: Vec<(&Bucket, u32)> = Vec::new();
+        for backend in self.candidates_in_time(query) {
+            let Some(bucket) = self.limits.bucket(&backend.endpoint) else {
+                return Some(now);
+            };
+            counts.push((bucket, 1));
+        }
+        let mut allowed_at = Some(now);
+        if counts.is_empty() {
+            return allowed_at;
+        }
+        for _ in 0..=ahead {
+            let waits = counts
+                .iter()
+                .enumerate()
+                .filter_map(|(index, (bucket, number))| Some((bucket.wait_for(*number)?, index)));
+            let (wait, index) = waits.min()?;
+            counts[index].1 += 1;
+            allowed_at = Some(now + wait);
+        }
+        allowed_at
+    }
+
+    /// Endpoints that can serve a request now or later.
+    pub(super) fn candidates_in_time<'a>(
+        &'a self,
+        query: &'a Query,
+    ) -> impl Iterator<Item = &'a Backend> {
+        self.backends.values().filter(|backend| {
+            backend.endpoint.service == query.service
+                && !backend.is_leaving()
+                && !query.tried.contains(&backend.endpoint.id)
+        })
+    }
+
+    /// Counts a placement against the endpoint's limit.
+    pub(super) fn take_from_limit(&mut self, key: BackendKey) {
+        self.limits.take(&self.backends[key].endpoint.id);
+    }
+}
--- a/crates/papayayard_routing/src/placement/requesting_hosts.rs
+++ b/crates/papayayard_routing/src/placement/requesting_hosts.rs
@@ -3,6 +3,9 @@
 //! A scheduler that places the requests of all hosts sees the whole load; one that places only
 //! those of its own host sees a part of it. The number of other schedulers that place requests
 //! at the same endpoints is estimated from the hosts that have contacted this one recently.
+//!
+//! Limits that endpoints name are divided by hosts. A host counts for the scheduler that it uses;
+//! one that only reports on earlier placements does not.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -14,18 +17,46 @@
 /// Time after the last contact until a host no longer counts as requesting.
 const CONTACT_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Time for which a host counts for a scheduler; longer than the interval between two of its
+/// calls. When hosts move to another scheduler, both count them for this long.
+const USE_TIMEOUT: Duration = Duration::from_millis(1500);
+
+/// Number of hosts that serve callers, by zone.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HostCounts {
+    /// Zone of this host.
+    pub local: id::Zone,
+    pub by_zone: HashMap<id::Zone, usize>,
+}
+
+/// Last placement request, or statement that placements are requested here.
+#[derive(Clone, Debug)]
+struct Use {
+    zone: id::Zone,
+    at: Duration,
+}
+
 /// Hosts that request placements here, and the total number of hosts.
 #[derive(Clone, Debug)]
 pub(super) struct RequestingHosts {
     total: usize,
+    /// Unknown until the hosts were counted.
+    counts: Option<HostCounts>,
     last_contacts: HashMap<id::Host, Duration>,
+    /// Other hosts that use this scheduler.
+    users: HashMap<id::Host, Use>,
+    /// Last placement request of this host.
+    used_locally_at: Option<Duration>,
 }
 
 impl Default for RequestingHosts {
     fn default() -> Self {
         Self {
             total: 1,
+            counts: None,
             last_contacts: HashMap::new(),
+            users: HashMap::new(),
+            used_locally_at: None,
         }
     }
 }
@@ -35,6 +66,34 @@
         self.last_contacts.get(host).copied()
     }
 
+    /// Fraction of the limits of a zone's endpoints that this scheduler may use: it is that of
+    /// the zone's hosts whose requests it places, or of all hosts if the zone has none.
+    pub(super) fn share(&self, zone: &id::Zone, now: Duration) -> f64 {
+        let counts = self.counts.as_ref();
+        let in_zone = counts.and_then(|counts| counts.by_zone.get(zone)).copied();
+        let in_zone = in_zone.filter(|hosts| *hosts > 0);
+        let is_owner = |other: &id::Zone| in_zone.is_none() || other == zone;
+        let is_local_owner = counts.is_none_or(|counts| is_owner(&counts.local));
+        let recent = |at: Duration| now < at + USE_TIMEOUT;
+        let users = self.users.values().filter(|user| recent(user.at));
+        let is_used = users.clone().next().is_some();
+        let is_local = self.total == 1 || is_used || self.used_locally_at.is_some_and(recent);
+        let users = users.filter(|user| is_owner(&user.zone)).count();
+        let represented = users + usize::from(is_local && is_local_owner);
+        let owners = in_zone.unwrap_or(self.total);
+        (float(represented) / float(owners)).min(1.0)
+    }
+
+    /// Records that a host requests its placements here; `None` for this host.
+    pub(super) fn record_use(&mut self, host: Option<&id::Host>, zone: &id::Zone, now: Duration) {
+        let Some(host) = host else {
+            self.used_locally_at = Some(now);
+            return;
+        };
+        let zone = zone.clone();
+        self.users.insert(host.clone(), Use { zone, at: now });
+    }
+
     /// Estimates the number of schedulers, assuming that each places requests for as many hosts
     /// as this one.
     fn schedulers(&self) -> usize {
@@ -57,6 +116,16 @@
         self.schedulers = self.requesting_hosts.schedulers();
     }
 
+    /// Sets the number of hosts in each zone.
+    pub fn set_host_counts(&mut self, counts: HostCounts) {
+        self.requesting_hosts.counts = Some(counts);
+    }
+
+    /// Records that a host of a zone requests its placements here.
+    pub fn record_use(&mut self, host: &id::Host, zone: &id::Zone, now: Duration) {
+        self.requesting_hosts.record_use(Some(host), zone, now);
+    }
+
     /// Records that a host requested a placement or reported on one.
     pub fn record_contact(&mut self, host: &id::Host, now: Duration) {
         self.requesting_hosts
@@ -80,6 +149,10 @@
         self.requesting_hosts
             .last_contacts
             .retain(|_, at| now < *at + CONTACT_TIMEOUT);
+        self.requesting_hosts
+            .users
+            .retain(|_, user| now < user.at + USE_TIMEOUT);
+        self.limits.refill(&self.requesting_hosts, now);
         self.schedulers = self.requesting_hosts.schedulers();
         self.abandon_where(now, |placed| placed.is_expired(now));
     }
--- a/crates/papayayard_routing/src/placement/select.rs
+++ b/crates/papayayard_routing/src/placement/select.rs
@@ -35,6 +35,9 @@
 /// Wait for a link from which prefill without the fetch is considered as an alternative.
 const LONG_LINK_WAIT: Duration = Duration::from_millis(50);
 
+/// Wait that is assumed if limits allow no request at any known time.
+const MAX_ALLOWED_WAIT: Duration = Duration::from_mins(1);
+
 /// A possible placement.
 pub(super) struct Candidate {
     pub(super) key: BackendKey,
@@ -64,15 +67,15 @@
     }
 
     /// Returns when the first endpoint at which this request has not failed accepts requests
-    /// again, as far as endpoints have requested a backoff.
-    pub(super) fn next_available(&self, query: &Query, now: Duration) -> Duration {
-        let endpoints = self.backends.values().filter(|backend| {
-            backend.endpoint.service == query.service
-                && !backend.is_leaving()
-                && !query.tried.contains(&backend.endpoint.id)
-        });
+    /// again, as far as endpoints have requested a backoff or limit requests. Others of the
+    /// service, `ahead`, are to be served first.
+    pub(super) fn next_available(&self, query: &Query, ahead: u32, now: Duration) -> Duration {
+        let endpoints = self.candidates_in_time(query);
         let soonest = endpoints.map(|backend| backend.signals.backoff_until).min();
-        soonest.unwrap_or(now).max(now)
+        let allowed_at = self.allowed_at(query, ahead, now);
+        soonest
+            .unwrap_or(now)
+            .max(allowed_at.unwrap_or(now + MAX_ALLOWED_WAIT))
     }
 
     pub(super) fn best_candidate(
@@ -91,6 +94,7 @@
                 && !query.tried.contains(&backend.endpoint.id)
                 && !query.avoided.contains(&backend.endpoint.id)
                 && backend.is_usable(now)
+                && self.limits.permits(&backend.endpoint)
                 && backend.load.local().open + 1.0 <= share.max(1.0)
         });
         let mut usable: Vec<(BackendKey, &Backend)> = usable.collect();
--- a/crates/papayayard_routing/tests/placement/main.rs
+++ b/crates/papayayard_routing/tests/placement/main.rs
@@ -3,6 +3,7 @@
 mod choice;
 mod crowd;
 mod dispatch;
+mod limits;
 mod link;
 mod prefill;
 mod signals;
--- a/crates/papayayard_routing/tests/placement/support.rs
+++ b/crates/papayayard_routing/tests/placement/support.rs
@@ -80,9 +80,19 @@
 
 /// A scheduler of one of `hosts` hosts, in zone `a`.
 pub(crate) fn scheduler(endpoints: &[Endpoint], hosts: usize) -> Scheduler {
+    scheduler_with_phase(endpoints, hosts, 0.0)
+}
+
+/// A scheduler whose first request to an endpoint with a limit comes after a part of the interval.
+pub(crate) fn scheduler_with_phase(
+    endpoints: &[Endpoint],
+    hosts: usize,
+    limit_phase: f64,
+) -> Scheduler {
     let mut scheduler = Scheduler::new(Settings {
         old_weights: Duration::from_secs(12),
         old_weights_grace: ms(1200),
+        limit_phase,
     });
     scheduler.set_table(Arc::new(table()));
     scheduler.set_hosts(hosts);
