--- a/crates/papayayard_gateway/src/host.rs
+++ b/crates/papayayard_gateway/src/host.rs
@@ -78,7 +78,7 @@
     let (stop_state, stop_receiver) = watch::channel(StopState::SERVING);
     let schedule = scheduler(&settings, clock);
     let pool = Pool::new(clock);
-    let seeds = Neighbours::from_seeds(&settings.seeds, settings.peers);
+    let seeds = Neighbours::from_seeds(&settings.seeds, settings.announced_peers);
     let mut parts = Parts {
         store: Store {
             codec,
@@ -221,7 +221,7 @@
         hosts::LocalHost {
             host: self.settings.host.clone(),
             zone: self.settings.zone.clone(),
-            peers: self.settings.peers,
+            peers: self.settings.announced_peers,
             capacity: self.settings.capacity,
         }
     }
--- a/crates/papayayard_gateway/src/settings.rs
+++ b/crates/papayayard_gateway/src/settings.rs
@@ -23,6 +23,8 @@
     pub operators: SocketAddr,
     /// Listening address for other hosts.
     pub peers: SocketAddr,
+    /// Address at which other hosts reach `peers`.
+    pub announced_peers: SocketAddr,
     /// Addresses of possible other hosts, which are called while no other host is known and
     /// the store does not answer.
     pub seeds: Vec<SocketAddr>,
@@ -69,6 +71,9 @@
     let seeds = fields.optional(reader, "seeds", Vec::new(), |reader, place| {
         reader.list(place, Reader::address)
     });
+    let announced_peers = fields.optional(reader, "announced_peers", None, |reader, place| {
+        Reader::address(reader, place).map(Some)
+    });
     let capacity = fields.optional(reader, "capacity", 1.0, |reader, place| {
         decimal(reader, place, 1e6)
     });
@@ -80,6 +85,7 @@
         callers: listen.callers,
         operators: listen.operators,
         peers: listen.peers,
+        announced_peers: announced_peers?.unwrap_or(listen.peers),
         seeds: seeds?,
         capacity: thousandths(capacity?),
         store: store?,
--- a/crates/papayayard_gateway/tests/settings.rs
+++ b/crates/papayayard_gateway/tests/settings.rs
@@ -31,6 +31,14 @@
     assert_eq!(settings.seeds.len(), 2);
 }
 
+#[rstest]
+#[case::as_listened("", "10.0.0.1:82")]
+#[case::announced("announced_peers: \"10.9.0.1:82\"\n", "10.9.0.1:82")]
+fn hosts_may_announce_another_address(#[case] line: &str, #[case] expected: &str) {
+    let settings = settings::parse(&format!("{GOOD}{line}")).expect("settings");
+    assert_eq!(settings.announced_peers.to_string(), expected);
+}
+
 #[test]
 fn without_strict_revocation_there_is_no_bound() {
     let text = GOOD.replace("strict_revocation: true", "strict_revocation: false");
@@ -46,6 +54,7 @@
 #[case::too_long("12000", "99999999999", "bounds.old_weights_ms")]
 #[case::unknown("revocation_ms", "revoke", "bounds.revoke")]
 #[case::no_seed("10.0.0.3:82", "three", "seeds[1]")]
+#[case::no_announced("capacity: 0.25", "announced_peers: here", "announced_peers")]
 #[case::not_finite("58", "NaN", "bounds.repeat_slack")]
 fn a_fault_names_its_key(#[case] from: &str, #[case] to: &str, #[case] key: &str) {
     let faults = settings::parse(&GOOD.replacen(from, to, 1)).expect_err("faults");
