Placement: limits of endpoints that are gone are forgotten

A limit is kept while its endpoint's record lapses, as records come back; after two minutes without one it goes, so that a host does not gather them.

--- a/crates/papayayard_routing/src/placement/limit.rs
+++ b/crates/papayayard_routing/src/placement/limit.rs
@@ -25,6 +25,9 @@
 const MIN_RATE: f64 = 0.2;
 /// Time over which unused requests accumulate, in seconds.
 const BURST_TIME: f64 = 0.25;
+/// Time for which the limit of an endpoint that is not listed is kept: its record may lapse and
+/// come back.
+const UNLISTED_TIMEOUT: Duration = Duration::from_mins(2);
 /// Age of a limit that another host's list may withdraw: that host may not have heard of a
 /// newer one.
 const LIST_LAG: Duration = Duration::from_millis(500);
@@ -114,6 +117,15 @@
         }
     }
 
+    /// Removes old limits of endpoints for which `is_listed` is false.
+    pub(super) fn forget_unlisted<IsListed>(&mut self, is_listed: IsListed, now: Duration)
+    where
+        IsListed: Fn(&id::Endpoint) -> bool,
+    {
+        self.buckets
+            .retain(|id, bucket| now < bucket.named_at + UNLISTED_TIMEOUT || is_listed(id));
+    }
+
     fn bucket(&self, endpoint: &Endpoint) -> Option<&Bucket> {
         let bucket = self.buckets.get(&endpoint.id)?;
         Some(bucket).filter(|bucket| bucket.is_of(endpoint))
--- a/crates/papayayard_routing/src/placement/requesting_hosts.rs
+++ b/crates/papayayard_routing/src/placement/requesting_hosts.rs
@@ -153,6 +153,9 @@
             .users
             .retain(|_, user| now < user.at + USE_TIMEOUT);
         self.limits.refill(&self.requesting_hosts, now);
+        let by_id = &self.by_id;
+        self.limits
+            .forget_unlisted(|endpoint| by_id.contains_key(endpoint), now);
         self.schedulers = self.requesting_hosts.schedulers();
         self.abandon_where(now, |placed| placed.is_expired(now));
     }
