--- a/crates/papayayard_routing/src/placement/limit.rs
+++ b/crates/papayayard_routing/src/placement/limit.rs
@@ -112,8 +112,11 @@
 
     /// Adds the tokens for the time since the last refill.
     pub(super) fn refill(&mut self, hosts: &RequestingHosts, now: Duration) {
+        let mut shares: HashMap<id::Zone, f64> = HashMap::new();
         for bucket in self.buckets.values_mut() {
-            bucket.refill(hosts.share(&bucket.zone, now), now);
+            let share = shares.entry(bucket.zone.clone());
+            let share = share.or_insert_with_key(|zone| hosts.share(zone, now));
+            bucket.refill(*share, now);
         }
     }
 
