Placement: limits use the token bucket that admission has

The bucket of a limit repeated `bucket::Bucket`. The shared one can now start with some tokens and tell when there will be several. Tokens are added at the old rate up to a change and at the new one from there on.

--- a/crates/papayayard_routing/src/bucket.rs
+++ b/crates/papayayard_routing/src/bucket.rs
@@ -22,6 +22,16 @@
         }
     }
 
+    /// Creates a bucket that does not refill until its rate is set.
+    pub const fn with_tokens(tokens: f64, now: Duration) -> Self {
+        Self {
+            per_second: 0.0,
+            burst: tokens,
+            tokens,
+            updated_at: now,
+        }
+    }
+
     /// Changes the rate from `now` on; tokens above the burst are discarded.
     pub fn set_rate(&mut self, per_second: f64, burst: f64, now: Duration) {
         self.refill(now);
@@ -33,12 +43,21 @@
     /// Takes a token, or returns the time until one is available.
     pub fn take(&mut self, now: Duration) -> Result<(), Duration> {
         self.refill(now);
-        if self.tokens >= 1.0 {
+        let wait = self.wait_for(1);
+        if wait.is_zero() {
             self.tokens -= 1.0;
             return Ok(());
         }
-        let seconds = (1.0 - self.tokens) / self.per_second;
-        Err(Duration::try_from_secs_f64(seconds).unwrap_or(MAX_WAIT))
+        Err(wait)
+    }
+
+    /// Time from the last refill until there are `number` tokens.
+    pub fn wait_for(&self, number: u32) -> Duration {
+        let missing = f64::from(number) - self.tokens;
+        if missing <= 0.0 {
+            return Duration::ZERO;
+        }
+        Duration::try_from_secs_f64(missing / self.per_second).unwrap_or(MAX_WAIT)
     }
 
     /// Returns an unused token.
--- a/crates/papayayard_routing/src/placement/limit.rs
+++ b/crates/papayayard_routing/src/placement/limit.rs
@@ -18,6 +18,7 @@
 use super::query::{BackendKey, Query, Ticket};
 use super::requesting_hosts::RequestingHosts;
 use super::{Backend, Scheduler};
+use crate::bucket::Bucket;
 use crate::rate::Rate;
 
 /// Rate at which an endpoint gets requests even if its limit is lower, in requests per second:
@@ -45,41 +46,27 @@
 /// The limits of all endpoints, and the requests that this scheduler may still send.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Limits {
-    buckets: HashMap<id::Endpoint, Bucket>,
+    entries: HashMap<id::Endpoint, Entry>,
     /// Fraction of a request that a limit starts with.
     phase: f64,
 }
 
 /// State of one limit.
 #[derive(Clone, Debug)]
-struct Bucket {
+struct Entry {
     limit: Limit,
     zone: id::Zone,
     /// When an answer last named the limit.
     named_at: Duration,
     /// Requests that may be sent.
-    tokens: f64,
-    /// Tokens that are added per second.
-    per_second: f64,
-    refilled_at: Duration,
+    bucket: Bucket,
 }
 
-impl Bucket {
+impl Entry {
     fn refill(&mut self, share: f64, now: Duration) {
-        let elapsed = now.saturating_sub(self.refilled_at).as_secs_f64();
-        self.refilled_at = self.refilled_at.max(now);
-        self.per_second = self.limit.rate.per_second().max(MIN_RATE) * share;
-        let burst = (self.per_second * BURST_TIME).max(1.0);
-        self.tokens = (self.tokens + elapsed * self.per_second).min(burst);
-    }
-
-    /// Time until `number` requests may be sent; `None` if there is no such time.
-    fn wait_for(&self, number: u32) -> Option<Duration> {
-        let missing = f64::from(number) - self.tokens;
-        if missing <= 0.0 {
-            return Some(Duration::ZERO);
-        }
-        Duration::try_from_secs_f64(missing / self.per_second).ok()
+        let per_second = self.limit.rate.per_second().max(MIN_RATE) * share;
+        let burst = (per_second * BURST_TIME).max(1.0);
+        self.bucket.set_rate(per_second, burst, now);
     }
 
     fn is_of(&self, endpoint: &Endpoint) -> bool {
@@ -92,31 +79,32 @@
     /// first request at the same moment.
     pub(super) fn new(phase: f64) -> Self {
         Self {
-            buckets: HashMap::new(),
+            entries: HashMap::new(),
             phase,
         }
     }
 
     /// Whether an endpoint may get a request.
     pub(super) fn permits(&self, endpoint: &Endpoint) -> bool {
-        let bucket = self.bucket(endpoint);
-        bucket.is_none_or(|bucket| bucket.tokens >= 1.0)
+        let entry = self.entry(endpoint);
+        entry.is_none_or(|entry| entry.bucket.wait_for(1).is_zero())
     }
 
     /// Counts a request to an endpoint.
-    pub(super) fn take(&mut self, endpoint: &id::Endpoint) {
-        if let Some(bucket) = self.buckets.get_mut(endpoint) {
-            bucket.tokens -= 1.0;
+    fn take(&mut self, endpoint: &id::Endpoint, now: Duration) {
+        let entry = self.entries.get_mut(endpoint);
+        if let Some(Err(wait)) = entry.map(|entry| entry.bucket.take(now)) {
+            debug_assert!(false, "{endpoint} allows no request for {wait:?}");
         }
     }
 
-    /// Adds the tokens for the time since the last refill.
+    /// Adds the tokens for the time since the last refill, and sets the rates from now on.
     pub(super) fn refill(&mut self, hosts: &RequestingHosts, now: Duration) {
         let mut shares: HashMap<id::Zone, f64> = HashMap::new();
-        for bucket in self.buckets.values_mut() {
-            let share = shares.entry(bucket.zone.clone());
+        for entry in self.entries.values_mut() {
+            let share = shares.entry(entry.zone.clone());
             let share = share.or_insert_with_key(|zone| hosts.share(zone, now));
-            bucket.refill(*share, now);
+            entry.refill(*share, now);
         }
     }
 
@@ -125,23 +113,23 @@
     where
         IsListed: Fn(&id::Endpoint) -> bool,
     {
-        self.buckets
-            .retain(|id, bucket| now < bucket.named_at + UNLISTED_TIMEOUT || is_listed(id));
+        self.entries
+            .retain(|id, entry| now < entry.named_at + UNLISTED_TIMEOUT || is_listed(id));
     }
 
-    fn bucket(&self, endpoint: &Endpoint) -> Option<&Bucket> {
-        let bucket = self.buckets.get(&endpoint.id)?;
-        Some(bucket).filter(|bucket| bucket.is_of(endpoint))
+    fn entry(&self, endpoint: &Endpoint) -> Option<&Entry> {
+        let entry = self.entries.get(&endpoint.id)?;
+        Some(entry).filter(|entry| entry.is_of(endpoint))
     }
 
     fn set(&mut self, endpoint: &Endpoint, rate: Rate, now: Duration) {
-        let known = self.buckets.get_mut(&endpoint.id);
-        if let Some(bucket) = known.filter(|bucket| bucket.is_of(endpoint)) {
-            bucket.limit.rate = rate;
-            bucket.named_at = now;
+        let known = self.entries.get_mut(&endpoint.id);
+        if let Some(entry) = known.filter(|entry| entry.is_of(endpoint)) {
+            entry.limit.rate = rate;
+            entry.named_at = now;
             return;
         }
-        let bucket = Bucket {
+        let entry = Entry {
             limit: Limit {
                 endpoint: endpoint.id.clone(),
                 started: endpoint.started,
@@ -150,11 +138,9 @@
             },
             zone: endpoint.zone.clone(),
             named_at: now,
-            tokens: self.phase,
-            per_second: 0.0,
-            refilled_at: now,
+            bucket: Bucket::with_tokens(self.phase, now),
         };
-        self.buckets.insert(endpoint.id.clone(), bucket);
+        self.entries.insert(endpoint.id.clone(), entry);
     }
 
     /// Applies what the answer to a request placed at `placed_at` states.
@@ -165,14 +151,14 @@
         placed_at: Duration,
         now: Duration,
     ) {
-        let known = self.bucket(endpoint);
-        let is_newer = known.is_none_or(|bucket| bucket.named_at <= placed_at);
+        let known = self.entry(endpoint);
+        let is_newer = known.is_none_or(|known| known.named_at <= placed_at);
         match stated {
             Some(rate) if is_newer || known.is_some_and(|known| rate <= known.limit.rate) => {
                 self.set(endpoint, rate, now);
             }
             None if is_newer => {
-                self.buckets.remove(&endpoint.id);
+                self.entries.remove(&endpoint.id);
             }
             Some(_) | None => {}
         }
@@ -190,6 +176,7 @@
         let listed = listed.map(|key| &self.backends[*key].endpoint);
         if let Some(endpoint) = listed.filter(|listed| listed.started == placed.started) {
             self.limits.observe(endpoint, stated, placed.sent, now);
+            self.limits.refill(&self.requesting_hosts, now);
         }
     }
 
@@ -202,50 +189,48 @@
             else {
                 continue;
             };
-            let known = self.limits.bucket(endpoint);
+            let known = self.limits.entry(endpoint);
             if known.is_none_or(|known| known.named_at <= listed_at) {
                 self.limits.set(endpoint, limit.rate, now);
             }
         }
-        self.limits.buckets.retain(|id, bucket| {
+        self.limits.entries.retain(|id, entry| {
             let is_listed = list.iter().any(|limit| limit.endpoint == *id);
-            is_listed || bucket.named_at + LIST_LAG > listed_at
+            is_listed || entry.named_at + LIST_LAG > listed_at
         });
+        self.limits.refill(&self.requesting_hosts, now);
     }
 
     /// Limits of all listed endpoints, in the order of their names.
     pub fn limits(&self) -> Vec<Limit> {
-        let buckets = self.limits.buckets.values().filter(|bucket| {
-            let listed = self.by_id.get(&bucket.limit.endpoint);
-            listed.is_some_and(|key| bucket.is_of(&self.backends[*key].endpoint))
+        let entries = self.limits.entries.values().filter(|entry| {
+            let listed = self.by_id.get(&entry.limit.endpoint);
+            listed.is_some_and(|key| entry.is_of(&self.backends[*key].endpoint))
         });
-        let mut limits: Vec<Limit> = buckets.map(|bucket| bucket.limit.clone()).collect();
+        let mut limits: Vec<Limit> = entries.map(|entry| entry.limit.clone()).collect();
         limits.sort_unstable_by(|a, b| a.endpoint.as_str().cmp(b.endpoint.as_str()));
         limits
     }
 
     /// Time at which limits allow one more request of this service than those ahead of it;
-    /// `None` if there is no such time, `now` unless all its endpoints have limits.
-    pub(super) fn allowed_at(&self, query: &Query, ahead: u32, now: Duration) -> Option<Duration> {
+    /// `now` unless all its endpoints have limits.
+    pub(super) fn allowed_at(&self, query: &Query, ahead: u32, now: Duration) -> Duration {
         let mut counts: Vec<(&Bucket, u32)> = Vec::new();
         for backend in self.candidates_in_time(query) {
-            let Some(bucket) = self.limits.bucket(&backend.endpoint) else {
-                return Some(now);
+            let Some(entry) = self.limits.entry(&backend.endpoint) else {
+                return now;
             };
-            counts.push((bucket, 1));
-        }
-        let mut allowed_at = Some(now);
-        if counts.is_empty() {
-            return allowed_at;
+            counts.push((&entry.bucket, 1));
         }
+        let mut allowed_at = now;
         for _ in 0..=ahead {
-            let waits = counts
-                .iter()
-                .enumerate()
-                .filter_map(|(index, (bucket, number))| Some((bucket.wait_for(*number)?, index)));
-            let (wait, index) = waits.min()?;
+            let waits = counts.iter().enumerate();
+            let waits = waits.map(|(index, (bucket, number))| (bucket.wait_for(*number), index));
+            let Some((wait, index)) = waits.min() else {
+                return now;
+            };
             counts[index].1 += 1;
-            allowed_at = Some(now + wait);
+            allowed_at = now + wait;
         }
         allowed_at
     }
@@ -263,7 +248,7 @@
     }
 
     /// Counts a placement against the endpoint's limit.
-    pub(super) fn take_from_limit(&mut self, key: BackendKey) {
-        self.limits.take(&self.backends[key].endpoint.id);
+    pub(super) fn take_from_limit(&mut self, key: BackendKey, now: Duration) {
+        self.limits.take(&self.backends[key].endpoint.id, now);
     }
 }
--- a/crates/papayayard_routing/src/placement/place.rs
+++ b/crates/papayayard_routing/src/placement/place.rs
@@ -67,7 +67,7 @@
             tokens: estimate.prefill_tokens,
         };
         placement.ticket = self.start(candidate.key, query, &placement, predicted, now);
-        self.take_from_limit(candidate.key);
+        self.take_from_limit(candidate.key, now);
         placement
     }
 
--- a/crates/papayayard_routing/src/placement/select.rs
+++ b/crates/papayayard_routing/src/placement/select.rs
@@ -35,9 +35,6 @@
 /// Wait for a link from which prefill without the fetch is considered as an alternative.
 const LONG_LINK_WAIT: Duration = Duration::from_millis(50);
 
-/// Wait that is assumed if limits allow no request at any known time.
-const MAX_ALLOWED_WAIT: Duration = Duration::from_mins(1);
-
 /// A possible placement.
 pub(super) struct Candidate {
     pub(super) key: BackendKey,
@@ -72,10 +69,9 @@
     pub(super) fn next_available(&self, query: &Query, ahead: u32, now: Duration) -> Duration {
         let endpoints = self.candidates_in_time(query);
         let soonest = endpoints.map(|backend| backend.signals.backoff_until).min();
-        let allowed_at = self.allowed_at(query, ahead, now);
         soonest
             .unwrap_or(now)
-            .max(allowed_at.unwrap_or(now + MAX_ALLOWED_WAIT))
+            .max(self.allowed_at(query, ahead, now))
     }
 
     pub(super) fn best_candidate(
