Placement: a restarted endpoint's requests don't count against its old limit

An endpoint that starts again under its name has no limit, but its requests were still taken from the bucket of the run before; with debug assertions a host ended by that. Found by reading; the test of a new incarnation places a request now and failed before ("e0 allows no request for 400ms").

--- a/crates/papayayard_routing/src/placement/limit.rs
+++ b/crates/papayayard_routing/src/placement/limit.rs
@@ -91,9 +91,11 @@
     }
 
     /// Counts a request to an endpoint.
-    fn take(&mut self, endpoint: &id::Endpoint, now: Duration) {
-        let entry = self.entries.get_mut(endpoint);
+    fn take(&mut self, endpoint: &Endpoint, now: Duration) {
+        let entry = self.entries.get_mut(&endpoint.id);
+        let entry = entry.filter(|entry| entry.is_of(endpoint));
         if let Some(Err(wait)) = entry.map(|entry| entry.bucket.take(now)) {
+            let endpoint = &endpoint.id;
             debug_assert!(false, "{endpoint} allows no request for {wait:?}");
         }
     }
@@ -249,6 +251,6 @@
 
     /// Counts a placement against the endpoint's limit.
     pub(super) fn take_from_limit(&mut self, key: BackendKey, now: Duration) {
-        self.limits.take(&self.backends[key].endpoint.id, now);
+        self.limits.take(&self.backends[key].endpoint, now);
     }
 }
--- a/crates/papayayard_routing/tests/placement/limits.rs
+++ b/crates/papayayard_routing/tests/placement/limits.rs
@@ -120,6 +120,8 @@
     assert_eq!(named(&scheduler), [] as [f64; 0]);
     scheduler.record_limit(first.ticket, Some(rate(2.0)), NOW);
     assert_eq!(named(&scheduler), [] as [f64; 0], "a late answer");
+    let query = support::query(short_prompt(1), NOW + ms(100));
+    support::place(&mut scheduler, query, NOW + ms(100));
 }
 
 /// The list of the dispatcher replaces what a host knows, except what the host has learned
