Placement: requests ahead are counted only where one stays in the queue

Each decision copied its service's name to look up how many requests wait before it; only one that goes on waiting needs it. The endpoints that can serve a request stand with the selection, and a placement takes from the limit without a step between.

--- a/crates/papayayard_routing/src/placement.rs
+++ b/crates/papayayard_routing/src/placement.rs
@@ -177,13 +177,10 @@
             .collect();
         order.sort_unstable();
         self.limits.refill(&self.requesting_hosts, now);
-        let mut waiting: HashMap<id::Service, u32> = HashMap::new();
+        let mut still_waiting: HashMap<id::Service, u32> = HashMap::new();
         let mut decisions = Vec::new();
         for (.., key) in order {
-            let service = self.waiting[key].query.service.clone();
-            let ahead = waiting.entry(service).or_default();
-            let Some(decision) = self.decide_pending(key, *ahead, now) else {
-                *ahead += 1;
+            let Some(decision) = self.decide_pending(key, &mut still_waiting, now) else {
                 continue;
             };
             self.waiting.remove(key);
@@ -192,8 +189,14 @@
         decisions
     }
 
-    /// Decides on a request; `ahead` others of its service remain in the queue before it.
-    fn decide_pending(&mut self, key: PendingKey, ahead: u32, now: Duration) -> Option<Decision> {
+    /// Decides on a request. `still_waiting` counts the requests before it, by service, that stay
+    /// in the queue.
+    fn decide_pending(
+        &mut self,
+        key: PendingKey,
+        still_waiting: &mut HashMap<id::Service, u32>,
+        now: Duration,
+    ) -> Option<Decision> {
         let pending = &self.waiting[key];
         let query = pending.query.clone();
         let arrived_at = pending.arrived_at;
@@ -208,8 +211,10 @@
             .mul_f64(MAX_WAIT_FRACTION);
         let wait_until = (arrived_at + max_wait).min(query.deadline);
         let reason = self.refusal(&query);
+        let ahead = still_waiting.get(&query.service).copied().unwrap_or(0);
         let available_at = self.next_available(&query, ahead, now);
         if reason == RefusalReason::Overloaded && now < wait_until && available_at < wait_until {
+            still_waiting.insert(query.service, ahead + 1);
             return None;
         }
         self.refusals += 1;
--- a/crates/papayayard_routing/src/placement/limit.rs
+++ b/crates/papayayard_routing/src/placement/limit.rs
@@ -14,10 +14,10 @@
 
 use papayayard_wire::id;
 
+use super::Scheduler;
 use super::backend::Endpoint;
-use super::query::{BackendKey, Query, Ticket};
+use super::query::{Query, Ticket};
 use super::requesting_hosts::RequestingHosts;
-use super::{Backend, Scheduler};
 use crate::bucket::Bucket;
 use crate::rate::Rate;
 
@@ -91,7 +91,7 @@
     }
 
     /// Counts a request to an endpoint.
-    fn take(&mut self, endpoint: &Endpoint, now: Duration) {
+    pub(super) fn take(&mut self, endpoint: &Endpoint, now: Duration) {
         let entry = self.entries.get_mut(&endpoint.id);
         let entry = entry.filter(|entry| entry.is_of(endpoint));
         if let Some(Err(wait)) = entry.map(|entry| entry.bucket.take(now)) {
@@ -236,21 +236,4 @@
         }
         allowed_at
     }
-
-    /// Endpoints that can serve a request now or later.
-    pub(super) fn candidates_in_time<'a>(
-        &'a self,
-        query: &'a Query,
-    ) -> impl Iterator<Item = &'a Backend> {
-        self.backends.values().filter(|backend| {
-            backend.endpoint.service == query.service
-                && !backend.is_leaving()
-                && !query.tried.contains(&backend.endpoint.id)
-        })
-    }
-
-    /// Counts a placement against the endpoint's limit.
-    pub(super) fn take_from_limit(&mut self, key: BackendKey, now: Duration) {
-        self.limits.take(&self.backends[key].endpoint, now);
-    }
 }
--- a/crates/papayayard_routing/src/placement/place.rs
+++ b/crates/papayayard_routing/src/placement/place.rs
@@ -67,7 +67,8 @@
             tokens: estimate.prefill_tokens,
         };
         placement.ticket = self.start(candidate.key, query, &placement, predicted, now);
-        self.take_from_limit(candidate.key, now);
+        let endpoint = &self.backends[candidate.key].endpoint;
+        self.limits.take(endpoint, now);
         placement
     }
 
--- a/crates/papayayard_routing/src/placement/select.rs
+++ b/crates/papayayard_routing/src/placement/select.rs
@@ -74,6 +74,18 @@
             .max(self.allowed_at(query, ahead, now))
     }
 
+    /// Endpoints that can serve a request now or later.
+    pub(super) fn candidates_in_time<'a>(
+        &'a self,
+        query: &'a Query,
+    ) -> impl Iterator<Item = &'a Backend> {
+        self.backends.values().filter(|backend| {
+            backend.endpoint.service == query.service
+                && !backend.is_leaving()
+                && !query.tried.contains(&backend.endpoint.id)
+        })
+    }
+
     pub(super) fn best_candidate(
         &self,
         query: &Query,
