--- a/crates/papayayard_coordination/src/reader.rs
+++ b/crates/papayayard_coordination/src/reader.rs
@@ -189,8 +189,9 @@
         hosts.find(|candidate| !self.failover.is_backed_off(&candidate.host, now))
     }
 
-    /// Records that the store did not answer this host.
-    pub fn store_failed(&mut self, now: Duration) {
+    /// Records that the store did not answer this host. Returns the pause until it is
+    /// called again.
+    pub fn store_failed(&mut self, now: Duration) -> Duration {
         let pause = self
             .outage
             .map_or(INITIAL_PAUSE, |outage| outage.next_pause);
@@ -198,6 +199,7 @@
             paused_until: now + pause,
             next_pause: (pause * 2).min(MAX_PAUSE),
         });
+        pause
     }
 
     /// Records that the store answered this host.
--- a/crates/papayayard_gateway/src/follow.rs
+++ b/crates/papayayard_gateway/src/follow.rs
@@ -25,6 +25,7 @@
 use crate::hosts::Neighbours;
 use crate::mirror::{Mirror, Part, Received};
 use crate::peers;
+use crate::refusal::millis;
 use crate::store::{Codec, Error, Record, Topic};
 
 /// Bounds of an answer of the store; the time is added to the requested wait. Pages hold
@@ -273,7 +274,12 @@
                         self.is_unavailable = true;
                         log::warn!(topic = self.topic.as_str(), error:%; "store lost");
                     }
-                    self.readers.store_failed(self.store.clock.now());
+                    let pause = self.readers.store_failed(self.store.clock.now());
+                    log::info!(
+                        topic = self.topic.as_str(), error:%, pause_ms = millis(pause),
+                        reading_ms = self.reading_age().map_or(0, millis);
+                        "store does not answer; calling it again after the pause"
+                    );
                     if self.readers.is_alone() {
                         time::sleep(backoff.fail(rand::random())).await;
                     }
@@ -282,6 +288,12 @@
         }
     }
 
+    /// Age of the newest applied reading; `None` before the first one.
+    fn reading_age(&self) -> Option<Duration> {
+        let requested_at = self.requested_at?;
+        Some(self.store.clock.now().saturating_sub(requested_at))
+    }
+
     /// Waits until hosts that start together have written their records, so that most of
     /// them begin by polling another host.
     async fn wait_for_count(&mut self) {
