Notice the return of the store within the bound on configuration

What callers saw: a change that the store had confirmed was not in force on any host for up to four seconds after an outage: 404 for a route that had been added, the older service of a route that had been moved.

Cause: a host that finds the store away pauses for 1, 2, 4, 4, ... s between its calls (reader.rs), whatever the deployment's bounds are, and each topic does so for itself. All hosts lose the store at one moment, so none finds it earlier for the others. A host whose reading is stale was backed off like one that is gone, so those that were late didn't ask the one that had the news either. The class: a wait that grows on its own clock though its cause can end at any moment.

Ruled out: silent connections (calls end after 300 ms each, in the logs), and hosts that wait for one another (one host alone is as late).

Change: the pause grows only while another host keeps this one up to date; otherwise the store is called four times within the bound on configuration, which settings now state (bounds.configuration_ms, 2 s by default) and which binds before calls to other hosts. The first follower that the store answers wakes those of the other topics, so that these need no more calls. Backoffs of hosts that were merely outdated end with the outage.

--- a/crates/papayayard_coordination/src/ranking.rs
+++ b/crates/papayayard_coordination/src/ranking.rs
@@ -50,6 +50,8 @@
 struct Backoff {
     until: Duration,
     next: Duration,
+    /// Whether the host answered, with outdated data.
+    is_outdated: bool,
 }
 
 impl Failover {
@@ -67,13 +69,29 @@
 
     /// Records that a host gave no answer, or an unusable one.
     pub fn failed(&mut self, host: &id::Host, now: Duration) {
+        self.back_off(host, now, false);
+    }
+
+    /// Records that a host gave an answer, but an outdated one.
+    pub fn outdated(&mut self, host: &id::Host, now: Duration) {
+        self.back_off(host, now, true);
+    }
+
+    fn back_off(&mut self, host: &id::Host, now: Duration, is_outdated: bool) {
         let previous = self.backoffs.get(host);
         let time = previous.map_or(INITIAL_BACKOFF, |previous| previous.next);
-        let backoffs = Backoff {
+        let backoff = Backoff {
             until: now + time,
             next: (time * 2).min(MAX_BACKOFF),
+            is_outdated,
         };
-        self.backoffs.insert(host.clone(), backoffs);
+        self.backoffs.insert(host.clone(), backoff);
+    }
+
+    /// Ends the backoffs of hosts whose answers were outdated, because the reason for
+    /// that has ended.
+    pub fn forget_outdated(&mut self) {
+        self.backoffs.retain(|_, backoff| !backoff.is_outdated);
     }
 
     /// Records that a host gave an answer.
--- a/crates/papayayard_coordination/src/reader.rs
+++ b/crates/papayayard_coordination/src/reader.rs
@@ -7,7 +7,9 @@
 //!
 //! The store can refuse individual hosts, or be unavailable when a host starts. Any
 //! other host may then have newer data, including hosts of other zones; the readers are
-//! asked first. If no host has anything new, the store is probed from time to time.
+//! asked first. The store is probed from time to time: less and less often while another
+//! host keeps this one up to date, and at a fixed interval while none does, since an
+//! outage can end at any moment.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -21,8 +23,8 @@
 const MAX_PEERS: usize = 2;
 /// Number of hosts remembered as fallbacks for when the store does not answer.
 const MAX_FALLBACKS: usize = 12;
-/// How long the store is not called after it gave no answer, if another host can be
-/// asked; first the initial value, then the maximum after several failures.
+/// How long the store is not called after it gave no answer, while another host has
+/// newer data; first the initial value, then the maximum after several failures.
 const INITIAL_PAUSE: Duration = Duration::from_secs(1);
 const MAX_PAUSE: Duration = Duration::from_secs(4);
 
@@ -70,11 +72,16 @@
     fallbacks: Vec<Candidate>,
     /// Set while the store does not answer this host.
     outage: Option<Outage>,
+    /// Whether the host asked last had an up-to-date reading.
+    is_supplied: bool,
+    /// Maximum pause while no other host has an up-to-date reading.
+    max_pause: Duration,
 }
 
 #[derive(Clone, Copy, Debug)]
 struct Outage {
-    paused_until: Duration,
+    failed_at: Duration,
+    pause: Duration,
     next_pause: Duration,
 }
 
@@ -88,9 +95,19 @@
             failover: Failover::default(),
             fallbacks: Vec::new(),
             outage: None,
+            is_supplied: false,
+            max_pause: MAX_PAUSE,
         }
     }
 
+    /// Sets the maximum pause between calls to a store that does not answer while no
+    /// other host has newer data either.
+    #[must_use]
+    pub const fn with_max_pause(mut self, max_pause: Duration) -> Self {
+        self.max_pause = max_pause;
+        self
+    }
+
     /// Sets hosts of which only the addresses are known. They are asked only if the
     /// store does not answer, and do not read for this host.
     pub fn set_unranked(&mut self, others: Vec<Candidate>) {
@@ -169,8 +186,11 @@
     /// Where to read from now; `None` if neither the store nor any known host had
     /// anything new a moment ago.
     pub fn source(&self, now: Duration) -> Option<Source> {
-        let outage = self.outage.as_ref();
-        let is_paused = outage.is_some_and(|outage| now < outage.paused_until);
+        let is_paused = self.paused_until().is_some_and(|until| now < until);
+        let is_due = self.outage.is_some() && !is_paused;
+        if is_due && !self.is_supplied {
+            return Some(Source::Probe);
+        }
         let fallback = || self.fallback(now).filter(|_| is_paused);
         let peer = self.failover.first(now).or_else(fallback);
         match peer {
@@ -179,11 +199,30 @@
                 address: candidate.address,
             }),
             None if is_paused => None,
-            None if outage.is_some() => Some(Source::Probe),
+            None if is_due => Some(Source::Probe),
             None => Some(Source::Store),
         }
     }
 
+    /// When the store is to be called again whatever other hosts answer; `None` while it
+    /// answers, or while another host keeps this one up to date.
+    pub fn next_probe(&self) -> Option<Duration> {
+        self.paused_until().filter(|_| !self.is_supplied)
+    }
+
+    fn paused_until(&self) -> Option<Duration> {
+        let outage = self.outage?;
+        Some(outage.failed_at + self.pause(outage))
+    }
+
+    fn pause(&self, outage: Outage) -> Duration {
+        if self.is_supplied {
+            outage.pause
+        } else {
+            outage.pause.min(self.max_pause)
+        }
+    }
+
     fn fallback(&self, now: Duration) -> Option<&Candidate> {
         let mut hosts = self.fallbacks.iter();
         hosts.find(|candidate| !self.failover.is_backed_off(&candidate.host, now))
@@ -195,25 +234,52 @@
         let pause = self
             .outage
             .map_or(INITIAL_PAUSE, |outage| outage.next_pause);
-        self.outage = Some(Outage {
-            paused_until: now + pause,
+        let outage = Outage {
+            failed_at: now,
+            pause,
             next_pause: (pause * 2).min(MAX_PAUSE),
-        });
-        pause
+        };
+        self.outage = Some(outage);
+        self.pause(outage)
+    }
+
+    /// Records that the store answered this host. Hosts whose readings were outdated have
+    /// probably reached it too.
+    pub fn store_answered(&mut self) {
+        if self.outage.take().is_some() {
+            self.failover.forget_outdated();
+        }
+        self.is_supplied = false;
     }
 
-    /// Records that the store answered this host.
-    pub const fn store_answered(&mut self) {
-        self.outage = None;
+    /// Records that the store has answered another task of this host, which ends the pause.
+    pub fn store_recovered(&mut self) {
+        if let Some(outage) = &mut self.outage {
+            outage.pause = Duration::ZERO;
+        }
+        self.is_supplied = false;
+    }
+
+    /// Whether the store does not answer this host.
+    pub const fn is_store_away(&self) -> bool {
+        self.outage.is_some()
     }
 
-    /// Records that a host gave no answer, or an outdated one.
+    /// Records that a host gave no answer.
     pub fn failed(&mut self, host: &id::Host, now: Duration) {
+        self.is_supplied = false;
         self.failover.failed(host, now);
     }
 
-    /// Records that a host gave an answer.
+    /// Records that a host gave an outdated answer.
+    pub fn outdated(&mut self, host: &id::Host, now: Duration) {
+        self.is_supplied = false;
+        self.failover.outdated(host, now);
+    }
+
+    /// Records that a host gave an up-to-date answer.
     pub fn answered(&mut self, host: &id::Host) {
+        self.is_supplied = true;
         self.failover.answered(host);
     }
 }
--- a/crates/papayayard_coordination/tests/outage_test.rs
+++ b/crates/papayayard_coordination/tests/outage_test.rs
@@ -20,8 +20,10 @@
 /// Timeout of such a read, and of a call to a store that did not answer before.
 const READ_TIMEOUT: Duration = Duration::from_secs(1);
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
-/// Time after which a host that gives no answer is given up.
-const PEER_TIMEOUT: Duration = Duration::from_millis(800);
+/// Time that another host has for a newer reading, unless the store is to be probed
+/// sooner, and beyond that time until it is given up.
+const MAX_WAIT: Duration = Duration::from_millis(550);
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(250);
 /// Age at which a reading of another host is of no use.
 const STALE: Duration = Duration::from_secs(1);
 /// Pause of a host that finds neither the store nor another host to call.
@@ -77,7 +79,8 @@
 }
 
 fn selector(local: usize, hosts: &[Candidate]) -> Selector {
-    let mut selector = Selector::new(hosts[local].host.clone(), Scope::All);
+    let selector = Selector::new(hosts[local].host.clone(), Scope::All);
+    let mut selector = selector.with_max_pause(IN_FORCE / 4);
     let zones = hosts.len().min(ZONES);
     let indexed = hosts.iter().cloned().enumerate();
     let (zone, others): (Vec<_>, Vec<_>) =
@@ -163,14 +166,18 @@
         let (reading, is_frozen) = (called.reading, called.is_frozen);
         let host = &mut self.hosts[index];
         if is_frozen {
-            let at = now + PEER_TIMEOUT;
+            let wait = host
+                .selector
+                .next_probe()
+                .map_or(MAX_WAIT, |probe| MAX_WAIT.min(probe.saturating_sub(now)));
+            let at = now + wait + ANSWER_TIMEOUT;
             host.selector.failed(peer, at);
             return Err(at);
         }
         let at = now + ROUND_TRIP;
         host.reading = host.reading.max(reading);
         if reading + STALE < at {
-            host.selector.failed(peer, at);
+            host.selector.outdated(peer, at);
             return Err(at);
         }
         host.selector.answered(peer);
--- a/crates/papayayard_gateway/src/follow.rs
+++ b/crates/papayayard_gateway/src/follow.rs
@@ -8,7 +8,8 @@
 //! One host of a zone reads the store and the others poll that host, using the same
 //! offsets, so that any of them can replace it. A host that gets no answer from the store
 //! accepts the reading of any other host that is newer than its own, together with the
-//! age of that reading.
+//! age of that reading. As soon as the store answers one follower of the host again, all
+//! of them call it.
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
@@ -17,6 +18,7 @@
 use papayayard_coordination::journal::Backoff;
 use papayayard_coordination::reader::{Rank, Scope, Selector, Source};
 use papayayard_wire::id;
+use snafu::Snafu;
 use tokio::sync::watch;
 use tokio::time;
 
@@ -25,6 +27,7 @@
 use crate::hosts::Neighbours;
 use crate::mirror::{Mirror, Part, Received};
 use crate::peers;
+use crate::recovery::Notifier;
 use crate::refusal::millis;
 use crate::store::{Codec, Error, Record, Topic};
 
@@ -96,6 +99,9 @@
     /// Time beyond two periods after which a reading is stale. The age of a reading
     /// counts from its request, and a reading is replaced when the next one ends.
     pub(crate) slack: Duration,
+    /// Maximum pause between calls to a store that does not answer, while no other host
+    /// has newer data; `None` for the default.
+    pub(crate) max_outage_pause: Option<Duration>,
 }
 
 impl Polling {
@@ -104,6 +110,15 @@
             wait,
             pause,
             slack: SLACK,
+            max_outage_pause: None,
+        }
+    }
+
+    /// Sets the maximum pause between calls to a store that does not answer.
+    pub(crate) const fn with_max_outage_pause(self, pause: Duration) -> Self {
+        Self {
+            max_outage_pause: Some(pause),
+            ..self
         }
     }
 
@@ -143,6 +158,8 @@
     pub(crate) codec: Platform,
     pub(crate) address: SocketAddr,
     pub(crate) clock: Clock,
+    /// Notifies all tasks when the store answers again.
+    pub(crate) recovery: Notifier,
 }
 
 impl<Platform> Store<Platform>
@@ -204,6 +221,15 @@
     pub(crate) mirror: watch::Sender<Mirror>,
 }
 
+/// Reason why another host is of no use as a source.
+#[derive(Debug, Snafu)]
+enum PeerError {
+    #[snafu(display("its reading is stale"))]
+    Outdated,
+    #[snafu(display("{problem}"))]
+    NoAnswer { problem: String },
+}
+
 /// Follows a topic for as long as the process runs.
 pub(crate) async fn follow<Platform, Target>(
     store: Store<Platform>,
@@ -215,9 +241,13 @@
     Platform: Codec,
     Target: Reducer,
 {
+    let mut readers = Selector::new(links.host.clone(), Scope::All);
+    if let Some(pause) = polling.max_outage_pause {
+        readers = readers.with_max_pause(pause);
+    }
     let follower = Follower {
         caller: Caller::new(store.address),
-        readers: Selector::new(links.host.clone(), Scope::All),
+        readers,
         peer: None,
         store,
         topic,
@@ -256,38 +286,56 @@
 {
     async fn run(mut self) {
         self.wait_for_count().await;
+        let mut recoveries = self.store.recovery.subscribe();
         let mut backoff = Backoff::new(INITIAL_BACKOFF, MAX_BACKOFF);
         loop {
-            match self.poll().await {
-                Ok(None) => time::sleep(IDLE_WAIT).await,
-                Ok(Some(Source::Peer { .. })) => backoff.succeed(),
-                Ok(Some(Source::Store | Source::Probe)) => {
-                    backoff.succeed();
-                    time::sleep(self.polling.pause).await;
-                }
-                Err(Error::Expired) => {
-                    log::info!(topic = self.topic.as_str(); "records expired; reading the newest of each key");
-                    self.next = None;
-                }
-                Err(error) => {
-                    if !self.is_unavailable {
-                        self.is_unavailable = true;
-                        log::warn!(topic = self.topic.as_str(), error:%; "store lost");
-                    }
-                    let pause = self.readers.store_failed(self.store.clock.now());
-                    log::info!(
-                        topic = self.topic.as_str(), error:%, pause_ms = millis(pause),
-                        reading_ms = self.reading_age().map_or(0, millis);
-                        "store does not answer; calling it again after the pause"
-                    );
-                    if self.readers.is_alone() {
-                        time::sleep(backoff.fail(rand::random())).await;
-                    }
+            if !self.readers.is_store_away() {
+                recoveries.disregard();
+                self.round(&mut backoff).await;
+                continue;
+            }
+            tokio::select! {
+                () = self.round(&mut backoff) => {}
+                () = recoveries.next() => self.readers.store_recovered(),
+            }
+        }
+    }
+
+    /// Reads once, and waits until the next reading.
+    async fn round(&mut self, backoff: &mut Backoff) {
+        match self.poll().await {
+            Ok(None) => time::sleep(IDLE_WAIT).await,
+            Ok(Some(Source::Peer { .. })) => backoff.succeed(),
+            Ok(Some(Source::Store | Source::Probe)) => {
+                backoff.succeed();
+                time::sleep(self.polling.pause).await;
+            }
+            Err(Error::Expired) => {
+                log::info!(topic = self.topic.as_str(); "records expired; reading the newest of each key");
+                self.next = None;
+            }
+            Err(error) => {
+                self.store_failed(&error);
+                if self.readers.is_alone() {
+                    time::sleep(backoff.fail(rand::random())).await;
                 }
             }
         }
     }
 
+    fn store_failed(&mut self, error: &Error) {
+        if !self.is_unavailable {
+            self.is_unavailable = true;
+            log::warn!(topic = self.topic.as_str(), error:%; "store lost");
+        }
+        let pause = self.readers.store_failed(self.store.clock.now());
+        log::info!(
+            topic = self.topic.as_str(), error:%, pause_ms = millis(pause),
+            reading_ms = self.reading_age().map_or(0, millis);
+            "store does not answer; calling it again after the pause"
+        );
+    }
+
     /// Age of the newest applied reading; `None` before the first one.
     fn reading_age(&self) -> Option<Duration> {
         let requested_at = self.requested_at?;
@@ -331,7 +379,11 @@
                 Err(problem) => {
                     let topic = self.topic.as_str();
                     log::info!(topic, host:%, problem:%; "another host has nothing new");
-                    self.readers.failed(host, self.store.clock.now());
+                    let now = self.store.clock.now();
+                    match problem {
+                        PeerError::Outdated => self.readers.outdated(host, now),
+                        PeerError::NoAnswer { .. } => self.readers.failed(host, now),
+                    }
                 }
             }
         };
@@ -343,6 +395,7 @@
         self.readers.store_answered();
         if std::mem::take(&mut self.is_unavailable) {
             log::info!(topic = self.topic.as_str(); "store reached again");
+            self.store.recovery.notify();
         }
         Ok(Some(source))
     }
@@ -361,15 +414,19 @@
 
     /// Polls another host. Its reading is applied if it is newer than this host's, but a
     /// stale reading is still reported as an error.
-    async fn poll_peer(&mut self, address: SocketAddr) -> Result<(), String> {
+    async fn poll_peer(&mut self, address: SocketAddr) -> Result<(), PeerError> {
         let clock = self.store.clock;
         let connected = self.peer.take().filter(|peer| peer.address() == address);
         let client = match connected {
             Some(client) => client,
-            None => peers::Client::new(address, self.polling.max_wait())?,
+            None => peers::Client::new(address, self.polling.max_wait())
+                .map_err(|problem| PeerError::NoAnswer { problem })?,
         };
         let polling = self.polling.for_rank(self.readers.rank());
-        let part = client.read(self.topic, self.next, polling, clock).await?;
+        let part = client
+            .read(self.topic, self.next, polling, self.peer_wait(), clock)
+            .await
+            .map_err(|problem| PeerError::NoAnswer { problem })?;
         self.peer = Some(client);
         let now = clock.now();
         if self
@@ -379,11 +436,19 @@
             self.apply_part(&part, now);
         }
         if polling.is_stale(part.requested_at, now) {
-            return Err("its reading is stale".to_owned());
+            return Err(PeerError::Outdated);
         }
         Ok(())
     }
 
+    /// Time that another host has for a newer reading: the store must be probed in time.
+    fn peer_wait(&self) -> Duration {
+        let max_wait = self.polling.max_wait();
+        let now = self.store.clock.now();
+        let probe = self.readers.next_probe();
+        probe.map_or(max_wait, |probe| probe.saturating_sub(now).min(max_wait))
+    }
+
     fn apply_part(&mut self, part: &Part, now: Duration) {
         self.reducer.begin_reading(part.requested_at, now);
         if part.is_whole {
--- a/crates/papayayard_gateway/src/host.rs
+++ b/crates/papayayard_gateway/src/host.rs
@@ -30,6 +30,7 @@
 use crate::metrics::Metrics;
 use crate::mirror::Mirror;
 use crate::pool::Pool;
+use crate::recovery::Notifier;
 use crate::relay::Relay;
 use crate::settings::Settings;
 use crate::store::Topic;
@@ -44,6 +45,11 @@
 /// after two readings at most.
 pub(crate) const OPERATORS_POLLING: Polling =
     Polling::new(Duration::from_millis(400), Duration::ZERO);
+/// Calls of a host to a store that is away, within the time in which configuration must be
+/// in force: one that is lost leaves time for another.
+const OUTAGE_CALLS: u32 = 4;
+/// Minimum pause between these calls.
+const MIN_OUTAGE_PAUSE: Duration = Duration::from_millis(100);
 /// Polling of endpoints' records. They change constantly, so readings are delayed to
 /// collect several changes.
 pub(crate) const ENDPOINTS_POLLING: Polling =
@@ -84,6 +90,7 @@
             codec,
             address: settings.store,
             clock,
+            recovery: Notifier::default(),
         },
         settings,
         schedule,
@@ -254,7 +261,9 @@
         let (last_read, last_read_receiver) = watch::channel(None);
         let codec = self.store.codec.clone();
         let reducer = Operators::new(codec, configuration, last_read, self.schedule.clone());
-        self.follow(Topic::Operators, OPERATORS_POLLING, reducer);
+        let max_pause = self.settings.bounds.configuration / OUTAGE_CALLS;
+        let polling = OPERATORS_POLLING.with_max_outage_pause(max_pause.max(MIN_OUTAGE_PAUSE));
+        self.follow(Topic::Operators, polling, reducer);
         (configuration_receiver, last_read_receiver)
     }
 
--- a/crates/papayayard_gateway/src/lib.rs
+++ b/crates/papayayard_gateway/src/lib.rs
@@ -40,6 +40,7 @@
 mod peers;
 mod pool;
 mod pump;
+mod recovery;
 mod refusal;
 mod relay;
 mod schedule;
--- a/crates/papayayard_gateway/src/peers.rs
+++ b/crates/papayayard_gateway/src/peers.rs
@@ -265,25 +265,27 @@
         answer.map_err(|error| error.to_string())
     }
 
-    /// Reads the records of a topic since an offset.
+    /// Reads the records of a topic since an offset, and waits for a newer reading for at
+    /// most `wait`.
     pub(crate) async fn read(
         &self,
         topic: Topic,
         from: Option<u64>,
         polling: Polling,
+        wait: Duration,
         clock: Clock,
     ) -> Result<Part, String> {
         let call = Call {
             topic: topic.as_str().to_owned(),
             from,
-            wait_ms: polling.max_wait(),
+            wait_ms: wait,
             oldest_ms: polling.max_age(),
         };
         let called = clock.now();
-        let answer: Answer = self
-            .client
-            .request(READ, rpc_params![call])
+        let answer = self.client.request(READ, rpc_params![call]);
+        let answer: Answer = time::timeout(wait + ANSWER_TIMEOUT, answer)
             .await
+            .map_err(|_| "it did not answer in time".to_owned())?
             .map_err(|error| error.to_string())?;
         Ok(Part {
             is_whole: answer.is_whole,
--- a/crates/papayayard_gateway/src/settings.rs
+++ b/crates/papayayard_gateway/src/settings.rs
@@ -40,6 +40,8 @@
 pub struct Bounds {
     /// Time within which a revoked key is refused; `None` without strict revocation.
     pub revocation: Option<Duration>,
+    /// Time within which published configuration must be in force.
+    pub configuration: Duration,
     /// Time for which requests may start on older weights after a newer version became the
     /// target.
     pub old_weights: Duration,
@@ -127,6 +129,12 @@
     let mut fields = reader.fields(place)?;
     let strict = fields.optional(reader, "strict_revocation", false, Reader::flag);
     let revocation = duration(reader, &mut fields, "revocation_ms", Duration::from_secs(5));
+    let configuration = duration(
+        reader,
+        &mut fields,
+        "configuration_ms",
+        Duration::from_secs(2),
+    );
     let old_weights = duration(
         reader,
         &mut fields,
@@ -150,6 +158,7 @@
     fields.reject_unknown(reader);
     Some(Bounds {
         revocation: revocation.filter(|_| strict == Some(true)),
+        configuration: configuration?,
         old_weights: old_weights?,
         lease: lease?,
         stop: stop?,
--- a/crates/papayayard_gateway/tests/settings.rs
+++ b/crates/papayayard_gateway/tests/settings.rs
@@ -15,6 +15,7 @@
 bounds:
   strict_revocation: true
   revocation_ms: 5000
+  configuration_ms: 3000
   old_weights_ms: 12000
   repeat_ratio: 0.2
   repeat_slack: 58
@@ -25,6 +26,7 @@
     let settings = settings::parse(GOOD).expect("settings");
     assert_eq!(settings.host.as_str(), "entry-1");
     assert_eq!(settings.bounds.revocation, Some(Duration::from_secs(5)));
+    assert_eq!(settings.bounds.configuration, Duration::from_secs(3));
     assert_eq!(settings.bounds.old_weights, Duration::from_secs(12));
     assert_eq!(settings.bounds.lease, Duration::from_secs(3), "the default");
     assert_eq!(settings.capacity, 250);
@@ -52,6 +54,11 @@
 #[case::negative("58", "-1", "bounds.repeat_slack")]
 #[case::no_number("ratio: 0.2", "ratio: many", "bounds.repeat_ratio")]
 #[case::too_long("12000", "99999999999", "bounds.old_weights_ms")]
+#[case::no_time(
+    "configuration_ms: 3000",
+    "configuration_ms: soon",
+    "bounds.configuration_ms"
+)]
 #[case::unknown("revocation_ms", "revoke", "bounds.revoke")]
 #[case::no_seed("10.0.0.3:82", "three", "seeds[1]")]
 #[case::no_announced("capacity: 0.25", "announced_peers: here", "announced_peers")]
