--- a/crates/papayayard_coordination/tests/rollout_test.rs
+++ b/crates/papayayard_coordination/tests/rollout_test.rs
@@ -2,8 +2,10 @@
 
 use std::time::Duration;
 
-use papayayard_coordination::rollout::{Answer, Member, Observation, Rollout};
+use papayayard_coordination::rollout::{Answer, DueOrder, Member, Observation, Rollout};
 use papayayard_wire::id;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
 
 const NOW: Duration = Duration::from_secs(100);
@@ -231,3 +233,112 @@
         "the endpoint with the oldest weights goes first"
     );
 }
+
+/// An endpoint whose orders get no answer and are executed late.
+struct Late {
+    id: id::Endpoint,
+    version: u64,
+    /// Number of orders that it has begun to execute.
+    executed: u64,
+    /// Orders with the time of their execution and the number of orders that they expect
+    /// to have been executed.
+    orders: Vec<(Duration, u64)>,
+    loads_until: Option<Duration>,
+}
+
+impl Late {
+    fn advance(&mut self, load: Duration, now: Duration) {
+        if self.loads_until.is_some_and(|until| until <= now) {
+            self.loads_until = None;
+            self.version = TARGET;
+        }
+        let due = self.orders.extract_if(.., |(at, _)| *at <= now);
+        for (_, expected) in due.collect::<Vec<_>>() {
+            if expected == self.executed && self.loads_until.is_none() {
+                self.executed += 1;
+                self.loads_until = Some(now + load);
+            }
+        }
+    }
+
+    fn observation(&self) -> Observation {
+        observation(self.version, self.loads_until.is_some(), 0)
+    }
+}
+
+/// Simulates a roll-out in which all orders get no answer and are executed 2 to 12 s
+/// later. Returns its duration, and the largest number of endpoints that served nothing
+/// although they loaded no weights.
+fn simulate_late(number: usize, load: Duration, seed: u64) -> (Duration, usize) {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut rollout = Rollout::default();
+    let mut members = members(number);
+    let late = members.iter().map(|member| Late {
+        id: member.endpoint.clone(),
+        version: 1,
+        executed: 0,
+        orders: Vec::new(),
+        loads_until: None,
+    });
+    let mut late: Vec<Late> = late.collect();
+    let mut answers: Vec<(Duration, DueOrder)> = Vec::new();
+    let mut max_idle = 0;
+    let mut now = NOW;
+    loop {
+        for (member, late) in members.iter_mut().zip(&mut late) {
+            late.advance(load, now);
+            member.version = late.version;
+        }
+        rollout.plan(&members, TARGET, now);
+        if members.iter().all(|member| member.version == TARGET) {
+            return (now.saturating_sub(NOW), max_idle);
+        }
+        for (_, due) in answers.extract_if(.., |(at, _)| *at <= now) {
+            rollout.answered(&due, Answer::Lost, now);
+        }
+        let actions = rollout.actions(now);
+        for due in actions.orders {
+            rollout.sent(&due, now);
+            let ordered = late.iter_mut().find(|late| late.id == due.endpoint);
+            let ordered = ordered.unwrap();
+            let delay = ms(rng.random_range(2_000..12_000));
+            ordered.orders.push((now + delay, ordered.executed));
+            answers.push((now + ms(300), due));
+        }
+        for endpoint in actions.checks {
+            let checked = late.iter().find(|late| late.id == endpoint).unwrap();
+            rollout.observe(&endpoint, checked.observation(), now);
+        }
+        let unavailable = rollout.unavailable();
+        let idle = late
+            .iter()
+            .filter(|late| late.loads_until.is_none() && unavailable.contains(&late.id));
+        max_idle = max_idle.max(idle.count());
+        now += ms(50);
+        assert!(now < NOW + Duration::from_mins(2), "no end, seed {seed}");
+    }
+}
+
+/// Time for which requests may begin on older weights, and the factor on it after which
+/// nine in ten endpoints must have the newest ones.
+const OLD_WEIGHTS: Duration = Duration::from_secs(12);
+const ALL_FACTOR: f64 = 1.5;
+
+/// Half of the endpoints kept older weights for good while their orders were executed late.
+#[rstest]
+#[case::eighteen(18, 3)]
+#[case::twelve(12, 2)]
+#[case::ninety(90, 18)]
+fn a_rollout_ends_in_time_although_orders_are_executed_late(
+    #[case] number: usize,
+    #[case] limit: usize,
+) {
+    for seed in 0..20 {
+        let (length, idle) = simulate_late(number, ms(1300), seed);
+        assert!(
+            length <= OLD_WEIGHTS.mul_f64(ALL_FACTOR),
+            "seed {seed}: {length:?}"
+        );
+        assert!(idle <= (limit * 8).div_ceil(5), "seed {seed}: {idle} idle");
+    }
+}
