Roll-out: an endpoint that leaves orders unanswered lets others go first

What callers saw: endpoints stayed on older weights for good, and requests were refused for want of newer ones, while endpoints left orders unanswered and executed them seconds later.

Cause: an order without an answer held one of the few places for loads until it was executed, 2 to 12 s later, though nothing was loaded meanwhile; and the endpoint served nothing. Endpoints were drained for an order whose time of execution nobody knew.

Change: an unanswered order whose endpoint reports that it executes none takes no place for loads. While other endpoints wait, such an endpoint serves again after its first unanswered order, otherwise after the second; it is asked all the while, and counts as loading as soon as it says so. It may be ordered again a second later, when those without an unanswered order have had their turn. While orders are lost, endpoints are announced but not drained.

--- a/crates/papayayard_coordination/src/rollout.rs
+++ b/crates/papayayard_coordination/src/rollout.rs
@@ -4,7 +4,8 @@
 //! concurrent loads slow one another down. At most that many endpoints load at once,
 //! while some more drain: all hosts stop sending to them and their open requests end.
 //! An endpoint is ordered to load once it is empty, so that no load waits for a long
-//! answer. If a new target version arrives during a roll-out, it replaces the one being
+//! answer. An endpoint that leaves orders unanswered, and does not execute them either,
+//! serves on until it does; meanwhile others are ordered. If a new target version arrives during a roll-out, it replaces the one being
 //! loaded; endpoints that already have the older one load the new one last.
 
 use std::collections::{BTreeMap, HashMap};
@@ -29,6 +30,11 @@
 const CHECK_PERIOD: Duration = Duration::from_millis(180);
 /// Time after which an order counts as lost.
 const ORDER_TIMEOUT: Duration = Duration::from_secs(5);
+/// Unanswered orders in a row after which an endpoint serves again until it executes one;
+/// the first one suffices while other endpoints wait.
+const MAX_LOST: u32 = 2;
+/// Time after which such an endpoint may be ordered again.
+const LOST_DELAY: Duration = Duration::from_secs(1);
 /// Time after which a refused order is repeated.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 /// How long an unreachable endpoint is excluded from the roll-out.
@@ -111,13 +117,22 @@
     /// Accepts no new requests; next checked at `check`.
     Draining { since: Duration, check: Duration },
     /// An order is due at `at`.
-    Due { at: Duration, breaks_off: bool },
+    Due {
+        at: Duration,
+        breaks_off: bool,
+        /// Unanswered orders so far.
+        lost: u32,
+    },
     /// An order was sent; next checked at `check`.
     Ordered {
         at: Duration,
         check: Duration,
         breaks_off: bool,
+        /// Unanswered orders so far, this one included.
+        lost: u32,
     },
+    /// Serves requests; orders that were not answered may be executed at any time.
+    Unanswered { since: Duration, check: Duration },
 }
 
 impl Rollout {
@@ -135,6 +150,7 @@
         for step in self.steps.values_mut() {
             step.time_out(now);
         }
+        self.yield_to_waiting(members, now);
         self.peak_size = self.peak_size.max(members.len());
         let limit = loads_at_once(self.peak_size);
         // At least one endpoint keeps serving.
@@ -142,22 +158,60 @@
         let unavailable = (limit * UNAVAILABLE_PER_FIVE_LOADS)
             .div_ceil(5)
             .min(max_unavailable);
-        while self.steps.len() < unavailable {
-            let Some(next) = self.next_endpoint(members, target) else {
+        while self.unavailable_count() < unavailable {
+            let Some(next) = self.next_endpoint(members, target, now) else {
                 break;
             };
-            let step = Step::Draining {
-                since: now,
-                check: now + ANNOUNCEMENT_DELAY,
-            };
-            self.steps.insert(next, step);
+            self.steps.insert(next, self.first_step(now));
         }
         self.unavailable() != before
     }
 
+    /// First step of an endpoint. While orders are left unanswered, nobody knows when the
+    /// next one is executed, so it does not wait for open requests to end.
+    fn first_step(&self, now: Duration) -> Step {
+        let mut steps = self.steps.values();
+        let at = now + ANNOUNCEMENT_DELAY;
+        if steps.any(|step| step.is_serving() || step.lost() > 0) {
+            return Step::Due {
+                at,
+                breaks_off: false,
+                lost: 0,
+            };
+        }
+        Step::Draining {
+            since: now,
+            check: at,
+        }
+    }
+
+    /// Lets endpoints that left an order unanswered serve again while others have not been
+    /// ordered at all.
+    fn yield_to_waiting(&mut self, members: &[Member], now: Duration) {
+        let is_waiting = |member: &Member| {
+            member.version < self.target
+                && !self.steps.contains_key(&member.endpoint)
+                && !self.excluded.contains_key(&member.endpoint)
+        };
+        if !members.iter().any(is_waiting) {
+            return;
+        }
+        for step in self.steps.values_mut() {
+            if matches!(step, Step::Due { lost: 1.., .. }) {
+                *step = Step::unanswered(now);
+            }
+        }
+    }
+
     /// Endpoints that currently accept no requests.
     pub fn unavailable(&self) -> Vec<id::Endpoint> {
-        self.steps.keys().cloned().collect()
+        let unavailable = self.steps.iter().filter(|(_, step)| !step.is_serving());
+        unavailable.map(|(id, _)| id.clone()).collect()
+    }
+
+    fn unavailable_count(&self) -> usize {
+        let steps = self.steps.values();
+        steps.filter(|step| !step.is_serving()).count()
     }
 
     /// Target version of the roll-out.
@@ -173,7 +227,7 @@
     /// Returns the actions that are due.
     pub fn actions(&mut self, now: Duration) -> Actions {
         let mut actions = Actions::default();
-        let loading = self.steps.values().filter(|step| step.is_ordered()).count();
+        let loading = self.steps.values().filter(|step| step.may_load()).count();
         let mut free = loads_at_once(self.peak_size).saturating_sub(loading);
         let mut due: Vec<(Duration, &id::Endpoint, bool)> = self
             .steps
@@ -202,7 +256,7 @@
     /// Records that an order was sent; it counts as accepted until its answer arrives.
     pub fn sent(&mut self, due: &DueOrder, now: Duration) {
         if let Some(step) = self.steps.get_mut(&due.endpoint) {
-            *step = Step::ordered(due.breaks_off, now, now + CHECK_DELAY);
+            *step = Step::ordered(due.breaks_off, step.lost(), now, now + CHECK_DELAY);
         }
     }
 
@@ -212,16 +266,20 @@
             return;
         };
         let breaks_off = due.breaks_off;
+        let lost = step.lost();
         *step = match answer {
-            Answer::Accepted | Answer::Lost => Step::ordered(breaks_off, now, now + CHECK_DELAY),
-            Answer::Holds => Step::ordered(breaks_off, now, now),
+            Answer::Accepted => Step::ordered(breaks_off, 0, now, now + CHECK_DELAY),
+            Answer::Lost => Step::ordered(breaks_off, lost + 1, now, now + CHECK_DELAY),
+            Answer::Holds => Step::ordered(breaks_off, 0, now, now),
             Answer::Busy | Answer::Gone => Step::Due {
                 at: now + RETRY_DELAY,
                 breaks_off,
+                lost,
             },
             Answer::Unsent => Step::Due {
                 at: now,
                 breaks_off,
+                lost,
             },
         };
     }
@@ -247,7 +305,11 @@
         let Some(step) = self.steps.get_mut(endpoint) else {
             return;
         };
+        let has_target = !observation.is_busy && observation.version >= self.target;
         match *step {
+            Step::Draining { .. } | Step::Unanswered { .. } if observation.is_busy => {
+                *step = Step::ordered(false, 0, now, now + CHECK_PERIOD);
+            }
             Step::Draining { since, .. } => {
                 let is_late = since + TYPICAL_DRAIN <= now;
                 let max_open = if is_late { MAX_OPEN } else { 0 };
@@ -255,39 +317,58 @@
                     *step = Step::Due {
                         at: now,
                         breaks_off: observation.open > 0,
+                        lost: 0,
                     };
                 }
             }
-            Step::Ordered { .. } if !observation.is_busy && observation.version >= self.target => {
+            Step::Ordered { .. } | Step::Unanswered { .. } if has_target => {
                 self.steps.remove(endpoint);
             }
-            Step::Ordered { breaks_off, .. } if !observation.is_busy => {
-                *step = Step::Due {
-                    at: now,
-                    breaks_off,
+            Step::Ordered {
+                breaks_off, lost, ..
+            } if !observation.is_busy => {
+                *step = if lost >= MAX_LOST {
+                    Step::unanswered(now)
+                } else {
+                    Step::Due {
+                        at: now,
+                        breaks_off,
+                        lost,
+                    }
                 };
             }
-            Step::Ordered { .. } | Step::Due { .. } => {}
+            Step::Ordered { .. } | Step::Due { .. } | Step::Unanswered { .. } => {}
         }
     }
 
     /// The endpoint to announce next: one with the oldest weights, in the zone with the
-    /// fewest unavailable endpoints.
-    fn next_endpoint(&self, members: &[Member], target: u64) -> Option<id::Endpoint> {
+    /// fewest unavailable endpoints. Endpoints without an unanswered order go first.
+    fn next_endpoint(
+        &self,
+        members: &[Member],
+        target: u64,
+        now: Duration,
+    ) -> Option<id::Endpoint> {
         let mut unavailable: HashMap<&id::Zone, usize> = HashMap::new();
         for member in members {
-            if self.steps.contains_key(&member.endpoint) {
+            let step = self.steps.get(&member.endpoint);
+            if step.is_some_and(|step| !step.is_serving()) {
                 *unavailable.entry(&member.zone).or_default() += 1;
             }
         }
-        let waiting = members.iter().filter(|member| {
-            member.version < target
-                && !self.steps.contains_key(&member.endpoint)
-                && !self.excluded.contains_key(&member.endpoint)
+        let waiting = members.iter().filter_map(|member| {
+            let is_candidate =
+                member.version < target && !self.excluded.contains_key(&member.endpoint);
+            let unanswered_since = match self.steps.get(&member.endpoint) {
+                None => None,
+                Some(Step::Unanswered { since, .. }) if *since + LOST_DELAY <= now => Some(*since),
+                Some(_) => return None,
+            };
+            is_candidate.then_some((unanswered_since, member))
         });
-        let next = waiting.min_by_key(|member| {
+        let (_, next) = waiting.min_by_key(|(unanswered_since, member)| {
             let zone = unavailable.get(&member.zone).copied().unwrap_or(0);
-            (zone, member.version, &member.endpoint)
+            (*unanswered_since, zone, member.version, &member.endpoint)
         })?;
         Some(next.endpoint.clone())
     }
@@ -298,11 +379,37 @@
         matches!(self, Self::Ordered { .. })
     }
 
-    const fn ordered(breaks_off: bool, at: Duration, check: Duration) -> Self {
+    /// Whether the endpoint probably loads weights.
+    fn may_load(self) -> bool {
+        self.is_ordered() && self.lost() == 0
+    }
+
+    /// Whether hosts send requests to the endpoint.
+    fn is_serving(self) -> bool {
+        matches!(self, Self::Unanswered { .. })
+    }
+
+    /// Unanswered orders so far.
+    const fn lost(self) -> u32 {
+        match self {
+            Self::Due { lost, .. } | Self::Ordered { lost, .. } => lost,
+            Self::Draining { .. } | Self::Unanswered { .. } => 0,
+        }
+    }
+
+    const fn ordered(breaks_off: bool, lost: u32, at: Duration, check: Duration) -> Self {
         Self::Ordered {
             at,
             check,
             breaks_off,
+            lost,
+        }
+    }
+
+    fn unanswered(now: Duration) -> Self {
+        Self::Unanswered {
+            since: now,
+            check: now + CHECK_PERIOD,
         }
     }
 
@@ -310,13 +417,16 @@
     fn due(self, now: Duration) -> Option<(Duration, bool)> {
         match self {
             Self::Draining { since, .. } if since + MAX_DRAIN <= now => Some((since, true)),
-            Self::Due { at, breaks_off } if at <= now => Some((at, breaks_off)),
+            Self::Due { at, breaks_off, .. } if at <= now => Some((at, breaks_off)),
             _ => None,
         }
     }
 
     fn check(&mut self, now: Duration) -> bool {
-        let (Self::Draining { check, .. } | Self::Ordered { check, .. }) = self else {
+        let (Self::Draining { check, .. }
+        | Self::Ordered { check, .. }
+        | Self::Unanswered { check, .. }) = self
+        else {
             return false;
         };
         if now < *check {
@@ -327,13 +437,20 @@
     }
 
     fn time_out(&mut self, now: Duration) {
-        let Self::Ordered { at, breaks_off, .. } = *self else {
+        let Self::Ordered {
+            at,
+            breaks_off,
+            lost,
+            ..
+        } = *self
+        else {
             return;
         };
         if at + ORDER_TIMEOUT <= now {
             *self = Self::Due {
                 at: now,
                 breaks_off,
+                lost,
             };
         }
     }
