Ask hosts with outdated readings again within the bound on configuration

What callers saw: a host that the store refused by itself after an outage handled requests by an outdated configuration for up to eight seconds, although the other hosts had the new one.

During the outage each host backs off the others, whose readings are outdated, for 1, 2, 4, 8, 8, ... s; these backoffs end when the store answers the host itself, which it doesn't here.

Ruled out: hosts that don't answer (none is frozen in these replays).

Change: the backoff of a host that answers with an outdated reading grows to twice the maximum pause between calls to the store at most. That is half of the bound on configuration for the operators' topic and, as before, 8 s for the others.

Evidence: the new test failed before in 4 of 4 cases (9 and 80 hosts; silent and refusing; the bound is 2 s and the 5 s by which an unstable store stretches it), none now.

--- a/crates/papayayard_coordination/src/ranking.rs
+++ b/crates/papayayard_coordination/src/ranking.rs
@@ -69,20 +69,28 @@
 
     /// Records that a host gave no answer, or an unusable one.
     pub fn failed(&mut self, host: &id::Host, now: Duration) {
-        self.back_off(host, now, false);
+        self.back_off(host, now, MAX_BACKOFF, false);
     }
 
-    /// Records that a host gave an answer, but an outdated one.
-    pub fn outdated(&mut self, host: &id::Host, now: Duration) {
-        self.back_off(host, now, true);
+    /// Records that a host gave an answer, but an outdated one. It is asked again after
+    /// `max_backoff` at the latest, since it may have newer data at any moment.
+    pub fn outdated(&mut self, host: &id::Host, now: Duration, max_backoff: Duration) {
+        self.back_off(host, now, max_backoff.min(MAX_BACKOFF), true);
     }
 
-    fn back_off(&mut self, host: &id::Host, now: Duration, is_outdated: bool) {
+    fn back_off(
+        &mut self,
+        host: &id::Host,
+        now: Duration,
+        max_backoff: Duration,
+        is_outdated: bool,
+    ) {
         let previous = self.backoffs.get(host);
-        let time = previous.map_or(INITIAL_BACKOFF, |previous| previous.next);
+        let next = previous.map_or(INITIAL_BACKOFF, |previous| previous.next);
+        let time = next.min(max_backoff);
         let backoff = Backoff {
             until: now + time,
-            next: (time * 2).min(MAX_BACKOFF),
+            next: (time * 2).min(max_backoff),
             is_outdated,
         };
         self.backoffs.insert(host.clone(), backoff);
--- a/crates/papayayard_coordination/src/reader.rs
+++ b/crates/papayayard_coordination/src/reader.rs
@@ -27,6 +27,8 @@
 /// newer data; first the initial value, then the maximum after several failures.
 const INITIAL_PAUSE: Duration = Duration::from_secs(1);
 const MAX_PAUSE: Duration = Duration::from_secs(4);
+/// Maximum backoff of a host whose reading was outdated, in maximum pauses.
+const BACKOFF_PAUSES: u32 = 2;
 
 /// Where to read from.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -274,7 +276,8 @@
     /// Records that a host gave an outdated answer.
     pub fn outdated(&mut self, host: &id::Host, now: Duration) {
         self.is_supplied = false;
-        self.failover.outdated(host, now);
+        let max_backoff = self.max_pause * BACKOFF_PAUSES;
+        self.failover.outdated(host, now, max_backoff);
     }
 
     /// Records that a host gave an up-to-date answer.
--- a/crates/papayayard_coordination/tests/outage_test.rs
+++ b/crates/papayayard_coordination/tests/outage_test.rs
@@ -49,6 +49,8 @@
     until: Duration,
     /// Whether only every second host is affected.
     is_partial: bool,
+    /// End of the refusals of every second host; not before the end of the outage.
+    refuses_some_until: Duration,
 }
 
 struct Host {
@@ -123,8 +125,10 @@
     }
 
     fn is_away(&self, index: usize, now: Duration) -> bool {
+        let is_refused = index.is_multiple_of(2) && now < self.outage.refuses_some_until;
         let is_affected = !self.outage.is_partial || index.is_multiple_of(2);
-        is_affected && (START..self.outage.until).contains(&now)
+        let is_away = is_affected && now < self.outage.until;
+        now >= START && (is_away || is_refused)
     }
 
     /// One round of a follower.
@@ -229,6 +233,7 @@
             absence,
             until: START + length,
             is_partial: false,
+            refuses_some_until: START,
         };
         let mut replay = Replay::new(hosts, outage, &mut rng);
         replay.run(START + length / 2);
@@ -261,6 +266,7 @@
             absence,
             until: START + length,
             is_partial: false,
+            refuses_some_until: START,
         };
         let mut replay = Replay::new(hosts, outage, &mut rng);
         replay.run(outage.until);
@@ -288,6 +294,7 @@
             absence,
             until: START + length,
             is_partial: true,
+            refuses_some_until: START,
         };
         let mut replay = Replay::new(hosts, outage, &mut rng);
         replay.run(outage.until);
@@ -309,3 +316,35 @@
         }
     }
 }
+
+/// Time by which an unstable store stretches the bound on configuration.
+const SKEW: Duration = Duration::from_secs(5);
+
+/// Hosts that a store refused after its return got nothing from the others for up to eight
+/// seconds, because these had been outdated during the outage.
+#[rstest]
+fn hosts_that_the_store_refuses_after_an_outage_read_from_others(
+    #[values(9, 80)] hosts: usize,
+    #[values(Absence::Silent, Absence::Refusing)] absence: Absence,
+) {
+    for seed in 0..SEEDS {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let length = Duration::from_millis(rng.random_range(LENGTHS_MS));
+        let until = START + length;
+        let in_force = until + IN_FORCE + SKEW;
+        let outage = Outage {
+            absence,
+            until,
+            is_partial: false,
+            refuses_some_until: in_force,
+        };
+        let mut replay = Replay::new(hosts, outage, &mut rng);
+        replay.run(in_force);
+        let indexed = replay.hosts.iter().enumerate();
+        let late: Vec<usize> = indexed
+            .filter(|(_, host)| host.reading < until)
+            .map(|(index, _)| index)
+            .collect();
+        assert!(late.is_empty(), "seed {seed}, {length:?}: {late:?}");
+    }
+}
