Write a host's record as soon as the store answers again

What operators saw: a host that had started during an outage was counted by the others, and polled by them, only up to eight seconds after the return of the store; hosts that all start during an outage count themselves alone meanwhile, and limits across hosts are divided by too few.

Cause: announce retried after 1, 2, 4, 8, ... s, whatever the host's other tasks had learned of the store.

Change: the notification that ends the pauses of the followers ends this one, too.

Evidence: a_host_that_starts_during_an_outage_is_counted_after_it failed before (not counted 3 s after the return, the third retry being due after 4 s), and passes now; path tests 'outage' 9 of 9 and 'starting' 1 of 1. That limits are exceeded meanwhile was not shown.

--- a/crates/papayayard_gateway/src/hosts.rs
+++ b/crates/papayayard_gateway/src/hosts.rs
@@ -95,7 +95,8 @@
     pub(crate) metrics: Metrics,
 }
 
-/// Writes this host's record periodically, and removes it when the host is stopped.
+/// Writes this host's record periodically, and as soon as the store answers again if that
+/// failed. Removes it when the host is stopped.
 pub(crate) async fn announce<Platform>(
     store: Store<Platform>,
     own: LocalHost,
@@ -105,9 +106,13 @@
 {
     let mut caller = Caller::new(store.address);
     let value = own.presence();
+    let mut recoveries = store.recovery.subscribe();
     let mut retry = INITIAL_BACKOFF;
     loop {
-        let pause = match write(&store, &mut caller, &own, &value).await {
+        recoveries.disregard();
+        let written = write(&store, &mut caller, &own, &value).await;
+        let is_missing = written.is_err();
+        let pause = match written {
             Ok(()) => {
                 retry = INITIAL_BACKOFF;
                 HEARTBEAT_PERIOD
@@ -119,9 +124,10 @@
                 pause
             }
         };
-        let stopping = stop_state.wait_for(|stop_state| stop_state.stage > Stage::Serving);
-        if time::timeout(pause, stopping).await.is_ok() {
-            break;
+        tokio::select! {
+            _ = stop_state.wait_for(|stop_state| stop_state.stage > Stage::Serving) => break,
+            () = recoveries.next(), if is_missing => {}
+            () = time::sleep(pause) => {}
         }
     }
     if let Err(error) = write(&store, &mut caller, &own, &[]).await {
