Platform: the time limit of a call stands in a module of its own

A log of tests can then limit its calls as the adapter for HTTP does. No change of behaviour: a call ends after the wait that it asks for and the timeout.

--- a/crates/papayayard_platform/src/http.rs
+++ b/crates/papayayard_platform/src/http.rs
@@ -12,8 +12,8 @@
 use papayayard_wire::{directory, header, id, log};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use tokio::time;
 
+use crate::bound::Bound;
 use crate::service::{self, Error};
 
 /// Maximum length of an answer.
@@ -25,7 +25,7 @@
 #[derive(Clone)]
 pub struct Client {
     address: SocketAddr,
-    timeout: Duration,
+    bound: Bound,
     host: Option<HeaderValue>,
     inner: legacy::Client<HttpConnector, Full<Bytes>>,
 }
@@ -38,7 +38,7 @@
         connector.set_connect_timeout(Some(timeout));
         Self {
             address,
-            timeout,
+            bound: Bound::new(timeout),
             host: None,
             inner: legacy::Client::builder(TokioExecutor::new()).build(connector),
         }
@@ -51,20 +51,11 @@
         self
     }
 
-    async fn call<Answer>(
-        &self,
-        method: Method,
-        path: &str,
-        body: Bytes,
-        wait: Duration,
-    ) -> Result<Answer, Error>
+    async fn call<Answer>(&self, method: Method, path: &str, body: Bytes) -> Result<Answer, Error>
     where
         Answer: DeserializeOwned,
     {
-        let exchange = self.exchange(method, path, body);
-        let bytes = time::timeout(self.timeout + wait, exchange)
-            .await
-            .unwrap_or_else(|_| Err(lost("the answer took too long")))?;
+        let bytes = self.exchange(method, path, body).await?;
         serde_json::from_slice(&bytes).map_err(|error| Error::Malformed {
             reason: error.to_string(),
         })
@@ -114,26 +105,29 @@
 impl service::Log for Client {
     async fn append(&self, stream: &id::Stream, batch: &log::Batch) -> Result<log::Offsets, Error> {
         let path = format!("/streams/{stream}/records");
-        self.call(Method::POST, &path, encode(batch)?, Duration::ZERO)
-            .await
+        let body = encode(batch)?;
+        let append = |_| self.call(Method::POST, &path, body);
+        self.bound.call(Duration::ZERO, append).await
     }
 
     async fn read(&self, stream: &id::Stream, query: &service::Query) -> Result<log::Page, Error> {
-        let path = format!(
-            "/streams/{stream}/records?from={}&limit={}&wait_ms={}",
-            query.from.0,
-            query.limit,
-            query.wait.as_millis()
-        );
-        self.call(Method::GET, &path, Bytes::new(), query.wait)
-            .await
+        let read = async |wait: Duration| {
+            let path = format!(
+                "/streams/{stream}/records?from={}&limit={}&wait_ms={}",
+                query.from.0,
+                query.limit,
+                wait.as_millis()
+            );
+            self.call(Method::GET, &path, Bytes::new()).await
+        };
+        self.bound.call(query.wait, read).await
     }
 }
 
 impl service::Directory for Client {
     async fn list(&self) -> Result<directory::List, Error> {
-        self.call(Method::GET, "/hosts", Bytes::new(), Duration::ZERO)
-            .await
+        let list = |_| self.call(Method::GET, "/hosts", Bytes::new());
+        self.bound.call(Duration::ZERO, list).await
     }
 }
 
--- a/crates/papayayard_platform/src/lib.rs
+++ b/crates/papayayard_platform/src/lib.rs
@@ -4,5 +4,6 @@
 //! only an additional adapter. [`http`] is the adapter for HTTP and
 //! JSON.
 
+pub mod bound;
 pub mod http;
 pub mod service;
