Tests: a configuration is late once the log has been silent

Kept by the code as it is: a log that is unreachable, resets, answers 503 or 429, or stands still and then answers; and one that takes 0.3, 1 or 1.5 s for each answer. Peers do not help: a record ends the reads of all hosts at one moment, so they all wait alike, and 9 and 80 hosts are late together.

Wrong guesses this rules out: the pause after a failed read, whose cap is one second, does not break the bound by itself in any of these outages.

--- a/crates/papayayard/src/controllers/configuration_test.rs
+++ b/crates/papayayard/src/controllers/configuration_test.rs
@@ -15,15 +15,15 @@
 
 const DOCUMENT: &str = include_str!("../../../../examples/fjordtakt.yaml");
 
-struct Host {
+pub(super) struct Host {
     current: watch::Receiver<Current>,
-    accepted: watch::Receiver<Option<Entry>>,
-    adopt: mpsc::Sender<Entry>,
+    pub(super) accepted: watch::Receiver<Option<Entry>>,
+    pub(super) adopt: mpsc::Sender<Entry>,
     _task: JoinHandle<()>,
 }
 
 impl Host {
-    fn start(log: &Log) -> Self {
+    pub(super) fn start(log: &Log) -> Self {
         let (current_sender, current) = watch::channel(None);
         let (link, accepted, adopt) = link();
         let metrics = Metrics::new(Clock::start());
@@ -36,7 +36,7 @@
         }
     }
 
-    async fn reaches(&mut self, revision: u64) {
+    pub(super) async fn reaches(&mut self, revision: u64) {
         let reached = |current: &Current| revision_of(current) == revision;
         let wait = self.current.wait_for(reached);
         let hours = Duration::from_hours(2);
@@ -48,7 +48,7 @@
         seen.unwrap().clone().unwrap()
     }
 
-    fn revision(&self) -> u64 {
+    pub(super) fn revision(&self) -> u64 {
         revision_of(&self.current.borrow())
     }
 }
@@ -58,7 +58,11 @@
 }
 
 fn entry(base: u64, read_to: Option<u64>) -> Entry {
-    let document = format!("{DOCUMENT}\n# revision after {base}\n");
+    entry_of(DOCUMENT, base, read_to)
+}
+
+pub(super) fn entry_of(document: &str, base: u64, read_to: Option<u64>) -> Entry {
+    let document = format!("{document}\n# revision after {base}\n");
     Entry {
         proposal: Proposal {
             format: FORMAT,
@@ -71,7 +75,7 @@
     }
 }
 
-fn json(entry: &Entry) -> String {
+pub(super) fn json(entry: &Entry) -> String {
     serde_json::to_string(entry).unwrap()
 }
 
--- a/crates/papayayard/src/controllers/fake_log_test.rs
+++ b/crates/papayayard/src/controllers/fake_log_test.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use papayayard_platform::bound::Bound;
 use papayayard_platform::service::{self, Error, Query};
 use papayayard_wire::{id, log as stream};
 use tokio::sync::watch;
@@ -11,6 +12,8 @@
 
 /// Longest wait for records.
 const PATIENCE: Duration = Duration::from_hours(1);
+/// Time limit of a call, as settings have it by default.
+pub(super) const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// What happens to an append.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -24,6 +27,21 @@
     LostBefore,
 }
 
+/// What happens to all calls while the log is away.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Outage {
+    /// No connection can be made, and open calls end.
+    Unreachable,
+    /// Calls end without an answer.
+    Reset,
+    /// Calls are answered with this status.
+    Refused(u16),
+    /// Calls stand still until the log is back.
+    Frozen,
+    /// Calls are never answered; only those made after the log's return are.
+    Silent,
+}
+
 #[derive(Default)]
 struct Kept {
     first: u64,
@@ -34,7 +52,10 @@
 struct Inner {
     streams: HashMap<id::Stream, Kept>,
     faults: Vec<Fault>,
-    is_down: bool,
+    outage: Option<Outage>,
+    silences: usize,
+    delay: Duration,
+    reads: Vec<time::Instant>,
     appends: usize,
     time_ms: u64,
 }
@@ -80,10 +101,29 @@
 
     /// Ends or restores all service.
     pub(super) fn set_down(&self, is_down: bool) {
-        self.inner.lock().unwrap().is_down = is_down;
+        self.set_outage(is_down.then_some(Outage::Unreachable));
+    }
+
+    /// Begins or ends an outage.
+    pub(super) fn set_outage(&self, outage: Option<Outage>) {
+        let mut inner = self.inner.lock().unwrap();
+        inner.outage = outage;
+        inner.silences += usize::from(outage == Some(Outage::Silent));
+        drop(inner);
         self.changed.send_modify(|version| *version += 1);
     }
 
+    /// Sets the time that passes before a call has any effect.
+    pub(super) fn set_delay(&self, delay: Duration) {
+        self.inner.lock().unwrap().delay = delay;
+    }
+
+    /// Reads that began since `from`.
+    pub(super) fn reads_since(&self, from: time::Instant) -> usize {
+        let inner = self.inner.lock().unwrap();
+        inner.reads.iter().filter(|at| **at >= from).count()
+    }
+
     /// Sets the log's clock.
     pub(super) fn set_time(&self, time_ms: u64) {
         self.inner.lock().unwrap().time_ms = time_ms;
@@ -135,37 +175,60 @@
         stream::Offsets { first }
     }
 
-    fn page(&self, name: &id::Stream, query: &Query) -> Result<stream::Page, Error> {
+    fn page(&self, name: &id::Stream, query: &Query) -> stream::Page {
         let mut inner = self.inner.lock().unwrap();
-        if inner.is_down {
-            return Err(unreachable());
-        }
         let kept = inner.streams.entry(name.clone()).or_default();
         let from = query.from.0.max(kept.first);
         let records = kept.records.iter().skip(usize::try_from(from).unwrap());
-        Ok(stream::Page {
+        stream::Page {
             first: stream::Offset(kept.first),
             end: stream::Offset(kept.records.len() as u64),
             records: records.take(query.limit as usize).cloned().collect(),
-        })
+        }
     }
 
     fn fault(&self) -> Option<Fault> {
-        let mut inner = self.inner.lock().unwrap();
-        inner.appends += 1;
-        if inner.is_down {
-            return Some(Fault::Unreachable);
+        self.inner.lock().unwrap().faults.pop()
+    }
+
+    /// Silences so far, by which a call knows that it gets no answer any more.
+    fn silences(&self) -> usize {
+        self.inner.lock().unwrap().silences
+    }
+
+    async fn delay(&self) {
+        let delay = self.inner.lock().unwrap().delay;
+        time::sleep(delay).await;
+    }
+
+    /// Lets a call pass that began after so many `silences`.
+    async fn pass(&self, silences: usize) -> Result<(), Error> {
+        let mut changed = self.changed.subscribe();
+        loop {
+            if self.silences() != silences {
+                std::future::pending::<()>().await;
+            }
+            let outage = self.inner.lock().unwrap().outage;
+            match outage {
+                None => return Ok(()),
+                Some(Outage::Unreachable) => return Err(unreachable()),
+                Some(Outage::Reset) => return Err(lost()),
+                Some(Outage::Refused(status)) => return Err(refused(status)),
+                Some(Outage::Silent) => std::future::pending().await,
+                Some(Outage::Frozen) => changed.changed().await.unwrap(),
+            }
         }
-        inner.faults.pop()
     }
-}
 
-impl service::Log for Log {
-    async fn append(
+    async fn append_once(
         &self,
         name: &id::Stream,
         batch: &stream::Batch,
     ) -> Result<stream::Offsets, Error> {
+        let silences = self.silences();
+        self.inner.lock().unwrap().appends += 1;
+        self.delay().await;
+        self.pass(silences).await?;
         match self.fault() {
             Some(Fault::Unreachable) => Err(unreachable()),
             Some(Fault::LostBefore) => Err(lost()),
@@ -177,21 +240,45 @@
         }
     }
 
-    async fn read(&self, name: &id::Stream, query: &Query) -> Result<stream::Page, Error> {
+    async fn read_once(
+        &self,
+        name: &id::Stream,
+        query: &Query,
+        wait: Duration,
+    ) -> Result<stream::Page, Error> {
+        let silences = self.silences();
+        self.inner.lock().unwrap().reads.push(time::Instant::now());
+        self.delay().await;
         let mut changed = self.changed.subscribe();
-        let deadline = time::Instant::now() + query.wait;
+        let deadline = time::Instant::now() + wait;
         loop {
-            let page = self.page(name, query)?;
+            self.pass(silences).await?;
+            let page = self.page(name, query);
             if !page.records.is_empty() || time::Instant::now() >= deadline {
                 return Ok(page);
             }
-            if time::timeout_at(deadline, changed.changed()).await.is_err() {
-                return Ok(page);
-            }
+            // Outages decide on a read that nothing was added for, too.
+            let _ = time::timeout_at(deadline, changed.changed()).await;
         }
     }
 }
 
+impl service::Log for Log {
+    async fn append(
+        &self,
+        name: &id::Stream,
+        batch: &stream::Batch,
+    ) -> Result<stream::Offsets, Error> {
+        let append = |_| self.append_once(name, batch);
+        Bound::new(CALL_TIMEOUT).call(Duration::ZERO, append).await
+    }
+
+    async fn read(&self, name: &id::Stream, query: &Query) -> Result<stream::Page, Error> {
+        let read = |wait| self.read_once(name, query, wait);
+        Bound::new(CALL_TIMEOUT).call(query.wait, read).await
+    }
+}
+
 fn unreachable() -> Error {
     Error::Unreachable {
         address: "fake".to_owned(),
@@ -204,3 +291,10 @@
         reason: "fake".to_owned(),
     }
 }
+
+fn refused(status: u16) -> Error {
+    Error::Status {
+        status,
+        body: "away".to_owned(),
+    }
+}
--- a/crates/papayayard/src/controllers/mod.rs
+++ b/crates/papayayard/src/controllers/mod.rs
@@ -16,3 +16,7 @@
 mod configuration_test;
 #[cfg(test)]
 mod fake_log_test;
+#[cfg(test)]
+mod outage_test;
+#[cfg(test)]
+mod peer_net_test;
