Platform: a read of the log ends within the stated bound on a call

Cause on this path: a read asked the log to wait for five seconds, and its limit was that wait and the timeout together, 7 s, though settings state the bound on a call as 2 s. Where the log went silent and what a host had sent it was lost, the host waited out the 7 s from its own start, however soon the log was back, and 1 s of pause after. A record ends the reads of all hosts at one moment, so their next ones waited alike and no peer had anything newer.

The wait for records is now a part of the call: half of `platform_timeout_ms` at most, the other half is left for the answer, and the call ends after `platform_timeout_ms`. So a host asks again within the stated time, whatever the log did meanwhile.

Cost: an idle host reads each of its ten streams once a second by default, where it did so every five seconds.

--- a/crates/papayayard_platform/src/bound.rs
+++ b/crates/papayayard_platform/src/bound.rs
@@ -6,7 +6,11 @@
 
 use crate::service::Error;
 
-/// Limits how long a call may take.
+/// A call may ask the service to wait for one part in this many of its time limit, and
+/// the rest is left for the answer.
+const WAIT_PART: u32 = 2;
+
+/// Limits how long a call may take, its wait for records included.
 #[derive(Clone, Copy, Debug)]
 pub struct Bound {
     timeout: Duration,
@@ -17,8 +21,8 @@
         Self { timeout }
     }
 
-    /// Runs a call that asks the service to wait for up to `wait`; `start` gets the
-    /// wait to ask for.
+    /// Runs a call that would have the service wait for up to `wait`; `start` gets the
+    /// wait to ask for, which leaves time for the answer.
     pub async fn call<Start, Call, Answer>(
         self,
         wait: Duration,
@@ -28,7 +32,8 @@
         Start: FnOnce(Duration) -> Call,
         Call: Future<Output = Result<Answer, Error>>,
     {
-        time::timeout(self.timeout + wait, start(wait))
+        let wait = wait.min(self.timeout / WAIT_PART);
+        time::timeout(self.timeout, start(wait))
             .await
             .unwrap_or_else(|_| Err(late()))
     }
--- a/crates/papayayard_platform/src/http.rs
+++ b/crates/papayayard_platform/src/http.rs
@@ -31,7 +31,7 @@
 }
 
 impl Client {
-    /// `timeout` limits each call, in addition to the wait that the call requests.
+    /// `timeout` limits each call, its wait for records included.
     pub fn new(address: SocketAddr, timeout: Duration) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
