Streams of the log: a failed read's pause counts from the read's start

What it did: after a read that had taken its whole 2 s without an answer a host slept for up to one second more. With the log back right after such a read's start a host alone read again only 3 s later, all that the promise leaves.

The pause keeps calls to a log that refuses at once apart. A call that has taken longer than the pause needs none after it, so the pause now counts from the call's start. Calls stay within two a second, as the outage tests check.

--- a/crates/papayayard/src/controllers/journal.rs
+++ b/crates/papayayard/src/controllers/journal.rs
@@ -5,15 +5,15 @@
 use papayayard_coordination::journal::{Backoff, Gap, Reader};
 use papayayard_platform::service;
 use papayayard_wire::{id, log as stream};
-use tokio::time;
+use tokio::time::{self, Instant};
 
 /// Most records of one read.
 const READ_RECORDS: u32 = 256;
 /// Time that a read waits for a new record.
 const READ_WAIT: Duration = Duration::from_secs(5);
-/// Wait after the first failed read.
+/// Time between the starts of a first failed read and the next one.
 const BACKOFF: Duration = Duration::from_millis(100);
-/// Longest wait after a failed read.
+/// Longest time between the starts of a failed read and the next one.
 const BACKOFF_CAP: Duration = Duration::from_secs(1);
 
 /// A stream and the position in it.
@@ -50,12 +50,13 @@
                 limit: READ_RECORDS,
                 wait: READ_WAIT,
             };
+            let started = Instant::now();
             match self.log.read(&self.name, &query).await {
                 Ok(page) => {
                     self.recovered();
                     return page;
                 }
-                Err(error) => self.failed(&error).await,
+                Err(error) => self.failed(&error, started).await,
             }
         }
     }
@@ -92,11 +93,11 @@
         self.backoff.succeed();
     }
 
-    async fn failed(&mut self, error: &service::Error) {
+    async fn failed(&mut self, error: &service::Error, started: Instant) {
         if self.backoff.failures() == 0 {
             log::warn!(stream:% = self.name; "the stream cannot be read: {error}");
         }
         let pause = self.backoff.fail(rand::random());
-        time::sleep(pause).await;
+        time::sleep_until(started + pause).await;
     }
 }
--- a/crates/papayayard/src/controllers/outage_test.rs
+++ b/crates/papayayard/src/controllers/outage_test.rs
@@ -10,7 +10,7 @@
 use tokio::time::{self, Instant};
 
 use super::configuration_test::{Host, entry_of, json};
-use super::fake_log_test::{Log, Outage};
+use super::fake_log_test::{CALL_TIMEOUT, Log, Outage};
 use super::peer_net_test::{Net, Port};
 
 /// Time after a log's return from which confirmed records count.
@@ -19,6 +19,8 @@
 const IN_FORCE: Duration = Duration::from_secs(2);
 /// Longest time between two records here.
 const QUIET: Duration = Duration::from_secs(6);
+/// Time without records after which pauses have grown as long as they get.
+const LONG_QUIET: Duration = Duration::from_secs(30);
 /// Most reads a second of a host whose log is away.
 const READS_PER_SECOND: usize = 2;
 /// Most reads of a host beyond that, right after the log went away.
@@ -191,10 +193,22 @@
     let log = Log::new();
     let mut fleet = Fleet::start(vec![log.clone()], 1, delay_ms).await;
     log.set_delay(Duration::from_millis(delay_ms));
-    for _ in 0..20 {
-        time::sleep(up_to(&mut random, QUIET)).await;
+    for _ in 0..40 {
+        time::sleep(up_to(&mut random, LONG_QUIET)).await;
         fleet.publish();
         time::sleep(IN_FORCE).await;
         assert_eq!(fleet.late(), 0, "revision {}", fleet.revision);
     }
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_call_that_took_its_whole_time_is_not_followed_by_a_pause() {
+    let log = Log::new();
+    let _fleet = Fleet::start(vec![log.clone()], 1, 0).await;
+    time::sleep(Duration::from_millis(1)).await;
+    let begun = Instant::now();
+    log.set_outage(Some(Outage::Silent));
+    time::sleep(CALL_TIMEOUT * 10).await;
+    let reads = log.reads_since(begun);
+    assert!((9..=10).contains(&reads), "{reads}");
+}
