--- a/crates/papayayard/src/controllers/orders.rs
+++ b/crates/papayayard/src/controllers/orders.rs
@@ -26,6 +26,8 @@
 
 mod candidate;
 mod reader;
+#[cfg(test)]
+mod reader_test;
 
 /// Between looks at leases and endpoints.
 const PERIOD: Duration = Duration::from_millis(250);
--- a/crates/papayayard/src/controllers/orders/reader.rs
+++ b/crates/papayayard/src/controllers/orders/reader.rs
@@ -7,13 +7,13 @@
 use papayayard_platform::service;
 use papayayard_wire::{id, log as stream};
 use tokio::sync::mpsc;
-use tokio::time;
+use tokio::time::{self, Instant};
 
 /// Most records of one read.
 const READ_RECORDS: u32 = 256;
 /// Time that a read waits for a new record.
 const READ_WAIT: Duration = Duration::from_secs(5);
-/// Pause after a failed read.
+/// Time between the starts of a failed read and the next one.
 const FAILED_PAUSE: Duration = Duration::from_millis(500);
 
 /// Reads until nobody listens any more.
@@ -29,6 +29,7 @@
             limit: READ_RECORDS,
             wait: READ_WAIT,
         };
+        let started = Instant::now();
         match log.read(&name, &query).await {
             Ok(page) => {
                 next = page
@@ -40,7 +41,7 @@
             }
             Err(error) => {
                 log::debug!("the stream of leases cannot be read: {error}");
-                time::sleep(FAILED_PAUSE).await;
+                time::sleep_until(started + FAILED_PAUSE).await;
             }
         }
     }
