Tests: keyed requests, the list of hosts and peers' configurations after an outage

Keyed requests that come right after the log's return are run, whether or not another one was waiting. The list of hosts is read again within the bound on a call (it was before, too). A host whose log stays silent alone has a new configuration from its peers within 2 s, of 9 and of 80 hosts.

--- a/crates/papayayard/src/controllers/claims_test.rs
+++ b/crates/papayayard/src/controllers/claims_test.rs
@@ -10,7 +10,7 @@
 use tokio::time;
 
 use super::claims::{Claimed, Handle, Permit, Sources, start};
-use super::fake_log_test::{Fault, Log};
+use super::fake_log_test::{Fault, Log, Outage};
 use crate::clock::Clock;
 use crate::metrics::Metrics;
 use crate::refusal::Refusal;
@@ -228,3 +228,39 @@
     assert!(counts("papayayard_log_records_total", "result=\"foreign\""));
     assert!(counts("papayayard_log_failures_total", "reason=\"lost\""));
 }
+
+/// A request waits in the outage or none does, and another comes with the log's return.
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn a_keyed_request_right_after_an_outage_is_not_refused(
+    #[values(
+        Outage::Unreachable,
+        Outage::Reset,
+        Outage::Refused(503),
+        Outage::Frozen,
+        Outage::Silent
+    )]
+    outage: Outage,
+    #[values(300, 1_100, 2_300, 5_000, 8_200, 13_000)] length_ms: u64,
+    #[values(false, true)] has_waiting: bool,
+) {
+    for step in 0..12 {
+        let log = Log::new();
+        let host = Host::start(&log, "entry-1");
+        let _first = host.permit("before").await;
+        time::sleep(Duration::from_millis(331) * step).await;
+        log.set_outage(Some(outage));
+        let waiting = async {
+            if has_waiting {
+                // Its deadline may pass.
+                let _ = host.claim("meanwhile", "body").await;
+            }
+        };
+        let returned = async {
+            time::sleep(Duration::from_millis(length_ms)).await;
+            log.set_outage(None);
+            let _permit = host.permit("after").await;
+        };
+        tokio::join!(waiting, returned);
+    }
+}
--- a/crates/papayayard/src/controllers/mod.rs
+++ b/crates/papayayard/src/controllers/mod.rs
@@ -15,6 +15,8 @@
 #[cfg(test)]
 mod configuration_test;
 #[cfg(test)]
+mod directory_test;
+#[cfg(test)]
 mod fake_log_test;
 #[cfg(test)]
 mod outage_test;
--- a/crates/papayayard/src/controllers/outage_test.rs
+++ b/crates/papayayard/src/controllers/outage_test.rs
@@ -212,3 +212,22 @@
     let reads = log.reads_since(begun);
     assert!((9..=10).contains(&reads), "{reads}");
 }
+
+/// Only the first host's calls go unanswered, before and after it asks again.
+#[rstest]
+#[case::few(9)]
+#[case::many(80)]
+#[tokio::test(start_paused = true)]
+async fn a_host_whose_log_stays_silent_follows_its_peers(#[case] count: usize) {
+    for seed in 0..12 {
+        let mut random = StdRng::seed_from_u64(seed);
+        let logs = vec![Log::new(), Log::new()];
+        let mut fleet = Fleet::start(logs, count, seed).await;
+        time::sleep(up_to(&mut random, QUIET)).await;
+        fleet.logs[0].set_outage(Some(Outage::Silent));
+        time::sleep(up_to(&mut random, QUIET)).await;
+        fleet.publish();
+        time::sleep(IN_FORCE).await;
+        assert_eq!(fleet.late(), 0, "seed {seed}");
+    }
+}
