Leases: a record whose append failed is followed by another one soon

What it did: a host that had sent a record for a lease looked for it in the stream for the lease's whole 12 s, also where the append had failed for certain. One failed extension, in an outage of any length, let the lease end 5 s later, and nobody gave orders for its service until 7 s after that; a host that starts beside an outage asked again after 12 s at the earliest.

The daemon now tells the holder of the failure, and the holder may send another record one second after the failed one was sent, so appends to a log that is away stay at one a second for each lease. It is safe where the failed record is stored after all: a host acts only on a record that it sent itself and has read, counted from its sending.

--- a/crates/papayayard/src/controllers/mod.rs
+++ b/crates/papayayard/src/controllers/mod.rs
@@ -19,6 +19,8 @@
 #[cfg(test)]
 mod fake_log_test;
 #[cfg(test)]
+mod orders_test;
+#[cfg(test)]
 mod outage_test;
 #[cfg(test)]
 mod peer_net_test;
--- a/crates/papayayard/src/controllers/orders.rs
+++ b/crates/papayayard/src/controllers/orders.rs
@@ -62,8 +62,15 @@
     reconciler: order::Reconciler,
 }
 
+/// A record of a service's lease whose append failed.
+struct Failed {
+    service: id::Service,
+    record: id::Record,
+}
+
 struct Task<Log> {
     log: Arc<Log>,
+    failures: mpsc::UnboundedSender<Failed>,
     links: Links,
     table: lease::Table,
     services: HashMap<id::Service, Service>,
@@ -79,13 +86,15 @@
     let log = Arc::new(log);
     let (sender, mut pages) = mpsc::channel(BACKLOG);
     let reader = reader::follow(Arc::clone(&log), sender);
-    let mut task = Task::new(log, links);
+    let (failures, mut failed) = mpsc::unbounded_channel();
+    let mut task = Task::new(log, failures, links);
     let work = async {
         let mut ticks = time::interval(PERIOD);
         ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
         loop {
             tokio::select! {
                 Some(page) = pages.recv() => task.read(&page),
+                Some(failed) = failed.recv() => task.failed(&failed),
                 _ = ticks.tick() => task.look().await,
             }
         }
@@ -97,11 +106,12 @@
 where
     Log: service::Log,
 {
-    fn new(log: Arc<Log>, links: Links) -> Self {
+    fn new(log: Arc<Log>, failures: mpsc::UnboundedSender<Failed>, links: Links) -> Self {
         let run = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
         let run = run.unwrap_or_default().as_micros();
         Self {
             log,
+            failures,
             links,
             table: lease::Table::default(),
             services: HashMap::new(),
@@ -122,6 +132,12 @@
         }
     }
 
+    fn failed(&mut self, failed: &Failed) {
+        if let Some(service) = self.services.get_mut(&failed.service) {
+            service.holder.append_failed(&failed.record);
+        }
+    }
+
     async fn look(&mut self) {
         let Some(active) = self.links.active.borrow().clone() else {
             return;
@@ -200,15 +216,21 @@
         };
         let batch = stream::Batch {
             records: vec![stream::Draft {
-                id: record,
+                id: record.clone(),
                 payload,
             }],
         };
-        let log = Arc::clone(&self.log);
+        let failed = Failed {
+            service: name.clone(),
+            record,
+        };
+        let (log, failures) = (Arc::clone(&self.log), self.failures.clone());
         tokio::spawn(async move {
-            // What became of it shows in the stream.
+            // What became of a stored record shows in the stream.
             if let Err(error) = log.append(&id::Stream::from(lease::STREAM), &batch).await {
                 log::debug!("a lease record may be lost: {error}");
+                // A task that has ended asks for nothing.
+                let _ = failures.send(failed);
             }
         });
     }
--- a/crates/papayayard_coordination/src/holder.rs
+++ b/crates/papayayard_coordination/src/holder.rs
@@ -16,6 +16,8 @@
     pub margin: Duration,
     /// Time between two extensions.
     pub renew_interval: Duration,
+    /// Time between an append without an answer and the next one.
+    pub retry_interval: Duration,
 }
 
 impl Default for Times {
@@ -24,6 +26,7 @@
             ttl: Duration::from_secs(12),
             margin: Duration::from_secs(3),
             renew_interval: Duration::from_secs(4),
+            retry_interval: Duration::from_secs(1),
         }
     }
 }
@@ -104,6 +107,18 @@
         self.next_append_at = sent_at + self.times.renew_interval;
     }
 
+    /// Notes that the append of a record failed, although it may be stored: another
+    /// record can follow, since only one that is read gives or extends the lease.
+    pub fn append_failed(&mut self, record: &id::Record) {
+        let Some((_, sent_at)) = self.pending.take_if(|(id, _)| id == record) else {
+            return;
+        };
+        let is_held_by_other = self.next_append_at > sent_at + self.times.renew_interval;
+        if !is_held_by_other {
+            self.next_append_at = sent_at + self.times.retry_interval;
+        }
+    }
+
     /// Updates the state after a record of the stream was applied: `record` is
     /// its id, `verdict` its result, and `lease` the state after it.
     pub fn observe(
--- a/crates/papayayard_coordination/tests/lease_test.rs
+++ b/crates/papayayard_coordination/tests/lease_test.rs
@@ -131,6 +131,10 @@
 /// An append in flight: the time at which it is stored, and its content.
 type PendingAppend = (Duration, usize, id::Record, Action);
 
+/// An append whose answer is lost: the time at which its host knows, the host with its
+/// run, and the record, which may be stored nevertheless.
+type FailedAppend = (Duration, (usize, u64), id::Record);
+
 fn store(stream: &mut Vec<log::Record>, append: PendingAppend) {
     let (at, holder, id, action) = append;
     let time_ms = u64::try_from(at.as_millis()).unwrap();
@@ -152,6 +156,7 @@
             .collect();
         let mut stream: Vec<log::Record> = Vec::new();
         let mut pending: Vec<PendingAppend> = Vec::new();
+        let mut failed: Vec<FailedAppend> = Vec::new();
         let mut number = 0;
         let mut last = id::Fence(0);
         for _ in 0..300 {
@@ -163,6 +168,11 @@
             }
             let index = random.random_range(0..3);
             let host = &mut hosts[index];
+            let run = host.run;
+            let known = failed.extract_if(.., |failed| failed.0 <= now && failed.1 == (index, run));
+            for (_, _, id) in known {
+                host.holder.append_failed(&id);
+            }
             if now >= host.paused_until {
                 match random.random_range(0..40) {
                     0 => host.paused_until = now + Duration::from_secs(random.random_range(5..30)),
@@ -178,7 +188,10 @@
                             let delay = Duration::from_millis(random.random_range(0..15_000));
                             if random.random_bool(0.8) {
                                 let holder = index + 10 * usize::try_from(host.run).unwrap();
-                                pending.push((now + delay / 5, holder, id, action));
+                                pending.push((now + delay / 5, holder, id.clone(), action));
+                            }
+                            if random.random_bool(0.5) {
+                                failed.push((now + delay / 7, (index, host.run), id));
                             }
                         }
                     }
@@ -251,3 +264,43 @@
     let soon = now + Duration::from_secs(1);
     assert_eq!(hosts[1].holder.step(soon), Step::Append(HOLD));
 }
+
+/// The log is away when the lease is due to be extended, and is back before it ends.
+#[test]
+fn a_lease_whose_extension_failed_is_extended_before_it_ends() {
+    let mut host = Host::new(0, 100, Duration::ZERO);
+    host.holder.sent(id::Record::from("r0"), Duration::ZERO);
+    host.read(&[record(0, 0, 0, HOLD)], Duration::ZERO);
+    let mut now = Times::default().renew_interval;
+    assert_eq!(host.holder.step(now), Step::Append(HOLD));
+    let failed = id::Record::from("failed");
+    host.holder.sent(failed.clone(), now);
+    host.holder.append_failed(&failed);
+    now += Times::default().retry_interval;
+    assert_eq!(host.holder.step(now), Step::Append(HOLD));
+    host.holder.sent(id::Record::from("r1"), now);
+    let time_ms = u64::try_from(now.as_millis()).unwrap();
+    host.read(&[record(0, 0, 0, HOLD), record(1, time_ms, 0, HOLD)], now);
+    assert_eq!(host.holder.fence(Times::default().ttl), Some(id::Fence(0)));
+}
+
+#[test]
+fn the_failure_of_an_earlier_append_changes_nothing() {
+    let mut host = Host::new(0, 100, Duration::ZERO);
+    host.holder.sent(id::Record::from("r0"), Duration::ZERO);
+    host.holder.append_failed(&id::Record::from("earlier"));
+    let soon = Times::default().retry_interval;
+    assert!(matches!(host.holder.step(soon), Step::Wait(_)));
+}
+
+#[test]
+fn a_failed_append_does_not_shorten_the_wait_for_another_holder() {
+    let mut host = Host::new(0, 100, Duration::ZERO);
+    host.holder.sent(id::Record::from("failed"), Duration::ZERO);
+    host.read(&[record(0, 0, 1, HOLD)], Duration::ZERO);
+    host.holder.append_failed(&id::Record::from("failed"));
+    let times = Times::default();
+    let until = times.ttl + times.margin;
+    assert_eq!(host.holder.step(times.ttl), Step::Wait(until));
+    assert_eq!(host.holder.step(until), Step::Append(HOLD));
+}
