Configuration: another anchor is offered soon after one was not stored

Where the log has removed the records that hosts start from, one of them has to store an anchor before any has a configuration. A host whose offer failed, or got no answer, offered again only a minute later, however soon the log was back: with one failed offer of each of three hosts they were without a configuration for 69 s. The minute keeps repetitions before the retention apart, which have hours; an offer has hosts waiting.

After an offer the next one now waits as the first does, 5 to 10 s, which leaves time to read the anchor of another host.

--- a/crates/papayayard/src/controllers/configuration.rs
+++ b/crates/papayayard/src/controllers/configuration.rs
@@ -29,7 +29,8 @@
 const REPEAT_PAUSE: Duration = Duration::from_hours(3);
 /// Pause after a repetition may not have been appended.
 const FAILED_PAUSE: Duration = Duration::from_mins(1);
-/// Time to hear of an anchor before this host offers one; doubled by jitter.
+/// Time to hear of an anchor before this host offers one, or another one; doubled by
+/// jitter.
 const ANCHOR_WAIT: Duration = Duration::from_secs(5);
 
 /// Ways to the peers' controller.
@@ -186,8 +187,7 @@
                 .refresh_entry()
                 .filter(|_| self.refresh.is_due(now));
         }
-        let jitter = ANCHOR_WAIT.mul_f64(rand::random());
-        let offer_at = *self.offer_at.get_or_insert(now + ANCHOR_WAIT + jitter);
+        let offer_at = *self.offer_at.get_or_insert_with(|| next_offer(now));
         self.fold.refresh_entry().filter(|_| now >= offer_at)
     }
 
@@ -218,7 +218,7 @@
     fn pause(&mut self, pause: Duration) {
         let now = self.wall.now();
         self.refresh.defer(now, pause);
-        self.offer_at = Some(now + FAILED_PAUSE);
+        self.offer_at = Some(next_offer(now));
     }
 
     fn report(&mut self, record: &stream::Record, verdict: &Verdict) {
@@ -251,6 +251,10 @@
     }
 }
 
+fn next_offer(now: Duration) -> Duration {
+    now + ANCHOR_WAIT + ANCHOR_WAIT.mul_f64(rand::random())
+}
+
 fn carries(verdict: &Verdict) -> bool {
     matches!(
         verdict,
--- a/crates/papayayard/src/controllers/configuration_test.rs
+++ b/crates/papayayard/src/controllers/configuration_test.rs
@@ -4,16 +4,19 @@
 use papayayard_coordination::configuration as rules;
 use papayayard_wire::configuration::{Entry, FORMAT, Proposal, STREAM};
 use papayayard_wire::{id, log as stream};
+use rstest::rstest;
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
-use tokio::time;
+use tokio::time::{self, Instant};
 
 use super::configuration::{Current, follow, link};
-use super::fake_log_test::Log;
+use super::fake_log_test::{Fault, Log};
 use crate::clock::Clock;
 use crate::metrics::Metrics;
 
 const DOCUMENT: &str = include_str!("../../../../examples/fjordtakt.yaml");
+/// Time within which each host without an anchor offers one.
+const OFFERS_TIME: Duration = Duration::from_secs(11);
 
 pub(super) struct Host {
     current: watch::Receiver<Current>,
@@ -157,6 +160,27 @@
     log.put(STREAM, &json(&entry(4, None)));
 }
 
+/// Each host's first offer of an anchor fails.
+#[rstest]
+#[case::unreachable(Fault::Unreachable)]
+#[case::lost(Fault::LostBefore)]
+#[tokio::test(start_paused = true)]
+async fn hosts_whose_anchor_was_not_stored_offer_another_one_soon(#[case] fault: Fault) {
+    let log = Log::new();
+    for base in 0..4 {
+        log.put(STREAM, &json(&entry(base, None)));
+    }
+    log.forget(STREAM, 2);
+    log.fail(&[fault; 3]);
+    let started = Instant::now();
+    let mut hosts = [Host::start(&log), Host::start(&log), Host::start(&log)];
+    for host in &mut hosts {
+        host.reaches(4).await;
+    }
+    let elapsed = started.elapsed();
+    assert!(elapsed <= OFFERS_TIME * 2, "{elapsed:?}");
+}
+
 /// The log's clock is decades behind the host's.
 #[tokio::test(start_paused = true)]
 async fn a_log_with_a_slow_clock_is_not_flooded() {
