Platform: few connections to a service are kept between calls

A client kept every connection that calls had once opened at the same time. Where the other end of these was lost, each of the next calls took one of them and waited out its limit, one after the other: after eight appends at once, eight calls of 2 s each failed although the log answered on new connections. No promise names such a time; keyed requests are refused as not run meanwhile.

A host's stream needs a connection for its read and one for its appends; no more than these two are kept now, so at most two calls meet a lost one.

Evidence: the test failed before with 8 failed calls, and passes now.

--- a/crates/papayayard_platform/src/http.rs
+++ b/crates/papayayard_platform/src/http.rs
@@ -18,6 +18,8 @@
 
 /// Maximum length of an answer.
 const MAX_ANSWER_BYTES: usize = 64 << 20;
+/// Maximum number of connections kept between calls: those of a read and of an append.
+const MAX_IDLE_CONNECTIONS: usize = 2;
 /// Maximum number of characters retained from the body of an error response.
 const MAX_REASON_CHARS: usize = 200;
 
@@ -40,7 +42,9 @@
             address,
             bound: Bound::new(timeout),
             host: None,
-            inner: legacy::Client::builder(TokioExecutor::new()).build(connector),
+            inner: legacy::Client::builder(TokioExecutor::new())
+                .pool_max_idle_per_host(MAX_IDLE_CONNECTIONS)
+                .build(connector),
         }
     }
 
