--- a/crates/papayayard/src/controllers/configuration_test.rs
+++ b/crates/papayayard/src/controllers/configuration_test.rs
@@ -4,26 +4,29 @@
 use papayayard_coordination::configuration as rules;
 use papayayard_wire::configuration::{Entry, FORMAT, Proposal, STREAM};
 use papayayard_wire::{id, log as stream};
+use rstest::rstest;
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
-use tokio::time;
+use tokio::time::{self, Instant};
 
 use super::configuration::{Current, follow, link};
-use super::fake_log_test::Log;
+use super::fake_log_test::{Fault, Log};
 use crate::clock::Clock;
 use crate::metrics::Metrics;
 
 const DOCUMENT: &str = include_str!("../../../../examples/fjordtakt.yaml");
+/// Time within which each host without an anchor offers one.
+const OFFERS_TIME: Duration = Duration::from_secs(11);
 
-struct Host {
+pub(super) struct Host {
     current: watch::Receiver<Current>,
-    accepted: watch::Receiver<Option<Entry>>,
-    adopt: mpsc::Sender<Entry>,
+    pub(super) accepted: watch::Receiver<Option<Entry>>,
+    pub(super) adopt: mpsc::Sender<Entry>,
     _task: JoinHandle<()>,
 }
 
 impl Host {
-    fn start(log: &Log) -> Self {
+    pub(super) fn start(log: &Log) -> Self {
         let (current_sender, current) = watch::channel(None);
         let (link, accepted, adopt) = link();
         let metrics = Metrics::new(Clock::start());
@@ -36,7 +39,7 @@
         }
     }
 
-    async fn reaches(&mut self, revision: u64) {
+    pub(super) async fn reaches(&mut self, revision: u64) {
         let reached = |current: &Current| revision_of(current) == revision;
         let wait = self.current.wait_for(reached);
         let hours = Duration::from_hours(2);
@@ -48,7 +51,7 @@
         seen.unwrap().clone().unwrap()
     }
 
-    fn revision(&self) -> u64 {
+    pub(super) fn revision(&self) -> u64 {
         revision_of(&self.current.borrow())
     }
 }
@@ -58,7 +61,11 @@
 }
 
 fn entry(base: u64, read_to: Option<u64>) -> Entry {
-    let document = format!("{DOCUMENT}\n# revision after {base}\n");
+    entry_of(DOCUMENT, base, read_to)
+}
+
+pub(super) fn entry_of(document: &str, base: u64, read_to: Option<u64>) -> Entry {
+    let document = format!("{document}\n# revision after {base}\n");
     Entry {
         proposal: Proposal {
             format: FORMAT,
@@ -71,7 +78,7 @@
     }
 }
 
-fn json(entry: &Entry) -> String {
+pub(super) fn json(entry: &Entry) -> String {
     serde_json::to_string(entry).unwrap()
 }
 
@@ -153,6 +160,27 @@
     log.put(STREAM, &json(&entry(4, None)));
 }
 
+/// Each host's first offer of an anchor fails.
+#[rstest]
+#[case::unreachable(Fault::Unreachable)]
+#[case::lost(Fault::LostBefore)]
+#[tokio::test(start_paused = true)]
+async fn hosts_whose_anchor_was_not_stored_offer_another_one_soon(#[case] fault: Fault) {
+    let log = Log::new();
+    for base in 0..4 {
+        log.put(STREAM, &json(&entry(base, None)));
+    }
+    log.forget(STREAM, 2);
+    log.fail(&[fault; 3]);
+    let started = Instant::now();
+    let mut hosts = [Host::start(&log), Host::start(&log), Host::start(&log)];
+    for host in &mut hosts {
+        host.reaches(4).await;
+    }
+    let elapsed = started.elapsed();
+    assert!(elapsed <= OFFERS_TIME * 2, "{elapsed:?}");
+}
+
 /// The log's clock is decades behind the host's.
 #[tokio::test(start_paused = true)]
 async fn a_log_with_a_slow_clock_is_not_flooded() {
--- a/crates/papayayard/src/controllers/mod.rs
+++ b/crates/papayayard/src/controllers/mod.rs
@@ -15,4 +15,12 @@
 #[cfg(test)]
 mod configuration_test;
 #[cfg(test)]
+mod directory_test;
+#[cfg(test)]
 mod fake_log_test;
+#[cfg(test)]
+mod orders_test;
+#[cfg(test)]
+mod outage_test;
+#[cfg(test)]
+mod peer_net_test;
--- a/crates/papayayard_platform/src/http.rs
+++ b/crates/papayayard_platform/src/http.rs
@@ -12,12 +12,14 @@
 use papayayard_wire::{directory, header, id, log};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use tokio::time;
 
+use crate::bound::Bound;
 use crate::service::{self, Error};
 
 /// Maximum length of an answer.
 const MAX_ANSWER_BYTES: usize = 64 << 20;
+/// Maximum number of connections kept between calls: those of a read and of an append.
+const MAX_IDLE_CONNECTIONS: usize = 2;
 /// Maximum number of characters retained from the body of an error response.
 const MAX_REASON_CHARS: usize = 200;
 
@@ -25,22 +27,24 @@
 #[derive(Clone)]
 pub struct Client {
     address: SocketAddr,
-    timeout: Duration,
+    bound: Bound,
     host: Option<HeaderValue>,
     inner: legacy::Client<HttpConnector, Full<Bytes>>,
 }
 
 impl Client {
-    /// `timeout` limits each call, in addition to the wait that the call requests.
+    /// `timeout` limits each call, its wait for records included.
     pub fn new(address: SocketAddr, timeout: Duration) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(timeout));
         Self {
             address,
-            timeout,
+            bound: Bound::new(timeout),
             host: None,
-            inner: legacy::Client::builder(TokioExecutor::new()).build(connector),
+            inner: legacy::Client::builder(TokioExecutor::new())
+                .pool_max_idle_per_host(MAX_IDLE_CONNECTIONS)
+                .build(connector),
         }
     }
 
@@ -51,20 +55,11 @@
         self
     }
 
-    async fn call<Answer>(
-        &self,
-        method: Method,
-        path: &str,
-        body: Bytes,
-        wait: Duration,
-    ) -> Result<Answer, Error>
+    async fn call<Answer>(&self, method: Method, path: &str, body: Bytes) -> Result<Answer, Error>
     where
         Answer: DeserializeOwned,
     {
-        let exchange = self.exchange(method, path, body);
-        let bytes = time::timeout(self.timeout + wait, exchange)
-            .await
-            .unwrap_or_else(|_| Err(lost("the answer took too long")))?;
+        let bytes = self.exchange(method, path, body).await?;
         serde_json::from_slice(&bytes).map_err(|error| Error::Malformed {
             reason: error.to_string(),
         })
@@ -114,26 +109,29 @@
 impl service::Log for Client {
     async fn append(&self, stream: &id::Stream, batch: &log::Batch) -> Result<log::Offsets, Error> {
         let path = format!("/streams/{stream}/records");
-        self.call(Method::POST, &path, encode(batch)?, Duration::ZERO)
-            .await
+        let body = encode(batch)?;
+        let append = |_| self.call(Method::POST, &path, body);
+        self.bound.call(Duration::ZERO, append).await
     }
 
     async fn read(&self, stream: &id::Stream, query: &service::Query) -> Result<log::Page, Error> {
-        let path = format!(
-            "/streams/{stream}/records?from={}&limit={}&wait_ms={}",
-            query.from.0,
-            query.limit,
-            query.wait.as_millis()
-        );
-        self.call(Method::GET, &path, Bytes::new(), query.wait)
-            .await
+        let read = async |wait: Duration| {
+            let path = format!(
+                "/streams/{stream}/records?from={}&limit={}&wait_ms={}",
+                query.from.0,
+                query.limit,
+                wait.as_millis()
+            );
+            self.call(Method::GET, &path, Bytes::new()).await
+        };
+        self.bound.call(query.wait, read).await
     }
 }
 
 impl service::Directory for Client {
     async fn list(&self) -> Result<directory::List, Error> {
-        self.call(Method::GET, "/hosts", Bytes::new(), Duration::ZERO)
-            .await
+        let list = |_| self.call(Method::GET, "/hosts", Bytes::new());
+        self.bound.call(Duration::ZERO, list).await
     }
 }
 
