Crash reports in the log name the shared parts of each request's prompt

Operators saw which request was open at a crash, and of its prompt only the last shared part, on another line. The names are bounded to 16 a line.

--- a/crates/papayayard_gateway/src/ends/attempt.rs
+++ b/crates/papayayard_gateway/src/ends/attempt.rs
@@ -1,9 +1,11 @@
 //! Tracking of a request at an endpoint until its outcome is known.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use papayayard_routing::blame::Progress;
 use papayayard_routing::placement::Placement;
+use papayayard_routing::prompt::Prompt;
 use papayayard_routing::quarantine::Fingerprint;
 use papayayard_wire::id;
 
@@ -11,11 +13,15 @@
 use crate::attempt::Failure;
 use crate::job::Job;
 
+/// Maximum number of parts of a prompt that a log line names.
+const MAX_LOGGED_PARTS: usize = 16;
+
 /// A request and the endpoint that may have crashed while processing it.
 #[derive(Clone, Debug)]
 pub(super) struct Attempt {
     pub(super) request: id::Request,
     pub(super) fingerprint: Fingerprint,
+    prompt: Option<Arc<Prompt>>,
     pub(super) progress: Progress,
     pub(super) endpoint: id::Endpoint,
     pub(super) address: SocketAddr,
@@ -26,11 +32,18 @@
         Self {
             request: job.id.clone(),
             fingerprint: job.fingerprint,
+            prompt: job.prompt.clone(),
             progress,
             endpoint: placement.endpoint.clone(),
             address: placement.address,
         }
     }
+
+    /// Names of the parts of the prompt that other requests may share, for the log.
+    pub(super) fn part_names(&self) -> String {
+        let prompt = self.prompt.as_ref();
+        prompt.map_or_else(String::new, |prompt| prompt.shared_names(MAX_LOGGED_PARTS))
+    }
 }
 
 /// Guard for a request that is open at an endpoint. Dropping it before an outcome is
--- a/crates/papayayard_gateway/src/ends/task.rs
+++ b/crates/papayayard_gateway/src/ends/task.rs
@@ -267,7 +267,7 @@
             log::warn!(
                 request:% = attempt.request, fingerprint:% = attempt.fingerprint,
                 endpoint:% = run.endpoint, run = run.started.0, shown_by = shown_by.as_str(),
-                begun = attempt.progress == Progress::Begun;
+                begun = attempt.progress == Progress::Begun, parts:% = attempt.part_names();
                 "endpoint ended under a request"
             );
             self.shared
--- a/crates/papayayard_routing/src/prompt.rs
+++ b/crates/papayayard_routing/src/prompt.rs
@@ -43,6 +43,13 @@
         self.shared().last().map(|part| part.name.as_str())
     }
 
+    /// Names of the first `limit` parts that other requests may share, separated by commas.
+    pub fn shared_names(&self, limit: usize) -> String {
+        let names = self.shared().iter().map(|part| part.name.as_str());
+        let names: Vec<&str> = names.take(limit).collect();
+        names.join(",")
+    }
+
     /// Number of tokens in the parts that other requests may share.
     pub fn shared_tokens(&self) -> u32 {
         self.shared().iter().map(|part| part.tokens).sum()
