Crashes are held against parts of prompts, too

Cause: a crash was held against whole requests only. A request that isn't repeated meets two crashes at most, so that nothing reached the three that a quarantine takes.

Ruled out by the record: slow detection (a refused connection shows each crash within milliseconds), slow reports (30 to 50 ms to the other hosts), and second attempts alone (16 of 25 endpoints ended under a first attempt).

Now all shared parts of the prompts that were open at a crash are suspects, on all hosts. An answer that completes with success clears its parts; hosts report which parts had completed when they report a crash, and in a sparse record if others still count two crashes. A part is held responsible after three crashes that no subject with more crashes explains. A request is refused only if it has all parts that were open at these crashes, so requests that share some of them pass, and show which part it is. A part that has completed within ten minutes doesn't hide one that hasn't; its own crashes count once in two seconds and its quarantine is short. So is that of a part while nothing else completes: if all endpoints crash, whatever they run, the part that all requests share is tried again soon. Whole requests are judged as before.

The replay has a new check that reports on successes are no more than those on crashes.

--- a/crates/papayayard_gateway/src/ends.rs
+++ b/crates/papayayard_gateway/src/ends.rs
@@ -13,7 +13,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use papayayard_routing::blame::{Effect, Progress, Run, Status, Table};
+use papayayard_routing::blame::{Effect, Progress, Quarantine, Run, Subjects, Table};
 use papayayard_routing::placement::{Endpoint, Placement};
 use papayayard_routing::quarantine::Fingerprint;
 use papayayard_wire::id;
@@ -24,6 +24,7 @@
 use crate::metrics::Metrics;
 
 mod attempt;
+mod cleared;
 mod fold;
 mod report;
 mod task;
@@ -38,6 +39,9 @@
 use task::Task;
 use write::Outbox;
 
+/// Maximum number of parts of prompts that a log line names.
+const MAX_LOGGED_PARTS: usize = 16;
+
 /// Message to the task that investigates failed requests.
 enum Message {
     /// The connection broke before the answer was complete; the sender is notified after
@@ -45,6 +49,11 @@
     Disconnected(Attempt, oneshot::Sender<()>),
     /// No answer came in time, or the caller stopped waiting.
     Unanswered(Attempt),
+    /// A request has completed with parts of prompts that other hosts may suspect.
+    Cleared {
+        fingerprint: Fingerprint,
+        parts: Vec<Fingerprint>,
+    },
 }
 
 /// State shared by request handlers, the task and the reducer. The table tracks which
@@ -73,11 +82,36 @@
             }
             Effect::Disputed => {
                 log::info!(fingerprint:%; "other hosts quarantine a request that has finished since; reporting it as cleared");
-                self.outbox.send(&Report::Cleared { fingerprint });
+                self.outbox.send(&Report::Cleared {
+                    fingerprint,
+                    parts: Vec::new(),
+                });
             }
             Effect::Suspected | Effect::Unchanged => {}
         }
     }
+
+    /// Records that a run crashed while it processed requests with these parts; `at` is when
+    /// the report arrived, or `None` if it may be old.
+    fn record_part_crashes(
+        &self,
+        parts: &[Fingerprint],
+        run: &Run,
+        (at, now): (Option<Duration>, Duration),
+    ) {
+        let mut table = self.table();
+        for part in parts {
+            table.record_part_crash(*part, run, at, now);
+        }
+        let groups = table.announce(parts, now);
+        drop(table);
+        for group in groups {
+            self.metrics.part_quarantined();
+            let names = group.iter().take(MAX_LOGGED_PARTS).map(ToString::to_string);
+            let names: Vec<String> = names.collect();
+            log::warn!(parts = names.join(",").as_str(), endpoint:% = run.endpoint; "prompts with these parts are quarantined");
+        }
+    }
 }
 
 /// Tracks requests at endpoints and decides whether a request may run.
@@ -88,10 +122,10 @@
 }
 
 impl CrashTracker {
-    /// Returns whether the request is quarantined.
-    pub(crate) fn status(&self, fingerprint: Fingerprint) -> Status {
+    /// Returns the quarantine of a request, if any.
+    pub(crate) fn quarantine(&self, subjects: &Subjects) -> Option<Quarantine> {
         let now = self.shared.clock.now();
-        self.shared.table().status(fingerprint, now)
+        self.shared.table().quarantine(subjects, now)
     }
 
     /// Starts tracking a request that is about to be sent to an endpoint.
@@ -103,7 +137,25 @@
         let now = self.shared.clock.now();
         if self.shared.table().record_success(fingerprint, now) {
             log::info!(fingerprint:%; "quarantined request has finished; lifting the quarantine");
-            self.shared.outbox.send(&Report::Cleared { fingerprint });
+            self.shared.outbox.send(&Report::Cleared {
+                fingerprint,
+                parts: Vec::new(),
+            });
+        }
+    }
+
+    /// Records that a request with these parts in its prompt has completed.
+    fn succeeded(&self, subjects: &Subjects) {
+        if subjects.parts.is_empty() {
+            return;
+        }
+        let now = self.shared.clock.now();
+        let mut table = self.shared.table();
+        let parts = table.record_part_successes(&subjects.parts, now);
+        drop(table);
+        if !parts.is_empty() {
+            let fingerprint = subjects.request;
+            self.send(Message::Cleared { fingerprint, parts });
         }
     }
 
--- a/crates/papayayard_gateway/src/ends/attempt.rs
+++ b/crates/papayayard_gateway/src/ends/attempt.rs
@@ -3,24 +3,20 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use papayayard_routing::blame::Progress;
+use papayayard_routing::blame::{Progress, Subjects};
 use papayayard_routing::placement::Placement;
 use papayayard_routing::prompt::Prompt;
-use papayayard_routing::quarantine::Fingerprint;
 use papayayard_wire::id;
 
-use super::{CrashTracker, Message};
+use super::{CrashTracker, MAX_LOGGED_PARTS, Message};
 use crate::attempt::Failure;
 use crate::job::Job;
 
-/// Maximum number of parts of a prompt that a log line names.
-const MAX_LOGGED_PARTS: usize = 16;
-
 /// A request and the endpoint that may have crashed while processing it.
 #[derive(Clone, Debug)]
 pub(super) struct Attempt {
     pub(super) request: id::Request,
-    pub(super) fingerprint: Fingerprint,
+    pub(super) subjects: Arc<Subjects>,
     prompt: Option<Arc<Prompt>>,
     pub(super) progress: Progress,
     pub(super) endpoint: id::Endpoint,
@@ -31,7 +27,7 @@
     pub(super) fn new(job: &Job, placement: &Placement, progress: Progress) -> Self {
         Self {
             request: job.id.clone(),
-            fingerprint: job.fingerprint,
+            subjects: Arc::clone(&job.subjects),
             prompt: job.prompt.clone(),
             progress,
             endpoint: placement.endpoint.clone(),
@@ -72,8 +68,16 @@
     /// Records that the endpoint has answered completely.
     pub(crate) fn finished(mut self) {
         if let Some(attempt) = self.attempt.take() {
-            self.tracker.finished(attempt.fingerprint);
+            self.tracker.finished(attempt.subjects.request);
+        }
+    }
+
+    /// Records that the endpoint has answered completely and with success.
+    pub(crate) fn succeeded(self) {
+        if let Some(attempt) = &self.attempt {
+            self.tracker.succeeded(&attempt.subjects);
         }
+        self.finished();
     }
 
     /// Records that the endpoint gave no usable answer. If the connection broke, waits
--- a/crates/papayayard_gateway/src/ends/fold.rs
+++ b/crates/papayayard_gateway/src/ends/fold.rs
@@ -38,18 +38,30 @@
         }
     }
 
-    fn apply(&self, report: Report, at: Duration) {
+    fn apply(&self, report: Report, first_seen: Option<Duration>, now: Duration) {
+        let at = first_seen.unwrap_or(now);
         match report {
             Report::Ended {
                 run,
                 waiting,
                 begun,
+                parts,
+                sound,
             } => {
                 self.record_crashes(&run, &waiting, Progress::Waiting, at);
                 self.record_crashes(&run, &begun, Progress::Begun, at);
+                for part in sound {
+                    self.shared.table().record_part_sound(part, now);
+                }
+                let times = (first_seen, now);
+                self.shared.record_part_crashes(&parts, &run, times);
             }
-            Report::Cleared { fingerprint } => {
-                self.shared.table().record_success(fingerprint, at);
+            Report::Cleared { fingerprint, parts } => {
+                let mut table = self.shared.table();
+                table.record_success(fingerprint, at);
+                for part in parts {
+                    table.record_part_cleared(part, now);
+                }
             }
         }
     }
@@ -92,7 +104,7 @@
         self.first_seen.insert(record.key.clone(), at);
         match serde_json::from_slice(value) {
             Ok(report) => {
-                self.apply(report, at);
+                self.apply(report, first_seen, now);
                 true
             }
             Err(error) => {
--- a/crates/papayayard_gateway/src/ends/report.rs
+++ b/crates/papayayard_gateway/src/ends/report.rs
@@ -17,14 +17,30 @@
         waiting: Vec<Fingerprint>,
         /// Requests whose answer had begun before the crash.
         begun: Vec<Fingerprint>,
+        /// Shared parts of the prompts of all these requests.
+        #[serde(default)]
+        parts: Vec<Fingerprint>,
+        /// Those with which other requests of the host had lately completed.
+        #[serde(default)]
+        sound: Vec<Fingerprint>,
     },
     /// A request has finished and is therefore not the cause of earlier crashes.
-    Cleared { fingerprint: Fingerprint },
+    Cleared {
+        fingerprint: Fingerprint,
+        /// Parts of prompts with which requests have completed.
+        #[serde(default)]
+        parts: Vec<Fingerprint>,
+    },
 }
 
 impl Report {
     /// Creates the report on a run that crashed and the requests open there.
-    pub(super) fn crash(run: &Run, requests: &[(Fingerprint, Progress)]) -> Self {
+    pub(super) fn crash(
+        run: &Run,
+        requests: &[(Fingerprint, Progress)],
+        parts: &[Fingerprint],
+        sound: Vec<Fingerprint>,
+    ) -> Self {
         let with_progress = |expected| {
             let requests = requests.iter();
             let requests = requests.filter(move |(_, progress)| *progress == expected);
@@ -34,6 +50,8 @@
             run: run.clone(),
             waiting: with_progress(Progress::Waiting),
             begun: with_progress(Progress::Begun),
+            parts: parts.to_vec(),
+            sound,
         }
     }
 
@@ -42,7 +60,11 @@
     pub(super) fn key(&self, host: &id::Host) -> String {
         match self {
             Self::Ended { run, .. } => format!("{}.{}.{host}", run.endpoint, run.started.0),
-            Self::Cleared { fingerprint } => format!("{fingerprint}.{host}"),
+            Self::Cleared { fingerprint, .. } => format!("{fingerprint}.{host}"),
         }
     }
 }
+
+#[cfg(test)]
+#[path = "report_test.rs"]
+mod test;
--- a/crates/papayayard_gateway/src/ends/task.rs
+++ b/crates/papayayard_gateway/src/ends/task.rs
@@ -12,6 +12,7 @@
 use tokio::task::JoinSet;
 
 use super::attempt::Attempt;
+use super::cleared::Cleared;
 use super::report::Report;
 use super::{Message, Parts, Shared};
 use crate::dial;
@@ -20,6 +21,9 @@
 /// record of a crashed endpoint expires after some missed heartbeats.
 const LISTING_WINDOW: Duration = Duration::from_secs(15);
 
+/// Maximum number of parts of prompts in a report; a record holds several times that.
+const MAX_REPORTED_PARTS: usize = 2_048;
+
 /// An endpoint as last seen in the list.
 struct Listed {
     started: id::Incarnation,
@@ -73,6 +77,18 @@
     /// Whether the list alone revealed the crash; it may have been wrong.
     shown_by_list: bool,
     requests: Vec<(Fingerprint, Progress)>,
+    /// Shared parts of their prompts, each once.
+    parts: Vec<Fingerprint>,
+}
+
+impl Crash {
+    fn add_parts(&mut self, parts: &[Fingerprint]) {
+        for part in parts {
+            if self.parts.len() < MAX_REPORTED_PARTS && !self.parts.contains(part) {
+                self.parts.push(*part);
+            }
+        }
+    }
 }
 
 /// A failed request whose endpoint may have crashed.
@@ -92,6 +108,8 @@
     probed: HashMap<Run, Vec<(Attempt, oneshot::Sender<()>)>>,
     probes: JoinSet<(Run, ProbeOutcome)>,
     suspects: Vec<Suspect>,
+    /// Parts of prompts that are about to be reported as cleared.
+    cleared: Option<Cleared>,
 }
 
 impl Task {
@@ -104,6 +122,7 @@
             probed: HashMap::new(),
             probes: JoinSet::new(),
             suspects: Vec::new(),
+            cleared: None,
         }
     }
 
@@ -120,6 +139,7 @@
                     Ok((run, outcome)) => self.probe_finished(&run, outcome),
                     Err(error) => log::error!(error:%; "the task probing an endpoint failed"),
                 },
+                () = Cleared::wait(self.cleared.as_ref()) => self.report_cleared(),
                 changed = self.parts.endpoints.changed() => {
                     if changed.is_err() {
                         return;
@@ -138,6 +158,12 @@
                 }
             }
             Message::Disconnected(attempt, checked) => self.probe(attempt, checked),
+            Message::Cleared { fingerprint, parts } => {
+                let cleared = self
+                    .cleared
+                    .get_or_insert_with(|| Cleared::new(fingerprint));
+                cleared.add(parts);
+            }
         }
     }
 
@@ -246,6 +272,15 @@
         }
     }
 
+    /// Reports cleared parts, unless other hosts have done so meanwhile.
+    fn report_cleared(&mut self) {
+        if let Some(cleared) = self.cleared.take()
+            && let Some(report) = cleared.report(&self.shared.table())
+        {
+            self.shared.outbox.send(&report);
+        }
+    }
+
     /// Records that a run has crashed with the given and the deferred requests open, and
     /// reports it to all hosts.
     fn record_crash(&mut self, run: &Run, mut attempts: Vec<Attempt>, shown_by: Evidence) {
@@ -261,20 +296,26 @@
                 at: now,
                 shown_by_list: shown_by == Evidence::List,
                 requests: Vec::new(),
+                parts: Vec::new(),
             }
         });
         for attempt in attempts {
             log::warn!(
-                request:% = attempt.request, fingerprint:% = attempt.fingerprint,
+                request:% = attempt.request, fingerprint:% = attempt.subjects.request,
                 endpoint:% = run.endpoint, run = run.started.0, shown_by = shown_by.as_str(),
                 begun = attempt.progress == Progress::Begun, parts:% = attempt.part_names();
                 "endpoint ended under a request"
             );
+            let fingerprint = attempt.subjects.request;
             self.shared
-                .record_crash(attempt.fingerprint, run, attempt.progress, now);
-            crash.requests.push((attempt.fingerprint, attempt.progress));
+                .record_crash(fingerprint, run, attempt.progress, now);
+            crash.requests.push((fingerprint, attempt.progress));
+            crash.add_parts(&attempt.subjects.parts);
         }
-        let report = Report::crash(run, &crash.requests);
+        let times = (Some(now), now);
+        self.shared.record_part_crashes(&crash.parts, run, times);
+        let sound = self.shared.table().sound(&crash.parts, now);
+        let report = Report::crash(run, &crash.requests, &crash.parts, sound);
         self.shared.outbox.send(&report);
     }
 }
--- a/crates/papayayard_gateway/src/job.rs
+++ b/crates/papayayard_gateway/src/job.rs
@@ -5,9 +5,9 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
+use papayayard_routing::blame::Subjects;
 use papayayard_routing::placement::Query;
 use papayayard_routing::prompt::Prompt;
-use papayayard_routing::quarantine::Fingerprint;
 use papayayard_routing::table::{Account, Route};
 use papayayard_wire::id;
 
@@ -25,8 +25,8 @@
     /// Headers to forward.
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
-    /// Hash that stays the same when the caller retries the request.
-    pub(crate) fingerprint: Fingerprint,
+    /// What of it may crash endpoints; stays the same when the caller retries the request.
+    pub(crate) subjects: Arc<Subjects>,
     pub(crate) route: Arc<Route>,
     pub(crate) service: id::Service,
     /// Client account that the request's key belongs to.
--- a/crates/papayayard_gateway/src/metrics.rs
+++ b/crates/papayayard_gateway/src/metrics.rs
@@ -24,6 +24,7 @@
     orders: Counter<u64>,
     crashes: Counter<u64>,
     quarantines: Counter<u64>,
+    quarantined_parts: Counter<u64>,
     limits: Counter<u64>,
     first_event: Histogram<f64>,
     hosts: Gauge<u64>,
@@ -69,6 +70,12 @@
                     "Requests that this host has begun to quarantine, by their fingerprints",
                 )
                 .build(),
+            quarantined_parts: meter
+                .u64_counter("papayayard_quarantined_parts")
+                .with_description(
+                    "Parts of prompts, or groups of them, that this host has begun to quarantine",
+                )
+                .build(),
             limits: meter
                 .u64_counter("papayayard_endpoint_limits")
                 .with_description("Answers in which endpoints named a limit on requests")
@@ -123,6 +130,10 @@
         self.quarantines.add(1, &[]);
     }
 
+    pub(crate) fn part_quarantined(&self) {
+        self.quarantined_parts.add(1, &[]);
+    }
+
     pub(crate) fn limit_named(&self) {
         self.limits.add(1, &[]);
     }
--- a/crates/papayayard_gateway/src/pump.rs
+++ b/crates/papayayard_gateway/src/pump.rs
@@ -112,7 +112,7 @@
                         .sender
                         .keep(&placement, response.connection, &response.head.headers);
                     permit.end(Outcome::Whole);
-                    watch.finished();
+                    watch.succeeded();
                     return;
                 }
                 End::CallerLeft => return,
--- a/crates/papayayard_gateway/src/relay.rs
+++ b/crates/papayayard_gateway/src/relay.rs
@@ -172,7 +172,7 @@
                 let shared = prompt.and_then(|prompt| prompt.longest_shared());
                 let shared = shared.unwrap_or("-");
                 log::info!(
-                    request:% = job.id, fingerprint:% = job.fingerprint,
+                    request:% = job.id, fingerprint:% = job.subjects.request,
                     service:% = job.service, endpoint:% = placement.endpoint,
                     version = placement.version.unwrap_or(0),
                     expected_ms = millis(placement.first_event),
@@ -318,7 +318,11 @@
                 let status = response.status();
                 let is_error = status.is_server_error() && status != StatusCode::GATEWAY_TIMEOUT;
                 permit.end(Outcome::Whole);
-                watch.finished();
+                if status.is_success() {
+                    watch.succeeded();
+                } else {
+                    watch.finished();
+                }
                 if is_error && job.route.kind.is_repeatable() {
                     return AttemptResult::Error(response);
                 }
--- a/crates/papayayard_gateway/src/relay/admit.rs
+++ b/crates/papayayard_gateway/src/relay/admit.rs
@@ -8,7 +8,7 @@
 use http::header;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use papayayard_routing::blame::Status;
+use papayayard_routing::blame::{Quarantine, Subjects};
 use papayayard_routing::quarantine::Fingerprint;
 use papayayard_routing::table::{Account, Limits, Table};
 use papayayard_wire::refusal::Kind;
@@ -74,13 +74,17 @@
         let name = account.as_ref().map(|account| &account.name);
         let method = head.method.as_str();
         let fingerprint = Fingerprint::of_request(name, method, &uri.to_string(), &body);
+        let prompt = request_head.prompt.as_ref();
+        let isolated = account.as_ref().filter(|account| account.isolated);
+        let isolated = isolated.map(|account| &account.name);
+        let subjects = Arc::new(Subjects::of(fingerprint, prompt, isolated));
         Ok(Job {
             id,
             method: head.method,
             uri,
             headers,
             body,
-            fingerprint,
+            subjects,
             service,
             account,
             prompt: request_head.prompt.map(Arc::new),
@@ -146,13 +150,23 @@
         Err(Refusal::not_run(Kind::NotReady, message).after(NOT_READY_RETRY_DELAY))
     }
 
-    /// Refuses requests that are quarantined because endpoints crashed while running them.
+    /// Refuses requests that are quarantined because endpoints crashed while running them, or
+    /// others with a part of their prompts.
     pub(crate) fn check_quarantine(&self, job: &Job) -> Result<(), Refusal> {
-        let Status::Quarantined { left } = self.crashes.status(job.fingerprint) else {
+        let Some(Quarantine { left, part }) = self.crashes.quarantine(&job.subjects) else {
             return Ok(());
         };
-        log::info!(request:% = job.id, fingerprint:% = job.fingerprint, left_ms = millis(left); "refused as quarantined");
-        let message = "endpoints have ended under this request; change it, or come back later";
+        let shown = part.map_or_else(|| "-".to_owned(), |part| part.to_string());
+        log::info!(
+            request:% = job.id, fingerprint:% = job.subjects.request, part:% = shown,
+            left_ms = millis(left);
+            "refused as quarantined"
+        );
+        let message = if part.is_some() {
+            "endpoints have ended under a part of this prompt; leave it out, or come back later"
+        } else {
+            "endpoints have ended under this request; change it, or come back later"
+        };
         Err(Refusal::not_run(Kind::Quarantined, message).after(left))
     }
 }
--- a/crates/papayayard_routing/src/blame.rs
+++ b/crates/papayayard_routing/src/blame.rs
@@ -22,6 +22,15 @@
 
 use crate::quarantine::Fingerprint;
 
+mod entry;
+mod parts;
+mod subjects;
+
+pub use subjects::Subjects;
+
+use entry::{Crash, Entries, Entry};
+use parts::Successes;
+
 /// Crashes before any event of an answer after which a request is quarantined, if no
 /// other request has the same crashes. A single crash may be coincidence, since all
 /// requests open at the endpoint have it.
@@ -35,14 +44,8 @@
 const INITIAL_QUARANTINE: Duration = Duration::from_mins(10);
 /// Maximum number of doublings of the quarantine duration.
 const MAX_DOUBLINGS: u32 = 10;
-/// Maximum number of tracked requests. Several times what a large deployment runs at the
-/// endpoints that crash together.
-const MAX_ENTRIES: usize = 8_192;
-/// One in this many entries is evicted when the table is full.
-const EVICTION_DIVISOR: usize = 4;
-
 /// One run of an endpoint's process.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Run {
     pub endpoint: id::Endpoint,
     /// Start of the process.
@@ -85,33 +88,35 @@
     Disputed,
 }
 
-/// Endpoint crashes, by the requests that were open there.
-#[derive(Debug, Default)]
-pub struct Table {
-    entries: HashMap<Fingerprint, Entry>,
-    /// Requests that were open at a run when it crashed.
-    runs: HashMap<Run, HashSet<Fingerprint>>,
+/// Time for which a request is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Quarantine {
+    /// Remaining time.
+    pub left: Duration,
+    /// Part of its prompt that is held responsible; `None` is the request itself.
+    pub part: Option<Fingerprint>,
 }
 
+/// Endpoint crashes, by the requests and parts of prompts that were open there.
 #[derive(Debug, Default)]
-struct Entry {
-    crashes: Vec<Crash>,
-    /// Number of leading crashes that preceded a success and no longer count.
-    discounted: usize,
-    /// When the last crash was received.
-    last: Duration,
+pub struct Table {
+    requests: Entries,
+    parts: Entries,
+    /// Subjects that were open at a run when it crashed.
+    runs: HashMap<Run, Open>,
+    successes: Successes,
 }
 
-#[derive(Debug)]
-struct Crash {
-    run: Run,
-    progress: Progress,
+#[derive(Debug, Default)]
+struct Open {
+    requests: HashSet<Fingerprint>,
+    parts: HashSet<Fingerprint>,
 }
 
 impl Table {
     /// Whether a request may run.
     pub fn status(&self, fingerprint: Fingerprint, now: Duration) -> Status {
-        let Some(entry) = self.entries.get(&fingerprint) else {
+        let Some(entry) = self.requests.get(fingerprint) else {
             return Status::Clear;
         };
         let quarantined_until = entry.last + quarantine_time(entry.counted().len());
@@ -136,22 +141,23 @@
         progress: Progress,
         now: Duration,
     ) -> Effect {
-        self.evict_if_full(fingerprint, now);
-        let was_quarantined = self.is_quarantined(fingerprint, now);
-        let entry = self.entries.entry(fingerprint).or_default();
-        if entry.is_expired(now) {
-            *entry = Entry::default();
+        if self.requests.make_space(fingerprint, now) {
+            self.remove_unused_runs();
         }
-        if !entry.add(run, progress) {
+        let was_quarantined = self.is_quarantined(fingerprint, now);
+        let entry = self.requests.current(fingerprint, now);
+        let crash = Crash {
+            run: run.clone(),
+            progress,
+            at: Some(now),
+        };
+        if !entry.add(crash, now) {
             return Effect::Unchanged;
         }
-        entry.last = entry.last.max(now);
         let has_discounted = entry.discounted > 0;
         let all = entry.crashes.len();
-        self.runs
-            .entry(run.clone())
-            .or_default()
-            .insert(fingerprint);
+        let open = self.runs.entry(run.clone()).or_default();
+        open.requests.insert(fingerprint);
         if self.is_quarantined(fingerprint, now) {
             return if was_quarantined {
                 Effect::Suspected
@@ -170,14 +176,22 @@
     /// Returns whether it was quarantined and other hosts have to be notified.
     pub fn record_success(&mut self, fingerprint: Fingerprint, now: Duration) -> bool {
         let was_quarantined = self.is_quarantined(fingerprint, now);
-        if let Some(entry) = self.entries.get_mut(&fingerprint) {
+        if let Some(entry) = self.requests.get_mut(fingerprint) {
             entry.discounted = entry.crashes.len();
         }
         was_quarantined
     }
 
     fn is_quarantined(&self, fingerprint: Fingerprint, now: Duration) -> bool {
-        matches!(self.status(fingerprint, now), Status::Quarantined { .. })
+        self.left(fingerprint, now).is_some()
+    }
+
+    /// Remaining time of a request in quarantine.
+    fn left(&self, fingerprint: Fingerprint, now: Duration) -> Option<Duration> {
+        match self.status(fingerprint, now) {
+            Status::Quarantined { left } => Some(left),
+            Status::Clear | Status::Suspect => None,
+        }
     }
 
     /// Crashes that count against a request and are not attributed to another request with
@@ -214,84 +228,28 @@
 
     /// Other requests that were open at a run when it crashed.
     fn others(&self, run: &Run, fingerprint: Fingerprint) -> impl Iterator<Item = &Entry> {
-        let all = self.runs.get(run).into_iter().flatten();
-        let others = all.filter(move |request| **request != fingerprint);
-        others.filter_map(|request| self.entries.get(request))
+        let all = self.runs.get(run).into_iter();
+        let others = all
+            .flat_map(|open| &open.requests)
+            .filter(move |request| **request != fingerprint);
+        others.filter_map(|request| self.requests.get(*request))
     }
 
     /// Removes expired entries.
     pub fn remove_expired(&mut self, now: Duration) {
-        self.entries.retain(|_, entry| !entry.is_expired(now));
+        self.requests.remove_expired(now);
+        self.parts.remove_expired(now);
         self.remove_unused_runs();
     }
 
     fn remove_unused_runs(&mut self) {
-        let entries = &self.entries;
-        self.runs.retain(|_, requests| {
-            requests.retain(|request| entries.contains_key(request));
-            !requests.is_empty()
+        let (requests, parts) = (&self.requests, &self.parts);
+        self.runs.retain(|_, open| {
+            open.requests.retain(|one| requests.get(*one).is_some());
+            open.parts.retain(|one| parts.get(*one).is_some());
+            !open.requests.is_empty() || !open.parts.is_empty()
         });
     }
-
-    /// Makes space for a new request. Evicts the requests with the fewest crashes and, among
-    /// those, the oldest.
-    fn evict_if_full(&mut self, fingerprint: Fingerprint, now: Duration) {
-        if self.entries.len() < MAX_ENTRIES || self.entries.contains_key(&fingerprint) {
-            return;
-        }
-        self.remove_expired(now);
-        if self.entries.len() < MAX_ENTRIES {
-            return;
-        }
-        let ranks = self.entries.values().map(Entry::eviction_rank);
-        let mut ranks: Vec<(usize, Duration)> = ranks.collect();
-        let (_, bound, _) = ranks.select_nth_unstable(MAX_ENTRIES / EVICTION_DIVISOR);
-        let bound = *bound;
-        self.entries
-            .retain(|_, entry| entry.eviction_rank() > bound);
-        self.remove_unused_runs();
-    }
-}
-
-impl Entry {
-    /// Crashes that count against the request.
-    fn counted(&self) -> &[Crash] {
-        &self.crashes[self.discounted..]
-    }
-
-    fn was_open_at(&self, run: &Run) -> bool {
-        self.counted().iter().any(|crash| crash.run == *run)
-    }
-
-    /// Sort key for eviction; entries with higher ranks are kept longer.
-    fn eviction_rank(&self) -> (usize, Duration) {
-        (self.counted().len(), self.last)
-    }
-
-    /// Adds a crash; `false` if it was already recorded.
-    fn add(&mut self, run: &Run, progress: Progress) -> bool {
-        let known = self.crashes.iter_mut().find(|crash| crash.run == *run);
-        match known {
-            Some(crash) if crash.progress >= progress => false,
-            Some(crash) => {
-                crash.progress = progress;
-                true
-            }
-            None => {
-                self.crashes.push(Crash {
-                    run: run.clone(),
-                    progress,
-                });
-                true
-            }
-        }
-    }
-
-    /// Whether the last crash is too old to count. After a quarantine, a request stays a suspect
-    /// for the same time again, so that another crash quarantines it at once.
-    fn is_expired(&self, now: Duration) -> bool {
-        self.last + quarantine_time(self.crashes.len()) * 2 <= now
-    }
 }
 
 /// Duration of the quarantine after this number of crashes.
--- a/crates/papayayard_routing/src/quarantine.rs
+++ b/crates/papayayard_routing/src/quarantine.rs
@@ -48,6 +48,19 @@
     }
 }
 
+impl Fingerprint {
+    /// Fingerprint of a part of a prompt; `isolated` is an account whose parts are its own.
+    pub fn of_part(isolated: Option<&id::Account>, model: &id::Model, part: &str) -> Self {
+        let account = isolated.map_or("", id::Account::as_str);
+        let mut hasher = xxh3::Xxh3::new();
+        for text in [account, model.as_str(), part] {
+            hasher.update(text.as_bytes());
+            hasher.update(&[0]);
+        }
+        Self(hasher.digest())
+    }
+}
+
 impl fmt::Display for Fingerprint {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(formatter, "{:016x}", self.0)
--- a/crates/papayayard_routing/tests/prompt_part/main.rs
+++ b/crates/papayayard_routing/tests/prompt_part/main.rs
@@ -2,11 +2,12 @@
 //! exchange crash reports soon refuse requests with it, and serve the others.
 
 mod replay;
+mod verdict;
 mod world;
 
 use rstest::rstest;
 
-use replay::{Cause, Plan};
+use replay::{Cause, Outcome, Plan};
 
 /// Seeds of each case.
 const SEEDS: u64 = 6;
@@ -16,6 +17,25 @@
 /// from 6 s after the fifth crash, in percent of the share before the first.
 const MIN_BEGUN_PERCENT: usize = 90;
 
+/// Reports of all seeds.
+#[derive(Debug, Default)]
+struct Reports {
+    on_crashes: usize,
+    on_successes: usize,
+}
+
+impl Reports {
+    fn add(&mut self, outcome: &Outcome) {
+        self.on_crashes += outcome.crash_reports;
+        self.on_successes += outcome.cleared_reports;
+    }
+
+    /// Hosts don't each report each part that many requests share.
+    fn check(&self) {
+        assert!(self.on_successes <= self.on_crashes, "{self:?}");
+    }
+}
+
 #[rstest]
 fn a_deadly_part_is_refused_and_its_companions_are_served(
     #[values(1, 9, 80)] hosts: usize,
@@ -28,6 +48,7 @@
     )]
     causes: &[Cause],
 ) {
+    let mut reports = Reports::default();
     for seed in 0..SEEDS {
         let plan = Plan {
             hosts,
@@ -47,7 +68,9 @@
             after * 100 >= before * MIN_BEGUN_PERCENT,
             "seed {seed}: {after} of 100 begin at once, {before} before: {outcome:?}"
         );
+        reports.add(&outcome);
     }
+    reports.check();
 }
 
 /// Endpoints that crash for other reasons, all of one zone at once among them, don't keep
@@ -57,6 +80,7 @@
     #[values(1, 9, 80)] hosts: usize,
     #[values(&[Cause::Chance], &[Cause::Zone], &[Cause::Request])] causes: &[Cause],
 ) {
+    let mut reports = Reports::default();
     for seed in 0..SEEDS {
         let plan = Plan {
             hosts,
@@ -66,5 +90,7 @@
         let outcome = replay::run(&plan);
         let served = outcome.refused_sound * 100 <= outcome.sent_sound;
         assert!(served, "seed {seed}: {outcome:?}");
+        reports.add(&outcome);
     }
+    reports.check();
 }
--- a/crates/papayayard_routing/tests/prompt_part/replay.rs
+++ b/crates/papayayard_routing/tests/prompt_part/replay.rs
@@ -33,6 +33,9 @@
 /// Time that reports of crashes take to other hosts.
 const MIN_REPORT: Millis = 30;
 const MAX_REPORT: Millis = 1_500;
+/// Time after which a host reports parts that have completed.
+const MIN_CLEARED_DELAY: Millis = 1_000;
+const MAX_CLEARED_DELAY: Millis = 3_000;
 /// Time until a host sends the request to another endpoint after a crash.
 const RETRY: Millis = 10;
 const ATTEMPTS: usize = 2;
@@ -99,6 +102,9 @@
     /// Sound requests of all kinds.
     pub(crate) sent_sound: usize,
     pub(crate) refused_sound: usize,
+    /// Reports of all hosts on crashes, and on parts that have completed.
+    pub(crate) crash_reports: usize,
+    pub(crate) cleared_reports: usize,
 }
 
 /// A request on its way.
@@ -131,6 +137,10 @@
         host: usize,
         report: usize,
     },
+    /// A host reports parts that have completed.
+    ReportCleared {
+        host: usize,
+    },
     SoundArrives,
     DeadlyArrives {
         cause: usize,
@@ -170,6 +180,7 @@
     /// When a sound request was sent, its first part, and whether it began at once.
     sound: Vec<(Millis, u64, bool)>,
     refused_sound: usize,
+    cleared_reports: usize,
 }
 
 /// Plays the plan and counts.
@@ -195,6 +206,7 @@
         deadly: vec![Vec::new(); plan.causes.len()],
         sound: Vec::new(),
         refused_sound: 0,
+        cleared_reports: 0,
     };
     replay.play();
     replay.outcome()
@@ -271,6 +283,14 @@
             }
             Event::Begin { call } => self.begin(call),
             Event::Finish { call } => self.finish(call),
+            Event::ReportCleared { host } => {
+                if let Some(report) = self.hosts[host].report_cleared() {
+                    self.cleared_reports += 1;
+                    let now = self.clock();
+                    self.hosts[host].receive(&report, now);
+                    self.deliver(host, report);
+                }
+            }
             Event::Deliver { host, report } => {
                 let now = self.clock();
                 self.hosts[host].receive(&self.reports[report], now);
@@ -386,7 +406,12 @@
         for endpoint in &mut self.endpoints {
             if let Some(place) = endpoint.open.iter().position(|open| open.id == id) {
                 let open = endpoint.open.swap_remove(place);
-                self.hosts[open.call.host].finish(&open.call.request, now);
+                let host = open.call.host;
+                if self.hosts[host].finish(&open.call.request, now) {
+                    let delay =
+                        MIN_CLEARED_DELAY + self.below(MAX_CLEARED_DELAY - MIN_CLEARED_DELAY);
+                    self.after(delay, Event::ReportCleared { host });
+                }
                 return;
             }
         }
@@ -447,6 +472,11 @@
     fn report(&mut self, host: usize, run: &Run, open: Vec<(Request, Progress)>) {
         let now = self.clock();
         let report = self.hosts[host].observe(run, open, now);
+        self.deliver(host, report);
+    }
+
+    /// Sends a report to all hosts but the one that it comes from.
+    fn deliver(&mut self, host: usize, report: Report) {
         let index = self.reports.len();
         self.reports.push(report);
         for other in (0..self.hosts.len()).filter(|other| *other != host) {
@@ -488,6 +518,8 @@
         let mut outcome = Outcome {
             later: later.collect(),
             crashes: self.crashed.iter().map(Vec::len).sum(),
+            crash_reports: self.reports.len() - self.cleared_reports,
+            cleared_reports: self.cleared_reports,
             sent_sound: self.sound.len(),
             refused_sound: self.refused_sound,
             ..Outcome::default()
