The end of a connection is no proof that an answer is complete

Callers got an empty answer, or a stream that seemed to have ended, with status 200, when an endpoint crashed under an answer with neither a length nor chunks. The host counted such a request as completed.

Cause: HTTP ends such an answer with its connection, and so does a crash. A stream that is cut inside an event was told apart; one that is cut between events, or a plain answer, was not.

Now the endpoint is probed before such an answer counts as complete, as is done after a connection has broken. If it refuses the connection, the answer is broken off, may be repeated as the route allows, and the crash counts. If the probe shows nothing, the answer stands and the list of endpoints decides later about the crash.

Costs one connection for each such answer, whose own connection is closed.

--- a/crates/papayayard_gateway/src/attempt.rs
+++ b/crates/papayayard_gateway/src/attempt.rs
@@ -37,6 +37,20 @@
     pub(crate) connection: Connection,
 }
 
+impl Response {
+    /// Whether the body has neither a length nor chunks, so that a crash looks like its end.
+    pub(crate) fn ends_with_connection(&self, method: &Method) -> bool {
+        let headers = &self.head.headers;
+        let is_framed = headers.contains_key(header::CONTENT_LENGTH)
+            || headers.contains_key(header::TRANSFER_ENCODING);
+        let is_empty = matches!(
+            self.head.status,
+            StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
+        );
+        !is_framed && !is_empty && !has_no_body(method)
+    }
+}
+
 /// Why an endpoint returned no usable response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Failure {
--- a/crates/papayayard_gateway/src/ends.rs
+++ b/crates/papayayard_gateway/src/ends.rs
@@ -44,9 +44,9 @@
 
 /// Message to the task that investigates failed requests.
 enum Message {
-    /// The connection broke before the answer was complete; the sender is notified after
-    /// the investigation.
-    Disconnected(Attempt, oneshot::Sender<()>),
+    /// The connection broke before the answer was complete, or ended an answer without a
+    /// length; the sender is notified after the investigation.
+    Disconnected(Attempt, Ending, oneshot::Sender<ProbeOutcome>),
     /// No answer came in time, or the caller stopped waiting.
     Unanswered(Attempt),
     /// A request has completed with parts of prompts that other hosts may suspect.
@@ -56,6 +56,36 @@
     },
 }
 
+/// How an answer ended with its connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Ending {
+    /// Before it was complete.
+    Broken,
+    /// It has no length, and may be complete.
+    Closed,
+}
+
+/// Result of a connection attempt to an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ProbeOutcome {
+    /// The address accepts connections.
+    Accepted,
+    /// No process listens at the address.
+    Refused,
+    /// The attempt timed out or failed for another reason.
+    Inconclusive,
+}
+
+impl ProbeOutcome {
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Accepted => "lives",
+            Self::Refused => "ended",
+            Self::Inconclusive => "nothing",
+        }
+    }
+}
+
 /// State shared by request handlers, the task and the reducer. The table tracks which
 /// requests are held responsible for endpoint crashes.
 #[derive(Clone)]
@@ -164,12 +194,14 @@
         Reports::new(self.shared.clone())
     }
 
-    async fn investigate(&self, attempt: Attempt) {
+    /// Probes the endpoint of a request whose connection has closed.
+    async fn investigate(&self, attempt: Attempt, ending: Ending) -> ProbeOutcome {
         let (checked, done) = oneshot::channel();
-        self.send(Message::Disconnected(attempt, checked));
-        if done.await.is_err() {
+        self.send(Message::Disconnected(attempt, ending, checked));
+        done.await.unwrap_or_else(|_| {
             log::debug!("host shut down before a failed request was investigated");
-        }
+            ProbeOutcome::Inconclusive
+        })
     }
 
     fn send(&self, message: Message) {
--- a/crates/papayayard_gateway/src/ends/attempt.rs
+++ b/crates/papayayard_gateway/src/ends/attempt.rs
@@ -8,7 +8,7 @@
 use papayayard_routing::prompt::Prompt;
 use papayayard_wire::id;
 
-use super::{CrashTracker, MAX_LOGGED_PARTS, Message};
+use super::{CrashTracker, Ending, MAX_LOGGED_PARTS, Message, ProbeOutcome};
 use crate::attempt::Failure;
 use crate::job::Job;
 
@@ -65,6 +65,20 @@
         }
     }
 
+    /// Probes the endpoint after an answer without a length has ended with its connection.
+    /// Returns whether the endpoint has not crashed, so that the answer counts as complete.
+    pub(crate) async fn confirm(&mut self) -> bool {
+        let Some(attempt) = self.attempt.take() else {
+            return true;
+        };
+        let probed = self.tracker.investigate(attempt.clone(), Ending::Closed);
+        let outcome = probed.await;
+        if outcome == ProbeOutcome::Accepted {
+            self.attempt = Some(attempt);
+        }
+        outcome != ProbeOutcome::Refused
+    }
+
     /// Records that the endpoint has answered completely.
     pub(crate) fn finished(mut self) {
         if let Some(attempt) = self.attempt.take() {
@@ -87,7 +101,9 @@
             return;
         };
         match failure {
-            Failure::Broken => self.tracker.investigate(attempt).await,
+            Failure::Broken => {
+                self.tracker.investigate(attempt, Ending::Broken).await;
+            }
             Failure::Silent => self.tracker.send(Message::Unanswered(attempt)),
             Failure::Unreachable | Failure::Refused | Failure::Mismatched | Failure::Foreign => {}
         }
--- a/crates/papayayard_gateway/src/ends/task.rs
+++ b/crates/papayayard_gateway/src/ends/task.rs
@@ -14,7 +14,7 @@
 use super::attempt::Attempt;
 use super::cleared::Cleared;
 use super::report::Report;
-use super::{Message, Parts, Shared};
+use super::{Ending, Message, Parts, ProbeOutcome, Shared};
 use crate::dial;
 
 /// Time after a failure within which the endpoint list may still reveal a crash: the
@@ -32,27 +32,6 @@
     removed_at: Option<Duration>,
 }
 
-/// Result of a connection attempt to an endpoint.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum ProbeOutcome {
-    /// The address accepts connections.
-    Accepted,
-    /// No process listens at the address.
-    Refused,
-    /// The attempt timed out or failed for another reason.
-    Inconclusive,
-}
-
-impl ProbeOutcome {
-    const fn as_str(self) -> &'static str {
-        match self {
-            Self::Accepted => "lives",
-            Self::Refused => "ended",
-            Self::Inconclusive => "nothing",
-        }
-    }
-}
-
 /// What revealed that a run has crashed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Evidence {
@@ -91,6 +70,22 @@
     }
 }
 
+/// A request whose connection has closed, while its endpoint is probed.
+struct Disconnected {
+    attempt: Attempt,
+    ending: Ending,
+    checked: oneshot::Sender<ProbeOutcome>,
+}
+
+impl Disconnected {
+    /// Notifies the request that the investigation of its endpoint is done.
+    fn release(self, outcome: ProbeOutcome) {
+        if self.checked.send(outcome).is_err() {
+            log::debug!("the request ended before its endpoint was probed");
+        }
+    }
+}
+
 /// A failed request whose endpoint may have crashed.
 struct Suspect {
     run: Run,
@@ -105,7 +100,7 @@
     crashes: HashMap<Run, Crash>,
     listed: HashMap<id::Endpoint, Listed>,
     /// Failed requests by the run that is being probed for them.
-    probed: HashMap<Run, Vec<(Attempt, oneshot::Sender<()>)>>,
+    probed: HashMap<Run, Vec<Disconnected>>,
     probes: JoinSet<(Run, ProbeOutcome)>,
     suspects: Vec<Suspect>,
     /// Parts of prompts that are about to be reported as cleared.
@@ -157,7 +152,11 @@
                     self.defer(run, attempt);
                 }
             }
-            Message::Disconnected(attempt, checked) => self.probe(attempt, checked),
+            Message::Disconnected(attempt, ending, checked) => self.probe(Disconnected {
+                attempt,
+                ending,
+                checked,
+            }),
             Message::Cleared { fingerprint, parts } => {
                 let cleared = self
                     .cleared
@@ -167,19 +166,20 @@
         }
     }
 
-    fn probe(&mut self, attempt: Attempt, checked: oneshot::Sender<()>) {
-        let Some(run) = self.run_of(&attempt.endpoint) else {
-            release(checked);
+    fn probe(&mut self, request: Disconnected) {
+        let Some(run) = self.run_of(&request.attempt.endpoint) else {
+            request.release(ProbeOutcome::Accepted);
             return;
         };
         if self.crashes.contains_key(&run) {
+            let attempt = request.attempt.clone();
             self.record_crash(&run, vec![attempt], Evidence::Connection);
-            release(checked);
+            request.release(ProbeOutcome::Refused);
             return;
         }
-        let address = attempt.address;
+        let address = request.attempt.address;
         let waiting = self.probed.entry(run.clone()).or_default();
-        waiting.push((attempt, checked));
+        waiting.push(request);
         if waiting.len() == 1 {
             self.probes
                 .spawn(async move { (run, probe_address(address).await) });
@@ -202,15 +202,20 @@
             endpoint:% = run.endpoint, shown = outcome.as_str(), requests = waiting.len();
             "endpoint asked whether it lives"
         );
-        let (attempts, checked): (Vec<Attempt>, Vec<_>) = waiting.into_iter().unzip();
         if outcome == ProbeOutcome::Refused {
-            self.record_crash(run, attempts, Evidence::Connection);
+            let attempts = waiting.iter().map(|request| request.attempt.clone());
+            self.record_crash(run, attempts.collect(), Evidence::Connection);
         } else {
-            for attempt in attempts {
-                self.defer(run.clone(), attempt);
+            let is_open = |request: &&Disconnected| {
+                request.ending == Ending::Broken || outcome == ProbeOutcome::Inconclusive
+            };
+            for request in waiting.iter().filter(is_open) {
+                self.defer(run.clone(), request.attempt.clone());
             }
         }
-        checked.into_iter().for_each(release);
+        for request in waiting {
+            request.release(outcome);
+        }
     }
 
     /// Keeps a failed request until the list shows whether the endpoint has crashed.
@@ -320,13 +325,6 @@
     }
 }
 
-/// Notifies a request that the investigation of its endpoint is done.
-fn release(checked: oneshot::Sender<()>) {
-    if checked.send(()).is_err() {
-        log::debug!("the request ended before its endpoint was probed");
-    }
-}
-
 /// Opens a connection to the address and closes it at once.
 async fn probe_address(address: SocketAddr) -> ProbeOutcome {
     match dial::connect(address).await {
--- a/crates/papayayard_gateway/src/pump.rs
+++ b/crates/papayayard_gateway/src/pump.rs
@@ -104,9 +104,15 @@
                 placement,
                 response,
                 permit,
-                watch,
+                mut watch,
             } = upstream;
             let (failure, replacement) = match end {
+                End::Complete
+                    if response.ends_with_connection(&self.job.method)
+                        && !watch.confirm().await =>
+                {
+                    (Failure::Broken, None)
+                }
                 End::Complete => {
                     self.relay
                         .sender
--- a/crates/papayayard_gateway/src/relay.rs
+++ b/crates/papayayard_gateway/src/relay.rs
@@ -294,7 +294,7 @@
     ) -> AttemptResult {
         let timeout = self.attempt_timeout(job, &placement, history);
         let destination = (&placement, &permit);
-        let watch = self.crashes.watch(job, &placement, Progress::Waiting);
+        let mut watch = self.crashes.watch(job, &placement, Progress::Waiting);
         let sent = self.sender.send(job, destination, job.position, timeout);
         let response = match sent.await {
             Ok(response) => response,
@@ -313,7 +313,12 @@
             };
             return AttemptResult::Answer(self.stream(job, upstream, history));
         }
+        let ends_with_connection = response.ends_with_connection(&job.method);
         match self.read_response(job, &placement, response).await {
+            Ok(_) if ends_with_connection && !watch.confirm().await => {
+                permit.end(Failure::Broken.outcome());
+                AttemptResult::Failed(Failure::Broken)
+            }
             Ok(response) => {
                 let status = response.status();
                 let is_error = status.is_server_error() && status != StatusCode::GATEWAY_TIMEOUT;
