--- a/crates/papayayard/tests/quarantine.rs
+++ b/crates/papayayard/tests/quarantine.rs
@@ -10,6 +10,14 @@
 
 const MARKER: &str = "crash-the-engine";
 const KILLER: &str = "a prompt with crash-the-engine in it";
+/// Engines, and requests with one prefix.
+const ENGINES: usize = 24;
+const REQUESTS: usize = 16;
+/// Length of that prefix, in repetitions of a text; several blocks.
+const PREFIX_REPEATS: usize = 100;
+/// Engines that a prefix may end before it has to be refused, and those after that.
+const MAX_DEATHS: usize = 5;
+const MAX_LATER: usize = 3;
 
 #[rstest]
 #[tokio::test]
@@ -58,3 +66,30 @@
     assert_eq!(refusal.error.kind, Kind::Quarantined);
     assert_eq!(refusal.error.retry_after_ms, None);
 }
+
+/// Guards against judging whole requests alone: no two of these are alike, but all begin
+/// with the same text.
+#[tokio::test]
+async fn a_prefix_that_kills_engines_is_stopped() {
+    let bed = Bed::start(ENGINES, 0).await;
+    bed.publish(0, &support::document("v1", ENGINES)).await;
+    let host = bed.ready_host("entry-1").await;
+    for engine in &bed.engines {
+        engine.fault(Fault::CrashOn {
+            marker: Some(MARKER.to_owned()),
+            down_ms: 600_000,
+        });
+    }
+    let prefix = format!("{MARKER} and more ").repeat(PREFIX_REPEATS);
+    for number in 0..REQUESTS {
+        let prompt = format!("{prefix} question {number}");
+        drop(support::complete(&host, &prompt, 4).await);
+    }
+    let ledger = bed.engine_ledger();
+    let crashed = ledger
+        .iter()
+        .filter(|entry| entry.outcome == papayayard_stand_in::ledger::Outcome::Crashed);
+    let deaths: std::collections::HashSet<_> = crashed.map(|entry| entry.incarnation).collect();
+    let bound = MAX_DEATHS + MAX_LATER;
+    assert!(deaths.len() <= bound, "{} engines died", deaths.len());
+}
