Runs of cleared parts are removed from the table of blame

Each crash at which a part that many requests share was open left its run in memory for as long as the part was known, that is for ever: 1000 of 1000 runs were kept in the new test, none now. Cause: a run was kept while its parts had an entry, whether or not that entry still counts the crash. Only runs that count are looked up.

--- a/crates/papayayard_routing/src/blame.rs
+++ b/crates/papayayard_routing/src/blame.rs
@@ -244,9 +244,13 @@
 
     fn remove_unused_runs(&mut self) {
         let (requests, parts) = (&self.requests, &self.parts);
-        self.runs.retain(|_, open| {
+        self.runs.retain(|run, open| {
             open.requests.retain(|one| requests.get(*one).is_some());
-            open.parts.retain(|one| parts.get(*one).is_some());
+            let counts = |part: Fingerprint| {
+                let entry = parts.get(part);
+                entry.is_some_and(|entry| entry.was_open_at(run))
+            };
+            open.parts.retain(|one| counts(*one));
             !open.requests.is_empty() || !open.parts.is_empty()
         });
     }
@@ -258,3 +262,7 @@
         u32::try_from(crashes.saturating_sub(CRASHES_BEFORE_OUTPUT)).unwrap_or(u32::MAX);
     INITIAL_QUARANTINE * 2_u32.pow(doublings.min(MAX_DOUBLINGS))
 }
+
+#[cfg(test)]
+#[path = "blame_test.rs"]
+mod test;
