--- a/crates/papayayard_gateway/src/ends.rs
+++ b/crates/papayayard_gateway/src/ends.rs
@@ -13,7 +13,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use papayayard_routing::blame::{Effect, Progress, Run, Status, Table};
+use papayayard_routing::blame::{Effect, Progress, Quarantine, Run, Subjects, Table};
 use papayayard_routing::placement::{Endpoint, Placement};
 use papayayard_routing::quarantine::Fingerprint;
 use papayayard_wire::id;
@@ -24,6 +24,7 @@
 use crate::metrics::Metrics;
 
 mod attempt;
+mod cleared;
 mod fold;
 mod report;
 mod task;
@@ -38,13 +39,51 @@
 use task::Task;
 use write::Outbox;
 
+/// Maximum number of parts of prompts that a log line names.
+const MAX_LOGGED_PARTS: usize = 16;
+
 /// Message to the task that investigates failed requests.
 enum Message {
-    /// The connection broke before the answer was complete; the sender is notified after
-    /// the investigation.
-    Disconnected(Attempt, oneshot::Sender<()>),
+    /// The connection broke before the answer was complete, or ended an answer without a
+    /// length; the sender is notified after the investigation.
+    Disconnected(Attempt, Ending, oneshot::Sender<ProbeOutcome>),
     /// No answer came in time, or the caller stopped waiting.
     Unanswered(Attempt),
+    /// A request has completed with parts of prompts that other hosts may suspect.
+    Cleared {
+        fingerprint: Fingerprint,
+        parts: Vec<Fingerprint>,
+    },
+}
+
+/// How an answer ended with its connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Ending {
+    /// Before it was complete.
+    Broken,
+    /// It has no length, and may be complete.
+    Closed,
+}
+
+/// Result of a connection attempt to an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ProbeOutcome {
+    /// The address accepts connections.
+    Accepted,
+    /// No process listens at the address.
+    Refused,
+    /// The attempt timed out or failed for another reason.
+    Inconclusive,
+}
+
+impl ProbeOutcome {
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Accepted => "lives",
+            Self::Refused => "ended",
+            Self::Inconclusive => "nothing",
+        }
+    }
 }
 
 /// State shared by request handlers, the task and the reducer. The table tracks which
@@ -73,11 +112,36 @@
             }
             Effect::Disputed => {
                 log::info!(fingerprint:%; "other hosts quarantine a request that has finished since; reporting it as cleared");
-                self.outbox.send(&Report::Cleared { fingerprint });
+                self.outbox.send(&Report::Cleared {
+                    fingerprint,
+                    parts: Vec::new(),
+                });
             }
             Effect::Suspected | Effect::Unchanged => {}
         }
     }
+
+    /// Records that a run crashed while it processed requests with these parts; `at` is when
+    /// the report arrived, or `None` if it may be old.
+    fn record_part_crashes(
+        &self,
+        parts: &[Fingerprint],
+        run: &Run,
+        (at, now): (Option<Duration>, Duration),
+    ) {
+        let mut table = self.table();
+        for part in parts {
+            table.record_part_crash(*part, run, at, now);
+        }
+        let groups = table.announce(parts, now);
+        drop(table);
+        for group in groups {
+            self.metrics.part_quarantined();
+            let names = group.iter().take(MAX_LOGGED_PARTS).map(ToString::to_string);
+            let names: Vec<String> = names.collect();
+            log::warn!(parts = names.join(",").as_str(), endpoint:% = run.endpoint; "prompts with these parts are quarantined");
+        }
+    }
 }
 
 /// Tracks requests at endpoints and decides whether a request may run.
@@ -88,10 +152,10 @@
 }
 
 impl CrashTracker {
-    /// Returns whether the request is quarantined.
-    pub(crate) fn status(&self, fingerprint: Fingerprint) -> Status {
+    /// Returns the quarantine of a request, if any.
+    pub(crate) fn quarantine(&self, subjects: &Subjects) -> Option<Quarantine> {
         let now = self.shared.clock.now();
-        self.shared.table().status(fingerprint, now)
+        self.shared.table().quarantine(subjects, now)
     }
 
     /// Starts tracking a request that is about to be sent to an endpoint.
@@ -103,7 +167,25 @@
         let now = self.shared.clock.now();
         if self.shared.table().record_success(fingerprint, now) {
             log::info!(fingerprint:%; "quarantined request has finished; lifting the quarantine");
-            self.shared.outbox.send(&Report::Cleared { fingerprint });
+            self.shared.outbox.send(&Report::Cleared {
+                fingerprint,
+                parts: Vec::new(),
+            });
+        }
+    }
+
+    /// Records that a request with these parts in its prompt has completed.
+    fn succeeded(&self, subjects: &Subjects) {
+        if subjects.parts.is_empty() {
+            return;
+        }
+        let now = self.shared.clock.now();
+        let mut table = self.shared.table();
+        let parts = table.record_part_successes(&subjects.parts, now);
+        drop(table);
+        if !parts.is_empty() {
+            let fingerprint = subjects.request;
+            self.send(Message::Cleared { fingerprint, parts });
         }
     }
 
@@ -112,12 +194,14 @@
         Reports::new(self.shared.clone())
     }
 
-    async fn investigate(&self, attempt: Attempt) {
+    /// Probes the endpoint of a request whose connection has closed.
+    async fn investigate(&self, attempt: Attempt, ending: Ending) -> ProbeOutcome {
         let (checked, done) = oneshot::channel();
-        self.send(Message::Disconnected(attempt, checked));
-        if done.await.is_err() {
+        self.send(Message::Disconnected(attempt, ending, checked));
+        done.await.unwrap_or_else(|_| {
             log::debug!("host shut down before a failed request was investigated");
-        }
+            ProbeOutcome::Inconclusive
+        })
     }
 
     fn send(&self, message: Message) {
--- a/crates/papayayard_gateway/src/ends/attempt.rs
+++ b/crates/papayayard_gateway/src/ends/attempt.rs
@@ -1,13 +1,14 @@
 //! Tracking of a request at an endpoint until its outcome is known.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
-use papayayard_routing::blame::Progress;
+use papayayard_routing::blame::{Progress, Subjects};
 use papayayard_routing::placement::Placement;
-use papayayard_routing::quarantine::Fingerprint;
+use papayayard_routing::prompt::Prompt;
 use papayayard_wire::id;
 
-use super::{CrashTracker, Message};
+use super::{CrashTracker, Ending, MAX_LOGGED_PARTS, Message, ProbeOutcome};
 use crate::attempt::Failure;
 use crate::job::Job;
 
@@ -15,7 +16,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct Attempt {
     pub(super) request: id::Request,
-    pub(super) fingerprint: Fingerprint,
+    pub(super) subjects: Arc<Subjects>,
+    prompt: Option<Arc<Prompt>>,
     pub(super) progress: Progress,
     pub(super) endpoint: id::Endpoint,
     pub(super) address: SocketAddr,
@@ -25,12 +27,19 @@
     pub(super) fn new(job: &Job, placement: &Placement, progress: Progress) -> Self {
         Self {
             request: job.id.clone(),
-            fingerprint: job.fingerprint,
+            subjects: Arc::clone(&job.subjects),
+            prompt: job.prompt.clone(),
             progress,
             endpoint: placement.endpoint.clone(),
             address: placement.address,
         }
     }
+
+    /// Names of the parts of the prompt that other requests may share, for the log.
+    pub(super) fn part_names(&self) -> String {
+        let prompt = self.prompt.as_ref();
+        prompt.map_or_else(String::new, |prompt| prompt.shared_names(MAX_LOGGED_PARTS))
+    }
 }
 
 /// Guard for a request that is open at an endpoint. Dropping it before an outcome is
@@ -56,11 +65,33 @@
         }
     }
 
+    /// Probes the endpoint after an answer without a length has ended with its connection.
+    /// Returns whether the endpoint has not crashed, so that the answer counts as complete.
+    pub(crate) async fn confirm(&mut self) -> bool {
+        let Some(attempt) = self.attempt.take() else {
+            return true;
+        };
+        let probed = self.tracker.investigate(attempt.clone(), Ending::Closed);
+        let outcome = probed.await;
+        if outcome == ProbeOutcome::Accepted {
+            self.attempt = Some(attempt);
+        }
+        outcome != ProbeOutcome::Refused
+    }
+
     /// Records that the endpoint has answered completely.
     pub(crate) fn finished(mut self) {
         if let Some(attempt) = self.attempt.take() {
-            self.tracker.finished(attempt.fingerprint);
+            self.tracker.finished(attempt.subjects.request);
+        }
+    }
+
+    /// Records that the endpoint has answered completely and with success.
+    pub(crate) fn succeeded(self) {
+        if let Some(attempt) = &self.attempt {
+            self.tracker.succeeded(&attempt.subjects);
         }
+        self.finished();
     }
 
     /// Records that the endpoint gave no usable answer. If the connection broke, waits
@@ -70,7 +101,9 @@
             return;
         };
         match failure {
-            Failure::Broken => self.tracker.investigate(attempt).await,
+            Failure::Broken => {
+                self.tracker.investigate(attempt, Ending::Broken).await;
+            }
             Failure::Silent => self.tracker.send(Message::Unanswered(attempt)),
             Failure::Unreachable | Failure::Refused | Failure::Mismatched | Failure::Foreign => {}
         }
--- a/crates/papayayard_gateway/src/ends/task.rs
+++ b/crates/papayayard_gateway/src/ends/task.rs
@@ -12,14 +12,18 @@
 use tokio::task::JoinSet;
 
 use super::attempt::Attempt;
+use super::cleared::Cleared;
 use super::report::Report;
-use super::{Message, Parts, Shared};
+use super::{Ending, Message, Parts, ProbeOutcome, Shared};
 use crate::dial;
 
 /// Time after a failure within which the endpoint list may still reveal a crash: the
 /// record of a crashed endpoint expires after some missed heartbeats.
 const LISTING_WINDOW: Duration = Duration::from_secs(15);
 
+/// Maximum number of parts of prompts in a report; a record holds several times that.
+const MAX_REPORTED_PARTS: usize = 2_048;
+
 /// An endpoint as last seen in the list.
 struct Listed {
     started: id::Incarnation,
@@ -28,27 +32,6 @@
     removed_at: Option<Duration>,
 }
 
-/// Result of a connection attempt to an endpoint.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum ProbeOutcome {
-    /// The address accepts connections.
-    Accepted,
-    /// No process listens at the address.
-    Refused,
-    /// The attempt timed out or failed for another reason.
-    Inconclusive,
-}
-
-impl ProbeOutcome {
-    const fn as_str(self) -> &'static str {
-        match self {
-            Self::Accepted => "lives",
-            Self::Refused => "ended",
-            Self::Inconclusive => "nothing",
-        }
-    }
-}
-
 /// What revealed that a run has crashed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Evidence {
@@ -73,6 +56,34 @@
     /// Whether the list alone revealed the crash; it may have been wrong.
     shown_by_list: bool,
     requests: Vec<(Fingerprint, Progress)>,
+    /// Shared parts of their prompts, each once.
+    parts: Vec<Fingerprint>,
+}
+
+impl Crash {
+    fn add_parts(&mut self, parts: &[Fingerprint]) {
+        for part in parts {
+            if self.parts.len() < MAX_REPORTED_PARTS && !self.parts.contains(part) {
+                self.parts.push(*part);
+            }
+        }
+    }
+}
+
+/// A request whose connection has closed, while its endpoint is probed.
+struct Disconnected {
+    attempt: Attempt,
+    ending: Ending,
+    checked: oneshot::Sender<ProbeOutcome>,
+}
+
+impl Disconnected {
+    /// Notifies the request that the investigation of its endpoint is done.
+    fn release(self, outcome: ProbeOutcome) {
+        if self.checked.send(outcome).is_err() {
+            log::debug!("the request ended before its endpoint was probed");
+        }
+    }
 }
 
 /// A failed request whose endpoint may have crashed.
@@ -89,9 +100,11 @@
     crashes: HashMap<Run, Crash>,
     listed: HashMap<id::Endpoint, Listed>,
     /// Failed requests by the run that is being probed for them.
-    probed: HashMap<Run, Vec<(Attempt, oneshot::Sender<()>)>>,
+    probed: HashMap<Run, Vec<Disconnected>>,
     probes: JoinSet<(Run, ProbeOutcome)>,
     suspects: Vec<Suspect>,
+    /// Parts of prompts that are about to be reported as cleared.
+    cleared: Option<Cleared>,
 }
 
 impl Task {
@@ -104,6 +117,7 @@
             probed: HashMap::new(),
             probes: JoinSet::new(),
             suspects: Vec::new(),
+            cleared: None,
         }
     }
 
@@ -120,6 +134,7 @@
                     Ok((run, outcome)) => self.probe_finished(&run, outcome),
                     Err(error) => log::error!(error:%; "the task probing an endpoint failed"),
                 },
+                () = Cleared::wait(self.cleared.as_ref()) => self.report_cleared(),
                 changed = self.parts.endpoints.changed() => {
                     if changed.is_err() {
                         return;
@@ -137,23 +152,34 @@
                     self.defer(run, attempt);
                 }
             }
-            Message::Disconnected(attempt, checked) => self.probe(attempt, checked),
+            Message::Disconnected(attempt, ending, checked) => self.probe(Disconnected {
+                attempt,
+                ending,
+                checked,
+            }),
+            Message::Cleared { fingerprint, parts } => {
+                let cleared = self
+                    .cleared
+                    .get_or_insert_with(|| Cleared::new(fingerprint));
+                cleared.add(parts);
+            }
         }
     }
 
-    fn probe(&mut self, attempt: Attempt, checked: oneshot::Sender<()>) {
-        let Some(run) = self.run_of(&attempt.endpoint) else {
-            release(checked);
+    fn probe(&mut self, request: Disconnected) {
+        let Some(run) = self.run_of(&request.attempt.endpoint) else {
+            request.release(ProbeOutcome::Accepted);
             return;
         };
         if self.crashes.contains_key(&run) {
+            let attempt = request.attempt.clone();
             self.record_crash(&run, vec![attempt], Evidence::Connection);
-            release(checked);
+            request.release(ProbeOutcome::Refused);
             return;
         }
-        let address = attempt.address;
+        let address = request.attempt.address;
         let waiting = self.probed.entry(run.clone()).or_default();
-        waiting.push((attempt, checked));
+        waiting.push(request);
         if waiting.len() == 1 {
             self.probes
                 .spawn(async move { (run, probe_address(address).await) });
@@ -176,15 +202,20 @@
             endpoint:% = run.endpoint, shown = outcome.as_str(), requests = waiting.len();
             "endpoint asked whether it lives"
         );
-        let (attempts, checked): (Vec<Attempt>, Vec<_>) = waiting.into_iter().unzip();
         if outcome == ProbeOutcome::Refused {
-            self.record_crash(run, attempts, Evidence::Connection);
+            let attempts = waiting.iter().map(|request| request.attempt.clone());
+            self.record_crash(run, attempts.collect(), Evidence::Connection);
         } else {
-            for attempt in attempts {
-                self.defer(run.clone(), attempt);
+            let is_open = |request: &&Disconnected| {
+                request.ending == Ending::Broken || outcome == ProbeOutcome::Inconclusive
+            };
+            for request in waiting.iter().filter(is_open) {
+                self.defer(run.clone(), request.attempt.clone());
             }
         }
-        checked.into_iter().for_each(release);
+        for request in waiting {
+            request.release(outcome);
+        }
     }
 
     /// Keeps a failed request until the list shows whether the endpoint has crashed.
@@ -246,6 +277,15 @@
         }
     }
 
+    /// Reports cleared parts, unless other hosts have done so meanwhile.
+    fn report_cleared(&mut self) {
+        if let Some(cleared) = self.cleared.take()
+            && let Some(report) = cleared.report(&self.shared.table())
+        {
+            self.shared.outbox.send(&report);
+        }
+    }
+
     /// Records that a run has crashed with the given and the deferred requests open, and
     /// reports it to all hosts.
     fn record_crash(&mut self, run: &Run, mut attempts: Vec<Attempt>, shown_by: Evidence) {
@@ -261,31 +301,30 @@
                 at: now,
                 shown_by_list: shown_by == Evidence::List,
                 requests: Vec::new(),
+                parts: Vec::new(),
             }
         });
         for attempt in attempts {
             log::warn!(
-                request:% = attempt.request, fingerprint:% = attempt.fingerprint,
+                request:% = attempt.request, fingerprint:% = attempt.subjects.request,
                 endpoint:% = run.endpoint, run = run.started.0, shown_by = shown_by.as_str(),
-                begun = attempt.progress == Progress::Begun;
+                begun = attempt.progress == Progress::Begun, parts:% = attempt.part_names();
                 "endpoint ended under a request"
             );
+            let fingerprint = attempt.subjects.request;
             self.shared
-                .record_crash(attempt.fingerprint, run, attempt.progress, now);
-            crash.requests.push((attempt.fingerprint, attempt.progress));
+                .record_crash(fingerprint, run, attempt.progress, now);
+            crash.requests.push((fingerprint, attempt.progress));
+            crash.add_parts(&attempt.subjects.parts);
         }
-        let report = Report::crash(run, &crash.requests);
+        let times = (Some(now), now);
+        self.shared.record_part_crashes(&crash.parts, run, times);
+        let sound = self.shared.table().sound(&crash.parts, now);
+        let report = Report::crash(run, &crash.requests, &crash.parts, sound);
         self.shared.outbox.send(&report);
     }
 }
 
-/// Notifies a request that the investigation of its endpoint is done.
-fn release(checked: oneshot::Sender<()>) {
-    if checked.send(()).is_err() {
-        log::debug!("the request ended before its endpoint was probed");
-    }
-}
-
 /// Opens a connection to the address and closes it at once.
 async fn probe_address(address: SocketAddr) -> ProbeOutcome {
     match dial::connect(address).await {
--- a/crates/papayayard_gateway/src/pump.rs
+++ b/crates/papayayard_gateway/src/pump.rs
@@ -104,15 +104,21 @@
                 placement,
                 response,
                 permit,
-                watch,
+                mut watch,
             } = upstream;
             let (failure, replacement) = match end {
+                End::Complete
+                    if response.ends_with_connection(&self.job.method)
+                        && !watch.confirm().await =>
+                {
+                    (Failure::Broken, None)
+                }
                 End::Complete => {
                     self.relay
                         .sender
                         .keep(&placement, response.connection, &response.head.headers);
                     permit.end(Outcome::Whole);
-                    watch.finished();
+                    watch.succeeded();
                     return;
                 }
                 End::CallerLeft => return,
--- a/crates/papayayard_gateway/src/relay.rs
+++ b/crates/papayayard_gateway/src/relay.rs
@@ -172,7 +172,7 @@
                 let shared = prompt.and_then(|prompt| prompt.longest_shared());
                 let shared = shared.unwrap_or("-");
                 log::info!(
-                    request:% = job.id, fingerprint:% = job.fingerprint,
+                    request:% = job.id, fingerprint:% = job.subjects.request,
                     service:% = job.service, endpoint:% = placement.endpoint,
                     version = placement.version.unwrap_or(0),
                     expected_ms = millis(placement.first_event),
@@ -294,7 +294,7 @@
     ) -> AttemptResult {
         let timeout = self.attempt_timeout(job, &placement, history);
         let destination = (&placement, &permit);
-        let watch = self.crashes.watch(job, &placement, Progress::Waiting);
+        let mut watch = self.crashes.watch(job, &placement, Progress::Waiting);
         let sent = self.sender.send(job, destination, job.position, timeout);
         let response = match sent.await {
             Ok(response) => response,
@@ -313,12 +313,21 @@
             };
             return AttemptResult::Answer(self.stream(job, upstream, history));
         }
+        let ends_with_connection = response.ends_with_connection(&job.method);
         match self.read_response(job, &placement, response).await {
+            Ok(_) if ends_with_connection && !watch.confirm().await => {
+                permit.end(Failure::Broken.outcome());
+                AttemptResult::Failed(Failure::Broken)
+            }
             Ok(response) => {
                 let status = response.status();
                 let is_error = status.is_server_error() && status != StatusCode::GATEWAY_TIMEOUT;
                 permit.end(Outcome::Whole);
-                watch.finished();
+                if status.is_success() {
+                    watch.succeeded();
+                } else {
+                    watch.finished();
+                }
                 if is_error && job.route.kind.is_repeatable() {
                     return AttemptResult::Error(response);
                 }
