Relay: a refusal speaks only for the request that it names

Callers were told 503, "not run, try again", for requests that an endpoint was running, and requests that may run once at most ran at a second endpoint, when an endpoint wrote an earlier refusal once more on a kept connection.

Cause: any answer that states that the request did not run was believed before the request id that it repeats was looked at. The id was compared for successes and errors only.

A refusal now counts as one only if it names the request; if it names none, only on a connection that carried no request before, where no other answer can be due. All else is a foreign answer: the request may have run, the connection is closed, and only what may run more than once is sent elsewhere. An at-most-once request gets 502 instead of a false 503.

Ruled out: a refusal that follows a complete answer at once is no answer to the next request (hyper closes the connection; a test). By reading only: one that arrives on an idle connection ends the same way; orders, reports and probes open a connection each.

--- a/crates/papayayard_gateway/src/attempt.rs
+++ b/crates/papayayard_gateway/src/attempt.rs
@@ -1,8 +1,8 @@
 //! Sends a request to one endpoint and checks the head of its response.
 //!
 //! Failures are classified by whether the request may have run: a request that was not
-//! sent, or that the endpoint reports as refused, did not run. After any other failure it
-//! may have run.
+//! sent, or that the endpoint refused in a response of its own, did not run. After any other
+//! failure it may have run.
 
 use std::time::Duration;
 
@@ -145,7 +145,10 @@
                         body,
                         connection,
                     };
-                    return self.check(job, (placement, permit), response).await;
+                    let is_first = !is_pooled;
+                    return self
+                        .check(job, (placement, permit), response, is_first)
+                        .await;
                 }
             }
         }
@@ -177,22 +180,27 @@
         request
     }
 
+    /// Checks the head of a response; `is_first` tells that the connection transmitted no
+    /// request before.
     async fn check(
         &self,
         job: &Job,
         (placement, permit): (&Placement, &Permit),
         response: Response,
+        is_first: bool,
     ) -> Result<Response, Failure> {
         let reported = self
             .codec
             .decode_response_head(response.head.status, &response.head.headers);
         self.apply_hints(job, (placement, permit), &reported);
-        if reported.not_run {
+        let matches_request = reported.request.as_ref() == Some(&job.id);
+        let is_unnamed = reported.request.is_none();
+        // On a reused connection, an unnamed refusal may belong to an earlier request.
+        if reported.not_run && (matches_request || is_first && is_unnamed) {
             let failure = not_run(&reported, placement, response.head.status);
             self.drain(placement, response).await;
             return Err(failure);
         }
-        let matches_request = reported.request.as_ref() == Some(&job.id);
         let is_unencoded = !response.head.headers.contains_key(header::CONTENT_ENCODING);
         if matches_request && reported.is_signed && is_unencoded {
             // Refusals and late copies of other answers do not show that a limit has ended.
