Relay: a backoff or a limit holds only from the request's own answer

An earlier answer that an endpoint wrote once more was kept from callers, but its Retry-After and Server-Limit were applied again: the endpoint got no requests for a time that had passed, or kept a limit that it had taken back. Callers were told that all endpoints were full.

Cause: what an answer says of its endpoint was applied before it was known whose answer it is. A backoff and a limit now need the request's own answer, as a refusal does. A notice of leave still counts from any answer of the endpoint: it is never taken back within the endpoint's life, and the connection belongs to that life.

Test: after a repeated answer with Retry-After 30, or Server-Limit 0.1, four of six requests were refused unsent; now each reaches the endpoint. Both cases failed before. Not shown by a test: that leave notices of such answers are still heeded (the code is unchanged there).

--- a/crates/papayayard_gateway/src/attempt.rs
+++ b/crates/papayayard_gateway/src/attempt.rs
@@ -192,11 +192,16 @@
         let reported = self
             .codec
             .decode_response_head(response.head.status, &response.head.headers);
-        self.apply_hints(job, (placement, permit), &reported);
         let matches_request = reported.request.as_ref() == Some(&job.id);
-        let is_unnamed = reported.request.is_none();
-        // On a reused connection, an unnamed refusal may belong to an earlier request.
-        if reported.not_run && (matches_request || is_first && is_unnamed) {
+        // On a reused connection, an unnamed response may belong to an earlier request.
+        let is_own = matches_request || is_first && reported.request.is_none();
+        if !is_from_other(&reported, placement) {
+            apply_leave_notice(job, (placement, permit), &reported);
+            if is_own {
+                self.apply_bounds(job, (placement, permit), &reported);
+            }
+        }
+        if reported.not_run && is_own {
             let failure = not_run(&reported, placement, response.head.status);
             self.drain(placement, response).await;
             return Err(failure);
@@ -217,22 +222,14 @@
         Err(Failure::Foreign)
     }
 
-    /// Applies the leave notice and the backoff that an endpoint reports. A response from
-    /// a different endpoint at the same address is ignored.
-    fn apply_hints(
+    /// Applies the backoff and the limit that an endpoint names in its response to this
+    /// request.
+    fn apply_bounds(
         &self,
         job: &Job,
         (placement, permit): (&Placement, &Permit),
         reported: &ResponseHead,
     ) {
-        let other = reported.endpoint.as_ref();
-        if other.is_some_and(|other| *other != placement.endpoint) {
-            return;
-        }
-        if reported.is_leaving {
-            log::info!(request:% = job.id, endpoint:% = placement.endpoint; "the endpoint says that it leaves");
-            permit.mark_leaving();
-        }
         if let Some(time) = reported.backoff {
             log::info!(
                 request:% = job.id, endpoint:% = placement.endpoint, quiet_ms = millis(time);
@@ -273,10 +270,26 @@
     }
 }
 
+/// Applies the leave notice that an endpoint gives in any of its responses.
+fn apply_leave_notice(
+    job: &Job,
+    (placement, permit): (&Placement, &Permit),
+    reported: &ResponseHead,
+) {
+    if reported.is_leaving {
+        log::info!(request:% = job.id, endpoint:% = placement.endpoint; "the endpoint says that it leaves");
+        permit.mark_leaving();
+    }
+}
+
+/// Whether a different endpoint at the same address responded.
+fn is_from_other(reported: &ResponseHead, placement: &Placement) -> bool {
+    let endpoint = reported.endpoint.as_ref();
+    endpoint.is_some_and(|endpoint| *endpoint != placement.endpoint)
+}
+
 fn not_run(reported: &ResponseHead, placement: &Placement, status: StatusCode) -> Failure {
-    let other = reported.endpoint.as_ref();
-    let is_other = other.is_some_and(|endpoint| *endpoint != placement.endpoint);
-    if is_other || status == StatusCode::MISDIRECTED_REQUEST {
+    if is_from_other(reported, placement) || status == StatusCode::MISDIRECTED_REQUEST {
         Failure::Mismatched
     } else {
         Failure::Refused
