Pump: only a stream of the same kind goes on with a stream

After a stream had broken off, any 2xx answer of the next endpoint was joined to it. A text or a JSON error with status 200 reached callers in the middle of their stream where an empty line followed it, and a 204 ended the stream as if it were complete.

Cause: the answer was chosen by its status class alone. The caller has the head of the first answer; what goes on with its body must be such a body. A resumed answer now needs the same status and the same media type as the first one. All others are treated as the errors that they are: the stream goes on at another endpoint within its attempts, or is cut.

--- a/crates/papayayard_gateway/src/pump.rs
+++ b/crates/papayayard_gateway/src/pump.rs
@@ -5,11 +5,14 @@
 //! the response is cut. Silence is measured between complete events, so that a slow stream
 //! continues while one that sends bytes without completing an event is replaced. A silent
 //! upstream is abandoned only once another endpoint has a place; until then its events are
-//! still awaited. The task ends when the caller disconnects, which closes its channel.
+//! still awaited. A resumed stream must have the status and the media type of the head that
+//! the caller has; any other response is an error. The task ends when the caller disconnects, which closes its channel.
 
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::header;
+use http::response::Parts;
 use http_body_util::BodyExt;
 use papayayard_routing::blame::Progress;
 use papayayard_routing::placement::{Outcome, Placement};
@@ -57,6 +60,7 @@
 {
     let (sender, receiver) = mpsc::channel(CHANNEL_CAPACITY);
     let pump = Pump {
+        head: upstream.response.head.clone(),
         splitter: Splitter::after(job.position),
         relay,
         job,
@@ -71,6 +75,8 @@
 struct Pump<Platform> {
     relay: Relay<Platform>,
     job: Job,
+    /// Head of the first response, which the caller has.
+    head: Parts,
     history: History,
     chunks: mpsc::Sender<Result<Bytes, Truncated>>,
     splitter: Splitter,
@@ -274,7 +280,7 @@
                 sent = sent => sent,
             };
             match sent {
-                Ok(response) if response.head.status.is_success() => {
+                Ok(response) if continues(&self.head, &response.head) => {
                     self.history.runs += 1;
                     self.splitter = Splitter::after(position);
                     log::info!(
@@ -289,7 +295,12 @@
                         watch,
                     });
                 }
-                Ok(_) => {
+                Ok(response) => {
+                    log::info!(
+                        request:% = self.job.id, endpoint:% = placement.endpoint,
+                        status = response.head.status.as_u16();
+                        "response does not continue the stream"
+                    );
                     watch.finished();
                     self.history.runs += 1;
                     self.history.endpoints.push(placement.endpoint.clone());
@@ -326,3 +337,15 @@
         }
     }
 }
+
+/// Whether a response has the status and the media type of the stream's first one.
+fn continues(first: &Parts, next: &Parts) -> bool {
+    next.status == first.status && media_type(next) == media_type(first)
+}
+
+/// Media type of a body, without its parameters.
+fn media_type(head: &Parts) -> Option<String> {
+    let text = head.headers.get(header::CONTENT_TYPE)?.to_str().ok()?;
+    let essence = text.split(';').next().unwrap_or_default();
+    Some(essence.trim().to_ascii_lowercase())
+}
