Pump: a stream does not end while an event is due

After a stream had broken off inside an event, an answer of the next endpoint without events completed it; so did an answer to a new request that ended before its first event, for one that ends with its connection and whose endpoint had ended.

Cause: the end of an answer between events was taken for the end of the stream. But an event that has begun is known to be due, a text that is no event shows that something else went wrong, and a stream has one event at least. In these cases the answer counts as broken off: it goes on elsewhere, or is cut. Only a 200 is read as events; a 204 to a first try passes unchanged, as before.

--- a/crates/papayayard_gateway/src/pump.rs
+++ b/crates/papayayard_gateway/src/pump.rs
@@ -3,7 +3,8 @@
 //! Only complete events with increasing ids are forwarded. If a stream fails and its route
 //! allows it, another endpoint resumes after the last forwarded event, within the same
 //! response; otherwise the response is cut. A resumed stream must have the status and the
-//! media type of the head that the caller has; any other response is an error.
+//! media type of the head that the caller has; any other response is an error. A stream
+//! has an event at least, and does not end where an event has begun.
 //!
 //! Silence is measured between complete events, so that a slow stream continues while one
 //! that sends bytes without completing an event is replaced. A silent upstream is abandoned
@@ -24,7 +25,7 @@
 use tokio::task::{JoinError, JoinSet};
 use tokio::time;
 
-use crate::attempt::{Failure, Response};
+use crate::attempt::{self, Failure, Response};
 use crate::body::Truncated;
 use crate::dispatch::{Permit, Selection};
 use crate::ends;
@@ -64,6 +65,7 @@
     let pump = Pump {
         head: upstream.response.head.clone(),
         splitter: Splitter::after(first_position(&job)),
+        is_event_due: first_position(&job).is_none() && !attempt::has_no_body(&job.method),
         relay,
         job,
         history,
@@ -83,6 +85,8 @@
     chunks: mpsc::Sender<Result<Bytes, Truncated>>,
     splitter: Splitter,
     has_begun: bool,
+    /// Whether the stream is incomplete without a further event.
+    is_event_due: bool,
 }
 
 /// Why forwarding from one upstream ended.
@@ -133,6 +137,7 @@
                 End::Replaced(replacement) => (Failure::Silent, Some(replacement)),
             };
             drop(response);
+            self.is_event_due |= failure == Failure::Foreign || !self.splitter.is_at_boundary();
             permit.end(failure.outcome());
             log::info!(
                 request:% = self.job.id, endpoint:% = placement.endpoint,
@@ -182,11 +187,13 @@
                 }
             };
             let data = match frame {
-                None if self.splitter.is_at_boundary() => return End::Complete,
+                None if self.is_complete() => return End::Complete,
                 None | Some(Err(_)) => return End::Failed(Failure::Broken),
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
             };
+            let position = self.splitter.position();
             let Events { bytes, fault } = self.splitter.push(&data);
+            self.is_event_due &= self.splitter.position() == position;
             if !bytes.is_empty() {
                 if !searches.is_empty() {
                     searches = JoinSet::new();
@@ -206,6 +213,11 @@
         }
     }
 
+    /// Whether the stream is complete if its upstream ends now.
+    fn is_complete(&self) -> bool {
+        self.splitter.is_at_boundary() && !self.is_event_due
+    }
+
     /// Forwards complete events to the caller.
     async fn pass(&mut self, upstream: &mut Upstream, events: Bytes) -> Result<(), End> {
         if !self.has_begun {
--- a/crates/papayayard_gateway/src/relay.rs
+++ b/crates/papayayard_gateway/src/relay.rs
@@ -304,7 +304,7 @@
                 return AttemptResult::Failed(failure);
             }
         };
-        if job.route.kind.is_stream() && response.head.status.is_success() {
+        if job.route.kind.is_stream() && response.head.status == StatusCode::OK {
             let upstream = pump::Upstream {
                 placement,
                 response,
