Completions: a refusal or a rejection speaks only for its own request

Callers were told that a completion had not run while engines ran it ("ran": "no" after two engines), or that their request was at fault, with the text of another request's rejection.

Cause: the id that every answer repeats was compared for successes only. It is now compared before anything else is read from an answer; another id, or none, is a mismatched answer, and the completion goes on at another engine.

Ruled out, with cases that passed before: errors or other requests' events in a stream that goes on elsewhere; each event must be the next of its own request.

Stand-in engines and services learn the fault `stale_refusals`: they run the request and send another request's refusal. Tests: three failed before (a refusal of both engines, a rejection before a stream and before a whole answer) and pass now; a refusal of one engine, and true refusals, were survived before, too.

--- a/crates/papayayard/src/relay/attempt.rs
+++ b/crates/papayayard/src/relay/attempt.rs
@@ -61,13 +61,15 @@
 
 fn classify(completion: &Completion, place: &fleet::Place, response: Response<Incoming>) -> Reply {
     let status = response.status();
+    let id = completion.whole.known.arrival.id.as_str();
+    if text(response.headers(), names::REQUEST_ID) != Some(id) {
+        return Reply::Failed(Failure::Mismatched);
+    }
     if status.is_success() {
-        let id = completion.whole.known.arrival.id.as_str();
-        let own = text(response.headers(), names::REQUEST_ID) == Some(id);
         let incarnation = text(response.headers(), names::INCARNATION);
         let run = incarnation.and_then(|number| number.parse().ok());
         let same_run = run.is_some_and(|number| place.matches(id::Incarnation(number)));
-        if own && same_run {
+        if same_run {
             return Reply::Begun(response);
         }
         return Reply::Failed(Failure::Mismatched);
--- a/crates/papayayard/tests/streams.rs
+++ b/crates/papayayard/tests/streams.rs
@@ -8,6 +8,7 @@
 use papayayard_stand_in::caller;
 use papayayard_stand_in::engine::Fault;
 use papayayard_stand_in::ledger::Outcome;
+use papayayard_wire::refusal::Ran;
 use papayayard_wire::{completion, header};
 use rstest::rstest;
 use support::Bed;
@@ -27,6 +28,8 @@
 #[case::cut_twice(Fault::CutStreams { count: 2, after_tokens: 3 })]
 #[case::answer_lost(Fault::LoseAnswers { count: 1 })]
 #[case::answer_of_another_request(Fault::WrongIds { count: 1 })]
+#[case::other_refusal(Fault::StaleRefusals { count: 1, status: 503 })]
+#[case::other_rejection(Fault::StaleRefusals { count: 1, status: 400 })]
 #[case::refused(Fault::Refuse)]
 #[tokio::test]
 async fn a_stream_is_whole_although_engines_fail(#[case] fault: Fault) {
@@ -47,6 +50,7 @@
 #[rstest]
 #[case::answer_lost(Fault::LoseAnswers { count: 1 })]
 #[case::answer_of_another_request(Fault::WrongIds { count: 1 })]
+#[case::other_rejection(Fault::StaleRefusals { count: 1, status: 400 })]
 #[case::refused(Fault::Refuse)]
 #[case::crashed(Fault::Crash { down_ms: 600_000 })]
 #[tokio::test]
@@ -78,6 +82,22 @@
     }
 }
 
+/// A repeated refusal of another request does not say that a request has not run.
+#[tokio::test]
+async fn a_completion_that_ran_is_not_told_as_not_run() {
+    let bed = Bed::start(2, 0).await;
+    bed.publish(0, &support::document("v1", 2)).await;
+    let host = bed.ready_host("entry-1").await;
+    for engine in &bed.engines {
+        let (count, status) = (100, 503);
+        engine.fault(Fault::StaleRefusals { count, status });
+    }
+    let reply = support::complete(&host, PROMPT, TOKENS).await;
+    let refusal = reply.expect("the exchange is whole").refusal();
+    assert_eq!(refusal.error.ran, Ran::Unknown);
+    assert!(!bed.engine_ledger().is_empty());
+}
+
 /// An engine that crashes or stands still in mid-stream is replaced.
 #[rstest]
 #[case::crash(Fault::Crash { down_ms: 600_000 })]
--- a/crates/papayayard_stand_in/src/engine/core.rs
+++ b/crates/papayayard_stand_in/src/engine/core.rs
@@ -243,6 +243,10 @@
             }
             Fault::LoseAnswers { count } => faults.lose_answers = count,
             Fault::WrongIds { count } => faults.wrong_ids = count,
+            Fault::StaleRefusals { count, status } => {
+                faults.stale_refusals = count;
+                faults.stale_status = status;
+            }
             Fault::Events { lost, delay_ms } => {
                 self.feed.disturb(lost, Duration::from_millis(delay_ms));
             }
--- a/crates/papayayard_stand_in/src/engine/fault.rs
+++ b/crates/papayayard_stand_in/src/engine/fault.rs
@@ -33,6 +33,13 @@
         /// Number of answers.
         count: u32,
     },
+    /// Runs the next requests and answers with another request's refusal.
+    StaleRefusals {
+        /// Number of requests.
+        count: u32,
+        /// HTTP status of the refusal.
+        status: u16,
+    },
     /// Loses and delays cache events.
     Events {
         /// Part of the events that is lost, from 0 to 1.
@@ -64,6 +71,8 @@
     pub(crate) cut_after: u64,
     pub(crate) lose_answers: u32,
     pub(crate) wrong_ids: u32,
+    pub(crate) stale_refusals: u32,
+    pub(crate) stale_status: u16,
     pub(crate) marker: Option<String>,
     pub(crate) marker_down_ms: u64,
     pub(crate) cut: Vec<id::Host>,
--- a/crates/papayayard_stand_in/src/engine/route.rs
+++ b/crates/papayayard_stand_in/src/engine/route.rs
@@ -162,10 +162,16 @@
     stream: bool,
     lost: bool,
     wrong_id: bool,
+    /// Status of another request's refusal that is sent instead.
+    stale: Option<StatusCode>,
 }
 
 impl Accepted {
     async fn answer(mut self) -> Result<Response<Body>, Dropped> {
+        if let Some(status) = self.stale {
+            self.wait().await?;
+            return Ok(stale_refusal(status));
+        }
         let mut response = if self.stream && !self.lost {
             let stream = Stream::new(self.shape, self.pieces);
             let mut response = Response::new(Body::Completion(stream));
@@ -235,6 +241,7 @@
         .map_err(|refusal| Rejection::new(StatusCode::SERVICE_UNAVAILABLE, refusal.message()))?;
     let faults = &mut core.faults;
     let wrong_id = fault::take(&mut faults.wrong_ids);
+    let stale = fault::take(&mut faults.stale_refusals).then_some(faults.stale_status);
     let cut = request.stream && fault::take(&mut faults.cut_streams);
     let id = head.request.clone().unwrap_or_else(|| "cmpl".to_owned());
     let shape = Shape {
@@ -253,9 +260,20 @@
         stream: request.stream,
         lost: fault::take(&mut faults.lose_answers),
         wrong_id,
+        stale: stale.and_then(|status| StatusCode::from_u16(status).ok()),
     })
 }
 
+/// The refusal of another request.
+fn stale_refusal(status: StatusCode) -> Response<Body> {
+    let message = "the engine refuses another request; send it elsewhere";
+    let mut response = Rejection::new(status, message).answer();
+    let headers = response.headers_mut();
+    headers.insert(header::RAN, HeaderValue::from_static("no"));
+    headers.insert(header::REQUEST_ID, HeaderValue::from_static(WRONG_ID));
+    response
+}
+
 fn start_position(request: &completion::Request<'_>, digest: Digest) -> Result<u64, Rejection> {
     let Some(continuation) = &request.continuation else {
         return Ok(0);
--- a/crates/papayayard_stand_in/src/service.rs
+++ b/crates/papayayard_stand_in/src/service.rs
@@ -79,6 +79,13 @@
         /// Number of answers.
         count: u32,
     },
+    /// Runs the next requests and answers with another request's refusal.
+    StaleRefusals {
+        /// Number of requests.
+        count: u32,
+        /// Id that the refusal names, if any.
+        id: Option<String>,
+    },
     /// Requests take longer.
     Slow {
         /// Added time.
@@ -187,6 +194,9 @@
     refuse: bool,
     lose_answers: u32,
     wrong_ids: u32,
+    stale_refusals: u32,
+    /// Id that these refusals name.
+    stale_id: Option<String>,
     delay: Duration,
     cut: Vec<id::Host>,
 }
@@ -239,6 +249,9 @@
             run: index as u64 + 1,
             digest,
         });
+        if let Some(stale) = self.stale_refusal() {
+            return Ok(stale);
+        }
         let id = self.end(index, id)?;
         self.mark(&mut response, id.as_deref());
         Ok(response)
@@ -307,6 +320,15 @@
         Ok(id)
     }
 
+    /// The refusal of another request, where it is sent instead of the answer.
+    fn stale_refusal(&self) -> Option<Response<Body>> {
+        let mut state = self.lock();
+        let is_due = crate::engine::fault::take(&mut state.stale_refusals);
+        let id = state.stale_id.clone();
+        drop(state);
+        is_due.then(|| self.refusal(id.as_deref()))
+    }
+
     fn mark(&self, response: &mut Response<Body>, id: Option<&str>) {
         let incarnation = self.lock().incarnation;
         let headers = response.headers_mut();
@@ -329,12 +351,17 @@
             Fault::Refuse => state.refuse = true,
             Fault::LoseAnswers { count } => state.lose_answers = count,
             Fault::WrongIds { count } => state.wrong_ids = count,
+            Fault::StaleRefusals { count, id } => {
+                state.stale_refusals = count;
+                state.stale_id = id;
+            }
             Fault::Slow { delay_ms } => state.delay = Duration::from_millis(delay_ms),
             Fault::Cut { hosts } => state.cut = hosts,
             Fault::Clear => {
                 state.refuse = false;
                 state.lose_answers = 0;
                 state.wrong_ids = 0;
+                state.stale_refusals = 0;
                 state.delay = Duration::ZERO;
                 state.cut.clear();
                 self.gate.freeze(false);
