Plain services: a refusal without an id does not prove that nothing ran

A booking was reported as not run, with a key or without, and could be sent to another endpoint while the first one ran it, where the refusal named no request. A refusal that named another one was told apart before (the new case passed before).

Cause: an answer without an id passed the check of the id, a refusal too. Answers must repeat the id; a refusal that does not is now a mismatched answer, after which the outcome is unknown. Other answers without an id pass as before.

A true refusal is still followed by another endpoint.

--- a/crates/papayayard/src/relay/call.rs
+++ b/crates/papayayard/src/relay/call.rs
@@ -117,11 +117,11 @@
         };
         let response = self.client.send(outgoing, call.timeout).await?;
         let answer_id = response.headers().get(names::REQUEST_ID);
-        if answer_id.is_some_and(|value| value.as_bytes() != arrival.id.as_str().as_bytes()) {
-            return Err(Failure::Mismatched);
-        }
-        if is_refusal(&response) {
-            return Err(Failure::Refused);
+        let own = answer_id.map(|value| value.as_bytes() == arrival.id.as_str().as_bytes());
+        match (is_refusal(&response), own) {
+            (_, Some(false)) | (true, None) => return Err(Failure::Mismatched),
+            (true, Some(true)) => return Err(Failure::Refused),
+            (false, _) => {}
         }
         time::timeout(call.timeout, collect(response))
             .await
