--- a/crates/papayayard/tests/streams.rs
+++ b/crates/papayayard/tests/streams.rs
@@ -82,6 +82,29 @@
     }
 }
 
+/// A stream that broke off goes on although another engine answers with an error.
+#[rstest]
+#[case::rejection(400)]
+#[case::error(500)]
+#[case::refusal(503)]
+#[tokio::test]
+async fn an_engines_error_does_not_enter_a_stream(#[case] status: u16) {
+    let bed = Bed::start(3, 0).await;
+    bed.publish(0, &support::document("v1", 3)).await;
+    let host = bed.ready_host("entry-1").await;
+    for _ in 0..4 {
+        let (count, after_tokens) = (1, 7);
+        bed.engines[0].fault(Fault::CutStreams {
+            count,
+            after_tokens,
+        });
+        bed.engines[1].fault(Fault::StaleRefusals { count, status });
+        let reply = support::complete(&host, PROMPT, TOKENS).await;
+        let text = reply.expect("the exchange is whole").complete_stream();
+        assert_eq!(text, support::expected(PROMPT, TOKENS));
+    }
+}
+
 /// A repeated refusal of another request does not say that a request has not run.
 #[tokio::test]
 async fn a_completion_that_ran_is_not_told_as_not_run() {
