--- a/crates/papayayard_gateway/src/attempt.rs
+++ b/crates/papayayard_gateway/src/attempt.rs
@@ -216,7 +216,8 @@
         }
         log::warn!(
             request:% = job.id, endpoint:% = placement.endpoint,
-            status = response.head.status.as_u16(), own = matches_request, signed = reported.is_signed;
+            status = response.head.status.as_u16(), refusal = reported.not_run,
+            own = matches_request, signed = reported.is_signed;
             "response is from another source or belongs to another request"
         );
         Err(Failure::Foreign)
