--- a/crates/papayayard_gateway/src/attempt.rs
+++ b/crates/papayayard_gateway/src/attempt.rs
@@ -1,8 +1,8 @@
 //! Sends a request to one endpoint and checks the head of its response.
 //!
 //! Failures are classified by whether the request may have run: a request that was not
-//! sent, or that the endpoint reports as refused, did not run. After any other failure it
-//! may have run.
+//! sent, or that the endpoint refused in a response of its own, did not run. After any other
+//! failure it may have run.
 
 use std::time::Duration;
 
@@ -159,7 +159,10 @@
                         body,
                         connection,
                     };
-                    return self.check(job, (placement, permit), response).await;
+                    let is_first = !is_pooled;
+                    return self
+                        .check(job, (placement, permit), response, is_first)
+                        .await;
                 }
             }
         }
@@ -191,22 +194,32 @@
         request
     }
 
+    /// Checks the head of a response; `is_first` tells that the connection transmitted no
+    /// request before.
     async fn check(
         &self,
         job: &Job,
         (placement, permit): (&Placement, &Permit),
         response: Response,
+        is_first: bool,
     ) -> Result<Response, Failure> {
         let reported = self
             .codec
             .decode_response_head(response.head.status, &response.head.headers);
-        self.apply_hints(job, (placement, permit), &reported);
-        if reported.not_run {
+        let matches_request = reported.request.as_ref() == Some(&job.id);
+        // On a reused connection, an unnamed response may belong to an earlier request.
+        let is_own = matches_request || is_first && reported.request.is_none();
+        if !is_from_other(&reported, placement) {
+            apply_leave_notice(job, (placement, permit), &reported);
+            if is_own {
+                self.apply_bounds(job, (placement, permit), &reported);
+            }
+        }
+        if reported.not_run && is_own {
             let failure = not_run(&reported, placement, response.head.status);
             self.drain(placement, response).await;
             return Err(failure);
         }
-        let matches_request = reported.request.as_ref() == Some(&job.id);
         let is_unencoded = !response.head.headers.contains_key(header::CONTENT_ENCODING);
         if matches_request && reported.is_signed && is_unencoded {
             // Refusals and late copies of other answers do not show that a limit has ended.
@@ -217,28 +230,21 @@
         }
         log::warn!(
             request:% = job.id, endpoint:% = placement.endpoint,
-            status = response.head.status.as_u16(), own = matches_request, signed = reported.is_signed;
+            status = response.head.status.as_u16(), refusal = reported.not_run,
+            own = matches_request, signed = reported.is_signed;
             "response is from another source or belongs to another request"
         );
         Err(Failure::Foreign)
     }
 
-    /// Applies the leave notice and the backoff that an endpoint reports. A response from
-    /// a different endpoint at the same address is ignored.
-    fn apply_hints(
+    /// Applies the backoff and the limit that an endpoint names in its response to this
+    /// request.
+    fn apply_bounds(
         &self,
         job: &Job,
         (placement, permit): (&Placement, &Permit),
         reported: &ResponseHead,
     ) {
-        let other = reported.endpoint.as_ref();
-        if other.is_some_and(|other| *other != placement.endpoint) {
-            return;
-        }
-        if reported.is_leaving {
-            log::info!(request:% = job.id, endpoint:% = placement.endpoint; "the endpoint says that it leaves");
-            permit.mark_leaving();
-        }
         if let Some(time) = reported.backoff {
             log::info!(
                 request:% = job.id, endpoint:% = placement.endpoint, quiet_ms = millis(time);
@@ -279,10 +285,26 @@
     }
 }
 
+/// Applies the leave notice that an endpoint gives in any of its responses.
+fn apply_leave_notice(
+    job: &Job,
+    (placement, permit): (&Placement, &Permit),
+    reported: &ResponseHead,
+) {
+    if reported.is_leaving {
+        log::info!(request:% = job.id, endpoint:% = placement.endpoint; "the endpoint says that it leaves");
+        permit.mark_leaving();
+    }
+}
+
+/// Whether a different endpoint at the same address responded.
+fn is_from_other(reported: &ResponseHead, placement: &Placement) -> bool {
+    let endpoint = reported.endpoint.as_ref();
+    endpoint.is_some_and(|endpoint| *endpoint != placement.endpoint)
+}
+
 fn not_run(reported: &ResponseHead, placement: &Placement, status: StatusCode) -> Failure {
-    let other = reported.endpoint.as_ref();
-    let is_other = other.is_some_and(|endpoint| *endpoint != placement.endpoint);
-    if is_other || status == StatusCode::MISDIRECTED_REQUEST {
+    if is_from_other(reported, placement) || status == StatusCode::MISDIRECTED_REQUEST {
         Failure::Mismatched
     } else {
         Failure::Refused
--- a/crates/papayayard_gateway/src/pump.rs
+++ b/crates/papayayard_gateway/src/pump.rs
@@ -1,15 +1,21 @@
 //! Forwards a stream's events to the caller as they arrive.
 //!
-//! Only complete events are forwarded. If a stream fails and its route allows it, another
-//! endpoint resumes after the last forwarded event, within the same response; otherwise
-//! the response is cut. Silence is measured between complete events, so that a slow stream
-//! continues while one that sends bytes without completing an event is replaced. A silent
-//! upstream is abandoned only once another endpoint has a place; until then its events are
-//! still awaited. The task ends when the caller disconnects, which closes its channel.
+//! Only complete events with increasing ids are forwarded. If a stream fails and its route
+//! allows it, another endpoint resumes after the last forwarded event, within the same
+//! response; otherwise the response is cut. A resumed stream must have the status and the
+//! media type of the head that the caller has; any other response is an error. A stream
+//! has an event at least, and does not end where an event has begun.
+//!
+//! Silence is measured between complete events, so that a slow stream continues while one
+//! that sends bytes without completing an event is replaced. A silent upstream is abandoned
+//! only once another endpoint has a place; until then its events are still awaited. The task
+//! ends when the caller disconnects, which closes its channel.
 
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::header;
+use http::response::Parts;
 use http_body_util::BodyExt;
 use papayayard_routing::blame::Progress;
 use papayayard_routing::placement::{Outcome, Placement};
@@ -19,11 +25,11 @@
 use tokio::task::{JoinError, JoinSet};
 use tokio::time;
 
-use crate::attempt::{Failure, Response};
+use crate::attempt::{self, Failure, Response};
 use crate::body::Truncated;
 use crate::dispatch::{Permit, Selection};
 use crate::ends;
-use crate::events::Splitter;
+use crate::events::{Events, Splitter};
 use crate::exchange::Codec;
 use crate::job::Job;
 use crate::relay::{History, Relay};
@@ -57,7 +63,9 @@
 {
     let (sender, receiver) = mpsc::channel(CHANNEL_CAPACITY);
     let pump = Pump {
-        splitter: Splitter::after(job.position),
+        head: upstream.response.head.clone(),
+        splitter: Splitter::after(first_position(&job)),
+        is_event_due: first_position(&job).is_none() && !attempt::has_no_body(&job.method),
         relay,
         job,
         history,
@@ -71,10 +79,14 @@
 struct Pump<Platform> {
     relay: Relay<Platform>,
     job: Job,
+    /// Head of the first response, which the caller has.
+    head: Parts,
     history: History,
     chunks: mpsc::Sender<Result<Bytes, Truncated>>,
     splitter: Splitter,
     has_begun: bool,
+    /// Whether the stream is incomplete without a further event.
+    is_event_due: bool,
 }
 
 /// Why forwarding from one upstream ended.
@@ -131,6 +143,7 @@
                 End::Replaced(replacement) => (Failure::Silent, Some(replacement)),
             };
             drop(response);
+            self.is_event_due |= failure == Failure::Foreign || !self.splitter.is_at_boundary();
             permit.end(failure.outcome());
             log::info!(
                 request:% = self.job.id, endpoint:% = placement.endpoint,
@@ -180,32 +193,49 @@
                 }
             };
             let data = match frame {
-                None if self.splitter.is_at_boundary() => return End::Complete,
+                None if self.is_complete() => return End::Complete,
                 None | Some(Err(_)) => return End::Failed(Failure::Broken),
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
             };
-            let Ok(events) = self.splitter.push(&data) else {
-                return End::Failed(Failure::Foreign);
-            };
-            if events.is_empty() {
-                continue;
-            }
-            if !searches.is_empty() {
-                searches = JoinSet::new();
-            }
-            last_event_at = self.relay.clock.now();
-            if !self.has_begun {
-                self.has_begun = true;
-                self.relay.record_first_event(&self.job);
+            let position = self.splitter.position();
+            let Events { bytes, fault } = self.splitter.push(&data);
+            self.is_event_due &= self.splitter.position() == position;
+            if !bytes.is_empty() {
+                if !searches.is_empty() {
+                    searches = JoinSet::new();
+                }
+                last_event_at = self.relay.clock.now();
+                if let Err(end) = self.pass(upstream, bytes).await {
+                    return end;
+                }
             }
-            upstream.permit.record_event();
-            upstream.watch.mark_begun();
-            if self.chunks.send(Ok(events)).await.is_err() {
-                return End::CallerLeft;
+            if let Some(fault) = fault {
+                log::warn!(
+                    request:% = self.job.id, endpoint:% = upstream.placement.endpoint;
+                    "endpoint sends no stream: {fault}"
+                );
+                return End::Failed(Failure::Foreign);
             }
         }
     }
 
+    /// Whether the stream is complete if its upstream ends now.
+    fn is_complete(&self) -> bool {
+        self.splitter.is_at_boundary() && !self.is_event_due
+    }
+
+    /// Forwards complete events to the caller.
+    async fn pass(&mut self, upstream: &mut Upstream, events: Bytes) -> Result<(), End> {
+        if !self.has_begun {
+            self.has_begun = true;
+            self.relay.record_first_event(&self.job);
+        }
+        upstream.permit.record_event();
+        upstream.watch.mark_begun();
+        let sent = self.chunks.send(Ok(events)).await;
+        sent.map_err(|_| End::CallerLeft)
+    }
+
     /// Starts to look for a place at an endpoint other than the silent one.
     fn search(&self, silent: &id::Endpoint, searches: &mut JoinSet<Selection>) {
         log::info!(request:% = self.job.id, endpoint:% = silent; "stream is silent; looking for another endpoint");
@@ -280,7 +310,7 @@
                 sent = sent => sent,
             };
             match sent {
-                Ok(response) if response.head.status.is_success() => {
+                Ok(response) if continues(&self.head, &response.head) => {
                     self.history.runs += 1;
                     self.splitter = Splitter::after(position);
                     log::info!(
@@ -295,7 +325,12 @@
                         watch,
                     });
                 }
-                Ok(_) => {
+                Ok(response) => {
+                    log::info!(
+                        request:% = self.job.id, endpoint:% = placement.endpoint,
+                        status = response.head.status.as_u16();
+                        "response does not continue the stream"
+                    );
                     watch.finished();
                     self.history.runs += 1;
                     self.history.endpoints.push(placement.endpoint.clone());
@@ -332,3 +367,21 @@
         }
     }
 }
+
+/// Last event that the caller has, if the stream goes on after it.
+fn first_position(job: &Job) -> Option<u64> {
+    let is_resumed = matches!(job.route.kind, Kind::Stream { resumable: true });
+    job.position.filter(|_| is_resumed)
+}
+
+/// Whether a response has the status and the media type of the stream's first one.
+fn continues(first: &Parts, next: &Parts) -> bool {
+    next.status == first.status && media_type(next) == media_type(first)
+}
+
+/// Media type of a body, without its parameters.
+fn media_type(head: &Parts) -> Option<String> {
+    let text = head.headers.get(header::CONTENT_TYPE)?.to_str().ok()?;
+    let essence = text.split(';').next().unwrap_or_default();
+    Some(essence.trim().to_ascii_lowercase())
+}
