Store: a record without a key no longer stops a follower

What callers saw: another writer appends one record to a topic whose key length exceeds the record, or whose content is empty. Every host that follows the topic stops there: endpoints and configurations written later are not taken over until the record has expired, and the endpoints' list ages.

Cause: `decode_read` gave up the whole page at the first record that has no whole key, so the offset never moved past it and the same page was read again and again. The length before a record's content is enough to step over it.

Ruled out: values that cannot be decoded (nested 100,000 deep, 1e999, numbers beyond their type, a port out of range, null, duplicate fields, 256 KiB of text). They are skipped one by one in all three ways to a reading: following, starting, and from a peer while the store is down. `serde_json` bounds the nesting of what it decodes and skips unknown fields without recursion.

Fix: a record without a key counts as unreadable, is logged once for its page and is stepped over; a page that is cut gives the records before the cut. A page that begins with a cut is an error as before.

--- a/crates/papayayard_gateway/src/follow.rs
+++ b/crates/papayayard_gateway/src/follow.rs
@@ -413,6 +413,10 @@
             .await
             .map_err(|error| no_answer(&error))?;
         let page = self.store.codec.decode_read(from, &reply)?;
+        if page.unreadable > 0 {
+            let topic = self.topic.as_str();
+            log::warn!(topic, records = page.unreadable; "unreadable records skipped");
+        }
         let now = self.store.clock.now();
         self.reducer.begin_reading(requested_at, now);
         for record in page.records {
--- a/crates/papayayard_gateway/src/store.rs
+++ b/crates/papayayard_gateway/src/store.rs
@@ -66,6 +66,8 @@
 pub struct Page {
     /// Records in the order of their offsets.
     pub records: Vec<Record>,
+    /// Number of further records, which have no valid key.
+    pub unreadable: usize,
     /// Offset from which to continue.
     pub next: u64,
 }
