Store: one odd item no longer hides the newest records of all keys

What callers saw: another writer leaves one key that is not text, in the endpoints', the operators' or the hosts' topic. A host that starts while the record is there knows no configuration, no endpoints or no other hosts, and does not become ready; a running host is stuck the same way once the store has dropped its history.

Cause: the page of newest records was decoded as a whole. A lone surrogate in one key, a value that is not base64 or a number beyond its type failed the page, and each retry read the same page. Followed records took such a key with replacement characters, so both ways to a reading did not agree.

Fix: each item is decoded by itself; items that cannot be decoded, and records whose key is not text in either way to a reading, count as unreadable, are logged once for their page and name nothing. Reading goes on after the last valid key. A page that names no key beyond the previous one is an error, so a host neither reads it for ever nor takes a part of the topic for the whole.

--- a/crates/papayayard_gateway/src/follow.rs
+++ b/crates/papayayard_gateway/src/follow.rs
@@ -25,7 +25,7 @@
 use crate::hosts::Neighbours;
 use crate::mirror::{Mirror, Part, Received};
 use crate::peers;
-use crate::store::{Codec, Error, Record, Topic};
+use crate::store::{Codec, Error, MalformedSnafu, Record, Topic};
 
 /// Bounds of an answer of the store; the time is added to the requested wait. Pages hold
 /// at most two megabytes and are encoded in base64.
@@ -165,14 +165,22 @@
                 .await
                 .map_err(|error| no_answer(&error))?;
             let page = self.codec.decode_newest(&reply)?;
+            warn_of_unreadable(topic, page.unreadable);
             // Pages are not a consistent snapshot, so reading continues from the end
             // offset of the first page.
-            end.get_or_insert(page.end);
-            after = page.records.last().map(|record| record.key.clone());
+            let end = *end.get_or_insert(page.end);
+            let last = page.records.last().map(|record| record.key.clone());
             records.extend(page.records);
-            if !page.has_more || after.is_none() {
-                return Ok((records, end.unwrap_or(0)));
+            if !page.has_more {
+                return Ok((records, end));
             }
+            if last <= after {
+                return MalformedSnafu {
+                    problem: "no key from which to continue",
+                }
+                .fail();
+            }
+            after = last;
         }
     }
 
@@ -413,10 +421,7 @@
             .await
             .map_err(|error| no_answer(&error))?;
         let page = self.store.codec.decode_read(from, &reply)?;
-        if page.unreadable > 0 {
-            let topic = self.topic.as_str();
-            log::warn!(topic, records = page.unreadable; "unreadable records skipped");
-        }
+        warn_of_unreadable(self.topic, page.unreadable);
         let now = self.store.clock.now();
         self.reducer.begin_reading(requested_at, now);
         for record in page.records {
@@ -466,6 +471,12 @@
     }
 }
 
+fn warn_of_unreadable(topic: Topic, records: usize) {
+    if records > 0 {
+        log::warn!(topic = topic.as_str(), records; "unreadable records skipped");
+    }
+}
+
 fn no_answer(error: &crate::call::Error) -> Error {
     Error::NoAnswer {
         problem: error.to_string(),
--- a/crates/papayayard_gateway/src/store.rs
+++ b/crates/papayayard_gateway/src/store.rs
@@ -55,6 +55,8 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Newest {
     pub records: Vec<Record>,
+    /// Number of further records, which have no valid key or value.
+    pub unreadable: usize,
     /// Whether more keys follow.
     pub has_more: bool,
     /// Offset after the topic's last record.
