First router: one odd entry no longer hides the platform's list

What callers saw: one entry among those of the hosts or endpoints that is nested deeply, has a number or a port out of range, an unknown state or a field of another type. Hosts with `--settings` read nothing of the list any more: new endpoints and hosts are not found, endpoints that are gone stay listed, a host that starts knows no endpoint at all, and a warning is logged at each reading.

Cause: the list was decoded as a whole, so one entry failed all of it.

Ruled out: odd records of the log. A page keeps payloads undecoded, and each is decoded and skipped by itself; documents nested 100,000 deep are refused by the YAML parser's limit.

Fix: entries are decoded one by one. Those that cannot be decoded name nothing to use; their number is logged when it changes.

Evidence: `an_odd_entry_of_the_list_names_nothing_and_the_others_hold` failed in all 8 cases before the change (a host that starts lists no endpoints after 20 s) and passes in all after it; the 5 cases of the log pass before and after. The stand-in platform can show odd entries beside the sound ones.

--- a/crates/papayayard/src/controllers/directory.rs
+++ b/crates/papayayard/src/controllers/directory.rs
@@ -17,18 +17,26 @@
 {
     let mut ticks = time::interval(period);
     ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+    let mut unreadable = 0;
     while !list.is_closed() {
         ticks.tick().await;
         match source.list().await {
             Ok(fresh) => {
-                list.send_if_modified(|known| replace(known, fresh));
+                if replace(&mut unreadable, fresh.unreadable) {
+                    log::warn!(entries = unreadable; "unreadable entries in the list of hosts");
+                }
+                list.send_if_modified(|known| replace(known, fresh.list));
             }
             Err(error) => log::warn!("the list of hosts cannot be read: {error}"),
         }
     }
 }
 
-fn replace(known: &mut directory::List, fresh: directory::List) -> bool {
+/// Replaces a value; returns whether it has changed.
+fn replace<Value>(known: &mut Value, fresh: Value) -> bool
+where
+    Value: PartialEq,
+{
     let changed = *known != fresh;
     *known = fresh;
     changed
--- a/crates/papayayard_platform/src/http.rs
+++ b/crates/papayayard_platform/src/http.rs
@@ -10,8 +10,9 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use papayayard_wire::{directory, header, id, log};
-use serde::Serialize;
 use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
 use tokio::time;
 
 use crate::service::{self, Error};
@@ -131,12 +132,48 @@
 }
 
 impl service::Directory for Client {
-    async fn list(&self) -> Result<directory::List, Error> {
-        self.call(Method::GET, "/hosts", Bytes::new(), Duration::ZERO)
-            .await
+    async fn list(&self) -> Result<service::Listing, Error> {
+        let entries: Entries = self
+            .call(Method::GET, "/hosts", Bytes::new(), Duration::ZERO)
+            .await?;
+        Ok(entries.decode())
     }
 }
 
+/// Answer with the list; entries are decoded one by one, so that an odd one does not hide
+/// the others.
+#[derive(Deserialize)]
+struct Entries {
+    #[serde(default)]
+    hosts: Vec<Box<RawValue>>,
+    #[serde(default)]
+    endpoints: Vec<Box<RawValue>>,
+}
+
+impl Entries {
+    fn decode(&self) -> service::Listing {
+        let list = directory::List {
+            hosts: decode_all(&self.hosts),
+            endpoints: decode_all(&self.endpoints),
+        };
+        let entries = self.hosts.len() + self.endpoints.len();
+        service::Listing {
+            unreadable: entries - list.hosts.len() - list.endpoints.len(),
+            list,
+        }
+    }
+}
+
+fn decode_all<Entry>(entries: &[Box<RawValue>]) -> Vec<Entry>
+where
+    Entry: DeserializeOwned,
+{
+    let decoded = entries
+        .iter()
+        .map(|entry| serde_json::from_str(entry.get()));
+    decoded.filter_map(Result::ok).collect()
+}
+
 fn encode<Value>(value: &Value) -> Result<Bytes, Error>
 where
     Value: Serialize,
--- a/crates/papayayard_platform/src/service.rs
+++ b/crates/papayayard_platform/src/service.rs
@@ -72,8 +72,17 @@
     ) -> impl Future<Output = Result<log::Page, Error>> + Send;
 }
 
+/// What was read of the platform's list.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Listing {
+    /// Entries that could be decoded.
+    pub list: directory::List,
+    /// Number of further entries, which name no host or endpoint to use.
+    pub unreadable: usize,
+}
+
 /// The platform's list of hosts and endpoints.
 pub trait Directory: Send + Sync + 'static {
     /// Reads the whole list.
-    fn list(&self) -> impl Future<Output = Result<directory::List, Error>> + Send;
+    fn list(&self) -> impl Future<Output = Result<Listing, Error>> + Send;
 }
--- a/crates/papayayard_stand_in/src/platform.rs
+++ b/crates/papayayard_stand_in/src/platform.rs
@@ -21,6 +21,7 @@
 use hyper::{Request, Response};
 use papayayard_wire::{directory, header, id, log};
 use serde::{Deserialize, Serialize};
+use serde_json::value::{RawValue, to_raw_value};
 use tokio::sync::watch;
 
 use crate::answer::{self, Body};
@@ -96,6 +97,11 @@
         self.shared.put_endpoint(endpoint);
     }
 
+    /// Adds an entry, any JSON value, to the hosts and endpoints of the list.
+    pub fn add_odd_entry(&self, entry: Box<RawValue>) {
+        self.shared.lock().odd_entries.push(entry);
+    }
+
     /// Takes a host or endpoint out of the list.
     pub fn remove(&self, name: &str) {
         self.shared.remove(name);
@@ -165,6 +171,8 @@
 struct State {
     streams: HashMap<String, stream::Stream>,
     hosts: hosts::Hosts,
+    /// Entries of another writer, which need not be sound.
+    odd_entries: Vec<Box<RawValue>>,
     list_lag: Duration,
     delay: Duration,
     lose_appends: u32,
@@ -187,6 +195,22 @@
     pub id: String,
 }
 
+/// Answer of `GET /hosts`.
+#[derive(Serialize)]
+struct ShownList {
+    hosts: Vec<Box<RawValue>>,
+    endpoints: Vec<Box<RawValue>>,
+}
+
+/// The odd entries, followed by the sound ones.
+fn with_odd<Entry>(sound: &[Entry], odd: &[Box<RawValue>]) -> Vec<Box<RawValue>>
+where
+    Entry: Serialize,
+{
+    let sound = sound.iter().map(to_raw_value).filter_map(Result::ok);
+    odd.iter().cloned().chain(sound).collect()
+}
+
 struct Public(Arc<Shared>);
 struct Control(Arc<Shared>);
 
@@ -214,7 +238,7 @@
         match (method, parts.as_slice()) {
             (Method::POST, ["streams", stream, "records"]) => self.append(stream, request).await,
             (Method::GET, ["streams", stream, "records"]) => Ok(self.read(stream, &request).await),
-            (Method::GET, ["hosts"]) => Ok(answer::ok(&self.list())),
+            (Method::GET, ["hosts"]) => Ok(answer::ok(&self.shown_list())),
             (Method::GET, ["weights", model, version]) => Ok(self.load(model, version).await),
             (Method::POST, ["control", ..]) => self.control(&parts[1..], request).await,
             _ => Ok(answer::no_route()),
@@ -280,6 +304,15 @@
         state.hosts.lagging(now, lag)
     }
 
+    fn shown_list(&self) -> ShownList {
+        let list = self.list();
+        let odd = self.lock().odd_entries.clone();
+        ShownList {
+            hosts: with_odd(&list.hosts, &odd),
+            endpoints: with_odd(&list.endpoints, &odd),
+        }
+    }
+
     async fn load(&self, model: &str, version: &str) -> Response<Body> {
         self.weights.load(&self.clock).await;
         answer::ok(&Weights {
