Store: the error of a malformed record is short

What callers saw: another writer leaves a record with a long text where a number or a state is expected. Each host logs one line that repeats the text, up to the whole length of a record, 256 KiB, at once in its log's queue.

Cause: a decoder's message repeats the value that it did not expect.

--- a/crates/papayayard_gateway/src/announcement.rs
+++ b/crates/papayayard_gateway/src/announcement.rs
@@ -11,7 +11,7 @@
 
 use crate::follow::Reducer;
 use crate::schedule::{Handle, Message};
-use crate::store::Record;
+use crate::store::{self, Record};
 
 /// Key of the leader's record.
 pub(crate) const KEY: &str = "turn";
@@ -112,7 +112,7 @@
         let Some(value) = record.value.as_ref().filter(|_| record.key == KEY) else {
             return false;
         };
-        match serde_json::from_slice::<Announcement>(value) {
+        match store::decode::<Announcement>(value) {
             Ok(announcement) => {
                 apply(&announcement, &self.schedule);
                 // A record that predates this host's first reading gets the highest age
--- a/crates/papayayard_gateway/src/ends/fold.rs
+++ b/crates/papayayard_gateway/src/ends/fold.rs
@@ -90,7 +90,7 @@
         };
         let at = first_seen.unwrap_or(now);
         self.first_seen.insert(record.key.clone(), at);
-        match serde_json::from_slice(value) {
+        match store::decode(value) {
             Ok(report) => {
                 self.apply(report, at);
                 true
--- a/crates/papayayard_gateway/src/hosts.rs
+++ b/crates/papayayard_gateway/src/hosts.rs
@@ -23,7 +23,7 @@
 use crate::front::StopState;
 use crate::metrics::Metrics;
 use crate::schedule::{Handle, Message};
-use crate::store::{Codec, Error, Record, Topic};
+use crate::store::{self, Codec, Error, Record, Topic};
 
 /// Number of hosts assumed until they were counted.
 pub(crate) const ASSUMED_COUNT: usize = 9;
@@ -252,7 +252,7 @@
             self.census.remove(&host);
             return self.hosts.remove(&host).is_some();
         };
-        match serde_json::from_slice(value) {
+        match store::decode(value) {
             Ok(presence) => {
                 self.census.observe(&host, record.offset);
                 self.hosts.insert(host, presence);
--- a/crates/papayayard_gateway/src/store.rs
+++ b/crates/papayayard_gateway/src/store.rs
@@ -10,10 +10,14 @@
 use papayayard_routing::placement::Endpoint;
 use papayayard_routing::table::Table;
 use papayayard_wire::id;
+use serde::Deserialize;
 use snafu::Snafu;
 
 use crate::call;
 
+/// Maximum length of a decoder's message.
+const MAX_PROBLEM_CHARS: usize = 200;
+
 /// A topic that this crate reads or writes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Topic {
@@ -113,6 +117,24 @@
     },
 }
 
+impl Error {
+    /// An answer or a record that could not be decoded. The problem is shortened, since it
+    /// may repeat any part of the record.
+    pub fn malformed(problem: &str) -> Self {
+        Self::Malformed {
+            problem: problem.chars().take(MAX_PROBLEM_CHARS).collect(),
+        }
+    }
+}
+
+/// Decodes the JSON of an answer or a record.
+pub fn decode<'a, Content>(json: &'a [u8]) -> Result<Content, Error>
+where
+    Content: Deserialize<'a>,
+{
+    serde_json::from_slice(json).map_err(|error| Error::malformed(&error.to_string()))
+}
+
 /// Content that operators have published under a key.
 #[derive(Clone, Debug)]
 pub enum Published {
