Placement: the longest backoff of all does not overflow

What callers saw: nothing yet. An endpoint's refusal may name any backoff; the longest that a header can state overflows the time at which it ends on a host that has run for 35 minutes, and the sum is taken in the task that places all requests (read in the code, not played with a whole host).

Cause: an unchecked sum with a time from outside, here and for the polls of the same endpoint. Fix: both sums saturate.

Evidence: longest_of_all of `a_request_is_refused_at_once_if_backoffs_outlast_ its_wait` panicked before ("overflow when adding durations"); all 137 tests of placement pass now.

--- a/crates/papayayard_gateway/src/attempt.rs
+++ b/crates/papayayard_gateway/src/attempt.rs
@@ -231,7 +231,7 @@
                 "the endpoint wants no requests for a time"
             );
             permit.set_backoff(time);
-            let until = self.clock.now() + time;
+            let until = self.clock.now().saturating_add(time);
             self.backoffs.set(placement.address, until);
         }
         match reported.limit {
--- a/crates/papayayard_routing/src/placement/signals.rs
+++ b/crates/papayayard_routing/src/placement/signals.rs
@@ -39,7 +39,8 @@
     /// Records a backoff requested by the endpoint of a placed request.
     pub fn set_backoff(&mut self, ticket: Ticket, time: Duration, now: Duration) {
         self.update_signals(ticket, |signals| {
-            signals.backoff_until = signals.backoff_until.max(now + time);
+            let until = now.saturating_add(time);
+            signals.backoff_until = signals.backoff_until.max(until);
         });
     }
 
--- a/crates/papayayard_routing/tests/placement/signals.rs
+++ b/crates/papayayard_routing/tests/placement/signals.rs
@@ -1,5 +1,7 @@
 //! Signals from endpoints' answers take precedence over the list.
 
+use std::time::Duration;
+
 use papayayard_routing::placement::{Decision, Outcome, RefusalReason, Scheduler};
 use papayayard_wire::id;
 use rstest::rstest;
@@ -101,13 +103,15 @@
 
 /// All endpoints request a backoff, and the request may wait for 200 ms: it is refused at once,
 /// with a retry delay that covers the backoff.
-#[test]
-fn a_request_is_refused_at_once_if_backoffs_outlast_its_wait() {
+#[rstest]
+#[case::one_second(ms(1_000))]
+#[case::longest_of_all(Duration::MAX)]
+fn a_request_is_refused_at_once_if_backoffs_outlast_its_wait(#[case] backoff: Duration) {
     let mut scheduler = support::scheduler(&support::engines(2, 1), 1);
     for _ in 0..2 {
         let query = support::query(support::history("dancer"), NOW);
         let placement = support::place(&mut scheduler, query, NOW);
-        scheduler.set_backoff(placement.ticket, ms(1_000), NOW);
+        scheduler.set_backoff(placement.ticket, backoff, NOW);
         scheduler.record_outcome(placement.ticket, Outcome::Refused, NOW);
     }
     let query = support::query(support::history("dancer"), NOW);
