--- a/crates/papayayard_document/tests/hostile.rs
+++ b/crates/papayayard_document/tests/hostile.rs
@@ -4,6 +4,10 @@
 use papayayard_document::document::Document;
 use proptest::prelude::{Just, Strategy, any, prop_assert, prop_assert_eq, prop_oneof, proptest};
 use proptest::test_runner::Config;
+use rstest::rstest;
+
+/// Nesting depth beyond that of any sound document.
+const DEPTH: usize = 100_000;
 
 const SMALL: &str = include_str!("fixtures/small.yaml");
 
@@ -42,6 +46,17 @@
     Ok(())
 }
 
+/// A document from the log may be as long as the log takes it.
+#[rstest]
+#[case::lists("[")]
+#[case::mappings("{a: ")]
+#[case::block_lists("- ")]
+#[case::block_keys("? ")]
+fn a_deeply_nested_document_is_refused(#[case] level: &str) {
+    let faults = Document::parse(&level.repeat(DEPTH)).expect_err("a fault");
+    assert_eq!(faults.len(), 1);
+}
+
 proptest! {
     #![proptest_config(Config { cases: 1000, failure_persistence: None, ..Config::default() })]
 
