Tests: odd records in every stream of the first router hide nothing

The table covered the configuration's stream alone. It now appends each odd record to the streams of configurations, leases and claims, before a host starts and while it runs; completions, a keyed booking and new weights follow.

--- a/crates/papayayard/tests/odd_records.rs
+++ b/crates/papayayard/tests/odd_records.rs
@@ -5,6 +5,7 @@
 
 use http::{Method, StatusCode};
 use papayayard::host;
+use papayayard_coordination::{claim, lease};
 use papayayard_platform::http::Client as Platform;
 use papayayard_platform::service::Log;
 use papayayard_stand_in::engine;
@@ -103,22 +104,39 @@
 #[case::nested_document(proposal(&"[".repeat(DEPTH)))]
 #[case::nested_block_document(proposal(&"- ".repeat(DEPTH)))]
 #[tokio::test]
-async fn an_odd_record_of_the_log_does_not_hide_the_configuration(#[case] payload: String) {
-    let bed = Bed::start(1, 1).await;
-    let platform = Platform::new(bed.platform.address(), support::PATIENCE);
-    let draft = log::Draft {
-        id: "odd".into(),
-        payload: raw(payload),
-    };
-    let records = vec![draft];
-    platform
-        .append(&configuration::STREAM.into(), &log::Batch { records })
-        .await
-        .expect("the platform takes the record");
+async fn an_odd_record_does_not_hide_the_rest_of_the_log(#[case] payload: String) {
+    let bed = Bed::start(2, 1).await;
+    append_to_all(&bed, &payload).await;
     let host = bed.host("entry-1", "bergen-a", &[]);
-    bed.publish(0, &support::document("v1", 1)).await;
-    wait_for_engines(&host, 1).await;
+    bed.publish(0, &support::document("v1", 2)).await;
+    wait_for_engines(&host, 2).await;
+    append_to_all(&bed, &payload).await;
     expect_service(&host).await;
+    let booking = support::service(&host, Method::POST, "/bookings", Some("k1"), "lesson").await;
+    assert_eq!(booking.expect("an answer").status, StatusCode::OK);
+    bed.publish(1, &support::document("v2", 2)).await;
+    support::wait_until(&host, |status| {
+        let mut endpoints = status.endpoints.iter();
+        endpoints.all(|one| one.eligible && one.version == Some("v2".into()))
+    })
+    .await;
+    expect_service(&host).await;
+}
+
+/// Appends a record to each stream that hosts follow.
+async fn append_to_all(bed: &Bed, payload: &str) {
+    let platform = Platform::new(bed.platform.address(), support::PATIENCE);
+    let claims = (0..claim::SHARDS).map(claim::stream_name);
+    let others = [configuration::STREAM, lease::STREAM].map(id::Stream::from);
+    for stream in claims.chain(others) {
+        let draft = log::Draft {
+            id: "odd".into(),
+            payload: raw(payload.to_owned()),
+        };
+        let records = vec![draft];
+        let appended = platform.append(&stream, &log::Batch { records }).await;
+        appended.expect("the platform takes the record");
+    }
 }
 
 /// A proposal with a document of any text.
