--- a/crates/papayayard/src/controllers/directory_test.rs
+++ b/crates/papayayard/src/controllers/directory_test.rs
@@ -62,9 +62,13 @@
 }
 
 impl service::Directory for Source {
-    async fn list(&self) -> Result<directory::List, Error> {
+    async fn list(&self) -> Result<service::Listing, Error> {
         let list = |_| self.list_once();
-        Bound::new(CALL_TIMEOUT).call(Duration::ZERO, list).await
+        let list = Bound::new(CALL_TIMEOUT).call(Duration::ZERO, list).await?;
+        Ok(service::Listing {
+            list,
+            unreadable: 0,
+        })
     }
 }
 
