End calls that an outage left without an answer when the store answers again

What operators saw: after a short outage in which a store was silent, a host counted another one only when a call of its own had run into its timeout, up to 4.6 s after the return; announcements of the order leader could be read up to 2.6 s late in the same way.

Cause: a follower heard that the store answers another task only while it knew the store to be away. One whose first call of the outage was still open waited for it to the end.

Change: a follower can be notified at any time. One that was notified doesn't notify the others again, so that there is one notification for each return.

Price not measured: a store that fails single calls makes each return end the open calls of the host's other followers.

--- a/crates/papayayard_gateway/src/follow.rs
+++ b/crates/papayayard_gateway/src/follow.rs
@@ -256,6 +256,7 @@
         next: None,
         requested_at: None,
         is_unavailable: false,
+        is_notified: false,
     };
     follower.run().await;
 }
@@ -275,6 +276,8 @@
     requested_at: Option<Duration>,
     /// Whether the store has not answered since its last success.
     is_unavailable: bool,
+    /// Whether it has answered another task since this one called it in vain.
+    is_notified: bool,
 }
 
 impl<Platform, Target> Follower<Platform, Target>
@@ -289,12 +292,13 @@
         loop {
             if !self.readers.is_store_away() {
                 recoveries.disregard();
-                self.round(&mut backoff).await;
-                continue;
             }
             tokio::select! {
                 () = self.round(&mut backoff) => {}
-                () = recoveries.next() => self.readers.store_recovered(),
+                () = recoveries.next() => {
+                    self.is_notified = true;
+                    self.readers.store_recovered();
+                }
             }
         }
     }
@@ -322,6 +326,7 @@
     }
 
     fn store_failed(&mut self, error: &Error) {
+        self.is_notified = false;
         if !self.is_unavailable {
             self.is_unavailable = true;
             log::warn!(topic = self.topic.as_str(), error:%; "store lost");
@@ -393,7 +398,9 @@
         self.readers.store_answered();
         if std::mem::take(&mut self.is_unavailable) {
             log::info!(topic = self.topic.as_str(); "store reached again");
-            self.store.recovery.notify();
+            if !self.is_notified {
+                self.store.recovery.notify();
+            }
         }
         Ok(Some(source))
     }
