--- a/crates/papayayard_gateway/src/host.rs
+++ b/crates/papayayard_gateway/src/host.rs
@@ -45,8 +45,8 @@
 /// after two readings at most.
 pub(crate) const OPERATORS_POLLING: Polling =
     Polling::new(Duration::from_millis(400), Duration::ZERO);
-/// Calls of a host to a store that is away, within the time in which configuration must be
-/// in force: one that is lost leaves time for another.
+/// Maximum number of calls of a host to a store that is away, within the time in which
+/// configuration must be in force: one that is lost leaves time for another.
 const OUTAGE_CALLS: u32 = 4;
 /// Minimum pause between these calls.
 const MIN_OUTAGE_PAUSE: Duration = Duration::from_millis(100);
