Peers: a farewell goes to every partner, and a stop waits until it was sent

Cause: the farewell went the way of ordinary calls, which pass over a peer that still owes an answer, one that is called less often since it did not answer, and all once the byte budget is spent; there is no later call that makes it good. And the farewell counted as said when the order to say it was there and no call was open, which also holds before the first one was sent.

A host that leaves now calls all partners, whatever they owe; others it calls as before. It counts the calls that say farewell and waits, for up to the second as before, until each of them has ended, from the moment at which they were sent.

Which of the two causes made it fail was not told apart.

--- a/crates/papayayard/src/controllers/peers.rs
+++ b/crates/papayayard/src/controllers/peers.rs
@@ -96,6 +96,8 @@
     message: peer::Message,
     /// Time of the sending.
     time: Duration,
+    /// Whether it says that this host leaves.
+    is_farewell: bool,
 }
 
 /// Starts the task and its listener.
--- a/crates/papayayard/src/controllers/peers/task.rs
+++ b/crates/papayayard/src/controllers/peers/task.rs
@@ -31,6 +31,8 @@
     me: id::Host,
     seeds: Vec<SocketAddr>,
     busy: HashSet<SocketAddr>,
+    /// Calls that say farewell and have not ended; none before the first.
+    farewells: Option<usize>,
     nonce: u64,
     pub(super) meter: demand_meter::Meter,
     pub(super) runs: BTreeMap<id::Endpoint, id::Incarnation>,
@@ -61,6 +63,7 @@
             me,
             seeds: options.seeds,
             busy: HashSet::new(),
+            farewells: None,
             nonce: wall_clock().as_micros().try_into().unwrap_or(u64::MAX),
             meter: demand_meter::Meter::default(),
             runs: BTreeMap::new(),
@@ -106,15 +109,12 @@
                     }
                     self.hurry();
                 }
-                Ok(()) = leaving.changed() => {
-                    self.node.members.schedule_introductions(self.clock.now());
-                    self.call();
-                }
+                Ok(()) = leaving.changed() => self.leave(),
                 _ = observe.tick() => self.observe().await,
                 () = time::sleep(pause) => self.call(),
             }
             self.publish().await;
-            let is_told = *leaving.borrow() && self.busy.is_empty();
+            let is_told = self.farewells == Some(0);
             self.links.farewell.told.send_replace(is_told);
         }
     }
@@ -164,6 +164,9 @@
 
     async fn returned(&mut self, sent: Box<Sent>, reply: Result<Box<client::Reply>, String>) {
         self.busy.remove(&sent.address);
+        if let Some(open) = self.farewells.as_mut().filter(|_| sent.is_farewell) {
+            *open -= 1;
+        }
         let now = self.clock.now();
         let reply = match reply {
             Ok(reply) => reply,
@@ -242,9 +245,25 @@
         }
     }
 
+    /// Says farewell to all partners, and to others as far as calls go.
+    fn leave(&mut self) {
+        let now = self.clock.now();
+        self.farewells = Some(0);
+        self.node.set_state(self.state());
+        for target in self.node.members.leave_targets() {
+            let message = self.node.call(&target, now);
+            self.send(Some(target.host), target.peer, message);
+        }
+        self.node.members.schedule_introductions(now);
+        self.call();
+    }
+
     fn send(&mut self, host: Option<id::Host>, address: SocketAddr, message: peer::Message) {
         self.nonce += 1;
         self.busy.insert(address);
+        if let Some(open) = &mut self.farewells {
+            *open += 1;
+        }
         let outside = proof::Address {
             direction: proof::Direction::Call,
             from: self.me.clone(),
@@ -257,6 +276,7 @@
             address,
             message,
             time: self.clock.now(),
+            is_farewell: self.farewells.is_some(),
         };
         self.pool.send(sent, outside);
     }
--- a/crates/papayayard/tests/peers.rs
+++ b/crates/papayayard/tests/peers.rs
@@ -8,6 +8,7 @@
 use http::Method;
 use papayayard::host;
 use papayayard_stand_in::platform::Fault;
+use papayayard_wire::peer::State;
 use papayayard_wire::{directory, endpoint, id, peer, proof};
 use rstest::rstest;
 use serde_json::{Value, json};
@@ -237,8 +238,8 @@
     }
 }
 
-/// Reads one HTTP message with a stated length; gives its bytes and its body's.
-async fn read_http(stream: &mut tokio::net::TcpStream) -> (usize, usize) {
+/// Reads one HTTP message with a stated length; gives it and the length of its body.
+async fn read_http(stream: &mut tokio::net::TcpStream) -> (Vec<u8>, usize) {
     let mut read = Vec::new();
     loop {
         let mut buffer = [0; 4096];
@@ -254,7 +255,7 @@
             .find_map(|line| line.strip_prefix("content-length: "));
         let length: usize = length.expect("a stated length").trim().parse().unwrap();
         if body.len() >= length {
-            return (read.len(), length);
+            return (read, length);
         }
     }
 }
@@ -284,7 +285,7 @@
     stream.write_all(request.as_bytes()).await.unwrap();
     let (reply, reply_body) = read_http(&mut stream).await;
     let json_rpc = body.len() - envelope.len() + r#"{"jsonrpc":"2.0","id":1,"result":}"#.len();
-    let framing = (call - call_body) + (reply - reply_body) + json_rpc;
+    let framing = (call.len() - call_body) + (reply.len() - reply_body) + json_rpc;
     assert!(framing <= 450, "{framing}");
     println!("framing of a call and its reply: {framing} bytes");
 }
@@ -308,3 +309,39 @@
     }
     assert!(tokio::net::TcpStream::connect(first).await.is_err());
 }
+
+/// A call as a host sends it; the proof covers its very bytes.
+#[derive(serde::Deserialize)]
+struct Call {
+    params: Vec<proof::Envelope>,
+}
+
+/// What a host says in the next call to a peer that never answers.
+async fn heard(peer: &tokio::net::TcpListener, held: &mut Vec<tokio::net::TcpStream>) -> State {
+    let (mut stream, _) = peer.accept().await.unwrap();
+    let (call, body_bytes) = read_http(&mut stream).await;
+    held.push(stream);
+    let call: Call = serde_json::from_slice(&call[call.len() - body_bytes..]).unwrap();
+    let secret = proof::Secret::new("secret");
+    let message: peer::Message = secret
+        .open(proof::Direction::Call, &call.params[0])
+        .unwrap();
+    message.state
+}
+
+#[tokio::test]
+async fn a_peer_that_owes_an_answer_is_told_of_a_planned_stop() {
+    let bed = Bed::start(0, 0).await;
+    let silent = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = silent.local_addr().unwrap();
+    bed.platform
+        .put_host(listed("entry-2", "bergen-a", address));
+    let host = bed.host("entry-1", "bergen-a", &[]);
+    let mut held = Vec::new();
+    heard(&silent, &mut held).await;
+    let stop = tokio::spawn(host.stop());
+    let farewell = async { while heard(&silent, &mut held).await != State::Left {} };
+    let farewell = tokio::time::timeout(support::PATIENCE, farewell).await;
+    farewell.expect("the peer hears the farewell");
+    stop.await.unwrap();
+}
--- a/crates/papayayard_coordination/src/membership.rs
+++ b/crates/papayayard_coordination/src/membership.rs
@@ -257,6 +257,17 @@
         partners.map(|(host, _)| host.clone()).collect()
     }
 
+    /// All partners, as targets of a leave notice: also those that owe a reply, and
+    /// whatever the budget, since there is no later call.
+    pub fn leave_targets(&self) -> Vec<Target> {
+        let partners = self.partners().into_iter();
+        let targets = partners.filter_map(|host| {
+            let member = self.members.get(&host)?;
+            Some(member.target(host))
+        });
+        targets.collect()
+    }
+
     /// Whether this host alone considers the peer unreachable.
     pub fn is_suspected(&self, host: &id::Host) -> bool {
         self.members
@@ -369,11 +380,7 @@
         if has_left || is_backed_off {
             return None;
         }
-        Some(Target {
-            host: host.clone(),
-            peer: member.peer,
-            speaks: member.speaks,
-        })
+        Some(member.target(host.clone()))
     }
 
     fn remove_expired(&mut self, now: Duration) {
@@ -386,6 +393,14 @@
 }
 
 impl Member {
+    const fn target(&self, host: id::Host) -> Target {
+        Target {
+            host,
+            peer: self.peer,
+            speaks: self.speaks,
+        }
+    }
+
     const fn new(zone: id::Zone, peer: SocketAddr, now: Duration) -> Self {
         Self {
             zone,
--- a/crates/papayayard_coordination/tests/membership_test.rs
+++ b/crates/papayayard_coordination/tests/membership_test.rs
@@ -276,3 +276,25 @@
     assert!(window.admit(&envelope(100_000, 0), 100_000).is_err());
     assert!(window.admit(&envelope(140_000, 0), 140_000).is_ok());
 }
+
+#[test]
+fn a_leave_notice_goes_to_silent_partners_and_needs_no_budget() {
+    let mut random = random(9);
+    let mut table = table(4);
+    let now = Duration::from_secs(1);
+    for _ in 0..8 {
+        table.record_failure(&name(1), now, &mut random);
+    }
+    let (gone, place) = (name(2), location(2));
+    let mut left = contact(&gone, &place);
+    left.state = peer::State::Left;
+    table.record_contact(&left, now);
+    table.charge(1_000_000, now);
+    assert!(table.tick(now, &mut random).is_empty());
+    let targets: Vec<id::Host> = table
+        .leave_targets()
+        .into_iter()
+        .map(|to| to.host)
+        .collect();
+    assert_eq!(targets, [name(1), name(3)]);
+}
