A part that completed lately and turns deadly is refused in time

Hosts sent more than three requests with such a part to endpoints after the time that the rule leaves them. Crashes of a part that has completed within ten minutes count once in two seconds and its quarantine is short, since a lost zone or slow reports may be the cause. Nothing ended that leniency while endpoint after endpoint crashed.

Now it ends after five crashes over two seconds if other requests complete in that time, on this host or as another host reports. A lost zone is over in one moment, and a part that many requests share completes in that time.

Evidence: the replay has two new cases, at 1, 9 and 80 hosts.

--- a/crates/papayayard_routing/src/blame/parts.rs
+++ b/crates/papayayard_routing/src/blame/parts.rs
@@ -19,6 +19,9 @@
 /// Crashes of a part that has completed lately count once within this time. Such crashes may
 /// have one cause outside of the requests, and reports on successes since are under way.
 const MOMENT: Duration = Duration::from_secs(2);
+/// Crashes, over more than such a time, after which that a part has completed lately no
+/// longer counts.
+const TURNED_CRASHES: usize = 5;
 /// Crashes that hosts without a success of their own may count against a part before the
 /// success of another host is reported.
 const UNREPORTED_CRASHES: usize = 2;
@@ -38,7 +41,7 @@
 #[derive(Debug, Default)]
 pub(super) struct Successes {
     by_part: HashMap<Fingerprint, Success>,
-    /// The last one of any request of this host.
+    /// The last one of any request, of this host or as another one reports it.
     last: Option<Duration>,
 }
 
@@ -126,6 +129,7 @@
 
     /// Records that another host has seen a part complete, and that all hosts know.
     pub fn record_part_cleared(&mut self, part: Fingerprint, now: Duration) {
+        self.successes.last = Some(now);
         self.successes.record(part, now);
         if let Some(entry) = self.parts.get_mut(part) {
             entry.clear();
@@ -141,7 +145,9 @@
 
     /// Those of the parts with which requests of this host have lately completed.
     pub fn sound(&self, parts: &[Fingerprint], now: Duration) -> Vec<Fingerprint> {
-        let is_sound = |part: &&Fingerprint| self.successes.is_own_sound(**part, now);
+        let is_sound = |part: &&Fingerprint| {
+            self.successes.is_own_sound(**part, now) && self.is_sound(**part, now)
+        };
         parts.iter().filter(is_sound).copied().collect()
     }
 
@@ -219,13 +225,31 @@
     fn is_confirmed(&self, part: Fingerprint, entry: &Entry, now: Duration) -> bool {
         let first = entry.counted().first();
         let others_complete = first.is_some_and(|first| self.successes.last > first.at);
-        others_complete && !self.successes.is_sound(part, now)
+        others_complete && !self.is_sound(part, now)
+    }
+
+    /// Whether requests with a part have completed lately, and not too many endpoints have
+    /// crashed under it since.
+    fn is_sound(&self, part: Fingerprint, now: Duration) -> bool {
+        let entry = self.parts.get(part);
+        self.successes.is_sound(part, now) && !entry.is_some_and(|entry| self.has_turned(entry))
+    }
+
+    /// Whether a part that completed before has become deadly: endpoints crash under it for a
+    /// time in which other requests complete.
+    fn has_turned(&self, entry: &Entry) -> bool {
+        let counted = entry.counted();
+        let (Some(first), Some(last)) = (counted.first(), counted.last()) else {
+            return false;
+        };
+        let has_lasted = first.at.is_some() && last.at >= first.at.map(|at| at + MOMENT);
+        counted.len() >= TURNED_CRASHES && has_lasted && self.successes.last > first.at
     }
 
     /// Number of crashes that count. Of a part that has completed lately these are separate
     /// moments, where all old crashes count as one.
     fn weight(&self, part: Fingerprint, crashes: &[&Crash], now: Duration) -> usize {
-        if !self.successes.is_sound(part, now) {
+        if !self.is_sound(part, now) {
             return crashes.len();
         }
         let mut times: Vec<Duration> = crashes.iter().filter_map(|crash| crash.at).collect();
@@ -286,7 +310,7 @@
         part: Fingerprint,
         now: Duration,
     ) -> impl Iterator<Item = (Subject, &Entry)> {
-        let is_sound = self.successes.is_sound(part, now);
+        let is_sound = self.is_sound(part, now);
         let open = self.runs.get(run);
         let requests = open.into_iter().flat_map(|open| &open.requests);
         let requests = requests
@@ -294,7 +318,7 @@
         let parts = open.into_iter().flat_map(|open| &open.parts);
         let parts = parts
             .filter(move |other| **other != part)
-            .filter(move |other| is_sound || !self.successes.is_sound(**other, now))
+            .filter(move |other| is_sound || !self.is_sound(**other, now))
             .filter_map(|other| Some((Subject::Part(*other), self.parts.get(*other)?)));
         requests.chain(parts)
     }
--- a/crates/papayayard_routing/tests/prompt_part/main.rs
+++ b/crates/papayayard_routing/tests/prompt_part/main.rs
@@ -45,6 +45,8 @@
         &[Cause::Part, Cause::Request],
         &[Cause::Part, Cause::Chance],
         &[Cause::Part, Cause::Zone],
+        &[Cause::Turned],
+        &[Cause::Turned, Cause::Zone],
     )]
     causes: &[Cause],
 ) {
--- a/crates/papayayard_routing/tests/prompt_part/replay.rs
+++ b/crates/papayayard_routing/tests/prompt_part/replay.rs
@@ -49,6 +49,8 @@
 const FIRST_PARTS: u64 = 4;
 const CONVERSATIONS: u64 = 300;
 const MAX_TURNS: u64 = 6;
+/// The part that is the first cause.
+const DEADLY_PART: u64 = 700;
 
 type Millis = u64;
 
@@ -57,6 +59,8 @@
 pub(crate) enum Cause {
     /// A part of prompts; the rest of the requests differs.
     Part,
+    /// A part with which requests have completed before.
+    Turned,
     /// One request that comes again.
     Request,
     /// No request.
@@ -217,7 +221,7 @@
         self.at(0, Event::SoundArrives);
         for (cause, kind) in self.plan.causes.iter().enumerate() {
             let event = match kind {
-                Cause::Part | Cause::Request => Event::DeadlyArrives { cause },
+                Cause::Part | Cause::Turned | Cause::Request => Event::DeadlyArrives { cause },
                 Cause::Chance | Cause::Zone => Event::ChanceArrives { cause },
             };
             self.at(CALM, event);
@@ -315,7 +319,11 @@
 
     fn sound_request(&mut self) -> Request {
         let body = Fingerprint(self.unique_body());
-        let parts = self.conversation();
+        let mut parts = self.conversation();
+        let is_turning = self.plan.causes.contains(&Cause::Turned);
+        if is_turning && self.now < CALM / 2 && self.below(4) == 0 {
+            parts.push(DEADLY_PART);
+        }
         Request { body, parts }
     }
 
@@ -339,7 +347,7 @@
         let mut parts = self.conversation();
         parts[0] = 0;
         let place = 1 + self.index_below(parts.len());
-        parts.insert(place, 700 + number);
+        parts.insert(place, DEADLY_PART + number);
         let request = Request { body, parts };
         self.deadly[cause].push(request.clone());
         request
