--- a/crates/papayayard_coordination/tests/outage_test.rs
+++ b/crates/papayayard_coordination/tests/outage_test.rs
@@ -218,15 +218,17 @@
 const LENGTHS_MS: std::ops::Range<u64> = 300..20_000;
 const SEEDS: u64 = 24;
 
-/// Callers got what an outdated configuration says for up to four seconds after the store
-/// had returned and confirmed a newer one.
-#[rstest]
-fn configuration_is_read_in_time_after_an_outage_of_the_store(
-    #[values(1, 9, 80)] hosts: usize,
-    #[values(Absence::Silent, Absence::Refusing)] absence: Absence,
-    #[values(false, true)] freezes: bool,
-) {
-    for seed in 0..SEEDS {
+/// A replay of an outage of a random length.
+struct Play {
+    seed: u64,
+    rng: ChaCha8Rng,
+    length: Duration,
+    replay: Replay,
+}
+
+/// Replays of outages for all hosts, by seed.
+fn plays(hosts: usize, absence: Absence) -> impl Iterator<Item = Play> {
+    (0..SEEDS).map(move |seed| {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let length = Duration::from_millis(rng.random_range(LENGTHS_MS));
         let outage = Outage {
@@ -235,17 +237,42 @@
             is_partial: false,
             refuses_some_until: START,
         };
-        let mut replay = Replay::new(hosts, outage, &mut rng);
+        let replay = Replay::new(hosts, outage, &mut rng);
+        Play {
+            seed,
+            rng,
+            length,
+            replay,
+        }
+    })
+}
+
+/// Callers got what an outdated configuration says for up to four seconds after the store
+/// had returned and confirmed a newer one.
+#[rstest]
+fn configuration_is_read_in_time_after_an_outage_of_the_store(
+    #[values(1, 9, 80)] hosts: usize,
+    #[values(Absence::Silent, Absence::Refusing)] absence: Absence,
+    #[values(false, true)] freezes: bool,
+) {
+    for play in plays(hosts, absence) {
+        let Play {
+            seed,
+            mut rng,
+            length,
+            mut replay,
+        } = play;
+        let until = START + length;
         replay.run(START + length / 2);
         if freezes && hosts > 1 {
             let frozen = rng.random_range(0..hosts);
             replay.hosts[frozen].is_frozen = true;
         }
-        replay.run(outage.until + IN_FORCE);
+        replay.run(until + IN_FORCE);
         let late: Vec<usize> = (0..hosts)
             .filter(|index| {
                 let host = &replay.hosts[*index];
-                !host.is_frozen && host.reading < outage.until
+                !host.is_frozen && host.reading < until
             })
             .collect();
         assert!(late.is_empty(), "seed {seed}, {length:?}: {late:?}");
@@ -259,17 +286,14 @@
     #[values(1, 9, 80)] hosts: usize,
     #[values(Absence::Silent, Absence::Refusing)] absence: Absence,
 ) {
-    for seed in 0..SEEDS {
-        let mut rng = ChaCha8Rng::seed_from_u64(seed);
-        let length = Duration::from_millis(rng.random_range(LENGTHS_MS));
-        let outage = Outage {
-            absence,
-            until: START + length,
-            is_partial: false,
-            refuses_some_until: START,
-        };
-        let mut replay = Replay::new(hosts, outage, &mut rng);
-        replay.run(outage.until);
+    for play in plays(hosts, absence) {
+        let Play {
+            seed,
+            length,
+            mut replay,
+            ..
+        } = play;
+        replay.run(START + length);
         let calls = replay.hosts.iter().map(|host| host.vain_calls);
         let most = calls.max().expect("a host");
         let allowed = length.div_duration_f64(IN_FORCE) * CALLS_PER_BOUND;
@@ -287,17 +311,15 @@
     #[values(9, 80)] hosts: usize,
     #[values(Absence::Silent, Absence::Refusing)] absence: Absence,
 ) {
-    for seed in 0..SEEDS {
-        let mut rng = ChaCha8Rng::seed_from_u64(seed);
-        let length = Duration::from_millis(rng.random_range(LENGTHS_MS));
-        let outage = Outage {
-            absence,
-            until: START + length,
-            is_partial: true,
-            refuses_some_until: START,
-        };
-        let mut replay = Replay::new(hosts, outage, &mut rng);
-        replay.run(outage.until);
+    for play in plays(hosts, absence) {
+        let Play {
+            seed,
+            length,
+            mut replay,
+            ..
+        } = play;
+        replay.outage.is_partial = true;
+        replay.run(START + length);
         for (index, host) in replay.hosts.iter().enumerate() {
             let Host {
                 max_age,
@@ -327,18 +349,16 @@
     #[values(9, 80)] hosts: usize,
     #[values(Absence::Silent, Absence::Refusing)] absence: Absence,
 ) {
-    for seed in 0..SEEDS {
-        let mut rng = ChaCha8Rng::seed_from_u64(seed);
-        let length = Duration::from_millis(rng.random_range(LENGTHS_MS));
+    for play in plays(hosts, absence) {
+        let Play {
+            seed,
+            length,
+            mut replay,
+            ..
+        } = play;
         let until = START + length;
         let in_force = until + IN_FORCE + SKEW;
-        let outage = Outage {
-            absence,
-            until,
-            is_partial: false,
-            refuses_some_until: in_force,
-        };
-        let mut replay = Replay::new(hosts, outage, &mut rng);
+        replay.outage.refuses_some_until = in_force;
         replay.run(in_force);
         let indexed = replay.hosts.iter().enumerate();
         let late: Vec<usize> = indexed
