One hash for texts of fingerprints, one rule for members that may be ordered

Found in the last read: of_part hashed its texts as of_request does, and the roll-out had twice what makes a member a candidate and which endpoints are unavailable. Behaviour is unchanged; no test is.

--- a/crates/papayayard_coordination/src/rollout.rs
+++ b/crates/papayayard_coordination/src/rollout.rs
@@ -159,8 +159,8 @@
         let unavailable = (limit * UNAVAILABLE_PER_FIVE_LOADS)
             .div_ceil(5)
             .min(max_unavailable);
-        while self.unavailable_count() < unavailable {
-            let Some(next) = self.next_endpoint(members, target, now) else {
+        while self.unavailable_ids().count() < unavailable {
+            let Some(next) = self.next_endpoint(members, now) else {
                 break;
             };
             self.steps.insert(next, self.first_step(now));
@@ -190,9 +190,7 @@
     /// ordered at all.
     fn yield_to_waiting(&mut self, members: &[Member], now: Duration) {
         let is_waiting = |member: &Member| {
-            member.version < self.target
-                && !self.steps.contains_key(&member.endpoint)
-                && !self.excluded.contains_key(&member.endpoint)
+            self.may_be_ordered(member) && !self.steps.contains_key(&member.endpoint)
         };
         if !members.iter().any(is_waiting) {
             return;
@@ -206,13 +204,17 @@
 
     /// Endpoints that currently accept no requests.
     pub fn unavailable(&self) -> Vec<id::Endpoint> {
+        self.unavailable_ids().cloned().collect()
+    }
+
+    fn unavailable_ids(&self) -> impl Iterator<Item = &id::Endpoint> {
         let unavailable = self.steps.iter().filter(|(_, step)| !step.is_serving());
-        unavailable.map(|(id, _)| id.clone()).collect()
+        unavailable.map(|(id, _)| id)
     }
 
-    fn unavailable_count(&self) -> usize {
-        let steps = self.steps.values();
-        steps.filter(|step| !step.is_serving()).count()
+    /// Whether a member has older weights and is reachable.
+    fn may_be_ordered(&self, member: &Member) -> bool {
+        member.version < self.target && !self.excluded.contains_key(&member.endpoint)
     }
 
     /// Target version of the roll-out.
@@ -351,12 +353,7 @@
 
     /// The endpoint to announce next: one with the oldest weights, in the zone with the
     /// fewest unavailable endpoints. Endpoints without an unanswered order go first.
-    fn next_endpoint(
-        &self,
-        members: &[Member],
-        target: u64,
-        now: Duration,
-    ) -> Option<id::Endpoint> {
+    fn next_endpoint(&self, members: &[Member], now: Duration) -> Option<id::Endpoint> {
         let mut unavailable: HashMap<&id::Zone, usize> = HashMap::new();
         for member in members {
             let step = self.steps.get(&member.endpoint);
@@ -365,14 +362,13 @@
             }
         }
         let waiting = members.iter().filter_map(|member| {
-            let is_candidate =
-                member.version < target && !self.excluded.contains_key(&member.endpoint);
             let unanswered_since = match self.steps.get(&member.endpoint) {
                 None => None,
                 Some(Step::Unanswered { since, .. }) if *since + LOST_DELAY <= now => Some(*since),
                 Some(_) => return None,
             };
-            is_candidate.then_some((unanswered_since, member))
+            self.may_be_ordered(member)
+                .then_some((unanswered_since, member))
         });
         let (_, next) = waiting.min_by_key(|(unanswered_since, member)| {
             let zone = unavailable.get(&member.zone).copied().unwrap_or(0);
--- a/crates/papayayard_routing/src/blame.rs
+++ b/crates/papayayard_routing/src/blame.rs
@@ -44,6 +44,7 @@
 const INITIAL_QUARANTINE: Duration = Duration::from_mins(10);
 /// Maximum number of doublings of the quarantine duration.
 const MAX_DOUBLINGS: u32 = 10;
+
 /// One run of an endpoint's process.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Run {
--- a/crates/papayayard_routing/src/quarantine.rs
+++ b/crates/papayayard_routing/src/quarantine.rs
@@ -37,28 +37,26 @@
         body: &[u8],
     ) -> Self {
         let account = account.map_or("", id::Account::as_str);
-        let mut hasher = xxh3::Xxh3::new();
-        for part in [account, method, target] {
-            hasher.update(part.as_bytes());
-            // No name, method or path has this byte, so that adjacent parts can't run together.
-            hasher.update(&[0]);
-        }
+        let mut hasher = hasher_of([account, method, target]);
         hasher.update(body);
         Self(hasher.digest())
     }
-}
 
-impl Fingerprint {
     /// Fingerprint of a part of a prompt; `isolated` is an account whose parts are its own.
     pub fn of_part(isolated: Option<&id::Account>, model: &id::Model, part: &str) -> Self {
         let account = isolated.map_or("", id::Account::as_str);
-        let mut hasher = xxh3::Xxh3::new();
-        for text in [account, model.as_str(), part] {
-            hasher.update(text.as_bytes());
-            hasher.update(&[0]);
-        }
-        Self(hasher.digest())
+        Self(hasher_of([account, model.as_str(), part]).digest())
+    }
+}
+
+fn hasher_of(texts: [&str; 3]) -> xxh3::Xxh3 {
+    let mut hasher = xxh3::Xxh3::new();
+    for text in texts {
+        hasher.update(text.as_bytes());
+        // No name, method or path has this byte, so that adjacent texts can't run together.
+        hasher.update(&[0]);
     }
+    hasher
 }
 
 impl fmt::Display for Fingerprint {
