Store: the era of each answer is decoded, and skipped records are logged

The platform's store may return from an older copy; its answers then carry a higher Store-Era. Logs could not tell whether a host had noticed that, and a record that a host skips for its offset left no line at all.

Each answer of the store is decoded with its era. A host logs once when the era rises, and each record that it skips. No decision changes.

--- a/crates/papayayard_gateway/src/call.rs
+++ b/crates/papayayard_gateway/src/call.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderValue, StatusCode, header};
+use http::{HeaderMap, HeaderValue, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
 use snafu::{ResultExt, Snafu};
 use tokio::time;
@@ -25,6 +25,7 @@
 #[derive(Clone, Debug)]
 pub struct Reply {
     pub status: StatusCode,
+    pub headers: HeaderMap,
     pub body: Bytes,
 }
 
@@ -154,6 +155,7 @@
         .map_err(|error| error.to_string())?;
     Ok(Reply {
         status: head.status,
+        headers: head.headers,
         body: body.to_bytes(),
     })
 }
--- a/crates/papayayard_gateway/src/follow.rs
+++ b/crates/papayayard_gateway/src/follow.rs
@@ -15,15 +15,18 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bytes::Bytes;
 use papayayard_coordination::journal::Backoff;
 use papayayard_coordination::reader::{Rank, Scope, Selector, Source};
 use papayayard_wire::id;
+use papayayard_wire::log::Era;
 use snafu::Snafu;
 use tokio::sync::watch;
 use tokio::time;
 
-use crate::call::{Bounds, Caller};
+use crate::call::{Bounds, Caller, Reply};
 use crate::clock::Clock;
+use crate::era;
 use crate::hosts::Neighbours;
 use crate::mirror::{Mirror, Part, Received};
 use crate::peers;
@@ -158,12 +161,28 @@
     pub(crate) clock: Clock,
     /// Notifies all tasks when the store answers again.
     pub(crate) recovery: Notifier,
+    /// Notifies all tasks when the store was restored from an older copy.
+    pub(crate) eras: era::Newest,
 }
 
 impl<Platform> Store<Platform>
 where
     Platform: Codec,
 {
+    /// Calls the store, and returns its answer with the era of the store.
+    async fn call(
+        &self,
+        caller: &mut Caller,
+        request: http::Request<Bytes>,
+        bounds: Bounds,
+    ) -> Result<(Reply, Era), Error> {
+        let reply = caller.call(request, bounds).await;
+        let reply = reply.map_err(|error| no_answer(&error))?;
+        let era = self.codec.era(&reply);
+        self.eras.observe(era);
+        Ok((reply, era))
+    }
+
     /// Reads the newest record of each key, and returns the records with the offset from
     /// which to continue.
     pub(crate) async fn newest(
@@ -176,10 +195,7 @@
         let mut end = None;
         loop {
             let request = self.codec.newest(topic, after.as_deref());
-            let reply = caller
-                .call(request, ANSWER_BOUNDS)
-                .await
-                .map_err(|error| no_answer(&error))?;
+            let (reply, _) = self.call(caller, request, ANSWER_BOUNDS).await?;
             let page = self.codec.decode_newest(&reply)?;
             warn_of_unreadable(topic, page.unreadable);
             // Pages are not a consistent snapshot, so reading continues from the end
@@ -210,10 +226,7 @@
         record: (&str, &[u8]),
     ) -> Result<u64, Error> {
         let request = self.codec.append(topic, at, record.0, record.1);
-        let reply = caller
-            .call(request, ANSWER_BOUNDS)
-            .await
-            .map_err(|error| no_answer(&error))?;
+        let (reply, _) = self.call(caller, request, ANSWER_BOUNDS).await?;
         Ok(self.codec.decode_append(&reply)?.offset)
     }
 }
@@ -497,11 +510,7 @@
             time: wait + ANSWER_BOUNDS.time,
             ..ANSWER_BOUNDS
         };
-        let reply = self
-            .caller
-            .call(request, bounds)
-            .await
-            .map_err(|error| no_answer(&error))?;
+        let (reply, _) = self.store.call(&mut self.caller, request, bounds).await?;
         let page = self.store.codec.decode_read(from, &reply)?;
         warn_of_unreadable(self.topic, page.unreadable);
         let now = self.store.clock.now();
@@ -533,7 +542,13 @@
         let applied = self.offsets.get(&record.key);
         let is_applied = applied.is_some_and(|offset| record.offset <= *offset);
         let is_change = !is_applied && self.reducer.apply_record(record, received.first_seen, now);
-        if !is_applied {
+        if is_applied {
+            log::info!(
+                topic = self.topic.as_str(), key = record.key.as_str(), offset = record.offset,
+                applied = applied.copied();
+                "record skipped; a later one of its key was applied"
+            );
+        } else {
             self.offsets.insert(record.key.clone(), record.offset);
         }
         self.links.mirror.send_if_modified(|mirror| {
--- a/crates/papayayard_gateway/src/host.rs
+++ b/crates/papayayard_gateway/src/host.rs
@@ -35,7 +35,7 @@
 use crate::settings::Settings;
 use crate::store::Topic;
 use crate::{
-    dispatch, ends, exchange, feeds, hosts, listen, operators, orders, peers, schedule, store,
+    dispatch, ends, era, exchange, feeds, hosts, listen, operators, orders, peers, schedule, store,
 };
 
 /// Age of a target version up to which older weights do not add to the placement cost.
@@ -91,6 +91,7 @@
             address: settings.store,
             clock,
             recovery: Notifier::default(),
+            eras: era::Newest::default(),
         },
         settings,
         schedule,
--- a/crates/papayayard_gateway/src/lib.rs
+++ b/crates/papayayard_gateway/src/lib.rs
@@ -26,6 +26,7 @@
 mod dial;
 mod dispatch;
 mod ends;
+mod era;
 mod events;
 mod feeds;
 mod follow;
--- a/crates/papayayard_gateway/src/store.rs
+++ b/crates/papayayard_gateway/src/store.rs
@@ -10,6 +10,7 @@
 use papayayard_routing::placement::Endpoint;
 use papayayard_routing::table::Table;
 use papayayard_wire::id;
+use papayayard_wire::log::Era;
 use serde::Deserialize;
 use snafu::Snafu;
 
@@ -151,6 +152,9 @@
 /// Encodes calls to the store, and decodes its answers and the records of operators and
 /// endpoints.
 pub trait Codec: Clone + Send + Sync + 'static {
+    /// Decodes the era of the store from any of its answers.
+    fn era(&self, reply: &call::Reply) -> Era;
+
     /// Requests the newest record of each key, in key order, starting after the key
     /// `after`.
     fn newest(&self, topic: Topic, after: Option<&str>) -> http::Request<Bytes>;
--- a/crates/papayayard_wire/src/log.rs
+++ b/crates/papayayard_wire/src/log.rs
@@ -25,6 +25,22 @@
     }
 }
 
+/// Number of times that a log was restored from an older copy, counted from any start.
+/// A restored log has lost its newest records and assigns their offsets again.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Era(pub u64);
+
+/// Position in a log that may be restored: offsets are comparable only within an era.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Position {
+    // Compared first.
+    pub era: Era,
+    pub offset: Offset,
+}
+
 /// Records to append in one call.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Batch {
