--- a/crates/papayayard_coordination/src/leadership.rs
+++ b/crates/papayayard_coordination/src/leadership.rs
@@ -8,6 +8,11 @@
 //! append, and other hosts wait longer than that after the last record they observed.
 //! The orders of two hosts are therefore at least the lease apart.
 //!
+//! A log that is restored from an older copy begins a new era: it may have lost the record
+//! of a leader whose term still runs, and assigns offsets again. So a term ends with its
+//! era, nobody acquires leadership before the orders of a lost one are a lease old, and
+//! fencing numbers are ordered by the era first.
+//!
 //! Not every endpoint compares fencing numbers, so the leader itself has to ensure that
 //! none of its orders arrives late. A [`Permit`] limits when an order may be sent and
 //! when an unanswered order is cut off; the sender checks both limits just before it
@@ -16,6 +21,7 @@
 use std::time::Duration;
 
 use papayayard_wire::id;
+use papayayard_wire::log::{Era, Position};
 
 /// Time after an append was sent during which orders of its leader may arrive.
 pub const TERM_DURATION: Duration = Duration::from_millis(900);
@@ -28,6 +34,9 @@
 /// the reading of a record only makes the wait longer.
 const CLOCK_MARGIN: Duration = Duration::from_millis(50);
 
+/// Distance of the fencing numbers of two eras; an era has fewer records.
+const FENCES_PER_ERA: u64 = 1 << 32;
+
 /// One host's view of order leadership.
 #[derive(Clone, Debug)]
 pub struct Leadership {
@@ -35,6 +44,10 @@
     lease: Duration,
     last: Option<LastRecord>,
     term: Option<Term>,
+    /// Era of the log; `None` before the first reading.
+    era: Option<Era>,
+    /// Time before which nobody acquires leadership in this era.
+    acquire_after: Duration,
 }
 
 /// Permission to give orders, limited in time.
@@ -52,7 +65,7 @@
 struct LastRecord {
     leader: id::Host,
     at: Duration,
-    offset: u64,
+    position: Position,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -76,12 +89,29 @@
             lease,
             last: None,
             term: None,
+            era: None,
+            acquire_after: Duration::ZERO,
+        }
+    }
+
+    /// Records the era of the log, which was first read at `now`.
+    pub fn enter_era(&mut self, era: Era, now: Duration) {
+        if self.era.is_some_and(|known| era <= known) {
+            return;
         }
+        // The log may have lost a record that this host has not read either. A log of the
+        // lowest era was never restored.
+        if era > Era::default() {
+            self.acquire_after = now + takeover_delay(self.lease);
+        }
+        self.era = Some(era);
+        self.term = None;
     }
 
     /// Applies a record that was read at `now`.
-    pub fn observe(&mut self, leader: &id::Host, offset: u64, now: Duration) {
-        if self.last.as_ref().is_some_and(|last| offset <= last.offset) {
+    pub fn observe(&mut self, leader: &id::Host, position: Position, now: Duration) {
+        let last = self.last.as_ref();
+        if last.is_some_and(|last| position <= last.position) {
             return;
         }
         if *leader != self.local_host {
@@ -90,12 +120,15 @@
         self.last = Some(LastRecord {
             leader: leader.clone(),
             at: now,
-            offset,
+            position,
         });
     }
 
     /// Whether this host may append a record now.
     pub fn may_append(&self, now: Duration) -> bool {
+        if now < self.acquire_after {
+            return false;
+        }
         match &self.last {
             None => true,
             Some(last) if last.leader == self.local_host => true,
@@ -109,19 +142,29 @@
         last.is_some_and(|last| last.leader == self.local_host)
     }
 
-    /// Offset of the newest known record.
-    pub fn last_offset(&self) -> Option<u64> {
-        self.last.as_ref().map(|last| last.offset)
+    /// Offset at which this host appends to a log that it has read up to `end`.
+    pub fn append_offset(&self, end: Position) -> u64 {
+        let last = self.last.as_ref().map(|last| last.position);
+        let own_end = last.filter(|last| last.era == end.era);
+        let own_end = own_end.map_or(0, |last| last.offset.next().0);
+        end.offset.0.max(own_end)
     }
 
-    /// Records an append that was sent at `sent` and succeeded at `offset`.
-    pub fn appended(&mut self, offset: u64, sent: Duration, now: Duration) {
+    /// Records an append that was sent at `sent` and succeeded at `position`. It gives no
+    /// leadership in an era that this host has not read.
+    pub fn appended(&mut self, position: Position, sent: Duration, now: Duration) {
         let host = self.local_host.clone();
-        self.observe(&host, offset, now);
-        self.term = Some(Term {
-            fence: id::Fence(offset + 1),
-            since: sent,
-        });
+        let is_unread = self.era.is_some_and(|era| era < position.era);
+        if is_unread {
+            self.enter_era(position.era, now);
+        }
+        self.observe(&host, position, now);
+        if !is_unread {
+            self.term = Some(Term {
+                fence: fence(position),
+                since: sent,
+            });
+        }
     }
 
     /// Gives up leadership, for example after an order with a higher fencing number.
@@ -148,6 +191,12 @@
     }
 }
 
+/// Fencing number of the orders that follow a record.
+const fn fence(position: Position) -> id::Fence {
+    let of_era = position.era.0.saturating_mul(FENCES_PER_ERA);
+    id::Fence(of_era.saturating_add(position.offset.next().0))
+}
+
 /// Time without a new record after which other hosts may take over leadership.
 pub fn takeover_delay(lease: Duration) -> Duration {
     lease + TERM_DURATION + CLOCK_MARGIN
--- a/crates/papayayard_coordination/src/presence.rs
+++ b/crates/papayayard_coordination/src/presence.rs
@@ -4,6 +4,10 @@
 //! has ended if the other hosts have since appended more records than they would in a
 //! few periods. Wall-clock times are not compared, because they differ between hosts
 //! and can jump.
+//!
+//! A log that is restored from an older copy assigns offsets again. All known hosts then
+//! count as if they had just appended a record, and those that have ended are told apart
+//! from there on.
 
 use std::collections::BTreeMap;
 
@@ -25,6 +29,13 @@
         *newest = offset.max(*newest);
     }
 
+    /// Counts all known hosts from the end of a log that was restored.
+    pub fn restore(&mut self, end: u64) {
+        for newest in self.newest.values_mut() {
+            *newest = end;
+        }
+    }
+
     /// Removes a host that has announced its end.
     pub fn remove(&mut self, host: &id::Host) {
         self.newest.remove(host);
--- a/crates/papayayard_coordination/src/reader.rs
+++ b/crates/papayayard_coordination/src/reader.rs
@@ -139,11 +139,16 @@
             .iter()
             .take_while(|candidate| candidate.host != self.local_host);
         self.failover.set(before.take(MAX_PEERS).cloned().collect());
-        self.fallbacks = self.fallbacks(&zone, &all, others);
+        self.fallbacks = self.select_fallbacks(&zone, &all, others);
+    }
+
+    /// Hosts that may have newer data while the store does not answer, in order.
+    pub fn fallbacks(&self) -> &[Candidate] {
+        &self.fallbacks
     }
 
     /// Readers for all zones and for the local zone, then any other hosts.
-    fn fallbacks(
+    fn select_fallbacks(
         &self,
         zone: &[Candidate],
         all: &[Candidate],
--- a/crates/papayayard_coordination/tests/leadership_test.rs
+++ b/crates/papayayard_coordination/tests/leadership_test.rs
@@ -4,10 +4,29 @@
 
 use papayayard_coordination::leadership::{Leadership, TERM_DURATION};
 use papayayard_wire::id;
+use papayayard_wire::log::{Era, Offset, Position};
 
 const LEASE: Duration = Duration::from_secs(3);
 const NOW: Duration = Duration::from_secs(100);
 
+/// Era after the log was restored from an older copy.
+const RESTORED: Era = Era(1);
+
+/// Position in a log that was never restored.
+fn at(offset: u64) -> Position {
+    Position {
+        era: Era::default(),
+        offset: Offset(offset),
+    }
+}
+
+fn restored_at(offset: u64) -> Position {
+    Position {
+        era: RESTORED,
+        offset: Offset(offset),
+    }
+}
+
 fn leadership(host: &str) -> Leadership {
     Leadership::new(id::Host::from(host), LEASE)
 }
@@ -18,7 +37,7 @@
     assert!(leadership.may_append(NOW));
     assert_eq!(leadership.permit(NOW), None);
     let answered = NOW + Duration::from_millis(400);
-    leadership.appended(7, NOW, answered);
+    leadership.appended(at(7), NOW, answered);
     let permit = leadership
         .permit(answered)
         .expect("this host is the leader");
@@ -42,8 +61,8 @@
 fn orders_of_a_paused_leader_and_the_next_are_at_least_the_lease_apart() {
     let mut paused = leadership("a");
     let mut next = leadership("b");
-    paused.appended(7, NOW, NOW);
-    next.observe(&id::Host::from("a"), 7, NOW);
+    paused.appended(at(7), NOW, NOW);
+    next.observe(&id::Host::from("a"), at(7), NOW);
     let step = Duration::from_millis(10);
     let mut time = NOW;
     let mut last_arrival = NOW;
@@ -63,10 +82,10 @@
 #[test]
 fn the_last_leader_continues_at_once_with_a_higher_fence() {
     let mut leadership = leadership("a");
-    leadership.appended(7, NOW, NOW);
+    leadership.appended(at(7), NOW, NOW);
     let later = NOW + Duration::from_secs(2);
     assert!(leadership.may_append(later) && leadership.was_last_leader());
-    leadership.appended(9, later, later);
+    leadership.appended(at(9), later, later);
     assert_eq!(
         leadership.permit(later).map(|permit| permit.fence),
         Some(id::Fence(10))
@@ -76,8 +95,8 @@
 #[test]
 fn a_record_of_another_host_ends_leadership() {
     let mut leadership = leadership("a");
-    leadership.appended(7, NOW, NOW);
-    leadership.observe(&id::Host::from("b"), 8, NOW);
+    leadership.appended(at(7), NOW, NOW);
+    leadership.observe(&id::Host::from("b"), at(8), NOW);
     assert_eq!(leadership.permit(NOW), None);
     assert!(!leadership.may_append(NOW));
 }
@@ -85,7 +104,7 @@
 #[test]
 fn a_refusal_by_a_higher_fence_ends_leadership() {
     let mut leadership = leadership("a");
-    leadership.appended(7, NOW, NOW);
+    leadership.appended(at(7), NOW, NOW);
     leadership.step_down();
     assert_eq!(leadership.permit(NOW), None);
     assert!(leadership.needs_renewal(NOW));
@@ -94,8 +113,59 @@
 #[test]
 fn older_records_change_nothing() {
     let mut leadership = leadership("a");
-    leadership.appended(7, NOW, NOW);
-    leadership.observe(&id::Host::from("b"), 5, NOW);
+    leadership.appended(at(7), NOW, NOW);
+    leadership.observe(&id::Host::from("b"), at(5), NOW);
     assert!(leadership.was_last_leader());
-    assert_eq!(leadership.last_offset(), Some(7));
+    assert_eq!(leadership.append_offset(at(0)), 8);
+}
+
+/// Endpoints refused all orders after the log was restored, since the offsets that number
+/// them were assigned again.
+#[test]
+fn fences_rise_although_a_restored_log_assigns_offsets_again() {
+    let mut leadership = leadership("a");
+    leadership.enter_era(Era::default(), NOW);
+    leadership.appended(at(70), NOW, NOW);
+    let before = leadership
+        .permit(NOW)
+        .expect("this host is the leader")
+        .fence;
+    let later = NOW + Duration::from_secs(30);
+    leadership.enter_era(RESTORED, NOW + Duration::from_secs(5));
+    assert!(leadership.may_append(later));
+    assert_eq!(leadership.append_offset(restored_at(12)), 12, "not 71");
+    leadership.appended(restored_at(12), later, later);
+    let after = leadership.permit(later).expect("this host is the leader");
+    assert!(after.fence > before, "{:?} after {before:?}", after.fence);
+}
+
+/// Two hosts gave orders at once: one held leadership by a record that the log had lost.
+#[test]
+fn leadership_is_not_acquired_before_orders_of_a_lost_record_are_a_lease_old() {
+    let mut lost = leadership("a");
+    lost.appended(at(70), NOW, NOW);
+    // The log is restored at once; neither a host that has followed it nor one that has
+    // just started finds a trace of the leader.
+    let mut follower = leadership("b");
+    follower.enter_era(Era::default(), NOW);
+    let mut started = leadership("c");
+    let last_order = NOW + TERM_DURATION;
+    for other in [&mut follower, &mut started] {
+        other.enter_era(RESTORED, NOW);
+        assert!(!other.may_append(last_order + LEASE));
+        assert!(other.may_append(last_order + LEASE + Duration::from_millis(50)));
+    }
+    lost.enter_era(RESTORED, NOW);
+    assert_eq!(lost.permit(NOW), None, "its term ends with the era");
+}
+
+/// The offset that an append requires can come true again in an era that the host has not
+/// read.
+#[test]
+fn an_append_in_an_unread_era_gives_no_leadership() {
+    let mut leadership = leadership("a");
+    leadership.enter_era(Era::default(), NOW);
+    leadership.appended(restored_at(7), NOW, NOW);
+    assert_eq!(leadership.permit(NOW), None);
+    assert!(!leadership.may_append(NOW + LEASE));
 }
--- a/crates/papayayard_coordination/tests/presence_test.rs
+++ b/crates/papayayard_coordination/tests/presence_test.rs
@@ -86,3 +86,35 @@
     tracker.observe(&host(0), 0);
     assert_eq!(tracker.live_hosts(end).len(), 2);
 }
+
+/// Hosts counted too few after the log was restored, and each sent more than its share.
+#[rstest]
+#[case::one(1)]
+#[case::nine(9)]
+#[case::many(80)]
+fn hosts_are_counted_while_they_write_again_to_a_restored_log(#[case] hosts: u64) {
+    let all: Vec<u64> = (0..hosts).collect();
+    let (mut tracker, end) = simulate(&all, 4);
+    let mut end = end / 2;
+    tracker.restore(end);
+    for index in &all {
+        assert_eq!(tracker.live_hosts(end).len(), all.len());
+        tracker.observe(&host(*index), end);
+        end += 1;
+    }
+    assert_eq!(tracker.live_hosts(end).len(), all.len());
+}
+
+#[test]
+fn a_host_that_ended_in_the_lost_time_is_not_counted_for_ever() {
+    let (mut tracker, end) = simulate(&[0, 1, 2], 9);
+    let mut end = end / 2;
+    tracker.restore(end);
+    for _ in 0..4 {
+        for index in [1, 2] {
+            tracker.observe(&host(index), end);
+            end += 1;
+        }
+    }
+    assert_eq!(tracker.live_hosts(end), [&host(1), &host(2)]);
+}
--- a/crates/papayayard_gateway/src/announcement.rs
+++ b/crates/papayayard_gateway/src/announcement.rs
@@ -6,10 +6,11 @@
 
 use papayayard_routing::weights::TargetVersions;
 use papayayard_wire::id;
+use papayayard_wire::log::{Era, Offset, Position};
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 
-use crate::follow::Reducer;
+use crate::follow::{Effect, Reducer};
 use crate::schedule::{Handle, Message};
 use crate::store::{self, Record};
 
@@ -28,6 +29,10 @@
     /// Target versions with their ages, for hosts that start later.
     #[serde(default)]
     pub(crate) named: Vec<Age>,
+    /// Era in which the leader expected to write the record; `None` in records of older
+    /// releases.
+    #[serde(default)]
+    pub(crate) era: Option<Era>,
 }
 
 /// Age of a target version.
@@ -50,10 +55,12 @@
 /// Contents of the orders topic as read so far.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Snapshot {
-    /// Offset after the last record; `None` before the first reading.
-    pub(crate) end: Option<u64>,
-    /// Newest announcement, its offset and the time at which it was read.
-    pub(crate) newest: Option<(Announcement, u64, Duration)>,
+    /// Position after the last record; `None` before the first reading.
+    pub(crate) end: Option<Position>,
+    /// When the first reading of this era was applied.
+    pub(crate) era_read_at: Duration,
+    /// Newest announcement, its position and the time at which it was read.
+    pub(crate) newest: Option<(Announcement, Position, Duration)>,
 }
 
 impl Announcement {
@@ -81,6 +88,8 @@
 pub(crate) struct Announcements {
     snapshot: watch::Sender<Snapshot>,
     current: Snapshot,
+    /// Era of the newest reading.
+    era: Option<Era>,
     /// Longest time for which the leader's record goes without renewal while there is
     /// work.
     max_unrenewed: Duration,
@@ -96,23 +105,55 @@
         Self {
             snapshot,
             current: Snapshot::default(),
+            era: None,
             max_unrenewed,
             schedule,
         }
     }
 }
 
+impl Announcements {
+    fn position(&self, offset: u64) -> Position {
+        Position {
+            era: self.era.unwrap_or_default(),
+            offset: Offset(offset),
+        }
+    }
+
+    /// Whether an announcement was written before the store was restored, and this host has
+    /// read it then or a newer one.
+    fn is_outdated(&self, announcement: &Announcement) -> bool {
+        let is_copied = announcement.era.is_some() && announcement.era < self.era;
+        let known = self.current.newest.as_ref();
+        is_copied && known.is_some_and(|(known, _, _)| known.era >= announcement.era)
+    }
+}
+
 impl Reducer for Announcements {
+    fn begin_reading(&mut self, era: Era, _requested_at: Duration, now: Duration) {
+        if self.era != Some(era) {
+            self.era = Some(era);
+            self.current.era_read_at = now;
+        }
+    }
+
     fn apply_record(
         &mut self,
         record: &Record,
         first_seen: Option<Duration>,
         now: Duration,
-    ) -> bool {
+    ) -> Effect {
         let Some(value) = record.value.as_ref().filter(|_| record.key == KEY) else {
-            return false;
+            return Effect::Unchanged;
         };
+        let position = self.position(record.offset);
         match store::decode::<Announcement>(value) {
+            Ok(announcement) if self.is_outdated(&announcement) => {
+                if let Some((_, known_at, read_at)) = &mut self.current.newest {
+                    (*known_at, *read_at) = (position, now);
+                }
+                Effect::Outdated
+            }
             Ok(announcement) => {
                 apply(&announcement, &self.schedule);
                 // A record that predates this host's first reading gets the highest age
@@ -120,12 +161,12 @@
                 let written = first_seen.unwrap_or(now.saturating_sub(self.max_unrenewed));
                 let targets = announcement.target_versions(written);
                 self.schedule.send(Message::TargetVersions(targets));
-                self.current.newest = Some((announcement, record.offset, now));
-                true
+                self.current.newest = Some((announcement, position, now));
+                Effect::Changed
             }
             Err(error) => {
                 log::warn!(error:%; "malformed announcement skipped");
-                false
+                Effect::Unchanged
             }
         }
     }
@@ -133,7 +174,7 @@
     fn retain_keys(&mut self, _keys: &HashSet<String>, _now: Duration) {}
 
     fn caught_up(&mut self, _requested_at: Duration, next: u64, _now: Duration) {
-        self.current.end = Some(next);
+        self.current.end = Some(self.position(next));
         self.snapshot.send_replace(self.current.clone());
     }
 }
--- a/crates/papayayard_gateway/src/beliefs.rs
+++ b/crates/papayayard_gateway/src/beliefs.rs
@@ -5,14 +5,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use papayayard_routing::listing::Listing;
+use papayayard_routing::listing::{Listing, Put};
 use papayayard_routing::placement::Endpoint;
 use papayayard_routing::table::Table;
 use papayayard_routing::weights::TargetVersions;
 use papayayard_wire::id;
+use papayayard_wire::log::Era;
 use tokio::sync::watch;
 
-use crate::follow::Reducer;
+use crate::follow::{Effect, Reducer};
 use crate::schedule::{Handle, Message};
 use crate::store::{Codec, Published, Record};
 
@@ -59,30 +60,39 @@
         }
     }
 
-    fn apply_table(&mut self, table: Table) -> bool {
+    fn apply_table(&mut self, table: Table) -> Effect {
         let current = self.current.table.as_ref().map(|table| table.revision);
-        if current.is_some_and(|current| table.revision <= current) {
+        if current == Some(table.revision) {
+            return Effect::Unchanged;
+        }
+        if current.is_some_and(|current| table.revision < current) {
             log::warn!(revision = table.revision.0; "outdated configuration skipped");
-            return false;
+            return Effect::Outdated;
         }
         log::info!(revision = table.revision.0; "configuration in force");
         let table = Arc::new(table);
         self.schedule.send(Message::Table(Arc::clone(&table)));
         self.current.table = Some(table);
         self.is_changed = true;
-        true
+        Effect::Changed
     }
 
-    fn apply_weights(&mut self, model: &id::Model, version: u64, at: Duration) -> bool {
+    fn apply_weights(&mut self, model: &id::Model, version: u64, at: Duration) -> Effect {
         let versions = self.current.targets.entry(model.clone()).or_default();
+        if versions
+            .newest()
+            .is_some_and(|(newest, _)| version < newest)
+        {
+            return Effect::Outdated;
+        }
         if !versions.record(version, at) {
-            return false;
+            return Effect::Unchanged;
         }
         log::info!(model:%, version; "weights named");
         let targets = self.current.targets.clone();
         self.schedule.send(Message::TargetVersions(targets));
         self.is_changed = true;
-        true
+        Effect::Changed
     }
 }
 
@@ -95,19 +105,19 @@
         record: &Record,
         first_seen: Option<Duration>,
         now: Duration,
-    ) -> bool {
+    ) -> Effect {
         let Some(value) = &record.value else {
-            return false;
+            return Effect::Unchanged;
         };
         match self.codec.published(&record.key, value) {
             Ok(Published::Table(table)) => self.apply_table(*table),
             Ok(Published::Weights { model, version }) => {
                 self.apply_weights(&model, version, first_seen.unwrap_or(now))
             }
-            Ok(Published::Unknown) => false,
+            Ok(Published::Unknown) => Effect::Unchanged,
             Err(error) => {
                 log::warn!(key = record.key.as_str(), error:%; "malformed operator record skipped");
-                false
+                Effect::Unchanged
             }
         }
     }
@@ -153,8 +163,8 @@
 where
     Platform: Codec,
 {
-    fn begin_reading(&mut self, requested_at: Duration, now: Duration) {
-        self.listing.record_read(requested_at, now);
+    fn begin_reading(&mut self, era: Era, requested_at: Duration, now: Duration) {
+        self.listing.record_read(era, requested_at, now);
     }
 
     fn apply_record(
@@ -162,18 +172,25 @@
         record: &Record,
         _first_seen: Option<Duration>,
         now: Duration,
-    ) -> bool {
+    ) -> Effect {
         let id = id::Endpoint::from(record.key.as_str());
         let Some(value) = &record.value else {
             self.listing.remove_record(&id, now);
-            return true;
+            return Effect::Changed;
         };
         match self.codec.endpoint(&record.key, value) {
-            Ok(endpoint) => self.listing.put(endpoint),
+            Ok(registration) => match self.listing.put(registration) {
+                Put::Changed => Effect::Changed,
+                Put::Unchanged => Effect::Unchanged,
+                Put::Outdated => {
+                    log::info!(endpoint:% = id; "outdated endpoint record skipped");
+                    Effect::Outdated
+                }
+            },
             Err(error) => {
                 log::warn!(endpoint:% = id, error:%; "malformed endpoint record skipped");
                 self.listing.remove_record(&id, now);
-                true
+                Effect::Changed
             }
         }
     }
--- a/crates/papayayard_gateway/src/ends/fold.rs
+++ b/crates/papayayard_gateway/src/ends/fold.rs
@@ -5,10 +5,11 @@
 
 use papayayard_routing::blame::{Progress, Run};
 use papayayard_routing::quarantine::Fingerprint;
+use papayayard_wire::log::Era;
 
 use super::Shared;
 use super::report::Report;
-use crate::follow;
+use crate::follow::{self, Effect};
 use crate::store;
 
 /// Minimum age at which a record is removed from the log. Until then hosts that start can
@@ -26,6 +27,10 @@
     /// host usually does the removal and the others see it.
     retention: Duration,
     last_sweep: Duration,
+    /// Era of the newest reading.
+    era: Option<Era>,
+    /// Whether the current reading is the first one of a restored store.
+    is_restored: bool,
 }
 
 impl Reports {
@@ -35,6 +40,8 @@
             first_seen: HashMap::new(),
             retention: RETENTION.mul_f64(1.0 + rand::random::<f64>()),
             last_sweep: Duration::ZERO,
+            era: None,
+            is_restored: false,
         }
     }
 
@@ -56,6 +63,9 @@
                 let times = (first_seen, now);
                 self.shared.record_part_crashes(&parts, &run, times);
             }
+            // Applied before the store was restored, and possibly outdated by crashes since.
+            // Those that the store has lost are written again.
+            Report::Cleared { .. } if self.is_restored => {}
             Report::Cleared { fingerprint, parts } => {
                 let mut table = self.shared.table();
                 table.record_success(fingerprint, at);
@@ -90,26 +100,31 @@
 }
 
 impl follow::Reducer for Reports {
+    fn begin_reading(&mut self, era: Era, _requested_at: Duration, _now: Duration) {
+        self.is_restored = self.era.is_some_and(|before| before != era);
+        self.era = Some(era);
+    }
+
     fn apply_record(
         &mut self,
         record: &store::Record,
         first_seen: Option<Duration>,
         now: Duration,
-    ) -> bool {
+    ) -> Effect {
         let Some(value) = &record.value else {
             self.first_seen.remove(&record.key);
-            return true;
+            return Effect::Changed;
         };
         let at = first_seen.unwrap_or(now);
         self.first_seen.insert(record.key.clone(), at);
         match store::decode(value) {
             Ok(report) => {
                 self.apply(report, first_seen, now);
-                true
+                Effect::Changed
             }
             Err(error) => {
                 log::warn!(key = record.key.as_str(), error:%; "malformed crash report skipped");
-                false
+                Effect::Unchanged
             }
         }
     }
--- a/crates/papayayard_gateway/src/ends/write.rs
+++ b/crates/papayayard_gateway/src/ends/write.rs
@@ -1,6 +1,7 @@
-//! Writes this host's crash reports to the platform's log.
+//! Writes this host's crash reports to the platform's log, and writes recent ones again to a
+//! log that was restored, since it may have lost them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 use papayayard_coordination::journal::Backoff;
@@ -23,6 +24,13 @@
 /// lowest keys are kept.
 const MAX_PENDING: usize = 1_024;
 
+/// Time for which written records are kept, longer than the age of a copy from which the log
+/// is restored.
+const REWRITE_RETENTION: Duration = Duration::from_mins(1);
+
+/// Maximum number of written records kept; the newest are kept.
+const MAX_WRITTEN: usize = 128;
+
 /// A record to be written; an empty value removes the key.
 struct Append {
     key: String,
@@ -70,6 +78,30 @@
     }
 }
 
+/// Records written lately, with the times of the writes.
+#[derive(Default)]
+struct Written(VecDeque<(Duration, Append)>);
+
+impl Written {
+    fn push(&mut self, append: Append, now: Duration) {
+        let oldest = now.saturating_sub(REWRITE_RETENTION);
+        while self.0.len() >= MAX_WRITTEN || self.0.front().is_some_and(|(at, _)| *at < oldest) {
+            self.0.pop_front();
+        }
+        self.0.push_back((now, append));
+    }
+
+    /// Moves all records to those to be written, unless there are newer ones of their keys.
+    fn restore(&mut self, pending: &mut BTreeMap<String, Vec<u8>>, now: Duration) {
+        let oldest = now.saturating_sub(REWRITE_RETENTION);
+        while let Some((at, append)) = self.0.pop_back() {
+            if at >= oldest {
+                pending.entry(append.key).or_insert(append.value);
+            }
+        }
+    }
+}
+
 /// Writes queued records for as long as the process runs.
 pub(crate) async fn write<Platform>(store: Store<Platform>, mut appends: Queue)
 where
@@ -78,13 +110,25 @@
     let mut caller = Caller::new(store.address);
     let mut backoff = Backoff::new(INITIAL_BACKOFF, MAX_BACKOFF);
     let mut pending: BTreeMap<String, Vec<u8>> = BTreeMap::new();
+    let mut written = Written::default();
+    let mut eras = store.eras.subscribe();
+    let mut era = *eras.borrow_and_update();
     loop {
         if pending.is_empty() {
-            let Some(append) = appends.0.recv().await else {
-                return;
-            };
-            pending.insert(append.key, append.value);
-            time::sleep(BATCH_DELAY).await;
+            tokio::select! {
+                append = appends.0.recv() => {
+                    let Some(append) = append else {
+                        return;
+                    };
+                    pending.insert(append.key, append.value);
+                    time::sleep(BATCH_DELAY).await;
+                }
+                Ok(()) = eras.changed() => {}
+            }
+        }
+        let newest = *eras.borrow_and_update();
+        if newest > std::mem::replace(&mut era, newest) {
+            written.restore(&mut pending, store.clock.now());
         }
         while let Ok(append) = appends.0.try_recv() {
             pending.insert(append.key, append.value);
@@ -99,7 +143,10 @@
         };
         let record = (key.as_str(), value.as_slice());
         match store.append(&mut caller, Topic::Ends, None, record).await {
-            Ok(_) => backoff.succeed(),
+            Ok(_) => {
+                backoff.succeed();
+                written.push(Append { key, value }, store.clock.now());
+            }
             Err(error) => {
                 log::info!(key = key.as_str(), error:%; "an endpoint's end was not told; trying again");
                 pending.entry(key).or_insert(value);
--- a/crates/papayayard_gateway/src/era.rs
+++ b/crates/papayayard_gateway/src/era.rs
@@ -27,6 +27,11 @@
         });
     }
 
+    /// Newest era seen so far.
+    pub(crate) fn get(&self) -> Option<Era> {
+        *self.0.borrow()
+    }
+
     pub(crate) fn subscribe(&self) -> watch::Receiver<Option<Era>> {
         self.0.subscribe()
     }
--- a/crates/papayayard_gateway/src/follow.rs
+++ b/crates/papayayard_gateway/src/follow.rs
@@ -10,6 +10,11 @@
 //! accepts the reading of any other host that is newer than its own, together with the
 //! age of that reading. As soon as the store answers one follower of the host again, all
 //! of them call it.
+//!
+//! The store can return from an older copy. It then begins a new era, has lost its newest
+//! records and assigns their offsets again, so an offset means nothing without its era. In
+//! a new era the newest record of each key is read again, and reducers keep what they know
+//! to be newer than the copy.
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
@@ -17,9 +22,10 @@
 
 use bytes::Bytes;
 use papayayard_coordination::journal::Backoff;
+use papayayard_coordination::ranking::Candidate;
 use papayayard_coordination::reader::{Rank, Scope, Selector, Source};
 use papayayard_wire::id;
-use papayayard_wire::log::Era;
+use papayayard_wire::log::{Era, Offset, Position};
 use snafu::Snafu;
 use tokio::sync::watch;
 use tokio::time;
@@ -47,6 +53,8 @@
 const MAX_COUNT_WAIT: Duration = Duration::from_millis(500);
 /// Maximum number of hosts polled in a row.
 const MAX_PEERS: u32 = 3;
+/// Maximum number of hosts asked before the first call to the store.
+const MAX_FIRST_ASKED: usize = 2;
 /// Backoff after the first failure.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(60);
 /// Upper limit of the backoff.
@@ -57,25 +65,34 @@
 /// Time beyond one period that another host gets to finish its next reading.
 const PEER_MARGIN: Duration = Duration::from_millis(150);
 
+/// Effect of a record on the state of a reducer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Effect {
+    Changed,
+    Unchanged,
+    /// None, since the state has newer content of the same key.
+    Outdated,
+}
+
 /// State built from the records of a topic.
 pub(crate) trait Reducer {
     /// Applies a record, which replaces earlier ones of its key. `first_seen` is the
     /// earliest time at which some host is known to have had the record, or `None` if the
-    /// record may have been in the store for any length of time. Returns whether the
-    /// record changes anything.
+    /// record may have been in the store for any length of time.
     fn apply_record(
         &mut self,
         record: &Record,
         first_seen: Option<Duration>,
         now: Duration,
-    ) -> bool;
+    ) -> Effect;
 
     /// Drops all keys except those given: a full reading contained no others.
     fn retain_keys(&mut self, keys: &HashSet<String>, now: Duration);
 
     /// Called before the records of a reading are applied; the reading was requested at
-    /// `requested_at`.
-    fn begin_reading(&mut self, _requested_at: Duration, _now: Duration) {}
+    /// `requested_at`. The first reading of an era contains the newest record of each key
+    /// of a copy that may be older than the reducer's state.
+    fn begin_reading(&mut self, _era: Era, _requested_at: Duration, _now: Duration) {}
 
     /// Called when all records up to the time of the request have been applied; `next` is
     /// the offset after the last one.
@@ -103,6 +120,8 @@
     /// Maximum pause between calls to a store that does not answer, while no other host
     /// has newer data; `None` for the default.
     pub(crate) max_outage_pause: Option<Duration>,
+    /// Whether a host that starts asks other hosts before the store.
+    pub(crate) asks_hosts_first: bool,
 }
 
 impl Polling {
@@ -112,6 +131,15 @@
             pause,
             slack: SLACK,
             max_outage_pause: None,
+            asks_hosts_first: false,
+        }
+    }
+
+    /// Lets a host that starts ask other hosts before the store.
+    pub(crate) const fn with_hosts_first(self) -> Self {
+        Self {
+            asks_hosts_first: true,
+            ..self
         }
     }
 
@@ -183,24 +211,27 @@
         Ok((reply, era))
     }
 
-    /// Reads the newest record of each key, and returns the records with the offset from
+    /// Reads the newest record of each key, and returns the records with the position from
     /// which to continue.
     pub(crate) async fn newest(
         &self,
         caller: &mut Caller,
         topic: Topic,
-    ) -> Result<(Vec<Record>, u64), Error> {
+    ) -> Result<(Vec<Record>, Position), Error> {
         let mut records = Vec::new();
         let mut after: Option<String> = None;
         let mut end = None;
         loop {
             let request = self.codec.newest(topic, after.as_deref());
-            let (reply, _) = self.call(caller, request, ANSWER_BOUNDS).await?;
+            let (reply, era) = self.call(caller, request, ANSWER_BOUNDS).await?;
             let page = self.codec.decode_newest(&reply)?;
             warn_of_unreadable(topic, page.unreadable);
             // Pages are not a consistent snapshot, so reading continues from the end
             // offset of the first page.
-            let end = *end.get_or_insert(page.end);
+            let end = *end.get_or_insert(position(era, page.end));
+            if end.era != era {
+                return Err(Error::Restored);
+            }
             let last = page.records.last().map(|record| record.key.clone());
             records.extend(page.records);
             if !page.has_more {
@@ -216,7 +247,7 @@
         }
     }
 
-    /// Appends a record and returns its offset. If `at` is given, the append succeeds
+    /// Appends a record and returns its position. If `at` is given, the append succeeds
     /// only at that offset.
     pub(crate) async fn append(
         &self,
@@ -224,10 +255,11 @@
         topic: Topic,
         at: Option<u64>,
         record: (&str, &[u8]),
-    ) -> Result<u64, Error> {
+    ) -> Result<Position, Error> {
         let request = self.codec.append(topic, at, record.0, record.1);
-        let (reply, _) = self.call(caller, request, ANSWER_BOUNDS).await?;
-        Ok(self.codec.decode_append(&reply)?.offset)
+        let (reply, era) = self.call(caller, request, ANSWER_BOUNDS).await?;
+        let appended = self.codec.decode_append(&reply)?;
+        Ok(position(era, appended.offset))
     }
 }
 
@@ -274,6 +306,7 @@
         links,
         reducer,
         offsets: HashMap::new(),
+        era: None,
         next: None,
         requested_at: None,
         is_unavailable: false,
@@ -291,8 +324,11 @@
     polling: Polling,
     links: Links,
     reducer: Target,
+    /// Offset of the last applied record of each key, in the current era.
     offsets: HashMap<String, u64>,
-    next: Option<u64>,
+    /// Era of the newest applied reading; `None` before the first one.
+    era: Option<Era>,
+    next: Option<Position>,
     /// When the newest applied reading was requested.
     requested_at: Option<Duration>,
     /// Whether the store has not answered since its last success.
@@ -308,9 +344,16 @@
 {
     async fn run(mut self) {
         self.wait_for_count().await;
+        if self.polling.asks_hosts_first {
+            self.ask_hosts().await;
+        }
         let mut recoveries = self.store.recovery.subscribe();
+        let mut eras = self.store.eras.subscribe();
+        // Era that other tasks have seen and this one has been told of.
+        let mut told = None;
         let mut backoff = Backoff::new(INITIAL_BACKOFF, MAX_BACKOFF);
         loop {
+            let known = self.era.max(told);
             if !self.readers.is_store_away() {
                 recoveries.disregard();
             }
@@ -320,6 +363,10 @@
                     self.is_notified = true;
                     self.readers.store_recovered();
                 }
+                Ok(newest) = eras.wait_for(|newest| known.is_some() && *newest > known) => {
+                    told = *newest;
+                    self.next = None;
+                }
             }
         }
     }
@@ -337,6 +384,7 @@
                 log::info!(topic = self.topic.as_str(); "records expired; reading the newest of each key");
                 self.next = None;
             }
+            Err(Error::Restored) => self.next = None,
             Err(error) => {
                 self.store_failed(&error);
                 if self.readers.is_alone() {
@@ -395,7 +443,7 @@
                 return Ok(None);
             }
             attempts += 1;
-            match self.poll_peer(*address).await {
+            match self.poll_peer(*address, self.peer_wait()).await {
                 Ok(()) => {
                     self.readers.answered(host);
                     return Ok(Some(source));
@@ -438,9 +486,25 @@
         }
     }
 
-    /// Polls another host. Its reading is applied if it is newer than this host's, but a
-    /// stale reading is still reported as an error.
-    async fn poll_peer(&mut self, address: SocketAddr) -> Result<(), PeerError> {
+    /// Asks other hosts for what they have before the first call to the store, which may
+    /// have been restored from a copy that is older.
+    async fn ask_hosts(&mut self) {
+        self.update_hosts();
+        let known = self.readers.fallbacks().iter().take(MAX_FIRST_ASKED);
+        let known: Vec<Candidate> = known.cloned().collect();
+        for host in known {
+            if let Err(problem) = self.poll_peer(host.address, Duration::ZERO).await {
+                log::info!(
+                    topic = self.topic.as_str(), host:% = host.host, problem:%;
+                    "another host has nothing new"
+                );
+            }
+        }
+    }
+
+    /// Polls another host, which may wait for a newer reading. Its reading is applied if it
+    /// is newer than this host's, but a stale reading is still reported as an error.
+    async fn poll_peer(&mut self, address: SocketAddr, wait: Duration) -> Result<(), PeerError> {
         let clock = self.store.clock;
         let connected = self.peer.take().filter(|peer| peer.address() == address);
         let client = match connected {
@@ -450,18 +514,21 @@
         };
         let polling = self.polling.for_rank(self.readers.rank());
         let part = client
-            .read(self.topic, self.next, polling, self.peer_wait(), clock)
+            .read(self.topic, self.next, polling, wait, clock)
             .await
             .map_err(|problem| PeerError::NoAnswer { problem })?;
         self.peer = Some(client);
         let now = clock.now();
-        if self
-            .requested_at
-            .is_none_or(|newest| newest < part.requested_at)
-        {
+        let era = Some(part.era);
+        self.store.eras.observe(part.era);
+        if !part.is_whole && era != self.era {
+            return Err(PeerError::Outdated);
+        }
+        if (era, Some(part.requested_at)) > (self.era, self.requested_at) {
             self.apply_part(&part, now);
         }
-        if polling.is_stale(part.requested_at, now) {
+        let is_of_older_era = era < self.store.eras.get();
+        if is_of_older_era || polling.is_stale(part.requested_at, now) {
             return Err(PeerError::Outdated);
         }
         Ok(())
@@ -476,7 +543,7 @@
     }
 
     fn apply_part(&mut self, part: &Part, now: Duration) {
-        self.reducer.begin_reading(part.requested_at, now);
+        self.begin_reading(part.era, part.requested_at, now);
         if part.is_whole {
             self.apply_all(&part.records, part.next, now);
         } else {
@@ -490,31 +557,37 @@
     async fn read_newest(&mut self) -> Result<(), Error> {
         let requested_at = self.store.clock.now();
         let (records, end) = self.store.newest(&mut self.caller, self.topic).await?;
+        self.check_era(end.era)?;
         let now = self.store.clock.now();
-        self.reducer.begin_reading(requested_at, now);
+        self.begin_reading(end.era, requested_at, now);
         let records: Vec<Received> = records.into_iter().map(Received::undated).collect();
-        self.apply_all(&records, end, now);
-        self.caught_up(requested_at, end, now);
+        self.apply_all(&records, end.offset.0, now);
+        self.caught_up(requested_at, end.offset.0, now);
         Ok(())
     }
 
-    async fn read_from(&mut self, from: u64, is_probe: bool) -> Result<(), Error> {
+    async fn read_from(&mut self, from: Position, is_probe: bool) -> Result<(), Error> {
         let requested_at = self.store.clock.now();
         let wait = if is_probe {
             Duration::ZERO
         } else {
             self.polling.wait
         };
-        let request = self.store.codec.read(self.topic, from, wait);
+        let request = self.store.codec.read(self.topic, from.offset.0, wait);
         let bounds = Bounds {
             time: wait + ANSWER_BOUNDS.time,
             ..ANSWER_BOUNDS
         };
-        let (reply, _) = self.store.call(&mut self.caller, request, bounds).await?;
-        let page = self.store.codec.decode_read(from, &reply)?;
+        let (reply, era) = self.store.call(&mut self.caller, request, bounds).await?;
+        let page = self.store.codec.decode_read(from.offset.0, &reply);
+        if era > from.era && matches!(page, Ok(_) | Err(Error::Expired)) {
+            return Err(Error::Restored);
+        }
+        let page = page?;
+        self.check_era(era)?;
         warn_of_unreadable(self.topic, page.unreadable);
         let now = self.store.clock.now();
-        self.reducer.begin_reading(requested_at, now);
+        self.begin_reading(era, requested_at, now);
         for record in page.records {
             self.apply(&Received::at(record, now), now);
         }
@@ -522,8 +595,31 @@
         Ok(())
     }
 
+    /// Checks that an answer of the store is not of an older era than earlier ones.
+    fn check_era(&self, era: Era) -> Result<(), Error> {
+        if Some(era) < self.era {
+            let problem = "the store's era is lower than before";
+            return MalformedSnafu { problem }.fail();
+        }
+        Ok(())
+    }
+
+    fn begin_reading(&mut self, era: Era, requested_at: Duration, now: Duration) {
+        if self.era != Some(era) {
+            log::info!(
+                topic = self.topic.as_str(), era = era.0, before = self.era.map(|era| era.0);
+                "first reading of the store's era"
+            );
+            self.era = Some(era);
+            self.offsets.clear();
+        }
+        self.reducer.begin_reading(era, requested_at, now);
+    }
+
     /// Applies the newest records of all keys.
     fn apply_all(&mut self, records: &[Received], end: u64, now: Duration) {
+        let era = self.era.unwrap_or_default();
+        let end = position(era, end);
         self.links.mirror.send_modify(|mirror| mirror.restart(end));
         // Records are applied in write order, since one may revoke the content of
         // another.
@@ -540,26 +636,31 @@
     fn apply(&mut self, received: &Received, now: Duration) {
         let record = &received.record;
         let applied = self.offsets.get(&record.key);
-        let is_applied = applied.is_some_and(|offset| record.offset <= *offset);
-        let is_change = !is_applied && self.reducer.apply_record(record, received.first_seen, now);
-        if is_applied {
+        let effect = if applied.is_some_and(|offset| record.offset <= *offset) {
             log::info!(
                 topic = self.topic.as_str(), key = record.key.as_str(), offset = record.offset,
                 applied = applied.copied();
                 "record skipped; a later one of its key was applied"
             );
+            Effect::Unchanged
         } else {
             self.offsets.insert(record.key.clone(), record.offset);
-        }
+            self.reducer.apply_record(record, received.first_seen, now)
+        };
         self.links.mirror.send_if_modified(|mirror| {
-            mirror.put(received, is_change);
+            match effect {
+                Effect::Outdated => mirror.put_outdated(received),
+                Effect::Changed | Effect::Unchanged => {
+                    mirror.put(received, effect == Effect::Changed);
+                }
+            }
             // Hosts that wait for changes are woken after the whole reading was applied.
             false
         });
     }
 
     fn caught_up(&mut self, requested_at: Duration, next: u64, now: Duration) {
-        self.next = Some(next);
+        self.next = self.era.map(|era| position(era, next));
         self.requested_at = Some(requested_at);
         self.links
             .mirror
@@ -568,6 +669,13 @@
     }
 }
 
+const fn position(era: Era, offset: u64) -> Position {
+    Position {
+        era,
+        offset: Offset(offset),
+    }
+}
+
 fn warn_of_unreadable(topic: Topic, records: usize) {
     if records > 0 {
         log::warn!(topic = topic.as_str(), records; "unreadable records skipped");
--- a/crates/papayayard_gateway/src/host.rs
+++ b/crates/papayayard_gateway/src/host.rs
@@ -263,7 +263,9 @@
         let codec = self.store.codec.clone();
         let reducer = Operators::new(codec, configuration, last_read, self.schedule.clone());
         let max_pause = self.settings.bounds.configuration / OUTAGE_CALLS;
-        let polling = OPERATORS_POLLING.with_max_outage_pause(max_pause.max(MIN_OUTAGE_PAUSE));
+        let polling = OPERATORS_POLLING
+            .with_max_outage_pause(max_pause.max(MIN_OUTAGE_PAUSE))
+            .with_hosts_first();
         self.follow(Topic::Operators, polling, reducer);
         (configuration_receiver, last_read_receiver)
     }
--- a/crates/papayayard_gateway/src/hosts.rs
+++ b/crates/papayayard_gateway/src/hosts.rs
@@ -14,12 +14,13 @@
 use papayayard_coordination::shutdown::Stage;
 use papayayard_routing::placement::HostCounts;
 use papayayard_wire::id;
+use papayayard_wire::log::Era;
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 use tokio::time;
 
 use crate::call::Caller;
-use crate::follow::{Reducer, Store};
+use crate::follow::{Effect, Reducer, Store};
 use crate::front::StopState;
 use crate::metrics::Metrics;
 use crate::schedule::{Handle, Message};
@@ -33,6 +34,8 @@
 /// several periods without a record.
 const INITIAL_BACKOFF: Duration = Duration::from_secs(1);
 const MAX_BACKOFF: Duration = Duration::from_secs(8);
+/// Time over which hosts spread the writes of their records to a restored store.
+const REWRITE_SPREAD: Duration = Duration::from_secs(1);
 
 /// Content of a host's record.
 #[derive(Debug, Serialize, Deserialize)]
@@ -95,8 +98,9 @@
     pub(crate) metrics: Metrics,
 }
 
-/// Writes this host's record periodically, and as soon as the store answers again if that
-/// failed. Removes it when the host is stopped.
+/// Writes this host's record periodically, as soon as the store answers again if that
+/// failed, and to a restored store, which may have lost it. Removes it when the host is
+/// stopped.
 pub(crate) async fn announce<Platform>(
     store: Store<Platform>,
     own: LocalHost,
@@ -107,13 +111,16 @@
     let mut caller = Caller::new(store.address);
     let value = own.presence();
     let mut recoveries = store.recovery.subscribe();
+    let mut eras = store.eras.subscribe();
+    let mut era = None;
     let mut retry = INITIAL_BACKOFF;
     loop {
         recoveries.disregard();
         let written = write(&store, &mut caller, &own, &value).await;
         let is_missing = written.is_err();
         let pause = match written {
-            Ok(()) => {
+            Ok(written_in) => {
+                era = Some(written_in);
                 retry = INITIAL_BACKOFF;
                 HEARTBEAT_PERIOD
             }
@@ -127,6 +134,7 @@
         tokio::select! {
             _ = stop_state.wait_for(|stop_state| stop_state.stage > Stage::Serving) => break,
             () = recoveries.next(), if is_missing => {}
+            () = restored(&mut eras, era) => {}
             () = time::sleep(pause) => {}
         }
     }
@@ -135,18 +143,30 @@
     }
 }
 
+/// Waits until the store is restored after the era of a write, and for a part of the time
+/// over which hosts spread their writes.
+async fn restored(eras: &mut watch::Receiver<Option<Era>>, written_in: Option<Era>) {
+    let is_newer = |newest: &Option<Era>| written_in.is_some() && *newest > written_in;
+    if eras.wait_for(is_newer).await.is_err() {
+        // Nobody calls the store any more.
+        std::future::pending::<()>().await;
+    }
+    time::sleep(REWRITE_SPREAD.mul_f64(rand::random())).await;
+}
+
+/// Writes a value for this host, and returns the era of the store.
 async fn write<Platform>(
     store: &Store<Platform>,
     caller: &mut Caller,
     own: &LocalHost,
     value: &[u8],
-) -> Result<(), Error>
+) -> Result<Era, Error>
 where
     Platform: Codec,
 {
     let record = (own.host.as_str(), value);
-    store.append(caller, Topic::Hosts, None, record).await?;
-    Ok(())
+    let position = store.append(caller, Topic::Hosts, None, record).await?;
+    Ok(position.era)
 }
 
 impl LocalHost {
@@ -170,6 +190,10 @@
     hosts: HashMap<id::Host, Presence>,
     last_number: usize,
     last_counts: Option<HostCounts>,
+    /// Era of the newest reading.
+    era: Option<Era>,
+    /// Whether the current reading is the first one of a restored store.
+    is_restored: bool,
 }
 
 impl Presences {
@@ -181,6 +205,8 @@
             hosts: HashMap::new(),
             last_number: 0,
             last_counts: None,
+            era: None,
+            is_restored: false,
         }
     }
 
@@ -247,36 +273,51 @@
 }
 
 impl Reducer for Presences {
+    fn begin_reading(&mut self, era: Era, _requested_at: Duration, _now: Duration) {
+        self.is_restored = self.era.is_some_and(|before| before != era);
+        self.era = Some(era);
+    }
+
     fn apply_record(
         &mut self,
         record: &Record,
         _first_seen: Option<Duration>,
         _now: Duration,
-    ) -> bool {
+    ) -> Effect {
         let host = id::Host::from(record.key.as_str());
         let Some(value) = &record.value else {
             self.census.remove(&host);
-            return self.hosts.remove(&host).is_some();
+            return match self.hosts.remove(&host) {
+                Some(_) => Effect::Changed,
+                None => Effect::Unchanged,
+            };
         };
         match store::decode(value) {
             Ok(presence) => {
                 self.census.observe(&host, record.offset);
                 self.hosts.insert(host, presence);
-                true
+                Effect::Changed
             }
             Err(error) => {
                 log::warn!(host:%, error:%; "malformed host record skipped");
-                false
+                Effect::Unchanged
             }
         }
     }
 
     fn retain_keys(&mut self, keys: &HashSet<String>, _now: Duration) {
+        if self.is_restored {
+            // Hosts that are missing write their records again.
+            return;
+        }
         self.census.retain(|host| keys.contains(host.as_str()));
         self.hosts.retain(|host, _| keys.contains(host.as_str()));
     }
 
     fn caught_up(&mut self, _requested_at: Duration, next: u64, _now: Duration) {
+        if self.is_restored {
+            self.census.restore(next);
+        }
         self.publish(next);
     }
 }
--- a/crates/papayayard_gateway/src/mirror.rs
+++ b/crates/papayayard_gateway/src/mirror.rs
@@ -1,12 +1,14 @@
 //! Copy of a topic as read by this host, served to the other hosts of its zone.
 //!
 //! The copy holds the newest record of each key and a bounded number of recent records
-//! that changed something. A host that has followed up to a given offset gets the records
-//! after it.
+//! that changed something. A host that has followed up to a given position gets the records
+//! after it, and all records if the position is of another era.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
+use papayayard_wire::log::{Era, Position};
+
 use crate::store::Record;
 
 /// Number of recent records retained.
@@ -43,7 +45,11 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Mirror {
     newest: BTreeMap<String, Received>,
+    /// Newest records before the full reading that is being applied.
+    replaced: BTreeMap<String, Received>,
     recent: VecDeque<Received>,
+    /// Era of all offsets.
+    era: Era,
     /// Offset from which on `recent` contains all changes.
     floor: u64,
     /// Offset after the last record; `None` before the first reading.
@@ -58,6 +64,8 @@
     /// Whether these are the newest records of all keys.
     pub(crate) is_whole: bool,
     pub(crate) records: Vec<Received>,
+    /// Era of all offsets.
+    pub(crate) era: Era,
     /// Offset from which to continue.
     pub(crate) next: u64,
     /// When the reading that contained the records was requested.
@@ -67,10 +75,21 @@
 impl Mirror {
     /// Clears all records before a full reading, after which the topic continues at
     /// `end`.
-    pub(crate) fn restart(&mut self, end: u64) {
-        self.newest.clear();
+    pub(crate) fn restart(&mut self, end: Position) {
+        self.replaced = std::mem::take(&mut self.newest);
         self.recent.clear();
-        self.floor = end;
+        self.era = end.era;
+        self.floor = end.offset.0;
+    }
+
+    /// Keeps the newer content of a key, at the position of an outdated record.
+    pub(crate) fn put_outdated(&mut self, received: &Received) {
+        let key = &received.record.key;
+        let known = self.newest.get(key).or_else(|| self.replaced.get(key));
+        if let Some(mut known) = known.cloned() {
+            known.record.offset = received.record.offset;
+            self.newest.insert(key.clone(), known);
+        }
     }
 
     /// Applies a record; `is_change` tells whether it changed the reducer's state.
@@ -96,6 +115,12 @@
     pub(crate) fn caught_up(&mut self, next: u64, requested_at: Duration) {
         self.next = Some(next);
         self.requested_at = Some(requested_at);
+        self.replaced.clear();
+    }
+
+    /// Era of the newest reading.
+    pub(crate) const fn era(&self) -> Era {
+        self.era
     }
 
     /// When the newest reading was requested.
@@ -104,8 +129,8 @@
     }
 
     /// Whether there is anything new for a host that has followed up to `from`.
-    pub(crate) fn has_changes(&self, from: Option<u64>) -> bool {
-        let Some(from) = from.filter(|from| *from >= self.floor) else {
+    pub(crate) fn has_changes(&self, from: Option<Position>) -> bool {
+        let Some(from) = self.offset(from).filter(|from| *from >= self.floor) else {
             return self.next.is_some();
         };
         let last = self.recent.back();
@@ -114,10 +139,12 @@
 
     /// Returns the records for a host that has followed up to `from`; `None` before the
     /// first reading.
-    pub(crate) fn part(&self, from: Option<u64>) -> Option<Part> {
+    pub(crate) fn part(&self, from: Option<Position>) -> Option<Part> {
         let next = self.next?;
         let requested_at = self.requested_at?;
-        let known = from.filter(|from| *from >= self.floor && *from <= next);
+        let known = self
+            .offset(from)
+            .filter(|from| *from >= self.floor && *from <= next);
         let records = match known {
             Some(from) => {
                 let recent = self.recent.iter();
@@ -129,10 +156,17 @@
         Some(Part {
             is_whole: known.is_none(),
             records,
+            era: self.era,
             next,
             requested_at,
         })
     }
+
+    /// Offset of a position of this era.
+    fn offset(&self, position: Option<Position>) -> Option<u64> {
+        let position = position.filter(|position| position.era == self.era)?;
+        Some(position.offset.0)
+    }
 }
 
 #[cfg(test)]
--- a/crates/papayayard_gateway/src/orders.rs
+++ b/crates/papayayard_gateway/src/orders.rs
@@ -169,9 +169,12 @@
     /// Applies the newest announcement to the leadership state.
     fn observe_leader(&mut self) {
         let snapshot = self.parts.snapshot.borrow_and_update();
-        if let Some((announcement, offset, at)) = &snapshot.newest {
+        if let Some(end) = snapshot.end {
+            self.leadership.enter_era(end.era, snapshot.era_read_at);
+        }
+        if let Some((announcement, position, at)) = &snapshot.newest {
             let holder = id::Host::from(announcement.holder.as_str());
-            self.leadership.observe(&holder, *offset, *at);
+            self.leadership.observe(&holder, *position, *at);
         }
     }
 
@@ -290,6 +293,7 @@
             away,
             loaded: self.unlisted(),
             named: self.target_ages(now),
+            era: None,
         }
     }
 
@@ -332,12 +336,12 @@
         let Some(end) = self.parts.snapshot.borrow().end else {
             return;
         };
-        let at = self
-            .leadership
-            .last_offset()
-            .map_or(end, |last| end.max(last + 1));
+        let at = self.leadership.append_offset(end);
         let sent = self.parts.clock.now();
-        let announcement = self.announcement(sent);
+        let announcement = Announcement {
+            era: Some(end.era),
+            ..self.announcement(sent)
+        };
         let value = serde_json::to_vec(&announcement).unwrap_or_default();
         let record = (KEY, value.as_slice());
         let store = &self.parts.store;
@@ -346,11 +350,14 @@
             .await;
         let now = self.parts.clock.now();
         match outcome {
-            Ok(offset) => {
+            Ok(position) => {
                 if !self.leadership.was_last_leader() {
-                    log::info!(offset; "this host has the turn at giving orders");
+                    log::info!(
+                        offset = position.offset.0, era = position.era.0;
+                        "this host has the turn at giving orders"
+                    );
                 }
-                self.leadership.appended(offset, sent, now);
+                self.leadership.appended(position, sent, now);
                 apply(&announcement, &self.parts.schedule);
                 self.announced = announcement;
                 self.announced_at = now;
--- a/crates/papayayard_gateway/src/peers.rs
+++ b/crates/papayayard_gateway/src/peers.rs
@@ -18,6 +18,7 @@
 use jsonrpsee::rpc_params;
 use jsonrpsee::server::{Server, ServerConfig, ServerHandle};
 use jsonrpsee::types::ErrorObjectOwned;
+use papayayard_wire::log::{Era, Offset, Position};
 use serde::{Deserialize, Serialize};
 use serde_with::base64::Base64;
 use serde_with::{DurationMilliSeconds, serde_as};
@@ -56,6 +57,9 @@
     topic: String,
     /// Offset up to which the caller has followed; `None` for a full read.
     from: Option<u64>,
+    /// Era of that offset.
+    #[serde(default)]
+    era: Era,
     /// Time to wait for changes.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     wait_ms: Duration,
@@ -65,12 +69,26 @@
     oldest_ms: Duration,
 }
 
+impl Call {
+    /// Position up to which the caller has followed.
+    fn position(&self) -> Option<Position> {
+        let offset = Offset(self.from?);
+        Some(Position {
+            era: self.era,
+            offset,
+        })
+    }
+}
+
 /// Result of a topic read.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 struct Answer {
     /// Whether these are the newest records of all keys.
     is_whole: bool,
     records: Vec<Entry>,
+    /// Era of all offsets.
+    #[serde(default)]
+    era: Era,
     /// Offset from which to continue.
     next: u64,
     /// When the reading was requested, in ms relative to the arrival of the call; usually
@@ -146,6 +164,7 @@
     let mirror = context.mirrors.get(call.topic.as_str());
     let mut mirror = mirror.cloned().ok_or_else(nothing_read)?;
     let arrived = context.clock.now();
+    let from = call.position();
     let newest = mirror.borrow().requested_at();
     // The caller gets an answer no later than when the reading becomes stale for it.
     let until_stale =
@@ -153,13 +172,15 @@
     let wait = call.wait_ms.min(MAX_WAIT);
     let wait = until_stale.map_or(wait, |until_stale| wait.min(until_stale));
     let is_stale = newest.is_some_and(|requested_at| requested_at + call.oldest_ms < arrived);
+    let is_of_older_era = from.is_some_and(|from| mirror.borrow().era() < from.era);
+    let is_useless = is_stale || is_of_older_era;
     let changed = mirror.wait_for(|mirror| {
-        is_stale || mirror.has_changes(call.from) || mirror.requested_at() > newest
+        is_useless || mirror.has_changes(from) || mirror.requested_at() > newest
     });
     if let Ok(Err(_)) = time::timeout(wait, changed).await {
         return Err(nothing_read());
     }
-    let part = mirror.borrow().part(call.from).ok_or_else(nothing_read)?;
+    let part = mirror.borrow().part(from).ok_or_else(nothing_read)?;
     Ok(Answer {
         is_whole: part.is_whole,
         records: part
@@ -167,6 +188,7 @@
             .into_iter()
             .map(|received| Entry::new(received, arrived))
             .collect(),
+        era: part.era,
         next: part.next,
         asked_ms: millis(part.requested_at) - millis(arrived),
     })
@@ -265,19 +287,20 @@
         answer.map_err(|error| error.to_string())
     }
 
-    /// Reads the records of a topic since an offset, and waits for a newer reading for at
+    /// Reads the records of a topic since a position, and waits for a newer reading for at
     /// most `wait`.
     pub(crate) async fn read(
         &self,
         topic: Topic,
-        from: Option<u64>,
+        from: Option<Position>,
         polling: Polling,
         wait: Duration,
         clock: Clock,
     ) -> Result<Part, String> {
         let call = Call {
             topic: topic.as_str().to_owned(),
-            from,
+            from: from.map(|from| from.offset.0),
+            era: from.map_or_else(Era::default, |from| from.era),
             wait_ms: wait,
             oldest_ms: polling.max_age(),
         };
@@ -294,6 +317,7 @@
                 .into_iter()
                 .map(|entry| entry.into_received(called))
                 .collect(),
+            era: answer.era,
             next: answer.next,
             requested_at: shifted(called, answer.asked_ms),
         })
--- a/crates/papayayard_gateway/src/store.rs
+++ b/crates/papayayard_gateway/src/store.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use papayayard_routing::placement::Endpoint;
+use papayayard_routing::listing::Registration;
 use papayayard_routing::table::Table;
 use papayayard_wire::id;
 use papayayard_wire::log::Era;
@@ -92,6 +92,9 @@
     /// The records from the requested offset on have expired.
     #[snafu(display("the records have expired; read the newest of each key instead"))]
     Expired,
+    /// The store was restored from an older copy and assigns the requested offset again.
+    #[snafu(display("the store was restored; read the newest of each key instead"))]
+    Restored,
     /// The topic does not end at the offset that the append required.
     #[snafu(display("the topic ends at {end}; read on to there before appending again"))]
     Moved {
@@ -184,5 +187,5 @@
     fn published(&self, key: &str, value: &[u8]) -> Result<Published, Error>;
 
     /// Decodes an endpoint's own record.
-    fn endpoint(&self, key: &str, value: &[u8]) -> Result<Endpoint, Error>;
+    fn endpoint(&self, key: &str, value: &[u8]) -> Result<Registration, Error>;
 }
--- a/crates/papayayard_routing/tests/listing.rs
+++ b/crates/papayayard_routing/tests/listing.rs
@@ -3,11 +3,15 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use papayayard_routing::listing::Listing;
+use papayayard_routing::listing::{Listing, Put, Registration};
 use papayayard_routing::placement::Endpoint;
 use papayayard_wire::id;
+use papayayard_wire::log::Era;
 
 const NOW: Duration = Duration::from_secs(100);
+const ERA: Era = Era(1);
+/// Era after the store was restored from an older copy.
+const RESTORED: Era = Era(2);
 
 fn endpoint(name: &str) -> Endpoint {
     Endpoint {
@@ -22,11 +26,24 @@
     }
 }
 
+fn registration(name: &str, heartbeat: u64) -> Registration {
+    Registration {
+        endpoint: endpoint(name),
+        heartbeat,
+    }
+}
+
+fn leaving(name: &str, heartbeat: u64) -> Registration {
+    let mut registration = registration(name, heartbeat);
+    registration.endpoint.leaving = true;
+    registration
+}
+
 fn listing() -> Listing {
     let mut listing = Listing::default();
-    listing.record_read(NOW, NOW);
-    assert!(listing.put(endpoint("one")));
-    assert!(listing.put(endpoint("two")));
+    listing.record_read(ERA, NOW, NOW);
+    assert_eq!(listing.put(registration("one", 1)), Put::Changed);
+    assert_eq!(listing.put(registration("two", 1)), Put::Changed);
     listing
 }
 
@@ -44,7 +61,7 @@
 fn a_removed_key_is_unlisted_at_once() {
     let mut listing = listing();
     let now = NOW + Duration::from_millis(500);
-    listing.record_read(now, now);
+    listing.record_read(ERA, now, now);
     listing.remove_record(&id::Endpoint::from("one"), now);
     assert_eq!(names(&mut listing, now), ["two"]);
 }
@@ -52,10 +69,8 @@
 #[test]
 fn an_unchanged_record_is_no_change() {
     let mut listing = listing();
-    assert!(!listing.put(endpoint("one")));
-    let mut leaving = endpoint("one");
-    leaving.leaving = true;
-    assert!(listing.put(leaving));
+    assert_eq!(listing.put(registration("one", 2)), Put::Unchanged);
+    assert_eq!(listing.put(leaving("one", 3)), Put::Changed);
 }
 
 /// The store is unavailable for 5 s; records expire there although their endpoints
@@ -64,14 +79,14 @@
 fn records_that_expired_during_an_outage_have_two_seconds_to_return() {
     let mut listing = listing();
     let back = NOW + Duration::from_secs(5);
-    listing.record_read(back, back);
+    listing.record_read(ERA, back, back);
     listing.remove_missing(|_| false, back);
     assert_eq!(names(&mut listing, back), ["one", "two"]);
     let soon = back + Duration::from_millis(900);
-    listing.record_read(soon, soon);
-    listing.put(endpoint("one"));
+    listing.record_read(ERA, soon, soon);
+    listing.put(registration("one", 2));
     let later = back + Duration::from_secs(2);
-    listing.record_read(later, later);
+    listing.record_read(ERA, later, later);
     assert_eq!(names(&mut listing, later), ["one"]);
 }
 
@@ -82,9 +97,66 @@
 fn an_old_read_of_another_host_does_not_end_an_outage() {
     let mut listing = listing();
     let during = NOW + Duration::from_secs(4);
-    listing.record_read(NOW + Duration::from_secs(1), during);
+    listing.record_read(ERA, NOW + Duration::from_secs(1), during);
     let back = NOW + Duration::from_secs(5);
-    listing.record_read(back, back);
+    listing.record_read(ERA, back, back);
     listing.remove_missing(|_| false, back);
     assert_eq!(names(&mut listing, back), ["one", "two"]);
 }
+
+/// Requests went to an endpoint that had announced its end, since a copy of the store showed
+/// it as ready again.
+#[test]
+fn a_leaving_endpoint_does_not_return_from_an_older_copy() {
+    let mut listing = listing();
+    listing.put(leaving("one", 9));
+    let back = NOW + Duration::from_secs(3);
+    listing.record_read(RESTORED, back, back);
+    assert_eq!(listing.put(registration("one", 4)), Put::Outdated);
+    assert_eq!(listing.put(registration("one", 5)), Put::Outdated);
+    assert!(listing.endpoints(back).iter().any(|one| one.leaving));
+    assert_eq!(
+        listing.put(registration("one", 10)),
+        Put::Changed,
+        "the endpoint has changed its mind"
+    );
+}
+
+#[test]
+fn a_removed_endpoint_does_not_return_from_an_older_copy() {
+    let mut listing = listing();
+    listing.put(registration("one", 7));
+    listing.remove_record(&id::Endpoint::from("one"), NOW);
+    let back = NOW + Duration::from_secs(1);
+    listing.record_read(RESTORED, back, back);
+    assert_eq!(listing.put(registration("one", 4)), Put::Outdated);
+    assert_eq!(names(&mut listing, back), ["two"]);
+    assert_eq!(
+        listing.put(registration("one", 8)),
+        Put::Changed,
+        "the endpoint lives"
+    );
+    let mut restarted = registration("two", 1);
+    restarted.endpoint.started = id::Incarnation(2);
+    assert_eq!(listing.put(restarted), Put::Changed);
+}
+
+/// Endpoints that had registered in the lost time were dropped until they wrote again.
+#[test]
+fn endpoints_that_a_copy_lacks_are_kept_until_they_write_again() {
+    let mut listing = listing();
+    let back = NOW + Duration::from_millis(300);
+    listing.record_read(RESTORED, back, back);
+    listing.remove_missing(|id| id.as_str() == "two", back);
+    assert_eq!(names(&mut listing, back), ["one", "two"]);
+    let late = back + Duration::from_secs(2);
+    assert_eq!(names(&mut listing, late), ["two"], "it wrote no more");
+}
+
+/// Within an era the order of the store decides, whatever an endpoint counts.
+#[test]
+fn records_of_one_era_are_applied_in_order() {
+    let mut listing = listing();
+    listing.put(leaving("one", 9));
+    assert_eq!(listing.put(registration("one", 1)), Put::Changed);
+}
