Streams go on only at the version of the software that began them

Cause: the software version in an endpoint's record was decoded and dropped, so neither placement nor the relay could compare it, and `Resumes` was not read.

Change: a placement may require a version, for this host and for a dispatcher. From its first event on a stream requires the version of the endpoint that sent it. For a caller that takes a stream up, hosts remember the version by account and request; while several versions can have begun a stream, each is told to a few hosts of the zone and of others, which are asked at a resumption. A stream that nobody remembers goes on only if a single version has served for two timeouts of its route; else it is refused at once, as not run.

Ruled out: a host's own memory alone, since callers come to other hosts when theirs has ended, and the versions that are listed, since the one that began a stream may just have left.

--- a/crates/papayayard_coordination/src/lib.rs
+++ b/crates/papayayard_coordination/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod lease;
 pub mod membership;
 pub mod order;
+pub mod origin;
 pub mod pace;
 pub mod presence;
 pub mod ranking;
--- /dev/null
+++ b/crates/papayayard_coordination/tests/origin_test.rs
@@ -0,0 +1,107 @@
+//! Which version of the software began a stream, and what is known without a record.
+
+use std::time::Duration;
+
+use papayayard_coordination::origin::{Origins, Possible, Releases, Stream};
+use papayayard_wire::id;
+use rstest::rstest;
+
+const NOW: Duration = Duration::from_secs(100);
+/// Longest life of a stream.
+const LIFE: Duration = Duration::from_secs(10);
+
+fn stream(account: &str, request: &str) -> Stream {
+    Stream::new(
+        Some(&id::Account::from(account)),
+        &id::Request::from(request),
+    )
+}
+
+fn software(name: &str) -> id::Software {
+    id::Software::from(name)
+}
+
+fn list(releases: &mut Releases, versions: &[&str], now: Duration) {
+    let service = id::Service::from("engines");
+    let versions: Vec<id::Software> = versions.iter().map(|name| software(name)).collect();
+    releases.update(versions.iter().map(|version| (&service, version)), now);
+}
+
+fn possible(releases: &Releases, now: Duration) -> Possible {
+    releases.possible(&id::Service::from("engines"), LIFE, now)
+}
+
+fn one(name: &str) -> Possible {
+    Possible::One(software(name))
+}
+
+#[test]
+fn the_first_record_of_a_stream_counts() {
+    let mut origins = Origins::default();
+    origins.record(stream("a", "1"), software("old"), NOW);
+    origins.record(stream("a", "1"), software("new"), NOW);
+    assert_eq!(origins.get(stream("a", "1")), Some(&software("old")));
+}
+
+#[test]
+fn streams_of_other_accounts_are_not_known() {
+    let mut origins = Origins::default();
+    origins.record(stream("a", "1"), software("old"), NOW);
+    assert_eq!(origins.get(stream("b", "1")), None);
+}
+
+#[test]
+fn the_oldest_streams_are_forgotten_first() {
+    let mut origins = Origins::default();
+    let number = 40_000;
+    for index in 0..number {
+        origins.record(stream("a", &index.to_string()), software("old"), NOW);
+    }
+    assert_eq!(origins.get(stream("a", "0")), None);
+    let last = stream("a", &(number - 1).to_string());
+    assert!(origins.get(last).is_some());
+    let later = NOW + Duration::from_mins(3);
+    origins.record(stream("a", "later"), software("old"), later);
+    assert_eq!(origins.get(last), None);
+}
+
+/// After a restart of all hosts, streams of a version that had just left went on at the only
+/// one listed.
+#[test]
+fn a_host_that_has_just_started_knows_no_sole_version() {
+    let mut releases = Releases::default();
+    list(&mut releases, &["new"], NOW);
+    assert_eq!(possible(&releases, NOW), Possible::Unknown);
+    assert_eq!(possible(&releases, NOW + LIFE / 2), Possible::Unknown);
+    assert_eq!(possible(&releases, NOW + LIFE), one("new"));
+}
+
+#[test]
+fn a_version_counts_for_as_long_as_its_streams_live() {
+    let mut releases = Releases::default();
+    list(&mut releases, &["old"], NOW);
+    let released = NOW + LIFE * 2;
+    assert_eq!(possible(&releases, released), one("old"));
+    list(&mut releases, &["old", "new"], released);
+    assert_eq!(possible(&releases, released + LIFE * 2), Possible::Several);
+    let replaced = released + LIFE * 3;
+    list(&mut releases, &["new"], replaced);
+    assert_eq!(possible(&releases, replaced + LIFE / 2), Possible::Several);
+    assert_eq!(possible(&releases, replaced + LIFE), one("new"));
+}
+
+/// A host that had just started and listed two versions believed one that still listed one.
+#[rstest]
+#[case::neither_knows(Possible::Unknown, Possible::Unknown, Possible::Unknown)]
+#[case::one_has_just_started(Possible::Unknown, one("a"), one("a"))]
+#[case::one_knows_more(one("a"), Possible::Several, Possible::Several)]
+#[case::they_differ(one("a"), one("b"), Possible::Several)]
+#[case::they_agree(one("a"), one("a"), one("a"))]
+fn the_host_that_knows_more_versions_is_right(
+    #[case] left: Possible,
+    #[case] right: Possible,
+    #[case] both: Possible,
+) {
+    assert_eq!(left.clone().and(right.clone()), both);
+    assert_eq!(right.and(left), both);
+}
--- a/crates/papayayard_gateway/src/dispatch.rs
+++ b/crates/papayayard_gateway/src/dispatch.rs
@@ -129,6 +129,11 @@
                     self.state().answered(&link, answer.elsewhere.as_ref());
                     self.set_limits(answer.limits, requested_at);
                     if let Some(decision) = answer.decision {
+                        if !decision.fits(&query) {
+                            // An older release places by other needs.
+                            link.notify(number, message::Event::Abandoned);
+                            break;
+                        }
                         self.0.metrics.dispatched("dispatcher");
                         return self.adopt(query, number, decision, link).await;
                     }
--- a/crates/papayayard_gateway/src/dispatch/message.rs
+++ b/crates/papayayard_gateway/src/dispatch/message.rs
@@ -135,6 +135,9 @@
     deadline_ms: Duration,
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     waited_ms: Duration,
+    /// Version of the software that must serve the request, if it continues a stream.
+    #[serde(default)]
+    software: Option<id::Software>,
     tried: Vec<String>,
     avoided: Vec<String>,
 }
@@ -176,6 +179,8 @@
 pub(super) struct Placed {
     endpoint: String,
     address: SocketAddr,
+    #[serde(default)]
+    software: Option<id::Software>,
     version: Option<u64>,
     salt: Option<String>,
     fetch: Option<SocketAddr>,
@@ -285,6 +290,7 @@
             target_latency_ms: query.target_latency,
             deadline_ms: query.deadline.saturating_sub(now),
             waited_ms: query.waited,
+            software: query.software.clone(),
             tried: names(&query.tried),
             avoided: names(&query.avoided),
         }
@@ -312,6 +318,7 @@
             target_latency: self.target_latency_ms,
             deadline: now + self.deadline_ms,
             waited: self.waited_ms,
+            software: self.software,
             tried: endpoints(self.tried),
             avoided: endpoints(self.avoided),
         }
@@ -334,6 +341,7 @@
         Self {
             endpoint: placement.endpoint.as_str().to_owned(),
             address: placement.address,
+            software: placement.software,
             version: placement.version,
             salt: placement.salt,
             fetch: placement.fetch,
@@ -351,6 +359,7 @@
             ticket: Ticket::default(),
             endpoint: id::Endpoint::from(self.endpoint),
             address: self.address,
+            software: self.software,
             version: self.version,
             salt: self.salt,
             fetch: self.fetch,
@@ -363,6 +372,16 @@
     }
 }
 
+impl Decision {
+    /// Whether a placement is at an endpoint with the software that the request needs.
+    pub(super) fn fits(&self, query: &Query) -> bool {
+        match self {
+            Self::Placed(placed) => query.software.is_none() || placed.software == query.software,
+            Self::Refused(_) => true,
+        }
+    }
+}
+
 impl Refusal {
     pub(super) fn new(
         reason: RefusalReason,
--- a/crates/papayayard_gateway/src/exchange.rs
+++ b/crates/papayayard_gateway/src/exchange.rs
@@ -29,6 +29,8 @@
     pub prompt: Option<Prompt>,
     /// Last event that the caller received, if it resumes a stream.
     pub position: Option<u64>,
+    /// Request that brought the first event of that stream, if stated.
+    pub resumes: Option<id::Request>,
 }
 
 /// A header cannot be parsed.
--- a/crates/papayayard_gateway/src/host.rs
+++ b/crates/papayayard_gateway/src/host.rs
@@ -35,7 +35,8 @@
 use crate::settings::Settings;
 use crate::store::Topic;
 use crate::{
-    dispatch, ends, era, exchange, feeds, hosts, listen, operators, orders, peers, schedule, store,
+    dispatch, ends, era, exchange, feeds, hosts, listen, operators, orders, origins, peers,
+    schedule, store,
 };
 
 /// Age of a target version up to which older weights do not add to the placement cost.
@@ -106,10 +107,11 @@
     let (configuration, last_read) = parts.follow_operators();
     let endpoints = parts.follow_endpoints();
     let dispatch = parts.dispatch();
+    let origins = parts.track_origins(&endpoints);
     parts.order_weights(&configuration, &endpoints, &dispatch);
     let changes = parts.follow_caches(&configuration, &endpoints, &hosts, &dispatch);
     let crashes = parts.track_crashes(&endpoints);
-    parts.serve_peers(sockets.peers, changes, dispatch.handler())?;
+    parts.serve_peers(sockets.peers, changes, dispatch.handler(), origins.clone())?;
     parts.controllers.spawn(sweep(pool.clone()));
     let revocation = parts.settings.bounds.revocation;
     parts.controllers.spawn(operators::serve(
@@ -147,6 +149,7 @@
         hosts,
         budget: Arc::new(Mutex::new(retry_budget::Budget::new(retries))),
         crashes,
+        origins,
         metrics: parts.metrics.clone(),
     };
     let open = TaskTracker::new();
@@ -318,6 +321,17 @@
         crashes
     }
 
+    fn track_origins(&mut self, endpoints: &watch::Receiver<Vec<Endpoint>>) -> origins::Tracker {
+        let (tracker, telling) = origins::start(origins::Parts {
+            host: self.settings.host.clone(),
+            clock: self.store.clock,
+            neighbours: self.neighbours.clone(),
+            endpoints: endpoints.clone(),
+        });
+        self.controllers.spawn(telling);
+        tracker
+    }
+
     fn dispatch(&mut self) -> Dispatch {
         let dispatch = Dispatch::new(dispatch::Parts {
             local: self.local_host(),
@@ -359,12 +373,14 @@
         listener: std::net::TcpListener,
         changes: watch::Receiver<ChangeLog>,
         handler: Handler,
+        origins: origins::Tracker,
     ) -> Result<(), Error> {
         let address = self.settings.peers;
         let context = peers::Context {
             mirrors: std::mem::take(&mut self.mirrors),
             caches: changes,
             desk: handler,
+            origins,
             clock: self.store.clock,
         };
         let served = peers::serve(listener, context);
--- a/crates/papayayard_gateway/src/job.rs
+++ b/crates/papayayard_gateway/src/job.rs
@@ -8,7 +8,7 @@
 use papayayard_routing::blame::Subjects;
 use papayayard_routing::placement::Query;
 use papayayard_routing::prompt::Prompt;
-use papayayard_routing::table::{Account, Route};
+use papayayard_routing::table::{Account, Kind, Route};
 use papayayard_wire::id;
 
 /// Least urgent priority, where 0 is the most urgent; larger values are capped to it.
@@ -35,6 +35,10 @@
     pub(crate) prompt: Option<Arc<Prompt>>,
     /// Last event that the caller received.
     pub(crate) position: Option<u64>,
+    /// Request that brought the first event of the stream, if the caller resumes one.
+    pub(crate) resumes: Option<id::Request>,
+    /// Version of the software that began the stream; `None` before the first event.
+    pub(crate) software: Option<id::Software>,
     /// Time by which the response should begin.
     pub(crate) target: Duration,
     /// Time by which the response must be complete.
@@ -42,6 +46,12 @@
 }
 
 impl Job {
+    /// Last event that the caller has, if the stream may go on after it.
+    pub(crate) fn resumed_position(&self) -> Option<u64> {
+        let is_resumable = matches!(self.route.kind, Kind::Stream { resumable: true });
+        self.position.filter(|_| is_resumable)
+    }
+
     /// Priority of the account, else of the route; 0 is the most urgent.
     pub(crate) fn priority(&self) -> u8 {
         let of_account = self.account.as_ref().and_then(|account| account.priority);
@@ -65,6 +75,7 @@
             target_latency: self.route.target_latency,
             deadline: self.deadline,
             waited: Duration::ZERO,
+            software: self.software.clone(),
             tried: tried.to_vec(),
             avoided: Vec::new(),
         }
--- a/crates/papayayard_gateway/src/lib.rs
+++ b/crates/papayayard_gateway/src/lib.rs
@@ -38,6 +38,7 @@
 mod mirror;
 mod operators;
 mod orders;
+mod origins;
 mod peers;
 mod pool;
 mod pump;
--- a/crates/papayayard_gateway/src/peers.rs
+++ b/crates/papayayard_gateway/src/peers.rs
@@ -30,12 +30,17 @@
 use crate::dispatch::{DispatchAnswer, DispatchCall, Handler};
 use crate::follow::Polling;
 use crate::mirror::{Mirror, Part, Received};
+use crate::origins;
 use crate::store::{Record, Topic};
 
 /// Method that reads a topic.
 const READ: &str = "read";
 /// Method that reads cache changes.
 const CACHES: &str = "caches";
+/// Method that tells of streams that began.
+const BEGAN: &str = "began";
+/// Method that asks for the version that began a stream.
+const ORIGIN: &str = "origin";
 /// Method that requests a placement and reports the outcomes of earlier ones.
 const DISPATCH: &str = "dispatch";
 /// JSON-RPC error code for a topic that was not read yet.
@@ -121,6 +126,8 @@
     pub(crate) caches: watch::Receiver<ChangeLog>,
     /// Handler of placement requests.
     pub(crate) desk: Handler,
+    /// Streams that began on this host and on others.
+    pub(crate) origins: origins::Tracker,
     pub(crate) clock: Clock,
 }
 
@@ -156,6 +163,18 @@
             Ok::<_, ErrorObjectOwned>(context.desk.answer(call).await)
         })
         .expect("a new module has no method of this name");
+    module
+        .register_async_method(BEGAN, |params, context, _| async move {
+            context.origins.told(params.one::<Vec<origins::Origin>>()?);
+            Ok::<_, ErrorObjectOwned>(())
+        })
+        .expect("a new module has no method of this name");
+    module
+        .register_async_method(ORIGIN, |params, context, _| async move {
+            let question = params.one::<origins::Question>()?;
+            Ok::<_, ErrorObjectOwned>(context.origins.answer(&question))
+        })
+        .expect("a new module has no method of this name");
     let handle: ServerHandle = server.start(module);
     Ok(handle.stopped())
 }
@@ -277,6 +296,21 @@
         answer.map_err(|error| error.to_string())
     }
 
+    /// Tells the host of streams that began.
+    pub(crate) async fn began(&self, batch: &[origins::Origin]) -> Result<(), String> {
+        let answer = self.client.request(BEGAN, rpc_params![batch]).await;
+        answer.map_err(|error| error.to_string())
+    }
+
+    /// Asks for the version that began a stream.
+    pub(crate) async fn origin(
+        &self,
+        question: origins::Question,
+    ) -> Result<origins::Answer, String> {
+        let answer = self.client.request(ORIGIN, rpc_params![question]).await;
+        answer.map_err(|error| error.to_string())
+    }
+
     /// Reads cache changes since a number.
     pub(crate) async fn caches(&self, since: u64, wait: Duration) -> Result<Batch, String> {
         let call = CachesCall {
--- a/crates/papayayard_gateway/src/pump.rs
+++ b/crates/papayayard_gateway/src/pump.rs
@@ -1,8 +1,8 @@
 //! Forwards a stream's events to the caller as they arrive.
 //!
 //! Only complete events with increasing ids are forwarded. If a stream fails and its route
-//! allows it, another endpoint resumes after the last forwarded event, within the same
-//! response; otherwise the response is cut. A resumed stream must have the status and the
+//! allows it, another endpoint with the same version of the software resumes after the last
+//! forwarded event, within the same response; otherwise the response is cut. A resumed stream must have the status and the
 //! media type of the head that the caller has; any other response is an error. A stream
 //! has an event at least, and does not end where an event has begun.
 //!
@@ -64,8 +64,8 @@
     let (sender, receiver) = mpsc::channel(CHANNEL_CAPACITY);
     let pump = Pump {
         head: upstream.response.head.clone(),
-        splitter: Splitter::after(first_position(&job)),
-        is_event_due: first_position(&job).is_none() && !attempt::has_no_body(&job.method),
+        splitter: Splitter::after(job.resumed_position()),
+        is_event_due: job.resumed_position().is_none() && !attempt::has_no_body(&job.method),
         relay,
         job,
         history,
@@ -228,7 +228,9 @@
     async fn pass(&mut self, upstream: &mut Upstream, events: Bytes) -> Result<(), End> {
         if !self.has_begun {
             self.has_begun = true;
-            self.relay.record_first_event(&self.job);
+            let software = upstream.placement.software.as_ref();
+            self.relay.record_first_event(&self.job, software);
+            self.job.software = software.cloned();
         }
         upstream.permit.record_event();
         upstream.watch.mark_begun();
@@ -271,7 +273,10 @@
     }
 
     fn can_resume(&self) -> bool {
+        // Nothing tells what may continue a stream that an unknown version has begun.
+        let is_origin_known = !self.has_begun || self.job.software.is_some();
         matches!(self.job.route.kind, Kind::Stream { resumable: true })
+            && is_origin_known
             && self.history.runs < self.job.route.attempts
     }
 
@@ -368,12 +373,6 @@
     }
 }
 
-/// Last event that the caller has, if the stream goes on after it.
-fn first_position(job: &Job) -> Option<u64> {
-    let is_resumed = matches!(job.route.kind, Kind::Stream { resumable: true });
-    job.position.filter(|_| is_resumed)
-}
-
 /// Whether a response has the status and the media type of the stream's first one.
 fn continues(first: &Parts, next: &Parts) -> bool {
     next.status == first.status && media_type(next) == media_type(first)
--- a/crates/papayayard_gateway/src/relay.rs
+++ b/crates/papayayard_gateway/src/relay.rs
@@ -26,6 +26,7 @@
 use crate::hop;
 use crate::job::Job;
 use crate::metrics::Metrics;
+use crate::origins;
 use crate::pump;
 use crate::refusal::{Refusal, millis};
 
@@ -62,6 +63,8 @@
     pub(crate) budget: Arc<Mutex<retry_budget::Budget>>,
     /// Detects endpoint crashes and quarantines requests.
     pub(crate) crashes: CrashTracker,
+    /// Knows which version of the endpoints' software began a stream.
+    pub(crate) origins: origins::Tracker,
     pub(crate) metrics: Metrics,
 }
 
@@ -102,12 +105,37 @@
             }
         };
         let id = request_head.id.clone();
-        match self.admit(head, body, request_head, received).await {
+        let admitted = match self.admit(head, body, request_head, received).await {
+            Ok(job) => self.resolve_origin(job).await,
+            Err(refusal) => Err(refusal),
+        };
+        match admitted {
             Ok(job) => self.run(job).await,
             Err(refusal) => self.refuse(id.as_ref(), &refusal),
         }
     }
 
+    /// Finds out which version of the software may continue the stream that a caller resumes.
+    async fn resolve_origin(&self, job: Job) -> Result<Job, Refusal> {
+        if job.resumed_position().is_none() {
+            return Ok(job);
+        }
+        let software = self.origins.find(&job).await;
+        let resumes = job.resumes.as_ref().map_or("", id::Request::as_str);
+        let found = software.as_ref().map_or("", id::Software::as_str);
+        log::info!(
+            request:% = job.id, resumes, software = found, position = job.position;
+            "stream resumed by its caller"
+        );
+        if software.is_some() {
+            return Ok(Job { software, ..job });
+        }
+        let message = "the stream cannot go on, since the version that began it is not known; \
+                       send the request without a position";
+        let left = job.deadline.saturating_sub(self.clock.now());
+        Err(Refusal::not_run(Kind::NoEndpoint, message).after(left))
+    }
+
     async fn run(&self, job: Job) -> Response<Body> {
         let mut history = History::default();
         let mut error = None;
@@ -383,7 +411,10 @@
         Ok(response)
     }
 
-    pub(crate) fn record_first_event(&self, job: &Job) {
+    pub(crate) fn record_first_event(&self, job: &Job, software: Option<&id::Software>) {
+        if let Some(software) = software.filter(|_| job.resumed_position().is_none()) {
+            self.origins.record(job, software);
+        }
         let received = job.target.saturating_sub(job.route.target_latency);
         let time = self.clock.now().saturating_sub(received);
         self.metrics.first_event(time);
--- a/crates/papayayard_gateway/src/relay/admit.rs
+++ b/crates/papayayard_gateway/src/relay/admit.rs
@@ -89,6 +89,8 @@
             account,
             prompt: request_head.prompt.map(Arc::new),
             position: request_head.position,
+            resumes: request_head.resumes,
+            software: None,
             target: received + route.target_latency,
             deadline,
             route,
--- a/crates/papayayard_routing/src/placement/backend.rs
+++ b/crates/papayayard_routing/src/placement/backend.rs
@@ -25,6 +25,8 @@
     pub address: SocketAddr,
     /// Availability zone.
     pub zone: id::Zone,
+    /// Version of the endpoint's software, not of its weights.
+    pub software: id::Software,
     /// Requests that run concurrently.
     pub slots: u32,
     /// Loaded version of the weights of each model.
--- a/crates/papayayard_routing/src/placement/place.rs
+++ b/crates/papayayard_routing/src/placement/place.rs
@@ -38,6 +38,7 @@
             ticket: Ticket::default(),
             endpoint: self.backends[candidate.key].endpoint.id.clone(),
             address: self.backends[candidate.key].endpoint.address,
+            software: Some(self.backends[candidate.key].endpoint.software.clone()),
             version: None,
             salt: None,
             fetch: None,
@@ -73,7 +74,7 @@
     }
 
     /// Records a placement made by another host, so that this host knows its own load if it has
-    /// to place requests by itself; `None` if the endpoint is unknown here.
+    /// to place requests by itself; `None` if the endpoint is unknown here, or does not fit.
     pub fn record_placement(
         &mut self,
         query: &Query,
@@ -81,6 +82,9 @@
         now: Duration,
     ) -> Option<Ticket> {
         let key = self.by_id.get(&placement.endpoint).copied()?;
+        if !query.fits(&self.backends[key].endpoint) {
+            return None;
+        }
         if let Some(prompt) = &query.prompt {
             let prefill = self.prefill(&query.service);
             self.demand.record(prompt, prefill, now);
--- a/crates/papayayard_routing/src/placement/query.rs
+++ b/crates/papayayard_routing/src/placement/query.rs
@@ -6,6 +6,7 @@
 
 use papayayard_wire::id;
 
+use super::backend::Endpoint;
 use crate::prompt;
 
 slotmap::new_key_type! {
@@ -41,12 +42,24 @@
     pub deadline: Duration,
     /// Time for which the request has already waited for placement.
     pub waited: Duration,
+    /// Version of the software that began the stream, if the request continues one: no other
+    /// version can.
+    pub software: Option<id::Software>,
     /// Endpoints at which this request has failed.
     pub tried: Vec<id::Endpoint>,
     /// Endpoints that the sending host cannot reach, or that requested a backoff from it.
     pub avoided: Vec<id::Endpoint>,
 }
 
+impl Query {
+    /// Whether an endpoint is of the service, and of the software that the request needs.
+    pub(super) fn fits(&self, endpoint: &Endpoint) -> bool {
+        let software = self.software.as_ref();
+        endpoint.service == self.service
+            && software.is_none_or(|software| endpoint.software == *software)
+    }
+}
+
 /// Where a request is to run.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Placement {
@@ -54,6 +67,8 @@
     pub ticket: Ticket,
     pub endpoint: id::Endpoint,
     pub address: SocketAddr,
+    /// Version of the endpoint's software; `None` if an older release placed the request.
+    pub software: Option<id::Software>,
     /// Version of the weights that the request starts on.
     pub version: Option<u64>,
     /// Cache salt of the prompt parts that the request may use and add to.
--- a/crates/papayayard_routing/src/placement/select.rs
+++ b/crates/papayayard_routing/src/placement/select.rs
@@ -48,7 +48,7 @@
         let mut endpoints = self
             .backends
             .values()
-            .filter(|backend| backend.endpoint.service == query.service && !backend.is_leaving())
+            .filter(|backend| query.fits(&backend.endpoint) && !backend.is_leaving())
             .peekable();
         if endpoints.peek().is_none() {
             return RefusalReason::NoEndpoint;
@@ -80,7 +80,7 @@
         query: &'a Query,
     ) -> impl Iterator<Item = &'a Backend> {
         self.backends.values().filter(|backend| {
-            backend.endpoint.service == query.service
+            query.fits(&backend.endpoint)
                 && !backend.is_leaving()
                 && !query.tried.contains(&backend.endpoint.id)
         })
@@ -98,7 +98,7 @@
         let connections = service.map_or(u32::MAX, |service| service.max_connections);
         let share = f64::from(connections) / float(self.schedulers);
         let usable = self.backends.iter().filter(|(_, backend)| {
-            backend.endpoint.service == query.service
+            query.fits(&backend.endpoint)
                 && !query.tried.contains(&backend.endpoint.id)
                 && !query.avoided.contains(&backend.endpoint.id)
                 && backend.is_usable(now)
--- a/crates/papayayard_routing/tests/listing.rs
+++ b/crates/papayayard_routing/tests/listing.rs
@@ -20,6 +20,7 @@
         service: id::Service::from("app"),
         address: "10.0.0.1:80".parse().unwrap(),
         zone: id::Zone::from("a"),
+        software: id::Software::from("v1"),
         slots: 6,
         weights: HashMap::new(),
         leaving: false,
--- a/crates/papayayard_routing/tests/placement/support.rs
+++ b/crates/papayayard_routing/tests/placement/support.rs
@@ -33,6 +33,7 @@
         service: id::Service::from("engines"),
         address: "10.0.0.1:80".parse().unwrap(),
         zone: id::Zone::from(zone),
+        software: id::Software::from("v1"),
         slots: 64,
         weights: HashMap::from([(model(), version)]),
         leaving: false,
@@ -149,6 +150,7 @@
         target: now + ms(500),
         target_latency: ms(500),
         deadline: now + ms(5000),
+        software: None,
         tried: Vec::new(),
     }
 }
--- a/crates/papayayard_wire/src/id.rs
+++ b/crates/papayayard_wire/src/id.rs
@@ -72,6 +72,10 @@
     /// A version of a model's weights.
     Version
 );
+text_id!(
+    /// A version of an endpoint's software; versions have no order.
+    Software
+);
 text_id!(
     /// A caller's idempotency key.
     Key
