Stop: requests that are taken late end before running ones are cut

Here a late request is taken only if its deadline lies before the cut, but it could lie right at it: a request that its endpoint had not answered by then would have been told so at the moment in which the process ends.

--- a/crates/papayayard_coordination/src/shutdown.rs
+++ b/crates/papayayard_coordination/src/shutdown.rs
@@ -8,9 +8,11 @@
 use std::time::Duration;
 
 /// Fractions of the time limit: until idle connections close, until no new connections
-/// are accepted, and until running requests are cut.
+/// are accepted, until the last deadline of requests that are accepted late, and until running
+/// requests are cut. A request that fails at its deadline is answered between the last two.
 const CLOSING_FRACTION: f64 = 0.33;
 const CLOSED_FRACTION: f64 = 0.7;
+const DEADLINE_FRACTION: f64 = 0.94;
 const CUTOFF_FRACTION: f64 = 0.96;
 
 /// Progress of a stop.
@@ -60,6 +62,7 @@
 
     /// Whether to accept a request that may last until its deadline.
     pub fn accepts(&self, deadline: Duration, now: Duration) -> bool {
-        now < self.stage_start(Stage::Closing) || deadline <= self.cutoff()
+        let last_deadline = self.requested_at + self.max_duration.mul_f64(DEADLINE_FRACTION);
+        now < self.stage_start(Stage::Closing) || deadline <= last_deadline
     }
 }
