Leadership: a leader goes on at once in a restored log within its lease

A leader whose last append was sent within the lease needs no wait: the others wait longer than that after its records before they lead, and an append by one that has not read them fails.

`the_leader_goes_on_in_a_restored_log_within_its_lease` failed before; a leader that has lost leadership to another host still waits.

--- a/crates/papayayard_coordination/src/leadership.rs
+++ b/crates/papayayard_coordination/src/leadership.rs
@@ -11,7 +11,8 @@
 //! A log that is restored from an older copy begins a new era: it may have lost the record
 //! of a leader whose term still runs, and assigns offsets again. So a term ends with its
 //! era, nobody acquires leadership before the orders of a lost one are a lease old, and
-//! fencing numbers are ordered by the era first.
+//! fencing numbers are ordered by the era first. A leader whose last record is younger than
+//! the lease goes on at once, since nobody else can have led since.
 //!
 //! Not every endpoint compares fencing numbers, so the leader itself has to ensure that
 //! none of its orders arrives late. A [`Permit`] limits when an order may be sent and
@@ -101,7 +102,9 @@
         }
         // The log may have lost a record that this host has not read either. A log of the
         // lowest era was never restored.
-        if era > Era::default() {
+        let lease = self.lease;
+        let was_sole_leader = self.term.is_some_and(|term| now < term.since + lease);
+        if era > Era::default() && !was_sole_leader {
             self.acquire_after = now + takeover_delay(self.lease);
         }
         self.era = Some(era);
--- a/crates/papayayard_coordination/tests/leadership_test.rs
+++ b/crates/papayayard_coordination/tests/leadership_test.rs
@@ -159,6 +159,38 @@
     assert_eq!(lost.permit(NOW), None, "its term ends with the era");
 }
 
+/// Weights came four seconds late after each return of the log, though the leader had been the
+/// only one that could have led.
+#[test]
+fn the_leader_goes_on_in_a_restored_log_within_its_lease() {
+    let within = NOW + Duration::from_millis(2_900);
+    let late = NOW + LEASE;
+    for (returned, goes_on) in [(within, true), (late, false)] {
+        let mut leader = leadership("a");
+        leader.enter_era(Era::default(), NOW);
+        leader.appended(at(70), NOW, NOW);
+        leader.enter_era(RESTORED, returned);
+        assert_eq!(leader.permit(returned), None, "it has no record here yet");
+        assert_eq!(leader.may_append(returned), goes_on);
+        let mut other = leadership("b");
+        other.enter_era(Era::default(), NOW);
+        other.observe(&id::Host::from("a"), at(70), NOW);
+        other.enter_era(RESTORED, returned);
+        assert!(!other.may_append(returned + LEASE));
+    }
+}
+
+/// A host that has lost leadership to another one knows nothing of the lost records.
+#[test]
+fn a_former_leader_waits_in_a_restored_log() {
+    let mut former = leadership("a");
+    former.enter_era(Era::default(), NOW);
+    former.appended(at(70), NOW, NOW);
+    former.observe(&id::Host::from("b"), at(71), NOW);
+    former.enter_era(RESTORED, NOW);
+    assert!(!former.may_append(NOW + LEASE));
+}
+
 /// The offset that an append requires can come true again in an era that the host has not
 /// read.
 #[test]
