--- a/crates/papayayard_gateway/src/job.rs
+++ b/crates/papayayard_gateway/src/job.rs
@@ -46,10 +46,14 @@
 }
 
 impl Job {
+    /// Whether the request is a stream that may resume.
+    pub(crate) fn is_resumable(&self) -> bool {
+        matches!(self.route.kind, Kind::Stream { resumable: true })
+    }
+
     /// Last event that the caller has, if the stream may go on after it.
     pub(crate) fn resumed_position(&self) -> Option<u64> {
-        let is_resumable = matches!(self.route.kind, Kind::Stream { resumable: true });
-        self.position.filter(|_| is_resumable)
+        self.position.filter(|_| self.is_resumable())
     }
 
     /// Priority of the account, else of the route; 0 is the most urgent.
--- a/crates/papayayard_gateway/src/pump.rs
+++ b/crates/papayayard_gateway/src/pump.rs
@@ -2,9 +2,10 @@
 //!
 //! Only complete events with increasing ids are forwarded. If a stream fails and its route
 //! allows it, another endpoint with the same version of the software resumes after the last
-//! forwarded event, within the same response; otherwise the response is cut. A resumed stream must have the status and the
-//! media type of the head that the caller has; any other response is an error. A stream
-//! has an event at least, and does not end where an event has begun.
+//! forwarded event, within the same response; otherwise the response is cut. A resumed
+//! stream must have the status and the media type of the head that the caller has; any
+//! other response is an error. A stream has an event at least, and does not end where an
+//! event has begun.
 //!
 //! Silence is measured between complete events, so that a slow stream continues while one
 //! that sends bytes without completing an event is replaced. A silent upstream is abandoned
@@ -19,7 +20,6 @@
 use http_body_util::BodyExt;
 use papayayard_routing::blame::Progress;
 use papayayard_routing::placement::{Outcome, Placement};
-use papayayard_routing::table::Kind;
 use papayayard_wire::id;
 use tokio::sync::mpsc;
 use tokio::task::{JoinError, JoinSet};
@@ -275,9 +275,7 @@
     fn can_resume(&self) -> bool {
         // Nothing tells what may continue a stream that an unknown version has begun.
         let is_origin_known = !self.has_begun || self.job.software.is_some();
-        matches!(self.job.route.kind, Kind::Stream { resumable: true })
-            && is_origin_known
-            && self.history.runs < self.job.route.attempts
+        self.job.is_resumable() && is_origin_known && self.history.runs < self.job.route.attempts
     }
 
     /// Whether the request is not quarantined for endpoint crashes.
