--- a/review/rig.rs
+++ b/review/rig.rs
@@ -188,8 +188,6 @@
 struct Store {
     address: SocketAddr,
     shared: Arc<(Mutex<Topics>, Condvar)>,
-    /// Whether all calls are refused with 503.
-    is_down: Arc<AtomicBool>,
 }
 
 impl Store {
@@ -198,7 +196,6 @@
         let store = Self {
             address: listener.local_addr().expect("an address"),
             shared: Arc::default(),
-            is_down: Arc::default(),
         };
         let served = store.clone();
         serve(listener, move |stream| served.connection(stream));
@@ -231,10 +228,6 @@
         loop {
             thread::sleep(Duration::from_millis(100));
             let newest = self.newest("keyed.servers");
-            if self.is_down.load(Ordering::SeqCst) {
-                // Entries do not lapse while the store is down.
-                seen.clear();
-            }
             for (key, (offset, _)) in &newest {
                 let entry = seen.entry(key.clone()).or_insert((*offset, Instant::now()));
                 if entry.0 != *offset {
@@ -276,9 +269,6 @@
     fn answer(&self, stream: &mut TcpStream, request: &Message) -> io::Result<()> {
         let json = "Store-Era: 1\r\nContent-Type: application/json\r\n";
         let topic = request.query("topic").unwrap_or_default();
-        if self.is_down.load(Ordering::SeqCst) {
-            return respond(stream, "503 Service Unavailable", json, b"{}");
-        }
         match (request.method(), request.path()) {
             ("POST", "/v1/log-append") => {
                 let at = request.query("at").and_then(|at| at.parse().ok());
@@ -324,10 +314,6 @@
                         break;
                     }
                     topics = changed.wait_timeout(topics, left).unwrap().0;
-                    if self.is_down.load(Ordering::SeqCst) {
-                        drop(topics);
-                        return respond(stream, "503 Service Unavailable", json, b"{}");
-                    }
                 }
                 let log = topics.get(&topic).cloned().unwrap_or_default();
                 drop(topics);
@@ -395,6 +381,8 @@
     /// Tenant whose request made each part of the KV cache, by salt and part.
     kept: Mutex<HashMap<(String, String), String>>,
     is_draining: AtomicBool,
+    /// Whether the replica is partitioned from the store.
+    is_cut: AtomicBool,
     beats: AtomicU64,
     runs: AtomicU64,
 }
@@ -420,6 +408,7 @@
         store: words[4].parse().expect("an address"),
         address: listener.local_addr().expect("an address"),
         born: SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis(),
+        is_cut: AtomicBool::new(options.contains_key("cut")),
         options,
         kept: Mutex::default(),
         is_draining: AtomicBool::new(false),
@@ -437,6 +426,9 @@
     // The case tells a planned shutdown by a line; the end of its output ends the replica.
     let mut line = String::new();
     while io::stdin().read_line(&mut line).unwrap_or(0) > 0 {
+        if line.trim() == "cut" {
+            replica.is_cut.store(true, Ordering::SeqCst);
+        }
         if line.trim() == "leave" {
             replica.is_draining.store(true, Ordering::SeqCst);
             replica.register();
@@ -459,6 +451,9 @@
 
     /// Writes this replica's record into the store.
     fn register(&self) {
+        if self.is_cut.load(Ordering::SeqCst) {
+            return;
+        }
         let seq = self.beats.fetch_add(1, Ordering::SeqCst) + 1;
         let state = if self.is_draining.load(Ordering::SeqCst) { "draining" } else { "ready" };
         let Self { id, service, zone, software, address, born, .. } = self;
@@ -551,7 +546,8 @@
             return Ok(true);
         }
         let run = self.runs.fetch_add(1, Ordering::SeqCst) + 1;
-        tell(&format!("run {} {id} {}", self.id, request.target()));
+        let tenant = request.header("papayayard-tenant").unwrap_or("-");
+        tell(&format!("run {} {id} {} {tenant}", self.id, request.target()));
         self.use_kept(request, id);
         let signed = format!("{own}Papayayard-Server-Stamp: {}.{run}\r\n", self.id);
         if request.path().starts_with("/stream/") {
@@ -636,10 +632,10 @@
         let _ = self.child.wait();
     }
 
-    /// Asks for a planned shutdown.
-    fn leave(&mut self) {
+    /// Passes a word to the replica: `leave` for a planned shutdown, `cut` for a partition.
+    fn tell(&mut self, word: &str) {
         if let Some(input) = &mut self.child.stdin {
-            let _ = writeln!(input, "leave");
+            let _ = writeln!(input, "{word}");
             let _ = input.flush();
         }
     }
@@ -1330,7 +1326,7 @@
         let leaving = busiest.ok_or("no replica")?;
         let (id, number) = (leaving.id.clone(), count(&leaving.id));
         rig.record.line(&format!("platform: {id} with {number} streams is to be taken away"));
-        leaving.leave();
+        leaving.tell("leave");
     }
     let streams = begin.join().map_err(|_| "a client failed".to_owned())?;
     let whole = streams.iter().filter(|(_, _, got, is_complete)| *is_complete && got.len() == 60).count();
@@ -1424,16 +1420,14 @@
 
 // ---------------------------------------------------------------------------- case: inplace
 
-/// ORDER: while the store is down, a replica crashes and starts again under its id, with newer
-/// software. Then another replica crashes.
+/// ORDER: two replicas are partitioned from the store, crash behind the cut and start again under
+/// their ids, with newer software, one after the other.
 fn case_inplace(record: Record) -> Result<bool, String> {
     let mut rig = Rig::new(record, &["a", "b", "c"], &configuration(15000));
-    let port = free_ports(1)[0].port();
-    let fixed = format!("port={port}");
-    for index in 0..7 {
+    let fixed: Vec<String> = free_ports(10).iter().map(|one| format!("port={}", one.port())).collect();
+    for (index, port) in fixed.iter().enumerate() {
         let zone = ["a", "b", "c"][index % 3];
-        let options: &[&str] = if index == 0 { &[&fixed] } else { &[] };
-        rig.replica(&format!("i-llm{index}"), "llm", zone, "v1", options);
+        rig.replica(&format!("i-llm{index}"), "llm", zone, "v1", &[port]);
     }
     rig.start_hosts()?;
     thread::sleep(Duration::from_secs(4));
@@ -1441,11 +1435,11 @@
     let begin = {
         let record = rig.record.clone();
         thread::spawn(move || {
-            each((0..70).collect(), move |index: usize| {
+            each((0..80).collect(), move |index: usize| {
                 let name = format!("p{index:02}");
-                let target = format!("/stream/resumed/{name}?events=110&pause=100");
+                let target = format!("/stream/resumed/{name}?events=80&pause=100");
                 let deadline = Duration::from_secs(15);
-                let more = prompt(&name).replace("5c1e07a2", &format!("5c1e{:02}", index % 35));
+                let more = prompt(&name).replace("5c1e07a2", &format!("5c1e{:02}", index % 12));
                 let head = head("POST", &target, &name, deadline, &more);
                 let answer = send(all[index % all.len()], &head, "prompt", deadline, None);
                 let got = events(&answer.body);
@@ -1457,30 +1451,33 @@
                     "client: {name} got {} events {:?}..{:?} of {versions:?} complete={}",
                     answer.status, got.first(), got.last(), answer.is_complete
                 ));
-                (versions.len(), answer.is_complete && got.len() == 110)
+                (versions.len(), answer.is_complete && got.len() == 80)
             })
         })
     };
-    thread::sleep(Duration::from_millis(500));
+    thread::sleep(Duration::from_millis(700));
     if rig.has_trouble {
-        rig.record.line("platform: the store is down");
-        rig.store.is_down.store(true, Ordering::SeqCst);
-        thread::sleep(Duration::from_millis(300));
-        rig.record.line("platform: i-llm0 crashes");
-        rig.replicas[0].kill();
-        thread::sleep(Duration::from_millis(1000));
-        rig.record.line("platform: i-llm0 starts again, with software v2");
-        rig.replica("i-llm0", "llm", "a", "v2", &[&fixed]);
-        thread::sleep(Duration::from_millis(5000));
+        // The replicas with the fewest and with the most streams.
         let runs = rig.told("run");
-        let count = |id: &str| runs.iter().filter(|words| words[1] == id).count();
-        let busiest = rig.replicas[1..7].iter_mut().max_by_key(|replica| count(&replica.id));
-        let busiest = busiest.ok_or("no replica")?;
-        rig.record.line(&format!("platform: {} crashes", busiest.id));
-        busiest.kill();
-        thread::sleep(Duration::from_millis(1200));
-        rig.record.line("platform: the store is back");
-        rig.store.is_down.store(false, Ordering::SeqCst);
+        let count = |index: usize| runs.iter().filter(|words| words[1] == format!("i-llm{index}")).count();
+        let first = (0..10).min_by_key(|index| count(*index)).unwrap_or(0);
+        let second = (0..10).max_by_key(|index| count(*index)).unwrap_or(1);
+        rig.record.line(&format!(
+            "platform: i-llm{first} with {} streams and i-llm{second} with {} are cut off from the store",
+            count(first), count(second)
+        ));
+        for index in [first, second] {
+            rig.replicas[index].tell("cut");
+        }
+        for index in [first, second] {
+            thread::sleep(Duration::from_millis(300));
+            rig.record.line(&format!("platform: i-llm{index} crashes"));
+            rig.replicas[index].kill();
+            thread::sleep(Duration::from_millis(800));
+            rig.record.line(&format!("platform: i-llm{index} starts again, with software v2"));
+            let zone = ["a", "b", "c"][index % 3];
+            rig.replica(&format!("i-llm{index}"), "llm", zone, "v2", &[&fixed[index], "cut=1"]);
+        }
     }
     let streams = begin.join().map_err(|_| "a client failed".to_owned())?;
     let mixed = streams.iter().filter(|(versions, _)| *versions > 1).count();
