--- a/review/rig.rs
+++ b/review/rig.rs
@@ -664,7 +664,13 @@
             .stdout(log)
             .stderr(errors)
             .spawn();
-        self.child = Some(child.expect("the program starts"));
+        let child = child.expect("the program starts");
+        // case.sh ends what is left if this program ends early.
+        let pids = self.settings.with_file_name("pids");
+        if let Ok(mut pids) = File::options().create(true).append(true).open(pids) {
+            let _ = writeln!(pids, "{}", child.id());
+        }
+        self.child = Some(child);
     }
 
     /// SIGKILL.
@@ -1420,11 +1426,11 @@
 
 // ---------------------------------------------------------------------------- case: inplace
 
-/// ORDER: two replicas are partitioned from the store, crash behind the cut and start again under
-/// their ids, with newer software, one after the other.
+/// ORDER: three of 15 replicas are partitioned from the store, crash behind the cut and start again
+/// under their ids, with newer software.
 fn case_inplace(record: Record) -> Result<bool, String> {
     let mut rig = Rig::new(record, &["a", "b", "c"], &configuration(15000));
-    let fixed: Vec<String> = free_ports(10).iter().map(|one| format!("port={}", one.port())).collect();
+    let fixed: Vec<String> = free_ports(15).iter().map(|one| format!("port={}", one.port())).collect();
     for (index, port) in fixed.iter().enumerate() {
         let zone = ["a", "b", "c"][index % 3];
         rig.replica(&format!("i-llm{index}"), "llm", zone, "v1", &[port]);
@@ -1457,26 +1463,32 @@
     };
     thread::sleep(Duration::from_millis(700));
     if rig.has_trouble {
-        // The replicas with the fewest and with the most streams.
+        // Two of the replicas with the fewest streams, in two zones, and the one with the most.
         let runs = rig.told("run");
         let count = |index: usize| runs.iter().filter(|words| words[1] == format!("i-llm{index}")).count();
-        let first = (0..10).min_by_key(|index| count(*index)).unwrap_or(0);
-        let second = (0..10).max_by_key(|index| count(*index)).unwrap_or(1);
+        let mut order: Vec<usize> = (0..15).collect();
+        order.sort_by_key(|index| count(*index));
+        let (first, busiest) = (order[0], order[14]);
+        let second = order.iter().copied().find(|index| index % 3 != first % 3).unwrap_or(order[1]);
         rig.record.line(&format!(
-            "platform: i-llm{first} with {} streams and i-llm{second} with {} are cut off from the store",
-            count(first), count(second)
+            "platform: i-llm{first}, i-llm{second} and i-llm{busiest}, with {}, {} and {} streams, are cut off from the store",
+            count(first), count(second), count(busiest)
         ));
-        for index in [first, second] {
+        for index in [first, second, busiest] {
             rig.replicas[index].tell("cut");
         }
-        for index in [first, second] {
+        for crashing in [&[first, second][..], &[busiest][..]] {
             thread::sleep(Duration::from_millis(300));
-            rig.record.line(&format!("platform: i-llm{index} crashes"));
-            rig.replicas[index].kill();
+            for index in crashing {
+                rig.record.line(&format!("platform: i-llm{index} crashes"));
+                rig.replicas[*index].kill();
+            }
             thread::sleep(Duration::from_millis(800));
-            rig.record.line(&format!("platform: i-llm{index} starts again, with software v2"));
-            let zone = ["a", "b", "c"][index % 3];
-            rig.replica(&format!("i-llm{index}"), "llm", zone, "v2", &[&fixed[index], "cut=1"]);
+            for index in crashing {
+                rig.record.line(&format!("platform: i-llm{index} starts again, with software v2"));
+                let zone = ["a", "b", "c"][index % 3];
+                rig.replica(&format!("i-llm{index}"), "llm", zone, "v2", &[&fixed[*index], "cut=1"]);
+            }
         }
     }
     let streams = begin.join().map_err(|_| "a client failed".to_owned())?;
