Retries: an endpoint's "not run" status without its statement is no refusal

Cause: `attempt::Sender::check` passed on any whole, signed answer with the request's id, whatever its status. Ruled out: a retry by the host (each booking reached one endpoint once) and answers of other requests (the ids agree). Change: a 408, 421, 429 or 503 without the statement is a failure after which the request may have run, where each endpoint's answer enters: tried elsewhere within the attempts and the budget, else 502 without a signature. Its backoff and limit are applied, and placement counts a failure. The first router does the same, also for answers that it keeps by key.

--- a/crates/papayayard/src/relay/attempt.rs
+++ b/crates/papayayard/src/relay/attempt.rs
@@ -9,7 +9,7 @@
 use hyper::body::Incoming;
 use papayayard_wire::completion::Continuation;
 use papayayard_wire::header as names;
-use papayayard_wire::{endpoint, id};
+use papayayard_wire::{endpoint, id, refusal};
 use serde_json::value::RawValue;
 use tokio::time;
 
@@ -74,12 +74,16 @@
         }
         return Reply::Failed(Failure::Mismatched);
     }
-    if status.is_client_error() {
+    let promises_not_run = refusal::promises_not_run(status.as_u16());
+    if status.is_client_error() && !promises_not_run {
         return Reply::Rejected(response);
     }
     if text(response.headers(), names::RAN) == Some("no") {
         return Reply::Refused;
     }
+    if promises_not_run {
+        return Reply::Failed(Failure::Unconfirmed);
+    }
     Reply::Failed(Failure::Broken)
 }
 
--- a/crates/papayayard/src/relay/call.rs
+++ b/crates/papayayard/src/relay/call.rs
@@ -11,7 +11,7 @@
 use hyper::body::Incoming;
 use papayayard_wire::header as names;
 use papayayard_wire::refusal::{Kind, Ran};
-use papayayard_wire::{directory, id};
+use papayayard_wire::{directory, id, refusal};
 use tokio::sync::watch;
 use tokio::time;
 
@@ -123,6 +123,9 @@
             (true, Some(true)) => return Err(Failure::Refused),
             (false, _) => {}
         }
+        if refusal::promises_not_run(response.status().as_u16()) {
+            return Err(Failure::Unconfirmed);
+        }
         time::timeout(call.timeout, collect(response))
             .await
             .unwrap_or(Err(Failure::TimedOut))
--- a/crates/papayayard/src/relay/client.rs
+++ b/crates/papayayard/src/relay/client.rs
@@ -55,6 +55,8 @@
     Broken,
     /// The answer belongs to another request or another run.
     Mismatched,
+    /// The status means that the request did not run, but the endpoint does not state it.
+    Unconfirmed,
     /// The endpoint was reported lost while the request ran there.
     Lost,
     /// The answer took too long.
@@ -74,6 +76,7 @@
             Self::Refused => retry::Reason::Refused,
             Self::Broken => retry::Reason::Broken,
             Self::Mismatched => retry::Reason::Mismatched,
+            Self::Unconfirmed => retry::Reason::Unconfirmed,
             Self::Lost => retry::Reason::Crashed,
             Self::TimedOut => retry::Reason::TimedOut,
         }
--- a/crates/papayayard/src/relay/completion.rs
+++ b/crates/papayayard/src/relay/completion.rs
@@ -108,7 +108,7 @@
         let outcome = match failure {
             Failure::Unreachable => fleet::Outcome::Unreachable,
             Failure::Refused => fleet::Outcome::Refused,
-            Failure::Mismatched => fleet::Outcome::Broken,
+            Failure::Mismatched | Failure::Unconfirmed => fleet::Outcome::Broken,
             Failure::TimedOut => fleet::Outcome::Stalled,
             Failure::Broken | Failure::Lost => {
                 if attempt::alive(&self.client, dispatch.place()).await {
--- a/crates/papayayard/src/relay/keyed.rs
+++ b/crates/papayayard/src/relay/keyed.rs
@@ -6,7 +6,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
 use papayayard_coordination::claim::{self, Settlement};
 use papayayard_wire::claim::Answer as Outcome;
-use papayayard_wire::id;
+use papayayard_wire::{id, refusal};
 
 use crate::controllers::claims::{Claimed, Permit};
 use crate::exchange::{Admitted, Call};
@@ -34,6 +34,8 @@
         let wait = self.clock.now() + CLAIM_WAIT.min(call.timeout);
         let deadline = known.deadline.map_or(wait, |known| known.min(wait));
         match self.claims.claim(digest, request, deadline).await? {
+            // Hosts of an older release kept such statuses of requests that had run.
+            Claimed::Replay(outcome) if refusal::promises_not_run(outcome.status) => Err(unknown()),
             Claimed::Replay(outcome) => Ok(replayed(outcome)),
             Claimed::Run(permit) => self.run_detached(admitted, permit).await,
         }
--- a/crates/papayayard/tests/plain.rs
+++ b/crates/papayayard/tests/plain.rs
@@ -15,6 +15,9 @@
 #[case::other_answer(Fault::WrongIds { count: 10 }, Kind::OutcomeUnknown, Ran::Unknown, 1)]
 #[case::other_refusal(Fault::StaleRefusals { count: 10, id: Some("other".to_owned()) }, Kind::OutcomeUnknown, Ran::Unknown, 1)]
 #[case::unnamed_refusal(Fault::StaleRefusals { count: 10, id: None }, Kind::OutcomeUnknown, Ran::Unknown, 1)]
+#[case::unconfirmed_503(Fault::UnconfirmedRefusals { count: 10, status: 503 }, Kind::OutcomeUnknown, Ran::Unknown, 1)]
+#[case::unconfirmed_429(Fault::UnconfirmedRefusals { count: 10, status: 429 }, Kind::OutcomeUnknown, Ran::Unknown, 1)]
+#[case::unconfirmed_408(Fault::UnconfirmedRefusals { count: 10, status: 408 }, Kind::OutcomeUnknown, Ran::Unknown, 1)]
 #[case::frozen(Fault::Freeze, Kind::OutcomeUnknown, Ran::Unknown, 0)]
 #[case::crashed(Fault::Crash { down_ms: 600_000 }, Kind::NoEndpoint, Ran::No, 0)]
 #[tokio::test]
@@ -43,6 +46,7 @@
 #[case::other_answer(Fault::WrongIds { count: 10 })]
 #[case::other_refusal(Fault::StaleRefusals { count: 10, id: Some("other".to_owned()) })]
 #[case::refused(Fault::Refuse)]
+#[case::unconfirmed(Fault::UnconfirmedRefusals { count: 10, status: 503 })]
 #[case::crashed(Fault::Crash { down_ms: 600_000 })]
 #[tokio::test]
 async fn a_look_up_is_answered_although_an_endpoint_fails(#[case] fault: Fault) {
@@ -92,6 +96,7 @@
 #[rstest]
 #[case::answer_lost(Fault::LoseAnswers { count: 10 }, Kind::OutcomeUnknown, Ran::Unknown, 1)]
 #[case::unnamed_refusal(Fault::StaleRefusals { count: 10, id: None }, Kind::OutcomeUnknown, Ran::Unknown, 1)]
+#[case::unconfirmed(Fault::UnconfirmedRefusals { count: 10, status: 503 }, Kind::OutcomeUnknown, Ran::Unknown, 1)]
 #[case::crashed(Fault::Crash { down_ms: 600_000 }, Kind::NoEndpoint, Ran::No, 0)]
 #[tokio::test]
 async fn a_failed_keyed_booking_is_not_sent_twice(
--- a/crates/papayayard_gateway/src/attempt.rs
+++ b/crates/papayayard_gateway/src/attempt.rs
@@ -3,6 +3,11 @@
 //! Failures are classified by whether the request may have run: a request that was not
 //! sent, or that the endpoint refused in a response of its own, did not run. After any other
 //! failure it may have run.
+//!
+//! All responses of endpoints pass here on their way to callers. To a caller some statuses
+//! promise that the request did not run; of an endpoint they say so only with its statement.
+//! A response with such a status and no statement is a failure after which the request may
+//! have run, and is never forwarded.
 
 use std::time::Duration;
 
@@ -12,6 +17,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use papayayard_routing::placement::{Outcome, Placement};
+use papayayard_wire::refusal;
 use tokio::time;
 
 use crate::backoff::Backoffs;
@@ -64,6 +70,8 @@
     Broken,
     /// The response belongs to another request, or is not from an endpoint.
     Foreign,
+    /// The status means that the request did not run, but the endpoint does not state it.
+    Unconfirmed,
     /// No response was received before the timeout.
     Silent,
 }
@@ -77,6 +85,7 @@
             Self::Mismatched => "mismatched",
             Self::Broken => "broken",
             Self::Foreign => "foreign",
+            Self::Unconfirmed => "unconfirmed",
             Self::Silent => "silent",
         }
     }
@@ -92,7 +101,7 @@
             Self::Unreachable => Outcome::Unreachable,
             Self::Refused => Outcome::Refused,
             Self::Mismatched => Outcome::Mismatched,
-            Self::Broken | Self::Foreign | Self::Silent => Outcome::Failed,
+            Self::Broken | Self::Foreign | Self::Unconfirmed | Self::Silent => Outcome::Failed,
         }
     }
 }
@@ -222,6 +231,15 @@
         }
         let is_unencoded = !response.head.headers.contains_key(header::CONTENT_ENCODING);
         if matches_request && reported.is_signed && is_unencoded {
+            if refusal::promises_not_run(response.head.status.as_u16()) {
+                log::warn!(
+                    request:% = job.id, endpoint:% = placement.endpoint,
+                    status = response.head.status.as_u16();
+                    "endpoint does not state that the request did not run, as its status means"
+                );
+                self.drain(placement, response).await;
+                return Err(Failure::Unconfirmed);
+            }
             // Refusals and late copies of other answers do not show that a limit has ended.
             if response.head.status.is_success() && reported.limit == Ok(None) {
                 permit.clear_limit(&placement.endpoint);
@@ -270,7 +288,7 @@
         }
     }
 
-    /// Reads the rest of a refusal, so that its connection can be reused.
+    /// Reads the rest of a response that is not forwarded, so that its connection can be reused.
     async fn drain(&self, placement: &Placement, response: Response) {
         let body = Limited::new(response.body, MAX_REFUSAL_BYTES).collect();
         if let Ok(Ok(_)) = time::timeout(REFUSAL_TIMEOUT, body).await {
--- a/crates/papayayard_routing/src/retry.rs
+++ b/crates/papayayard_routing/src/retry.rs
@@ -42,18 +42,21 @@
     Broken,
     /// The answer had another request's id or another run's number.
     Mismatched,
+    /// The status means that the request did not run, without the endpoint's statement.
+    Unconfirmed,
     /// No answer arrived in time.
     TimedOut,
 }
 
 impl Reason {
     /// All reasons.
-    pub const ALL: [Self; 6] = [
+    pub const ALL: [Self; 7] = [
         Self::Unreachable,
         Self::Refused,
         Self::Crashed,
         Self::Broken,
         Self::Mismatched,
+        Self::Unconfirmed,
         Self::TimedOut,
     ];
 
@@ -65,6 +68,7 @@
             Self::Crashed => "crashed",
             Self::Broken => "broken",
             Self::Mismatched => "mismatched",
+            Self::Unconfirmed => "unconfirmed",
             Self::TimedOut => "timed_out",
         }
     }
--- a/crates/papayayard_stand_in/src/service.rs
+++ b/crates/papayayard_stand_in/src/service.rs
@@ -86,6 +86,13 @@
         /// Id that the refusal names, if any.
         id: Option<String>,
     },
+    /// Runs the next requests and answers with a status, as if they had not run.
+    UnconfirmedRefusals {
+        /// Number of requests.
+        count: u32,
+        /// Status of these answers.
+        status: u16,
+    },
     /// Requests take longer.
     Slow {
         /// Added time.
@@ -197,6 +204,9 @@
     stale_refusals: u32,
     /// Id that these refusals name.
     stale_id: Option<String>,
+    unconfirmed_refusals: u32,
+    /// Status of these refusals.
+    unconfirmed_status: u16,
     delay: Duration,
     cut: Vec<id::Host>,
 }
@@ -253,6 +263,9 @@
             return Ok(stale);
         }
         let id = self.end(index, id)?;
+        if let Some(status) = self.unconfirmed_status() {
+            *response.status_mut() = status;
+        }
         self.mark(&mut response, id.as_deref());
         Ok(response)
     }
@@ -329,6 +342,15 @@
         is_due.then(|| self.refusal(id.as_deref()))
     }
 
+    /// Status that takes the place of the answer's, although the request has run.
+    fn unconfirmed_status(&self) -> Option<StatusCode> {
+        let mut state = self.lock();
+        let is_due = crate::engine::fault::take(&mut state.unconfirmed_refusals);
+        let status = StatusCode::from_u16(state.unconfirmed_status);
+        drop(state);
+        status.ok().filter(|_| is_due)
+    }
+
     fn mark(&self, response: &mut Response<Body>, id: Option<&str>) {
         let incarnation = self.lock().incarnation;
         let headers = response.headers_mut();
@@ -355,6 +377,10 @@
                 state.stale_refusals = count;
                 state.stale_id = id;
             }
+            Fault::UnconfirmedRefusals { count, status } => {
+                state.unconfirmed_refusals = count;
+                state.unconfirmed_status = status;
+            }
             Fault::Slow { delay_ms } => state.delay = Duration::from_millis(delay_ms),
             Fault::Cut { hosts } => state.cut = hosts,
             Fault::Clear => {
@@ -362,6 +388,7 @@
                 state.lose_answers = 0;
                 state.wrong_ids = 0;
                 state.stale_refusals = 0;
+                state.unconfirmed_refusals = 0;
                 state.delay = Duration::ZERO;
                 state.cut.clear();
                 self.gate.freeze(false);
--- a/crates/papayayard_wire/src/refusal.rs
+++ b/crates/papayayard_wire/src/refusal.rs
@@ -121,6 +121,11 @@
     }
 }
 
+/// Whether callers take a status as a promise that the request has not run and never will.
+pub const fn promises_not_run(status: u16) -> bool {
+    matches!(status, 408 | 421 | 429 | 503)
+}
+
 /// Body of a refusal: the error object of the callers' protocol.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Body {
