Streams: hosts tell of open streams when a second version is listed

Cause: `origins::Tracker::record` told others only of streams that several versions can have begun at that moment; nothing told of those that were open when a second version was listed. Ruled out: wrong keepers (no call was made at all) and placement (the refusal has another text). Change: a host keeps a backlog of its streams and tells its keepers of it when a version is listed beside another one, a new keeper too, and all others when it stops as planned. A stream that was taken up counts as the host's own. A host that does not know a stream just after a second version was listed asks once more. No calls in calm times.

--- a/crates/papayayard_coordination/src/origin.rs
+++ b/crates/papayayard_coordination/src/origin.rs
@@ -3,7 +3,9 @@
 //! Several versions may serve a service at the same time, and a stream may go on only at
 //! the version that began it. A caller that resumes a stream can come to any host, and the
 //! host that served it before may have ended. So hosts tell others of the streams that they
-//! begin, and each remembers them.
+//! begin, and each remembers them. While a single version serves nothing needs to be told;
+//! once a second one is listed, each host tells of the streams that it began before, and later
+//! of each at once.
 //!
 //! A stream that no host remembers may go on only if a single version can have begun it: no
 //! other one has served the service for as long as a stream lives. A host that has just
@@ -42,8 +44,9 @@
 }
 
 impl Origins {
-    /// Records that a stream began. The first record of a stream counts.
-    pub fn record(&mut self, stream: Stream, software: id::Software, now: Duration) {
+    /// Records that a stream began, and returns whether it is new. The first record of a stream
+    /// counts.
+    pub fn record(&mut self, stream: Stream, software: id::Software, now: Duration) -> bool {
         let is_expired = |at: Duration| at + RETENTION <= now;
         while self.order.len() >= MAX_STREAMS
             || self.order.front().is_some_and(|(at, _)| is_expired(*at))
@@ -53,10 +56,11 @@
             }
         }
         if self.streams.contains_key(&stream) {
-            return;
+            return false;
         }
         self.streams.insert(stream, software);
         self.order.push_back((now, stream));
+        true
     }
 
     /// Version of the software that began a stream, if it is remembered.
@@ -65,12 +69,46 @@
     }
 }
 
+/// A stream that a host began or took up.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Begun {
+    pub stream: Stream,
+    pub service: id::Service,
+    pub software: id::Software,
+    /// When the stream has ended at the latest.
+    pub until: Duration,
+}
+
+/// Streams of this host that other hosts may have to be told of.
+#[derive(Debug, Default)]
+pub struct Backlog(VecDeque<Begun>);
+
+impl Backlog {
+    pub fn add(&mut self, begun: Begun, now: Duration) {
+        while self.0.len() >= MAX_STREAMS || self.0.front().is_some_and(|old| old.until <= now) {
+            self.0.pop_front();
+        }
+        self.0.push_back(begun);
+    }
+
+    /// Streams that may not have ended, of the services that a condition selects.
+    pub fn open<Selects>(&self, selects: Selects, now: Duration) -> impl Iterator<Item = &Begun>
+    where
+        Selects: Fn(&id::Service) -> bool,
+    {
+        let open = self.0.iter().filter(move |begun| begun.until > now);
+        open.filter(move |begun| selects(&begun.service))
+    }
+}
+
 /// Versions of the software that serve each service, and that did so lately.
 #[derive(Debug, Default)]
 pub struct Releases {
     services: HashMap<id::Service, HashMap<id::Software, Served>>,
     /// When the first list was applied.
     since: Option<Duration>,
+    /// When a version was listed beside others, for the last time of each service.
+    joined: HashMap<id::Service, Duration>,
 }
 
 /// Versions that can have begun a stream, as far as a host knows.
@@ -102,11 +140,13 @@
 }
 
 impl Releases {
-    /// Applies the list of all endpoints' services and versions.
-    pub fn update<'a, Listed>(&mut self, listed: Listed, now: Duration)
+    /// Applies the list of all endpoints' services and versions, and returns whether a version
+    /// is new beside others of its service.
+    pub fn update<'a, Listed>(&mut self, listed: Listed, now: Duration) -> bool
     where
         Listed: Iterator<Item = (&'a id::Service, &'a id::Software)>,
     {
+        let mut has_joined = false;
         self.since.get_or_insert(now);
         let listed: HashSet<_> = listed.collect();
         for (service, versions) in &mut self.services {
@@ -118,11 +158,29 @@
         }
         for (service, software) in listed {
             let versions = self.services.entry(service.clone()).or_default();
-            versions.insert(software.clone(), Served { until: None });
+            let is_new = versions
+                .insert(software.clone(), Served { until: None })
+                .is_none();
+            if is_new && versions.len() > 1 {
+                self.joined.insert(service.clone(), now);
+                has_joined = true;
+            }
         }
         for versions in self.services.values_mut() {
             versions.retain(|_, served| served.until.is_none_or(|until| now < until + RETENTION));
         }
+        has_joined
+    }
+
+    /// Whether several versions serve a service, or did lately.
+    pub fn has_several(&self, service: &id::Service) -> bool {
+        let versions = self.services.get(service);
+        versions.is_some_and(|versions| versions.len() > 1)
+    }
+
+    /// When a version was last listed beside others of a service.
+    pub fn joined_at(&self, service: &id::Service) -> Option<Duration> {
+        self.joined.get(service).copied()
     }
 
     /// Versions that can have begun a stream of a service, if streams end within `life`.
--- a/crates/papayayard_coordination/tests/origin_test.rs
+++ b/crates/papayayard_coordination/tests/origin_test.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use papayayard_coordination::origin::{Origins, Possible, Releases, Stream};
+use papayayard_coordination::origin::{Backlog, Begun, Origins, Possible, Releases, Stream};
 use papayayard_wire::id;
 use rstest::rstest;
 
@@ -21,10 +21,10 @@
     id::Software::from(name)
 }
 
-fn list(releases: &mut Releases, versions: &[&str], now: Duration) {
+fn list(releases: &mut Releases, versions: &[&str], now: Duration) -> bool {
     let service = id::Service::from("engines");
     let versions: Vec<id::Software> = versions.iter().map(|name| software(name)).collect();
-    releases.update(versions.iter().map(|version| (&service, version)), now);
+    releases.update(versions.iter().map(|version| (&service, version)), now)
 }
 
 fn possible(releases: &Releases, now: Duration) -> Possible {
@@ -108,3 +108,48 @@
     assert_eq!(left.clone().and(right.clone()), both);
     assert_eq!(right.and(left), both);
 }
+
+/// Hosts did not tell of streams that were open when a second version was listed.
+#[test]
+fn a_version_beside_others_is_noticed_when_it_is_listed() {
+    let service = id::Service::from("engines");
+    let mut releases = Releases::default();
+    assert!(!list(&mut releases, &["old"], NOW));
+    assert!(!releases.has_several(&service));
+    let joined_at = NOW + LIFE;
+    assert!(list(&mut releases, &["old", "new"], joined_at));
+    assert!(releases.has_several(&service));
+    assert_eq!(releases.joined_at(&service), Some(joined_at));
+    assert!(!list(&mut releases, &["new"], joined_at + LIFE));
+    assert!(list(
+        &mut releases,
+        &["new", "newest"],
+        joined_at + LIFE * 2
+    ));
+    assert_eq!(releases.joined_at(&service), Some(joined_at + LIFE * 2));
+}
+
+#[test]
+fn open_streams_of_a_service_are_to_be_told() {
+    let engines = id::Service::from("engines");
+    let begun = |request: &str, service: &str, until| Begun {
+        stream: stream("a", request),
+        service: id::Service::from(service),
+        software: software("old"),
+        until,
+    };
+    let streams = [
+        begun("ended", "engines", NOW + LIFE / 2),
+        begun("open", "engines", NOW + LIFE * 2),
+        begun("other", "others", NOW + LIFE * 2),
+    ];
+    let mut backlog = Backlog::default();
+    for stream in &streams {
+        backlog.add(stream.clone(), NOW);
+    }
+    let open: Vec<_> = backlog
+        .open(|service| *service == engines, NOW + LIFE)
+        .collect();
+    assert_eq!(open, [&streams[1]]);
+    assert_eq!(backlog.open(|_| true, NOW + LIFE).count(), 2);
+}
--- a/crates/papayayard_gateway/src/host.rs
+++ b/crates/papayayard_gateway/src/host.rs
@@ -327,6 +327,8 @@
             clock: self.store.clock,
             neighbours: self.neighbours.clone(),
             endpoints: endpoints.clone(),
+            stop: self.stop_state.clone(),
+            metrics: self.metrics.clone(),
         });
         self.controllers.spawn(telling);
         tracker
--- a/crates/papayayard_gateway/src/metrics.rs
+++ b/crates/papayayard_gateway/src/metrics.rs
@@ -26,6 +26,7 @@
     quarantines: Counter<u64>,
     quarantined_parts: Counter<u64>,
     limits: Counter<u64>,
+    told_streams: Counter<u64>,
     first_event: Histogram<f64>,
     hosts: Gauge<u64>,
 }
@@ -80,6 +81,10 @@
                 .u64_counter("papayayard_endpoint_limits")
                 .with_description("Answers in which endpoints named a limit on requests")
                 .build(),
+            told_streams: meter
+                .u64_counter("papayayard_told_streams")
+                .with_description("Streams that other hosts have told this one of")
+                .build(),
             first_event: meter
                 .f64_histogram("papayayard_first_event_seconds")
                 .with_description("Time from a request's arrival to its stream's first event")
@@ -138,6 +143,10 @@
         self.limits.add(1, &[]);
     }
 
+    pub(crate) fn told_of_streams(&self, number: u64) {
+        self.told_streams.add(number, &[]);
+    }
+
     pub(crate) fn first_event(&self, time: Duration) {
         self.first_event.record(time.as_secs_f64(), &[]);
     }
--- a/crates/papayayard_gateway/src/origins.rs
+++ b/crates/papayayard_gateway/src/origins.rs
@@ -1,11 +1,13 @@
 //! Finds out which version of the endpoints' software began a stream that a caller resumes.
 //!
 //! While several versions serve, or did lately, hosts tell a few others of each stream that
-//! they begin, at once and in batches. A host that is asked to resume a stream that it does
-//! not remember asks the same hosts. The decisions are made in
+//! they begin, at once and in batches. When a second version is listed they tell of those that
+//! are open, also to hosts that they choose later, and a host that stops hands over all of its
+//! own. A host that is asked to resume a stream that it does not remember asks the same hosts,
+//! and once more if others may only now have listed a new version. The decisions are made in
 //! `papayayard_coordination::origin`.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -13,8 +15,9 @@
 use futures_util::StreamExt;
 use futures_util::future;
 use futures_util::stream::FuturesUnordered;
-use papayayard_coordination::origin::{Origins, Possible, Releases, Stream};
+use papayayard_coordination::origin::{Backlog, Begun, Origins, Possible, Releases, Stream};
 use papayayard_coordination::ranking::{self, Candidate};
+use papayayard_coordination::shutdown::Stage;
 use papayayard_routing::placement::Endpoint;
 use papayayard_wire::id;
 use serde::{Deserialize, Serialize};
@@ -23,8 +26,11 @@
 use tokio::time;
 
 use crate::clock::Clock;
+use crate::front::StopState;
+use crate::host;
 use crate::hosts::Neighbours;
 use crate::job::Job;
+use crate::metrics::Metrics;
 use crate::peers;
 
 /// Number of hosts of each zone that are told of streams, so that some of them outlast a
@@ -48,6 +54,15 @@
     software: id::Software,
 }
 
+impl From<&Begun> for Origin {
+    fn from(begun: &Begun) -> Self {
+        Self {
+            stream: begun.stream,
+            software: begun.software.clone(),
+        }
+    }
+}
+
 /// Question of a host for the version that began a stream.
 #[serde_as]
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -77,6 +92,7 @@
     clock: Clock,
     neighbours: watch::Receiver<Neighbours>,
     endpoints: watch::Receiver<Vec<Endpoint>>,
+    metrics: Metrics,
     state: Mutex<State>,
     told: mpsc::UnboundedSender<Origin>,
 }
@@ -85,6 +101,10 @@
 struct State {
     origins: Origins,
     releases: Releases,
+    /// Streams of this host.
+    backlog: Backlog,
+    /// Whether this host stops, so that others must know its streams.
+    is_leaving: bool,
 }
 
 /// Dependencies of the tracker.
@@ -93,6 +113,9 @@
     pub(crate) clock: Clock,
     pub(crate) neighbours: watch::Receiver<Neighbours>,
     pub(crate) endpoints: watch::Receiver<Vec<Endpoint>>,
+    /// Stage of a planned stop.
+    pub(crate) stop: watch::Receiver<StopState>,
+    pub(crate) metrics: Metrics,
 }
 
 /// Returns the tracker, and the task that tells other hosts of streams.
@@ -103,66 +126,125 @@
         clock: parts.clock,
         neighbours: parts.neighbours,
         endpoints: parts.endpoints,
+        metrics: parts.metrics,
         state: Mutex::default(),
         told,
     }));
-    let task = run(tracker.clone(), queue);
+    let teller = Teller {
+        tracker: tracker.clone(),
+        clients: HashMap::new(),
+    };
+    let task = teller.run(queue, parts.stop);
     (tracker, task)
 }
 
-/// Tells other hosts of streams and follows the list of endpoints, for as long as the
-/// process runs.
-async fn run(tracker: Tracker, mut queue: mpsc::UnboundedReceiver<Origin>) {
-    let mut endpoints = tracker.0.endpoints.clone();
-    let mut clients = HashMap::new();
-    tracker.update();
-    loop {
-        let first = tokio::select! {
-            first = queue.recv() => first,
-            changed = endpoints.changed() => {
-                if changed.is_err() {
-                    return;
+/// Tells other hosts of streams, and follows the list of endpoints and of hosts.
+struct Teller {
+    tracker: Tracker,
+    clients: HashMap<SocketAddr, peers::Client>,
+}
+
+impl Teller {
+    /// Runs for as long as the process.
+    async fn run(
+        mut self,
+        mut queue: mpsc::UnboundedReceiver<Origin>,
+        mut stop: watch::Receiver<StopState>,
+    ) {
+        let mut endpoints = self.tracker.0.endpoints.clone();
+        let mut neighbours = self.tracker.0.neighbours.clone();
+        let mut keepers = self.tracker.keepers();
+        let mut is_leaving = false;
+        self.tracker.update();
+        loop {
+            tokio::select! {
+                first = queue.recv() => {
+                    let Some(first) = first else {
+                        return;
+                    };
+                    let batch = take_batch(first, &mut queue).await;
+                    self.tell(&keepers, &batch).await;
                 }
-                tracker.update();
-                continue;
+                Ok(()) = endpoints.changed() => {
+                    if self.tracker.update() {
+                        self.tell(&keepers, &self.tracker.backlog()).await;
+                    }
+                }
+                Ok(()) = neighbours.changed() => {
+                    let known: HashSet<_> = keepers.iter().map(|keeper| keeper.address).collect();
+                    keepers = self.tracker.keepers();
+                    let is_new = |keeper: &&Candidate| !known.contains(&keeper.address);
+                    let new: Vec<Candidate> = keepers.iter().filter(is_new).cloned().collect();
+                    self.tell(&new, &self.tracker.backlog()).await;
+                }
+                () = stopping(&mut stop), if !is_leaving => {
+                    is_leaving = true;
+                    self.tracker.leave();
+                    self.tell(&keepers, &self.tracker.backlog()).await;
+                }
+                else => return,
             }
-        };
-        let Some(first) = first else {
-            return;
-        };
-        time::sleep(BATCH_DELAY).await;
-        let mut batch = vec![first];
-        while batch.len() < MAX_BATCH
-            && let Ok(next) = queue.try_recv()
-        {
-            batch.push(next);
         }
-        tell(&tracker.keepers(), &batch, &mut clients).await;
     }
-}
 
-async fn tell(
-    keepers: &[Candidate],
-    batch: &[Origin],
-    clients: &mut HashMap<SocketAddr, peers::Client>,
-) {
-    clients.retain(|address, _| keepers.iter().any(|keeper| keeper.address == *address));
-    for keeper in keepers {
-        if !clients.contains_key(&keeper.address)
-            && let Some(client) = client(keeper)
-        {
-            clients.insert(keeper.address, client);
+    async fn tell(&mut self, keepers: &[Candidate], streams: &[Origin]) {
+        if streams.is_empty() {
+            return;
         }
+        self.connect(keepers);
+        let calls = keepers.iter().filter_map(|keeper| {
+            let client = self.clients.get(&keeper.address)?;
+            Some(async move {
+                for batch in streams.chunks(MAX_BATCH) {
+                    if let Err(problem) = client.began(batch).await {
+                        log::info!(
+                            host:% = keeper.host, streams = streams.len(), problem:%;
+                            "a host was not told of streams"
+                        );
+                        return;
+                    }
+                }
+            })
+        });
+        future::join_all(calls).await;
     }
-    let calls = keepers.iter().filter_map(|keeper| {
-        let client = clients.get(&keeper.address)?;
-        Some(async move {
-            if let Err(problem) = client.began(batch).await {
-                log::info!(host:% = keeper.host, problem:%; "a host was not told of streams");
+
+    /// Keeps a client for each keeper.
+    fn connect(&mut self, keepers: &[Candidate]) {
+        let current = self.tracker.keepers();
+        let is_keeper = |address| current.iter().any(|keeper| keeper.address == address);
+        self.clients.retain(|address, _| is_keeper(*address));
+        for keeper in keepers {
+            if !self.clients.contains_key(&keeper.address)
+                && let Some(client) = client(keeper)
+            {
+                self.clients.insert(keeper.address, client);
             }
-        })
-    });
-    future::join_all(calls).await;
+        }
+    }
+}
+
+/// Waits until this host stops.
+async fn stopping(stop: &mut watch::Receiver<StopState>) {
+    if stop
+        .wait_for(|stop| stop.stage > Stage::Serving)
+        .await
+        .is_err()
+    {
+        log::debug!("host shut down without a planned stop");
+    }
+}
+
+/// Collects the streams that follow the first one within the batch's delay.
+async fn take_batch(first: Origin, queue: &mut mpsc::UnboundedReceiver<Origin>) -> Vec<Origin> {
+    time::sleep(BATCH_DELAY).await;
+    let mut batch = vec![first];
+    while batch.len() < MAX_BATCH
+        && let Ok(next) = queue.try_recv()
+    {
+        batch.push(next);
+    }
+    batch
 }
 
 fn client(keeper: &Candidate) -> Option<peers::Client> {
@@ -176,21 +258,34 @@
 }
 
 impl Tracker {
-    /// Records that a stream began, and tells other hosts if several versions can have begun
-    /// it.
+    /// Records that a stream began, or was taken up, and tells other hosts if several versions
+    /// can have begun it or this host stops.
     pub(crate) fn record(&self, job: &Job, software: &id::Software) {
+        let first = match job.resumed_position() {
+            Some(_) => job.resumes.as_ref(),
+            None => Some(&job.id),
+        };
+        let Some(first) = first else {
+            return;
+        };
         let now = self.0.clock.now();
-        let stream = stream(job, &job.id);
+        let stream = stream(job, first);
         let mut state = self.state();
-        state.origins.record(stream, software.clone(), now);
-        let possible = state.releases.possible(&job.service, life(job), now);
-        drop(state);
-        let is_sole = possible == Possible::One(software.clone());
-        let origin = Origin {
+        if !state.origins.record(stream, software.clone(), now) {
+            return;
+        }
+        let begun = Begun {
             stream,
+            service: job.service.clone(),
             software: software.clone(),
+            until: now + life(job),
         };
-        if !is_sole && self.0.told.send(origin).is_err() {
+        let origin = Origin::from(&begun);
+        state.backlog.add(begun, now);
+        let possible = state.releases.possible(&job.service, life(job), now);
+        let is_told = state.is_leaving || possible != Possible::One(software.clone());
+        drop(state);
+        if is_told && self.0.told.send(origin).is_err() {
             log::debug!("host shut down before others were told of a stream");
         }
     }
@@ -204,7 +299,29 @@
             service: job.service.clone(),
             life_ms: life(job),
         };
-        let own = self.answer(&question);
+        loop {
+            if let Some(software) = self.ask(&question).await {
+                return Some(software);
+            }
+            let wait = self.time_until_told(&job.service)?;
+            if self.0.clock.now() + wait >= job.deadline {
+                return None;
+            }
+            time::sleep(wait).await;
+        }
+    }
+
+    /// Time until all hosts in touch with the store have told of the streams that were open when
+    /// a version was listed beside others; `None` if they have.
+    fn time_until_told(&self, service: &id::Service) -> Option<Duration> {
+        let joined_at = self.state().releases.joined_at(service)?;
+        let told_at = joined_at + host::ENDPOINTS_POLLING.max_age() + BATCH_DELAY;
+        told_at.checked_sub(self.0.clock.now())
+    }
+
+    /// Asks this host and others for the version that began a stream.
+    async fn ask(&self, question: &Question) -> Option<id::Software> {
+        let own = self.answer(question);
         if own.began.is_some() {
             return own.began;
         }
@@ -236,9 +353,30 @@
     pub(crate) fn told(&self, batch: Vec<Origin>) {
         let now = self.0.clock.now();
         let mut state = self.state();
+        let mut new = 0;
         for origin in batch {
-            state.origins.record(origin.stream, origin.software, now);
+            new += u64::from(state.origins.record(origin.stream, origin.software, now));
         }
+        drop(state);
+        self.0.metrics.told_of_streams(new);
+    }
+
+    /// Streams of this host that others must know.
+    fn backlog(&self) -> Vec<Origin> {
+        let now = self.0.clock.now();
+        let state = self.state();
+        let must_know =
+            |service: &id::Service| state.is_leaving || state.releases.has_several(service);
+        state
+            .backlog
+            .open(must_know, now)
+            .map(Origin::from)
+            .collect()
+    }
+
+    /// Records that this host stops.
+    fn leave(&self) {
+        self.state().is_leaving = true;
     }
 
     pub(crate) fn answer(&self, question: &Question) -> Answer {
@@ -254,14 +392,15 @@
         }
     }
 
-    fn update(&self) {
+    /// Applies the list of endpoints, and returns whether a version is new beside others.
+    fn update(&self) -> bool {
         let now = self.0.clock.now();
         let endpoints = self.0.endpoints.borrow().clone();
         if endpoints.is_empty() {
-            return;
+            return false;
         }
         let listed = endpoints.iter().map(|one| (&one.service, &one.software));
-        self.state().releases.update(listed, now);
+        self.state().releases.update(listed, now)
     }
 
     /// Other hosts that are told of streams: some of this zone, and some of others.
--- a/crates/papayayard_gateway/src/relay.rs
+++ b/crates/papayayard_gateway/src/relay.rs
@@ -412,7 +412,7 @@
     }
 
     pub(crate) fn record_first_event(&self, job: &Job, software: Option<&id::Software>) {
-        if let Some(software) = software.filter(|_| job.resumed_position().is_none()) {
+        if let Some(software) = software {
             self.origins.record(job, software);
         }
         let received = job.target.saturating_sub(job.route.target_latency);
