Isolation: the salt names the group of requests that share cached prompts

Cause: the common salt named model and version alone, so parts that an account made under it stayed there, in endpoints and in a store that drops nothing. Also, a request that waited for a place kept the older configuration. Ruled out: a late configuration as the cause of the rest, and fetches. Change: the salt holds a digest of the group: one isolated account, or all accounts but the set of isolated ones. Each host computes it from the configuration alone; parts under it were made by accounts outside of the set, in any order of changes. The group travels with placement requests, and a request that waited is placed again. Names with separators spell no other salt. Cost: a change of the set empties the common cache once; other changes keep it.

--- a/crates/papayayard_gateway/src/dispatch.rs
+++ b/crates/papayayard_gateway/src/dispatch.rs
@@ -255,7 +255,7 @@
     ) -> Selection {
         match decision {
             message::Decision::Placed(placed) => {
-                let placement = placed.into_placement();
+                let placement = placed.into_placement(&query);
                 let adopted = self.0.schedule.adopt(query.clone(), placement.clone());
                 let ticket = adopted.await;
                 let permit = self.permit(&query, number, &placement, ticket, Some(link));
--- a/crates/papayayard_gateway/src/dispatch/message.rs
+++ b/crates/papayayard_gateway/src/dispatch/message.rs
@@ -7,8 +7,9 @@
 use papayayard_routing::placement::{
     Availability, Limit, Outcome, Placement, Query, RefusalReason, Ticket,
 };
-use papayayard_routing::prompt::{Part, Prompt};
+use papayayard_routing::prompt::{self, Part, Prompt};
 use papayayard_routing::rate::Rate;
+use papayayard_routing::sharing;
 use papayayard_wire::id;
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMicroSeconds, DurationMilliSeconds, serde_as};
@@ -123,7 +124,11 @@
     /// Whether the request declares no prompt; the fields above are then empty.
     #[serde(default)]
     is_plain: bool,
-    /// Client account, if it shares no cached prompts with other accounts.
+    /// Requests with which this one may share cached prompts; `None` from older releases.
+    #[serde(default)]
+    group: Option<sharing::Group>,
+    /// Isolated client account; named only by older releases.
+    #[serde(default, skip_serializing)]
     wall: Option<String>,
     is_repeatable: bool,
     priority: u8,
@@ -280,10 +285,8 @@
             likely_output: prompt.and_then(|prompt| prompt.expected_output),
             parts: parts.map(|part| (part.name.clone(), part.tokens)).collect(),
             is_plain: prompt.is_none(),
-            wall: query
-                .isolation
-                .as_ref()
-                .map(|account| account.as_str().to_owned()),
+            group: Some(query.group),
+            wall: None,
             is_repeatable: query.is_repeatable,
             priority: query.priority,
             target_ms: query.target.saturating_sub(now),
@@ -298,6 +301,10 @@
 
     /// Converts the request for the dispatcher's scheduler.
     pub(super) fn into_query(self, host: id::Host, zone: id::Zone, now: Duration) -> Query {
+        let group = self.group.unwrap_or_else(|| match self.wall {
+            Some(account) => sharing::Group::of_account(&id::Account::from(account)),
+            None => sharing::Group::default(),
+        });
         let parts = self.parts.into_iter();
         let prompt = Prompt {
             model: id::Model::from(self.model),
@@ -311,7 +318,7 @@
             requesting_host: Some(host),
             zone,
             prompt: (!self.is_plain).then(|| Arc::new(prompt)),
-            isolation: self.wall.map(id::Account::from),
+            group,
             is_repeatable: self.is_repeatable,
             priority: self.priority,
             target: now + self.target_ms,
@@ -353,15 +360,20 @@
         }
     }
 
-    /// Converts to a placement with an empty ticket, since the dispatcher keeps the ticket.
-    pub(super) fn into_placement(self) -> Placement {
+    /// Converts to a placement with an empty ticket, since the dispatcher keeps the ticket. The
+    /// salt is this host's: a dispatcher of an older release has others.
+    pub(super) fn into_placement(self, query: &Query) -> Placement {
+        let prompt = query.prompt.as_ref();
+        let prompt = prompt.filter(|_| self.salt.is_some());
+        let version = self.version.unwrap_or(0);
+        let salt = prompt.map(|prompt| prompt::salt(&prompt.model, version, query.group));
         Placement {
             ticket: Ticket::default(),
             endpoint: id::Endpoint::from(self.endpoint),
             address: self.address,
             software: self.software,
             version: self.version,
-            salt: self.salt,
+            salt,
             fetch: self.fetch,
             save: self.save,
             first_event: self.first_event_us,
--- a/crates/papayayard_gateway/src/job.rs
+++ b/crates/papayayard_gateway/src/job.rs
@@ -8,6 +8,7 @@
 use papayayard_routing::blame::Subjects;
 use papayayard_routing::placement::Query;
 use papayayard_routing::prompt::Prompt;
+use papayayard_routing::sharing;
 use papayayard_routing::table::{Account, Kind, Route};
 use papayayard_wire::id;
 
@@ -65,14 +66,18 @@
     }
 
     /// Placement request for the scheduler.
-    pub(crate) fn query(&self, zone: &id::Zone, tried: &[id::Endpoint]) -> Query {
-        let isolated = self.account.as_ref().filter(|account| account.isolated);
+    pub(crate) fn query(
+        &self,
+        zone: &id::Zone,
+        tried: &[id::Endpoint],
+        group: sharing::Group,
+    ) -> Query {
         Query {
             service: self.service.clone(),
             requesting_host: None,
             zone: zone.clone(),
             prompt: self.prompt.clone(),
-            isolation: isolated.map(|account| account.name.clone()),
+            group,
             is_repeatable: self.route.kind.is_repeatable(),
             priority: self.priority(),
             target: self.target,
--- a/crates/papayayard_gateway/src/relay.rs
+++ b/crates/papayayard_gateway/src/relay.rs
@@ -10,6 +10,8 @@
 use papayayard_routing::blame::Progress;
 use papayayard_routing::placement::{Outcome, Placement, RefusalReason};
 use papayayard_routing::retry_budget;
+use papayayard_routing::sharing;
+use papayayard_routing::table::Accounts;
 use papayayard_wire::id;
 use papayayard_wire::refusal::Kind;
 use tokio::sync::watch;
@@ -185,10 +187,31 @@
         }
     }
 
-    /// Waits for a place at an endpoint.
+    /// Waits for a place at an endpoint. A place is given up if the configuration has changed
+    /// meanwhile which cached prompts the request may share.
     pub(crate) async fn find(&self, job: &Job, history: &History) -> Selection {
-        let query = job.query(&self.zone, &history.endpoints);
-        self.dispatch.place(query).await
+        loop {
+            let group = self.sharing_group(job);
+            let query = job.query(&self.zone, &history.endpoints, group);
+            match self.dispatch.place(query).await {
+                Selection::Placed(_, permit) if self.sharing_group(job) != group => {
+                    log::info!(request:% = job.id; "placed again, since accounts were isolated or freed");
+                    permit.end(Outcome::Abandoned);
+                }
+                selection => return selection,
+            }
+        }
+    }
+
+    /// The requests with which this one may share cached prompts, by the configuration in force.
+    fn sharing_group(&self, job: &Job) -> sharing::Group {
+        let configuration = self.configuration.borrow();
+        let table = configuration.table.as_ref();
+        let account = job.account.as_deref();
+        table.map_or_else(
+            || Accounts::default().group(account),
+            |table| table.accounts.group(account),
+        )
     }
 
     async fn place(&self, job: &Job, history: &History) -> Result<(Placement, Permit), Refusal> {
--- a/crates/papayayard_routing/src/lib.rs
+++ b/crates/papayayard_routing/src/lib.rs
@@ -22,5 +22,6 @@
 pub mod retry_budget;
 pub mod run;
 pub mod salt;
+pub mod sharing;
 pub mod table;
 pub mod weights;
--- a/crates/papayayard_routing/src/placement/place.rs
+++ b/crates/papayayard_routing/src/placement/place.rs
@@ -49,8 +49,7 @@
             reread: estimate.reread,
         };
         if let Some(prompt) = &query.prompt {
-            let isolation = query.isolation.as_ref();
-            let keys = shared_keys(prompt, candidate.version, isolation);
+            let keys = shared_keys(prompt, candidate.version, query.group);
             let fetch = candidate.fetch;
             let engine = self.backends[candidate.key].endpoint.clone();
             let saved_by = prefilled_by(first_event, now) + SAVE_TIME;
@@ -60,7 +59,7 @@
                 self.record_store_fetch(prompt, fetch.source.transfer, now);
             }
             placement.fetch = fetch.map(|fetch| fetch.address);
-            placement.salt = Some(prompt::salt(&prompt.model, candidate.version, isolation));
+            placement.salt = Some(prompt::salt(&prompt.model, candidate.version, query.group));
             placement.version = (candidate.version > 0).then_some(candidate.version);
         }
         let predicted = Prediction {
@@ -154,7 +153,7 @@
             amounts.memory = f64::from(memory);
             backend.cache.fill(f64::from(memory));
             let version = placement.version.unwrap_or(0);
-            keys = shared_keys(prompt, version, query.isolation.as_ref());
+            keys = shared_keys(prompt, version, query.group);
             let prefilled = prefilled_by(placement.first_event, now);
             for (part, key) in prompt.shared().iter().zip(&keys) {
                 backend.cache.expect(*key, part.tokens, prefilled);
--- a/crates/papayayard_routing/src/placement/query.rs
+++ b/crates/papayayard_routing/src/placement/query.rs
@@ -7,7 +7,7 @@
 use papayayard_wire::id;
 
 use super::backend::Endpoint;
-use crate::prompt;
+use crate::{prompt, sharing};
 
 slotmap::new_key_type! {
     /// Key of a request that waits for placement.
@@ -28,8 +28,8 @@
     pub zone: id::Zone,
     /// Declared prompt, for model services.
     pub prompt: Option<Arc<prompt::Prompt>>,
-    /// Client account, if it shares no cached prompts with other accounts.
-    pub isolation: Option<id::Account>,
+    /// Requests with which this one may share cached prompts.
+    pub group: sharing::Group,
     /// Whether the request can be retried after an endpoint may have run it.
     pub is_repeatable: bool,
     /// Priority; 0 is the most urgent.
--- a/crates/papayayard_routing/src/placement/select.rs
+++ b/crates/papayayard_routing/src/placement/select.rs
@@ -13,6 +13,7 @@
 use super::query::{Availability, BackendKey, Query, RefusalReason};
 use super::{Scheduler, cost, float, from_ms, ms};
 use crate::prompt;
+use crate::sharing;
 use crate::table;
 use crate::weights;
 
@@ -290,7 +291,7 @@
         version: u64,
         now: Duration,
     ) -> Shared<'a> {
-        let keys = shared_keys(prompt, version, query.isolation.as_ref());
+        let keys = shared_keys(prompt, version, query.group);
         let parts = prompt.shared();
         let engines = self.backends.iter().filter(|(_, backend)| {
             backend.endpoint.service == query.service
@@ -350,9 +351,9 @@
 pub(super) fn shared_keys(
     prompt: &prompt::Prompt,
     version: u64,
-    isolation: Option<&id::Account>,
+    group: sharing::Group,
 ) -> Vec<prompt::Key> {
-    let salt = prompt::salt(&prompt.model, version, isolation);
+    let salt = prompt::salt(&prompt.model, version, group);
     let parts = prompt.shared().iter();
     parts.map(|part| prompt::key(&salt, &part.name)).collect()
 }
--- a/crates/papayayard_routing/src/prompt.rs
+++ b/crates/papayayard_routing/src/prompt.rs
@@ -2,12 +2,14 @@
 //!
 //! Requests with the same leading parts can share what an engine has computed for
 //! them. Cached parts are separated by a salt of the model, the version of its
-//! weights and, for an isolated client account, the account. A part is therefore
+//! weights and the group of requests that may share them. A part is therefore
 //! never found under other weights or across the isolation of an account.
 
 use papayayard_wire::id;
 use xxhash_rust::xxh3::Xxh3;
 
+use crate::sharing;
+
 /// A declared prompt.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Prompt {
@@ -70,12 +72,10 @@
 /// Identifies a set of cached parts that may be shared.
 pub type Salt = String;
 
-/// The salt of a model's weights and, for an isolated account, of the account.
-pub fn salt(model: &id::Model, version: u64, isolated: Option<&id::Account>) -> Salt {
-    match isolated {
-        Some(account) => format!("{model}/{version}/{account}"),
-        None => format!("{model}/{version}"),
-    }
+/// The salt of a model's weights and of the group that shares parts. The model comes last,
+/// since its name may have any characters.
+pub fn salt(model: &id::Model, version: u64, group: sharing::Group) -> Salt {
+    format!("{version}/{group}/{model}")
 }
 
 /// Key of a cached part under its salt.
--- a/crates/papayayard_routing/src/table.rs
+++ b/crates/papayayard_routing/src/table.rs
@@ -4,7 +4,7 @@
 //! of the path. The kind of the route determines whether a request may be retried,
 //! on which most of its further processing depends.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,6 +12,8 @@
 use papayayard_wire::id;
 use xxhash_rust::xxh3;
 
+use crate::sharing;
+
 /// Routes, services and client accounts of one revision.
 #[derive(Clone, Debug, Default)]
 pub struct Table {
@@ -145,6 +147,9 @@
 pub struct Accounts {
     by_key: HashMap<String, Arc<Account>>,
     required: bool,
+    isolated: HashSet<id::Account>,
+    /// Requests of accounts that are not isolated.
+    common: sharing::Group,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -164,13 +169,19 @@
         Pairs: IntoIterator<Item = (Account, Vec<String>)>,
     {
         let mut by_key = HashMap::new();
+        let mut isolated = HashSet::new();
         for (account, keys) in accounts {
+            if account.isolated {
+                isolated.insert(account.name.clone());
+            }
             let account = Arc::new(account);
             by_key.extend(keys.into_iter().map(|key| (key, Arc::clone(&account))));
         }
         Self {
             by_key,
             required: true,
+            common: sharing::Group::of_others(&isolated),
+            isolated,
         }
     }
 
@@ -179,6 +190,17 @@
         self.required
     }
 
+    /// The requests with which those of an account, or without one, may share cached prompts.
+    /// `account` may be of an earlier configuration; isolation in either one counts.
+    pub fn group(&self, account: Option<&Account>) -> sharing::Group {
+        let is_isolated =
+            |account: &&Account| account.isolated || self.isolated.contains(&account.name);
+        let isolated = account.filter(is_isolated);
+        isolated.map_or(self.common, |account| {
+            sharing::Group::of_account(&account.name)
+        })
+    }
+
     /// The account that holds a key.
     pub fn find(&self, key: &str) -> Option<&Arc<Account>> {
         self.by_key.get(key)
--- a/crates/papayayard_routing/tests/placement/choice.rs
+++ b/crates/papayayard_routing/tests/placement/choice.rs
@@ -1,6 +1,7 @@
 //! Placement of a single request: caches, stores, isolation, zones and failures.
 
 use papayayard_routing::placement::{Decision, Outcome, RefusalReason, Scheduler};
+use papayayard_routing::sharing;
 use papayayard_wire::id;
 
 use crate::support::{self, NOW, ms};
@@ -210,7 +211,7 @@
     assert_eq!(public.version, Some(2));
 
     let mut isolated = support::query(support::history("dancer"), NOW);
-    isolated.isolation = Some(id::Account::from("studio"));
+    isolated.group = sharing::Group::of_account(&id::Account::from("studio"));
     let isolated = support::place(&mut scheduler, isolated, NOW);
     assert_ne!(public.salt, isolated.salt);
     assert_eq!((isolated.cached, isolated.fetch), (0, None));
--- a/crates/papayayard_routing/tests/placement/support.rs
+++ b/crates/papayayard_routing/tests/placement/support.rs
@@ -8,6 +8,7 @@
     Decision, Endpoint, Outcome, PendingKey, Placement, Query, Scheduler, Settings,
 };
 use papayayard_routing::prompt::{self, Part, Prompt};
+use papayayard_routing::sharing;
 use papayayard_routing::table::{self, Accounts, Limits, Table};
 use papayayard_routing::weights::TargetVersions;
 use papayayard_wire::id;
@@ -128,7 +129,7 @@
 
 /// Keys of a history's shared parts under a version.
 pub(crate) fn keys(subject: &str, version: u64) -> Vec<(prompt::Key, u32)> {
-    let salt = prompt::salt(&model(), version, None);
+    let salt = prompt::salt(&model(), version, sharing::Group::default());
     let prompt = history(subject);
     let parts = prompt.shared().iter();
     parts
@@ -144,7 +145,7 @@
         waited: Duration::ZERO,
         avoided: Vec::new(),
         prompt: Some(Arc::new(prompt)),
-        isolation: None,
+        group: sharing::Group::default(),
         is_repeatable: true,
         priority: 1,
         target: now + ms(500),
