Memory: answers that have not arrived completely share a bound

Cause: each answer is bounded (1 MiB, an event 256 KiB), their sum was not; and a body in chunks of a byte was kept as parts of the read buffers. Change: an eighth of the host's memory, which the settings state (`memory_mb`), holds answers and events that have not arrived completely. Beyond it the largest is given up, first among those without a length, and its endpoint has failed. Small answers, and long ones with a length, are read on. Bodies are copied into one buffer. The peak memory of a process was not measured again.

--- a/crates/papayayard_gateway/src/attempt.rs
+++ b/crates/papayayard_gateway/src/attempt.rs
@@ -44,6 +44,11 @@
 }
 
 impl Response {
+    /// Whether the length of the body is stated.
+    pub(crate) fn has_length(&self) -> bool {
+        self.head.headers.contains_key(header::CONTENT_LENGTH)
+    }
+
     /// Whether the body has neither a length nor chunks, so that a crash looks like its end.
     pub(crate) fn ends_with_connection(&self, method: &Method) -> bool {
         let headers = &self.head.headers;
@@ -72,6 +77,8 @@
     Foreign,
     /// The status means that the request did not run, but the endpoint does not state it.
     Unconfirmed,
+    /// The response is too long, or its memory was needed for others.
+    Oversized,
     /// No response was received before the timeout.
     Silent,
 }
@@ -86,6 +93,7 @@
             Self::Broken => "broken",
             Self::Foreign => "foreign",
             Self::Unconfirmed => "unconfirmed",
+            Self::Oversized => "oversized",
             Self::Silent => "silent",
         }
     }
@@ -101,7 +109,9 @@
             Self::Unreachable => Outcome::Unreachable,
             Self::Refused => Outcome::Refused,
             Self::Mismatched => Outcome::Mismatched,
-            Self::Broken | Self::Foreign | Self::Unconfirmed | Self::Silent => Outcome::Failed,
+            Self::Broken | Self::Foreign | Self::Unconfirmed | Self::Oversized | Self::Silent => {
+                Outcome::Failed
+            }
         }
     }
 }
--- a/crates/papayayard_gateway/src/ends/attempt.rs
+++ b/crates/papayayard_gateway/src/ends/attempt.rs
@@ -106,7 +106,11 @@
             }
             Failure::Silent => self.tracker.send(Message::Unanswered(attempt)),
             Failure::Unconfirmed => self.tracker.finished(attempt.subjects.request),
-            Failure::Unreachable | Failure::Refused | Failure::Mismatched | Failure::Foreign => {}
+            Failure::Unreachable
+            | Failure::Refused
+            | Failure::Mismatched
+            | Failure::Foreign
+            | Failure::Oversized => {}
         }
     }
 }
--- a/crates/papayayard_gateway/src/events.rs
+++ b/crates/papayayard_gateway/src/events.rs
@@ -69,6 +69,11 @@
         self.position
     }
 
+    /// Bytes of an event that is not complete.
+    pub(crate) fn pending(&self) -> usize {
+        self.partial.len()
+    }
+
     /// Whether the stream so far ends with a complete event.
     pub(crate) fn is_at_boundary(&self) -> bool {
         self.partial.is_empty()
--- a/crates/papayayard_gateway/src/host.rs
+++ b/crates/papayayard_gateway/src/host.rs
@@ -27,6 +27,7 @@
 use crate::front::{self, StopState};
 use crate::hosts::Neighbours;
 pub use crate::listen::Error;
+use crate::memory::Memory;
 use crate::metrics::Metrics;
 use crate::mirror::Mirror;
 use crate::pool::Pool;
@@ -150,6 +151,7 @@
         budget: Arc::new(Mutex::new(retry_budget::Budget::new(retries))),
         crashes,
         origins,
+        memory: Memory::of_host(parts.settings.memory_bytes),
         metrics: parts.metrics.clone(),
     };
     let open = TaskTracker::new();
--- a/crates/papayayard_gateway/src/lib.rs
+++ b/crates/papayayard_gateway/src/lib.rs
@@ -33,6 +33,7 @@
 mod front;
 mod hosts;
 mod job;
+mod memory;
 mod meter;
 mod metrics;
 mod mirror;
--- a/crates/papayayard_gateway/src/pump.rs
+++ b/crates/papayayard_gateway/src/pump.rs
@@ -32,6 +32,7 @@
 use crate::events::{Events, Splitter};
 use crate::exchange::Codec;
 use crate::job::Job;
+use crate::memory::Share;
 use crate::relay::{History, Relay};
 
 /// Silence after which a resumable stream moves to another endpoint, in multiples of the
@@ -62,7 +63,9 @@
     Platform: Codec,
 {
     let (sender, receiver) = mpsc::channel(CHANNEL_CAPACITY);
+    let share = relay.memory.share(false);
     let pump = Pump {
+        share,
         head: upstream.response.head.clone(),
         splitter: Splitter::after(job.resumed_position()),
         is_event_due: job.resumed_position().is_none() && !attempt::has_no_body(&job.method),
@@ -84,6 +87,8 @@
     history: History,
     chunks: mpsc::Sender<Result<Bytes, Truncated>>,
     splitter: Splitter,
+    /// Memory of an event that is not complete.
+    share: Share,
     has_begun: bool,
     /// Whether the stream is incomplete without a further event.
     is_event_due: bool,
@@ -177,6 +182,7 @@
             let frame = tokio::select! {
                 () = self.chunks.closed() => return End::CallerLeft,
                 frame = upstream.response.body.frame() => frame,
+                () = self.share.evicted() => return End::Failed(Failure::Oversized),
                 Some(found) = searches.join_next() => {
                     if let Some(replacement) = self.accept(found) {
                         return End::Replaced(replacement);
@@ -200,6 +206,7 @@
             let position = self.splitter.position();
             let Events { bytes, fault } = self.splitter.push(&data);
             self.is_event_due &= self.splitter.position() == position;
+            let is_exhausted = self.share.hold(self.splitter.pending()).is_err();
             if !bytes.is_empty() {
                 if !searches.is_empty() {
                     searches = JoinSet::new();
@@ -209,6 +216,9 @@
                     return end;
                 }
             }
+            if is_exhausted {
+                return End::Failed(Failure::Oversized);
+            }
             if let Some(fault) = fault {
                 log::warn!(
                     request:% = self.job.id, endpoint:% = upstream.placement.endpoint;
@@ -316,6 +326,7 @@
                 Ok(response) if continues(&self.head, &response.head) => {
                     self.history.runs += 1;
                     self.splitter = Splitter::after(position);
+                    self.share = self.relay.memory.share(false);
                     log::info!(
                         request:% = self.job.id, endpoint:% = placement.endpoint,
                         position = position.unwrap_or(0);
--- a/crates/papayayard_gateway/src/relay.rs
+++ b/crates/papayayard_gateway/src/relay.rs
@@ -4,8 +4,9 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use bytes::{Bytes, BytesMut};
 use http::{Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Limited};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use papayayard_routing::blame::Progress;
 use papayayard_routing::placement::{Outcome, Placement, RefusalReason};
@@ -27,6 +28,7 @@
 use crate::front;
 use crate::hop;
 use crate::job::Job;
+use crate::memory::{Memory, Share};
 use crate::metrics::Metrics;
 use crate::origins;
 use crate::pump;
@@ -67,6 +69,8 @@
     pub(crate) crashes: CrashTracker,
     /// Knows which version of the endpoints' software began a stream.
     pub(crate) origins: origins::Tracker,
+    /// Memory for responses that were read in part.
+    pub(crate) memory: Memory,
     pub(crate) metrics: Metrics,
 }
 
@@ -415,12 +419,9 @@
         reply: attempt::Response,
     ) -> Result<Response<Body>, Failure> {
         let remaining = job.deadline.saturating_sub(self.clock.now());
-        let body = Limited::new(reply.body, MAX_RESPONSE_BYTES).collect();
-        let body = match time::timeout(remaining, body).await {
-            Err(_) => return Err(Failure::Silent),
-            Ok(Err(_)) => return Err(Failure::Broken),
-            Ok(Ok(body)) => body.to_bytes(),
-        };
+        let share = self.memory.share(reply.has_length());
+        let body = time::timeout(remaining, read_whole(reply.body, share));
+        let body = body.await.unwrap_or(Err(Failure::Silent))?;
         let mut headers = reply.head.headers;
         self.sender.keep(placement, reply.connection, &headers);
         hop::strip(&mut headers);
@@ -459,6 +460,28 @@
     }
 }
 
+/// Reads a body to its end, within the memory for responses. Its bytes are copied, since frames
+/// may be small parts of larger buffers.
+async fn read_whole(mut body: Incoming, mut share: Share) -> Result<Bytes, Failure> {
+    let mut whole = BytesMut::new();
+    loop {
+        let frame = tokio::select! {
+            frame = body.frame() => frame,
+            () = share.evicted() => return Err(Failure::Oversized),
+        };
+        let data = match frame {
+            None => return Ok(whole.freeze()),
+            Some(Err(_)) => return Err(Failure::Broken),
+            Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+        };
+        let length = whole.len() + data.len();
+        if length > MAX_RESPONSE_BYTES || share.hold(length).is_err() {
+            return Err(Failure::Oversized);
+        }
+        whole.extend_from_slice(&data);
+    }
+}
+
 /// Label of the failure in logs and metrics; `None` represents an error response of
 /// the endpoint.
 fn reason(failure: Option<Failure>) -> &'static str {
--- a/crates/papayayard_gateway/src/settings.rs
+++ b/crates/papayayard_gateway/src/settings.rs
@@ -11,6 +11,10 @@
 
 /// Maximum duration in a setting, in ms.
 const MAX_MS: f64 = 3_600_000.0;
+/// Memory of a host whose settings do not state it, in MB.
+const DEFAULT_MEMORY_MB: f64 = 256.0;
+/// Maximum memory in the setting, in MB.
+const MAX_MEMORY_MB: f64 = 1e6;
 
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -30,6 +34,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Capacity relative to other hosts, in any unit that all hosts share.
     pub capacity: u32,
+    /// Memory that the host may use, in bytes.
+    pub memory_bytes: usize,
     /// Address of the platform's store.
     pub store: SocketAddr,
     pub bounds: Bounds,
@@ -79,6 +85,9 @@
     let capacity = fields.optional(reader, "capacity", 1.0, |reader, place| {
         decimal(reader, place, 1e6)
     });
+    let memory_mb = fields.optional(reader, "memory_mb", DEFAULT_MEMORY_MB, |reader, place| {
+        decimal(reader, place, MAX_MEMORY_MB)
+    });
     fields.reject_unknown(reader);
     let listen = listen?;
     Some(Settings {
@@ -90,6 +99,7 @@
         announced_peers: announced_peers?.unwrap_or(listen.peers),
         seeds: seeds?,
         capacity: thousandths(capacity?),
+        memory_bytes: bytes_of(memory_mb?),
         store: store?,
         bounds: bounds?,
     })
@@ -125,6 +135,16 @@
     thousandths
 }
 
+fn bytes_of(memory_mb: f64) -> usize {
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "the number is checked to be from 0 to a million"
+    )]
+    let kilobytes = (memory_mb * 1000.0) as usize;
+    kilobytes * 1000
+}
+
 fn bounds(reader: &mut Reader, place: &Place<'_>) -> Option<Bounds> {
     let mut fields = reader.fields(place)?;
     let strict = fields.optional(reader, "strict_revocation", false, Reader::flag);
--- a/crates/papayayard_gateway/tests/settings.rs
+++ b/crates/papayayard_gateway/tests/settings.rs
@@ -11,6 +11,7 @@
 listen: { callers: "10.0.0.1:80", operators: "10.0.0.1:81", peers: "10.0.0.1:82" }
 seeds: ["10.0.0.2:82", "10.0.0.3:82"]
 capacity: 0.25
+memory_mb: 110.5
 store: "10.0.0.9:80"
 bounds:
   strict_revocation: true
@@ -30,6 +31,7 @@
     assert_eq!(settings.bounds.old_weights, Duration::from_secs(12));
     assert_eq!(settings.bounds.lease, Duration::from_secs(3), "the default");
     assert_eq!(settings.capacity, 250);
+    assert_eq!(settings.memory_bytes, 110_500_000);
     assert_eq!(settings.seeds.len(), 2);
 }
 
@@ -62,6 +64,7 @@
 #[case::unknown("revocation_ms", "revoke", "bounds.revoke")]
 #[case::no_seed("10.0.0.3:82", "three", "seeds[1]")]
 #[case::no_announced("capacity: 0.25", "announced_peers: here", "announced_peers")]
+#[case::no_memory("110.5", "plenty", "memory_mb")]
 #[case::not_finite("58", "NaN", "bounds.repeat_slack")]
 fn a_fault_names_its_key(#[case] from: &str, #[case] to: &str, #[case] key: &str) {
     let faults = settings::parse(&GOOD.replacen(from, to, 1)).expect_err("faults");
--- a/crates/papayayard_routing/src/lib.rs
+++ b/crates/papayayard_routing/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod admission;
 pub mod blame;
 pub mod bucket;
+pub mod buffers;
 pub mod choice;
 pub mod ejection;
 pub mod fleet;
