Streams: a list that is not confirmed tells no sole version

Cause: a host that got no answer from others went by its own list, however old: it was asked only whether it had followed the list for long enough. Change: the list knows the reading that confirmed it last.

--- a/crates/papayayard_coordination/src/origin.rs
+++ b/crates/papayayard_coordination/src/origin.rs
@@ -9,7 +9,8 @@
 //!
 //! A stream that no host remembers may go on only if a single version can have begun it: no
 //! other one has served the service for as long as a stream lives. A host that has just
-//! started doesn't know that, whatever it finds listed.
+//! started doesn't know that, whatever it finds listed, and neither does one whose list is not
+//! confirmed any more: it may have been suspended, or be cut off from the store.
 
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::time::Duration;
@@ -107,6 +108,8 @@
     services: HashMap<id::Service, HashMap<id::Software, Served>>,
     /// When the first list was applied.
     since: Option<Duration>,
+    /// When the reading was requested that confirmed the list last.
+    confirmed_at: Option<Duration>,
     /// When a version was listed beside others, for the last time of each service.
     joined: HashMap<id::Service, Duration>,
 }
@@ -114,7 +117,8 @@
 /// Versions that can have begun a stream, as far as a host knows.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub enum Possible {
-    /// The host has not followed the list of endpoints for as long as a stream lives.
+    /// The host has not followed the list of endpoints for as long as a stream lives, or its
+    /// list is out of date.
     Unknown,
     One(id::Software),
     Several,
@@ -183,8 +187,25 @@
         self.joined.get(service).copied()
     }
 
-    /// Versions that can have begun a stream of a service, if streams end within `life`.
-    pub fn possible(&self, service: &id::Service, life: Duration, now: Duration) -> Possible {
+    /// Records that the list holds all that was listed when a reading was requested.
+    pub fn confirm(&mut self, requested_at: Duration) {
+        self.confirmed_at = self.confirmed_at.max(Some(requested_at));
+    }
+
+    /// When the reading was requested that confirmed the list last.
+    pub const fn confirmed_at(&self) -> Option<Duration> {
+        self.confirmed_at
+    }
+
+    /// Versions that can have begun a stream of a service, if streams end within `life` and a
+    /// list is out of date after `max_age`.
+    pub fn possible(
+        &self,
+        service: &id::Service,
+        life: Duration,
+        max_age: Duration,
+        now: Duration,
+    ) -> Possible {
         let versions = self.services.get(service);
         let mut lately = versions
             .into_iter()
@@ -197,7 +218,8 @@
             return Possible::Several;
         }
         let has_followed = self.since.is_some_and(|since| since + life <= now);
-        if has_followed {
+        let is_current = self.confirmed_at.is_some_and(|at| now <= at + max_age);
+        if has_followed && is_current {
             Possible::One(sole.clone())
         } else {
             Possible::Unknown
--- a/crates/papayayard_coordination/tests/origin_test.rs
+++ b/crates/papayayard_coordination/tests/origin_test.rs
@@ -9,6 +9,8 @@
 const NOW: Duration = Duration::from_secs(100);
 /// Longest life of a stream.
 const LIFE: Duration = Duration::from_secs(10);
+/// Age after which a list is out of date.
+const MAX_AGE: Duration = Duration::from_secs(1);
 
 fn stream(account: &str, request: &str) -> Stream {
     Stream::new(
@@ -27,8 +29,10 @@
     releases.update(versions.iter().map(|version| (&service, version)), now)
 }
 
-fn possible(releases: &Releases, now: Duration) -> Possible {
-    releases.possible(&id::Service::from("engines"), LIFE, now)
+/// Versions that are possible for a host whose list is confirmed now.
+fn possible(releases: &mut Releases, now: Duration) -> Possible {
+    releases.confirm(now);
+    releases.possible(&id::Service::from("engines"), LIFE, MAX_AGE, now)
 }
 
 fn one(name: &str) -> Possible {
@@ -71,9 +75,9 @@
 fn a_host_that_has_just_started_knows_no_sole_version() {
     let mut releases = Releases::default();
     list(&mut releases, &["new"], NOW);
-    assert_eq!(possible(&releases, NOW), Possible::Unknown);
-    assert_eq!(possible(&releases, NOW + LIFE / 2), Possible::Unknown);
-    assert_eq!(possible(&releases, NOW + LIFE), one("new"));
+    assert_eq!(possible(&mut releases, NOW), Possible::Unknown);
+    assert_eq!(possible(&mut releases, NOW + LIFE / 2), Possible::Unknown);
+    assert_eq!(possible(&mut releases, NOW + LIFE), one("new"));
 }
 
 #[test]
@@ -81,16 +85,19 @@
     let mut releases = Releases::default();
     list(&mut releases, &["old"], NOW);
     let both_since = NOW + LIFE * 2;
-    assert_eq!(possible(&releases, both_since), one("old"));
+    assert_eq!(possible(&mut releases, both_since), one("old"));
     list(&mut releases, &["old", "new"], both_since);
     assert_eq!(
-        possible(&releases, both_since + LIFE * 2),
+        possible(&mut releases, both_since + LIFE * 2),
         Possible::Several
     );
     let replaced = both_since + LIFE * 3;
     list(&mut releases, &["new"], replaced);
-    assert_eq!(possible(&releases, replaced + LIFE / 2), Possible::Several);
-    assert_eq!(possible(&releases, replaced + LIFE), one("new"));
+    assert_eq!(
+        possible(&mut releases, replaced + LIFE / 2),
+        Possible::Several
+    );
+    assert_eq!(possible(&mut releases, replaced + LIFE), one("new"));
 }
 
 /// A host that had just started and listed two versions believed one that still listed one.
@@ -153,3 +160,20 @@
     assert_eq!(open, [&streams[1]]);
     assert_eq!(backlog.open(|_| true, NOW + LIFE).count(), 2);
 }
+
+/// A host that was suspended during a release, or cut off, took its old list for the truth.
+#[test]
+fn a_list_that_is_out_of_date_tells_no_sole_version() {
+    let service = id::Service::from("engines");
+    let mut releases = Releases::default();
+    list(&mut releases, &["old"], NOW);
+    let confirmed_at = NOW + LIFE * 2;
+    releases.confirm(confirmed_at);
+    releases.confirm(NOW);
+    let possible = |now| releases.possible(&service, LIFE, MAX_AGE, now);
+    assert_eq!(possible(confirmed_at + MAX_AGE), one("old"));
+    assert_eq!(possible(confirmed_at + MAX_AGE * 2), Possible::Unknown);
+    releases.confirm(confirmed_at + MAX_AGE * 2);
+    let possible = releases.possible(&service, LIFE, MAX_AGE, confirmed_at + MAX_AGE * 2);
+    assert_eq!(possible, one("old"));
+}
--- a/crates/papayayard_gateway/src/beliefs.rs
+++ b/crates/papayayard_gateway/src/beliefs.rs
@@ -26,8 +26,8 @@
     pub(crate) targets: HashMap<id::Model, TargetVersions>,
 }
 
-/// Request time of the newest complete reading of the operators topic. Keys revoked
-/// before this time are known to be revoked.
+/// Request time of the newest complete reading of a topic. What was written before this time,
+/// such as the revocation of a key, is known.
 pub(crate) type LastRead = Option<Duration>;
 
 /// Reducer for the operators topic.
@@ -138,6 +138,7 @@
     codec: Platform,
     listing: Listing,
     list: watch::Sender<Vec<Endpoint>>,
+    last_read: watch::Sender<LastRead>,
     schedule: Handle,
 }
 
@@ -145,15 +146,18 @@
 where
     Platform: Codec,
 {
+    /// Creates a reducer that publishes the list before the time of the reading that confirms it.
     pub(crate) fn new(
         codec: Platform,
         list: watch::Sender<Vec<Endpoint>>,
+        last_read: watch::Sender<LastRead>,
         schedule: Handle,
     ) -> Self {
         Self {
             codec,
             listing: Listing::default(),
             list,
+            last_read,
             schedule,
         }
     }
@@ -200,16 +204,16 @@
             .remove_missing(|id| keys.contains(id.as_str()), now);
     }
 
-    fn caught_up(&mut self, _requested_at: Duration, _next: u64, now: Duration) {
+    fn caught_up(&mut self, requested_at: Duration, _next: u64, now: Duration) {
         let mut endpoints = self.listing.endpoints(now);
         endpoints.sort_unstable_by(|left, right| left.id.cmp(&right.id));
         let is_changed = *self.list.borrow() != endpoints;
-        if !is_changed {
-            return;
+        if is_changed {
+            log_changes(&self.list.borrow(), &endpoints);
+            self.schedule.send(Message::Endpoints(endpoints.clone()));
+            self.list.send_replace(endpoints);
         }
-        log_changes(&self.list.borrow(), &endpoints);
-        self.schedule.send(Message::Endpoints(endpoints.clone()));
-        self.list.send_replace(endpoints);
+        self.last_read.send_replace(Some(requested_at));
     }
 }
 
--- a/crates/papayayard_gateway/src/host.rs
+++ b/crates/papayayard_gateway/src/host.rs
@@ -106,9 +106,9 @@
     };
     let hosts = parts.count_hosts();
     let (configuration, last_read) = parts.follow_operators();
-    let endpoints = parts.follow_endpoints();
+    let (endpoints, endpoints_read) = parts.follow_endpoints();
     let dispatch = parts.dispatch();
-    let origins = parts.track_origins(&endpoints);
+    let origins = parts.track_origins(&endpoints, endpoints_read);
     parts.order_weights(&configuration, &endpoints, &dispatch);
     let changes = parts.follow_caches(&configuration, &endpoints, &hosts, &dispatch);
     let crashes = parts.track_crashes(&endpoints);
@@ -275,12 +275,13 @@
         (configuration_receiver, last_read_receiver)
     }
 
-    fn follow_endpoints(&mut self) -> watch::Receiver<Vec<Endpoint>> {
+    fn follow_endpoints(&mut self) -> (watch::Receiver<Vec<Endpoint>>, watch::Receiver<LastRead>) {
         let (list, list_receiver) = watch::channel(Vec::new());
+        let (last_read, last_read_receiver) = watch::channel(None);
         let codec = self.store.codec.clone();
-        let reducer = Endpoints::new(codec, list, self.schedule.clone());
+        let reducer = Endpoints::new(codec, list, last_read, self.schedule.clone());
         self.follow(Topic::Endpoints, ENDPOINTS_POLLING, reducer);
-        list_receiver
+        (list_receiver, last_read_receiver)
     }
 
     fn order_weights(
@@ -323,12 +324,17 @@
         crashes
     }
 
-    fn track_origins(&mut self, endpoints: &watch::Receiver<Vec<Endpoint>>) -> origins::Tracker {
+    fn track_origins(
+        &mut self,
+        endpoints: &watch::Receiver<Vec<Endpoint>>,
+        last_read: watch::Receiver<LastRead>,
+    ) -> origins::Tracker {
         let (tracker, telling) = origins::start(origins::Parts {
             host: self.settings.host.clone(),
             clock: self.store.clock,
             neighbours: self.neighbours.clone(),
             endpoints: endpoints.clone(),
+            last_read,
             stop: self.stop_state.clone(),
             metrics: self.metrics.clone(),
         });
--- a/crates/papayayard_gateway/src/origins.rs
+++ b/crates/papayayard_gateway/src/origins.rs
@@ -4,8 +4,9 @@
 //! they begin, at once and in batches. When a second version is listed they tell of those that
 //! are open, also to hosts that they choose later, and a host that stops hands over all of its
 //! own. A host that is asked to resume a stream that it does not remember asks the same hosts,
-//! and once more if others may only now have listed a new version. The decisions are made in
-//! `papayayard_coordination::origin`.
+//! and once more if others may only now have listed a new version. If no other host answers, it
+//! goes by its own list only once a reading has confirmed that after the request came. The
+//! decisions are made in `papayayard_coordination::origin`.
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
@@ -25,6 +26,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time;
 
+use crate::beliefs::LastRead;
 use crate::clock::Clock;
 use crate::front::StopState;
 use crate::host;
@@ -92,6 +94,8 @@
     clock: Clock,
     neighbours: watch::Receiver<Neighbours>,
     endpoints: watch::Receiver<Vec<Endpoint>>,
+    /// When the reading was requested that the state goes by.
+    confirmed: watch::Sender<LastRead>,
     metrics: Metrics,
     state: Mutex<State>,
     told: mpsc::UnboundedSender<Origin>,
@@ -107,12 +111,31 @@
     is_leaving: bool,
 }
 
+impl State {
+    /// Versions that can have begun a stream of a service, as far as this host knows.
+    fn possible(&self, service: &id::Service, life: Duration, now: Duration) -> Possible {
+        let max_age = host::ENDPOINTS_POLLING.max_age();
+        self.releases.possible(service, life, max_age, now)
+    }
+}
+
+/// What hosts know of the version that began a stream.
+enum Finding {
+    Began(id::Software),
+    /// Several versions can have begun it, or the hosts have just started.
+    Unknown,
+    /// A reading of the list of endpoints may tell.
+    Unconfirmed,
+}
+
 /// Dependencies of the tracker.
 pub(crate) struct Parts {
     pub(crate) host: id::Host,
     pub(crate) clock: Clock,
     pub(crate) neighbours: watch::Receiver<Neighbours>,
     pub(crate) endpoints: watch::Receiver<Vec<Endpoint>>,
+    /// Request time of the newest reading of the endpoints.
+    pub(crate) last_read: watch::Receiver<LastRead>,
     /// Stage of a planned stop.
     pub(crate) stop: watch::Receiver<StopState>,
     pub(crate) metrics: Metrics,
@@ -126,12 +149,14 @@
         clock: parts.clock,
         neighbours: parts.neighbours,
         endpoints: parts.endpoints,
+        confirmed: watch::channel(None).0,
         metrics: parts.metrics,
         state: Mutex::default(),
         told,
     }));
     let teller = Teller {
         tracker: tracker.clone(),
+        last_read: parts.last_read,
         clients: HashMap::new(),
     };
     let task = teller.run(queue, parts.stop);
@@ -141,6 +166,7 @@
 /// Tells other hosts of streams, and follows the list of endpoints and of hosts.
 struct Teller {
     tracker: Tracker,
+    last_read: watch::Receiver<LastRead>,
     clients: HashMap<SocketAddr, peers::Client>,
 }
 
@@ -151,11 +177,10 @@
         mut queue: mpsc::UnboundedReceiver<Origin>,
         mut stop: watch::Receiver<StopState>,
     ) {
-        let mut endpoints = self.tracker.0.endpoints.clone();
+        let mut last_read = self.last_read.clone();
         let mut neighbours = self.tracker.0.neighbours.clone();
         let mut keepers = self.tracker.keepers();
         let mut is_leaving = false;
-        self.tracker.update();
         loop {
             tokio::select! {
                 first = queue.recv() => {
@@ -165,8 +190,9 @@
                     let batch = take_batch(first, &mut queue).await;
                     self.tell(&keepers, &batch).await;
                 }
-                Ok(()) = endpoints.changed() => {
-                    if self.tracker.update() {
+                Ok(()) = last_read.changed() => {
+                    let requested_at = *last_read.borrow_and_update();
+                    if self.tracker.update(requested_at) {
                         self.tell(&keepers, &self.tracker.backlog()).await;
                     }
                 }
@@ -282,7 +308,7 @@
         };
         let origin = Origin::from(&begun);
         state.backlog.add(begun, now);
-        let possible = state.releases.possible(&job.service, life(job), now);
+        let possible = state.possible(&job.service, life(job), now);
         let is_told = state.is_leaving || possible != Possible::One(software.clone());
         drop(state);
         if is_told && self.0.told.send(origin).is_err() {
@@ -299,11 +325,16 @@
             service: job.service.clone(),
             life_ms: life(job),
         };
+        let arrived = self.0.clock.now();
         loop {
-            if let Some(software) = self.ask(&question).await {
-                return Some(software);
-            }
-            let wait = self.time_until_told(&job.service)?;
+            let wait = match self.ask(&question, arrived).await {
+                Finding::Began(software) => return Some(software),
+                Finding::Unknown => self.time_until_told(&job.service)?,
+                Finding::Unconfirmed => {
+                    self.wait_for_reading(job, arrived).await?;
+                    continue;
+                }
+            };
             if self.0.clock.now() + wait >= job.deadline {
                 return None;
             }
@@ -311,6 +342,19 @@
         }
     }
 
+    /// Waits until the list of endpoints was read after a request arrived; `None` if that takes
+    /// longer than at a host in touch with the store, or than the request has.
+    async fn wait_for_reading(&self, job: &Job, arrived: Duration) -> Option<()> {
+        let left = job.deadline.saturating_sub(self.0.clock.now());
+        let mut confirmed = self.0.confirmed.subscribe();
+        let read = confirmed.wait_for(|read| read.is_some_and(|read| read >= arrived));
+        time::timeout(left.min(host::ENDPOINTS_POLLING.max_age()), read)
+            .await
+            .ok()?
+            .ok()?;
+        Some(())
+    }
+
     /// Time until all hosts in touch with the store have told of the streams that were open when
     /// a version was listed beside others; `None` if they have.
     fn time_until_told(&self, service: &id::Service) -> Option<Duration> {
@@ -319,11 +363,12 @@
         told_at.checked_sub(self.0.clock.now())
     }
 
-    /// Asks this host and others for the version that began a stream.
-    async fn ask(&self, question: &Question) -> Option<id::Software> {
+    /// Asks this host and others for the version that began a stream, for a request that arrived
+    /// at the given time.
+    async fn ask(&self, question: &Question, arrived: Duration) -> Finding {
         let own = self.answer(question);
-        if own.began.is_some() {
-            return own.began;
+        if let Some(software) = own.began {
+            return Finding::Began(software);
         }
         let mut answers: FuturesUnordered<_> = self
             .keepers()
@@ -334,18 +379,24 @@
             })
             .collect();
         let mut possible = own.possible;
+        // A host that no other one answers may have missed what they were told.
+        let mut is_alone = !answers.is_empty();
         while let Some(answer) = answers.next().await {
             let Some(answer) = answer else {
                 continue;
             };
-            if answer.began.is_some() {
-                return answer.began;
+            is_alone = false;
+            if let Some(software) = answer.began {
+                return Finding::Began(software);
             }
             possible = possible.and(answer.possible);
         }
+        let confirmed_at = self.state().releases.confirmed_at();
+        let is_confirmed = confirmed_at.is_some_and(|confirmed_at| confirmed_at >= arrived);
         match possible {
-            Possible::One(software) => Some(software),
-            Possible::Unknown | Possible::Several => None,
+            Possible::One(software) if !is_alone || is_confirmed => Finding::Began(software),
+            Possible::One(_) | Possible::Unknown if !is_confirmed => Finding::Unconfirmed,
+            _ => Finding::Unknown,
         }
     }
 
@@ -386,21 +437,28 @@
             began: question
                 .stream
                 .and_then(|stream| state.origins.get(stream).cloned()),
-            possible: state
-                .releases
-                .possible(&question.service, question.life_ms, now),
+            possible: state.possible(&question.service, question.life_ms, now),
         }
     }
 
-    /// Applies the list of endpoints, and returns whether a version is new beside others.
-    fn update(&self) -> bool {
+    /// Applies the list of endpoints, which a reading has confirmed, and returns whether a
+    /// version is new beside others.
+    fn update(&self, requested_at: LastRead) -> bool {
         let now = self.0.clock.now();
-        let endpoints = self.0.endpoints.borrow().clone();
-        if endpoints.is_empty() {
-            return false;
+        let endpoints = self.0.endpoints.borrow();
+        let mut state = self.state();
+        let mut has_joined = false;
+        if !endpoints.is_empty() {
+            let listed = endpoints.iter().map(|one| (&one.service, &one.software));
+            has_joined = state.releases.update(listed, now);
+        }
+        if let Some(requested_at) = requested_at {
+            state.releases.confirm(requested_at);
         }
-        let listed = endpoints.iter().map(|one| (&one.service, &one.software));
-        self.state().releases.update(listed, now)
+        drop(state);
+        drop(endpoints);
+        self.0.confirmed.send_replace(requested_at);
+        has_joined
     }
 
     /// Other hosts that are told of streams: some of this zone, and some of others.
