Streams: a keeper that does not answer delays no other

Cause: the task that tells other hosts of streams waited for all of them, a quarter of a second for one that had ended, and followed the list of endpoints only then; just as a host is lost during a release, others were told late and the list counted as out of date. Change: each call runs by itself, and the list is followed meanwhile.

--- a/crates/papayayard_gateway/src/origins.rs
+++ b/crates/papayayard_gateway/src/origins.rs
@@ -14,7 +14,6 @@
 use std::time::Duration;
 
 use futures_util::StreamExt;
-use futures_util::future;
 use futures_util::stream::FuturesUnordered;
 use papayayard_coordination::origin::{Backlog, Begun, Origins, Possible, Releases, Stream};
 use papayayard_coordination::ranking::{self, Candidate};
@@ -24,6 +23,7 @@
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
 use tokio::sync::{mpsc, watch};
+use tokio::task::JoinSet;
 use tokio::time;
 
 use crate::beliefs::LastRead;
@@ -158,6 +158,7 @@
         tracker: tracker.clone(),
         last_read: parts.last_read,
         clients: HashMap::new(),
+        calls: JoinSet::new(),
     };
     let task = teller.run(queue, parts.stop);
     (tracker, task)
@@ -167,7 +168,9 @@
 struct Teller {
     tracker: Tracker,
     last_read: watch::Receiver<LastRead>,
-    clients: HashMap<SocketAddr, peers::Client>,
+    clients: HashMap<SocketAddr, Arc<peers::Client>>,
+    /// Calls to other hosts; one that does not answer delays no other.
+    calls: JoinSet<()>,
 }
 
 impl Teller {
@@ -188,12 +191,12 @@
                         return;
                     };
                     let batch = take_batch(first, &mut queue).await;
-                    self.tell(&keepers, &batch).await;
+                    self.tell(&keepers, batch);
                 }
                 Ok(()) = last_read.changed() => {
                     let requested_at = *last_read.borrow_and_update();
                     if self.tracker.update(requested_at) {
-                        self.tell(&keepers, &self.tracker.backlog()).await;
+                        self.tell(&keepers, self.tracker.backlog());
                     }
                 }
                 Ok(()) = neighbours.changed() => {
@@ -201,38 +204,35 @@
                     keepers = self.tracker.keepers();
                     let is_new = |keeper: &&Candidate| !known.contains(&keeper.address);
                     let new: Vec<Candidate> = keepers.iter().filter(is_new).cloned().collect();
-                    self.tell(&new, &self.tracker.backlog()).await;
+                    self.tell(&new, self.tracker.backlog());
                 }
                 () = stopping(&mut stop), if !is_leaving => {
                     is_leaving = true;
                     self.tracker.leave();
-                    self.tell(&keepers, &self.tracker.backlog()).await;
+                    self.tell(&keepers, self.tracker.backlog());
                 }
+                Some(_) = self.calls.join_next() => {}
                 else => return,
             }
         }
     }
 
-    async fn tell(&mut self, keepers: &[Candidate], streams: &[Origin]) {
+    fn tell(&mut self, keepers: &[Candidate], streams: Vec<Origin>) {
         if streams.is_empty() {
             return;
         }
         self.connect(keepers);
-        let calls = keepers.iter().filter_map(|keeper| {
-            let client = self.clients.get(&keeper.address)?;
-            Some(async move {
-                for batch in streams.chunks(MAX_BATCH) {
-                    if let Err(problem) = client.began(batch).await {
-                        log::info!(
-                            host:% = keeper.host, streams = streams.len(), problem:%;
-                            "a host was not told of streams"
-                        );
-                        return;
-                    }
-                }
-            })
-        });
-        future::join_all(calls).await;
+        let streams: Arc<[Origin]> = streams.into();
+        for keeper in keepers {
+            if let Some(client) = self.clients.get(&keeper.address) {
+                let call = tell(
+                    Arc::clone(client),
+                    keeper.host.clone(),
+                    Arc::clone(&streams),
+                );
+                self.calls.spawn(call);
+            }
+        }
     }
 
     /// Keeps a client for each keeper.
@@ -244,12 +244,22 @@
             if !self.clients.contains_key(&keeper.address)
                 && let Some(client) = client(keeper)
             {
-                self.clients.insert(keeper.address, client);
+                self.clients.insert(keeper.address, Arc::new(client));
             }
         }
     }
 }
 
+/// Tells a host of streams, in batches.
+async fn tell(client: Arc<peers::Client>, host: id::Host, streams: Arc<[Origin]>) {
+    for batch in streams.chunks(MAX_BATCH) {
+        if let Err(problem) = client.began(batch).await {
+            log::info!(host:%, streams = streams.len(), problem:%; "a host was not told of streams");
+            return;
+        }
+    }
+}
+
 /// Waits until this host stops.
 async fn stopping(stop: &mut watch::Receiver<StopState>) {
     if stop
