Quarantine: an answer that tells nothing of the run clears no request

Cause: an endpoint's 503, 429 or 408 without a statement counted as the end of a run, and lifted the suspicion; before today as well, when such answers were passed on. Change: `Failure::Unconfirmed` says nothing on crashes, as an answer of another source.

--- a/crates/papayayard_gateway/src/ends/attempt.rs
+++ b/crates/papayayard_gateway/src/ends/attempt.rs
@@ -105,11 +105,11 @@
                 self.tracker.investigate(attempt, Ending::Broken).await;
             }
             Failure::Silent => self.tracker.send(Message::Unanswered(attempt)),
-            Failure::Unconfirmed => self.tracker.finished(attempt.subjects.request),
             Failure::Unreachable
             | Failure::Refused
             | Failure::Mismatched
             | Failure::Foreign
+            | Failure::Unconfirmed
             | Failure::Oversized => {}
         }
     }
