--- a/crates/papayayard_routing/src/buffers.rs
+++ b/crates/papayayard_routing/src/buffers.rs
@@ -3,7 +3,7 @@
 //! Each response is bounded by itself, but not their sum. When the memory is used up, the
 //! response that holds the most of it is given up, and first among those that state no
 //! length: an endless response fills the memory and never says how long it is, while a sound
-//! long one mostly does. A response that gives up its share is never one that needs little.
+//! long one mostly does.
 
 use slotmap::SlotMap;
 
@@ -55,8 +55,8 @@
         })
     }
 
-    /// Sets what a response holds. Others that hold more are evicted for it, those without a length
-    /// first.
+    /// Sets what a response holds. Others are evicted for it, those without a length first and
+    /// of these the largest.
     pub fn hold(&mut self, holder: Holder, bytes: usize) -> Growth {
         let Some(share) = self.shares.get_mut(holder) else {
             return Growth::Refused {
