--- a/crates/papayayard_gateway/src/settings.rs
+++ b/crates/papayayard_gateway/src/settings.rs
@@ -13,6 +13,8 @@
 const MAX_MS: f64 = 3_600_000.0;
 /// Memory of a host whose settings do not state it, in MB.
 const DEFAULT_MEMORY_MB: f64 = 256.0;
+/// Bytes of a thousandth of an MB.
+const BYTES_PER_KB: usize = 1000;
 /// Maximum memory in the setting, in MB.
 const MAX_MEMORY_MB: f64 = 1e6;
 
@@ -99,7 +101,7 @@
         announced_peers: announced_peers?.unwrap_or(listen.peers),
         seeds: seeds?,
         capacity: thousandths(capacity?),
-        memory_bytes: bytes_of(memory_mb?),
+        memory_bytes: thousandths(memory_mb?) as usize * BYTES_PER_KB,
         store: store?,
         bounds: bounds?,
     })
@@ -135,16 +137,6 @@
     thousandths
 }
 
-fn bytes_of(memory_mb: f64) -> usize {
-    #[expect(
-        clippy::cast_possible_truncation,
-        clippy::cast_sign_loss,
-        reason = "the number is checked to be from 0 to a million"
-    )]
-    let kilobytes = (memory_mb * 1000.0) as usize;
-    kilobytes * 1000
-}
-
 fn bounds(reader: &mut Reader, place: &Place<'_>) -> Option<Bounds> {
     let mut fields = reader.fields(place)?;
     let strict = fields.optional(reader, "strict_revocation", false, Reader::flag);
