Observability: a line for each refusal that is believed, with what its connection carried before

A refusal that an endpoint sent again looks like any other in the logs: no line told that a refusal was taken for that of a request, nor what its connection had transmitted before. The line names the request, the endpoint, the status, whether the refusal names the request, and the number of answers before it on the connection. No behaviour changes.

--- a/crates/papayayard_gateway/src/attempt.rs
+++ b/crates/papayayard_gateway/src/attempt.rs
@@ -236,6 +236,12 @@
         }
         if reported.not_run && is_own {
             let failure = not_run(&reported, placement, response.head.status);
+            log::info!(
+                request:% = job.id, endpoint:% = placement.endpoint,
+                status = response.head.status.as_u16(), named = matches_request,
+                answers_before = response.connection.answers().saturating_sub(1);
+                "the endpoint refused the request"
+            );
             self.drain(placement, response).await;
             return Err(failure);
         }
--- a/crates/papayayard_gateway/src/dial.rs
+++ b/crates/papayayard_gateway/src/dial.rs
@@ -34,6 +34,8 @@
 pub(crate) struct Connection {
     /// Sends one request at a time.
     sender: SendRequest<Full<Bytes>>,
+    /// Number of answers received.
+    answers: u32,
     meter: Meter,
     driver: JoinHandle<()>,
 }
@@ -48,9 +50,15 @@
         self.meter.allow(MAX_HEAD_BYTES);
         let response = self.sender.try_send_request(request).await?;
         self.meter.allow_all();
+        self.answers += 1;
         Ok(response)
     }
 
+    /// Number of answers that the connection has transmitted.
+    pub(crate) const fn answers(&self) -> u32 {
+        self.answers
+    }
+
     pub(crate) fn is_ready(&self) -> bool {
         self.sender.is_ready()
     }
@@ -103,6 +111,7 @@
     });
     Ok(Connection {
         sender,
+        answers: 0,
         meter,
         driver,
     })
