Connections: one on which an endpoint has refused a request is closed

What callers saw: work that must run once ran twice, work that had been refused as not run had run, and work went on at an endpoint although nobody waited for it. Endpoints may send a copy of a refusal, which bears the id of the refused request also while the same request is under way again on the same connection.

Cause: a refusal was read and its connection returned to the pool, which hands out the most recently used one first. If the same request came to that address again (its caller repeats the id, or the endpoint has restarted under another name and refused the old one), the copy was read as its answer: the request was sent elsewhere or its caller told that it had not run, and the connection, still owing the true answer, was pooled once more. Any other request on such a connection lost its answer (502). The class: a connection was taken for sound as long as it was open, although what it had carried no longer told whose answer comes next.

Ruled out: the id in the answer cannot tell (it is the request's own); the list of endpoints that were tried cannot prevent it (it holds names, connections belong to addresses, and a caller's next attempt starts a new list); remembering refused ids per connection would leave the next request without its answer.

Change: a refusal that is believed ends its connection, on both routers, for requests and completions. Answers that state nothing (Unconfirmed) keep theirs: their copies promise nothing.

--- a/crates/papayayard/src/relay/attempt.rs
+++ b/crates/papayayard/src/relay/attempt.rs
@@ -79,6 +79,7 @@
         return Reply::Rejected(response);
     }
     if text(response.headers(), names::RAN) == Some("no") {
+        client::retire(&response);
         return Reply::Refused;
     }
     if promises_not_run {
--- a/crates/papayayard/src/relay/call.rs
+++ b/crates/papayayard/src/relay/call.rs
@@ -120,7 +120,10 @@
         let own = answer_id.map(|value| value.as_bytes() == arrival.id.as_str().as_bytes());
         match (is_refusal(&response), own) {
             (_, Some(false)) | (true, None) => return Err(client::reject(&response)),
-            (true, Some(true)) => return Err(Failure::Refused),
+            (true, Some(true)) => {
+                client::retire(&response);
+                return Err(Failure::Refused);
+            }
             (false, _) => {}
         }
         if refusal::promises_not_run(response.status().as_u16()) {
--- a/crates/papayayard/src/relay/client.rs
+++ b/crates/papayayard/src/relay/client.rs
@@ -2,7 +2,9 @@
 //!
 //! A connection goes back to the pool only after its answer has been read to
 //! the end, so an abandoned exchange closes its connection. One that gave
-//! another request's answer still owes its own, and is not used again.
+//! another request's answer still owes its own, and is not used again. Nor is
+//! one that gave a refusal: the endpoint may send a copy of it, which could not
+//! be told from the answer to the same request.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -130,11 +132,16 @@
 
 /// Takes the connection of another request's answer out of use.
 pub(crate) fn reject(response: &Response<Incoming>) -> Failure {
+    retire(response);
+    Failure::Mismatched
+}
+
+/// Takes the connection of an answer out of use.
+pub(crate) fn retire(response: &Response<Incoming>) {
     let connection = response.extensions().get::<CaptureConnection>();
     if let Some(connection) = connection
         && let Some(connected) = connection.connection_metadata().as_ref()
     {
         connected.poison();
     }
-    Failure::Mismatched
 }
--- a/crates/papayayard_gateway/src/attempt.rs
+++ b/crates/papayayard_gateway/src/attempt.rs
@@ -8,6 +8,11 @@
 //! promise that the request did not run; of an endpoint they say so only with its statement.
 //! A response with such a status and no statement is a failure after which the request may
 //! have run, and is never forwarded.
+//!
+//! A connection transmits requests one at a time until an endpoint refuses one. Endpoints may
+//! send a response twice; a request may come to the same address again, from its caller or under
+//! another name of the endpoint, and a copy of its refusal would look like its response. Such a
+//! connection is therefore not reused.
 
 use std::time::Duration;
 
@@ -242,7 +247,8 @@
                 answers_before = response.connection.answers().saturating_sub(1);
                 "the endpoint refused the request"
             );
-            self.drain(placement, response).await;
+            // The endpoint may send the refusal again. On this connection, a copy could not be
+            // told from the answer to the same request, so the connection is closed.
             return Err(failure);
         }
         let is_unencoded = !response.head.headers.contains_key(header::CONTENT_ENCODING);
