Uplink: a host knows that it reaches no endpoint

Nothing told a host cut off from all endpoints from one whose endpoints have crashed: each attempt failed by itself, and no state or metric showed it.

`coordination::uplink` decides. Failed connections at three distinct endpoints (all, if fewer are known) since the last connection, or failures of any kind there since the last connection or answer, are verified by probes: a connection without a request, four at a time to endpoints of several zones, first to those that have not failed. A success ends the suspicion for a second; after eight failures (all, if fewer are known) the host is detached. It then probes two endpoints every 300 to 500 ms until one succeeds. Answers on old connections do not attach it. `gateway::uplink` owns the state; `attempt::Sender` reports to it. Refusals and errors of endpoints are answers. The metric `papayayard_detached`, `detached` in the operators' status and a line at each change show it.

Ruled out: a single threshold without probes. A fixed interval of probes: with 400 ms, a link that flaps every 100 ms met only its failing phases, up to 4.5 s long; hence the varied interval.

With 3 endpoints and open connections that go on it takes up to 5 s, while most requests run.

Not covered: connections that are accepted and reset at once count as established, since endpoints do that when they are full.

--- a/crates/papayayard_coordination/src/lib.rs
+++ b/crates/papayayard_coordination/src/lib.rs
@@ -29,3 +29,4 @@
 pub mod rollout;
 pub mod shutdown;
 pub mod stop;
+pub mod uplink;
--- /dev/null
+++ b/crates/papayayard_coordination/tests/uplink_test.rs
@@ -0,0 +1,424 @@
+//! A host that loses its way to all endpoints knows it soon, and crashes of endpoints do not
+//! mislead it.
+
+use std::collections::{BTreeMap, HashSet};
+use std::ops::Range;
+use std::time::Duration;
+
+use papayayard_coordination::uplink::{Change, Evidence, Probe, Target, Uplink};
+use papayayard_wire::id;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
+const RESET_TIMEOUT: Duration = Duration::from_millis(900);
+const ROUND_TRIP: Duration = Duration::from_millis(2);
+const ANSWER_TIME: Duration = Duration::from_millis(60);
+const ZONES: usize = 3;
+const MAX_ATTEMPTS: usize = 6;
+const FAULT_START: Duration = Duration::from_secs(5);
+const FAULT_END: Duration = Duration::from_secs(17);
+const END: Duration = Duration::from_secs(25);
+const SEEDS: u64 = 40;
+
+/// What a cut does to connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Kind {
+    /// New connections time out, and open ones transmit nothing.
+    Hang,
+    /// New connections are refused, and open ones are reset.
+    Reset,
+    /// New connections are refused, and open ones transmit nothing.
+    Refuse,
+    /// New connections are refused, and open ones go on.
+    Spare,
+}
+
+/// Times at which an endpoint cannot be reached.
+type Fault = Box<dyn Fn(usize, Duration) -> bool>;
+
+struct World {
+    kind: Kind,
+    fault: Fault,
+    targets: Vec<Target>,
+    /// Endpoints to which there is an idle connection.
+    idle: HashSet<usize>,
+}
+
+enum Action {
+    Request,
+    Attempt(Vec<usize>),
+    /// Evidence of an attempt, and the endpoints tried if another attempt follows.
+    Report(usize, Evidence, Option<Vec<usize>>),
+    Outcome(Probe, bool),
+}
+
+struct Replay {
+    world: World,
+    uplink: Uplink,
+    rng: ChaCha8Rng,
+    period: Duration,
+    due: BTreeMap<(Duration, u64), Action>,
+    sequence: u64,
+    changes: Vec<(Duration, Change)>,
+    probes: Vec<Duration>,
+}
+
+impl Replay {
+    fn new(number: usize, kind: Kind, period: Duration, seed: u64, fault: Fault) -> Self {
+        let targets = (0..number).map(|index| Target {
+            endpoint: id::Endpoint::from(format!("e-{index}")),
+            zone: id::Zone::from(format!("zone-{}", index % ZONES)),
+        });
+        let world = World {
+            kind,
+            fault,
+            targets: targets.collect(),
+            idle: HashSet::new(),
+        };
+        let mut uplink = Uplink::new(seed);
+        assert_eq!(
+            uplink.set_targets(world.targets.clone(), Duration::ZERO),
+            None
+        );
+        Self {
+            world,
+            uplink,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            period,
+            due: BTreeMap::new(),
+            sequence: 0,
+            changes: Vec::new(),
+            probes: Vec::new(),
+        }
+    }
+
+    fn run(mut self) -> Self {
+        self.schedule(Duration::ZERO, Action::Request);
+        loop {
+            let next = self.due.first_key_value().map(|((at, _), _)| *at);
+            let probe = self.uplink.next_probe();
+            let now = match (next, probe) {
+                (Some(next), Some(probe)) => next.min(probe),
+                (Some(at), None) | (None, Some(at)) => at,
+                (None, None) => return self,
+            };
+            if now > END {
+                return self;
+            }
+            if next == Some(now)
+                && let Some((_, action)) = self.due.pop_first()
+            {
+                self.perform(action, now);
+            }
+            for probe in self.uplink.probes(now) {
+                self.probe(probe, now);
+            }
+        }
+    }
+
+    fn schedule(&mut self, at: Duration, action: Action) {
+        self.sequence += 1;
+        self.due.insert((at, self.sequence), action);
+    }
+
+    fn perform(&mut self, action: Action, now: Duration) {
+        let change = match action {
+            Action::Request => {
+                let jitter = self.rng.random_range(0.5..1.5);
+                let next = now + self.period.mul_f64(jitter);
+                self.schedule(next, Action::Request);
+                self.attempt(Vec::new(), now);
+                None
+            }
+            Action::Attempt(tried) => {
+                self.attempt(tried, now);
+                None
+            }
+            Action::Report(index, evidence, tried) => {
+                let retry = tried.filter(|tried| tried.len() < MAX_ATTEMPTS);
+                if let Some(tried) = retry {
+                    self.schedule(now, Action::Attempt(tried));
+                }
+                if evidence == Evidence::Answered {
+                    self.world.idle.insert(index);
+                }
+                let endpoint = self.world.targets[index].endpoint.clone();
+                self.uplink.record(&endpoint, evidence, now)
+            }
+            Action::Outcome(probe, is_connected) => self.uplink.probed(&probe, is_connected, now),
+        };
+        if let Some(change) = change {
+            self.changes.push((now, change));
+        }
+    }
+
+    /// Sends a request to an endpoint that it has not tried.
+    fn attempt(&mut self, mut tried: Vec<usize>, now: Duration) {
+        let all = 0..self.world.targets.len();
+        let left: Vec<usize> = all.filter(|index| !tried.contains(index)).collect();
+        if left.is_empty() {
+            return;
+        }
+        let index = left[self.rng.random_range(0..left.len())];
+        tried.push(index);
+        // Half of the requests find the idle connection in use.
+        let is_reused = self.rng.random_bool(0.5) && self.world.idle.remove(&index);
+        let is_cut = (self.world.fault)(index, now);
+        let connected = Action::Report(index, Evidence::Connected, None);
+        let answered = Action::Report(index, Evidence::Answered, None);
+        let silent = |tried| Action::Report(index, Evidence::Silent, Some(tried));
+        match (self.world.kind, is_cut, is_reused) {
+            (_, false, false) => {
+                self.schedule(now + ROUND_TRIP, connected);
+                self.schedule(now + ROUND_TRIP + ANSWER_TIME, answered);
+            }
+            (_, false, true) | (Kind::Spare, true, true) => {
+                self.schedule(now + ANSWER_TIME, answered);
+            }
+            (Kind::Hang | Kind::Refuse, true, true) => {
+                self.schedule(now + RESET_TIMEOUT, silent(tried));
+            }
+            (Kind::Reset, true, true) => self.schedule(now + ROUND_TRIP, silent(tried)),
+            (kind, true, false) => {
+                let unreachable = Action::Report(index, Evidence::Unreachable, Some(tried));
+                self.schedule(now + failed_connect_time(kind), unreachable);
+            }
+        }
+    }
+
+    fn probe(&mut self, probe: Probe, now: Duration) {
+        self.probes.push(now);
+        let mut targets = self.world.targets.iter();
+        let index = targets.position(|target| target.endpoint == probe.endpoint);
+        let index = index.expect("only listed endpoints are probed");
+        let is_cut = (self.world.fault)(index, now);
+        let time = if is_cut {
+            failed_connect_time(self.world.kind)
+        } else {
+            ROUND_TRIP
+        };
+        self.schedule(now + time, Action::Outcome(probe, !is_cut));
+    }
+
+    fn probes_in(&self, span: Range<Duration>) -> usize {
+        let probes = self.probes.iter();
+        probes.filter(|at| span.contains(*at)).count()
+    }
+}
+
+fn failed_connect_time(kind: Kind) -> Duration {
+    if kind == Kind::Hang {
+        CONNECT_TIMEOUT
+    } else {
+        ROUND_TRIP
+    }
+}
+
+fn cut(_: usize, now: Duration) -> bool {
+    (FAULT_START..FAULT_END).contains(&now)
+}
+
+fn per_second(rate: u32) -> Duration {
+    Duration::from_secs(1) / rate
+}
+
+/// Guards against hosts that go on trying endpoints while they reach none, and against hosts
+/// that pass requests on after the cut has healed.
+#[rstest]
+fn a_cut_is_known_in_time_and_so_is_its_end(
+    #[values(Kind::Hang, Kind::Reset, Kind::Refuse, Kind::Spare)] kind: Kind,
+    #[values(3, 18, 90)] endpoints: usize,
+) {
+    for seed in 0..SEEDS {
+        let replay = Replay::new(endpoints, kind, per_second(5), seed, Box::new(cut)).run();
+        let [
+            (detached_at, Change::Detached { failed, probes }),
+            (attached_at, Change::Attached { .. }),
+        ] = replay.changes.as_slice()
+        else {
+            panic!("seed {seed}: {:?}", replay.changes);
+        };
+        let detection = detached_at.saturating_sub(FAULT_START);
+        // With few endpoints most requests find an open connection, and run.
+        let bound_ms = match kind {
+            Kind::Spare if endpoints == 3 => 5000,
+            Kind::Reset => 1000,
+            _ => 2000,
+        };
+        assert!(
+            detection < Duration::from_millis(bound_ms),
+            "seed {seed}: {detection:?}"
+        );
+        assert!(failed.len() >= 3, "seed {seed}: {failed:?}");
+        assert!(*probes <= 8, "seed {seed}: {probes}");
+        let recovery = attached_at.saturating_sub(FAULT_END);
+        assert!(
+            recovery < Duration::from_secs(1),
+            "seed {seed}: {recovery:?}"
+        );
+        assert_eq!(
+            replay.probes_in(Duration::ZERO..FAULT_START),
+            0,
+            "seed {seed}"
+        );
+        // Two endpoints in 400 ms for as long as the host is detached.
+        let during = replay.probes_in(*detached_at..FAULT_END);
+        assert!(during <= 62, "seed {seed}: {during}");
+    }
+}
+
+#[rstest]
+fn a_host_with_few_requests_knows_a_cut(
+    #[values(Kind::Hang, Kind::Reset, Kind::Refuse, Kind::Spare)] kind: Kind,
+) {
+    for seed in 0..SEEDS {
+        let replay = Replay::new(18, kind, per_second(1), seed, Box::new(cut)).run();
+        let changes = &replay.changes;
+        assert_eq!(changes.len(), 2, "seed {seed}: {changes:?}");
+        let detection = changes[0].0.saturating_sub(FAULT_START);
+        assert!(
+            detection < Duration::from_secs(6),
+            "seed {seed}: {detection:?}"
+        );
+    }
+}
+
+/// Guards against hosts that pass their requests on, or give up their duties, because endpoints
+/// have crashed together or because one zone is cut off.
+#[rstest]
+fn endpoints_that_fail_together_detach_no_host(
+    #[values(Kind::Hang, Kind::Reset, Kind::Refuse)] kind: Kind,
+    #[values(9, 18, 90)] endpoints: usize,
+    #[values(true, false)] is_zone: bool,
+    #[values(1, 5, 50)] rate: u32,
+) {
+    for seed in 0..SEEDS {
+        let fault = move |index: usize, now: Duration| {
+            let is_affected = if is_zone {
+                index.is_multiple_of(ZONES)
+            } else {
+                index < endpoints / 3
+            };
+            is_affected && cut(index, now)
+        };
+        let replay = Replay::new(endpoints, kind, per_second(rate), seed, Box::new(fault)).run();
+        assert_eq!(replay.changes, Vec::new(), "seed {seed}");
+        let during = replay.probes_in(FAULT_START..FAULT_END + CONNECT_TIMEOUT);
+        assert!(during <= 4 * 13, "seed {seed}: {during}");
+    }
+}
+
+/// Guards against a state that follows each failure and success of a link that flaps.
+#[rstest]
+fn a_flapping_link_changes_the_state_seldom(
+    #[values(Kind::Hang, Kind::Reset, Kind::Refuse, Kind::Spare)] kind: Kind,
+    #[values(100, 300, 700)] half_ms: u64,
+) {
+    for seed in 0..SEEDS {
+        let flapping = move |index: usize, now: Duration| {
+            let halves = now.as_millis() / u128::from(half_ms);
+            cut(index, now) && halves.is_multiple_of(2)
+        };
+        let replay = Replay::new(18, kind, per_second(5), seed, Box::new(flapping)).run();
+        let changes = &replay.changes;
+        assert!(!replay.uplink.is_detached(), "seed {seed}: {changes:?}");
+        // At most once to and fro in the time between two verifications.
+        assert!(changes.len() <= 2 * 12, "seed {seed}: {}", changes.len());
+        for pair in changes.chunks(2) {
+            let [(detached_at, _), (attached_at, _)] = pair else {
+                panic!("seed {seed}: {pair:?}");
+            };
+            let time = attached_at.saturating_sub(*detached_at);
+            assert!(time < Duration::from_millis(1700), "seed {seed}: {time:?}");
+        }
+    }
+}
+
+/// Guards against hosts that never ask others because they know too few endpoints to be sure.
+#[rstest]
+fn a_host_whose_few_endpoints_are_all_dead_is_detached(#[values(1, 2)] endpoints: usize) {
+    let replay = Replay::new(endpoints, Kind::Reset, per_second(5), 1, Box::new(cut)).run();
+    let changes: Vec<bool> = replay
+        .changes
+        .iter()
+        .map(|(_, change)| matches!(change, Change::Detached { .. }))
+        .collect();
+    assert_eq!(changes, [true, false]);
+}
+
+#[test]
+fn calm_costs_no_probes() {
+    let calm = |_: usize, _: Duration| false;
+    let replay = Replay::new(18, Kind::Hang, per_second(50), 1, Box::new(calm)).run();
+    assert!(replay.probes.is_empty());
+    assert!(replay.changes.is_empty());
+}
+
+fn targets(names: &[&str]) -> Vec<Target> {
+    let listed = names.iter().map(|name| Target {
+        endpoint: id::Endpoint::from(*name),
+        zone: id::Zone::from("a"),
+    });
+    listed.collect()
+}
+
+fn suspect(uplink: &mut Uplink, names: &[&str], now: Duration) -> Vec<Probe> {
+    for name in names {
+        let endpoint = id::Endpoint::from(*name);
+        let change = uplink.record(&endpoint, Evidence::Unreachable, now);
+        assert_eq!(change, None);
+    }
+    uplink.probes(now)
+}
+
+/// Guards against suspicion of the host's network by endpoints that have left the list.
+#[test]
+fn endpoints_that_are_gone_do_not_count() {
+    let mut uplink = Uplink::new(1);
+    uplink.set_targets(targets(&["a", "b", "c", "d", "e"]), FAULT_START);
+    assert_eq!(suspect(&mut uplink, &["a", "b"], FAULT_START), []);
+    uplink.set_targets(targets(&["c", "d", "e"]), FAULT_START);
+    assert_eq!(suspect(&mut uplink, &["a", "b", "c"], FAULT_START), []);
+}
+
+/// Guards against a verification that never ends because the endpoints left to probe are gone.
+#[test]
+fn a_list_that_shrinks_ends_the_verification() {
+    let mut uplink = Uplink::new(1);
+    uplink.set_targets(targets(&["a", "b", "c", "d", "e", "f"]), FAULT_START);
+    let probes = suspect(&mut uplink, &["a", "b", "c"], FAULT_START);
+    assert_eq!(probes.len(), 4);
+    for probe in &probes {
+        assert_eq!(uplink.probed(probe, false, FAULT_START), None);
+    }
+    let left: Vec<&str> = probes.iter().map(|probe| probe.endpoint.as_str()).collect();
+    let change = uplink.set_targets(targets(&left), FAULT_START);
+    assert!(
+        matches!(change, Some(Change::Detached { .. })),
+        "{change:?}"
+    );
+    assert!(uplink.is_detached());
+}
+
+/// Guards against a host that stays detached because its list was empty for a moment.
+#[test]
+fn probes_go_on_after_the_list_was_empty() {
+    let mut uplink = Uplink::new(1);
+    uplink.set_targets(targets(&["a"]), FAULT_START);
+    for probe in suspect(&mut uplink, &["a"], FAULT_START) {
+        uplink.probed(&probe, false, FAULT_START);
+    }
+    assert!(uplink.is_detached());
+    uplink.set_targets(Vec::new(), FAULT_START);
+    assert_eq!(uplink.next_probe(), None);
+    uplink.set_targets(targets(&["b"]), FAULT_START);
+    let due = uplink.next_probe().expect("a probe is due");
+    let probes = uplink.probes(due);
+    let change = uplink.probed(&probes[0], true, due);
+    assert!(
+        matches!(change, Some(Change::Attached { .. })),
+        "{change:?}"
+    );
+}
--- a/crates/papayayard_gateway/src/attempt.rs
+++ b/crates/papayayard_gateway/src/attempt.rs
@@ -29,6 +29,7 @@
 use crate::metrics::Metrics;
 use crate::pool::Pool;
 use crate::refusal::millis;
+use crate::uplink;
 
 /// Maximum bytes of a refusal's body that are read so that its connection can be reused.
 const MAX_REFUSAL_BYTES: usize = 64 << 10;
@@ -127,6 +128,8 @@
     pub(crate) backoffs: Backoffs,
     pub(crate) clock: Clock,
     pub(crate) metrics: Metrics,
+    /// Learns which endpoints this host reaches.
+    pub(crate) uplink: uplink::Handle,
 }
 
 impl<Platform> Sender<Platform>
@@ -148,30 +151,32 @@
             let is_pooled = pooled.is_some();
             let mut connection = match pooled.take() {
                 Some(connection) => connection,
-                None => dial::connect(placement.address).await.map_err(|error| {
-                    log::debug!(request:% = job.id, address:% = placement.address, error:%; "cannot connect to the endpoint");
-                    self.pool.forget(placement.address);
-                    Failure::Unreachable
-                })?,
+                None => self.connect(job, placement).await?,
             };
             let remaining = (started + timeout).saturating_sub(self.clock.now());
             let request = self.request(job, placement, position);
             let sent = connection.send(request);
             match time::timeout(remaining, sent).await {
                 Err(_) => {
+                    self.uplink.record_silent(&placement.endpoint);
                     self.pool.forget(placement.address);
                     return Err(Failure::Silent);
                 }
                 Ok(Err(mut error)) => match error.take_message() {
                     // The endpoint had closed the pooled connection; the request was not sent.
                     Some(_) if is_pooled => {}
-                    Some(_) => return Err(Failure::Unreachable),
+                    Some(_) => {
+                        self.uplink.record_silent(&placement.endpoint);
+                        return Err(Failure::Unreachable);
+                    }
                     None => {
+                        self.uplink.record_silent(&placement.endpoint);
                         self.pool.forget(placement.address);
                         return Err(Failure::Broken);
                     }
                 },
                 Ok(Ok(response)) => {
+                    self.uplink.record_answer(&placement.endpoint);
                     let (head, body) = response.into_parts();
                     let response = Response {
                         head,
@@ -187,6 +192,21 @@
         }
     }
 
+    async fn connect(&self, job: &Job, placement: &Placement) -> Result<Connection, Failure> {
+        match dial::connect(placement.address).await {
+            Ok(connection) => {
+                self.uplink.record_connected(&placement.endpoint);
+                Ok(connection)
+            }
+            Err(error) => {
+                log::debug!(request:% = job.id, address:% = placement.address, error:%; "cannot connect to the endpoint");
+                self.uplink.record_unreachable(&placement.endpoint);
+                self.pool.forget(placement.address);
+                Err(Failure::Unreachable)
+            }
+        }
+    }
+
     fn request(
         &self,
         job: &Job,
--- a/crates/papayayard_gateway/src/host.rs
+++ b/crates/papayayard_gateway/src/host.rs
@@ -37,7 +37,7 @@
 use crate::store::Topic;
 use crate::{
     dispatch, ends, era, exchange, feeds, hosts, listen, operators, orders, origins, peers,
-    schedule, store,
+    schedule, store, uplink,
 };
 
 /// Age of a target version up to which older weights do not add to the placement cost.
@@ -107,6 +107,7 @@
     let hosts = parts.count_hosts();
     let (configuration, last_read) = parts.follow_operators();
     let (endpoints, endpoints_read) = parts.follow_endpoints();
+    let uplink = parts.observe_uplink(&endpoints);
     let dispatch = parts.dispatch();
     let origins = parts.track_origins(&endpoints, endpoints_read);
     parts.order_weights(&configuration, &endpoints, &dispatch);
@@ -128,6 +129,7 @@
             hosts: hosts.clone(),
             last_read: last_read.clone(),
             revocation,
+            uplink: uplink.clone(),
         },
     ));
     let codec = parts.store.codec.clone();
@@ -139,6 +141,7 @@
             backoffs: parts.backoffs.clone(),
             clock,
             metrics: parts.metrics.clone(),
+            uplink,
         },
         clock,
         dispatch,
@@ -342,6 +345,12 @@
         tracker
     }
 
+    fn observe_uplink(&mut self, endpoints: &watch::Receiver<Vec<Endpoint>>) -> uplink::Handle {
+        let (uplink, observing) = uplink::start(endpoints.clone(), self.metrics.clone());
+        self.controllers.spawn(observing);
+        uplink
+    }
+
     fn dispatch(&mut self) -> Dispatch {
         let dispatch = Dispatch::new(dispatch::Parts {
             local: self.local_host(),
--- a/crates/papayayard_gateway/src/lib.rs
+++ b/crates/papayayard_gateway/src/lib.rs
@@ -47,3 +47,4 @@
 mod refusal;
 mod relay;
 mod schedule;
+mod uplink;
--- a/crates/papayayard_gateway/src/metrics.rs
+++ b/crates/papayayard_gateway/src/metrics.rs
@@ -29,6 +29,7 @@
     told_streams: Counter<u64>,
     first_event: Histogram<f64>,
     hosts: Gauge<u64>,
+    detached: Gauge<u64>,
 }
 
 impl Metrics {
@@ -94,6 +95,10 @@
                 .u64_gauge("papayayard_counted_hosts")
                 .with_description("Hosts that limits are divided by, this one included")
                 .build(),
+            detached: meter
+                .u64_gauge("papayayard_detached")
+                .with_description("1 while this host reaches no endpoint, else 0")
+                .build(),
             exposition,
         }
     }
@@ -155,6 +160,10 @@
         self.hosts.record(number, &[]);
     }
 
+    pub(crate) fn detached(&self, is_detached: bool) {
+        self.detached.record(u64::from(is_detached), &[]);
+    }
+
     /// Exports all metrics as text.
     pub(crate) fn text(&self) -> Vec<u8> {
         self.exposition.text()
--- a/crates/papayayard_gateway/src/operators.rs
+++ b/crates/papayayard_gateway/src/operators.rs
@@ -21,6 +21,7 @@
 use crate::clock::Clock;
 use crate::front::StopState;
 use crate::metrics::Metrics;
+use crate::uplink;
 
 /// Timeout for an idle connection.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
@@ -39,6 +40,7 @@
     pub(crate) last_read: watch::Receiver<LastRead>,
     /// Maximum age of the last reading at which requests with a key are still accepted.
     pub(crate) revocation: Option<Duration>,
+    pub(crate) uplink: uplink::Handle,
 }
 
 #[derive(Serialize)]
@@ -50,6 +52,8 @@
     endpoints: usize,
     hosts: usize,
     word_age_ms: Option<u64>,
+    /// Whether the host reaches no endpoint.
+    detached: bool,
 }
 
 impl View {
@@ -97,6 +101,7 @@
             word_age_ms: self
                 .last_read_age()
                 .map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
+            detached: self.uplink.is_detached(),
         };
         match serde_json::to_vec(&status) {
             Ok(body) => text(StatusCode::OK, body),
--- /dev/null
+++ b/crates/papayayard_gateway/src/uplink.rs
@@ -0,0 +1,204 @@
+//! Finds out whether this host is detached: whether it can open connections to no endpoint.
+//!
+//! Requests report what they have seen of the way to their endpoints. A task collects the
+//! reports, probes endpoints when a decision is due, and publishes the state. The decisions
+//! are made in `papayayard_coordination::uplink`.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use papayayard_coordination::uplink::{Change, Evidence, Probe, Target, Uplink};
+use papayayard_routing::placement::Endpoint;
+use papayayard_wire::id;
+use tokio::sync::{mpsc, watch};
+use tokio::task::JoinSet;
+use tokio::time::{self, Instant};
+
+use crate::dial;
+use crate::metrics::Metrics;
+use crate::refusal::millis;
+
+/// Records evidence, and tells whether this host is detached.
+#[derive(Clone)]
+pub(crate) struct Handle {
+    reports: mpsc::UnboundedSender<Report>,
+    is_detached: watch::Receiver<bool>,
+}
+
+/// What a request has seen of an endpoint.
+struct Report {
+    endpoint: id::Endpoint,
+    evidence: Evidence,
+}
+
+impl Handle {
+    /// Records that a connection was established.
+    pub(crate) fn record_connected(&self, endpoint: &id::Endpoint) {
+        self.record(endpoint, Evidence::Connected);
+    }
+
+    /// Records that no connection could be established.
+    pub(crate) fn record_unreachable(&self, endpoint: &id::Endpoint) {
+        self.record(endpoint, Evidence::Unreachable);
+    }
+
+    /// Records that the head of a response was received.
+    pub(crate) fn record_answer(&self, endpoint: &id::Endpoint) {
+        self.record(endpoint, Evidence::Answered);
+    }
+
+    /// Records that a connection was reset before the head of a response, or that no response
+    /// was received in time.
+    pub(crate) fn record_silent(&self, endpoint: &id::Endpoint) {
+        self.record(endpoint, Evidence::Silent);
+    }
+
+    /// Whether this host reaches no endpoint.
+    pub(crate) fn is_detached(&self) -> bool {
+        *self.is_detached.borrow()
+    }
+
+    fn record(&self, endpoint: &id::Endpoint, evidence: Evidence) {
+        let report = Report {
+            endpoint: endpoint.clone(),
+            evidence,
+        };
+        if self.reports.send(report).is_err() {
+            log::debug!(endpoint:%; "the host stops; the way to endpoints is no longer observed");
+        }
+    }
+}
+
+/// Returns a handle, and the task that owns the state.
+pub(crate) fn start(
+    endpoints: watch::Receiver<Vec<Endpoint>>,
+    metrics: Metrics,
+) -> (Handle, impl Future<Output = ()>) {
+    let (reports, queue) = mpsc::unbounded_channel();
+    let (state, is_detached) = watch::channel(false);
+    metrics.detached(false);
+    let observer = Observer {
+        uplink: Uplink::new(rand::random()),
+        started: Instant::now(),
+        endpoints,
+        outcomes: JoinSet::new(),
+        state,
+        metrics,
+    };
+    let handle = Handle {
+        reports,
+        is_detached,
+    };
+    (handle, observer.run(queue))
+}
+
+struct Observer {
+    uplink: Uplink,
+    started: Instant,
+    endpoints: watch::Receiver<Vec<Endpoint>>,
+    /// Probes without an outcome.
+    outcomes: JoinSet<(Probe, io::Result<()>)>,
+    state: watch::Sender<bool>,
+    metrics: Metrics,
+}
+
+impl Observer {
+    /// Runs until all handles are dropped.
+    async fn run(mut self, mut queue: mpsc::UnboundedReceiver<Report>) {
+        let mut change = self.update_targets();
+        loop {
+            self.publish(change.take());
+            self.start_probes();
+            let due = self.uplink.next_probe();
+            let pause = due.map_or(Duration::MAX, |due| due.saturating_sub(self.now()));
+            change = tokio::select! {
+                report = queue.recv() => {
+                    let Some(report) = report else {
+                        return;
+                    };
+                    self.uplink.record(&report.endpoint, report.evidence, self.now())
+                }
+                Some(Ok((probe, outcome))) = self.outcomes.join_next() => {
+                    self.record_outcome(&probe, &outcome)
+                }
+                changed = self.endpoints.changed() => {
+                    if changed.is_err() {
+                        return;
+                    }
+                    self.update_targets()
+                }
+                () = time::sleep(pause), if due.is_some() => None,
+            };
+        }
+    }
+
+    fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    fn update_targets(&mut self) -> Option<Change> {
+        let endpoints = self.endpoints.borrow_and_update();
+        let listed = endpoints.iter().filter(|endpoint| !endpoint.leaving);
+        let targets = listed.map(|endpoint| Target {
+            endpoint: endpoint.id.clone(),
+            zone: endpoint.zone.clone(),
+        });
+        let targets = targets.collect();
+        drop(endpoints);
+        self.uplink.set_targets(targets, self.now())
+    }
+
+    fn start_probes(&mut self) {
+        for probe in self.uplink.probes(self.now()) {
+            let address = self.address(&probe.endpoint);
+            self.outcomes.spawn(async move {
+                let outcome = match address {
+                    Some(address) => dial::connect(address).await.map(drop),
+                    None => Err(io::Error::from(io::ErrorKind::AddrNotAvailable)),
+                };
+                (probe, outcome)
+            });
+        }
+    }
+
+    fn address(&self, endpoint: &id::Endpoint) -> Option<SocketAddr> {
+        let endpoints = self.endpoints.borrow();
+        let found = endpoints.iter().find(|listed| listed.id == *endpoint)?;
+        Some(found.address)
+    }
+
+    fn record_outcome(&mut self, probe: &Probe, outcome: &io::Result<()>) -> Option<Change> {
+        if let Err(error) = outcome {
+            log::debug!(endpoint:% = probe.endpoint, error:%; "probe could not connect");
+        }
+        let now = self.now();
+        self.uplink.probed(probe, outcome.is_ok(), now)
+    }
+
+    fn publish(&self, change: Option<Change>) {
+        match change {
+            None => return,
+            Some(Change::Detached { failed, probes }) => {
+                let names: Vec<&str> = failed.iter().map(id::Endpoint::as_str).collect();
+                log::warn!(
+                    failed:% = names.join(" "), probes;
+                    "this host reaches no endpoint; check its network"
+                );
+            }
+            Some(Change::Attached { after, probes }) => {
+                log::info!(
+                    detached_ms = millis(after), probes;
+                    "this host reaches endpoints again"
+                );
+            }
+        }
+        let is_detached = self.uplink.is_detached();
+        self.metrics.detached(is_detached);
+        self.state.send_replace(is_detached);
+    }
+}
+
+#[cfg(test)]
+#[path = "uplink_test.rs"]
+mod test;
--- /dev/null
+++ b/crates/papayayard_gateway/src/uplink_test.rs
@@ -0,0 +1,133 @@
+use std::collections::HashMap;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use papayayard_routing::placement::Endpoint;
+use papayayard_wire::id;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::AbortHandle;
+use tokio::time;
+
+use super::Handle;
+use crate::metrics::Metrics;
+
+/// Maximum time for each wait of a test.
+const TIMEOUT: Duration = Duration::from_secs(10);
+const ENDPOINTS: usize = 4;
+
+/// Returns addresses at which nothing listens, on a loopback address of the test's own.
+async fn closed_addresses(last: u8) -> Vec<SocketAddr> {
+    let mut addresses = Vec::new();
+    for _ in 0..ENDPOINTS {
+        let ip = Ipv4Addr::new(127, 81, 0, last);
+        let listener = TcpListener::bind((ip, 0)).await.expect("a port");
+        addresses.push(listener.local_addr().expect("an address"));
+    }
+    addresses
+}
+
+fn endpoint(index: usize, address: SocketAddr) -> Endpoint {
+    Endpoint {
+        id: id::Endpoint::from(format!("e-{index}")),
+        started: id::Incarnation::default(),
+        service: id::Service::from("app"),
+        address,
+        zone: id::Zone::from("a"),
+        software: id::Software::from("v1"),
+        slots: 1,
+        weights: HashMap::new(),
+        leaving: false,
+    }
+}
+
+struct Observed {
+    handle: Handle,
+    endpoints: watch::Sender<Vec<Endpoint>>,
+    task: AbortHandle,
+}
+
+impl Observed {
+    fn start(addresses: &[SocketAddr]) -> Self {
+        let listed = addresses.iter().enumerate();
+        let listed = listed.map(|(index, address)| endpoint(index, *address));
+        let (endpoints, receiver) = watch::channel(listed.collect());
+        let (handle, task) = super::start(receiver, Metrics::new());
+        Self {
+            handle,
+            endpoints,
+            task: tokio::spawn(task).abort_handle(),
+        }
+    }
+
+    fn fail_connections(&self) {
+        for listed in self.endpoints.borrow().iter().take(3) {
+            self.handle.record_unreachable(&listed.id);
+        }
+    }
+
+    async fn wait_for(&mut self, is_detached: bool) {
+        let state = &mut self.handle.is_detached;
+        let reached = state.wait_for(|state| *state == is_detached);
+        let reached = time::timeout(TIMEOUT, reached).await;
+        reached.expect("a change in time").expect("a running task");
+    }
+}
+
+impl Drop for Observed {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Guards against a host that stays detached after its way to one endpoint is back.
+#[tokio::test]
+async fn a_probe_finds_the_way_back() {
+    let addresses = closed_addresses(1).await;
+    let mut observed = Observed::start(&addresses);
+    observed.fail_connections();
+    observed.wait_for(true).await;
+    let back = TcpListener::bind(addresses[2]).await.expect("the port");
+    observed.wait_for(false).await;
+    assert!(!observed.handle.is_detached());
+    drop(back);
+}
+
+/// Guards against a verification that believes the reports of a few crashed endpoints.
+#[tokio::test]
+async fn an_endpoint_that_accepts_a_probe_keeps_the_host_attached() {
+    let addresses = closed_addresses(2).await;
+    let sound = TcpListener::bind(addresses[3]).await.expect("the port");
+    let observed = Observed::start(&addresses);
+    observed.fail_connections();
+    let accepted = time::timeout(TIMEOUT, sound.accept()).await;
+    accepted.expect("a probe in time").expect("a connection");
+    assert!(!observed.handle.is_detached());
+}
+
+/// Guards against failures of requests that a connection made since has disproved.
+#[tokio::test]
+async fn a_connection_of_a_request_attaches_the_host() {
+    let addresses = closed_addresses(3).await;
+    let mut observed = Observed::start(&addresses);
+    observed.fail_connections();
+    observed.wait_for(true).await;
+    observed
+        .handle
+        .record_connected(&id::Endpoint::from("unlisted"));
+    observed.wait_for(false).await;
+}
+
+/// Guards against probes of endpoints that leave, whose addresses others may soon have.
+#[tokio::test]
+async fn a_host_whose_other_endpoints_leave_probes_only_those_that_stay() {
+    let addresses = closed_addresses(4).await;
+    let sound = TcpListener::bind(addresses[3]).await.expect("the port");
+    let mut observed = Observed::start(&addresses);
+    observed
+        .endpoints
+        .send_modify(|listed| listed[3].leaving = true);
+    observed.fail_connections();
+    observed.wait_for(true).await;
+    drop(sound);
+}
