Dispatch: a detached host places no requests of other hosts

A dispatcher that is cut off from the endpoints answers its askers all the same, from a scheduler that its own failures have filled, so hosts that reach everything are refused. The role has no lease, and nothing but silence passed it on.

A detached host records the notices of a call and then answers with an error, which askers treat as a failure: they ask the next host at once, and the first again after the usual backoff of 1 to 8 s. An error, and no field of the answer, since hosts of older releases would ask again without a pause. A redirect was ruled out: a detached host that took the place of a silent one would send its askers back to that one. All calls get the error, those without a placement request too, since a normal answer ends the askers' backoff.

As when a dispatcher crashes, the next host redirects to the first until it has itself learned of it, by its next request or its heartbeat (1 s); askers place by themselves meanwhile.

--- a/crates/papayayard_gateway/src/dispatch.rs
+++ b/crates/papayayard_gateway/src/dispatch.rs
@@ -6,6 +6,9 @@
 //! so that it can place requests itself as soon as its dispatcher fails. Requests to
 //! plain services are placed here, since their endpoints are few and quick, except while
 //! one of the endpoints limits the requests of all hosts together.
+//!
+//! A host that reaches no endpoint places no requests of others: it would go by the
+//! failures of its own network. It tells its callers, who then ask the next host.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -21,6 +24,7 @@
 use crate::hosts::{self, Neighbours};
 use crate::metrics::Metrics;
 use crate::schedule::{Handle, Message};
+use crate::uplink;
 
 mod handler;
 mod link;
@@ -29,7 +33,7 @@
 mod register;
 mod state;
 
-pub(crate) use handler::Handler;
+pub(crate) use handler::{Detached, Handler};
 pub(crate) use message::{Answer as DispatchAnswer, Call as DispatchCall};
 pub(crate) use permit::Permit;
 
@@ -72,6 +76,8 @@
     pub(crate) schedule: Handle,
     /// Hosts that can act as dispatcher.
     pub(crate) neighbours: watch::Receiver<Neighbours>,
+    /// Tells whether this host reaches endpoints.
+    pub(crate) uplink: uplink::Handle,
     pub(crate) metrics: Metrics,
 }
 
@@ -83,6 +89,7 @@
     local: Local,
     clock: Clock,
     schedule: Handle,
+    uplink: uplink::Handle,
     metrics: Metrics,
     state: Mutex<State>,
 }
@@ -102,6 +109,7 @@
             local,
             clock: parts.clock,
             schedule: parts.schedule,
+            uplink: parts.uplink,
             metrics: parts.metrics,
         }))
     }
@@ -316,3 +324,7 @@
         self.0.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+#[cfg(test)]
+#[path = "dispatch_test.rs"]
+mod test;
--- a/crates/papayayard_gateway/src/dispatch/handler.rs
+++ b/crates/papayayard_gateway/src/dispatch/handler.rs
@@ -4,6 +4,7 @@
 
 use papayayard_routing::placement;
 use papayayard_wire::id;
+use snafu::Snafu;
 use tokio::time;
 
 use super::Dispatch;
@@ -13,6 +14,11 @@
 };
 use crate::schedule::{Message, Progress};
 
+/// Answer of a host that cannot act as dispatcher.
+#[derive(Debug, Snafu)]
+#[snafu(display("this host reaches no endpoint; ask another host"))]
+pub(crate) struct Detached;
+
 #[derive(Clone)]
 pub(crate) struct Handler(Dispatch);
 
@@ -22,25 +28,27 @@
     }
 
     /// Records a host's notices and decides on its placement request, unless this host
-    /// uses another dispatcher itself.
-    pub(crate) async fn answer(&self, call: Call) -> Answer {
+    /// uses another dispatcher itself or reaches no endpoint.
+    pub(crate) async fn answer(&self, call: Call) -> Result<Answer, Detached> {
         let shared = &self.0.0;
         let host = id::Host::from(call.host);
         let zone = id::Zone::from(call.zone);
         let now = shared.clock.now();
+        let is_detached = shared.uplink.is_detached();
         let is_asked = self.0.is_dispatcher(now);
-        let elsewhere = if is_asked {
+        let elsewhere = if is_asked || is_detached {
             None
         } else {
             self.0.redirect(&host, now)
         };
-        if elsewhere.is_none() && call.question.is_some() {
+        let is_dispatching = elsewhere.is_none() && !is_detached;
+        if is_dispatching && call.question.is_some() {
             self.0.record_request(now);
         }
         shared
             .schedule
             .send(Message::Contact(host.clone(), call.run));
-        if elsewhere.is_none() && call.is_used {
+        if is_dispatching && call.is_used {
             shared
                 .schedule
                 .send(Message::Use(host.clone(), zone.clone()));
@@ -54,20 +62,23 @@
         for notice in call.notices {
             self.record(&host, &zone, notice, now);
         }
+        if is_detached {
+            return DetachedSnafu.fail();
+        }
         let decision = match call.question {
-            Some(request) if elsewhere.is_none() => self.decide(request, host, zone).await,
+            Some(request) if is_dispatching => self.decide(request, host, zone).await,
             _ => None,
         };
         let limits = shared.schedule.limits();
         let is_current = call.limits_revision == Some(limits.revision);
-        let limits = (!is_current && elsewhere.is_none()).then(|| Limits::new(&limits));
-        Answer {
+        let limits = (!is_current && is_dispatching).then(|| Limits::new(&limits));
+        Ok(Answer {
             run: shared.local.run,
             decision,
             is_asked,
             elsewhere,
             limits,
-        }
+        })
     }
 
     fn record(&self, host: &id::Host, zone: &id::Zone, notice: Notice, now: Duration) {
--- /dev/null
+++ b/crates/papayayard_gateway/src/dispatch_test.rs
@@ -0,0 +1,190 @@
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use papayayard_coordination::ranking::Candidate;
+use papayayard_routing::placement::{Query, Scheduler, Settings};
+use papayayard_routing::prompt::Prompt;
+use papayayard_routing::table::Accounts;
+use papayayard_wire::id;
+use tokio::sync::watch;
+
+use super::message::{Call, Request};
+use super::{Dispatch, Parts};
+use crate::cache_news::ChangeLog;
+use crate::clock::Clock;
+use crate::front::StopState;
+use crate::hosts::{LocalHost, Neighbours};
+use crate::metrics::Metrics;
+use crate::{origins, peers, schedule, uplink};
+
+const TARGET_LATENCY: Duration = Duration::from_secs(5);
+
+/// A host that places requests, without a caller.
+struct Host {
+    dispatch: Dispatch,
+    clock: Clock,
+    local: LocalHost,
+    is_detached: watch::Sender<bool>,
+    neighbours: watch::Sender<Neighbours>,
+    listener: Option<std::net::TcpListener>,
+}
+
+impl Host {
+    /// Hosts with a higher capacity are asked first.
+    fn new(name: &str, capacity: u32) -> Self {
+        let listener = std::net::TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port");
+        listener.set_nonblocking(true).expect("a socket");
+        let clock = Clock::start();
+        let (is_detached, state) = watch::channel(false);
+        let (neighbours, neighbours_receiver) = watch::channel(Neighbours::default());
+        let local = LocalHost {
+            host: id::Host::from(name),
+            zone: id::Zone::from("a"),
+            peers: listener.local_addr().expect("an address"),
+            capacity,
+        };
+        let scheduler = Scheduler::new(Settings {
+            old_weights: Duration::ZERO,
+            old_weights_grace: Duration::ZERO,
+            limit_phase: 0.0,
+        });
+        let dispatch = Dispatch::new(Parts {
+            local: local.clone(),
+            clock,
+            schedule: schedule::start(scheduler, local.zone.clone(), clock),
+            neighbours: neighbours_receiver,
+            uplink: uplink::Handle::with_state(state),
+            metrics: Metrics::new(),
+        });
+        Self {
+            dispatch,
+            clock,
+            local,
+            is_detached,
+            neighbours,
+            listener: Some(listener),
+        }
+    }
+
+    /// Serves other hosts.
+    fn serve(&mut self) {
+        let (origins, _) = origins::start(origins::Parts {
+            host: self.local.host.clone(),
+            clock: self.clock,
+            neighbours: self.neighbours.subscribe(),
+            endpoints: watch::channel(Vec::new()).1,
+            last_read: watch::channel(None).1,
+            stop: watch::channel(StopState::SERVING).1,
+            metrics: Metrics::new(),
+        });
+        let context = peers::Context {
+            mirrors: peers::Mirrors::new(),
+            caches: watch::channel(ChangeLog::default()).1,
+            desk: self.dispatch.handler(),
+            origins,
+            clock: self.clock,
+        };
+        let listener = self.listener.take().expect("a host is served once");
+        tokio::spawn(peers::serve(listener, context).expect("a server"));
+    }
+
+    fn candidate(&self) -> Candidate {
+        Candidate {
+            host: self.local.host.clone(),
+            address: self.address(),
+            capacity: self.local.capacity,
+        }
+    }
+
+    fn address(&self) -> SocketAddr {
+        self.local.peers
+    }
+
+    fn set_neighbours(&self, hosts: &[Candidate]) {
+        self.neighbours.send_replace(Neighbours {
+            are_counted: true,
+            zone: hosts.to_vec(),
+            others: Vec::new(),
+        });
+    }
+
+    /// Whether the host has lately placed requests of others.
+    fn has_placed(&self) -> bool {
+        self.dispatch.is_dispatcher(self.clock.now())
+    }
+
+    /// A request of a model service.
+    fn query(&self) -> Query {
+        let prompt = Prompt {
+            model: id::Model::from("m"),
+            tokens: 10,
+            max_output: 10,
+            expected_output: None,
+            parts: Vec::new(),
+        };
+        let target = self.clock.now() + TARGET_LATENCY;
+        Query {
+            service: id::Service::from("engines"),
+            requesting_host: None,
+            zone: self.local.zone.clone(),
+            prompt: Some(Arc::new(prompt)),
+            group: Accounts::default().group(None),
+            is_repeatable: true,
+            priority: 0,
+            target,
+            target_latency: TARGET_LATENCY,
+            deadline: target + TARGET_LATENCY,
+            waited: Duration::ZERO,
+            software: None,
+            tried: Vec::new(),
+            avoided: Vec::new(),
+        }
+    }
+}
+
+/// Guards against dispatchers that refuse or misplace the requests of sound hosts by the
+/// failures of their own network.
+#[tokio::test]
+async fn hosts_whose_dispatcher_is_detached_ask_the_next() {
+    let mut first = Host::new("first", 300);
+    let mut second = Host::new("second", 200);
+    let asker = Host::new("asker", 100);
+    let hosts = [&first, &second, &asker].map(Host::candidate);
+    for host in [&first, &second, &asker] {
+        host.set_neighbours(&hosts);
+    }
+    first.serve();
+    second.serve();
+    // The second host knows that the first cannot place requests.
+    let now = second.clock.now();
+    second.dispatch.failed(&first.local.host, "it is detached");
+    assert!(second.dispatch.state().current(now).is_none());
+    first.is_detached.send_replace(true);
+    asker.dispatch.place(asker.query()).await;
+    assert!(!first.has_placed());
+    assert!(second.has_placed());
+}
+
+/// Guards against hosts that take no placement requests again after their network is back.
+#[tokio::test]
+async fn a_host_places_requests_again_once_it_is_attached() {
+    let host = Host::new("first", 300);
+    let call = || Call {
+        host: "asker".to_owned(),
+        run: 1,
+        zone: "a".to_owned(),
+        notices: Vec::new(),
+        named: Vec::new(),
+        is_used: true,
+        limits_revision: None,
+        question: Some(Request::new(1, &host.query(), host.clock.now())),
+    };
+    let handler = host.dispatch.handler();
+    host.is_detached.send_replace(true);
+    assert!(handler.answer(call()).await.is_err());
+    host.is_detached.send_replace(false);
+    let answer = handler.answer(call()).await;
+    let answer = answer.expect("the host reaches endpoints again");
+    assert!(answer.decision.is_some());
+}
--- a/crates/papayayard_gateway/src/host.rs
+++ b/crates/papayayard_gateway/src/host.rs
@@ -108,7 +108,7 @@
     let (configuration, last_read) = parts.follow_operators();
     let (endpoints, endpoints_read) = parts.follow_endpoints();
     let uplink = parts.observe_uplink(&endpoints);
-    let dispatch = parts.dispatch();
+    let dispatch = parts.dispatch(&uplink);
     let origins = parts.track_origins(&endpoints, endpoints_read);
     parts.order_weights(&configuration, &endpoints, &dispatch);
     let changes = parts.follow_caches(&configuration, &endpoints, &hosts, &dispatch);
@@ -351,12 +351,13 @@
         uplink
     }
 
-    fn dispatch(&mut self) -> Dispatch {
+    fn dispatch(&mut self, uplink: &uplink::Handle) -> Dispatch {
         let dispatch = Dispatch::new(dispatch::Parts {
             local: self.local_host(),
             clock: self.store.clock,
             schedule: self.schedule.clone(),
             neighbours: self.neighbours.clone(),
+            uplink: uplink.clone(),
             metrics: self.metrics.clone(),
         });
         self.controllers.spawn(dispatch.clone().report());
--- a/crates/papayayard_gateway/src/peers.rs
+++ b/crates/papayayard_gateway/src/peers.rs
@@ -27,7 +27,7 @@
 
 use crate::cache_news::{Batch, ChangeLog};
 use crate::clock::Clock;
-use crate::dispatch::{DispatchAnswer, DispatchCall, Handler};
+use crate::dispatch::{Detached, DispatchAnswer, DispatchCall, Handler};
 use crate::follow::Polling;
 use crate::mirror::{Mirror, Part, Received};
 use crate::origins;
@@ -45,6 +45,8 @@
 const DISPATCH: &str = "dispatch";
 /// JSON-RPC error code for a topic that was not read yet.
 const NOTHING_READ: i32 = -32_002;
+/// JSON-RPC error code of a host that reaches no endpoint.
+const DETACHED: i32 = -32_003;
 /// Maximum number of connections. Each other host has one per topic, and one per request
 /// that waits for a placement.
 const MAX_CONNECTIONS: u32 = 2048;
@@ -160,7 +162,8 @@
     module
         .register_async_method(DISPATCH, |params, context, _| async move {
             let call = params.one::<DispatchCall>()?;
-            Ok::<_, ErrorObjectOwned>(context.desk.answer(call).await)
+            let answer = context.desk.answer(call).await;
+            answer.map_err(|error| detached(&error))
         })
         .expect("a new module has no method of this name");
     module
@@ -238,6 +241,10 @@
     ErrorObjectOwned::owned(NOTHING_READ, message, None::<()>)
 }
 
+fn detached(error: &Detached) -> ErrorObjectOwned {
+    ErrorObjectOwned::owned(DETACHED, error.to_string(), None::<()>)
+}
+
 impl Entry {
     fn new(received: Received, arrived: Duration) -> Self {
         let record = received.record;
--- a/crates/papayayard_gateway/src/uplink.rs
+++ b/crates/papayayard_gateway/src/uplink.rs
@@ -59,6 +59,16 @@
         *self.is_detached.borrow()
     }
 
+    /// Returns a handle to a state that no task changes.
+    #[cfg(test)]
+    pub(crate) fn with_state(is_detached: watch::Receiver<bool>) -> Self {
+        let (reports, _) = mpsc::unbounded_channel();
+        Self {
+            reports,
+            is_detached,
+        }
+    }
+
     fn record(&self, endpoint: &id::Endpoint, evidence: Evidence) {
         let report = Report {
             endpoint: endpoint.clone(),
