Orders: a detached host does not lead

A leader that reaches no endpoint renewed its leadership every 300 ms for as long as weights were outdated: its reports fail, it withholds the orders, and no other host may give them.

A detached host drops its term and neither appends nor takes a permit from an append that succeeds late. Others take over as after a crash, when the last record is older than the lease and the term; nothing shortens that, so ONE's distance between orders stands. Once attached the host goes on at once if nobody else has appended since, with a higher fence, as a leader that was paused does. Ruled out: a last record that hands over sooner; it would start the wait anew.

--- a/crates/papayayard_coordination/src/leadership.rs
+++ b/crates/papayayard_coordination/src/leadership.rs
@@ -18,6 +18,9 @@
 //! none of its orders arrives late. A [`Permit`] limits when an order may be sent and
 //! when an unanswered order is cut off; the sender checks both limits just before it
 //! sends.
+//!
+//! A detached host, which reaches no endpoint, gives up its term and does not renew it, so that
+//! another host takes over when the last record is old enough. Nothing shortens that time.
 
 use std::time::Duration;
 
@@ -49,6 +52,7 @@
     era: Option<Era>,
     /// Time before which nobody acquires leadership in this era.
     acquire_after: Duration,
+    is_detached: bool,
 }
 
 /// Permission to give orders, limited in time.
@@ -92,9 +96,17 @@
             term: None,
             era: None,
             acquire_after: Duration::ZERO,
+            is_detached: false,
         }
     }
 
+    /// Records whether this host reaches no endpoint. Returns whether it has given up its
+    /// term.
+    pub fn set_detached(&mut self, is_detached: bool) -> bool {
+        self.is_detached = is_detached;
+        is_detached && self.term.take().is_some()
+    }
+
     /// Records the era of the log, which was first read at `now`.
     pub fn enter_era(&mut self, era: Era, now: Duration) {
         if self.era.is_some_and(|known| era <= known) {
@@ -129,7 +141,7 @@
 
     /// Whether this host may append a record now.
     pub fn may_append(&self, now: Duration) -> bool {
-        if now < self.acquire_after {
+        if self.is_detached || now < self.acquire_after {
             return false;
         }
         match &self.last {
@@ -154,7 +166,7 @@
     }
 
     /// Records an append that was sent at `sent` and succeeded at `position`. It gives no
-    /// leadership in an era that this host has not read.
+    /// leadership in an era that this host has not read, or while it is detached.
     pub fn appended(&mut self, position: Position, sent: Duration, now: Duration) {
         let host = self.local_host.clone();
         let is_unread = self.era.is_some_and(|era| era < position.era);
@@ -162,7 +174,7 @@
             self.enter_era(position.era, now);
         }
         self.observe(&host, position, now);
-        if !is_unread {
+        if !is_unread && !self.is_detached {
             self.term = Some(Term {
                 fence: fence(position),
                 since: sent,
--- a/crates/papayayard_coordination/tests/leadership_test.rs
+++ b/crates/papayayard_coordination/tests/leadership_test.rs
@@ -201,3 +201,44 @@
     assert_eq!(leadership.permit(NOW), None);
     assert!(!leadership.may_append(NOW + LEASE));
 }
+
+/// A leader that reached no endpoint renewed its leadership for as long as weights were
+/// outdated, and no host could give orders.
+#[test]
+fn a_detached_leader_is_followed_by_another_as_if_it_had_crashed() {
+    let step = Duration::from_millis(10);
+    let mut detached = leadership("a");
+    let mut next = leadership("b");
+    detached.appended(at(7), NOW, NOW);
+    next.observe(&id::Host::from("a"), at(7), NOW);
+    let end = detached.permit(NOW).expect("the leader").end;
+    assert!(detached.set_detached(true));
+    let mut time = NOW;
+    while !next.may_append(time) {
+        assert_eq!(detached.permit(time), None);
+        assert!(!detached.may_append(time));
+        time += step;
+    }
+    assert!(time >= end + LEASE);
+    next.appended(at(8), time, time);
+    detached.observe(&id::Host::from("b"), at(8), time);
+    assert!(!detached.set_detached(false));
+    assert!(!detached.may_append(time + LEASE));
+}
+
+/// The append was on its way when the host lost its way to the endpoints.
+#[test]
+fn an_append_that_succeeds_late_gives_a_detached_host_no_leadership() {
+    let mut leadership = leadership("a");
+    leadership.set_detached(true);
+    leadership.appended(at(7), NOW, NOW);
+    assert_eq!(leadership.permit(NOW), None);
+    leadership.set_detached(false);
+    assert_eq!(leadership.permit(NOW), None);
+    assert!(leadership.may_append(NOW));
+    leadership.appended(at(8), NOW, NOW);
+    assert_eq!(
+        leadership.permit(NOW).map(|permit| permit.fence),
+        Some(id::Fence(9))
+    );
+}
--- a/crates/papayayard_gateway/src/host.rs
+++ b/crates/papayayard_gateway/src/host.rs
@@ -110,7 +110,7 @@
     let uplink = parts.observe_uplink(&endpoints);
     let dispatch = parts.dispatch(&uplink);
     let origins = parts.track_origins(&endpoints, endpoints_read);
-    parts.order_weights(&configuration, &endpoints, &dispatch);
+    parts.order_weights(&configuration, &endpoints, &dispatch, &uplink);
     let changes = parts.follow_caches(&configuration, &endpoints, &hosts, &dispatch);
     let crashes = parts.track_crashes(&endpoints);
     parts.serve_peers(sockets.peers, changes, dispatch.handler(), origins.clone())?;
@@ -292,6 +292,7 @@
         configuration: &watch::Receiver<Configuration>,
         endpoints: &watch::Receiver<Vec<Endpoint>>,
         dispatch: &Dispatch,
+        uplink: &uplink::Handle,
     ) {
         let (snapshot, snapshot_receiver) = watch::channel(Snapshot::default());
         let takeover_delay = leadership::takeover_delay(self.settings.bounds.lease);
@@ -308,6 +309,7 @@
             backoffs: self.backoffs.clone(),
             neighbours: self.neighbours.clone(),
             dispatch: dispatch.clone(),
+            uplink: uplink.clone(),
             metrics: self.metrics.clone(),
             clock: self.store.clock,
         }));
--- a/crates/papayayard_gateway/src/orders.rs
+++ b/crates/papayayard_gateway/src/orders.rs
@@ -30,6 +30,7 @@
 use crate::metrics::Metrics;
 use crate::schedule::Handle;
 use crate::store::{Codec, Error, Topic};
+use crate::uplink;
 
 mod endpoint;
 
@@ -68,6 +69,8 @@
     pub(crate) backoffs: Backoffs,
     pub(crate) neighbours: watch::Receiver<Neighbours>,
     pub(crate) dispatch: Dispatch,
+    /// Tells whether this host reaches endpoints.
+    pub(crate) uplink: uplink::Handle,
     pub(crate) metrics: Metrics,
     pub(crate) clock: Clock,
 }
@@ -127,6 +130,7 @@
     async fn run(mut self, mut events: mpsc::UnboundedReceiver<Event>) {
         loop {
             self.observe_leader();
+            self.observe_uplink();
             let next = self.step().await;
             while self.calls.try_join_next().is_some() {}
             if let Some(pause) = next {
@@ -178,6 +182,17 @@
         }
     }
 
+    /// Gives up leadership while this host reaches no endpoint.
+    fn observe_uplink(&mut self) {
+        let is_detached = self.parts.uplink.is_detached();
+        if self.leadership.set_detached(is_detached) {
+            log::info!("order leadership given up; this host reaches no endpoint");
+        }
+        if is_detached {
+            self.acquire_after = None;
+        }
+    }
+
     /// Performs the due work and returns the time until the next step, or `None` if no
     /// work is left.
     async fn step(&mut self) -> Option<Duration> {
