Caches: a detached host reads none for the others of its zone

In a fleet with more hosts than readers of a cache, one host of a zone reads and the others poll it. Cut off from the engines it went on answering that nothing has changed, so its zone placed prompts by what caches held before.

It answers such calls with the error of a detached host, those that wait too. The callers take that for a failure, as they do silence: the next in rank reads from the engines, and they poll that one. They come back after their backoff (at most 8 s), from the beginning, as they do to a reader that was silent. A deployment in which each host reads for itself is not concerned.

--- a/crates/papayayard_gateway/src/dispatch.rs
+++ b/crates/papayayard_gateway/src/dispatch.rs
@@ -33,7 +33,7 @@
 mod register;
 mod state;
 
-pub(crate) use handler::{Detached, Handler};
+pub(crate) use handler::Handler;
 pub(crate) use message::{Answer as DispatchAnswer, Call as DispatchCall};
 pub(crate) use permit::Permit;
 
--- a/crates/papayayard_gateway/src/dispatch/handler.rs
+++ b/crates/papayayard_gateway/src/dispatch/handler.rs
@@ -4,7 +4,6 @@
 
 use papayayard_routing::placement;
 use papayayard_wire::id;
-use snafu::Snafu;
 use tokio::time;
 
 use super::Dispatch;
@@ -13,11 +12,7 @@
     Answer, Call, Decision, Event, Limits, Notice, Placed, Refusal, Request, Running,
 };
 use crate::schedule::{Message, Progress};
-
-/// Answer of a host that cannot act as dispatcher.
-#[derive(Debug, Snafu)]
-#[snafu(display("this host reaches no endpoint; ask another host"))]
-pub(crate) struct Detached;
+use crate::uplink;
 
 #[derive(Clone)]
 pub(crate) struct Handler(Dispatch);
@@ -29,7 +24,7 @@
 
     /// Records a host's notices and decides on its placement request, unless this host
     /// uses another dispatcher itself or reaches no endpoint.
-    pub(crate) async fn answer(&self, call: Call) -> Result<Answer, Detached> {
+    pub(crate) async fn answer(&self, call: Call) -> Result<Answer, uplink::Detached> {
         let shared = &self.0.0;
         let host = id::Host::from(call.host);
         let zone = id::Zone::from(call.zone);
@@ -63,7 +58,7 @@
             self.record(&host, &zone, notice, now);
         }
         if is_detached {
-            return DetachedSnafu.fail();
+            return Err(uplink::Detached);
         }
         let decision = match call.question {
             Some(request) if is_dispatching => self.decide(request, host, zone).await,
--- a/crates/papayayard_gateway/src/dispatch_test.rs
+++ b/crates/papayayard_gateway/src/dispatch_test.rs
@@ -83,6 +83,7 @@
             caches: watch::channel(ChangeLog::default()).1,
             desk: self.dispatch.handler(),
             origins,
+            uplink: self.dispatch.0.uplink.clone(),
             clock: self.clock,
         };
         let listener = self.listener.take().expect("a host is served once");
--- a/crates/papayayard_gateway/src/host.rs
+++ b/crates/papayayard_gateway/src/host.rs
@@ -21,7 +21,7 @@
 use crate::beliefs::{Configuration, Endpoints, LastRead, Operators};
 use crate::cache_news::ChangeLog;
 use crate::clock::Clock;
-use crate::dispatch::{Dispatch, Handler};
+use crate::dispatch::Dispatch;
 use crate::ends::CrashTracker;
 use crate::follow::{self, Polling, Reducer, Store};
 use crate::front::{self, StopState};
@@ -113,7 +113,15 @@
     parts.order_weights(&configuration, &endpoints, &dispatch, &uplink);
     let changes = parts.follow_caches(&configuration, &endpoints, &hosts, &dispatch);
     let crashes = parts.track_crashes(&endpoints);
-    parts.serve_peers(sockets.peers, changes, dispatch.handler(), origins.clone())?;
+    let context = peers::Context {
+        mirrors: std::mem::take(&mut parts.mirrors),
+        caches: changes,
+        desk: dispatch.handler(),
+        origins: origins.clone(),
+        uplink: uplink.clone(),
+        clock,
+    };
+    parts.serve_peers(sockets.peers, context)?;
     parts.controllers.spawn(sweep(pool.clone()));
     let revocation = parts.settings.bounds.revocation;
     parts.controllers.spawn(operators::serve(
@@ -393,18 +401,9 @@
     fn serve_peers(
         &mut self,
         listener: std::net::TcpListener,
-        changes: watch::Receiver<ChangeLog>,
-        handler: Handler,
-        origins: origins::Tracker,
+        context: peers::Context,
     ) -> Result<(), Error> {
         let address = self.settings.peers;
-        let context = peers::Context {
-            mirrors: std::mem::take(&mut self.mirrors),
-            caches: changes,
-            desk: handler,
-            origins,
-            clock: self.store.clock,
-        };
         let served = peers::serve(listener, context);
         self.controllers
             .spawn(served.context(listen::ListenSnafu { address })?);
--- a/crates/papayayard_gateway/src/peers.rs
+++ b/crates/papayayard_gateway/src/peers.rs
@@ -27,11 +27,12 @@
 
 use crate::cache_news::{Batch, ChangeLog};
 use crate::clock::Clock;
-use crate::dispatch::{Detached, DispatchAnswer, DispatchCall, Handler};
+use crate::dispatch::{DispatchAnswer, DispatchCall, Handler};
 use crate::follow::Polling;
 use crate::mirror::{Mirror, Part, Received};
 use crate::origins;
 use crate::store::{Record, Topic};
+use crate::uplink;
 
 /// Method that reads a topic.
 const READ: &str = "read";
@@ -130,6 +131,8 @@
     pub(crate) desk: Handler,
     /// Streams that began on this host and on others.
     pub(crate) origins: origins::Tracker,
+    /// Tells whether this host reaches endpoints.
+    pub(crate) uplink: uplink::Handle,
     pub(crate) clock: Clock,
 }
 
@@ -156,7 +159,7 @@
     module
         .register_async_method(CACHES, |params, context, _| async move {
             let call = params.one::<CachesCall>()?;
-            Ok::<_, ErrorObjectOwned>(changes(&context, &call).await)
+            changes(&context, &call).await
         })
         .expect("a new module has no method of this name");
     module
@@ -227,13 +230,21 @@
     wait_ms: Duration,
 }
 
-async fn changes(context: &Context, call: &CachesCall) -> Batch {
+/// Waits for cache changes. A detached host reads none, so its callers ask another host.
+async fn changes(context: &Context, call: &CachesCall) -> Result<Batch, ErrorObjectOwned> {
     let mut caches = context.caches.clone();
+    let mut is_detached = context.uplink.subscribe();
     let wait = call.wait_ms.min(MAX_WAIT);
     let changed = caches.wait_for(|change_log| change_log.next_number() != call.since);
-    // After a timeout the answer contains no changes.
-    let _ = time::timeout(wait, changed).await;
-    caches.borrow().since(call.since)
+    tokio::select! {
+        biased;
+        Ok(_) = is_detached.wait_for(|is_detached| *is_detached) => {
+            return Err(detached(&uplink::Detached));
+        }
+        // After a timeout the answer contains no changes.
+        _ = time::timeout(wait, changed) => {}
+    }
+    Ok(caches.borrow().since(call.since))
 }
 
 fn nothing_read() -> ErrorObjectOwned {
@@ -241,7 +252,7 @@
     ErrorObjectOwned::owned(NOTHING_READ, message, None::<()>)
 }
 
-fn detached(error: &Detached) -> ErrorObjectOwned {
+fn detached(error: &uplink::Detached) -> ErrorObjectOwned {
     ErrorObjectOwned::owned(DETACHED, error.to_string(), None::<()>)
 }
 
@@ -378,3 +389,7 @@
         moment + by
     }
 }
+
+#[cfg(test)]
+#[path = "peers_test.rs"]
+mod test;
--- a/crates/papayayard_gateway/src/uplink.rs
+++ b/crates/papayayard_gateway/src/uplink.rs
@@ -11,6 +11,7 @@
 use papayayard_coordination::uplink::{Change, Evidence, Probe, Target, Uplink};
 use papayayard_routing::placement::Endpoint;
 use papayayard_wire::id;
+use snafu::Snafu;
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
 use tokio::time::{self, Instant};
@@ -19,6 +20,11 @@
 use crate::metrics::Metrics;
 use crate::refusal::millis;
 
+/// Error that a detached host returns to hosts that call it for what needs endpoints.
+#[derive(Debug, Snafu)]
+#[snafu(display("this host reaches no endpoint; ask another host"))]
+pub(crate) struct Detached;
+
 /// Records evidence, and tells whether this host is detached.
 #[derive(Clone)]
 pub(crate) struct Handle {
@@ -59,6 +65,11 @@
         *self.is_detached.borrow()
     }
 
+    /// Returns the state, to wait for its changes.
+    pub(crate) fn subscribe(&self) -> watch::Receiver<bool> {
+        self.is_detached.clone()
+    }
+
     /// Returns a handle to a state that no task changes.
     #[cfg(test)]
     pub(crate) fn with_state(is_detached: watch::Receiver<bool>) -> Self {
