Uplink: calls for caches and reports count as evidence

A dispatcher, a reader of caches or an order leader may have no requests of its own, or few; it then learned of a cut late or never, and kept its duties.

The polls of engines' caches and the leader's calls for reports record what they have seen: answers, connections that fail, connections that are reset or silent.

--- a/crates/papayayard_gateway/src/feeds.rs
+++ b/crates/papayayard_gateway/src/feeds.rs
@@ -28,6 +28,7 @@
 use crate::hosts::Neighbours;
 use crate::peers;
 use crate::schedule::{Handle, Holder, Message};
+use crate::uplink;
 
 /// Time for which a holder holds a poll open while there is no change.
 const POLL_WAIT: Duration = Duration::from_millis(950);
@@ -64,6 +65,8 @@
     pub(crate) dispatch: Dispatch,
     pub(crate) changes: watch::Sender<ChangeLog>,
     pub(crate) backoffs: Backoffs,
+    /// Learns which endpoints this host reaches.
+    pub(crate) uplink: uplink::Handle,
     pub(crate) schedule: Handle,
 }
 
@@ -197,6 +200,7 @@
                     codec: parts.codec.clone(),
                     clock: parts.clock,
                     backoffs: parts.backoffs.clone(),
+                    uplink: parts.uplink.clone(),
                     source: source.clone(),
                     publisher,
                 };
@@ -281,6 +285,7 @@
     codec: Platform,
     clock: Clock,
     backoffs: Backoffs,
+    uplink: uplink::Handle,
     source: Source,
     publisher: Publisher,
 }
@@ -298,7 +303,11 @@
         loop {
             self.wait_until_wanted().await;
             let request = self.codec.changes(since, POLL_WAIT);
-            let reply = match caller.call(request, CHANGES_BOUNDS).await {
+            let outcome = caller.call(request, CHANGES_BOUNDS).await;
+            if let Holder::Endpoint(endpoint) = &self.source.holder {
+                self.uplink.record_call(endpoint, &outcome);
+            }
+            let reply = match outcome {
                 Ok(reply) => reply,
                 Err(error) => {
                     log::debug!(address:%, error:%; "cannot read cache changes");
--- a/crates/papayayard_gateway/src/host.rs
+++ b/crates/papayayard_gateway/src/host.rs
@@ -111,7 +111,7 @@
     let dispatch = parts.dispatch(&uplink);
     let origins = parts.track_origins(&endpoints, endpoints_read);
     parts.order_weights(&configuration, &endpoints, &dispatch, &uplink);
-    let changes = parts.follow_caches(&configuration, &endpoints, &hosts, &dispatch);
+    let changes = parts.follow_caches(&configuration, &endpoints, &hosts, (&dispatch, &uplink));
     let crashes = parts.track_crashes(&endpoints);
     let context = peers::Context {
         mirrors: std::mem::take(&mut parts.mirrors),
@@ -379,7 +379,7 @@
         configuration: &watch::Receiver<Configuration>,
         endpoints: &watch::Receiver<Vec<Endpoint>>,
         hosts: &watch::Receiver<usize>,
-        dispatch: &Dispatch,
+        (dispatch, uplink): (&Dispatch, &uplink::Handle),
     ) -> watch::Receiver<ChangeLog> {
         let (changes, changes_receiver) = watch::channel(ChangeLog::default());
         self.controllers.spawn(feeds::follow(feeds::Parts {
@@ -393,6 +393,7 @@
             dispatch: dispatch.clone(),
             changes,
             backoffs: self.backoffs.clone(),
+            uplink: uplink.clone(),
             schedule: self.schedule.clone(),
         }));
         changes_receiver
--- a/crates/papayayard_gateway/src/orders.rs
+++ b/crates/papayayard_gateway/src/orders.rs
@@ -446,9 +446,11 @@
             .filter(|address| self.parts.backoffs.remaining(*address, now).is_zero());
         let codec = self.parts.store.codec.clone();
         let sender = self.sender.clone();
+        let uplink = self.parts.uplink.clone();
+        let endpoint = endpoint.clone();
         self.calls.spawn(async move {
             let report = match address {
-                Some(address) => endpoint::report(&codec, address).await,
+                Some(address) => endpoint::report(&codec, (&endpoint, address), &uplink).await,
                 None => None,
             };
             send_event(&sender, event(report));
--- a/crates/papayayard_gateway/src/orders/endpoint.rs
+++ b/crates/papayayard_gateway/src/orders/endpoint.rs
@@ -11,10 +11,12 @@
 use bytes::Bytes;
 use papayayard_coordination::leadership::Permit;
 use papayayard_coordination::rollout::Answer;
+use papayayard_wire::id;
 
 use crate::call::{self, Bounds};
 use crate::clock::Clock;
 use crate::exchange::{Codec, OrderReply, Report};
+use crate::uplink;
 
 /// Bounds of an answer with a report.
 const REPORT_BOUNDS: Bounds = Bounds {
@@ -34,11 +36,17 @@
 }
 
 /// Reads an endpoint's report.
-pub(super) async fn report<Platform>(codec: &Platform, address: SocketAddr) -> Option<Report>
+pub(super) async fn report<Platform>(
+    codec: &Platform,
+    (endpoint, address): (&id::Endpoint, SocketAddr),
+    uplink: &uplink::Handle,
+) -> Option<Report>
 where
     Platform: Codec,
 {
-    match call::once(address, codec.report(), REPORT_BOUNDS).await {
+    let outcome = call::once(address, codec.report(), REPORT_BOUNDS).await;
+    uplink.record_call(endpoint, &outcome);
+    match outcome {
         Ok(reply) => codec.decode_report(&reply),
         Err(error) => {
             log::info!(error:%; "reading an endpoint's report failed");
--- a/crates/papayayard_gateway/src/uplink.rs
+++ b/crates/papayayard_gateway/src/uplink.rs
@@ -1,6 +1,7 @@
 //! Finds out whether this host is detached: whether it can open connections to no endpoint.
 //!
-//! Requests report what they have seen of the way to their endpoints. A task collects the
+//! Requests, and the calls for caches and reports, tell what they have seen of the way to
+//! endpoints, so that a host without requests knows it too. A task collects the
 //! reports, probes endpoints when a decision is due, and publishes the state. The decisions
 //! are made in `papayayard_coordination::uplink`.
 
@@ -16,6 +17,7 @@
 use tokio::task::JoinSet;
 use tokio::time::{self, Instant};
 
+use crate::call;
 use crate::dial;
 use crate::metrics::Metrics;
 use crate::refusal::millis;
@@ -60,6 +62,22 @@
         self.record(endpoint, Evidence::Silent);
     }
 
+    /// Records what a call to an endpoint has shown.
+    pub(crate) fn record_call(
+        &self,
+        endpoint: &id::Endpoint,
+        outcome: &Result<call::Reply, call::Error>,
+    ) {
+        match outcome {
+            Ok(_) => self.record_answer(endpoint),
+            Err(call::Error::Unreachable { .. }) => self.record_unreachable(endpoint),
+            Err(call::Error::Disconnected { .. } | call::Error::TimedOut { .. }) => {
+                self.record_silent(endpoint);
+            }
+            Err(call::Error::Withheld { .. }) => {}
+        }
+    }
+
     /// Whether this host reaches no endpoint.
     pub(crate) fn is_detached(&self) -> bool {
         *self.is_detached.borrow()
