--- a/crates/papayayard_gateway/src/host.rs
+++ b/crates/papayayard_gateway/src/host.rs
@@ -21,7 +21,7 @@
 use crate::beliefs::{Configuration, Endpoints, LastRead, Operators};
 use crate::cache_news::ChangeLog;
 use crate::clock::Clock;
-use crate::dispatch::{Dispatch, Handler};
+use crate::dispatch::Dispatch;
 use crate::ends::CrashTracker;
 use crate::follow::{self, Polling, Reducer, Store};
 use crate::front::{self, StopState};
@@ -37,7 +37,7 @@
 use crate::store::Topic;
 use crate::{
     dispatch, ends, era, exchange, feeds, hosts, listen, operators, orders, origins, peers,
-    schedule, store,
+    schedule, store, uplink,
 };
 
 /// Age of a target version up to which older weights do not add to the placement cost.
@@ -107,12 +107,21 @@
     let hosts = parts.count_hosts();
     let (configuration, last_read) = parts.follow_operators();
     let (endpoints, endpoints_read) = parts.follow_endpoints();
-    let dispatch = parts.dispatch();
+    let uplink = parts.observe_uplink(&endpoints);
+    let dispatch = parts.dispatch(&uplink);
     let origins = parts.track_origins(&endpoints, endpoints_read);
-    parts.order_weights(&configuration, &endpoints, &dispatch);
-    let changes = parts.follow_caches(&configuration, &endpoints, &hosts, &dispatch);
+    parts.order_weights(&configuration, &endpoints, &dispatch, &uplink);
+    let changes = parts.follow_caches(&configuration, &endpoints, &hosts, (&dispatch, &uplink));
     let crashes = parts.track_crashes(&endpoints);
-    parts.serve_peers(sockets.peers, changes, dispatch.handler(), origins.clone())?;
+    let context = peers::Context {
+        mirrors: std::mem::take(&mut parts.mirrors),
+        caches: changes,
+        desk: dispatch.handler(),
+        origins: origins.clone(),
+        uplink: uplink.clone(),
+        clock,
+    };
+    parts.serve_peers(sockets.peers, context)?;
     parts.controllers.spawn(sweep(pool.clone()));
     let revocation = parts.settings.bounds.revocation;
     parts.controllers.spawn(operators::serve(
@@ -128,6 +137,7 @@
             hosts: hosts.clone(),
             last_read: last_read.clone(),
             revocation,
+            uplink: uplink.clone(),
         },
     ));
     let codec = parts.store.codec.clone();
@@ -139,6 +149,7 @@
             backoffs: parts.backoffs.clone(),
             clock,
             metrics: parts.metrics.clone(),
+            uplink,
         },
         clock,
         dispatch,
@@ -289,6 +300,7 @@
         configuration: &watch::Receiver<Configuration>,
         endpoints: &watch::Receiver<Vec<Endpoint>>,
         dispatch: &Dispatch,
+        uplink: &uplink::Handle,
     ) {
         let (snapshot, snapshot_receiver) = watch::channel(Snapshot::default());
         let takeover_delay = leadership::takeover_delay(self.settings.bounds.lease);
@@ -305,6 +317,7 @@
             backoffs: self.backoffs.clone(),
             neighbours: self.neighbours.clone(),
             dispatch: dispatch.clone(),
+            uplink: uplink.clone(),
             metrics: self.metrics.clone(),
             clock: self.store.clock,
         }));
@@ -342,12 +355,19 @@
         tracker
     }
 
-    fn dispatch(&mut self) -> Dispatch {
+    fn observe_uplink(&mut self, endpoints: &watch::Receiver<Vec<Endpoint>>) -> uplink::Handle {
+        let (uplink, observing) = uplink::start(endpoints.clone(), self.metrics.clone());
+        self.controllers.spawn(observing);
+        uplink
+    }
+
+    fn dispatch(&mut self, uplink: &uplink::Handle) -> Dispatch {
         let dispatch = Dispatch::new(dispatch::Parts {
             local: self.local_host(),
             clock: self.store.clock,
             schedule: self.schedule.clone(),
             neighbours: self.neighbours.clone(),
+            uplink: uplink.clone(),
             metrics: self.metrics.clone(),
         });
         self.controllers.spawn(dispatch.clone().report());
@@ -359,7 +379,7 @@
         configuration: &watch::Receiver<Configuration>,
         endpoints: &watch::Receiver<Vec<Endpoint>>,
         hosts: &watch::Receiver<usize>,
-        dispatch: &Dispatch,
+        (dispatch, uplink): (&Dispatch, &uplink::Handle),
     ) -> watch::Receiver<ChangeLog> {
         let (changes, changes_receiver) = watch::channel(ChangeLog::default());
         self.controllers.spawn(feeds::follow(feeds::Parts {
@@ -373,6 +393,7 @@
             dispatch: dispatch.clone(),
             changes,
             backoffs: self.backoffs.clone(),
+            uplink: uplink.clone(),
             schedule: self.schedule.clone(),
         }));
         changes_receiver
@@ -381,18 +402,9 @@
     fn serve_peers(
         &mut self,
         listener: std::net::TcpListener,
-        changes: watch::Receiver<ChangeLog>,
-        handler: Handler,
-        origins: origins::Tracker,
+        context: peers::Context,
     ) -> Result<(), Error> {
         let address = self.settings.peers;
-        let context = peers::Context {
-            mirrors: std::mem::take(&mut self.mirrors),
-            caches: changes,
-            desk: handler,
-            origins,
-            clock: self.store.clock,
-        };
         let served = peers::serve(listener, context);
         self.controllers
             .spawn(served.context(listen::ListenSnafu { address })?);
--- a/crates/papayayard_gateway/src/peers.rs
+++ b/crates/papayayard_gateway/src/peers.rs
@@ -32,6 +32,7 @@
 use crate::mirror::{Mirror, Part, Received};
 use crate::origins;
 use crate::store::{Record, Topic};
+use crate::uplink;
 
 /// Method that reads a topic.
 const READ: &str = "read";
@@ -45,6 +46,8 @@
 const DISPATCH: &str = "dispatch";
 /// JSON-RPC error code for a topic that was not read yet.
 const NOTHING_READ: i32 = -32_002;
+/// JSON-RPC error code of a host that reaches no endpoint.
+const DETACHED: i32 = -32_003;
 /// Maximum number of connections. Each other host has one per topic, and one per request
 /// that waits for a placement.
 const MAX_CONNECTIONS: u32 = 2048;
@@ -128,6 +131,8 @@
     pub(crate) desk: Handler,
     /// Streams that began on this host and on others.
     pub(crate) origins: origins::Tracker,
+    /// Tells whether this host reaches endpoints.
+    pub(crate) uplink: uplink::Handle,
     pub(crate) clock: Clock,
 }
 
@@ -154,13 +159,14 @@
     module
         .register_async_method(CACHES, |params, context, _| async move {
             let call = params.one::<CachesCall>()?;
-            Ok::<_, ErrorObjectOwned>(changes(&context, &call).await)
+            changes(&context, &call).await
         })
         .expect("a new module has no method of this name");
     module
         .register_async_method(DISPATCH, |params, context, _| async move {
             let call = params.one::<DispatchCall>()?;
-            Ok::<_, ErrorObjectOwned>(context.desk.answer(call).await)
+            let answer = context.desk.answer(call).await;
+            answer.map_err(|error| detached(&error))
         })
         .expect("a new module has no method of this name");
     module
@@ -224,13 +230,21 @@
     wait_ms: Duration,
 }
 
-async fn changes(context: &Context, call: &CachesCall) -> Batch {
+/// Waits for cache changes. A detached host reads none, so its callers ask another host.
+async fn changes(context: &Context, call: &CachesCall) -> Result<Batch, ErrorObjectOwned> {
     let mut caches = context.caches.clone();
+    let mut is_detached = context.uplink.subscribe();
     let wait = call.wait_ms.min(MAX_WAIT);
     let changed = caches.wait_for(|change_log| change_log.next_number() != call.since);
-    // After a timeout the answer contains no changes.
-    let _ = time::timeout(wait, changed).await;
-    caches.borrow().since(call.since)
+    tokio::select! {
+        biased;
+        Ok(_) = is_detached.wait_for(|is_detached| *is_detached) => {
+            return Err(detached(&uplink::Detached));
+        }
+        // After a timeout the answer contains no changes.
+        _ = time::timeout(wait, changed) => {}
+    }
+    Ok(caches.borrow().since(call.since))
 }
 
 fn nothing_read() -> ErrorObjectOwned {
@@ -238,6 +252,10 @@
     ErrorObjectOwned::owned(NOTHING_READ, message, None::<()>)
 }
 
+fn detached(error: &uplink::Detached) -> ErrorObjectOwned {
+    ErrorObjectOwned::owned(DETACHED, error.to_string(), None::<()>)
+}
+
 impl Entry {
     fn new(received: Received, arrived: Duration) -> Self {
         let record = received.record;
@@ -371,3 +389,7 @@
         moment + by
     }
 }
+
+#[cfg(test)]
+#[path = "peers_test.rs"]
+mod test;
