Coordination: choose the host through which a detached host serves its callers

A pure decision with injected time and draws: hosts of the own zone first, spread at random; one that took no request is passed over for a second, and then costs a request one try at most.

Hosts that are not known to take requests are now tried first or not at all.

--- a/crates/papayayard_coordination/src/lib.rs
+++ b/crates/papayayard_coordination/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod configuration;
 pub mod demand;
 pub mod departure;
+pub mod detour;
 pub mod dispatcher;
 pub mod exchange;
 pub mod gossip;
