Forwarding: callers of a host without endpoints are served by another host

Cause: nothing carries a request from host to host, so that a host which reaches no endpoint can only refuse, while its callers, the store and the other hosts reach it.

Each host gets a second listener (`listen.forwarded`, announced in its record) for requests that other hosts pass on. The other host serves it like its own callers' requests, or states that it did not take it; that statement, a connection that did not come about or a request that was not sent are all that counts as not run. Answers pass as they arrive, and break off where they break off.

Headers between hosts are hop-by-hop headers and never pass on. A request counts once for the budget of retries, at the host that its caller chose. A leave notice names its endpoint to the host that passed the request on, which keeps to it too.

--- a/crates/papayayard_gateway/src/body.rs
+++ b/crates/papayayard_gateway/src/body.rs
@@ -8,6 +8,8 @@
 use snafu::Snafu;
 use tokio::sync::mpsc;
 
+use crate::forwarded::Forwarded;
+
 /// The response was cut; the caller detects that it is incomplete.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
 #[snafu(display("the response is incomplete; retry the request if it is repeatable"))]
@@ -19,6 +21,8 @@
     Whole(Bytes),
     /// Chunks in the order of arrival; the body ends when the channel closes.
     Chunks(mpsc::Receiver<Result<Bytes, Truncated>>),
+    /// The body of another host's answer, as it arrives.
+    Forwarded(Box<Forwarded>),
 }
 
 impl http_body::Body for Body {
@@ -35,17 +39,23 @@
             Self::Chunks(chunks) => chunks
                 .poll_recv(context)
                 .map(|chunk| chunk.map(|chunk| chunk.map(Frame::data))),
+            Self::Forwarded(forwarded) => Pin::new(forwarded.as_mut()).poll_frame(context),
         }
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(self, Self::Whole(bytes) if bytes.is_empty())
+        match self {
+            Self::Whole(bytes) => bytes.is_empty(),
+            Self::Chunks(_) => false,
+            Self::Forwarded(forwarded) => forwarded.is_end_stream(),
+        }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
             Self::Whole(bytes) => SizeHint::with_exact(bytes.len() as u64),
             Self::Chunks(_) => SizeHint::default(),
+            Self::Forwarded(forwarded) => forwarded.size_hint(),
         }
     }
 }
--- a/crates/papayayard_gateway/src/dispatch.rs
+++ b/crates/papayayard_gateway/src/dispatch.rs
@@ -165,6 +165,11 @@
         }
     }
 
+    /// Records that an endpoint is leaving by its answer to a request that another host served.
+    pub(crate) fn mark_leaving(&self, endpoint: id::Endpoint) {
+        self.0.schedule.send(Message::EndpointLeaving(endpoint));
+    }
+
     /// Whether this host places requests, its own or those of other hosts.
     pub(crate) fn places_requests(&self) -> bool {
         let now = self.0.clock.now();
--- a/crates/papayayard_gateway/src/exchange.rs
+++ b/crates/papayayard_gateway/src/exchange.rs
@@ -160,6 +160,9 @@
     /// Parses a caller's headers.
     fn decode_request_head(&self, headers: &HeaderMap) -> Result<RequestHead, InvalidHeader>;
 
+    /// Sets the time that is left for a caller's request, which another host serves.
+    fn set_time_left(&self, headers: &mut HeaderMap, left: Duration);
+
     /// Replaces the headers that only the router may set on a request.
     fn forward(&self, headers: &mut HeaderMap, forwarding: &Forwarding<'_>);
 
--- a/crates/papayayard_gateway/src/front.rs
+++ b/crates/papayayard_gateway/src/front.rs
@@ -1,4 +1,5 @@
-//! The listener for callers and its planned stop.
+//! The listener for callers, the one for requests that other hosts pass on, and their planned
+//! stop.
 //!
 //! A stop proceeds in stages, so that no request is lost: first the host reports that it
 //! is not ready, while it continues to serve and asks each caller to close its connection;
@@ -24,7 +25,7 @@
 
 use crate::body::Body;
 use crate::exchange::Codec;
-use crate::relay::Relay;
+use crate::relay::{Relay, Source};
 
 mod activity;
 
@@ -34,6 +35,8 @@
 const MAX_CONNECTIONS: usize = 2500;
 /// Minimum buffer size that the HTTP library requires.
 const MIN_BUFFER_BYTES: usize = 8 << 10;
+/// Bytes by which the head of a request may grow when a host passes it on.
+const FORWARDED_HEAD_BYTES: usize = 1 << 10;
 /// Maximum idle time of a connection under any configuration.
 const MAX_IDLE: Duration = Duration::from_hours(1);
 /// Delay after a failed accept.
@@ -95,7 +98,10 @@
         log::debug!(error:%; "caller disconnected before the connection was set up");
         return;
     }
-    let limits = relay.limits();
+    let max_head = match relay.source {
+        Source::Callers => relay.limits().header_bytes,
+        Source::Hosts => relay.limits().header_bytes + FORWARDED_HEAD_BYTES,
+    };
     let current_stop = stop.clone();
     let activity = Activity::default();
     let request_activity = activity.clone();
@@ -115,7 +121,7 @@
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(MAX_IDLE)
-        .max_buf_size(limits.header_bytes.max(MIN_BUFFER_BYTES))
+        .max_buf_size(max_head.max(MIN_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     let outcome = tokio::select! {
--- a/crates/papayayard_gateway/src/hop.rs
+++ b/crates/papayayard_gateway/src/hop.rs
@@ -1,8 +1,23 @@
-//! Removal of hop-by-hop headers.
+//! Hop-by-hop headers: their removal, and those that hosts use between each other when one
+//! passes on a request to another.
 
 use http::{HeaderMap, HeaderName, header};
 
-const HOP_HEADERS: [HeaderName; 8] = [
+/// Host that passes on a request.
+pub(crate) const FORWARDED_BY: HeaderName = HeaderName::from_static("host-forwarded-by");
+/// Host that answers a request which another one passed on.
+pub(crate) const ANSWERED_BY: HeaderName = HeaderName::from_static("host-answered-by");
+/// Set if the host did not take the request, which has not run; the value tells for which
+/// requests this holds.
+pub(crate) const NOT_TAKEN: HeaderName = HeaderName::from_static("host-not-taken");
+/// Endpoint that gave the leave notice of an answer.
+pub(crate) const LEAVING_ENDPOINT: HeaderName = HeaderName::from_static("host-leaving-endpoint");
+
+const HOP_HEADERS: [HeaderName; 12] = [
+    FORWARDED_BY,
+    ANSWERED_BY,
+    NOT_TAKEN,
+    LEAVING_ENDPOINT,
     header::CONNECTION,
     header::PROXY_AUTHENTICATE,
     header::PROXY_AUTHORIZATION,
--- a/crates/papayayard_gateway/src/host.rs
+++ b/crates/papayayard_gateway/src/host.rs
@@ -21,6 +21,7 @@
 use crate::beliefs::{Configuration, Endpoints, LastRead, Operators};
 use crate::cache_news::ChangeLog;
 use crate::clock::Clock;
+use crate::detours::Detours;
 use crate::dispatch::{Dispatch, Handler};
 use crate::ends::CrashTracker;
 use crate::follow::{self, Polling, Reducer, Store};
@@ -32,7 +33,7 @@
 use crate::mirror::Mirror;
 use crate::pool::Pool;
 use crate::recovery::Notifier;
-use crate::relay::Relay;
+use crate::relay::{Relay, Source};
 use crate::settings::Settings;
 use crate::store::Topic;
 use crate::{
@@ -151,10 +152,18 @@
         budget: Arc::new(Mutex::new(retry_budget::Budget::new(retries))),
         crashes,
         origins,
+        source: Source::Callers,
+        detached: watch::channel(false).1,
+        detours: parts.detours(),
         memory: Memory::of_host(parts.settings.memory_bytes),
         metrics: parts.metrics.clone(),
     };
     let open = TaskTracker::new();
+    if let Some(listener) = sockets.forwarded {
+        let relay = relay.for_hosts();
+        let hosts = front::serve(listener, relay, stop_receiver.clone(), open.clone());
+        parts.controllers.spawn(hosts);
+    }
     let callers = front::serve(sockets.callers, relay, stop_receiver, open.clone());
     parts.controllers.spawn(callers);
     let settings = parts.settings;
@@ -173,6 +182,8 @@
     callers: TcpListener,
     operators: TcpListener,
     peers: std::net::TcpListener,
+    /// For requests that other hosts pass on.
+    forwarded: Option<TcpListener>,
 }
 
 impl Sockets {
@@ -183,6 +194,7 @@
             callers: listen(settings.callers)?,
             operators: listen(settings.operators)?,
             peers: peers.context(listen::ListenSnafu { address })?,
+            forwarded: settings.forwarded.map(listen).transpose()?,
         })
     }
 }
@@ -236,9 +248,17 @@
             zone: self.settings.zone.clone(),
             peers: self.settings.announced_peers,
             capacity: self.settings.capacity,
+            forwarded: self.settings.forwarded,
         }
     }
 
+    /// Other hosts that take requests, if this host takes theirs.
+    fn detours(&self) -> Option<Detours> {
+        self.settings.forwarded?;
+        let (host, clock) = (self.settings.host.clone(), self.store.clock);
+        Some(Detours::new(host, clock, self.neighbours.clone()))
+    }
+
     fn count_hosts(&mut self) -> watch::Receiver<usize> {
         let (count, count_receiver) = watch::channel(hosts::ASSUMED_COUNT);
         let seeds = self.neighbours.borrow().clone();
--- a/crates/papayayard_gateway/src/hosts.rs
+++ b/crates/papayayard_gateway/src/hosts.rs
@@ -9,6 +9,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use papayayard_coordination::detour::Peer;
 use papayayard_coordination::presence::Tracker;
 use papayayard_coordination::ranking::Candidate;
 use papayayard_coordination::shutdown::Stage;
@@ -46,6 +47,10 @@
     peers: SocketAddr,
     /// Relative capacity; see [`Candidate::capacity`].
     capacity: u32,
+    /// Address for requests that other hosts pass on, if the host takes any; older releases
+    /// state none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    forwarded: Option<SocketAddr>,
 }
 
 /// Properties of this host that are published to other hosts.
@@ -55,6 +60,8 @@
     pub(crate) zone: id::Zone,
     pub(crate) peers: SocketAddr,
     pub(crate) capacity: u32,
+    /// Address for requests that other hosts pass on.
+    pub(crate) forwarded: Option<SocketAddr>,
 }
 
 /// Other hosts whose readings can be polled.
@@ -67,6 +74,8 @@
     pub(crate) zone: Vec<Candidate>,
     /// Hosts of other zones.
     pub(crate) others: Vec<Candidate>,
+    /// Other hosts of all zones that take requests which this host passes on.
+    pub(crate) takers: Vec<Peer>,
 }
 
 impl Neighbours {
@@ -77,6 +86,7 @@
         Self {
             are_counted: false,
             zone: Vec::new(),
+            takers: Vec::new(),
             others: others
                 .map(|seed| Candidate {
                     host: id::Host::from(seed.to_string()),
@@ -176,6 +186,7 @@
             zone: self.zone.as_str().to_owned(),
             peers: self.peers,
             capacity: self.capacity,
+            forwarded: self.forwarded,
         };
         // A struct of strings and numbers can always be encoded as JSON.
         serde_json::to_vec(&presence).unwrap_or_default()
@@ -262,7 +273,15 @@
                 address: presence.peers,
                 capacity: presence.capacity,
             };
-            if presence.zone == self.own.zone.as_str() {
+            let is_local = presence.zone == self.own.zone.as_str();
+            if let Some(address) = presence.forwarded.filter(|_| **host != self.own.host) {
+                neighbours.takers.push(Peer {
+                    host: (*host).clone(),
+                    address,
+                    is_local,
+                });
+            }
+            if is_local {
                 neighbours.zone.push(candidate);
             } else {
                 neighbours.others.push(candidate);
--- a/crates/papayayard_gateway/src/hosts_test.rs
+++ b/crates/papayayard_gateway/src/hosts_test.rs
@@ -46,6 +46,7 @@
         zone: id::Zone::from(zone),
         peers: "127.0.0.1:7000".parse().expect("an address"),
         capacity: 250,
+        forwarded: Some("127.0.0.1:7001".parse().expect("an address")),
     }
 }
 
@@ -74,6 +75,34 @@
     assert_eq!((neighbours.zone.len(), neighbours.others.len()), (2, 1));
 }
 
+/// Guards against requests that are passed on to this host itself, or to a host of an older
+/// release, which takes none.
+#[tokio::test]
+async fn requests_are_passed_on_to_other_hosts_that_take_them() {
+    let (mut presences, published) = presences();
+    for (offset, zone) in (0..).zip(["a", "a", "b"]) {
+        let one = own(&format!("host-{offset}"), zone);
+        presences.apply_record(&record(&one, offset), None, NOW);
+    }
+    let older = Record {
+        offset: 3,
+        key: "older".to_owned(),
+        value: Some(Bytes::from_static(
+            br#"{"zone":"a","peers":"127.0.0.1:7000","capacity":250}"#,
+        )),
+    };
+    presences.apply_record(&older, None, NOW);
+    presences.caught_up(NOW, 4, NOW);
+    assert_eq!(*published.number.borrow(), 4);
+    let takers = published.neighbours.borrow().takers.clone();
+    let mut takers: Vec<_> = takers
+        .iter()
+        .map(|taker| (taker.host.as_str(), taker.is_local))
+        .collect();
+    takers.sort_unstable();
+    assert_eq!(takers, [("host-1", true), ("host-2", false)]);
+}
+
 #[tokio::test]
 async fn a_host_that_removes_its_record_is_not_counted() {
     let (mut presences, published) = presences();
--- a/crates/papayayard_gateway/src/metrics.rs
+++ b/crates/papayayard_gateway/src/metrics.rs
@@ -21,6 +21,8 @@
     answers: Counter<u64>,
     refusals: Counter<u64>,
     retries: Counter<u64>,
+    forwarded: Counter<u64>,
+    from_hosts: Counter<u64>,
     orders: Counter<u64>,
     crashes: Counter<u64>,
     quarantines: Counter<u64>,
@@ -57,6 +59,14 @@
                 .u64_counter("papayayard_route_repeats")
                 .with_description("Requests sent again by reason")
                 .build(),
+            forwarded: meter
+                .u64_counter("papayayard_forwarded_requests")
+                .with_description("Tries to have a caller's request served by another host")
+                .build(),
+            from_hosts: meter
+                .u64_counter("papayayard_requests_of_hosts")
+                .with_description("Requests that other hosts have passed on to this one")
+                .build(),
             orders: meter
                 .u64_counter("papayayard_weight_orders")
                 .with_description("Orders to load weights by answer")
@@ -123,6 +133,16 @@
         self.retries.add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    /// Counts a try to have a request served by another host.
+    pub(crate) fn forwarded(&self, outcome: &'static str) {
+        self.forwarded.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Counts a request that another host passed on to this one.
+    pub(crate) fn received_from_host(&self, is_taken: bool) {
+        self.from_hosts.add(1, &[KeyValue::new("taken", is_taken)]);
+    }
+
     pub(crate) fn ordered(&self, answer: &'static str) {
         self.orders.add(1, &[KeyValue::new("answer", answer)]);
     }
--- a/crates/papayayard_gateway/src/relay.rs
+++ b/crates/papayayard_gateway/src/relay.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use http::{Request, Response, StatusCode, header};
+use http::{HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use papayayard_routing::blame::Progress;
@@ -22,6 +22,7 @@
 use crate::beliefs::{Configuration, LastRead};
 use crate::body::Body;
 use crate::clock::Clock;
+use crate::detours::Detours;
 use crate::dispatch::{Dispatch, Permit, Selection};
 use crate::ends::CrashTracker;
 use crate::exchange::Codec;
@@ -35,6 +36,9 @@
 use crate::refusal::{Refusal, millis};
 
 mod admit;
+mod forward;
+
+pub(crate) use forward::Source;
 
 /// Maximum bytes of a response that is buffered before it is forwarded.
 const MAX_RESPONSE_BYTES: usize = 1 << 20;
@@ -69,6 +73,12 @@
     pub(crate) crashes: CrashTracker,
     /// Knows which version of the endpoints' software began a stream.
     pub(crate) origins: origins::Tracker,
+    /// Who sends the requests.
+    pub(crate) source: Source,
+    /// Whether this host reaches no endpoint.
+    pub(crate) detached: watch::Receiver<bool>,
+    /// Hosts that may take requests; `None` if this host passes on none.
+    pub(crate) detours: Option<Detours>,
     /// Memory for responses that were read in part.
     pub(crate) memory: Memory,
     pub(crate) metrics: Metrics,
@@ -81,6 +91,19 @@
     pub(crate) endpoints: Vec<id::Endpoint>,
     /// Number of attempts that may have run.
     pub(crate) runs: u32,
+    /// Number of attempts whose endpoints could not be reached.
+    pub(crate) unreachable: usize,
+    /// Whether no endpoint of the service can be reached by what this host knows.
+    pub(crate) has_no_way: bool,
+    /// Whether other hosts were asked to take the request.
+    pub(crate) was_offered: bool,
+}
+
+/// Why a request has no place.
+struct NoPlace {
+    refusal: Refusal,
+    /// Whether it could not be sent to any endpoint, so that another host may be better off.
+    is_unreachable: bool,
 }
 
 enum AttemptResult {
@@ -97,6 +120,16 @@
     Platform: Codec,
 {
     pub(crate) async fn serve(&self, request: Request<Incoming>) -> Response<Body> {
+        let sender = request.headers().get(hop::FORWARDED_BY).cloned();
+        let mut response = self.respond(request).await;
+        if self.source == Source::Hosts {
+            let sender = sender.unwrap_or(HeaderValue::from_static("-"));
+            self.complete_head(&sender, &mut response);
+        }
+        response
+    }
+
+    async fn respond(&self, request: Request<Incoming>) -> Response<Body> {
         let received = self.clock.now();
         let (head, body) = request.into_parts();
         let request_head = match self.sender.codec.decode_request_head(&head.headers) {
@@ -111,12 +144,17 @@
             }
         };
         let id = request_head.id.clone();
-        let admitted = match self.admit(head, body, request_head, received).await {
-            Ok(job) => self.resolve_origin(job).await,
-            Err(refusal) => Err(refusal),
+        let job = match self.admit(head, body, request_head, received).await {
+            Ok(job) => job,
+            Err(refusal) => return self.refuse(id.as_ref(), &refusal),
         };
-        match admitted {
-            Ok(job) => self.run(job).await,
+        let mut history = History::default();
+        // The host that serves a stream finds out what may continue it.
+        if let Some(response) = self.divert(&job, &mut history).await {
+            return response;
+        }
+        match self.resolve_origin(job).await {
+            Ok(job) => self.run(job, history).await,
             Err(refusal) => self.refuse(id.as_ref(), &refusal),
         }
     }
@@ -142,8 +180,7 @@
         Err(Refusal::not_run(Kind::NoEndpoint, message).after(left))
     }
 
-    async fn run(&self, job: Job) -> Response<Body> {
-        let mut history = History::default();
+    async fn run(&self, job: Job, mut history: History) -> Response<Body> {
         let mut error = None;
         loop {
             if job.account.is_some()
@@ -154,9 +191,25 @@
             if let Err(refusal) = self.check_quarantine(&job) {
                 return self.give_up(&job, &history, error, &refusal);
             }
-            let (placement, permit) = match self.place(&job, &history).await {
+            if let Some(response) = self.divert(&job, &mut history).await {
+                return response;
+            }
+            let placed = tokio::select! {
+                placed = self.place(&job, &history) => placed,
+                () = self.until_diverted(&history) => continue,
+            };
+            let (placement, permit) = match placed {
                 Ok(placed) => placed,
-                Err(refusal) => return self.give_up(&job, &history, error, &refusal),
+                Err(NoPlace {
+                    refusal,
+                    is_unreachable,
+                }) => {
+                    history.has_no_way = is_unreachable;
+                    if let Some(response) = self.divert(&job, &mut history).await {
+                        return response;
+                    }
+                    return self.give_up(&job, &history, error, &refusal);
+                }
             };
             // The request may have been quarantined while it waited for a place.
             if let Err(refusal) = self.check_quarantine(&job) {
@@ -175,6 +228,7 @@
                     if !failure.is_not_run() {
                         history.runs += 1;
                     }
+                    history.unreachable += usize::from(failure == Failure::Unreachable);
                     Some(failure)
                 }
             };
@@ -218,7 +272,7 @@
         )
     }
 
-    async fn place(&self, job: &Job, history: &History) -> Result<(Placement, Permit), Refusal> {
+    async fn place(&self, job: &Job, history: &History) -> Result<(Placement, Permit), NoPlace> {
         match self.find(job, history).await {
             Selection::Placed(placement, permit) => {
                 let source = placement.fetch;
@@ -256,7 +310,11 @@
                     RefusalReason::Overloaded => (Kind::Overloaded, "all endpoints are full"),
                     RefusalReason::AllTried => (Kind::Overloaded, "all endpoints refused"),
                 };
-                Err(Refusal::not_run(kind, message).after(retry_after))
+                let tried = history.endpoints.len();
+                Err(NoPlace {
+                    refusal: Refusal::not_run(kind, message).after(retry_after),
+                    is_unreachable: history.unreachable == tried && (tried > 0 || seen.usable == 0),
+                })
             }
         }
     }
@@ -401,6 +459,7 @@
         let mut headers = upstream.response.head.headers.clone();
         hop::strip(&mut headers);
         headers.remove(header::CONTENT_LENGTH);
+        self.name_leaving(&upstream.placement, &upstream.response.head, &mut headers);
         let mut history = history.clone();
         history.runs += 1;
         let chunks = pump::start(self.clone(), job.clone(), upstream, history);
@@ -422,9 +481,10 @@
         let share = self.memory.share(reply.has_length());
         let body = time::timeout(remaining, read_whole(reply.body, share));
         let body = body.await.unwrap_or(Err(Failure::Silent))?;
-        let mut headers = reply.head.headers;
+        let mut headers = reply.head.headers.clone();
         self.sender.keep(placement, reply.connection, &headers);
         hop::strip(&mut headers);
+        self.name_leaving(placement, &reply.head, &mut headers);
         if !attempt::has_no_body(&job.method) {
             headers.remove(header::CONTENT_LENGTH);
         }
@@ -456,7 +516,9 @@
         let request = request.map_or("", id::Request::as_str);
         let retry_ms = refusal.retry_after.map_or(0, millis);
         log::info!(request, kind = refusal.kind.as_str(), retry_ms; "refused: {}", refusal.message);
-        refusal.response()
+        let mut response = refusal.response();
+        self.state_not_taken(refusal, &mut response);
+        response
     }
 }
 
--- a/crates/papayayard_gateway/src/relay/admit.rs
+++ b/crates/papayayard_gateway/src/relay/admit.rs
@@ -14,7 +14,7 @@
 use papayayard_wire::refusal::Kind;
 use tokio::time;
 
-use super::{NOT_READY_RETRY_DELAY, Relay};
+use super::{NOT_READY_RETRY_DELAY, Relay, Source};
 use crate::exchange::{Codec, RequestHead};
 use crate::hop;
 use crate::job::Job;
@@ -65,8 +65,11 @@
         self.check_stop(deadline)?;
         let limit = table.limits.body_bytes;
         let body = read_body(body, limit, route.timeout).await?;
-        self.lock_budget().record_request(&service, received);
-        self.metrics.requested(&route.name);
+        // The host that the caller sent the request to has counted it.
+        if self.source == Source::Callers {
+            self.lock_budget().record_request(&service, received);
+            self.metrics.requested(&route.name);
+        }
         let mut headers = head.headers;
         hop::strip(&mut headers);
         headers.remove(header::EXPECT);
@@ -128,7 +131,13 @@
     /// Refuses requests that a stop of this host might cut.
     fn check_stop(&self, deadline: Duration) -> Result<(), Refusal> {
         let shutdown = self.stop.borrow().shutdown;
-        if shutdown.is_none_or(|shutdown| shutdown.accepts(deadline, self.clock.now())) {
+        let is_accepted = match self.source {
+            Source::Callers => {
+                shutdown.is_none_or(|shutdown| shutdown.accepts(deadline, self.clock.now()))
+            }
+            Source::Hosts => shutdown.is_none(),
+        };
+        if is_accepted {
             return Ok(());
         }
         let message = "this host is stopping; send the request to another host";
--- /dev/null
+++ b/crates/papayayard_gateway/src/relay/forward.rs
@@ -0,0 +1,304 @@
+//! Serves a caller's request through another host, if this host reaches no endpoint for it.
+//!
+//! A request is passed on once: a host that takes it serves it like its own callers' requests,
+//! or states that it did not take it. Only such a statement, a connection that did not come
+//! about, or a request that was not sent means that the request did not run; after any other
+//! failure it may have run.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, Request, Response};
+use http_body_util::Full;
+use papayayard_coordination::detour::{MAX_TRIES, Peer};
+use papayayard_routing::placement::Placement;
+use papayayard_wire::id;
+use papayayard_wire::refusal::{Kind, Ran};
+use tokio::time;
+
+use super::{History, NOT_READY_RETRY_DELAY, Relay};
+use crate::attempt::{self, Failure};
+use crate::body::Body;
+use crate::detours::Detours;
+use crate::dial;
+use crate::exchange::Codec;
+use crate::forwarded::Forwarded;
+use crate::hop;
+use crate::job::Job;
+use crate::refusal::Refusal;
+
+/// Attempts at endpoints that could not be reached after which a request is passed on.
+const MAX_UNREACHABLE: usize = 2;
+/// Maximum number of hosts that are asked to take a request of a host that is not detached.
+const MAX_FALLBACK_TRIES: usize = 2;
+/// Value of [`hop::NOT_TAKEN`] of a host that can take no request now.
+const ANY_REQUEST: HeaderValue = HeaderValue::from_static("any");
+/// Value of [`hop::NOT_TAKEN`] of a host that reached no endpoint for this request.
+const THIS_REQUEST: HeaderValue = HeaderValue::from_static("this");
+
+/// Who sends requests to a listener.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Source {
+    Callers,
+    /// Other hosts, which pass on requests of their callers.
+    Hosts,
+}
+
+impl History {
+    /// Whether the attempts show that this host does not reach the service.
+    const fn is_out_of_reach(&self) -> bool {
+        self.has_no_way || self.unreachable >= MAX_UNREACHABLE
+    }
+}
+
+impl<Platform> Relay<Platform>
+where
+    Platform: Codec,
+{
+    /// Returns the same relay for requests that other hosts pass on.
+    pub(crate) fn for_hosts(&self) -> Self {
+        Self {
+            source: Source::Hosts,
+            ..self.clone()
+        }
+    }
+
+    /// Passes on a request that this host cannot send to an endpoint, and that certainly has
+    /// not run; declines it if another host passed it on.
+    pub(super) async fn divert(&self, job: &Job, history: &mut History) -> Option<Response<Body>> {
+        let is_detached = self.is_detached();
+        if history.runs > 0 || !(is_detached || history.is_out_of_reach()) {
+            return None;
+        }
+        match self.source {
+            Source::Hosts if is_detached => Some(self.decline(job, ANY_REQUEST)),
+            Source::Hosts => Some(self.decline(job, THIS_REQUEST)),
+            Source::Callers if history.was_offered => None,
+            Source::Callers => self.offer(job, history).await,
+        }
+    }
+
+    /// Waits until a request should be passed on, since this host has become detached.
+    pub(super) async fn until_diverted(&self, history: &History) {
+        let may_divert = match self.source {
+            Source::Callers => self.detours.is_some() && !history.was_offered,
+            Source::Hosts => true,
+        };
+        let mut detached = self.detached.clone();
+        if may_divert && history.runs == 0 && detached.wait_for(|detached| *detached).await.is_ok()
+        {
+            return;
+        }
+        std::future::pending::<()>().await;
+    }
+
+    /// Completes the head of an answer to a request that another host passed on.
+    pub(super) fn complete_head(&self, sender: &HeaderValue, response: &mut Response<Body>) {
+        let is_taken = !response.headers().contains_key(hop::NOT_TAKEN);
+        self.metrics.received_from_host(is_taken);
+        log::info!(
+            host = sender.to_str().unwrap_or("-"), taken = is_taken,
+            status = response.status().as_u16();
+            "request passed on by another host"
+        );
+        if let Some(detours) = &self.detours
+            && let Ok(host) = HeaderValue::from_str(detours.host().as_str())
+        {
+            response.headers_mut().insert(hop::ANSWERED_BY, host);
+        }
+    }
+
+    /// States in a refusal for another host that this host can take no requests now.
+    pub(super) fn state_not_taken(&self, refusal: &Refusal, response: &mut Response<Body>) {
+        let is_unable = matches!(refusal.kind, Kind::NotReady | Kind::Stopping);
+        let is_not_run = matches!(refusal.ran, Ran::No);
+        if self.source == Source::Hosts && is_unable && is_not_run {
+            response.headers_mut().insert(hop::NOT_TAKEN, ANY_REQUEST);
+        }
+    }
+
+    /// Names the endpoint that gave a leave notice, so that the host which passed on the
+    /// request keeps to it too.
+    pub(super) fn name_leaving(
+        &self,
+        placement: &Placement,
+        reply: &http::response::Parts,
+        headers: &mut HeaderMap,
+    ) {
+        let codec = &self.sender.codec;
+        if self.source == Source::Hosts
+            && codec
+                .decode_response_head(reply.status, &reply.headers)
+                .is_leaving
+            && let Ok(endpoint) = HeaderValue::from_str(placement.endpoint.as_str())
+        {
+            headers.insert(hop::LEAVING_ENDPOINT, endpoint);
+        }
+    }
+
+    fn is_detached(&self) -> bool {
+        *self.detached.borrow()
+    }
+
+    fn decline(&self, job: &Job, scope: HeaderValue) -> Response<Body> {
+        let mut response = self.refuse(Some(&job.id), &no_way());
+        response.headers_mut().insert(hop::NOT_TAKEN, scope);
+        response
+    }
+
+    /// Asks other hosts in turn to serve a request. Returns nothing if none took it and this
+    /// host may still reach an endpoint itself.
+    async fn offer(&self, job: &Job, history: &mut History) -> Option<Response<Body>> {
+        let detours = self
+            .detours
+            .as_ref()
+            .filter(|detours| detours.has_peers())?;
+        if let Err(refusal) = self.check_quarantine(job) {
+            return Some(self.refuse(Some(&job.id), &refusal));
+        }
+        history.was_offered = true;
+        let max_tries = if self.is_detached() {
+            MAX_TRIES
+        } else {
+            MAX_FALLBACK_TRIES
+        };
+        let mut tried = Vec::new();
+        while tried.len() < max_tries && self.time_left(job) > Duration::ZERO {
+            let Some(peer) = detours.choose(&tried) else {
+                break;
+            };
+            tried.push(peer.host.clone());
+            let failure = match self.forward(job, detours, &peer).await {
+                Ok(response) => return Some(response),
+                Err(failure) => failure,
+            };
+            if failure.is_not_run() {
+                continue;
+            }
+            history.runs += 1;
+            if !self.may_retry(job, history, Some(failure)) {
+                break;
+            }
+        }
+        let is_detached = self.is_detached();
+        if !is_detached && history.runs == 0 {
+            return None;
+        }
+        Some(self.give_up(job, history, None, &no_way()))
+    }
+
+    /// Has a request served by another host, and logs the outcome.
+    async fn forward(
+        &self,
+        job: &Job,
+        detours: &Detours,
+        peer: &Peer,
+    ) -> Result<Response<Body>, Failure> {
+        let result = self.exchange(job, detours, peer).await;
+        let outcome = result
+            .as_ref()
+            .map_or_else(|failure| failure.as_str(), |_| "answered");
+        let status = result
+            .as_ref()
+            .map_or(0, |response| response.status().as_u16());
+        self.metrics.forwarded(outcome);
+        log::info!(request:% = job.id, host:% = peer.host, outcome, status; "request passed on");
+        match result {
+            Ok(_) => detours.restore(&peer.host),
+            Err(Failure::Unreachable) => detours.pass_over(&peer.host, "unreachable"),
+            Err(_) => {}
+        }
+        result
+    }
+
+    async fn exchange(
+        &self,
+        job: &Job,
+        detours: &Detours,
+        peer: &Peer,
+    ) -> Result<Response<Body>, Failure> {
+        let mut connection = dial::connect(peer.address).await.map_err(|error| {
+            log::debug!(request:% = job.id, host:% = peer.host, error:%; "cannot connect to the host");
+            Failure::Unreachable
+        })?;
+        let request = self.forwarded_request(job, detours.host());
+        let sent = time::timeout(self.time_left(job), connection.send(request)).await;
+        let (head, body) = match sent.map_err(|_| Failure::Silent)? {
+            Ok(response) => response.into_parts(),
+            Err(mut error) => {
+                log::debug!(request:% = job.id, host:% = peer.host, error:% = error.error(); "the host does not answer");
+                let was_sent = error.take_message().is_none();
+                return Err(if was_sent {
+                    Failure::Broken
+                } else {
+                    Failure::Unreachable
+                });
+            }
+        };
+        let response = attempt::Response {
+            head,
+            body,
+            connection,
+        };
+        let headers = &response.head.headers;
+        let is_of_host = headers.contains_key(hop::ANSWERED_BY);
+        if !is_of_host || response.ends_with_connection(&job.method) {
+            return Err(Failure::Foreign);
+        }
+        if let Some(scope) = headers.get(hop::NOT_TAKEN) {
+            if *scope != THIS_REQUEST {
+                detours.pass_over(&peer.host, "not taken");
+            }
+            return Err(Failure::Refused);
+        }
+        Ok(self.pass_back(job, response))
+    }
+
+    fn forwarded_request(&self, job: &Job, host: &id::Host) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(job.body.clone()));
+        *request.method_mut() = job.method.clone();
+        *request.uri_mut() = job.uri.clone();
+        *request.headers_mut() = job.headers.clone();
+        let headers = request.headers_mut();
+        self.sender
+            .codec
+            .set_time_left(headers, self.time_left(job));
+        // The settings allow only names that can stand in a header.
+        if let Ok(host) = HeaderValue::from_str(host.as_str()) {
+            headers.insert(hop::FORWARDED_BY, host);
+        }
+        request
+    }
+
+    /// Builds the answer to the caller from another host's answer.
+    fn pass_back(&self, job: &Job, response: attempt::Response) -> Response<Body> {
+        let mut headers = response.head.headers;
+        if let Some(endpoint) = headers.get(hop::LEAVING_ENDPOINT)
+            && let Ok(endpoint) = endpoint.to_str()
+        {
+            log::info!(request:% = job.id, endpoint; "another host says that the endpoint leaves");
+            self.dispatch.mark_leaving(id::Endpoint::from(endpoint));
+        }
+        hop::strip(&mut headers);
+        let forwarded = Forwarded::new(
+            response.body,
+            response.connection,
+            self.time_left(job),
+            job.id.clone(),
+            self.metrics.clone(),
+        );
+        let mut answer = Response::new(Body::Forwarded(Box::new(forwarded)));
+        *answer.status_mut() = response.head.status;
+        *answer.headers_mut() = headers;
+        answer
+    }
+
+    fn time_left(&self, job: &Job) -> Duration {
+        job.deadline.saturating_sub(self.clock.now())
+    }
+}
+
+fn no_way() -> Refusal {
+    let message = "this host reaches no endpoint; send the request to another host";
+    Refusal::not_run(Kind::NoEndpoint, message).after(NOT_READY_RETRY_DELAY)
+}
--- a/crates/papayayard_gateway/src/schedule.rs
+++ b/crates/papayayard_gateway/src/schedule.rs
@@ -66,6 +66,8 @@
     Begun(Ticket),
     /// The endpoint of a placed request announced its shutdown.
     Leaving(Ticket),
+    /// An endpoint announced its shutdown in an answer that another host received.
+    EndpointLeaving(id::Endpoint),
     /// The endpoint of a placed request requested a backoff.
     Backoff(Ticket, Duration),
     /// The answer to a placed request names a limit of its endpoint, or none.
@@ -260,6 +262,7 @@
                 self.record_notice(host, number, progress, now);
             }
             Message::Begun(ticket) => scheduler.record_first_event(ticket, now),
+            Message::EndpointLeaving(endpoint) => scheduler.mark_endpoint_leaving(&endpoint),
             Message::Leaving(ticket) => scheduler.mark_leaving(ticket),
             Message::Backoff(ticket, time) => scheduler.set_backoff(ticket, time, now),
             Message::Limit(ticket, limit) => scheduler.record_limit(ticket, limit, now),
--- a/crates/papayayard_gateway/src/settings.rs
+++ b/crates/papayayard_gateway/src/settings.rs
@@ -31,6 +31,9 @@
     pub peers: SocketAddr,
     /// Address at which other hosts reach `peers`.
     pub announced_peers: SocketAddr,
+    /// Listening address for requests that other hosts pass on; `None` if this host neither
+    /// takes nor passes on any.
+    pub forwarded: Option<SocketAddr>,
     /// Addresses of possible other hosts, which are called while no other host is known and
     /// the store does not answer.
     pub seeds: Vec<SocketAddr>,
@@ -99,6 +102,7 @@
         operators: listen.operators,
         peers: listen.peers,
         announced_peers: announced_peers?.unwrap_or(listen.peers),
+        forwarded: listen.forwarded,
         seeds: seeds?,
         capacity: thousandths(capacity?),
         memory_bytes: thousandths(memory_mb?) as usize * BYTES_PER_KB,
@@ -112,6 +116,7 @@
     callers: SocketAddr,
     operators: SocketAddr,
     peers: SocketAddr,
+    forwarded: Option<SocketAddr>,
 }
 
 fn listen(reader: &mut Reader, place: &Place<'_>) -> Option<Listen> {
@@ -119,11 +124,15 @@
     let callers = fields.required(reader, "callers", Reader::address);
     let operators = fields.required(reader, "operators", Reader::address);
     let peers = fields.required(reader, "peers", Reader::address);
+    let forwarded = fields.optional(reader, "forwarded", None, |reader, place| {
+        Reader::address(reader, place).map(Some)
+    });
     fields.reject_unknown(reader);
     Some(Listen {
         callers: callers?,
         operators: operators?,
         peers: peers?,
+        forwarded: forwarded?,
     })
 }
 
--- a/crates/papayayard_gateway/tests/settings.rs
+++ b/crates/papayayard_gateway/tests/settings.rs
@@ -43,6 +43,17 @@
     assert_eq!(settings.announced_peers.to_string(), expected);
 }
 
+#[rstest]
+#[case::none("", None)]
+#[case::one(", forwarded: \"10.0.0.1:83\"", Some("10.0.0.1:83"))]
+fn hosts_may_pass_requests_on(#[case] field: &str, #[case] expected: Option<&str>) {
+    let peers = "peers: \"10.0.0.1:82\"";
+    let text = GOOD.replacen(peers, &format!("{peers}{field}"), 1);
+    let settings = settings::parse(&text).expect("settings");
+    let forwarded = settings.forwarded.map(|address| address.to_string());
+    assert_eq!(forwarded.as_deref(), expected);
+}
+
 #[test]
 fn without_strict_revocation_there_is_no_bound() {
     let text = GOOD.replace("strict_revocation: true", "strict_revocation: false");
@@ -63,6 +74,7 @@
 )]
 #[case::unknown("revocation_ms", "revoke", "bounds.revoke")]
 #[case::no_seed("10.0.0.3:82", "three", "seeds[1]")]
+#[case::no_forwarded("listen: { ", "listen: { forwarded: there, ", "listen.forwarded")]
 #[case::no_announced("capacity: 0.25", "announced_peers: here", "announced_peers")]
 #[case::no_memory("110.5", "plenty", "memory_mb")]
 #[case::not_finite("58", "NaN", "bounds.repeat_slack")]
--- a/crates/papayayard_routing/src/placement/signals.rs
+++ b/crates/papayayard_routing/src/placement/signals.rs
@@ -36,6 +36,17 @@
         self.update_signals(ticket, |signals| signals.is_leaving = true);
     }
 
+    /// Records that the listed incarnation of an endpoint is leaving.
+    pub fn mark_endpoint_leaving(&mut self, endpoint: &id::Endpoint) {
+        let Some(backend) = self.backend_mut(endpoint) else {
+            return;
+        };
+        backend.signals.is_leaving = true;
+        let mut signals = backend.signals;
+        signals.started = backend.endpoint.started;
+        self.signals.insert(endpoint.clone(), signals);
+    }
+
     /// Records a backoff requested by the endpoint of a placed request.
     pub fn set_backoff(&mut self, ticket: Ticket, time: Duration, now: Duration) {
         self.update_signals(ticket, |signals| {
