Forwarding: a host that failed a passed-on request is passed over for a moment

A host that broke off, stayed silent or gave no host's answer was asked again for each request, so that requests that may not be repeated were lost one after the other. Only a host that could not be reached, or took no requests, was passed over before.

--- a/crates/papayayard_gateway/src/relay/forward.rs
+++ b/crates/papayayard_gateway/src/relay/forward.rs
@@ -205,8 +205,9 @@
         log::info!(request:% = job.id, host:% = peer.host, outcome, status; "request passed on");
         match result {
             Ok(_) => detours.restore(&peer.host),
-            Err(Failure::Unreachable) => detours.pass_over(&peer.host, "unreachable"),
-            Err(_) => {}
+            // A host that did not take the request has stated whether it takes others.
+            Err(Failure::Refused) => {}
+            Err(failure) => detours.pass_over(&peer.host, failure.as_str()),
         }
         result
     }
--- a/crates/papayayard_routing/tests/placement/signals.rs
+++ b/crates/papayayard_routing/tests/placement/signals.rs
@@ -29,9 +29,19 @@
     scheduler
 }
 
-#[test]
-fn a_leaving_endpoint_gets_no_more_requests() {
-    let mut scheduler = leaving();
+/// A scheduler whose only engine has announced to another host that it is leaving.
+fn leaving_by_another_host() -> Scheduler {
+    let engines = support::engines(1, 1);
+    let mut scheduler = support::scheduler(&engines, 1);
+    scheduler.mark_endpoint_leaving(&engines[0].id);
+    scheduler.mark_endpoint_leaving(&id::Endpoint::from("unknown"));
+    scheduler
+}
+
+#[rstest]
+#[case::by_own_request(leaving())]
+#[case::by_another_host(leaving_by_another_host())]
+fn a_leaving_endpoint_gets_no_more_requests(#[case] mut scheduler: Scheduler) {
     assert!(!is_placed(&mut scheduler, NOW + ms(10)));
     let query = support::query(support::history("dancer"), NOW);
     let decision = support::decide(&mut scheduler, query, NOW);
@@ -49,9 +59,10 @@
 
 /// The store can show an older record again, and a record can lapse and come back; only a new
 /// incarnation counts as another endpoint.
-#[test]
-fn only_a_new_incarnation_clears_the_leaving_signal() {
-    let mut scheduler = leaving();
+#[rstest]
+#[case::by_own_request(leaving())]
+#[case::by_another_host(leaving_by_another_host())]
+fn only_a_new_incarnation_clears_the_leaving_signal(#[case] mut scheduler: Scheduler) {
     let listed = support::engines(1, 1);
     scheduler.set_endpoints(&listed, NOW);
     assert!(
