Forwarding: a request that may be repeated leaves a silent host in time

A host that was frozen after it had read a request kept it until its deadline, so that no time was left to send it to another host. If the request may be repeated and the budget of retries allows it, a host now has half of the time that is left to begin its answer.

Ruled out: a time-out by the route's target, since the other host may rightly let the request wait for a place.

--- a/crates/papayayard_gateway/src/relay/forward.rs
+++ b/crates/papayayard_gateway/src/relay/forward.rs
@@ -31,6 +31,9 @@
 const MAX_UNREACHABLE: usize = 2;
 /// Maximum number of hosts that are asked to take a request of a host that is not detached.
 const MAX_FALLBACK_TRIES: usize = 2;
+/// Part of the time that is left in which a host must begin to answer, as a divisor, if the
+/// request may be sent to another one.
+const TIMEOUT_DIVISOR: u32 = 2;
 /// Value of [`hop::NOT_TAKEN`] of a host that can take no request now.
 const ANY_REQUEST: HeaderValue = HeaderValue::from_static("any");
 /// Value of [`hop::NOT_TAKEN`] of a host that reached no endpoint for this request.
@@ -168,7 +171,10 @@
                 break;
             };
             tried.push(peer.host.clone());
-            let failure = match self.forward(job, detours, &peer).await {
+            let failure = match self
+                .forward(job, detours, &peer, self.forward_timeout(job, history))
+                .await
+            {
                 Ok(response) => return Some(response),
                 Err(failure) => failure,
             };
@@ -193,8 +199,9 @@
         job: &Job,
         detours: &Detours,
         peer: &Peer,
+        timeout: Duration,
     ) -> Result<Response<Body>, Failure> {
-        let result = self.exchange(job, detours, peer).await;
+        let result = self.exchange(job, detours, peer, timeout).await;
         let outcome = result
             .as_ref()
             .map_or_else(|failure| failure.as_str(), |_| "answered");
@@ -217,13 +224,14 @@
         job: &Job,
         detours: &Detours,
         peer: &Peer,
+        timeout: Duration,
     ) -> Result<Response<Body>, Failure> {
         let mut connection = dial::connect(peer.address).await.map_err(|error| {
             log::debug!(request:% = job.id, host:% = peer.host, error:%; "cannot connect to the host");
             Failure::Unreachable
         })?;
         let request = self.forwarded_request(job, detours.host());
-        let sent = time::timeout(self.time_left(job), connection.send(request)).await;
+        let sent = time::timeout(timeout, connection.send(request)).await;
         let (head, body) = match sent.map_err(|_| Failure::Silent)? {
             Ok(response) => response.into_parts(),
             Err(mut error) => {
@@ -294,6 +302,16 @@
         answer
     }
 
+    /// Time that another host has to begin its answer.
+    fn forward_timeout(&self, job: &Job, history: &History) -> Duration {
+        let left = self.time_left(job);
+        let is_last = history.runs + 1 >= job.route.attempts;
+        if is_last || !job.route.kind.is_repeatable() || !self.has_retry(job) {
+            return left;
+        }
+        left / TIMEOUT_DIVISOR
+    }
+
     fn time_left(&self, job: &Job) -> Duration {
         job.deadline.saturating_sub(self.clock.now())
     }
