--- a/crates/papayayard_gateway/src/dispatch_test.rs
+++ b/crates/papayayard_gateway/src/dispatch_test.rs
@@ -43,6 +43,7 @@
             zone: id::Zone::from("a"),
             peers: listener.local_addr().expect("an address"),
             capacity,
+            forwarded: None,
         };
         let scheduler = Scheduler::new(Settings {
             old_weights: Duration::ZERO,
@@ -107,6 +108,7 @@
             are_counted: true,
             zone: hosts.to_vec(),
             others: Vec::new(),
+            takers: Vec::new(),
         });
     }
 
--- a/crates/papayayard_gateway/src/peers_test.rs
+++ b/crates/papayayard_gateway/src/peers_test.rs
@@ -37,6 +37,7 @@
         zone: id::Zone::from("a"),
         peers: "127.0.0.1:7000".parse().expect("an address"),
         capacity: 100,
+        forwarded: None,
     };
     let (is_detached, state) = watch::channel(false);
     let (caches, caches_receiver) = watch::channel(ChangeLog::default());
