Gateway: the line "no place" names who decided

Hosts that reached all endpoints refused with "all endpoints are full" while others were cut off. The line told neither whether a dispatcher or the host's own scheduler had refused, nor after how many attempts, so that endpoints ejected for all hosts and a dispatcher that reaches nothing looked alike.

"by" holds the dispatcher's name or "own", as in the line "placed", and "attempt" the number of earlier attempts. No decision depends on it; not covered by a test.

--- a/crates/papayayard_gateway/src/dispatch.rs
+++ b/crates/papayayard_gateway/src/dispatch.rs
@@ -61,6 +61,8 @@
         retry_after: Duration,
         /// State of the service's endpoints at the decision.
         availability: Availability,
+        /// Name of the dispatcher that decided, or `own`, for logs.
+        refused_by: String,
     },
 }
 
@@ -241,6 +243,7 @@
                 reason,
                 retry_after,
                 availability,
+                refused_by: permit::OWN.to_owned(),
             },
         }
     }
@@ -261,7 +264,7 @@
                 let permit = self.permit(&query, number, &placement, ticket, Some(link));
                 Selection::Placed(Box::new(placement), permit)
             }
-            message::Decision::Refused(refused) => refused.into_selection(),
+            message::Decision::Refused(refused) => refused.into_selection(link.host()),
         }
     }
 
--- a/crates/papayayard_gateway/src/dispatch/message.rs
+++ b/crates/papayayard_gateway/src/dispatch/message.rs
@@ -413,7 +413,8 @@
         }
     }
 
-    pub(super) fn into_selection(self) -> Selection {
+    /// Selection of a host whose request `dispatcher` refused.
+    pub(super) fn into_selection(self, dispatcher: &id::Host) -> Selection {
         Selection::Refused {
             reason: match self.why {
                 Reason::NoEndpoint => RefusalReason::NoEndpoint,
@@ -426,6 +427,7 @@
                 with_capacity: self.with_room,
                 first_event: self.first_event_ms,
             },
+            refused_by: dispatcher.as_str().to_owned(),
         }
     }
 }
--- a/crates/papayayard_gateway/src/dispatch/permit.rs
+++ b/crates/papayayard_gateway/src/dispatch/permit.rs
@@ -12,6 +12,9 @@
 use super::register::Register;
 use crate::schedule::{Handle, Message};
 
+/// Name of this host's own scheduler in logs.
+pub(super) const OWN: &str = "own";
+
 /// Permit to send a request to an endpoint; the outcome is reported when the permit is
 /// dropped.
 pub(crate) struct Permit {
@@ -49,7 +52,7 @@
     /// Name of the dispatcher that placed the request, or `own`, for logs.
     pub(crate) fn placed_by(&self) -> &str {
         let dispatcher = self.dispatcher.as_ref();
-        dispatcher.map_or("own", |dispatcher| dispatcher.host().as_str())
+        dispatcher.map_or(OWN, |dispatcher| dispatcher.host().as_str())
     }
 
     /// Records an event of the answer; only the first one has an effect.
--- a/crates/papayayard_gateway/src/relay.rs
+++ b/crates/papayayard_gateway/src/relay.rs
@@ -244,11 +244,13 @@
                 reason: why,
                 retry_after,
                 availability: seen,
+                refused_by,
             } => {
                 log::info!(
                     request:% = job.id, service:% = job.service, reason = why.as_str(),
                     usable = seen.usable, with_room = seen.with_capacity,
-                    first_event_ms = millis(seen.first_event);
+                    first_event_ms = millis(seen.first_event),
+                    by = refused_by.as_str(), attempt = history.endpoints.len();
                     "no place"
                 );
                 let (kind, message) = match why {
