Routing: a connection failure says something of a host and an endpoint, not of the endpoint

Hosts cut off from all endpoints reported one endpoint after the other as unreachable. A dispatcher ejected these for all hosts unless they had answered within half a second, and excluded zones by the zone of the host that failed. Their requests, placed again every 150 ms, also counted as load at endpoints that they never reached. A host's own scheduler ejected all endpoints in its cut, for up to 30 s afterwards.

Ruled out: longer memory of answers alone. An endpoint of a small site answers twice a second, and a host at the edge of the site may see it rarely.

A failure now counts against an endpoint once the host that had it is answered elsewhere. A host that fails at three endpoints without an answer is in doubt: its failures, broken streams and overdue events count against no endpoint, and its requests are load only from their first event. If it is answered within half a second, it has met dead endpoints, and its failures count. A scheduler without asking hosts counts at once, and withdraws when in doubt. Zones are excluded by host, and by zone of hosts only on word of hosts that are answered by another zone. A host keeps at most eight failures, forgotten with it.

--- a/crates/papayayard_routing/src/ejection.rs
+++ b/crates/papayayard_routing/src/ejection.rs
@@ -56,6 +56,11 @@
         }
     }
 
+    /// Whether the endpoint was ejected and is not known to be healthy again.
+    pub const fn is_on_trial(&self) -> bool {
+        !matches!(self.state, State::Healthy)
+    }
+
     /// Records a complete answer. During an ejection it has no effect on the
     /// ejection, since its request was sent before.
     pub fn record_success(&mut self, now: Duration) {
--- a/crates/papayayard_routing/src/placement.rs
+++ b/crates/papayayard_routing/src/placement.rs
@@ -22,6 +22,7 @@
 mod limit;
 mod link;
 mod load;
+mod path;
 mod place;
 mod prefill;
 mod progress;
@@ -35,6 +36,7 @@
 
 use backend::Backend;
 use limit::Limits;
+use path::Paths;
 use progress::Placed;
 use requesting_hosts::RequestingHosts;
 use signals::Signals;
@@ -50,7 +52,6 @@
     Availability, BackendKey, Decision, InFlight, Outcome, PendingKey, Placement, Query,
     RefusalReason, Ticket,
 };
-pub use reachability::Reachability;
 pub use requesting_hosts::HostCounts;
 pub use split::{Demand, draw};
 
@@ -88,7 +89,7 @@
     limits: Limits,
     stores: HashMap<id::Service, Store>,
     target_versions: HashMap<id::Model, weights::TargetVersions>,
-    reachability: Reachability,
+    paths: Paths,
     baseline_delay: Baseline,
     prefills: HashMap<id::Service, Prefill>,
     demand: Demand,
@@ -127,7 +128,7 @@
             limits: Limits::new(settings.limit_phase),
             stores: HashMap::new(),
             target_versions: HashMap::new(),
-            reachability: Reachability::default(),
+            paths: Paths::default(),
             baseline_delay: Baseline::default(),
             prefills: HashMap::new(),
             demand: Demand::default(),
--- a/crates/papayayard_routing/src/placement/load.rs
+++ b/crates/papayayard_routing/src/placement/load.rs
@@ -131,7 +131,7 @@
         Self::default().plus(self, factor)
     }
 
-    fn plus(self, other: Self, factor: f64) -> Self {
+    pub(super) fn plus(self, other: Self, factor: f64) -> Self {
         Self {
             open: self.open + other.open * factor,
             unread: self.unread + other.unread * factor,
--- /dev/null
+++ b/crates/papayayard_routing/src/placement/path.rs
@@ -0,0 +1,319 @@
+//! Network paths from hosts to endpoints, judged by connection failures.
+//!
+//! A connection failure concerns a host and an endpoint together, and a scheduler that places the
+//! requests of many hosts must not take one for the other. A failure counts against an endpoint
+//! once the host that had it gets an answer from another endpoint, so that the host itself is
+//! connected. A host that fails at several endpoints without an answer has probably lost its own
+//! connection; what it reports then is not evidence about endpoints, and its requests are not
+//! counted as load, since they do not arrive.
+//!
+//! A scheduler that places only its own host's requests has no other evidence, so a failure counts
+//! at once and is withdrawn if the host turns out to be detached.
+
+use std::collections::{HashMap, HashSet};
+use std::mem;
+use std::time::Duration;
+
+use papayayard_wire::id;
+
+use super::Scheduler;
+use super::progress::Placed;
+use super::query::BackendKey;
+use super::reachability::Reachability;
+use crate::ejection;
+
+/// Endpoints at which a host fails without an answer in between from which its own connection is
+/// in doubt.
+const MIN_FAILED_ENDPOINTS: usize = 3;
+/// Endpoints whose failures are kept for a host.
+const MAX_FAILED_ENDPOINTS: usize = 8;
+/// Time without an answer from which a doubtful host was detached. One that is answered earlier
+/// has met endpoints that are gone.
+const MIN_DETACHED: Duration = Duration::from_millis(500);
+/// Consecutive failures of an endpoint that one refused or unanswered connection counts for.
+const UNREACHABLE_FAILURES: u32 = 2;
+/// Connection failures at one endpoint that count between two answers.
+const MAX_COUNTED: u32 = 2;
+/// Time after an endpoint's last answer within which another host's connection failure is
+/// attributed to that host's network path.
+const RECENT_ANSWER: Duration = Duration::from_millis(500);
+
+/// Host that sends a request.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Sender<'a> {
+    /// `None` for this host.
+    pub(super) host: Option<&'a id::Host>,
+    pub(super) zone: &'a id::Zone,
+}
+
+/// Paths of all hosts whose requests a scheduler knows.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Paths {
+    /// Path of this host.
+    local: Path,
+    /// Paths of the hosts that have had a failure.
+    hosts: HashMap<id::Host, Path>,
+    /// Reachability as found by the connected hosts of a zone.
+    zones: HashMap<id::Zone, Reachability>,
+}
+
+/// Paths of one host.
+#[derive(Clone, Debug, Default)]
+struct Path {
+    reachability: Reachability,
+    outage: Outage,
+    /// Time of the answer with which the last detachment ended.
+    reattached_at: Duration,
+}
+
+/// Connection failures of a host since its last answer.
+#[derive(Clone, Debug, Default)]
+struct Outage {
+    /// Time of the first failure.
+    since: Duration,
+    /// One entry for each of the first endpoints.
+    failures: Vec<Failure>,
+    /// Zones of all endpoints.
+    zones: HashSet<id::Zone>,
+}
+
+/// Connection failures at one endpoint.
+#[derive(Clone, Debug)]
+struct Failure {
+    backend: BackendKey,
+    endpoint: id::Endpoint,
+    zone: id::Zone,
+    /// Time of the first failure.
+    at: Duration,
+    /// Failures that do not count against the endpoint yet.
+    uncounted: u32,
+    /// Failures that count until the host turns out to be detached.
+    provisional: u32,
+    /// Health without the provisional failures.
+    health_before: Option<ejection::Health>,
+}
+
+impl Paths {
+    /// Whether a host may have lost its connection to all endpoints.
+    pub(super) fn is_doubtful(&self, host: Option<&id::Host>) -> bool {
+        self.path(host)
+            .is_some_and(|path| path.outage.is_doubtful())
+    }
+
+    /// Whether a failure at a host is explained by the host's own connection.
+    pub(super) fn explains_failure(&self, placed: &Placed) -> bool {
+        let path = self.path(placed.sender().host);
+        path.is_some_and(|path| path.outage.is_doubtful() || placed.sent <= path.reattached_at)
+    }
+
+    /// Whether any zone is currently excluded for a host.
+    pub(super) fn excludes_any(&self, sender: Sender<'_>, now: Duration) -> bool {
+        self.reachability(sender)
+            .any(|reachability| reachability.excludes_any(now))
+    }
+
+    /// Whether a zone is currently excluded for a host.
+    pub(super) fn excludes(&self, sender: Sender<'_>, zone: &id::Zone, now: Duration) -> bool {
+        self.reachability(sender)
+            .any(|reachability| reachability.excludes(zone, now))
+    }
+
+    /// Removes the paths of hosts for which `is_known` is false.
+    pub(super) fn forget_unknown<IsKnown>(&mut self, is_known: IsKnown)
+    where
+        IsKnown: Fn(&id::Host) -> bool,
+    {
+        self.hosts.retain(|host, _| is_known(host));
+    }
+
+    /// Reachability as found by a host itself and by the hosts of its zone.
+    fn reachability(&self, sender: Sender<'_>) -> impl Iterator<Item = &Reachability> {
+        let own = self.path(sender.host).map(|path| &path.reachability);
+        own.into_iter().chain(self.zones.get(sender.zone))
+    }
+
+    fn path(&self, host: Option<&id::Host>) -> Option<&Path> {
+        host.map_or(Some(&self.local), |host| self.hosts.get(host))
+    }
+
+    fn path_mut(&mut self, host: Option<&id::Host>) -> &mut Path {
+        match host {
+            None => &mut self.local,
+            Some(host) => self.hosts.entry(host.clone()).or_default(),
+        }
+    }
+
+    /// Ends a host's outage with an answer from a zone, and returns the failures that say
+    /// something of endpoints.
+    fn reconnect(&mut self, sender: Sender<'_>, zone: &id::Zone, now: Duration) -> Vec<Failure> {
+        let path = match sender.host {
+            None => &mut self.local,
+            Some(host) => match self.hosts.get_mut(host) {
+                Some(path) => path,
+                None => return Vec::new(),
+            },
+        };
+        path.reachability.record_answer(zone);
+        let outage = mem::take(&mut path.outage);
+        let was_detached = outage.was_detached(now);
+        if was_detached && outage.zones.contains(zone) {
+            path.reattached_at = now;
+            // No zone answered, so the other zones did not fail for themselves.
+            path.reachability = Reachability::default();
+            return Vec::new();
+        }
+        if sender.host.is_some() {
+            let by_zone = self.zones.entry(sender.zone.clone()).or_default();
+            let of_others = outage
+                .failures
+                .iter()
+                .filter(|failure| failure.zone != *zone);
+            for failure in of_others {
+                by_zone.record_failure(&failure.zone, &failure.endpoint, now);
+            }
+        }
+        if was_detached {
+            return Vec::new();
+        }
+        outage.failures
+    }
+}
+
+impl Outage {
+    fn is_doubtful(&self) -> bool {
+        self.failures.len() >= MIN_FAILED_ENDPOINTS
+    }
+
+    fn was_detached(&self, now: Duration) -> bool {
+        self.is_doubtful() && self.since + MIN_DETACHED <= now
+    }
+
+    /// Records a failure at an endpoint, unless enough other endpoints have failed.
+    fn record(&mut self, placed: &Placed, zone: &id::Zone, now: Duration) {
+        if self.zones.is_empty() {
+            self.since = now;
+        }
+        self.zones.insert(zone.clone());
+        if let Some(failure) = self.failure_at(placed.backend) {
+            failure.uncounted = (failure.uncounted + 1).min(MAX_COUNTED);
+        } else if self.failures.len() < MAX_FAILED_ENDPOINTS {
+            self.failures.push(Failure {
+                backend: placed.backend,
+                endpoint: placed.endpoint.clone(),
+                zone: zone.clone(),
+                at: now,
+                uncounted: 1,
+                provisional: 0,
+                health_before: None,
+            });
+        }
+    }
+
+    fn failure_at(&mut self, backend: BackendKey) -> Option<&mut Failure> {
+        let mut failures = self.failures.iter_mut();
+        failures.find(|failure| failure.backend == backend)
+    }
+
+    /// Withdraws provisional failures; returns the endpoints' health without them.
+    fn withdraw(&mut self) -> Vec<(BackendKey, ejection::Health)> {
+        let failures = self.failures.iter_mut().filter_map(|failure| {
+            failure.uncounted += mem::take(&mut failure.provisional);
+            let health = failure.health_before.take()?;
+            Some((failure.backend, health))
+        });
+        failures.collect()
+    }
+}
+
+impl Failure {
+    /// Counts the failures against the endpoint until they are withdrawn.
+    fn count_provisionally(&mut self, health: &mut ejection::Health, now: Duration) {
+        self.health_before.get_or_insert(*health);
+        self.provisional += self.uncounted;
+        self.count(health, now);
+    }
+
+    /// Counts the failures against the endpoint.
+    fn count(&mut self, health: &mut ejection::Health, now: Duration) {
+        for _ in 0..mem::take(&mut self.uncounted) * UNREACHABLE_FAILURES {
+            health.record_failure(now);
+        }
+    }
+}
+
+impl Scheduler {
+    /// Records that the connection of a request failed.
+    pub(super) fn record_unreachable(&mut self, placed: &Placed, now: Duration) {
+        let sender = placed.sender();
+        let is_only_sender = self.is_only_sender(sender);
+        let Some(backend) = self.backends.get_mut(placed.backend) else {
+            return;
+        };
+        let path = self.paths.path_mut(sender.host);
+        if placed.sent <= path.reattached_at {
+            return;
+        }
+        let zone = &backend.endpoint.zone;
+        path.reachability
+            .record_failure(zone, &placed.endpoint, now);
+        path.outage.record(placed, zone, now);
+        if path.outage.is_doubtful() {
+            for (backend, health) in path.outage.withdraw() {
+                if let Some(backend) = self.backends.get_mut(backend) {
+                    backend.health = health;
+                }
+            }
+            return;
+        }
+        let Some(failure) = path.outage.failure_at(placed.backend) else {
+            return;
+        };
+        if is_only_sender {
+            failure.count_provisionally(&mut backend.health, now);
+        } else if backend.health.is_on_trial() && backend.answered_at + RECENT_ANSWER <= now {
+            // The next request would be sent there at once.
+            failure.count(&mut backend.health, now);
+        }
+    }
+
+    /// Records that an answer has arrived at a host.
+    pub(super) fn record_connected(
+        &mut self,
+        sender: Sender<'_>,
+        answering: BackendKey,
+        now: Duration,
+    ) {
+        let is_only_sender = self.is_only_sender(sender);
+        let Some(backend) = self.backends.get_mut(answering) else {
+            return;
+        };
+        backend.answered_at = now;
+        let zone = &backend.endpoint.zone;
+        if let Some(reachability) = self.paths.zones.get_mut(sender.zone) {
+            reachability.record_answer(zone);
+        }
+        for mut failure in self.paths.reconnect(sender, zone, now) {
+            let Some(backend) = self.backends.get_mut(failure.backend) else {
+                continue;
+            };
+            let counts = if is_only_sender {
+                backend.answered_at <= failure.at
+            } else {
+                backend.answered_at + RECENT_ANSWER <= failure.at
+                    && !self.paths.excludes(sender, &failure.zone, now)
+            };
+            if counts {
+                failure.count(&mut backend.health, now);
+            }
+        }
+    }
+
+    /// Whether this scheduler knows the requests of its own host only.
+    fn is_only_sender(&self, sender: Sender<'_>) -> bool {
+        sender.host.is_none() && !self.has_requesting_hosts()
+    }
+}
+
+#[cfg(test)]
+#[path = "path_test.rs"]
+mod test;
--- a/crates/papayayard_routing/src/placement/place.rs
+++ b/crates/papayayard_routing/src/placement/place.rs
@@ -1,6 +1,7 @@
 //! Effects of a placement: the load it adds to an endpoint, the parts that will be cached there,
 //! and transfers from and to a store.
 
+use std::mem;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -53,10 +54,13 @@
             let fetch = candidate.fetch;
             let engine = self.backends[candidate.key].endpoint.clone();
             let saved_by = prefilled_by(first_event, now) + SAVE_TIME;
-            placement.save = self.save(&engine, prompt, &keys, saved_by, now);
             let has_more = |fetch: &Fetch| fetch.source.tokens > estimate.cached;
-            if let Some(fetch) = fetch.filter(|fetch| fetch.source.is_shared && has_more(fetch)) {
-                self.record_store_fetch(prompt, fetch.source.transfer, now);
+            if !self.paths.is_doubtful(query.sender().host) {
+                placement.save = self.save(&engine, prompt, &keys, saved_by, now);
+                let stored = fetch.filter(|fetch| fetch.source.is_shared && has_more(fetch));
+                if let Some(fetch) = stored {
+                    self.record_store_fetch(prompt, fetch.source.transfer, now);
+                }
             }
             placement.fetch = fetch.map(|fetch| fetch.address);
             placement.salt = Some(prompt::salt(&prompt.model, candidate.version, query.group));
@@ -114,6 +118,7 @@
             endpoint: in_flight.endpoint.clone(),
             started: backend.endpoint.started,
             amounts,
+            deferred: Amounts::default(),
             sent: now,
             expected: Duration::ZERO,
             predicted: Prediction {
@@ -132,7 +137,8 @@
         self.tickets.contains_key(ticket)
     }
 
-    /// Adds the load and the expected parts of a placement to its endpoint.
+    /// Adds the load and the expected parts of a placement to its endpoint, unless the request
+    /// probably does not arrive there.
     fn start(
         &mut self,
         key: BackendKey,
@@ -141,6 +147,7 @@
         predicted: Prediction,
         now: Duration,
     ) -> Ticket {
+        let arrives = !self.paths.is_doubtful(query.sender().host);
         let backend = &mut self.backends[key];
         let mut amounts = Amounts {
             open: 1.0,
@@ -151,14 +158,21 @@
             amounts.unread = f64::from(placement.unread);
             let memory = prompt.tokens.saturating_sub(placement.cached) + prompt.output_tokens();
             amounts.memory = f64::from(memory);
-            backend.cache.fill(f64::from(memory));
             let version = placement.version.unwrap_or(0);
             keys = shared_keys(prompt, version, query.group);
             let prefilled = prefilled_by(placement.first_event, now);
-            for (part, key) in prompt.shared().iter().zip(&keys) {
-                backend.cache.expect(*key, part.tokens, prefilled);
+            if arrives {
+                backend.cache.fill(f64::from(memory));
+                for (part, key) in prompt.shared().iter().zip(&keys) {
+                    backend.cache.expect(*key, part.tokens, prefilled);
+                }
             }
         }
+        let deferred = if arrives {
+            Amounts::default()
+        } else {
+            mem::take(&mut amounts)
+        };
         backend.load.add(amounts, now);
         self.tickets.insert(Placed {
             requesting_host: query.requesting_host.clone(),
@@ -168,6 +182,7 @@
             endpoint: backend.endpoint.id.clone(),
             started: backend.endpoint.started,
             amounts,
+            deferred,
             sent: now,
             expected: placement.first_event,
             predicted,
--- a/crates/papayayard_routing/src/placement/progress.rs
+++ b/crates/papayayard_routing/src/placement/progress.rs
@@ -1,10 +1,12 @@
 //! Progress and outcomes of placed requests, and their effect on the endpoints' state.
 
+use std::mem;
 use std::time::Duration;
 
 use papayayard_wire::id;
 
 use super::load::Amounts;
+use super::path::Sender;
 use super::query::{BackendKey, Outcome, Ticket};
 use super::{Scheduler, ms};
 use crate::prompt;
@@ -15,16 +17,9 @@
 const MAX_BACKOFF_DOUBLINGS: u32 = 3;
 /// Time beyond the expected first event after which an unresponsive endpoint counts as failing.
 const OVERDUE_GRACE: Duration = Duration::from_secs(2);
-/// Consecutive failures that one refused or unanswered connection counts for.
-const UNREACHABLE_FAILURES: usize = 2;
-
 /// Time beyond the deadline after which a request of another host counts as ended although that
 /// host has not reported its outcome.
 const OUTCOME_GRACE: Duration = Duration::from_secs(1);
-/// Time after an endpoint's last answer within which a connection failure reported by another
-/// host is attributed to that host's network path.
-const RECENT_ANSWER: Duration = Duration::from_millis(500);
-
 pub(super) struct Placed {
     /// Host that sends the request; `None` for this host.
     pub(super) requesting_host: Option<id::Host>,
@@ -38,6 +33,9 @@
     pub(super) started: id::Incarnation,
     /// Load that the request adds to the endpoint.
     pub(super) amounts: Amounts,
+    /// Load that counts from the first event on, since the request of a host that may be detached
+    /// probably does not arrive.
+    pub(super) deferred: Amounts,
     /// When the request was placed.
     pub(super) sent: Duration,
     /// Expected time to the first event.
@@ -61,6 +59,13 @@
 }
 
 impl Placed {
+    pub(super) fn sender(&self) -> Sender<'_> {
+        Sender {
+            host: self.requesting_host.as_ref(),
+            zone: &self.zone,
+        }
+    }
+
     /// Whether the sending host should have reported the outcome by now.
     pub(super) fn is_expired(&self, now: Duration) -> bool {
         self.requesting_host.is_some() && self.deadline + OUTCOME_GRACE <= now
@@ -94,18 +99,22 @@
             unread: placed.amounts.unread,
             ..Amounts::default()
         };
+        let deferred = Amounts {
+            unread: 0.0,
+            ..mem::take(&mut placed.deferred)
+        };
         placed.amounts.unread = 0.0;
+        placed.amounts = placed.amounts.plus(deferred, 1.0);
         let elapsed_ms = elapsed_ms(placed.sent, now);
         let late_ms = elapsed_ms - placed.predicted.ms;
         let tokens = placed.predicted.tokens;
         let is_stream = placed.is_stream;
-        let placed_zone = placed.zone.clone();
-        if let Some(backend) = self.backends.get_mut(placed.backend) {
-            self.reachability
-                .record_answer(&placed_zone, &backend.endpoint.zone);
-            backend.answered_at = now;
+        let (host, zone) = (placed.requesting_host.clone(), placed.zone.clone());
+        let key = placed.backend;
+        if let Some(backend) = self.backends.get_mut(key) {
             backend.refusals = 0;
             backend.load.remove(unread, now);
+            backend.load.add(deferred, now);
             for key in &placed.keys {
                 backend.cache.confirm(*key, now);
             }
@@ -119,6 +128,11 @@
                 prefill.observe(tokens, elapsed_ms);
             }
         }
+        let sender = Sender {
+            host: host.as_ref(),
+            zone: &zone,
+        };
+        self.record_connected(sender, key, now);
     }
 
     /// Records the outcome of a placed request.
@@ -133,33 +147,23 @@
         if backend.endpoint.id != placed.endpoint {
             return;
         }
-        let zone = &backend.endpoint.zone;
         match outcome {
             Outcome::Whole => {
-                self.reachability.record_answer(&placed.zone, zone);
-                backend.answered_at = now;
                 backend.refusals = 0;
                 backend.health.record_success(now);
                 backend.record_service_time(now.saturating_sub(placed.sent));
+                self.record_connected(placed.sender(), placed.backend, now);
             }
             Outcome::Abandoned => {}
             Outcome::Refused | Outcome::Mismatched => {
-                self.reachability.record_answer(&placed.zone, zone);
-                backend.answered_at = now;
                 let doublings = backend.refusals.min(MAX_BACKOFF_DOUBLINGS);
                 backend.refusal_backoff_until = now + REFUSAL_BACKOFF * 2_u32.pow(doublings);
                 backend.refusals += 1;
+                self.record_connected(placed.sender(), placed.backend, now);
             }
-            Outcome::Unreachable => {
-                self.reachability
-                    .record_failure(&placed.zone, zone, &placed.endpoint, now);
-                let has_recent_answer = backend.answered_at + RECENT_ANSWER > now;
-                if placed.requesting_host.is_none() || !has_recent_answer {
-                    for _ in 0..UNREACHABLE_FAILURES {
-                        backend.health.record_failure(now);
-                    }
-                }
-            }
+            Outcome::Unreachable => self.record_unreachable(&placed, now),
+            // A detached host loses its open connections as well.
+            Outcome::Failed if self.paths.explains_failure(&placed) => {}
             Outcome::Failed => backend.health.record_failure(now),
         }
     }
@@ -172,6 +176,9 @@
             if placed.has_begun || now < due {
                 continue;
             }
+            if self.paths.explains_failure(placed) {
+                continue;
+            }
             // An unresponsive host's missing reports are no evidence about the endpoint.
             let last_contact = placed
                 .requesting_host
--- a/crates/papayayard_routing/src/placement/query.rs
+++ b/crates/papayayard_routing/src/placement/query.rs
@@ -7,6 +7,7 @@
 use papayayard_wire::id;
 
 use super::backend::Endpoint;
+use super::path::Sender;
 use crate::{prompt, sharing};
 
 slotmap::new_key_type! {
@@ -52,6 +53,13 @@
 }
 
 impl Query {
+    pub(super) fn sender(&self) -> Sender<'_> {
+        Sender {
+            host: self.requesting_host.as_ref(),
+            zone: &self.zone,
+        }
+    }
+
     /// Whether an endpoint is of the service, and of the software that the request needs.
     pub(super) fn fits(&self, endpoint: &Endpoint) -> bool {
         let software = self.software.as_ref();
--- a/crates/papayayard_routing/src/placement/requesting_hosts.rs
+++ b/crates/papayayard_routing/src/placement/requesting_hosts.rs
@@ -153,6 +153,9 @@
             .users
             .retain(|_, user| now < user.at + USE_TIMEOUT);
         self.limits.refill(&self.requesting_hosts, now);
+        let requesting_hosts = &self.requesting_hosts;
+        self.paths
+            .forget_unknown(|host| requesting_hosts.last_contact(host).is_some());
         let by_id = &self.by_id;
         self.limits
             .forget_unlisted(|endpoint| by_id.contains_key(endpoint), now);
--- a/crates/papayayard_routing/src/placement/select.rs
+++ b/crates/papayayard_routing/src/placement/select.rs
@@ -108,11 +108,10 @@
         });
         let mut usable: Vec<(BackendKey, &Backend)> = usable.collect();
         let mut hosts = self.schedulers;
-        if self.reachability.excludes_any(&query.zone, now) {
+        if self.paths.excludes_any(query.sender(), now) {
             let is_reachable = |backend: &Backend| {
-                !self
-                    .reachability
-                    .excludes(&query.zone, &backend.endpoint.zone, now)
+                let zone = &backend.endpoint.zone;
+                !self.paths.excludes(query.sender(), zone, now)
             };
             if usable.iter().any(|(_, backend)| is_reachable(backend)) {
                 usable.retain(|(_, backend)| is_reachable(backend));
@@ -154,7 +153,7 @@
         let endpoints = self.backends.values();
         let endpoints = endpoints.filter(|backend| backend.endpoint.service == query.service);
         let zones: HashSet<&id::Zone> = endpoints.map(|backend| &backend.endpoint.zone).collect();
-        let is_reachable = |zone: &&&id::Zone| !self.reachability.excludes(&query.zone, zone, now);
+        let is_reachable = |zone: &&&id::Zone| !self.paths.excludes(query.sender(), zone, now);
         let reached = zones.iter().filter(is_reachable).count();
         if reached == 0 {
             return self.schedulers;
--- a/crates/papayayard_routing/src/placement/signals.rs
+++ b/crates/papayayard_routing/src/placement/signals.rs
@@ -10,6 +10,8 @@
 use papayayard_wire::id;
 
 use super::Scheduler;
+use super::backend::Backend;
+use super::path::Sender;
 use super::query::Ticket;
 
 /// Signals of one incarnation of an endpoint.
@@ -44,15 +46,18 @@
         });
     }
 
-    /// Returns the endpoints that this host cannot reach or that accept no requests from it.
+    /// Returns the endpoints that this host cannot reach while it reaches others, or that accept
+    /// no requests from it.
     pub fn avoided(&self, zone: &id::Zone, now: Duration) -> Vec<id::Endpoint> {
+        let sender = Sender { host: None, zone };
+        let is_excluded =
+            |backend: &Backend| self.paths.excludes(sender, &backend.endpoint.zone, now);
+        let reaches_zones = !self.backends.values().all(is_excluded);
         let backends = self.backends.values();
         let avoided = backends.filter(|backend| {
             backend.health.is_ejected(now)
                 || !backend.signals.permits(now)
-                || self
-                    .reachability
-                    .excludes(zone, &backend.endpoint.zone, now)
+                || (reaches_zones && is_excluded(backend))
         });
         avoided.map(|backend| backend.endpoint.id.clone()).collect()
     }
--- a/crates/papayayard_routing/tests/placement/main.rs
+++ b/crates/papayayard_routing/tests/placement/main.rs
@@ -2,6 +2,7 @@
 
 mod choice;
 mod crowd;
+mod detached;
 mod dispatch;
 mod limits;
 mod link;
