Routing: a host that reaches few endpoints ejects none for others

Ruled out: a longer memory of answers, which delays the ejection of endpoints that are gone; the number of hosts that fail, since most may be cut off.

A host that fails at half of its recent connections or more is in doubt while a tenth of the hosts fail at a quarter at most. If endpoints are gone, no host fails at few, and the failures count. A zone is excluded for the hosts of a zone only if none was answered from there within a second.

--- a/crates/papayayard_routing/src/placement/path.rs
+++ b/crates/papayayard_routing/src/placement/path.rs
@@ -7,6 +7,9 @@
 //! connection; what it reports then is not evidence about endpoints, and its requests are not
 //! counted as load, since they do not arrive.
 //!
+//! The same holds for a host that fails at most of its connections while others fail at few: it
+//! reaches some endpoints, and the others are not gone.
+//!
 //! A scheduler that places only its own host's requests has no other evidence, so a failure counts
 //! at once and is withdrawn if the host turns out to be detached.
 
@@ -27,8 +30,8 @@
 const MIN_FAILED_ENDPOINTS: usize = 3;
 /// Endpoints whose failures are kept for a host.
 const MAX_FAILED_ENDPOINTS: usize = 8;
-/// Time without an answer from which a doubtful host was detached. One that is answered earlier
-/// has met endpoints that are gone.
+/// Time without an answer from which a doubtful host was detached. If this host is answered
+/// earlier, it has met endpoints that are gone.
 const MIN_DETACHED: Duration = Duration::from_millis(500);
 /// Consecutive failures of an endpoint that one refused or unanswered connection counts for.
 const UNREACHABLE_FAILURES: u32 = 2;
@@ -38,6 +41,20 @@
 /// attributed to that host's network path.
 const RECENT_ANSWER: Duration = Duration::from_millis(500);
 
+/// The same for the answers of a zone and the failures of another host of the same zone.
+const RECENT_ZONE_ANSWER: Duration = Duration::from_secs(1);
+/// Time constant of the averages over recent connections.
+const RECENT: Duration = Duration::from_secs(1);
+/// Recent connections from which a host is compared with others.
+const MIN_CONNECTIONS: f64 = 6.0;
+/// Recent failures, and fraction of connections that fail, from which a host fails at most.
+const MIN_FAILURES: f64 = 3.0;
+const HIGH_FAILURE_FRACTION: f64 = 0.5;
+/// Fraction of connections that fail up to which a host fails at few.
+const LOW_FAILURE_FRACTION: f64 = 0.25;
+/// Fraction of hosts that have to fail at few, more than do so by chance.
+const MIN_CONNECTED_HOSTS: f64 = 0.1;
+
 /// Host that sends a request.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Sender<'a> {
@@ -51,21 +68,40 @@
 pub(super) struct Paths {
     /// Path of this host.
     local: Path,
-    /// Paths of the hosts that have had a failure.
+    /// Paths of the hosts that have had a failure or an answer.
     hosts: HashMap<id::Host, Path>,
     /// Reachability as found by the connected hosts of a zone.
-    zones: HashMap<id::Zone, Reachability>,
+    zones: HashMap<id::Zone, ZonePath>,
+}
+
+/// Paths of the hosts of a zone.
+#[derive(Clone, Debug, Default)]
+struct ZonePath {
+    reachability: Reachability,
+    /// Time of the last answer, by zone of the endpoint.
+    answered_at: HashMap<id::Zone, Duration>,
 }
 
 /// Paths of one host.
 #[derive(Clone, Debug, Default)]
 struct Path {
+    /// Zone of the host; `None` before its first connection.
+    zone: Option<id::Zone>,
+    recent: Recent,
     reachability: Reachability,
     outage: Outage,
     /// Time of the answer with which the last detachment ended.
     reattached_at: Duration,
 }
 
+/// Numbers of recent connections.
+#[derive(Clone, Copy, Debug, Default)]
+struct Recent {
+    answered: f64,
+    failed: f64,
+    at: Duration,
+}
+
 /// Connection failures of a host since its last answer.
 #[derive(Clone, Debug, Default)]
 struct Outage {
@@ -94,16 +130,47 @@
 }
 
 impl Paths {
-    /// Whether a host may have lost its connection to all endpoints.
-    pub(super) fn is_doubtful(&self, host: Option<&id::Host>) -> bool {
-        self.path(host)
-            .is_some_and(|path| path.outage.is_doubtful())
+    /// Whether a host may have lost its connection to all or most endpoints.
+    pub(super) fn is_doubtful(&self, host: Option<&id::Host>, now: Duration) -> bool {
+        let path = self.path(host);
+        path.is_some_and(|path| path.outage.is_doubtful()) || self.is_impaired(host, None, now)
     }
 
     /// Whether a failure at a host is explained by the host's own connection.
-    pub(super) fn explains_failure(&self, placed: &Placed) -> bool {
-        let path = self.path(placed.sender().host);
-        path.is_some_and(|path| path.outage.is_doubtful() || placed.sent <= path.reattached_at)
+    pub(super) fn explains_failure(&self, placed: &Placed, now: Duration) -> bool {
+        let host = placed.sender().host;
+        let path = self.path(host);
+        path.is_some_and(|path| placed.sent <= path.reattached_at) || self.is_doubtful(host, now)
+    }
+
+    /// Records that a connection has brought an answer.
+    pub(super) fn record_answered(&mut self, sender: Sender<'_>, now: Duration) {
+        let recent = &mut self.path_mut(sender).recent;
+        recent.settle(now);
+        recent.answered += 1.0;
+    }
+
+    /// Whether a host fails at most of its connections while other hosts, of a zone if one is
+    /// given, fail at few.
+    fn is_impaired(&self, host: Option<&id::Host>, zone: Option<&id::Zone>, now: Duration) -> bool {
+        let fails = |path: &Path| path.recent.failure_fraction() >= HIGH_FAILURE_FRACTION;
+        let path = self.path(host).filter(|path| fails(path));
+        if path.is_none_or(|path| path.recent.at(now).failed < MIN_FAILURES) {
+            return false;
+        }
+        let paths = self.hosts.values().chain([&self.local]);
+        let compared = paths.filter(|path| {
+            let is_of_zone = zone.is_none() || path.zone.as_ref() == zone;
+            is_of_zone && path.recent.at(now).number() >= MIN_CONNECTIONS
+        });
+        let (mut hosts, mut connected) = (0.0, 0.0);
+        for path in compared {
+            hosts += 1.0;
+            if path.recent.failure_fraction() <= LOW_FAILURE_FRACTION {
+                connected += 1.0;
+            }
+        }
+        connected > 0.0 && connected >= hosts * MIN_CONNECTED_HOSTS
     }
 
     /// Whether any zone is currently excluded for a host.
@@ -129,30 +196,34 @@
     /// Reachability as found by a host itself and by the hosts of its zone.
     fn reachability(&self, sender: Sender<'_>) -> impl Iterator<Item = &Reachability> {
         let own = self.path(sender.host).map(|path| &path.reachability);
-        own.into_iter().chain(self.zones.get(sender.zone))
+        let of_zone = self.zones.get(sender.zone);
+        let of_zone = of_zone.map(|path| &path.reachability);
+        own.into_iter().chain(of_zone)
     }
 
     fn path(&self, host: Option<&id::Host>) -> Option<&Path> {
         host.map_or(Some(&self.local), |host| self.hosts.get(host))
     }
 
-    fn path_mut(&mut self, host: Option<&id::Host>) -> &mut Path {
-        match host {
+    fn path_mut(&mut self, sender: Sender<'_>) -> &mut Path {
+        let path = match sender.host {
             None => &mut self.local,
             Some(host) => self.hosts.entry(host.clone()).or_default(),
+        };
+        if path.zone.as_ref() != Some(sender.zone) {
+            path.zone = Some(sender.zone.clone());
         }
+        path
     }
 
     /// Ends a host's outage with an answer from a zone, and returns the failures that say
     /// something of endpoints.
     fn reconnect(&mut self, sender: Sender<'_>, zone: &id::Zone, now: Duration) -> Vec<Failure> {
-        let path = match sender.host {
-            None => &mut self.local,
-            Some(host) => match self.hosts.get_mut(host) {
-                Some(path) => path,
-                None => return Vec::new(),
-            },
-        };
+        let is_impaired = self.is_impaired(sender.host, None, now);
+        let is_impaired_in_zone = self.is_impaired(sender.host, Some(sender.zone), now);
+        let zone_path = self.zones.entry(sender.zone.clone()).or_default();
+        zone_path.record_answer(zone, now);
+        let path = self.path_mut(sender);
         path.reachability.record_answer(zone);
         let outage = mem::take(&mut path.outage);
         let was_detached = outage.was_detached(now);
@@ -162,23 +233,68 @@
             path.reachability = Reachability::default();
             return Vec::new();
         }
-        if sender.host.is_some() {
-            let by_zone = self.zones.entry(sender.zone.clone()).or_default();
-            let of_others = outage
-                .failures
-                .iter()
-                .filter(|failure| failure.zone != *zone);
-            for failure in of_others {
-                by_zone.record_failure(&failure.zone, &failure.endpoint, now);
+        let zone_path = self.zones.entry(sender.zone.clone()).or_default();
+        if sender.host.is_some() && !is_impaired_in_zone {
+            for failure in &outage.failures {
+                zone_path.record_failure(failure, now);
             }
         }
-        if was_detached {
+        // Of other hosts there are enough failures that leave no doubt.
+        let is_doubtful = sender.host.is_some() && outage.is_doubtful();
+        if was_detached || is_doubtful || is_impaired {
             return Vec::new();
         }
         outage.failures
     }
 }
 
+impl ZonePath {
+    /// Records the failure of a host that is connected to another zone, unless hosts of its zone
+    /// were answered from there.
+    fn record_failure(&mut self, failure: &Failure, now: Duration) {
+        let answered_at = self.answered_at.get(&failure.zone);
+        if answered_at.is_none_or(|at| *at + RECENT_ZONE_ANSWER <= failure.at) {
+            self.reachability
+                .record_failure(&failure.zone, &failure.endpoint, now);
+        }
+    }
+
+    fn record_answer(&mut self, zone: &id::Zone, now: Duration) {
+        self.reachability.record_answer(zone);
+        match self.answered_at.get_mut(zone) {
+            Some(at) => *at = now,
+            None => {
+                self.answered_at.insert(zone.clone(), now);
+            }
+        }
+    }
+}
+
+impl Recent {
+    fn at(self, now: Duration) -> Self {
+        let elapsed = now.saturating_sub(self.at).as_secs_f64();
+        let weight = (-elapsed / RECENT.as_secs_f64()).exp();
+        Self {
+            answered: self.answered * weight,
+            failed: self.failed * weight,
+            at: now,
+        }
+    }
+
+    fn settle(&mut self, now: Duration) {
+        *self = self.at(now);
+    }
+
+    fn number(self) -> f64 {
+        self.answered + self.failed
+    }
+
+    /// Fraction of the connections that failed; 0 without connections.
+    fn failure_fraction(self) -> f64 {
+        self.failed / self.number().max(f64::MIN_POSITIVE)
+    }
+}
+
 impl Outage {
     fn is_doubtful(&self) -> bool {
         self.failures.len() >= MIN_FAILED_ENDPOINTS
@@ -246,10 +362,13 @@
     pub(super) fn record_unreachable(&mut self, placed: &Placed, now: Duration) {
         let sender = placed.sender();
         let is_only_sender = self.is_only_sender(sender);
+        let is_impaired = self.paths.is_impaired(sender.host, None, now);
         let Some(backend) = self.backends.get_mut(placed.backend) else {
             return;
         };
-        let path = self.paths.path_mut(sender.host);
+        let path = self.paths.path_mut(sender);
+        path.recent.settle(now);
+        path.recent.failed += 1.0;
         if placed.sent <= path.reattached_at {
             return;
         }
@@ -268,9 +387,11 @@
         let Some(failure) = path.outage.failure_at(placed.backend) else {
             return;
         };
+        let is_on_trial =
+            backend.health.is_on_trial() && backend.answered_at + RECENT_ANSWER <= now;
         if is_only_sender {
             failure.count_provisionally(&mut backend.health, now);
-        } else if backend.health.is_on_trial() && backend.answered_at + RECENT_ANSWER <= now {
+        } else if is_on_trial && !is_impaired {
             // The next request would be sent there at once.
             failure.count(&mut backend.health, now);
         }
@@ -289,9 +410,6 @@
         };
         backend.answered_at = now;
         let zone = &backend.endpoint.zone;
-        if let Some(reachability) = self.paths.zones.get_mut(sender.zone) {
-            reachability.record_answer(zone);
-        }
         for mut failure in self.paths.reconnect(sender, zone, now) {
             let Some(backend) = self.backends.get_mut(failure.backend) else {
                 continue;
--- a/crates/papayayard_routing/src/placement/progress.rs
+++ b/crates/papayayard_routing/src/placement/progress.rs
@@ -132,6 +132,7 @@
             host: host.as_ref(),
             zone: &zone,
         };
+        self.paths.record_answered(sender, now);
         self.record_connected(sender, key, now);
     }
 
@@ -147,6 +148,13 @@
         if backend.endpoint.id != placed.endpoint {
             return;
         }
+        let is_answer = matches!(
+            outcome,
+            Outcome::Whole | Outcome::Refused | Outcome::Mismatched
+        );
+        if is_answer && !placed.has_begun {
+            self.paths.record_answered(placed.sender(), now);
+        }
         match outcome {
             Outcome::Whole => {
                 backend.refusals = 0;
@@ -163,7 +171,7 @@
             }
             Outcome::Unreachable => self.record_unreachable(&placed, now),
             // A detached host loses its open connections as well.
-            Outcome::Failed if self.paths.explains_failure(&placed) => {}
+            Outcome::Failed if self.paths.explains_failure(&placed, now) => {}
             Outcome::Failed => backend.health.record_failure(now),
         }
     }
@@ -176,7 +184,7 @@
             if placed.has_begun || now < due {
                 continue;
             }
-            if self.paths.explains_failure(placed) {
+            if self.paths.explains_failure(placed, now) {
                 continue;
             }
             // An unresponsive host's missing reports are no evidence about the endpoint.
