Routing: requests of hosts in doubt are load at the endpoint that these still reach

Since a host that reaches few endpoints stays in doubt while one endpoint answers it, and its requests were no load there before their first event.

An endpoint that has answered a host in doubt within two seconds counts the requests of such hosts as ever; elsewhere they count from their first event.

--- a/crates/papayayard_routing/src/placement/backend.rs
+++ b/crates/papayayard_routing/src/placement/backend.rs
@@ -50,6 +50,8 @@
     pub(super) signals: Signals,
     /// Time of the last answer.
     pub(super) answered_at: Duration,
+    /// Time of the last answer to a host whose connection was in doubt.
+    pub(super) reached_in_doubt_at: Option<Duration>,
     /// End of the pause after a refusal.
     pub(super) refusal_backoff_until: Duration,
     /// Refusals since the last answer that was not a refusal.
@@ -86,6 +88,7 @@
             cache: Cache::default(),
             health: ejection::Health::default(),
             answered_at: Duration::ZERO,
+            reached_in_doubt_at: None,
             refusal_backoff_until: Duration::ZERO,
             refusals: 0,
             loading: None,
--- a/crates/papayayard_routing/src/placement/path.rs
+++ b/crates/papayayard_routing/src/placement/path.rs
@@ -43,6 +43,8 @@
 
 /// The same for the answers of a zone and the failures of another host of the same zone.
 const RECENT_ZONE_ANSWER: Duration = Duration::from_secs(1);
+/// Time after an answer to a host in doubt for which such hosts' requests probably arrive.
+const REACHED_TIME: Duration = Duration::from_secs(2);
 /// Time constant of the averages over recent connections.
 const RECENT: Duration = Duration::from_secs(1);
 /// Recent connections from which a host is compared with others.
@@ -405,10 +407,14 @@
         now: Duration,
     ) {
         let is_only_sender = self.is_only_sender(sender);
+        let is_doubtful = self.paths.is_doubtful(sender.host, now);
         let Some(backend) = self.backends.get_mut(answering) else {
             return;
         };
         backend.answered_at = now;
+        if is_doubtful {
+            backend.reached_in_doubt_at = Some(now);
+        }
         let zone = &backend.endpoint.zone;
         for mut failure in self.paths.reconnect(sender, zone, now) {
             let Some(backend) = self.backends.get_mut(failure.backend) else {
@@ -426,6 +432,13 @@
         }
     }
 
+    /// Whether a request of a host probably arrives at an endpoint.
+    pub(super) fn arrives(&self, sender: Sender<'_>, backend: BackendKey, now: Duration) -> bool {
+        let reached_at = self.backends[backend].reached_in_doubt_at;
+        reached_at.is_some_and(|at| now < at + REACHED_TIME)
+            || !self.paths.is_doubtful(sender.host, now)
+    }
+
     /// Whether this scheduler knows the requests of its own host only.
     fn is_only_sender(&self, sender: Sender<'_>) -> bool {
         sender.host.is_none() && !self.has_requesting_hosts()
--- a/crates/papayayard_routing/src/placement/place.rs
+++ b/crates/papayayard_routing/src/placement/place.rs
@@ -55,7 +55,7 @@
             let engine = self.backends[candidate.key].endpoint.clone();
             let saved_by = prefilled_by(first_event, now) + SAVE_TIME;
             let has_more = |fetch: &Fetch| fetch.source.tokens > estimate.cached;
-            if !self.paths.is_doubtful(query.sender().host, now) {
+            if self.arrives(query.sender(), candidate.key, now) {
                 placement.save = self.save(&engine, prompt, &keys, saved_by, now);
                 let stored = fetch.filter(|fetch| fetch.source.is_shared && has_more(fetch));
                 if let Some(fetch) = stored {
@@ -147,7 +147,7 @@
         predicted: Prediction,
         now: Duration,
     ) -> Ticket {
-        let arrives = !self.paths.is_doubtful(query.sender().host, now);
+        let arrives = self.arrives(query.sender(), key, now);
         let backend = &mut self.backends[key];
         let mut amounts = Amounts {
             open: 1.0,
--- a/crates/papayayard_routing/tests/placement/detached.rs
+++ b/crates/papayayard_routing/tests/placement/detached.rs
@@ -92,6 +92,10 @@
     avoided: BTreeMap<id::Endpoint, Duration>,
     /// Endpoints at which the hosts' requests were placed.
     used: BTreeSet<id::Endpoint>,
+    /// Requests whose first event has not come yet, by endpoint.
+    waiting: BTreeMap<id::Endpoint, u32>,
+    /// Largest number of these at one endpoint.
+    most_waiting: u32,
 }
 
 impl Replay {
@@ -109,6 +113,8 @@
             subject: 0,
             avoided: BTreeMap::new(),
             used: BTreeSet::new(),
+            waiting: BTreeMap::new(),
+            most_waiting: 0,
         };
         for index in 0..hosts {
             replay.schedule(NOW, Event::Arrival(index));
@@ -130,6 +136,7 @@
         }
         self.avoided.clear();
         self.used.clear();
+        self.most_waiting = 0;
         while let Some(entry) = self.events.first_entry() {
             let now = entry.key().0;
             if now >= until {
@@ -155,6 +162,7 @@
             Event::Arrival(index) => self.arrive(index, now),
             Event::Ask(index, query) => self.ask(index, *query, now),
             Event::Begun(index, placement) => {
+                *self.waiting.entry(placement.endpoint.clone()).or_default() -= 1;
                 if self.keeps_open || (self.reaches)(index, &placement.endpoint, now) {
                     self.scheduler.record_first_event(placement.ticket, now);
                 }
@@ -226,6 +234,9 @@
         self.counts[index].expected += placement.first_event;
         self.used.insert(placement.endpoint.clone());
         if (self.reaches)(index, &placement.endpoint, now) {
+            let waiting = self.waiting.entry(placement.endpoint.clone()).or_default();
+            *waiting += 1;
+            self.most_waiting = self.most_waiting.max(*waiting);
             self.schedule(now + FIRST_EVENT, Event::Begun(index, placement.clone()));
             self.schedule(now + WHOLE, Event::Ended(index, placement));
         } else {
@@ -277,6 +288,20 @@
     index < 3 || !is_cut(now) || endpoint.as_str() == "e13"
 }
 
+/// Requests of cut hosts count as load at the endpoint that these still reach.
+#[rstest]
+fn an_endpoint_in_reach_of_cut_hosts_is_not_overloaded(
+    #[values(CONNECT_TIMEOUT, RESET)] connect_timeout: Duration,
+    #[values(1, 2, 3)] seed: u64,
+) {
+    let mut replay = Replay::new(HOSTS, six_of_nine_from_most, seed);
+    replay.connect_timeout = connect_timeout;
+    replay.play(NOW, CUT + ms(2_000));
+    replay.play(CUT + ms(2_000), HEALED);
+    // Their shared parts are cached, so that many fit until first events would be late.
+    assert!(replay.most_waiting <= 26, "{} wait", replay.most_waiting);
+}
+
 /// Connection failures of cut hosts ejected sound endpoints, excluded zones, and filled endpoints
 /// with requests that never arrived, so that hosts that reached everything were refused. At most
 /// `most_avoided` endpoints are ejected until it shows which hosts are cut off.
