Placement: keep the limits on refusals that endpoints name

Cause: endpoints may state at how many refusals a second, for want of room and by all hosts together, they crash. Nothing read that header, and in an overload endpoints were sent what they had no room for.

Ruled out, by weighing (docs/ROUTING.md has the table): counting at each host, pacing all requests on the way by the limit, and learning the room from refusals alone.

Change: the header is decoded and travels as limits on requests do, from the request's own answer to the scheduler and the dispatcher, and back with the dispatcher's list. What both kinds share moves from placement/limit.rs to placement/named.rs without a change. While an endpoint names such a limit, the dispatcher also places requests to plain services, and the scheduler sends it no more at a time than its part of the slots, finds out about less room within the limit, and refuses here what will have no room in time. Hosts report ends of requests after 4 ms instead of 40 meanwhile.

--- a/crates/papayayard_gateway/src/attempt.rs
+++ b/crates/papayayard_gateway/src/attempt.rs
@@ -251,8 +251,8 @@
                 return Err(Failure::Unconfirmed);
             }
             // Refusals and late copies of other answers do not show that a limit has ended.
-            if response.head.status.is_success() && reported.limit == Ok(None) {
-                permit.clear_limit(&placement.endpoint);
+            if response.head.status.is_success() {
+                clear_limits((placement, permit), &reported);
             }
             return Ok(response);
         }
@@ -265,7 +265,7 @@
         Err(Failure::Foreign)
     }
 
-    /// Applies the backoff and the limit that an endpoint names in its response to this
+    /// Applies the backoff and the limits that an endpoint names in its response to this
     /// request.
     fn apply_bounds(
         &self,
@@ -296,6 +296,16 @@
                 log::warn!(request:% = job.id, endpoint:% = placement.endpoint, error:%; "limit ignored");
             }
         }
+        match reported.refusal_limit {
+            Ok(None) => {}
+            Ok(Some(limit)) => {
+                self.metrics.refusal_limit_named();
+                permit.set_refusal_limit(limit);
+            }
+            Err(ref error) => {
+                log::warn!(request:% = job.id, endpoint:% = placement.endpoint, error:%; "limit on refusals ignored");
+            }
+        }
     }
 
     /// Reads the rest of a response that is not forwarded, so that its connection can be reused.
@@ -325,6 +335,16 @@
     }
 }
 
+/// Ends the limits that an endpoint does not name in a successful response.
+fn clear_limits((placement, permit): (&Placement, &Permit), reported: &ResponseHead) {
+    if reported.limit == Ok(None) {
+        permit.clear_limit(&placement.endpoint);
+    }
+    if reported.refusal_limit == Ok(None) {
+        permit.clear_refusal_limit(&placement.endpoint);
+    }
+}
+
 /// Whether a different endpoint at the same address responded.
 fn is_from_other(reported: &ResponseHead, placement: &Placement) -> bool {
     let endpoint = reported.endpoint.as_ref();
--- a/crates/papayayard_gateway/src/dispatch.rs
+++ b/crates/papayayard_gateway/src/dispatch.rs
@@ -5,7 +5,7 @@
 //! to it with the next placement request, or a moment later. This host records them too,
 //! so that it can place requests itself as soon as its dispatcher fails. Requests to
 //! plain services are placed here, since their endpoints are few and quick, except while
-//! one of the endpoints limits the requests of all hosts together.
+//! one of the endpoints limits requests or refusals of all hosts together.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -40,6 +40,9 @@
 
 /// Delay before notices are sent, so that several are sent in one call.
 const BATCHING_DELAY: Duration = Duration::from_millis(40);
+/// The same delay while endpoints limit refusals: until the dispatcher knows that a request has
+/// ended, its slot is not used.
+const SHORT_BATCHING_DELAY: Duration = Duration::from_millis(4);
 /// Time without a call after which this host calls its dispatcher without a placement
 /// request, so that the dispatcher knows whose requests it places.
 const HEARTBEAT_PERIOD: Duration = Duration::from_secs(1);
@@ -160,7 +163,7 @@
     /// Adopts the limits that the dispatcher knew when it was called.
     fn set_limits(&self, limits: Option<Limits>, called_at: Duration) {
         if let Some(limits) = limits {
-            let message = Message::Limits(limits.into_limits(), called_at);
+            let message = Message::Limits(Box::new(limits.into_lists()), called_at);
             self.0.schedule.send(message);
         }
     }
@@ -177,7 +180,7 @@
         loop {
             let woken = time::timeout(HEARTBEAT_PERIOD, self.0.local.wakeup.notified()).await;
             if woken.is_ok() {
-                time::sleep(BATCHING_DELAY).await;
+                time::sleep(self.batching_delay()).await;
             }
             self.find_incumbent().await;
             let now = self.0.clock.now();
@@ -204,6 +207,14 @@
         }
     }
 
+    fn batching_delay(&self) -> Duration {
+        if self.0.schedule.has_refusal_limits() {
+            SHORT_BATCHING_DELAY
+        } else {
+            BATCHING_DELAY
+        }
+    }
+
     /// Checks whether another host already acts as dispatcher, in case this host would
     /// otherwise place requests itself.
     async fn find_incumbent(&self) {
--- a/crates/papayayard_gateway/src/dispatch/handler.rs
+++ b/crates/papayayard_gateway/src/dispatch/handler.rs
@@ -51,6 +51,12 @@
                 .schedule
                 .send(Message::Notice(host.clone(), named.number, progress));
         }
+        for named in call.named_refusals {
+            let progress = Progress::RefusalLimit(named.limit);
+            shared
+                .schedule
+                .send(Message::Notice(host.clone(), named.number, progress));
+        }
         for notice in call.notices {
             self.record(&host, &zone, notice, now);
         }
--- a/crates/papayayard_gateway/src/dispatch/link.rs
+++ b/crates/papayayard_gateway/src/dispatch/link.rs
@@ -47,6 +47,7 @@
 struct Outbox {
     notices: Vec<Notice>,
     named: Vec<NamedLimit>,
+    named_refusals: Vec<NamedLimit>,
     /// Revision of the limits in the last answer that had any.
     limits_revision: Option<u64>,
     /// Random process ID in the dispatcher's last answer.
@@ -111,17 +112,22 @@
 
     /// Queues the limit that the answer to a request names for the next call.
     pub(super) fn notify_limit(&self, number: u64, limit: Option<Rate>) {
-        let mut outbox = self.outbox();
-        if outbox.named.len() < MAX_NOTICES {
-            outbox.named.push(NamedLimit { number, limit });
-        }
-        drop(outbox);
+        push(&mut self.outbox().named, NamedLimit { number, limit });
+        self.local.wakeup.notify_one();
+    }
+
+    /// Queues the limit on refusals that the answer to a request names for the next call.
+    pub(super) fn notify_refusal_limit(&self, number: u64, limit: Option<Rate>) {
+        push(
+            &mut self.outbox().named_refusals,
+            NamedLimit { number, limit },
+        );
         self.local.wakeup.notify_one();
     }
 
     pub(super) fn has_notices(&self) -> bool {
         let outbox = self.outbox();
-        !outbox.notices.is_empty() || !outbox.named.is_empty()
+        !outbox.notices.is_empty() || !outbox.named.is_empty() || !outbox.named_refusals.is_empty()
     }
 
     /// Time of the last call.
@@ -144,6 +150,7 @@
                 zone: self.local.zone.as_str().to_owned(),
                 notices: std::mem::take(&mut outbox.notices),
                 named: std::mem::take(&mut outbox.named),
+                named_refusals: std::mem::take(&mut outbox.named_refusals),
                 is_used,
                 limits_revision: outbox.limits_revision,
                 question: request,
@@ -168,3 +175,9 @@
         self.outbox.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+fn push(named: &mut Vec<NamedLimit>, limit: NamedLimit) {
+    if named.len() < MAX_NOTICES {
+        named.push(limit);
+    }
+}
--- a/crates/papayayard_gateway/src/dispatch/message.rs
+++ b/crates/papayayard_gateway/src/dispatch/message.rs
@@ -31,6 +31,9 @@
     /// Limits that endpoints name in answers to requests.
     #[serde(default)]
     pub(super) named: Vec<NamedLimit>,
+    /// Limits on refusals that endpoints name in answers to requests.
+    #[serde(default)]
+    pub(super) named_refusals: Vec<NamedLimit>,
     /// Whether the requesting host uses the called one as its dispatcher.
     #[serde(default)]
     pub(super) is_used: bool,
@@ -64,6 +67,9 @@
     /// Number of changes since the dispatcher's start.
     pub(super) revision: u64,
     pub(super) list: Vec<EndpointLimit>,
+    /// Limits on refusals.
+    #[serde(default)]
+    pub(super) refusals: Vec<EndpointLimit>,
 }
 
 /// Progress or outcome of a request.
@@ -247,27 +253,44 @@
 
 impl Limits {
     pub(super) fn new(limits: &schedule::Limits) -> Self {
-        let list = limits.list.iter().map(|limit| EndpointLimit {
-            endpoint: limit.endpoint.as_str().to_owned(),
-            started: limit.started,
-            service: limit.service.as_str().to_owned(),
-            rate: limit.rate,
-        });
+        let encode = |list: &[Limit]| list.iter().map(EndpointLimit::new).collect();
         Self {
             revision: limits.revision,
-            list: list.collect(),
+            list: encode(&limits.lists.requests),
+            refusals: encode(&limits.lists.refusals),
         }
     }
 
     /// Converts the limits for the scheduler.
-    pub(super) fn into_limits(self) -> Vec<Limit> {
-        let list = self.list.into_iter().map(|limit| Limit {
-            endpoint: id::Endpoint::from(limit.endpoint),
+    pub(super) fn into_lists(self) -> schedule::Lists {
+        let decode = |list: Vec<EndpointLimit>| {
+            let list = list.into_iter();
+            list.map(EndpointLimit::into_limit).collect()
+        };
+        schedule::Lists {
+            requests: decode(self.list),
+            refusals: decode(self.refusals),
+        }
+    }
+}
+
+impl EndpointLimit {
+    fn new(limit: &Limit) -> Self {
+        Self {
+            endpoint: limit.endpoint.as_str().to_owned(),
             started: limit.started,
-            service: id::Service::from(limit.service),
+            service: limit.service.as_str().to_owned(),
             rate: limit.rate,
-        });
-        list.collect()
+        }
+    }
+
+    fn into_limit(self) -> Limit {
+        Limit {
+            endpoint: id::Endpoint::from(self.endpoint),
+            started: self.started,
+            service: id::Service::from(self.service),
+            rate: self.rate,
+        }
     }
 }
 
--- a/crates/papayayard_gateway/src/dispatch/permit.rs
+++ b/crates/papayayard_gateway/src/dispatch/permit.rs
@@ -84,6 +84,25 @@
         }
     }
 
+    /// Records the limit on refusals that the endpoint names in its answer.
+    pub(crate) fn set_refusal_limit(&self, limit: Rate) {
+        self.report_refusal_limit(Some(limit));
+    }
+
+    /// Records that the endpoint names no limit on refusals in its answer.
+    pub(crate) fn clear_refusal_limit(&self, endpoint: &id::Endpoint) {
+        if self.schedule.has_refusal_limit(endpoint) {
+            self.report_refusal_limit(None);
+        }
+    }
+
+    fn report_refusal_limit(&self, limit: Option<Rate>) {
+        self.report(|ticket| Message::RefusalLimit(ticket, limit), None);
+        if let Some(dispatcher) = &self.dispatcher {
+            dispatcher.notify_refusal_limit(self.number, limit);
+        }
+    }
+
     fn report_limit(&self, limit: Option<Rate>) {
         self.report(|ticket| Message::Limit(ticket, limit), None);
         if let Some(dispatcher) = &self.dispatcher {
--- a/crates/papayayard_gateway/src/exchange.rs
+++ b/crates/papayayard_gateway/src/exchange.rs
@@ -80,6 +80,9 @@
     pub backoff: Option<Duration>,
     /// Rate of requests that the endpoint accepts from all hosts together, if it names one.
     pub limit: Result<Option<Rate>, InvalidHeader>,
+    /// Rate at which the endpoint may refuse requests of all hosts for want of room without
+    /// crashing, if it names one.
+    pub refusal_limit: Result<Option<Rate>, InvalidHeader>,
 }
 
 /// An order to an endpoint to load weights.
--- a/crates/papayayard_gateway/src/metrics.rs
+++ b/crates/papayayard_gateway/src/metrics.rs
@@ -26,6 +26,7 @@
     quarantines: Counter<u64>,
     quarantined_parts: Counter<u64>,
     limits: Counter<u64>,
+    refusal_limits: Counter<u64>,
     told_streams: Counter<u64>,
     first_event: Histogram<f64>,
     hosts: Gauge<u64>,
@@ -81,6 +82,10 @@
                 .u64_counter("papayayard_endpoint_limits")
                 .with_description("Answers in which endpoints named a limit on requests")
                 .build(),
+            refusal_limits: meter
+                .u64_counter("papayayard_endpoint_refusal_limits")
+                .with_description("Answers in which endpoints named a limit on refusals")
+                .build(),
             told_streams: meter
                 .u64_counter("papayayard_told_streams")
                 .with_description("Streams that other hosts have told this one of")
@@ -143,6 +148,10 @@
         self.limits.add(1, &[]);
     }
 
+    pub(crate) fn refusal_limit_named(&self) {
+        self.refusal_limits.add(1, &[]);
+    }
+
     pub(crate) fn told_of_streams(&self, number: u64) {
         self.told_streams.add(number, &[]);
     }
--- a/crates/papayayard_gateway/src/schedule.rs
+++ b/crates/papayayard_gateway/src/schedule.rs
@@ -41,12 +41,20 @@
 pub(crate) struct Limits {
     /// Number of changes since the process started.
     pub(crate) revision: u64,
-    pub(crate) list: Vec<Limit>,
+    pub(crate) lists: Lists,
+}
+
+/// Lists of limits, by kind.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub(crate) struct Lists {
+    pub(crate) requests: Vec<Limit>,
+    /// Limits on refusals for want of room.
+    pub(crate) refusals: Vec<Limit>,
 }
 
 impl Limits {
     fn has(&self, endpoint: &id::Endpoint) -> bool {
-        self.list.iter().any(|limit| limit.endpoint == *endpoint)
+        is_in(&self.lists.requests, endpoint)
     }
 }
 
@@ -70,8 +78,10 @@
     Backoff(Ticket, Duration),
     /// The answer to a placed request names a limit of its endpoint, or none.
     Limit(Ticket, Option<Rate>),
+    /// The answer to a placed request names a limit on refusals of its endpoint, or none.
+    RefusalLimit(Ticket, Option<Rate>),
     /// All limits that the dispatcher knew at a time.
-    Limits(Vec<Limit>, Duration),
+    Limits(Box<Lists>, Duration),
     /// A placed request has finished.
     Finished(Ticket, Outcome),
     /// New routing table.
@@ -103,6 +113,8 @@
     Leaving,
     /// The answer names a limit of the endpoint, or none.
     Limit(Option<Rate>),
+    /// The answer names a limit on refusals of the endpoint, or none.
+    RefusalLimit(Option<Rate>),
     Finished(Outcome),
 }
 
@@ -151,18 +163,30 @@
         self.limits.borrow()
     }
 
-    /// Whether an endpoint has named a limit.
+    /// Whether an endpoint has named a limit on requests.
     pub(crate) fn is_limited(&self, endpoint: &id::Endpoint) -> bool {
         self.limits.borrow().has(endpoint)
     }
 
+    /// Whether an endpoint has named a limit on refusals.
+    pub(crate) fn has_refusal_limit(&self, endpoint: &id::Endpoint) -> bool {
+        is_in(&self.limits.borrow().lists.refusals, endpoint)
+    }
+
+    /// Whether any endpoint has named a limit on refusals.
+    pub(crate) fn has_refusal_limits(&self) -> bool {
+        !self.limits.borrow().lists.refusals.is_empty()
+    }
+
     /// Whether an endpoint of a service has named a limit.
     pub(crate) fn has_limits(&self, service: &id::Service) -> bool {
         let limits = self.limits.borrow();
-        limits.list.iter().any(|limit| limit.service == *service)
+        let Lists { requests, refusals } = &limits.lists;
+        let mut all = requests.iter().chain(refusals);
+        all.any(|limit| limit.service == *service)
     }
 
-    /// Waits until an endpoint has no limit.
+    /// Waits until an endpoint has no limit on requests.
     pub(crate) async fn until_unlimited(&self, endpoint: &id::Endpoint) {
         let mut limits = self.limits.clone();
         let unlimited = limits.wait_for(|limits| !limits.has(endpoint));
@@ -263,7 +287,13 @@
             Message::Leaving(ticket) => scheduler.mark_leaving(ticket),
             Message::Backoff(ticket, time) => scheduler.set_backoff(ticket, time, now),
             Message::Limit(ticket, limit) => scheduler.record_limit(ticket, limit, now),
-            Message::Limits(limits, listed_at) => scheduler.set_limits(&limits, listed_at, now),
+            Message::RefusalLimit(ticket, limit) => {
+                scheduler.record_refusal_limit(ticket, limit, now);
+            }
+            Message::Limits(lists, listed_at) => {
+                scheduler.set_limits(&lists.requests, listed_at, now);
+                scheduler.set_refusal_limits(&lists.refusals, listed_at, now);
+            }
             Message::Finished(ticket, outcome) => scheduler.record_outcome(ticket, outcome, now),
             Message::Table(table) => scheduler.set_table(table),
             Message::TargetVersions(targets) => scheduler.add_target_versions(&targets),
@@ -294,14 +324,18 @@
     }
 
     fn publish_limits(&self) {
-        let list = self.scheduler.limits();
+        let lists = Lists {
+            requests: self.scheduler.limits(),
+            refusals: self.scheduler.refusal_limits(),
+        };
         self.limits.send_if_modified(|current| {
-            if current.list == list {
+            if current.lists == lists {
                 return false;
             }
-            log_changes(&current.list, &list);
+            log_changes("requests", &current.lists.requests, &lists.requests);
+            log_changes("refusals", &current.lists.refusals, &lists.refusals);
             current.revision += 1;
-            current.list = list;
+            current.lists = lists;
             true
         });
     }
@@ -318,6 +352,9 @@
             (Progress::Limit(limit), Some(ticket)) => {
                 self.scheduler.record_limit(ticket, limit, now);
             }
+            (Progress::RefusalLimit(limit), Some(ticket)) => {
+                self.scheduler.record_refusal_limit(ticket, limit, now);
+            }
             (Progress::Leaving, Some(ticket)) => self.scheduler.mark_leaving(ticket),
             (Progress::Finished(outcome), Some(ticket)) => {
                 self.tickets.remove(&key);
@@ -382,19 +419,20 @@
     }
 }
 
-/// Logs limits that were named, changed or withdrawn.
-fn log_changes(before: &[Limit], now: &[Limit]) {
-    let is_in = |limits: &[Limit], limit: &Limit| {
-        let mut limits = limits.iter();
-        limits.any(|other| other.endpoint == limit.endpoint)
-    };
+fn is_in(limits: &[Limit], endpoint: &id::Endpoint) -> bool {
+    limits.iter().any(|limit| limit.endpoint == *endpoint)
+}
+
+/// Logs limits on `of` that were named, changed or withdrawn.
+fn log_changes(of: &str, before: &[Limit], now: &[Limit]) {
     for limit in now.iter().filter(|limit| !before.contains(limit)) {
         log::info!(
-            endpoint:% = limit.endpoint, service:% = limit.service, per_second = limit.rate.per_second();
+            endpoint:% = limit.endpoint, service:% = limit.service, of,
+            per_second = limit.rate.per_second();
             "limit of an endpoint in force"
         );
     }
-    for limit in before.iter().filter(|limit| !is_in(now, limit)) {
-        log::info!(endpoint:% = limit.endpoint, service:% = limit.service; "limit of an endpoint withdrawn");
+    for limit in before.iter().filter(|limit| !is_in(now, &limit.endpoint)) {
+        log::info!(endpoint:% = limit.endpoint, service:% = limit.service, of; "limit of an endpoint withdrawn");
     }
 }
--- a/crates/papayayard_routing/src/placement.rs
+++ b/crates/papayayard_routing/src/placement.rs
@@ -22,11 +22,13 @@
 mod limit;
 mod link;
 mod load;
+mod named;
 mod place;
 mod prefill;
 mod progress;
 mod query;
 mod reachability;
+mod refusal_limit;
 mod requesting_hosts;
 mod select;
 mod signals;
@@ -36,15 +38,16 @@
 use backend::Backend;
 use limit::Limits;
 use progress::Placed;
+use refusal_limit::RefusalLimits;
 use requesting_hosts::RequestingHosts;
 use signals::Signals;
 
 pub use backend::Endpoint;
 pub use cache::Cache;
 pub use delay::{Baseline, Delay};
-pub use limit::Limit;
 pub use link::{Link, transfer_time};
 pub use load::{Amounts, Load};
+pub use named::Limit;
 pub use prefill::Prefill;
 pub use query::{
     Availability, BackendKey, Decision, InFlight, Outcome, PendingKey, Placement, Query,
@@ -86,6 +89,7 @@
     by_id: HashMap<id::Endpoint, BackendKey>,
     signals: HashMap<id::Endpoint, Signals>,
     limits: Limits,
+    refusal_limits: RefusalLimits,
     stores: HashMap<id::Service, Store>,
     target_versions: HashMap<id::Model, weights::TargetVersions>,
     reachability: Reachability,
@@ -125,6 +129,7 @@
             by_id: HashMap::new(),
             signals: HashMap::new(),
             limits: Limits::new(settings.limit_phase),
+            refusal_limits: RefusalLimits::default(),
             stores: HashMap::new(),
             target_versions: HashMap::new(),
             reachability: Reachability::default(),
@@ -177,6 +182,7 @@
             .collect();
         order.sort_unstable();
         self.limits.refill(&self.requesting_hosts, now);
+        self.refusal_limits.update(&self.requesting_hosts, now);
         let mut still_waiting: HashMap<id::Service, u32> = HashMap::new();
         let mut decisions = Vec::new();
         for (.., key) in order {
--- a/crates/papayayard_routing/src/placement/place.rs
+++ b/crates/papayayard_routing/src/placement/place.rs
@@ -106,7 +106,7 @@
             memory: f64::from(in_flight.memory),
         };
         backend.load.add(amounts, now);
-        Some(self.tickets.insert(Placed {
+        let ticket = self.tickets.insert(Placed {
             requesting_host: Some(in_flight.requesting_host.clone()),
             zone: in_flight.zone.clone(),
             deadline: in_flight.deadline,
@@ -125,7 +125,9 @@
             is_stream: false,
             has_begun: true,
             is_overdue: true,
-        }))
+        });
+        self.refusal_limits.add(ticket, &backend.endpoint, now);
+        Some(ticket)
     }
 
     pub fn is_in_flight(&self, ticket: Ticket) -> bool {
@@ -160,7 +162,7 @@
             }
         }
         backend.load.add(amounts, now);
-        self.tickets.insert(Placed {
+        let ticket = self.tickets.insert(Placed {
             requesting_host: query.requesting_host.clone(),
             zone: query.zone.clone(),
             deadline: query.deadline,
@@ -175,7 +177,9 @@
             is_stream: query.prompt.is_some(),
             has_begun: false,
             is_overdue: false,
-        })
+        });
+        self.refusal_limits.send(ticket, &backend.endpoint, now);
+        ticket
     }
 
     /// Returns the store's address if it lacks shared parts, and expects them there from
--- a/crates/papayayard_routing/src/placement/progress.rs
+++ b/crates/papayayard_routing/src/placement/progress.rs
@@ -89,6 +89,7 @@
         if placed.has_begun {
             return;
         }
+        self.refusal_limits.accept(ticket, placed);
         placed.has_begun = true;
         let unread = Amounts {
             unread: placed.amounts.unread,
@@ -126,6 +127,7 @@
         let Some(placed) = self.tickets.remove(ticket) else {
             return;
         };
+        self.refusal_limits.end(ticket, &placed, outcome, now);
         let Some(backend) = self.backends.get_mut(placed.backend) else {
             return;
         };
--- a/crates/papayayard_routing/src/placement/requesting_hosts.rs
+++ b/crates/papayayard_routing/src/placement/requesting_hosts.rs
@@ -156,6 +156,9 @@
         let by_id = &self.by_id;
         self.limits
             .forget_unlisted(|endpoint| by_id.contains_key(endpoint), now);
+        self.refusal_limits.update(&self.requesting_hosts, now);
+        self.refusal_limits
+            .forget_unlisted(|endpoint| by_id.contains_key(endpoint), now);
         self.schedulers = self.requesting_hosts.schedulers();
         self.abandon_where(now, |placed| placed.is_expired(now));
     }
--- a/crates/papayayard_routing/src/placement/select.rs
+++ b/crates/papayayard_routing/src/placement/select.rs
@@ -103,7 +103,7 @@
                 && !query.tried.contains(&backend.endpoint.id)
                 && !query.avoided.contains(&backend.endpoint.id)
                 && backend.is_usable(now)
-                && self.limits.permits(&backend.endpoint)
+                && self.permits(backend, now)
                 && backend.load.local().open + 1.0 <= share.max(1.0)
         });
         let mut usable: Vec<(BackendKey, &Backend)> = usable.collect();
--- a/crates/papayayard_routing/tests/placement/main.rs
+++ b/crates/papayayard_routing/tests/placement/main.rs
@@ -6,6 +6,7 @@
 mod limits;
 mod link;
 mod prefill;
+mod refusal_limits;
 mod signals;
 mod support;
 mod weights;
