Dial: await endpoints that acknowledge nothing for a moment

Cause: each connection to an endpoint closed after 900 ms with unacknowledged data. A request that had been written to a machine that stands still for 1 to 1.5 s, or whose body did not fit into the buffers of an endpoint that reads nothing for so long, then failed although the endpoint goes on. It may have run, so that the caller got 502 where it cannot be repeated, or where no retry was left.

Ruled out: streams under way, and requests that are acknowledged. Nothing is unacknowledged there, and no connection has keep-alive probes, whose end the timeout would decide too. New connections: they are given up after 150 ms, before anything was sent.

Change: the timeout is set with each request, 900 ms as before if the attempt may be repeated elsewhere, 3.5 s else (data is sent again 3 s after the first time at the latest; the request's deadline bounds it too). The socket is the connection's task's, so that the value stands beside it and is applied before a write.

--- a/crates/papayayard_gateway/src/attempt.rs
+++ b/crates/papayayard_gateway/src/attempt.rs
@@ -156,6 +156,8 @@
             };
             let remaining = (started + timeout).saturating_sub(self.clock.now());
             let request = self.request(job, placement, position);
+            let may_repeat = timeout < job.deadline.saturating_sub(started);
+            connection.bound_unacknowledged(may_repeat);
             let sent = connection.send(request);
             match time::timeout(remaining, sent).await {
                 Err(_) => {
--- a/crates/papayayard_gateway/src/dial.rs
+++ b/crates/papayayard_gateway/src/dial.rs
@@ -16,14 +16,18 @@
 use tokio::task::JoinHandle;
 use tokio::time;
 
+use crate::acknowledgement;
 use crate::meter::{Meter, Metered};
 
 /// Timeout for opening a connection: many round trips between zones, but a small part of
 /// the time in which an answer is due.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
-/// Time after which a connection with unacknowledged data is closed; a lost packet is
-/// retransmitted well within this time.
+/// Time after which a connection with unacknowledged data is closed if a request can be sent
+/// elsewhere; a lost packet is retransmitted well within this time.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(900);
+/// The same time if it cannot: a sound endpoint may acknowledge nothing for 1.5 s, and data is
+/// sent again at intervals that double, the last one 3 s after the first.
+const LONG_UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(3500);
 /// Maximum number of bytes read until the head of an answer is complete, including interim
 /// responses.
 const MAX_HEAD_BYTES: usize = 128 << 10;
@@ -35,6 +39,7 @@
     /// Sends one request at a time.
     sender: SendRequest<Full<Bytes>>,
     meter: Meter,
+    unacknowledged: acknowledgement::Timeout,
     driver: JoinHandle<()>,
 }
 
@@ -51,6 +56,16 @@
         Ok(response)
     }
 
+    /// Sets how long the next request may stay unacknowledged, which depends on whether it may
+    /// be sent elsewhere then.
+    pub(crate) fn bound_unacknowledged(&self, may_repeat: bool) {
+        self.unacknowledged.set(if may_repeat {
+            UNACKNOWLEDGED_TIMEOUT
+        } else {
+            LONG_UNACKNOWLEDGED_TIMEOUT
+        });
+    }
+
     pub(crate) fn is_ready(&self) -> bool {
         self.sender.is_ready()
     }
@@ -83,13 +98,14 @@
         .await
         .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
     stream.set_nodelay(true)?;
-    SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
     Ok(stream)
 }
 
 async fn handshake(stream: TcpStream) -> io::Result<Connection> {
     let address = stream.peer_addr()?;
     let meter = Meter::default();
+    let unacknowledged = acknowledgement::Timeout::new(UNACKNOWLEDGED_TIMEOUT);
+    let stream = acknowledgement::Stream::new(stream, unacknowledged.clone());
     let stream = Metered::new(stream, meter.clone());
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(READ_BUFFER_BYTES)
@@ -104,6 +120,7 @@
     Ok(Connection {
         sender,
         meter,
+        unacknowledged,
         driver,
     })
 }
--- a/crates/papayayard_gateway/src/lib.rs
+++ b/crates/papayayard_gateway/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod settings;
 pub mod store;
 
+mod acknowledgement;
 mod announcement;
 mod attempt;
 mod backoff;
