Placement: count requests that were broken off until endpoints notice

Seen: no_endpoint_crashes_by_refusals_in_an_overload, case resumed_stream, failed in one of nine runs beside other tests and builds (load about 25); its output was not kept. Suspected, not traced: a stream moves elsewhere after a silence, its slot counts as free at once, and the endpoint, which has not noticed that the connection was closed, refuses the next request.

Change: while an endpoint limits refusals, a request that was abandoned or failed takes its slot for 150 ms more.

--- a/crates/papayayard_routing/src/placement/refusal_limit.rs
+++ b/crates/papayayard_routing/src/placement/refusal_limit.rs
@@ -30,6 +30,9 @@
 /// Time after the last request after which an endpoint without requests gets one whatever room it
 /// is known to have: only an answer shows more room, or that the limit was withdrawn.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time for which a request whose connection was closed still counts as open: the endpoint drops
+/// it only once it notices.
+const CLOSING_TIME: Duration = Duration::from_millis(150);
 /// Time for which the limits of a service's endpoints also hold for those of its endpoints that
 /// have named none yet.
 const SERVICE_TIMEOUT: Duration = Duration::from_secs(10);
@@ -43,6 +46,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct Room {
     open: HashSet<Ticket>,
+    /// Times from which requests that were broken off no longer count as open.
+    closing: VecDeque<Duration>,
     /// Open requests that the endpoint may refuse, since nothing has shown room for them.
     unproven: HashSet<Ticket>,
     /// Requests for which the endpoint has shown room since its last refusal; `None` for all its
@@ -60,6 +65,7 @@
     fn new(open: HashSet<Ticket>, now: Duration) -> Self {
         Self {
             open,
+            closing: VecDeque::new(),
             unproven: HashSet::new(),
             shown: None,
             refusals: VecDeque::new(),
@@ -74,6 +80,12 @@
         self.shown.map_or(usable, |shown| usable.min(float(shown)))
     }
 
+    /// Slots that requests of this scheduler take.
+    fn occupied(&self, now: Duration) -> usize {
+        let closing = self.closing.iter().filter(|until| now < **until);
+        self.open.len() + closing.count()
+    }
+
     fn admits(&self, slots: u32, limit: Rate, now: Duration) -> bool {
         let recent = self.refusals.iter().filter(|at| now < **at + WINDOW);
         let refused = float(recent.count());
@@ -81,13 +93,13 @@
         if refused > 0.0 && refused + 1.0 > allowed {
             return false;
         }
-        let open = float(self.open.len());
+        let open = float(self.occupied(now));
         if open < self.known(slots) {
             return true;
         }
         let has_slot = open < f64::from(slots) * self.share - ROUNDING;
         let may_risk = refused == 0.0 && self.unproven.is_empty() && allowed >= 1.0;
-        let is_idle = self.open.is_empty() && self.sent_at + IDLE_TIMEOUT <= now;
+        let is_idle = open <= 0.0 && self.sent_at + IDLE_TIMEOUT <= now;
         has_slot && (may_risk || is_idle)
     }
 
@@ -97,7 +109,7 @@
     }
 
     fn send(&mut self, ticket: Ticket, slots: u32, now: Duration) {
-        if float(self.open.len()) >= self.known(slots) {
+        if float(self.occupied(now)) >= self.known(slots) {
             self.unproven.insert(ticket);
         }
         self.add(ticket, now);
@@ -120,18 +132,22 @@
         }
         match outcome {
             Outcome::Refused => {
-                self.shown = Some(self.open.len());
+                self.shown = Some(self.occupied(now));
                 self.refusals.push_back(now);
             }
-            // The endpoint may have refused the request although nobody has seen it.
-            Outcome::Abandoned | Outcome::Failed if was_unproven => self.refusals.push_back(now),
-            _ => {}
+            Outcome::Abandoned | Outcome::Failed => {
+                self.closing.push_back(now + CLOSING_TIME);
+                // The endpoint may have refused the request although nobody has seen it.
+                self.refusals.extend(was_unproven.then_some(now));
+            }
+            Outcome::Whole | Outcome::Mismatched | Outcome::Unreachable => {}
         }
     }
 
     fn refill(&mut self, share: f64, now: Duration) {
         self.share = share;
         self.refusals.retain(|at| now < *at + WINDOW);
+        self.closing.retain(|until| now < *until);
     }
 }
 
--- a/crates/papayayard_routing/tests/placement/refusal_limits.rs
+++ b/crates/papayayard_routing/tests/placement/refusal_limits.rs
@@ -479,3 +479,26 @@
     }
     assert!((SLOTS - 2..=SLOTS).contains(&placed), "{placed} placed");
 }
+
+/// Guards against a request for a slot whose request was broken off, which the endpoint has not
+/// noticed yet.
+#[rstest]
+#[case::abandoned(Outcome::Abandoned)]
+#[case::failed(Outcome::Failed)]
+fn a_slot_is_used_again_a_moment_after_its_request_was_broken_off(#[case] outcome: Outcome) {
+    let mut scheduler = support::scheduler(&endpoints()[..1], 1);
+    let first = support::place(&mut scheduler, query(Kind::Plain, 0, NOW), NOW);
+    scheduler.record_refusal_limit(first.ticket, Some(rate(0.0)), NOW);
+    for number in 1..SLOTS {
+        let query = query(Kind::Plain, u64::from(number), NOW);
+        support::place(&mut scheduler, query, NOW);
+    }
+    scheduler.record_outcome(first.ticket, outcome, NOW);
+    let decision = support::decide(&mut scheduler, query(Kind::Plain, 100, NOW), NOW);
+    assert!(decision.is_none(), "{decision:?}");
+    let placed = scheduler.decide(NOW + ms(190));
+    assert!(
+        matches!(placed[..], [(_, Decision::Placed(_))]),
+        "{placed:?}"
+    );
+}
