Placement: a host uses its part of the slots once its dispatcher no longer counts it

Seen: four copies of `path brittle` at once (24 tests of 72 callers each on a shared machine): in all four, both stream cases and at times a plain one, endpoints refused 3 requests in a second where 2 are allowed, and crashed.

Cause: calls to the dispatcher took longer than their 220 ms, and the host placed its requests by itself. It used its part of the slots at once, while the dispatcher counted it for 1.5 s more and used all slots.

Change: while endpoints limit refusals, a host that has given up its dispatcher uses its own part 1.5 s later. Until then it refuses what it cannot get placed. Limits on requests divide as before.

--- a/crates/papayayard_gateway/src/dispatch.rs
+++ b/crates/papayayard_gateway/src/dispatch.rs
@@ -321,6 +321,7 @@
         log::info!(host:%, problem; "the dispatcher does not answer");
         let now = self.0.clock.now();
         self.state().failed(host, now);
+        self.0.schedule.send(Message::UseElsewhere);
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
--- a/crates/papayayard_gateway/src/schedule.rs
+++ b/crates/papayayard_gateway/src/schedule.rs
@@ -68,6 +68,8 @@
     Contact(id::Host, u64),
     /// A host of a zone requests its placements from this one.
     Use(id::Host, id::Zone),
+    /// This host gives up the dispatcher that it used.
+    UseElsewhere,
     /// Progress of another host's request, with its number on that host.
     Notice(id::Host, u64, Progress),
     /// The first event of a placed request has arrived.
@@ -279,6 +281,7 @@
                 }
             }
             Message::Use(host, zone) => scheduler.record_use(&host, &zone, now),
+            Message::UseElsewhere => scheduler.record_use_elsewhere(now),
             Message::Contact(host, run) => self.record_contact(&host, run, now),
             Message::Notice(host, number, progress) => {
                 self.record_notice(host, number, progress, now);
--- a/crates/papayayard_routing/src/placement/limit.rs
+++ b/crates/papayayard_routing/src/placement/limit.rs
@@ -58,7 +58,8 @@
 
     /// Adds the tokens for the time since the last refill, and sets the rates from now on.
     pub(super) fn refill(&mut self, hosts: &RequestingHosts, now: Duration) {
-        self.bounds.refill(hosts, now, |entry, share| {
+        let share_of = |zone: &_| hosts.share(zone, now);
+        self.bounds.refill(share_of, |entry, share| {
             let per_second = entry.limit.rate.per_second().max(MIN_RATE) * share;
             let burst = (per_second * BURST_TIME).max(1.0);
             entry.state.set_rate(per_second, burst, now);
--- a/crates/papayayard_routing/src/placement/named.rs
+++ b/crates/papayayard_routing/src/placement/named.rs
@@ -9,7 +9,6 @@
 use papayayard_wire::id;
 
 use super::backend::Endpoint;
-use super::requesting_hosts::RequestingHosts;
 use crate::rate::Rate;
 
 /// Time for which the bound of an endpoint that is not listed is kept: its record may lapse and
@@ -79,15 +78,16 @@
         self.0.values()
     }
 
-    /// Updates each state with the fraction of its bound that this scheduler may use.
-    pub(super) fn refill<Refill>(&mut self, hosts: &RequestingHosts, now: Duration, refill: Refill)
+    /// Updates each state with the fraction of a zone's bounds that this scheduler may use.
+    pub(super) fn refill<Share, Refill>(&mut self, share_of: Share, refill: Refill)
     where
+        Share: Fn(&id::Zone) -> f64,
         Refill: Fn(&mut Entry<State>, f64),
     {
         let mut shares: HashMap<id::Zone, f64> = HashMap::new();
         for entry in self.0.values_mut() {
             let share = shares.entry(entry.zone.clone());
-            let share = share.or_insert_with_key(|zone| hosts.share(zone, now));
+            let share = share.or_insert_with_key(&share_of);
             refill(entry, *share);
         }
     }
--- a/crates/papayayard_routing/src/placement/refusal_limit.rs
+++ b/crates/papayayard_routing/src/placement/refusal_limit.rs
@@ -4,7 +4,8 @@
 //! While an endpoint names such a limit, it gets no more requests at a time than it has slots;
 //! others wait here or are refused here. Like limits on requests, slots and refusals belong to
 //! the hosts of the endpoint's zone, and a scheduler uses the parts of the hosts whose requests
-//! it places.
+//! it places. A host that gives up its dispatcher uses its part only once the dispatcher no longer
+//! counts it.
 //!
 //! An endpoint may still refuse a request: it has work of which this scheduler does not know.
 //! It then counts as having room for the other requests that it has. After a second without a refusal
@@ -154,7 +155,8 @@
 impl RefusalLimits {
     /// Sets the fractions that this scheduler may use, and forgets old refusals.
     pub(super) fn update(&mut self, hosts: &RequestingHosts, now: Duration) {
-        self.refill(hosts, now, |entry, share| entry.state.refill(share, now));
+        let share_of = |zone: &_| hosts.exclusive_share(zone, now);
+        self.refill(share_of, |entry, share| entry.state.refill(share, now));
     }
 
     /// Counts a request that is sent to an endpoint.
@@ -251,7 +253,7 @@
                 && listed.is_some_and(|key| entry.is_of(&self.backends[*key].endpoint))
         };
         self.refusal_limits.values().any(is_in_force).then(|| {
-            let share = self.requesting_hosts.share(&endpoint.zone, now);
+            let share = self.requesting_hosts.exclusive_share(&endpoint.zone, now);
             f64::from(endpoint.slots) * share
         })
     }
--- a/crates/papayayard_routing/src/placement/requesting_hosts.rs
+++ b/crates/papayayard_routing/src/placement/requesting_hosts.rs
@@ -47,6 +47,8 @@
     users: HashMap<id::Host, Use>,
     /// Last placement request of this host.
     used_locally_at: Option<Duration>,
+    /// End of the time for which another scheduler may count this host.
+    used_elsewhere_until: Duration,
 }
 
 impl Default for RequestingHosts {
@@ -57,6 +59,7 @@
             last_contacts: HashMap::new(),
             users: HashMap::new(),
             used_locally_at: None,
+            used_elsewhere_until: Duration::ZERO,
         }
     }
 }
@@ -69,6 +72,15 @@
     /// Fraction of the limits of a zone's endpoints that this scheduler may use: it is that of
     /// the zone's hosts whose requests it places, or of all hosts if the zone has none.
     pub(super) fn share(&self, zone: &id::Zone, now: Duration) -> f64 {
+        self.share_of(zone, true, now)
+    }
+
+    /// The same fraction without the part of this host while another scheduler may count it.
+    pub(super) fn exclusive_share(&self, zone: &id::Zone, now: Duration) -> f64 {
+        self.share_of(zone, self.used_elsewhere_until <= now, now)
+    }
+
+    fn share_of(&self, zone: &id::Zone, counts_local: bool, now: Duration) -> f64 {
         let counts = self.counts.as_ref();
         let in_zone = counts.and_then(|counts| counts.by_zone.get(zone)).copied();
         let in_zone = in_zone.filter(|hosts| *hosts > 0);
@@ -79,7 +91,7 @@
         let is_used = users.clone().next().is_some();
         let is_local = self.total == 1 || is_used || self.used_locally_at.is_some_and(recent);
         let users = users.filter(|user| is_owner(&user.zone)).count();
-        let represented = users + usize::from(is_local && is_local_owner);
+        let represented = users + usize::from(counts_local && is_local && is_local_owner);
         let owners = in_zone.unwrap_or(self.total);
         (float(represented) / float(owners)).min(1.0)
     }
@@ -126,6 +138,11 @@
         self.requesting_hosts.record_use(Some(host), zone, now);
     }
 
+    /// Records that this host gives up a scheduler that it used, which may count it for a while.
+    pub fn record_use_elsewhere(&mut self, now: Duration) {
+        self.requesting_hosts.used_elsewhere_until = now + USE_TIMEOUT;
+    }
+
     /// Records that a host requested a placement or reported on one.
     pub fn record_contact(&mut self, host: &id::Host, now: Duration) {
         self.requesting_hosts
--- a/crates/papayayard_routing/tests/placement/refusal_limits.rs
+++ b/crates/papayayard_routing/tests/placement/refusal_limits.rs
@@ -502,3 +502,26 @@
         "{placed:?}"
     );
 }
+
+/// Guards against a host that uses its part while the dispatcher that it has given up counts it.
+#[test]
+fn a_host_uses_its_part_once_its_dispatcher_no_longer_counts_it() {
+    let mut scheduler = support::scheduler(&endpoints()[..1], 2);
+    let limit = Limit {
+        endpoint: endpoints()[0].id.clone(),
+        started: id::Incarnation(1),
+        service: id::Service::from("engines"),
+        rate: rate(2.0),
+    };
+    scheduler.set_refusal_limits(&[limit], NOW, NOW);
+    scheduler.record_use_elsewhere(NOW);
+    let mut placed = |at| {
+        let numbers = 0..u64::from(SLOTS);
+        let decisions = numbers
+            .map(|number| support::decide(&mut scheduler, query(Kind::Plain, number, at), at));
+        let placed = |decision: &Option<_>| matches!(decision, Some(Decision::Placed(_)));
+        decisions.filter(placed).count()
+    };
+    assert_eq!(placed(NOW + ms(1000)), 0);
+    assert_eq!(placed(NOW + ms(2000)), 4);
+}
