--- a/crates/papayayard_gateway/src/attempt.rs
+++ b/crates/papayayard_gateway/src/attempt.rs
@@ -160,6 +160,8 @@
             };
             let remaining = (started + timeout).saturating_sub(self.clock.now());
             let request = self.request(job, placement, position);
+            let may_repeat = timeout < job.deadline.saturating_sub(started);
+            connection.bound_unacknowledged(may_repeat);
             let sent = connection.send(request);
             match time::timeout(remaining, sent).await {
                 Err(_) => {
@@ -283,8 +285,8 @@
                 return Err(Failure::Unconfirmed);
             }
             // Refusals and late copies of other answers do not show that a limit has ended.
-            if response.head.status.is_success() && reported.limit == Ok(None) {
-                permit.clear_limit(&placement.endpoint);
+            if response.head.status.is_success() {
+                clear_limits((placement, permit), &reported);
             }
             return Ok(response);
         }
@@ -297,7 +299,7 @@
         Err(Failure::Foreign)
     }
 
-    /// Applies the backoff and the limit that an endpoint names in its response to this
+    /// Applies the backoff and the limits that an endpoint names in its response to this
     /// request.
     fn apply_bounds(
         &self,
@@ -328,6 +330,16 @@
                 log::warn!(request:% = job.id, endpoint:% = placement.endpoint, error:%; "limit ignored");
             }
         }
+        match reported.refusal_limit {
+            Ok(None) => {}
+            Ok(Some(limit)) => {
+                self.metrics.refusal_limit_named();
+                permit.set_refusal_limit(limit);
+            }
+            Err(ref error) => {
+                log::warn!(request:% = job.id, endpoint:% = placement.endpoint, error:%; "limit on refusals ignored");
+            }
+        }
     }
 
     /// Reads the rest of a response that is not forwarded, so that its connection can be reused.
@@ -357,6 +369,16 @@
     }
 }
 
+/// Ends the limits that an endpoint does not name in a successful response.
+fn clear_limits((placement, permit): (&Placement, &Permit), reported: &ResponseHead) {
+    if reported.limit == Ok(None) {
+        permit.clear_limit(&placement.endpoint);
+    }
+    if reported.refusal_limit == Ok(None) {
+        permit.clear_refusal_limit(&placement.endpoint);
+    }
+}
+
 /// Whether a different endpoint at the same address responded.
 fn is_from_other(reported: &ResponseHead, placement: &Placement) -> bool {
     let endpoint = reported.endpoint.as_ref();
--- a/crates/papayayard_gateway/src/dispatch_test.rs
+++ b/crates/papayayard_gateway/src/dispatch_test.rs
@@ -179,6 +179,7 @@
         zone: "a".to_owned(),
         notices: Vec::new(),
         named: Vec::new(),
+        named_refusals: Vec::new(),
         is_used: true,
         limits_revision: None,
         question: Some(Request::new(1, &host.query(), host.clock.now())),
--- a/crates/papayayard_gateway/src/host.rs
+++ b/crates/papayayard_gateway/src/host.rs
@@ -169,14 +169,7 @@
         memory: Memory::of_host(parts.settings.memory_bytes),
         metrics: parts.metrics.clone(),
     };
-    let open = TaskTracker::new();
-    if let Some(listener) = sockets.forwarded {
-        let relay = relay.for_hosts();
-        let hosts = front::serve(listener, relay, stop_receiver.clone(), open.clone());
-        parts.controllers.spawn(hosts);
-    }
-    let callers = front::serve(sockets.callers, relay, stop_receiver, open.clone());
-    parts.controllers.spawn(callers);
+    let open = parts.accept(sockets.callers, sockets.forwarded, relay);
     let settings = parts.settings;
     log::info!(host:% = settings.host, zone:% = settings.zone, callers:% = settings.callers; "started");
     Ok(Running {
@@ -430,6 +423,24 @@
             .spawn(served.context(listen::ListenSnafu { address })?);
         Ok(())
     }
+
+    /// Accepts requests of callers, and those that other hosts pass on.
+    fn accept(
+        &mut self,
+        callers: TcpListener,
+        forwarded: Option<TcpListener>,
+        relay: Relay<Platform>,
+    ) -> TaskTracker {
+        let open = TaskTracker::new();
+        let stop = self.stop_state.clone();
+        if let Some(listener) = forwarded {
+            let hosts = front::serve(listener, relay.for_hosts(), stop.clone(), open.clone());
+            self.controllers.spawn(hosts);
+        }
+        let callers = front::serve(callers, relay, stop, open.clone());
+        self.controllers.spawn(callers);
+        open
+    }
 }
 
 impl Running {
