Uplink: failures at the same few endpoints raise suspicion too

Seen once detection, forwarding and placement were joined: callers of a host without endpoints were served, but each request first tried two endpoints, as the host never found out that it is detached. Placement no longer ejects endpoints for a host in doubt, so its requests went to the same two of three endpoints again and again, and suspicion asked for three distinct ones.

Change: four failures without a success at two endpoints or more raise suspicion as well, which probes verify; a single endpoint that is down does not.

Tests, failing before: platform/tests/path/detached a_detached_host_tries_no_endpoints_before_it_passes_a_request_on, 3 of 3 cases (not detached within 20 s), coordination/uplink_test failures_at_the_same_few_endpoints_make_a_host_detached, 1 of 2.

--- a/crates/papayayard_coordination/src/uplink.rs
+++ b/crates/papayayard_coordination/src/uplink.rs
@@ -19,6 +19,11 @@
 
 /// Distinct endpoints that must have failed before a host suspects its own network.
 const MIN_FAILED_ENDPOINTS: usize = 3;
+/// Failures that make a host suspect its network although fewer endpoints have failed: requests
+/// may go to the same few again and again.
+const MIN_FAILURES: u32 = 4;
+/// Distinct endpoints among these; a single one may be down.
+const MIN_REPEATED_ENDPOINTS: usize = 2;
 /// Endpoints probed at once to verify a suspicion.
 const VERIFICATION_PROBES: usize = 4;
 /// Endpoints whose probes must have failed before a host is detached.
@@ -83,10 +88,10 @@
     /// Makes hosts probe different endpoints.
     seed: u64,
     targets: Vec<Target>,
-    /// Endpoints to which connections have failed since one was established.
-    unreachable: HashSet<id::Endpoint>,
-    /// Endpoints that have failed since a connection or an answer.
-    failed: HashSet<id::Endpoint>,
+    /// Connections that have failed since one was established.
+    unreachable: Failures,
+    /// Failures since a connection or an answer.
+    failed: Failures,
     /// Time of the last failure of endpoints without a success since.
     failed_at: HashMap<id::Endpoint, Duration>,
     state: State,
@@ -99,6 +104,32 @@
     probes: u32,
 }
 
+/// Failures since the last success.
+#[derive(Clone, Debug, Default)]
+struct Failures {
+    endpoints: HashSet<id::Endpoint>,
+    number: u32,
+}
+
+impl Failures {
+    fn record(&mut self, endpoint: &id::Endpoint) {
+        self.endpoints.insert(endpoint.clone());
+        self.number = self.number.saturating_add(1);
+    }
+
+    fn clear(&mut self) {
+        *self = Self::default();
+    }
+
+    /// Whether they are reason to suspect the host's own network, if it knows `targets`
+    /// endpoints.
+    fn are_suspicious(&self, targets: usize) -> bool {
+        let distinct = self.endpoints.len();
+        let are_repeated = distinct >= MIN_REPEATED_ENDPOINTS && self.number >= MIN_FAILURES;
+        targets > 0 && (are_repeated || distinct >= MIN_FAILED_ENDPOINTS.min(targets))
+    }
+}
+
 #[derive(Clone, Debug, Default)]
 enum State {
     #[default]
@@ -117,8 +148,8 @@
         Self {
             seed,
             targets: Vec::new(),
-            unreachable: HashSet::new(),
-            failed: HashSet::new(),
+            unreachable: Failures::default(),
+            failed: Failures::default(),
             failed_at: HashMap::new(),
             state: State::Attached,
             verify_after: Duration::ZERO,
@@ -136,8 +167,12 @@
     /// Sets the endpoints that can be probed. Failures of others do not count.
     pub fn set_targets(&mut self, targets: Vec<Target>, now: Duration) -> Option<Change> {
         let listed: HashSet<_> = targets.iter().map(|target| &target.endpoint).collect();
-        self.unreachable.retain(|failed| listed.contains(failed));
-        self.failed.retain(|failed| listed.contains(failed));
+        self.unreachable
+            .endpoints
+            .retain(|failed| listed.contains(failed));
+        self.failed
+            .endpoints
+            .retain(|failed| listed.contains(failed));
         self.failed_at.retain(|failed, _| listed.contains(failed));
         if let State::Suspected(probed) = &mut self.state {
             probed.retain(|endpoint| listed.contains(endpoint));
@@ -162,7 +197,7 @@
             }
             Evidence::Unreachable | Evidence::Silent if !self.is_listed(endpoint) => return None,
             Evidence::Unreachable => {
-                self.unreachable.insert(endpoint.clone());
+                self.unreachable.record(endpoint);
                 self.record_failure(endpoint, now);
             }
             Evidence::Silent => self.record_failure(endpoint, now),
@@ -222,7 +257,7 @@
     }
 
     fn record_failure(&mut self, endpoint: &id::Endpoint, now: Duration) {
-        self.failed.insert(endpoint.clone());
+        self.failed.record(endpoint);
         self.failed_at.insert(endpoint.clone(), now);
     }
 
@@ -270,9 +305,8 @@
 
     /// Whether enough endpoints have failed since the last success.
     fn is_suspicious(&self) -> bool {
-        let required = MIN_FAILED_ENDPOINTS.min(self.targets.len());
-        let highest = self.unreachable.len().max(self.failed.len());
-        required > 0 && highest >= required
+        let targets = self.targets.len();
+        self.unreachable.are_suspicious(targets) || self.failed.are_suspicious(targets)
     }
 
     /// Whether enough probes have failed.
@@ -285,7 +319,12 @@
             since: now,
             next_probe: now + self.recovery_interval(),
         };
-        let mut failed: Vec<id::Endpoint> = self.unreachable.union(&self.failed).cloned().collect();
+        let mut failed: Vec<id::Endpoint> = self
+            .unreachable
+            .endpoints
+            .union(&self.failed.endpoints)
+            .cloned()
+            .collect();
         failed.sort_unstable();
         let probes = std::mem::take(&mut self.probes);
         Change::Detached { failed, probes }
--- a/crates/papayayard_coordination/tests/uplink_test.rs
+++ b/crates/papayayard_coordination/tests/uplink_test.rs
@@ -422,3 +422,40 @@
         "{change:?}"
     );
 }
+
+/// Requests go to the same few endpoints again and again while their host reaches none. With
+/// `number` of these, all probes fail; a single one that is down says nothing of the host.
+#[rstest]
+#[case::one(1, None)]
+#[case::two(2, Some(4))]
+fn failures_at_the_same_few_endpoints_make_a_host_detached(
+    #[case] number: usize,
+    #[case] expected: Option<usize>,
+) {
+    let mut uplink = Uplink::new(1);
+    let targets = (0..9).map(|index| Target {
+        endpoint: id::Endpoint::from(format!("e-{index}")),
+        zone: id::Zone::from("a"),
+    });
+    let targets: Vec<Target> = targets.collect();
+    uplink.set_targets(targets.clone(), Duration::ZERO);
+    let mut detached_after = None;
+    for attempt in 0..20 {
+        let now = Duration::from_millis(200) * u32::try_from(attempt).expect("few attempts");
+        let endpoint = &targets[attempt % number].endpoint;
+        uplink.record(endpoint, Evidence::Unreachable, now);
+        loop {
+            let probes = uplink.probes(now);
+            if probes.is_empty() || uplink.is_detached() {
+                break;
+            }
+            for probe in probes {
+                uplink.probed(&probe, false, now);
+            }
+        }
+        if uplink.is_detached() {
+            detached_after.get_or_insert(attempt + 1);
+        }
+    }
+    assert_eq!(detached_after, expected);
+}
