Forwarding: a request is not passed on because endpoints want none

Trace: host 0 and host 1 had no usable endpoint, each passed its request on, and host 2, which had just been cut off from the store and the other hosts, sent both with its older list.

Cause: a host passed a request on before any attempt when no endpoint was usable. That is also so where endpoints are leaving, want quiet or load weights, as this host knows and others may not.

Ruled out: that host 2 used a list that it had to know as old: it was excused for the cut.

Change: only attempts whose connections failed, or being detached, are reasons to pass a request on.

--- a/crates/papayayard_gateway/src/relay.rs
+++ b/crates/papayayard_gateway/src/relay.rs
@@ -315,7 +315,7 @@
                 let tried = history.endpoints.len();
                 Err(NoPlace {
                     refusal: Refusal::not_run(kind, message).after(retry_after),
-                    is_unreachable: history.unreachable == tried && (tried > 0 || seen.usable == 0),
+                    is_unreachable: tried > 0 && history.unreachable == tried,
                 })
             }
         }
