--- a/crates/papayayard_gateway/src/relay.rs
+++ b/crates/papayayard_gateway/src/relay.rs
@@ -93,7 +93,7 @@
     pub(crate) runs: u32,
     /// Number of attempts whose endpoints could not be reached.
     pub(crate) unreachable: usize,
-    /// Whether no endpoint of the service can be reached by what this host knows.
+    /// Whether all attempts failed to reach their endpoints, and there is no place at another.
     pub(crate) has_no_way: bool,
     /// Whether other hosts were asked to take the request.
     pub(crate) was_offered: bool,
@@ -102,7 +102,7 @@
 /// Why a request has no place.
 struct NoPlace {
     refusal: Refusal,
-    /// Whether it could not be sent to any endpoint, so that another host may be better off.
+    /// Whether all attempts failed to reach their endpoints, so that another host may be better off.
     is_unreachable: bool,
 }
 
