--- a/crates/papayayard_gateway/src/dial.rs
+++ b/crates/papayayard_gateway/src/dial.rs
@@ -17,7 +17,8 @@
 use tokio::time;
 
 use crate::acknowledgement;
-use crate::meter::{Meter, Metered};
+use crate::meter::Meter;
+use crate::socket::{Bounds, Socket};
 
 /// Timeout for opening a connection: many round trips between zones, but a small part of
 /// the time in which an answer is due.
@@ -40,8 +41,7 @@
     sender: SendRequest<Full<Bytes>>,
     /// Number of answers received.
     answers: u32,
-    meter: Meter,
-    unacknowledged: acknowledgement::Timeout,
+    bounds: Bounds,
     driver: JoinHandle<()>,
 }
 
@@ -52,9 +52,9 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
-        self.meter.allow(MAX_HEAD_BYTES);
+        self.bounds.meter.allow(MAX_HEAD_BYTES);
         let response = self.sender.try_send_request(request).await?;
-        self.meter.allow_all();
+        self.bounds.meter.allow_all();
         self.answers += 1;
         Ok(response)
     }
@@ -67,7 +67,7 @@
     /// Sets how long the next request may stay unacknowledged, which depends on whether it may
     /// be sent elsewhere then.
     pub(crate) fn bound_unacknowledged(&self, may_repeat: bool) {
-        self.unacknowledged.set(if may_repeat {
+        self.bounds.unacknowledged.set(if may_repeat {
             UNACKNOWLEDGED_TIMEOUT
         } else {
             LONG_UNACKNOWLEDGED_TIMEOUT
@@ -111,13 +111,14 @@
 
 async fn handshake(stream: TcpStream) -> io::Result<Connection> {
     let address = stream.peer_addr()?;
-    let meter = Meter::default();
-    let unacknowledged = acknowledgement::Timeout::new(UNACKNOWLEDGED_TIMEOUT);
-    let stream = acknowledgement::Stream::new(stream, unacknowledged.clone());
-    let stream = Metered::new(stream, meter.clone());
+    let bounds = Bounds {
+        meter: Meter::default(),
+        unacknowledged: acknowledgement::Timeout::new(UNACKNOWLEDGED_TIMEOUT),
+    };
+    let socket = Socket::new(stream, bounds.clone());
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(READ_BUFFER_BYTES)
-        .handshake(TokioIo::new(stream))
+        .handshake(TokioIo::new(socket))
         .await
         .map_err(io::Error::other)?;
     let driver = tokio::spawn(async move {
@@ -128,8 +129,7 @@
     Ok(Connection {
         sender,
         answers: 0,
-        meter,
-        unacknowledged,
+        bounds,
         driver,
     })
 }
--- a/crates/papayayard_gateway/src/lib.rs
+++ b/crates/papayayard_gateway/src/lib.rs
@@ -50,4 +50,5 @@
 mod refusal;
 mod relay;
 mod schedule;
+mod socket;
 mod uplink;
