Cache changes: a connection with an answer too many is not polled again

What callers saw: requests were placed by what engines had cached a poll earlier, up to 1.2 s before, for as long as the connection lasted. No promise was broken: the salt of a cached part bears the version of the weights and the group of accounts, and orders and reports use a new connection each.

Cause: the poller took whatever came next on its connection for the answer of its poll. After one answer too many, or the copy of a refusal (429), that was the answer of the poll before, again and again: the poll is long, so the true answer is never due while the connection is idle. An older copy also set the polls back behind changes that had been read.

Ruled out: a request id in polls (they bear none, and endpoints need not echo one there); noticing unread bytes (none are there while the true answer is still to come).

Change: an answer that is not the first on its connection, and has changes that were read before or ends before them, is discarded and its connection closed; a refusal or an answer that cannot be decoded ends its connection too. The first answer on a connection is always its poll's, so an engine that counts anew is read.

--- a/crates/papayayard_gateway/src/call.rs
+++ b/crates/papayayard_gateway/src/call.rs
@@ -95,6 +95,18 @@
         self.idle = Some(connection);
         Ok(reply)
     }
+
+    /// Closes the connection; the next call opens another one.
+    pub(crate) fn disconnect(&mut self) {
+        self.idle = None;
+    }
+
+    /// Whether the newest answer is not the first one on its connection, so that it may belong
+    /// to an earlier call.
+    pub(crate) fn is_reused(&self) -> bool {
+        let idle = self.idle.as_ref();
+        idle.is_some_and(|connection| connection.answers() > 1)
+    }
 }
 
 /// Sends a request over a new connection.
--- a/crates/papayayard_gateway/src/exchange.rs
+++ b/crates/papayayard_gateway/src/exchange.rs
@@ -141,6 +141,8 @@
     pub run: u64,
     /// Change number to continue from.
     pub next: u64,
+    /// Lowest number of the changes; contents have none.
+    pub first: Option<u64>,
     /// Whether earlier changes were lost.
     pub has_gap: bool,
     /// Changes in order.
--- a/crates/papayayard_gateway/src/feeds.rs
+++ b/crates/papayayard_gateway/src/feeds.rs
@@ -5,6 +5,9 @@
 //! bound, each host reads for itself. In a larger deployment only hosts that place
 //! requests follow the caches, and one of them per zone reads from the holders while the
 //! others poll that host.
+//!
+//! A holder may send an answer too many, after which each answer on the connection would be
+//! that of an earlier poll. A connection is closed once an answer cannot be that of the poll.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -327,9 +330,16 @@
             failures = 0;
             let Some(changes) = self.codec.decode_changes(&reply) else {
                 log::debug!(address:%, status = reply.status.as_u16(); "cache changes cannot be decoded");
+                caller.disconnect();
                 time::sleep(RETRY_DELAY).await;
                 continue;
             };
+            if caller.is_reused() && !continues(&changes, since) {
+                log::info!(address:%, since, next = changes.next; "cache changes answer an earlier poll");
+                caller.disconnect();
+                time::sleep(POLL_PAUSE).await;
+                continue;
+            }
             if run.is_some_and(|run| run != changes.run) {
                 log::info!(address:%; "holder of cached prompts has restarted");
                 self.publisher.clear();
@@ -378,6 +388,11 @@
     }
 }
 
+/// Whether changes may answer a poll for those after `since`.
+fn continues(changes: &Changes, since: u64) -> bool {
+    changes.next >= since && changes.first.is_none_or(|first| first > since)
+}
+
 /// Reads the full contents of a holder.
 async fn contents<Platform>(codec: &Platform, caller: &mut Caller) -> Option<Changes>
 where
