Connections: one on which an endpoint refused without a statement is closed too

What callers saw: after an answer that means "not run" but does not state it, the next request on its connection lost its answer (502, although it had run) if the endpoint sent a copy. A request that came to that address again, under another name of the endpoint, stayed there after its caller had been answered: the copy was read as its answer, and its connection waited in the pool.

Users say that an answer too many may be the copy of a refusal; they don't say that such a refusal states that nothing ran. Of all ways in which a host gives a request up this was the only one that kept the connection.

Change: the connection is closed.

--- a/crates/papayayard_gateway/src/attempt.rs
+++ b/crates/papayayard_gateway/src/attempt.rs
@@ -9,17 +9,17 @@
 //! A response with such a status and no statement is a failure after which the request may
 //! have run, and is never forwarded.
 //!
-//! A connection transmits requests one at a time until an endpoint refuses one. Endpoints may
-//! send a response twice; a request may come to the same address again, from its caller or under
-//! another name of the endpoint, and a copy of its refusal would look like its response. Such a
-//! connection is therefore not reused.
+//! A connection transmits requests one at a time until an endpoint refuses one, with or without
+//! that statement. Endpoints may send a response twice; a request may come to the same address
+//! again, from its caller or under another name of the endpoint, and a copy of its refusal would
+//! look like its response. Such a connection is therefore not reused.
 
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::response::Parts;
 use http::{HeaderMap, Method, Request, StatusCode, header};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use papayayard_routing::placement::{Outcome, Placement};
 use papayayard_wire::refusal;
@@ -36,10 +36,6 @@
 use crate::refusal::millis;
 use crate::uplink;
 
-/// Maximum bytes of a refusal's body that are read so that its connection can be reused.
-const MAX_REFUSAL_BYTES: usize = 64 << 10;
-const REFUSAL_TIMEOUT: Duration = Duration::from_millis(100);
-
 /// A response whose head was received.
 pub(crate) struct Response {
     pub(crate) head: Parts,
@@ -191,9 +187,7 @@
                         connection,
                     };
                     let is_first = !is_pooled;
-                    return self
-                        .check(job, (placement, permit), response, is_first)
-                        .await;
+                    return self.check(job, (placement, permit), response, is_first);
                 }
             }
         }
@@ -242,7 +236,7 @@
 
     /// Checks the head of a response; `is_first` tells that the connection transmitted no
     /// request before.
-    async fn check(
+    fn check(
         &self,
         job: &Job,
         (placement, permit): (&Placement, &Permit),
@@ -281,7 +275,6 @@
                     status = response.head.status.as_u16();
                     "endpoint does not state that the request did not run, as its status means"
                 );
-                self.drain(placement, response).await;
                 return Err(Failure::Unconfirmed);
             }
             // Refusals and late copies of other answers do not show that a limit has ended.
@@ -342,15 +335,6 @@
         }
     }
 
-    /// Reads the rest of a response that is not forwarded, so that its connection can be reused.
-    async fn drain(&self, placement: &Placement, response: Response) {
-        let body = Limited::new(response.body, MAX_REFUSAL_BYTES).collect();
-        if let Ok(Ok(_)) = time::timeout(REFUSAL_TIMEOUT, body).await {
-            let headers = &response.head.headers;
-            self.keep(placement, response.connection, headers);
-        }
-    }
-
     /// Returns a connection to the pool after its response was read completely.
     pub(crate) fn keep(&self, placement: &Placement, connection: Connection, headers: &HeaderMap) {
         self.pool.put(placement.address, connection, headers);
