First router: a host without the list of endpoints is not ready

Callers saw 503 "no endpoint" from a host that had just started, although all endpoints served: GET /readyz and /status said that it serves as soon as it had a configuration. The platform's list comes by a call of its own, and before it no endpoint is known. The tests of plain.rs have no engines to wait for, so a slow first read of the list failed them.

Each is "no endpoint, not run" where an answer was due.

Ruled out: endpoints that register late (the stand-ins register before the host starts; the list was not shorter, it was not there), and endpoints that were tried and failed (none was excluded).

Change: the list is none until it has been read, from the platform or from a peer, and a host serves once it has both. An empty list counts as read, and nobody is told of it, as before. Tests wait for a host that serves instead of one with a revision; two tests of controllers start without a list instead of an empty one, and the directory's compares with the list that has been read.

Not covered: model endpoints, which get requests only after their first report.

--- a/crates/papayayard/src/callers.rs
+++ b/crates/papayayard/src/callers.rs
@@ -15,16 +15,16 @@
 use salvo::prelude::{Depot, FlowCtrl, Request, Response, Router, Server, async_trait};
 use salvo::server::ServerHandle;
 use serde::Serialize;
-use tokio::sync::watch;
 use tokio_util::task::TaskTracker;
 
 use crate::active::Active;
 use crate::clock::Clock;
-use crate::controllers::configuration;
 use crate::exchange::{Arrival, Head};
 use crate::filters::authenticate::Authenticate;
 use crate::filters::{Filter, chain};
 use crate::metrics::Metrics;
+use crate::operators::State;
+use crate::readiness::Readiness;
 use crate::refusal::Refusal;
 use crate::relay::{Answer, Body, call, completion, hop};
 use crate::settings;
@@ -37,10 +37,8 @@
     pub(crate) clock: Clock,
     /// Counters.
     pub(crate) metrics: Metrics,
-    /// Configuration in force.
-    pub(crate) active: watch::Receiver<configuration::Current>,
-    /// Whether the host is stopping.
-    pub(crate) stopping: watch::Receiver<bool>,
+    /// Whether the host can serve.
+    pub(crate) readiness: Readiness,
     /// Open requests.
     pub(crate) open: TaskTracker,
     /// Finds the client account.
@@ -167,7 +165,7 @@
                 Ok(models(&known.active))
             }
             Kinds::Health => Ok(text(StatusCode::OK, b"ok".to_vec())),
-            Kinds::Ready => Ok(shared.readiness()),
+            Kinds::Ready => Ok(shared.show_readiness()),
             Kinds::Metrics => Ok(text(StatusCode::OK, shared.metrics.text())),
             Kinds::Unknown => Err(Refusal::not_run(
                 Kind::NotFound,
@@ -184,7 +182,7 @@
         id: &id::Request,
         service: Option<String>,
     ) -> Result<Arrival, Refusal> {
-        if *self.stopping.borrow() {
+        if self.readiness.state() == State::Stopping {
             return Err(Refusal::stopping());
         }
         let path = request
@@ -210,9 +208,8 @@
         })
     }
 
-    fn readiness(&self) -> Answer {
-        let ready = !*self.stopping.borrow() && self.active.borrow().is_some();
-        if ready {
+    fn show_readiness(&self) -> Answer {
+        if self.readiness.state() == State::Serving {
             text(StatusCode::OK, b"ready".to_vec())
         } else {
             text(StatusCode::SERVICE_UNAVAILABLE, b"not ready".to_vec())
--- a/crates/papayayard/src/controllers/admission.rs
+++ b/crates/papayayard/src/controllers/admission.rs
@@ -106,7 +106,7 @@
     /// Configuration in force.
     pub(crate) active: watch::Receiver<configuration::Current>,
     /// The platform's list of hosts.
-    pub(crate) list: watch::Receiver<directory::List>,
+    pub(crate) list: watch::Receiver<Option<directory::List>>,
     /// Requests that all endpoints together can run.
     pub(crate) capacity: watch::Receiver<u32>,
     /// Shares agreed with other hosts; an account that is not named gets an
@@ -175,8 +175,12 @@
 
     fn configure(&mut self) {
         let capacity = *self.sources.capacity.borrow_and_update();
-        let hosts = self.sources.list.borrow_and_update().hosts.len();
-        let hosts = u32::try_from(hosts.max(self.sources.known_hosts)).unwrap_or(u32::MAX);
+        let list = &mut self.sources.list;
+        let listed = list
+            .borrow_and_update()
+            .as_ref()
+            .map_or(0, |list| list.hosts.len());
+        let hosts = u32::try_from(listed.max(self.sources.known_hosts)).unwrap_or(u32::MAX);
         let own = capacity.div_ceil(hosts);
         self.admission
             .set_capacity(if own == 0 { u32::MAX } else { own });
--- a/crates/papayayard/src/controllers/claims.rs
+++ b/crates/papayayard/src/controllers/claims.rs
@@ -55,7 +55,7 @@
     /// This host.
     pub(crate) host: id::Host,
     /// The platform's list, which gives the number of hosts.
-    pub(crate) list: watch::Receiver<directory::List>,
+    pub(crate) list: watch::Receiver<Option<directory::List>>,
     /// Hosts that are known without the list.
     pub(crate) known_hosts: usize,
     /// Clock of the deadlines.
@@ -261,7 +261,8 @@
 
     /// Time between two appends with which all hosts stay within the budget.
     fn period(&self) -> Duration {
-        let listed = self.sources.list.borrow().hosts.len();
+        let list = &self.sources.list;
+        let listed = list.borrow().as_ref().map_or(0, |list| list.hosts.len());
         let hosts = listed.max(self.sources.known_hosts).max(1);
         let streams = hosts * usize::from(claim::SHARDS);
         let streams = u32::try_from(streams).unwrap_or(u32::MAX);
--- a/crates/papayayard/src/controllers/claims_test.rs
+++ b/crates/papayayard/src/controllers/claims_test.rs
@@ -22,12 +22,12 @@
     handle: Handle,
     clock: Clock,
     metrics: Metrics,
-    _list: watch::Sender<directory::List>,
+    _list: watch::Sender<Option<directory::List>>,
 }
 
 impl Host {
     fn start(log: &Log, name: &str) -> Self {
-        let (list_sender, list) = watch::channel(directory::List::default());
+        let (list_sender, list) = watch::channel(None);
         let clock = Clock::start();
         let metrics = Metrics::new(clock);
         let handle = start(&Sources {
--- a/crates/papayayard/src/controllers/directory.rs
+++ b/crates/papayayard/src/controllers/directory.rs
@@ -11,7 +11,7 @@
 pub(crate) async fn follow<Directory>(
     source: Directory,
     period: Duration,
-    list: watch::Sender<directory::List>,
+    list: watch::Sender<Option<directory::List>>,
 ) where
     Directory: service::Directory,
 {
@@ -25,13 +25,18 @@
                 if replace(&mut unreadable, fresh.unreadable) {
                     log::warn!(entries = unreadable; "unreadable entries in the list of hosts");
                 }
-                list.send_if_modified(|known| replace(known, fresh.list));
+                list.send_if_modified(|known| set(known, fresh.list));
             }
             Err(error) => log::warn!("the list of hosts cannot be read: {error}"),
         }
     }
 }
 
+/// Sets the list; returns whether it has changed. Before the first, it is as if empty.
+fn set(known: &mut Option<directory::List>, fresh: directory::List) -> bool {
+    replace(known.get_or_insert_default(), fresh)
+}
+
 /// Replaces a value; returns whether it has changed.
 fn replace<Value>(known: &mut Value, fresh: Value) -> bool
 where
--- a/crates/papayayard/src/controllers/directory_test.rs
+++ b/crates/papayayard/src/controllers/directory_test.rs
@@ -82,13 +82,13 @@
         let source = Source {
             inner: Arc::new(Mutex::new((State::Answered, 0))),
         };
-        let (sender, list) = watch::channel(directory::List::default());
+        let (sender, list) = watch::channel(None);
         tokio::spawn(follow(source.clone(), PERIOD, sender));
         time::sleep(Duration::from_millis(53) * step).await;
         source.set(outage);
         time::sleep(Duration::from_millis(length_ms)).await;
         source.set(State::Answered);
         time::sleep(CALL_TIMEOUT + Duration::from_millis(1)).await;
-        assert_eq!(*list.borrow(), source.list(), "step {step}");
+        assert_eq!(*list.borrow(), Some(source.list()), "step {step}");
     }
 }
--- a/crates/papayayard/src/controllers/observer.rs
+++ b/crates/papayayard/src/controllers/observer.rs
@@ -40,13 +40,13 @@
 /// Starts and ends one task for each model endpoint.
 pub(crate) async fn supervise(
     observer: Observer,
-    mut list: watch::Receiver<directory::List>,
+    mut list: watch::Receiver<Option<directory::List>>,
     mut active: watch::Receiver<configuration::Current>,
 ) {
     let mut tasks: HashMap<id::Endpoint, Task> = HashMap::new();
     loop {
         let current = active.borrow_and_update().clone();
-        let listed = list.borrow_and_update().clone();
+        let listed = list.borrow_and_update().clone().unwrap_or_default();
         let hosts = live_hosts(&listed);
         let mut endpoints = listed.endpoints;
         endpoints.retain(|endpoint| {
--- a/crates/papayayard/src/controllers/orders.rs
+++ b/crates/papayayard/src/controllers/orders.rs
@@ -43,7 +43,7 @@
     /// Configuration in force.
     pub(crate) active: watch::Receiver<configuration::Current>,
     /// The platform's list.
-    pub(crate) list: watch::Receiver<directory::List>,
+    pub(crate) list: watch::Receiver<Option<directory::List>>,
     /// Whether this host is stopping.
     pub(crate) stopping: watch::Receiver<bool>,
     /// Model endpoints.
@@ -165,7 +165,7 @@
     /// Asks for the leases of the services that this host is a candidate for.
     fn choose_services(&mut self, active: &Active) {
         let now = self.links.clock.now();
-        let list = self.links.list.borrow().clone();
+        let list = self.links.list.borrow().clone().unwrap_or_default();
         let models: HashSet<&id::Service> = active
             .document
             .services
@@ -237,7 +237,7 @@
 
     async fn give_orders(&mut self, active: &Active) {
         let statuses = self.links.fleet.status().await;
-        let list = self.links.list.borrow().clone();
+        let list = self.links.list.borrow().clone().unwrap_or_default();
         for (name, service) in &mut self.services {
             // The clock is read anew: this task may have been paused above.
             let now = self.links.clock.now();
--- a/crates/papayayard/src/controllers/orders_test.rs
+++ b/crates/papayayard/src/controllers/orders_test.rs
@@ -23,7 +23,7 @@
 /// A host's orders, with what keeps them going.
 struct Orders {
     _stopping: watch::Sender<bool>,
-    _list: watch::Sender<directory::List>,
+    _list: watch::Sender<Option<directory::List>>,
 }
 
 impl Orders {
@@ -41,7 +41,7 @@
             capacity: watch::channel(0).0,
             clock,
         };
-        let (list_sender, list) = watch::channel(directory::List::default());
+        let (list_sender, list) = watch::channel(None);
         let (stopping_sender, stopping) = watch::channel(false);
         let links = orders::Links {
             client: Client::new(&host),
--- a/crates/papayayard/src/controllers/peers.rs
+++ b/crates/papayayard/src/controllers/peers.rs
@@ -49,7 +49,7 @@
     /// Gets proposals that peers have accepted.
     pub(crate) adopt: mpsc::Sender<wire::Entry>,
     /// The platform's list; a peer's is set while there is none.
-    pub(crate) list: watch::Sender<directory::List>,
+    pub(crate) list: watch::Sender<Option<directory::List>>,
     /// Whether this host is stopping.
     pub(crate) stopping: watch::Receiver<bool>,
     /// The farewell at the end of a planned stop.
--- a/crates/papayayard/src/controllers/peers/task.rs
+++ b/crates/papayayard/src/controllers/peers/task.rs
@@ -94,7 +94,10 @@
             let pause = next.saturating_sub(self.clock.now());
             tokio::select! {
                 Some(message) = messages.recv() => self.take(message).await,
-                Ok(()) = list.changed() => self.listed(&list.borrow_and_update().clone()),
+                Ok(()) = list.changed() => {
+                    let listed = list.borrow_and_update().clone();
+                    self.listed(&listed.unwrap_or_default());
+                }
                 Ok(()) = active.changed() => {
                     let current = active.borrow_and_update().clone();
                     self.configure(current);
@@ -210,6 +213,7 @@
                 }
                 Update::Directory(list) => {
                     self.links.list.send_if_modified(|known| {
+                        let known = known.get_or_insert_default();
                         let is_missing = *known == directory::List::default();
                         if is_missing {
                             *known = list;
--- a/crates/papayayard/src/host.rs
+++ b/crates/papayayard/src/host.rs
@@ -25,6 +25,7 @@
 use crate::filters::chain;
 use crate::metrics::Metrics;
 use crate::operators;
+use crate::readiness::Readiness;
 use crate::relay::client::Client;
 use crate::relay::{call, completion};
 use crate::settings::{self, Settings};
@@ -99,7 +100,7 @@
     let (active_sender, active) = watch::channel(None);
     let (options, capacity) = fleet_options(&settings, truth, clock);
     let fleet = fleet::start(options, active.clone());
-    let (list_sender, list) = watch::channel(directory::List::default());
+    let (list_sender, list) = watch::channel(None);
 
     let mut controllers = JoinSet::new();
     let (link, accepted, adopt) = configuration::link();
@@ -146,7 +147,7 @@
         accepted,
         adopt,
         list: list_sender,
-        stopping: stopping_seen.clone(),
+        stopping: stopping_seen,
         farewell,
         fleet: fleet.clone(),
         admission: admission.clone(),
@@ -160,8 +161,7 @@
         host: settings.host.clone(),
         clock,
         metrics: metrics.clone(),
-        active: active.clone(),
-        stopping: stopping_seen,
+        readiness: parts.readiness(),
         open: open.clone(),
         authenticate: Authenticate::new(active.clone()),
         completions: chain::completions(active.clone(), &settings.limits, admission.clone()),
@@ -199,7 +199,7 @@
 
 fn list_hosts(
     settings: &Settings,
-    list: watch::Sender<directory::List>,
+    list: watch::Sender<Option<directory::List>>,
 ) -> impl Future<Output = ()> + use<> {
     let period = settings.periods.directory;
     listing::follow(platform_directory(settings), period, list)
@@ -274,7 +274,7 @@
     clock: Clock,
     fleet: fleet::Handle,
     active: watch::Receiver<configuration::Current>,
-    list: watch::Receiver<directory::List>,
+    list: watch::Receiver<Option<directory::List>>,
     stopping: watch::Receiver<bool>,
 }
 
@@ -317,12 +317,19 @@
         }
     }
 
+    fn readiness(&self) -> Readiness {
+        Readiness {
+            active: self.active.clone(),
+            list: self.list.clone(),
+            stopping: self.stopping.clone(),
+        }
+    }
+
     fn view(&self, settings: &Settings, open: &TaskTracker) -> operators::View {
         operators::View {
             host: settings.host.clone(),
             zone: settings.zone.clone(),
-            active: self.active.clone(),
-            stopping: self.stopping.clone(),
+            readiness: self.readiness(),
             open: open.clone(),
             fleet: self.fleet.clone(),
         }
--- a/crates/papayayard/src/lib.rs
+++ b/crates/papayayard/src/lib.rs
@@ -16,5 +16,6 @@
 mod exchange;
 mod filters;
 mod metrics;
+mod readiness;
 mod refusal;
 mod relay;
--- a/crates/papayayard/src/operators.rs
+++ b/crates/papayayard/src/operators.rs
@@ -5,10 +5,10 @@
 use salvo::http::header;
 use salvo::prelude::{Depot, FlowCtrl, Request, Response, Router, Server, async_trait};
 use serde::{Deserialize, Serialize};
-use tokio::sync::watch;
 use tokio_util::task::TaskTracker;
 
-use crate::controllers::{configuration, fleet};
+use crate::controllers::fleet;
+use crate::readiness::Readiness;
 
 /// Answer of `GET /status`.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -33,7 +33,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum State {
-    /// Has no configuration yet.
+    /// Has no configuration or no list of endpoints yet.
     Starting,
     /// Takes requests.
     Serving,
@@ -69,10 +69,8 @@
     pub(crate) host: id::Host,
     /// Availability zone.
     pub(crate) zone: id::Zone,
-    /// Configuration in force.
-    pub(crate) active: watch::Receiver<configuration::Current>,
-    /// Whether the host is stopping.
-    pub(crate) stopping: watch::Receiver<bool>,
+    /// Whether the host can serve.
+    pub(crate) readiness: Readiness,
     /// Open requests.
     pub(crate) open: TaskTracker,
     /// Model endpoints.
@@ -80,24 +78,13 @@
 }
 
 impl View {
-    /// What the host does at present.
-    pub(crate) fn state(&self) -> State {
-        if *self.stopping.borrow() {
-            return State::Stopping;
-        }
-        match *self.active.borrow() {
-            Some(_) => State::Serving,
-            None => State::Starting,
-        }
-    }
-
     async fn status(&self) -> Status {
-        let active = self.active.borrow().clone();
+        let active = self.readiness.active.borrow().clone();
         let endpoints = self.fleet.status().await;
         Status {
             host: self.host.clone(),
             zone: self.zone.clone(),
-            state: self.state(),
+            state: self.readiness.state(),
             revision: active.as_ref().map(|a| a.revision).unwrap_or_default(),
             digest: active.map(|a| a.digest.clone()).unwrap_or_default(),
             open_requests: self.open.len(),
--- a/crates/papayayard/src/relay/call.rs
+++ b/crates/papayayard/src/relay/call.rs
@@ -35,8 +35,8 @@
 pub(crate) struct Relay {
     /// HTTP client.
     pub(crate) client: Client,
-    /// The platform's list of hosts.
-    pub(crate) list: watch::Receiver<directory::List>,
+    /// The platform's list of hosts, none before the first.
+    pub(crate) list: watch::Receiver<Option<directory::List>>,
     /// Availability zone of this host.
     pub(crate) zone: id::Zone,
     /// Counters.
@@ -85,9 +85,8 @@
             return None;
         }
         let list = self.list.borrow();
-        let mut live: Vec<&directory::Endpoint> = list
-            .endpoints
-            .iter()
+        let listed = list.iter().flat_map(|list| &list.endpoints);
+        let mut live: Vec<&directory::Endpoint> = listed
             .filter(|endpoint| endpoint.service == *service)
             .filter(|endpoint| endpoint.state == directory::State::Live)
             .filter(|endpoint| !excluded.contains(&endpoint.id))
--- a/crates/papayayard/tests/support/mod.rs
+++ b/crates/papayayard/tests/support/mod.rs
@@ -116,13 +116,13 @@
         host::start(self.settings(name, zone, peers), host::Blind).expect("the host starts")
     }
 
-    /// Starts a host and waits until it can reach all engines.
+    /// Starts a host and waits until it serves and can reach all engines.
     pub(crate) async fn ready_host(&self, name: &str) -> host::Running {
         let host = self.host(name, "bergen-a", &[]);
         let engines = self.engines.len();
         wait_until(&host, |status| {
             status.endpoints.iter().filter(|e| e.eligible).count() == engines
-                && status.revision > id::Revision(0)
+                && status.state == operators::State::Serving
         })
         .await;
         host
