First router: an answer without an id is believed only on a fresh connection

Cause: nothing told a connection's first answer, which can only be the one that is due, from a later one.

Change: a connector marks each connection, and the client says of each answer whether it is the first there. A plain service's answer without an id is believed only if it is; the connection is not used again after it, so services that name no request get a connection for each. On a later answer the outcome is unknown, as after another request's answer.

The host asks endpoints for reports until its configuration tells which are plain, and those connections came back to callers' requests; the observer has a client of its own now.

Ruled out: a rule for each address, by what its endpoint named before. It would not know an endpoint that has restarted with other software.

--- a/crates/papayayard/src/controllers/observer.rs
+++ b/crates/papayayard/src/controllers/observer.rs
@@ -29,7 +29,7 @@
 /// What observers work with.
 #[derive(Clone)]
 pub(crate) struct Observer {
-    /// HTTP client.
+    /// HTTP client, whose connections bear no requests of callers.
     pub(crate) client: Client,
     /// Gets what is observed.
     pub(crate) fleet: fleet::Handle,
--- a/crates/papayayard/src/host.rs
+++ b/crates/papayayard/src/host.rs
@@ -311,7 +311,7 @@
 
     fn observer(&self, settings: &Settings) -> observer::Observer {
         observer::Observer {
-            client: self.client.clone(),
+            client: Client::new(&settings.host),
             fleet: self.fleet.clone(),
             periods: settings.periods.clone(),
         }
--- a/crates/papayayard/src/relay/call.rs
+++ b/crates/papayayard/src/relay/call.rs
@@ -2,6 +2,9 @@
 //!
 //! A request that is not idempotent is sent at most once: after its first
 //! byte may have left, it is never sent again.
+//!
+//! Services need not repeat the request's id. An answer without it is believed
+//! only if it is the first on its connection, which is not used again after it.
 
 use std::time::Duration;
 
@@ -123,7 +126,11 @@
                 client::retire(&response);
                 return Err(Failure::Refused);
             }
-            (false, _) => {}
+            (false, None) if !client::is_first(&response) => {
+                return Err(client::reject(&response));
+            }
+            (false, None) => client::retire(&response),
+            (false, Some(true)) => {}
         }
         if refusal::promises_not_run(response.status().as_u16()) {
             return Err(Failure::Unconfirmed);
--- a/crates/papayayard/src/relay/client.rs
+++ b/crates/papayayard/src/relay/client.rs
@@ -5,6 +5,8 @@
 //! another request's answer still owes its own, and is not used again. Nor is
 //! one that gave a refusal: the endpoint may send a copy of it, which could not
 //! be told from the answer to the same request.
+//!
+//! Each answer is marked as the first on its connection or as a later one.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -20,6 +22,8 @@
 use papayayard_wire::{header, id};
 use tokio::time;
 
+use crate::relay::connector::{self, Connector};
+
 /// Time to connect to an endpoint.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time that an idle connection is kept.
@@ -29,7 +33,7 @@
 #[derive(Clone)]
 pub(crate) struct Client {
     host: Option<HeaderValue>,
-    inner: legacy::Client<HttpConnector, Full<Bytes>>,
+    inner: legacy::Client<Connector, Full<Bytes>>,
 }
 
 /// What is sent.
@@ -94,7 +98,7 @@
         let inner = legacy::Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(IDLE_TIMEOUT)
-            .build(connector);
+            .build(Connector(connector));
         Self {
             host: HeaderValue::from_str(host.as_str()).ok(),
             inner,
@@ -120,6 +124,9 @@
         let connection = capture_connection(&mut request);
         match time::timeout(timeout, self.inner.request(request)).await {
             Ok(Ok(mut response)) => {
+                let history = response.extensions_mut().remove::<connector::History>();
+                let is_first = history.is_some_and(|history| history.record());
+                response.extensions_mut().insert(First(is_first));
                 response.extensions_mut().insert(connection);
                 Ok(response)
             }
@@ -130,6 +137,16 @@
     }
 }
 
+/// Whether an answer is the first on its connection.
+#[derive(Clone, Copy)]
+struct First(bool);
+
+/// Whether an answer is the first on its connection.
+pub(crate) fn is_first(response: &Response<Incoming>) -> bool {
+    let first = response.extensions().get::<First>();
+    first.is_some_and(|first| first.0)
+}
+
 /// Takes the connection of another request's answer out of use.
 pub(crate) fn reject(response: &Response<Incoming>) -> Failure {
     retire(response);
--- a/crates/papayayard/src/relay/mod.rs
+++ b/crates/papayayard/src/relay/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod call;
 pub(crate) mod client;
 pub(crate) mod completion;
+mod connector;
 pub(crate) mod hop;
 mod keyed;
 pub(crate) mod pump;
--- a/crates/papayayard/tests/bad_input/passing.rs
+++ b/crates/papayayard/tests/bad_input/passing.rs
@@ -5,6 +5,7 @@
 
 use http::{HeaderMap, Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
+use papayayard::operators;
 use papayayard_stand_in::answer::{self, Body};
 use papayayard_stand_in::engine::Fault;
 use papayayard_stand_in::server::{Dropped, Gate, Handler, Server};
@@ -106,6 +107,26 @@
     assert_eq!(seen["x-studio"], "bergen", "other headers pass");
 }
 
+/// A service that names no request. Guards against an answer that is taken for another request's
+/// because of one before it, be it to a caller or to the host, which asks all endpoints for
+/// reports until it knows which are plain.
+#[tokio::test]
+async fn each_request_to_a_service_that_names_none_is_answered() {
+    let bed = Bed::start(0, 0).await;
+    let (recorder, _server) = record(&bed, "studio-app").await;
+    let host = bed.host("entry-1", "bergen-a", &[]);
+    while recorder.0.lock().expect("no test panics here").is_empty() {
+        tokio::task::yield_now().await;
+    }
+    bed.publish(0, &support::document("v1", 1)).await;
+    support::wait_until(&host, |status| status.state == operators::State::Serving).await;
+    for _ in 0..3 {
+        let reply = support::service(&host, Method::POST, "/bookings", None, "lesson").await;
+        let reply = reply.expect("the exchange is whole");
+        assert_eq!(reply.status, StatusCode::OK, "{}", reply.text());
+    }
+}
+
 #[tokio::test]
 async fn a_callers_salt_does_not_reach_an_engine() {
     let (bed, host) = start().await;
