--- a/crates/papayayard/src/controllers/observer.rs
+++ b/crates/papayayard/src/controllers/observer.rs
@@ -29,7 +29,7 @@
 /// What observers work with.
 #[derive(Clone)]
 pub(crate) struct Observer {
-    /// HTTP client.
+    /// HTTP client, whose connections bear no requests of callers.
     pub(crate) client: Client,
     /// Gets what is observed.
     pub(crate) fleet: fleet::Handle,
@@ -40,13 +40,13 @@
 /// Starts and ends one task for each model endpoint.
 pub(crate) async fn supervise(
     observer: Observer,
-    mut list: watch::Receiver<directory::List>,
+    mut list: watch::Receiver<Option<directory::List>>,
     mut active: watch::Receiver<configuration::Current>,
 ) {
     let mut tasks: HashMap<id::Endpoint, Task> = HashMap::new();
     loop {
         let current = active.borrow_and_update().clone();
-        let listed = list.borrow_and_update().clone();
+        let listed = list.borrow_and_update().clone().unwrap_or_default();
         let hosts = live_hosts(&listed);
         let mut endpoints = listed.endpoints;
         endpoints.retain(|endpoint| {
--- a/crates/papayayard/src/relay/call.rs
+++ b/crates/papayayard/src/relay/call.rs
@@ -2,6 +2,9 @@
 //!
 //! A request that is not idempotent is sent at most once: after its first
 //! byte may have left, it is never sent again.
+//!
+//! Services need not repeat the request's id. An answer without it is believed
+//! only if it is the first on its connection, which is not used again after it.
 
 use std::time::Duration;
 
@@ -35,8 +38,8 @@
 pub(crate) struct Relay {
     /// HTTP client.
     pub(crate) client: Client,
-    /// The platform's list of hosts.
-    pub(crate) list: watch::Receiver<directory::List>,
+    /// The platform's list of hosts, none before the first.
+    pub(crate) list: watch::Receiver<Option<directory::List>>,
     /// Availability zone of this host.
     pub(crate) zone: id::Zone,
     /// Counters.
@@ -85,9 +88,8 @@
             return None;
         }
         let list = self.list.borrow();
-        let mut live: Vec<&directory::Endpoint> = list
-            .endpoints
-            .iter()
+        let listed = list.iter().flat_map(|list| &list.endpoints);
+        let mut live: Vec<&directory::Endpoint> = listed
             .filter(|endpoint| endpoint.service == *service)
             .filter(|endpoint| endpoint.state == directory::State::Live)
             .filter(|endpoint| !excluded.contains(&endpoint.id))
@@ -124,7 +126,11 @@
                 client::retire(&response);
                 return Err(Failure::Refused);
             }
-            (false, _) => {}
+            (false, None) if !client::is_first(&response) => {
+                return Err(client::reject(&response));
+            }
+            (false, None) => client::retire(&response),
+            (false, Some(true)) => {}
         }
         if refusal::promises_not_run(response.status().as_u16()) {
             return Err(Failure::Unconfirmed);
