Dispatch: a host sends to the address that its own store names

What callers saw: nothing yet. A host whose request another host places connected to the address in that host's list, although its own list names the endpoint too. Where the two differ, because one list is older or because the hosts reach an endpoint at different addresses, it connected to the wrong one, and its list could not help.

Cause: a dispatcher's placement was adopted whole, its address included.

Evidence: `a_host_sends_to_the_address_that_its_own_store_names` gets 127.0.0.1:1, the dispatcher's address, where the host's own list has 127.0.0.1:2, without the change.

Change: the scheduler's reply to an adopted placement has the address that this host knows; the dispatcher's holds only for an endpoint that it does not know yet.

--- a/crates/papayayard_gateway/src/dispatch.rs
+++ b/crates/papayayard_gateway/src/dispatch.rs
@@ -23,7 +23,7 @@
 use crate::clock::Clock;
 use crate::hosts::{self, Neighbours};
 use crate::metrics::Metrics;
-use crate::schedule::{Handle, Message};
+use crate::schedule::{Adopted, Handle, Message};
 use crate::uplink;
 
 mod handler;
@@ -282,9 +282,11 @@
     ) -> Selection {
         match decision {
             message::Decision::Placed(placed) => {
-                let placement = placed.into_placement(&query);
+                let mut placement = placed.into_placement(&query);
                 let adopted = self.0.schedule.adopt(query.clone(), placement.clone());
-                let ticket = adopted.await;
+                let Adopted { ticket, address } = adopted.await;
+                // The store says where an endpoint is, not another host.
+                placement.address = address.unwrap_or(placement.address);
                 let permit = self.permit(&query, number, &placement, ticket, Some(link));
                 Selection::Placed(Box::new(placement), permit)
             }
--- a/crates/papayayard_gateway/src/dispatch_test.rs
+++ b/crates/papayayard_gateway/src/dispatch_test.rs
@@ -1,21 +1,23 @@
+use std::collections::HashMap;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
 use papayayard_coordination::ranking::Candidate;
-use papayayard_routing::placement::{Query, Scheduler, Settings};
+use papayayard_routing::placement::{Endpoint, Query, Scheduler, Settings};
 use papayayard_routing::prompt::Prompt;
 use papayayard_routing::table::Accounts;
 use papayayard_wire::id;
 use tokio::sync::watch;
 
 use super::message::{Call, Request};
-use super::{Dispatch, Parts};
+use super::{Dispatch, Parts, Selection};
 use crate::cache_news::ChangeLog;
 use crate::clock::Clock;
 use crate::front::StopState;
 use crate::hosts::{LocalHost, Neighbours};
 use crate::metrics::Metrics;
+use crate::schedule::Message;
 use crate::{origins, peers, schedule, uplink};
 
 const TARGET_LATENCY: Duration = Duration::from_secs(5);
@@ -112,6 +114,23 @@
         });
     }
 
+    /// Lets the host know an endpoint at an address.
+    fn set_endpoint(&self, address: SocketAddr) {
+        let endpoint = Endpoint {
+            id: id::Endpoint::from("engines-0"),
+            started: id::Incarnation(1),
+            service: id::Service::from("engines"),
+            address,
+            zone: self.local.zone.clone(),
+            software: id::Software::from("v1"),
+            slots: 8,
+            weights: HashMap::from([(id::Model::from("m"), 1)]),
+            leaving: false,
+        };
+        let schedule = &self.dispatch.0.schedule;
+        schedule.send(Message::Endpoints(vec![endpoint]));
+    }
+
     /// Whether the host has lately placed requests of others.
     fn has_placed(&self) -> bool {
         self.dispatch.is_dispatcher(self.clock.now())
@@ -192,3 +211,24 @@
     let answer = answer.expect("the host reaches endpoints again");
     assert!(answer.decision.is_some());
 }
+
+/// Guards against requests that are sent where an endpoint is by another host's store alone.
+#[tokio::test]
+async fn a_host_sends_to_the_address_that_its_own_store_names() {
+    let mut dispatcher = Host::new("dispatcher", 300);
+    let asker = Host::new("asker", 100);
+    let hosts = [&dispatcher, &asker].map(Host::candidate);
+    for host in [&dispatcher, &asker] {
+        host.set_neighbours(&hosts);
+    }
+    let [first, second] = [1, 2].map(|port| SocketAddr::from((Ipv4Addr::LOCALHOST, port)));
+    dispatcher.set_endpoint(first);
+    asker.set_endpoint(second);
+    dispatcher.serve();
+    let selection = asker.dispatch.place(asker.query()).await;
+    let Selection::Placed(placement, permit) = selection else {
+        panic!("the endpoint has room");
+    };
+    assert_eq!(permit.placed_by(), "dispatcher");
+    assert_eq!(placement.address, second);
+}
--- a/crates/papayayard_gateway/src/schedule.rs
+++ b/crates/papayayard_gateway/src/schedule.rs
@@ -6,6 +6,7 @@
 //! place in the queue.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -58,12 +59,21 @@
     }
 }
 
+/// What this host's scheduler knows of a placement by another host.
+#[derive(Debug, Default)]
+pub(crate) struct Adopted {
+    /// `None` if it does not know the endpoint, or if the request does not fit there.
+    pub(crate) ticket: Option<Ticket>,
+    /// Address of the endpoint, if it knows it.
+    pub(crate) address: Option<SocketAddr>,
+}
+
 /// Message to the scheduler task.
 pub(crate) enum Message {
     /// Request to be placed, with its number on the requesting host.
     Place(Box<Query>, u64, oneshot::Sender<Decision>),
     /// Placement of a request of this host by another host.
-    Adopt(Box<(Query, Placement)>, oneshot::Sender<Option<Ticket>>),
+    Adopt(Box<(Query, Placement)>, oneshot::Sender<Adopted>),
     /// Call of another host, with the random ID of its process.
     Contact(id::Host, u64),
     /// A host of a zone requests its placements from this one.
@@ -151,10 +161,10 @@
 
     /// Records a placement made by another host; returns `None` if this host does not know
     /// the endpoint.
-    pub(crate) async fn adopt(&self, query: Query, placement: Placement) -> Option<Ticket> {
-        let (reply, ticket) = oneshot::channel();
+    pub(crate) async fn adopt(&self, query: Query, placement: Placement) -> Adopted {
+        let (reply, adopted) = oneshot::channel();
         self.send(Message::Adopt(Box::new((query, placement)), reply));
-        ticket.await.ok()?
+        adopted.await.unwrap_or_default()
     }
 
     /// Endpoints that this host cannot reach, or that requested a backoff from it.
@@ -278,7 +288,8 @@
             Message::Adopt(adopted, reply) => {
                 let (query, placement) = *adopted;
                 let ticket = scheduler.record_placement(&query, &placement, now);
-                if let (Err(_), Some(ticket)) = (reply.send(ticket), ticket) {
+                let address = scheduler.address(&placement.endpoint);
+                if let (Err(_), Some(ticket)) = (reply.send(Adopted { ticket, address }), ticket) {
                     scheduler.record_outcome(ticket, Outcome::Abandoned, now);
                 }
             }
--- a/crates/papayayard_routing/src/placement/place.rs
+++ b/crates/papayayard_routing/src/placement/place.rs
@@ -99,6 +99,12 @@
         Some(self.start(key, query, placement, predicted, now))
     }
 
+    /// Address of an endpoint, if it is known here.
+    pub fn address(&self, endpoint: &id::Endpoint) -> Option<SocketAddr> {
+        let key = self.by_id.get(endpoint)?;
+        Some(self.backends[*key].endpoint.address)
+    }
+
     /// Records a request that another host has in flight; `None` if the endpoint is unknown
     /// here.
     pub fn record_in_flight(&mut self, in_flight: &InFlight, now: Duration) -> Option<Ticket> {
