Uplink: a host whose connections are accepted in vain is detached

What callers saw: at a host whose connections to endpoints were accepted, and then reset at the first byte or silent, requests failed for as long as the cut lasted, though other hosts reached all endpoints. The host never took itself for detached, so that it passed nothing on.

Cause: `Evidence::Connected` cleared all failures and ended each suspicion, and probes asked for no more than a connection.

Ruled out: counting only answers, without probes that are answered. A third of the endpoints that crash together would detach hosts with few requests.

Change: a connection clears failed connections alone. Failures without an answer count until an answer arrives. Probes ask for an endpoint's report, which needs no slot, on a new connection, and any answer in 500 ms ends the suspicion. A detached host is attached by the answer to a probe, or to a request on a connection made since.

Tests replaced, since a connection alone no longer says enough: `an_endpoint_that_accepts_a_probe...` is now `an_endpoint_that_answers_a_probe_keeps_the_host_attached`, `a_connection_of_a_request_attaches_the_ host` now asks for the answer on it, and `a_probe_finds_the_way_back` finds an endpoint that answers; `connections_without_answers_detach_the_host` asserts the opposite for those that do not.

--- a/crates/papayayard_coordination/src/uplink.rs
+++ b/crates/papayayard_coordination/src/uplink.rs
@@ -1,14 +1,15 @@
-//! Decides whether a host is detached: whether it can open connections to no endpoint.
+//! Decides whether a host is detached: whether new connections bring it answers of no endpoint.
 //!
 //! A host loses its way to one endpoint when the endpoint crashes, and to all of them when its
 //! own network fails. Failures at several distinct endpoints, with no success in between, make
-//! the host suspect the second case. New connections may fail while open ones go on, so failed
-//! connections count until a connection succeeds, and other failures until an answer arrives.
+//! the host suspect the second case. New connections may fail while open ones go on, and others
+//! may be accepted and then transmit nothing. So failed connections count until a connection is
+//! established, and all failures until an answer arrives.
 //!
-//! Suspicion is verified at once by probes, which open a connection and send nothing. They go
-//! to endpoints of several zones, first to those that have not failed, so that several crashed
-//! endpoints detach no host. Any success ends the suspicion, and the host is detached only if
-//! all probes fail. A detached host probes a few endpoints at a time until one succeeds. Without
+//! Suspicion is verified at once by probes, which ask for something small on a new connection.
+//! They go to endpoints of several zones, first to those that have not failed, so that several
+//! crashed endpoints detach no host. Any answer ends the suspicion, and the host is detached only
+//! if all probes fail. A detached host probes a few endpoints at a time until one answers. Without
 //! failures there are no probes.
 
 use std::collections::{HashMap, HashSet};
@@ -57,7 +58,7 @@
     Silent,
 }
 
-/// A connection to be opened and closed again.
+/// A question to be asked on a new connection.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Probe {
     pub endpoint: id::Endpoint,
@@ -90,11 +91,13 @@
     targets: Vec<Target>,
     /// Connections that have failed since one was established.
     unreachable: Failures,
-    /// Failures since a connection or an answer.
+    /// Failures since an answer.
     failed: Failures,
     /// Time of the last failure of endpoints without a success since.
     failed_at: HashMap<id::Endpoint, Duration>,
     state: State,
+    /// Endpoints to which requests have connected since the last suspicion.
+    connected: HashSet<id::Endpoint>,
     /// Time before which no suspicion is verified.
     verify_after: Duration,
     round: u64,
@@ -152,6 +155,7 @@
             failed: Failures::default(),
             failed_at: HashMap::new(),
             state: State::Attached,
+            connected: HashSet::new(),
             verify_after: Duration::ZERO,
             round: 0,
             open: HashSet::new(),
@@ -190,7 +194,10 @@
         now: Duration,
     ) -> Option<Change> {
         match evidence {
-            Evidence::Connected => return self.connected(endpoint, now),
+            Evidence::Connected => self.connected(endpoint),
+            Evidence::Answered if self.connected.contains(endpoint) => {
+                return self.answered_anew(endpoint, now);
+            }
             Evidence::Answered => {
                 self.failed.clear();
                 self.failed_at.remove(endpoint);
@@ -233,10 +240,10 @@
         probes.map(|endpoint| Probe { endpoint, round }).collect()
     }
 
-    /// Records whether a probe has established a connection.
-    pub fn probed(&mut self, probe: &Probe, is_connected: bool, now: Duration) -> Option<Change> {
-        if is_connected {
-            return self.connected(&probe.endpoint, now);
+    /// Records whether a probe was answered.
+    pub fn probed(&mut self, probe: &Probe, is_answered: bool, now: Duration) -> Option<Change> {
+        if is_answered {
+            return self.answered_anew(&probe.endpoint, now);
         }
         let is_current = probe.round == self.round && self.open.remove(&probe.endpoint);
         if !is_current {
@@ -261,7 +268,15 @@
         self.failed_at.insert(endpoint.clone(), now);
     }
 
-    fn connected(&mut self, endpoint: &id::Endpoint, now: Duration) -> Option<Change> {
+    fn connected(&mut self, endpoint: &id::Endpoint) {
+        self.unreachable.clear();
+        if !matches!(self.state, State::Attached) {
+            self.connected.insert(endpoint.clone());
+        }
+    }
+
+    /// Records an answer on a connection that is newer than the suspicion.
+    fn answered_anew(&mut self, endpoint: &id::Endpoint, now: Duration) -> Option<Change> {
         self.unreachable.clear();
         self.failed.clear();
         self.failed_at.remove(endpoint);
@@ -271,6 +286,7 @@
     fn attach(&mut self, now: Duration) -> Option<Change> {
         // Late outcomes of this round's probes are no evidence for a later suspicion.
         self.open.clear();
+        self.connected.clear();
         match std::mem::take(&mut self.state) {
             State::Attached => None,
             State::Suspected(_) => {
--- a/crates/papayayard_coordination/tests/uplink_test.rs
+++ b/crates/papayayard_coordination/tests/uplink_test.rs
@@ -13,6 +13,9 @@
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 const RESET_TIMEOUT: Duration = Duration::from_millis(900);
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time after which a request is sent elsewhere without an answer.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
 const ROUND_TRIP: Duration = Duration::from_millis(2);
 const ANSWER_TIME: Duration = Duration::from_millis(60);
 const ZONES: usize = 3;
@@ -33,6 +36,10 @@
     Refuse,
     /// New connections are refused, and open ones go on.
     Spare,
+    /// Connections are accepted, and reset once something is sent.
+    Close,
+    /// Connections are accepted and transmit nothing.
+    Mute,
 }
 
 /// Times at which an endpoint cannot be reached.
@@ -177,13 +184,25 @@
             (_, false, true) | (Kind::Spare, true, true) => {
                 self.schedule(now + ANSWER_TIME, answered);
             }
+            (Kind::Mute, true, _) => {
+                if !is_reused {
+                    self.schedule(now + ROUND_TRIP, connected);
+                }
+                self.schedule(now + ANSWER_TIMEOUT, silent(tried));
+            }
+            (Kind::Close, true, false) => {
+                self.schedule(now + ROUND_TRIP, connected);
+                self.schedule(now + 2 * ROUND_TRIP, silent(tried));
+            }
             (Kind::Hang | Kind::Refuse, true, true) => {
                 self.schedule(now + RESET_TIMEOUT, silent(tried));
             }
-            (Kind::Reset, true, true) => self.schedule(now + ROUND_TRIP, silent(tried)),
+            (Kind::Reset | Kind::Close, true, true) => {
+                self.schedule(now + ROUND_TRIP, silent(tried));
+            }
             (kind, true, false) => {
                 let unreachable = Action::Report(index, Evidence::Unreachable, Some(tried));
-                self.schedule(now + failed_connect_time(kind), unreachable);
+                self.schedule(now + failed_probe_time(kind), unreachable);
             }
         }
     }
@@ -195,7 +214,7 @@
         let index = index.expect("only listed endpoints are probed");
         let is_cut = (self.world.fault)(index, now);
         let time = if is_cut {
-            failed_connect_time(self.world.kind)
+            failed_probe_time(self.world.kind)
         } else {
             ROUND_TRIP
         };
@@ -208,11 +227,12 @@
     }
 }
 
-fn failed_connect_time(kind: Kind) -> Duration {
-    if kind == Kind::Hang {
-        CONNECT_TIMEOUT
-    } else {
-        ROUND_TRIP
+/// Time until a new connection, or a probe that is to be answered on one, has failed.
+fn failed_probe_time(kind: Kind) -> Duration {
+    match kind {
+        Kind::Hang => CONNECT_TIMEOUT,
+        Kind::Mute => PROBE_TIMEOUT,
+        _ => ROUND_TRIP,
     }
 }
 
@@ -228,7 +248,15 @@
 /// that pass requests on after the cut has healed.
 #[rstest]
 fn a_cut_is_known_in_time_and_so_is_its_end(
-    #[values(Kind::Hang, Kind::Reset, Kind::Refuse, Kind::Spare)] kind: Kind,
+    #[values(
+        Kind::Hang,
+        Kind::Reset,
+        Kind::Refuse,
+        Kind::Spare,
+        Kind::Close,
+        Kind::Mute
+    )]
+    kind: Kind,
     #[values(3, 18, 90)] endpoints: usize,
 ) {
     for seed in 0..SEEDS {
@@ -245,6 +273,7 @@
         let bound_ms = match kind {
             Kind::Spare if endpoints == 3 => 5000,
             Kind::Reset => 1000,
+            Kind::Mute => 3000,
             _ => 2000,
         };
         assert!(
@@ -271,7 +300,15 @@
 
 #[rstest]
 fn a_host_with_few_requests_knows_a_cut(
-    #[values(Kind::Hang, Kind::Reset, Kind::Refuse, Kind::Spare)] kind: Kind,
+    #[values(
+        Kind::Hang,
+        Kind::Reset,
+        Kind::Refuse,
+        Kind::Spare,
+        Kind::Close,
+        Kind::Mute
+    )]
+    kind: Kind,
 ) {
     for seed in 0..SEEDS {
         let replay = Replay::new(18, kind, per_second(1), seed, Box::new(cut)).run();
@@ -289,7 +326,7 @@
 /// have crashed together or because one zone is cut off.
 #[rstest]
 fn endpoints_that_fail_together_detach_no_host(
-    #[values(Kind::Hang, Kind::Reset, Kind::Refuse)] kind: Kind,
+    #[values(Kind::Hang, Kind::Reset, Kind::Refuse, Kind::Close, Kind::Mute)] kind: Kind,
     #[values(9, 18, 90)] endpoints: usize,
     #[values(true, false)] is_zone: bool,
     #[values(1, 5, 50)] rate: u32,
@@ -313,7 +350,15 @@
 /// Guards against a state that follows each failure and success of a link that flaps.
 #[rstest]
 fn a_flapping_link_changes_the_state_seldom(
-    #[values(Kind::Hang, Kind::Reset, Kind::Refuse, Kind::Spare)] kind: Kind,
+    #[values(
+        Kind::Hang,
+        Kind::Reset,
+        Kind::Refuse,
+        Kind::Spare,
+        Kind::Close,
+        Kind::Mute
+    )]
+    kind: Kind,
     #[values(100, 300, 700)] half_ms: u64,
 ) {
     for seed in 0..SEEDS {
--- a/crates/papayayard_gateway/src/host.rs
+++ b/crates/papayayard_gateway/src/host.rs
@@ -369,7 +369,8 @@
     }
 
     fn observe_uplink(&mut self, endpoints: &watch::Receiver<Vec<Endpoint>>) -> uplink::Handle {
-        let (uplink, observing) = uplink::start(endpoints.clone(), self.metrics.clone());
+        let question = self.store.codec.report();
+        let (uplink, observing) = uplink::start(question, endpoints.clone(), self.metrics.clone());
         self.controllers.spawn(observing);
         uplink
     }
--- a/crates/papayayard_gateway/src/uplink.rs
+++ b/crates/papayayard_gateway/src/uplink.rs
@@ -1,14 +1,15 @@
-//! Finds out whether this host is detached: whether it can open connections to no endpoint.
+//! Finds out whether this host is detached: whether new connections bring it no endpoint's answer.
 //!
 //! Requests, and the calls for caches and reports, tell what they have seen of the way to
 //! endpoints, so that a host without requests knows it too. A task collects the
 //! reports, probes endpoints when a decision is due, and publishes the state. The decisions
 //! are made in `papayayard_coordination::uplink`.
 
-use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bytes::Bytes;
+use http::Request;
 use papayayard_coordination::uplink::{Change, Evidence, Probe, Target, Uplink};
 use papayayard_routing::placement::Endpoint;
 use papayayard_wire::id;
@@ -17,11 +18,17 @@
 use tokio::task::JoinSet;
 use tokio::time::{self, Instant};
 
-use crate::call;
-use crate::dial;
+use crate::call::{self, Bounds};
 use crate::metrics::Metrics;
 use crate::refusal::millis;
 
+/// Bounds of the answer to a probe: an endpoint that is not cut off answers at once, unless it
+/// is silent for a moment.
+const PROBE_BOUNDS: Bounds = Bounds {
+    time: Duration::from_millis(500),
+    bytes: 256 << 10,
+};
+
 /// Error that a detached host returns to hosts that call it for what needs endpoints.
 #[derive(Debug, Snafu)]
 #[snafu(display("this host reaches no endpoint; ask another host"))]
@@ -109,8 +116,9 @@
     }
 }
 
-/// Returns a handle, and the task that owns the state.
+/// Returns a handle, and the task that owns the state; probes send `question`.
 pub(crate) fn start(
+    question: Request<Bytes>,
     endpoints: watch::Receiver<Vec<Endpoint>>,
     metrics: Metrics,
 ) -> (Handle, impl Future<Output = ()>) {
@@ -118,6 +126,7 @@
     let (state, is_detached) = watch::channel(false);
     metrics.detached(false);
     let observer = Observer {
+        question,
         uplink: Uplink::new(rand::random()),
         started: Instant::now(),
         endpoints,
@@ -133,11 +142,13 @@
 }
 
 struct Observer {
+    /// What endpoints are asked by probes.
+    question: Request<Bytes>,
     uplink: Uplink,
     started: Instant,
     endpoints: watch::Receiver<Vec<Endpoint>>,
-    /// Probes without an outcome.
-    outcomes: JoinSet<(Probe, io::Result<()>)>,
+    /// Probes without an outcome, each with whether it is answered.
+    outcomes: JoinSet<(Probe, bool)>,
     state: watch::Sender<bool>,
     metrics: Metrics,
 }
@@ -158,8 +169,8 @@
                     };
                     self.uplink.record(&report.endpoint, report.evidence, self.now())
                 }
-                Some(Ok((probe, outcome))) = self.outcomes.join_next() => {
-                    self.record_outcome(&probe, &outcome)
+                Some(Ok((probe, is_answered))) = self.outcomes.join_next() => {
+                    self.uplink.probed(&probe, is_answered, self.now())
                 }
                 changed = self.endpoints.changed() => {
                     if changed.is_err() {
@@ -191,12 +202,13 @@
     fn start_probes(&mut self) {
         for probe in self.uplink.probes(self.now()) {
             let address = self.address(&probe.endpoint);
+            let question = self.question.clone();
             self.outcomes.spawn(async move {
-                let outcome = match address {
-                    Some(address) => dial::connect(address).await.map(drop),
-                    None => Err(io::Error::from(io::ErrorKind::AddrNotAvailable)),
+                let is_answered = match address {
+                    Some(address) => is_answered(address, question).await,
+                    None => false,
                 };
-                (probe, outcome)
+                (probe, is_answered)
             });
         }
     }
@@ -207,14 +219,6 @@
         Some(found.address)
     }
 
-    fn record_outcome(&mut self, probe: &Probe, outcome: &io::Result<()>) -> Option<Change> {
-        if let Err(error) = outcome {
-            log::debug!(endpoint:% = probe.endpoint, error:%; "probe could not connect");
-        }
-        let now = self.now();
-        self.uplink.probed(probe, outcome.is_ok(), now)
-    }
-
     fn publish(&self, change: Option<Change>) {
         match change {
             None => return,
@@ -238,6 +242,17 @@
     }
 }
 
+/// Whether an endpoint answers on a new connection, whatever the answer is.
+async fn is_answered(address: SocketAddr, question: Request<Bytes>) -> bool {
+    match call::once(address, question, PROBE_BOUNDS).await {
+        Ok(_) => true,
+        Err(error) => {
+            log::debug!(error:%; "probe without an answer");
+            false
+        }
+    }
+}
+
 #[cfg(test)]
 #[path = "uplink_test.rs"]
 mod test;
--- a/crates/papayayard_gateway/src/uplink_test.rs
+++ b/crates/papayayard_gateway/src/uplink_test.rs
@@ -2,9 +2,13 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
+use bytes::Bytes;
+use http::Request;
 use papayayard_routing::placement::Endpoint;
 use papayayard_wire::id;
-use tokio::net::TcpListener;
+use rstest::rstest;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::AbortHandle;
 use tokio::time;
@@ -52,7 +56,8 @@
         let listed = addresses.iter().enumerate();
         let listed = listed.map(|(index, address)| endpoint(index, *address));
         let (endpoints, receiver) = watch::channel(listed.collect());
-        let (handle, task) = super::start(receiver, Metrics::new());
+        let question = Request::new(Bytes::new());
+        let (handle, task) = super::start(question, receiver, Metrics::new());
         Self {
             handle,
             endpoints,
@@ -74,6 +79,46 @@
     }
 }
 
+/// What an endpoint does with a connection.
+#[derive(Clone, Copy, Debug)]
+enum Act {
+    Answer,
+    Close,
+    Stay,
+}
+
+/// Accepts connections and reads from them until the test ends. Returns a count of those that
+/// have ended.
+fn serve(listener: TcpListener, act: Act) -> watch::Receiver<usize> {
+    let (ended, count) = watch::channel(0);
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut buffer = [0; 1024];
+            if matches!(stream.read(&mut buffer).await, Ok(1..)) {
+                perform(act, &mut stream).await;
+            }
+            ended.send_modify(|count| *count += 1);
+        }
+    });
+    count
+}
+
+async fn perform(act: Act, stream: &mut TcpStream) {
+    match act {
+        Act::Answer => {
+            let answer = b"HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n";
+            stream.write_all(answer).await.expect("an open connection");
+            let rest = stream.read(&mut [0; 1]).await;
+            assert!(matches!(rest, Ok(0)), "{rest:?}");
+        }
+        Act::Close => {}
+        Act::Stay => {
+            // The other side gives up.
+            let _ = stream.read(&mut [0; 1]).await;
+        }
+    }
+}
+
 impl Drop for Observed {
     fn drop(&mut self) {
         self.task.abort();
@@ -88,33 +133,60 @@
     observed.fail_connections();
     observed.wait_for(true).await;
     let back = TcpListener::bind(addresses[2]).await.expect("the port");
+    serve(back, Act::Answer);
     observed.wait_for(false).await;
     assert!(!observed.handle.is_detached());
-    drop(back);
 }
 
 /// Guards against a verification that believes the reports of a few crashed endpoints.
 #[tokio::test]
-async fn an_endpoint_that_accepts_a_probe_keeps_the_host_attached() {
+async fn an_endpoint_that_answers_a_probe_keeps_the_host_attached() {
     let addresses = closed_addresses(2).await;
     let sound = TcpListener::bind(addresses[3]).await.expect("the port");
+    let mut probes = serve(sound, Act::Answer);
     let observed = Observed::start(&addresses);
     observed.fail_connections();
-    let accepted = time::timeout(TIMEOUT, sound.accept()).await;
-    accepted.expect("a probe in time").expect("a connection");
+    let answered = time::timeout(TIMEOUT, probes.wait_for(|ended| *ended > 0)).await;
+    answered.expect("a probe in time").expect("a running task");
     assert!(!observed.handle.is_detached());
 }
 
-/// Guards against failures of requests that a connection made since has disproved.
+/// Guards against a cut that is not seen since connections are still accepted, and against a
+/// host that is attached again by such a connection.
+#[rstest]
+#[case::closed(Act::Close, 5)]
+#[case::silent(Act::Stay, 6)]
 #[tokio::test]
-async fn a_connection_of_a_request_attaches_the_host() {
+async fn connections_without_answers_detach_the_host(#[case] act: Act, #[case] last: u8) {
+    let addresses = closed_addresses(last).await;
+    let mut probes = Vec::new();
+    for address in &addresses {
+        let listener = TcpListener::bind(address).await.expect("the port");
+        probes.push(serve(listener, act));
+    }
+    let mut observed = Observed::start(&addresses);
+    for index in 0..ENDPOINTS {
+        let endpoint = id::Endpoint::from(format!("e-{index}"));
+        observed.handle.record_connected(&endpoint);
+        observed.handle.record_silent(&endpoint);
+    }
+    observed.wait_for(true).await;
+    let recovery = probes[0].wait_for(|ended| *ended > 2);
+    let recovery = time::timeout(TIMEOUT, recovery).await;
+    recovery.expect("probes go on").expect("a running task");
+    assert!(observed.handle.is_detached());
+}
+
+/// Guards against failures of requests that an answer on a connection made since has disproved.
+#[tokio::test]
+async fn an_answer_on_a_new_connection_of_a_request_attaches_the_host() {
     let addresses = closed_addresses(3).await;
     let mut observed = Observed::start(&addresses);
     observed.fail_connections();
     observed.wait_for(true).await;
-    observed
-        .handle
-        .record_connected(&id::Endpoint::from("unlisted"));
+    let endpoint = id::Endpoint::from("unlisted");
+    observed.handle.record_connected(&endpoint);
+    observed.handle.record_answer(&endpoint);
     observed.wait_for(false).await;
 }
 
