Forwarding: requests of a service that is hardly reached are passed on at once

What callers saw: a host that reached one endpoint of six, or none of a service and all of another, was not detached. While requests overlapped, each of them waited for two connections in vain, 150 ms each, before another host served it, as long as the cut lasted.

Cause: nothing outlasted a request. Placement counts the failures of a host in doubt against no endpoint, so the next request went to the same ones, which looked idle.

If no other host takes a request, it tries endpoints as before.

--- a/crates/papayayard_coordination/src/lib.rs
+++ b/crates/papayayard_coordination/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod pace;
 pub mod presence;
 pub mod ranking;
+pub mod reach;
 pub mod reader;
 pub mod replay;
 pub mod rollout;
--- a/crates/papayayard_gateway/src/detours.rs
+++ b/crates/papayayard_gateway/src/detours.rs
@@ -1,9 +1,11 @@
-//! Other hosts that may take requests which this host passes on; see
-//! [`papayayard_coordination::detour`].
+//! Other hosts that may take requests which this host passes on, and the services whose requests
+//! it passes on at once; see [`papayayard_coordination::detour`] and
+//! [`papayayard_coordination::reach`].
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use papayayard_coordination::detour::{Detour, Peer};
+use papayayard_coordination::reach::Reach;
 use papayayard_wire::id;
 use tokio::sync::watch;
 
@@ -19,6 +21,7 @@
     clock: Clock,
     neighbours: watch::Receiver<Neighbours>,
     detour: Mutex<Detour>,
+    reach: Mutex<Reach>,
 }
 
 impl Detours {
@@ -32,6 +35,7 @@
             clock,
             neighbours,
             detour: Mutex::default(),
+            reach: Mutex::default(),
         }))
     }
 
@@ -73,6 +77,22 @@
         }
     }
 
+    /// Whether a request of a service should be passed on before any attempt.
+    pub(crate) fn is_passed_on(&self, service: &id::Service) -> bool {
+        let now = self.0.clock.now();
+        self.reach().is_passed_on(service, now)
+    }
+
+    /// Records whether a request has reached an endpoint of its service.
+    pub(crate) fn record(&self, service: &id::Service, is_reached: bool) {
+        self.reach().record(service, is_reached);
+    }
+
+    fn reach(&self) -> MutexGuard<'_, Reach> {
+        let reach = self.0.reach.lock();
+        reach.unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn detour(&self) -> MutexGuard<'_, Detour> {
         let detour = self.0.detour.lock();
         detour.unwrap_or_else(PoisonError::into_inner)
--- a/crates/papayayard_gateway/src/relay.rs
+++ b/crates/papayayard_gateway/src/relay.rs
@@ -150,7 +150,7 @@
         };
         let mut history = History::default();
         // The host that serves a stream finds out what may continue it.
-        if let Some(response) = self.divert(&job, &mut history).await {
+        if let Some(response) = self.divert_at_once(&job, &mut history).await {
             return response;
         }
         match self.resolve_origin(job).await {
@@ -218,7 +218,10 @@
             let endpoint = placement.endpoint.clone();
             let result = self.attempt(&job, placement, permit, &history).await;
             let failure = match result {
-                AttemptResult::Answer(response) => return response,
+                AttemptResult::Answer(response) => {
+                    self.record_reach(&job, &history, None);
+                    return response;
+                }
                 AttemptResult::Error(response) => {
                     history.runs += 1;
                     error = Some(response);
@@ -237,6 +240,7 @@
                 "attempt failed"
             );
             history.endpoints.push(endpoint);
+            self.record_reach(&job, &history, failure);
             if !self.may_retry(&job, &history, failure) {
                 let refusal = Refusal::not_run(Kind::Overloaded, "the endpoints refused")
                     .after(NOT_READY_RETRY_DELAY);
--- a/crates/papayayard_gateway/src/relay/forward.rs
+++ b/crates/papayayard_gateway/src/relay/forward.rs
@@ -69,10 +69,40 @@
     /// Passes on a request that this host cannot send to an endpoint, and that certainly has
     /// not run; declines it if another host passed it on.
     pub(super) async fn divert(&self, job: &Job, history: &mut History) -> Option<Response<Body>> {
-        let is_detached = self.is_detached();
-        if history.runs > 0 || !(is_detached || history.is_out_of_reach()) {
+        if history.runs > 0 || !(self.is_detached() || history.is_out_of_reach()) {
+            return None;
+        }
+        self.pass_on(job, history).await
+    }
+
+    /// Passes on or declines a request before any attempt, if this host reaches no endpoint or
+    /// hardly any of the service.
+    pub(super) async fn divert_at_once(
+        &self,
+        job: &Job,
+        history: &mut History,
+    ) -> Option<Response<Body>> {
+        let detours = self.detours.as_ref();
+        if !self.is_detached() && !detours?.is_passed_on(&job.service) {
             return None;
         }
+        self.pass_on(job, history).await
+    }
+
+    /// Records whether a request has reached its service, once an attempt has shown it.
+    pub(super) fn record_reach(&self, job: &Job, history: &History, failure: Option<Failure>) {
+        let is_reached = match failure {
+            Some(Failure::Unreachable) if history.unreachable == MAX_UNREACHABLE => false,
+            Some(Failure::Unreachable | Failure::Silent | Failure::Broken) => return,
+            Some(_) | None => true,
+        };
+        if let Some(detours) = &self.detours {
+            detours.record(&job.service, is_reached);
+        }
+    }
+
+    async fn pass_on(&self, job: &Job, history: &mut History) -> Option<Response<Body>> {
+        let is_detached = self.is_detached();
         match self.source {
             Source::Hosts if is_detached => Some(self.decline(job, ANY_REQUEST)),
             Source::Hosts => Some(self.decline(job, THIS_REQUEST)),
