Uplink: a host that reaches no other host either is not detached

What callers saw: after all 295 hosts of the large site had restarted at once, hosts whose links were congested took themselves for detached. They passed requests on to others that were no better off, and gave up their duties: the host that reads caches for its zone answered "this host reaches no endpoint", and the others of the zone read from the holders instead, over the same links.

Cause: probes that time out were taken for a cut from the endpoints, although nothing could be reached in time.

Change: while a suspicion is verified the host also connects to two other hosts. It is detached only if one of them is reached in the round in which the last probe fails; a host that knows no other one decides by its probes alone.

--- a/crates/papayayard_coordination/src/uplink.rs
+++ b/crates/papayayard_coordination/src/uplink.rs
@@ -11,6 +11,10 @@
 //! crashed endpoints detach no host. Any answer ends the suspicion, and the host is detached only
 //! if all probes fail. A detached host probes a few endpoints at a time until one answers. Without
 //! failures there are no probes.
+//!
+//! On a congested network all probes may fail, too. Along with them the host therefore connects
+//! to other hosts, and is detached only if these can be reached meanwhile: others could not serve
+//! its callers, and would only get more work.
 
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
@@ -66,6 +70,23 @@
     round: u64,
 }
 
+/// What a host does at once to find out whether it is detached.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Round {
+    pub probes: Vec<Probe>,
+    /// Whether to connect to other hosts as well, for comparison.
+    pub compares: bool,
+}
+
+/// Outcome of connections to other hosts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Comparison {
+    Reached,
+    Unreachable,
+    /// There is no other host.
+    Alone,
+}
+
 /// Change of the host's state.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Change {
@@ -137,14 +158,22 @@
 enum State {
     #[default]
     Attached,
-    /// Endpoints whose probes have failed.
-    Suspected(HashSet<id::Endpoint>),
+    Suspected(Verification),
     Detached {
         since: Duration,
         next_probe: Duration,
     },
 }
 
+/// Verification of a suspicion.
+#[derive(Clone, Debug, Default)]
+struct Verification {
+    /// Endpoints whose probes have failed.
+    probed: HashSet<id::Endpoint>,
+    /// Outcome of the comparison of the current round.
+    comparison: Option<Comparison>,
+}
+
 impl Uplink {
     /// Creates the view of a host that has seen no failure; `seed` should differ by host.
     pub fn new(seed: u64) -> Self {
@@ -178,7 +207,8 @@
             .endpoints
             .retain(|failed| listed.contains(failed));
         self.failed_at.retain(|failed, _| listed.contains(failed));
-        if let State::Suspected(probed) = &mut self.state {
+        if let State::Suspected(verification) = &mut self.state {
+            let probed = &mut verification.probed;
             probed.retain(|endpoint| listed.contains(endpoint));
         }
         drop(listed);
@@ -216,28 +246,45 @@
     pub fn next_probe(&self) -> Option<Duration> {
         let is_waiting = !self.open.is_empty() || self.targets.is_empty();
         match &self.state {
-            State::Suspected(_) if !is_waiting => Some(self.verify_after),
+            State::Suspected(verification)
+                if !is_waiting && !self.have_all_failed(verification) =>
+            {
+                Some(self.verify_after)
+            }
             State::Detached { next_probe, .. } if !is_waiting => Some(*next_probe),
             _ => None,
         }
     }
 
-    /// Returns the probes to start now. The outcome of each has to be reported.
-    pub fn probes(&mut self, now: Duration) -> Vec<Probe> {
+    /// Returns what to start now. The outcome of each probe and of a comparison has to be
+    /// reported.
+    pub fn probes(&mut self, now: Duration) -> Round {
         if self.next_probe().is_none_or(|due| now < due) {
-            return Vec::new();
+            return Round::default();
         }
         self.round += 1;
         let chosen = self.choose();
         let interval = self.recovery_interval();
-        if let State::Detached { next_probe, .. } = &mut self.state {
-            *next_probe = now + interval;
-        }
+        let compares = match &mut self.state {
+            State::Attached => false,
+            State::Suspected(verification) => {
+                verification.comparison = None;
+                true
+            }
+            State::Detached { next_probe, .. } => {
+                *next_probe = now + interval;
+                false
+            }
+        };
         self.probes += u32::try_from(chosen.len()).unwrap_or(u32::MAX);
         self.open.extend(chosen.iter().cloned());
         let round = self.round;
         let probes = chosen.into_iter();
-        probes.map(|endpoint| Probe { endpoint, round }).collect()
+        let probes = probes.map(|endpoint| Probe { endpoint, round });
+        Round {
+            probes: probes.collect(),
+            compares,
+        }
     }
 
     /// Records whether a probe was answered.
@@ -251,13 +298,21 @@
         }
         if self.is_listed(&probe.endpoint) {
             self.record_failure(&probe.endpoint, now);
-            if let State::Suspected(probed) = &mut self.state {
-                probed.insert(probe.endpoint.clone());
+            if let State::Suspected(verification) = &mut self.state {
+                verification.probed.insert(probe.endpoint.clone());
             }
         }
         self.assess(now)
     }
 
+    /// Records the outcome of a comparison.
+    pub fn compared(&mut self, comparison: Comparison, now: Duration) -> Option<Change> {
+        if let State::Suspected(verification) = &mut self.state {
+            verification.comparison = Some(comparison);
+        }
+        self.assess(now)
+    }
+
     fn is_listed(&self, endpoint: &id::Endpoint) -> bool {
         let mut targets = self.targets.iter();
         targets.any(|target| target.endpoint == *endpoint)
@@ -307,13 +362,17 @@
     fn assess(&mut self, now: Duration) -> Option<Change> {
         match &self.state {
             State::Attached if self.is_suspicious() => {
-                self.state = State::Suspected(HashSet::new());
+                self.state = State::Suspected(Verification::default());
                 self.probes = 0;
                 None
             }
             State::Suspected(_) if !self.is_suspicious() => self.attach(now),
-            State::Suspected(probed) if self.open.is_empty() && self.refutes_none(probed) => {
-                Some(self.detach(now))
+            State::Suspected(verification) if self.have_all_failed(verification) => {
+                match verification.comparison {
+                    None => None,
+                    Some(Comparison::Reached | Comparison::Alone) => Some(self.detach(now)),
+                    Some(Comparison::Unreachable) => self.attach(now),
+                }
             }
             _ => None,
         }
@@ -325,9 +384,10 @@
         self.unreachable.are_suspicious(targets) || self.failed.are_suspicious(targets)
     }
 
-    /// Whether enough probes have failed.
-    fn refutes_none(&self, probed: &HashSet<id::Endpoint>) -> bool {
-        probed.len() >= MIN_FAILED_PROBES.min(self.targets.len())
+    /// Whether enough probes have failed, and none is open.
+    fn have_all_failed(&self, verification: &Verification) -> bool {
+        let enough = MIN_FAILED_PROBES.min(self.targets.len());
+        self.open.is_empty() && verification.probed.len() >= enough
     }
 
     fn detach(&mut self, now: Duration) -> Change {
@@ -356,7 +416,7 @@
     fn choose(&self) -> Vec<id::Endpoint> {
         let (number, excluded) = match &self.state {
             State::Attached => return Vec::new(),
-            State::Suspected(probed) => (VERIFICATION_PROBES, Some(probed)),
+            State::Suspected(verification) => (VERIFICATION_PROBES, Some(&verification.probed)),
             State::Detached { .. } => (RECOVERY_PROBES, None),
         };
         let is_excluded =
--- a/crates/papayayard_coordination/tests/uplink_test.rs
+++ b/crates/papayayard_coordination/tests/uplink_test.rs
@@ -5,7 +5,7 @@
 use std::ops::Range;
 use std::time::Duration;
 
-use papayayard_coordination::uplink::{Change, Evidence, Probe, Target, Uplink};
+use papayayard_coordination::uplink::{Change, Comparison, Evidence, Probe, Target, Uplink};
 use papayayard_wire::id;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -51,6 +51,8 @@
     targets: Vec<Target>,
     /// Endpoints to which there is an idle connection.
     idle: HashSet<usize>,
+    /// Whether the fault concerns the way to other hosts, too.
+    cuts_hosts: bool,
 }
 
 enum Action {
@@ -59,6 +61,7 @@
     /// Evidence of an attempt, and the endpoints tried if another attempt follows.
     Report(usize, Evidence, Option<Vec<usize>>),
     Outcome(Probe, bool),
+    Compared(Comparison),
 }
 
 struct Replay {
@@ -83,6 +86,7 @@
             fault,
             targets: targets.collect(),
             idle: HashSet::new(),
+            cuts_hosts: false,
         };
         let mut uplink = Uplink::new(seed);
         assert_eq!(
@@ -119,9 +123,13 @@
             {
                 self.perform(action, now);
             }
-            for probe in self.uplink.probes(now) {
+            let round = self.uplink.probes(now);
+            for probe in round.probes {
                 self.probe(probe, now);
             }
+            if round.compares {
+                self.compare(now);
+            }
         }
     }
 
@@ -155,6 +163,7 @@
                 self.uplink.record(&endpoint, evidence, now)
             }
             Action::Outcome(probe, is_connected) => self.uplink.probed(&probe, is_connected, now),
+            Action::Compared(comparison) => self.uplink.compared(comparison, now),
         };
         if let Some(change) = change {
             self.changes.push((now, change));
@@ -221,6 +230,17 @@
         self.schedule(now + time, Action::Outcome(probe, !is_cut));
     }
 
+    /// Connects to another host.
+    fn compare(&mut self, now: Duration) {
+        let is_cut = self.world.cuts_hosts && (self.world.fault)(0, now);
+        let (time, comparison) = if is_cut {
+            (CONNECT_TIMEOUT, Comparison::Unreachable)
+        } else {
+            (ROUND_TRIP, Comparison::Reached)
+        };
+        self.schedule(now + time, Action::Compared(comparison));
+    }
+
     fn probes_in(&self, span: Range<Duration>) -> usize {
         let probes = self.probes.iter();
         probes.filter(|at| span.contains(*at)).count()
@@ -298,6 +318,21 @@
     }
 }
 
+/// Guards against hosts on a congested network that take themselves for detached, although other
+/// hosts are out of reach too.
+#[rstest]
+fn a_host_that_reaches_no_other_host_either_is_not_detached(
+    #[values(Kind::Hang, Kind::Mute)] kind: Kind,
+    #[values(3, 18, 90)] endpoints: usize,
+) {
+    for seed in 0..SEEDS {
+        let mut replay = Replay::new(endpoints, kind, per_second(20), seed, Box::new(cut));
+        replay.world.cuts_hosts = true;
+        let replay = replay.run();
+        assert_eq!(replay.changes, [], "seed {seed}");
+    }
+}
+
 #[rstest]
 fn a_host_with_few_requests_knows_a_cut(
     #[values(
@@ -415,7 +450,16 @@
         let change = uplink.record(&endpoint, Evidence::Unreachable, now);
         assert_eq!(change, None);
     }
-    uplink.probes(now)
+    start_round(uplink, now)
+}
+
+/// Starts the probes that are due, at a host that knows no other one.
+fn start_round(uplink: &mut Uplink, now: Duration) -> Vec<Probe> {
+    let round = uplink.probes(now);
+    if round.compares {
+        assert_eq!(uplink.compared(Comparison::Alone, now), None);
+    }
+    round.probes
 }
 
 /// Guards against suspicion of the host's network by endpoints that have left the list.
@@ -460,7 +504,7 @@
     assert_eq!(uplink.next_probe(), None);
     uplink.set_targets(targets(&["b"]), FAULT_START);
     let due = uplink.next_probe().expect("a probe is due");
-    let probes = uplink.probes(due);
+    let probes = start_round(&mut uplink, due);
     let change = uplink.probed(&probes[0], true, due);
     assert!(
         matches!(change, Some(Change::Attached { .. })),
@@ -490,7 +534,7 @@
         let endpoint = &targets[attempt % number].endpoint;
         uplink.record(endpoint, Evidence::Unreachable, now);
         loop {
-            let probes = uplink.probes(now);
+            let probes = start_round(&mut uplink, now);
             if probes.is_empty() || uplink.is_detached() {
                 break;
             }
--- a/crates/papayayard_gateway/src/host.rs
+++ b/crates/papayayard_gateway/src/host.rs
@@ -370,7 +370,9 @@
 
     fn observe_uplink(&mut self, endpoints: &watch::Receiver<Vec<Endpoint>>) -> uplink::Handle {
         let question = self.store.codec.report();
-        let (uplink, observing) = uplink::start(question, endpoints.clone(), self.metrics.clone());
+        let (endpoints, neighbours) = (endpoints.clone(), self.neighbours.clone());
+        let (uplink, observing) =
+            uplink::start(question, endpoints, neighbours, self.metrics.clone());
         self.controllers.spawn(observing);
         uplink
     }
--- a/crates/papayayard_gateway/src/uplink.rs
+++ b/crates/papayayard_gateway/src/uplink.rs
@@ -10,15 +10,18 @@
 
 use bytes::Bytes;
 use http::Request;
-use papayayard_coordination::uplink::{Change, Evidence, Probe, Target, Uplink};
+use papayayard_coordination::uplink::{Change, Comparison, Evidence, Probe, Target, Uplink};
 use papayayard_routing::placement::Endpoint;
 use papayayard_wire::id;
+use rand::seq::IndexedRandom;
 use snafu::Snafu;
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
 use tokio::time::{self, Instant};
 
 use crate::call::{self, Bounds};
+use crate::dial;
+use crate::hosts::Neighbours;
 use crate::metrics::Metrics;
 use crate::refusal::millis;
 
@@ -29,6 +32,9 @@
     bytes: 256 << 10,
 };
 
+/// Number of other hosts to which a comparison connects.
+const COMPARED_HOSTS: usize = 2;
+
 /// Error that a detached host returns to hosts that call it for what needs endpoints.
 #[derive(Debug, Snafu)]
 #[snafu(display("this host reaches no endpoint; ask another host"))]
@@ -120,6 +126,7 @@
 pub(crate) fn start(
     question: Request<Bytes>,
     endpoints: watch::Receiver<Vec<Endpoint>>,
+    neighbours: watch::Receiver<Neighbours>,
     metrics: Metrics,
 ) -> (Handle, impl Future<Output = ()>) {
     let (reports, queue) = mpsc::unbounded_channel();
@@ -130,6 +137,7 @@
         uplink: Uplink::new(rand::random()),
         started: Instant::now(),
         endpoints,
+        neighbours,
         outcomes: JoinSet::new(),
         state,
         metrics,
@@ -141,14 +149,21 @@
     (handle, observer.run(queue))
 }
 
+/// What was found out about the network.
+enum Outcome {
+    Probed { probe: Probe, is_answered: bool },
+    Compared(Comparison),
+}
+
 struct Observer {
     /// What endpoints are asked by probes.
     question: Request<Bytes>,
     uplink: Uplink,
     started: Instant,
     endpoints: watch::Receiver<Vec<Endpoint>>,
-    /// Probes without an outcome, each with whether it is answered.
-    outcomes: JoinSet<(Probe, bool)>,
+    neighbours: watch::Receiver<Neighbours>,
+    /// Probes and comparisons without an outcome.
+    outcomes: JoinSet<Outcome>,
     state: watch::Sender<bool>,
     metrics: Metrics,
 }
@@ -169,9 +184,7 @@
                     };
                     self.uplink.record(&report.endpoint, report.evidence, self.now())
                 }
-                Some(Ok((probe, is_answered))) = self.outcomes.join_next() => {
-                    self.uplink.probed(&probe, is_answered, self.now())
-                }
+                Some(Ok(outcome)) = self.outcomes.join_next() => self.record_outcome(&outcome),
                 changed = self.endpoints.changed() => {
                     if changed.is_err() {
                         return;
@@ -199,8 +212,22 @@
         self.uplink.set_targets(targets, self.now())
     }
 
+    fn record_outcome(&mut self, outcome: &Outcome) -> Option<Change> {
+        let now = self.now();
+        match outcome {
+            Outcome::Probed { probe, is_answered } => self.uplink.probed(probe, *is_answered, now),
+            Outcome::Compared(comparison) => self.uplink.compared(*comparison, now),
+        }
+    }
+
     fn start_probes(&mut self) {
-        for probe in self.uplink.probes(self.now()) {
+        let round = self.uplink.probes(self.now());
+        if round.compares {
+            let neighbours = self.neighbours.borrow().clone();
+            self.outcomes
+                .spawn(async move { Outcome::Compared(compare(&neighbours).await) });
+        }
+        for probe in round.probes {
             let address = self.address(&probe.endpoint);
             let question = self.question.clone();
             self.outcomes.spawn(async move {
@@ -208,7 +235,7 @@
                     Some(address) => is_answered(address, question).await,
                     None => false,
                 };
-                (probe, is_answered)
+                Outcome::Probed { probe, is_answered }
             });
         }
     }
@@ -242,6 +269,35 @@
     }
 }
 
+/// Connects to a few other hosts.
+async fn compare(neighbours: &Neighbours) -> Comparison {
+    if neighbours.are_counted && neighbours.takers.is_empty() {
+        return Comparison::Alone;
+    }
+    let chosen = neighbours
+        .takers
+        .sample(&mut rand::rng(), COMPARED_HOSTS)
+        .map(|peer| is_reached(peer.address));
+    let mut connections: JoinSet<bool> = chosen.collect();
+    while let Some(is_reached) = connections.join_next().await {
+        if matches!(is_reached, Ok(true)) {
+            return Comparison::Reached;
+        }
+    }
+    Comparison::Unreachable
+}
+
+/// Whether a connection to a host can be established.
+async fn is_reached(address: SocketAddr) -> bool {
+    match dial::connect(address).await {
+        Ok(_) => true,
+        Err(error) => {
+            log::debug!(address:%, error:%; "cannot connect to the host");
+            false
+        }
+    }
+}
+
 /// Whether an endpoint answers on a new connection, whatever the answer is.
 async fn is_answered(address: SocketAddr, question: Request<Bytes>) -> bool {
     match call::once(address, question, PROBE_BOUNDS).await {
--- a/crates/papayayard_gateway/src/uplink_test.rs
+++ b/crates/papayayard_gateway/src/uplink_test.rs
@@ -4,6 +4,8 @@
 
 use bytes::Bytes;
 use http::Request;
+use papayayard_coordination::detour::Peer;
+use papayayard_coordination::uplink::Comparison;
 use papayayard_routing::placement::Endpoint;
 use papayayard_wire::id;
 use rstest::rstest;
@@ -14,6 +16,7 @@
 use tokio::time;
 
 use super::Handle;
+use crate::hosts::Neighbours;
 use crate::metrics::Metrics;
 
 /// Maximum time for each wait of a test.
@@ -48,19 +51,27 @@
 struct Observed {
     handle: Handle,
     endpoints: watch::Sender<Vec<Endpoint>>,
+    _neighbours: watch::Sender<Neighbours>,
     task: AbortHandle,
 }
 
 impl Observed {
+    /// Starts an observer that knows no other hosts.
     fn start(addresses: &[SocketAddr]) -> Self {
+        let alone = Neighbours {
+            are_counted: true,
+            ..Neighbours::default()
+        };
         let listed = addresses.iter().enumerate();
         let listed = listed.map(|(index, address)| endpoint(index, *address));
         let (endpoints, receiver) = watch::channel(listed.collect());
         let question = Request::new(Bytes::new());
-        let (handle, task) = super::start(question, receiver, Metrics::new());
+        let (neighbours, hosts) = watch::channel(alone);
+        let (handle, task) = super::start(question, receiver, hosts, Metrics::new());
         Self {
             handle,
             endpoints,
+            _neighbours: neighbours,
             task: tokio::spawn(task).abort_handle(),
         }
     }
@@ -203,3 +214,34 @@
     observed.wait_for(true).await;
     drop(sound);
 }
+
+/// Guards against hosts that take a congested network of their own for a cut from endpoints.
+#[rstest]
+#[case::alone(true, None, Comparison::Alone)]
+#[case::not_counted(false, None, Comparison::Unreachable)]
+#[case::unreachable(true, Some(false), Comparison::Unreachable)]
+#[case::reached(true, Some(true), Comparison::Reached)]
+#[tokio::test]
+async fn other_hosts_are_the_comparison(
+    #[case] are_counted: bool,
+    #[case] other_listens: Option<bool>,
+    #[case] expected: Comparison,
+) {
+    let listener = TcpListener::bind((Ipv4Addr::new(127, 81, 0, 7), 0)).await;
+    let listener = listener.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let peer = Peer {
+        host: id::Host::from("other"),
+        address,
+        is_local: true,
+    };
+    let neighbours = Neighbours {
+        are_counted,
+        takers: other_listens.map(|_| peer).into_iter().collect(),
+        ..Neighbours::default()
+    };
+    if other_listens != Some(true) {
+        drop(listener);
+    }
+    assert_eq!(super::compare(&neighbours).await, expected);
+}
