Placement: the slots of an endpoint that limits refusals are not counted for others

Where several dispatchers place, each for its zone, callers of a slow plain service were refused during an overload while half the slots of endpoints that limit refusals stayed free.

Cause: the load of an endpoint is estimated from this scheduler's requests as if each other scheduler had as many there. A limit on refusals gives an endpoint's slots to the schedulers of its zone, so with three of them 4 requests at 8 slots counted as 12. With answers that take 400 ms, the next one's estimate passes 1.3 times the target of 500 ms, and the request is refused for overload. Short answers hide it, since 1.3 times the target is never reached.

Change: for an endpoint whose slots are divided by a limit on refusals, the estimate for plain requests counts only schedulers that have a part of them.

This is not what fails callers_get_most_of_the_slots_of_endpoints_that_limit_refusals: there one dispatcher places for both hosts.

--- a/crates/papayayard_routing/src/placement/refusal_limit.rs
+++ b/crates/papayayard_routing/src/placement/refusal_limit.rs
@@ -258,6 +258,24 @@
         })
     }
 
+    /// Number of schedulers, of `schedulers`, that place requests at an endpoint: a limit on
+    /// refusals leaves its slots to those that have a part of them.
+    pub(super) fn schedulers_at(
+        &self,
+        endpoint: &Endpoint,
+        schedulers: usize,
+        now: Duration,
+    ) -> usize {
+        let is_limited = self.refusal_limits.get(endpoint).is_some()
+            || self.inherited_room(endpoint, now).is_some();
+        if !is_limited {
+            return schedulers;
+        }
+        let share = self.requesting_hosts.exclusive_share(&endpoint.zone, now);
+        let is_all = |number: &usize| float(*number) * share >= 1.0 - ROUNDING;
+        (1..schedulers).find(is_all).unwrap_or(schedulers)
+    }
+
     /// Estimates when the endpoints of a service have room for one more request than those ahead
     /// of it; `now` unless the limits on refusals hold for all of them.
     pub(super) fn has_room_at(&self, query: &Query, ahead: u32, now: Duration) -> Duration {
--- a/crates/papayayard_routing/src/placement/select.rs
+++ b/crates/papayayard_routing/src/placement/select.rs
@@ -123,7 +123,7 @@
             (Some(engine), Some(_)) => {
                 self.engine_candidates(query, draw, engine, usable, hosts, now)
             }
-            _ => Self::plain_candidates(usable, query, hosts, now),
+            _ => self.plain_candidates(usable, query, hosts, now),
         };
         availability.with_capacity = candidates.len();
         let soonest_ms = candidates
@@ -162,6 +162,7 @@
     }
 
     fn plain_candidates(
+        &self,
         usable: Vec<(BackendKey, &Backend)>,
         query: &Query,
         hosts: usize,
@@ -173,11 +174,14 @@
                 .iter()
                 .map(|(_, backend)| backend.load.average(hosts, now)),
         );
-        let candidates = usable.into_iter().map(|(key, backend)| Candidate {
-            key,
-            estimate: cost::estimate_plain(backend, zone, mean, hosts, now),
-            version: 0,
-            fetch: None,
+        let candidates = usable.into_iter().map(|(key, backend)| {
+            let hosts = self.schedulers_at(&backend.endpoint, hosts, now);
+            Candidate {
+                key,
+                estimate: cost::estimate_plain(backend, zone, mean, hosts, now),
+                version: 0,
+                fetch: None,
+            }
         });
         candidates.collect()
     }
--- a/crates/papayayard_routing/tests/placement/refusal_limits.rs
+++ b/crates/papayayard_routing/tests/placement/refusal_limits.rs
@@ -118,6 +118,8 @@
     /// Times of refusals, by endpoint.
     refusals: HashMap<usize, Vec<Duration>>,
     served: usize,
+    /// Time from an answer to its report.
+    report_time: Duration,
     rng: ChaCha8Rng,
 }
 
@@ -143,6 +145,7 @@
             hidden: 0,
             refusals: HashMap::new(),
             served: 0,
+            report_time: REPORT_TIME,
             rng: ChaCha8Rng::seed_from_u64(seed),
         }
     }
@@ -223,8 +226,8 @@
     /// Reports the answers that have reached their hosts.
     fn report(&mut self, now: Duration) {
         let limit = self.named.map(rate);
-        let is_reported =
-            |sent: &mut Sent| sent.answered_at.is_some_and(|at| at + REPORT_TIME <= now);
+        let latest = now.saturating_sub(self.report_time);
+        let is_reported = |sent: &mut Sent| sent.answered_at.is_some_and(|at| at <= latest);
         let reported: Vec<Sent> = self.sent.extract_if(.., is_reported).collect();
         for sent in reported {
             let scheduler = &mut self.schedulers[sent.scheduler];
@@ -290,7 +293,7 @@
     /// Served requests relative to what all slots serve from the burst on.
     fn used(&self) -> f64 {
         let seconds = REPLAY.saturating_sub(BURST_AT).as_secs_f64();
-        let run_time = RUN_TIME + SEND_TIME + REPORT_TIME;
+        let run_time = RUN_TIME + SEND_TIME + self.report_time;
         let capacity = float(ENDPOINTS.len()) * f64::from(SLOTS) / run_time.as_secs_f64();
         float(self.served) / (capacity * seconds)
     }
@@ -312,6 +315,23 @@
     assert!(used >= MIN_USE, "{used} of the slots used");
 }
 
+/// Guards against slots that stay free because answers reach their hosts late, beyond the time
+/// for which the late answers themselves occupy them.
+#[rstest]
+fn a_burst_takes_all_slots_although_answers_are_late(
+    #[values(1, 3)] schedulers: usize,
+    #[values(Kind::Plain, Kind::Prompt)] kind: Kind,
+    #[values(100, 300)] report_ms: u64,
+) {
+    let mut replay = Replay::new(schedulers, 2.0, 1);
+    replay.report_time = ms(report_ms);
+    replay.run(kind, REPLAY, |_, _| {});
+    let (most, used) = (replay.most_refusals(), replay.used());
+    println!("{schedulers} {kind:?} {report_ms} ms late: {most} refusals, {used:.2} used");
+    assert!(most <= 2.0, "{most} refusals in a second");
+    assert!(used >= MIN_USE, "{used} of the slots used");
+}
+
 /// The replay is one in which endpoints refuse too many if nothing limits it.
 #[rstest]
 fn without_a_limit_the_burst_is_refused_at_endpoints(
