Ends: an answer that a leaving endpoint's exit cuts is not complete

Cause: the task that investigates ends of connections left out endpoints that are leaving or on no list, since their end is no crash that a request caused, and answered for them that they live.

Ruled out: a probe of the leaving endpoint that succeeded (none was made); an error that looks like an end (an exit closes its connections with a FIN).

Change: each end is probed. Whether the end of the run would be a crash is asked of `runs`, which keeps what the list said of each run, also once the endpoint's next run is listed. A placement names the run that it means.

--- a/crates/papayayard_gateway/src/dispatch/message.rs
+++ b/crates/papayayard_gateway/src/dispatch/message.rs
@@ -189,6 +189,8 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(super) struct Placed {
     endpoint: String,
+    #[serde(default)]
+    started: Option<id::Incarnation>,
     address: SocketAddr,
     #[serde(default)]
     software: Option<id::Software>,
@@ -370,6 +372,7 @@
     pub(super) fn new(placement: Placement) -> Self {
         Self {
             endpoint: placement.endpoint.as_str().to_owned(),
+            started: placement.started,
             address: placement.address,
             software: placement.software,
             version: placement.version,
@@ -393,6 +396,7 @@
         Placement {
             ticket: Ticket::default(),
             endpoint: id::Endpoint::from(self.endpoint),
+            started: self.started,
             address: self.address,
             software: self.software,
             version: self.version,
--- a/crates/papayayard_gateway/src/ends.rs
+++ b/crates/papayayard_gateway/src/ends.rs
@@ -27,6 +27,7 @@
 mod cleared;
 mod fold;
 mod report;
+mod runs;
 mod task;
 mod write;
 
--- a/crates/papayayard_gateway/src/ends/attempt.rs
+++ b/crates/papayayard_gateway/src/ends/attempt.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use papayayard_routing::blame::{Progress, Subjects};
+use papayayard_routing::blame::{Progress, Run, Subjects};
 use papayayard_routing::placement::Placement;
 use papayayard_routing::prompt::Prompt;
 use papayayard_wire::id;
@@ -12,6 +12,26 @@
 use crate::attempt::Failure;
 use crate::job::Job;
 
+/// Where a request was sent.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(super) struct Destination {
+    pub(super) endpoint: id::Endpoint,
+    /// Start of the endpoint's process; `None` if an older release placed the request.
+    pub(super) started: Option<id::Incarnation>,
+    pub(super) address: SocketAddr,
+}
+
+impl Destination {
+    /// The run that was meant, if it is named.
+    pub(super) fn run(&self) -> Option<Run> {
+        let started = self.started?;
+        Some(Run {
+            endpoint: self.endpoint.clone(),
+            started,
+        })
+    }
+}
+
 /// A request and the endpoint that may have crashed while processing it.
 #[derive(Clone, Debug)]
 pub(super) struct Attempt {
@@ -19,8 +39,7 @@
     pub(super) subjects: Arc<Subjects>,
     prompt: Option<Arc<Prompt>>,
     pub(super) progress: Progress,
-    pub(super) endpoint: id::Endpoint,
-    pub(super) address: SocketAddr,
+    pub(super) destination: Destination,
 }
 
 impl Attempt {
@@ -30,8 +49,11 @@
             subjects: Arc::clone(&job.subjects),
             prompt: job.prompt.clone(),
             progress,
-            endpoint: placement.endpoint.clone(),
-            address: placement.address,
+            destination: Destination {
+                endpoint: placement.endpoint.clone(),
+                started: placement.started,
+                address: placement.address,
+            },
         }
     }
 
--- a/crates/papayayard_gateway/src/ends/task.rs
+++ b/crates/papayayard_gateway/src/ends/task.rs
@@ -7,31 +7,23 @@
 
 use papayayard_routing::blame::{Progress, Run};
 use papayayard_routing::quarantine::Fingerprint;
-use papayayard_wire::id;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::JoinSet;
 
-use super::attempt::Attempt;
+use super::attempt::{Attempt, Destination};
 use super::cleared::Cleared;
 use super::report::Report;
+use super::runs::Runs;
 use super::{Ending, Message, Parts, ProbeOutcome, Shared};
 use crate::dial;
 
 /// Time after a failure within which the endpoint list may still reveal a crash: the
 /// record of a crashed endpoint expires after some missed heartbeats.
-const LISTING_WINDOW: Duration = Duration::from_secs(15);
+pub(super) const LISTING_WINDOW: Duration = Duration::from_secs(15);
 
 /// Maximum number of parts of prompts in a report; a record holds several times that.
 const MAX_REPORTED_PARTS: usize = 2_048;
 
-/// An endpoint as last seen in the list.
-struct Listed {
-    started: id::Incarnation,
-    leaving: bool,
-    /// When the endpoint disappeared from the list.
-    removed_at: Option<Duration>,
-}
-
 /// What revealed that a run has crashed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Evidence {
@@ -98,10 +90,10 @@
     shared: Shared,
     /// Runs that have crashed, as far as this host knows.
     crashes: HashMap<Run, Crash>,
-    listed: HashMap<id::Endpoint, Listed>,
+    runs: Runs,
     /// Failed requests by the run that is being probed for them.
-    probed: HashMap<Run, Vec<Disconnected>>,
-    probes: JoinSet<(Run, ProbeOutcome)>,
+    probed: HashMap<Destination, Vec<Disconnected>>,
+    probes: JoinSet<(Destination, ProbeOutcome)>,
     suspects: Vec<Suspect>,
     /// Parts of prompts that are about to be reported as cleared.
     cleared: Option<Cleared>,
@@ -113,7 +105,7 @@
             parts,
             shared,
             crashes: HashMap::new(),
-            listed: HashMap::new(),
+            runs: Runs::default(),
             probed: HashMap::new(),
             probes: JoinSet::new(),
             suspects: Vec::new(),
@@ -131,7 +123,7 @@
                     self.handle(message);
                 }
                 Some(answer) = self.probes.join_next() => match answer {
-                    Ok((run, outcome)) => self.probe_finished(&run, outcome),
+                    Ok((probed, outcome)) => self.probe_finished(&probed, outcome),
                     Err(error) => log::error!(error:%; "the task probing an endpoint failed"),
                 },
                 () = Cleared::wait(self.cleared.as_ref()) => self.report_cleared(),
@@ -148,7 +140,7 @@
     fn handle(&mut self, message: Message) {
         match message {
             Message::Unanswered(attempt) => {
-                if let Some(run) = self.run_of(&attempt.endpoint) {
+                if let Some(run) = self.runs.may_crash(&attempt.destination) {
                     self.defer(run, attempt);
                 }
             }
@@ -167,60 +159,59 @@
     }
 
     fn probe(&mut self, request: Disconnected) {
-        let Some(run) = self.run_of(&request.attempt.endpoint) else {
-            request.release(ProbeOutcome::Accepted);
-            return;
-        };
-        if self.crashes.contains_key(&run) {
+        let destination = request.attempt.destination.clone();
+        if let Some(run) = self.runs.may_crash(&destination)
+            && self.crashes.contains_key(&run)
+        {
             let attempt = request.attempt.clone();
             self.record_crash(&run, vec![attempt], Evidence::Connection);
             request.release(ProbeOutcome::Refused);
             return;
         }
-        let address = request.attempt.address;
-        let waiting = self.probed.entry(run.clone()).or_default();
+        let waiting = self.probed.entry(destination.clone()).or_default();
         waiting.push(request);
         if waiting.len() == 1 {
-            self.probes
-                .spawn(async move { (run, probe_address(address).await) });
+            self.probes.spawn(async move {
+                let outcome = probe_address(destination.address).await;
+                (destination, outcome)
+            });
         }
     }
 
-    /// Returns the endpoint's current run, or `None` if the endpoint is unknown or has
-    /// announced that it leaves.
-    fn run_of(&self, endpoint: &id::Endpoint) -> Option<Run> {
-        let listed = self.listed.get(endpoint).filter(|listed| !listed.leaving)?;
-        Some(Run {
-            endpoint: endpoint.clone(),
-            started: listed.started,
-        })
-    }
-
-    fn probe_finished(&mut self, run: &Run, outcome: ProbeOutcome) {
-        let waiting = self.probed.remove(run).unwrap_or_default();
+    fn probe_finished(&mut self, probed: &Destination, outcome: ProbeOutcome) {
+        let waiting = self.probed.remove(probed).unwrap_or_default();
+        let run = self.runs.may_crash(probed);
         log::info!(
-            endpoint:% = run.endpoint, shown = outcome.as_str(), requests = waiting.len();
+            endpoint:% = probed.endpoint, shown = outcome.as_str(), requests = waiting.len(),
+            may_crash = run.is_some();
             "endpoint asked whether it lives"
         );
-        if outcome == ProbeOutcome::Refused {
-            let attempts = waiting.iter().map(|request| request.attempt.clone());
-            self.record_crash(run, attempts.collect(), Evidence::Connection);
-        } else {
-            let is_open = |request: &&Disconnected| {
-                request.ending == Ending::Broken || outcome == ProbeOutcome::Inconclusive
-            };
-            for request in waiting.iter().filter(is_open) {
-                self.defer(run.clone(), request.attempt.clone());
-            }
+        if let Some(run) = run {
+            self.blame(&run, &waiting, outcome);
         }
         for request in waiting {
             request.release(outcome);
         }
     }
 
+    /// Records the requests that were open at a run if it has crashed, or may have.
+    fn blame(&mut self, run: &Run, requests: &[Disconnected], outcome: ProbeOutcome) {
+        if outcome == ProbeOutcome::Refused {
+            let attempts = requests.iter().map(|request| request.attempt.clone());
+            self.record_crash(run, attempts.collect(), Evidence::Connection);
+            return;
+        }
+        let is_open = |request: &&Disconnected| {
+            request.ending == Ending::Broken || outcome == ProbeOutcome::Inconclusive
+        };
+        for request in requests.iter().filter(is_open) {
+            self.defer(run.clone(), request.attempt.clone());
+        }
+    }
+
     /// Keeps a failed request until the list shows whether the endpoint has crashed.
     fn defer(&mut self, run: Run, attempt: Attempt) {
-        if self.crashes.contains_key(&run) || self.list_shows_crash(&run) {
+        if self.crashes.contains_key(&run) || self.runs.shows_crash(&run) {
             self.record_crash(&run, vec![attempt], Evidence::List);
             return;
         }
@@ -232,44 +223,19 @@
         });
     }
 
-    /// Whether the list shows that a run has crashed.
-    fn list_shows_crash(&self, run: &Run) -> bool {
-        let listed = self.listed.get(&run.endpoint);
-        listed.is_none_or(|listed| {
-            let is_gone = listed.removed_at.is_some() || listed.started != run.started;
-            is_gone && !listed.leaving
-        })
-    }
-
     fn update_list(&mut self) {
         let now = self.parts.clock.now();
         let list = self.parts.endpoints.borrow_and_update().clone();
-        for listed in self.listed.values_mut() {
-            listed.removed_at.get_or_insert(now);
-        }
-        for endpoint in list {
-            let listed = Listed {
-                started: endpoint.started,
-                leaving: endpoint.leaving,
-                removed_at: None,
-            };
-            self.listed.insert(endpoint.id, listed);
-        }
-        self.listed
-            .retain(|_, listed| listed.removed_at.is_none_or(|at| now < at + LISTING_WINDOW));
+        self.runs.update(list, now);
         // Records also expire while an endpoint is merely partitioned from the store, so
         // a listed run that returns has not crashed.
-        let listed = &self.listed;
-        self.crashes.retain(|run, crash| {
-            let is_back = listed
-                .get(&run.endpoint)
-                .is_some_and(|listed| listed.removed_at.is_none() && listed.started == run.started);
-            !(crash.shown_by_list && is_back)
-        });
+        let runs = &self.runs;
+        self.crashes
+            .retain(|run, crash| !(crash.shown_by_list && runs.is_listed(run)));
         self.suspects.retain(|suspect| now < suspect.until);
         let crashed = self.suspects.iter().map(|suspect| &suspect.run);
         let crashed: HashSet<Run> = crashed
-            .filter(|run| self.list_shows_crash(run))
+            .filter(|run| self.runs.shows_crash(run))
             .cloned()
             .collect();
         for run in crashed {
--- a/crates/papayayard_routing/src/placement/place.rs
+++ b/crates/papayayard_routing/src/placement/place.rs
@@ -38,6 +38,7 @@
         let mut placement = Placement {
             ticket: Ticket::default(),
             endpoint: self.backends[candidate.key].endpoint.id.clone(),
+            started: Some(self.backends[candidate.key].endpoint.started),
             address: self.backends[candidate.key].endpoint.address,
             software: Some(self.backends[candidate.key].endpoint.software.clone()),
             version: None,
--- a/crates/papayayard_routing/src/placement/query.rs
+++ b/crates/papayayard_routing/src/placement/query.rs
@@ -74,6 +74,8 @@
     /// Key under which the first event and the outcome are reported.
     pub ticket: Ticket,
     pub endpoint: id::Endpoint,
+    /// Start of the endpoint's process; `None` if an older release placed the request.
+    pub started: Option<id::Incarnation>,
     pub address: SocketAddr,
     /// Version of the endpoint's software; `None` if an older release placed the request.
     pub software: Option<id::Software>,
