Ends: only the run that made an answer vouches for its end

An answer with neither length nor chunks looked complete although its run had ended, if the probe reached something else: a new run under the same id, another endpoint at the address, a listener about to close, or nothing that answered.

Cause: a probe opened a connection and took whatever accepted it for the run; one that was not answered counted as life (`Watch::confirm`).

Change: for an answer that may be complete the endpoint's report has to name the run that was meant. A process that answers and names no run is believed as before. During a backoff nothing but a connection is made. Answers that broke off are probed as before.

Price: one report for each such answer, on the connection that was made before too.

--- a/crates/papayayard_gateway/src/ends.rs
+++ b/crates/papayayard_gateway/src/ends.rs
@@ -19,13 +19,16 @@
 use papayayard_wire::id;
 use tokio::sync::{mpsc, oneshot, watch};
 
+use crate::backoff::Backoffs;
 use crate::clock::Clock;
+use crate::exchange::Codec;
 use crate::job::Job;
 use crate::metrics::Metrics;
 
 mod attempt;
 mod cleared;
 mod fold;
+mod probe;
 mod report;
 mod runs;
 mod task;
@@ -58,7 +61,7 @@
 }
 
 /// How an answer ended with its connection.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 enum Ending {
     /// Before it was complete.
     Broken,
@@ -66,14 +69,16 @@
     Closed,
 }
 
-/// Result of a connection attempt to an endpoint.
+/// What a probe shows of the run that a request was sent to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum ProbeOutcome {
-    /// The address accepts connections.
+    /// The run lives, or a process that names no run accepts connections.
     Accepted,
     /// No process listens at the address.
     Refused,
-    /// The attempt timed out or failed for another reason.
+    /// Another run has the address.
+    Replaced,
+    /// Connections time out or fail for another reason.
     Inconclusive,
 }
 
@@ -82,6 +87,7 @@
         match self {
             Self::Accepted => "lives",
             Self::Refused => "ended",
+            Self::Replaced => "replaced",
             Self::Inconclusive => "nothing",
         }
     }
@@ -215,16 +221,24 @@
 }
 
 /// Dependencies of the task.
-pub(crate) struct Parts {
+pub(crate) struct Parts<Platform> {
     pub(crate) host: id::Host,
     pub(crate) clock: Clock,
+    pub(crate) codec: Platform,
+    /// Backoffs that endpoints have requested.
+    pub(crate) backoffs: Backoffs,
     pub(crate) endpoints: watch::Receiver<Vec<Endpoint>>,
     pub(crate) metrics: Metrics,
 }
 
 /// Returns the tracker, the task that investigates failures, and the queue of reports to
 /// be written.
-pub(crate) fn start(parts: Parts) -> (CrashTracker, impl Future<Output = ()>, write::Queue) {
+pub(crate) fn start<Platform>(
+    parts: Parts<Platform>,
+) -> (CrashTracker, impl Future<Output = ()>, write::Queue)
+where
+    Platform: Codec,
+{
     let (sender, messages) = mpsc::unbounded_channel();
     let (outbox, queue) = Outbox::new(&parts.host);
     let shared = Shared {
--- a/crates/papayayard_gateway/src/ends/attempt.rs
+++ b/crates/papayayard_gateway/src/ends/attempt.rs
@@ -88,7 +88,7 @@
     }
 
     /// Probes the endpoint after an answer without a length has ended with its connection.
-    /// Returns whether the endpoint has not crashed, so that the answer counts as complete.
+    /// Returns whether its run lives; otherwise the answer may be incomplete.
     pub(crate) async fn confirm(&mut self) -> bool {
         let Some(attempt) = self.attempt.take() else {
             return true;
@@ -98,7 +98,7 @@
         if outcome == ProbeOutcome::Accepted {
             self.attempt = Some(attempt);
         }
-        outcome != ProbeOutcome::Refused
+        outcome == ProbeOutcome::Accepted
     }
 
     /// Records that the endpoint has answered completely.
--- a/crates/papayayard_gateway/src/ends/task.rs
+++ b/crates/papayayard_gateway/src/ends/task.rs
@@ -1,8 +1,6 @@
 //! The task that investigates failures of requests at endpoints.
 
 use std::collections::{HashMap, HashSet};
-use std::io;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use papayayard_routing::blame::{Progress, Run};
@@ -12,10 +10,11 @@
 
 use super::attempt::{Attempt, Destination};
 use super::cleared::Cleared;
+use super::probe::Probe;
 use super::report::Report;
 use super::runs::Runs;
 use super::{Ending, Message, Parts, ProbeOutcome, Shared};
-use crate::dial;
+use crate::exchange::Codec;
 
 /// Time after a failure within which the endpoint list may still reveal a crash: the
 /// record of a crashed endpoint expires after some missed heartbeats.
@@ -78,6 +77,13 @@
     }
 }
 
+/// What is asked of an endpoint: whether a run lives, for answers that ended alike.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Question {
+    destination: Destination,
+    ending: Ending,
+}
+
 /// A failed request whose endpoint may have crashed.
 struct Suspect {
     run: Run,
@@ -85,22 +91,25 @@
     until: Duration,
 }
 
-pub(super) struct Task {
-    parts: Parts,
+pub(super) struct Task<Platform> {
+    parts: Parts<Platform>,
     shared: Shared,
     /// Runs that have crashed, as far as this host knows.
     crashes: HashMap<Run, Crash>,
     runs: Runs,
-    /// Failed requests by the run that is being probed for them.
-    probed: HashMap<Destination, Vec<Disconnected>>,
-    probes: JoinSet<(Destination, ProbeOutcome)>,
+    /// Failed requests by what is being probed for them.
+    probed: HashMap<Question, Vec<Disconnected>>,
+    probes: JoinSet<(Question, ProbeOutcome)>,
     suspects: Vec<Suspect>,
     /// Parts of prompts that are about to be reported as cleared.
     cleared: Option<Cleared>,
 }
 
-impl Task {
-    pub(super) fn new(parts: Parts, shared: Shared) -> Self {
+impl<Platform> Task<Platform>
+where
+    Platform: Codec,
+{
+    pub(super) fn new(parts: Parts<Platform>, shared: Shared) -> Self {
         Self {
             parts,
             shared,
@@ -123,7 +132,7 @@
                     self.handle(message);
                 }
                 Some(answer) = self.probes.join_next() => match answer {
-                    Ok((probed, outcome)) => self.probe_finished(&probed, outcome),
+                    Ok((question, outcome)) => self.probe_finished(&question, outcome),
                     Err(error) => log::error!(error:%; "the task probing an endpoint failed"),
                 },
                 () = Cleared::wait(self.cleared.as_ref()) => self.report_cleared(),
@@ -168,21 +177,41 @@
             request.release(ProbeOutcome::Refused);
             return;
         }
-        let waiting = self.probed.entry(destination.clone()).or_default();
+        let question = Question {
+            destination,
+            ending: request.ending,
+        };
+        let waiting = self.probed.entry(question.clone()).or_default();
         waiting.push(request);
         if waiting.len() == 1 {
-            self.probes.spawn(async move {
-                let outcome = probe_address(destination.address).await;
-                (destination, outcome)
-            });
+            self.ask(question);
         }
     }
 
-    fn probe_finished(&mut self, probed: &Destination, outcome: ProbeOutcome) {
-        let waiting = self.probed.remove(probed).unwrap_or_default();
-        let run = self.runs.may_crash(probed);
+    /// Starts a probe. Only an answer that may be complete depends on which run lives.
+    fn ask(&mut self, question: Question) {
+        let now = self.parts.clock.now();
+        let backoff = self
+            .parts
+            .backoffs
+            .remaining(question.destination.address, now);
+        let names_run = question.ending == Ending::Closed && backoff.is_zero();
+        let probe = Probe {
+            codec: self.parts.codec.clone(),
+            address: question.destination.address,
+            started: question.destination.started.filter(|_| names_run),
+            ending: question.ending,
+        };
+        self.probes
+            .spawn(async move { (question, probe.run().await) });
+    }
+
+    fn probe_finished(&mut self, question: &Question, outcome: ProbeOutcome) {
+        let waiting = self.probed.remove(question).unwrap_or_default();
+        let destination = &question.destination;
+        let run = self.runs.may_crash(destination);
         log::info!(
-            endpoint:% = probed.endpoint, shown = outcome.as_str(), requests = waiting.len(),
+            endpoint:% = destination.endpoint, shown = outcome.as_str(), requests = waiting.len(),
             may_crash = run.is_some();
             "endpoint asked whether it lives"
         );
@@ -202,7 +231,7 @@
             return;
         }
         let is_open = |request: &&Disconnected| {
-            request.ending == Ending::Broken || outcome == ProbeOutcome::Inconclusive
+            request.ending == Ending::Broken || outcome != ProbeOutcome::Accepted
         };
         for request in requests.iter().filter(is_open) {
             self.defer(run.clone(), request.attempt.clone());
@@ -290,15 +319,3 @@
         self.shared.outbox.send(&report);
     }
 }
-
-/// Opens a connection to the address and closes it at once.
-async fn probe_address(address: SocketAddr) -> ProbeOutcome {
-    match dial::connect(address).await {
-        Ok(_) => ProbeOutcome::Accepted,
-        Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => ProbeOutcome::Refused,
-        Err(error) => {
-            log::debug!(address:%, error:%; "endpoint probe failed");
-            ProbeOutcome::Inconclusive
-        }
-    }
-}
--- a/crates/papayayard_gateway/src/exchange.rs
+++ b/crates/papayayard_gateway/src/exchange.rs
@@ -124,6 +124,8 @@
 /// An endpoint's report of its state.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Report {
+    /// Start of the endpoint's process, if stated.
+    pub started: Option<id::Incarnation>,
     /// Versions of the loaded weights, by model.
     pub weights: Vec<(id::Model, u64)>,
     /// Whether the endpoint is executing an order.
--- a/crates/papayayard_gateway/src/host.rs
+++ b/crates/papayayard_gateway/src/host.rs
@@ -340,6 +340,8 @@
         let (crashes, tracking, queue) = ends::start(ends::Parts {
             host: self.settings.host.clone(),
             clock: self.store.clock,
+            codec: self.store.codec.clone(),
+            backoffs: self.backoffs.clone(),
             endpoints: endpoints.clone(),
             metrics: self.metrics.clone(),
         });
