Framing: a body whose last coding is not chunks ends with its connection

What callers saw: nothing reported; found by reading.

Not tried over sockets.

Ruled out: HTTP/1.0 with this header, which the library refuses.

--- a/crates/papayayard_gateway/src/attempt.rs
+++ b/crates/papayayard_gateway/src/attempt.rs
@@ -30,6 +30,7 @@
 use crate::dial::{self, Connection};
 use crate::dispatch::Permit;
 use crate::exchange::{Codec, Forwarding, ResponseHead};
+use crate::framing;
 use crate::job::Job;
 use crate::metrics::Metrics;
 use crate::pool::Pool;
@@ -57,14 +58,10 @@
 
     /// Whether the body has neither a length nor chunks, so that a crash looks like its end.
     pub(crate) fn ends_with_connection(&self, method: &Method) -> bool {
-        let headers = &self.head.headers;
-        let is_framed = headers.contains_key(header::CONTENT_LENGTH)
-            || headers.contains_key(header::TRANSFER_ENCODING);
-        let is_empty = matches!(
-            self.head.status,
-            StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
-        );
-        !is_framed && !is_empty && !has_no_body(method)
+        let Parts {
+            status, headers, ..
+        } = &self.head;
+        !has_no_body(method) && framing::ends_with_connection(*status, headers)
     }
 }
 
--- a/crates/papayayard_gateway/src/lib.rs
+++ b/crates/papayayard_gateway/src/lib.rs
@@ -33,6 +33,7 @@
 mod feeds;
 mod follow;
 mod forwarded;
+mod framing;
 mod front;
 mod hosts;
 mod job;
