Ends: a probe does not speak for connections that end after it began

What callers saw: nothing reported; found by reading. A request whose connection ended while its endpoint was being probed for another one joined that probe. If the run exited after it had answered the probe, the cut answer counted as complete.

Not played over sockets.

Change: such requests wait for the next probe, one at a time, unless the run has ended. Answers that broke off still join, since a later probe would change nothing for them.

--- a/crates/papayayard_gateway/src/ends.rs
+++ b/crates/papayayard_gateway/src/ends.rs
@@ -32,6 +32,7 @@
 mod report;
 mod runs;
 mod task;
+mod waiting;
 mod write;
 
 pub(crate) use attempt::Watch;
@@ -83,6 +84,11 @@
 }
 
 impl ProbeOutcome {
+    /// Whether the run has ended.
+    const fn has_ended(self) -> bool {
+        matches!(self, Self::Refused | Self::Replaced)
+    }
+
     const fn as_str(self) -> &'static str {
         match self {
             Self::Accepted => "lives",
--- a/crates/papayayard_gateway/src/ends/task.rs
+++ b/crates/papayayard_gateway/src/ends/task.rs
@@ -13,6 +13,7 @@
 use super::probe::Probe;
 use super::report::Report;
 use super::runs::Runs;
+use super::waiting::Waiting;
 use super::{Ending, Message, Parts, ProbeOutcome, Shared};
 use crate::exchange::Codec;
 
@@ -97,8 +98,8 @@
     /// Runs that have crashed, as far as this host knows.
     crashes: HashMap<Run, Crash>,
     runs: Runs,
-    /// Failed requests by what is being probed for them.
-    probed: HashMap<Question, Vec<Disconnected>>,
+    /// Requests whose connections have closed.
+    waiting: Waiting<Question, Disconnected>,
     probes: JoinSet<(Question, ProbeOutcome)>,
     suspects: Vec<Suspect>,
     /// Parts of prompts that are about to be reported as cleared.
@@ -115,7 +116,7 @@
             shared,
             crashes: HashMap::new(),
             runs: Runs::default(),
-            probed: HashMap::new(),
+            waiting: Waiting::default(),
             probes: JoinSet::new(),
             suspects: Vec::new(),
             cleared: None,
@@ -132,7 +133,7 @@
                     self.handle(message);
                 }
                 Some(answer) = self.probes.join_next() => match answer {
-                    Ok((question, outcome)) => self.probe_finished(&question, outcome),
+                    Ok((question, outcome)) => self.probe_finished(question, outcome),
                     Err(error) => log::error!(error:%; "the task probing an endpoint failed"),
                 },
                 () = Cleared::wait(self.cleared.as_ref()) => self.report_cleared(),
@@ -181,9 +182,7 @@
             destination,
             ending: request.ending,
         };
-        let waiting = self.probed.entry(question.clone()).or_default();
-        waiting.push(request);
-        if waiting.len() == 1 {
+        if self.waiting.add(question.clone(), request) {
             self.ask(question);
         }
     }
@@ -206,8 +205,10 @@
             .spawn(async move { (question, probe.run().await) });
     }
 
-    fn probe_finished(&mut self, question: &Question, outcome: ProbeOutcome) {
-        let waiting = self.probed.remove(question).unwrap_or_default();
+    fn probe_finished(&mut self, question: Question, outcome: ProbeOutcome) {
+        // A request whose answer broke off only needs to know whether the run has ended.
+        let is_final = outcome.has_ended() || question.ending == Ending::Broken;
+        let (waiting, asks_again) = self.waiting.finish(question.clone(), is_final);
         let destination = &question.destination;
         let run = self.runs.may_crash(destination);
         log::info!(
@@ -221,6 +222,9 @@
         for request in waiting {
             request.release(outcome);
         }
+        if asks_again {
+            self.ask(question);
+        }
     }
 
     /// Records the requests that were open at a run if it has crashed, or may have.
