Ends: the end of an endpoint that left without a word blames no request

What callers saw: requests that the exits of four endpoints cut, whose records had been removed before, were refused as quarantined.

Cause: an endpoint that has been removed from the list and refuses connections counted as crashed, although some leave so and serve on for a time. A request that failed there otherwise, or whose caller left, was blamed at once.

Change: an end that shows after the run has left the list is no crash. A crash breaks its connections first and leaves the list heartbeats later; requests that failed before the removal are judged by it as before. Whether the run may have crashed is asked when the connection has ended, not when its probe has.

A host that stood still and reads the list first may miss one; others report it.

--- a/crates/papayayard_gateway/src/ends/runs.rs
+++ b/crates/papayayard_gateway/src/ends/runs.rs
@@ -1,7 +1,8 @@
 //! Runs of endpoints as the list last showed them.
 //!
 //! The end of a run is a crash only if the run was ready: endpoints that leave end by
-//! themselves. Whether a run lives is another question, which the list does not answer.
+//! themselves, and some of them only remove their records before. A crashed run breaks its
+//! connections first and disappears from the list some heartbeats later. Whether a run lives is another question, which the list does not answer.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -24,6 +25,12 @@
     removed_at: Option<Duration>,
 }
 
+impl Listed {
+    const fn is_ready(&self) -> bool {
+        !self.leaving && self.removed_at.is_none()
+    }
+}
+
 impl Runs {
     /// Applies the current list.
     pub(super) fn update(&mut self, list: Vec<Endpoint>, now: Duration) {
@@ -46,11 +53,11 @@
     }
 
     /// Returns the run that a request was sent to, or `None` if its end is no crash: it is
-    /// unknown, or has announced that it leaves.
+    /// unknown, has announced that it leaves, or has left the list before its end showed.
     pub(super) fn may_crash(&self, destination: &Destination) -> Option<Run> {
         let run = destination.run().or_else(|| self.newest(destination))?;
-        let listed = self.0.get(&run).filter(|listed| !listed.leaving);
-        listed.is_some().then_some(run)
+        let is_ready = self.0.get(&run).is_some_and(Listed::is_ready);
+        is_ready.then_some(run)
     }
 
     /// Whether the list shows that a run has crashed.
--- a/crates/papayayard_gateway/src/ends/task.rs
+++ b/crates/papayayard_gateway/src/ends/task.rs
@@ -65,6 +65,8 @@
 /// A request whose connection has closed, while its endpoint is probed.
 struct Disconnected {
     attempt: Attempt,
+    /// The run that has crashed if it has ended; `None` if its end is no crash.
+    run: Option<Run>,
     ending: Ending,
     checked: oneshot::Sender<ProbeOutcome>,
 }
@@ -154,11 +156,15 @@
                     self.defer(run, attempt);
                 }
             }
-            Message::Disconnected(attempt, ending, checked) => self.probe(Disconnected {
-                attempt,
-                ending,
-                checked,
-            }),
+            Message::Disconnected(attempt, ending, checked) => {
+                let run = self.runs.may_crash(&attempt.destination);
+                self.probe(Disconnected {
+                    attempt,
+                    run,
+                    ending,
+                    checked,
+                });
+            }
             Message::Cleared { fingerprint, parts } => {
                 let cleared = self
                     .cleared
@@ -169,17 +175,16 @@
     }
 
     fn probe(&mut self, request: Disconnected) {
-        let destination = request.attempt.destination.clone();
-        if let Some(run) = self.runs.may_crash(&destination)
-            && self.crashes.contains_key(&run)
+        if let Some(run) = &request.run
+            && self.crashes.contains_key(run)
         {
             let attempt = request.attempt.clone();
-            self.record_crash(&run, vec![attempt], Evidence::Connection);
+            self.record_crash(run, vec![attempt], Evidence::Connection);
             request.release(ProbeOutcome::Refused);
             return;
         }
         let question = Question {
-            destination,
+            destination: request.attempt.destination.clone(),
             ending: request.ending,
         };
         if self.waiting.add(question.clone(), request) {
@@ -209,10 +214,9 @@
         // A request whose answer broke off only needs to know whether the run has ended.
         let is_final = outcome.has_ended() || question.ending == Ending::Broken;
         let (waiting, asks_again) = self.waiting.finish(question.clone(), is_final);
-        let destination = &question.destination;
-        let run = self.runs.may_crash(destination);
+        let run = waiting.iter().find_map(|request| request.run.clone());
         log::info!(
-            endpoint:% = destination.endpoint, shown = outcome.as_str(), requests = waiting.len(),
+            endpoint:% = question.destination.endpoint, shown = outcome.as_str(), requests = waiting.len(),
             may_crash = run.is_some();
             "endpoint asked whether it lives"
         );
@@ -229,15 +233,17 @@
 
     /// Records the requests that were open at a run if it has crashed, or may have.
     fn blame(&mut self, run: &Run, requests: &[Disconnected], outcome: ProbeOutcome) {
+        let requests = requests.iter();
+        let requests = requests.filter(|request| request.run.as_ref() == Some(run));
         if outcome == ProbeOutcome::Refused {
-            let attempts = requests.iter().map(|request| request.attempt.clone());
+            let attempts = requests.map(|request| request.attempt.clone());
             self.record_crash(run, attempts.collect(), Evidence::Connection);
             return;
         }
         let is_open = |request: &&Disconnected| {
             request.ending == Ending::Broken || outcome != ProbeOutcome::Accepted
         };
-        for request in requests.iter().filter(is_open) {
+        for request in requests.filter(is_open) {
             self.defer(run.clone(), request.attempt.clone());
         }
     }
