Answers: a change of protocol that nobody asked for is no answer

What a caller saw: 101 as the answer to its request, after which its connection carried no other one.

Cause: a signed answer with the request's id is passed on whatever its status, and the client library hands on 101 as a final one. Hosts remove `Upgrade` from requests, so no endpoint may switch.

Ruled out: other interim answers (102, 103) are skipped by the library until the final one.

--- a/crates/papayayard_gateway/src/attempt.rs
+++ b/crates/papayayard_gateway/src/attempt.rs
@@ -268,7 +268,9 @@
             return Err(failure);
         }
         let is_unencoded = !response.head.headers.contains_key(header::CONTENT_ENCODING);
-        if matches_request && reported.is_signed && is_unencoded {
+        // A request never asks for another protocol.
+        let is_final = !response.head.status.is_informational();
+        if matches_request && reported.is_signed && is_unencoded && is_final {
             if refusal::promises_not_run(response.head.status.as_u16()) {
                 log::warn!(
                     request:% = job.id, endpoint:% = placement.endpoint,
