First router: a list that was read before the peers started is not missed

A host whose first read of the platform's list came back before the peers' task first ran called no peer from the list and published no shares of client accounts until the list changed; it went on greeting the peers of its settings.

Cause: the task begins to watch the list when it first runs, which marks what is there as seen, and, other than for the configuration, it did not look at it. Tasks start in any order on several threads.

Change: the task takes the list that is there, unless it is empty, as with later ones.

--- a/crates/papayayard/src/controllers/mod.rs
+++ b/crates/papayayard/src/controllers/mod.rs
@@ -24,3 +24,5 @@
 mod outage_test;
 #[cfg(test)]
 mod peer_net_test;
+#[cfg(test)]
+mod peers_test;
--- a/crates/papayayard/src/controllers/peers/task.rs
+++ b/crates/papayayard/src/controllers/peers/task.rs
@@ -87,6 +87,10 @@
         let mut leaving = self.links.farewell.leaving.clone();
         let mut observe = time::interval(local::PERIOD);
         observe.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+        let listed = list.borrow_and_update().clone().unwrap_or_default();
+        if listed != directory::List::default() {
+            self.listed(&listed);
+        }
         self.configure(active.borrow_and_update().clone());
         self.accepted(accepted.borrow_and_update().clone());
         loop {
