Origins: a record tells the software of the run that it is of, not of the run that followed

Cause: the software of an endpoint was taken from its record alone, by placement, by the dispatcher and for the origin that streams are remembered with. The record is of the run before. The endpoint's polls show the new run only after the streams have gone on: the poll fails as the run ends, is repeated after 0.7 s and answered up to 0.95 s later.

Ruled out: exclusion by the changed run alone (too late, above); by the age of heartbeats (would end all taking up while the store is away); of endpoints in doubt (tried: sound endpoints that cut a stream took up none until their next heartbeats, and tests of software did not end).

Change: coordination::run keeps what a host knows of each run. A failed poll, a refused connection, or a request that broke off at an endpoint that is not followed, put it in doubt; its own word, the record of another run or a heartbeat that follows one read since end that. Before a stream goes on, the endpoint is asked for its run over the same connection. A stream that begins in doubt has an unknown origin, which is told; if it breaks off, the endpoint that began it is asked. A dispatcher in doubt names no software.

--- a/crates/papayayard_coordination/src/lib.rs
+++ b/crates/papayayard_coordination/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod reader;
 pub mod replay;
 pub mod rollout;
+pub mod run;
 pub mod shutdown;
 pub mod stop;
 pub mod uplink;
--- a/crates/papayayard_coordination/src/origin.rs
+++ b/crates/papayayard_coordination/src/origin.rs
@@ -11,6 +11,9 @@
 //! other one has served the service for as long as a stream lives. A host that has just
 //! started doesn't know that, whatever it finds listed, and neither does one whose list is not
 //! confirmed any more: it may have been suspended, or be cut off from the store.
+//!
+//! A stream that begins while the software of its endpoint is unknown is remembered as such, and
+//! told at once: what a list states must not be taken for its origin.
 
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::time::Duration;
@@ -40,14 +43,20 @@
 /// Streams that began lately, with the version of the software that began each.
 #[derive(Debug, Default)]
 pub struct Origins {
-    streams: HashMap<Stream, id::Software>,
+    /// `None` while the version is unknown.
+    streams: HashMap<Stream, Option<id::Software>>,
     order: VecDeque<(Duration, Stream)>,
 }
 
 impl Origins {
-    /// Records that a stream began, and returns whether it is new. The first record of a stream
-    /// counts.
-    pub fn record(&mut self, stream: Stream, software: id::Software, now: Duration) -> bool {
+    /// Records that a stream began, and returns whether that is new. The first record of a stream
+    /// that names a version counts.
+    pub fn record(
+        &mut self,
+        stream: Stream,
+        software: Option<id::Software>,
+        now: Duration,
+    ) -> bool {
         let is_expired = |at: Duration| at + RETENTION <= now;
         while self.order.len() >= MAX_STREAMS
             || self.order.front().is_some_and(|(at, _)| is_expired(*at))
@@ -56,8 +65,12 @@
                 self.streams.remove(&oldest);
             }
         }
-        if self.streams.contains_key(&stream) {
-            return false;
+        if let Some(known) = self.streams.get_mut(&stream) {
+            let is_new = known.is_none() && software.is_some();
+            if is_new {
+                *known = software;
+            }
+            return is_new;
         }
         self.streams.insert(stream, software);
         self.order.push_back((now, stream));
@@ -66,7 +79,12 @@
 
     /// Version of the software that began a stream, if it is remembered.
     pub fn get(&self, stream: Stream) -> Option<&id::Software> {
-        self.streams.get(&stream)
+        self.streams.get(&stream)?.as_ref()
+    }
+
+    /// Whether a stream is remembered that an unknown version began.
+    pub fn is_unknown(&self, stream: Stream) -> bool {
+        self.streams.get(&stream).is_some_and(Option::is_none)
     }
 }
 
@@ -75,7 +93,8 @@
 pub struct Begun {
     pub stream: Stream,
     pub service: id::Service,
-    pub software: id::Software,
+    /// Version that began it, if that is known.
+    pub software: Option<id::Software>,
     /// When the stream has ended at the latest.
     pub until: Duration,
 }
--- a/crates/papayayard_coordination/tests/origin_test.rs
+++ b/crates/papayayard_coordination/tests/origin_test.rs
@@ -42,15 +42,15 @@
 #[test]
 fn the_first_record_of_a_stream_counts() {
     let mut origins = Origins::default();
-    origins.record(stream("a", "1"), software("old"), NOW);
-    origins.record(stream("a", "1"), software("new"), NOW);
+    origins.record(stream("a", "1"), Some(software("old")), NOW);
+    origins.record(stream("a", "1"), Some(software("new")), NOW);
     assert_eq!(origins.get(stream("a", "1")), Some(&software("old")));
 }
 
 #[test]
 fn streams_of_other_accounts_are_not_known() {
     let mut origins = Origins::default();
-    origins.record(stream("a", "1"), software("old"), NOW);
+    origins.record(stream("a", "1"), Some(software("old")), NOW);
     assert_eq!(origins.get(stream("b", "1")), None);
 }
 
@@ -59,13 +59,13 @@
     let mut origins = Origins::default();
     let number = 40_000;
     for index in 0..number {
-        origins.record(stream("a", &index.to_string()), software("old"), NOW);
+        origins.record(stream("a", &index.to_string()), Some(software("old")), NOW);
     }
     assert_eq!(origins.get(stream("a", "0")), None);
     let last = stream("a", &(number - 1).to_string());
     assert!(origins.get(last).is_some());
     let later = NOW + Duration::from_mins(3);
-    origins.record(stream("a", "later"), software("old"), later);
+    origins.record(stream("a", "later"), Some(software("old")), later);
     assert_eq!(origins.get(last), None);
 }
 
@@ -142,7 +142,7 @@
     let begun = |request: &str, service: &str, until| Begun {
         stream: stream("a", request),
         service: id::Service::from(service),
-        software: software("old"),
+        software: Some(software("old")),
         until,
     };
     let streams = [
@@ -177,3 +177,22 @@
     let possible = releases.possible(&service, LIFE, MAX_AGE, confirmed_at + MAX_AGE * 2);
     assert_eq!(possible, one("old"));
 }
+
+/// Guards against streams of an endpoint that restarted unseen, which counted for the version of
+/// its old record.
+#[test]
+fn a_stream_of_an_unknown_version_is_remembered_until_its_version_is_known() {
+    let mut origins = Origins::default();
+    assert!(origins.record(stream("a", "1"), None, NOW));
+    assert!(origins.is_unknown(stream("a", "1")));
+    assert_eq!(origins.get(stream("a", "1")), None);
+    assert!(!origins.record(stream("a", "1"), None, NOW));
+    assert!(origins.record(stream("a", "1"), Some(software("old")), NOW));
+    assert!(!origins.is_unknown(stream("a", "1")));
+    assert!(!origins.record(stream("a", "1"), None, NOW));
+    assert_eq!(origins.get(stream("a", "1")), Some(&software("old")));
+    assert!(
+        !origins.is_unknown(stream("a", "2")),
+        "it is not remembered"
+    );
+}
--- a/crates/papayayard_gateway/src/attempt.rs
+++ b/crates/papayayard_gateway/src/attempt.rs
@@ -9,11 +9,16 @@
 //! A response with such a status and no statement is a failure after which the request may
 //! have run, and is never forwarded.
 //!
+//! A stream goes on only at the version of the software that began it, and what a host knows of
+//! an endpoint may be out of date. A connection belongs to one run of its endpoint; so the
+//! endpoint is asked for its run over the same connection before a stream goes on there.
+//!
 //! A connection transmits requests one at a time until an endpoint refuses one. Endpoints may
 //! send a response twice; a request may come to the same address again, from its caller or under
 //! another name of the endpoint, and a copy of its refusal would look like its response. Such a
 //! connection is therefore not reused.
 
+use std::io;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -26,6 +31,7 @@
 use tokio::time;
 
 use crate::backoff::Backoffs;
+use crate::call::{self, Bounds};
 use crate::clock::Clock;
 use crate::dial::{self, Connection};
 use crate::dispatch::Permit;
@@ -34,11 +40,17 @@
 use crate::metrics::Metrics;
 use crate::pool::Pool;
 use crate::refusal::millis;
+use crate::runs;
 use crate::uplink;
 
 /// Maximum bytes of a refusal's body that are read so that its connection can be reused.
 const MAX_REFUSAL_BYTES: usize = 64 << 10;
 const REFUSAL_TIMEOUT: Duration = Duration::from_millis(100);
+/// Bounds of an answer that names the run of an endpoint.
+const RUN_BOUNDS: Bounds = Bounds {
+    time: Duration::from_millis(400),
+    bytes: 256 << 10,
+};
 
 /// A response whose head was received.
 pub(crate) struct Response {
@@ -77,6 +89,8 @@
     Refused,
     /// A different endpoint uses the address, or the endpoint has other weights.
     Mismatched,
+    /// The endpoint is not known to run the software that the request needs; nothing was sent.
+    Restarted,
     /// The connection closed before the response was complete.
     Broken,
     /// The response belongs to another request, or is not from an endpoint.
@@ -96,6 +110,7 @@
             Self::Unreachable => "unreachable",
             Self::Refused => "refused",
             Self::Mismatched => "mismatched",
+            Self::Restarted => "restarted",
             Self::Broken => "broken",
             Self::Foreign => "foreign",
             Self::Unconfirmed => "unconfirmed",
@@ -106,7 +121,10 @@
 
     /// Whether the request is certain not to have run.
     pub(crate) const fn is_not_run(self) -> bool {
-        matches!(self, Self::Unreachable | Self::Refused | Self::Mismatched)
+        matches!(
+            self,
+            Self::Unreachable | Self::Refused | Self::Mismatched | Self::Restarted
+        )
     }
 
     /// Outcome that is reported to the scheduler.
@@ -115,6 +133,7 @@
             Self::Unreachable => Outcome::Unreachable,
             Self::Refused => Outcome::Refused,
             Self::Mismatched => Outcome::Mismatched,
+            Self::Restarted => Outcome::Abandoned,
             Self::Broken | Self::Foreign | Self::Unconfirmed | Self::Oversized | Self::Silent => {
                 Outcome::Failed
             }
@@ -122,6 +141,16 @@
     }
 }
 
+/// What an endpoint has answered to the question for its run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RunReport {
+    Some,
+    /// It names no run.
+    None,
+    /// The connection is lost.
+    Lost,
+}
+
 /// Sends requests to endpoints.
 #[derive(Clone)]
 pub(crate) struct Sender<Platform> {
@@ -135,6 +164,8 @@
     pub(crate) metrics: Metrics,
     /// Learns which endpoints this host reaches.
     pub(crate) uplink: uplink::Handle,
+    /// Learns which endpoints run the software that is listed.
+    pub(crate) runs: runs::Tracker,
 }
 
 impl<Platform> Sender<Platform>
@@ -158,6 +189,20 @@
                 Some(connection) => connection,
                 None => self.connect(job, placement).await?,
             };
+            if job.software.is_some() {
+                let report = self.ask_run(placement, &mut connection).await;
+                if is_pooled && report != RunReport::Some {
+                    // The endpoint had closed the connection, or sent a late answer.
+                    continue;
+                }
+                if report == RunReport::Lost {
+                    self.uplink.record_silent(&placement.endpoint);
+                    return Err(Failure::Unreachable);
+                }
+                if self.runs.software(&placement.endpoint) != job.software {
+                    return Err(Failure::Restarted);
+                }
+            }
             let remaining = (started + timeout).saturating_sub(self.clock.now());
             let request = self.request(job, placement, position);
             let may_repeat = timeout < job.deadline.saturating_sub(started);
@@ -199,6 +244,34 @@
         }
     }
 
+    /// Asks an endpoint over a new connection which run it is.
+    pub(crate) async fn check_run(&self, placement: &Placement) {
+        match dial::connect(placement.address).await {
+            Ok(mut connection) => {
+                self.ask_run(placement, &mut connection).await;
+            }
+            Err(error) => {
+                log::debug!(address:% = placement.address, error:%; "cannot ask the endpoint for its run");
+            }
+        }
+    }
+
+    /// Asks an endpoint over a connection which run it is.
+    async fn ask_run(&self, placement: &Placement, connection: &mut Connection) -> RunReport {
+        let called_at = self.clock.now();
+        let request = self.codec.report();
+        let address = placement.address;
+        let Ok(reply) = call::over(connection, address, request, RUN_BOUNDS).await else {
+            return RunReport::Lost;
+        };
+        let report = self.codec.decode_report(&reply);
+        let Some(started) = report.and_then(|report| report.started) else {
+            return RunReport::None;
+        };
+        self.runs.name(&placement.endpoint, started, called_at);
+        RunReport::Some
+    }
+
     async fn connect(&self, job: &Job, placement: &Placement) -> Result<Connection, Failure> {
         match dial::connect(placement.address).await {
             Ok(connection) => {
@@ -208,6 +281,9 @@
             Err(error) => {
                 log::debug!(request:% = job.id, address:% = placement.address, error:%; "cannot connect to the endpoint");
                 self.uplink.record_unreachable(&placement.endpoint);
+                if error.kind() == io::ErrorKind::ConnectionRefused {
+                    self.runs.lost(&placement.endpoint);
+                }
                 self.pool.forget(placement.address);
                 Err(Failure::Unreachable)
             }
--- a/crates/papayayard_gateway/src/beliefs.rs
+++ b/crates/papayayard_gateway/src/beliefs.rs
@@ -14,6 +14,7 @@
 use tokio::sync::watch;
 
 use crate::follow::{Effect, Reducer};
+use crate::runs;
 use crate::schedule::{Handle, Message};
 use crate::store::{Codec, Published, Record};
 
@@ -139,6 +140,9 @@
     listing: Listing,
     list: watch::Sender<Vec<Endpoint>>,
     last_read: watch::Sender<LastRead>,
+    /// When the current reading was requested.
+    requested_at: Duration,
+    runs: runs::Tracker,
     schedule: Handle,
 }
 
@@ -151,6 +155,7 @@
         codec: Platform,
         list: watch::Sender<Vec<Endpoint>>,
         last_read: watch::Sender<LastRead>,
+        runs: runs::Tracker,
         schedule: Handle,
     ) -> Self {
         Self {
@@ -158,6 +163,8 @@
             listing: Listing::default(),
             list,
             last_read,
+            requested_at: Duration::ZERO,
+            runs,
             schedule,
         }
     }
@@ -169,6 +176,7 @@
 {
     fn begin_reading(&mut self, era: Era, requested_at: Duration, now: Duration) {
         self.listing.record_read(era, requested_at, now);
+        self.requested_at = requested_at;
     }
 
     fn apply_record(
@@ -183,13 +191,19 @@
             return Effect::Changed;
         };
         match self.codec.endpoint(&record.key, value) {
-            Ok(registration) => match self.listing.put(registration) {
-                Put::Changed => Effect::Changed,
-                Put::Unchanged => Effect::Unchanged,
+            Ok(registration) => match self.listing.put(registration.clone()) {
                 Put::Outdated => {
                     log::info!(endpoint:% = id; "outdated endpoint record skipped");
                     Effect::Outdated
                 }
+                put => {
+                    self.runs.list(&registration, self.requested_at);
+                    if put == Put::Changed {
+                        Effect::Changed
+                    } else {
+                        Effect::Unchanged
+                    }
+                }
             },
             Err(error) => {
                 log::warn!(endpoint:% = id, error:%; "malformed endpoint record skipped");
@@ -210,6 +224,7 @@
         let is_changed = *self.list.borrow() != endpoints;
         if is_changed {
             log_changes(&self.list.borrow(), &endpoints);
+            self.runs.retain(&endpoints);
             self.schedule.send(Message::Endpoints(endpoints.clone()));
             self.list.send_replace(endpoints);
         }
--- a/crates/papayayard_gateway/src/call.rs
+++ b/crates/papayayard_gateway/src/call.rs
@@ -84,14 +84,7 @@
                 .await
                 .context(UnreachableSnafu { address })?,
         };
-        let request = prepare(request, address);
-        let exchange = exchange(&mut connection, request, bounds.bytes);
-        let outcome = time::timeout(bounds.time, exchange).await;
-        let reply = match outcome {
-            Err(_) => return TimedOutSnafu { address }.fail(),
-            Ok(Err(problem)) => return DisconnectedSnafu { address, problem }.fail(),
-            Ok(Ok(reply)) => reply,
-        };
+        let reply = over(&mut connection, address, request, bounds).await?;
         self.idle = Some(connection);
         Ok(reply)
     }
@@ -106,6 +99,22 @@
     Caller::new(address).call(request, bounds).await
 }
 
+/// Sends a request over an open connection to an address.
+pub(crate) async fn over(
+    connection: &mut dial::Connection,
+    address: SocketAddr,
+    request: http::Request<Bytes>,
+    bounds: Bounds,
+) -> Result<Reply, Error> {
+    let request = prepare(request, address);
+    let exchange = exchange(connection, request, bounds.bytes);
+    match time::timeout(bounds.time, exchange).await {
+        Err(_) => TimedOutSnafu { address }.fail(),
+        Ok(Err(problem)) => DisconnectedSnafu { address, problem }.fail(),
+        Ok(Ok(reply)) => Ok(reply),
+    }
+}
+
 /// Sends a request that must not arrive late, over a new connection. `bounds` is called
 /// just before the request is sent, and returns `None` if it must not be sent any more.
 /// When the time for the answer is over, the connection is reset, so that unsent and
--- a/crates/papayayard_gateway/src/dispatch.rs
+++ b/crates/papayayard_gateway/src/dispatch.rs
@@ -23,6 +23,7 @@
 use crate::clock::Clock;
 use crate::hosts::{self, Neighbours};
 use crate::metrics::Metrics;
+use crate::runs;
 use crate::schedule::{Handle, Message};
 use crate::uplink;
 
@@ -83,6 +84,8 @@
     pub(crate) neighbours: watch::Receiver<Neighbours>,
     /// Tells whether this host reaches endpoints.
     pub(crate) uplink: uplink::Handle,
+    /// Tells which endpoints run the software that is listed.
+    pub(crate) runs: runs::Tracker,
     pub(crate) metrics: Metrics,
 }
 
@@ -95,6 +98,7 @@
     clock: Clock,
     schedule: Handle,
     uplink: uplink::Handle,
+    runs: runs::Tracker,
     metrics: Metrics,
     state: Mutex<State>,
 }
@@ -115,6 +119,7 @@
             clock: parts.clock,
             schedule: parts.schedule,
             uplink: parts.uplink,
+            runs: parts.runs,
             metrics: parts.metrics,
         }))
     }
@@ -137,6 +142,7 @@
                 break;
             }
             query.avoided = self.0.schedule.avoided();
+            query.avoided.extend(self.restarted(&query));
             match link.request_placement(number, &query, requested_at).await {
                 Ok(answer) => {
                     self.state().answered(&link, answer.elsewhere.as_ref());
@@ -161,10 +167,20 @@
             }
         }
         self.0.metrics.dispatched("own");
-        query.avoided.clear();
+        query.avoided = self.restarted(&query);
         self.place_locally(query, number).await
     }
 
+    /// Endpoints that cannot take up the stream that a request continues, since their software
+    /// is not the listed one.
+    fn restarted(&self, query: &Query) -> Vec<id::Endpoint> {
+        if query.software.is_some() {
+            self.0.runs.restarted()
+        } else {
+            Vec::new()
+        }
+    }
+
     /// Whether a dispatcher places a request.
     fn is_dispatched(&self, query: &Query) -> bool {
         query.prompt.is_some() || self.0.schedule.has_limits(&query.service)
@@ -282,7 +298,10 @@
     ) -> Selection {
         match decision {
             message::Decision::Placed(placed) => {
-                let placement = placed.into_placement(&query);
+                let mut placement = placed.into_placement(&query);
+                if placement.software.is_none() {
+                    placement.software = self.0.runs.suspect(&placement.endpoint);
+                }
                 let adopted = self.0.schedule.adopt(query.clone(), placement.clone());
                 let ticket = adopted.await;
                 let permit = self.permit(&query, number, &placement, ticket, Some(link));
@@ -292,6 +311,14 @@
         }
     }
 
+    /// Names the software in a placement for another host only if it is known.
+    fn name_software(&self, placement: Placement) -> Placement {
+        Placement {
+            software: self.0.runs.software(&placement.endpoint),
+            ..placement
+        }
+    }
+
     fn permit(
         &self,
         query: &Query,
--- a/crates/papayayard_gateway/src/dispatch/handler.rs
+++ b/crates/papayayard_gateway/src/dispatch/handler.rs
@@ -101,10 +101,13 @@
     async fn decide(&self, request: Request, host: id::Host, zone: id::Zone) -> Option<Decision> {
         let shared = &self.0.0;
         let number = request.number;
-        let query = request.into_query(host, zone, shared.clock.now());
+        let mut query = request.into_query(host, zone, shared.clock.now());
+        query.avoided.extend(self.0.restarted(&query));
         let decided = time::timeout(HOLD_TIMEOUT, shared.schedule.place(query, number)).await;
         Some(match decided.ok()? {
-            placement::Decision::Placed(placement) => Decision::Placed(Placed::new(placement)),
+            placement::Decision::Placed(placement) => {
+                Decision::Placed(Placed::new(self.0.name_software(placement)))
+            }
             placement::Decision::Refused {
                 reason,
                 retry_after,
--- a/crates/papayayard_gateway/src/dispatch_test.rs
+++ b/crates/papayayard_gateway/src/dispatch_test.rs
@@ -16,7 +16,7 @@
 use crate::front::StopState;
 use crate::hosts::{LocalHost, Neighbours};
 use crate::metrics::Metrics;
-use crate::{origins, peers, schedule, uplink};
+use crate::{origins, peers, runs, schedule, uplink};
 
 const TARGET_LATENCY: Duration = Duration::from_secs(5);
 
@@ -56,6 +56,7 @@
             schedule: schedule::start(scheduler, local.zone.clone(), clock),
             neighbours: neighbours_receiver,
             uplink: uplink::Handle::with_state(state),
+            runs: runs::Tracker::new(clock),
             metrics: Metrics::new(),
         });
         Self {
--- a/crates/papayayard_gateway/src/ends/attempt.rs
+++ b/crates/papayayard_gateway/src/ends/attempt.rs
@@ -108,6 +108,7 @@
             Failure::Unreachable
             | Failure::Refused
             | Failure::Mismatched
+            | Failure::Restarted
             | Failure::Foreign
             | Failure::Unconfirmed
             | Failure::Oversized => {}
--- a/crates/papayayard_gateway/src/exchange.rs
+++ b/crates/papayayard_gateway/src/exchange.rs
@@ -132,6 +132,8 @@
     pub accepted: u64,
     /// Number of running and queued requests.
     pub open: u32,
+    /// Run of the endpoint; `None` if the report does not tell.
+    pub started: Option<id::Incarnation>,
 }
 
 /// Changes in the cache of an endpoint or store.
@@ -139,6 +141,8 @@
 pub struct Changes {
     /// Run of the holder; its change numbers restart with each run.
     pub run: u64,
+    /// Run of the holder as its record names it; `None` if the answer does not tell.
+    pub started: Option<id::Incarnation>,
     /// Change number to continue from.
     pub next: u64,
     /// Whether earlier changes were lost.
--- a/crates/papayayard_gateway/src/feeds.rs
+++ b/crates/papayayard_gateway/src/feeds.rs
@@ -27,11 +27,15 @@
 use crate::exchange::{Changes, Codec};
 use crate::hosts::Neighbours;
 use crate::peers;
+use crate::runs;
 use crate::schedule::{Handle, Holder, Message};
 use crate::uplink;
 
 /// Time for which a holder holds a poll open while there is no change.
 const POLL_WAIT: Duration = Duration::from_millis(950);
+/// The same time while the software of the holder is unknown: the shortest that a holder does not
+/// count as a probe.
+const SHORT_POLL_WAIT: Duration = Duration::from_millis(200);
 /// Pause between two polls, during which changes accumulate.
 const POLL_PAUSE: Duration = Duration::from_millis(250);
 /// Bounds of an answer with changes; the time includes [`POLL_WAIT`].
@@ -67,6 +71,8 @@
     pub(crate) backoffs: Backoffs,
     /// Learns which endpoints this host reaches.
     pub(crate) uplink: uplink::Handle,
+    /// Learns which endpoints run the software that is listed.
+    pub(crate) runs: runs::Tracker,
     pub(crate) schedule: Handle,
 }
 
@@ -201,6 +207,7 @@
                     clock: parts.clock,
                     backoffs: parts.backoffs.clone(),
                     uplink: parts.uplink.clone(),
+                    runs: parts.runs.clone(),
                     source: source.clone(),
                     publisher,
                 };
@@ -286,6 +293,7 @@
     clock: Clock,
     backoffs: Backoffs,
     uplink: uplink::Handle,
+    runs: runs::Tracker,
     source: Source,
     publisher: Publisher,
 }
@@ -302,10 +310,14 @@
         let mut failures = 0;
         loop {
             self.wait_until_wanted().await;
-            let request = self.codec.changes(since, POLL_WAIT);
+            let called_at = self.clock.now();
+            let request = self.codec.changes(since, self.poll_wait());
             let outcome = caller.call(request, CHANGES_BOUNDS).await;
             if let Holder::Endpoint(endpoint) = &self.source.holder {
                 self.uplink.record_call(endpoint, &outcome);
+                if outcome.is_err() {
+                    self.runs.lost(endpoint);
+                }
             }
             let reply = match outcome {
                 Ok(reply) => reply,
@@ -330,6 +342,7 @@
                 time::sleep(RETRY_DELAY).await;
                 continue;
             };
+            self.record_run(changes.started, called_at);
             if run.is_some_and(|run| run != changes.run) {
                 log::info!(address:%; "holder of cached prompts has restarted");
                 self.publisher.clear();
@@ -360,6 +373,22 @@
         matches!(self.source.holder, Holder::Store(_))
     }
 
+    /// How long the holder may hold the next poll; an endpoint whose software is unknown is to
+    /// name its run soon.
+    fn poll_wait(&self) -> Duration {
+        match &self.source.holder {
+            Holder::Endpoint(endpoint) if self.runs.software(endpoint).is_none() => SHORT_POLL_WAIT,
+            Holder::Endpoint(_) | Holder::Store(_) => POLL_WAIT,
+        }
+    }
+
+    /// Records the run that the holder named in the answer to a poll of the given time.
+    fn record_run(&self, started: Option<id::Incarnation>, called_at: Duration) {
+        if let (Holder::Endpoint(endpoint), Some(started)) = (&self.source.holder, started) {
+            self.runs.follow(endpoint, started, called_at);
+        }
+    }
+
     /// Waits for as long as the holder has requested a backoff or limits requests: polls would
     /// take the place of callers' requests.
     async fn wait_until_wanted(&self) {
--- a/crates/papayayard_gateway/src/host.rs
+++ b/crates/papayayard_gateway/src/host.rs
@@ -37,7 +37,7 @@
 use crate::settings::Settings;
 use crate::store::Topic;
 use crate::{
-    dispatch, ends, era, exchange, feeds, hosts, listen, operators, orders, origins, peers,
+    dispatch, ends, era, exchange, feeds, hosts, listen, operators, orders, origins, peers, runs,
     schedule, store, uplink,
 };
 
@@ -100,6 +100,7 @@
         schedule,
         metrics,
         backoffs: Backoffs::default(),
+        runs: runs::Tracker::new(clock),
         mirrors: peers::Mirrors::new(),
         neighbours: watch::channel(seeds).1,
         stop_state: stop_receiver.clone(),
@@ -151,6 +152,7 @@
             clock,
             metrics: parts.metrics.clone(),
             uplink: uplink.clone(),
+            runs: parts.runs.clone(),
         },
         clock,
         dispatch,
@@ -220,6 +222,7 @@
     schedule: schedule::Handle,
     metrics: Metrics,
     backoffs: Backoffs,
+    runs: runs::Tracker,
     mirrors: peers::Mirrors,
     neighbours: watch::Receiver<Neighbours>,
     stop_state: watch::Receiver<StopState>,
@@ -303,7 +306,8 @@
         let (list, list_receiver) = watch::channel(Vec::new());
         let (last_read, last_read_receiver) = watch::channel(None);
         let codec = self.store.codec.clone();
-        let reducer = Endpoints::new(codec, list, last_read, self.schedule.clone());
+        let runs = self.runs.clone();
+        let reducer = Endpoints::new(codec, list, last_read, runs, self.schedule.clone());
         self.follow(Topic::Endpoints, ENDPOINTS_POLLING, reducer);
         (list_receiver, last_read_receiver)
     }
@@ -381,6 +385,7 @@
             schedule: self.schedule.clone(),
             neighbours: self.neighbours.clone(),
             uplink: uplink.clone(),
+            runs: self.runs.clone(),
             metrics: self.metrics.clone(),
         });
         self.controllers.spawn(dispatch.clone().report());
@@ -407,6 +412,7 @@
             changes,
             backoffs: self.backoffs.clone(),
             uplink: uplink.clone(),
+            runs: self.runs.clone(),
             schedule: self.schedule.clone(),
         }));
         changes_receiver
--- a/crates/papayayard_gateway/src/lib.rs
+++ b/crates/papayayard_gateway/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod hop;
 pub mod host;
 pub mod listen;
+
 pub mod settings;
 pub mod store;
 
@@ -49,5 +50,6 @@
 mod recovery;
 mod refusal;
 mod relay;
+mod runs;
 mod schedule;
 mod uplink;
--- a/crates/papayayard_gateway/src/origins.rs
+++ b/crates/papayayard_gateway/src/origins.rs
@@ -5,7 +5,8 @@
 //! are open, also to hosts that they choose later, and a host that stops hands over all of its
 //! own. A host that is asked to resume a stream that it does not remember asks the same hosts,
 //! and once more if others may only now have listed a new version. If no other host answers, it
-//! goes by its own list only once a reading has confirmed that after the request came. The
+//! goes by its own list only once a reading has confirmed that after the request came. Of a
+//! stream whose version is unknown they tell too, and once more when it is known. The
 //! decisions are made in `papayayard_coordination::origin`.
 
 use std::collections::{HashMap, HashSet};
@@ -53,7 +54,8 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct Origin {
     stream: Stream,
-    software: id::Software,
+    /// `None` if the version is unknown.
+    software: Option<id::Software>,
 }
 
 impl From<&Begun> for Origin {
@@ -250,9 +252,13 @@
     }
 }
 
-/// Tells a host of streams, in batches.
+/// Tells a host of streams, in batches. Older releases take no batch with an unknown version.
 async fn tell(client: Arc<peers::Client>, host: id::Host, streams: Arc<[Origin]>) {
-    for batch in streams.chunks(MAX_BATCH) {
+    let (known, unknown): (Vec<Origin>, Vec<Origin>) = streams
+        .iter()
+        .cloned()
+        .partition(|origin| origin.software.is_some());
+    for batch in known.chunks(MAX_BATCH).chain(unknown.chunks(MAX_BATCH)) {
         if let Err(problem) = client.began(batch).await {
             log::info!(host:%, streams = streams.len(), problem:%; "a host was not told of streams");
             return;
@@ -295,8 +301,8 @@
 
 impl Tracker {
     /// Records that a stream began, or was taken up, and tells other hosts if several versions
-    /// can have begun it or this host stops.
-    pub(crate) fn record(&self, job: &Job, software: &id::Software) {
+    /// can have begun it, its version is unknown, or this host stops.
+    pub(crate) fn record(&self, job: &Job, software: Option<&id::Software>) {
         let first = match job.resumed_position() {
             Some(_) => job.resumes.as_ref(),
             None => Some(&job.id),
@@ -307,19 +313,20 @@
         let now = self.0.clock.now();
         let stream = stream(job, first);
         let mut state = self.state();
-        if !state.origins.record(stream, software.clone(), now) {
+        if !state.origins.record(stream, software.cloned(), now) {
             return;
         }
         let begun = Begun {
             stream,
             service: job.service.clone(),
-            software: software.clone(),
+            software: software.cloned(),
             until: now + life(job),
         };
         let origin = Origin::from(&begun);
         state.backlog.add(begun, now);
         let possible = state.possible(&job.service, life(job), now);
-        let is_told = state.is_leaving || possible != Possible::One(software.clone());
+        let is_sole = software.is_some_and(|software| possible == Possible::One(software.clone()));
+        let is_told = state.is_leaving || !is_sole;
         drop(state);
         if is_told && self.0.told.send(origin).is_err() {
             log::debug!("host shut down before others were told of a stream");
@@ -443,11 +450,16 @@
     pub(crate) fn answer(&self, question: &Question) -> Answer {
         let now = self.0.clock.now();
         let state = self.state();
+        let stream = question.stream;
+        let is_unknown = stream.is_some_and(|stream| state.origins.is_unknown(stream));
+        let possible = if is_unknown {
+            Possible::Several
+        } else {
+            state.possible(&question.service, question.life_ms, now)
+        };
         Answer {
-            began: question
-                .stream
-                .and_then(|stream| state.origins.get(stream).cloned()),
-            possible: state.possible(&question.service, question.life_ms, now),
+            began: stream.and_then(|stream| state.origins.get(stream).cloned()),
+            possible,
         }
     }
 
--- a/crates/papayayard_gateway/src/peers_test.rs
+++ b/crates/papayayard_gateway/src/peers_test.rs
@@ -15,7 +15,7 @@
 use crate::hosts::{LocalHost, Neighbours};
 use crate::metrics::Metrics;
 use crate::schedule::{self, Holder};
-use crate::{origins, uplink};
+use crate::{origins, runs, uplink};
 
 /// Wait of a call; a call that ends earlier has another reason.
 const WAIT: Duration = Duration::from_secs(5);
@@ -63,6 +63,7 @@
         schedule: schedule::start(scheduler, local.zone, clock),
         neighbours,
         uplink: uplink.clone(),
+        runs: runs::Tracker::new(clock),
         metrics: Metrics::new(),
     });
     let context = Context {
--- a/crates/papayayard_gateway/src/pump.rs
+++ b/crates/papayayard_gateway/src/pump.rs
@@ -149,6 +149,7 @@
             };
             drop(response);
             self.is_event_due |= failure == Failure::Foreign || !self.splitter.is_at_boundary();
+            self.relay.record_failure(&placement, failure);
             permit.end(failure.outcome());
             log::info!(
                 request:% = self.job.id, endpoint:% = placement.endpoint,
@@ -156,6 +157,7 @@
                 "stream broke off"
             );
             watch.failed(failure).await;
+            self.settle_origin(&placement).await;
             let Some(next) = self.resume(&placement.endpoint, replacement).await else {
                 self.truncate().await;
                 return;
@@ -236,11 +238,10 @@
 
     /// Forwards complete events to the caller.
     async fn pass(&mut self, upstream: &mut Upstream, events: Bytes) -> Result<(), End> {
+        self.record_origin(&upstream.placement);
         if !self.has_begun {
             self.has_begun = true;
-            let software = upstream.placement.software.as_ref();
-            self.relay.record_first_event(&self.job, software);
-            self.job.software = software.cloned();
+            self.relay.record_first_event(&self.job);
         }
         upstream.permit.record_event();
         upstream.watch.mark_begun();
@@ -248,6 +249,28 @@
         sent.map_err(|_| End::CallerLeft)
     }
 
+    /// Records the version that began the stream, with its first event or once it is known. A
+    /// stream that its caller resumes has one before.
+    fn record_origin(&mut self, placement: &Placement) {
+        let was_known = self.job.software.is_some();
+        if !was_known {
+            self.job.software = self.relay.software(placement);
+        }
+        if !self.has_begun || self.job.software.is_some() != was_known {
+            let software = self.job.software.as_ref();
+            self.relay.origins.record(&self.job, software);
+        }
+    }
+
+    /// Asks the endpoint that began the stream for its run, if its software is unknown: if it
+    /// still is the listed one, it has been all the while.
+    async fn settle_origin(&mut self, placement: &Placement) {
+        if self.has_begun && self.job.software.is_none() && self.job.is_resumable() {
+            self.relay.sender.check_run(placement).await;
+            self.record_origin(placement);
+        }
+    }
+
     /// Starts to look for a place at an endpoint other than the silent one.
     fn search(&self, silent: &id::Endpoint, searches: &mut JoinSet<Selection>) {
         log::info!(request:% = self.job.id, endpoint:% = silent; "stream is silent; looking for another endpoint");
@@ -354,6 +377,7 @@
                         self.history.runs += 1;
                     }
                     self.history.endpoints.push(placement.endpoint.clone());
+                    self.relay.record_failure(&placement, failure);
                     permit.end(failure.outcome());
                     watch.failed(failure).await;
                 }
--- a/crates/papayayard_gateway/src/relay.rs
+++ b/crates/papayayard_gateway/src/relay.rs
@@ -326,8 +326,8 @@
         let may_run_again = history.runs == 0
             || (job.route.kind.is_repeatable() && history.runs < job.route.attempts);
         let is_in_time = self.clock.now() < job.deadline;
-        // Without a connection nothing was sent, so the next attempt is not a retry.
-        let was_not_sent = failure == Some(Failure::Unreachable);
+        // Nothing was sent, so the next attempt is not a retry.
+        let was_not_sent = matches!(failure, Some(Failure::Unreachable | Failure::Restarted));
         let retries = may_run_again && is_in_time && (was_not_sent || self.take_retry(job));
         if retries {
             self.metrics.retried(reason(failure));
@@ -414,6 +414,7 @@
         let response = match sent.await {
             Ok(response) => response,
             Err(failure) => {
+                self.record_failure(&placement, failure);
                 permit.end(failure.outcome());
                 watch.failed(failure).await;
                 return AttemptResult::Failed(failure);
@@ -449,6 +450,7 @@
                 AttemptResult::Answer(response)
             }
             Err(failure) => {
+                self.record_failure(&placement, failure);
                 permit.end(failure.outcome());
                 watch.failed(failure).await;
                 AttemptResult::Failed(failure)
@@ -497,16 +499,24 @@
         Ok(response)
     }
 
-    pub(crate) fn record_first_event(&self, job: &Job, software: Option<&id::Software>) {
-        if let Some(software) = software {
-            self.origins.record(job, software);
-        }
+    pub(crate) fn record_first_event(&self, job: &Job) {
         let received = job.target.saturating_sub(job.route.target_latency);
         let time = self.clock.now().saturating_sub(received);
         self.metrics.first_event(time);
         log::info!(request:% = job.id, first_event_ms = millis(time); "first event");
     }
 
+    /// Version of the software that a placed request runs on, if it is known.
+    pub(crate) fn software(&self, placement: &Placement) -> Option<id::Software> {
+        let known = self.sender.runs.software(&placement.endpoint)?;
+        (placement.software.as_ref() == Some(&known)).then_some(known)
+    }
+
+    /// Records that an attempt failed.
+    pub(crate) fn record_failure(&self, placement: &Placement, failure: Failure) {
+        self.sender.runs.failed(&placement.endpoint, failure);
+    }
+
     /// Records a stream that was cut before its end.
     pub(crate) fn record_truncated(&self, job: &Job) {
         self.metrics.refused(Kind::EndpointFailed);
