--- a/crates/papayayard_coordination/src/lib.rs
+++ b/crates/papayayard_coordination/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod reader;
 pub mod replay;
 pub mod rollout;
+pub mod run;
 pub mod shutdown;
 pub mod stop;
 pub mod uplink;
--- a/crates/papayayard_gateway/src/dispatch_test.rs
+++ b/crates/papayayard_gateway/src/dispatch_test.rs
@@ -18,7 +18,7 @@
 use crate::hosts::{LocalHost, Neighbours};
 use crate::metrics::Metrics;
 use crate::schedule::Message;
-use crate::{origins, peers, schedule, uplink};
+use crate::{origins, peers, runs, schedule, uplink};
 
 const TARGET_LATENCY: Duration = Duration::from_secs(5);
 
@@ -58,6 +58,7 @@
             schedule: schedule::start(scheduler, local.zone.clone(), clock),
             neighbours: neighbours_receiver,
             uplink: uplink::Handle::with_state(state),
+            runs: runs::Tracker::new(clock),
             metrics: Metrics::new(),
         });
         Self {
--- a/crates/papayayard_gateway/src/exchange.rs
+++ b/crates/papayayard_gateway/src/exchange.rs
@@ -141,6 +141,8 @@
 pub struct Changes {
     /// Run of the holder; its change numbers restart with each run.
     pub run: u64,
+    /// Run of the holder as its record names it; `None` if the answer does not tell.
+    pub started: Option<id::Incarnation>,
     /// Change number to continue from.
     pub next: u64,
     /// Lowest number of the changes; contents have none.
