--- a/crates/papayayard_gateway/src/attempt.rs
+++ b/crates/papayayard_gateway/src/attempt.rs
@@ -47,7 +47,7 @@
 /// Bounds of an answer that names the run of an endpoint.
 const RUN_BOUNDS: Bounds = Bounds {
     time: Duration::from_millis(400),
-    bytes: 256 << 10,
+    bytes: call::MAX_REPORT_BYTES,
 };
 
 /// A response whose head was received.
@@ -138,9 +138,9 @@
 /// What an endpoint has answered to the question for its run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum RunReport {
-    Some,
+    Named,
     /// It names no run.
-    None,
+    Unnamed,
     /// The connection is lost.
     Lost,
 }
@@ -185,7 +185,7 @@
             };
             if job.software.is_some() {
                 let report = self.ask_run(placement, &mut connection).await;
-                if is_pooled && report != RunReport::Some {
+                if is_pooled && report != RunReport::Named {
                     // The endpoint had closed the connection, or sent a late answer.
                     continue;
                 }
@@ -258,10 +258,10 @@
         };
         let report = self.codec.decode_report(&reply);
         let Some(started) = report.and_then(|report| report.started) else {
-            return RunReport::None;
+            return RunReport::Unnamed;
         };
         self.runs.name(&placement.endpoint, started, called_at);
-        RunReport::Some
+        RunReport::Named
     }
 
     async fn connect(&self, job: &Job, placement: &Placement) -> Result<Connection, Failure> {
--- a/crates/papayayard_gateway/src/call.rs
+++ b/crates/papayayard_gateway/src/call.rs
@@ -12,6 +12,9 @@
 
 use crate::dial;
 
+/// Maximum size of an endpoint's report.
+pub(crate) const MAX_REPORT_BYTES: usize = 256 << 10;
+
 /// Bounds of an answer, since the called side may send without end.
 #[derive(Clone, Copy, Debug)]
 pub struct Bounds {
--- a/crates/papayayard_gateway/src/ends/probe.rs
+++ b/crates/papayayard_gateway/src/ends/probe.rs
@@ -19,12 +19,11 @@
 /// Bounds of an answer with a report.
 const REPORT_BOUNDS: Bounds = Bounds {
     time: Duration::from_millis(500),
-    bytes: 256 << 10,
+    bytes: call::MAX_REPORT_BYTES,
 };
 /// Pause before a run that gave no report is asked once more: a process that ends closes all its
 /// sockets within less.
 const PAUSE: Duration = Duration::from_millis(30);
-
 /// Time in which a sound endpoint that was silent accepts connections again.
 const MAX_SILENCE: Duration = Duration::from_secs(2);
 
--- a/crates/papayayard_gateway/src/ends/runs.rs
+++ b/crates/papayayard_gateway/src/ends/runs.rs
@@ -2,7 +2,8 @@
 //!
 //! The end of a run is a crash only if the run was ready: endpoints that leave end by
 //! themselves, and some of them only remove their records before. A crashed run breaks its
-//! connections first and disappears from the list some heartbeats later. Whether a run lives is another question, which the list does not answer.
+//! connections first and disappears from the list some heartbeats later. Whether a run lives is
+//! another question, which the list does not answer.
 
 use std::collections::HashMap;
 use std::time::Duration;
--- a/crates/papayayard_gateway/src/orders/endpoint.rs
+++ b/crates/papayayard_gateway/src/orders/endpoint.rs
@@ -21,7 +21,7 @@
 /// Bounds of an answer with a report.
 const REPORT_BOUNDS: Bounds = Bounds {
     time: Duration::from_millis(700),
-    bytes: 256 << 10,
+    bytes: call::MAX_REPORT_BYTES,
 };
 /// Maximum size of the answer to an order.
 const MAX_ANSWER_BYTES: usize = 64 << 10;
--- a/crates/papayayard_gateway/src/relay.rs
+++ b/crates/papayayard_gateway/src/relay.rs
@@ -102,7 +102,8 @@
 /// Why a request has no place.
 struct NoPlace {
     refusal: Refusal,
-    /// Whether all attempts failed to reach their endpoints, so that another host may be better off.
+    /// Whether all attempts failed to reach their endpoints, so that another host may be better
+    /// off.
     is_unreachable: bool,
 }
 
--- a/crates/papayayard_gateway/src/uplink.rs
+++ b/crates/papayayard_gateway/src/uplink.rs
@@ -29,7 +29,7 @@
 /// is silent for a moment.
 const PROBE_BOUNDS: Bounds = Bounds {
     time: Duration::from_millis(500),
-    bytes: 256 << 10,
+    bytes: call::MAX_REPORT_BYTES,
 };
 
 /// Number of other hosts to which a comparison connects.
