Uplink: answers on older connections do not hide a cut

Cause: an answer on an older connection to an endpoint that had accepted a new one was taken for an answer on the new one (`connected`), and attached the host; answers on open connections cleared the failures of new ones, so that a host with enough of these never suspected anything.

The answers take 60 ms, or 3 s, so that first answers on connections opened before the cut arrive within it.

Ruled out: telling only whether an answer is the first on its connection; a first answer may be late on a connection opened before the cut (by reading, not by a run). Keeping that an accepted connection clears refused ones: a cut that refuses some and accepts others would not be seen.

Change: an answer names the time at which its connection was opened, a failure whether its connection had transmitted answers. Failures of new connections count until an answer on a connection opened after the first of them, or after the suspicion that they led to. Those of connections that had answered count, with all others, until any answer, as before. `Connected` and the guess by endpoint are gone. Verification by probes, the comparison with other hosts and the limit of one verification a second are unchanged, so that only a host whose probes all fail is detached.

A detached host treats requests as before: it passes new ones on before any attempt, also those that might find an open connection. Open connections become fewer and none can be added, a request knows only after its placement whether it finds one, and others reach all endpoints. Requests under way on open connections go on there. What is not mended: it refuses requests that no other host takes, though an open connection might serve them.

Tests changed: the replay's evidence carries the new data; accepted connections are no report any more. SpareClose and SpareMute (open connections go on) join the tables of few requests, flapping links, endpoints that fail together and congested hosts, with the bounds that stand there. New: `endpoints_that_are_away_for_a_second_detach_no_host`, `an_answer_on_an_older_connection_attaches_no_ host`, `a_call_tells_whether_its_connection_is_new`. `connections_without_answers_detach_the_host` and `an_answer_on_a_new_connection_of_a_request_attaches_ the_host` state a new connection in place of a report that one was accepted, and assert the same.

--- a/crates/papayayard_coordination/src/uplink.rs
+++ b/crates/papayayard_coordination/src/uplink.rs
@@ -2,9 +2,10 @@
 //!
 //! A host loses its way to one endpoint when the endpoint crashes, and to all of them when its
 //! own network fails. Failures at several distinct endpoints, with no success in between, make
-//! the host suspect the second case. New connections may fail while open ones go on, and others
-//! may be accepted and then transmit nothing. So failed connections count until a connection is
-//! established, and all failures until an answer arrives.
+//! the host suspect the second case. New connections may fail while open ones go on, and may be
+//! accepted before they fail. So an answer speaks for the time at which its connection was opened:
+//! failures of new connections count until an answer arrives on one that was opened after them,
+//! and all failures together, those of connections that had answered among them, until any answer.
 //!
 //! Suspicion is verified at once by probes, which ask for something small on a new connection.
 //! They go to endpoints of several zones, first to those that have not failed, so that several
@@ -52,14 +53,15 @@
 /// What a request has shown about the way to an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Evidence {
-    /// A connection was established.
-    Connected,
     /// No connection could be established.
     Unreachable,
-    /// The endpoint has answered, on a connection of any age.
-    Answered,
+    /// The endpoint has answered, on a connection opened at this time.
+    Answered { opened: Duration },
     /// The connection was reset before the head of an answer, or no answer came in time.
-    Silent,
+    Silent {
+        /// Whether the connection had transmitted no answer before.
+        is_new: bool,
+    },
 }
 
 /// A question to be asked on a new connection.
@@ -110,15 +112,16 @@
     /// Makes hosts probe different endpoints.
     seed: u64,
     targets: Vec<Target>,
-    /// Connections that have failed since one was established.
-    unreachable: Failures,
-    /// Failures since an answer.
+    /// Failures of new connections since an answer on one that was opened after them.
+    new: Failures,
+    /// All failures since an answer.
     failed: Failures,
+    /// Time of the first of the failures of new connections, or of the suspicion since: answers
+    /// on older connections say nothing of new ones.
+    failing_since: Option<Duration>,
     /// Time of the last failure of endpoints without a success since.
     failed_at: HashMap<id::Endpoint, Duration>,
     state: State,
-    /// Endpoints to which requests have connected since the last suspicion.
-    connected: HashSet<id::Endpoint>,
     /// Time before which no suspicion is verified.
     verify_after: Duration,
     round: u64,
@@ -180,11 +183,11 @@
         Self {
             seed,
             targets: Vec::new(),
-            unreachable: Failures::default(),
+            new: Failures::default(),
             failed: Failures::default(),
+            failing_since: None,
             failed_at: HashMap::new(),
             state: State::Attached,
-            connected: HashSet::new(),
             verify_after: Duration::ZERO,
             round: 0,
             open: HashSet::new(),
@@ -200,12 +203,9 @@
     /// Sets the endpoints that can be probed. Failures of others do not count.
     pub fn set_targets(&mut self, targets: Vec<Target>, now: Duration) -> Option<Change> {
         let listed: HashSet<_> = targets.iter().map(|target| &target.endpoint).collect();
-        self.unreachable
-            .endpoints
-            .retain(|failed| listed.contains(failed));
-        self.failed
-            .endpoints
-            .retain(|failed| listed.contains(failed));
+        for failures in [&mut self.new, &mut self.failed] {
+            failures.endpoints.retain(|failed| listed.contains(failed));
+        }
         self.failed_at.retain(|failed, _| listed.contains(failed));
         if let State::Suspected(verification) = &mut self.state {
             let probed = &mut verification.probed;
@@ -224,20 +224,18 @@
         now: Duration,
     ) -> Option<Change> {
         match evidence {
-            Evidence::Connected => self.connected(endpoint),
-            Evidence::Answered if self.connected.contains(endpoint) => {
+            Evidence::Answered { opened } if self.is_newer(opened) => {
                 return self.answered_anew(endpoint, now);
             }
-            Evidence::Answered => {
+            Evidence::Answered { .. } => {
                 self.failed.clear();
                 self.failed_at.remove(endpoint);
             }
-            Evidence::Unreachable | Evidence::Silent if !self.is_listed(endpoint) => return None,
-            Evidence::Unreachable => {
-                self.unreachable.record(endpoint);
-                self.record_failure(endpoint, now);
+            _ if !self.is_listed(endpoint) => return None,
+            Evidence::Unreachable | Evidence::Silent { is_new: true } => {
+                self.record_new_failure(endpoint, now);
             }
-            Evidence::Silent => self.record_failure(endpoint, now),
+            Evidence::Silent { is_new: false } => self.record_failure(endpoint, now),
         }
         self.assess(now)
     }
@@ -297,7 +295,7 @@
             return None;
         }
         if self.is_listed(&probe.endpoint) {
-            self.record_failure(&probe.endpoint, now);
+            self.record_new_failure(&probe.endpoint, now);
             if let State::Suspected(verification) = &mut self.state {
                 verification.probed.insert(probe.endpoint.clone());
             }
@@ -318,21 +316,28 @@
         targets.any(|target| target.endpoint == *endpoint)
     }
 
-    fn record_failure(&mut self, endpoint: &id::Endpoint, now: Duration) {
-        self.failed.record(endpoint);
-        self.failed_at.insert(endpoint.clone(), now);
+    /// Whether a connection opened at this time is newer than the failures of new ones.
+    fn is_newer(&self, opened: Duration) -> bool {
+        self.failing_since.is_none_or(|since| since <= opened)
     }
 
-    fn connected(&mut self, endpoint: &id::Endpoint) {
-        self.unreachable.clear();
-        if !matches!(self.state, State::Attached) {
-            self.connected.insert(endpoint.clone());
+    fn record_new_failure(&mut self, endpoint: &id::Endpoint, now: Duration) {
+        if self.new.number == 0 {
+            self.failing_since = Some(now);
         }
+        self.new.record(endpoint);
+        self.record_failure(endpoint, now);
+    }
+
+    fn record_failure(&mut self, endpoint: &id::Endpoint, now: Duration) {
+        self.failed.record(endpoint);
+        self.failed_at.insert(endpoint.clone(), now);
     }
 
-    /// Records an answer on a connection that is newer than the suspicion.
+    /// Records an answer on a connection that is newer than the failures of new ones.
     fn answered_anew(&mut self, endpoint: &id::Endpoint, now: Duration) -> Option<Change> {
-        self.unreachable.clear();
+        self.new.clear();
+        self.failing_since = None;
         self.failed.clear();
         self.failed_at.remove(endpoint);
         self.attach(now)
@@ -341,7 +346,6 @@
     fn attach(&mut self, now: Duration) -> Option<Change> {
         // Late outcomes of this round's probes are no evidence for a later suspicion.
         self.open.clear();
-        self.connected.clear();
         match std::mem::take(&mut self.state) {
             State::Attached => None,
             State::Suspected(_) => {
@@ -363,6 +367,7 @@
         match &self.state {
             State::Attached if self.is_suspicious() => {
                 self.state = State::Suspected(Verification::default());
+                self.failing_since = Some(now);
                 self.probes = 0;
                 None
             }
@@ -381,7 +386,7 @@
     /// Whether enough endpoints have failed since the last success.
     fn is_suspicious(&self) -> bool {
         let targets = self.targets.len();
-        self.unreachable.are_suspicious(targets) || self.failed.are_suspicious(targets)
+        self.new.are_suspicious(targets) || self.failed.are_suspicious(targets)
     }
 
     /// Whether enough probes have failed, and none is open.
@@ -396,7 +401,7 @@
             next_probe: now + self.recovery_interval(),
         };
         let mut failed: Vec<id::Endpoint> = self
-            .unreachable
+            .new
             .endpoints
             .union(&self.failed.endpoints)
             .cloned()
--- a/crates/papayayard_coordination/tests/uplink_test.rs
+++ b/crates/papayayard_coordination/tests/uplink_test.rs
@@ -1,7 +1,7 @@
 //! A host that loses its way to all endpoints knows it soon, and crashes of endpoints do not
 //! mislead it.
 
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, HashMap};
 use std::ops::Range;
 use std::time::Duration;
 
@@ -18,6 +18,7 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
 const ROUND_TRIP: Duration = Duration::from_millis(2);
 const ANSWER_TIME: Duration = Duration::from_millis(60);
+const LONG_ANSWER_TIME: Duration = Duration::from_secs(3);
 const ZONES: usize = 3;
 const MAX_ATTEMPTS: usize = 6;
 const FAULT_START: Duration = Duration::from_secs(5);
@@ -40,6 +41,10 @@
     Close,
     /// Connections are accepted and transmit nothing.
     Mute,
+    /// New connections are accepted and reset once something is sent, and open ones go on.
+    SpareClose,
+    /// New connections are accepted and transmit nothing, and open ones go on.
+    SpareMute,
 }
 
 /// Times at which an endpoint cannot be reached.
@@ -49,8 +54,10 @@
     kind: Kind,
     fault: Fault,
     targets: Vec<Target>,
-    /// Endpoints to which there is an idle connection.
-    idle: HashSet<usize>,
+    /// Endpoints to which there is an idle connection, and the time at which it was opened.
+    idle: HashMap<usize, Duration>,
+    /// Time from a request to the head of its answer.
+    answer_time: Duration,
     /// Whether the fault concerns the way to other hosts, too.
     cuts_hosts: bool,
 }
@@ -85,7 +92,8 @@
             kind,
             fault,
             targets: targets.collect(),
-            idle: HashSet::new(),
+            idle: HashMap::new(),
+            answer_time: ANSWER_TIME,
             cuts_hosts: false,
         };
         let mut uplink = Uplink::new(seed);
@@ -156,8 +164,8 @@
                 if let Some(tried) = retry {
                     self.schedule(now, Action::Attempt(tried));
                 }
-                if evidence == Evidence::Answered {
-                    self.world.idle.insert(index);
+                if let Evidence::Answered { opened } = evidence {
+                    self.world.idle.insert(index, opened);
                 }
                 let endpoint = self.world.targets[index].endpoint.clone();
                 self.uplink.record(&endpoint, evidence, now)
@@ -180,27 +188,28 @@
         let index = left[self.rng.random_range(0..left.len())];
         tried.push(index);
         // Half of the requests find the idle connection in use.
-        let is_reused = self.rng.random_bool(0.5) && self.world.idle.remove(&index);
+        let is_reused = self.rng.random_bool(0.5) && self.world.idle.contains_key(&index);
         let is_cut = (self.world.fault)(index, now);
-        let connected = Action::Report(index, Evidence::Connected, None);
-        let answered = Action::Report(index, Evidence::Answered, None);
-        let silent = |tried| Action::Report(index, Evidence::Silent, Some(tried));
+        let opened = if is_reused {
+            self.world.idle.remove(&index).unwrap_or_default()
+        } else {
+            now + ROUND_TRIP
+        };
+        let answered = Action::Report(index, Evidence::Answered { opened }, None);
+        let silent = |tried| {
+            let is_new = !is_reused;
+            Action::Report(index, Evidence::Silent { is_new }, Some(tried))
+        };
+        let answer_time = self.world.answer_time;
         match (self.world.kind, is_cut, is_reused) {
-            (_, false, false) => {
-                self.schedule(now + ROUND_TRIP, connected);
-                self.schedule(now + ROUND_TRIP + ANSWER_TIME, answered);
-            }
-            (_, false, true) | (Kind::Spare, true, true) => {
-                self.schedule(now + ANSWER_TIME, answered);
+            (_, false, false) => self.schedule(now + ROUND_TRIP + answer_time, answered),
+            (_, false, true) | (Kind::Spare | Kind::SpareClose | Kind::SpareMute, true, true) => {
+                self.schedule(now + answer_time, answered);
             }
-            (Kind::Mute, true, _) => {
-                if !is_reused {
-                    self.schedule(now + ROUND_TRIP, connected);
-                }
+            (Kind::Mute | Kind::SpareMute, true, _) => {
                 self.schedule(now + ANSWER_TIMEOUT, silent(tried));
             }
-            (Kind::Close, true, false) => {
-                self.schedule(now + ROUND_TRIP, connected);
+            (Kind::Close | Kind::SpareClose, true, false) => {
                 self.schedule(now + 2 * ROUND_TRIP, silent(tried));
             }
             (Kind::Hang | Kind::Refuse, true, true) => {
@@ -251,7 +260,7 @@
 fn failed_probe_time(kind: Kind) -> Duration {
     match kind {
         Kind::Hang => CONNECT_TIMEOUT,
-        Kind::Mute => PROBE_TIMEOUT,
+        Kind::Mute | Kind::SpareMute => PROBE_TIMEOUT,
         _ => ROUND_TRIP,
     }
 }
@@ -264,6 +273,47 @@
     Duration::from_secs(1) / rate
 }
 
+/// Guards against a cut that is hidden by answers on connections opened before it: to endpoints
+/// that have accepted a new one, and the first answers on connections, if these take long.
+#[rstest]
+fn answers_on_older_connections_do_not_hide_a_cut(
+    #[values(Kind::Spare, Kind::SpareClose, Kind::SpareMute)] kind: Kind,
+    #[values(3, 18, 90)] endpoints: usize,
+    #[values(5, 20)] rate: u32,
+    #[values(ANSWER_TIME, LONG_ANSWER_TIME)] answer_time: Duration,
+) {
+    for seed in 0..SEEDS {
+        let mut replay = Replay::new(endpoints, kind, per_second(rate), seed, Box::new(cut));
+        replay.world.answer_time = answer_time;
+        let replay = replay.run();
+        let [
+            (detached_at, Change::Detached { .. }),
+            (attached_at, Change::Attached { .. }),
+        ] = replay.changes.as_slice()
+        else {
+            panic!("seed {seed}: {:?}", replay.changes);
+        };
+        let detection = detached_at.saturating_sub(FAULT_START);
+        // With few endpoints most requests find an open connection, and run. Half of them do with
+        // more, and three failures by timeouts take longer.
+        let bound_ms = match kind {
+            _ if endpoints == 3 => 5000,
+            Kind::SpareMute if rate == 5 => 4000,
+            Kind::SpareMute => 3000,
+            _ => 2000,
+        };
+        assert!(
+            detection < Duration::from_millis(bound_ms),
+            "seed {seed}: {detection:?}"
+        );
+        let recovery = attached_at.saturating_sub(FAULT_END);
+        assert!(
+            recovery < Duration::from_secs(1),
+            "seed {seed}: {recovery:?}"
+        );
+    }
+}
+
 /// Guards against hosts that go on trying endpoints while they reach none, and against hosts
 /// that pass requests on after the cut has healed.
 #[rstest]
@@ -322,7 +372,7 @@
 /// hosts are out of reach too.
 #[rstest]
 fn a_host_that_reaches_no_other_host_either_is_not_detached(
-    #[values(Kind::Hang, Kind::Mute)] kind: Kind,
+    #[values(Kind::Hang, Kind::Mute, Kind::SpareMute)] kind: Kind,
     #[values(3, 18, 90)] endpoints: usize,
 ) {
     for seed in 0..SEEDS {
@@ -341,7 +391,9 @@
         Kind::Refuse,
         Kind::Spare,
         Kind::Close,
-        Kind::Mute
+        Kind::Mute,
+        Kind::SpareClose,
+        Kind::SpareMute
     )]
     kind: Kind,
 ) {
@@ -361,7 +413,17 @@
 /// have crashed together or because one zone is cut off.
 #[rstest]
 fn endpoints_that_fail_together_detach_no_host(
-    #[values(Kind::Hang, Kind::Reset, Kind::Refuse, Kind::Close, Kind::Mute)] kind: Kind,
+    #[values(
+        Kind::Hang,
+        Kind::Reset,
+        Kind::Refuse,
+        Kind::Spare,
+        Kind::Close,
+        Kind::Mute,
+        Kind::SpareClose,
+        Kind::SpareMute
+    )]
+    kind: Kind,
     #[values(9, 18, 90)] endpoints: usize,
     #[values(true, false)] is_zone: bool,
     #[values(1, 5, 50)] rate: u32,
@@ -382,6 +444,27 @@
     }
 }
 
+/// Guards against hosts that take endpoints which restart or are silent one after the other for a
+/// cut of their own, while most answers arrive on older connections or take long.
+#[rstest]
+fn endpoints_that_are_away_for_a_second_detach_no_host(
+    #[values(Kind::Reset, Kind::Close, Kind::SpareClose, Kind::SpareMute)] kind: Kind,
+    #[values(9, 90)] endpoints: usize,
+    #[values(5, 50)] rate: u32,
+    #[values(ANSWER_TIME, LONG_ANSWER_TIME)] answer_time: Duration,
+) {
+    for seed in 0..SEEDS {
+        let fault = |index: usize, now: Duration| {
+            let turn = usize::try_from(now.as_secs()).expect("a short replay");
+            index % ZONES == turn % ZONES && cut(index, now)
+        };
+        let mut replay = Replay::new(endpoints, kind, per_second(rate), seed, Box::new(fault));
+        replay.world.answer_time = answer_time;
+        let replay = replay.run();
+        assert_eq!(replay.changes, Vec::new(), "seed {seed}");
+    }
+}
+
 /// Guards against a state that follows each failure and success of a link that flaps.
 #[rstest]
 fn a_flapping_link_changes_the_state_seldom(
@@ -391,7 +474,9 @@
         Kind::Refuse,
         Kind::Spare,
         Kind::Close,
-        Kind::Mute
+        Kind::Mute,
+        Kind::SpareClose,
+        Kind::SpareMute
     )]
     kind: Kind,
     #[values(100, 300, 700)] half_ms: u64,
--- a/crates/papayayard_gateway/src/attempt.rs
+++ b/crates/papayayard_gateway/src/attempt.rs
@@ -190,7 +190,8 @@
                     continue;
                 }
                 if report == RunReport::Lost {
-                    self.uplink.record_silent(&placement.endpoint);
+                    let past = connection.past();
+                    self.uplink.record_silent(&placement.endpoint, past);
                     return Err(Failure::Unreachable);
                 }
                 if self.runs.software(&placement.endpoint) != job.software {
@@ -201,10 +202,11 @@
             let request = self.request(job, placement, position);
             let may_repeat = timeout < job.deadline.saturating_sub(started);
             connection.bound_unacknowledged(may_repeat);
+            let past = connection.past();
             let sent = connection.send(request);
             match time::timeout(remaining, sent).await {
                 Err(_) => {
-                    self.uplink.record_silent(&placement.endpoint);
+                    self.uplink.record_silent(&placement.endpoint, past);
                     self.pool.forget(placement.address);
                     return Err(Failure::Silent);
                 }
@@ -212,17 +214,17 @@
                     // The endpoint had closed the pooled connection; the request was not sent.
                     Some(_) if is_pooled => {}
                     Some(_) => {
-                        self.uplink.record_silent(&placement.endpoint);
+                        self.uplink.record_silent(&placement.endpoint, past);
                         return Err(Failure::Unreachable);
                     }
                     None => {
-                        self.uplink.record_silent(&placement.endpoint);
+                        self.uplink.record_silent(&placement.endpoint, past);
                         self.pool.forget(placement.address);
                         return Err(Failure::Broken);
                     }
                 },
                 Ok(Ok(response)) => {
-                    self.uplink.record_answer(&placement.endpoint);
+                    self.uplink.record_answer(&placement.endpoint, past);
                     let (head, body) = response.into_parts();
                     let response = Response {
                         head,
@@ -265,21 +267,15 @@
     }
 
     async fn connect(&self, job: &Job, placement: &Placement) -> Result<Connection, Failure> {
-        match dial::connect(placement.address).await {
-            Ok(connection) => {
-                self.uplink.record_connected(&placement.endpoint);
-                Ok(connection)
+        dial::connect(placement.address).await.map_err(|error| {
+            log::debug!(request:% = job.id, address:% = placement.address, error:%; "cannot connect to the endpoint");
+            self.uplink.record_unreachable(&placement.endpoint);
+            if error.kind() == io::ErrorKind::ConnectionRefused {
+                self.runs.lost(&placement.endpoint);
             }
-            Err(error) => {
-                log::debug!(request:% = job.id, address:% = placement.address, error:%; "cannot connect to the endpoint");
-                self.uplink.record_unreachable(&placement.endpoint);
-                if error.kind() == io::ErrorKind::ConnectionRefused {
-                    self.runs.lost(&placement.endpoint);
-                }
-                self.pool.forget(placement.address);
-                Err(Failure::Unreachable)
-            }
-        }
+            self.pool.forget(placement.address);
+            Failure::Unreachable
+        })
     }
 
     fn request(
@@ -334,7 +330,7 @@
             log::info!(
                 request:% = job.id, endpoint:% = placement.endpoint,
                 status = response.head.status.as_u16(), named = matches_request,
-                answers_before = response.connection.answers().saturating_sub(1);
+                answers_before = response.connection.past().answers.saturating_sub(1);
                 "the endpoint refused the request"
             );
             // The endpoint may send the refusal again. On this connection, a copy could not be
--- a/crates/papayayard_gateway/src/call.rs
+++ b/crates/papayayard_gateway/src/call.rs
@@ -63,6 +63,8 @@
 pub struct Caller {
     address: SocketAddr,
     idle: Option<dial::Connection>,
+    /// Past of the connection of the newest call, before that call.
+    past: Option<dial::Past>,
 }
 
 impl Caller {
@@ -71,6 +73,7 @@
         Self {
             address,
             idle: None,
+            past: None,
         }
     }
 
@@ -81,12 +84,14 @@
         bounds: Bounds,
     ) -> Result<Reply, Error> {
         let address = self.address;
+        self.past = None;
         let mut connection = match self.idle.take().filter(dial::Connection::is_ready) {
             Some(connection) => connection,
             None => dial::connect(address)
                 .await
                 .context(UnreachableSnafu { address })?,
         };
+        self.past = Some(connection.past());
         let reply = over(&mut connection, address, request, bounds).await?;
         self.idle = Some(connection);
         Ok(reply)
@@ -100,8 +105,12 @@
     /// Whether the newest answer is not the first one on its connection, so that it may belong
     /// to an earlier call.
     pub(crate) fn is_reused(&self) -> bool {
-        let idle = self.idle.as_ref();
-        idle.is_some_and(|connection| connection.answers() > 1)
+        self.past.is_some_and(|past| past.answers > 0)
+    }
+
+    /// Past of the connection of the newest call, before that call, if there was one.
+    pub(crate) const fn past(&self) -> Option<dial::Past> {
+        self.past
     }
 }
 
--- a/crates/papayayard_gateway/src/call_test.rs
+++ b/crates/papayayard_gateway/src/call_test.rs
@@ -6,7 +6,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
-use super::{Bounds, Error, once, once_or_reset};
+use super::{Bounds, Caller, Error, once, once_or_reset};
 
 const BOUNDS: Bounds = Bounds {
     time: Duration::from_millis(100),
@@ -86,3 +86,40 @@
     );
     answering.await.expect("the endpoint sees the close");
 }
+
+/// Guards against answers, and failures, on a connection that is kept which are taken for those
+/// on a new one.
+#[tokio::test]
+async fn a_call_tells_whether_its_connection_is_new() {
+    let (listener, address) = listen().await;
+    let mut caller = Caller::new(address);
+    let request = || http::Request::new(Bytes::new());
+    let serve = async {
+        let mut stream = accept(&listener).await;
+        let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+        for _ in 0..2 {
+            let read = stream.read(&mut [0; 1024]).await.expect("a request");
+            assert_ne!(read, 0);
+            stream.write_all(answer).await.expect("a connection");
+        }
+        let _ = stream.read(&mut [0; 1024]).await;
+        drop(stream);
+        accept(&listener).await
+    };
+    let call = async {
+        let mut pasts = Vec::new();
+        for _ in 0..4 {
+            let outcome = caller.call(request(), BOUNDS).await;
+            pasts.push((outcome.is_ok(), caller.past().expect("a connection")));
+        }
+        pasts
+    };
+    let (_unanswered, pasts) = tokio::join!(serve, call);
+    let seen: Vec<(bool, u32)> = pasts
+        .iter()
+        .map(|(is_answered, past)| (*is_answered, past.answers))
+        .collect();
+    assert_eq!(seen, [(true, 0), (true, 1), (false, 2), (false, 0)]);
+    assert_eq!(pasts[0].1.opened, pasts[2].1.opened);
+    assert!(pasts[2].1.opened < pasts[3].1.opened);
+}
--- a/crates/papayayard_gateway/src/dial.rs
+++ b/crates/papayayard_gateway/src/dial.rs
@@ -14,7 +14,7 @@
 use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
-use tokio::time;
+use tokio::time::{self, Instant};
 
 use crate::acknowledgement;
 use crate::meter::Meter;
@@ -35,12 +35,19 @@
 /// Size of the read buffer.
 const READ_BUFFER_BYTES: usize = 16 << 10;
 
+/// When a connection was opened, and what it has transmitted.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Past {
+    pub(crate) opened: Instant,
+    /// Number of answers received.
+    pub(crate) answers: u32,
+}
+
 /// A connection to one address; dropping it closes the socket.
 pub(crate) struct Connection {
     /// Sends one request at a time.
     sender: SendRequest<Full<Bytes>>,
-    /// Number of answers received.
-    answers: u32,
+    past: Past,
     bounds: Bounds,
     driver: JoinHandle<()>,
 }
@@ -55,13 +62,12 @@
         self.bounds.meter.allow(MAX_HEAD_BYTES);
         let response = self.sender.try_send_request(request).await?;
         self.bounds.meter.allow_all();
-        self.answers += 1;
+        self.past.answers += 1;
         Ok(response)
     }
 
-    /// Number of answers that the connection has transmitted.
-    pub(crate) const fn answers(&self) -> u32 {
-        self.answers
+    pub(crate) const fn past(&self) -> Past {
+        self.past
     }
 
     /// Sets how long the next request may stay unacknowledged, which depends on whether it may
@@ -111,6 +117,7 @@
 
 async fn handshake(stream: TcpStream) -> io::Result<Connection> {
     let address = stream.peer_addr()?;
+    let opened = Instant::now();
     let bounds = Bounds {
         meter: Meter::default(),
         unacknowledged: acknowledgement::Timeout::new(UNACKNOWLEDGED_TIMEOUT),
@@ -128,7 +135,7 @@
     });
     Ok(Connection {
         sender,
-        answers: 0,
+        past: Past { opened, answers: 0 },
         bounds,
         driver,
     })
--- a/crates/papayayard_gateway/src/feeds.rs
+++ b/crates/papayayard_gateway/src/feeds.rs
@@ -317,7 +317,7 @@
             let request = self.codec.changes(since, self.poll_wait());
             let outcome = caller.call(request, CHANGES_BOUNDS).await;
             if let Holder::Endpoint(endpoint) = &self.source.holder {
-                self.uplink.record_call(endpoint, &outcome);
+                self.uplink.record_call(endpoint, &caller, &outcome);
                 if outcome.is_err() {
                     self.runs.lost(endpoint);
                 }
--- a/crates/papayayard_gateway/src/orders/endpoint.rs
+++ b/crates/papayayard_gateway/src/orders/endpoint.rs
@@ -13,7 +13,7 @@
 use papayayard_coordination::rollout::Answer;
 use papayayard_wire::id;
 
-use crate::call::{self, Bounds};
+use crate::call::{self, Bounds, Caller};
 use crate::clock::Clock;
 use crate::exchange::{Codec, OrderReply, Report};
 use crate::uplink;
@@ -44,8 +44,9 @@
 where
     Platform: Codec,
 {
-    let outcome = call::once(address, codec.report(), REPORT_BOUNDS).await;
-    uplink.record_call(endpoint, &outcome);
+    let mut caller = Caller::new(address);
+    let outcome = caller.call(codec.report(), REPORT_BOUNDS).await;
+    uplink.record_call(endpoint, &caller, &outcome);
     match outcome {
         Ok(reply) => codec.decode_report(&reply),
         Err(error) => {
--- a/crates/papayayard_gateway/src/uplink.rs
+++ b/crates/papayayard_gateway/src/uplink.rs
@@ -19,8 +19,8 @@
 use tokio::task::JoinSet;
 use tokio::time::{self, Instant};
 
-use crate::call::{self, Bounds};
-use crate::dial;
+use crate::call::{self, Bounds, Caller};
+use crate::dial::{self, Past};
 use crate::hosts::Neighbours;
 use crate::metrics::Metrics;
 use crate::refusal::millis;
@@ -50,44 +50,52 @@
 /// What a request has seen of an endpoint.
 struct Report {
     endpoint: id::Endpoint,
-    evidence: Evidence,
+    seen: Seen,
 }
 
-impl Handle {
-    /// Records that a connection was established.
-    pub(crate) fn record_connected(&self, endpoint: &id::Endpoint) {
-        self.record(endpoint, Evidence::Connected);
-    }
+enum Seen {
+    Unreachable,
+    /// The head of a response, on a connection opened at this time.
+    Answer(Instant),
+    Silent {
+        is_new: bool,
+    },
+}
 
+impl Handle {
     /// Records that no connection could be established.
     pub(crate) fn record_unreachable(&self, endpoint: &id::Endpoint) {
-        self.record(endpoint, Evidence::Unreachable);
+        self.record(endpoint, Seen::Unreachable);
     }
 
-    /// Records that the head of a response was received.
-    pub(crate) fn record_answer(&self, endpoint: &id::Endpoint) {
-        self.record(endpoint, Evidence::Answered);
+    /// Records that the head of a response was received; `past` is that of its connection
+    /// before the request.
+    pub(crate) fn record_answer(&self, endpoint: &id::Endpoint, past: Past) {
+        self.record(endpoint, Seen::Answer(past.opened));
     }
 
     /// Records that a connection was reset before the head of a response, or that no response
     /// was received in time.
-    pub(crate) fn record_silent(&self, endpoint: &id::Endpoint) {
-        self.record(endpoint, Evidence::Silent);
+    pub(crate) fn record_silent(&self, endpoint: &id::Endpoint, past: Past) {
+        let is_new = past.answers == 0;
+        self.record(endpoint, Seen::Silent { is_new });
     }
 
-    /// Records what a call to an endpoint has shown.
+    /// Records what the newest call of an endpoint's caller has shown.
     pub(crate) fn record_call(
         &self,
         endpoint: &id::Endpoint,
+        caller: &Caller,
         outcome: &Result<call::Reply, call::Error>,
     ) {
-        match outcome {
-            Ok(_) => self.record_answer(endpoint),
-            Err(call::Error::Unreachable { .. }) => self.record_unreachable(endpoint),
-            Err(call::Error::Disconnected { .. } | call::Error::TimedOut { .. }) => {
-                self.record_silent(endpoint);
+        match (outcome, caller.past()) {
+            (Ok(_), Some(past)) => self.record_answer(endpoint, past),
+            (Err(call::Error::Disconnected { .. } | call::Error::TimedOut { .. }), Some(past)) => {
+                self.record_silent(endpoint, past);
             }
-            Err(call::Error::Withheld { .. }) => {}
+            (Err(call::Error::Unreachable { .. }), _) => self.record_unreachable(endpoint),
+            // Nothing was sent.
+            (_, None) | (Err(call::Error::Withheld { .. }), _) => {}
         }
     }
 
@@ -111,10 +119,10 @@
         }
     }
 
-    fn record(&self, endpoint: &id::Endpoint, evidence: Evidence) {
+    fn record(&self, endpoint: &id::Endpoint, seen: Seen) {
         let report = Report {
             endpoint: endpoint.clone(),
-            evidence,
+            seen,
         };
         if self.reports.send(report).is_err() {
             log::debug!(endpoint:%; "the host stops; the way to endpoints is no longer observed");
@@ -182,7 +190,8 @@
                     let Some(report) = report else {
                         return;
                     };
-                    self.uplink.record(&report.endpoint, report.evidence, self.now())
+                    let evidence = self.evidence(&report.seen);
+                    self.uplink.record(&report.endpoint, evidence, self.now())
                 }
                 Some(Ok(outcome)) = self.outcomes.join_next() => self.record_outcome(&outcome),
                 changed = self.endpoints.changed() => {
@@ -200,6 +209,16 @@
         self.started.elapsed()
     }
 
+    fn evidence(&self, seen: &Seen) -> Evidence {
+        match *seen {
+            Seen::Unreachable => Evidence::Unreachable,
+            Seen::Answer(opened) => Evidence::Answered {
+                opened: opened.saturating_duration_since(self.started),
+            },
+            Seen::Silent { is_new } => Evidence::Silent { is_new },
+        }
+    }
+
     fn update_targets(&mut self) -> Option<Change> {
         let endpoints = self.endpoints.borrow_and_update();
         let listed = endpoints.iter().filter(|endpoint| !endpoint.leaving);
--- a/crates/papayayard_gateway/src/uplink_test.rs
+++ b/crates/papayayard_gateway/src/uplink_test.rs
@@ -13,9 +13,10 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::AbortHandle;
-use tokio::time;
+use tokio::time::{self, Instant};
 
 use super::Handle;
+use crate::dial::Past;
 use crate::hosts::Neighbours;
 use crate::metrics::Metrics;
 
@@ -48,6 +49,14 @@
     }
 }
 
+/// Past of a connection that is opened now.
+fn new_connection() -> Past {
+    Past {
+        opened: Instant::now(),
+        answers: 0,
+    }
+}
+
 struct Observed {
     handle: Handle,
     endpoints: watch::Sender<Vec<Endpoint>>,
@@ -178,8 +187,7 @@
     let mut observed = Observed::start(&addresses);
     for index in 0..ENDPOINTS {
         let endpoint = id::Endpoint::from(format!("e-{index}"));
-        observed.handle.record_connected(&endpoint);
-        observed.handle.record_silent(&endpoint);
+        observed.handle.record_silent(&endpoint, new_connection());
     }
     observed.wait_for(true).await;
     let recovery = probes[0].wait_for(|ended| *ended > 2);
@@ -196,11 +204,36 @@
     observed.fail_connections();
     observed.wait_for(true).await;
     let endpoint = id::Endpoint::from("unlisted");
-    observed.handle.record_connected(&endpoint);
-    observed.handle.record_answer(&endpoint);
+    observed.handle.record_answer(&endpoint, new_connection());
     observed.wait_for(false).await;
 }
 
+/// Guards against a detached host that takes an answer for the end of the cut, although the
+/// connection was opened before it: the first answer there, or a later one.
+#[rstest]
+#[case::first(0, 8)]
+#[case::later(3, 9)]
+#[tokio::test]
+async fn an_answer_on_an_older_connection_attaches_no_host(#[case] answers: u32, #[case] last: u8) {
+    let addresses = closed_addresses(last).await;
+    let mut observed = Observed::start(&addresses);
+    let older = Past {
+        answers,
+        ..new_connection()
+    };
+    observed.fail_connections();
+    observed.wait_for(true).await;
+    for listed in observed.endpoints.borrow().iter() {
+        observed.handle.record_answer(&listed.id, older);
+    }
+    let listener = TcpListener::bind(addresses[0]).await.expect("the port");
+    let mut probes = serve(listener, Act::Close);
+    let recovery = probes.wait_for(|ended| *ended > 2);
+    let recovery = time::timeout(TIMEOUT, recovery).await;
+    recovery.expect("probes go on").expect("a running task");
+    assert!(observed.handle.is_detached());
+}
+
 /// Guards against probes of endpoints that leave, whose addresses others may soon have.
 #[tokio::test]
 async fn a_host_whose_other_endpoints_leave_probes_only_those_that_stay() {
