Connections: a request that was given up ends with a reset

What endpoints saw: a host that gave a request up (deadline, caller left, sent elsewhere, an answer that ends the attempt) closed its connection. The system goes on sending what it has of a request after a close, so an endpoint that read nothing at the time got the whole request when it woke, up to 3.5 s after the caller's answer, and its end looked like that of a caller that has only said all it had to say.

Cause: `dial::Connection` closed its socket, whatever had become of the answer. Only orders were reset.

Change: the socket is reset when it is dropped unless the answer to its newest request was read to the end (`Connection::settle`: the pool, calls, the body of another host's answer). The task that drives a connection holds the socket until then, since hyper ends it when the bytes are no answer, or with the last piece of an answer that closes the connection. Orders stay set to reset from the start: they must not arrive after their host's process has ended either.

Ruled out: that a reset takes back what has arrived. Linux (6.18) hands an endpoint all that its system had received before the reset, also on a connection that it accepts only later, and reports the reset after it (seen with plain sockets). A small request can thus still be read by an endpoint that wakes; it learns of the end at its next look at the connection, as it did from a close.

Weighed: a reset is sent once, a close is sent again when it is lost. An endpoint behind a cut learns of the end with its next bytes; before, within the 0.9 s or 3.5 s for which data may stay unacknowledged.

--- a/crates/papayayard_gateway/src/call.rs
+++ b/crates/papayayard_gateway/src/call.rs
@@ -177,6 +177,7 @@
         .collect()
         .await
         .map_err(|error| error.to_string())?;
+    connection.settle();
     Ok(Reply {
         status: head.status,
         headers: head.headers,
--- a/crates/papayayard_gateway/src/dial.rs
+++ b/crates/papayayard_gateway/src/dial.rs
@@ -1,5 +1,6 @@
 //! Opens HTTP/1 connections to endpoints and to the platform.
 
+use std::future;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -18,7 +19,7 @@
 
 use crate::acknowledgement;
 use crate::meter::Meter;
-use crate::socket::{Bounds, Socket};
+use crate::socket::{Bounds, Pending, Socket};
 
 /// Timeout for opening a connection: many round trips between zones, but a small part of
 /// the time in which an answer is due.
@@ -35,7 +36,8 @@
 /// Size of the read buffer.
 const READ_BUFFER_BYTES: usize = 16 << 10;
 
-/// A connection to one address; dropping it closes the socket.
+/// A connection to one address. Dropping it closes the socket, or resets it unless the answer to
+/// its last request was read to the end.
 pub(crate) struct Connection {
     /// Sends one request at a time.
     sender: SendRequest<Full<Bytes>>,
@@ -53,12 +55,18 @@
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
         self.bounds.meter.allow(MAX_HEAD_BYTES);
+        self.bounds.pending.set(true);
         let response = self.sender.try_send_request(request).await?;
         self.bounds.meter.allow_all();
         self.answers += 1;
         Ok(response)
     }
 
+    /// Tells that the newest answer was read to its end.
+    pub(crate) fn settle(&self) {
+        self.bounds.pending.set(false);
+    }
+
     /// Number of answers that the connection has transmitted.
     pub(crate) const fn answers(&self) -> u32 {
         self.answers
@@ -93,7 +101,7 @@
     handshake(open(address).await?).await
 }
 
-/// Opens a connection that is reset when it is dropped, so that data sent on it does not
+/// Opens a connection that is also reset when the process ends, so that data sent on it does not
 /// arrive afterwards.
 pub(crate) async fn connect_for_reset(address: SocketAddr) -> io::Result<Connection> {
     let stream = open(address).await?;
@@ -114,17 +122,23 @@
     let bounds = Bounds {
         meter: Meter::default(),
         unacknowledged: acknowledgement::Timeout::new(UNACKNOWLEDGED_TIMEOUT),
+        pending: Pending::default(),
     };
+    let pending = bounds.pending.clone();
     let socket = Socket::new(stream, bounds.clone());
-    let (sender, connection) = http1::Builder::new()
+    let (sender, mut connection) = http1::Builder::new()
         .max_buf_size(READ_BUFFER_BYTES)
         .handshake(TokioIo::new(socket))
         .await
         .map_err(io::Error::other)?;
     let driver = tokio::spawn(async move {
-        if let Err(error) = connection.await {
+        let ended = future::poll_fn(|context| connection.poll_without_shutdown(context));
+        if let Err(error) = ended.await {
             log::debug!(address:%, error:%; "connection ended");
         }
+        // What becomes of the answer decides how the socket ends.
+        let _socket = connection.into_parts();
+        pending.until_settled().await;
     });
     Ok(Connection {
         sender,
--- a/crates/papayayard_gateway/src/forwarded.rs
+++ b/crates/papayayard_gateway/src/forwarded.rs
@@ -1,7 +1,7 @@
 //! Body of an answer that another host gives to a request which this host passed on.
 //!
 //! Its pieces go to the caller as they arrive, and a body that breaks off reaches the caller as
-//! broken off. Dropping the body closes the connection, so that the other host stops too once
+//! broken off. Dropping the body ends the connection, so that the other host stops too once
 //! the caller leaves.
 
 use std::fmt;
@@ -23,7 +23,7 @@
 pub(crate) struct Forwarded {
     body: Incoming,
     /// Connection that transmits the body.
-    _connection: Connection,
+    connection: Connection,
     /// Ends at the deadline of the request.
     deadline: Pin<Box<Sleep>>,
     request: id::Request,
@@ -41,7 +41,7 @@
     ) -> Self {
         Self {
             body,
-            _connection: connection,
+            connection,
             deadline: Box::pin(time::sleep(left)),
             request,
             metrics,
@@ -55,6 +55,14 @@
     }
 }
 
+impl Drop for Forwarded {
+    fn drop(&mut self) {
+        if http_body::Body::is_end_stream(&self.body) {
+            self.connection.settle();
+        }
+    }
+}
+
 impl fmt::Debug for Forwarded {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         formatter
@@ -74,6 +82,10 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
         match Pin::new(&mut self.body).poll_frame(context) {
             Poll::Ready(Some(Err(_))) => Poll::Ready(Some(Err(self.truncated("broken")))),
+            Poll::Ready(None) => {
+                self.connection.settle();
+                Poll::Ready(None)
+            }
             Poll::Ready(frame) => Poll::Ready(frame.map(|frame| frame.map_err(|_| Truncated))),
             Poll::Pending => match self.deadline.as_mut().poll(context) {
                 Poll::Ready(()) => Poll::Ready(Some(Err(self.truncated("deadline")))),
--- a/crates/papayayard_gateway/src/pool.rs
+++ b/crates/papayayard_gateway/src/pool.rs
@@ -65,6 +65,7 @@
 
     /// Adds a connection whose response was read completely.
     pub(crate) fn put(&self, address: SocketAddr, connection: Connection, headers: &HeaderMap) {
+        connection.settle();
         if connection.is_closed() {
             return;
         }
--- a/crates/papayayard_gateway/src/socket.rs
+++ b/crates/papayayard_gateway/src/socket.rs
@@ -1,7 +1,12 @@
-//! Socket of a connection whose reads and unacknowledged data are bounded.
+//! Socket of a connection whose reads and unacknowledged data are bounded, and which is reset if
+//! its request was given up.
 //!
 //! The task that drives a connection owns its socket. The bounds are therefore stored beside it
-//! and applied when data is read or written.
+//! and applied when data is read or written, or when the socket closes.
+//!
+//! The system goes on sending what it has of a request after its socket was closed, so that the
+//! request may arrive much later. A reset discards that, and tells the other side that nobody
+//! waits, where a close could mean that only the request has ended.
 
 use std::io;
 use std::pin::Pin;
@@ -9,6 +14,7 @@
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 
 use crate::acknowledgement;
 use crate::meter::Meter;
@@ -20,6 +26,28 @@
     pub(crate) meter: Meter,
     /// Bounds the time for which written data may stay unacknowledged.
     pub(crate) unacknowledged: acknowledgement::Timeout,
+    /// Whether a request was sent whose answer was not read to its end.
+    pub(crate) pending: Pending,
+}
+
+/// Whether a connection has a request whose answer was not read to its end.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Pending(watch::Sender<bool>);
+
+impl Pending {
+    pub(crate) fn set(&self, is_pending: bool) {
+        self.0.send_replace(is_pending);
+    }
+
+    /// Waits until the answer was read to its end, or the connection has no request.
+    pub(crate) async fn until_settled(&self) {
+        // The sender lives as long as this.
+        let _ = self.0.subscribe().wait_for(|is_pending| !is_pending).await;
+    }
+
+    fn get(&self) -> bool {
+        *self.0.borrow()
+    }
 }
 
 /// A socket with [`Bounds`].
@@ -46,6 +74,16 @@
     }
 }
 
+impl Drop for Socket {
+    fn drop(&mut self) {
+        if self.bounds.pending.get()
+            && let Err(error) = self.inner.set_zero_linger()
+        {
+            log::debug!(error:%; "the connection is closed without a reset");
+        }
+    }
+}
+
 impl AsyncRead for Socket {
     fn poll_read(
         mut self: Pin<&mut Self>,
