Attempt: a copied refusal of a host's own question speaks for no stream

What callers saw: nothing by itself; a stream that went on elsewhere ran at more endpoints than its route allows, each while the one before still worked on it.

Cause: before a stream goes on at another endpoint, the host asks for that endpoint's run over the same connection. A response that names no request was believed if the connection was not pooled, although it had answered the question. An endpoint that refuses the question, and sends that refusal once more before its answer to the stream, was taken to have refused the stream.

Change: an unnamed response is believed only if it is the first that its connection has brought, as `dial::Connection` counts them.

Ruled out: copies of a report that was given. They name no statement that the request did not run, so the attempt fails as foreign and counts as a run.

--- a/crates/papayayard_gateway/src/attempt.rs
+++ b/crates/papayayard_gateway/src/attempt.rs
@@ -229,8 +229,7 @@
                         body,
                         connection,
                     };
-                    let is_first = !is_pooled;
-                    return self.check(job, (placement, permit), response, is_first);
+                    return self.check(job, (placement, permit), response);
                 }
             }
         }
@@ -308,20 +307,20 @@
         request
     }
 
-    /// Checks the head of a response; `is_first` tells that the connection transmitted no
-    /// request before.
+    /// Checks the head of a response.
     fn check(
         &self,
         job: &Job,
         (placement, permit): (&Placement, &Permit),
         response: Response,
-        is_first: bool,
     ) -> Result<Response, Failure> {
         let reported = self
             .codec
             .decode_response_head(response.head.status, &response.head.headers);
         let matches_request = reported.request.as_ref() == Some(&job.id);
-        // On a reused connection, an unnamed response may belong to an earlier request.
+        // After another answer on its connection, also to a question of this host, an unnamed
+        // response may belong to an earlier request.
+        let is_first = response.connection.answers() == 1;
         let is_own = matches_request || is_first && reported.request.is_none();
         if !is_from_other(&reported, placement) {
             apply_leave_notice(job, (placement, permit), &reported);
