Limits: questions for the run of an endpoint count for its limit

What was seen: an endpoint that names 5 requests a second gets 36 to 40 requests and calls in 4 s from two hosts, where 35 are tolerated. endpoint_limits::hosts_together_keep_the_limit_that_an_endpoint_names:: case_6_resumed_stream refused the last landing.

Cause: before a stream goes on, its host asks the endpoint for its run, and an endpoint in doubt is asked when a stream that it began breaks off. The bucket of a limit counted placements only, so that an endpoint whose requests are mostly streams that go on got a question for each of them on top.

Ruled out by the trial: requests beyond the limit (never more than 20, at even intervals), hosts that count for two dispatchers, a window that begins too early.

Change: the host tells the scheduler that placed the stream that it asks; the bucket takes one more and may owe it, no more than it holds. The check stays: the protocol calls the report a request. Older dispatchers ignore the new field.

--- a/crates/papayayard_gateway/src/attempt.rs
+++ b/crates/papayayard_gateway/src/attempt.rs
@@ -184,6 +184,7 @@
                 None => self.connect(job, placement).await?,
             };
             if job.software.is_some() {
+                permit.record_question();
                 let report = self.ask_run(placement, &mut connection).await;
                 if is_pooled && report != RunReport::Named {
                     // The endpoint had closed the connection, or sent a late answer.
--- a/crates/papayayard_gateway/src/dispatch/handler.rs
+++ b/crates/papayayard_gateway/src/dispatch/handler.rs
@@ -60,6 +60,10 @@
                 .schedule
                 .send(Message::Notice(host.clone(), named.number, progress));
         }
+        for number in call.asked {
+            let message = Message::Notice(host.clone(), number, Progress::Asked);
+            shared.schedule.send(message);
+        }
         for notice in call.notices {
             self.record(&host, &zone, notice, now);
         }
--- a/crates/papayayard_gateway/src/dispatch/link.rs
+++ b/crates/papayayard_gateway/src/dispatch/link.rs
@@ -48,6 +48,7 @@
     notices: Vec<Notice>,
     named: Vec<NamedLimit>,
     named_refusals: Vec<NamedLimit>,
+    asked: Vec<u64>,
     /// Revision of the limits in the last answer that had any.
     limits_revision: Option<u64>,
     /// Random process ID in the dispatcher's last answer.
@@ -125,9 +126,18 @@
         self.local.wakeup.notify_one();
     }
 
+    /// Queues for the next call that the endpoint of a request is asked for its run.
+    pub(super) fn notify_question(&self, number: u64) {
+        push(&mut self.outbox().asked, number);
+        self.local.wakeup.notify_one();
+    }
+
     pub(super) fn has_notices(&self) -> bool {
         let outbox = self.outbox();
-        !outbox.notices.is_empty() || !outbox.named.is_empty() || !outbox.named_refusals.is_empty()
+        !outbox.notices.is_empty()
+            || !outbox.named.is_empty()
+            || !outbox.named_refusals.is_empty()
+            || !outbox.asked.is_empty()
     }
 
     /// Time of the last call.
@@ -151,6 +161,7 @@
                 notices: std::mem::take(&mut outbox.notices),
                 named: std::mem::take(&mut outbox.named),
                 named_refusals: std::mem::take(&mut outbox.named_refusals),
+                asked: std::mem::take(&mut outbox.asked),
                 is_used,
                 limits_revision: outbox.limits_revision,
                 question: request,
@@ -176,8 +187,8 @@
     }
 }
 
-fn push(named: &mut Vec<NamedLimit>, limit: NamedLimit) {
-    if named.len() < MAX_NOTICES {
-        named.push(limit);
+fn push<Notice>(queue: &mut Vec<Notice>, notice: Notice) {
+    if queue.len() < MAX_NOTICES {
+        queue.push(notice);
     }
 }
--- a/crates/papayayard_gateway/src/dispatch/message.rs
+++ b/crates/papayayard_gateway/src/dispatch/message.rs
@@ -34,6 +34,9 @@
     /// Limits on refusals that endpoints name in answers to requests.
     #[serde(default)]
     pub(super) named_refusals: Vec<NamedLimit>,
+    /// Numbers of requests whose endpoints are asked for their runs.
+    #[serde(default)]
+    pub(super) asked: Vec<u64>,
     /// Whether the requesting host uses the called one as its dispatcher.
     #[serde(default)]
     pub(super) is_used: bool,
--- a/crates/papayayard_gateway/src/dispatch/permit.rs
+++ b/crates/papayayard_gateway/src/dispatch/permit.rs
@@ -70,6 +70,15 @@
         self.report(Message::Leaving, Some(Event::Leaving));
     }
 
+    /// Records that the endpoint is asked for its run, which counts for its limit like a request.
+    pub(crate) fn record_question(&self) {
+        match (&self.dispatcher, self.ticket) {
+            (Some(dispatcher), _) => dispatcher.notify_question(self.number),
+            (None, Some(ticket)) => self.schedule.send(Message::Asked(ticket)),
+            (None, None) => {}
+        }
+    }
+
     /// Records that the endpoint requested a backoff from this host.
     pub(crate) fn set_backoff(&self, time: Duration) {
         self.report(|ticket| Message::Backoff(ticket, time), None);
--- a/crates/papayayard_gateway/src/dispatch_test.rs
+++ b/crates/papayayard_gateway/src/dispatch_test.rs
@@ -6,6 +6,7 @@
 use papayayard_coordination::ranking::Candidate;
 use papayayard_routing::placement::{Endpoint, Query, Scheduler, Settings};
 use papayayard_routing::prompt::Prompt;
+use papayayard_routing::rate::Rate;
 use papayayard_routing::table::Accounts;
 use papayayard_wire::id;
 use tokio::sync::watch;
@@ -200,6 +201,7 @@
         notices: Vec::new(),
         named: Vec::new(),
         named_refusals: Vec::new(),
+        asked: Vec::new(),
         is_used: true,
         limits_revision: None,
         question: Some(Request::new(1, &host.query(), host.clock.now())),
@@ -233,3 +235,28 @@
     assert_eq!(permit.placed_by(), "dispatcher");
     assert_eq!(placement.address, second);
 }
+
+/// Guards against dispatchers that do not count questions of other hosts for an endpoint's limit.
+#[tokio::test]
+async fn a_dispatcher_counts_questions_for_a_limit() {
+    let mut dispatcher = Host::new("dispatcher", 300);
+    let asker = Host::new("asker", 100);
+    let hosts = [&dispatcher, &asker].map(Host::candidate);
+    for host in [&dispatcher, &asker] {
+        host.set_neighbours(&hosts);
+        host.set_endpoint(SocketAddr::from((Ipv4Addr::LOCALHOST, 1)));
+    }
+    dispatcher.serve();
+    let selection = asker.dispatch.place(asker.query()).await;
+    let Selection::Placed(_, permit) = selection else {
+        panic!("the endpoint has room");
+    };
+    permit.set_limit(Rate::new(1.0).expect("a rate"));
+    permit.record_question();
+    let selection = asker.dispatch.place(asker.query()).await;
+    let Selection::Refused { retry_after, .. } = selection else {
+        panic!("the limit allows no request yet");
+    };
+    // One second for the question, and one for the request.
+    assert!(retry_after > Duration::from_millis(1500), "{retry_after:?}");
+}
--- a/crates/papayayard_gateway/src/pump.rs
+++ b/crates/papayayard_gateway/src/pump.rs
@@ -150,6 +150,10 @@
             drop(response);
             self.is_event_due |= failure == Failure::Foreign || !self.splitter.is_at_boundary();
             self.relay.record_failure(&placement, failure);
+            let is_origin_unsettled = self.is_origin_unsettled();
+            if is_origin_unsettled {
+                permit.record_question();
+            }
             permit.end(failure.outcome());
             log::info!(
                 request:% = self.job.id, endpoint:% = placement.endpoint,
@@ -157,7 +161,9 @@
                 "stream broke off"
             );
             watch.failed(failure).await;
-            self.settle_origin(&placement).await;
+            if is_origin_unsettled {
+                self.settle_origin(&placement).await;
+            }
             let Some(next) = self.resume(&placement.endpoint, replacement).await else {
                 self.truncate().await;
                 return;
@@ -262,13 +268,16 @@
         }
     }
 
-    /// Asks the endpoint that began the stream for its run, if its software is unknown: if it
-    /// still is the listed one, it has been all the while.
+    /// Whether the version that began the stream is needed and unknown.
+    fn is_origin_unsettled(&self) -> bool {
+        self.has_begun && self.job.software.is_none() && self.job.is_resumable()
+    }
+
+    /// Asks the endpoint that began the stream for its run: if it still is the listed one, it has
+    /// been all the while.
     async fn settle_origin(&mut self, placement: &Placement) {
-        if self.has_begun && self.job.software.is_none() && self.job.is_resumable() {
-            self.relay.sender.check_run(placement).await;
-            self.record_origin(placement);
-        }
+        self.relay.sender.check_run(placement).await;
+        self.record_origin(placement);
     }
 
     /// Starts to look for a place at an endpoint other than the silent one.
--- a/crates/papayayard_gateway/src/schedule.rs
+++ b/crates/papayayard_gateway/src/schedule.rs
@@ -88,6 +88,8 @@
     Leaving(Ticket),
     /// An endpoint announced its shutdown in an answer that another host received.
     EndpointLeaving(id::Endpoint),
+    /// The endpoint of a placed request is asked for its run.
+    Asked(Ticket),
     /// The endpoint of a placed request requested a backoff.
     Backoff(Ticket, Duration),
     /// The answer to a placed request names a limit of its endpoint, or none.
@@ -125,6 +127,8 @@
     Begun,
     /// The endpoint announced its shutdown.
     Leaving,
+    /// The endpoint is asked for its run.
+    Asked,
     /// The answer names a limit of the endpoint, or none.
     Limit(Option<Rate>),
     /// The answer names a limit on refusals of the endpoint, or none.
@@ -302,6 +306,7 @@
             Message::Begun(ticket) => scheduler.record_first_event(ticket, now),
             Message::EndpointLeaving(endpoint) => scheduler.mark_endpoint_leaving(&endpoint),
             Message::Leaving(ticket) => scheduler.mark_leaving(ticket),
+            Message::Asked(ticket) => scheduler.record_question(ticket, now),
             Message::Backoff(ticket, time) => scheduler.set_backoff(ticket, time, now),
             Message::Limit(ticket, limit) => scheduler.record_limit(ticket, limit, now),
             Message::RefusalLimit(ticket, limit) => {
@@ -372,6 +377,7 @@
             (Progress::RefusalLimit(limit), Some(ticket)) => {
                 self.scheduler.record_refusal_limit(ticket, limit, now);
             }
+            (Progress::Asked, Some(ticket)) => self.scheduler.record_question(ticket, now),
             (Progress::Leaving, Some(ticket)) => self.scheduler.mark_leaving(ticket),
             (Progress::Finished(outcome), Some(ticket)) => {
                 self.tickets.remove(&key);
--- a/crates/papayayard_routing/src/bucket.rs
+++ b/crates/papayayard_routing/src/bucket.rs
@@ -32,12 +32,13 @@
         }
     }
 
-    /// Changes the rate from `now` on; tokens above the burst are discarded.
+    /// Changes the rate from `now` on; tokens above the burst are discarded, and owed ones beyond
+    /// as many.
     pub fn set_rate(&mut self, per_second: f64, burst: f64, now: Duration) {
         self.refill(now);
         self.per_second = per_second;
         self.burst = burst;
-        self.tokens = self.tokens.min(burst);
+        self.tokens = self.tokens.clamp(-burst, burst);
     }
 
     /// Takes a token, or returns the time until one is available.
@@ -51,6 +52,12 @@
         Err(wait)
     }
 
+    /// Takes a token that is owed if there is none; no more than a burst is owed.
+    pub fn charge(&mut self, now: Duration) {
+        self.refill(now);
+        self.tokens = (self.tokens - 1.0).max(-self.burst);
+    }
+
     /// Time from the last refill until there are `number` tokens.
     pub fn wait_for(&self, number: u32) -> Duration {
         let missing = f64::from(number) - self.tokens;
--- a/crates/papayayard_routing/src/placement/limit.rs
+++ b/crates/papayayard_routing/src/placement/limit.rs
@@ -8,6 +8,8 @@
 
 use std::time::Duration;
 
+use papayayard_wire::id;
+
 use super::Scheduler;
 use super::backend::Endpoint;
 use super::named::{Bounds, Limit};
@@ -56,6 +58,14 @@
         }
     }
 
+    /// Counts a request to a run of an endpoint that was not placed. The endpoint gets one less
+    /// instead.
+    fn charge(&mut self, endpoint: &id::Endpoint, started: id::Incarnation, now: Duration) {
+        if let Some(entry) = self.bounds.get_mut(endpoint, started) {
+            entry.state.charge(now);
+        }
+    }
+
     /// Adds the tokens for the time since the last refill, and sets the rates from now on.
     pub(super) fn refill(&mut self, hosts: &RequestingHosts, now: Duration) {
         let share_of = |zone: &_| hosts.share(zone, now);
@@ -69,7 +79,7 @@
     /// Removes old limits of endpoints for which `is_listed` is false.
     pub(super) fn forget_unlisted<IsListed>(&mut self, is_listed: IsListed, now: Duration)
     where
-        IsListed: Fn(&papayayard_wire::id::Endpoint) -> bool,
+        IsListed: Fn(&id::Endpoint) -> bool,
     {
         self.bounds.forget_unlisted(is_listed, now);
     }
@@ -93,6 +103,13 @@
         }
     }
 
+    /// Records that the endpoint of a placed request is asked for its run, which is a request too.
+    pub fn record_question(&mut self, ticket: Ticket, now: Duration) {
+        if let Some(placed) = self.tickets.get(ticket) {
+            self.limits.charge(&placed.endpoint, placed.started, now);
+        }
+    }
+
     /// Applies the list of all limits that the dispatcher of this host knew at `listed_at`.
     pub fn set_limits(&mut self, list: &[Limit], listed_at: Duration, now: Duration) {
         let (by_id, backends) = (&self.by_id, &self.backends);
--- a/crates/papayayard_routing/tests/placement/limits.rs
+++ b/crates/papayayard_routing/tests/placement/limits.rs
@@ -33,6 +33,8 @@
 /// Factor on a limit, and further requests, that may reach an endpoint in a window.
 const TOLERANCE: f64 = 1.5;
 const EXTRA: f64 = 5.0;
+/// Seed of the replays.
+const SEED: u64 = 1;
 /// Interval at which a host tells its dispatcher that it uses it.
 const HEARTBEAT: Duration = Duration::from_secs(1);
 /// Time for which hosts place their own requests after their dispatcher was lost.
@@ -237,14 +239,22 @@
     is_limited: bool,
 }
 
+/// Whether endpoints are asked for their runs before each request, as before a stream goes on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Questions {
+    Unasked,
+    Asked,
+}
+
 /// Hosts, each with a scheduler, before endpoints that answer after a fixed time.
 struct Replay {
     hosts: usize,
     schedulers: Vec<Scheduler>,
     answers: Vec<Answer>,
-    /// Times at which requests of hosts that know the limit reached its endpoint.
+    /// Times at which requests and questions of hosts that know the limit reached its endpoint.
     arrivals: Vec<Duration>,
     per_second: f64,
+    questions: Questions,
 }
 
 fn host(index: usize) -> id::Host {
@@ -265,7 +275,7 @@
 }
 
 impl Replay {
-    fn new(hosts: usize, per_second: f64, rng: &mut ChaCha8Rng) -> Self {
+    fn new(hosts: usize, per_second: f64, questions: Questions, rng: &mut ChaCha8Rng) -> Self {
         let mut by_zone = HashMap::new();
         for index in 0..hosts {
             *by_zone.entry(zone(index)).or_insert(0) += 1;
@@ -286,6 +296,7 @@
             answers: Vec::new(),
             arrivals: Vec::new(),
             per_second,
+            questions,
         }
     }
 
@@ -319,9 +330,12 @@
     fn arrive(&mut self, scheduler: usize, placement: &Placement, now: Duration) {
         let is_limited = placement.endpoint.as_str() == LIMITED;
         let is_known = !self.schedulers[scheduler].limits().is_empty();
-        if is_limited && is_known {
-            self.arrivals.push(now);
+        let is_counted = is_limited && is_known;
+        if self.questions == Questions::Asked {
+            self.schedulers[scheduler].record_question(placement.ticket, now);
+            self.arrivals.extend(is_counted.then_some(now));
         }
+        self.arrivals.extend(is_counted.then_some(now));
         self.answers.push(Answer {
             at: now + ANSWER_TIME,
             scheduler,
@@ -369,9 +383,14 @@
     share: f64,
 }
 
-fn replay(hosts: usize, load: Load, mode: Mode, per_second: f64, seed: u64) -> Counted {
-    let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let mut replay = Replay::new(hosts, per_second, &mut rng);
+fn replay(
+    hosts: usize,
+    load: Load,
+    mode: Mode,
+    (per_second, questions): (f64, Questions),
+) -> Counted {
+    let mut rng = ChaCha8Rng::seed_from_u64(SEED);
+    let mut replay = Replay::new(hosts, per_second, questions, &mut rng);
     let endpoints = f64::from(u32::try_from(endpoints().len()).expect("a small number"));
     let pause =
         Duration::from_secs_f64(1.0 / (per_second * endpoints * OVERLOAD * mode.schedulers()));
@@ -424,7 +443,7 @@
 }
 
 fn check(hosts: usize, load: Load, mode: Mode, per_second: f64) {
-    let counted = replay(hosts, load, mode, per_second, 1);
+    let counted = replay(hosts, load, mode, (per_second, Questions::Unasked));
     println!("{hosts} {load:?} {mode:?} {per_second}: {counted:?}");
     let named = per_second * WINDOW.as_secs_f64();
     let most = match mode {
@@ -445,8 +464,27 @@
     #[values(Load::Even, Load::OneHost)] load: Load,
     #[values(0.5, 2.0)] per_second: f64,
 ) {
-    let counted = replay(hosts, load, Mode::Alone, per_second, 1);
+    let counted = replay(hosts, load, Mode::Alone, (per_second, Questions::Unasked));
     println!("{hosts} {load:?} alone {per_second}: {counted:?}");
     let named = per_second * WINDOW.as_secs_f64();
     assert!(counted.most <= named * TOLERANCE + EXTRA, "{counted:?}");
 }
+
+/// Guards against endpoints that get twice their limit, since they are asked for their runs before
+/// each stream that goes on.
+#[rstest]
+fn questions_count_for_a_limit(
+    #[values(1, 9)] hosts: usize,
+    #[values(Mode::Dispatched, Mode::Alone)] mode: Mode,
+    #[values(2.0, 9.0)] per_second: f64,
+) {
+    let counted = replay(hosts, Load::Even, mode, (per_second, Questions::Asked));
+    println!("{hosts} {mode:?} {per_second} asked: {counted:?}");
+    let named = per_second * WINDOW.as_secs_f64();
+    let most = match mode {
+        Mode::Dispatched => named + 2.0,
+        _ => named * TOLERANCE + EXTRA,
+    };
+    assert!(counted.most <= most, "{counted:?}");
+    assert!(counted.share >= 0.85, "{counted:?}");
+}
