Gateway: a request that hosts pass on runs no more often than its route allows

Cause: `relay::forward::offer` handed on no number of runs. A host that was slow to answer was left for a second one, and each made all attempts of the route; the first even started one after it had been left, since the close of its connection was late.

Change: a request passed on carries `host-runs`: how often the other host may run it, how many runs are left in all, and until when a stream must have begun to use them. It is read only from hosts, and removed where callers' requests come in and where requests go out to endpoints. What was handed over counts as used once the request may have run. A host that is told nothing (an older release, which counts one run for each host) uses one; an older host that is told ignores it.

Two ways were weighed. Handing over all runs leaves nothing for a second host if the first is silent, and the routes in use allow two; tests ask that such callers are served (`a_request_that_may_be_repeated_leaves_a_silent_host_in_time`). So one run is handed over while another host may be turned to, and an error of the other host's endpoint is a failed run, after which the next host is tried with the rest; the last host gets all that is left, and all the time. A stream that begins half a second before it would be given up may use the rest, since nobody else gets it then; otherwise it could not go on after a break.

A second fault, found while writing the tests: after a host that may have run a request, the next host's refusal was passed back, which says that it did not run (`a_refusal_does_not_deny_the_run_of_another_host`: 503, ran no). It now counts as not run at that host only.

--- a/crates/papayayard_gateway/src/hop.rs
+++ b/crates/papayayard_gateway/src/hop.rs
@@ -5,6 +5,8 @@
 
 /// Host that passes on a request.
 pub(crate) const FORWARDED_BY: HeaderName = HeaderName::from_static("host-forwarded-by");
+/// Runs that are handed over with a request.
+pub(crate) const RUNS: HeaderName = HeaderName::from_static("host-runs");
 /// Host that answers a request which another one passed on.
 pub(crate) const ANSWERED_BY: HeaderName = HeaderName::from_static("host-answered-by");
 /// Set if the host did not take the request, which has not run; the value tells for which
@@ -13,8 +15,9 @@
 /// Endpoint that gave the leave notice of an answer.
 pub(crate) const LEAVING_ENDPOINT: HeaderName = HeaderName::from_static("host-leaving-endpoint");
 
-const HOP_HEADERS: [HeaderName; 12] = [
+const HOP_HEADERS: [HeaderName; 13] = [
     FORWARDED_BY,
+    RUNS,
     ANSWERED_BY,
     NOT_TAKEN,
     LEAVING_ENDPOINT,
--- a/crates/papayayard_gateway/src/job.rs
+++ b/crates/papayayard_gateway/src/job.rs
@@ -12,6 +12,8 @@
 use papayayard_routing::table::{Account, Kind, Route};
 use papayayard_wire::id;
 
+use crate::allowance::Allowance;
+
 /// Least urgent priority, where 0 is the most urgent; larger values are capped to it.
 const LOWEST_PRIORITY: u8 = 9;
 
@@ -29,6 +31,8 @@
     /// What of it may crash endpoints; stays the same when the caller retries the request.
     pub(crate) subjects: Arc<Subjects>,
     pub(crate) route: Arc<Route>,
+    /// How often the request may run at this host.
+    pub(crate) allowance: Allowance,
     pub(crate) service: id::Service,
     /// Client account that the request's key belongs to.
     pub(crate) account: Option<Arc<Account>>,
@@ -57,6 +61,11 @@
         self.position.filter(|_| self.is_resumable())
     }
 
+    /// Time at which this host received the request.
+    pub(crate) fn received(&self) -> Duration {
+        self.target.saturating_sub(self.route.target_latency)
+    }
+
     /// Priority of the account, else of the route; 0 is the most urgent.
     pub(crate) fn priority(&self) -> u8 {
         let of_account = self.account.as_ref().and_then(|account| account.priority);
--- a/crates/papayayard_gateway/src/lib.rs
+++ b/crates/papayayard_gateway/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod store;
 
 mod acknowledgement;
+mod allowance;
 mod announcement;
 mod attempt;
 mod backoff;
--- a/crates/papayayard_gateway/src/pump.rs
+++ b/crates/papayayard_gateway/src/pump.rs
@@ -308,7 +308,7 @@
     fn can_resume(&self) -> bool {
         // Nothing tells what may continue a stream that an unknown version has begun.
         let is_origin_known = !self.has_begun || self.job.software.is_some();
-        self.job.is_resumable() && is_origin_known && self.history.runs < self.job.route.attempts
+        self.job.is_resumable() && is_origin_known && self.history.runs < self.job.allowance.runs
     }
 
     /// Whether the request is not quarantined for endpoint crashes.
--- a/crates/papayayard_gateway/src/relay.rs
+++ b/crates/papayayard_gateway/src/relay.rs
@@ -329,7 +329,7 @@
     /// Whether the request may be retried; takes the retry from the budget.
     fn may_retry(&self, job: &Job, history: &History, failure: Option<Failure>) -> bool {
         let may_run_again = history.runs == 0
-            || (job.route.kind.is_repeatable() && history.runs < job.route.attempts);
+            || (job.route.kind.is_repeatable() && history.runs < job.allowance.runs);
         let is_in_time = self.clock.now() < job.deadline;
         // Nothing was sent, so the next attempt is not a retry.
         let was_not_sent = matches!(failure, Some(Failure::Unreachable | Failure::Restarted));
@@ -393,7 +393,7 @@
         history: &History,
     ) -> Duration {
         let remaining = job.deadline.saturating_sub(self.clock.now());
-        let is_last = history.runs + 1 >= job.route.attempts;
+        let is_last = history.runs + 1 >= job.allowance.total;
         if is_last || !job.route.kind.is_repeatable() || !self.has_retry(job) {
             return remaining;
         }
@@ -471,7 +471,12 @@
         self.name_leaving(&upstream.placement, &upstream.response.head, &mut headers);
         let mut history = history.clone();
         history.runs += 1;
-        let chunks = pump::start(self.clone(), job.clone(), upstream, history);
+        let waited = self.clock.now().saturating_sub(job.received());
+        let job = Job {
+            allowance: job.allowance.of_stream(waited),
+            ..job.clone()
+        };
+        let chunks = pump::start(self.clone(), job, upstream, history);
         let mut response = Response::new(Body::Chunks(chunks));
         *response.status_mut() = status;
         *response.headers_mut() = headers;
@@ -505,8 +510,7 @@
     }
 
     pub(crate) fn record_first_event(&self, job: &Job) {
-        let received = job.target.saturating_sub(job.route.target_latency);
-        let time = self.clock.now().saturating_sub(received);
+        let time = self.clock.now().saturating_sub(job.received());
         self.metrics.first_event(time);
         log::info!(request:% = job.id, first_event_ms = millis(time); "first event");
     }
--- a/crates/papayayard_gateway/src/relay/admit.rs
+++ b/crates/papayayard_gateway/src/relay/admit.rs
@@ -15,6 +15,7 @@
 use tokio::time;
 
 use super::{NOT_READY_RETRY_DELAY, Relay, Source};
+use crate::allowance::Allowance;
 use crate::exchange::{Codec, RequestHead};
 use crate::hop;
 use crate::job::Job;
@@ -70,6 +71,10 @@
             self.lock_budget().record_request(&service, received);
             self.metrics.requested(&route.name);
         }
+        let allowance = match self.source {
+            Source::Callers => Allowance::all(route.attempts),
+            Source::Hosts => Allowance::decode(head.headers.get(hop::RUNS), route.attempts),
+        };
         let mut headers = head.headers;
         hop::strip(&mut headers);
         headers.remove(header::EXPECT);
@@ -96,6 +101,7 @@
             software: None,
             target: received + route.target_latency,
             deadline,
+            allowance,
             route,
         })
     }
--- a/crates/papayayard_gateway/src/relay/forward.rs
+++ b/crates/papayayard_gateway/src/relay/forward.rs
@@ -4,11 +4,14 @@
 //! or states that it did not take it. Only such a statement, a connection that did not come
 //! about, or a request that was not sent means that the request did not run; after any other
 //! failure it may have run.
+//!
+//! With the request goes how often the other host may run it. These runs are used up once the
+//! request may have run, and only what is left of them goes to a host after it.
 
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, HeaderValue, Request, Response};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
 use http_body_util::Full;
 use papayayard_coordination::detour::{MAX_TRIES, Peer};
 use papayayard_routing::placement::Placement;
@@ -17,6 +20,7 @@
 use tokio::time;
 
 use super::{History, NOT_READY_RETRY_DELAY, Relay};
+use crate::allowance::Allowance;
 use crate::attempt::{self, Failure};
 use crate::body::Body;
 use crate::detours::Detours;
@@ -34,6 +38,8 @@
 /// Part of the time that is left in which a host must begin to answer, as a divisor, if the
 /// request may be sent to another one.
 const TIMEOUT_DIVISOR: u32 = 2;
+/// Time for the head of an answer to get from one host to another.
+const ANSWER_TRANSIT: Duration = Duration::from_millis(500);
 /// Value of [`hop::NOT_TAKEN`] of a host that can take no request now.
 const ANY_REQUEST: HeaderValue = HeaderValue::from_static("any");
 /// Value of [`hop::NOT_TAKEN`] of a host that reached no endpoint for this request.
@@ -47,6 +53,23 @@
     Hosts,
 }
 
+/// What another host is handed over with a request.
+struct Share {
+    allowance: Allowance,
+    /// Time that the host has to begin its answer.
+    timeout: Duration,
+}
+
+/// What another host's answer means for a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Verdict {
+    Final,
+    /// The host used its runs in vain.
+    Failed,
+    /// The request did not run at this host, but may have run at another one before.
+    NotRun,
+}
+
 impl History {
     /// Whether the attempts show that this host does not reach the service.
     const fn is_out_of_reach(&self) -> bool {
@@ -196,23 +219,28 @@
             MAX_FALLBACK_TRIES
         };
         let mut tried = Vec::new();
+        let mut error = None;
         while tried.len() < max_tries && self.time_left(job) > Duration::ZERO {
             let Some(peer) = detours.choose(&tried) else {
                 break;
             };
             tried.push(peer.host.clone());
-            let failure = match self
-                .forward(job, detours, &peer, self.forward_timeout(job, history))
-                .await
-            {
-                Ok(response) => return Some(response),
-                Err(failure) => failure,
+            let is_last = tried.len() == max_tries || detours.choose(&tried).is_none();
+            let share = self.share(job, history, is_last);
+            let failure = match self.forward(job, detours, &peer, &share).await {
+                Ok(response) => match self.judge(job, history, &response) {
+                    Verdict::Final => return Some(response),
+                    Verdict::NotRun => continue,
+                    Verdict::Failed => {
+                        error = Some(response);
+                        None
+                    }
+                },
+                Err(failure) if failure.is_not_run() => continue,
+                Err(failure) => Some(failure),
             };
-            if failure.is_not_run() {
-                continue;
-            }
-            history.runs += 1;
-            if !self.may_retry(job, history, Some(failure)) {
+            history.runs += share.allowance.runs;
+            if !self.may_retry(job, history, failure) {
                 break;
             }
         }
@@ -220,7 +248,7 @@
         if !is_detached && history.runs == 0 {
             return None;
         }
-        Some(self.give_up(job, history, None, &no_way()))
+        Some(self.give_up(job, history, error, &no_way()))
     }
 
     /// Has a request served by another host, and logs the outcome.
@@ -229,9 +257,9 @@
         job: &Job,
         detours: &Detours,
         peer: &Peer,
-        timeout: Duration,
+        share: &Share,
     ) -> Result<Response<Body>, Failure> {
-        let result = self.exchange(job, detours, peer, timeout).await;
+        let result = self.exchange(job, detours, peer, share).await;
         let outcome = result
             .as_ref()
             .map_or_else(|failure| failure.as_str(), |_| "answered");
@@ -239,7 +267,10 @@
             .as_ref()
             .map_or(0, |response| response.status().as_u16());
         self.metrics.forwarded(outcome);
-        log::info!(request:% = job.id, host:% = peer.host, outcome, status; "request passed on");
+        log::info!(
+            request:% = job.id, host:% = peer.host, runs = share.allowance.runs, outcome, status;
+            "request passed on"
+        );
         match result {
             Ok(_) => detours.restore(&peer.host),
             // A host that did not take the request has stated whether it takes others.
@@ -254,14 +285,14 @@
         job: &Job,
         detours: &Detours,
         peer: &Peer,
-        timeout: Duration,
+        share: &Share,
     ) -> Result<Response<Body>, Failure> {
         let mut connection = dial::connect(peer.address).await.map_err(|error| {
             log::debug!(request:% = job.id, host:% = peer.host, error:%; "cannot connect to the host");
             Failure::Unreachable
         })?;
-        let request = self.forwarded_request(job, detours.host());
-        let sent = time::timeout(timeout, connection.send(request)).await;
+        let request = self.forwarded_request(job, detours.host(), share);
+        let sent = time::timeout(share.timeout, connection.send(request)).await;
         let (head, body) = match sent.map_err(|_| Failure::Silent)? {
             Ok(response) => response.into_parts(),
             Err(mut error) => {
@@ -293,7 +324,7 @@
         Ok(self.pass_back(job, response))
     }
 
-    fn forwarded_request(&self, job: &Job, host: &id::Host) -> Request<Full<Bytes>> {
+    fn forwarded_request(&self, job: &Job, host: &id::Host, share: &Share) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(job.body.clone()));
         *request.method_mut() = job.method.clone();
         *request.uri_mut() = job.uri.clone();
@@ -302,6 +333,7 @@
         self.sender
             .codec
             .set_time_left(headers, self.time_left(job));
+        headers.insert(hop::RUNS, share.allowance.encode());
         // The settings allow only names that can stand in a header.
         if let Ok(host) = HeaderValue::from_str(host.as_str()) {
             headers.insert(hop::FORWARDED_BY, host);
@@ -332,14 +364,48 @@
         answer
     }
 
-    /// Time that another host has to begin its answer.
-    fn forward_timeout(&self, job: &Job, history: &History) -> Duration {
-        let left = self.time_left(job);
-        let is_last = history.runs + 1 >= job.route.attempts;
-        if is_last || !job.route.kind.is_repeatable() || !self.has_retry(job) {
-            return left;
+    /// Determines what the next host is handed over: a single run while another one may be
+    /// needed for a host after it, else all that are left.
+    fn share(&self, job: &Job, history: &History, is_last: bool) -> Share {
+        let time_left = self.time_left(job);
+        let is_repeatable = job.route.kind.is_repeatable();
+        let left = if is_repeatable {
+            job.allowance.runs.saturating_sub(history.runs).max(1)
+        } else {
+            1
+        };
+        if left == 1 || is_last || !self.has_retry(job) {
+            return Share {
+                allowance: Allowance::all(left),
+                timeout: time_left,
+            };
+        }
+        let timeout = time_left / TIMEOUT_DIVISOR;
+        // A host that is left before its answer arrives must not have gone on with the stream.
+        let stream_within = timeout.saturating_sub(ANSWER_TRANSIT);
+        Share {
+            allowance: Allowance::single(left, stream_within),
+            timeout,
+        }
+    }
+
+    /// Determines whether the caller gets another host's answer, or a third host is asked.
+    fn judge(&self, job: &Job, history: &History, response: &Response<Body>) -> Verdict {
+        let status = response.status();
+        let is_error = status.is_server_error();
+        let is_not_run = status == StatusCode::SERVICE_UNAVAILABLE;
+        let has_time = status != StatusCode::GATEWAY_TIMEOUT;
+        if is_error && !is_not_run && has_time && job.route.kind.is_repeatable() {
+            return Verdict::Failed;
+        }
+        let codec = &self.sender.codec;
+        let reported = codec.decode_response_head(status, response.headers());
+        let is_refusal = !reported.is_signed && (!is_error || is_not_run);
+        if is_refusal && history.runs > 0 {
+            Verdict::NotRun
+        } else {
+            Verdict::Final
         }
-        left / TIMEOUT_DIVISOR
     }
 
     fn time_left(&self, job: &Job) -> Duration {
