Tests: leave notices that a host or its dispatcher does not keep (known red)

Host::set_endpoint of the tests takes whether the record says that the endpoint leaves; the older test passes false and checks the same.

--- a/crates/papayayard_gateway/src/dispatch_test.rs
+++ b/crates/papayayard_gateway/src/dispatch_test.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use papayayard_coordination::ranking::Candidate;
-use papayayard_routing::placement::{Endpoint, Query, Scheduler, Settings};
+use papayayard_routing::placement::{Endpoint, Outcome, Query, Scheduler, Settings};
 use papayayard_routing::prompt::Prompt;
 use papayayard_routing::table::Accounts;
 use papayayard_wire::id;
@@ -115,8 +115,8 @@
         });
     }
 
-    /// Lets the host know an endpoint at an address.
-    fn set_endpoint(&self, address: SocketAddr) {
+    /// Lets the host list an endpoint at an address.
+    fn set_endpoint(&self, address: SocketAddr, leaving: bool) {
         let endpoint = Endpoint {
             id: id::Endpoint::from("engines-0"),
             started: id::Incarnation(1),
@@ -126,7 +126,7 @@
             software: id::Software::from("v1"),
             slots: 8,
             weights: HashMap::from([(id::Model::from("m"), 1)]),
-            leaving: false,
+            leaving,
         };
         let schedule = &self.dispatch.0.schedule;
         schedule.send(Message::Endpoints(vec![endpoint]));
@@ -223,8 +223,8 @@
         host.set_neighbours(&hosts);
     }
     let [first, second] = [1, 2].map(|port| SocketAddr::from((Ipv4Addr::LOCALHOST, port)));
-    dispatcher.set_endpoint(first);
-    asker.set_endpoint(second);
+    dispatcher.set_endpoint(first, false);
+    asker.set_endpoint(second, false);
     dispatcher.serve();
     let selection = asker.dispatch.place(asker.query()).await;
     let Selection::Placed(placement, permit) = selection else {
@@ -233,3 +233,45 @@
     assert_eq!(permit.placed_by(), "dispatcher");
     assert_eq!(placement.address, second);
 }
+
+/// Guards against requests to an endpoint whose leave notice came before its record did.
+#[tokio::test]
+async fn a_leave_notice_of_an_endpoint_that_is_not_listed_yet_holds() {
+    let mut dispatcher = Host::new("dispatcher", 300);
+    let asker = Host::new("asker", 100);
+    let hosts = [&dispatcher, &asker].map(Host::candidate);
+    for host in [&dispatcher, &asker] {
+        host.set_neighbours(&hosts);
+    }
+    let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 1));
+    dispatcher.set_endpoint(address, false);
+    dispatcher.serve();
+    let selection = asker.dispatch.place(asker.query()).await;
+    let Selection::Placed(_, permit) = selection else {
+        panic!("the dispatcher refused the request");
+    };
+    permit.mark_leaving();
+    permit.end(Outcome::Whole);
+    asker.set_endpoint(address, false);
+    asker.set_neighbours(&[]);
+    let selection = asker.dispatch.place(asker.query()).await;
+    assert!(matches!(selection, Selection::Refused { .. }));
+}
+
+/// Guards against requests to an endpoint that this host knows to leave, and its dispatcher not
+/// yet.
+#[tokio::test]
+async fn a_host_does_not_send_where_its_dispatcher_does_not_know_that_the_endpoint_leaves() {
+    let mut dispatcher = Host::new("dispatcher", 300);
+    let asker = Host::new("asker", 100);
+    let hosts = [&dispatcher, &asker].map(Host::candidate);
+    for host in [&dispatcher, &asker] {
+        host.set_neighbours(&hosts);
+    }
+    let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 1));
+    dispatcher.set_endpoint(address, false);
+    asker.set_endpoint(address, true);
+    dispatcher.serve();
+    let selection = asker.dispatch.place(asker.query()).await;
+    assert!(matches!(selection, Selection::Refused { .. }));
+}
