--- a/crates/papayayard_gateway/src/dispatch_test.rs
+++ b/crates/papayayard_gateway/src/dispatch_test.rs
@@ -215,15 +215,20 @@
     assert!(answer.decision.is_some());
 }
 
+/// Creates two hosts that know each other; the first one places the requests of both.
+fn dispatcher_and_asker() -> (Host, Host) {
+    let hosts = (Host::new("dispatcher", 300), Host::new("asker", 100));
+    let candidates = [&hosts.0, &hosts.1].map(Host::candidate);
+    for host in [&hosts.0, &hosts.1] {
+        host.set_neighbours(&candidates);
+    }
+    hosts
+}
+
 /// Guards against requests that are sent where an endpoint is by another host's store alone.
 #[tokio::test]
 async fn a_host_sends_to_the_address_that_its_own_store_names() {
-    let mut dispatcher = Host::new("dispatcher", 300);
-    let asker = Host::new("asker", 100);
-    let hosts = [&dispatcher, &asker].map(Host::candidate);
-    for host in [&dispatcher, &asker] {
-        host.set_neighbours(&hosts);
-    }
+    let (mut dispatcher, asker) = dispatcher_and_asker();
     let [first, second] = [1, 2].map(|port| SocketAddr::from((Ipv4Addr::LOCALHOST, port)));
     dispatcher.set_endpoint(first, false);
     asker.set_endpoint(second, false);
@@ -239,12 +244,7 @@
 /// Guards against requests to an endpoint whose leave notice came before its record did.
 #[tokio::test]
 async fn a_leave_notice_of_an_endpoint_that_is_not_listed_yet_holds() {
-    let mut dispatcher = Host::new("dispatcher", 300);
-    let asker = Host::new("asker", 100);
-    let hosts = [&dispatcher, &asker].map(Host::candidate);
-    for host in [&dispatcher, &asker] {
-        host.set_neighbours(&hosts);
-    }
+    let (mut dispatcher, asker) = dispatcher_and_asker();
     let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 1));
     dispatcher.set_endpoint(address, false);
     dispatcher.serve();
@@ -264,12 +264,7 @@
 /// yet.
 #[tokio::test]
 async fn a_host_does_not_send_where_its_dispatcher_does_not_know_that_the_endpoint_leaves() {
-    let mut dispatcher = Host::new("dispatcher", 300);
-    let asker = Host::new("asker", 100);
-    let hosts = [&dispatcher, &asker].map(Host::candidate);
-    for host in [&dispatcher, &asker] {
-        host.set_neighbours(&hosts);
-    }
+    let (mut dispatcher, asker) = dispatcher_and_asker();
     let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 1));
     dispatcher.set_endpoint(address, false);
     asker.set_endpoint(address, true);
@@ -281,11 +276,8 @@
 /// Guards against dispatchers that do not count questions of other hosts for an endpoint's limit.
 #[tokio::test]
 async fn a_dispatcher_counts_questions_for_a_limit() {
-    let mut dispatcher = Host::new("dispatcher", 300);
-    let asker = Host::new("asker", 100);
-    let hosts = [&dispatcher, &asker].map(Host::candidate);
+    let (mut dispatcher, asker) = dispatcher_and_asker();
     for host in [&dispatcher, &asker] {
-        host.set_neighbours(&hosts);
         host.set_endpoint(SocketAddr::from((Ipv4Addr::LOCALHOST, 1)), false);
     }
     dispatcher.serve();
