Logs: for how long the weights of a placement may still be used

`placed` named the version and `first event` nothing. Both now tell for how long the request may still begin on these weights, by what the sending host knows: a placement in time whose first event comes after it has waited at its endpoint; a host that counts from its own reading has more left than the others; a dispatcher that lags behind places with none left.

The scheduler's task publishes the target versions that it knows, and a permit names its weights. No decision changes.

--- a/crates/papayayard_gateway/src/dispatch.rs
+++ b/crates/papayayard_gateway/src/dispatch.rs
@@ -25,6 +25,7 @@
 use crate::metrics::Metrics;
 use crate::runs;
 use crate::schedule::{Adopted, Handle, Message};
+use crate::targets::Weights;
 use crate::uplink;
 
 mod handler;
@@ -331,7 +332,15 @@
     ) -> Permit {
         let register = self.0.local.register.clone();
         register.add(number, query, placement);
-        Permit::new(self.0.schedule.clone(), ticket, number, register, link)
+        let prompt = query.prompt.as_ref();
+        let weights = prompt
+            .zip(placement.version)
+            .map(|(prompt, version)| Weights {
+                model: prompt.model.clone(),
+                version,
+            });
+        let schedule = self.0.schedule.clone();
+        Permit::new(schedule, ticket, number, register, link, weights)
     }
 
     /// Link to the current dispatcher; `None` if this host places its own requests.
--- a/crates/papayayard_gateway/src/dispatch/permit.rs
+++ b/crates/papayayard_gateway/src/dispatch/permit.rs
@@ -11,6 +11,7 @@
 use super::message::Event;
 use super::register::Register;
 use crate::schedule::{Handle, Message};
+use crate::targets::Weights;
 
 /// Name of this host's own scheduler in logs.
 pub(super) const OWN: &str = "own";
@@ -26,6 +27,8 @@
     register: Register,
     /// Dispatcher that placed the request; `None` if this host did.
     dispatcher: Option<Arc<Link>>,
+    /// Weights that the request begins on, if their version is known.
+    weights: Option<Weights>,
     outcome: Outcome,
     has_begun: bool,
 }
@@ -37,6 +40,7 @@
         number: u64,
         register: Register,
         dispatcher: Option<Arc<Link>>,
+        weights: Option<Weights>,
     ) -> Self {
         Self {
             schedule,
@@ -44,6 +48,7 @@
             number,
             register,
             dispatcher,
+            weights,
             outcome: Outcome::Abandoned,
             has_begun: false,
         }
@@ -55,6 +60,13 @@
         dispatcher.map_or(OWN, |dispatcher| dispatcher.host().as_str())
     }
 
+    /// Time for which the request may still begin on the endpoint's weights; `None` without a
+    /// limit.
+    pub(crate) fn weights_remaining(&self) -> Option<Duration> {
+        let weights = self.weights.as_ref()?;
+        self.schedule.targets().remaining(weights)
+    }
+
     /// Records an event of the answer; only the first one has an effect.
     pub(crate) fn record_event(&mut self) {
         if self.has_begun {
--- a/crates/papayayard_gateway/src/lib.rs
+++ b/crates/papayayard_gateway/src/lib.rs
@@ -55,4 +55,5 @@
 mod runs;
 mod schedule;
 mod socket;
+mod targets;
 mod uplink;
--- a/crates/papayayard_gateway/src/pump.rs
+++ b/crates/papayayard_gateway/src/pump.rs
@@ -247,7 +247,8 @@
         self.record_origin(&upstream.placement);
         if !self.has_begun {
             self.has_begun = true;
-            self.relay.record_first_event(&self.job);
+            let weights_left = upstream.permit.weights_remaining();
+            self.relay.record_first_event(&self.job, weights_left);
         }
         upstream.permit.record_event();
         upstream.watch.mark_begun();
--- a/crates/papayayard_gateway/src/relay.rs
+++ b/crates/papayayard_gateway/src/relay.rs
@@ -289,6 +289,7 @@
                     request:% = job.id, fingerprint:% = job.subjects.request,
                     service:% = job.service, endpoint:% = placement.endpoint,
                     version = placement.version.unwrap_or(0),
+                    weights_left_ms:% = left(permit.weights_remaining()),
                     expected_ms = millis(placement.first_event),
                     cached = placement.cached, unread = placement.unread, reread = placement.reread,
                     parts = prompt.map_or(0, |prompt| prompt.tokens),
@@ -509,10 +510,13 @@
         Ok(response)
     }
 
-    pub(crate) fn record_first_event(&self, job: &Job) {
+    pub(crate) fn record_first_event(&self, job: &Job, weights_left: Option<Duration>) {
         let time = self.clock.now().saturating_sub(job.received());
         self.metrics.first_event(time);
-        log::info!(request:% = job.id, first_event_ms = millis(time); "first event");
+        log::info!(
+            request:% = job.id, first_event_ms = millis(time), weights_left_ms:% = left(weights_left);
+            "first event"
+        );
     }
 
     /// Version of the software that a placed request runs on, if it is known.
@@ -565,6 +569,11 @@
     }
 }
 
+/// Remaining time for logs, in ms; `-` without a limit.
+fn left(remaining: Option<Duration>) -> String {
+    remaining.map_or_else(|| "-".to_owned(), |left| left.as_millis().to_string())
+}
+
 /// Label of the failure in logs and metrics; `None` represents an error response of
 /// the endpoint.
 fn reason(failure: Option<Failure>) -> &'static str {
--- a/crates/papayayard_gateway/src/schedule.rs
+++ b/crates/papayayard_gateway/src/schedule.rs
@@ -23,6 +23,7 @@
 use tokio::time;
 
 use crate::clock::Clock;
+use crate::targets::Targets;
 
 /// Interval between decisions on waiting requests.
 const DECISION_PERIOD: Duration = Duration::from_millis(20);
@@ -142,6 +143,7 @@
     messages: mpsc::UnboundedSender<Message>,
     avoided: watch::Receiver<Vec<id::Endpoint>>,
     limits: watch::Receiver<Limits>,
+    targets: Targets,
 }
 
 impl Handle {
@@ -176,6 +178,11 @@
         self.avoided.borrow().clone()
     }
 
+    /// Target versions of weights.
+    pub(crate) const fn targets(&self) -> &Targets {
+        &self.targets
+    }
+
     /// Limits that endpoints have named.
     pub(crate) fn limits(&self) -> watch::Ref<'_, Limits> {
         self.limits.borrow()
@@ -219,12 +226,15 @@
     let (sender, messages) = mpsc::unbounded_channel();
     let (avoided, avoided_receiver) = watch::channel(Vec::new());
     let (limits, limits_receiver) = watch::channel(Limits::default());
+    let (targets, targets_receiver) = watch::channel(HashMap::new());
+    let old_weights = scheduler.settings().old_weights;
     let task = Task {
         scheduler,
         zone,
         clock,
         avoided,
         limits,
+        targets,
         runs: HashMap::new(),
         tickets: HashMap::new(),
         replies: HashMap::new(),
@@ -234,6 +244,7 @@
         messages: sender,
         avoided: avoided_receiver,
         limits: limits_receiver,
+        targets: Targets::new(targets_receiver, old_weights, clock),
     }
 }
 
@@ -250,6 +261,7 @@
     clock: Clock,
     avoided: watch::Sender<Vec<id::Endpoint>>,
     limits: watch::Sender<Limits>,
+    targets: watch::Sender<HashMap<id::Model, TargetVersions>>,
     /// Random process IDs of the hosts that call this one.
     runs: HashMap<id::Host, u64>,
     /// Tickets of other hosts' requests, by host and number of the request there.
@@ -318,7 +330,7 @@
             }
             Message::Finished(ticket, outcome) => scheduler.record_outcome(ticket, outcome, now),
             Message::Table(table) => scheduler.set_table(table),
-            Message::TargetVersions(targets) => scheduler.add_target_versions(&targets),
+            Message::TargetVersions(targets) => self.add_target_versions(&targets),
             Message::Endpoints(list) => scheduler.set_endpoints(&list, now),
             Message::Hosts(hosts) => scheduler.set_hosts(hosts),
             Message::HostCounts(counts) => scheduler.set_host_counts(counts),
@@ -345,6 +357,18 @@
         });
     }
 
+    fn add_target_versions(&mut self, targets: &HashMap<id::Model, TargetVersions>) {
+        self.scheduler.add_target_versions(targets);
+        let known = self.scheduler.target_versions();
+        self.targets.send_if_modified(|current| {
+            let is_changed = current != known;
+            if is_changed {
+                current.clone_from(known);
+            }
+            is_changed
+        });
+    }
+
     fn publish_limits(&self) {
         let lists = Lists {
             requests: self.scheduler.limits(),
--- /dev/null
+++ b/crates/papayayard_gateway/src/targets.rs
@@ -0,0 +1,53 @@
+//! Until when requests may begin on weights, by the target versions that this host knows.
+//!
+//! A placement says on which version a request begins, but a request can wait at its endpoint
+//! for longer than that version may be used. The host that sent it therefore watches the target
+//! versions until the request has begun.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use papayayard_routing::weights::TargetVersions;
+use papayayard_wire::id;
+use tokio::sync::watch;
+
+use crate::clock::Clock;
+
+/// Version of a model's weights.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Weights {
+    pub(crate) model: id::Model,
+    pub(crate) version: u64,
+}
+
+/// Target versions as this host's scheduler knows them.
+#[derive(Clone)]
+pub(crate) struct Targets {
+    versions: watch::Receiver<HashMap<id::Model, TargetVersions>>,
+    /// Time for which older weights may be used.
+    bound: Duration,
+    clock: Clock,
+}
+
+impl Targets {
+    pub(crate) const fn new(
+        versions: watch::Receiver<HashMap<id::Model, TargetVersions>>,
+        bound: Duration,
+        clock: Clock,
+    ) -> Self {
+        Self {
+            versions,
+            bound,
+            clock,
+        }
+    }
+
+    /// Time for which requests may still begin on some weights; `None` while no newer version
+    /// is known.
+    pub(crate) fn remaining(&self, weights: &Weights) -> Option<Duration> {
+        let versions = self.versions.borrow();
+        let targets = versions.get(&weights.model)?;
+        let until = targets.usable_until(weights.version, self.bound)?;
+        Some(until.saturating_sub(self.clock.now()))
+    }
+}
--- a/crates/papayayard_routing/src/placement.rs
+++ b/crates/papayayard_routing/src/placement.rs
@@ -119,6 +119,10 @@
 }
 
 impl Scheduler {
+    pub const fn settings(&self) -> Settings {
+        self.settings
+    }
+
     /// Creates a scheduler without endpoints.
     pub fn new(settings: Settings) -> Self {
         Self {
--- a/crates/papayayard_routing/src/placement/updates.rs
+++ b/crates/papayayard_routing/src/placement/updates.rs
@@ -40,6 +40,11 @@
         }
     }
 
+    /// Target versions of the weights that are known here.
+    pub fn target_versions(&self) -> &HashMap<id::Model, weights::TargetVersions> {
+        &self.target_versions
+    }
+
     /// Replaces the list of endpoints.
     pub fn set_endpoints(&mut self, list: &[Endpoint], now: Duration) {
         let present: HashSet<&id::Endpoint> = list.iter().map(|endpoint| &endpoint.id).collect();
--- a/crates/papayayard_routing/src/weights.rs
+++ b/crates/papayayard_routing/src/weights.rs
@@ -5,6 +5,7 @@
 //! another. After that, requests wait for endpoints with the newer version.
 
 use std::collections::BTreeMap;
+use std::ops::Bound;
 use std::time::Duration;
 
 /// Fraction of the bound that is used; the rest covers the delay between an
@@ -43,6 +44,13 @@
         Some((*version, *at))
     }
 
+    /// Time from which no request may start on `version`; `None` while no newer one is set.
+    pub fn usable_until(&self, version: u64, bound: Duration) -> Option<Duration> {
+        let newer = (Bound::Excluded(version), Bound::Unbounded);
+        let first = self.versions.range(newer).map(|(_, at)| *at).min()?;
+        Some(first + bound.mul_f64(USED_FRACTION))
+    }
+
     /// The oldest version on which a request may start now.
     pub fn oldest_allowed(&self, bound: Duration, now: Duration) -> u64 {
         let bound = bound.mul_f64(USED_FRACTION);
--- a/crates/papayayard_routing/tests/weights.rs
+++ b/crates/papayayard_routing/tests/weights.rs
@@ -30,6 +30,20 @@
     assert_eq!(targets.newest(), Some((3, seconds(105.0))));
 }
 
+#[test]
+fn weights_are_usable_until_the_bound_of_the_first_newer_version() {
+    let mut targets = TargetVersions::default();
+    targets.record(1, seconds(0.0));
+    targets.record(2, seconds(100.0));
+    targets.record(3, seconds(105.0));
+    for version in 0..3 {
+        let until = targets.usable_until(version, BOUND).unwrap();
+        assert!(targets.oldest_allowed(BOUND, until.saturating_sub(seconds(0.001))) <= version);
+        assert!(targets.oldest_allowed(BOUND, until) > version);
+    }
+    assert_eq!(targets.usable_until(3, BOUND), None);
+}
+
 /// A host that starts during a roll-out reads the version as if it had just been set,
 /// and receives the earlier time from other hosts.
 #[test]
