Relay: a stream that waits at its endpoint does not begin on old weights

Cause: the age of the weights was looked at when a request was placed, up to 0.9 of the bound, and never again until it began. A request that waits at its endpoint, since that is slow, full or silent for a moment, begins later: hosts wait for two seconds at least, and for streams that run once until their deadline. The remaining tenth is meant for the delay until a host reads of a version.

Change: a request is placed on older weights only if it begins in time although its endpoint is silent for 1.5 s, what a sound one may be. The host that sent it watches the target versions that it knows and gives it up if it has not had its first event by then; the reset tells the endpoint. It goes on elsewhere if its route allows that. A placement that is outdated before it is sent is made anew. Answers that are no streams don't show when they began and are awaited as before.

Ruled out: a shorter deadline for the endpoint, which would end runs that began in time; giving requests up without a margin in placement, which breaks off work on every roll-out, and which an endpoint that stands still learns of too late.

`oldest_allowed` is now `usable_until`; its tests ask for the same versions at the same times. That nothing is sent on an outdated placement has no test over sockets.

--- a/crates/papayayard_gateway/src/attempt.rs
+++ b/crates/papayayard_gateway/src/attempt.rs
@@ -13,6 +13,10 @@
 //! an endpoint may be out of date. A connection belongs to one run of its endpoint; so the
 //! endpoint is asked for its run over the same connection before a stream goes on there.
 //!
+//! A request must begin before its endpoint's weights may no longer be used. It can wait at the
+//! endpoint, and the first event of a stream shows that it has begun; a stream that has not by
+//! then is given up. Other answers do not show when they began, so they are awaited.
+//!
 //! A connection transmits requests one at a time until an endpoint refuses one, with or without
 //! that statement. Endpoints may send a response twice; a request may come to the same address
 //! again, from its caller or under another name of the endpoint, and a copy of its refusal would
@@ -95,6 +99,10 @@
     Oversized,
     /// No response was received before the timeout.
     Silent,
+    /// The endpoint's weights may no longer be used; nothing was sent.
+    Outdated,
+    /// The stream has not begun before the endpoint's weights may no longer be used.
+    Overdue,
 }
 
 impl Failure {
@@ -110,6 +118,8 @@
             Self::Unconfirmed => "unconfirmed",
             Self::Oversized => "oversized",
             Self::Silent => "silent",
+            Self::Outdated => "outdated",
+            Self::Overdue => "overdue",
         }
     }
 
@@ -117,7 +127,7 @@
     pub(crate) const fn is_not_run(self) -> bool {
         matches!(
             self,
-            Self::Unreachable | Self::Refused | Self::Mismatched | Self::Restarted
+            Self::Unreachable | Self::Refused | Self::Mismatched | Self::Restarted | Self::Outdated
         )
     }
 
@@ -127,7 +137,7 @@
             Self::Unreachable => Outcome::Unreachable,
             Self::Refused => Outcome::Refused,
             Self::Mismatched => Outcome::Mismatched,
-            Self::Restarted => Outcome::Abandoned,
+            Self::Restarted | Self::Outdated | Self::Overdue => Outcome::Abandoned,
             Self::Broken | Self::Foreign | Self::Unconfirmed | Self::Oversized | Self::Silent => {
                 Outcome::Failed
             }
@@ -199,13 +209,21 @@
                     return Err(Failure::Restarted);
                 }
             }
+            if permit.is_outdated() {
+                return Err(Failure::Outdated);
+            }
             let remaining = (started + timeout).saturating_sub(self.clock.now());
             let request = self.request(job, placement, position);
             let may_repeat = timeout < job.deadline.saturating_sub(started);
             connection.bound_unacknowledged(may_repeat);
             let past = connection.past();
-            let sent = connection.send(request);
-            match time::timeout(remaining, sent).await {
+            let sent = tokio::select! {
+                sent = time::timeout(remaining, connection.send(request)) => sent,
+                () = permit.until_outdated(), if job.route.kind.is_stream() => {
+                    return Err(Failure::Overdue);
+                }
+            };
+            match sent {
                 Err(_) => {
                     self.uplink.record_silent(&placement.endpoint, past);
                     self.pool.forget(placement.address);
--- a/crates/papayayard_gateway/src/dispatch/permit.rs
+++ b/crates/papayayard_gateway/src/dispatch/permit.rs
@@ -1,5 +1,6 @@
 //! Permit to use an endpoint.
 
+use std::future;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -67,6 +68,19 @@
         self.schedule.targets().remaining(weights)
     }
 
+    /// Whether the request may no longer begin on the endpoint's weights.
+    pub(crate) fn is_outdated(&self) -> bool {
+        self.weights_remaining().is_some_and(|left| left.is_zero())
+    }
+
+    /// Waits until the request may no longer begin on the endpoint's weights.
+    pub(crate) async fn until_outdated(&self) {
+        match &self.weights {
+            Some(weights) => self.schedule.targets().until_outdated(weights).await,
+            None => future::pending().await,
+        }
+    }
+
     /// Records an event of the answer; only the first one has an effect.
     pub(crate) fn record_event(&mut self) {
         if self.has_begun {
--- a/crates/papayayard_gateway/src/ends/attempt.rs
+++ b/crates/papayayard_gateway/src/ends/attempt.rs
@@ -126,11 +126,12 @@
             Failure::Broken => {
                 self.tracker.investigate(attempt, Ending::Broken).await;
             }
-            Failure::Silent => self.tracker.send(Message::Unanswered(attempt)),
+            Failure::Silent | Failure::Overdue => self.tracker.send(Message::Unanswered(attempt)),
             Failure::Unreachable
             | Failure::Refused
             | Failure::Mismatched
             | Failure::Restarted
+            | Failure::Outdated
             | Failure::Foreign
             | Failure::Unconfirmed
             | Failure::Oversized => {}
--- a/crates/papayayard_gateway/src/pump.rs
+++ b/crates/papayayard_gateway/src/pump.rs
@@ -7,6 +7,9 @@
 //! other response is an error. A stream has an event at least, and does not end where an
 //! event has begun.
 //!
+//! An upstream begins with its first event. If it has not begun before its endpoint's weights
+//! may no longer be used, it has failed.
+//!
 //! Silence is measured between complete events, so that a slow stream continues while one
 //! that sends bytes without completing an event is replaced. A silent upstream is abandoned
 //! only once another endpoint has a place; until then its events are still awaited. The task
@@ -177,6 +180,7 @@
         let max_silence = self.max_silence();
         let mut last_event_at = self.relay.clock.now();
         let mut searches = JoinSet::new();
+        let mut has_begun = false;
         loop {
             let now = self.relay.clock.now();
             let remaining = self.job.deadline.saturating_sub(now);
@@ -191,6 +195,9 @@
                 () = self.chunks.closed() => return End::CallerLeft,
                 frame = upstream.response.body.frame() => frame,
                 () = self.share.evicted() => return End::Failed(Failure::Oversized),
+                () = upstream.permit.until_outdated(), if !has_begun => {
+                    return End::Failed(Failure::Overdue);
+                }
                 Some(found) = searches.join_next() => {
                     if let Some(replacement) = self.accept(found) {
                         return End::Replaced(replacement);
@@ -216,6 +223,7 @@
             self.is_event_due &= self.splitter.position() == position;
             let is_exhausted = self.share.hold(self.splitter.pending()).is_err();
             if !bytes.is_empty() {
+                has_begun = true;
                 if !searches.is_empty() {
                     searches = JoinSet::new();
                 }
--- a/crates/papayayard_gateway/src/relay.rs
+++ b/crates/papayayard_gateway/src/relay.rs
@@ -333,7 +333,10 @@
             || (job.route.kind.is_repeatable() && history.runs < job.allowance.runs);
         let is_in_time = self.clock.now() < job.deadline;
         // Nothing was sent, so the next attempt is not a retry.
-        let was_not_sent = matches!(failure, Some(Failure::Unreachable | Failure::Restarted));
+        let was_not_sent = matches!(
+            failure,
+            Some(Failure::Unreachable | Failure::Restarted | Failure::Outdated)
+        );
         let retries = may_run_again && is_in_time && (was_not_sent || self.take_retry(job));
         if retries {
             self.metrics.retried(reason(failure));
--- a/crates/papayayard_gateway/src/relay/forward.rs
+++ b/crates/papayayard_gateway/src/relay/forward.rs
@@ -116,7 +116,13 @@
     pub(super) fn record_reach(&self, job: &Job, history: &History, failure: Option<Failure>) {
         let is_reached = match failure {
             Some(Failure::Unreachable) if history.unreachable == MAX_UNREACHABLE => false,
-            Some(Failure::Unreachable | Failure::Silent | Failure::Broken) => return,
+            Some(
+                Failure::Unreachable
+                | Failure::Silent
+                | Failure::Broken
+                | Failure::Outdated
+                | Failure::Overdue,
+            ) => return,
             Some(_) | None => true,
         };
         if let Some(detours) = &self.detours {
--- a/crates/papayayard_gateway/src/runs.rs
+++ b/crates/papayayard_gateway/src/runs.rs
@@ -74,7 +74,9 @@
             | Failure::Foreign
             | Failure::Unconfirmed
             | Failure::Oversized
-            | Failure::Silent => {}
+            | Failure::Silent
+            | Failure::Outdated
+            | Failure::Overdue => {}
         }
     }
 
--- a/crates/papayayard_gateway/src/targets.rs
+++ b/crates/papayayard_gateway/src/targets.rs
@@ -5,11 +5,13 @@
 //! versions until the request has begun.
 
 use std::collections::HashMap;
+use std::future;
 use std::time::Duration;
 
 use papayayard_routing::weights::TargetVersions;
 use papayayard_wire::id;
 use tokio::sync::watch;
+use tokio::time;
 
 use crate::clock::Clock;
 
@@ -50,4 +52,23 @@
         let until = targets.usable_until(weights.version, self.bound)?;
         Some(until.saturating_sub(self.clock.now()))
     }
+
+    /// Waits until requests may no longer begin on some weights.
+    pub(crate) async fn until_outdated(&self, weights: &Weights) {
+        let mut versions = self.versions.clone();
+        loop {
+            versions.mark_unchanged();
+            let remaining = self.remaining(weights);
+            if remaining.is_some_and(|left| left.is_zero()) {
+                return;
+            }
+            tokio::select! {
+                () = time::sleep(remaining.unwrap_or_default()), if remaining.is_some() => {}
+                changed = versions.changed() => if changed.is_err() {
+                    log::debug!("the scheduler's task has ended");
+                    future::pending::<()>().await;
+                }
+            }
+        }
+    }
 }
--- a/crates/papayayard_routing/src/placement/select.rs
+++ b/crates/papayayard_routing/src/placement/select.rs
@@ -36,6 +36,9 @@
 /// Wait for a link from which prefill without the fetch is considered as an alternative.
 const LONG_LINK_WAIT: Duration = Duration::from_millis(50);
 
+/// Silence of a sound endpoint after which a request on older weights must still begin in time.
+const MAX_SILENCE: Duration = Duration::from_millis(1500);
+
 /// A possible placement.
 pub(super) struct Candidate {
     pub(super) key: BackendKey,
@@ -199,13 +202,16 @@
             return Vec::new();
         };
         let targets = self.target_versions.get(&prompt.model);
-        let oldest = targets.map_or(0, |targets| {
-            targets.oldest_allowed(self.settings.old_weights, now)
-        });
+        let has_time = |backend: &Backend, needed: Duration| {
+            let version = backend.version(&prompt.model);
+            let until = targets
+                .and_then(|targets| targets.usable_until(version, self.settings.old_weights));
+            until.is_none_or(|until| now + needed + MAX_SILENCE < until)
+        };
         let newest = targets.and_then(weights::TargetVersions::newest);
         let mut ranked: Vec<(BackendKey, &Backend)> = usable
             .into_iter()
-            .filter(|(_, backend)| backend.version(&prompt.model) >= oldest)
+            .filter(|(_, backend)| has_time(backend, Duration::ZERO))
             .collect();
         ranked.sort_by_cached_key(|(_, backend)| {
             Reverse(cost::preference(backend.endpoint.id.as_str(), prompt))
@@ -258,6 +264,8 @@
             for fetch in options {
                 let source = fetch.map(|fetch| fetch.source);
                 let estimate = cost::estimate_engine(backend, engine, &inputs, cached, source, now);
+                let estimate =
+                    estimate.filter(|estimate| has_time(backend, from_ms(estimate.first_event_ms)));
                 candidates.extend(estimate.map(|estimate| Candidate {
                     key,
                     estimate,
--- a/crates/papayayard_routing/src/weights.rs
+++ b/crates/papayayard_routing/src/weights.rs
@@ -50,15 +50,4 @@
         let first = self.versions.range(newer).map(|(_, at)| *at).min()?;
         Some(first + bound.mul_f64(USED_FRACTION))
     }
-
-    /// The oldest version on which a request may start now.
-    pub fn oldest_allowed(&self, bound: Duration, now: Duration) -> u64 {
-        let bound = bound.mul_f64(USED_FRACTION);
-        let newest_due = self
-            .versions
-            .iter()
-            .rev()
-            .find(|(_, at)| **at + bound <= now);
-        newest_due.map_or(0, |(version, _)| *version)
-    }
 }
--- a/crates/papayayard_routing/tests/placement/support.rs
+++ b/crates/papayayard_routing/tests/placement/support.rs
@@ -18,6 +18,9 @@
 /// Start of all tests.
 pub(crate) const NOW: Duration = Duration::from_secs(100);
 
+/// Time for which requests may begin on older weights.
+pub(crate) const OLD_WEIGHTS: Duration = Duration::from_secs(12);
+
 pub(crate) fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
@@ -92,7 +95,7 @@
     limit_phase: f64,
 ) -> Scheduler {
     let mut scheduler = Scheduler::new(Settings {
-        old_weights: Duration::from_secs(12),
+        old_weights: OLD_WEIGHTS,
         old_weights_grace: ms(1200),
         limit_phase,
     });
--- a/crates/papayayard_routing/tests/placement/weights.rs
+++ b/crates/papayayard_routing/tests/placement/weights.rs
@@ -2,12 +2,16 @@
 
 use std::time::Duration;
 
-use papayayard_routing::placement::{Outcome, Scheduler};
+use papayayard_routing::placement::{Decision, Outcome, Scheduler};
 use papayayard_wire::id;
 
 use crate::support::{self, NOW, ms};
 
 const TARGET_AT: Duration = NOW;
+/// Time for which a sound engine may be silent.
+const SILENCE: Duration = Duration::from_millis(1500);
+/// Time for which all engines serve while they load the new weights in turn.
+const USED: Duration = Duration::from_secs(8);
 
 /// Engines of which the first `new` have version 2.
 fn mixed_scheduler(new: usize, number: usize, hosts: usize) -> Scheduler {
@@ -71,6 +75,25 @@
     }
 }
 
+/// Guards against a request that is placed in time on old weights and begins too late, since its
+/// engine is silent for a moment.
+#[test]
+fn a_request_begins_in_time_on_old_weights_although_its_engine_is_silent() {
+    let mut placed_at = Vec::new();
+    for tenths in 0..120 {
+        let mut scheduler = mixed_scheduler(0, 6, 1);
+        let now = TARGET_AT + ms(tenths * 100);
+        let query = support::query(support::history("a"), now);
+        if let Some(Decision::Placed(placement)) = support::decide(&mut scheduler, query, now) {
+            let begins_at = now + placement.first_event + SILENCE;
+            assert!(begins_at < TARGET_AT + support::OLD_WEIGHTS, "{now:?}");
+            placed_at.push(now);
+        }
+    }
+    let last = placed_at.last();
+    assert!(last.is_some_and(|last| *last > TARGET_AT + USED));
+}
+
 #[test]
 fn a_loading_engine_gets_no_requests() {
     let mut scheduler = support::scheduler(&support::engines(2, 1), 1);
--- a/crates/papayayard_routing/tests/weights.rs
+++ b/crates/papayayard_routing/tests/weights.rs
@@ -6,6 +6,15 @@
 
 const BOUND: Duration = Duration::from_secs(12);
 
+/// The oldest version on which a request may start.
+fn oldest_allowed(targets: &TargetVersions, now: Duration) -> u64 {
+    let is_allowed = |version: &u64| {
+        let until = targets.usable_until(*version, BOUND);
+        until.is_none_or(|until| now < until)
+    };
+    (0..=u64::MAX).find(is_allowed).expect("the newest version")
+}
+
 fn seconds(seconds: f64) -> Duration {
     Duration::from_secs_f64(seconds)
 }
@@ -15,8 +24,8 @@
     let mut targets = TargetVersions::default();
     targets.record(1, seconds(0.0));
     targets.record(2, seconds(100.0));
-    assert_eq!(targets.oldest_allowed(BOUND, seconds(101.0)), 1);
-    assert_eq!(targets.oldest_allowed(BOUND, seconds(112.0)), 2);
+    assert_eq!(oldest_allowed(&targets, seconds(101.0)), 1);
+    assert_eq!(oldest_allowed(&targets, seconds(112.0)), 2);
 }
 
 #[test]
@@ -25,8 +34,8 @@
     targets.record(1, seconds(0.0));
     targets.record(2, seconds(100.0));
     targets.record(3, seconds(105.0));
-    assert_eq!(targets.oldest_allowed(BOUND, seconds(112.0)), 2);
-    assert_eq!(targets.oldest_allowed(BOUND, seconds(117.0)), 3);
+    assert_eq!(oldest_allowed(&targets, seconds(112.0)), 2);
+    assert_eq!(oldest_allowed(&targets, seconds(117.0)), 3);
     assert_eq!(targets.newest(), Some((3, seconds(105.0))));
 }
 
@@ -36,11 +45,11 @@
     targets.record(1, seconds(0.0));
     targets.record(2, seconds(100.0));
     targets.record(3, seconds(105.0));
-    for version in 0..3 {
-        let until = targets.usable_until(version, BOUND).unwrap();
-        assert!(targets.oldest_allowed(BOUND, until.saturating_sub(seconds(0.001))) <= version);
-        assert!(targets.oldest_allowed(BOUND, until) > version);
-    }
+    let first = targets.usable_until(1, BOUND);
+    let second = targets.usable_until(2, BOUND);
+    assert!(first < second);
+    assert!(first.is_some_and(|until| until <= seconds(112.0)));
+    assert!(second.is_some_and(|until| until <= seconds(117.0)));
     assert_eq!(targets.usable_until(3, BOUND), None);
 }
 
@@ -52,9 +61,9 @@
     local.record(2, seconds(108.0));
     let mut others = TargetVersions::default();
     others.record(2, seconds(100.0));
-    assert_eq!(local.oldest_allowed(BOUND, seconds(112.0)), 0);
+    assert_eq!(oldest_allowed(&local, seconds(112.0)), 0);
     local.merge(&others);
-    assert_eq!(local.oldest_allowed(BOUND, seconds(112.0)), 2);
+    assert_eq!(oldest_allowed(&local, seconds(112.0)), 2);
     local.record(2, seconds(110.0));
-    assert_eq!(local.oldest_allowed(BOUND, seconds(112.0)), 2);
+    assert_eq!(oldest_allowed(&local, seconds(112.0)), 2);
 }
