Weights: a version that was there when a host first read may be of any age

What operators saw: requests began on weights that had been replaced for longer than the bound.

Cause: a host counted a version's age from its own first reading, unless another host knew better. If a version is named while no host runs, or all hosts restart before one has announced it, nobody knows better, and older weights were used for up to the whole bound after the start. An announcement that a host finds when it starts was taken as written at most one takeover delay ago, which holds only while a leader lives.

Change: a target version has the earliest known time, or none. One of unknown age allows no older weights. What is new since a host's last complete reading is younger than that reading, so a gap in the history makes nothing unknown. Announcements bear the time of day of their writing, by which one that is found at the start ages also while no host runs; one of an older release tells no age. A leader announces the ages that its scheduler knows, also those that it learned from other leaders, and none that is unknown.

--- a/crates/papayayard_coordination/src/leadership.rs
+++ b/crates/papayayard_coordination/src/leadership.rs
@@ -213,6 +213,6 @@
 }
 
 /// Time without a new record after which other hosts may take over leadership.
-pub fn takeover_delay(lease: Duration) -> Duration {
+fn takeover_delay(lease: Duration) -> Duration {
     lease + TERM_DURATION + CLOCK_MARGIN
 }
--- a/crates/papayayard_gateway/src/announcement.rs
+++ b/crates/papayayard_gateway/src/announcement.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 
+use crate::clock::Clock;
 use crate::follow::{Effect, Reading, Reducer};
 use crate::schedule::{Handle, Message};
 use crate::store::{self, Record};
@@ -17,6 +18,9 @@
 /// Key of the leader's record.
 pub(crate) const KEY: &str = "turn";
 
+/// Maximum difference between the times of day of two hosts.
+const MAX_CLOCK_DIFFERENCE: Duration = Duration::from_millis(500);
+
 /// Content of the leader's record.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Announcement {
@@ -33,6 +37,10 @@
     /// releases.
     #[serde(default)]
     pub(crate) era: Option<Era>,
+    /// Time of day of the writing, in ms since the start of 1970; `None` in records of older
+    /// releases.
+    #[serde(default)]
+    pub(crate) written_ms: Option<u64>,
 }
 
 /// Age of a target version.
@@ -72,11 +80,19 @@
             let age = Duration::from_millis(target.lain_ms);
             let model = id::Model::from(target.model.as_str());
             let versions = targets.entry(model).or_default();
-            versions.record(target.version, written.saturating_sub(age));
+            versions.record(target.version, Some(written.saturating_sub(age)));
         }
         targets
     }
 
+    /// Time at which an announcement that predates this host's first reading was written, by the
+    /// clocks of the two hosts; `None` if it does not tell.
+    fn written(&self, unix_now: Duration, now: Duration) -> Option<Duration> {
+        let written = Duration::from_millis(self.written_ms?);
+        let age = unix_now.saturating_sub(written) + MAX_CLOCK_DIFFERENCE;
+        Some(now.saturating_sub(age))
+    }
+
     /// Whether `other` carries the same content, ignoring the ages, so that no new
     /// announcement is needed.
     pub(crate) fn has_same_content(&self, other: &Self) -> bool {
@@ -90,23 +106,15 @@
     current: Snapshot,
     /// Era of the newest reading.
     era: Option<Era>,
-    /// Longest time for which the leader's record goes without renewal while there is
-    /// work.
-    max_unrenewed: Duration,
     schedule: Handle,
 }
 
 impl Announcements {
-    pub(crate) fn new(
-        snapshot: watch::Sender<Snapshot>,
-        max_unrenewed: Duration,
-        schedule: Handle,
-    ) -> Self {
+    pub(crate) fn new(snapshot: watch::Sender<Snapshot>, schedule: Handle) -> Self {
         Self {
             snapshot,
             current: Snapshot::default(),
             era: None,
-            max_unrenewed,
             schedule,
         }
     }
@@ -156,11 +164,12 @@
             }
             Ok(announcement) => {
                 apply(&announcement, &self.schedule);
-                // A record that predates this host's first reading gets the highest age
-                // that it can have while weights still have to be ordered.
-                let written = first_seen.unwrap_or(now.saturating_sub(self.max_unrenewed));
-                let targets = announcement.target_versions(written);
-                self.schedule.send(Message::TargetVersions(targets));
+                let unix_now = Clock::unix_time();
+                let written = first_seen.or_else(|| announcement.written(unix_now, now));
+                if let Some(written) = written {
+                    let targets = announcement.target_versions(written);
+                    self.schedule.send(Message::TargetVersions(targets));
+                }
                 self.current.newest = Some((announcement, position, now));
                 Effect::Changed
             }
@@ -190,3 +199,7 @@
     let away = away.map(|id| id::Endpoint::from(id.as_str())).collect();
     schedule.send(Message::Loading(away));
 }
+
+#[cfg(test)]
+#[path = "announcement_test.rs"]
+mod test;
--- a/crates/papayayard_gateway/src/beliefs.rs
+++ b/crates/papayayard_gateway/src/beliefs.rs
@@ -77,7 +77,8 @@
         Effect::Changed
     }
 
-    fn apply_weights(&mut self, model: &id::Model, version: u64, at: Duration) -> Effect {
+    /// Applies a target version that was set shortly before `at`, or at any time.
+    fn apply_weights(&mut self, model: &id::Model, version: u64, at: Option<Duration>) -> Effect {
         let versions = self.current.targets.entry(model.clone()).or_default();
         if versions
             .newest()
@@ -88,7 +89,7 @@
         if !versions.record(version, at) {
             return Effect::Unchanged;
         }
-        log::info!(model:%, version; "weights named");
+        log::info!(model:%, version, is_dated = at.is_some(); "weights named");
         let targets = self.current.targets.clone();
         self.schedule.send(Message::TargetVersions(targets));
         self.is_changed = true;
@@ -104,7 +105,7 @@
         &mut self,
         record: &Record,
         first_seen: Option<Duration>,
-        now: Duration,
+        _now: Duration,
     ) -> Effect {
         let Some(value) = &record.value else {
             return Effect::Unchanged;
@@ -112,7 +113,9 @@
         match self.codec.published(&record.key, value) {
             Ok(Published::Table(table)) => self.apply_table(*table),
             Ok(Published::Weights { model, version }) => {
-                self.apply_weights(&model, version, first_seen.unwrap_or(now))
+                // What is new since the last reading is younger than that reading.
+                let last_read = *self.last_read.borrow();
+                self.apply_weights(&model, version, first_seen.or(last_read))
             }
             Ok(Published::Unknown) => Effect::Unchanged,
             Err(error) => {
--- a/crates/papayayard_gateway/src/clock.rs
+++ b/crates/papayayard_gateway/src/clock.rs
@@ -27,10 +27,19 @@
     pub(crate) fn now(self) -> Duration {
         ORIGIN + boot_time().saturating_sub(self.start)
     }
+
+    /// Time of day, since the start of 1970. It differs between hosts and may jump.
+    pub(crate) fn unix_time() -> Duration {
+        read(ClockId::Realtime)
+    }
 }
 
 fn boot_time() -> Duration {
-    let time = clock_gettime(ClockId::Boottime);
+    read(ClockId::Boottime)
+}
+
+fn read(clock: ClockId) -> Duration {
+    let time = clock_gettime(clock);
     let seconds = u64::try_from(time.tv_sec).unwrap_or(0);
     let nanoseconds = u32::try_from(time.tv_nsec).unwrap_or(0);
     Duration::new(seconds, nanoseconds)
--- a/crates/papayayard_gateway/src/host.rs
+++ b/crates/papayayard_gateway/src/host.rs
@@ -4,7 +4,6 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use papayayard_coordination::leadership;
 use papayayard_coordination::shutdown::{Shutdown, Stage};
 use papayayard_routing::placement::{self, Endpoint, Scheduler};
 use papayayard_routing::retry_budget;
@@ -320,8 +319,7 @@
         uplink: &uplink::Handle,
     ) {
         let (snapshot, snapshot_receiver) = watch::channel(Snapshot::default());
-        let takeover_delay = leadership::takeover_delay(self.settings.bounds.lease);
-        let reducer = Announcements::new(snapshot, takeover_delay, self.schedule.clone());
+        let reducer = Announcements::new(snapshot, self.schedule.clone());
         self.follow(Topic::Orders, ORDERS_POLLING, reducer);
         self.controllers.spawn(orders::run(orders::Parts {
             store: self.store.clone(),
--- a/crates/papayayard_gateway/src/orders.rs
+++ b/crates/papayayard_gateway/src/orders.rs
@@ -309,6 +309,7 @@
             loaded: self.unlisted(),
             named: self.target_ages(now),
             era: None,
+            written_ms: None,
         }
     }
 
@@ -332,11 +333,12 @@
         unlisted
     }
 
+    /// Ages of the target versions, as far as they are known.
     fn target_ages(&self, now: Duration) -> Vec<Age> {
-        let configuration = self.parts.configuration.borrow();
-        let newest = configuration.targets.iter().filter_map(|(model, named)| {
+        let known = self.parts.schedule.targets().versions();
+        let newest = known.iter().filter_map(|(model, named)| {
             let (version, at) = named.newest()?;
-            let age = now.saturating_sub(at).as_millis();
+            let age = now.saturating_sub(at?).as_millis();
             Some(Age {
                 model: model.as_str().to_owned(),
                 version,
@@ -355,6 +357,7 @@
         let sent = self.parts.clock.now();
         let announcement = Announcement {
             era: Some(end.era),
+            written_ms: u64::try_from(Clock::unix_time().as_millis()).ok(),
             ..self.announcement(sent)
         };
         let value = serde_json::to_vec(&announcement).unwrap_or_default();
--- a/crates/papayayard_gateway/src/targets.rs
+++ b/crates/papayayard_gateway/src/targets.rs
@@ -44,6 +44,11 @@
         }
     }
 
+    /// The known target versions, by model.
+    pub(crate) fn versions(&self) -> watch::Ref<'_, HashMap<id::Model, TargetVersions>> {
+        self.versions.borrow()
+    }
+
     /// Time for which requests may still begin on some weights; `None` while no newer version
     /// is known.
     pub(crate) fn remaining(&self, weights: &Weights) -> Option<Duration> {
--- a/crates/papayayard_routing/src/placement/select.rs
+++ b/crates/papayayard_routing/src/placement/select.rs
@@ -218,7 +218,8 @@
         });
 
         let mut versions: HashMap<u64, Shared<'_>> = HashMap::new();
-        let newest = newest.filter(|(_, at)| *at + self.settings.old_weights_grace <= now);
+        let newest = newest
+            .filter(|(_, at)| at.is_none_or(|at| at + self.settings.old_weights_grace <= now));
         let is_old = |backend: &Backend| {
             newest.is_some_and(|(newest, _)| backend.version(&prompt.model) < newest)
         };
--- a/crates/papayayard_routing/src/weights.rs
+++ b/crates/papayayard_routing/src/weights.rs
@@ -3,6 +3,9 @@
 //! Requests should start on the newest version. An older version is allowed for a
 //! bounded time after a newer one was set, so that endpoints can load it one after
 //! another. After that, requests wait for endpoints with the newer version.
+//!
+//! A version that was there when a host first read may have been set at any time before. Until
+//! another host tells its age, no older version is allowed.
 
 use std::collections::BTreeMap;
 use std::ops::Bound;
@@ -12,23 +15,27 @@
 /// operator setting a version and this host reading it.
 const USED_FRACTION: f64 = 0.9;
 
-/// Target versions of one model, with the earliest known time of each.
+/// Target versions of one model, with the earliest known time of each; `None` if it may have been
+/// set at any time.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct TargetVersions {
-    versions: BTreeMap<u64, Duration>,
+    versions: BTreeMap<u64, Option<Duration>>,
 }
 
 impl TargetVersions {
-    /// Records a version that was set at `at` or before; `false` if this or an earlier
-    /// time is already recorded. A host that has just started receives the earlier
-    /// time from other hosts, as its own read of the version came later.
-    pub fn record(&mut self, version: u64, at: Duration) -> bool {
-        let existing = self.versions.get(&version);
-        if existing.is_some_and(|existing| *existing <= at) {
-            return false;
+    /// Records a version that was set shortly before `at`, or at any time; `false` if that adds
+    /// nothing to what is recorded. Hosts learn of a version at different times, of which the
+    /// earliest counts.
+    pub fn record(&mut self, version: u64, at: Option<Duration>) -> bool {
+        let adds = match (self.versions.get(&version), at) {
+            (None, _) | (Some(None), Some(_)) => true,
+            (Some(Some(existing)), Some(at)) => at < *existing,
+            (Some(_), None) => false,
+        };
+        if adds {
+            self.versions.insert(version, at);
         }
-        self.versions.insert(version, at);
-        true
+        adds
     }
 
     /// Adds all versions of `other`.
@@ -39,7 +46,7 @@
     }
 
     /// The newest version and the earliest known time of it.
-    pub fn newest(&self) -> Option<(u64, Duration)> {
+    pub fn newest(&self) -> Option<(u64, Option<Duration>)> {
         let (version, at) = self.versions.last_key_value()?;
         Some((*version, *at))
     }
@@ -47,7 +54,10 @@
     /// Time from which no request may start on `version`; `None` while no newer one is set.
     pub fn usable_until(&self, version: u64, bound: Duration) -> Option<Duration> {
         let newer = (Bound::Excluded(version), Bound::Unbounded);
-        let first = self.versions.range(newer).map(|(_, at)| *at).min()?;
-        Some(first + bound.mul_f64(USED_FRACTION))
+        let times = self.versions.range(newer).map(|(_, at)| *at);
+        let until = |at: Option<Duration>| {
+            at.map_or(Duration::ZERO, |at| at + bound.mul_f64(USED_FRACTION))
+        };
+        times.map(until).min()
     }
 }
--- a/crates/papayayard_routing/tests/placement/support.rs
+++ b/crates/papayayard_routing/tests/placement/support.rs
@@ -107,7 +107,7 @@
 
 pub(crate) fn set_target_version(scheduler: &mut Scheduler, version: u64, at: Duration) {
     let mut target_versions = TargetVersions::default();
-    target_versions.record(version, at);
+    target_versions.record(version, Some(at));
     scheduler.add_target_versions(&HashMap::from([(model(), target_versions)]));
 }
 
