Weights: announcements that are read again make no version older

A leader announced what its scheduler knew.

A leader announces since when it has had a version itself, and what others told it only if it doesn't know that. Test: `only_a_host_that_starts_goes_by_the_time_of_day`.

--- a/crates/papayayard_gateway/src/announcement.rs
+++ b/crates/papayayard_gateway/src/announcement.rs
@@ -128,6 +128,16 @@
         }
     }
 
+    /// Time at which an announcement was written that may have been in the store for any length of
+    /// time. Only a host that has just started goes by times of day: others know since when they
+    /// have had a version.
+    fn written(&self, announcement: &Announcement, now: Duration) -> Option<Duration> {
+        let is_first = self.current.newest.is_none();
+        is_first
+            .then(|| announcement.written(Clock::unix_time(), now))
+            .flatten()
+    }
+
     /// Whether an announcement was written before the store was restored, and this host has
     /// read it then or a newer one.
     fn is_outdated(&self, announcement: &Announcement) -> bool {
@@ -164,8 +174,7 @@
             }
             Ok(announcement) => {
                 apply(&announcement, &self.schedule);
-                let unix_now = Clock::unix_time();
-                let written = first_seen.or_else(|| announcement.written(unix_now, now));
+                let written = first_seen.or_else(|| self.written(&announcement, now));
                 if let Some(written) = written {
                     let targets = announcement.target_versions(written);
                     self.schedule.send(Message::TargetVersions(targets));
--- a/crates/papayayard_gateway/src/announcement_test.rs
+++ b/crates/papayayard_gateway/src/announcement_test.rs
@@ -1,8 +1,14 @@
 use std::time::Duration;
 
+use papayayard_routing::placement::{self, Scheduler};
 use rstest::rstest;
+use tokio::sync::watch;
 
-use super::{Age, Announcement};
+use super::{Age, Announcement, Announcements, KEY, Snapshot};
+use crate::clock::Clock;
+use crate::follow::Reducer;
+use crate::schedule;
+use crate::store::Record;
 
 /// Time of day of the writing.
 const WRITTEN_MS: u64 = 1_700_000_000_000;
@@ -46,3 +52,28 @@
     let unix_now = Duration::from_millis(WRITTEN_MS);
     assert_eq!(announcement(None).written(unix_now, NOW), None);
 }
+
+/// Guards against versions that become older with each reading of an announcement, as leaders
+/// announce the ages that they have read.
+#[tokio::test]
+async fn only_a_host_that_starts_goes_by_the_time_of_day() {
+    let mut announcements = Announcements::new(watch::channel(Snapshot::default()).0, schedule());
+    let announcement = announcement(Some(WRITTEN_MS));
+    assert!(announcements.written(&announcement, NOW).is_some());
+    let record = Record {
+        offset: 0,
+        key: KEY.to_owned(),
+        value: Some(serde_json::to_vec(&announcement).expect("JSON").into()),
+    };
+    announcements.apply_record(&record, Some(NOW), NOW);
+    assert_eq!(announcements.written(&announcement, NOW), None);
+}
+
+fn schedule() -> schedule::Handle {
+    let scheduler = Scheduler::new(placement::Settings {
+        old_weights: NOW,
+        old_weights_grace: NOW,
+        limit_phase: 0.0,
+    });
+    schedule::start(scheduler, "a".into(), Clock::start())
+}
--- a/crates/papayayard_gateway/src/orders.rs
+++ b/crates/papayayard_gateway/src/orders.rs
@@ -336,8 +336,10 @@
     /// Ages of the target versions, as far as they are known.
     fn target_ages(&self, now: Duration) -> Vec<Age> {
         let known = self.parts.schedule.targets().versions();
-        let newest = known.iter().filter_map(|(model, named)| {
-            let (version, at) = named.newest()?;
+        let configuration = self.parts.configuration.borrow();
+        let newest = configuration.targets.iter().filter_map(|(model, named)| {
+            let (version, read_at) = named.newest()?;
+            let at = read_at.or_else(|| known.get(model)?.time(version));
             let age = now.saturating_sub(at?).as_millis();
             Some(Age {
                 model: model.as_str().to_owned(),
--- a/crates/papayayard_routing/src/weights.rs
+++ b/crates/papayayard_routing/src/weights.rs
@@ -51,6 +51,11 @@
         Some((*version, *at))
     }
 
+    /// The earliest known time of a version.
+    pub fn time(&self, version: u64) -> Option<Duration> {
+        self.versions.get(&version).copied().flatten()
+    }
+
     /// Time from which no request may start on `version`; `None` while no newer one is set.
     pub fn usable_until(&self, version: u64, bound: Duration) -> Option<Duration> {
         let newer = (Bound::Excluded(version), Bound::Unbounded);
