Dispatch: the scheduler that places a request says until when it must begin

A host that polls another one for the operators' topic counts a version's age from when it sent the poll, up to two seconds before the version was named, since it can't know better.

The placement now says for how long the request may begin; the sender goes by its own knowledge only if the scheduler knew no newer version, or is of an older release, which says nothing.

--- a/crates/papayayard_gateway/src/dispatch.rs
+++ b/crates/papayayard_gateway/src/dispatch.rs
@@ -333,11 +333,13 @@
         let register = self.0.local.register.clone();
         register.add(number, query, placement);
         let prompt = query.prompt.as_ref();
+        let now = self.0.clock.now();
         let weights = prompt
             .zip(placement.version)
             .map(|(prompt, version)| Weights {
                 model: prompt.model.clone(),
                 version,
+                usable_until: placement.usable_for.map(|time| now + time),
             });
         let schedule = self.0.schedule.clone();
         Permit::new(schedule, ticket, number, register, link, weights)
--- a/crates/papayayard_gateway/src/dispatch/message.rs
+++ b/crates/papayayard_gateway/src/dispatch/message.rs
@@ -198,6 +198,9 @@
     #[serde(default)]
     software: Option<id::Software>,
     version: Option<u64>,
+    #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
+    #[serde(default)]
+    usable_ms: Option<Duration>,
     salt: Option<String>,
     fetch: Option<SocketAddr>,
     save: Option<SocketAddr>,
@@ -379,6 +382,7 @@
             address: placement.address,
             software: placement.software,
             version: placement.version,
+            usable_ms: placement.usable_for,
             salt: placement.salt,
             fetch: placement.fetch,
             save: placement.save,
@@ -403,6 +407,7 @@
             address: self.address,
             software: self.software,
             version: self.version,
+            usable_for: self.usable_ms,
             salt,
             fetch: self.fetch,
             save: self.save,
--- a/crates/papayayard_gateway/src/targets.rs
+++ b/crates/papayayard_gateway/src/targets.rs
@@ -1,8 +1,9 @@
 //! Until when requests may begin on weights, by the target versions that this host knows.
 //!
 //! A placement says on which version a request begins, but a request can wait at its endpoint
-//! for longer than that version may be used. The host that sent it therefore watches the target
-//! versions until the request has begun.
+//! for longer than that version may be used. The host that sent it therefore watches the time
+//! until the request has begun: that of the scheduler that placed it, or, if that knew no newer
+//! version, that of this host's own.
 
 use std::collections::HashMap;
 use std::future;
@@ -15,11 +16,14 @@
 
 use crate::clock::Clock;
 
-/// Version of a model's weights.
+/// Version of a model's weights on which a request is placed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Weights {
     pub(crate) model: id::Model,
     pub(crate) version: u64,
+    /// Time by which the request must begin, by the scheduler that placed it; `None` if that
+    /// knew no newer version.
+    pub(crate) usable_until: Option<Duration>,
 }
 
 /// Target versions as this host's scheduler knows them.
@@ -52,10 +56,14 @@
     /// Time for which requests may still begin on some weights; `None` while no newer version
     /// is known.
     pub(crate) fn remaining(&self, weights: &Weights) -> Option<Duration> {
+        let until = weights.usable_until.or_else(|| self.usable_until(weights));
+        Some(until?.saturating_sub(self.clock.now()))
+    }
+
+    fn usable_until(&self, weights: &Weights) -> Option<Duration> {
         let versions = self.versions.borrow();
         let targets = versions.get(&weights.model)?;
-        let until = targets.usable_until(weights.version, self.bound)?;
-        Some(until.saturating_sub(self.clock.now()))
+        targets.usable_until(weights.version, self.bound)
     }
 
     /// Waits until requests may no longer begin on some weights.
--- a/crates/papayayard_routing/src/placement/place.rs
+++ b/crates/papayayard_routing/src/placement/place.rs
@@ -42,6 +42,7 @@
             address: self.backends[candidate.key].endpoint.address,
             software: Some(self.backends[candidate.key].endpoint.software.clone()),
             version: None,
+            usable_for: None,
             salt: None,
             fetch: None,
             save: None,
@@ -66,6 +67,8 @@
             placement.fetch = fetch.map(|fetch| fetch.address);
             placement.salt = Some(prompt::salt(&prompt.model, candidate.version, query.group));
             placement.version = (candidate.version > 0).then_some(candidate.version);
+            let until = self.usable_until(&prompt.model, candidate.version);
+            placement.usable_for = until.map(|until| until.saturating_sub(now));
         }
         let predicted = Prediction {
             ms: estimate.predicted_ms,
--- a/crates/papayayard_routing/src/placement/query.rs
+++ b/crates/papayayard_routing/src/placement/query.rs
@@ -81,6 +81,9 @@
     pub software: Option<id::Software>,
     /// Version of the weights that the request starts on.
     pub version: Option<u64>,
+    /// Time from the placement on within which the request must start on that version; `None`
+    /// without a limit.
+    pub usable_for: Option<Duration>,
     /// Cache salt of the prompt parts that the request may use and add to.
     pub salt: Option<prompt::Salt>,
     /// Endpoint or store from which the endpoint fetches shared parts that it lacks.
--- a/crates/papayayard_routing/src/placement/select.rs
+++ b/crates/papayayard_routing/src/placement/select.rs
@@ -150,6 +150,12 @@
         in_time.min_by(|a, b| a.estimate.cost_ms.total_cmp(&b.estimate.cost_ms))
     }
 
+    /// Time from which no request may start on a version of a model's weights.
+    pub(super) fn usable_until(&self, model: &id::Model, version: u64) -> Option<Duration> {
+        let targets = self.target_versions.get(model)?;
+        targets.usable_until(version, self.settings.old_weights)
+    }
+
     /// Number of hosts that send to the endpoints reachable from this host; hosts in a
     /// partitioned zone send to the endpoints there.
     fn sending_hosts(&self, query: &Query, now: Duration) -> usize {
@@ -203,9 +209,7 @@
         };
         let targets = self.target_versions.get(&prompt.model);
         let has_time = |backend: &Backend, needed: Duration| {
-            let version = backend.version(&prompt.model);
-            let until = targets
-                .and_then(|targets| targets.usable_until(version, self.settings.old_weights));
+            let until = self.usable_until(&prompt.model, backend.version(&prompt.model));
             until.is_none_or(|until| now + needed + MAX_SILENCE < until)
         };
         let newest = targets.and_then(weights::TargetVersions::newest);
