--- a/crates/papayayard_routing/src/placement.rs
+++ b/crates/papayayard_routing/src/placement.rs
@@ -119,10 +119,6 @@
 }
 
 impl Scheduler {
-    pub const fn settings(&self) -> Settings {
-        self.settings
-    }
-
     /// Creates a scheduler without endpoints.
     pub fn new(settings: Settings) -> Self {
         Self {
@@ -148,6 +144,11 @@
         }
     }
 
+    /// Limits on the age of the weights.
+    pub const fn settings(&self) -> Settings {
+        self.settings
+    }
+
     /// Queues a request for placement by [`Self::decide`].
     pub fn enqueue(&mut self, query: Query, now: Duration) -> PendingKey {
         self.arrivals += 1;
