--- a/crates/papayayard_gateway/src/orders.rs
+++ b/crates/papayayard_gateway/src/orders.rs
@@ -333,7 +333,8 @@
         unlisted
     }
 
-    /// Ages of the target versions, as far as they are known.
+    /// Ages of the target versions, as far as they are known. What other hosts have told counts
+    /// only where this host does not know since when it has had a version.
     fn target_ages(&self, now: Duration) -> Vec<Age> {
         let known = self.parts.schedule.targets().versions();
         let configuration = self.parts.configuration.borrow();
--- a/crates/papayayard_routing/tests/weights.rs
+++ b/crates/papayayard_routing/tests/weights.rs
@@ -53,8 +53,7 @@
     assert_eq!(targets.usable_until(3, BOUND), None);
 }
 
-/// A host that starts during a roll-out reads the version as if it had just been set,
-/// and receives the earlier time from other hosts.
+/// A host that reads of a version late receives the earlier time from other hosts.
 #[test]
 fn a_host_that_has_just_started_uses_the_earlier_time() {
     let mut local = TargetVersions::default();
