Logs: why no endpoint goes on with a stream, and which connections of callers are closed

Now the reason and the time that was left stand in the first, and the idle time beside the limit in the second. Nothing else changes.

--- a/crates/papayayard_gateway/src/front.rs
+++ b/crates/papayayard_gateway/src/front.rs
@@ -25,6 +25,7 @@
 
 use crate::body::Body;
 use crate::exchange::Codec;
+use crate::refusal::millis;
 use crate::relay::{Relay, Source};
 
 mod activity;
@@ -133,6 +134,7 @@
             connection.as_mut().await
         }
         () = wait_until_idle(&relay, &activity) => {
+            log_close(&relay, &activity, "closing an idle connection of a caller");
             connection.as_mut().graceful_shutdown();
             // A request that has begun to arrive gets a second idle period.
             let second_period = async {
@@ -142,7 +144,10 @@
             tokio::select! {
                 biased;
                 outcome = connection.as_mut() => outcome,
-                () = second_period => return,
+                () = second_period => {
+                    log_close(&relay, &activity, "closing a connection on which a request does not arrive");
+                    return;
+                }
             }
         }
     };
@@ -167,6 +172,15 @@
     }
 }
 
+/// Logs that a connection is closed, how long it was idle and for how long it might have been.
+fn log_close<Platform>(relay: &Relay<Platform>, activity: &Activity, message: &str)
+where
+    Platform: Codec,
+{
+    let idle = activity.idle_for().unwrap_or_default();
+    log::info!(idle_ms = millis(idle), limit_ms = millis(relay.limits().idle); "{message}");
+}
+
 /// Waits for a stage of the stop. The end of the host counts as the last stage.
 async fn wait_for_stage(stop: &mut watch::Receiver<StopState>, stage: Stage) {
     if stop.wait_for(|stop| stop.stage >= stage).await.is_err() {
--- a/crates/papayayard_gateway/src/pump.rs
+++ b/crates/papayayard_gateway/src/pump.rs
@@ -113,6 +113,39 @@
     permit: Permit,
 }
 
+/// Why no endpoint goes on with a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stop {
+    CallerLeft,
+    DeadlinePassed,
+    /// The route does not allow it.
+    NotResumable,
+    /// The version of the software that began the stream is not known.
+    UnknownSoftware,
+    /// The stream has run as often as its route allows.
+    NoRunLeft,
+    Quarantined,
+    /// The budget has no retry left.
+    NoRetryLeft,
+    NoPlace,
+}
+
+impl Stop {
+    /// Label in logs.
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::CallerLeft => "caller left",
+            Self::DeadlinePassed => "deadline",
+            Self::NotResumable => "not resumable",
+            Self::UnknownSoftware => "unknown software",
+            Self::NoRunLeft => "no run left",
+            Self::Quarantined => "quarantined",
+            Self::NoRetryLeft => "no retry left",
+            Self::NoPlace => "no place",
+        }
+    }
+}
+
 impl<Platform> Pump<Platform>
 where
     Platform: Codec,
@@ -144,7 +177,7 @@
                 End::CallerLeft => return,
                 End::DeadlinePassed => {
                     log::info!(request:% = self.job.id, endpoint:% = placement.endpoint; "stream cut at its deadline");
-                    self.truncate().await;
+                    self.truncate(Stop::DeadlinePassed).await;
                     return;
                 }
                 End::Failed(failure) => (failure, None),
@@ -167,11 +200,10 @@
             if is_origin_unsettled {
                 self.settle_origin(&placement).await;
             }
-            let Some(next) = self.resume(&placement.endpoint, replacement).await else {
-                self.truncate().await;
-                return;
+            upstream = match self.resume(&placement.endpoint, replacement).await {
+                Ok(next) => next,
+                Err(stop) => return self.truncate(stop).await,
             };
-            upstream = next;
         }
     }
 
@@ -185,7 +217,7 @@
             let now = self.relay.clock.now();
             let remaining = self.job.deadline.saturating_sub(now);
             let silence = (last_event_at + max_silence).saturating_sub(now);
-            let may_search = searches.is_empty() && self.can_resume();
+            let may_search = searches.is_empty() && self.check_resumable().is_ok();
             let timeout = if may_search {
                 silence.min(remaining)
             } else {
@@ -305,7 +337,7 @@
             return None;
         };
         let replacement = Replacement { placement, permit };
-        (self.is_allowed() && self.relay.take_retry(&self.job)).then_some(replacement)
+        (self.check_quarantine().is_ok() && self.relay.take_retry(&self.job)).then_some(replacement)
     }
 
     /// Whether events were forwarded, for the record of a crash.
@@ -323,15 +355,25 @@
         pause.map_or(DEFAULT_MAX_SILENCE, |pause| pause * MAX_PAUSES)
     }
 
-    fn can_resume(&self) -> bool {
+    /// Returns an error if the stream may not go on elsewhere.
+    fn check_resumable(&self) -> Result<(), Stop> {
+        if !self.job.is_resumable() {
+            return Err(Stop::NotResumable);
+        }
         // Nothing tells what may continue a stream that an unknown version has begun.
-        let is_origin_known = !self.has_begun || self.job.software.is_some();
-        self.job.is_resumable() && is_origin_known && self.history.runs < self.job.allowance.runs
+        if self.has_begun && self.job.software.is_none() {
+            return Err(Stop::UnknownSoftware);
+        }
+        if self.history.runs >= self.job.allowance.runs {
+            return Err(Stop::NoRunLeft);
+        }
+        Ok(())
     }
 
-    /// Whether the request is not quarantined for endpoint crashes.
-    fn is_allowed(&self) -> bool {
-        self.relay.check_quarantine(&self.job).is_ok()
+    /// Returns an error if the request is quarantined for endpoint crashes.
+    fn check_quarantine(&self) -> Result<(), Stop> {
+        let allowed = self.relay.check_quarantine(&self.job);
+        allowed.map_err(|_| Stop::Quarantined)
     }
 
     /// Resumes the stream after the last forwarded event, at the given place or else at
@@ -340,10 +382,12 @@
         &mut self,
         failed: &id::Endpoint,
         mut replacement: Option<Replacement>,
-    ) -> Option<Upstream> {
+    ) -> Result<Upstream, Stop> {
         self.history.endpoints.push(failed.clone());
         let position = self.splitter.position();
-        while self.can_resume() && self.is_allowed() {
+        loop {
+            self.check_resumable()?;
+            self.check_quarantine()?;
             let Replacement { placement, permit } = match replacement.take() {
                 Some(replacement) => replacement,
                 None => self.find_replacement().await?,
@@ -360,7 +404,7 @@
                 .sender
                 .send(&self.job, (&placement, &permit), position, timeout);
             let sent = tokio::select! {
-                () = self.chunks.closed() => return None,
+                () = self.chunks.closed() => return Err(Stop::CallerLeft),
                 sent = sent => sent,
             };
             match sent {
@@ -373,7 +417,7 @@
                         position = position.unwrap_or(0);
                         "stream goes on elsewhere"
                     );
-                    return Some(Upstream {
+                    return Ok(Upstream {
                         placement: *placement,
                         response,
                         permit,
@@ -401,23 +445,23 @@
                 }
             }
         }
-        None
     }
 
-    async fn find_replacement(&self) -> Option<Replacement> {
+    async fn find_replacement(&self) -> Result<Replacement, Stop> {
         if !self.relay.take_retry(&self.job) {
-            return None;
+            return Err(Stop::NoRetryLeft);
         }
         match self.relay.find(&self.job, &self.history).await {
-            Selection::Placed(placement, permit) if self.is_allowed() => {
-                Some(Replacement { placement, permit })
+            Selection::Placed(placement, permit) => {
+                self.check_quarantine()?;
+                Ok(Replacement { placement, permit })
             }
-            _ => None,
+            Selection::Refused { .. } => Err(Stop::NoPlace),
         }
     }
 
-    async fn truncate(&self) {
-        self.relay.record_truncated(&self.job);
+    async fn truncate(&self, stop: Stop) {
+        self.relay.record_truncated(&self.job, stop.as_str());
         if self.chunks.send(Err(Truncated)).await.is_err() {
             log::debug!(request:% = self.job.id; "caller disconnected before the stream ended");
         }
--- a/crates/papayayard_gateway/src/relay.rs
+++ b/crates/papayayard_gateway/src/relay.rs
@@ -533,10 +533,11 @@
         self.sender.runs.failed(&placement.endpoint, failure);
     }
 
-    /// Records a stream that was cut before its end.
-    pub(crate) fn record_truncated(&self, job: &Job) {
+    /// Records a stream that was cut before its end, and why no endpoint goes on with it.
+    pub(crate) fn record_truncated(&self, job: &Job, reason: &'static str) {
         self.metrics.refused(Kind::EndpointFailed);
-        log::info!(request:% = job.id; "stream ends broken");
+        let left = job.deadline.saturating_sub(self.clock.now());
+        log::info!(request:% = job.id, reason, left_ms = millis(left); "stream ends broken");
     }
 
     fn refuse(&self, request: Option<&id::Request>, refusal: &Refusal) -> Response<Body> {
