Streams: a silent endpoint is left only for one that has answered and takes the request

An endpoint's silence is no reason to end an answer.

Cause: after a silence of three pauses (1.1 s without one) a host looked for a place at another endpoint, and dropped the silent one as soon as there was a place. A place is no answer: the other endpoint could be unreachable, mute, or full, and if no further one was left, the stream was cut although its first endpoint would have gone on a moment later. The same for the endpoint that took over: it was given up after its timeout for a place that nobody had tried. Class: a run is given up for one that is not there yet.

Fix: another endpoint must answer a question before it counts as ready (relay::replace), the silent one is read meanwhile, and it is kept for up to 0.2 s after the request was sent there: a refusal comes within a round trip, and then the stream stays where it is. Both never go on for longer, since an endpoint that works on a request that goes on elsewhere breaks another promise; that is why the first event of the other one is not awaited. An attempt to go on is awaited until the deadline or until yet another endpoint is ready. Whether a request has begun is asked of its permit, so that a stream that stays where it is isn't taken for one that has not begun.

--- a/crates/papayayard_gateway/src/attempt.rs
+++ b/crates/papayayard_gateway/src/attempt.rs
@@ -32,7 +32,6 @@
 use hyper::body::Incoming;
 use papayayard_routing::placement::{Outcome, Placement};
 use papayayard_wire::refusal;
-use tokio::time;
 
 use crate::backoff::Backoffs;
 use crate::call::{self, Bounds};
@@ -155,6 +154,23 @@
     Lost,
 }
 
+/// A connection over which a request may be sent.
+pub(crate) struct Way {
+    connection: Connection,
+    is_pooled: bool,
+}
+
+/// How a request is sent to an endpoint.
+pub(crate) struct Delivery<'a> {
+    pub(crate) destination: (&'a Placement, &'a Permit),
+    /// Last event that the caller received.
+    pub(crate) position: Option<u64>,
+    /// Way on which the endpoint has shown that it is ready.
+    pub(crate) way: Option<Way>,
+    /// Whether the request may be sent elsewhere if the endpoint does not answer.
+    pub(crate) may_repeat: bool,
+}
+
 /// Sends requests to endpoints.
 #[derive(Clone)]
 pub(crate) struct Sender<Platform> {
@@ -176,24 +192,32 @@
 where
     Platform: Codec,
 {
-    /// Sends a request and waits for the head of the response.
-    pub(crate) async fn send(
+    /// Opens a way to an endpoint on which it shows by an answer that it is ready to take a
+    /// request.
+    pub(crate) async fn prepare(
+        &self,
+        job: &Job,
+        destination: (&Placement, &Permit),
+    ) -> Result<Way, Failure> {
+        self.open(job, destination, None, true).await
+    }
+
+    /// Opens a way to an endpoint, over a pooled connection if there is one. If it must answer,
+    /// it is asked for its run.
+    async fn open(
         &self,
         job: &Job,
         (placement, permit): (&Placement, &Permit),
-        position: Option<u64>,
-        timeout: Duration,
-    ) -> Result<Response, Failure> {
-        let started = self.clock.now();
-        let runs_once = !job.route.kind.is_repeatable();
-        let mut pooled = self.pool.take(placement.address, runs_once);
+        mut pooled: Option<Connection>,
+        must_answer: bool,
+    ) -> Result<Way, Failure> {
         loop {
             let is_pooled = pooled.is_some();
             let mut connection = match pooled.take() {
                 Some(connection) => connection,
                 None => self.connect(job, placement).await?,
             };
-            if job.software.is_some() {
+            if must_answer {
                 permit.record_question();
                 let report = self.ask_run(placement, &mut connection).await;
                 if is_pooled && report != RunReport::Named {
@@ -205,31 +229,70 @@
                     self.uplink.record_silent(&placement.endpoint, past);
                     return Err(Failure::Unreachable);
                 }
-                if self.runs.software(&placement.endpoint) != job.software {
-                    return Err(Failure::Restarted);
-                }
             }
+            if job.software.is_some() && self.runs.software(&placement.endpoint) != job.software {
+                return Err(Failure::Restarted);
+            }
+            return Ok(Way {
+                connection,
+                is_pooled,
+            });
+        }
+    }
+
+    /// Sends a request and waits for the head of the response, until the endpoint is given up.
+    pub(crate) async fn send<GivenUp>(
+        &self,
+        job: &Job,
+        delivery: Delivery<'_>,
+        given_up: GivenUp,
+    ) -> Result<Response, Failure>
+    where
+        GivenUp: Future<Output = ()>,
+    {
+        let Delivery {
+            destination: (placement, permit),
+            position,
+            mut way,
+            may_repeat,
+        } = delivery;
+        tokio::pin!(given_up);
+        let runs_once = !job.route.kind.is_repeatable();
+        let mut pooled = match way {
+            Some(_) => None,
+            None => self.pool.take(placement.address, runs_once),
+        };
+        loop {
+            let Way {
+                mut connection,
+                is_pooled,
+            } = if let Some(way) = way.take() {
+                way
+            } else {
+                let must_answer = job.software.is_some();
+                self.open(job, (placement, permit), pooled.take(), must_answer)
+                    .await?
+            };
             if permit.is_outdated() {
                 return Err(Failure::Outdated);
             }
-            let remaining = (started + timeout).saturating_sub(self.clock.now());
             let request = self.request(job, placement, position);
-            let may_repeat = timeout < job.deadline.saturating_sub(started);
             connection.bound_unacknowledged(may_repeat);
             let past = connection.past();
             let sent = tokio::select! {
-                sent = time::timeout(remaining, connection.send(request)) => sent,
+                biased;
+                sent = connection.send(request) => sent,
                 () = permit.until_outdated(), if job.route.kind.is_stream() => {
                     return Err(Failure::Overdue);
                 }
-            };
-            match sent {
-                Err(_) => {
+                () = &mut given_up => {
                     self.uplink.record_silent(&placement.endpoint, past);
                     self.pool.forget(placement.address);
                     return Err(Failure::Silent);
                 }
-                Ok(Err(mut error)) => match error.take_message() {
+            };
+            match sent {
+                Err(mut error) => match error.take_message() {
                     // The endpoint had closed the pooled connection; the request was not sent.
                     Some(_) if is_pooled => {}
                     Some(_) => {
@@ -242,7 +305,7 @@
                         return Err(Failure::Broken);
                     }
                 },
-                Ok(Ok(response)) => {
+                Ok(response) => {
                     self.uplink.record_answer(&placement.endpoint, past);
                     let (head, body) = response.into_parts();
                     let response = Response {
--- a/crates/papayayard_gateway/src/dispatch/permit.rs
+++ b/crates/papayayard_gateway/src/dispatch/permit.rs
@@ -73,11 +73,14 @@
         self.weights_remaining().is_some_and(|left| left.is_zero())
     }
 
-    /// Waits until the request may no longer begin on the endpoint's weights.
+    /// Waits until the request may no longer begin on the endpoint's weights; for ever once it
+    /// has begun.
     pub(crate) async fn until_outdated(&self) {
         match &self.weights {
-            Some(weights) => self.schedule.targets().until_outdated(weights).await,
-            None => future::pending().await,
+            Some(weights) if !self.has_begun => {
+                self.schedule.targets().until_outdated(weights).await;
+            }
+            _ => future::pending().await,
         }
     }
 
--- a/crates/papayayard_gateway/src/pump.rs
+++ b/crates/papayayard_gateway/src/pump.rs
@@ -11,9 +11,10 @@
 //! may no longer be used, it has failed.
 //!
 //! Silence is measured between complete events, so that a slow stream continues while one
-//! that sends bytes without completing an event is replaced. A silent upstream is abandoned
-//! only once another endpoint has a place; until then its events are still awaited. The task
-//! ends when the caller disconnects, which closes its channel.
+//! that sends bytes without completing an event is replaced. A sound endpoint may be silent for
+//! a moment, so a silent upstream is left only for an endpoint that has just answered and does
+//! not refuse the request; until then its events are still awaited. The task ends when the
+//! caller disconnects, which closes its channel.
 
 use std::time::Duration;
 
@@ -28,7 +29,7 @@
 use tokio::task::{JoinError, JoinSet};
 use tokio::time;
 
-use crate::attempt::{self, Failure, Response};
+use crate::attempt::{self, Delivery, Failure, Response};
 use crate::body::Truncated;
 use crate::dispatch::{Permit, Selection};
 use crate::ends;
@@ -36,13 +37,16 @@
 use crate::exchange::Codec;
 use crate::job::Job;
 use crate::memory::Share;
-use crate::relay::{History, Relay};
+use crate::relay::{History, Relay, Replacement};
 
 /// Silence after which a resumable stream moves to another endpoint, in multiples of the
 /// route's allowed pause: a healthy endpoint is rarely silent for that long.
 const MAX_PAUSES: u32 = 3;
 /// The same limit if the route defines no pause.
 const DEFAULT_MAX_SILENCE: Duration = Duration::from_millis(1100);
+/// Time for which a silent endpoint is kept after the request was sent to another one, which
+/// refuses within a round trip. Both must not go on with the stream.
+const MAX_OVERLAP: Duration = Duration::from_millis(200);
 /// Chunks buffered for a slow caller.
 const CHANNEL_CAPACITY: usize = 4;
 
@@ -103,14 +107,18 @@
     CallerLeft,
     DeadlinePassed,
     Failed(Failure),
-    /// The upstream is silent, and another endpoint has a place.
-    Replaced(Replacement),
+    /// The upstream is silent, and another endpoint is ready to go on.
+    Silent(Box<Replacement>),
 }
 
-/// A place for the stream at another endpoint.
-struct Replacement {
-    placement: Box<Placement>,
-    permit: Permit,
+/// What became of an attempt to go on at another endpoint.
+enum Attempt {
+    /// The stream goes on there.
+    Resumed(Upstream),
+    /// The endpoint did not take the request, and the silent upstream is still there.
+    Kept(Upstream),
+    /// The attempt failed; another endpoint may be ready.
+    Failed(Option<Replacement>),
 }
 
 /// Why no endpoint goes on with a stream.
@@ -152,67 +160,97 @@
 {
     async fn run(mut self, mut upstream: Upstream) {
         loop {
-            let end = self.forward(&mut upstream).await;
-            let Upstream {
-                placement,
-                response,
-                permit,
-                mut watch,
-            } = upstream;
-            let (failure, replacement) = match end {
+            let next = match self.forward(&mut upstream).await {
                 End::Complete
-                    if response.ends_with_connection(&self.job.method)
-                        && !watch.confirm().await =>
+                    if upstream.response.ends_with_connection(&self.job.method)
+                        && !upstream.watch.confirm().await =>
                 {
-                    (Failure::Broken, None)
-                }
-                End::Complete => {
-                    self.relay
-                        .sender
-                        .keep(&placement, response.connection, &response.head.headers);
-                    permit.end(Outcome::Whole);
-                    watch.succeeded();
-                    return;
+                    Box::pin(self.replace(upstream, Failure::Broken)).await
                 }
+                End::Complete => return self.complete(upstream),
                 End::CallerLeft => return,
                 End::DeadlinePassed => {
-                    log::info!(request:% = self.job.id, endpoint:% = placement.endpoint; "stream cut at its deadline");
-                    self.truncate(Stop::DeadlinePassed).await;
-                    return;
+                    log::info!(request:% = self.job.id, endpoint:% = upstream.placement.endpoint; "stream cut at its deadline");
+                    Err(Stop::DeadlinePassed)
                 }
-                End::Failed(failure) => (failure, None),
-                End::Replaced(replacement) => (Failure::Silent, Some(replacement)),
+                End::Failed(failure) => Box::pin(self.replace(upstream, failure)).await,
+                End::Silent(replacement) => Box::pin(self.hand_over(upstream, *replacement)).await,
             };
-            drop(response);
-            self.is_event_due |= failure == Failure::Foreign || !self.splitter.is_at_boundary();
-            self.relay.record_failure(&placement, failure);
-            let is_origin_unsettled = self.is_origin_unsettled();
-            if is_origin_unsettled {
-                permit.record_question();
-            }
-            permit.end(failure.outcome());
-            log::info!(
-                request:% = self.job.id, endpoint:% = placement.endpoint,
-                reason = failure.as_str(), position = self.splitter.position().unwrap_or(0);
-                "stream broke off"
-            );
-            watch.failed(failure).await;
-            if is_origin_unsettled {
-                self.settle_origin(&placement).await;
-            }
-            upstream = match self.resume(&placement.endpoint, replacement).await {
+            upstream = match next {
                 Ok(next) => next,
+                Err(Stop::CallerLeft) => return,
                 Err(stop) => return self.truncate(stop).await,
             };
         }
     }
 
+    /// Ends a stream that its upstream has completed.
+    fn complete(self, upstream: Upstream) {
+        let Upstream {
+            placement,
+            response,
+            permit,
+            watch,
+        } = upstream;
+        self.relay
+            .sender
+            .keep(&placement, response.connection, &response.head.headers);
+        permit.end(Outcome::Whole);
+        watch.succeeded();
+    }
+
+    /// Goes on elsewhere after an upstream has failed.
+    async fn replace(&mut self, failed: Upstream, failure: Failure) -> Result<Upstream, Stop> {
+        self.leave(failed, failure).await;
+        self.resume(None).await
+    }
+
+    /// Goes on at an endpoint that is ready, unless it does not take the request: then the silent
+    /// upstream is kept.
+    async fn hand_over(
+        &mut self,
+        silent: Upstream,
+        replacement: Replacement,
+    ) -> Result<Upstream, Stop> {
+        match self.attempt(replacement, Some(silent)).await? {
+            Attempt::Resumed(upstream) | Attempt::Kept(upstream) => Ok(upstream),
+            Attempt::Failed(next) => self.resume(next).await,
+        }
+    }
+
+    /// Gives up an upstream.
+    async fn leave(&mut self, upstream: Upstream, failure: Failure) {
+        let Upstream {
+            placement,
+            response,
+            permit,
+            watch,
+        } = upstream;
+        drop(response);
+        self.is_event_due |= failure == Failure::Foreign || !self.splitter.is_at_boundary();
+        self.relay.record_failure(&placement, failure);
+        let is_origin_unsettled = self.is_origin_unsettled();
+        if is_origin_unsettled {
+            permit.record_question();
+        }
+        permit.end(failure.outcome());
+        log::info!(
+            request:% = self.job.id, endpoint:% = placement.endpoint,
+            reason = failure.as_str(), position = self.splitter.position().unwrap_or(0);
+            "stream broke off"
+        );
+        watch.failed(failure).await;
+        if is_origin_unsettled {
+            self.settle_origin(&placement).await;
+        }
+        self.history.endpoints.push(placement.endpoint);
+    }
+
     /// Forwards the events of one upstream until it ends.
     async fn forward(&mut self, upstream: &mut Upstream) -> End {
         let max_silence = self.max_silence();
         let mut last_event_at = self.relay.clock.now();
         let mut searches = JoinSet::new();
-        let mut has_begun = false;
         loop {
             let now = self.relay.clock.now();
             let remaining = self.job.deadline.saturating_sub(now);
@@ -227,12 +265,10 @@
                 () = self.chunks.closed() => return End::CallerLeft,
                 frame = upstream.response.body.frame() => frame,
                 () = self.share.evicted() => return End::Failed(Failure::Oversized),
-                () = upstream.permit.until_outdated(), if !has_begun => {
-                    return End::Failed(Failure::Overdue);
-                }
+                () = upstream.permit.until_outdated() => return End::Failed(Failure::Overdue),
                 Some(found) = searches.join_next() => {
                     if let Some(replacement) = self.accept(found) {
-                        return End::Replaced(replacement);
+                        return End::Silent(Box::new(replacement));
                     }
                     last_event_at = self.relay.clock.now();
                     continue;
@@ -255,7 +291,6 @@
             self.is_event_due &= self.splitter.position() == position;
             let is_exhausted = self.share.hold(self.splitter.pending()).is_err();
             if !bytes.is_empty() {
-                has_begun = true;
                 if !searches.is_empty() {
                     searches = JoinSet::new();
                 }
@@ -322,22 +357,19 @@
     }
 
     /// Starts to look for a place at an endpoint other than the silent one.
-    fn search(&self, silent: &id::Endpoint, searches: &mut JoinSet<Selection>) {
+    fn search(&self, silent: &id::Endpoint, searches: &mut JoinSet<Option<Replacement>>) {
         log::info!(request:% = self.job.id, endpoint:% = silent; "stream is silent; looking for another endpoint");
         let relay = self.relay.clone();
         let job = self.job.clone();
         let mut history = self.history.clone();
         history.endpoints.push(silent.clone());
-        searches.spawn(async move { relay.find(&job, &history).await });
+        searches.spawn(async move { relay.find_ready(&job, &history).await });
     }
 
-    /// Returns the place that a search found, if the stream may resume there.
-    fn accept(&self, found: Result<Selection, JoinError>) -> Option<Replacement> {
-        let Ok(Selection::Placed(placement, permit)) = found else {
-            return None;
-        };
-        let replacement = Replacement { placement, permit };
-        (self.check_quarantine().is_ok() && self.relay.take_retry(&self.job)).then_some(replacement)
+    /// Returns what a search found, if the stream may resume there.
+    fn accept(&self, found: Result<Option<Replacement>, JoinError>) -> Option<Replacement> {
+        let replacement = found.ok()??;
+        self.relay.may_replace(&self.job).then_some(replacement)
     }
 
     /// Whether events were forwarded, for the record of a crash.
@@ -376,77 +408,133 @@
         allowed.map_err(|_| Stop::Quarantined)
     }
 
-    /// Resumes the stream after the last forwarded event, at the given place or else at
-    /// a newly found one.
-    async fn resume(
-        &mut self,
-        failed: &id::Endpoint,
-        mut replacement: Option<Replacement>,
-    ) -> Result<Upstream, Stop> {
-        self.history.endpoints.push(failed.clone());
-        let position = self.splitter.position();
+    /// Resumes the stream after the last forwarded event, at an endpoint that is ready or else
+    /// at a newly found one.
+    async fn resume(&mut self, mut ready: Option<Replacement>) -> Result<Upstream, Stop> {
         loop {
             self.check_resumable()?;
             self.check_quarantine()?;
-            let Replacement { placement, permit } = match replacement.take() {
+            let replacement = match ready.take() {
                 Some(replacement) => replacement,
                 None => self.find_replacement().await?,
             };
-            let timeout = self
-                .relay
-                .attempt_timeout(&self.job, &placement, &self.history);
-            let watch = self
-                .relay
-                .crashes
-                .watch(&self.job, &placement, self.progress());
-            let sent = self
-                .relay
-                .sender
-                .send(&self.job, (&placement, &permit), position, timeout);
-            let sent = tokio::select! {
-                () = self.chunks.closed() => return Err(Stop::CallerLeft),
-                sent = sent => sent,
-            };
-            match sent {
-                Ok(response) if continues(&self.head, &response.head) => {
-                    self.history.runs += 1;
-                    self.splitter = Splitter::after(position);
-                    self.share = self.relay.memory.share(false);
-                    log::info!(
-                        request:% = self.job.id, endpoint:% = placement.endpoint,
-                        position = position.unwrap_or(0);
-                        "stream goes on elsewhere"
-                    );
-                    return Ok(Upstream {
-                        placement: *placement,
-                        response,
-                        permit,
-                        watch,
-                    });
-                }
-                Ok(response) => {
-                    log::info!(
-                        request:% = self.job.id, endpoint:% = placement.endpoint,
-                        status = response.head.status.as_u16();
-                        "response does not continue the stream"
-                    );
-                    watch.finished();
-                    self.history.runs += 1;
-                    self.history.endpoints.push(placement.endpoint.clone());
-                }
-                Err(failure) => {
-                    if !failure.is_not_run() {
-                        self.history.runs += 1;
-                    }
-                    self.history.endpoints.push(placement.endpoint.clone());
-                    self.relay.record_failure(&placement, failure);
-                    permit.end(failure.outcome());
-                    watch.failed(failure).await;
+            match self.attempt(replacement, None).await? {
+                Attempt::Resumed(upstream) | Attempt::Kept(upstream) => return Ok(upstream),
+                Attempt::Failed(next) => ready = next,
+            }
+        }
+    }
+
+    /// Sends the request to another endpoint, to go on after the last forwarded event. A silent
+    /// upstream is left once that endpoint may run the request.
+    async fn attempt(
+        &mut self,
+        replacement: Replacement,
+        mut silent: Option<Upstream>,
+    ) -> Result<Attempt, Stop> {
+        let Replacement {
+            placement,
+            permit,
+            way,
+        } = replacement;
+        let position = self.splitter.position();
+        let relay = self.relay.clone();
+        let job = self.job.clone();
+        let mut history = self.history.clone();
+        history.endpoints.extend(
+            silent
+                .as_ref()
+                .map(|silent| silent.placement.endpoint.clone()),
+        );
+        let watch = relay.crashes.watch(&job, &placement, self.progress());
+        let delivery = Delivery {
+            destination: (&placement, &permit),
+            position,
+            way,
+            may_repeat: relay.may_be_replaced(&job, &history),
+        };
+        let mut next = None;
+        let given_up = relay.until_given_up(&job, &placement, &history, &mut next);
+        let sending = Box::pin(relay.sender.send(&job, delivery, given_up));
+        let sent = self.send(sending, &mut silent).await?;
+        match (sent, silent) {
+            (Ok(response), _) if continues(&self.head, &response.head) => {
+                self.history.runs += 1;
+                self.splitter = Splitter::after(position);
+                self.share = self.relay.memory.share(false);
+                log::info!(
+                    request:% = job.id, endpoint:% = placement.endpoint,
+                    position = position.unwrap_or(0);
+                    "stream goes on elsewhere"
+                );
+                Ok(Attempt::Resumed(Upstream {
+                    placement: *placement,
+                    response,
+                    permit,
+                    watch,
+                }))
+            }
+            (Ok(response), _) => {
+                log::info!(
+                    request:% = job.id, endpoint:% = placement.endpoint,
+                    status = response.head.status.as_u16();
+                    "response does not continue the stream"
+                );
+                watch.finished();
+                self.history.runs += 1;
+                self.history.endpoints.push(placement.endpoint);
+                Ok(Attempt::Failed(None))
+            }
+            (Err(failure), silent) => {
+                log::info!(
+                    request:% = job.id, endpoint:% = placement.endpoint,
+                    reason = failure.as_str(), kept = silent.is_some();
+                    "attempt to go on failed"
+                );
+                self.history.runs += u32::from(!failure.is_not_run());
+                relay.record_failure(&placement, failure);
+                permit.end(failure.outcome());
+                watch.failed(failure).await;
+                if let Some(silent) = silent {
+                    return Ok(Attempt::Kept(silent));
                 }
+                self.history.endpoints.push(placement.endpoint);
+                Ok(Attempt::Failed(next))
             }
         }
     }
 
+    /// Waits for the head of another endpoint's response. The silent upstream is left unless that
+    /// endpoint states within [`MAX_OVERLAP`] that it does not run the request.
+    async fn send<Sending>(
+        &mut self,
+        mut sending: Sending,
+        silent: &mut Option<Upstream>,
+    ) -> Result<Result<Response, Failure>, Stop>
+    where
+        Sending: Future<Output = Result<Response, Failure>> + Unpin,
+    {
+        let mut sent = None;
+        if silent.is_some() {
+            sent = tokio::select! {
+                () = self.chunks.closed() => return Err(Stop::CallerLeft),
+                sent = &mut sending => Some(sent),
+                () = time::sleep(MAX_OVERLAP) => None,
+            };
+        }
+        let is_not_run = matches!(&sent, Some(Err(failure)) if failure.is_not_run());
+        if let Some(silent) = silent.take_if(|_| !is_not_run) {
+            self.leave(silent, Failure::Silent).await;
+        }
+        if let Some(sent) = sent {
+            return Ok(sent);
+        }
+        tokio::select! {
+            () = self.chunks.closed() => Err(Stop::CallerLeft),
+            sent = sending => Ok(sent),
+        }
+    }
+
     async fn find_replacement(&self) -> Result<Replacement, Stop> {
         if !self.relay.take_retry(&self.job) {
             return Err(Stop::NoRetryLeft);
@@ -454,7 +542,11 @@
         match self.relay.find(&self.job, &self.history).await {
             Selection::Placed(placement, permit) => {
                 self.check_quarantine()?;
-                Ok(Replacement { placement, permit })
+                Ok(Replacement {
+                    placement,
+                    permit,
+                    way: None,
+                })
             }
             Selection::Refused { .. } => Err(Stop::NoPlace),
         }
--- a/crates/papayayard_gateway/src/relay.rs
+++ b/crates/papayayard_gateway/src/relay.rs
@@ -18,7 +18,7 @@
 use tokio::sync::watch;
 use tokio::time;
 
-use crate::attempt::{self, Failure, Sender};
+use crate::attempt::{self, Delivery, Failure, Sender};
 use crate::beliefs::{Configuration, LastRead};
 use crate::body::Body;
 use crate::clock::Clock;
@@ -37,19 +37,15 @@
 
 mod admit;
 mod forward;
+mod replace;
 
 pub(crate) use forward::Source;
+pub(crate) use replace::Replacement;
 
 /// Maximum bytes of a response that is buffered before it is forwarded.
 const MAX_RESPONSE_BYTES: usize = 1 << 20;
 /// Retry delay sent to callers while this host lacks data that it needs to serve.
 const NOT_READY_RETRY_DELAY: Duration = Duration::from_millis(300);
-/// Timeout for the first event of a stream, as a multiple of the expected time.
-const FIRST_EVENT_TIMEOUT_FACTOR: u32 = 3;
-/// Lower bound of the timeout for the first event.
-const MIN_FIRST_EVENT_TIMEOUT: Duration = Duration::from_secs(2);
-/// Timeout for the response of a plain service, as a multiple of its target latency.
-const PLAIN_TIMEOUT_FACTOR: f64 = 2.0;
 
 #[derive(Clone)]
 pub(crate) struct Relay<Platform> {
@@ -390,23 +386,13 @@
     }
 
     /// Time that an endpoint has to respond before the request is retried elsewhere.
-    pub(crate) fn attempt_timeout(
-        &self,
-        job: &Job,
-        placement: &Placement,
-        history: &History,
-    ) -> Duration {
+    fn attempt_timeout(&self, job: &Job, placement: &Placement, history: &History) -> Duration {
         let remaining = job.deadline.saturating_sub(self.clock.now());
         let is_last = history.runs + 1 >= job.allowance.total;
         if is_last || !job.route.kind.is_repeatable() || !self.has_retry(job) {
             return remaining;
         }
-        let timeout = if job.route.kind.is_stream() {
-            (placement.first_event * FIRST_EVENT_TIMEOUT_FACTOR).max(MIN_FIRST_EVENT_TIMEOUT)
-        } else {
-            job.route.target_latency.mul_f64(PLAIN_TIMEOUT_FACTOR)
-        };
-        timeout.min(remaining)
+        replace::first_answer_timeout(job, placement).min(remaining)
     }
 
     async fn attempt(
@@ -417,9 +403,14 @@
         history: &History,
     ) -> AttemptResult {
         let timeout = self.attempt_timeout(job, &placement, history);
-        let destination = (&placement, &permit);
         let mut watch = self.crashes.watch(job, &placement, Progress::Waiting);
-        let sent = self.sender.send(job, destination, job.position, timeout);
+        let delivery = Delivery {
+            destination: (&placement, &permit),
+            position: job.position,
+            way: None,
+            may_repeat: timeout < job.deadline.saturating_sub(self.clock.now()),
+        };
+        let sent = self.sender.send(job, delivery, time::sleep(timeout));
         let response = match sent.await {
             Ok(response) => response,
             Err(failure) => {
