Requests: an endpoint that is slow to answer is given up only for one that has answered

What callers saw: a request that may be repeated ended as "the endpoint failed" although its endpoint would have answered in time: after the time in which an answer is due it was given up, and only then another endpoint was looked for, which was unreachable, mute, or not to be had.

Fix: the request stays where it is until another endpoint has answered a question and the budget has a retry, or until its deadline. An endpoint that refuses the request itself is still only found out by sending it.

--- a/crates/papayayard_gateway/src/relay.rs
+++ b/crates/papayayard_gateway/src/relay.rs
@@ -108,6 +108,8 @@
     Answer(Response<Body>),
     /// The endpoint returned no usable response.
     Failed(Failure),
+    /// The endpoint did not answer, and another one is ready to take the request.
+    Replaced(Replacement),
     /// The endpoint ran the request and returned an error.
     Error(Response<Body>),
 }
@@ -179,6 +181,7 @@
 
     async fn run(&self, job: Job, mut history: History) -> Response<Body> {
         let mut error = None;
+        let mut replacement = None;
         loop {
             if job.account.is_some()
                 && let Err(refusal) = self.check_last_read()
@@ -191,12 +194,16 @@
             if let Some(response) = self.divert(&job, &mut history).await {
                 return response;
             }
-            let placed = tokio::select! {
-                placed = self.place(&job, &history) => placed,
-                () = self.until_diverted(&history) => continue,
+            let placed = if let Some(replacement) = replacement.take() {
+                Ok(replacement)
+            } else {
+                tokio::select! {
+                    placed = self.place(&job, &history) => placed.map(Replacement::from),
+                    () = self.until_diverted(&history) => continue,
+                }
             };
-            let (placement, permit) = match placed {
-                Ok(placed) => placed,
+            let place = match placed {
+                Ok(place) => place,
                 Err(NoPlace {
                     refusal,
                     is_unreachable,
@@ -212,8 +219,8 @@
             if let Err(refusal) = self.check_quarantine(&job) {
                 return self.give_up(&job, &history, error, &refusal);
             }
-            let endpoint = placement.endpoint.clone();
-            let result = self.attempt(&job, placement, permit, &history).await;
+            let endpoint = place.placement.endpoint.clone();
+            let result = self.attempt(&job, place, &history).await;
             let failure = match result {
                 AttemptResult::Answer(response) => {
                     self.record_reach(&job, &history, None);
@@ -231,6 +238,11 @@
                     history.unreachable += usize::from(failure == Failure::Unreachable);
                     Some(failure)
                 }
+                AttemptResult::Replaced(next) => {
+                    history.runs += 1;
+                    replacement = Some(next);
+                    Some(Failure::Silent)
+                }
             };
             log::info!(
                 request:% = job.id, endpoint:% = endpoint, reason = reason(failure);
@@ -238,7 +250,9 @@
             );
             history.endpoints.push(endpoint);
             self.record_reach(&job, &history, failure);
-            if !self.may_retry(&job, &history, failure) {
+            if replacement.is_some() {
+                self.metrics.retried(reason(failure));
+            } else if !self.may_retry(&job, &history, failure) {
                 let refusal = Refusal::not_run(Kind::Overloaded, "the endpoints refused")
                     .after(NOT_READY_RETRY_DELAY);
                 return self.give_up(&job, &history, error, &refusal);
@@ -385,44 +399,33 @@
         self.refuse(Some(&job.id), &failed)
     }
 
-    /// Time that an endpoint has to respond before the request is retried elsewhere.
-    fn attempt_timeout(&self, job: &Job, placement: &Placement, history: &History) -> Duration {
-        let remaining = job.deadline.saturating_sub(self.clock.now());
-        let is_last = history.runs + 1 >= job.allowance.total;
-        if is_last || !job.route.kind.is_repeatable() || !self.has_retry(job) {
-            return remaining;
-        }
-        replace::first_answer_timeout(job, placement).min(remaining)
-    }
-
-    async fn attempt(
-        &self,
-        job: &Job,
-        placement: Placement,
-        permit: Permit,
-        history: &History,
-    ) -> AttemptResult {
-        let timeout = self.attempt_timeout(job, &placement, history);
+    async fn attempt(&self, job: &Job, place: Replacement, history: &History) -> AttemptResult {
+        let Replacement {
+            placement,
+            permit,
+            way,
+        } = place;
         let mut watch = self.crashes.watch(job, &placement, Progress::Waiting);
         let delivery = Delivery {
             destination: (&placement, &permit),
             position: job.position,
-            way: None,
-            may_repeat: timeout < job.deadline.saturating_sub(self.clock.now()),
+            way,
+            may_repeat: self.may_be_replaced(job, history),
         };
-        let sent = self.sender.send(job, delivery, time::sleep(timeout));
-        let response = match sent.await {
+        let mut replacement = None;
+        let given_up = self.until_given_up(job, &placement, history, &mut replacement);
+        let response = match self.sender.send(job, delivery, given_up).await {
             Ok(response) => response,
             Err(failure) => {
                 self.record_failure(&placement, failure);
                 permit.end(failure.outcome());
                 watch.failed(failure).await;
-                return AttemptResult::Failed(failure);
+                return replacement.map_or(AttemptResult::Failed(failure), AttemptResult::Replaced);
             }
         };
         if job.route.kind.is_stream() && response.head.status == StatusCode::OK {
             let upstream = pump::Upstream {
-                placement,
+                placement: *placement,
                 response,
                 permit,
                 watch,
--- a/crates/papayayard_gateway/src/relay/replace.rs
+++ b/crates/papayayard_gateway/src/relay/replace.rs
@@ -31,6 +31,16 @@
     pub(crate) way: Option<Way>,
 }
 
+impl From<(Placement, Permit)> for Replacement {
+    fn from((placement, permit): (Placement, Permit)) -> Self {
+        Self {
+            placement: Box::new(placement),
+            permit,
+            way: None,
+        }
+    }
+}
+
 impl<Platform> Relay<Platform>
 where
     Platform: Codec,
@@ -127,7 +137,7 @@
 }
 
 /// Time in which an endpoint should begin to answer.
-pub(super) fn first_answer_timeout(job: &Job, placement: &Placement) -> Duration {
+fn first_answer_timeout(job: &Job, placement: &Placement) -> Duration {
     if job.route.kind.is_stream() {
         (placement.first_event * FIRST_EVENT_TIMEOUT_FACTOR).max(MIN_FIRST_EVENT_TIMEOUT)
     } else {
