Callers' connections: a longer idle limit is kept until callers know the shorter one

Cause: a connection was closed by whatever limit was in force when its timer fired, while callers that did not know the new one yet reused it by the longer one. The other way round, a connection that was idle already was kept for the rest of the limit under which its timer was set (15 s and more).

Change: the longest of the limits that callers may go by is published for all connections of a listener. A limit that a shorter one replaced ends once `bounds.configuration_ms` have passed since, each in its own time, so that configurations in quick succession neither cut it short nor keep it for ever. A longer limit applies at once. Open connections wait anew when it changes. The log says when and for how long a longer limit is kept.

Evidence, without the change (platform/tests/path/keep_alive.rs): a_request_by_the_previous_idle_timeout_is_answered failed with "the connection is kept: operation was canceled", the close falling 1 s after the last answer, under a previous limit of 2 s; a_shorter_idle_timeout_applies_once_callers_know_it failed, the connection being open 4.6 s after a limit of 0.6 s was named. With it both pass, as do the three older tests of that file and front/idle_test.rs.

Not shown: that this is what the users saw.

--- a/crates/papayayard_gateway/src/front.rs
+++ b/crates/papayayard_gateway/src/front.rs
@@ -5,9 +5,9 @@
 //! is not ready, while it continues to serve and asks each caller to close its connection;
 //! then it closes idle connections; then it accepts no new ones and waits for those in use.
 //!
-//! Callers apply the idle time of the newest configuration to all connections, also to
-//! those opened under an older one. The idle time is therefore looked up when a connection
-//! is due to be closed, not when it was opened.
+//! Callers apply the idle time of the newest configuration that they know to all connections,
+//! also to those opened under an older one. A change of the idle time is therefore applied to
+//! open connections.
 
 use std::convert::Infallible;
 use std::time::Duration;
@@ -29,6 +29,7 @@
 use crate::relay::{Relay, Source};
 
 mod activity;
+mod idle;
 
 use activity::Activity;
 
@@ -58,12 +59,31 @@
     };
 }
 
-/// Accepts connections until the last stage of a stop.
+/// Serves connections until the last stage of a stop. A configuration is known everywhere
+/// within `bound`.
 pub(crate) async fn serve<Platform>(
+    listener: TcpListener,
+    relay: Relay<Platform>,
+    stop: watch::Receiver<StopState>,
+    open: TaskTracker,
+    bound: Duration,
+) where
+    Platform: Codec,
+{
+    let configuration = relay.configuration.clone();
+    let (limit, current_limit) = watch::channel(relay.limits().idle);
+    tokio::select! {
+        () = accept(listener, relay, stop, open, current_limit) => {}
+        () = idle::follow(configuration, bound, limit) => {}
+    }
+}
+
+async fn accept<Platform>(
     listener: TcpListener,
     relay: Relay<Platform>,
     mut stop: watch::Receiver<StopState>,
     open: TaskTracker,
+    idle_limit: watch::Receiver<Duration>,
 ) where
     Platform: Codec,
 {
@@ -84,7 +104,8 @@
             log::warn!(open = open.len(); "too many open connections; closing a new one");
             continue;
         }
-        open.spawn(connection(stream, relay.clone(), stop.clone()));
+        let idle_limit = idle_limit.clone();
+        open.spawn(connection(stream, relay.clone(), stop.clone(), idle_limit));
     }
 }
 
@@ -92,6 +113,7 @@
     stream: TcpStream,
     relay: Relay<Platform>,
     mut stop: watch::Receiver<StopState>,
+    mut idle_limit: watch::Receiver<Duration>,
 ) where
     Platform: Codec,
 {
@@ -133,19 +155,20 @@
             connection.as_mut().graceful_shutdown();
             connection.as_mut().await
         }
-        () = wait_until_idle(&relay, &activity) => {
-            log_close(&relay, &activity, "closing an idle connection of a caller");
+        () = wait_until_idle(&mut idle_limit, &activity) => {
+            log_close(&idle_limit, &activity, "closing an idle connection of a caller");
             connection.as_mut().graceful_shutdown();
             // A request that has begun to arrive gets a second idle period.
             let second_period = async {
-                time::sleep(relay.limits().idle).await;
-                wait_until_idle(&relay, &activity).await;
+                let limit = *idle_limit.borrow();
+                time::sleep(limit).await;
+                wait_until_idle(&mut idle_limit, &activity).await;
             };
             tokio::select! {
                 biased;
                 outcome = connection.as_mut() => outcome,
                 () = second_period => {
-                    log_close(&relay, &activity, "closing a connection on which a request does not arrive");
+                    log_close(&idle_limit, &activity, "closing a connection on which a request does not arrive");
                     return;
                 }
             }
@@ -156,29 +179,26 @@
     }
 }
 
-/// Waits until a connection was idle for the currently configured idle time.
-async fn wait_until_idle<Platform>(relay: &Relay<Platform>, activity: &Activity)
-where
-    Platform: Codec,
-{
+/// Waits until a connection was idle for the time that callers may count on.
+async fn wait_until_idle(idle_limit: &mut watch::Receiver<Duration>, activity: &Activity) {
     loop {
-        let limit = relay.limits().idle;
+        let limit = *idle_limit.borrow_and_update();
         let remaining = match activity.idle_for() {
             None => limit,
             Some(time) if time >= limit => return,
             Some(time) => limit.saturating_sub(time),
         };
-        time::sleep(remaining).await;
+        tokio::select! {
+            () = time::sleep(remaining) => {}
+            Ok(()) = idle_limit.changed() => {}
+        }
     }
 }
 
 /// Logs that a connection is closed, how long it was idle and for how long it might have been.
-fn log_close<Platform>(relay: &Relay<Platform>, activity: &Activity, message: &str)
-where
-    Platform: Codec,
-{
+fn log_close(idle_limit: &watch::Receiver<Duration>, activity: &Activity, message: &str) {
     let idle = activity.idle_for().unwrap_or_default();
-    log::info!(idle_ms = millis(idle), limit_ms = millis(relay.limits().idle); "{message}");
+    log::info!(idle_ms = millis(idle), limit_ms = millis(*idle_limit.borrow()); "{message}");
 }
 
 /// Waits for a stage of the stop. The end of the host counts as the last stage.
--- a/crates/papayayard_gateway/src/host.rs
+++ b/crates/papayayard_gateway/src/host.rs
@@ -442,11 +442,13 @@
     ) -> TaskTracker {
         let open = TaskTracker::new();
         let stop = self.stop_state.clone();
+        let bound = self.settings.bounds.configuration;
         if let Some(listener) = forwarded {
-            let hosts = front::serve(listener, relay.for_hosts(), stop.clone(), open.clone());
+            let relay = relay.for_hosts();
+            let hosts = front::serve(listener, relay, stop.clone(), open.clone(), bound);
             self.controllers.spawn(hosts);
         }
-        let callers = front::serve(callers, relay, stop, open.clone());
+        let callers = front::serve(callers, relay, stop, open.clone(), bound);
         self.controllers.spawn(callers);
         open
     }
