Callers' connections: a head that is arriving keeps its connection open

Cause: a connection counted as idle until the head was whole. When its idle time was over, the HTTP library closed a kept connection at once, with the part of the head that it had read; a new one got another idle period and was then cut, however long callers may take. The limit on that time was not read at all.

Change: a connection records the bytes that it reads. From the first byte on a request is arriving, and its connection is closed only once callers may take no longer for a head: `headerTimeoutMs`, or the idle time where that is longer (the bytes may be the rest of a body that was not read, and nobody else tells them apart). The same rule as for the idle time holds when it becomes shorter. The part of front.rs that serves a connection is a module of its own now.

Evidence, without the change (platform/tests/path/closing.rs): a_head_in_two_pieces_is_read_beyond_the_idle_timeout failed in three of its four cases, no answer came: on a used connection after 0.9 s and 2.1 s, on a new one after 2.1 s (idle limit 0.6 s, 3 s for a head). With it all pass; a_head_that_does_not_end_is_given_up guards the other side.

Not shown: that this is what the users saw.

--- a/crates/papayayard_gateway/src/front/activity.rs
+++ b/crates/papayayard_gateway/src/front/activity.rs
@@ -1,4 +1,4 @@
-//! Tracks whether a caller's connection is in use, and how long it has been idle.
+//! Tracks what a caller's connection is used for, and for how long it has been idle.
 
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -11,7 +11,7 @@
 
 use crate::body;
 
-/// Request activity of one connection.
+/// Activity of one connection.
 #[derive(Clone, Debug)]
 pub(super) struct Activity(Arc<Mutex<State>>);
 
@@ -19,8 +19,22 @@
 struct State {
     /// Requests in flight.
     open: usize,
-    /// When the connection was opened, or the last response ended.
-    idle_since: Instant,
+    /// Whether bytes have arrived since the last request.
+    is_arriving: bool,
+    /// When the connection was opened, the last response ended, or the first of these bytes
+    /// arrived.
+    since: Instant,
+}
+
+/// What a connection is used for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Phase {
+    /// A request is served.
+    Serving,
+    /// The head of a request has been arriving for that long.
+    Arriving(Duration),
+    /// The connection has been idle for that long.
+    Idle(Duration),
 }
 
 /// Marks a request as in flight until dropped.
@@ -31,22 +45,39 @@
     fn default() -> Self {
         let state = State {
             open: 0,
-            idle_since: Instant::now(),
+            is_arriving: false,
+            since: Instant::now(),
         };
         Self(Arc::new(Mutex::new(state)))
     }
 }
 
 impl Activity {
+    /// Records that bytes have arrived. Those that arrive during a request are its body.
+    pub(super) fn received(&self) {
+        let mut state = self.state();
+        if state.open == 0 && !state.is_arriving {
+            state.is_arriving = true;
+            state.since = Instant::now();
+        }
+    }
+
     pub(super) fn begin_request(&self) -> ActiveRequest {
-        self.state().open += 1;
+        let mut state = self.state();
+        state.open += 1;
+        state.is_arriving = false;
         ActiveRequest(self.clone())
     }
 
-    /// How long the connection has been idle; `None` while it is in use.
-    pub(super) fn idle_for(&self) -> Option<Duration> {
+    pub(super) fn phase(&self) -> Phase {
         let state = self.state();
-        (state.open == 0).then(|| state.idle_since.elapsed())
+        match &*state {
+            State { open: 1.., .. } => Phase::Serving,
+            State {
+                is_arriving: true, ..
+            } => Phase::Arriving(state.since.elapsed()),
+            State { .. } => Phase::Idle(state.since.elapsed()),
+        }
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
@@ -58,7 +89,7 @@
     fn drop(&mut self) {
         let mut state = self.0.state();
         state.open -= 1;
-        state.idle_since = Instant::now();
+        state.since = Instant::now();
     }
 }
 
--- /dev/null
+++ b/crates/papayayard_gateway/src/front/connection.rs
@@ -0,0 +1,143 @@
+//! Serves a caller's connection until one of both sides closes it.
+//!
+//! A connection is closed while no request is on it: neither one that is served, nor one whose
+//! head is arriving, unless that takes longer than callers may take.
+
+use std::convert::Infallible;
+use std::time::Duration;
+
+use http::{HeaderValue, Request, Response, header};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use papayayard_coordination::shutdown::Stage;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::time;
+
+use super::activity::{self, Activity, Phase};
+use super::periods::Periods;
+use super::stream::Stream;
+use super::{StopState, wait_for_stage};
+use crate::body::Body;
+use crate::exchange::Codec;
+use crate::refusal::millis;
+use crate::relay::{Relay, Source};
+
+/// Minimum buffer size that the HTTP library requires.
+const MIN_BUFFER_BYTES: usize = 8 << 10;
+/// Bytes by which the head of a request may grow when a host passes it on.
+const FORWARDED_HEAD_BYTES: usize = 1 << 10;
+
+pub(super) async fn serve<Platform>(
+    stream: TcpStream,
+    relay: Relay<Platform>,
+    mut stop: watch::Receiver<StopState>,
+    mut periods: watch::Receiver<Periods>,
+) where
+    Platform: Codec,
+{
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!(error:%; "caller disconnected before the connection was set up");
+        return;
+    }
+    let max_head = max_head(&relay);
+    let current_stop = stop.clone();
+    let activity = Activity::default();
+    let request_activity = activity.clone();
+    let service = service_fn(move |request: Request<Incoming>| {
+        let relay = relay.clone();
+        let current_stop = current_stop.clone();
+        let active_request = request_activity.begin_request();
+        async move {
+            let response = relay.serve(request).await;
+            let stage = current_stop.borrow().stage;
+            let response = request_close(response, stage)
+                .map(|body| activity::Body::new(body, active_request));
+            Ok::<_, Infallible>(response)
+        }
+    });
+    let connection = http1::Builder::new()
+        .max_buf_size(max_head.max(MIN_BUFFER_BYTES))
+        .serve_connection(TokioIo::new(Stream::new(stream, activity.clone())), service);
+    tokio::pin!(connection);
+    let outcome = tokio::select! {
+        // Serve a request that has arrived before closing the connection.
+        biased;
+        outcome = connection.as_mut() => outcome,
+        () = wait_for_stage(&mut stop, Stage::Closing) => {
+            connection.as_mut().graceful_shutdown();
+            connection.as_mut().await
+        }
+        phase = wait_until_unused(&mut periods, &activity) => {
+            log_close(phase, *periods.borrow());
+            return;
+        }
+    };
+    if let Err(error) = outcome {
+        log::debug!(error:%; "caller's connection failed");
+    }
+}
+
+/// Maximum bytes of a request's head.
+fn max_head<Platform>(relay: &Relay<Platform>) -> usize
+where
+    Platform: Codec,
+{
+    match relay.source {
+        Source::Callers => relay.limits().header_bytes,
+        Source::Hosts => relay.limits().header_bytes + FORWARDED_HEAD_BYTES,
+    }
+}
+
+/// Waits until a connection has served no request for as long as callers may count on.
+async fn wait_until_unused(periods: &mut watch::Receiver<Periods>, activity: &Activity) -> Phase {
+    loop {
+        let phase = activity.phase();
+        let left = left(phase, *periods.borrow_and_update());
+        if left.is_zero() {
+            return phase;
+        }
+        tokio::select! {
+            () = time::sleep(left) => {}
+            Ok(()) = periods.changed() => {}
+        }
+    }
+}
+
+/// Time until a connection is to be looked at again; none is left if it is to be closed.
+fn left(phase: Phase, periods: Periods) -> Duration {
+    match phase {
+        Phase::Serving => periods.idle,
+        // What arrived may also be the rest of a body that was not read.
+        Phase::Arriving(time) => periods.head.max(periods.idle).saturating_sub(time),
+        Phase::Idle(time) => periods.idle.saturating_sub(time),
+    }
+}
+
+/// Logs why a connection is closed, and for how long it might have been without a request.
+fn log_close(phase: Phase, Periods { idle, head }: Periods) {
+    let (idle, head) = (millis(idle), millis(head));
+    match phase {
+        Phase::Idle(time) => {
+            log::info!(idle_ms = millis(time), limit_ms = idle; "closing an idle connection of a caller");
+        }
+        Phase::Arriving(time) => {
+            log::info!(
+                head_ms = millis(time), limit_ms = head.max(idle);
+                "closing a connection on which a request does not arrive"
+            );
+        }
+        Phase::Serving => {}
+    }
+}
+
+/// Asks the caller to close the connection if a stop is in progress.
+fn request_close(mut response: Response<Body>, stage: Stage) -> Response<Body> {
+    if stage > Stage::Serving {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    response
+}
--- a/crates/papayayard_routing/src/table.rs
+++ b/crates/papayayard_routing/src/table.rs
@@ -128,6 +128,8 @@
     pub header_bytes: usize,
     /// Maximum bytes of a body.
     pub body_bytes: usize,
+    /// Maximum time in which a request head arrives.
+    pub head: Duration,
     /// Maximum idle time of a connection.
     pub idle: Duration,
 }
@@ -137,6 +139,7 @@
         Self {
             header_bytes: 16 << 10,
             body_bytes: 4 << 20,
+            head: Duration::from_secs(10),
             idle: Duration::from_secs(15),
         }
     }
