Planned stop: only connections without a request are closed

Callers saw, while a host stopped: a request whose head arrived in two pieces ended without an answer, and so did one on a connection that the host had just accepted.

Cause: when idle connections are closed (a third of the stop), each connection was handed to the HTTP library's graceful end, which closes a kept connection that has read a part of a head, and a new one that has read nothing yet; until seven tenths of the stop the host goes on accepting these.

Change: the rule for idle connections holds during a stop as well, with an idle time of a second at most. A connection that was idle for longer is closed at once, as before; a new one has a second for its request; a head that has begun to arrive is awaited. Connections in use get `Connection: close` with their answer as before; one whose answer had begun before the stop closes a second after it instead of at once, and serves what comes in that second.

Evidence, without the change (platform/tests/path/closing.rs): a_head_in_two_pieces_is_answered_by_a_host_that_stops failed on a used connection (it passed on a new one), a_new_connection_to_a_host_that_stops_is_answered failed with its first caller; both got no answer. With it both pass.

--- a/crates/papayayard_gateway/src/front/connection.rs
+++ b/crates/papayayard_gateway/src/front/connection.rs
@@ -62,21 +62,13 @@
         .max_buf_size(max_head.max(MIN_BUFFER_BYTES))
         .serve_connection(TokioIo::new(Stream::new(stream, activity.clone())), service);
     tokio::pin!(connection);
-    let outcome = tokio::select! {
+    tokio::select! {
         // Serve a request that has arrived before closing the connection.
         biased;
-        outcome = connection.as_mut() => outcome,
-        () = wait_for_stage(&mut stop, Stage::Closing) => {
-            connection.as_mut().graceful_shutdown();
-            connection.as_mut().await
-        }
-        phase = wait_until_unused(&mut periods, &activity) => {
-            log_close(phase, *periods.borrow());
-            return;
-        }
-    };
-    if let Err(error) = outcome {
-        log::debug!(error:%; "caller's connection failed");
+        outcome = connection.as_mut() => if let Err(error) = outcome {
+            log::debug!(error:%; "caller's connection failed");
+        },
+        () = wait_until_unused(&mut periods, &mut stop, &activity) => {}
     }
 }
 
@@ -91,13 +83,31 @@
     }
 }
 
-/// Waits until a connection has served no request for as long as callers may count on.
-async fn wait_until_unused(periods: &mut watch::Receiver<Periods>, activity: &Activity) -> Phase {
+/// Waits until a connection has served no request for as long as callers may count on, or for
+/// a shorter time if the host stops.
+async fn wait_until_unused(
+    periods: &mut watch::Receiver<Periods>,
+    stop: &mut watch::Receiver<StopState>,
+    activity: &Activity,
+) {
+    tokio::select! {
+        () = wait_until_unused_in(Stage::Serving, periods, activity) => return,
+        () = wait_for_stage(stop, Stage::Closing) => {}
+    }
+    wait_until_unused_in(Stage::Closing, periods, activity).await;
+}
+
+async fn wait_until_unused_in(
+    stage: Stage,
+    periods: &mut watch::Receiver<Periods>,
+    activity: &Activity,
+) {
     loop {
         let phase = activity.phase();
-        let left = left(phase, *periods.borrow_and_update());
+        let current = periods.borrow_and_update().in_stage(stage);
+        let left = left(phase, current);
         if left.is_zero() {
-            return phase;
+            return log_close(phase, current, stage);
         }
         tokio::select! {
             () = time::sleep(left) => {}
@@ -117,15 +127,19 @@
 }
 
 /// Logs why a connection is closed, and for how long it might have been without a request.
-fn log_close(phase: Phase, Periods { idle, head }: Periods) {
+fn log_close(phase: Phase, Periods { idle, head }: Periods, stage: Stage) {
     let (idle, head) = (millis(idle), millis(head));
+    let is_stopping = stage >= Stage::Closing;
     match phase {
         Phase::Idle(time) => {
-            log::info!(idle_ms = millis(time), limit_ms = idle; "closing an idle connection of a caller");
+            log::info!(
+                idle_ms = millis(time), limit_ms = idle, is_stopping;
+                "closing an idle connection of a caller"
+            );
         }
         Phase::Arriving(time) => {
             log::info!(
-                head_ms = millis(time), limit_ms = head.max(idle);
+                head_ms = millis(time), limit_ms = head.max(idle), is_stopping;
                 "closing a connection on which a request does not arrive"
             );
         }
--- a/crates/papayayard_gateway/src/front/periods.rs
+++ b/crates/papayayard_gateway/src/front/periods.rs
@@ -6,6 +6,7 @@
 
 use std::time::Duration;
 
+use papayayard_coordination::shutdown::Stage;
 use papayayard_routing::table::Limits;
 use tokio::sync::watch;
 use tokio::time::{self, Instant};
@@ -13,6 +14,10 @@
 use crate::beliefs::Configuration;
 use crate::refusal::millis;
 
+/// Maximum idle time of a connection while the host closes idle connections; the request of a
+/// new one arrives within it.
+const MAX_STOPPING_IDLE: Duration = Duration::from_secs(1);
+
 /// Times that callers may count on.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(super) struct Periods {
@@ -32,6 +37,17 @@
 }
 
 impl Periods {
+    /// The periods in a stage of a planned stop.
+    pub(super) fn in_stage(self, stage: Stage) -> Self {
+        if stage < Stage::Closing {
+            return self;
+        }
+        Self {
+            idle: self.idle.min(MAX_STOPPING_IDLE),
+            ..self
+        }
+    }
+
     fn longest(self, other: Self) -> Self {
         Self {
             idle: self.idle.max(other.idle),
