Callers' connections: an answer that is still being read is not cut

Callers saw: a large answer that they read slowly, or after a pause, was cut.

Cause: a connection counted as idle from the moment at which the whole answer was handed to the HTTP library, not when its bytes had gone out. After its idle time the connection was closed, with what the library still held.

Change: the connection's stream records writes and flushes. While bytes are left to send the connection is not idle; it is closed once the caller has taken nothing for 30 s, which the log says. A connection is looked at once in each idle period, as before, so that none outlasts its idle time by a longer limit.

Not shown: that this is what the users saw; their answers are far smaller than what the system keeps for a connection, as far as known.

--- a/crates/papayayard_gateway/src/front/activity.rs
+++ b/crates/papayayard_gateway/src/front/activity.rs
@@ -21,8 +21,10 @@
     open: usize,
     /// Whether bytes have arrived since the last request.
     is_arriving: bool,
-    /// When the connection was opened, the last response ended, or the first of these bytes
-    /// arrived.
+    /// Whether bytes of a response wait for the caller to take them.
+    is_sending: bool,
+    /// When the connection was opened, the last response ended, its bytes were last taken, or the
+    /// first bytes of a request arrived.
     since: Instant,
 }
 
@@ -31,6 +33,8 @@
 pub(super) enum Phase {
     /// A request is served.
     Serving,
+    /// The caller has taken nothing of a response for that long.
+    Sending(Duration),
     /// The head of a request has been arriving for that long.
     Arriving(Duration),
     /// The connection has been idle for that long.
@@ -46,6 +50,7 @@
         let state = State {
             open: 0,
             is_arriving: false,
+            is_sending: false,
             since: Instant::now(),
         };
         Self(Arc::new(Mutex::new(state)))
@@ -62,6 +67,24 @@
         }
     }
 
+    /// Records that bytes are to be sent, and whether some were taken.
+    pub(super) fn sent(&self, is_taken: bool) {
+        let mut state = self.state();
+        if is_taken || !state.is_sending {
+            state.since = Instant::now();
+        }
+        state.is_sending = true;
+    }
+
+    /// Records that all bytes were sent.
+    pub(super) fn flushed(&self) {
+        let mut state = self.state();
+        if state.is_sending {
+            state.is_sending = false;
+            state.since = Instant::now();
+        }
+    }
+
     pub(super) fn begin_request(&self) -> ActiveRequest {
         let mut state = self.state();
         state.open += 1;
@@ -71,12 +94,16 @@
 
     pub(super) fn phase(&self) -> Phase {
         let state = self.state();
-        match &*state {
+        let time = state.since.elapsed();
+        match *state {
             State { open: 1.., .. } => Phase::Serving,
+            State {
+                is_sending: true, ..
+            } => Phase::Sending(time),
             State {
                 is_arriving: true, ..
-            } => Phase::Arriving(state.since.elapsed()),
-            State { .. } => Phase::Idle(state.since.elapsed()),
+            } => Phase::Arriving(time),
+            State { .. } => Phase::Idle(time),
         }
     }
 
--- a/crates/papayayard_gateway/src/front/connection.rs
+++ b/crates/papayayard_gateway/src/front/connection.rs
@@ -1,7 +1,8 @@
 //! Serves a caller's connection until one of both sides closes it.
 //!
 //! A connection is closed while no request is on it: neither one that is served, nor one whose
-//! head is arriving, unless that takes longer than callers may take.
+//! head is arriving, unless that takes longer than callers may take, nor one whose answer the
+//! caller is still taking.
 
 use std::convert::Infallible;
 use std::time::Duration;
@@ -29,6 +30,10 @@
 const MIN_BUFFER_BYTES: usize = 8 << 10;
 /// Bytes by which the head of a request may grow when a host passes it on.
 const FORWARDED_HEAD_BYTES: usize = 1 << 10;
+/// Maximum time for which a caller takes nothing of an answer.
+const MAX_STALL: Duration = Duration::from_secs(30);
+/// Minimum pause between two looks at a connection.
+const MIN_PAUSE: Duration = Duration::from_millis(10);
 
 pub(super) async fn serve<Platform>(
     stream: TcpStream,
@@ -106,24 +111,28 @@
         let phase = activity.phase();
         let current = periods.borrow_and_update().in_stage(stage);
         let left = left(phase, current);
-        if left.is_zero() {
+        if left.is_some_and(|left| left.is_zero()) {
             return log_close(phase, current, stage);
         }
+        // A phase may end sooner, and an idle one begin.
+        let pause = left.map_or(current.idle, |left| left.min(current.idle));
         tokio::select! {
-            () = time::sleep(left) => {}
+            () = time::sleep(pause.max(MIN_PAUSE)) => {}
             Ok(()) = periods.changed() => {}
         }
     }
 }
 
-/// Time until a connection is to be looked at again; none is left if it is to be closed.
-fn left(phase: Phase, periods: Periods) -> Duration {
-    match phase {
-        Phase::Serving => periods.idle,
+/// Time until a connection is to be closed; `None` while it serves a request.
+fn left(phase: Phase, periods: Periods) -> Option<Duration> {
+    let (time, limit) = match phase {
+        Phase::Serving => return None,
+        Phase::Sending(time) => (time, MAX_STALL),
         // What arrived may also be the rest of a body that was not read.
-        Phase::Arriving(time) => periods.head.max(periods.idle).saturating_sub(time),
-        Phase::Idle(time) => periods.idle.saturating_sub(time),
-    }
+        Phase::Arriving(time) => (time, periods.head.max(periods.idle)),
+        Phase::Idle(time) => (time, periods.idle),
+    };
+    Some(limit.saturating_sub(time))
 }
 
 /// Logs why a connection is closed, and for how long it might have been without a request.
@@ -143,6 +152,12 @@
                 "closing a connection on which a request does not arrive"
             );
         }
+        Phase::Sending(time) => {
+            log::info!(
+                stalled_ms = millis(time), limit_ms = millis(MAX_STALL), is_stopping;
+                "closing a connection whose caller does not take an answer"
+            );
+        }
         Phase::Serving => {}
     }
 }
--- a/crates/papayayard_gateway/src/front/stream.rs
+++ b/crates/papayayard_gateway/src/front/stream.rs
@@ -1,4 +1,6 @@
 //! A caller's byte stream that records its use.
+//!
+//! The HTTP library flushes once it has written all that it has.
 
 use std::io::{self, IoSlice};
 use std::pin::Pin;
@@ -47,7 +49,9 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write(context, bytes)
+        let outcome = Pin::new(&mut self.inner).poll_write(context, bytes);
+        self.activity.sent(has_taken(&outcome));
+        outcome
     }
 
     fn poll_write_vectored(
@@ -55,7 +59,9 @@
         context: &mut Context<'_>,
         slices: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write_vectored(context, slices)
+        let outcome = Pin::new(&mut self.inner).poll_write_vectored(context, slices);
+        self.activity.sent(has_taken(&outcome));
+        outcome
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -63,10 +69,19 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_flush(context)
+        let outcome = Pin::new(&mut self.inner).poll_flush(context);
+        if outcome.is_ready() {
+            self.activity.flushed();
+        }
+        outcome
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         Pin::new(&mut self.inner).poll_shutdown(context)
     }
 }
+
+/// Whether a write has passed on bytes.
+fn has_taken(outcome: &Poll<io::Result<usize>>) -> bool {
+    matches!(outcome, Poll::Ready(Ok(1..)))
+}
