Requests passed on for the last time await a host that acknowledges nothing for a moment

Callers got a 502 after a second for a request with a long body which their host had passed on to another one, although that host went on half a second later and nothing else could take the request.

Cause: a connection is closed once data stays unacknowledged for 0.9 s, or for 3.5 s if the request can be sent nowhere else. Attempts at endpoints say which bound holds; requests to other hosts never did, so the short one held for all of them, also for those that may run once and for the last host that is asked.

The exchange with a host now sets the longer bound if the host has all the time that is left, which is so in both cases.

Evidence: a_host_that_acknowledges_nothing_for_a_moment_is_awaited (path/silent_hosts), a host with a small receive buffer that reads nothing for 1.5 s and a body of 1 MB.

--- a/crates/papayayard_gateway/src/relay/forward.rs
+++ b/crates/papayayard_gateway/src/relay/forward.rs
@@ -298,6 +298,7 @@
             Failure::Unreachable
         })?;
         let request = self.forwarded_request(job, detours.host(), share);
+        connection.bound_unacknowledged(share.timeout < self.time_left(job));
         let sent = time::timeout(share.timeout, connection.send(request)).await;
         let (head, body) = match sent.map_err(|_| Failure::Silent)? {
             Ok(response) => response.into_parts(),
