A silent host is left only once another one has taken the request

Callers of a host that reaches no endpoint got a 502, or a 504 at the deadline, for idempotent requests and streams that may resume, although the host which had them went on a moment later.

Cause: a host that has not begun to answer after half of the time that is left was left before it was known whether another host takes the request. If that one is unreachable, mute, stopping or without a way to endpoints itself, nobody has the request any more. Besides, the connection to a host that may be left was closed once data stayed unacknowledged for 0.9 s.

The silent host's answer is now awaited while others are asked. Another host gets the head of the request only, with `Expect: 100-continue`; it asks for the body once it would serve the request, and cannot have run it before. Then the body is sent. If the host does not state within 300 ms that it does not take the request after all, the silent one is left, and its connection is reset. If no other host takes the request, or no repeat is left, the silent one is awaited to the deadline. The bound on unacknowledged data is the long one for all requests to hosts, since all are awaited.

Runs: what goes with the request is as before, and counted from the time at which the silent host is no longer alone; both can have the request for 300 ms at most. What may run once goes to one host. Hosts of an older release ask for the body likewise, since their HTTP library does.

Evidence (path/silent_hosts). Before the change, in 1 run each: - a_silent_host_is_not_left_for_one_that_does_not_take_the_request: 8 of 8 cases failed, 502 (504 with a mute host) where 200 is expected. - a_host_that_acknowledges_nothing_is_not_left_for_one_that_is_unreachable: 2 of 2 failed, before and with the short bound in the new code. - a_silent_host_is_left_before_the_one_that_has_taken_the_request_answers: passes before; failed in the new code without the held body, and without the leaving after 300 ms. Without those 300 ms, the 2 cases with a host that finds no way to endpoints failed. - The test of an unchanged request and the one of a stream at the second host pass before and after. With the change all 18 pass.

The soak was not run.

--- a/crates/papayayard_gateway/src/dial.rs
+++ b/crates/papayayard_gateway/src/dial.rs
@@ -5,9 +5,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::{Request, Response};
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -18,6 +16,7 @@
 use tokio::time::{self, Instant};
 
 use crate::acknowledgement;
+use crate::held;
 use crate::meter::Meter;
 use crate::socket::{Bounds, Pending, Socket};
 
@@ -48,7 +47,7 @@
 /// its last request was read to the end.
 pub(crate) struct Connection {
     /// Sends one request at a time.
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<held::Body>,
     past: Past,
     bounds: Bounds,
     driver: JoinHandle<()>,
@@ -57,12 +56,16 @@
 impl Connection {
     /// Sends a request and waits for the head of the answer, which is limited to
     /// [`MAX_HEAD_BYTES`].
-    pub(crate) async fn send(
+    pub(crate) async fn send<Content>(
         &mut self,
-        request: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        request: Request<Content>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<held::Body>>>
+    where
+        Content: Into<held::Body>,
+    {
         self.bounds.meter.allow(MAX_HEAD_BYTES);
         self.bounds.pending.set(true);
+        let request = request.map(Content::into);
         let response = self.sender.try_send_request(request).await?;
         self.bounds.meter.allow_all();
         self.past.answers += 1;
--- a/crates/papayayard_gateway/src/lib.rs
+++ b/crates/papayayard_gateway/src/lib.rs
@@ -37,6 +37,7 @@
 mod forwarded;
 mod framing;
 mod front;
+mod held;
 mod hosts;
 mod job;
 mod memory;
--- a/crates/papayayard_gateway/src/relay/forward.rs
+++ b/crates/papayayard_gateway/src/relay/forward.rs
@@ -5,6 +5,8 @@
 //! about, or a request that was not sent means that the request did not run; after any other
 //! failure it may have run.
 //!
+//! A host that is silent is left only once another one has taken the request; see [`handover`].
+//!
 //! With the request goes how often the other host may run it. These runs are used up once the
 //! request may have run, and only what is left of them goes to a host after it.
 
@@ -27,17 +29,22 @@
 use crate::dial;
 use crate::exchange::Codec;
 use crate::forwarded::Forwarded;
+use crate::held::{self, Gate, Hold};
 use crate::hop;
 use crate::job::Job;
 use crate::refusal::Refusal;
 
+mod handover;
+
+use handover::{Event, Handover, Outcome};
+
 /// Attempts at endpoints that could not be reached after which a request is passed on.
 const MAX_UNREACHABLE: usize = 2;
 /// Maximum number of hosts that are asked to take a request of a host that is not detached.
 const MAX_FALLBACK_TRIES: usize = 2;
-/// Part of the time that is left in which a host must begin to answer, as a divisor, if the
-/// request may be sent to another one.
-const TIMEOUT_DIVISOR: u32 = 2;
+/// Part of the time that is left in which a host must begin to answer, as a divisor, until another
+/// one is asked, if the request may be sent there.
+const PATIENCE_DIVISOR: u32 = 2;
 /// Time for the head of an answer to get from one host to another.
 const ANSWER_TRANSIT: Duration = Duration::from_millis(500);
 /// Value of [`hop::NOT_TAKEN`] of a host that can take no request now.
@@ -54,10 +61,38 @@
 }
 
 /// What another host is handed over with a request.
+#[derive(Clone, Copy, Debug)]
 struct Share {
     allowance: Allowance,
-    /// Time that the host has to begin its answer.
-    timeout: Duration,
+    /// Time after which another host is asked to take the request; `None` if none may be.
+    patience: Option<Duration>,
+}
+
+/// A request that other hosts are asked to serve.
+struct Offer<Answer> {
+    /// The host that has the request but is silent; its runs are counted.
+    silent: Option<Handover<Answer>>,
+    /// Newest answer of a host that used its runs in vain.
+    error: Option<Response<Body>>,
+}
+
+/// What follows after a host was asked.
+enum Step {
+    Answered(Response<Body>),
+    /// Another host is asked.
+    Next,
+    /// No other host is asked.
+    Stop,
+}
+
+/// What the outcome at another host means for a request.
+enum Assessment {
+    /// Answer for the caller.
+    Final(Response<Body>),
+    /// The request did not run at this host.
+    NotRun,
+    /// It may have run; `None` if the host has answered.
+    Failed(Option<Failure>),
 }
 
 /// What another host's answer means for a request.
@@ -225,7 +260,10 @@
             MAX_FALLBACK_TRIES
         };
         let mut tried = Vec::new();
-        let mut error = None;
+        let mut offer = Offer {
+            silent: None,
+            error: None,
+        };
         while tried.len() < max_tries && self.time_left(job) > Duration::ZERO {
             let Some(peer) = detours.choose(&tried) else {
                 break;
@@ -233,28 +271,122 @@
             tried.push(peer.host.clone());
             let is_last = tried.len() == max_tries || detours.choose(&tried).is_none();
             let share = self.share(job, history, is_last);
-            let failure = match self.forward(job, detours, &peer, &share).await {
-                Ok(response) => match self.judge(job, history, &response) {
-                    Verdict::Final => return Some(response),
-                    Verdict::NotRun => continue,
-                    Verdict::Failed => {
-                        error = Some(response);
-                        None
-                    }
-                },
-                Err(failure) if failure.is_not_run() => continue,
-                Err(failure) => Some(failure),
-            };
-            history.runs += share.allowance.runs;
-            if !self.may_retry(job, history, failure) {
-                break;
+            let newest = self.hand_over(job, detours, peer, share, offer.silent.is_some());
+            match self.follow(job, detours, history, &mut offer, newest).await {
+                Step::Answered(response) => return Some(response),
+                Step::Next => {}
+                Step::Stop => break,
+            }
+        }
+        if let Some(mut silent) = offer.silent.take() {
+            let outcome = silent.end().await;
+            history.runs = history.runs.saturating_sub(silent.runs);
+            let outcome = (silent.runs, outcome);
+            let assessed = self.assess(job, history, &mut offer.error, outcome);
+            if let Assessment::Final(response) = assessed {
+                return Some(response);
             }
         }
         let is_detached = self.is_detached();
         if !is_detached && history.runs == 0 {
             return None;
         }
-        Some(self.give_up(job, history, error, &no_way()))
+        Some(self.give_up(job, history, offer.error, &no_way()))
+    }
+
+    /// Follows a request at the host that was asked last, and at a silent one before it.
+    async fn follow<Answer>(
+        &self,
+        job: &Job,
+        detours: &Detours,
+        history: &mut History,
+        offer: &mut Offer<Answer>,
+        mut newest: Handover<Answer>,
+    ) -> Step
+    where
+        Answer: Future<Output = Outcome>,
+    {
+        loop {
+            match newest.next_event(offer.silent.as_mut()).await {
+                Event::Earlier(outcome) => {
+                    let runs = offer.silent.take().map_or(0, |silent| silent.runs);
+                    history.runs = history.runs.saturating_sub(runs);
+                    let outcome = (runs, outcome);
+                    let assessed = self.assess(job, history, &mut offer.error, outcome);
+                    if let Assessment::Final(response) = assessed {
+                        self.leave(job, newest);
+                        return Step::Answered(response);
+                    }
+                }
+                Event::Taken => {
+                    if let Some(silent) = offer.silent.take() {
+                        self.leave(job, silent);
+                    }
+                }
+                Event::Ended(outcome) => {
+                    let outcome = (newest.runs, outcome);
+                    let assessed = self.assess(job, history, &mut offer.error, outcome);
+                    return match assessed {
+                        Assessment::Final(response) => Step::Answered(response),
+                        Assessment::NotRun => Step::Next,
+                        Assessment::Failed(failure) => self.next_step(job, history, failure),
+                    };
+                }
+                Event::Silent => {
+                    record_silence(job, detours, &newest.host);
+                    history.runs += newest.runs;
+                    if let Some(earlier) = offer.silent.replace(newest) {
+                        self.leave(job, earlier);
+                    }
+                    return self.next_step(job, history, Some(Failure::Silent));
+                }
+                Event::Unasked => {
+                    record_silence(job, detours, &newest.host);
+                    self.leave(job, newest);
+                    return Step::Next;
+                }
+            }
+        }
+    }
+
+    /// Determines whether another host is asked after a failure.
+    fn next_step(&self, job: &Job, history: &History, failure: Option<Failure>) -> Step {
+        if self.may_retry(job, history, failure) {
+            Step::Next
+        } else {
+            Step::Stop
+        }
+    }
+
+    /// Ends a request at a host that has not answered.
+    fn leave<Answer>(&self, job: &Job, handover: Handover<Answer>) {
+        self.metrics.forwarded("left");
+        log::info!(
+            request:% = job.id, host:% = handover.host;
+            "a host that was passed the request is left"
+        );
+        drop(handover);
+    }
+
+    /// Starts to hand a request over to a host. If another host has it, this one has to ask for
+    /// its body.
+    fn hand_over<'a>(
+        &'a self,
+        job: &'a Job,
+        detours: &'a Detours,
+        peer: Peer,
+        share: Share,
+        is_held: bool,
+    ) -> Handover<impl Future<Output = Outcome> + use<'a, Platform>> {
+        let (gate, hold) = if is_held {
+            let (gate, hold) = held::hold();
+            (gate, Some(hold))
+        } else {
+            (Gate::open(), None)
+        };
+        let host = peer.host.clone();
+        let answer = async move { self.forward(job, detours, &peer, share, hold).await };
+        Handover::new(host, share.allowance.runs, share.patience, gate, answer)
     }
 
     /// Has a request served by another host, and logs the outcome.
@@ -263,9 +395,10 @@
         job: &Job,
         detours: &Detours,
         peer: &Peer,
-        share: &Share,
-    ) -> Result<Response<Body>, Failure> {
-        let result = self.exchange(job, detours, peer, share).await;
+        share: Share,
+        hold: Option<Hold>,
+    ) -> Outcome {
+        let result = self.exchange(job, detours, peer, share, hold).await;
         let outcome = result
             .as_ref()
             .map_or_else(|failure| failure.as_str(), |_| "answered");
@@ -291,15 +424,21 @@
         job: &Job,
         detours: &Detours,
         peer: &Peer,
-        share: &Share,
-    ) -> Result<Response<Body>, Failure> {
+        share: Share,
+        hold: Option<Hold>,
+    ) -> Outcome {
         let mut connection = dial::connect(peer.address).await.map_err(|error| {
             log::debug!(request:% = job.id, host:% = peer.host, error:%; "cannot connect to the host");
             Failure::Unreachable
         })?;
         let request = self.forwarded_request(job, detours.host(), share);
-        connection.bound_unacknowledged(share.timeout < self.time_left(job));
-        let sent = time::timeout(share.timeout, connection.send(request)).await;
+        let request = match hold {
+            Some(hold) => hold.apply(request),
+            None => request.map(held::Body::from),
+        };
+        // A silent host is awaited even if another one is asked meanwhile.
+        connection.bound_unacknowledged(false);
+        let sent = time::timeout(self.time_left(job), connection.send(request)).await;
         let (head, body) = match sent.map_err(|_| Failure::Silent)? {
             Ok(response) => response.into_parts(),
             Err(mut error) => {
@@ -331,7 +470,7 @@
         Ok(self.pass_back(job, response))
     }
 
-    fn forwarded_request(&self, job: &Job, host: &id::Host, share: &Share) -> Request<Full<Bytes>> {
+    fn forwarded_request(&self, job: &Job, host: &id::Host, share: Share) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(job.body.clone()));
         *request.method_mut() = job.method.clone();
         *request.uri_mut() = job.uri.clone();
@@ -384,18 +523,43 @@
         if left == 1 || is_last || !self.has_retry(job) {
             return Share {
                 allowance: Allowance::all(left),
-                timeout: time_left,
+                patience: None,
             };
         }
-        let timeout = time_left / TIMEOUT_DIVISOR;
+        let patience = time_left / PATIENCE_DIVISOR;
         // A host that is left before its answer arrives must not have gone on with the stream.
-        let stream_within = timeout.saturating_sub(ANSWER_TRANSIT);
+        let stream_within = patience.saturating_sub(ANSWER_TRANSIT);
         Share {
             allowance: Allowance::single(left, stream_within),
-            timeout,
+            patience: Some(patience),
         }
     }
 
+    /// Determines what an outcome at a host with `runs` means, and counts them if they are used.
+    /// An answer that may be given to the caller in the end is kept as `error`.
+    fn assess(
+        &self,
+        job: &Job,
+        history: &mut History,
+        error: &mut Option<Response<Body>>,
+        (runs, outcome): (u32, Outcome),
+    ) -> Assessment {
+        let failure = match outcome {
+            Ok(response) => match self.judge(job, history, &response) {
+                Verdict::Final => return Assessment::Final(response),
+                Verdict::NotRun => return Assessment::NotRun,
+                Verdict::Failed => {
+                    *error = Some(response);
+                    None
+                }
+            },
+            Err(failure) if failure.is_not_run() => return Assessment::NotRun,
+            Err(failure) => Some(failure),
+        };
+        history.runs += runs;
+        Assessment::Failed(failure)
+    }
+
     /// Determines whether the caller gets another host's answer, or a third host is asked.
     fn judge(&self, job: &Job, history: &History, response: &Response<Body>) -> Verdict {
         let status = response.status();
@@ -424,3 +588,9 @@
     let message = "this host reaches no endpoint; send the request to another host";
     Refusal::not_run(Kind::NoEndpoint, message).after(NOT_READY_RETRY_DELAY)
 }
+
+/// Passes a host over that does not answer in time.
+fn record_silence(job: &Job, detours: &Detours, host: &id::Host) {
+    log::info!(request:% = job.id, host:%; "a host that was passed the request is silent");
+    detours.pass_over(host, Failure::Silent.as_str());
+}
