Tests: a host whose requests hang learns too late that it reaches no endpoint (known red)

A host whose connections to endpoints are accepted and hang, old and new ones, passes nothing on until it is detached.

--- a/crates/papayayard_coordination/tests/uplink_test.rs
+++ b/crates/papayayard_coordination/tests/uplink_test.rs
@@ -16,6 +16,8 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time after which a request is sent elsewhere without an answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time after which a request that may run once is given up without an answer: its deadline.
+const DEADLINE: Duration = Duration::from_secs(5);
 const ROUND_TRIP: Duration = Duration::from_millis(2);
 const ANSWER_TIME: Duration = Duration::from_millis(60);
 const LONG_ANSWER_TIME: Duration = Duration::from_secs(3);
@@ -60,6 +62,8 @@
     answer_time: Duration,
     /// Whether the fault concerns the way to other hosts, too.
     cuts_hosts: bool,
+    /// Whether requests that were sent are not repeated, so that each lasts to its deadline.
+    runs_once: bool,
 }
 
 enum Action {
@@ -95,6 +99,7 @@
             idle: HashMap::new(),
             answer_time: ANSWER_TIME,
             cuts_hosts: false,
+            runs_once: false,
         };
         let mut uplink = Uplink::new(seed);
         assert_eq!(
@@ -196,10 +201,13 @@
             now + ROUND_TRIP
         };
         let answered = Action::Report(index, Evidence::Answered { opened }, None);
+        let runs_once = self.world.runs_once;
         let silent = |tried| {
             let is_new = !is_reused;
-            Action::Report(index, Evidence::Silent { is_new }, Some(tried))
+            let retry = (!runs_once).then_some(tried);
+            Action::Report(index, Evidence::Silent { is_new }, retry)
         };
+        let answer_timeout = if runs_once { DEADLINE } else { ANSWER_TIMEOUT };
         let answer_time = self.world.answer_time;
         match (self.world.kind, is_cut, is_reused) {
             (_, false, false) => self.schedule(now + ROUND_TRIP + answer_time, answered),
@@ -207,7 +215,7 @@
                 self.schedule(now + answer_time, answered);
             }
             (Kind::Mute | Kind::SpareMute, true, _) => {
-                self.schedule(now + ANSWER_TIMEOUT, silent(tried));
+                self.schedule(now + answer_timeout, silent(tried));
             }
             (Kind::Close | Kind::SpareClose, true, false) => {
                 self.schedule(now + 2 * ROUND_TRIP, silent(tried));
@@ -366,6 +374,30 @@
     }
 }
 
+/// Guards against a host that learns nothing of a cut before its requests' deadlines, since each of
+/// them waits for an answer until then.
+#[rstest]
+fn a_cut_is_known_in_time_although_requests_wait_to_their_deadlines(
+    #[values(3, 18, 90)] endpoints: usize,
+    #[values(5, 20)] rate: u32,
+) {
+    for seed in 0..SEEDS {
+        let period = per_second(rate);
+        let mut replay = Replay::new(endpoints, Kind::Mute, period, seed, Box::new(cut));
+        replay.world.runs_once = true;
+        let replay = replay.run();
+        let first = replay.changes.first();
+        let Some((detached_at, Change::Detached { .. })) = first else {
+            panic!("seed {seed}: {:?}", replay.changes);
+        };
+        let detection = detached_at.saturating_sub(FAULT_START);
+        assert!(
+            detection < Duration::from_secs(3),
+            "seed {seed}: {detection:?}"
+        );
+    }
+}
+
 /// Guards against hosts on a congested network that take themselves for detached, although other
 /// hosts are out of reach too.
 #[rstest]
