Hosts: a silent host is left a fifth of a second after another one has taken its request

Both hosts could have a request for 0.3 s and the time of a reset, near the 0.4 s for which two endpoints may work on one that goes on elsewhere. Now it is the same 0.2 s for which a host keeps its own silent endpoint. The tests of silent_hosts, passed_on and detached pass with it.

--- a/crates/papayayard_gateway/src/relay/forward/handover.rs
+++ b/crates/papayayard_gateway/src/relay/forward/handover.rs
@@ -19,7 +19,7 @@
 use crate::held::Gate;
 
 /// Time within which a host that has asked for a request states that it does not take it.
-const STATEMENT_TIME: Duration = Duration::from_millis(300);
+const STATEMENT_TIME: Duration = Duration::from_millis(200);
 
 /// Outcome of a request at a host.
 pub(super) type Outcome = Result<Response<Body>, Failure>;
