Streams: a caller gets the head with the first event, and an error if there is none

What callers saw: a stream that failed before its first event came as a 200 that was cut, although nothing of it had been passed on. It may have failed for a reason of the host's own: it may no longer begin on its endpoint's weights.

Cause: the head went out with the endpoint's head, after which only a cut can tell of a failure.

Fix: the head waits for the first event. A host to which another one passed the request on sends it at once, as before, since that one allows a time until the head.

--- a/crates/papayayard_gateway/src/body.rs
+++ b/crates/papayayard_gateway/src/body.rs
@@ -15,12 +15,29 @@
 #[snafu(display("the response is incomplete; retry the request if it is repeatable"))]
 pub(crate) struct Truncated;
 
+/// The chunks of a body, which ends when their channel closes.
+#[derive(Debug)]
+pub(crate) struct Chunks {
+    /// Chunk that was taken from the channel before.
+    pub(crate) first: Option<Bytes>,
+    pub(crate) rest: mpsc::Receiver<Result<Bytes, Truncated>>,
+}
+
+impl Chunks {
+    fn poll(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Bytes, Truncated>>> {
+        match self.first.take() {
+            Some(first) => Poll::Ready(Some(Ok(first))),
+            None => self.rest.poll_recv(context),
+        }
+    }
+}
+
 #[derive(Debug)]
 pub(crate) enum Body {
     /// The complete body.
     Whole(Bytes),
-    /// Chunks in the order of arrival; the body ends when the channel closes.
-    Chunks(mpsc::Receiver<Result<Bytes, Truncated>>),
+    /// Chunks in the order of arrival.
+    Chunks(Chunks),
     /// The body of another host's answer, as it arrives.
     Forwarded(Box<Forwarded>),
 }
@@ -37,7 +54,7 @@
             Self::Whole(bytes) if bytes.is_empty() => Poll::Ready(None),
             Self::Whole(bytes) => Poll::Ready(Some(Ok(Frame::data(std::mem::take(bytes))))),
             Self::Chunks(chunks) => chunks
-                .poll_recv(context)
+                .poll(context)
                 .map(|chunk| chunk.map(|chunk| chunk.map(Frame::data))),
             Self::Forwarded(forwarded) => Pin::new(forwarded.as_mut()).poll_frame(context),
         }
--- a/crates/papayayard_gateway/src/front/activity_test.rs
+++ b/crates/papayayard_gateway/src/front/activity_test.rs
@@ -10,7 +10,7 @@
 use tokio::sync::mpsc;
 
 use super::{Activity, Body};
-use crate::body::{self, Truncated};
+use crate::body::{self, Chunks, Truncated};
 
 /// Bytes that the connection takes at once.
 const BUFFER_BYTES: usize = 64 << 10;
@@ -25,6 +25,10 @@
     sender.try_send(Ok(Bytes::from(EVENT))).expect("a place");
     sender.try_send(Err(Truncated)).expect("a place");
     let request = Activity::default().begin_request();
+    let chunks = Chunks {
+        first: None,
+        rest: chunks,
+    };
     let body = Body::new(body::Body::Chunks(chunks), request);
     let body = Mutex::new(Some(body));
     let service = service::service_fn(|_| async {
--- a/crates/papayayard_gateway/src/pump.rs
+++ b/crates/papayayard_gateway/src/pump.rs
@@ -553,7 +553,8 @@
     }
 
     async fn truncate(&self, stop: Stop) {
-        self.relay.record_truncated(&self.job, stop.as_str());
+        self.relay
+            .record_truncated(&self.job, stop.as_str(), self.has_begun);
         if self.chunks.send(Err(Truncated)).await.is_err() {
             log::debug!(request:% = self.job.id; "caller disconnected before the stream ended");
         }
--- a/crates/papayayard_gateway/src/relay.rs
+++ b/crates/papayayard_gateway/src/relay.rs
@@ -20,7 +20,7 @@
 
 use crate::attempt::{self, Delivery, Failure, Sender};
 use crate::beliefs::{Configuration, LastRead};
-use crate::body::Body;
+use crate::body::{Body, Chunks, Truncated};
 use crate::clock::Clock;
 use crate::detours::Detours;
 use crate::dispatch::{Dispatch, Permit, Selection};
@@ -391,6 +391,11 @@
         if history.runs == 0 {
             return self.refuse(Some(&job.id), refusal);
         }
+        self.fail(job)
+    }
+
+    /// Answers a request that may have run and has no other answer.
+    fn fail(&self, job: &Job) -> Response<Body> {
         let failed = if self.clock.now() < job.deadline {
             Refusal::unknown(Kind::EndpointFailed, "the endpoint failed")
         } else {
@@ -430,7 +435,7 @@
                 permit,
                 watch,
             };
-            return AttemptResult::Answer(self.stream(job, upstream, history));
+            return AttemptResult::Answer(self.stream(job, upstream, history).await);
         }
         let ends_with_connection = response.ends_with_connection(&job.method);
         match self.read_response(job, &placement, response).await {
@@ -461,7 +466,14 @@
         }
     }
 
-    fn stream(&self, job: &Job, upstream: pump::Upstream, history: &History) -> Response<Body> {
+    /// Answers with a stream. A caller gets the head together with the first event, since a stream
+    /// that fails before it can still be answered with an error.
+    async fn stream(
+        &self,
+        job: &Job,
+        upstream: pump::Upstream,
+        history: &History,
+    ) -> Response<Body> {
         let status = upstream.response.head.status;
         let mut headers = upstream.response.head.headers.clone();
         hop::strip(&mut headers);
@@ -474,8 +486,18 @@
             allowance: job.allowance.of_stream(waited),
             ..job.clone()
         };
-        let chunks = pump::start(self.clone(), job, upstream, history);
-        let mut response = Response::new(Body::Chunks(chunks));
+        let mut rest = pump::start(self.clone(), job.clone(), upstream, history);
+        let first = match self.source {
+            Source::Callers => rest.recv().await,
+            // The host that passed the request on allows a time until the head.
+            Source::Hosts => None,
+        };
+        let first = match first {
+            Some(Err(Truncated)) => return self.fail(&job),
+            Some(Ok(first)) => Some(first),
+            None => None,
+        };
+        let mut response = Response::new(Body::Chunks(Chunks { first, rest }));
         *response.status_mut() = status;
         *response.headers_mut() = headers;
         response
@@ -527,9 +549,12 @@
         self.sender.runs.failed(&placement.endpoint, failure);
     }
 
-    /// Records a stream that was cut before its end, and why no endpoint goes on with it.
-    pub(crate) fn record_truncated(&self, job: &Job, reason: &'static str) {
-        self.metrics.refused(Kind::EndpointFailed);
+    /// Records a stream that was cut before its end, and why no endpoint goes on with it. A caller
+    /// whose stream has not begun gets an error, which counts by itself.
+    pub(crate) fn record_truncated(&self, job: &Job, reason: &'static str, has_begun: bool) {
+        if has_begun || self.source == Source::Hosts {
+            self.metrics.refused(Kind::EndpointFailed);
+        }
         let left = job.deadline.saturating_sub(self.clock.now());
         log::info!(request:% = job.id, reason, left_ms = millis(left); "stream ends broken");
     }
