Requests: an endpoint that was silent is not given up for good

What callers saw: a stream was cut, or a request failed, since the endpoint that it was moved to failed it, at once or later, while the silent one would have gone on a moment later. The same after 0.9 s without an acknowledgement, though no other endpoint took the request.

Cause: the silent endpoint counted as failed for the rest of the request, and was left on the first answer of another one, whatever that was.

Fix: the silent upstream is kept not only if the other endpoint refuses, but if it fails the request in any way within the 0.2 s for which both have it. After that an endpoint that was silent may be tried again, as often as the route and the budget allow, where no other one is left. A connection that ends since nothing is acknowledged counts as silence, not as broken off.

--- a/crates/papayayard_gateway/src/attempt.rs
+++ b/crates/papayayard_gateway/src/attempt.rs
@@ -22,6 +22,7 @@
 //! again, from its caller or under another name of the endpoint, and a copy of its refusal would
 //! look like its response. Such a connection is therefore not reused.
 
+use std::error::Error;
 use std::io;
 use std::time::Duration;
 
@@ -96,7 +97,7 @@
     Unconfirmed,
     /// The response is too long, or its memory was needed for others.
     Oversized,
-    /// No response was received before the timeout.
+    /// The endpoint acknowledged nothing, or sent no response, in time.
     Silent,
     /// The endpoint's weights may no longer be used; nothing was sent.
     Outdated,
@@ -302,7 +303,7 @@
                     None => {
                         self.uplink.record_silent(&placement.endpoint, past);
                         self.pool.forget(placement.address);
-                        return Err(Failure::Broken);
+                        return Err(failure_of(error.error()));
                     }
                 },
                 Ok(response) => {
@@ -494,6 +495,17 @@
     }
 }
 
+/// What a connection that ended before the response says of its endpoint. One that acknowledges
+/// nothing is silent.
+fn failure_of(error: &hyper::Error) -> Failure {
+    let source = error.source().and_then(|source| source.downcast_ref());
+    if source.is_some_and(|source: &io::Error| source.kind() == io::ErrorKind::TimedOut) {
+        Failure::Silent
+    } else {
+        Failure::Broken
+    }
+}
+
 /// Applies the leave notice that an endpoint gives in any of its responses.
 fn apply_leave_notice(
     job: &Job,
--- a/crates/papayayard_gateway/src/pump.rs
+++ b/crates/papayayard_gateway/src/pump.rs
@@ -13,7 +13,7 @@
 //! Silence is measured between complete events, so that a slow stream continues while one
 //! that sends bytes without completing an event is replaced. A sound endpoint may be silent for
 //! a moment, so a silent upstream is left only for an endpoint that has just answered and does
-//! not refuse the request; until then its events are still awaited. The task ends when the
+//! not fail the request at once; until then its events are still awaited. The task ends when the
 //! caller disconnects, which closes its channel.
 
 use std::time::Duration;
@@ -45,7 +45,7 @@
 /// The same limit if the route defines no pause.
 const DEFAULT_MAX_SILENCE: Duration = Duration::from_millis(1100);
 /// Time for which a silent endpoint is kept after the request was sent to another one, which
-/// refuses within a round trip. Both must not go on with the stream.
+/// refuses within a round trip. Both must not go on with the stream for longer.
 const MAX_OVERLAP: Duration = Duration::from_millis(200);
 /// Chunks buffered for a slow caller.
 const CHANNEL_CAPACITY: usize = 4;
@@ -115,7 +115,7 @@
 enum Attempt {
     /// The stream goes on there.
     Resumed(Upstream),
-    /// The endpoint did not take the request, and the silent upstream is still there.
+    /// The endpoint failed at once, and the silent upstream is still there.
     Kept(Upstream),
     /// The attempt failed; another endpoint may be ready.
     Failed(Option<Replacement>),
@@ -205,8 +205,8 @@
         self.resume(None).await
     }
 
-    /// Goes on at an endpoint that is ready, unless it does not take the request: then the silent
-    /// upstream is kept.
+    /// Goes on at an endpoint that is ready, unless it fails at once: then the silent upstream is
+    /// kept.
     async fn hand_over(
         &mut self,
         silent: Upstream,
@@ -243,7 +243,8 @@
         if is_origin_unsettled {
             self.settle_origin(&placement).await;
         }
-        self.history.endpoints.push(placement.endpoint);
+        self.history
+            .record_failed(placement.endpoint, Some(failure));
     }
 
     /// Forwards the events of one upstream until it ends.
@@ -457,55 +458,61 @@
         let given_up = relay.until_given_up(&job, &placement, &history, &mut next);
         let sending = Box::pin(relay.sender.send(&job, delivery, given_up));
         let sent = self.send(sending, &mut silent).await?;
-        match (sent, silent) {
-            (Ok(response), _) if continues(&self.head, &response.head) => {
-                self.history.runs += 1;
-                self.splitter = Splitter::after(position);
-                self.share = self.relay.memory.share(false);
-                log::info!(
-                    request:% = job.id, endpoint:% = placement.endpoint,
-                    position = position.unwrap_or(0);
-                    "stream goes on elsewhere"
-                );
-                Ok(Attempt::Resumed(Upstream {
-                    placement: *placement,
-                    response,
-                    permit,
-                    watch,
-                }))
-            }
-            (Ok(response), _) => {
+        let response = match sent {
+            Ok(response) if continues(&self.head, &response.head) => response,
+            Ok(response) => {
                 log::info!(
                     request:% = job.id, endpoint:% = placement.endpoint,
-                    status = response.head.status.as_u16();
+                    status = response.head.status.as_u16(), kept = silent.is_some();
                     "response does not continue the stream"
                 );
                 watch.finished();
                 self.history.runs += 1;
-                self.history.endpoints.push(placement.endpoint);
-                Ok(Attempt::Failed(None))
+                self.history.record_failed(placement.endpoint, None);
+                return Ok(silent.map_or(Attempt::Failed(None), Attempt::Kept));
             }
-            (Err(failure), silent) => {
+            Err(failure) => {
                 log::info!(
                     request:% = job.id, endpoint:% = placement.endpoint,
                     reason = failure.as_str(), kept = silent.is_some();
                     "attempt to go on failed"
                 );
-                self.history.runs += u32::from(!failure.is_not_run());
                 relay.record_failure(&placement, failure);
                 permit.end(failure.outcome());
-                watch.failed(failure).await;
-                if let Some(silent) = silent {
-                    return Ok(Attempt::Kept(silent));
+                if !failure.is_not_run() {
+                    self.history.runs += 1;
                 }
-                self.history.endpoints.push(placement.endpoint);
-                Ok(Attempt::Failed(next))
+                if silent.is_none() || !failure.is_not_run() {
+                    self.history
+                        .record_failed(placement.endpoint, Some(failure));
+                }
+                let Some(silent) = silent else {
+                    watch.failed(failure).await;
+                    return Ok(Attempt::Failed(next));
+                };
+                // The silent upstream may go on while the other endpoint is probed.
+                tokio::spawn(watch.failed(failure));
+                return Ok(Attempt::Kept(silent));
             }
-        }
+        };
+        self.history.runs += 1;
+        self.splitter = Splitter::after(position);
+        self.share = relay.memory.share(false);
+        log::info!(
+            request:% = job.id, endpoint:% = placement.endpoint,
+            position = position.unwrap_or(0);
+            "stream goes on elsewhere"
+        );
+        Ok(Attempt::Resumed(Upstream {
+            placement: *placement,
+            response,
+            permit,
+            watch,
+        }))
     }
 
     /// Waits for the head of another endpoint's response. The silent upstream is left unless that
-    /// endpoint states within [`MAX_OVERLAP`] that it does not run the request.
+    /// endpoint fails the request within [`MAX_OVERLAP`].
     async fn send<Sending>(
         &mut self,
         mut sending: Sending,
@@ -522,8 +529,8 @@
                 () = time::sleep(MAX_OVERLAP) => None,
             };
         }
-        let is_not_run = matches!(&sent, Some(Err(failure)) if failure.is_not_run());
-        if let Some(silent) = silent.take_if(|_| !is_not_run) {
+        let has_failed = sent.as_ref().is_some_and(|sent| !self.is_continued(sent));
+        if let Some(silent) = silent.take_if(|_| !has_failed) {
             self.leave(silent, Failure::Silent).await;
         }
         if let Some(sent) = sent {
@@ -535,20 +542,31 @@
         }
     }
 
-    async fn find_replacement(&self) -> Result<Replacement, Stop> {
+    /// Whether the stream goes on with the response of another endpoint.
+    fn is_continued(&self, sent: &Result<Response, Failure>) -> bool {
+        let response = sent.as_ref();
+        response.is_ok_and(|response| continues(&self.head, &response.head))
+    }
+
+    async fn find_replacement(&mut self) -> Result<Replacement, Stop> {
         if !self.relay.take_retry(&self.job) {
             return Err(Stop::NoRetryLeft);
         }
-        match self.relay.find(&self.job, &self.history).await {
-            Selection::Placed(placement, permit) => {
-                self.check_quarantine()?;
-                Ok(Replacement {
-                    placement,
-                    permit,
-                    way: None,
-                })
+        loop {
+            match self.relay.find(&self.job, &self.history).await {
+                Selection::Placed(placement, permit) => {
+                    self.check_quarantine()?;
+                    return Ok(Replacement {
+                        placement,
+                        permit,
+                        way: None,
+                    });
+                }
+                Selection::Refused { .. } if self.history.revisit_silent() => {
+                    log::info!(request:% = self.job.id; "no other endpoint; trying one that was silent");
+                }
+                Selection::Refused { .. } => return Err(Stop::NoPlace),
             }
-            Selection::Refused { .. } => Err(Stop::NoPlace),
         }
     }
 
--- a/crates/papayayard_gateway/src/relay.rs
+++ b/crates/papayayard_gateway/src/relay.rs
@@ -85,6 +85,8 @@
 pub(crate) struct History {
     /// Endpoints that failed the request.
     pub(crate) endpoints: Vec<id::Endpoint>,
+    /// Those of them that were silent, which sound ones may be for a moment.
+    pub(crate) silent: Vec<id::Endpoint>,
     /// Number of attempts that may have run.
     pub(crate) runs: u32,
     /// Number of attempts whose endpoints could not be reached.
@@ -95,6 +97,24 @@
     pub(crate) was_offered: bool,
 }
 
+impl History {
+    /// Records that an endpoint failed the request.
+    pub(crate) fn record_failed(&mut self, endpoint: id::Endpoint, failure: Option<Failure>) {
+        if failure == Some(Failure::Silent) {
+            self.silent.push(endpoint.clone());
+        }
+        self.endpoints.push(endpoint);
+    }
+
+    /// Allows a further attempt at endpoints that were silent, since there is no other one.
+    /// Returns whether there are any.
+    pub(crate) fn revisit_silent(&mut self) -> bool {
+        let silent = std::mem::take(&mut self.silent);
+        self.endpoints.retain(|endpoint| !silent.contains(endpoint));
+        !silent.is_empty()
+    }
+}
+
 /// Why a request has no place.
 struct NoPlace {
     refusal: Refusal,
@@ -208,6 +228,10 @@
                     refusal,
                     is_unreachable,
                 }) => {
+                    if history.revisit_silent() {
+                        log::info!(request:% = job.id; "no other endpoint; trying one that was silent");
+                        continue;
+                    }
                     history.has_no_way = is_unreachable;
                     if let Some(response) = self.divert(&job, &mut history).await {
                         return response;
@@ -248,7 +272,7 @@
                 request:% = job.id, endpoint:% = endpoint, reason = reason(failure);
                 "attempt failed"
             );
-            history.endpoints.push(endpoint);
+            history.record_failed(endpoint, failure);
             self.record_reach(&job, &history, failure);
             if replacement.is_some() {
                 self.metrics.retried(reason(failure));
