Streams: one that goes on while it is handed over stays where it is

What callers saw: a stream was cut, or late, since its silent endpoint went on in the moment in which another one had just been sent the request, and that one was silent then; and a request failed since its slow endpoint was given up although nothing may be sent elsewhere while its key cannot be confirmed.

Fix: the silent endpoint's events are awaited until it is left, and if one comes the other endpoint's request is given up. Whether a request may be moved asks for the key as well as for the quarantine and the budget.

--- a/crates/papayayard_gateway/src/pump.rs
+++ b/crates/papayayard_gateway/src/pump.rs
@@ -21,6 +21,7 @@
 use bytes::Bytes;
 use http::header;
 use http::response::Parts;
+use http_body::Frame;
 use http_body_util::BodyExt;
 use papayayard_routing::blame::Progress;
 use papayayard_routing::placement::{Outcome, Placement};
@@ -57,6 +58,8 @@
     pub(crate) permit: Permit,
     /// Tracks the request for crash detection.
     pub(crate) watch: ends::Watch,
+    /// How it has ended, if that was seen before its turn.
+    pub(crate) end: Option<End>,
 }
 
 /// Starts a task that forwards the stream, and returns the receiver of its chunks.
@@ -102,7 +105,7 @@
 }
 
 /// Why forwarding from one upstream ended.
-enum End {
+pub(crate) enum End {
     Complete,
     CallerLeft,
     DeadlinePassed,
@@ -111,11 +114,29 @@
     Silent(Box<Replacement>),
 }
 
+/// What an upstream has sent; `None` at its end.
+type Received = Option<Result<Frame<Bytes>, hyper::Error>>;
+
+/// What was taken from an upstream.
+enum Taken {
+    Events,
+    /// No complete event.
+    Nothing,
+}
+
+/// What was seen after a stream was sent to another endpoint.
+enum Sent {
+    /// The head of that endpoint's response, or why there is none.
+    Head(Box<Result<Response, Failure>>),
+    /// The silent upstream goes on.
+    Awake,
+}
+
 /// What became of an attempt to go on at another endpoint.
 enum Attempt {
     /// The stream goes on there.
     Resumed(Upstream),
-    /// The endpoint failed at once, and the silent upstream is still there.
+    /// The silent upstream is still there: it goes on, or the endpoint failed at once.
     Kept(Upstream),
     /// The attempt failed; another endpoint may be ready.
     Failed(Option<Replacement>),
@@ -191,6 +212,7 @@
             response,
             permit,
             watch,
+            end: _,
         } = upstream;
         self.relay
             .sender
@@ -225,6 +247,7 @@
             response,
             permit,
             watch,
+            end: _,
         } = upstream;
         drop(response);
         self.is_event_due |= failure == Failure::Foreign || !self.splitter.is_at_boundary();
@@ -249,6 +272,9 @@
 
     /// Forwards the events of one upstream until it ends.
     async fn forward(&mut self, upstream: &mut Upstream) -> End {
+        if let Some(end) = upstream.end.take() {
+            return end;
+        }
         let max_silence = self.max_silence();
         let mut last_event_at = self.relay.clock.now();
         let mut searches = JoinSet::new();
@@ -282,37 +308,51 @@
                     continue;
                 }
             };
-            let data = match frame {
-                None if self.is_complete() => return End::Complete,
-                None | Some(Err(_)) => return End::Failed(Failure::Broken),
-                Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
-            };
-            let position = self.splitter.position();
-            let Events { bytes, fault } = self.splitter.push(&data);
-            self.is_event_due &= self.splitter.position() == position;
-            let is_exhausted = self.share.hold(self.splitter.pending()).is_err();
-            if !bytes.is_empty() {
-                if !searches.is_empty() {
-                    searches = JoinSet::new();
-                }
-                last_event_at = self.relay.clock.now();
-                if let Err(end) = self.pass(upstream, bytes).await {
-                    return end;
+            match self.take(upstream, frame).await {
+                Ok(Taken::Events) => {
+                    if !searches.is_empty() {
+                        searches = JoinSet::new();
+                    }
+                    last_event_at = self.relay.clock.now();
                 }
-            }
-            if is_exhausted {
-                return End::Failed(Failure::Oversized);
-            }
-            if let Some(fault) = fault {
-                log::warn!(
-                    request:% = self.job.id, endpoint:% = upstream.placement.endpoint;
-                    "endpoint sends no stream: {fault}"
-                );
-                return End::Failed(Failure::Foreign);
+                Ok(Taken::Nothing) => {}
+                Err(end) => return end,
             }
         }
     }
 
+    /// Takes what an upstream has sent, and forwards the events that are complete with it.
+    async fn take(&mut self, upstream: &mut Upstream, frame: Received) -> Result<Taken, End> {
+        let data = match frame {
+            None if self.is_complete() => return Err(End::Complete),
+            None | Some(Err(_)) => return Err(End::Failed(Failure::Broken)),
+            Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+        };
+        let position = self.splitter.position();
+        let Events { bytes, fault } = self.splitter.push(&data);
+        self.is_event_due &= self.splitter.position() == position;
+        let is_exhausted = self.share.hold(self.splitter.pending()).is_err();
+        let has_events = !bytes.is_empty();
+        if has_events {
+            self.pass(upstream, bytes).await?;
+        }
+        if is_exhausted {
+            return Err(End::Failed(Failure::Oversized));
+        }
+        if let Some(fault) = fault {
+            log::warn!(
+                request:% = self.job.id, endpoint:% = upstream.placement.endpoint;
+                "endpoint sends no stream: {fault}"
+            );
+            return Err(End::Failed(Failure::Foreign));
+        }
+        Ok(if has_events {
+            Taken::Events
+        } else {
+            Taken::Nothing
+        })
+    }
+
     /// Whether the stream is complete if its upstream ends now.
     fn is_complete(&self) -> bool {
         self.splitter.is_at_boundary() && !self.is_event_due
@@ -457,7 +497,17 @@
         let mut next = None;
         let given_up = relay.until_given_up(&job, &placement, &history, &mut next);
         let sending = Box::pin(relay.sender.send(&job, delivery, given_up));
-        let sent = self.send(sending, &mut silent).await?;
+        let sent = match self.send(sending, &mut silent).await? {
+            Sent::Head(sent) => *sent,
+            Sent::Awake => {
+                log::info!(
+                    request:% = job.id, endpoint:% = placement.endpoint;
+                    "stream stays where it was silent"
+                );
+                self.history.runs += 1;
+                return Ok(silent.map_or(Attempt::Failed(None), Attempt::Kept));
+            }
+        };
         let response = match sent {
             Ok(response) if continues(&self.head, &response.head) => response,
             Ok(response) => {
@@ -508,37 +558,56 @@
             response,
             permit,
             watch,
+            end: None,
         }))
     }
 
-    /// Waits for the head of another endpoint's response. The silent upstream is left unless that
-    /// endpoint fails the request within [`MAX_OVERLAP`].
+    /// Waits for the head of another endpoint's response. The silent upstream is left unless it
+    /// goes on, or that endpoint fails the request, within [`MAX_OVERLAP`].
     async fn send<Sending>(
         &mut self,
         mut sending: Sending,
         silent: &mut Option<Upstream>,
-    ) -> Result<Result<Response, Failure>, Stop>
+    ) -> Result<Sent, Stop>
     where
         Sending: Future<Output = Result<Response, Failure>> + Unpin,
     {
-        let mut sent = None;
-        if silent.is_some() {
-            sent = tokio::select! {
+        let overlap = time::sleep(MAX_OVERLAP);
+        tokio::pin!(overlap);
+        while let Some(upstream) = silent {
+            let frame = tokio::select! {
                 () = self.chunks.closed() => return Err(Stop::CallerLeft),
-                sent = &mut sending => Some(sent),
-                () = time::sleep(MAX_OVERLAP) => None,
+                sent = &mut sending => {
+                    if self.is_continued(&sent) {
+                        self.leave_silent(silent, Failure::Silent).await;
+                    }
+                    return Ok(Sent::Head(Box::new(sent)));
+                }
+                frame = upstream.response.body.frame() => frame,
+                () = &mut overlap => {
+                    self.leave_silent(silent, Failure::Silent).await;
+                    break;
+                }
             };
-        }
-        let has_failed = sent.as_ref().is_some_and(|sent| !self.is_continued(sent));
-        if let Some(silent) = silent.take_if(|_| !has_failed) {
-            self.leave(silent, Failure::Silent).await;
-        }
-        if let Some(sent) = sent {
-            return Ok(sent);
+            match self.take(upstream, frame).await {
+                Ok(Taken::Nothing) => {}
+                Ok(Taken::Events) => return Ok(Sent::Awake),
+                Err(End::Failed(failure)) => self.leave_silent(silent, failure).await,
+                Err(end) => {
+                    upstream.end = Some(end);
+                    return Ok(Sent::Awake);
+                }
+            }
         }
         tokio::select! {
             () = self.chunks.closed() => Err(Stop::CallerLeft),
-            sent = sending => Ok(sent),
+            sent = sending => Ok(Sent::Head(Box::new(sent))),
+        }
+    }
+
+    async fn leave_silent(&mut self, silent: &mut Option<Upstream>, failure: Failure) {
+        if let Some(upstream) = silent.take() {
+            self.leave(upstream, failure).await;
         }
     }
 
--- a/crates/papayayard_gateway/src/relay.rs
+++ b/crates/papayayard_gateway/src/relay.rs
@@ -458,6 +458,7 @@
                 response,
                 permit,
                 watch,
+                end: None,
             };
             return AttemptResult::Answer(self.stream(job, upstream, history).await);
         }
--- a/crates/papayayard_gateway/src/relay/replace.rs
+++ b/crates/papayayard_gateway/src/relay/replace.rs
@@ -74,7 +74,8 @@
 
     /// Whether a request may be sent to another endpoint; takes the retry from the budget.
     pub(crate) fn may_replace(&self, job: &Job) -> bool {
-        self.check_quarantine(job).is_ok() && self.take_retry(job)
+        let is_key_known = job.account.is_none() || self.check_last_read().is_ok();
+        is_key_known && self.check_quarantine(job).is_ok() && self.take_retry(job)
     }
 
     /// Waits until an endpoint that does not answer is given up: once another one is ready, which
