Answers: a status outside 200 to 599 is a failure after which the request may have run

Callers got answers of an endpoint with the status 600 or 999 as answers: 600 and 999 with body and signature, on all kinds of routes, in both routers, and from another host to which the request was passed on. Where such an answer stated that the request had not run, it spoke for it: a request that runs at most once was sent again and served, and idempotent ones were refused as not run (503) after that. 101 did the same, and the first router passed 101 on. 000, 00 and 099 never arrived: hyper does not parse them.

Cause: hyper takes every code of three digits from 100 on, interim answers that it skips aside, and only `check` looked at the status, for interim ones, and after the statement had been believed. Of the store, 600 counted as a refusal without effect.

`papayayard_wire::status::is_final` is the rule; it is asked where answers enter: `attempt::check` before anything in the head is believed, `forward::exchange`, `call::exchange` (store, reports, orders), the first router's client of endpoints and its client of the platform. JSON-RPC between hosts takes successes only already (by reading jsonrpsee's client).

--- a/crates/papayayard/src/relay/client.rs
+++ b/crates/papayayard/src/relay/client.rs
@@ -4,7 +4,8 @@
 //! the end, so an abandoned exchange closes its connection. One that gave
 //! another request's answer still owes its own, and is not used again. Nor is
 //! one that gave a refusal: the endpoint may send a copy of it, which could not
-//! be told from the answer to the same request.
+//! be told from the answer to the same request. An answer with a status that no answer has is a
+//! broken one, after which the request may have run.
 //!
 //! Each answer is marked as the first on its connection or as a later one.
 
@@ -19,7 +20,7 @@
 use hyper_util::client::legacy::connect::{CaptureConnection, HttpConnector, capture_connection};
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use papayayard_routing::retry;
-use papayayard_wire::{header, id};
+use papayayard_wire::{header, id, status};
 use tokio::time;
 
 use crate::relay::connector::{self, Connector};
@@ -128,6 +129,7 @@
                 let is_first = history.is_some_and(|history| history.record());
                 response.extensions_mut().insert(First(is_first));
                 response.extensions_mut().insert(connection);
+                check_status(&response)?;
                 Ok(response)
             }
             Ok(Err(error)) if error.is_connect() => Err(Failure::Unreachable),
@@ -147,6 +149,17 @@
     first.is_some_and(|first| first.0)
 }
 
+/// Takes the connection out of use and returns an error if no answer has the status.
+fn check_status(response: &Response<Incoming>) -> Result<(), Failure> {
+    let status = response.status().as_u16();
+    if status::is_final(status) {
+        return Ok(());
+    }
+    log::warn!(status; "response has a status that no answer has");
+    retire(response);
+    Err(Failure::Broken)
+}
+
 /// Takes the connection of another request's answer out of use.
 pub(crate) fn reject(response: &Response<Incoming>) -> Failure {
     retire(response);
--- a/crates/papayayard/tests/stale.rs
+++ b/crates/papayayard/tests/stale.rs
@@ -1,5 +1,5 @@
-//! A service that sends another request's answer on a connection that is kept, or stops in the
-//! head of an answer.
+//! A service that sends another request's answer on a connection that is kept, stops in the head
+//! of an answer, or answers with a status that no answer has.
 
 mod support;
 
@@ -206,3 +206,45 @@
         assert!(!answer.status.is_success(), "{}", answer.text());
     }
 }
+
+/// Answers each request with a status and a header field, and keeps the connection. Tells how many
+/// requests there were.
+async fn answer_with(listener: TcpListener, head: String, requests: Arc<AtomicUsize>) {
+    while let Ok((mut stream, _)) = listener.accept().await {
+        let (head, requests) = (head.clone(), Arc::clone(&requests));
+        tokio::spawn(async move {
+            while let Ok(Some(id)) = read_id(&mut stream).await {
+                requests.fetch_add(1, Ordering::SeqCst);
+                let text = format!("{head}x-request-id: {id}\r\ncontent-length: 3\r\n\r\nodd");
+                if stream.write_all(text.as_bytes()).await.is_err() {
+                    break;
+                }
+            }
+        });
+    }
+}
+
+/// Guards against an answer to no request that callers get as an answer, or that speaks for a
+/// booking.
+#[rstest]
+#[tokio::test]
+async fn a_status_of_no_answer_reaches_no_caller(
+    #[values("000", "00", "099", "101", "600", "999")] status: &str,
+    #[values("", "x-ran: no\r\n")] field: &str,
+) {
+    let (_bed, host, listener) = start(&["app-0", "app-1"]).await;
+    let requests = Arc::new(AtomicUsize::new(0));
+    let head = format!("HTTP/1.1 {status} Odd\r\n{field}");
+    tokio::spawn(answer_with(listener, head, Arc::clone(&requests)));
+    let booking = support::service(&host, Method::POST, "/bookings", None, "").await;
+    let booking = booking.expect("the exchange is whole");
+    let text = booking.text();
+    assert_eq!(booking.status, StatusCode::BAD_GATEWAY, "{text}");
+    assert!(text.contains(r#""ran":"unknown""#), "{text}");
+    assert_eq!(requests.load(Ordering::SeqCst), 1, "it may have run");
+    let look_up = support::service(&host, Method::GET, "/schedule", None, "").await;
+    let look_up = look_up.expect("the exchange is whole");
+    let text = look_up.text();
+    assert_eq!(look_up.status, StatusCode::SERVICE_UNAVAILABLE, "{text}");
+    assert!(text.contains(r#""ran":"unknown""#), "{text}");
+}
--- a/crates/papayayard_gateway/src/attempt.rs
+++ b/crates/papayayard_gateway/src/attempt.rs
@@ -7,7 +7,8 @@
 //! All responses of endpoints pass here on their way to callers. To a caller some statuses
 //! promise that the request did not run; of an endpoint they say so only with its statement.
 //! A response with such a status and no statement is a failure after which the request may
-//! have run, and is never forwarded.
+//! have run, and is never forwarded. The same holds for a status that no answer has, whatever the
+//! response states.
 //!
 //! A stream goes on only at the version of the software that began it, and what a host knows of
 //! an endpoint may be out of date. A connection belongs to one run of its endpoint; so the
@@ -31,7 +32,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use papayayard_routing::placement::{Outcome, Placement};
-use papayayard_wire::refusal;
+use papayayard_wire::{refusal, status};
 use tokio::time;
 
 use crate::backoff::Backoffs;
@@ -91,7 +92,7 @@
     Restarted,
     /// The connection closed before the response was complete.
     Broken,
-    /// The response belongs to another request, or is not from an endpoint.
+    /// The response belongs to another request, is not from an endpoint, or answers none.
     Foreign,
     /// The status means that the request did not run, but the endpoint does not state it.
     Unconfirmed,
@@ -329,6 +330,7 @@
         (placement, permit): (&Placement, &Permit),
         response: Response,
     ) -> Result<Response, Failure> {
+        check_status(job, placement, response.head.status)?;
         let reported = self
             .codec
             .decode_response_head(response.head.status, &response.head.headers);
@@ -356,9 +358,7 @@
             return Err(failure);
         }
         let is_unencoded = !response.head.headers.contains_key(header::CONTENT_ENCODING);
-        // A request never asks for another protocol.
-        let is_final = !response.head.status.is_informational();
-        if matches_request && reported.is_signed && is_unencoded && is_final {
+        if matches_request && reported.is_signed && is_unencoded {
             if refusal::promises_not_run(response.head.status.as_u16()) {
                 log::warn!(
                     request:% = job.id, endpoint:% = placement.endpoint,
@@ -431,6 +431,18 @@
     }
 }
 
+/// Returns an error if no answer has the status.
+fn check_status(job: &Job, placement: &Placement, status: StatusCode) -> Result<(), Failure> {
+    if status::is_final(status.as_u16()) {
+        return Ok(());
+    }
+    log::warn!(
+        request:% = job.id, endpoint:% = placement.endpoint, status = status.as_u16();
+        "response has a status that no answer has"
+    );
+    Err(Failure::Foreign)
+}
+
 /// Applies the leave notice that an endpoint gives in any of its responses.
 fn apply_leave_notice(
     job: &Job,
--- a/crates/papayayard_gateway/src/call.rs
+++ b/crates/papayayard_gateway/src/call.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
+use papayayard_wire::status;
 use snafu::{ResultExt, Snafu};
 use tokio::time;
 
@@ -42,7 +43,7 @@
         /// Error of the operating system.
         source: io::Error,
     },
-    /// The connection failed before the answer was complete, or the answer was too long.
+    /// The connection failed before the answer was complete, or the answer was too long or none.
     #[snafu(display("{address} gave no answer: {problem}; try again later"))]
     Disconnected {
         address: SocketAddr,
@@ -182,6 +183,9 @@
     let sent = connection.send(request).await;
     let response = sent.map_err(|error| error.into_error().to_string())?;
     let (head, body) = response.into_parts();
+    if !status::is_final(head.status.as_u16()) {
+        return Err(format!("no answer has the status {}", head.status.as_u16()));
+    }
     let body = Limited::new(body, max_bytes)
         .collect()
         .await
--- a/crates/papayayard_gateway/src/call_test.rs
+++ b/crates/papayayard_gateway/src/call_test.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use rstest::rstest;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -123,3 +124,34 @@
     assert_eq!(pasts[0].1.opened, pasts[2].1.opened);
     assert!(pasts[2].1.opened < pasts[3].1.opened);
 }
+
+/// Guards against a call that may have taken effect and counts as refused, since its answer has a
+/// status that no answer has.
+#[rstest]
+#[tokio::test]
+async fn an_answer_whose_status_is_none_is_no_answer(
+    #[values("000", "00", "099", "600", "999")] status: &str,
+) {
+    let (listener, address) = listen().await;
+    let request = || http::Request::new(Bytes::new());
+    let serve = async {
+        for _ in 0..2 {
+            let mut stream = accept(&listener).await;
+            let read = stream.read(&mut [0; 1024]).await.expect("a request");
+            assert_ne!(read, 0);
+            let answer = format!("HTTP/1.1 {status} Odd\r\ncontent-length: 0\r\n\r\n");
+            let written = stream.write_all(answer.as_bytes()).await;
+            written.expect("a connection");
+        }
+    };
+    let call = async {
+        let kept = once(address, request(), BOUNDS).await;
+        let reset = once_or_reset(address, request(), || Some(BOUNDS)).await;
+        [kept, reset]
+    };
+    let ((), outcomes) = tokio::join!(serve, call);
+    for outcome in outcomes {
+        let is_lost = matches!(outcome, Err(Error::Disconnected { .. }));
+        assert!(is_lost, "{outcome:?}");
+    }
+}
--- a/crates/papayayard_gateway/src/relay/forward.rs
+++ b/crates/papayayard_gateway/src/relay/forward.rs
@@ -15,8 +15,8 @@
 use http_body_util::Full;
 use papayayard_coordination::detour::{MAX_TRIES, Peer};
 use papayayard_routing::placement::Placement;
-use papayayard_wire::id;
 use papayayard_wire::refusal::{Kind, Ran};
+use papayayard_wire::{id, status};
 use tokio::time;
 
 use super::{History, NOT_READY_RETRY_DELAY, Relay};
@@ -318,7 +318,12 @@
         };
         let headers = &response.head.headers;
         let is_of_host = headers.contains_key(hop::ANSWERED_BY);
-        if !is_of_host || response.ends_with_connection(&job.method) {
+        let is_final = status::is_final(response.head.status.as_u16());
+        if !is_of_host || !is_final || response.ends_with_connection(&job.method) {
+            log::warn!(
+                request:% = job.id, host:% = peer.host, status = response.head.status.as_u16();
+                "answer is not from a host, has a status that no answer has, or no length"
+            );
             return Err(Failure::Foreign);
         }
         if let Some(scope) = headers.get(hop::NOT_TAKEN) {
--- a/crates/papayayard_platform/src/http.rs
+++ b/crates/papayayard_platform/src/http.rs
@@ -9,7 +9,7 @@
 use hyper_util::client::legacy;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
-use papayayard_wire::{directory, header, id, log};
+use papayayard_wire::{directory, header, id, log, status};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
@@ -89,6 +89,12 @@
             }
         })?;
         let status = response.status();
+        if !status::is_final(status.as_u16()) {
+            return Err(lost(&format!(
+                "no answer has the status {}",
+                status.as_u16()
+            )));
+        }
         let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES)
             .collect()
             .await
--- a/crates/papayayard_platform/tests/http.rs
+++ b/crates/papayayard_platform/tests/http.rs
@@ -119,3 +119,23 @@
     accepting.await.unwrap();
     drop(silent);
 }
+
+/// Guards against an append that may have taken effect and counts as refused, since its answer has
+/// a status that no answer has.
+#[tokio::test]
+async fn an_answer_whose_status_is_none_is_no_answer() {
+    for status in ["000", "00", "099", "600", "999"] {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+        let client = Client::new(listener.local_addr().unwrap(), TIMEOUT);
+        let serve = async {
+            let (socket, _) = listener.accept().await.unwrap();
+            let mut socket = BufReader::new(socket);
+            receive(&mut socket).await;
+            let text = format!("HTTP/1.1 {status} Odd\r\ncontent-length: 0\r\n\r\n");
+            socket.write_all(text.as_bytes()).await.unwrap();
+        };
+        let (outcome, ()) = tokio::join!(append(client), serve);
+        let is_lost = matches!(outcome, Err(Error::Lost { .. }));
+        assert!(is_lost, "{status}: {outcome:?}");
+    }
+}
--- a/crates/papayayard_wire/src/lib.rs
+++ b/crates/papayayard_wire/src/lib.rs
@@ -17,3 +17,4 @@
 pub mod peer;
 pub mod proof;
 pub mod refusal;
+pub mod status;
