Clients: a connection that ends while its request is sent ends no answer

Callers got a part of an answer as a complete one: an endpoint answers a long upload at once with 200 and neither a length nor chunks, sends two of five events, reads on for a while, and closes the connection at a moment at which it has read all that had arrived. On all kinds of routes, with and without `Connection: close`, also for requests that were passed on, and in the first router. The same from one that shuts its side and does not read.

Cause: a close resets a connection only if unread data is left. If none is, the system sends an end in order, and the reset comes only as the answer to what arrives after that. The host reads before it writes, sees the end, takes the answer for whole, and `ends::confirm` finds that the run lives. 275 kB and 1.4 MB of 4 MiB had not arrived then.

`upload::Upload`, around the sockets of both routers' clients, turns an end that is read before hyper has flushed the request into an error. hyper flushes the socket only once all that it has was written, so the rule needs no length and holds after a failed write too.

Resets that overtake no end were never taken for a whole answer, with and without this: before and amid reading on, long and short bodies, all written or not. Nor was the error that a write meets: hyper gives up the exchange then. An endpoint that reads the whole request and closes in order is complete as before.

--- a/crates/papayayard/src/relay/connector.rs
+++ b/crates/papayayard/src/relay/connector.rs
@@ -2,6 +2,8 @@
 //!
 //! Only a connection's first answer certainly belongs to the request that was sent on it. Before
 //! a later one, the endpoint may have sent an answer too many.
+//!
+//! A connection that ends while a request is written ends no answer.
 
 use std::io;
 use std::pin::Pin;
@@ -12,8 +14,11 @@
 use futures_util::TryFutureExt;
 use futures_util::future::MapOk;
 use http::Uri;
-use hyper::rt;
 use hyper_util::client::legacy::connect::{Connected, Connection, HttpConnector};
+use hyper_util::rt::TokioIo;
+use papayayard_gateway::upload::Upload;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
 use tower_service::Service;
 
 /// Makes connections that count their answers.
@@ -36,23 +41,23 @@
 
 /// A connection with its history.
 pub(super) struct Stream {
-    plain: Plain,
+    inner: Upload<TcpStream>,
     history: History,
 }
 
 impl Stream {
-    fn new(plain: Plain) -> Self {
-        Self {
-            plain,
+    fn new(plain: Plain) -> TokioIo<Self> {
+        TokioIo::new(Self {
+            inner: Upload::over(plain.into_inner()),
             history: History::default(),
-        }
+        })
     }
 }
 
 impl Service<Uri> for Connector {
-    type Response = Stream;
+    type Response = TokioIo<Stream>;
     type Error = <HttpConnector as Service<Uri>>::Error;
-    type Future = MapOk<Connecting, fn(Plain) -> Stream>;
+    type Future = MapOk<Connecting, fn(Plain) -> TokioIo<Stream>>;
 
     fn poll_ready(&mut self, context: &mut Context<'_>) -> Poll<Result<(), Self::Error>> {
         self.0.poll_ready(context)
@@ -65,46 +70,46 @@
 
 impl Connection for Stream {
     fn connected(&self) -> Connected {
-        self.plain.connected().extra(self.history.clone())
+        self.inner.get_ref().connected().extra(self.history.clone())
     }
 }
 
-impl rt::Read for Stream {
+impl AsyncRead for Stream {
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
-        buffer: rt::ReadBufCursor<'_>,
+        buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.plain).poll_read(context, buffer)
+        Pin::new(&mut self.inner).poll_read(context, buffer)
     }
 }
 
-impl rt::Write for Stream {
+impl AsyncWrite for Stream {
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.plain).poll_write(context, bytes)
+        Pin::new(&mut self.inner).poll_write(context, bytes)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.plain).poll_flush(context)
+        Pin::new(&mut self.inner).poll_flush(context)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.plain).poll_shutdown(context)
+        Pin::new(&mut self.inner).poll_shutdown(context)
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.plain.is_write_vectored()
+        self.inner.is_write_vectored()
     }
 
     fn poll_write_vectored(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
-        parts: &[io::IoSlice<'_>],
+        slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.plain).poll_write_vectored(context, parts)
+        Pin::new(&mut self.inner).poll_write_vectored(context, slices)
     }
 }
--- a/crates/papayayard_gateway/src/lib.rs
+++ b/crates/papayayard_gateway/src/lib.rs
@@ -16,6 +16,7 @@
 
 pub mod settings;
 pub mod store;
+pub mod upload;
 
 mod acknowledgement;
 mod allowance;
--- a/crates/papayayard_gateway/src/socket.rs
+++ b/crates/papayayard_gateway/src/socket.rs
@@ -18,6 +18,7 @@
 
 use crate::acknowledgement;
 use crate::meter::Meter;
+use crate::upload::Upload;
 
 /// Bounds of a connection, which can be changed while its socket is in use.
 #[derive(Clone, Debug)]
@@ -53,16 +54,16 @@
 /// A socket with [`Bounds`].
 #[derive(Debug)]
 pub(crate) struct Socket {
-    inner: TcpStream,
+    inner: Upload<TcpStream>,
     bounds: Bounds,
     /// Timeout that the system knows.
     applied: acknowledgement::Applied,
 }
 
 impl Socket {
-    pub(crate) const fn new(inner: TcpStream, bounds: Bounds) -> Self {
+    pub(crate) fn new(inner: TcpStream, bounds: Bounds) -> Self {
         Self {
-            inner,
+            inner: Upload::over(inner),
             bounds,
             applied: acknowledgement::Applied::nothing(),
         }
@@ -70,14 +71,14 @@
 
     fn apply_timeout(&mut self) -> io::Result<()> {
         let timeout = &self.bounds.unacknowledged;
-        timeout.apply(&self.inner, &mut self.applied)
+        timeout.apply(self.inner.get_ref(), &mut self.applied)
     }
 }
 
 impl Drop for Socket {
     fn drop(&mut self) {
         if self.bounds.pending.get()
-            && let Err(error) = self.inner.set_zero_linger()
+            && let Err(error) = self.inner.get_ref().set_zero_linger()
         {
             log::debug!(error:%; "the connection is closed without a reset");
         }
