Streams: an endpoint that refused one is not sent it again while its own is silent

What endpoints saw: one that had no room was sent the same stream each second for as long as the stream's own endpoint was silent; each time it cost a retry and a refusal, which brittle endpoints count.

Cause: an endpoint that refuses while the silent one is kept was not remembered.

Fix: it is, and may be tried again only if there is no other one and the silent one has failed.

--- a/crates/papayayard_gateway/src/pump.rs
+++ b/crates/papayayard_gateway/src/pump.rs
@@ -529,10 +529,10 @@
                 );
                 relay.record_failure(&placement, failure);
                 permit.end(failure.outcome());
-                if !failure.is_not_run() {
-                    self.history.runs += 1;
-                }
-                if silent.is_none() || !failure.is_not_run() {
+                if silent.is_some() && failure.is_not_run() {
+                    self.history.record_not_taken(placement.endpoint);
+                } else {
+                    self.history.runs += u32::from(!failure.is_not_run());
                     self.history
                         .record_failed(placement.endpoint, Some(failure));
                 }
@@ -631,8 +631,8 @@
                         way: None,
                     });
                 }
-                Selection::Refused { .. } if self.history.revisit_silent() => {
-                    log::info!(request:% = self.job.id; "no other endpoint; trying one that was silent");
+                Selection::Refused { .. } if self.history.revisit() => {
+                    log::info!(request:% = self.job.id; "no other endpoint; trying one again");
                 }
                 Selection::Refused { .. } => return Err(Stop::NoPlace),
             }
--- a/crates/papayayard_gateway/src/relay.rs
+++ b/crates/papayayard_gateway/src/relay.rs
@@ -85,8 +85,9 @@
 pub(crate) struct History {
     /// Endpoints that failed the request.
     pub(crate) endpoints: Vec<id::Endpoint>,
-    /// Those of them that were silent, which sound ones may be for a moment.
-    pub(crate) silent: Vec<id::Endpoint>,
+    /// Those of them that may be tried again if there is no other one: they were silent or full,
+    /// which sound ones may be for a moment.
+    pub(crate) revisitable: Vec<id::Endpoint>,
     /// Number of attempts that may have run.
     pub(crate) runs: u32,
     /// Number of attempts whose endpoints could not be reached.
@@ -101,17 +102,24 @@
     /// Records that an endpoint failed the request.
     pub(crate) fn record_failed(&mut self, endpoint: id::Endpoint, failure: Option<Failure>) {
         if failure == Some(Failure::Silent) {
-            self.silent.push(endpoint.clone());
+            self.revisitable.push(endpoint.clone());
         }
         self.endpoints.push(endpoint);
     }
 
-    /// Allows a further attempt at endpoints that were silent, since there is no other one.
-    /// Returns whether there are any.
-    pub(crate) fn revisit_silent(&mut self) -> bool {
-        let silent = std::mem::take(&mut self.silent);
-        self.endpoints.retain(|endpoint| !silent.contains(endpoint));
-        !silent.is_empty()
+    /// Records that an endpoint did not take the request while another one may go on with it.
+    pub(crate) fn record_not_taken(&mut self, endpoint: id::Endpoint) {
+        self.revisitable.push(endpoint.clone());
+        self.endpoints.push(endpoint);
+    }
+
+    /// Allows a further attempt at endpoints that may be tried again. Returns whether there are
+    /// any.
+    pub(crate) fn revisit(&mut self) -> bool {
+        let revisitable = std::mem::take(&mut self.revisitable);
+        self.endpoints
+            .retain(|endpoint| !revisitable.contains(endpoint));
+        !revisitable.is_empty()
     }
 }
 
@@ -228,8 +236,8 @@
                     refusal,
                     is_unreachable,
                 }) => {
-                    if history.revisit_silent() {
-                        log::info!(request:% = job.id; "no other endpoint; trying one that was silent");
+                    if history.revisit() {
+                        log::info!(request:% = job.id; "no other endpoint; trying one again");
                         continue;
                     }
                     history.has_no_way = is_unreachable;
