Streams: an event that comes while a stream is handed over comes once

Now the hand-over ends, and the stream is taken up after the newest event.

Evidence: a_stream_has_no_event_twice_whose_endpoint_fails_while_it_is_handed_over had event 3 twice before, and passes.

--- a/crates/papayayard_gateway/src/pump.rs
+++ b/crates/papayayard_gateway/src/pump.rs
@@ -572,6 +572,7 @@
     where
         Sending: Future<Output = Result<Response, Failure>> + Unpin,
     {
+        let position = self.splitter.position();
         let overlap = time::sleep(MAX_OVERLAP);
         tokio::pin!(overlap);
         while let Some(upstream) = silent {
@@ -592,7 +593,10 @@
             match self.take(upstream, frame).await {
                 Ok(Taken::Nothing) => {}
                 Ok(Taken::Events) => return Ok(Sent::Awake),
-                Err(End::Failed(failure)) => self.leave_silent(silent, failure).await,
+                // The other endpoint goes on after the events that were there before.
+                Err(End::Failed(failure)) if self.splitter.position() == position => {
+                    self.leave_silent(silent, failure).await;
+                }
                 Err(end) => {
                     upstream.end = Some(end);
                     return Ok(Sent::Awake);
