--- a/crates/papayayard_gateway/src/pump.rs
+++ b/crates/papayayard_gateway/src/pump.rs
@@ -227,8 +227,7 @@
         self.resume(None).await
     }
 
-    /// Goes on at an endpoint that is ready, unless it fails at once: then the silent upstream is
-    /// kept.
+    /// Goes on at an endpoint that is ready, or at the silent upstream if that is kept.
     async fn hand_over(
         &mut self,
         silent: Upstream,
@@ -467,7 +466,7 @@
     }
 
     /// Sends the request to another endpoint, to go on after the last forwarded event. A silent
-    /// upstream is left once that endpoint may run the request.
+    /// upstream is kept if it goes on first, or if that endpoint fails at once.
     async fn attempt(
         &mut self,
         replacement: Replacement,
