Placement: endpoints that seemed too slow or failing are tested by requests that would be refused

After a series of failures all requests of a service could be refused for up to 30 s.

Cause: what a scheduler learns of an endpoint in a bad moment keeps requests away, and only requests change it. The average service time moves with complete answers, so once it is over 1.3 times the target at all endpoints, nothing is placed and nothing is measured. Ejections double to 30 s and are probed only then.

Now a request that would be refused is sent to an endpoint that is idle, or to an ejected one half a second after its ejection, one at a time (`placement/trial.rs`). Its answer replaces the average, or ends the ejection; its failure does not prolong it. What endpoints ask for (backoffs, limits, room, leaving) holds for it as for all requests, and so does the deadline. In an overload no endpoint is idle.

--- a/crates/papayayard_routing/src/ejection.rs
+++ b/crates/papayayard_routing/src/ejection.rs
@@ -3,7 +3,9 @@
 //! After three failures in a row, an endpoint is ejected for a time that doubles
 //! with each ejection. A single request then probes it. Each complete answer
 //! doubles the number of requests that may be open at once, until the endpoint is
-//! healthy again.
+//! healthy again. If all endpoints that could serve a request are ejected, a single
+//! request may also test one of them earlier: its answer ends the ejection, and its
+//! failure does not prolong it.
 
 use std::time::Duration;
 
@@ -26,6 +28,7 @@
     #[default]
     Healthy,
     Ejected {
+        since: Duration,
         until: Duration,
     },
     Probing {
@@ -38,14 +41,14 @@
     pub fn permits(&self, open: u32, now: Duration) -> bool {
         match self.state {
             State::Healthy => true,
-            State::Ejected { until } => now >= until && open == 0,
+            State::Ejected { until, .. } => now >= until && open == 0,
             State::Probing { permits } => open < permits,
         }
     }
 
     /// Whether the endpoint is ejected at `now`.
     pub fn is_ejected(&self, now: Duration) -> bool {
-        matches!(self.state, State::Ejected { until } if now < until)
+        matches!(self.state, State::Ejected { until, .. } if now < until)
     }
 
     /// Whether the next failure ejects the endpoint.
@@ -67,7 +70,7 @@
         self.failures = 0;
         self.state = match self.state {
             State::Healthy => State::Healthy,
-            State::Ejected { until } if now < until => self.state,
+            State::Ejected { until, .. } if now < until => self.state,
             State::Ejected { .. } => State::Probing { permits: 2 },
             State::Probing { permits } if permits * 2 >= HEALTHY_PERMITS => {
                 self.ejections = 0;
@@ -79,6 +82,22 @@
         };
     }
 
+    /// Whether a request that no other endpoint can serve may test this one at `now`.
+    pub fn permits_trial(&self, now: Duration) -> bool {
+        match self.state {
+            State::Ejected { since, .. } => now >= since + INITIAL_EJECTION,
+            State::Healthy | State::Probing { .. } => true,
+        }
+    }
+
+    /// Records an answer to a request that was sent during an ejection, and ends the ejection.
+    pub const fn record_trial_success(&mut self) {
+        if let State::Ejected { .. } = self.state {
+            self.failures = 0;
+            self.state = State::Probing { permits: 2 };
+        }
+    }
+
     pub fn record_failure(&mut self, now: Duration) {
         if self.is_ejected(now) {
             return;
@@ -96,6 +115,7 @@
         self.ejections += 1;
         self.failures = 0;
         self.state = State::Ejected {
+            since: now,
             until: now + ejection_time.min(MAX_EJECTION),
         };
     }
--- a/crates/papayayard_routing/src/placement.rs
+++ b/crates/papayayard_routing/src/placement.rs
@@ -34,6 +34,7 @@
 mod select;
 mod signals;
 mod split;
+mod trial;
 mod updates;
 
 use backend::Backend;
--- a/crates/papayayard_routing/src/placement/backend.rs
+++ b/crates/papayayard_routing/src/placement/backend.rs
@@ -9,6 +9,7 @@
 use super::cache::Cache;
 use super::delay::Delay;
 use super::load::Load;
+use super::query::Ticket;
 use super::signals::Signals;
 use crate::ejection;
 
@@ -50,6 +51,8 @@
     pub(super) signals: Signals,
     /// Time of the last answer.
     pub(super) answered_at: Duration,
+    /// Last request that tested the endpoint, and when it was placed.
+    pub(super) trial: Option<(Ticket, Duration)>,
     /// Time of the last answer to a host whose connection was in doubt.
     pub(super) reached_in_doubt_at: Option<Duration>,
     /// End of the pause after a refusal.
@@ -88,6 +91,7 @@
             cache: Cache::default(),
             health: ejection::Health::default(),
             answered_at: Duration::ZERO,
+            trial: None,
             reached_in_doubt_at: None,
             refusal_backoff_until: Duration::ZERO,
             refusals: 0,
@@ -108,21 +112,32 @@
         self.endpoint.leaving || self.signals.is_leaving
     }
 
-    /// Whether requests can be sent now, judging by the listing and by observed answers.
-    pub(super) fn is_usable(&self, now: Duration) -> bool {
-        let in_flight = self.load.local().open.round();
+    /// Whether the endpoint takes requests now, judging by the listing and by its own words.
+    pub(super) fn accepts(&self, now: Duration) -> bool {
         let loading = self.loading.is_some_and(|loading| now < loading.until);
         !self.endpoint.leaving
             && !loading
             && self.signals.permits(now)
             && self.refusal_backoff_until <= now
-            && self.health.permits(truncate(in_flight), now)
     }
 
-    /// Adds the time of a complete answer to the average.
-    pub(super) fn record_service_time(&mut self, time: Duration) {
+    /// Whether the outcomes of earlier requests permit another one now.
+    pub(super) fn is_healthy(&self, now: Duration) -> bool {
+        let in_flight = self.load.local().open.round();
+        self.health.permits(truncate(in_flight), now)
+    }
+
+    /// Whether a request is the last one that tested the endpoint.
+    pub(super) fn is_tested_by(&self, ticket: Ticket) -> bool {
+        self.trial.is_some_and(|(trial, _)| trial == ticket)
+    }
+
+    /// Adds the time of a complete answer to the average. The answer to a trial replaces an
+    /// average that kept requests away.
+    pub(super) fn record_service_time(&mut self, time: Duration, is_trial: bool) {
         let ms = time.as_secs_f64() * 1000.0;
-        self.service_ms += (ms - self.service_ms) * NEWEST_WEIGHT;
+        let weight = if is_trial { 1.0 } else { NEWEST_WEIGHT };
+        self.service_ms += (ms - self.service_ms) * weight;
     }
 }
 
--- a/crates/papayayard_routing/src/placement/cost.rs
+++ b/crates/papayayard_routing/src/placement/cost.rs
@@ -111,6 +111,8 @@
     pub(super) wait_ms: f64,
     /// Cost by which placements are compared, in ms.
     pub(super) cost_ms: f64,
+    /// Open requests of all hosts at the endpoint.
+    pub(super) open: f64,
     /// Shared tokens cached at the endpoint.
     pub(super) cached: u32,
     /// Prompt tokens that the endpoint has to prefill.
@@ -186,6 +188,7 @@
         predicted_ms,
         wait_ms: load.unread * inputs.token_ms,
         cost_ms,
+        open: load.open,
         cached,
         unread,
         reread,
@@ -214,6 +217,7 @@
         predicted_ms: first_event_ms,
         wait_ms: backend.service_ms * queued,
         cost_ms,
+        open,
         cached: 0,
         unread: 0,
         reread: 0,
--- a/crates/papayayard_routing/src/placement/progress.rs
+++ b/crates/papayayard_routing/src/placement/progress.rs
@@ -114,6 +114,9 @@
         let key = placed.backend;
         if let Some(backend) = self.backends.get_mut(key) {
             backend.refusals = 0;
+            if backend.is_tested_by(ticket) {
+                backend.health.record_trial_success();
+            }
             backend.load.remove(unread, now);
             backend.load.add(deferred, now);
             for key in &placed.keys {
@@ -160,8 +163,13 @@
         match outcome {
             Outcome::Whole => {
                 backend.refusals = 0;
+                let is_trial = backend.is_tested_by(ticket);
+                if is_trial {
+                    backend.health.record_trial_success();
+                }
                 backend.health.record_success(now);
-                backend.record_service_time(now.saturating_sub(placed.sent));
+                let time = now.saturating_sub(placed.sent);
+                backend.record_service_time(time, is_trial);
                 self.record_connected(placed.sender(), placed.backend, now);
             }
             Outcome::Abandoned => {}
--- a/crates/papayayard_routing/src/placement/select.rs
+++ b/crates/papayayard_routing/src/placement/select.rs
@@ -1,6 +1,6 @@
 //! Selection of the endpoint for a request from those that can accept it now.
 
-use std::cmp::Reverse;
+use std::cmp::{Ordering, Reverse};
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
@@ -39,12 +39,39 @@
 /// Silence of a sound endpoint after which a request on older weights must still begin in time.
 const MAX_SILENCE: Duration = Duration::from_millis(1500);
 
+/// Latest times for the first event of a request, in ms.
+pub(super) struct Bounds {
+    /// Target latency of the request.
+    pub(super) target: f64,
+    /// Time that leaves enough until the deadline.
+    deadline: f64,
+    /// Target latency of the most urgent requests of the service.
+    urgent: f64,
+}
+
+impl Bounds {
+    /// Whether a placement serves the request in time and leaves capacity for urgent ones.
+    pub(super) fn include(&self, estimate: &cost::Estimate) -> bool {
+        let first_event_ms = estimate.first_event_ms;
+        let max_first_event_ms = self.deadline.min(self.target * MAX_TARGET_FACTOR);
+        let leaves_capacity =
+            first_event_ms <= self.urgent || estimate.wait_ms <= self.urgent * SHORT_WAIT_FRACTION;
+        first_event_ms <= max_first_event_ms && leaves_capacity
+    }
+}
+
 /// A possible placement.
 pub(super) struct Candidate {
     pub(super) key: BackendKey,
     pub(super) estimate: cost::Estimate,
     pub(super) version: u64,
     pub(super) fetch: Option<Fetch>,
+    /// Whether the request tests an endpoint that does not seem to serve it in time.
+    pub(super) is_trial: bool,
+}
+
+pub(super) fn by_cost(a: &Candidate, b: &Candidate) -> Ordering {
+    a.estimate.cost_ms.total_cmp(&b.estimate.cost_ms)
 }
 
 impl Scheduler {
@@ -97,57 +124,92 @@
         availability: &mut Availability,
         now: Duration,
     ) -> Option<Candidate> {
+        let available = self.available(query, now);
+        let healthy = available.iter().copied();
+        let healthy = healthy.filter(|(_, backend)| backend.is_healthy(now));
+        let usable = self.reachable(query, healthy.collect(), now);
+        availability.usable = usable.len();
+        let candidates = self.candidates(query, draw, usable, now);
+        availability.with_capacity = candidates.len();
+        let times = candidates
+            .iter()
+            .map(|candidate| candidate.estimate.first_event_ms);
+        let soonest_ms = times.min_by(f64::total_cmp);
+        availability.first_event = soonest_ms.map_or(Duration::ZERO, from_ms);
+        let bounds = self.bounds(query, now);
+        let in_time = candidates.into_iter();
+        let in_time = in_time.filter(|candidate| bounds.include(&candidate.estimate));
+        let best = in_time.min_by(by_cost);
+        best.or_else(|| self.trial(query, draw, available, now))
+    }
+
+    /// Endpoints of the service that accept a request now, by their own words, their limits and
+    /// what the sending host knows.
+    fn available(&self, query: &Query, now: Duration) -> Vec<(BackendKey, &Backend)> {
         let service = self.table.services.get(&query.service);
-        let engine = service.and_then(|service| service.engine.as_ref());
         let connections = service.map_or(u32::MAX, |service| service.max_connections);
         let share = f64::from(connections) / float(self.schedulers);
-        let usable = self.backends.iter().filter(|(_, backend)| {
+        let available = self.backends.iter().filter(|(_, backend)| {
             query.fits(&backend.endpoint)
                 && !query.tried.contains(&backend.endpoint.id)
                 && !query.avoided.contains(&backend.endpoint.id)
-                && backend.is_usable(now)
+                && backend.accepts(now)
                 && self.permits(backend, now)
                 && backend.load.local().open + 1.0 <= share.max(1.0)
         });
-        let mut usable: Vec<(BackendKey, &Backend)> = usable.collect();
-        let mut hosts = self.schedulers;
-        if self.paths.excludes_any(query.sender(), now) {
-            let is_reachable = |backend: &Backend| {
-                let zone = &backend.endpoint.zone;
-                !self.paths.excludes(query.sender(), zone, now)
-            };
-            if usable.iter().any(|(_, backend)| is_reachable(backend)) {
-                usable.retain(|(_, backend)| is_reachable(backend));
-            }
-            hosts = self.sending_hosts(query, now);
+        available.collect()
+    }
+
+    /// Leaves out endpoints in zones that the sending host does not reach, unless it reaches none.
+    pub(super) fn reachable<'a>(
+        &self,
+        query: &Query,
+        mut endpoints: Vec<(BackendKey, &'a Backend)>,
+        now: Duration,
+    ) -> Vec<(BackendKey, &'a Backend)> {
+        let is_reachable = |backend: &Backend| {
+            let zone = &backend.endpoint.zone;
+            !self.paths.excludes(query.sender(), zone, now)
+        };
+        if endpoints.iter().any(|(_, backend)| is_reachable(backend)) {
+            endpoints.retain(|(_, backend)| is_reachable(backend));
         }
-        availability.usable = usable.len();
-        let candidates = match (engine, &query.prompt) {
+        endpoints
+    }
+
+    /// Possible placements at endpoints.
+    pub(super) fn candidates(
+        &self,
+        query: &Query,
+        draw: f64,
+        endpoints: Vec<(BackendKey, &Backend)>,
+        now: Duration,
+    ) -> Vec<Candidate> {
+        let service = self.table.services.get(&query.service);
+        let engine = service.and_then(|service| service.engine.as_ref());
+        let hosts = if self.paths.excludes_any(query.sender(), now) {
+            self.sending_hosts(query, now)
+        } else {
+            self.schedulers
+        };
+        match (engine, &query.prompt) {
             (Some(engine), Some(_)) => {
-                self.engine_candidates(query, draw, engine, usable, hosts, now)
+                self.engine_candidates(query, draw, engine, endpoints, hosts, now)
             }
-            _ => self.plain_candidates(usable, query, hosts, now),
-        };
-        availability.with_capacity = candidates.len();
-        let soonest_ms = candidates
-            .iter()
-            .map(|candidate| candidate.estimate.first_event_ms)
-            .min_by(f64::total_cmp)?;
-        availability.first_event = from_ms(soonest_ms);
+            _ => self.plain_candidates(endpoints, query, hosts, now),
+        }
+    }
+
+    pub(super) fn bounds(&self, query: &Query, now: Duration) -> Bounds {
         let left_ms = ms(query.deadline.saturating_sub(now));
-        let max_target_ms = ms(query.target_latency) * MAX_TARGET_FACTOR;
         let urgent = self
             .table
             .min_urgent_latency(&query.service, query.priority);
-        let urgent_ms = urgent.map_or(f64::INFINITY, ms);
-        let max_first_event_ms = (left_ms * MAX_DEADLINE_FRACTION).min(max_target_ms);
-        let in_time = candidates.into_iter();
-        let in_time = in_time.filter(|candidate| {
-            let leaves_capacity = candidate.estimate.first_event_ms <= urgent_ms
-                || candidate.estimate.wait_ms <= urgent_ms * SHORT_WAIT_FRACTION;
-            candidate.estimate.first_event_ms <= max_first_event_ms && leaves_capacity
-        });
-        in_time.min_by(|a, b| a.estimate.cost_ms.total_cmp(&b.estimate.cost_ms))
+        Bounds {
+            target: ms(query.target_latency),
+            deadline: left_ms * MAX_DEADLINE_FRACTION,
+            urgent: urgent.map_or(f64::INFINITY, ms),
+        }
     }
 
     /// Time from which no request may start on a version of a model's weights.
@@ -190,6 +252,7 @@
                 estimate: cost::estimate_plain(backend, zone, mean, hosts, now),
                 version: 0,
                 fetch: None,
+                is_trial: false,
             }
         });
         candidates.collect()
@@ -276,6 +339,7 @@
                     estimate,
                     version,
                     fetch: *fetch,
+                    is_trial: false,
                 }));
             }
         }
--- a/crates/papayayard_routing/tests/ejection.rs
+++ b/crates/papayayard_routing/tests/ejection.rs
@@ -66,3 +66,17 @@
     health.record_success(ms(100));
     assert!(!health.permits(0, ms(200)));
 }
+
+#[test]
+fn an_answer_to_a_trial_ends_the_ejection() {
+    let mut health = failed(3);
+    assert!(!health.permits_trial(ms(499)));
+    assert!(health.permits_trial(ms(500)));
+    health.record_failure(ms(500));
+    health.record_failure(ms(700));
+    assert!(!health.permits(0, ms(1_499)), "the second ejection lasts");
+    assert!(health.permits_trial(ms(1_000)));
+    health.record_trial_success();
+    assert!(health.permits(1, ms(1_000)));
+    assert!(!health.permits(2, ms(1_000)));
+}
--- a/crates/papayayard_routing/tests/placement/main.rs
+++ b/crates/papayayard_routing/tests/placement/main.rs
@@ -6,6 +6,7 @@
 mod dispatch;
 mod limits;
 mod link;
+mod plain;
 mod prefill;
 mod refusal_limits;
 mod signals;
