Placement: closed connections of one host are not held against endpoints that answer others

Cause: a connection that cannot be established is held against the pair of host and endpoint, but one that is accepted and closed counted as a failed request, at once and against the endpoint. Three of these from one host ejected an endpoint for all, and every probe that was a request of that host doubled the time.

Requests that are cut off or not answered now go the same way as unreachable ones: they count once the host is answered elsewhere, not at all while it is in doubt, and a host alone ejects no endpoint that answers another one (`placement/witness.rs`). Endpoints that fail several hosts are ejected as before.

--- a/crates/papayayard_routing/src/placement.rs
+++ b/crates/papayayard_routing/src/placement.rs
@@ -36,6 +36,7 @@
 mod split;
 mod trial;
 mod updates;
+mod witness;
 
 use backend::Backend;
 use limit::Limits;
--- a/crates/papayayard_routing/src/placement/backend.rs
+++ b/crates/papayayard_routing/src/placement/backend.rs
@@ -11,6 +11,7 @@
 use super::load::Load;
 use super::query::Ticket;
 use super::signals::Signals;
+use super::witness::Witnesses;
 use crate::ejection;
 
 /// Weight of the newest sample in the average service time.
@@ -51,6 +52,8 @@
     pub(super) signals: Signals,
     /// Time of the last answer.
     pub(super) answered_at: Duration,
+    /// Hosts that the endpoint has answered and failed lately.
+    pub(super) witnesses: Witnesses,
     /// Last request that tested the endpoint, and when it was placed.
     pub(super) trial: Option<(Ticket, Duration)>,
     /// Time of the last answer to a host whose connection was in doubt.
@@ -91,6 +94,7 @@
             cache: Cache::default(),
             health: ejection::Health::default(),
             answered_at: Duration::ZERO,
+            witnesses: Witnesses::default(),
             trial: None,
             reached_in_doubt_at: None,
             refusal_backoff_until: Duration::ZERO,
@@ -132,6 +136,20 @@
         self.trial.is_some_and(|(trial, _)| trial == ticket)
     }
 
+    /// Counts consecutive failures that a host has had. A host alone ejects no endpoint that
+    /// answers others.
+    pub(super) fn count_failures(&mut self, host: Option<&id::Host>, number: u32, now: Duration) {
+        if number > 0 {
+            self.witnesses.record_failure(host);
+        }
+        let is_disputed = self.witnesses.dispute(host, now);
+        for _ in 0..number {
+            if !is_disputed || !self.health.is_failing() {
+                self.health.record_failure(now);
+            }
+        }
+    }
+
     /// Adds the time of a complete answer to the average. The answer to a trial replaces an
     /// average that kept requests away.
     pub(super) fn record_service_time(&mut self, time: Duration, is_trial: bool) {
--- a/crates/papayayard_routing/src/placement/path.rs
+++ b/crates/papayayard_routing/src/placement/path.rs
@@ -124,13 +124,29 @@
     /// Time of the first failure.
     at: Duration,
     /// Failures that do not count against the endpoint yet.
-    uncounted: u32,
+    uncounted: Number,
     /// Failures that count until the host turns out to be detached.
-    provisional: u32,
+    provisional: Number,
     /// Health without the provisional failures.
     health_before: Option<ejection::Health>,
 }
 
+/// Number of failures at one endpoint.
+#[derive(Clone, Copy, Debug, Default)]
+struct Number {
+    /// Connections that could not be established.
+    unreachable: u32,
+    /// Requests that were cut off or not answered in time.
+    unanswered: u32,
+}
+
+/// How a request has failed.
+#[derive(Clone, Copy, Debug)]
+enum Kind {
+    Unreachable,
+    Unanswered,
+}
+
 impl Paths {
     /// Whether a host may have lost its connection to all or most endpoints.
     pub(super) fn is_doubtful(&self, host: Option<&id::Host>, now: Duration) -> bool {
@@ -307,21 +323,23 @@
     }
 
     /// Records a failure at an endpoint, unless enough other endpoints have failed.
-    fn record(&mut self, placed: &Placed, zone: &id::Zone, now: Duration) {
+    fn record(&mut self, placed: &Placed, zone: &id::Zone, kind: Kind, now: Duration) {
         if self.zones.is_empty() {
             self.since = now;
         }
         self.zones.insert(zone.clone());
         if let Some(failure) = self.failure_at(placed.backend) {
-            failure.uncounted = (failure.uncounted + 1).min(MAX_COUNTED);
+            failure.uncounted.add(kind);
         } else if self.failures.len() < MAX_FAILED_ENDPOINTS {
+            let mut uncounted = Number::default();
+            uncounted.add(kind);
             self.failures.push(Failure {
                 backend: placed.backend,
                 endpoint: placed.endpoint.clone(),
                 zone: zone.clone(),
                 at: now,
-                uncounted: 1,
-                provisional: 0,
+                uncounted,
+                provisional: Number::default(),
                 health_before: None,
             });
         }
@@ -335,7 +353,8 @@
     /// Withdraws provisional failures; returns the endpoints' health without them.
     fn withdraw(&mut self) -> Vec<(BackendKey, ejection::Health)> {
         let failures = self.failures.iter_mut().filter_map(|failure| {
-            failure.uncounted += mem::take(&mut failure.provisional);
+            let provisional = mem::take(&mut failure.provisional);
+            failure.uncounted = failure.uncounted.plus(provisional);
             let health = failure.health_before.take()?;
             Some((failure.backend, health))
         });
@@ -347,28 +366,47 @@
     /// Counts the failures against the endpoint until they are withdrawn.
     fn count_provisionally(&mut self, health: &mut ejection::Health, now: Duration) {
         self.health_before.get_or_insert(*health);
-        self.provisional += self.uncounted;
+        self.provisional = self.provisional.plus(self.uncounted);
         self.count(health, now);
     }
 
     /// Counts the failures against the endpoint.
     fn count(&mut self, health: &mut ejection::Health, now: Duration) {
-        for _ in 0..mem::take(&mut self.uncounted) * UNREACHABLE_FAILURES {
+        for _ in 0..mem::take(&mut self.uncounted).consecutive() {
             health.record_failure(now);
         }
     }
 }
 
+impl Number {
+    fn add(&mut self, kind: Kind) {
+        match kind {
+            Kind::Unreachable => self.unreachable = (self.unreachable + 1).min(MAX_COUNTED),
+            Kind::Unanswered => self.unanswered = self.unanswered.saturating_add(1),
+        }
+    }
+
+    fn plus(self, other: Self) -> Self {
+        Self {
+            unreachable: self.unreachable + other.unreachable,
+            unanswered: self.unanswered.saturating_add(other.unanswered),
+        }
+    }
+
+    /// Consecutive failures of an endpoint that these count for.
+    const fn consecutive(self) -> u32 {
+        self.unanswered
+            .saturating_add(self.unreachable * UNREACHABLE_FAILURES)
+    }
+}
+
 impl Scheduler {
     /// Records that the connection of a request failed.
     pub(super) fn record_unreachable(&mut self, placed: &Placed, now: Duration) {
-        let sender = placed.sender();
-        let is_only_sender = self.is_only_sender(sender);
-        let is_impaired = self.paths.is_impaired(sender.host, None, now);
-        let Some(backend) = self.backends.get_mut(placed.backend) else {
+        let Some(backend) = self.backends.get(placed.backend) else {
             return;
         };
-        let path = self.paths.path_mut(sender);
+        let path = self.paths.path_mut(placed.sender());
         path.recent.settle(now);
         path.recent.failed += 1.0;
         if placed.sent <= path.reattached_at {
@@ -377,7 +415,34 @@
         let zone = &backend.endpoint.zone;
         path.reachability
             .record_failure(zone, &placed.endpoint, now);
-        path.outage.record(placed, zone, now);
+        self.record_lost(placed, Kind::Unreachable, now);
+    }
+
+    /// Records a request that was cut off or not answered in time. A connection that is accepted
+    /// and closed may be the fault of the host's network, too, and a detached host loses its open
+    /// connections.
+    pub(super) fn record_unanswered(&mut self, placed: &Placed, now: Duration) {
+        let path = self.paths.path_mut(placed.sender());
+        path.recent.settle(now);
+        if !placed.has_begun {
+            path.recent.failed += 1.0;
+        }
+        if placed.sent > path.reattached_at {
+            self.record_lost(placed, Kind::Unanswered, now);
+        }
+    }
+
+    /// Adds a failure to the outage of the host that had it.
+    fn record_lost(&mut self, placed: &Placed, kind: Kind, now: Duration) {
+        let sender = placed.sender();
+        let is_only_sender = self.is_only_sender(sender);
+        let is_impaired = self.paths.is_impaired(sender.host, None, now);
+        let Some(backend) = self.backends.get_mut(placed.backend) else {
+            return;
+        };
+        let path = self.paths.path_mut(sender);
+        path.outage
+            .record(placed, &backend.endpoint.zone, kind, now);
         if path.outage.is_doubtful() {
             for (backend, health) in path.outage.withdraw() {
                 if let Some(backend) = self.backends.get_mut(backend) {
@@ -412,6 +477,7 @@
             return;
         };
         backend.answered_at = now;
+        backend.witnesses.record_answer(sender.host, now);
         if is_doubtful {
             backend.reached_in_doubt_at = Some(now);
         }
@@ -426,9 +492,13 @@
                 backend.answered_at + RECENT_ANSWER <= failure.at
                     && !self.paths.excludes(sender, &failure.zone, now)
             };
-            if counts {
-                failure.count(&mut backend.health, now);
+            if !counts {
+                failure.uncounted.unreachable = 0;
+            }
+            if !counts && is_only_sender {
+                failure.uncounted.unanswered = 0;
             }
+            backend.count_failures(sender.host, failure.uncounted.consecutive(), now);
         }
     }
 
--- a/crates/papayayard_routing/src/placement/progress.rs
+++ b/crates/papayayard_routing/src/placement/progress.rs
@@ -163,6 +163,7 @@
         match outcome {
             Outcome::Whole => {
                 backend.refusals = 0;
+                backend.witnesses.record_success();
                 let is_trial = backend.is_tested_by(ticket);
                 if is_trial {
                     backend.health.record_trial_success();
@@ -180,9 +181,7 @@
                 self.record_connected(placed.sender(), placed.backend, now);
             }
             Outcome::Unreachable => self.record_unreachable(&placed, now),
-            // A detached host loses its open connections as well.
-            Outcome::Failed if self.paths.explains_failure(&placed, now) => {}
-            Outcome::Failed => backend.health.record_failure(now),
+            Outcome::Failed => self.record_unanswered(&placed, now),
         }
     }
 
--- a/crates/papayayard_routing/tests/placement/detached.rs
+++ b/crates/papayayard_routing/tests/placement/detached.rs
@@ -1,8 +1,9 @@
 //! Hosts that reach no endpoint ask a scheduler that places the requests of many hosts.
 //!
 //! The replay has the size of a small site: nine hosts send fifteen requests a second each to 22
-//! endpoints in three zones. A connection that cannot be established is given up after a while,
-//! and the request is placed again until no endpoint is left or its deadline has passed.
+//! endpoints in three zones. A connection that cannot be established is given up after a while, or
+//! is accepted and closed at once, and the request is placed again until no endpoint is left or its
+//! deadline has passed.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -42,8 +43,8 @@
     id::Host::from(format!("host-{index}"))
 }
 
-fn endpoints() -> Vec<Endpoint> {
-    let all = 0..ENDPOINTS;
+fn endpoints(number: usize) -> Vec<Endpoint> {
+    let all = 0..number;
     all.map(|index| support::engine(&format!("e{index:02}"), ZONES[index % ZONES.len()], 1))
         .collect()
 }
@@ -78,6 +79,8 @@
     scheduler: Scheduler,
     reaches: Reaches,
     connect_timeout: Duration,
+    /// Outcome of requests that do not reach their endpoint.
+    lost: Outcome,
     /// Whether open connections last when no new ones can be established.
     keeps_open: bool,
     /// Requests that arrived before are not counted.
@@ -100,10 +103,15 @@
 
 impl Replay {
     fn new(hosts: usize, reaches: Reaches, seed: u64) -> Self {
+        Self::with_endpoints(ENDPOINTS, hosts, reaches, seed)
+    }
+
+    fn with_endpoints(endpoint_count: usize, hosts: usize, reaches: Reaches, seed: u64) -> Self {
         let mut replay = Self {
-            scheduler: support::scheduler(&endpoints(), hosts),
+            scheduler: support::scheduler(&endpoints(endpoint_count), hosts),
             reaches,
             connect_timeout: CONNECT_TIMEOUT,
+            lost: Outcome::Unreachable,
             keeps_open: false,
             since: NOW,
             is_dispatched: hosts > 1,
@@ -178,9 +186,8 @@
             Event::Broken(ticket) => self.scheduler.record_outcome(ticket, Outcome::Failed, now),
             Event::Unreachable(index, attempt) => {
                 let (mut query, placement) = *attempt;
-                let outcome = Outcome::Unreachable;
-                self.scheduler
-                    .record_outcome(placement.ticket, outcome, now);
+                let ticket = placement.ticket;
+                self.scheduler.record_outcome(ticket, self.lost, now);
                 self.counts[index].unreachable += 1;
                 query.tried.push(placement.endpoint);
                 if now < query.deadline {
@@ -314,12 +321,14 @@
     #[case] reaches: Reaches,
     #[case] most_avoided: usize,
     #[values(CONNECT_TIMEOUT, RESET)] connect_timeout: Duration,
+    #[values(Outcome::Unreachable, Outcome::Failed)] lost: Outcome,
     #[values(1, 2, 3)] seed: u64,
 ) {
     let probe = id::Endpoint::from("e00");
     let is_sound = |index: usize| reaches(index, &probe, CUT);
     let mut replay = Replay::new(HOSTS, reaches, seed);
     replay.connect_timeout = connect_timeout;
+    replay.lost = lost;
     replay.play(NOW, CUT);
     let before = replay.sum(is_sound);
     assert_eq!(before.refused, 0, "too much load for this replay");
@@ -343,16 +352,39 @@
     assert_eq!((after.refused, replay.avoided.len()), (0, 0), "{after:?}");
 }
 
+/// The connections of one of three hosts were accepted and closed, for which its dispatcher ejected
+/// endpoints that answered the others, and again whenever a probe was a request of that host.
+#[rstest]
+fn closed_connections_of_one_host_take_no_endpoint_from_others(
+    #[values(2, 4, 7)] endpoint_count: usize,
+    #[values(1, 2, 3, 4, 5)] seed: u64,
+) {
+    let reaches: Reaches = |index, _, now| index != 2 || !is_cut(now);
+    let mut replay = Replay::with_endpoints(endpoint_count, 3, reaches, seed);
+    replay.connect_timeout = RESET;
+    replay.lost = Outcome::Failed;
+    replay.play(NOW, CUT);
+    assert_eq!(replay.sum(|_| true).refused, 0, "too much load");
+    replay.play(CUT, HEALED);
+    let during = replay.sum(|index| index != 2);
+    assert!(during.asked > 200, "{during:?}");
+    assert_eq!(during.refused, 0, "{during:?}");
+    replay.play(HEALED, HEALED + ms(3_000));
+    assert_eq!(replay.sum(|_| true).refused, 0);
+}
+
 /// A host whose own scheduler places its requests is cut off, and ejected all endpoints for
 /// longer than the cut lasted.
 #[rstest]
 fn a_host_uses_all_endpoints_as_soon_as_it_is_connected_again(
     #[values(CONNECT_TIMEOUT, RESET)] connect_timeout: Duration,
+    #[values(Outcome::Unreachable, Outcome::Failed)] lost: Outcome,
     #[values(1, 2, 3)] seed: u64,
 ) {
     let reaches: Reaches = |_, _, now| !is_cut(now);
     let mut replay = Replay::new(1, reaches, seed);
     replay.connect_timeout = connect_timeout;
+    replay.lost = lost;
     replay.play(NOW, HEALED);
     assert!(replay.sum(|_| true).unreachable > 100);
     let avoided = replay.scheduler.avoided(&id::Zone::from("a"), HEALED);
@@ -435,9 +467,9 @@
     replay.play(NOW, CUT);
     replay.play(CUT, HEALED);
     let counts = replay.sum(|_| true);
-    let dead = |index: &usize| !reaches(0, &endpoints()[*index].id, HEALED);
+    let dead = |index: &usize| !reaches(0, &endpoints(ENDPOINTS)[*index].id, HEALED);
     for index in (0..ENDPOINTS).filter(dead) {
-        let endpoint = &endpoints()[index].id;
+        let endpoint = &endpoints(ENDPOINTS)[index].id;
         assert!(replay.avoided.contains_key(endpoint), "{endpoint}");
     }
     assert!(counts.unreachable < limit, "{counts:?}");
