Placement: a host that ejected all endpoints of a service no longer asks to avoid them all

Cause: a host tells its dispatcher which endpoints it has ejected itself, and the dispatcher leaves them out. If these are all endpoints of the service, nothing can correct the belief. Such endpoints are now avoided only while the host reaches another one of the service; those that asked for a pause still are.

Evidence: a_host_avoids_ejected_endpoints_only_for_others_of_the_service::case_2_all_failing failed before (three avoided, none expected).

--- a/crates/papayayard_routing/src/placement/signals.rs
+++ b/crates/papayayard_routing/src/placement/signals.rs
@@ -5,6 +5,7 @@
 //! again, or lapse and come back. A signal therefore overrides the list until a new incarnation
 //! of the endpoint is listed.
 
+use std::collections::HashSet;
 use std::time::Duration;
 
 use papayayard_wire::id;
@@ -57,18 +58,22 @@
         });
     }
 
-    /// Returns the endpoints that this host cannot reach while it reaches others, or that accept
-    /// no requests from it.
+    /// Returns the endpoints that this host cannot reach while it reaches others of the service,
+    /// or that accept no requests from it.
     pub fn avoided(&self, zone: &id::Zone, now: Duration) -> Vec<id::Endpoint> {
         let sender = Sender { host: None, zone };
-        let is_excluded =
-            |backend: &Backend| self.paths.excludes(sender, &backend.endpoint.zone, now);
-        let reaches_zones = !self.backends.values().all(is_excluded);
-        let backends = self.backends.values();
-        let avoided = backends.filter(|backend| {
+        let is_unreached = |backend: &Backend| {
             backend.health.is_ejected(now)
-                || !backend.signals.permits(now)
-                || (reaches_zones && is_excluded(backend))
+                || self.paths.excludes(sender, &backend.endpoint.zone, now)
+        };
+        let backends = self.backends.values();
+        let accepting = backends.filter(|backend| backend.signals.permits(now));
+        let reached = accepting.filter(|backend| !is_unreached(backend));
+        let services: HashSet<&id::Service> =
+            reached.map(|backend| &backend.endpoint.service).collect();
+        let avoided = self.backends.values().filter(|backend| {
+            let reaches_others = services.contains(&backend.endpoint.service);
+            !backend.signals.permits(now) || (reaches_others && is_unreached(backend))
         });
         avoided.map(|backend| backend.endpoint.id.clone()).collect()
     }
--- a/crates/papayayard_routing/tests/placement/plain.rs
+++ b/crates/papayayard_routing/tests/placement/plain.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use papayayard_routing::placement::{Decision, Endpoint, Outcome, Placement, Query, Scheduler};
+use papayayard_routing::placement::{Endpoint, Outcome, Query, Scheduler};
 use papayayard_wire::id;
 use rstest::rstest;
 
@@ -50,25 +50,12 @@
     end
 }
 
-/// Asks for a place at once; a request that would wait is withdrawn.
-fn ask(scheduler: &mut Scheduler, query: Query, now: Duration) -> Option<Placement> {
-    let waiting = scheduler.enqueue(query, now);
-    let decisions = scheduler.decide(now);
-    scheduler.cancel(waiting);
-    decisions
-        .into_iter()
-        .find_map(|(_, decision)| match decision {
-            Decision::Placed(placement) => Some(placement),
-            Decision::Refused { .. } => None,
-        })
-}
-
 /// Sends a booking each `pause`, answered in time; returns how many of `number` were refused.
 fn refused(scheduler: &mut Scheduler, from: Duration, pause: Duration, number: u32) -> u32 {
     let mut refused = 0;
     for index in 0..number {
         let now = from + pause * index;
-        match ask(scheduler, booking(now), now) {
+        match support::ask(scheduler, booking(now), now) {
             Some(placement) => {
                 scheduler.record_outcome(placement.ticket, Outcome::Whole, now + ANSWER);
             }
@@ -98,8 +85,8 @@
 fn a_slow_endpoint_gets_one_request_at_a_time() {
     let mut scheduler = support::scheduler(&bookings(1), 1);
     let end = answer_late(&mut scheduler, 12);
-    assert!(ask(&mut scheduler, booking(end), end).is_some());
-    assert!(ask(&mut scheduler, booking(end), end).is_none());
+    assert!(support::ask(&mut scheduler, booking(end), end).is_some());
+    assert!(support::ask(&mut scheduler, booking(end), end).is_none());
 }
 
 /// Endpoints that had failed again and again were ejected for up to half a minute, all of them.
@@ -118,7 +105,7 @@
             requesting_host: Some(host.clone()),
             ..booking(now)
         };
-        if let Some(placement) = ask(&mut scheduler, query, now) {
+        if let Some(placement) = support::ask(&mut scheduler, query, now) {
             scheduler.record_outcome(placement.ticket, Outcome::Failed, now);
         }
     }
--- a/crates/papayayard_routing/tests/placement/signals.rs
+++ b/crates/papayayard_routing/tests/placement/signals.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use papayayard_routing::placement::{Decision, Outcome, RefusalReason, Scheduler};
+use papayayard_routing::placement::{Decision, Endpoint, Outcome, RefusalReason, Scheduler};
 use papayayard_wire::id;
 use rstest::rstest;
 
@@ -132,3 +132,38 @@
     };
     assert!(retry_after >= ms(1_000), "{retry_after:?}");
 }
+
+/// A host that had ejected all endpoints of a service told its dispatcher to avoid them all, and
+/// was refused until its last ejection ended.
+#[rstest]
+#[case::one_failing(&["e0"], &["e0"])]
+#[case::all_failing(&["e0", "e1", "e2"], &[])]
+fn a_host_avoids_ejected_endpoints_only_for_others_of_the_service(
+    #[case] failing: &[&str],
+    #[case] avoided: &[&str],
+) {
+    let engines = support::engines(3, 1);
+    let elsewhere = Endpoint {
+        service: id::Service::from("other"),
+        ..support::engine("x0", "a", 1)
+    };
+    let listed: Vec<Endpoint> = engines.iter().cloned().chain([elsewhere]).collect();
+    let mut scheduler = support::scheduler(&listed, 9);
+    for (step, name) in (0..).zip(failing.iter().cycle().take(4 * failing.len())) {
+        let now = NOW + ms(step);
+        let mut query = support::query(support::history("dancer"), now);
+        let others = engines.iter().filter(|engine| engine.id.as_str() != *name);
+        query.tried = others.map(|engine| engine.id.clone()).collect();
+        if let Some(placement) = support::ask(&mut scheduler, query, now) {
+            scheduler.record_outcome(placement.ticket, Outcome::Failed, now);
+        }
+        let mut query = support::query(support::history("dancer"), now);
+        query.service = id::Service::from("other");
+        let placement = support::place(&mut scheduler, query, now);
+        scheduler.record_outcome(placement.ticket, Outcome::Whole, now);
+    }
+    let now = NOW + ms(50);
+    let avoids = scheduler.avoided(&id::Zone::from("a"), now);
+    let names: Vec<&str> = avoids.iter().map(id::Endpoint::as_str).collect();
+    assert_eq!(names, avoided);
+}
--- a/crates/papayayard_routing/tests/placement/support.rs
+++ b/crates/papayayard_routing/tests/placement/support.rs
@@ -190,3 +190,16 @@
         other => panic!("the request was not placed: {other:?}"),
     }
 }
+
+/// Asks for a place at once; a request that would wait is withdrawn.
+pub(crate) fn ask(scheduler: &mut Scheduler, query: Query, now: Duration) -> Option<Placement> {
+    let waiting = scheduler.enqueue(query, now);
+    let decisions = scheduler.decide(now);
+    scheduler.cancel(waiting);
+    decisions
+        .into_iter()
+        .find_map(|(_, decision)| match decision {
+            Decision::Placed(placement) => Some(placement),
+            Decision::Refused { .. } => None,
+        })
+}
