Leave notices: one of an endpoint that this host doesn't list yet holds

What callers saw: a request is sent to an endpoint that announced in an answer that it is leaving, if the announcement came before this host had listed the endpoint.

Cause: the permit reported the notice by the ticket of this host's scheduler, which it has only for listed endpoints. It now names the incarnation that was asked, as the placement gives it, and the scheduler keeps that for the time when the incarnation is listed. A notice that another host passed on still names no incarnation, so for an unlisted endpoint it is dropped as before.

--- a/crates/papayayard_gateway/src/dispatch.rs
+++ b/crates/papayayard_gateway/src/dispatch.rs
@@ -342,7 +342,20 @@
                 usable_until: placement.usable_for.map(|time| now + time),
             });
         let schedule = self.0.schedule.clone();
-        Permit::new(schedule, ticket, number, register, link, weights)
+        let incarnation = placement
+            .started
+            .map(|started| (placement.endpoint.clone(), started));
+        Permit::new(
+            permit::Destination {
+                ticket,
+                incarnation,
+                weights,
+            },
+            schedule,
+            number,
+            register,
+            link,
+        )
     }
 
     /// Link to the current dispatcher; `None` if this host places its own requests.
--- a/crates/papayayard_gateway/src/dispatch/permit.rs
+++ b/crates/papayayard_gateway/src/dispatch/permit.rs
@@ -21,35 +21,40 @@
 /// dropped.
 pub(crate) struct Permit {
     schedule: Handle,
-    /// Ticket of this host's own scheduler, if it knows the endpoint.
-    ticket: Option<Ticket>,
+    destination: Destination,
     /// Number of the request on this host.
     number: u64,
     register: Register,
     /// Dispatcher that placed the request; `None` if this host did.
     dispatcher: Option<Arc<Link>>,
-    /// Weights that the request begins on, if their version is known.
-    weights: Option<Weights>,
     outcome: Outcome,
     has_begun: bool,
 }
 
+/// Where a request is sent.
+pub(super) struct Destination {
+    /// Ticket of this host's own scheduler, if it knows the endpoint.
+    pub(super) ticket: Option<Ticket>,
+    /// The endpoint's incarnation, if the release that placed the request names it.
+    pub(super) incarnation: Option<(id::Endpoint, id::Incarnation)>,
+    /// Weights that the request begins on, if their version is known.
+    pub(super) weights: Option<Weights>,
+}
+
 impl Permit {
     pub(super) const fn new(
+        destination: Destination,
         schedule: Handle,
-        ticket: Option<Ticket>,
         number: u64,
         register: Register,
         dispatcher: Option<Arc<Link>>,
-        weights: Option<Weights>,
     ) -> Self {
         Self {
             schedule,
-            ticket,
+            destination,
             number,
             register,
             dispatcher,
-            weights,
             outcome: Outcome::Abandoned,
             has_begun: false,
         }
@@ -64,7 +69,7 @@
     /// Time for which the request may still begin on the endpoint's weights; `None` without a
     /// limit.
     pub(crate) fn weights_remaining(&self) -> Option<Duration> {
-        let weights = self.weights.as_ref()?;
+        let weights = self.destination.weights.as_ref()?;
         self.schedule.targets().remaining(weights)
     }
 
@@ -76,7 +81,7 @@
     /// Waits until the request may no longer begin on the endpoint's weights; for ever once it
     /// has begun.
     pub(crate) async fn until_outdated(&self) {
-        match &self.weights {
+        match &self.destination.weights {
             Some(weights) if !self.has_begun => {
                 self.schedule.targets().until_outdated(weights).await;
             }
@@ -97,11 +102,17 @@
     /// Records that the endpoint announced its shutdown.
     pub(crate) fn mark_leaving(&self) {
         self.report(Message::Leaving, Some(Event::Leaving));
+        if let (None, Some((endpoint, started))) =
+            (self.destination.ticket, &self.destination.incarnation)
+        {
+            let message = Message::IncarnationLeaving(endpoint.clone(), *started);
+            self.schedule.send(message);
+        }
     }
 
     /// Records that the endpoint is asked for its run, which counts for its limit like a request.
     pub(crate) fn record_question(&self) {
-        match (&self.dispatcher, self.ticket) {
+        match (&self.dispatcher, self.destination.ticket) {
             (Some(dispatcher), _) => dispatcher.notify_question(self.number),
             (None, Some(ticket)) => self.schedule.send(Message::Asked(ticket)),
             (None, None) => {}
@@ -162,7 +173,7 @@
     where
         ToMessage: FnOnce(Ticket) -> Message,
     {
-        if let Some(ticket) = self.ticket {
+        if let Some(ticket) = self.destination.ticket {
             self.schedule.send(to_message(ticket));
         }
         if let (Some(dispatcher), Some(event)) = (&self.dispatcher, event) {
--- a/crates/papayayard_gateway/src/schedule.rs
+++ b/crates/papayayard_gateway/src/schedule.rs
@@ -89,6 +89,8 @@
     Leaving(Ticket),
     /// An endpoint announced its shutdown in an answer that another host received.
     EndpointLeaving(id::Endpoint),
+    /// An incarnation of an endpoint announced its shutdown to a request without a ticket.
+    IncarnationLeaving(id::Endpoint, id::Incarnation),
     /// The endpoint of a placed request is asked for its run.
     Asked(Ticket),
     /// The endpoint of a placed request requested a backoff.
@@ -318,6 +320,9 @@
             Message::Begun(ticket) => scheduler.record_first_event(ticket, now),
             Message::EndpointLeaving(endpoint) => scheduler.mark_endpoint_leaving(&endpoint),
             Message::Leaving(ticket) => scheduler.mark_leaving(ticket),
+            Message::IncarnationLeaving(endpoint, started) => {
+                scheduler.mark_incarnation_leaving(&endpoint, started);
+            }
             Message::Asked(ticket) => scheduler.record_question(ticket, now),
             Message::Backoff(ticket, time) => scheduler.set_backoff(ticket, time, now),
             Message::Limit(ticket, limit) => scheduler.record_limit(ticket, limit, now),
--- a/crates/papayayard_routing/src/placement/signals.rs
+++ b/crates/papayayard_routing/src/placement/signals.rs
@@ -50,6 +50,12 @@
         self.signals.insert(endpoint.clone(), signals);
     }
 
+    /// Records that an incarnation of an endpoint is leaving, which may not be listed yet.
+    pub fn mark_incarnation_leaving(&mut self, endpoint: &id::Endpoint, started: id::Incarnation) {
+        let leave = |signals: &mut Signals| signals.is_leaving = true;
+        self.update_signals_of(endpoint, started, leave);
+    }
+
     /// Records a backoff requested by the endpoint of a placed request.
     pub fn set_backoff(&mut self, ticket: Ticket, time: Duration, now: Duration) {
         self.update_signals(ticket, |signals| {
@@ -96,17 +102,28 @@
             return;
         };
         let (endpoint, incarnation) = (placed.endpoint.clone(), placed.started);
-        let newest = self.signals.get(&endpoint).map(|signals| signals.started);
+        self.update_signals_of(&endpoint, incarnation, change);
+    }
+
+    fn update_signals_of<Change>(
+        &mut self,
+        endpoint: &id::Endpoint,
+        incarnation: id::Incarnation,
+        change: Change,
+    ) where
+        Change: FnOnce(&mut Signals),
+    {
+        let newest = self.signals.get(endpoint).map(|signals| signals.started);
         if newest.is_some_and(|newest| newest > incarnation) {
             return;
         }
-        let mut signals = self.signals(&endpoint, incarnation);
+        let mut signals = self.signals(endpoint, incarnation);
         change(&mut signals);
-        if let Some(backend) = self.backend_mut(&endpoint)
+        if let Some(backend) = self.backend_mut(endpoint)
             && backend.endpoint.started == incarnation
         {
             backend.signals = signals;
         }
-        self.signals.insert(endpoint, signals);
+        self.signals.insert(endpoint.clone(), signals);
     }
 }
