Dispatch: a request isn't sent where this host knows that the endpoint leaves

What callers saw: a request is sent to an endpoint that this host lists as leaving, since its dispatcher still lists it as ready.

Cause: a placement by a dispatcher was adopted unchecked. The host now refuses such a placement, tells the dispatcher that the endpoint leaves, and asks again without it. Each further question leaves out one more endpoint, so they end, and so does the deadline.

--- a/crates/papayayard_gateway/src/dispatch.rs
+++ b/crates/papayayard_gateway/src/dispatch.rs
@@ -24,7 +24,7 @@
 use crate::hosts::{self, Neighbours};
 use crate::metrics::Metrics;
 use crate::runs;
-use crate::schedule::{Adopted, Handle, Message};
+use crate::schedule::{Handle, Message};
 use crate::targets::Weights;
 use crate::uplink;
 
@@ -134,6 +134,7 @@
     pub(crate) async fn place(&self, mut query: Query) -> Selection {
         let number = self.0.local.register.number();
         let mut redirects = 0;
+        let mut leaving = Vec::new();
         while self.is_dispatched(&query) && redirects <= MAX_REDIRECTS {
             let Some(link) = self.dispatcher() else {
                 break;
@@ -144,6 +145,7 @@
             }
             query.avoided = self.0.schedule.avoided();
             query.avoided.extend(self.restarted(&query));
+            query.avoided.extend_from_slice(&leaving);
             match link.request_placement(number, &query, requested_at).await {
                 Ok(answer) => {
                     self.state().answered(&link, answer.elsewhere.as_ref());
@@ -154,8 +156,13 @@
                             link.notify(number, message::Event::Abandoned);
                             break;
                         }
-                        self.0.metrics.dispatched("dispatcher");
-                        return self.adopt(query, number, decision, link).await;
+                        match self.adopt(&query, number, decision, link).await {
+                            Ok(selection) => {
+                                self.0.metrics.dispatched("dispatcher");
+                                return selection;
+                            }
+                            Err(endpoint) => leaving.push(endpoint),
+                        }
                     }
                     redirects += u32::from(answer.elsewhere.is_some());
                     query.waited += self.0.clock.now().saturating_sub(requested_at);
@@ -289,29 +296,35 @@
         }
     }
 
-    /// Records a dispatcher's decision in this host's scheduler.
+    /// Records a dispatcher's decision in this host's scheduler. Returns the endpoint if this
+    /// host knows that it is leaving, and tells the dispatcher so.
     async fn adopt(
         &self,
-        query: Query,
+        query: &Query,
         number: u64,
         decision: message::Decision,
         link: Arc<Link>,
-    ) -> Selection {
-        match decision {
-            message::Decision::Placed(placed) => {
-                let mut placement = placed.into_placement(&query);
-                if placement.software.is_none() {
-                    placement.software = self.0.runs.suspect(&placement.endpoint);
-                }
-                let adopted = self.0.schedule.adopt(query.clone(), placement.clone());
-                let Adopted { ticket, address } = adopted.await;
-                // The store says where an endpoint is, not another host.
-                placement.address = address.unwrap_or(placement.address);
-                let permit = self.permit(&query, number, &placement, ticket, Some(link));
-                Selection::Placed(Box::new(placement), permit)
-            }
-            message::Decision::Refused(refused) => refused.into_selection(link.host()),
+    ) -> Result<Selection, id::Endpoint> {
+        let placed = match decision {
+            message::Decision::Placed(placed) => placed,
+            message::Decision::Refused(refused) => return Ok(refused.into_selection(link.host())),
+        };
+        let mut placement = placed.into_placement(query);
+        if placement.software.is_none() {
+            placement.software = self.0.runs.suspect(&placement.endpoint);
+        }
+        let adopted = self.0.schedule.adopt(query.clone(), placement.clone());
+        let adopted = adopted.await;
+        if adopted.is_leaving {
+            log::info!(endpoint:% = placement.endpoint, by:% = link.host(); "placed at an endpoint that leaves; asked again");
+            link.notify(number, message::Event::Leaving);
+            link.notify(number, message::Event::Abandoned);
+            return Err(placement.endpoint);
         }
+        // The store says where an endpoint is, not another host.
+        placement.address = adopted.address.unwrap_or(placement.address);
+        let permit = self.permit(query, number, &placement, adopted.ticket, Some(link));
+        Ok(Selection::Placed(Box::new(placement), permit))
     }
 
     /// Names the software in a placement for another host only if it is known.
--- a/crates/papayayard_gateway/src/schedule.rs
+++ b/crates/papayayard_gateway/src/schedule.rs
@@ -67,6 +67,8 @@
     pub(crate) ticket: Option<Ticket>,
     /// Address of the endpoint, if it knows it.
     pub(crate) address: Option<SocketAddr>,
+    /// Whether it knows that the endpoint is leaving; the placement then was not recorded.
+    pub(crate) is_leaving: bool,
 }
 
 /// Message to the scheduler task.
@@ -305,11 +307,7 @@
             }
             Message::Adopt(adopted, reply) => {
                 let (query, placement) = *adopted;
-                let ticket = scheduler.record_placement(&query, &placement, now);
-                let address = scheduler.address(&placement.endpoint);
-                if let (Err(_), Some(ticket)) = (reply.send(Adopted { ticket, address }), ticket) {
-                    scheduler.record_outcome(ticket, Outcome::Abandoned, now);
-                }
+                self.adopt(&query, &placement, reply, now);
             }
             Message::Use(host, zone) => scheduler.record_use(&host, &zone, now),
             Message::UseElsewhere => scheduler.record_use_elsewhere(now),
@@ -349,6 +347,32 @@
         }
     }
 
+    /// Records a placement by another host, unless its endpoint is leaving.
+    fn adopt(
+        &mut self,
+        query: &Query,
+        placement: &Placement,
+        reply: oneshot::Sender<Adopted>,
+        now: Duration,
+    ) {
+        let endpoint = &placement.endpoint;
+        let is_leaving = self.scheduler.is_leaving(endpoint, placement.started);
+        let ticket = if is_leaving {
+            None
+        } else {
+            self.scheduler.record_placement(query, placement, now)
+        };
+        let adopted = Adopted {
+            ticket,
+            address: self.scheduler.address(endpoint),
+            is_leaving,
+        };
+        if let (Err(_), Some(ticket)) = (reply.send(adopted), ticket) {
+            self.scheduler
+                .record_outcome(ticket, Outcome::Abandoned, now);
+        }
+    }
+
     fn check(&mut self) {
         let now = self.clock.now();
         self.scheduler.check_overdue(now);
--- a/crates/papayayard_routing/src/placement/signals.rs
+++ b/crates/papayayard_routing/src/placement/signals.rs
@@ -56,6 +56,17 @@
         self.update_signals_of(endpoint, started, leave);
     }
 
+    /// Whether an incarnation of an endpoint is listed or known as leaving; if none is given, the
+    /// listed one.
+    pub fn is_leaving(&self, endpoint: &id::Endpoint, started: Option<id::Incarnation>) -> bool {
+        let key = self.by_id.get(endpoint);
+        let backend = key.map(|key| &self.backends[*key]);
+        backend.is_some_and(|backend| {
+            let listed = backend.endpoint.started;
+            backend.is_leaving() && started.is_none_or(|started| started == listed)
+        })
+    }
+
     /// Records a backoff requested by the endpoint of a placed request.
     pub fn set_backoff(&mut self, ticket: Ticket, time: Duration, now: Duration) {
         self.update_signals(ticket, |signals| {
