--- a/crates/papayayard_routing/src/placement/path.rs
+++ b/crates/papayayard_routing/src/placement/path.rs
@@ -121,8 +121,9 @@
     backend: BackendKey,
     endpoint: id::Endpoint,
     zone: id::Zone,
-    /// Time of the first failure.
+    /// Time of the first and of the last failure.
     at: Duration,
+    last: Duration,
     /// Failures that do not count against the endpoint yet.
     uncounted: Number,
     /// Failures that count until the host turns out to be detached.
@@ -330,6 +331,7 @@
         self.zones.insert(zone.clone());
         if let Some(failure) = self.failure_at(placed.backend) {
             failure.uncounted.add(kind);
+            failure.last = now;
         } else if self.failures.len() < MAX_FAILED_ENDPOINTS {
             let mut uncounted = Number::default();
             uncounted.add(kind);
@@ -338,6 +340,7 @@
                 endpoint: placed.endpoint.clone(),
                 zone: zone.clone(),
                 at: now,
+                last: now,
                 uncounted,
                 provisional: Number::default(),
                 health_before: None,
@@ -370,6 +373,17 @@
         self.count(health, now);
     }
 
+    /// Drops failures that the last answer of the endpoint refutes, to whichever host.
+    fn refute(&mut self, answered_at: Duration, now: Duration) {
+        if self.at < answered_at + RECENT_ANSWER {
+            self.uncounted.unreachable = 0;
+        }
+        let is_past = self.last + RECENT_ANSWER <= now;
+        if answered_at == now || is_past && self.last < answered_at {
+            self.uncounted.unanswered = 0;
+        }
+    }
+
     /// Counts the failures against the endpoint.
     fn count(&mut self, health: &mut ejection::Health, now: Duration) {
         for _ in 0..mem::take(&mut self.uncounted).consecutive() {
@@ -486,17 +500,13 @@
             let Some(backend) = self.backends.get_mut(failure.backend) else {
                 continue;
             };
-            let counts = if is_only_sender {
-                backend.answered_at <= failure.at
-            } else {
-                backend.answered_at + RECENT_ANSWER <= failure.at
-                    && !self.paths.excludes(sender, &failure.zone, now)
-            };
-            if !counts {
-                failure.uncounted.unreachable = 0;
-            }
-            if !counts && is_only_sender {
-                failure.uncounted.unanswered = 0;
+            if !is_only_sender {
+                failure.refute(backend.answered_at, now);
+                if self.paths.excludes(sender, &failure.zone, now) {
+                    failure.uncounted.unreachable = 0;
+                }
+            } else if failure.at < backend.answered_at {
+                failure.uncounted = Number::default();
             }
             backend.count_failures(sender.host, failure.uncounted.consecutive(), now);
         }
