Placement: requests whose outcome was never reported do not keep tests from an endpoint

Cause: such a request counts as open until its deadline, and while it is overdue its endpoint is expected to be late.

--- a/crates/papayayard_routing/src/placement/backend.rs
+++ b/crates/papayayard_routing/src/placement/backend.rs
@@ -54,6 +54,8 @@
     pub(super) answered_at: Duration,
     /// Hosts that the endpoint has answered and failed lately.
     pub(super) witnesses: Witnesses,
+    /// Open requests whose first event is long overdue: their hosts may never report an outcome.
+    pub(super) overdue: f64,
     /// Last request that tested the endpoint, and when it was placed.
     pub(super) trial: Option<(Ticket, Duration)>,
     /// Time of the last answer to a host whose connection was in doubt.
@@ -95,6 +97,7 @@
             health: ejection::Health::default(),
             answered_at: Duration::ZERO,
             witnesses: Witnesses::default(),
+            overdue: 0.0,
             trial: None,
             reached_in_doubt_at: None,
             refusal_backoff_until: Duration::ZERO,
--- a/crates/papayayard_routing/src/placement/progress.rs
+++ b/crates/papayayard_routing/src/placement/progress.rs
@@ -66,6 +66,11 @@
         }
     }
 
+    /// Whether the first event should have arrived long ago.
+    fn is_long_due(&self, now: Duration) -> bool {
+        !self.has_begun && self.sent + self.expected + OVERDUE_GRACE <= now
+    }
+
     /// Whether the sending host should have reported the outcome by now.
     pub(super) fn is_expired(&self, now: Duration) -> bool {
         self.requesting_host.is_some() && self.deadline + OUTCOME_GRACE <= now
@@ -185,9 +190,23 @@
         }
     }
 
+    fn count_overdue(&mut self, now: Duration) {
+        for backend in self.backends.values_mut() {
+            backend.overdue = 0.0;
+        }
+        for placed in self.tickets.values() {
+            if placed.is_long_due(now)
+                && let Some(backend) = self.backends.get_mut(placed.backend)
+            {
+                backend.overdue += placed.amounts.open;
+            }
+        }
+    }
+
     /// Counts endpoints whose first events are long overdue as failing, and removes expired
     /// state.
     pub fn check_overdue(&mut self, now: Duration) {
+        self.count_overdue(now);
         for placed in self.tickets.values_mut() {
             let due = placed.sent + placed.expected;
             if placed.has_begun || now < due {
@@ -215,7 +234,7 @@
                     backend.delay.observe(delay_ms, now);
                 }
             }
-            if !placed.is_overdue && placed.sent + placed.expected + OVERDUE_GRACE <= now {
+            if !placed.is_overdue && placed.is_long_due(now) {
                 placed.is_overdue = true;
                 backend.health.record_failure(now);
             }
--- a/crates/papayayard_routing/src/placement/select.rs
+++ b/crates/papayayard_routing/src/placement/select.rs
@@ -124,10 +124,7 @@
         availability: &mut Availability,
         now: Duration,
     ) -> Option<Candidate> {
-        let available = self.available(query, now);
-        let healthy = available.iter().copied();
-        let healthy = healthy.filter(|(_, backend)| backend.is_healthy(now));
-        let usable = self.reachable(query, healthy.collect(), now);
+        let usable = self.available(query, now, |backend| backend.is_healthy(now));
         availability.usable = usable.len();
         let candidates = self.candidates(query, draw, usable, now);
         availability.with_capacity = candidates.len();
@@ -140,12 +137,21 @@
         let in_time = candidates.into_iter();
         let in_time = in_time.filter(|candidate| bounds.include(&candidate.estimate));
         let best = in_time.min_by(by_cost);
-        best.or_else(|| self.trial(query, draw, available, now))
+        best.or_else(|| self.trial(query, draw, &bounds, now))
     }
 
     /// Endpoints of the service that accept a request now, by their own words, their limits and
-    /// what the sending host knows.
-    fn available(&self, query: &Query, now: Duration) -> Vec<(BackendKey, &Backend)> {
+    /// what the sending host knows, of those that are `included`. Leaves out zones that the sending
+    /// host does not reach, unless it reaches none.
+    pub(super) fn available<Included>(
+        &self,
+        query: &Query,
+        now: Duration,
+        included: Included,
+    ) -> Vec<(BackendKey, &Backend)>
+    where
+        Included: Fn(&Backend) -> bool,
+    {
         let service = self.table.services.get(&query.service);
         let connections = service.map_or(u32::MAX, |service| service.max_connections);
         let share = f64::from(connections) / float(self.schedulers);
@@ -154,27 +160,22 @@
                 && !query.tried.contains(&backend.endpoint.id)
                 && !query.avoided.contains(&backend.endpoint.id)
                 && backend.accepts(now)
+                && included(backend)
                 && self.permits(backend, now)
                 && backend.load.local().open + 1.0 <= share.max(1.0)
         });
-        available.collect()
-    }
-
-    /// Leaves out endpoints in zones that the sending host does not reach, unless it reaches none.
-    pub(super) fn reachable<'a>(
-        &self,
-        query: &Query,
-        mut endpoints: Vec<(BackendKey, &'a Backend)>,
-        now: Duration,
-    ) -> Vec<(BackendKey, &'a Backend)> {
+        let mut available: Vec<(BackendKey, &Backend)> = available.collect();
+        if !self.paths.excludes_any(query.sender(), now) {
+            return available;
+        }
         let is_reachable = |backend: &Backend| {
             let zone = &backend.endpoint.zone;
             !self.paths.excludes(query.sender(), zone, now)
         };
-        if endpoints.iter().any(|(_, backend)| is_reachable(backend)) {
-            endpoints.retain(|(_, backend)| is_reachable(backend));
+        if available.iter().any(|(_, backend)| is_reachable(backend)) {
+            available.retain(|(_, backend)| is_reachable(backend));
         }
-        endpoints
+        available
     }
 
     /// Possible placements at endpoints.
@@ -200,7 +201,7 @@
         }
     }
 
-    pub(super) fn bounds(&self, query: &Query, now: Duration) -> Bounds {
+    fn bounds(&self, query: &Query, now: Duration) -> Bounds {
         let left_ms = ms(query.deadline.saturating_sub(now));
         let urgent = self
             .table
--- a/crates/papayayard_routing/src/placement/trial.rs
+++ b/crates/papayayard_routing/src/placement/trial.rs
@@ -12,7 +12,7 @@
 use super::Scheduler;
 use super::backend::Backend;
 use super::cost::Estimate;
-use super::query::{BackendKey, Query};
+use super::query::Query;
 use super::select::{Bounds, Candidate, by_cost};
 
 /// Minimum time between two tests of an ejected endpoint.
@@ -26,18 +26,19 @@
         &self,
         query: &Query,
         draw: f64,
-        available: Vec<(BackendKey, &Backend)>,
+        bounds: &Bounds,
         now: Duration,
     ) -> Option<Candidate> {
-        let testable = available.into_iter();
-        let testable = testable.filter(|(_, backend)| self.may_be_tested(backend, now));
-        let testable = self.reachable(query, testable.collect(), now);
+        let testable = self.available(query, now, |backend| self.may_be_tested(backend, now));
+        if testable.is_empty() {
+            return None;
+        }
         let candidates = self.candidates(query, draw, testable, now).into_iter();
-        let bounds = self.bounds(query, now);
         let idle = candidates.filter(|candidate| {
-            let is_healthy = self.backends[candidate.key].is_healthy(now);
-            let is_idle = !is_healthy || candidate.estimate.open < 1.0;
-            is_idle && bounds.include(&in_time(&candidate.estimate, &bounds))
+            let backend = &self.backends[candidate.key];
+            let open = candidate.estimate.open - backend.overdue;
+            let is_idle = !backend.is_healthy(now) || open < 1.0;
+            is_idle && bounds.include(&in_time(&candidate.estimate, bounds))
         });
         let best = idle.min_by(by_cost)?;
         Some(Candidate {
@@ -48,7 +49,7 @@
 
     fn may_be_tested(&self, backend: &Backend, now: Duration) -> bool {
         if backend.is_healthy(now) {
-            return backend.load.local().open < 1.0;
+            return backend.load.local().open - backend.overdue < 1.0;
         }
         let is_waiting = |ticket| {
             let placed = self.tickets.get(ticket);
@@ -66,10 +67,11 @@
     }
 }
 
-/// An estimate that does not go by how late earlier answers were.
+/// An estimate that goes neither by how late earlier answers were nor by overdue requests.
 fn in_time(estimate: &Estimate, bounds: &Bounds) -> Estimate {
     Estimate {
         first_event_ms: estimate.first_event_ms.min(bounds.target),
+        wait_ms: 0.0,
         ..*estimate
     }
 }
