Placement: a probe of an ejected endpoint counts as its test

Found by a test of how often endpoints that are gone are tried: when an ejection ended, the probe and a test went out in the same decision, three requests a second and two at once. Every request to an endpoint that is not known to be healthy now counts as the one that tests it.

--- a/crates/papayayard_routing/src/placement/place.rs
+++ b/crates/papayayard_routing/src/placement/place.rs
@@ -75,8 +75,9 @@
             tokens: estimate.prefill_tokens,
         };
         placement.ticket = self.start(candidate.key, query, &placement, predicted, now);
-        if candidate.is_trial {
-            self.backends[candidate.key].trial = Some((placement.ticket, now));
+        let backend = &mut self.backends[candidate.key];
+        if candidate.is_trial || backend.health.is_on_trial() {
+            backend.trial = Some((placement.ticket, now));
         }
         let endpoint = &self.backends[candidate.key].endpoint;
         self.limits.take(endpoint, now);
