Placement: endpoints that answer nobody are ejected although their connections are only closed

A failure is held back for the host's own network only while some host is answered. If none was for a second, it counts against the endpoint at once.

Evidence: overload tests of endpoints that are gone, and a_host_is_served_as_soon_as_its_connections_are_not_closed_any_more (new).

--- a/crates/papayayard_routing/src/placement/path.rs
+++ b/crates/papayayard_routing/src/placement/path.rs
@@ -54,6 +54,8 @@
 const HIGH_FAILURE_FRACTION: f64 = 0.5;
 /// Fraction of connections that fail up to which a host fails at few.
 const LOW_FAILURE_FRACTION: f64 = 0.25;
+/// Recent answers of a host whose last one was a time constant ago.
+const MIN_ANSWERED: f64 = 0.36;
 /// Fraction of hosts that have to fail at few, more than do so by chance.
 const MIN_CONNECTED_HOSTS: f64 = 0.1;
 
@@ -169,6 +171,12 @@
         recent.answered += 1.0;
     }
 
+    /// Whether any host was answered lately.
+    fn is_any_answered(&self, now: Duration) -> bool {
+        let mut paths = self.hosts.values().chain([&self.local]);
+        paths.any(|path| path.recent.at(now).answered >= MIN_ANSWERED)
+    }
+
     /// Whether a host fails at most of its connections while other hosts, of a zone if one is
     /// given, fail at few.
     fn is_impaired(&self, host: Option<&id::Host>, zone: Option<&id::Zone>, now: Duration) -> bool {
@@ -436,13 +444,20 @@
     /// and closed may be the fault of the host's network, too, and a detached host loses its open
     /// connections.
     pub(super) fn record_unanswered(&mut self, placed: &Placed, now: Duration) {
+        let is_any_answered = self.paths.is_any_answered(now);
         let path = self.paths.path_mut(placed.sender());
         path.recent.settle(now);
         if !placed.has_begun {
             path.recent.failed += 1.0;
         }
-        if placed.sent > path.reattached_at {
+        if placed.sent <= path.reattached_at {
+            return;
+        }
+        if is_any_answered {
             self.record_lost(placed, Kind::Unanswered, now);
+        } else if let Some(backend) = self.backends.get_mut(placed.backend) {
+            // No host shows that the endpoints are well.
+            backend.count_failures(placed.requesting_host.as_ref(), 1, now);
         }
     }
 
