--- a/crates/papayayard_routing/tests/placement/main.rs
+++ b/crates/papayayard_routing/tests/placement/main.rs
@@ -7,6 +7,7 @@
 mod faults;
 mod limits;
 mod link;
+mod overload;
 mod plain;
 mod prefill;
 mod recovery;
--- a/crates/papayayard_routing/tests/placement/support.rs
+++ b/crates/papayayard_routing/tests/placement/support.rs
@@ -21,7 +21,7 @@
 /// Time for which requests may begin on older weights.
 pub(crate) const OLD_WEIGHTS: Duration = Duration::from_secs(12);
 
-pub(crate) fn ms(ms: u64) -> Duration {
+pub(crate) const fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
 
