--- a/crates/papayayard_gateway/src/announcement_test.rs
+++ b/crates/papayayard_gateway/src/announcement_test.rs
@@ -7,6 +7,7 @@
 use super::{Age, Announcement, Announcements, KEY, Snapshot};
 use crate::clock::Clock;
 use crate::follow::Reducer;
+use crate::metrics::Metrics;
 use crate::schedule;
 use crate::store::Record;
 
@@ -75,5 +76,5 @@
         old_weights_grace: NOW,
         limit_phase: 0.0,
     });
-    schedule::start(scheduler, "a".into(), Clock::start())
+    schedule::start(scheduler, "a".into(), Metrics::new(), Clock::start())
 }
--- a/crates/papayayard_gateway/src/dispatch/message.rs
+++ b/crates/papayayard_gateway/src/dispatch/message.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use papayayard_routing::placement::{
-    Availability, Limit, Outcome, Placement, Query, RefusalReason, Ticket,
+    self, Availability, Limit, Outcome, Placement, Query, RefusalReason, Ticket,
 };
 use papayayard_routing::prompt::{self, Part, Prompt};
 use papayayard_routing::rate::Rate;
@@ -209,6 +209,9 @@
     cached: u32,
     unread: u32,
     reread: u32,
+    /// Whether the request tests an endpoint; not sent by older releases.
+    #[serde(default)]
+    is_trial: bool,
 }
 
 /// Reason for a refusal, and the state of the service's endpoints.
@@ -222,6 +225,28 @@
     with_room: usize,
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     first_event_ms: Duration,
+    /// Endpoints that were left out, by reason; not sent by older releases.
+    #[serde(default)]
+    exclusions: Vec<Exclusion>,
+}
+
+/// Endpoints that were left out for the same reason.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct Exclusion {
+    /// Name of the reason, which may be one of a newer release.
+    reason: String,
+    number: usize,
+    /// The first few of them.
+    endpoints: Vec<Excluded>,
+}
+
+#[serde_as]
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct Excluded {
+    endpoint: String,
+    #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
+    #[serde(default)]
+    first_event_ms: Option<Duration>,
 }
 
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
@@ -390,6 +415,7 @@
             cached: placement.cached,
             unread: placement.unread,
             reread: placement.reread,
+            is_trial: placement.is_trial,
         }
     }
 
@@ -415,6 +441,7 @@
             cached: self.cached,
             unread: self.unread,
             reread: self.reread,
+            is_trial: self.is_trial,
         }
     }
 }
@@ -445,6 +472,11 @@
             usable: availability.usable,
             with_room: availability.with_capacity,
             first_event_ms: availability.first_event,
+            exclusions: availability
+                .exclusions
+                .into_iter()
+                .map(Exclusion::new)
+                .collect(),
         }
     }
 
@@ -461,8 +493,44 @@
                 usable: self.usable,
                 with_capacity: self.with_room,
                 first_event: self.first_event_ms,
+                exclusions: self
+                    .exclusions
+                    .into_iter()
+                    .map(Exclusion::into_exclusion)
+                    .collect(),
             },
             refused_by: dispatcher.as_str().to_owned(),
         }
     }
 }
+
+impl Exclusion {
+    fn new(exclusion: placement::Exclusion) -> Self {
+        let endpoints = exclusion.endpoints.into_iter().map(|excluded| Excluded {
+            endpoint: excluded.endpoint.as_str().to_owned(),
+            first_event_ms: excluded.first_event,
+        });
+        Self {
+            reason: exclusion.reason.as_str().to_owned(),
+            number: exclusion.number,
+            endpoints: endpoints.collect(),
+        }
+    }
+
+    fn into_exclusion(self) -> placement::Exclusion {
+        let endpoints = self.endpoints.into_iter();
+        let endpoints = endpoints.map(|excluded| placement::Excluded {
+            endpoint: id::Endpoint::from(excluded.endpoint),
+            first_event: excluded.first_event_ms,
+        });
+        placement::Exclusion {
+            reason: placement::Reason::from_name(&self.reason),
+            number: self.number,
+            endpoints: endpoints.collect(),
+        }
+    }
+}
+
+#[cfg(test)]
+#[path = "message_test.rs"]
+mod test;
--- /dev/null
+++ b/crates/papayayard_gateway/src/dispatch/message_test.rs
@@ -0,0 +1,117 @@
+use std::time::Duration;
+
+use papayayard_routing::placement::{Availability, Excluded, Exclusion, Reason, RefusalReason};
+use papayayard_wire::id;
+use serde::{Deserialize, Serialize};
+
+use super::{Decision, Refusal};
+use crate::dispatch::Selection;
+
+/// Refusal as the release before knows it.
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+struct OldRefusal {
+    why: String,
+    retry_ms: u64,
+    usable: usize,
+    with_room: usize,
+    first_event_ms: u64,
+}
+
+/// Decision as the release before knows it.
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+enum OldDecision {
+    Refused(OldRefusal),
+}
+
+/// Placement as the release before sends it.
+const OLD_PLACED: &str = r#"{"Placed":{"endpoint":"e0","address":"10.0.0.1:80","version":1,
+    "salt":null,"fetch":null,"save":null,"first_event_us":1000,"cached":0,"unread":1,"reread":0}}"#;
+
+fn old_decision() -> OldDecision {
+    OldDecision::Refused(OldRefusal {
+        why: "Overloaded".to_owned(),
+        retry_ms: 350,
+        usable: 3,
+        with_room: 2,
+        first_event_ms: 212,
+    })
+}
+
+fn availability() -> Availability {
+    let late = Exclusion {
+        reason: Reason::Late,
+        number: 3,
+        endpoints: vec![Excluded {
+            endpoint: id::Endpoint::from("e0"),
+            first_event: Some(Duration::from_millis(212)),
+        }],
+    };
+    Availability {
+        usable: 3,
+        with_capacity: 2,
+        first_event: Duration::from_millis(212),
+        exclusions: vec![late],
+    }
+}
+
+fn decision(availability: Availability) -> Decision {
+    let retry_after = Duration::from_millis(350);
+    let refusal = Refusal::new(RefusalReason::Overloaded, retry_after, availability);
+    Decision::Refused(refusal)
+}
+
+fn received(text: &str) -> Availability {
+    let decision: Decision = serde_json::from_str(text).expect("a decision");
+    let Decision::Refused(refusal) = decision else {
+        panic!("the request is refused");
+    };
+    match refusal.into_selection(&id::Host::from("dispatcher")) {
+        Selection::Refused { availability, .. } => availability,
+        Selection::Placed(..) => panic!("the request is refused"),
+    }
+}
+
+/// Hosts of the release before cannot read a refusal with reasons, and place all requests
+/// themselves.
+#[test]
+fn a_refusal_with_reasons_is_read_by_older_releases() {
+    let text = serde_json::to_string(&decision(availability())).expect("a text");
+    let read: OldDecision = serde_json::from_str(&text).expect("an older release reads it");
+    assert_eq!(read, old_decision());
+}
+
+/// A refusal without reasons, of a dispatcher of the release before, counts as a failed call.
+#[test]
+fn a_refusal_of_an_older_release_is_read() {
+    let text = serde_json::to_string(&old_decision()).expect("a text");
+    let expected = Availability {
+        exclusions: Vec::new(),
+        ..availability()
+    };
+    assert_eq!(received(&text), expected);
+}
+
+/// A placement of a dispatcher of the release before counts as a failed call.
+#[test]
+fn a_placement_of_an_older_release_is_read() {
+    let decision: Decision = serde_json::from_str(OLD_PLACED).expect("a decision");
+    let Decision::Placed(placed) = decision else {
+        panic!("the request is placed");
+    };
+    assert!(!placed.is_trial);
+}
+
+/// Reasons or their endpoints are lost on the way.
+#[test]
+fn reasons_arrive_as_they_were_sent() {
+    let text = serde_json::to_string(&decision(availability())).expect("a text");
+    assert_eq!(received(&text), availability());
+}
+
+/// A refusal of a newer release is not read because of a reason that this one does not know.
+#[test]
+fn a_reason_of_a_newer_release_is_unknown() {
+    let text = serde_json::to_string(&decision(availability())).expect("a text");
+    let text = text.replace("\"late\"", "\"asleep\"");
+    assert_eq!(received(&text).exclusions[0].reason, Reason::Unknown);
+}
--- a/crates/papayayard_gateway/src/dispatch_test.rs
+++ b/crates/papayayard_gateway/src/dispatch_test.rs
@@ -21,7 +21,7 @@
 use crate::hosts::{LocalHost, Neighbours};
 use crate::metrics::Metrics;
 use crate::schedule::Message;
-use crate::{origins, peers, runs, schedule, uplink};
+use crate::{origins, peers, runs, schedule, uplink, usability};
 
 const TARGET_LATENCY: Duration = Duration::from_secs(5);
 /// Maximum time for each wait of a test.
@@ -62,7 +62,7 @@
         let dispatch = Dispatch::new(Parts {
             local: local.clone(),
             clock,
-            schedule: schedule::start(scheduler, local.zone.clone(), clock),
+            schedule: schedule::start(scheduler, local.zone.clone(), Metrics::new(), clock),
             neighbours: neighbours_receiver,
             uplink: uplink::Handle::with_state(state),
             runs: runs::Tracker::new(clock),
@@ -324,6 +324,29 @@
     assert!(matches!(selection, Selection::Refused { .. }));
 }
 
+/// Guards against refusals by a dispatcher that do not say why its endpoints were left out.
+#[tokio::test]
+async fn a_dispatcher_says_why_an_endpoint_was_left_out() {
+    let (mut dispatcher, asker) = dispatcher_and_asker();
+    let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 1));
+    for host in [&dispatcher, &asker] {
+        host.set_endpoint(address, host.local.host.as_str() == "dispatcher");
+    }
+    dispatcher.serve();
+    let selection = asker.dispatch.place(asker.query()).await;
+    let Selection::Refused {
+        availability,
+        refused_by,
+        ..
+    } = selection
+    else {
+        panic!("the endpoint is leaving");
+    };
+    assert_eq!(refused_by, "dispatcher");
+    let left_out = usability::left_out(&availability);
+    assert_eq!(left_out, "leaving=1(engines-0)");
+}
+
 /// Guards against dispatchers that do not count questions of other hosts for an endpoint's limit.
 #[tokio::test]
 async fn a_dispatcher_counts_questions_for_a_limit() {
--- a/crates/papayayard_gateway/src/host.rs
+++ b/crates/papayayard_gateway/src/host.rs
@@ -84,7 +84,7 @@
     let clock = Clock::start();
     let metrics = Metrics::new();
     let (stop_state, stop_receiver) = watch::channel(StopState::SERVING);
-    let schedule = scheduler(&settings, clock);
+    let schedule = scheduler(&settings, metrics.clone(), clock);
     let pool = Pool::new(clock);
     let seeds = Neighbours::from_seeds(&settings.seeds, settings.announced_peers);
     let mut parts = Parts {
@@ -204,14 +204,14 @@
     }
 }
 
-fn scheduler(settings: &Settings, clock: Clock) -> schedule::Handle {
+fn scheduler(settings: &Settings, metrics: Metrics, clock: Clock) -> schedule::Handle {
     let mut scheduler = Scheduler::new(placement::Settings {
         old_weights: settings.bounds.old_weights,
         old_weights_grace: OLD_WEIGHTS_GRACE,
         limit_phase: rand::random(),
     });
     scheduler.set_hosts(hosts::ASSUMED_COUNT);
-    schedule::start(scheduler, settings.zone.clone(), clock)
+    schedule::start(scheduler, settings.zone.clone(), metrics, clock)
 }
 
 /// Dependencies of the background tasks.
--- a/crates/papayayard_gateway/src/hosts_test.rs
+++ b/crates/papayayard_gateway/src/hosts_test.rs
@@ -30,7 +30,12 @@
     let links = Links {
         number,
         neighbours,
-        schedule: schedule::start(scheduler, id::Zone::from("a"), Clock::start()),
+        schedule: schedule::start(
+            scheduler,
+            id::Zone::from("a"),
+            Metrics::new(),
+            Clock::start(),
+        ),
         metrics: Metrics::new(),
     };
     let published = Published {
--- a/crates/papayayard_gateway/src/lib.rs
+++ b/crates/papayayard_gateway/src/lib.rs
@@ -59,3 +59,4 @@
 mod socket;
 mod targets;
 mod uplink;
+mod usability;
--- a/crates/papayayard_gateway/src/metrics.rs
+++ b/crates/papayayard_gateway/src/metrics.rs
@@ -30,6 +30,7 @@
     limits: Counter<u64>,
     refusal_limits: Counter<u64>,
     told_streams: Counter<u64>,
+    usability_changes: Counter<u64>,
     first_event: Histogram<f64>,
     hosts: Gauge<u64>,
     detached: Gauge<u64>,
@@ -101,6 +102,10 @@
                 .u64_counter("papayayard_told_streams")
                 .with_description("Streams that other hosts have told this one of")
                 .build(),
+            usability_changes: meter
+                .u64_counter("papayayard_endpoint_rule_changes")
+                .with_description("Rules that began or ceased to keep requests from an endpoint")
+                .build(),
             first_event: meter
                 .f64_histogram("papayayard_first_event_seconds")
                 .with_description("Time from a request's arrival to its stream's first event")
@@ -181,6 +186,13 @@
         self.told_streams.add(number, &[]);
     }
 
+    /// Counts changes of a rule that keeps requests from endpoints.
+    pub(crate) fn usability_changed(&self, rule: &'static str, holds: bool, number: u64) {
+        let change = if holds { "begun" } else { "ended" };
+        let labels = [KeyValue::new("rule", rule), KeyValue::new("change", change)];
+        self.usability_changes.add(number, &labels);
+    }
+
     pub(crate) fn first_event(&self, time: Duration) {
         self.first_event.record(time.as_secs_f64(), &[]);
     }
--- a/crates/papayayard_gateway/src/peers_test.rs
+++ b/crates/papayayard_gateway/src/peers_test.rs
@@ -60,7 +60,7 @@
     let dispatch = Dispatch::new(dispatch::Parts {
         local: local.clone(),
         clock,
-        schedule: schedule::start(scheduler, local.zone, clock),
+        schedule: schedule::start(scheduler, local.zone, Metrics::new(), clock),
         neighbours,
         uplink: uplink.clone(),
         runs: runs::Tracker::new(clock),
--- a/crates/papayayard_gateway/src/relay.rs
+++ b/crates/papayayard_gateway/src/relay.rs
@@ -34,6 +34,7 @@
 use crate::origins;
 use crate::pump;
 use crate::refusal::{Refusal, millis};
+use crate::usability;
 
 mod admit;
 mod forward;
@@ -336,7 +337,7 @@
                     cached = placement.cached, unread = placement.unread, reread = placement.reread,
                     parts = prompt.map_or(0, |prompt| prompt.tokens),
                     shared,
-                    fetch:% = source, save = placement.save.is_some(),
+                    fetch:% = source, save = placement.save.is_some(), trial = placement.is_trial,
                     by = permit.placed_by(), attempt = history.endpoints.len();
                     "placed"
                 );
@@ -351,7 +352,7 @@
                 log::info!(
                     request:% = job.id, service:% = job.service, reason = why.as_str(),
                     usable = seen.usable, with_room = seen.with_capacity,
-                    first_event_ms = millis(seen.first_event),
+                    first_event_ms = millis(seen.first_event), left_out:% = usability::left_out(&seen),
                     by = refused_by.as_str(), attempt = history.endpoints.len();
                     "no place"
                 );
--- a/crates/papayayard_gateway/src/schedule.rs
+++ b/crates/papayayard_gateway/src/schedule.rs
@@ -23,7 +23,9 @@
 use tokio::time;
 
 use crate::clock::Clock;
+use crate::metrics::Metrics;
 use crate::targets::Targets;
+use crate::usability;
 
 /// Interval between decisions on waiting requests.
 const DECISION_PERIOD: Duration = Duration::from_millis(20);
@@ -222,7 +224,12 @@
 }
 
 /// Starts the task of a host in `zone`; the task ends when all handles are dropped.
-pub(crate) fn start(scheduler: Scheduler, zone: id::Zone, clock: Clock) -> Handle {
+pub(crate) fn start(
+    scheduler: Scheduler,
+    zone: id::Zone,
+    metrics: Metrics,
+    clock: Clock,
+) -> Handle {
     let (sender, messages) = mpsc::unbounded_channel();
     let (avoided, avoided_receiver) = watch::channel(Vec::new());
     let (limits, limits_receiver) = watch::channel(Limits::default());
@@ -231,6 +238,7 @@
     let task = Task {
         scheduler,
         zone,
+        metrics,
         clock,
         avoided,
         limits,
@@ -258,6 +266,7 @@
 struct Task {
     scheduler: Scheduler,
     zone: id::Zone,
+    metrics: Metrics,
     clock: Clock,
     avoided: watch::Sender<Vec<id::Endpoint>>,
     limits: watch::Sender<Limits>,
@@ -347,6 +356,7 @@
     fn check(&mut self) {
         let now = self.clock.now();
         self.scheduler.check_overdue(now);
+        usability::report(&self.scheduler.usability_changes(now), &self.metrics);
         self.tickets
             .retain(|_, ticket| self.scheduler.is_in_flight(*ticket));
         let avoided = self.scheduler.avoided(&self.zone, now);
--- a/crates/papayayard_routing/src/bucket.rs
+++ b/crates/papayayard_routing/src/bucket.rs
@@ -67,6 +67,11 @@
         Duration::try_from_secs_f64(missing / self.per_second).unwrap_or(MAX_WAIT)
     }
 
+    /// Whether there will be a token at `now`, at the present rate.
+    pub fn has_token_at(&self, now: Duration) -> bool {
+        self.wait_for(1) <= now.saturating_sub(self.updated_at)
+    }
+
     /// Returns an unused token.
     pub fn refund(&mut self) {
         self.tokens = (self.tokens + 1.0).min(self.burst);
--- a/crates/papayayard_routing/src/ejection.rs
+++ b/crates/papayayard_routing/src/ejection.rs
@@ -51,6 +51,19 @@
         matches!(self.state, State::Ejected { until, .. } if now < until)
     }
 
+    /// End of the last ejection, unless an answer has ended it.
+    pub const fn ejected_until(&self) -> Option<Duration> {
+        match self.state {
+            State::Ejected { until, .. } => Some(until),
+            State::Healthy | State::Probing { .. } => None,
+        }
+    }
+
+    /// Ejections since the endpoint was last healthy.
+    pub const fn ejections(&self) -> u32 {
+        self.ejections
+    }
+
     /// Whether the next failure ejects the endpoint.
     pub const fn is_failing(&self) -> bool {
         match self.state {
--- a/crates/papayayard_routing/src/placement.rs
+++ b/crates/papayayard_routing/src/placement.rs
@@ -18,6 +18,7 @@
 mod cache;
 mod cost;
 mod delay;
+mod exclusion;
 mod fetch;
 mod limit;
 mod link;
@@ -36,9 +37,11 @@
 mod split;
 mod trial;
 mod updates;
+mod usability;
 mod witness;
 
 use backend::Backend;
+use exclusion::Survey;
 use limit::Limits;
 use path::Paths;
 use progress::Placed;
@@ -49,6 +52,7 @@
 pub use backend::Endpoint;
 pub use cache::Cache;
 pub use delay::{Baseline, Delay};
+pub use exclusion::{Excluded, Exclusion, Reason};
 pub use link::{Link, transfer_time};
 pub use load::{Amounts, Load};
 pub use named::Limit;
@@ -59,6 +63,7 @@
 };
 pub use requesting_hosts::HostCounts;
 pub use split::{Demand, draw};
+pub use usability::{Change, Changes, Inputs, Reporter, Rule};
 
 /// Fraction of the time until a request's target that it may wait for placement.
 const MAX_WAIT_FRACTION: f64 = 0.4;
@@ -216,7 +221,9 @@
         let arrived_at = pending.arrived_at;
         let draw = split::draw(pending.arrival);
         let mut availability = Availability::default();
-        if let Some(candidate) = self.best_candidate(&query, draw, &mut availability, now) {
+        let mut survey = Survey::default();
+        let best = self.best_candidate(&query, draw, &mut availability, &mut survey, now);
+        if let Some(candidate) = best {
             return Some(Decision::Placed(self.place(&query, &candidate, now)));
         }
         let max_wait = query
@@ -231,6 +238,7 @@
             still_waiting.insert(query.service, ahead + 1);
             return None;
         }
+        availability.exclusions = self.exclusions(&query, &survey, now);
         self.refusals += 1;
         let retry_after = retry_after(&query, self.refusals, now);
         Some(Decision::Refused {
--- a/crates/papayayard_routing/src/placement/backend.rs
+++ b/crates/papayayard_routing/src/placement/backend.rs
@@ -11,6 +11,7 @@
 use super::load::Load;
 use super::query::Ticket;
 use super::signals::Signals;
+use super::usability::Usability;
 use super::witness::Witnesses;
 use crate::ejection;
 
@@ -58,6 +59,8 @@
     pub(super) trial: Option<(Ticket, Duration)>,
     /// Time of the last answer to a host whose connection was in doubt.
     pub(super) reached_in_doubt_at: Option<Duration>,
+    /// Rules that keep requests away, as last reported.
+    pub(super) usability: Usability,
     /// End of the pause after a refusal.
     pub(super) refusal_backoff_until: Duration,
     /// Refusals since the last answer that was not a refusal.
@@ -97,6 +100,7 @@
             witnesses: Witnesses::default(),
             trial: None,
             reached_in_doubt_at: None,
+            usability: Usability::default(),
             refusal_backoff_until: Duration::ZERO,
             refusals: 0,
             loading: None,
@@ -145,6 +149,7 @@
         let is_disputed = self.witnesses.dispute(host, now);
         for _ in 0..number {
             if !is_disputed || !self.health.is_failing() {
+                self.usability.record_failure(host, 1, now);
                 self.health.record_failure(now);
             }
         }
@@ -159,7 +164,7 @@
     }
 }
 
-fn truncate(number: f64) -> u32 {
+pub(super) fn truncate(number: f64) -> u32 {
     #[expect(
         clippy::cast_possible_truncation,
         clippy::cast_sign_loss,
--- a/crates/papayayard_routing/src/placement/limit.rs
+++ b/crates/papayayard_routing/src/placement/limit.rs
@@ -49,6 +49,18 @@
         entry.is_none_or(|entry| entry.state.wait_for(1).is_zero())
     }
 
+    /// The same at a time after the last refill.
+    pub(super) fn permits_at(&self, endpoint: &Endpoint, now: Duration) -> bool {
+        let entry = self.bounds.get(endpoint);
+        entry.is_none_or(|entry| entry.state.has_token_at(now))
+    }
+
+    /// Limit that an endpoint has named, and when it last did.
+    pub(super) fn named(&self, endpoint: &Endpoint) -> Option<(Rate, Duration)> {
+        let entry = self.bounds.get(endpoint)?;
+        Some((entry.limit.rate, entry.named_at))
+    }
+
     /// Counts a request to an endpoint.
     pub(super) fn take(&mut self, endpoint: &Endpoint, now: Duration) {
         let entry = self.bounds.get_mut(&endpoint.id, endpoint.started);
--- a/crates/papayayard_routing/src/placement/path.rs
+++ b/crates/papayayard_routing/src/placement/path.rs
@@ -456,10 +456,13 @@
         };
         let is_on_trial =
             backend.health.is_on_trial() && backend.answered_at + RECENT_ANSWER <= now;
+        let number = failure.uncounted.consecutive();
         if is_only_sender {
+            backend.usability.record_failure(sender.host, number, now);
             failure.count_provisionally(&mut backend.health, now);
         } else if is_on_trial && !is_impaired {
             // The next request would be sent there at once.
+            backend.usability.record_failure(sender.host, number, now);
             failure.count(&mut backend.health, now);
         }
     }
--- a/crates/papayayard_routing/src/placement/place.rs
+++ b/crates/papayayard_routing/src/placement/place.rs
@@ -50,6 +50,7 @@
             cached: estimate.cached,
             unread: estimate.unread,
             reread: estimate.reread,
+            is_trial: candidate.is_trial,
         };
         if let Some(prompt) = &query.prompt {
             let keys = shared_keys(prompt, candidate.version, query.group);
--- a/crates/papayayard_routing/src/placement/progress.rs
+++ b/crates/papayayard_routing/src/placement/progress.rs
@@ -164,6 +164,7 @@
             Outcome::Whole => {
                 backend.refusals = 0;
                 backend.witnesses.record_success();
+                backend.usability.record_success();
                 let is_trial = backend.is_tested_by(ticket);
                 if is_trial {
                     backend.health.record_trial_success();
@@ -178,6 +179,8 @@
                 let doublings = backend.refusals.min(MAX_BACKOFF_DOUBLINGS);
                 backend.refusal_backoff_until = now + REFUSAL_BACKOFF * 2_u32.pow(doublings);
                 backend.refusals += 1;
+                let host = placed.requesting_host.as_ref();
+                backend.usability.record_refusal(host, now);
                 self.record_connected(placed.sender(), placed.backend, now);
             }
             Outcome::Unreachable => self.record_unreachable(&placed, now),
@@ -217,6 +220,8 @@
             }
             if !placed.is_overdue && placed.sent + placed.expected + OVERDUE_GRACE <= now {
                 placed.is_overdue = true;
+                let host = placed.requesting_host.as_ref();
+                backend.usability.record_failure(host, 1, now);
                 backend.health.record_failure(now);
             }
         }
--- a/crates/papayayard_routing/src/placement/query.rs
+++ b/crates/papayayard_routing/src/placement/query.rs
@@ -7,6 +7,7 @@
 use papayayard_wire::id;
 
 use super::backend::Endpoint;
+use super::exclusion::Exclusion;
 use super::path::Sender;
 use crate::{prompt, sharing};
 
@@ -98,6 +99,8 @@
     pub unread: u32,
     /// Tokens of `unread` that another holder has cached or is expected to have cached.
     pub reread: u32,
+    /// Whether the request tests an endpoint that does not seem to serve it in time.
+    pub is_trial: bool,
 }
 
 /// A request that another host has in flight, as reported by that host.
@@ -155,7 +158,7 @@
 }
 
 /// How many endpoints of a service were available when a decision was made.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Availability {
     /// Endpoints to which requests could be sent.
     pub usable: usize,
@@ -163,6 +166,8 @@
     pub with_capacity: usize,
     /// Shortest expected time to the first event among the endpoints with free capacity.
     pub first_event: Duration,
+    /// Endpoints that were left out, by reason.
+    pub exclusions: Vec<Exclusion>,
 }
 
 /// Outcome of a placed request.
--- a/crates/papayayard_routing/src/placement/refusal_limit.rs
+++ b/crates/papayayard_routing/src/placement/refusal_limit.rs
@@ -230,7 +230,7 @@
         self.limits.permits(&backend.endpoint) && self.has_room(backend, now)
     }
 
-    fn has_room(&self, backend: &Backend, now: Duration) -> bool {
+    pub(super) fn has_room(&self, backend: &Backend, now: Duration) -> bool {
         let endpoint = &backend.endpoint;
         if let Some(entry) = self.refusal_limits.get(endpoint) {
             let limit = entry.limit.rate;
--- a/crates/papayayard_routing/src/placement/select.rs
+++ b/crates/papayayard_routing/src/placement/select.rs
@@ -7,6 +7,7 @@
 use papayayard_wire::id;
 
 use super::backend::Backend;
+use super::exclusion::Survey;
 use super::fetch::{Fetch, Holder, Shared};
 use super::load::Amounts;
 use super::prefill::Prefill;
@@ -53,10 +54,14 @@
     /// Whether a placement serves the request in time and leaves capacity for urgent ones.
     pub(super) fn include(&self, estimate: &cost::Estimate) -> bool {
         let first_event_ms = estimate.first_event_ms;
-        let max_first_event_ms = self.deadline.min(self.target * MAX_TARGET_FACTOR);
         let leaves_capacity =
             first_event_ms <= self.urgent || estimate.wait_ms <= self.urgent * SHORT_WAIT_FRACTION;
-        first_event_ms <= max_first_event_ms && leaves_capacity
+        !self.is_late(first_event_ms) && leaves_capacity
+    }
+
+    /// Whether a first event comes too late for the request.
+    pub(super) fn is_late(&self, first_event_ms: f64) -> bool {
+        first_event_ms > self.deadline.min(self.target * MAX_TARGET_FACTOR)
     }
 }
 
@@ -122,6 +127,7 @@
         query: &Query,
         draw: f64,
         availability: &mut Availability,
+        survey: &mut Survey,
         now: Duration,
     ) -> Option<Candidate> {
         let available = self.available(query, now);
@@ -129,8 +135,10 @@
         let healthy = healthy.filter(|(_, backend)| backend.is_healthy(now));
         let usable = self.reachable(query, healthy.collect(), now);
         availability.usable = usable.len();
+        survey.record_usable(&usable);
         let candidates = self.candidates(query, draw, usable, now);
         availability.with_capacity = candidates.len();
+        survey.record_candidates(&candidates);
         let times = candidates
             .iter()
             .map(|candidate| candidate.estimate.first_event_ms);
@@ -146,20 +154,38 @@
     /// Endpoints of the service that accept a request now, by their own words, their limits and
     /// what the sending host knows.
     fn available(&self, query: &Query, now: Duration) -> Vec<(BackendKey, &Backend)> {
-        let service = self.table.services.get(&query.service);
-        let connections = service.map_or(u32::MAX, |service| service.max_connections);
-        let share = f64::from(connections) / float(self.schedulers);
+        let share = self.connections(query);
         let available = self.backends.iter().filter(|(_, backend)| {
             query.fits(&backend.endpoint)
                 && !query.tried.contains(&backend.endpoint.id)
                 && !query.avoided.contains(&backend.endpoint.id)
                 && backend.accepts(now)
                 && self.permits(backend, now)
-                && backend.load.local().open + 1.0 <= share.max(1.0)
+                && backend.load.local().open + 1.0 <= share
         });
         available.collect()
     }
 
+    /// Requests that this scheduler may have open at an endpoint.
+    pub(super) fn connections(&self, query: &Query) -> f64 {
+        let service = self.table.services.get(&query.service);
+        let connections = service.map_or(u32::MAX, |service| service.max_connections);
+        let share = f64::from(connections) / float(self.schedulers);
+        share.max(1.0)
+    }
+
+    /// Whether a request that takes `needed` until it starts may start on an endpoint's weights.
+    pub(super) fn begins_in_time(
+        &self,
+        backend: &Backend,
+        prompt: &prompt::Prompt,
+        needed: Duration,
+        now: Duration,
+    ) -> bool {
+        let until = self.usable_until(&prompt.model, backend.version(&prompt.model));
+        until.is_none_or(|until| now + needed + MAX_SILENCE < until)
+    }
+
     /// Leaves out endpoints in zones that the sending host does not reach, unless it reaches none.
     pub(super) fn reachable<'a>(
         &self,
@@ -271,10 +297,8 @@
             return Vec::new();
         };
         let targets = self.target_versions.get(&prompt.model);
-        let has_time = |backend: &Backend, needed: Duration| {
-            let until = self.usable_until(&prompt.model, backend.version(&prompt.model));
-            until.is_none_or(|until| now + needed + MAX_SILENCE < until)
-        };
+        let has_time =
+            |backend: &Backend, needed: Duration| self.begins_in_time(backend, prompt, needed, now);
         let newest = targets.and_then(weights::TargetVersions::newest);
         let mut ranked: Vec<(BackendKey, &Backend)> = usable
             .into_iter()
--- a/crates/papayayard_routing/src/placement/signals.rs
+++ b/crates/papayayard_routing/src/placement/signals.rs
@@ -36,6 +36,7 @@
     /// Records that the endpoint of a placed request is leaving.
     pub fn mark_leaving(&mut self, ticket: Ticket) {
         self.update_signals(ticket, |signals| signals.is_leaving = true);
+        self.note_leaving(ticket);
     }
 
     /// Records that the listed incarnation of an endpoint is leaving.
@@ -55,6 +56,7 @@
             let until = now.saturating_add(time);
             signals.backoff_until = signals.backoff_until.max(until);
         });
+        self.note_backoff(ticket, now);
     }
 
     /// Returns the endpoints that this host cannot reach while it reaches others, or that accept
--- a/crates/papayayard_routing/tests/placement/main.rs
+++ b/crates/papayayard_routing/tests/placement/main.rs
@@ -11,4 +11,5 @@
 mod refusal_limits;
 mod signals;
 mod support;
+mod usability;
 mod weights;
