--- a/crates/papayayard_routing/src/placement.rs
+++ b/crates/papayayard_routing/src/placement.rs
@@ -18,6 +18,7 @@
 mod cache;
 mod cost;
 mod delay;
+mod exclusion;
 mod fetch;
 mod limit;
 mod link;
@@ -36,6 +37,7 @@
 mod split;
 mod trial;
 mod updates;
+mod usability;
 mod witness;
 
 use backend::Backend;
@@ -49,6 +51,7 @@
 pub use backend::Endpoint;
 pub use cache::Cache;
 pub use delay::{Baseline, Delay};
+pub use exclusion::{Excluded, Exclusion, Reason};
 pub use link::{Link, transfer_time};
 pub use load::{Amounts, Load};
 pub use named::Limit;
@@ -59,6 +62,7 @@
 };
 pub use requesting_hosts::HostCounts;
 pub use split::{Demand, draw};
+pub use usability::{Change, Changes, Inputs, Reporter, Rule};
 
 /// Fraction of the time until a request's target that it may wait for placement.
 const MAX_WAIT_FRACTION: f64 = 0.4;
@@ -231,6 +235,7 @@
             still_waiting.insert(query.service, ahead + 1);
             return None;
         }
+        availability.exclusions = self.exclusions(&query, draw, now);
         self.refusals += 1;
         let retry_after = retry_after(&query, self.refusals, now);
         Some(Decision::Refused {
--- a/crates/papayayard_routing/src/placement/select.rs
+++ b/crates/papayayard_routing/src/placement/select.rs
@@ -53,10 +53,14 @@
     /// Whether a placement serves the request in time and leaves capacity for urgent ones.
     pub(super) fn include(&self, estimate: &cost::Estimate) -> bool {
         let first_event_ms = estimate.first_event_ms;
-        let max_first_event_ms = self.deadline.min(self.target * MAX_TARGET_FACTOR);
         let leaves_capacity =
             first_event_ms <= self.urgent || estimate.wait_ms <= self.urgent * SHORT_WAIT_FRACTION;
-        first_event_ms <= max_first_event_ms && leaves_capacity
+        !self.is_late(first_event_ms) && leaves_capacity
+    }
+
+    /// Whether a first event comes too late for the request.
+    pub(super) fn is_late(&self, first_event_ms: f64) -> bool {
+        first_event_ms > self.deadline.min(self.target * MAX_TARGET_FACTOR)
     }
 }
 
@@ -152,9 +156,7 @@
     where
         Included: Fn(&Backend) -> bool,
     {
-        let service = self.table.services.get(&query.service);
-        let connections = service.map_or(u32::MAX, |service| service.max_connections);
-        let share = f64::from(connections) / float(self.schedulers);
+        let share = self.connections(query);
         let available = self.backends.iter().filter(|(_, backend)| {
             query.fits(&backend.endpoint)
                 && !query.tried.contains(&backend.endpoint.id)
@@ -162,7 +164,7 @@
                 && backend.accepts(now)
                 && included(backend)
                 && self.permits(backend, now)
-                && backend.load.local().open + 1.0 <= share.max(1.0)
+                && backend.load.local().open + 1.0 <= share
         });
         let mut available: Vec<(BackendKey, &Backend)> = available.collect();
         if !self.paths.excludes_any(query.sender(), now) {
@@ -178,6 +180,26 @@
         available
     }
 
+    /// Requests that this scheduler may have open at an endpoint.
+    pub(super) fn connections(&self, query: &Query) -> f64 {
+        let service = self.table.services.get(&query.service);
+        let connections = service.map_or(u32::MAX, |service| service.max_connections);
+        let share = f64::from(connections) / float(self.schedulers);
+        share.max(1.0)
+    }
+
+    /// Whether a request that takes `needed` until it starts may start on an endpoint's weights.
+    pub(super) fn begins_in_time(
+        &self,
+        backend: &Backend,
+        prompt: &prompt::Prompt,
+        needed: Duration,
+        now: Duration,
+    ) -> bool {
+        let until = self.usable_until(&prompt.model, backend.version(&prompt.model));
+        until.is_none_or(|until| now + needed + MAX_SILENCE < until)
+    }
+
     /// Possible placements at endpoints.
     pub(super) fn candidates(
         &self,
@@ -201,7 +223,7 @@
         }
     }
 
-    fn bounds(&self, query: &Query, now: Duration) -> Bounds {
+    pub(super) fn bounds(&self, query: &Query, now: Duration) -> Bounds {
         let left_ms = ms(query.deadline.saturating_sub(now));
         let urgent = self
             .table
@@ -272,10 +294,8 @@
             return Vec::new();
         };
         let targets = self.target_versions.get(&prompt.model);
-        let has_time = |backend: &Backend, needed: Duration| {
-            let until = self.usable_until(&prompt.model, backend.version(&prompt.model));
-            until.is_none_or(|until| now + needed + MAX_SILENCE < until)
-        };
+        let has_time =
+            |backend: &Backend, needed: Duration| self.begins_in_time(backend, prompt, needed, now);
         let newest = targets.and_then(weights::TargetVersions::newest);
         let mut ranked: Vec<(BackendKey, &Backend)> = usable
             .into_iter()
--- a/crates/papayayard_routing/tests/placement/main.rs
+++ b/crates/papayayard_routing/tests/placement/main.rs
@@ -15,4 +15,5 @@
 mod signals;
 mod site;
 mod support;
+mod usability;
 mod weights;
