Relay: a request waits for an endpoint whose machine stands still

What callers saw: a request that may be repeated failed (502 at about 1.1 s) since its endpoint's machine acknowledged nothing for 1.5 s and then went on, where no other endpoint took it; a stream that was to go on there was cut. Requests that may run once were awaited.

Cause: after 0.9 s without acknowledgement the connection is given up, for a further attempt that has to open a connection. A machine that stands still answers none within the 0.15 s that it may take, so the attempt was over at once, and no other endpoint was left.

Fix: an endpoint that accepts no connection in time, or does not answer the question for its run, is `Unresponsive`, which is not `Unreachable` (refused): it may be silent for a moment. Once a request may have run, so that it can't be refused, and no endpoint has a place, those that were silent or unresponsive are tried again each 0.15 s, for 2 s at most and not beyond the deadline. The same in streams that go on elsewhere. A newly listed endpoint is found in the same search.

Why it breaks no promise: a try that opens no connection sends nothing, so it is no run and no arrival; runs stay within the route's attempts and those that run once have none left; a retry that was taken and not used is used for the next try, not taken again; an endpoint that answers, were it by a refusal, is no longer awaited; the silent endpoint's connection was reset before, so none works on beside another. Tries at an endpoint that the request has met silent are told to the scheduler as abandoned, so that they eject nobody for longer, and do not count towards passing requests on.

Evidence: a_machine_that_stands_still_for_a_moment_is_awaited_although_a_retry_is_left (2 cases, 502) and a_stream_goes_on_at_a_machine_that_stands_still_for_a_moment (cut after two of five events) fail on the code before, 3 of 3; with it they passed in 3 of 3 runs at load 35. Gateway unit tests: 131 passed, the 2 known red failed.

--- a/crates/papayayard_gateway/src/attempt.rs
+++ b/crates/papayayard_gateway/src/attempt.rs
@@ -84,6 +84,9 @@
 pub(crate) enum Failure {
     /// No connection could be established.
     Unreachable,
+    /// The endpoint accepted no connection in time, or did not answer the question for its run;
+    /// it may be silent for a moment.
+    Unresponsive,
     /// The endpoint reported that it did not run the request.
     Refused,
     /// A different endpoint uses the address, or the endpoint has other weights.
@@ -110,7 +113,7 @@
     /// Label in logs and metrics.
     pub(crate) const fn as_str(self) -> &'static str {
         match self {
-            Self::Unreachable => "unreachable",
+            Self::Unreachable | Self::Unresponsive => "unreachable",
             Self::Refused => "refused",
             Self::Mismatched => "mismatched",
             Self::Restarted => "restarted",
@@ -128,14 +131,24 @@
     pub(crate) const fn is_not_run(self) -> bool {
         matches!(
             self,
-            Self::Unreachable | Self::Refused | Self::Mismatched | Self::Restarted | Self::Outdated
+            Self::Unreachable
+                | Self::Unresponsive
+                | Self::Refused
+                | Self::Mismatched
+                | Self::Restarted
+                | Self::Outdated
         )
     }
 
+    /// Whether the endpoint could not be reached.
+    pub(crate) const fn is_unreachable(self) -> bool {
+        matches!(self, Self::Unreachable | Self::Unresponsive)
+    }
+
     /// Outcome that is reported to the scheduler.
     pub(crate) const fn outcome(self) -> Outcome {
         match self {
-            Self::Unreachable => Outcome::Unreachable,
+            Self::Unreachable | Self::Unresponsive => Outcome::Unreachable,
             Self::Refused => Outcome::Refused,
             Self::Mismatched => Outcome::Mismatched,
             Self::Restarted | Self::Outdated | Self::Overdue => Outcome::Abandoned,
@@ -229,7 +242,7 @@
                 if report == RunReport::Lost {
                     let past = connection.past();
                     self.uplink.record_silent(&placement.endpoint, past);
-                    return Err(Failure::Unreachable);
+                    return Err(Failure::Unresponsive);
                 }
             }
             if job.software.is_some() && self.runs.software(&placement.endpoint) != job.software {
@@ -357,7 +370,11 @@
                 self.runs.lost(&placement.endpoint);
             }
             self.pool.forget(placement.address);
-            Failure::Unreachable
+            if error.kind() == io::ErrorKind::TimedOut {
+                Failure::Unresponsive
+            } else {
+                Failure::Unreachable
+            }
         })
     }
 
--- a/crates/papayayard_gateway/src/ends/attempt.rs
+++ b/crates/papayayard_gateway/src/ends/attempt.rs
@@ -128,6 +128,7 @@
             }
             Failure::Silent | Failure::Overdue => self.tracker.send(Message::Unanswered(attempt)),
             Failure::Unreachable
+            | Failure::Unresponsive
             | Failure::Refused
             | Failure::Mismatched
             | Failure::Restarted
--- a/crates/papayayard_gateway/src/pump.rs
+++ b/crates/papayayard_gateway/src/pump.rs
@@ -84,6 +84,7 @@
         history,
         chunks: sender,
         has_begun: false,
+        has_retry: false,
     };
     tokio::spawn(pump.run(upstream));
     receiver
@@ -100,6 +101,8 @@
     /// Memory of an event that is not complete.
     share: Share,
     has_begun: bool,
+    /// Whether a retry was taken from the budget and not used.
+    has_retry: bool,
     /// Whether the stream is incomplete without a further event.
     is_event_due: bool,
 }
@@ -493,6 +496,7 @@
             way,
             may_repeat: relay.may_be_replaced(&job, &history),
         };
+        self.has_retry = false;
         let mut next = None;
         let given_up = relay.until_given_up(&job, &placement, &history, &mut next);
         let sending = Box::pin(relay.sender.send(&job, delivery, given_up));
@@ -527,7 +531,8 @@
                     "attempt to go on failed"
                 );
                 relay.record_failure(&placement, failure);
-                permit.end(failure.outcome());
+                permit.end(self.history.outcome(&placement.endpoint, failure));
+                self.has_retry = failure == Failure::Unresponsive;
                 if silent.is_some() && failure.is_not_run() {
                     self.history.record_not_taken(placement.endpoint);
                 } else {
@@ -545,6 +550,7 @@
             }
         };
         self.history.runs += 1;
+        self.history.record_answered();
         self.splitter = Splitter::after(position);
         self.share = relay.memory.share(false);
         log::info!(
@@ -621,9 +627,10 @@
     }
 
     async fn find_replacement(&mut self) -> Result<Replacement, Stop> {
-        if !self.relay.take_retry(&self.job) {
+        if !self.has_retry && !self.relay.take_retry(&self.job) {
             return Err(Stop::NoRetryLeft);
         }
+        self.has_retry = true;
         loop {
             match self.relay.find(&self.job, &self.history).await {
                 Selection::Placed(placement, permit) => {
@@ -637,7 +644,16 @@
                 Selection::Refused { .. } if self.history.revisit() => {
                     log::info!(request:% = self.job.id; "no other endpoint; trying one again");
                 }
-                Selection::Refused { .. } => return Err(Stop::NoPlace),
+                Selection::Refused { .. } => {
+                    let now = self.relay.clock.now();
+                    let is_waiting = tokio::select! {
+                        is_waiting = self.history.wait(now, self.job.deadline) => is_waiting,
+                        () = self.chunks.closed() => return Err(Stop::CallerLeft),
+                    };
+                    if !is_waiting {
+                        return Err(Stop::NoPlace);
+                    }
+                }
             }
         }
     }
--- a/crates/papayayard_gateway/src/relay.rs
+++ b/crates/papayayard_gateway/src/relay.rs
@@ -44,6 +44,11 @@
 
 /// Maximum bytes of a response that is buffered before it is forwarded.
 const MAX_RESPONSE_BYTES: usize = 1 << 20;
+/// Time for which silent endpoints are awaited that can't be reached: a sound one goes on well
+/// within it.
+const MAX_WAIT: Duration = Duration::from_secs(2);
+/// Pause before they are tried again.
+const WAIT_STEP: Duration = Duration::from_millis(150);
 /// Retry delay sent to callers while this host lacks data that it needs to serve.
 const NOT_READY_RETRY_DELAY: Duration = Duration::from_millis(300);
 
@@ -88,6 +93,10 @@
     /// Those of them that may be tried again if there is no other one: they were silent or full,
     /// which sound ones may be for a moment.
     pub(crate) revisitable: Vec<id::Endpoint>,
+    /// Those that were silent, or accepted no connection in time.
+    silent: Vec<id::Endpoint>,
+    /// Until when they are awaited, if there is no other one.
+    awaited_until: Option<Duration>,
     /// Number of attempts that may have run.
     pub(crate) runs: u32,
     /// Number of attempts whose endpoints could not be reached.
@@ -104,9 +113,49 @@
         if failure == Some(Failure::Silent) {
             self.revisitable.push(endpoint.clone());
         }
+        self.silent.retain(|silent| *silent != endpoint);
+        if matches!(failure, Some(Failure::Silent | Failure::Unresponsive)) {
+            self.silent.push(endpoint.clone());
+        }
         self.endpoints.push(endpoint);
     }
 
+    /// Whether a failure tells nothing that the request has not met before.
+    fn is_known(&self, endpoint: &id::Endpoint, failure: Failure) -> bool {
+        failure == Failure::Unresponsive && self.silent.contains(endpoint)
+    }
+
+    /// Outcome that is reported to the scheduler.
+    pub(crate) fn outcome(&self, endpoint: &id::Endpoint, failure: Failure) -> Outcome {
+        if self.is_known(endpoint, failure) {
+            Outcome::Abandoned
+        } else {
+            failure.outcome()
+        }
+    }
+
+    /// Waits before a further attempt at silent endpoints. Returns whether there are any, and time
+    /// is left for them. A request that has not run is refused instead, so that its caller asks
+    /// another host.
+    pub(crate) async fn wait(&mut self, now: Duration, deadline: Duration) -> bool {
+        if self.runs == 0 || self.silent.is_empty() {
+            return false;
+        }
+        let end = *self.awaited_until.get_or_insert(now + MAX_WAIT);
+        if now + WAIT_STEP >= end.min(deadline) {
+            return false;
+        }
+        time::sleep(WAIT_STEP).await;
+        let silent = &self.silent;
+        self.endpoints.retain(|endpoint| !silent.contains(endpoint));
+        true
+    }
+
+    /// Records that an endpoint has answered, so that a later silence is another one.
+    pub(crate) fn record_answered(&mut self) {
+        self.awaited_until = None;
+    }
+
     /// Records that an endpoint did not take the request while another one may go on with it.
     pub(crate) fn record_not_taken(&mut self, endpoint: id::Endpoint) {
         self.revisitable.push(endpoint.clone());
@@ -244,6 +293,9 @@
                     if let Some(response) = self.divert(&job, &mut history).await {
                         return response;
                     }
+                    if history.wait(self.clock.now(), job.deadline).await {
+                        continue;
+                    }
                     return self.give_up(&job, &history, error, &refusal);
                 }
             };
@@ -253,6 +305,7 @@
             }
             let endpoint = place.placement.endpoint.clone();
             let result = self.attempt(&job, place, &history).await;
+            let mut is_known = false;
             let failure = match result {
                 AttemptResult::Answer(response) => {
                     self.record_reach(&job, &history, None);
@@ -267,7 +320,8 @@
                     if !failure.is_not_run() {
                         history.runs += 1;
                     }
-                    history.unreachable += usize::from(failure == Failure::Unreachable);
+                    is_known = history.is_known(&endpoint, failure);
+                    history.unreachable += usize::from(failure.is_unreachable() && !is_known);
                     Some(failure)
                 }
                 AttemptResult::Replaced(next) => {
@@ -281,7 +335,9 @@
                 "attempt failed"
             );
             history.record_failed(endpoint, failure);
-            self.record_reach(&job, &history, failure);
+            if !is_known {
+                self.record_reach(&job, &history, failure);
+            }
             if replacement.is_some() {
                 self.metrics.retried(reason(failure));
             } else if !self.may_retry(&job, &history, failure) {
@@ -377,7 +433,12 @@
         // Nothing was sent, so the next attempt is not a retry.
         let was_not_sent = matches!(
             failure,
-            Some(Failure::Unreachable | Failure::Restarted | Failure::Outdated)
+            Some(
+                Failure::Unreachable
+                    | Failure::Unresponsive
+                    | Failure::Restarted
+                    | Failure::Outdated
+            )
         );
         let retries = may_run_again && is_in_time && (was_not_sent || self.take_retry(job));
         if retries {
@@ -455,7 +516,7 @@
             Ok(response) => response,
             Err(failure) => {
                 self.record_failure(&placement, failure);
-                permit.end(failure.outcome());
+                permit.end(history.outcome(&placement.endpoint, failure));
                 watch.failed(failure).await;
                 return replacement.map_or(AttemptResult::Failed(failure), AttemptResult::Replaced);
             }
--- a/crates/papayayard_gateway/src/relay/forward.rs
+++ b/crates/papayayard_gateway/src/relay/forward.rs
@@ -150,9 +150,14 @@
     /// Records whether a request has reached its service, once an attempt has shown it.
     pub(super) fn record_reach(&self, job: &Job, history: &History, failure: Option<Failure>) {
         let is_reached = match failure {
-            Some(Failure::Unreachable) if history.unreachable == MAX_UNREACHABLE => false,
+            Some(Failure::Unreachable | Failure::Unresponsive)
+                if history.unreachable == MAX_UNREACHABLE =>
+            {
+                false
+            }
             Some(
                 Failure::Unreachable
+                | Failure::Unresponsive
                 | Failure::Silent
                 | Failure::Broken
                 | Failure::Outdated
--- a/crates/papayayard_gateway/src/runs.rs
+++ b/crates/papayayard_gateway/src/runs.rs
@@ -67,7 +67,9 @@
     /// Records that a request failed.
     pub(crate) fn failed(&self, endpoint: &id::Endpoint, failure: Failure) {
         match failure {
-            Failure::Unreachable | Failure::Broken => self.doubt(endpoint, Doubt::Suspected),
+            Failure::Unreachable | Failure::Unresponsive | Failure::Broken => {
+                self.doubt(endpoint, Doubt::Suspected);
+            }
             Failure::Refused
             | Failure::Mismatched
             | Failure::Restarted
