Dispatch: asking again without an endpoint that leaves ends; a refusal computes its bounds once

From the review: a dispatcher that ignores what a host avoids would be asked until the deadline, and the bounds of a refused request were computed for each endpoint.

--- a/crates/papayayard_gateway/src/dispatch.rs
+++ b/crates/papayayard_gateway/src/dispatch.rs
@@ -161,6 +161,7 @@
                                 self.0.metrics.dispatched("dispatcher");
                                 return selection;
                             }
+                            Err(endpoint) if leaving.contains(&endpoint) => break,
                             Err(endpoint) => leaving.push(endpoint),
                         }
                     }
--- a/crates/papayayard_routing/src/placement/exclusion.rs
+++ b/crates/papayayard_routing/src/placement/exclusion.rs
@@ -8,7 +8,7 @@
 
 use super::backend::Backend;
 use super::query::{BackendKey, Query};
-use super::select::Candidate;
+use super::select::{Bounds, Candidate};
 use super::usability::Rule;
 use super::{Scheduler, from_ms};
 
@@ -139,6 +139,7 @@
         let available = self.available(query, now, |backend| backend.is_healthy(now));
         let usable: HashSet<BackendKey> = available.iter().map(|(key, _)| *key).collect();
         let soonest = soonest(&self.candidates(query, draw, available, now));
+        let bounds = self.bounds(query, now);
         let mut exclusions: BTreeMap<Reason, Exclusion> = BTreeMap::new();
         for (key, backend) in &self.backends {
             if backend.endpoint.service != query.service {
@@ -148,7 +149,7 @@
             let general = self.general_reason(query, backend, now);
             let reason = general.unwrap_or_else(|| {
                 if usable.contains(&key) {
-                    self.late_reason(query, backend, first_event_ms, now)
+                    self.late_reason(query, backend, &bounds, first_event_ms, now)
                 } else {
                     Reason::UnreachableZone
                 }
@@ -191,6 +192,7 @@
         &self,
         query: &Query,
         backend: &Backend,
+        bounds: &Bounds,
         first_event_ms: Option<f64>,
         now: Duration,
     ) -> Reason {
@@ -204,7 +206,7 @@
                 Reason::OldWeights
             };
         };
-        if self.bounds(query, now).is_late(first_event_ms) {
+        if bounds.is_late(first_event_ms) {
             Reason::Late
         } else {
             Reason::KeptForUrgent
