Placement: only complete answers refute failures, and tests spare requests that may run once

From the review of the trace and the fix, by reading: - An endpoint that begins every stream and cuts it off might never be held to have failed, since a first event counted as an answer that refutes. Only complete answers do now, and failures of two seconds ago. - In a host's own scheduler, whose requests a dispatcher places, an answer during an ejection changed nothing. An answer to a request that was sent during the ejection now ends it, whoever placed it. - A request that may run only once was a test like any other, twice a second for each endpoint that fails. It now tests an ejected endpoint only two seconds after the ejection and the last test. - The answer to a test replaces the average only if that is longer; overdue requests are counted after those of gone hosts were forgotten.

No test shows that these did harm. an_endpoint_that_cuts_every_stream_is_ejected (new) passes with and without the change, at the load of its replay. Replays of endpoints that nobody reaches now also play connections that are closed (one host alone counts each as one failure of three, so it has five seconds).

--- a/crates/papayayard_routing/src/ejection.rs
+++ b/crates/papayayard_routing/src/ejection.rs
@@ -95,20 +95,25 @@
         };
     }
 
-    /// Whether a request that no other endpoint can serve may test this one at `now`.
-    pub fn permits_trial(&self, now: Duration) -> bool {
+    /// Whether the endpoint is not ejected, or has been for `time`.
+    pub fn is_testable_after(&self, time: Duration, now: Duration) -> bool {
         match self.state {
-            State::Ejected { since, .. } => now >= since + INITIAL_EJECTION,
+            State::Ejected { since, .. } => now >= since + time,
             State::Healthy | State::Probing { .. } => true,
         }
     }
 
-    /// Records an answer to a request that was sent during an ejection, and ends the ejection.
-    pub const fn record_trial_success(&mut self) {
-        if let State::Ejected { .. } = self.state {
+    /// Records a complete answer to a request that was sent at a time. If it was sent during an
+    /// ejection, it ends the ejection.
+    pub fn record_answer(&mut self, sent: Duration, now: Duration) {
+        if let State::Ejected { since, .. } = self.state
+            && sent >= since
+        {
             self.failures = 0;
             self.state = State::Probing { permits: 2 };
+            return;
         }
+        self.record_success(now);
     }
 
     pub fn record_failure(&mut self, now: Duration) {
--- a/crates/papayayard_routing/src/placement/backend.rs
+++ b/crates/papayayard_routing/src/placement/backend.rs
@@ -53,6 +53,8 @@
     pub(super) signals: Signals,
     /// Time of the last answer.
     pub(super) answered_at: Duration,
+    /// Time of the last complete answer.
+    pub(super) completed_at: Duration,
     /// Hosts that the endpoint has answered and failed lately.
     pub(super) witnesses: Witnesses,
     /// Open requests whose first event is long overdue: their hosts may never report an outcome.
@@ -99,6 +101,7 @@
             cache: Cache::default(),
             health: ejection::Health::default(),
             answered_at: Duration::ZERO,
+            completed_at: Duration::ZERO,
             witnesses: Witnesses::default(),
             overdue: 0.0,
             trial: None,
@@ -158,11 +161,15 @@
         }
     }
 
-    /// Adds the time of a complete answer to the average. The answer to a trial replaces an
-    /// average that kept requests away.
+    /// Adds the time of a complete answer to the average. The answer to a trial replaces a longer
+    /// average, which kept requests away.
     pub(super) fn record_service_time(&mut self, time: Duration, is_trial: bool) {
         let ms = time.as_secs_f64() * 1000.0;
-        let weight = if is_trial { 1.0 } else { NEWEST_WEIGHT };
+        let weight = if is_trial && ms < self.service_ms {
+            1.0
+        } else {
+            NEWEST_WEIGHT
+        };
         self.service_ms += (ms - self.service_ms) * weight;
     }
 }
--- a/crates/papayayard_routing/src/placement/path.rs
+++ b/crates/papayayard_routing/src/placement/path.rs
@@ -43,6 +43,8 @@
 
 /// The same for the answers of a zone and the failures of another host of the same zone.
 const RECENT_ZONE_ANSWER: Duration = Duration::from_secs(1);
+/// Age from which the failure of a connection that was accepted says nothing any more.
+const MAX_FAILURE_AGE: Duration = Duration::from_secs(2);
 /// Time after an answer to a host in doubt for which such hosts' requests probably arrive.
 const REACHED_TIME: Duration = Duration::from_secs(2);
 /// Time constant of the averages over recent connections.
@@ -381,13 +383,13 @@
         self.count(health, now);
     }
 
-    /// Drops failures that the last answer of the endpoint refutes, to whichever host.
-    fn refute(&mut self, answered_at: Duration, now: Duration) {
+    /// Drops failures that answers of the endpoint refute, to whichever host, and those that are
+    /// old. An answer that is not complete may still be cut off.
+    fn refute(&mut self, answered_at: Duration, completed_at: Duration, now: Duration) {
         if self.at < answered_at + RECENT_ANSWER {
             self.uncounted.unreachable = 0;
         }
-        let is_past = self.last + RECENT_ANSWER <= now;
-        if answered_at == now || is_past && self.last < answered_at {
+        if self.last <= completed_at || self.last + MAX_FAILURE_AGE <= now {
             self.uncounted.unanswered = 0;
         }
     }
@@ -519,7 +521,7 @@
                 continue;
             };
             if !is_only_sender {
-                failure.refute(backend.answered_at, now);
+                failure.refute(backend.answered_at, backend.completed_at, now);
                 if self.paths.excludes(sender, &failure.zone, now) {
                     failure.uncounted.unreachable = 0;
                 }
--- a/crates/papayayard_routing/src/placement/progress.rs
+++ b/crates/papayayard_routing/src/placement/progress.rs
@@ -119,9 +119,6 @@
         let key = placed.backend;
         if let Some(backend) = self.backends.get_mut(key) {
             backend.refusals = 0;
-            if backend.is_tested_by(ticket) {
-                backend.health.record_trial_success();
-            }
             backend.load.remove(unread, now);
             backend.load.add(deferred, now);
             for key in &placed.keys {
@@ -155,6 +152,9 @@
             return;
         };
         backend.load.remove(placed.amounts, now);
+        if placed.is_long_due(now) {
+            backend.overdue = (backend.overdue - placed.amounts.open).max(0.0);
+        }
         if backend.endpoint.id != placed.endpoint {
             return;
         }
@@ -170,11 +170,9 @@
                 backend.refusals = 0;
                 backend.witnesses.record_success();
                 backend.usability.record_success();
+                backend.completed_at = now;
+                backend.health.record_answer(placed.sent, now);
                 let is_trial = backend.is_tested_by(ticket);
-                if is_trial {
-                    backend.health.record_trial_success();
-                }
-                backend.health.record_success(now);
                 let time = now.saturating_sub(placed.sent);
                 backend.record_service_time(time, is_trial);
                 self.record_connected(placed.sender(), placed.backend, now);
@@ -209,7 +207,6 @@
     /// Counts endpoints whose first events are long overdue as failing, and removes expired
     /// state.
     pub fn check_overdue(&mut self, now: Duration) {
-        self.count_overdue(now);
         for placed in self.tickets.values_mut() {
             let due = placed.sent + placed.expected;
             if placed.has_begun || now < due {
@@ -245,6 +242,7 @@
             }
         }
         self.forget_unresponsive(now);
+        self.count_overdue(now);
         for store in self.stores.values_mut() {
             store.cache.prune(now);
         }
--- a/crates/papayayard_routing/src/placement/trial.rs
+++ b/crates/papayayard_routing/src/placement/trial.rs
@@ -17,6 +17,8 @@
 
 /// Minimum time between two tests of an ejected endpoint.
 const INTERVAL: Duration = Duration::from_millis(500);
+/// The same for a test by a request that may run only once, and is lost if it fails.
+const LONG_INTERVAL: Duration = Duration::from_secs(2);
 /// Time after which a test without an answer no longer prevents the next one.
 const TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -29,7 +31,9 @@
         bounds: &Bounds,
         now: Duration,
     ) -> Option<Candidate> {
-        let testable = self.available(query, now, |backend| self.may_be_tested(backend, now));
+        let testable = self.available(query, now, |backend| {
+            self.may_be_tested(backend, query, now)
+        });
         if testable.is_empty() {
             return None;
         }
@@ -47,23 +51,28 @@
         })
     }
 
-    fn may_be_tested(&self, backend: &Backend, now: Duration) -> bool {
+    fn may_be_tested(&self, backend: &Backend, query: &Query, now: Duration) -> bool {
         if backend.is_healthy(now) {
             return backend.load.local().open - backend.overdue < 1.0;
         }
+        let interval = if query.is_repeatable {
+            INTERVAL
+        } else {
+            LONG_INTERVAL
+        };
         let is_waiting = |ticket| {
             let placed = self.tickets.get(ticket);
             placed.is_some_and(|placed| !placed.has_begun)
         };
         let is_due = backend.trial.is_none_or(|(ticket, at)| {
             let pause = if is_waiting(ticket) {
-                TIMEOUT
+                interval.max(TIMEOUT)
             } else {
-                INTERVAL
+                interval
             };
             at + pause <= now
         });
-        is_due && backend.health.permits_trial(now)
+        is_due && backend.health.is_testable_after(interval, now)
     }
 }
 
--- a/crates/papayayard_routing/tests/ejection.rs
+++ b/crates/papayayard_routing/tests/ejection.rs
@@ -70,13 +70,14 @@
 #[test]
 fn an_answer_to_a_trial_ends_the_ejection() {
     let mut health = failed(3);
-    assert!(!health.permits_trial(ms(499)));
-    assert!(health.permits_trial(ms(500)));
+    assert!(!health.is_testable_after(ms(500), ms(499)));
+    assert!(health.is_testable_after(ms(500), ms(500)));
     health.record_failure(ms(500));
     health.record_failure(ms(700));
+    health.record_answer(ms(499), ms(1_000));
     assert!(!health.permits(0, ms(1_499)), "the second ejection lasts");
-    assert!(health.permits_trial(ms(1_000)));
-    health.record_trial_success();
-    assert!(health.permits(1, ms(1_000)));
-    assert!(!health.permits(2, ms(1_000)));
+    assert!(health.is_testable_after(ms(500), ms(1_000)));
+    health.record_answer(ms(1_000), ms(1_050));
+    assert!(health.permits(1, ms(1_050)));
+    assert!(!health.permits(2, ms(1_050)));
 }
--- a/crates/papayayard_routing/tests/placement/detached.rs
+++ b/crates/papayayard_routing/tests/placement/detached.rs
@@ -81,6 +81,8 @@
     connect_timeout: Duration,
     /// Outcome of requests that do not reach their endpoint.
     lost: Outcome,
+    /// Endpoint that cuts off all answers after their first event from [`CUT`] on.
+    broken: Option<id::Endpoint>,
     /// Whether open connections last when no new ones can be established.
     keeps_open: bool,
     /// Requests that arrived before are not counted.
@@ -112,6 +114,7 @@
             reaches,
             connect_timeout: CONNECT_TIMEOUT,
             lost: Outcome::Unreachable,
+            broken: None,
             keeps_open: false,
             since: NOW,
             is_dispatched: hosts > 1,
@@ -175,6 +178,12 @@
                     self.scheduler.record_first_event(placement.ticket, now);
                 }
             }
+            Event::Ended(_, placement)
+                if now >= CUT && self.broken.as_ref() == Some(&placement.endpoint) =>
+            {
+                let ticket = placement.ticket;
+                self.scheduler.record_outcome(ticket, Outcome::Failed, now);
+            }
             Event::Ended(index, placement) => {
                 if self.keeps_open || (self.reaches)(index, &placement.endpoint, now) {
                     let ticket = placement.ticket;
@@ -446,17 +455,21 @@
 
 /// A crashed endpoint is found as quickly as before: its hosts reach the others.
 #[rstest]
-#[case::one_host(1, ms(3_000))]
-#[case::nine_hosts(HOSTS, ms(3_000))]
+#[case::one_host(1, ms(3_000), Outcome::Unreachable)]
+#[case::nine_hosts(HOSTS, ms(3_000), Outcome::Unreachable)]
+#[case::one_host_closed(1, ms(5_000), Outcome::Failed)]
+#[case::nine_hosts_closed(HOSTS, ms(3_000), Outcome::Failed)]
 fn an_endpoint_that_nobody_reaches_is_ejected(
     #[case] hosts: usize,
     #[case] limit: Duration,
+    #[case] lost: Outcome,
     #[values(1, 2, 3)] seed: u64,
 ) {
     let dead = id::Endpoint::from("e03");
     let reaches: Reaches = |_, endpoint, now| now < CUT || endpoint.as_str() != "e03";
     let mut replay = Replay::new(hosts, reaches, seed);
     replay.keeps_open = true;
+    replay.lost = lost;
     replay.play(NOW, CUT);
     replay.play(CUT, HEALED);
     let ejected: Vec<_> = replay.avoided.keys().collect();
@@ -466,6 +479,26 @@
     assert!(replay.avoided[&dead] < CUT + limit, "{:?}", replay.avoided);
 }
 
+/// An endpoint that began every stream and cut it off was taken for sound, since it had answered.
+#[rstest]
+fn an_endpoint_that_cuts_every_stream_is_ejected(
+    #[values(1, HOSTS)] hosts: usize,
+    #[values(1, 2, 3)] seed: u64,
+) {
+    let broken = id::Endpoint::from("e03");
+    let mut replay = Replay::new(hosts, |_, _, _| true, seed);
+    replay.broken = Some(broken.clone());
+    replay.play(NOW, CUT);
+    replay.play(CUT, HEALED);
+    let ejected: Vec<_> = replay.avoided.keys().collect();
+    assert_eq!(ejected, [&broken]);
+    assert!(
+        replay.avoided[&broken] < CUT + ms(6_000),
+        "{:?}",
+        replay.avoided
+    );
+}
+
 /// Most endpoints crash together. Every host fails at several in a row, yet reaches the rest.
 #[rstest]
 #[case::one_host(1, 90)]
@@ -473,6 +506,7 @@
 fn many_endpoints_that_nobody_reaches_are_ejected(
     #[case] hosts: usize,
     #[case] limit: u32,
+    #[values(Outcome::Unreachable, Outcome::Failed)] lost: Outcome,
     #[values(1, 2, 3)] seed: u64,
 ) {
     let reaches: Reaches = |_, endpoint, now| {
@@ -480,6 +514,7 @@
         now < CUT || number % 5 < 2
     };
     let mut replay = Replay::new(hosts, reaches, seed);
+    replay.lost = lost;
     replay.play(NOW, CUT);
     replay.play(CUT, HEALED);
     let counts = replay.sum(|_| true);
