--- a/crates/papayayard_routing/src/placement/path.rs
+++ b/crates/papayayard_routing/src/placement/path.rs
@@ -7,7 +7,10 @@
 //! connection; what it reports then is not evidence about endpoints, and its requests are not
 //! counted as load, since they do not arrive.
 //!
-//! The same holds for a host that fails at most of its connections while others fail at few: it
+//! A connection may also be accepted and then closed, so the same holds for requests that are cut
+//! off or not answered, as long as any host is answered.
+//!
+//! It also holds for a host that fails at most of its connections while others fail at few: it
 //! reaches some endpoints, and the others are not gone.
 //!
 //! A scheduler that places only its own host's requests has no other evidence, so a failure counts
