--- a/crates/papayayard_routing/tests/placement/plain.rs
+++ b/crates/papayayard_routing/tests/placement/plain.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use papayayard_routing::placement::{Endpoint, Outcome, Query, Scheduler};
+use papayayard_routing::placement::{Outcome, Query, Scheduler};
 use papayayard_wire::id;
 use rstest::rstest;
 
@@ -15,16 +15,6 @@
 /// Time of an answer whose endpoint was silent for a moment.
 const LATE_ANSWER: Duration = Duration::from_millis(1200);
 
-fn bookings(number: usize) -> Vec<Endpoint> {
-    let all = 0..number;
-    let endpoints = all.map(|index| Endpoint {
-        service: id::Service::from("bookings"),
-        slots: 6,
-        ..support::engine(&format!("b{index}"), "a", 0)
-    });
-    endpoints.collect()
-}
-
 fn booking(now: Duration) -> Query {
     Query {
         service: id::Service::from("bookings"),
@@ -73,7 +63,7 @@
     #[values(1, 9)] hosts: usize,
     #[values(ms(20), ms(700))] pause: Duration,
 ) {
-    let mut scheduler = support::scheduler(&bookings(endpoints), hosts);
+    let mut scheduler = support::scheduler(&support::bookings(endpoints, 6), hosts);
     let end = answer_late(&mut scheduler, 8 * endpoints);
     let calm = end + ms(3_000);
     scheduler.check_overdue(calm);
@@ -83,7 +73,7 @@
 /// An endpoint that is slow gets one request at a time while others wait.
 #[test]
 fn a_slow_endpoint_gets_one_request_at_a_time() {
-    let mut scheduler = support::scheduler(&bookings(1), 1);
+    let mut scheduler = support::scheduler(&support::bookings(1, 6), 1);
     let end = answer_late(&mut scheduler, 12);
     assert!(support::ask(&mut scheduler, booking(end), end).is_some());
     assert!(support::ask(&mut scheduler, booking(end), end).is_none());
@@ -95,7 +85,7 @@
     #[values(1, 3)] endpoints: usize,
     #[values(ms(20), ms(700))] pause: Duration,
 ) {
-    let mut scheduler = support::scheduler(&bookings(endpoints), 9);
+    let mut scheduler = support::scheduler(&support::bookings(endpoints, 6), 9);
     let host = id::Host::from("host-1");
     let mut now = NOW;
     for _ in 0..1_600 {
--- a/crates/papayayard_routing/tests/placement/support.rs
+++ b/crates/papayayard_routing/tests/placement/support.rs
@@ -44,6 +44,17 @@
     }
 }
 
+/// Endpoints of the plain service `bookings`.
+pub(crate) fn bookings(number: usize, slots: u32) -> Vec<Endpoint> {
+    let all = 0..number;
+    let endpoints = all.map(|index| Endpoint {
+        service: id::Service::from("bookings"),
+        slots,
+        ..engine(&format!("b{index}"), "a", 0)
+    });
+    endpoints.collect()
+}
+
 pub(crate) fn engines(number: usize, version: u64) -> Vec<Endpoint> {
     let all = 0..number;
     all.map(|index| engine(&format!("e{index}"), "a", version))
--- a/crates/papayayard_routing/tests/placement/usability.rs
+++ b/crates/papayayard_routing/tests/placement/usability.rs
@@ -16,16 +16,6 @@
 const LOOK: Duration = Duration::from_millis(200);
 const TARGET: Duration = Duration::from_millis(120);
 
-fn bookings(number: usize) -> Vec<Endpoint> {
-    let all = 0..number;
-    let endpoints = all.map(|index| Endpoint {
-        service: id::Service::from("bookings"),
-        slots: 1,
-        ..support::engine(&format!("b{index}"), "a", 0)
-    });
-    endpoints.collect()
-}
-
 /// A booking that is not kept waiting.
 fn booking(now: Duration) -> Query {
     Query {
@@ -48,7 +38,7 @@
 fn be_listed_as_leaving(scheduler: &mut Scheduler) {
     let leaving = Endpoint {
         leaving: true,
-        ..bookings(1).remove(0)
+        ..support::bookings(1, 1).remove(0)
     };
     scheduler.set_endpoints(&[leaving], NOW);
 }
@@ -142,7 +132,7 @@
     #[case] rule: Rule,
     #[case] inputs: Inputs,
 ) {
-    let mut scheduler = support::scheduler(&bookings(1), 1);
+    let mut scheduler = support::scheduler(&support::bookings(1, 1), 1);
     assert_eq!(look(&mut scheduler, NOW), []);
     begin(&mut scheduler);
     let expected = Change {
@@ -167,7 +157,7 @@
 #[case::limit(name_limit, Rule::Limit)]
 #[case::ejected(fail, Rule::Ejected)]
 fn a_rule_that_ends_is_reported(#[case] begin: fn(&mut Scheduler), #[case] rule: Rule) {
-    let mut scheduler = support::scheduler(&bookings(1), 1);
+    let mut scheduler = support::scheduler(&support::bookings(1, 1), 1);
     look(&mut scheduler, NOW);
     begin(&mut scheduler);
     look(&mut scheduler, NOW + ms(10));
@@ -190,7 +180,7 @@
 /// An endpoint that was ejected is on probation until it has answered several requests.
 #[test]
 fn an_ejection_ends_in_probing() {
-    let mut scheduler = support::scheduler(&bookings(1), 1);
+    let mut scheduler = support::scheduler(&support::bookings(1, 1), 1);
     look(&mut scheduler, NOW);
     fail(&mut scheduler);
     look(&mut scheduler, NOW + ms(10));
@@ -205,7 +195,7 @@
 /// A line for each refusal would fill the log while an endpoint is full.
 #[test]
 fn a_rule_that_flips_with_each_request_is_reported_now_and_then() {
-    let mut scheduler = support::scheduler(&bookings(1), 1);
+    let mut scheduler = support::scheduler(&support::bookings(1, 1), 1);
     look(&mut scheduler, NOW);
     let (mut reported, mut counted) = (Vec::new(), 0);
     let mut note = |scheduler: &mut Scheduler, now| {
@@ -241,7 +231,7 @@
 /// An endpoint stood as ejected, and nobody knew by whose word.
 #[test]
 fn an_ejection_names_the_host_that_reported_last() {
-    let mut scheduler = support::scheduler(&bookings(2), 9);
+    let mut scheduler = support::scheduler(&support::bookings(2, 1), 9);
     look(&mut scheduler, NOW);
     let host = id::Host::from("host-1");
     scheduler.record_contact(&host, NOW);
@@ -299,7 +289,7 @@
 #[case::ejected(fail, "ejected")]
 #[case::probing(be_probed, "probing")]
 fn a_refusal_names_the_rule(#[case] begin: fn(&mut Scheduler), #[case] expected: &str) {
-    let mut scheduler = support::scheduler(&bookings(1), 1);
+    let mut scheduler = support::scheduler(&support::bookings(1, 1), 1);
     begin(&mut scheduler);
     let now = if expected == "probing" {
         NOW + ms(510)
@@ -360,7 +350,7 @@
 
 /// Three endpoints of a zone that the host does not reach, and a busy one in its own zone.
 fn unreachable_zone() -> (Scheduler, Query) {
-    let mut endpoints = bookings(4);
+    let mut endpoints = support::bookings(4, 1);
     for endpoint in &mut endpoints[1..] {
         endpoint.zone = id::Zone::from("b");
     }
@@ -444,7 +434,7 @@
 /// A request at an endpoint that seemed too slow looked like any other one.
 #[test]
 fn a_placement_tells_whether_it_is_a_trial() {
-    let mut scheduler = support::scheduler(&bookings(1), 1);
+    let mut scheduler = support::scheduler(&support::bookings(1, 1), 1);
     let is_trial: Vec<bool> = (0..4)
         .map(|round| {
             let now = NOW + ms(1_200) * round;
