--- a/crates/papayayard_routing/src/placement/path.rs
+++ b/crates/papayayard_routing/src/placement/path.rs
@@ -42,7 +42,7 @@
 const MAX_COUNTED: u32 = 2;
 /// Time after an endpoint's last answer within which another host's connection failure is
 /// attributed to that host's network path.
-const RECENT_ANSWER: Duration = Duration::from_millis(500);
+pub(super) const RECENT_ANSWER: Duration = Duration::from_millis(500);
 
 /// The same for the answers of a zone and the failures of another host of the same zone.
 const RECENT_ZONE_ANSWER: Duration = Duration::from_secs(1);
--- a/crates/papayayard_routing/src/placement/witness.rs
+++ b/crates/papayayard_routing/src/placement/witness.rs
@@ -7,8 +7,7 @@
 
 use papayayard_wire::id;
 
-/// Time for which an answer to another host disputes the failures of one host.
-const RECENT_ANSWER: Duration = Duration::from_millis(500);
+use super::path::RECENT_ANSWER;
 
 /// A host whose requests the scheduler places; `None` for its own host.
 type Host = Option<id::Host>;
