--- a/crates/papayayard_coordination/src/lib.rs
+++ b/crates/papayayard_coordination/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod origin;
 pub mod pace;
 pub mod presence;
+pub mod quota;
 pub mod ranking;
 pub mod reach;
 pub mod reader;
