--- a/crates/papayayard_coordination/src/quota.rs
+++ b/crates/papayayard_coordination/src/quota.rs
@@ -63,11 +63,21 @@
 pub struct Settings {
     /// This host.
     pub host: id::Host,
+    /// Random ID of this host's process.
+    pub run: u64,
     pub tolerance: Tolerance,
     /// Whether the whole deployment starts for the first time.
     pub is_first_start: bool,
 }
 
+/// Host that requests a placement.
+#[derive(Clone, Copy, Debug)]
+pub struct Caller<'a> {
+    pub host: &'a id::Host,
+    /// Random ID of the host's process.
+    pub run: u64,
+}
+
 /// What one host knows about the quotas: its pool, and where its own part is.
 #[derive(Debug)]
 pub struct Ledger {
@@ -127,10 +137,11 @@
         }
     }
 
-    /// Charges a request of a host, or of this host if `host` is `None`.
+    /// Charges a request of a host, or of this host if `caller` is `None`. A number is
+    /// used for one charge; `deadline` is by the clock of `now`.
     pub fn charge(
         &mut self,
-        _host: Option<&id::Host>,
+        _caller: Option<Caller<'_>>,
         _number: u64,
         _charge: &Charge,
         _deadline: Duration,
@@ -140,5 +151,5 @@
     }
 
     /// Returns the charge of a request that did not run; this is applied once.
-    pub fn return_charge(&mut self, _host: Option<&id::Host>, _number: u64, _now: Duration) {}
+    pub fn return_charge(&mut self, _caller: Option<Caller<'_>>, _number: u64, _now: Duration) {}
 }
