--- a/crates/papayayard_coordination/src/quota/message.rs
+++ b/crates/papayayard_coordination/src/quota/message.rs
@@ -15,10 +15,9 @@
 #[serde_as]
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Offer {
-    /// Newest token that the host has from this process of the dispatcher.
+    /// Newest token that the host has from the dispatcher.
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
-    pub(super) token: Option<Duration>,
+    pub(super) token: Option<Token>,
     /// How long the host's part is still bound elsewhere, in milliseconds.
     #[serde(default, skip_serializing_if = "Duration::is_zero")]
     #[serde_as(as = "DurationMilliSeconds<u64>")]
@@ -26,7 +25,14 @@
     /// Whether the host contributes its failover allowance.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub(super) allowance: bool,
-    /// What plain requests of the host have spent recently.
+    /// Whether the part comes with full buckets, as the deployment starts for the
+    /// first time.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub(super) is_full: bool,
+    /// Number of hosts that the requesting host divides quotas over.
+    #[serde(default)]
+    pub(super) hosts: u32,
+    /// Amounts requested for plain requests.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub(super) wants: Vec<Amount>,
     /// Numbers of placement requests whose charges are returned.
@@ -34,6 +40,17 @@
     pub(super) returned: Vec<u64>,
 }
 
+/// Reading of the clock of a dispatcher's process.
+#[serde_as]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct Token {
+    /// Random ID of the process; clocks of two processes may not be compared.
+    pub(super) run: u64,
+    /// Reading, in milliseconds.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub(super) ms: Duration,
+}
+
 /// Answer of a dispatcher to an [`Offer`].
 #[serde_as]
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
