--- a/crates/papayayard_coordination/tests/quota/simulation.rs
+++ b/crates/papayayard_coordination/tests/quota/simulation.rs
@@ -19,8 +19,6 @@
 const HEARTBEAT: Duration = Duration::from_secs(1);
 /// Time after which a host gives up a call.
 const TIMEOUT: Duration = Duration::from_millis(220);
-/// Size of a request as a part of the quota's second.
-const COST: f64 = 0.12;
 
 /// Cost of a request without a prompt as a part of that of others.
 const PLAIN_COST: f64 = 0.25;
@@ -83,6 +81,8 @@
     clock_rate: f64,
     clock_offset: Duration,
     dispatcher: usize,
+    /// When a dispatcher answered last.
+    answered_at: Duration,
     frozen_until: Duration,
     store_cut_until: Duration,
     revision: u64,
@@ -218,6 +218,7 @@
             clock_rate,
             clock_offset: Duration::ZERO,
             dispatcher: 0,
+            answered_at: Duration::ZERO,
             frozen_until: Duration::ZERO,
             store_cut_until: Duration::ZERO,
             revision: 0,
@@ -227,7 +228,7 @@
         let at = self.now + plan::between(&mut self.rng, 0.0, 0.5);
         self.push(at, Event::Start(index));
         if self.rng.random_bool(self.plan.moving) {
-            let at = self.now + plan::between(&mut self.rng, 0.1, 4.0);
+            let at = self.now + plan::between(&mut self.rng, 0.1, self.plan.move_seconds);
             self.push(at, Event::Move(index));
         }
     }
@@ -250,17 +251,12 @@
             Event::Answer(answer) => self.take_answer(*answer),
             Event::Timeout(call) => self.give_up(&call),
             Event::Return(host, run, dispatcher, number) => {
-                let dispatcher = self.hosts[dispatcher].name.clone();
-                if self.hosts[host].run == run
-                    && let Some(ledger) = &mut self.hosts[host].ledger
-                {
-                    ledger.return_to(&dispatcher, number);
-                }
+                self.return_charge(host, run, dispatcher, number);
             }
             Event::Move(host) => {
                 let count = self.plan.dispatchers.min(2);
                 self.hosts[host].dispatcher = self.rng.random_range(0..count);
-                let at = self.now + plan::between(&mut self.rng, 0.1, 4.0);
+                let at = self.now + plan::between(&mut self.rng, 0.1, self.plan.move_seconds);
                 self.push(at, Event::Move(host));
             }
             Event::Prefer(host, run) => {
@@ -274,6 +270,20 @@
         }
     }
 
+    fn return_charge(&mut self, index: usize, run: u64, dispatcher: usize, number: u64) {
+        let clock = self.clock(index);
+        let name = self.hosts[dispatcher].name.clone();
+        let host = &mut self.hosts[index];
+        let Some(ledger) = host.ledger.as_mut().filter(|_| host.run == run) else {
+            return;
+        };
+        if dispatcher == index {
+            ledger.return_charge(None, number, clock);
+        } else {
+            ledger.return_to(&name, number);
+        }
+    }
+
     fn inject(&mut self, fault: Fault) {
         match fault {
             Fault::Restart(hosts, pause) => {
@@ -371,12 +381,18 @@
         let offset = plan::between(&mut self.rng, 0.0, 1_000.0);
         let is_first = self.plan.is_first_start && self.now < Duration::from_secs(1);
         let tolerance = self.plan.tolerance;
+        let choices = if self.rng.random_bool(self.plan.moving) {
+            self.plan.dispatchers.min(2)
+        } else {
+            1
+        };
+        let first_dispatcher = self.rng.random_range(0..choices);
         let host = &mut self.hosts[index];
         host.clock_offset = offset;
         host.run = run;
         host.open.clear();
         host.last_number = 0;
-        host.dispatcher = 0;
+        host.dispatcher = first_dispatcher;
         let settings = Settings {
             host: host.name.clone(),
             run,
@@ -409,7 +425,7 @@
         let quota = self.plan.quotas[account];
         let demand = self.plan.demand * quota.per_second;
         let is_plain = self.rng.random_bool(self.plan.plain);
-        let mean = COST * quota.per_second;
+        let mean = self.plan.cost * quota.per_second;
         let cost = mean * self.rng.random_range(0.2..1.8);
         let cost = if is_plain { cost * PLAIN_COST } else { cost };
         let mean = mean * (1.0 - self.plan.plain * (1.0 - PLAIN_COST));
@@ -482,6 +498,7 @@
 
     fn place_alone(&mut self, index: usize, account: usize, number: u64, charge: &Charge) {
         let clock = self.clock(index);
+        let run = self.hosts[index].run;
         let Some(ledger) = &mut self.hosts[index].ledger else {
             return;
         };
@@ -490,7 +507,9 @@
         if verdict != Verdict::Charged {
             self.refused += 1;
         } else if self.rng.random_bool(self.plan.unrun) {
-            ledger.return_charge(None, number, clock);
+            let delay = plan::between(&mut self.rng, 0.0, self.plan.return_seconds);
+            let event = Event::Return(index, run, index, number);
+            self.push(self.now + delay, event);
         } else {
             self.admit(account, charge.cost, self.now);
         }
@@ -582,6 +601,9 @@
         if host.run != call.run {
             return;
         }
+        if host.dispatcher == call.to {
+            host.answered_at = self.now;
+        }
         let Some(ledger) = &mut host.ledger else {
             return;
         };
@@ -604,7 +626,8 @@
         if verdict != Verdict::Charged {
             self.refused += 1;
         } else if self.rng.random_bool(self.plan.unrun) {
-            let at = self.now + plan::between(&mut self.rng, 0.0, 2.0);
+            let delay = plan::between(&mut self.rng, 0.0, self.plan.return_seconds);
+            let at = self.now + delay;
             let event = Event::Return(call.from, call.run, call.to, request.number);
             self.push(at, event);
         } else {
@@ -626,7 +649,8 @@
         }
         let event = Event::Return(index, call.run, call.to, request.number);
         self.apply(event);
-        if self.hosts[index].dispatcher == call.to {
+        let is_silent = self.hosts[index].answered_at + TIMEOUT <= self.now;
+        if self.hosts[index].dispatcher == call.to && is_silent {
             let next = call.to + 1;
             let is_known = next < self.plan.dispatchers;
             self.hosts[index].dispatcher = if is_known { next } else { index };
