--- a/crates/papayayard_coordination/src/quota.rs
+++ b/crates/papayayard_coordination/src/quota.rs
@@ -41,6 +41,11 @@
 /// How long a host may spend a prepaid amount after it sent the call.
 const PREPAID_DURATION: Duration = Duration::from_secs(2);
 
+/// Time for which a part is bound after its host received the token that it repeats.
+fn bound() -> Duration {
+    LEASE.mul_f64(CLOCK_MARGIN)
+}
+
 /// Quota of a client account over all hosts, in the account's unit.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Quota {
--- a/crates/papayayard_coordination/src/quota/bucket.rs
+++ b/crates/papayayard_coordination/src/quota/bucket.rs
@@ -10,7 +10,7 @@
 use papayayard_wire::id;
 
 use super::room::Room;
-use super::{CLOCK_MARGIN, PREPAID_DURATION, Quota, Tolerance};
+use super::{CLOCK_MARGIN, LEASE, PREPAID_DURATION, Quota, Tolerance};
 
 /// Part of the tolerance that all hosts' failover allowances make up together.
 const ALLOWANCE_RATIO: f64 = 0.25;
@@ -184,6 +184,9 @@
         let remaining = deadline.saturating_sub(now);
         let largest_share = scale.share.max(scale.next_share);
         let promised = self.promised_until.saturating_sub(now);
+        if largest_share <= 0.0 {
+            return LEASE;
+        }
         let need = (cost - self.level).max(0.0);
         let present = self.refill_time(need, scale.share);
         let later = self.refill_time(need, scale.next_share);
--- a/crates/papayayard_coordination/src/quota/member.rs
+++ b/crates/papayayard_coordination/src/quota/member.rs
@@ -10,7 +10,7 @@
 use papayayard_wire::id;
 
 use super::message::{MAX_RETURNED, Offer, Reply, Token};
-use super::{CLOCK_MARGIN, LEASE, Tolerance};
+use super::{CLOCK_MARGIN, LEASE, Tolerance, bound};
 
 /// Maximum number of charges that wait for the next call to a dispatcher.
 const MAX_WAITING: usize = 4_096;
@@ -205,11 +205,6 @@
     }
 }
 
-/// Time for which a part is bound after a token was received.
-fn bound() -> Duration {
-    LEASE.mul_f64(CLOCK_MARGIN)
-}
-
 /// Rounds up to milliseconds, the unit of the message.
 fn to_ms(time: Duration) -> Duration {
     let ms = u64::try_from(time.as_micros().div_ceil(1_000));
--- a/crates/papayayard_coordination/src/quota/pool.rs
+++ b/crates/papayayard_coordination/src/quota/pool.rs
@@ -14,7 +14,7 @@
 use super::lease::Lease;
 use super::message::{Amount, MAX_AMOUNTS, MAX_RETURNED, Offer, Reply};
 use super::record::{Paid, Record};
-use super::{Caller, Charge, LEASE, Quota, Settings, Verdict};
+use super::{Caller, Charge, LEASE, Quota, Settings, Verdict, bound};
 
 /// Time in which a host contributes its failover allowance at most once; hosts do so
 /// less often.
@@ -61,6 +61,8 @@
     parts: u32,
     share: f64,
     hosts: Hosts,
+    /// Time by which the parts of hosts that move to this pool should be in it.
+    complete_at: Duration,
     /// A time up to which no lease starts or ends.
     next_event: Duration,
     buckets: BTreeMap<id::Account, Bucket>,
@@ -84,6 +86,7 @@
             parts: u32::from(own_from <= now),
             share: 0.0,
             hosts: Hosts::new((!is_first_start).then_some(now)),
+            complete_at: now + bound(),
             next_event: now,
             buckets: BTreeMap::new(),
             is_configured: false,
@@ -182,6 +185,9 @@
         let now = self.advance(now);
         let run = self.settings.run;
         let member = self.members.entry(caller.host.clone()).or_default();
+        if now >= member.called_at + LEASE {
+            self.complete_at = now + bound();
+        }
         member.called_at = now;
         if offer.hosts > 0 {
             self.hosts.observe(offer.hosts, now);
@@ -432,7 +438,8 @@
         }
     }
 
-    /// Scale with the share after the starts that are known.
+    /// Scale with the share after the starts that are known. While hosts move to this
+    /// pool, all are expected to.
     fn scale_with_next(&mut self) -> Scale {
         let mut scale = self.scale();
         let mut parts = self.parts;
@@ -448,6 +455,10 @@
             }
         }
         scale.next_share = self.hosts.share(parts, self.now);
+        if self.now < self.complete_at {
+            scale.next_share = 1.0;
+            next_at = next_at.max(self.complete_at);
+        }
         scale.next_in = next_at.saturating_sub(self.now);
         scale
     }
--- a/crates/papayayard_coordination/tests/quota_failure_test.rs
+++ b/crates/papayayard_coordination/tests/quota_failure_test.rs
@@ -610,6 +610,24 @@
     assert_eq!(fleet.charge(1, 0, 500.0), Verdict::Charged);
 }
 
+/// Guards against callers that are sent away for long while the parts of the hosts are
+/// about to come: one part alone would need 20 s for this request.
+#[test]
+fn dispatcher_restarted_retry_after_counts_on_the_parts_of_all() {
+    let mut fleet = Fleet::pooled(10);
+    for index in 0..10 {
+        fleet.restart(index);
+    }
+    let verdict = fleet.charge(1, 0, 200.0);
+    let Verdict::Refused { retry_after } = verdict else {
+        panic!("{verdict:?}");
+    };
+    assert!(retry_after < ms(4_000), "{retry_after:?}");
+    let end = fleet.now + retry_after + PERIOD * 2;
+    fleet.run_until(end, |fleet| fleet.call_all(0));
+    assert_eq!(fleet.charge(1, 0, 200.0), Verdict::Charged);
+}
+
 /// Guards against a request that can never be admitted and is told to retry soon.
 #[test]
 fn request_beyond_the_burst_is_refused_until_its_deadline() {
