--- a/crates/papayayard_coordination/src/quota/hosts.rs
+++ b/crates/papayayard_coordination/src/quota/hosts.rs
@@ -75,8 +75,8 @@
     }
 
     fn count_before(&self, count: u32, now: Duration) -> u32 {
-        let is_young = self.started_at.is_some_and(|at| now < at + MEMORY);
-        let least = if is_young {
+        let is_recent = self.started_at.is_some_and(|at| now < at + MEMORY);
+        let least = if is_recent {
             (count * 5).div_ceil(6)
         } else {
             count
--- a/crates/papayayard_coordination/src/quota/prepaid.rs
+++ b/crates/papayayard_coordination/src/quota/prepaid.rs
@@ -25,7 +25,7 @@
 
 /// Prepaid amounts and demand of one account.
 #[derive(Debug, Default)]
-struct Purse {
+struct Balance {
     quota: Option<Quota>,
     /// In the order of their ends.
     grants: VecDeque<Grant>,
@@ -38,13 +38,13 @@
     requested_at: Option<Duration>,
 }
 
-impl Purse {
+impl Balance {
     fn observe(&mut self, cost: f64, now: Duration) {
-        self.turn(now);
+        self.rotate(now);
         self.demand += cost;
     }
 
-    fn turn(&mut self, now: Duration) {
+    fn rotate(&mut self, now: Duration) {
         let elapsed = now.saturating_sub(self.period_from);
         if elapsed < DEMAND_PERIOD {
             return;
@@ -124,60 +124,60 @@
 
 /// Prepaid amounts of all accounts.
 #[derive(Debug, Default)]
-pub(super) struct Prepaid(BTreeMap<id::Account, Purse>);
+pub(super) struct Prepaid(BTreeMap<id::Account, Balance>);
 
 impl Prepaid {
     /// Drops the amounts of accounts whose quota has changed.
     pub(super) fn configure(&mut self, quotas: &BTreeMap<id::Account, Quota>) {
         self.0
-            .retain(|account, purse| quotas.get(account).copied() == purse.quota);
+            .retain(|account, balance| quotas.get(account).copied() == balance.quota);
     }
 
     pub(super) fn spend(&mut self, charge: &Charge, now: Duration) -> bool {
-        let purse = self.0.entry(charge.account.clone()).or_default();
-        if purse.quota != Some(charge.quota) {
-            purse.quota = Some(charge.quota);
-            purse.grants.clear();
-            purse.payments.clear();
+        let balance = self.0.entry(charge.account.clone()).or_default();
+        if balance.quota != Some(charge.quota) {
+            balance.quota = Some(charge.quota);
+            balance.grants.clear();
+            balance.payments.clear();
         }
-        purse.observe(charge.cost, now);
-        purse.expire(now);
-        if purse.available() < charge.cost {
+        balance.observe(charge.cost, now);
+        balance.expire(now);
+        if balance.available() < charge.cost {
             return false;
         }
-        purse.pay(charge.cost);
+        balance.pay(charge.cost);
         true
     }
 
     pub(super) fn give_back(&mut self, charge: &Charge, now: Duration) {
-        if let Some(purse) = self.0.get_mut(&charge.account) {
-            purse.expire(now);
-            purse.give_back(charge.cost);
+        if let Some(balance) = self.0.get_mut(&charge.account) {
+            balance.expire(now);
+            balance.give_back(charge.cost);
         }
     }
 
     /// Amounts to request, the largest ones if there are too many.
     pub(super) fn wants(&mut self, now: Duration) -> Vec<Amount> {
-        for purse in self.0.values_mut() {
-            purse.turn(now);
-            purse.expire(now);
+        for balance in self.0.values_mut() {
+            balance.rotate(now);
+            balance.expire(now);
         }
-        self.0.retain(|_, purse| !purse.is_idle());
-        let is_due = |purse: &Purse| {
-            let requested_at = purse.requested_at;
+        self.0.retain(|_, balance| !balance.is_idle());
+        let is_due = |balance: &Balance| {
+            let requested_at = balance.requested_at;
             requested_at.is_none_or(|at| at + REQUEST_PERIOD <= now)
         };
-        let due = self.0.iter().filter(|(_, purse)| is_due(purse));
-        let wants = due.map(|(account, purse)| Amount {
+        let due = self.0.iter().filter(|(_, balance)| is_due(balance));
+        let wants = due.map(|(account, balance)| Amount {
             account: account.clone(),
-            amount: purse.want(),
+            amount: balance.want(),
         });
         let mut wants: Vec<Amount> = wants.filter(|want| want.amount > 0.0).collect();
         wants.sort_by(|one, other| other.amount.total_cmp(&one.amount));
         wants.truncate(MAX_AMOUNTS);
         for want in &wants {
-            if let Some(purse) = self.0.get_mut(&want.account) {
-                purse.requested_at = Some(now);
+            if let Some(balance) = self.0.get_mut(&want.account) {
+                balance.requested_at = Some(now);
             }
         }
         wants
@@ -190,11 +190,11 @@
             return;
         }
         for grant in grants.iter().take(MAX_AMOUNTS) {
-            let purse = self.0.get_mut(&grant.account);
-            let Some(purse) = purse.filter(|_| grant.amount > 0.0) else {
+            let balance = self.0.get_mut(&grant.account);
+            let Some(balance) = balance.filter(|_| grant.amount > 0.0) else {
                 continue;
             };
-            purse.add(Grant {
+            balance.add(Grant {
                 amount: grant.amount,
                 until,
             });
