--- a/crates/papayayard_routing/src/ejection.rs
+++ b/crates/papayayard_routing/src/ejection.rs
@@ -59,6 +59,14 @@
         }
     }
 
+    /// Start of the last ejection, unless an answer has ended it.
+    pub const fn ejected_since(&self) -> Option<Duration> {
+        match self.state {
+            State::Ejected { since, .. } => Some(since),
+            State::Healthy | State::Probing { .. } => None,
+        }
+    }
+
     /// Ejections since the endpoint was last healthy.
     pub const fn ejections(&self) -> u32 {
         self.ejections
--- a/crates/papayayard_routing/src/placement.rs
+++ b/crates/papayayard_routing/src/placement.rs
@@ -5,6 +5,7 @@
 //! is refused with a retry delay. A request that no endpoint can serve is refused at once.
 
 use std::collections::HashMap;
+use std::mem;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -18,8 +19,11 @@
 mod cache;
 mod cost;
 mod delay;
+mod evaluation;
 mod exclusion;
 mod fetch;
+mod held;
+mod keys;
 mod limit;
 mod link;
 mod load;
@@ -32,6 +36,8 @@
 mod reachability;
 mod refusal_limit;
 mod requesting_hosts;
+mod revision;
+mod roster;
 mod select;
 mod signals;
 mod split;
@@ -41,11 +47,15 @@
 mod witness;
 
 use backend::Backend;
+use evaluation::{Evaluation, Request};
+use keys::Hashes;
 use limit::Limits;
 use path::Paths;
 use progress::Placed;
 use refusal_limit::RefusalLimits;
 use requesting_hosts::RequestingHosts;
+use revision::{Look, Revisions};
+use roster::Rosters;
 use signals::Signals;
 
 pub use backend::Endpoint;
@@ -107,6 +117,9 @@
     tickets: SlotMap<Ticket, Placed>,
     waiting: SlotMap<PendingKey, Pending>,
     arrivals: u64,
+    revisions: Revisions,
+    /// Set if no waiting request has found a place at the last look.
+    last_look: Option<Look>,
 }
 
 /// The scheduler's view of a store of cached prompts.
@@ -122,6 +135,17 @@
     query: Query,
     arrival: u64,
     arrived_at: Duration,
+    hashes: Hashes,
+    /// Last look, if its result may hold for longer.
+    look: Option<Look>,
+}
+
+/// State of one round of decisions.
+#[derive(Default)]
+struct Round {
+    rosters: Rosters,
+    usable: Evaluation,
+    testable: Evaluation,
 }
 
 impl Scheduler {
@@ -147,6 +171,8 @@
             tickets: SlotMap::with_key(),
             waiting: SlotMap::with_key(),
             arrivals: 0,
+            revisions: Revisions::default(),
+            last_look: None,
         }
     }
 
@@ -169,10 +195,13 @@
         self.requesting_hosts
             .record_use(requesting_host, &query.zone, now);
         let arrived_at = now.saturating_sub(query.waited);
+        self.last_look = None;
         self.waiting.insert(Pending {
             query,
             arrival: self.arrivals,
             arrived_at,
+            hashes: Hashes::default(),
+            look: None,
         })
     }
 
@@ -187,57 +216,129 @@
 
     /// Places or refuses waiting requests, the most urgent first; the others stay queued.
     pub fn decide(&mut self, now: Duration) -> Vec<(PendingKey, Decision)> {
-        let mut order: Vec<(u8, Duration, u64, PendingKey)> = self
-            .waiting
-            .iter()
-            .map(|(key, entry)| (entry.query.priority, entry.arrived_at, entry.arrival, key))
-            .collect();
-        order.sort_unstable();
         self.limits.refill(&self.requesting_hosts, now);
         self.refusal_limits.update(&self.requesting_hosts, now);
-        let mut still_waiting: HashMap<id::Service, u32> = HashMap::new();
+        let revision = self.revisions.total();
+        if self.last_look.is_some_and(|look| look.holds(revision, now)) {
+            return Vec::new();
+        }
+        let mut round = Round::default();
         let mut decisions = Vec::new();
-        for (.., key) in order {
-            let Some(decision) = self.decide_pending(key, &mut still_waiting, now) else {
+        for key in self.order() {
+            if self.is_settled(key, now) {
                 continue;
-            };
-            self.waiting.remove(key);
-            decisions.push((key, decision));
+            }
+            if let Some(decision) = self.decide_pending(key, &mut round, now) {
+                decisions.push((key, decision));
+            }
         }
+        self.last_look = self.common_look(revision, now);
         decisions
     }
 
-    /// Decides on a request. `still_waiting` counts the requests before it, by service, that stay
-    /// in the queue.
+    /// Has each waiting request looked at by the next decision; for tests of decisions.
+    #[doc(hidden)]
+    pub const fn look_at_all(&mut self) {
+        self.revisions.change_all();
+    }
+
+    /// Waiting requests in the order in which they are decided on.
+    fn order(&self) -> Vec<PendingKey> {
+        let waiting = self.waiting.iter();
+        let mut order: Vec<(u8, Duration, u64, PendingKey)> = waiting
+            .map(|(key, entry)| (entry.query.priority, entry.arrived_at, entry.arrival, key))
+            .collect();
+        order.sort_unstable();
+        order.into_iter().map(|(.., key)| key).collect()
+    }
+
+    /// Whether a request cannot have a place, as its last look found none.
+    fn is_settled(&self, key: PendingKey, now: Duration) -> bool {
+        let pending = &self.waiting[key];
+        pending.look.is_some_and(|look| {
+            let revision = self.revisions.of(&pending.query.service);
+            look.holds(revision, now)
+        })
+    }
+
+    /// The look that holds for as long as those of all waiting requests, unless something has
+    /// changed since `revision`.
+    fn common_look(&self, revision: u64, now: Duration) -> Option<Look> {
+        if self.revisions.total() != revision {
+            return None;
+        }
+        let mut until = Duration::MAX;
+        for pending in self.waiting.values() {
+            until = until.min(pending.look?.until);
+        }
+        Some(Look {
+            revision,
+            at: now,
+            until,
+        })
+    }
+
+    /// Decides on a request, or leaves it in the queue.
     fn decide_pending(
         &mut self,
         key: PendingKey,
-        still_waiting: &mut HashMap<id::Service, u32>,
+        round: &mut Round,
         now: Duration,
     ) -> Option<Decision> {
+        let mut hashes = mem::take(&mut self.waiting[key].hashes);
+        let Round {
+            rosters,
+            usable,
+            testable,
+        } = round;
         let pending = &self.waiting[key];
-        let query = pending.query.clone();
-        let arrived_at = pending.arrived_at;
+        let query = &pending.query;
+        let (roster, ahead) = rosters.of(self, query, now);
         let draw = split::draw(pending.arrival);
-        let mut availability = Availability::default();
-        if let Some(candidate) = self.best_candidate(&query, draw, &mut availability, now) {
-            return Some(Decision::Placed(self.place(&query, &candidate, now)));
+        let mut request = Request::new(self, roster, (query, &mut hashes), draw, now);
+        let best = self.best_candidate(&mut request, roster, (usable, testable));
+        if let Some(candidate) = best {
+            let pending = self.waiting.remove(key)?;
+            let (placement, keys) = self.place(&pending.query, hashes, &candidate, now);
+            let service = &pending.query.service;
+            rosters.refresh(self, service, (candidate.key, &keys), now);
+            return Some(Decision::Placed(placement));
         }
         let max_wait = query
             .target
-            .saturating_sub(arrived_at)
+            .saturating_sub(pending.arrived_at)
             .mul_f64(MAX_WAIT_FRACTION);
-        let wait_until = (arrived_at + max_wait).min(query.deadline);
-        let reason = self.refusal(&query);
-        let ahead = still_waiting.get(&query.service).copied().unwrap_or(0);
-        let available_at = self.next_available(&query, ahead, now);
+        let wait_until = (pending.arrived_at + max_wait).min(query.deadline);
+        let reason = self.refusal(query, roster);
+        let available_at = self.next_available(query, roster, *ahead, now);
         if reason == RefusalReason::Overloaded && now < wait_until && available_at < wait_until {
-            still_waiting.insert(query.service, ahead + 1);
+            *ahead += 1;
+            let is_unsteady = request.is_unsteady() || testable.has_members();
+            let possible_from = usable.possible_from.min(roster.next_change);
+            let look = Look {
+                revision: self.revisions.of(&query.service),
+                at: now,
+                until: if is_unsteady {
+                    now
+                } else {
+                    possible_from.min(wait_until)
+                },
+            };
+            let is_limited = roster.is_limited;
+            let pending = &mut self.waiting[key];
+            pending.hashes = hashes;
+            pending.look = (!is_limited).then_some(look);
             return None;
         }
-        availability.exclusions = self.exclusions(&query, draw, now);
+        let availability = Availability {
+            usable: usable.usable,
+            with_capacity: usable.with_capacity,
+            first_event: usable.first_event(),
+            exclusions: self.exclusions(&request, roster, usable),
+        };
         self.refusals += 1;
-        let retry_after = retry_after(&query, self.refusals, now);
+        let retry_after = retry_after(query, self.refusals, now);
+        self.waiting.remove(key);
         Some(Decision::Refused {
             reason,
             retry_after: retry_after.max(available_at.saturating_sub(now)),
--- a/crates/papayayard_routing/src/placement/cache.rs
+++ b/crates/papayayard_routing/src/placement/cache.rs
@@ -22,8 +22,8 @@
 }
 
 #[derive(Clone, Copy, Debug)]
-struct CachedPart {
-    tokens: u32,
+pub(super) struct CachedPart {
+    pub(super) tokens: u32,
     /// Value of `filled_tokens` when the part was last reported or used.
     last_used: f64,
     /// Set if the part is only expected because of a request from this host.
@@ -36,7 +36,50 @@
     until: Duration,
 }
 
+impl CachedPart {
+    /// Whether the part is cached or expected.
+    pub(super) fn is_current(&self, now: Duration) -> bool {
+        self.expected.is_none_or(|expected| now < expected.until)
+    }
+
+    /// Whether the part can be fetched now from a holder to which `filled` tokens were added, if
+    /// it keeps parts until `retained` further ones are.
+    pub(super) fn is_fetchable(&self, filled: f64, retained: f64, now: Duration) -> bool {
+        let is_present = self
+            .expected
+            .is_none_or(|expected| expected.from <= now && now < expected.until);
+        is_present && filled - self.last_used <= retained
+    }
+
+    /// Next time at which the part begins or ceases to count.
+    pub(super) fn next_change(&self, now: Duration) -> Duration {
+        let Some(expected) = self.expected else {
+            return Duration::MAX;
+        };
+        let times = [expected.from, expected.until].into_iter();
+        let future = times.filter(|time| now < *time);
+        future.min().unwrap_or(Duration::MAX)
+    }
+}
+
 impl Cache {
+    /// A part that is or was cached or expected.
+    pub(super) fn part(&self, key: Key) -> Option<CachedPart> {
+        self.parts.get(&key).copied()
+    }
+
+    /// Tokens added so far.
+    pub(super) const fn filled_tokens(&self) -> f64 {
+        self.filled_tokens
+    }
+
+    /// Next time at which one of the leading parts begins or ceases to count.
+    pub(super) fn next_change(&self, keys: &[Key], now: Duration) -> Duration {
+        let parts = keys.iter().filter_map(|key| self.parts.get(key));
+        let times = parts.map(|part| part.next_change(now));
+        times.min().unwrap_or(Duration::MAX)
+    }
+
     /// Counts tokens added to the memory.
     pub fn fill(&mut self, tokens: f64) {
         self.filled_tokens += tokens;
@@ -89,25 +132,19 @@
 
     /// Removes expected parts that were not reported in time.
     pub fn prune(&mut self, now: Duration) {
-        self.parts
-            .retain(|_, cached| cached.expected.is_none_or(|expected| now < expected.until));
+        self.parts.retain(|_, cached| cached.is_current(now));
     }
 
     /// Returns the tokens of the leading parts that are cached or expected.
     pub fn prefix(&self, parts: &[Part], keys: &[Key], now: Duration) -> u32 {
-        self.leading_tokens(parts, keys, |cached| {
-            cached.expected.is_none_or(|expected| now < expected.until)
-        })
+        self.leading_tokens(parts, keys, |cached| cached.is_current(now))
     }
 
     /// Returns the tokens of the leading parts that can be fetched now, limited to parts after
     /// whose last use at most `retained` tokens have been added.
     pub fn fetchable(&self, parts: &[Part], keys: &[Key], retained: f64, now: Duration) -> u32 {
         self.leading_tokens(parts, keys, |cached| {
-            let is_present = cached
-                .expected
-                .is_none_or(|expected| expected.from <= now && now < expected.until);
-            is_present && self.filled_tokens - cached.last_used <= retained
+            cached.is_fetchable(self.filled_tokens, retained, now)
         })
     }
 
--- a/crates/papayayard_routing/src/placement/cost.rs
+++ b/crates/papayayard_routing/src/placement/cost.rs
@@ -8,12 +8,12 @@
 
 use std::time::Duration;
 
-use papayayard_wire::id;
 use xxhash_rust::xxh3;
 
 use super::backend::Backend;
 use super::load::Amounts;
 use super::ms;
+use super::roster::Entry;
 use crate::prompt;
 use crate::table;
 
@@ -53,14 +53,10 @@
     pub(super) prompt: &'a prompt::Prompt,
     /// Target latency of the first event.
     pub(super) target: Duration,
-    /// Number of hosts that send requests.
-    pub(super) hosts: usize,
-    /// Average load from this host at an endpoint with weights of the same age.
-    pub(super) mean: Amounts,
     /// Whether the request should go to endpoints with other weights.
     pub(super) avoids_weights: bool,
     /// Zone that the request comes from.
-    pub(super) zone: ZoneCost<'a>,
+    pub(super) zone: ZoneCost,
     /// Rank of the endpoint in the prompt's order of preference, from 0.
     pub(super) rank: usize,
     /// Leading shared tokens that some holder has cached or is expected to have cached.
@@ -73,13 +69,14 @@
 
 /// Zone of the sending host and the cost of leaving it.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct ZoneCost<'a> {
-    zone: &'a id::Zone,
+pub(super) struct ZoneCost {
+    /// Index of the zone in the roster; `None` if no endpoint is there.
+    zone: Option<usize>,
     other_zone_ms: f64,
 }
 
-impl<'a> ZoneCost<'a> {
-    pub(super) fn new(zone: &'a id::Zone, is_repeatable: bool) -> Self {
+impl ZoneCost {
+    pub(super) const fn new(zone: Option<usize>, is_repeatable: bool) -> Self {
         let other_zone_ms = if is_repeatable {
             OTHER_ZONE_MS
         } else {
@@ -91,8 +88,8 @@
         }
     }
 
-    fn cost_ms(self, backend: &Backend) -> f64 {
-        if backend.endpoint.zone == *self.zone {
+    fn cost_ms(self, entry: &Entry) -> f64 {
+        if self.zone == Some(entry.zone) {
             0.0
         } else {
             self.other_zone_ms
@@ -143,41 +140,48 @@
     }
 }
 
-/// Estimates a placement at an engine that has `cached` of the shared tokens; `None` if the
-/// engine lacks a slot or memory.
+/// Whether an engine with this load may have a slot and the memory for a prompt.
+pub(super) fn may_fit(load: Amounts, engine: &table::Engine, prompt: &prompt::Prompt) -> bool {
+    has_slot(load, engine) && has_memory(load, engine, prompt, prompt.shared_tokens())
+}
+
+fn has_slot(load: Amounts, engine: &table::Engine) -> bool {
+    load.open < f64::from(engine.slots)
+}
+
+fn has_memory(load: Amounts, engine: &table::Engine, prompt: &prompt::Prompt, cached: u32) -> bool {
+    let memory = prompt.tokens.saturating_sub(cached) + prompt.output_tokens();
+    load.memory + f64::from(memory) <= float(engine.memory_tokens) * MEMORY_FRACTION
+}
+
+/// Estimates a placement at an engine that has this load and `cached` of the shared tokens; `None`
+/// if the engine lacks a slot or memory.
 pub(super) fn estimate_engine(
-    backend: &Backend,
+    (entry, load): (&Entry, Amounts),
     engine: &table::Engine,
     inputs: &Inputs<'_>,
     cached: u32,
     source: Option<Source>,
-    now: Duration,
 ) -> Option<Estimate> {
-    let load = backend.load.estimate_total(inputs.mean, inputs.hosts, now);
-    if load.open >= f64::from(engine.slots) {
+    if !has_slot(load, engine) || !has_memory(load, engine, inputs.prompt, cached) {
         return None;
     }
     let fetched = source.map_or(0, |source| source.tokens.saturating_sub(cached));
     let unread = inputs.prompt.tokens.saturating_sub(cached + fetched);
-    let memory = inputs.prompt.tokens - cached + inputs.prompt.output_tokens();
-    if load.memory + f64::from(memory) > float(engine.memory_tokens) * MEMORY_FRACTION {
-        return None;
-    }
-
     let fetch_ms = source
         .filter(|_| fetched > 0)
         .map_or(0.0, |source| ms(source.time()));
     let reread = inputs.cached_anywhere.saturating_sub(cached + fetched);
     let prefill_tokens = load.unread + f64::from(unread);
     let predicted_ms = prefill_tokens * inputs.token_ms + load.open * PER_REQUEST_MS + fetch_ms;
-    let first_event_ms = predicted_ms + inputs.baseline_ms + backend.delay.at(now);
+    let first_event_ms = predicted_ms + inputs.baseline_ms + entry.delay_ms;
     let cost_ms = first_event_ms
         + f64::from(reread) * REREAD_MS
         + f64::from(fetched) * inputs.token_ms * FETCHED_FRACTION
         + shared_link_ms(source, fetched)
-        + inputs.zone.cost_ms(backend)
+        + inputs.zone.cost_ms(entry)
         + rank_ms(inputs.rank)
-        + slow_start_ms(backend, now)
+        + entry.slow_start_ms
         + if inputs.avoids_weights {
             ms(inputs.target) * OTHER_WEIGHTS_FRACTION
         } else {
@@ -196,26 +200,27 @@
     })
 }
 
+/// Estimates the first event at an engine at which no more than `covered` tokens are cached or
+/// fetched, in ms, without the engine's delay.
+pub(super) fn soonest_ms(load: Amounts, inputs: &Inputs<'_>, covered: u32) -> f64 {
+    let unread = inputs.prompt.tokens.saturating_sub(covered);
+    let prefill_tokens = load.unread + f64::from(unread);
+    prefill_tokens * inputs.token_ms + load.open * PER_REQUEST_MS + inputs.baseline_ms
+}
+
 /// Estimates a placement at an endpoint of a plain service.
-pub(super) fn estimate_plain(
-    backend: &Backend,
-    zone: ZoneCost<'_>,
-    mean: Amounts,
-    hosts: usize,
-    now: Duration,
-) -> Estimate {
-    let open = backend.load.estimate_total(mean, hosts, now).open;
-    let slots = f64::from(backend.endpoint.slots.max(1));
+pub(super) fn estimate_plain(entry: &Entry, zone: ZoneCost, open: f64) -> Estimate {
+    let slots = f64::from(entry.slots.max(1));
     let queued = (open + 1.0 - slots).max(0.0) / slots;
     let utilization = open / slots;
-    let first_event_ms = backend.service_ms * (1.0 + queued);
-    let cost_ms = backend.service_ms * (1.0 + queued + utilization)
-        + zone.cost_ms(backend)
-        + slow_start_ms(backend, now) * 0.1;
+    let first_event_ms = entry.service_ms * (1.0 + queued);
+    let cost_ms = entry.service_ms * (1.0 + queued + utilization)
+        + zone.cost_ms(entry)
+        + entry.slow_start_ms * 0.1;
     Estimate {
         first_event_ms,
         predicted_ms: first_event_ms,
-        wait_ms: backend.service_ms * queued,
+        wait_ms: entry.service_ms * queued,
         cost_ms,
         open,
         cached: 0,
@@ -225,10 +230,14 @@
     }
 }
 
-/// Returns the weight of a holder in a prompt's order of preference; the highest comes first.
-pub(super) fn preference(holder: &str, prompt: &prompt::Prompt) -> u64 {
+/// Returns the seed of a prompt's order of preference.
+pub(super) fn seed(prompt: &prompt::Prompt) -> u64 {
     let part = prompt.longest_shared().unwrap_or_default();
-    let seed = xxh3::xxh3_64(part.as_bytes());
+    xxh3::xxh3_64(part.as_bytes())
+}
+
+/// Returns the weight of a holder in an order of preference; the highest comes first.
+pub(super) fn preference(holder: &str, seed: u64) -> u64 {
     xxh3::xxh3_64_with_seed(holder.as_bytes(), seed)
 }
 
@@ -245,7 +254,7 @@
     }
 }
 
-fn slow_start_ms(backend: &Backend, now: Duration) -> f64 {
+pub(super) fn slow_start_ms(backend: &Backend, now: Duration) -> f64 {
     let age = now.saturating_sub(backend.slow_start_from);
     let left = SLOW_START.saturating_sub(age);
     SLOW_START_MS * left.as_secs_f64() / SLOW_START.as_secs_f64()
--- a/crates/papayayard_routing/src/placement/delay.rs
+++ b/crates/papayayard_routing/src/placement/delay.rs
@@ -41,6 +41,12 @@
     }
 }
 
+/// Returns the time in which a delay decays to a shorter one; both in ms.
+pub(super) fn decay_time(from_ms: f64, to_ms: f64) -> Duration {
+    let constants = (from_ms / to_ms).ln();
+    Duration::try_from_secs_f64(DECAY.as_secs_f64() * constants).unwrap_or(Duration::MAX)
+}
+
 /// Average delay over all endpoints.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Baseline {
--- a/crates/papayayard_routing/src/placement/exclusion.rs
+++ b/crates/papayayard_routing/src/placement/exclusion.rs
@@ -1,14 +1,13 @@
 //! Why endpoints were left out for a request that was refused.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
 use std::fmt;
 use std::time::Duration;
 
 use papayayard_wire::id;
 
 use super::backend::Backend;
-use super::query::{BackendKey, Query};
-use super::select::{Bounds, Candidate};
+use super::evaluation::{Evaluation, Request};
+use super::roster::{Entry, Roster};
 use super::usability::Rule;
 use super::{Scheduler, from_ms};
 
@@ -122,94 +121,117 @@
     }
 }
 
-/// Shortest time to the first event at each endpoint with capacity, in ms.
-fn soonest(candidates: &[Candidate]) -> HashMap<BackendKey, f64> {
-    let mut soonest = HashMap::new();
-    for candidate in candidates {
-        let first_event_ms = candidate.estimate.first_event_ms;
-        let known = soonest.entry(candidate.key).or_insert(first_event_ms);
-        *known = first_event_ms.min(*known);
+/// Endpoints by reason.
+#[derive(Default)]
+struct Exclusions(Vec<Exclusion>);
+
+impl Exclusions {
+    fn add(&mut self, reason: Reason, entry: &Entry, first_event_ms: f64) {
+        let position = self.0.iter().position(|known| known.reason == reason);
+        let position = position.unwrap_or_else(|| {
+            self.0.push(Exclusion {
+                reason,
+                number: 0,
+                endpoints: Vec::with_capacity(MAX_NAMED),
+            });
+            self.0.len() - 1
+        });
+        let exclusion = &mut self.0[position];
+        exclusion.number += 1;
+        if exclusion.endpoints.len() < MAX_NAMED {
+            let is_known = first_event_ms.is_finite();
+            exclusion.endpoints.push(Excluded {
+                endpoint: entry.id.clone(),
+                first_event: is_known.then(|| from_ms(first_event_ms)),
+            });
+        }
+    }
+
+    /// In the order of the reasons.
+    fn into_sorted(mut self) -> Vec<Exclusion> {
+        self.0.sort_unstable_by_key(|exclusion| exclusion.reason);
+        self.0
     }
-    soonest
 }
 
 impl Scheduler {
     /// Returns why each endpoint of the service is left out for a request.
-    pub(super) fn exclusions(&self, query: &Query, draw: f64, now: Duration) -> Vec<Exclusion> {
-        let available = self.available(query, now, |backend| backend.is_healthy(now));
-        let usable: HashSet<BackendKey> = available.iter().map(|(key, _)| *key).collect();
-        let soonest = soonest(&self.candidates(query, draw, available, now));
-        let bounds = self.bounds(query, now);
-        let mut exclusions: BTreeMap<Reason, Exclusion> = BTreeMap::new();
-        for (key, backend) in &self.backends {
-            if backend.endpoint.service != query.service {
-                continue;
-            }
-            let first_event_ms = soonest.get(&key).copied();
-            let general = self.general_reason(query, backend, now);
+    pub(super) fn exclusions(
+        &self,
+        request: &Request<'_>,
+        roster: &mut Roster,
+        evaluation: &Evaluation,
+    ) -> Vec<Exclusion> {
+        roster.find_reasons(self, request.now);
+        let mut exclusions = Exclusions::default();
+        for (index, entry) in roster.entries.iter().enumerate() {
+            let first_event_ms = evaluation.first_event_ms[index];
+            let general = self.reason(request, entry, roster.reasons[index]);
             let reason = general.unwrap_or_else(|| {
-                if usable.contains(&key) {
-                    self.late_reason(query, backend, &bounds, first_event_ms, now)
+                if evaluation.is_usable[index] {
+                    late_reason(request, roster, entry, first_event_ms)
                 } else {
                     Reason::UnreachableZone
                 }
             });
-            let exclusion = exclusions.entry(reason).or_insert_with(|| Exclusion {
-                reason,
-                number: 0,
-                endpoints: Vec::new(),
-            });
-            exclusion.number += 1;
-            if exclusion.endpoints.len() < MAX_NAMED {
-                exclusion.endpoints.push(Excluded {
-                    endpoint: backend.endpoint.id.clone(),
-                    first_event: first_event_ms.map(from_ms),
-                });
-            }
+            exclusions.add(reason, entry, first_event_ms);
         }
-        exclusions.into_values().collect()
+        exclusions.into_sorted()
     }
 
-    /// Reason that does not go by estimates and reachability.
-    fn general_reason(&self, query: &Query, backend: &Backend, now: Duration) -> Option<Reason> {
-        let endpoint = &backend.endpoint;
-        if !query.fits(endpoint) {
+    /// Reason that does not go by the request.
+    pub(super) fn general_reason(&self, backend: &Backend, now: Duration) -> Option<Reason> {
+        let rule = self.rule(backend, now).map(Reason::Rule);
+        let connections = self.connections(&backend.endpoint.service);
+        let has_connection = backend.load.local().open + 1.0 <= connections;
+        rule.or_else(|| (!has_connection).then_some(Reason::Connections))
+    }
+
+    /// Reason that does not go by estimates and reachability, where `general` does not go by the
+    /// request.
+    fn reason(
+        &self,
+        request: &Request<'_>,
+        entry: &Entry,
+        general: Option<Reason>,
+    ) -> Option<Reason> {
+        let query = request.query;
+        if query.takes_any() {
+            return general;
+        }
+        if !query.fits(&self.backends[entry.key].endpoint) {
             return Some(Reason::OtherSoftware);
         }
-        if query.tried.contains(&endpoint.id) {
+        if query.tried.contains(&entry.id) {
             return Some(Reason::Tried);
         }
-        let rule = self.rule(backend, now).map(Reason::Rule);
-        if rule.is_none() && query.avoided.contains(&endpoint.id) {
+        let is_rule = matches!(general, Some(Reason::Rule(_)));
+        if !is_rule && query.avoided.contains(&entry.id) {
             return Some(Reason::Avoided);
         }
-        let has_connection = backend.load.local().open + 1.0 <= self.connections(query);
-        rule.or_else(|| (!has_connection).then_some(Reason::Connections))
+        general
     }
+}
 
-    /// Reason at an endpoint to which the request could be sent.
-    fn late_reason(
-        &self,
-        query: &Query,
-        backend: &Backend,
-        bounds: &Bounds,
-        first_event_ms: Option<f64>,
-        now: Duration,
-    ) -> Reason {
-        let Some(first_event_ms) = first_event_ms else {
-            let has_weights = query.prompt.as_ref().is_none_or(|prompt| {
-                self.begins_in_time(backend, prompt, query.target_latency, now)
-            });
-            return if has_weights {
-                Reason::NoCapacity
-            } else {
-                Reason::OldWeights
-            };
-        };
-        if bounds.is_late(first_event_ms) {
-            Reason::Late
+/// Reason at an endpoint to which the request could be sent.
+fn late_reason(
+    request: &Request<'_>,
+    roster: &Roster,
+    entry: &Entry,
+    first_event_ms: f64,
+) -> Reason {
+    if !first_event_ms.is_finite() {
+        let version = &roster.versions[entry.version];
+        let needed = request.query.target_latency;
+        return if version.begins_in_time(needed, request.now) {
+            Reason::NoCapacity
         } else {
-            Reason::KeptForUrgent
-        }
+            Reason::OldWeights
+        };
+    }
+    if request.bounds.is_late(first_event_ms) {
+        Reason::Late
+    } else {
+        Reason::KeptForUrgent
     }
 }
--- a/crates/papayayard_routing/src/placement/fetch.rs
+++ b/crates/papayayard_routing/src/placement/fetch.rs
@@ -4,16 +4,13 @@
 //! computing takes a hundred. Endpoints have many fast links of their own; all endpoints share
 //! the link of a store.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use papayayard_wire::id;
 
-use super::backend::{Backend, Endpoint};
 use super::cost;
 use super::link::transfer_time;
-use super::query::BackendKey;
-use crate::prompt;
+use super::roster::Entry;
 use crate::table;
 
 /// Wait on a shared link from which no further transfer is started.
@@ -21,82 +18,116 @@
 /// Factor by which a transfer between availability zones takes longer.
 const OTHER_ZONE_FACTOR: u32 = 2;
 
+/// A transfer of shared parts to an endpoint.
 #[derive(Clone, Copy)]
 pub(super) struct Fetch {
-    pub(super) address: SocketAddr,
+    /// Index of the endpoint that has the parts; `None` for the store.
+    pub(super) holder: Option<usize>,
     pub(super) source: cost::Source,
 }
 
-/// A prompt's shared parts under one version of the weights.
-pub(super) struct Shared<'a> {
-    pub(super) keys: Vec<prompt::Key>,
-    pub(super) holders: Vec<Holder<'a>>,
-    /// The store responsible for the prompt, and the expected wait for its link.
-    pub(super) store: Option<(&'a table::CacheStore, Duration)>,
+/// Where a prompt's shared parts are under one version of the weights.
+#[derive(Default)]
+pub(super) struct Shared {
+    /// The store responsible for the prompt, if it is reachable.
+    pub(super) store: Option<StoreSource>,
     /// Leading shared tokens in the store.
     pub(super) stored: u32,
     /// Leading shared tokens that some holder has cached or is expected to have cached.
     pub(super) cached_anywhere: u32,
+    /// Most leading shared tokens that can be fetched from an endpoint.
+    pub(super) most: u32,
+    /// First endpoint from which as many can be fetched, and the first one in each zone.
+    first: Option<usize>,
+    first_in_zones: Vec<Option<usize>>,
 }
 
-/// An endpoint that has shared parts.
-pub(super) struct Holder<'a> {
-    pub(super) key: BackendKey,
-    pub(super) endpoint: &'a Endpoint,
-    pub(super) tokens: u32,
+/// A store of cached prompts.
+#[derive(Clone, Copy)]
+pub(super) struct StoreSource {
+    pub(super) zone: usize,
+    pub(super) link_mbps: u64,
+    /// Expected wait for its link.
+    pub(super) wait: Duration,
 }
 
-impl Shared<'_> {
+impl Shared {
+    /// Forgets a prompt; the roster has so many zones.
+    pub(super) fn reset(&mut self, zones: usize) {
+        self.store = None;
+        self.stored = 0;
+        self.cached_anywhere = 0;
+        self.most = 0;
+        self.first = None;
+        self.first_in_zones.clear();
+        self.first_in_zones.resize(zones, None);
+    }
+
+    /// Adds an endpoint from which leading shared tokens can be fetched.
+    pub(super) fn add_holder(&mut self, index: usize, zone: usize, tokens: u32) {
+        if tokens > self.most {
+            self.most = tokens;
+            self.first = None;
+            self.first_in_zones.fill(None);
+        }
+        if tokens == self.most && tokens > 0 {
+            self.first.get_or_insert(index);
+            self.first_in_zones[zone].get_or_insert(index);
+        }
+    }
+
     /// Returns the source with the most shared tokens beyond those at the endpoint; among
     /// equals, the one with the shortest time.
     pub(super) fn source(
         &self,
         engine: &table::Engine,
-        key: BackendKey,
-        backend: &Backend,
+        entry: &Entry,
         cached: u32,
     ) -> Option<Fetch> {
-        let others = self.holders.iter();
-        let others = others.filter(|holder| holder.key != key && holder.tokens > cached);
-        let engines = others.map(|holder| {
-            let tokens = holder.tokens - cached;
-            let transfer = transfer_time(tokens, engine.token_bytes, engine.link_mbps);
-            let zone_factor = zone_factor(&holder.endpoint.zone, &backend.endpoint.zone);
-            Fetch {
-                address: holder.endpoint.address,
-                source: cost::Source {
-                    tokens: holder.tokens,
-                    wait: Duration::ZERO,
-                    transfer: transfer * zone_factor,
-                    is_shared: false,
-                },
-            }
-        });
-        let sources = engines.chain(self.store_source(engine, backend, cached));
+        let engines = self.engine_source(engine, entry, cached).into_iter();
+        let sources = engines.chain(self.store_source(engine, entry, cached));
         sources.min_by_key(|fetch| (u32::MAX - fetch.source.tokens, fetch.source.time()))
     }
 
+    fn engine_source(&self, engine: &table::Engine, entry: &Entry, cached: u32) -> Option<Fetch> {
+        let first = self.first.filter(|_| self.most > cached)?;
+        let transfer = transfer_time(self.most - cached, engine.token_bytes, engine.link_mbps);
+        let in_zone = self.first_in_zones[entry.zone];
+        let in_zone = in_zone.filter(|_| !transfer.is_zero());
+        let zone_factor = if in_zone.is_some() {
+            1
+        } else {
+            OTHER_ZONE_FACTOR
+        };
+        Some(Fetch {
+            holder: Some(in_zone.unwrap_or(first)),
+            source: cost::Source {
+                tokens: self.most,
+                wait: Duration::ZERO,
+                transfer: transfer * zone_factor,
+                is_shared: false,
+            },
+        })
+    }
+
     /// Returns the store as a source even if none of the parts are known to be there: this host
     /// may have missed an update, and an engine may have evicted parts that it is expected to
     /// have. A lookup that finds nothing costs a millisecond.
-    fn store_source(
-        &self,
-        engine: &table::Engine,
-        backend: &Backend,
-        cached: u32,
-    ) -> Option<Fetch> {
-        let (store, wait) = self.store?;
-        if wait >= MAX_LINK_WAIT {
-            return None;
-        }
+    fn store_source(&self, engine: &table::Engine, entry: &Entry, cached: u32) -> Option<Fetch> {
+        let store = self.store.filter(|store| store.wait < MAX_LINK_WAIT)?;
         let tokens = self.stored.saturating_sub(cached);
         let transfer = transfer_time(tokens, engine.token_bytes, store.link_mbps);
+        let zone_factor = if store.zone == entry.zone {
+            1
+        } else {
+            OTHER_ZONE_FACTOR
+        };
         Some(Fetch {
-            address: store.address,
+            holder: None,
             source: cost::Source {
                 tokens: self.stored,
-                wait,
-                transfer: transfer * zone_factor(&store.zone, &backend.endpoint.zone),
+                wait: store.wait,
+                transfer: transfer * zone_factor,
                 is_shared: true,
             },
         })
--- a/crates/papayayard_routing/src/placement/limit.rs
+++ b/crates/papayayard_routing/src/placement/limit.rs
@@ -61,6 +61,11 @@
         Some((entry.limit.rate, entry.named_at))
     }
 
+    /// Whether an endpoint of a service has named a limit.
+    fn has(&self, service: &id::Service) -> bool {
+        self.bounds.has(service)
+    }
+
     /// Counts a request to an endpoint.
     pub(super) fn take(&mut self, endpoint: &Endpoint, now: Duration) {
         let entry = self.bounds.get_mut(&endpoint.id, endpoint.started);
@@ -98,12 +103,30 @@
 }
 
 impl Scheduler {
+    /// Whether endpoints of a service have named limits on requests or refusals.
+    pub(super) fn is_limited(&self, service: &id::Service) -> bool {
+        self.limits.has(service) || self.refusal_limits.has(service)
+    }
+
+    /// Whether any endpoint has named a limit.
+    pub(super) fn has_limits(&self) -> bool {
+        !self.limits.bounds.is_empty() || !self.refusal_limits.is_empty()
+    }
+
+    /// Counts a change of limits, if there were or are any.
+    pub(super) fn change_limits(&mut self, had_limits: bool) {
+        if had_limits || self.has_limits() {
+            self.revisions.change_all();
+        }
+    }
+
     /// Records the limit that the endpoint of a placed request names in its answer, or that it
     /// names none.
     pub fn record_limit(&mut self, ticket: Ticket, stated: Option<Rate>, now: Duration) {
         let Some(placed) = self.tickets.get(ticket) else {
             return;
         };
+        let had_limits = self.has_limits();
         let listed = self.by_id.get(&placed.endpoint);
         let listed = listed.map(|key| &self.backends[*key].endpoint);
         if let Some(endpoint) = listed.filter(|listed| listed.started == placed.started) {
@@ -113,6 +136,7 @@
             bounds.observe(endpoint, stated, (placed.sent, now), create);
             self.limits.refill(&self.requesting_hosts, now);
         }
+        self.change_limits(had_limits);
     }
 
     /// Records that the endpoint of a placed request is asked for its run, which is a request too.
@@ -124,6 +148,7 @@
 
     /// Applies the list of all limits that the dispatcher of this host knew at `listed_at`.
     pub fn set_limits(&mut self, list: &[Limit], listed_at: Duration, now: Duration) {
+        let had_limits = self.has_limits();
         let (by_id, backends) = (&self.by_id, &self.backends);
         let find = |id: &_| by_id.get(id).map(|key| &backends[*key].endpoint);
         let phase = self.limits.phase;
@@ -131,6 +156,7 @@
         let bounds = &mut self.limits.bounds;
         bounds.replace(list, (listed_at, now), find, create);
         self.limits.refill(&self.requesting_hosts, now);
+        self.change_limits(had_limits);
     }
 
     /// Limits of all listed endpoints, in the order of their names.
--- a/crates/papayayard_routing/src/placement/load.rs
+++ b/crates/papayayard_routing/src/placement/load.rs
@@ -32,6 +32,35 @@
     at: Duration,
 }
 
+/// Load from this host at an endpoint at one moment.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Sample {
+    pub(super) current: Amounts,
+    average: Amounts,
+    steady_average: Amounts,
+    local_weight: f64,
+}
+
+impl Sample {
+    /// Estimates the load from all hosts, where `mean` is this host's mean load at an endpoint
+    /// of the same kind.
+    pub(super) fn estimate_total(&self, mean: Amounts, hosts: usize) -> Amounts {
+        let others = f64::from(u32::try_from(hosts.max(1) - 1).unwrap_or(u32::MAX));
+        let average = self.average.scaled(self.local_weight);
+        let average = average.plus(mean, 1.0 - self.local_weight);
+        self.current.plus(average, others)
+    }
+
+    /// Average load from this host, smoothed so that it can represent the other hosts.
+    pub(super) const fn average(&self, hosts: usize) -> Amounts {
+        if hosts >= MANY_HOSTS {
+            self.steady_average
+        } else {
+            self.average
+        }
+    }
+}
+
 /// Amounts of load.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Amounts {
@@ -62,23 +91,21 @@
         self.current
     }
 
-    /// Estimates the load from all hosts, where `mean` is this host's mean load at an endpoint
-    /// of the same kind.
-    pub fn estimate_total(&self, mean: Amounts, hosts: usize, now: Duration) -> Amounts {
-        let others = f64::from(u32::try_from(hosts.max(1) - 1).unwrap_or(u32::MAX));
+    /// The load at a time, as one of `hosts` hosts has it. The averages are left out for the only
+    /// host, which needs none.
+    pub(super) fn sample(&self, hosts: usize, now: Duration) -> Sample {
+        if hosts <= 1 {
+            return Sample {
+                current: self.current,
+                ..Sample::default()
+            };
+        }
         let recent_requests = self.recent_requests_at(now);
-        let local_weight = recent_requests / (recent_requests + MEAN_WEIGHT);
-        let average = self.average_at(now).scaled(local_weight);
-        let average = average.plus(mean, 1.0 - local_weight);
-        self.current.plus(average, others)
-    }
-
-    /// Average load from this host, smoothed so that it can represent the other hosts.
-    pub fn average(&self, hosts: usize, now: Duration) -> Amounts {
-        if hosts >= MANY_HOSTS {
-            self.steady_at(now)
-        } else {
-            self.average_at(now)
+        Sample {
+            current: self.current,
+            average: self.average_at(now),
+            steady_average: self.steady_at(now),
+            local_weight: recent_requests / (recent_requests + MEAN_WEIGHT),
         }
     }
 
--- a/crates/papayayard_routing/src/placement/named.rs
+++ b/crates/papayayard_routing/src/placement/named.rs
@@ -59,6 +59,11 @@
         self.0.is_empty()
     }
 
+    /// Whether an endpoint of a service has named a bound.
+    pub(super) fn has(&self, service: &id::Service) -> bool {
+        self.0.values().any(|entry| entry.limit.service == *service)
+    }
+
     pub(super) fn get(&self, endpoint: &Endpoint) -> Option<&Entry<State>> {
         let entry = self.0.get(&endpoint.id)?;
         Some(entry).filter(|entry| entry.is_of(endpoint))
--- a/crates/papayayard_routing/src/placement/path.rs
+++ b/crates/papayayard_routing/src/placement/path.rs
@@ -233,6 +233,14 @@
         own.into_iter().chain(of_zone)
     }
 
+    /// Whether connections of a host or of its zone have failed since their last answer.
+    fn has_failures(&self, sender: Sender<'_>) -> bool {
+        let path = self.path(sender.host);
+        let has_outage = path.is_some_and(|path| !path.outage.zones.is_empty());
+        let mut reachability = self.reachability(sender);
+        has_outage || reachability.any(Reachability::has_failures)
+    }
+
     fn path(&self, host: Option<&id::Host>) -> Option<&Path> {
         host.map_or(Some(&self.local), |host| self.hosts.get(host))
     }
@@ -433,6 +441,7 @@
         let Some(backend) = self.backends.get(placed.backend) else {
             return;
         };
+        self.revisions.change_all();
         let path = self.paths.path_mut(placed.sender());
         path.recent.settle(now);
         path.recent.failed += 1.0;
@@ -449,6 +458,7 @@
     /// and closed may be the fault of the host's network, too, and a detached host loses its open
     /// connections.
     pub(super) fn record_unanswered(&mut self, placed: &Placed, now: Duration) {
+        self.revisions.change_all();
         let is_any_answered = self.paths.is_any_answered(now);
         let path = self.paths.path_mut(placed.sender());
         path.recent.settle(now);
@@ -518,6 +528,9 @@
         if is_doubtful {
             backend.reached_in_doubt_at = Some(now);
         }
+        if self.paths.has_failures(sender) {
+            self.revisions.change_all();
+        }
         let zone = &backend.endpoint.zone;
         for mut failure in self.paths.reconnect(sender, zone, now) {
             let Some(backend) = self.backends.get_mut(failure.backend) else {
--- a/crates/papayayard_routing/src/placement/place.rs
+++ b/crates/papayayard_routing/src/placement/place.rs
@@ -8,12 +8,13 @@
 use papayayard_wire::id;
 
 use super::backend::Endpoint;
-use super::fetch::{Fetch, zone_factor};
+use super::fetch::zone_factor;
+use super::keys::Hashes;
 use super::link::transfer_time;
 use super::load::Amounts;
 use super::progress::{Placed, Prediction};
 use super::query::{BackendKey, InFlight, Placement, Query, Ticket};
-use super::select::{Candidate, shared_keys};
+use super::select::{Candidate, Fetch};
 use super::{Scheduler, from_ms, ms};
 use crate::prompt;
 
@@ -27,12 +28,15 @@
 const SAVE_TIME: Duration = Duration::from_millis(300);
 
 impl Scheduler {
+    /// Places a request; returns the placement and the keys of the prompt's shared parts.
     pub(super) fn place(
         &mut self,
         query: &Query,
+        mut hashes: Hashes,
         candidate: &Candidate,
         now: Duration,
-    ) -> Placement {
+    ) -> (Placement, Vec<prompt::Key>) {
+        let mut keys = Vec::new();
         let estimate = &candidate.estimate;
         let first_event = from_ms(estimate.first_event_ms);
         let mut placement = Placement {
@@ -53,7 +57,7 @@
             is_trial: candidate.is_trial,
         };
         if let Some(prompt) = &query.prompt {
-            let keys = shared_keys(prompt, candidate.version, query.group);
+            keys = hashes.take(prompt, candidate.version, query.group);
             let fetch = candidate.fetch;
             let engine = self.backends[candidate.key].endpoint.clone();
             let saved_by = prefilled_by(first_event, now) + SAVE_TIME;
@@ -75,14 +79,15 @@
             ms: estimate.predicted_ms,
             tokens: estimate.prefill_tokens,
         };
-        placement.ticket = self.start(candidate.key, query, &placement, predicted, now);
+        let request = (query, keys.clone());
+        placement.ticket = self.start(candidate.key, request, &placement, predicted, now);
         let backend = &mut self.backends[candidate.key];
         if candidate.is_trial || backend.health.is_on_trial() {
             backend.trial = Some((placement.ticket, now));
         }
         let endpoint = &self.backends[candidate.key].endpoint;
         self.limits.take(endpoint, now);
-        placement
+        (placement, keys)
     }
 
     /// Records a placement made by another host, so that this host knows its own load if it has
@@ -105,7 +110,11 @@
             ms: ms(placement.first_event),
             tokens: f64::from(placement.unread),
         };
-        Some(self.start(key, query, placement, predicted, now))
+        let keys = query.prompt.as_ref().map_or_else(Vec::new, |prompt| {
+            let version = placement.version.unwrap_or(0);
+            Hashes::default().take(prompt, version, query.group)
+        });
+        Some(self.start(key, (query, keys), placement, predicted, now))
     }
 
     /// Address of an endpoint, if it is known here.
@@ -119,6 +128,7 @@
     pub fn record_in_flight(&mut self, in_flight: &InFlight, now: Duration) -> Option<Ticket> {
         let key = self.by_id.get(&in_flight.endpoint).copied()?;
         let backend = &mut self.backends[key];
+        self.revisions.change(&backend.endpoint.service);
         let amounts = Amounts {
             open: 1.0,
             unread: f64::from(in_flight.unread),
@@ -159,24 +169,22 @@
     fn start(
         &mut self,
         key: BackendKey,
-        query: &Query,
+        (query, keys): (&Query, Vec<prompt::Key>),
         placement: &Placement,
         predicted: Prediction,
         now: Duration,
     ) -> Ticket {
         let arrives = self.arrives(query.sender(), key, now);
         let backend = &mut self.backends[key];
+        self.revisions.change(&backend.endpoint.service);
         let mut amounts = Amounts {
             open: 1.0,
             ..Amounts::default()
         };
-        let mut keys = Vec::new();
         if let Some(prompt) = &query.prompt {
             amounts.unread = f64::from(placement.unread);
             let memory = prompt.tokens.saturating_sub(placement.cached) + prompt.output_tokens();
             amounts.memory = f64::from(memory);
-            let version = placement.version.unwrap_or(0);
-            keys = shared_keys(prompt, version, query.group);
             let prefilled = prefilled_by(placement.first_event, now);
             if arrives {
                 backend.cache.fill(f64::from(memory));
--- a/crates/papayayard_routing/src/placement/progress.rs
+++ b/crates/papayayard_routing/src/placement/progress.rs
@@ -118,6 +118,7 @@
         let (host, zone) = (placed.requesting_host.clone(), placed.zone.clone());
         let key = placed.backend;
         if let Some(backend) = self.backends.get_mut(key) {
+            self.revisions.change(&backend.endpoint.service);
             backend.refusals = 0;
             backend.load.remove(unread, now);
             backend.load.add(deferred, now);
@@ -125,6 +126,8 @@
                 backend.cache.confirm(*key, now);
             }
             if is_stream {
+                // The baseline holds for all services.
+                self.revisions.change_all();
                 backend
                     .delay
                     .observe(late_ms - self.baseline_delay.ms(), now);
@@ -151,6 +154,7 @@
         let Some(backend) = self.backends.get_mut(placed.backend) else {
             return;
         };
+        self.revisions.change(&backend.endpoint.service);
         backend.load.remove(placed.amounts, now);
         if placed.is_long_due(now) {
             backend.overdue = (backend.overdue - placed.amounts.open).max(0.0);
@@ -207,6 +211,7 @@
     /// Counts endpoints whose first events are long overdue as failing, and removes expired
     /// state.
     pub fn check_overdue(&mut self, now: Duration) {
+        self.revisions.change_all();
         for placed in self.tickets.values_mut() {
             let due = placed.sent + placed.expected;
             if placed.has_begun || now < due {
--- a/crates/papayayard_routing/src/placement/query.rs
+++ b/crates/papayayard_routing/src/placement/query.rs
@@ -61,6 +61,11 @@
         }
     }
 
+    /// Whether the request may be sent to any endpoint of the service.
+    pub(super) const fn takes_any(&self) -> bool {
+        self.software.is_none() && self.tried.is_empty() && self.avoided.is_empty()
+    }
+
     /// Whether an endpoint is of the service, and of the software that the request needs.
     pub(super) fn fits(&self, endpoint: &Endpoint) -> bool {
         let software = self.software.as_ref();
--- a/crates/papayayard_routing/src/placement/reachability.rs
+++ b/crates/papayayard_routing/src/placement/reachability.rs
@@ -52,6 +52,11 @@
         self.zones.remove(zone);
     }
 
+    /// Whether any connection has failed since the last answer of its zone.
+    pub(super) fn has_failures(&self) -> bool {
+        !self.zones.is_empty()
+    }
+
     /// Whether any zone is currently excluded.
     pub(super) fn excludes_any(&self, now: Duration) -> bool {
         let mut zones = self.zones.values();
--- a/crates/papayayard_routing/src/placement/refusal_limit.rs
+++ b/crates/papayayard_routing/src/placement/refusal_limit.rs
@@ -195,6 +195,7 @@
         let Some(placed) = self.tickets.get(ticket) else {
             return;
         };
+        let had_limits = self.has_limits();
         let listed = self.by_id.get(&placed.endpoint);
         let listed = listed.map(|key| &self.backends[*key].endpoint);
         if let Some(endpoint) = listed.filter(|listed| listed.started == placed.started) {
@@ -204,11 +205,13 @@
             limits.observe(endpoint, stated, (placed.sent, now), create);
             limits.update(&self.requesting_hosts, now);
         }
+        self.change_limits(had_limits);
     }
 
     /// Applies the list of all limits on refusals that the dispatcher of this host knew at
     /// `listed_at`.
     pub fn set_refusal_limits(&mut self, list: &[Limit], listed_at: Duration, now: Duration) {
+        let had_limits = self.has_limits();
         let (by_id, backends) = (&self.by_id, &self.backends);
         let find = |id: &_| by_id.get(id).map(|key| &backends[*key].endpoint);
         let tickets = &self.tickets;
@@ -216,6 +219,7 @@
         let limits = &mut self.refusal_limits;
         limits.replace(list, (listed_at, now), find, create);
         limits.update(&self.requesting_hosts, now);
+        self.change_limits(had_limits);
     }
 
     /// Limits on refusals of all listed endpoints, in the order of their names.
--- a/crates/papayayard_routing/src/placement/requesting_hosts.rs
+++ b/crates/papayayard_routing/src/placement/requesting_hosts.rs
@@ -125,7 +125,7 @@
     /// Sets the number of hosts that serve callers.
     pub fn set_hosts(&mut self, hosts: usize) {
         self.requesting_hosts.total = hosts.max(1);
-        self.schedulers = self.requesting_hosts.schedulers();
+        self.count_schedulers();
     }
 
     /// Sets the number of hosts in each zone.
@@ -148,7 +148,16 @@
         self.requesting_hosts
             .last_contacts
             .insert(host.clone(), now);
-        self.schedulers = self.requesting_hosts.schedulers();
+        self.count_schedulers();
+    }
+
+    /// Estimates the number of schedulers again.
+    fn count_schedulers(&mut self) {
+        let schedulers = self.requesting_hosts.schedulers();
+        if schedulers != self.schedulers {
+            self.schedulers = schedulers;
+            self.revisions.change_all();
+        }
     }
 
     /// Abandons the requests that an earlier process of a host has placed.
@@ -179,7 +188,7 @@
         self.refusal_limits.update(&self.requesting_hosts, now);
         self.refusal_limits
             .forget_unlisted(|endpoint| by_id.contains_key(endpoint), now);
-        self.schedulers = self.requesting_hosts.schedulers();
+        self.count_schedulers();
         self.abandon_where(now, |placed| placed.is_expired(now));
     }
 }
--- a/crates/papayayard_routing/src/placement/trial.rs
+++ b/crates/papayayard_routing/src/placement/trial.rs
@@ -12,8 +12,8 @@
 use super::Scheduler;
 use super::backend::Backend;
 use super::cost::Estimate;
-use super::query::Query;
-use super::select::{Bounds, Candidate, by_cost};
+use super::roster::Entry;
+use super::select::Bounds;
 
 /// Minimum time between two tests of an ejected endpoint.
 const INTERVAL: Duration = Duration::from_millis(500);
@@ -23,39 +23,17 @@
 const TIMEOUT: Duration = Duration::from_secs(1);
 
 impl Scheduler {
-    /// Returns the best endpoint that a request may test, of those that accept it.
-    pub(super) fn trial(
+    /// Whether a request may test an endpoint that accepts it.
+    pub(super) fn may_be_tested(
         &self,
-        query: &Query,
-        draw: f64,
-        bounds: &Bounds,
+        backend: &Backend,
+        is_repeatable: bool,
         now: Duration,
-    ) -> Option<Candidate> {
-        let testable = self.available(query, now, |backend| {
-            self.may_be_tested(backend, query, now)
-        });
-        if testable.is_empty() {
-            return None;
-        }
-        let candidates = self.candidates(query, draw, testable, now).into_iter();
-        let idle = candidates.filter(|candidate| {
-            let backend = &self.backends[candidate.key];
-            let open = candidate.estimate.open - backend.overdue;
-            let is_idle = !backend.is_healthy(now) || open < 1.0;
-            is_idle && bounds.include(&in_time(&candidate.estimate, bounds))
-        });
-        let best = idle.min_by(by_cost)?;
-        Some(Candidate {
-            is_trial: true,
-            ..best
-        })
-    }
-
-    fn may_be_tested(&self, backend: &Backend, query: &Query, now: Duration) -> bool {
+    ) -> bool {
         if backend.is_healthy(now) {
             return backend.load.local().open - backend.overdue < 1.0;
         }
-        let interval = if query.is_repeatable {
+        let interval = if is_repeatable {
             INTERVAL
         } else {
             LONG_INTERVAL
@@ -76,6 +54,19 @@
     }
 }
 
+/// Whether the result of a test is in time for the request: the endpoint is idle, or ejected.
+pub(super) fn includes(entry: &Entry, estimate: &Estimate, bounds: &Bounds) -> bool {
+    let is_idle = !entry.is_healthy || estimate.open - entry.overdue < 1.0;
+    is_idle && bounds.include(&in_time(estimate, bounds))
+}
+
+/// Times at which an endpoint may be tested again, unless its state changes before.
+pub(super) fn times(backend: &Backend) -> impl Iterator<Item = Duration> {
+    let last = backend.trial.map(|(_, at)| at);
+    let starts = last.into_iter().chain(backend.health.ejected_since());
+    starts.flat_map(|at| [INTERVAL, LONG_INTERVAL, TIMEOUT].map(|pause| at + pause))
+}
+
 /// An estimate that goes neither by how late earlier answers were nor by overdue requests.
 fn in_time(estimate: &Estimate, bounds: &Bounds) -> Estimate {
     Estimate {
--- a/crates/papayayard_routing/src/placement/updates.rs
+++ b/crates/papayayard_routing/src/placement/updates.rs
@@ -24,6 +24,7 @@
 
 impl Scheduler {
     pub fn set_table(&mut self, table: Arc<Table>) {
+        self.revisions.change_all();
         self.table = table;
     }
 
@@ -32,6 +33,7 @@
         &mut self,
         target_versions: &HashMap<id::Model, weights::TargetVersions>,
     ) {
+        self.revisions.change_all();
         for (model, target_versions) in target_versions {
             self.target_versions
                 .entry(model.clone())
@@ -47,6 +49,7 @@
 
     /// Replaces the list of endpoints.
     pub fn set_endpoints(&mut self, list: &[Endpoint], now: Duration) {
+        self.revisions.change_all();
         let present: HashSet<&id::Endpoint> = list.iter().map(|endpoint| &endpoint.id).collect();
         let gone: Vec<BackendKey> = self
             .by_id
@@ -64,6 +67,7 @@
 
     /// Excludes exactly these endpoints while they load weights.
     pub fn set_loading(&mut self, loading: &[id::Endpoint], now: Duration) {
+        self.revisions.change_all();
         let loading: HashSet<&id::Endpoint> = loading.iter().collect();
         for backend in self.backends.values_mut() {
             if loading.contains(&backend.endpoint.id) {
@@ -102,6 +106,7 @@
 
     /// Sets the tokens of a part in a store of cached prompts; 0 tokens remove it.
     pub fn set_stored(&mut self, store: &id::Service, key: prompt::Key, tokens: u32) {
+        self.revisions.change_all();
         let store = self.stores.entry(store.clone()).or_default();
         store.is_reachable = true;
         store.cache.set(key, tokens);
@@ -109,6 +114,7 @@
 
     /// Removes all state of a store of cached prompts.
     pub fn remove_store(&mut self, store: &id::Service) {
+        self.revisions.change_all();
         self.stores.remove(store);
     }
 
@@ -135,9 +141,12 @@
         }
     }
 
+    /// State of an endpoint, which is to change.
     pub(super) fn backend_mut(&mut self, endpoint: &id::Endpoint) -> Option<&mut Backend> {
         let key = self.by_id.get(endpoint)?;
-        self.backends.get_mut(*key)
+        let backend = self.backends.get_mut(*key)?;
+        self.revisions.change(&backend.endpoint.service);
+        Some(backend)
     }
 }
 
--- a/crates/papayayard_routing/src/prompt.rs
+++ b/crates/papayayard_routing/src/prompt.rs
@@ -6,7 +6,7 @@
 //! never found under other weights or across the isolation of an account.
 
 use papayayard_wire::id;
-use xxhash_rust::xxh3::Xxh3;
+use xxhash_rust::xxh3;
 
 use crate::sharing;
 
@@ -96,9 +96,23 @@
 
 /// Key of a part under a salt.
 pub fn key(salt: &str, part: &str) -> Key {
-    let mut hash = Xxh3::new();
+    let mut hash = xxh3::Xxh3::new();
     hash.update(salt.as_bytes());
     hash.update(&[0]);
     hash.update(part.as_bytes());
     Key(hash.digest())
 }
+
+/// Keys of parts under a salt.
+pub(crate) fn keys(salt: &str, parts: &[Part]) -> Vec<Key> {
+    let mut text = Vec::with_capacity(salt.len() + 64);
+    text.extend_from_slice(salt.as_bytes());
+    text.push(0);
+    let prefix = text.len();
+    let keys = parts.iter().map(|part| {
+        text.truncate(prefix);
+        text.extend_from_slice(part.name.as_bytes());
+        Key(xxh3::xxh3_64(&text))
+    });
+    keys.collect()
+}
--- a/crates/papayayard_routing/tests/placement/support.rs
+++ b/crates/papayayard_routing/tests/placement/support.rs
@@ -61,7 +61,7 @@
         .collect()
 }
 
-fn table() -> Table {
+pub(crate) fn table() -> Table {
     let engine = table::Service {
         max_connections: 1000,
         engine: Some(table::Engine {
