Placement: leave engines out of a decision that are certainly late

An engine at which the first event comes too late even if all shared parts were at hand is left out before the parts of the prompt are looked up. For a refusal such engines are counted, and only estimated as far as it reports estimates. The reasons of a round are collected once by reason, sources are found once by zone and cached tokens, and keys are hashed with one multiplication chain under a secret of each map instead of SipHash.

--- a/crates/papayayard_routing/src/placement.rs
+++ b/crates/papayayard_routing/src/placement.rs
@@ -47,7 +47,7 @@
 mod witness;
 
 use backend::Backend;
-use evaluation::{Evaluation, Request};
+use evaluation::{Evaluation, Request, Scope};
 use keys::Hashes;
 use limit::Limits;
 use path::Paths;
@@ -140,6 +140,16 @@
     look: Option<Look>,
 }
 
+impl Pending {
+    /// Time at which the request is refused unless it was placed.
+    fn wait_until(&self) -> Duration {
+        let query = &self.query;
+        let until_target = query.target.saturating_sub(self.arrived_at);
+        let max_wait = until_target.mul_f64(MAX_WAIT_FRACTION);
+        (self.arrived_at + max_wait).min(query.deadline)
+    }
+}
+
 /// State of one round of decisions.
 #[derive(Default)]
 struct Round {
@@ -296,7 +306,13 @@
         let (roster, ahead) = rosters.of(self, query, now);
         let draw = split::draw(pending.arrival);
         let mut request = Request::new(self, roster, (query, &mut hashes), draw, now);
-        let best = self.best_candidate(&mut request, roster, (usable, testable));
+        let wait_until = pending.wait_until();
+        let scope = if now < wait_until {
+            Scope::InTime
+        } else {
+            Scope::Reported
+        };
+        let best = self.best_candidate(&mut request, roster, (usable, testable), scope);
         if let Some(candidate) = best {
             let pending = self.waiting.remove(key)?;
             let (placement, keys) = self.place(&pending.query, hashes, &candidate, now);
@@ -304,11 +320,6 @@
             rosters.refresh(self, service, (candidate.key, &keys), now);
             return Some(Decision::Placed(placement));
         }
-        let max_wait = query
-            .target
-            .saturating_sub(pending.arrived_at)
-            .mul_f64(MAX_WAIT_FRACTION);
-        let wait_until = (pending.arrived_at + max_wait).min(query.deadline);
         let reason = self.refusal(query, roster);
         let available_at = self.next_available(query, roster, *ahead, now);
         if reason == RefusalReason::Overloaded && now < wait_until && available_at < wait_until {
@@ -330,6 +341,9 @@
             pending.look = (!is_limited).then_some(look);
             return None;
         }
+        if usable.is_partial {
+            self.evaluate_usable(usable, &mut request, roster, Scope::Reported);
+        }
         let availability = Availability {
             usable: usable.usable,
             with_capacity: usable.with_capacity,
--- a/crates/papayayard_routing/src/placement/cache.rs
+++ b/crates/papayayard_routing/src/placement/cache.rs
@@ -9,14 +9,14 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use crate::prompt::{Key, Part};
+use crate::prompt::{Key, KeyState, Part};
 
 /// Time after which an expected part is dropped unless the holder reports it.
 const EXPECTATION_TIMEOUT: Duration = Duration::from_secs(5);
 
 #[derive(Clone, Debug, Default)]
 pub struct Cache {
-    parts: HashMap<Key, CachedPart>,
+    parts: HashMap<Key, CachedPart, KeyState>,
     /// Tokens added so far.
     filled_tokens: f64,
 }
--- a/crates/papayayard_routing/src/placement/cost.rs
+++ b/crates/papayayard_routing/src/placement/cost.rs
@@ -129,27 +129,51 @@
     pub(super) wait: Duration,
     /// Time for which the transfer occupies that link.
     pub(super) transfer: Duration,
+    /// Time until the parts have arrived, in ms.
+    pub(super) time_ms: f64,
     /// Whether the transfer uses a link that all endpoints share.
     pub(super) is_shared: bool,
 }
 
 impl Source {
+    pub(super) fn new(tokens: u32, wait: Duration, transfer: Duration, is_shared: bool) -> Self {
+        Self {
+            tokens,
+            wait,
+            transfer,
+            time_ms: ms(wait + transfer),
+            is_shared,
+        }
+    }
+
     /// Time until the parts have arrived.
     pub(super) fn time(self) -> Duration {
         self.wait + self.transfer
     }
 }
 
-/// Whether an engine with this load may have a slot and the memory for a prompt.
-pub(super) fn may_fit(load: Amounts, engine: &table::Engine, prompt: &prompt::Prompt) -> bool {
-    has_slot(load, engine) && has_memory(load, engine, prompt, prompt.shared_tokens())
+/// Whether an engine with this load may have a slot and the memory for a prompt of which it has no
+/// more than `covered` tokens.
+pub(super) fn may_fit(
+    load: Amounts,
+    engine: &table::Engine,
+    prompt: &prompt::Prompt,
+    covered: u32,
+) -> bool {
+    has_slot(load, engine) && has_memory(load, engine, prompt, covered)
 }
 
 fn has_slot(load: Amounts, engine: &table::Engine) -> bool {
     load.open < f64::from(engine.slots)
 }
 
-fn has_memory(load: Amounts, engine: &table::Engine, prompt: &prompt::Prompt, cached: u32) -> bool {
+/// Whether an engine that has `cached` of the shared tokens has the memory for a prompt.
+pub(super) fn has_memory(
+    load: Amounts,
+    engine: &table::Engine,
+    prompt: &prompt::Prompt,
+    cached: u32,
+) -> bool {
     let memory = prompt.tokens.saturating_sub(cached) + prompt.output_tokens();
     load.memory + f64::from(memory) <= float(engine.memory_tokens) * MEMORY_FRACTION
 }
@@ -170,7 +194,7 @@
     let unread = inputs.prompt.tokens.saturating_sub(cached + fetched);
     let fetch_ms = source
         .filter(|_| fetched > 0)
-        .map_or(0.0, |source| ms(source.time()));
+        .map_or(0.0, |source| source.time_ms);
     let reread = inputs.cached_anywhere.saturating_sub(cached + fetched);
     let prefill_tokens = load.unread + f64::from(unread);
     let predicted_ms = prefill_tokens * inputs.token_ms + load.open * PER_REQUEST_MS + fetch_ms;
--- a/crates/papayayard_routing/src/placement/evaluation.rs
+++ b/crates/papayayard_routing/src/placement/evaluation.rs
@@ -11,7 +11,8 @@
 
 use super::cost::{self, Estimate, ZoneCost};
 use super::delay;
-use super::fetch::{Fetch, Shared, StoreSource};
+use super::exclusion::MAX_NAMED;
+use super::fetch::{Fetch, LONG_LINK_WAIT, Shared, StoreSource};
 use super::held::Prefixes;
 use super::keys::Hashes;
 use super::load::Amounts;
@@ -22,8 +23,6 @@
 use crate::prompt::Prompt;
 use crate::table;
 
-/// Wait for a link from which prefill without the fetch is considered as an alternative.
-const LONG_LINK_WAIT: Duration = Duration::from_millis(50);
 /// Error of an estimate in ms, far above that of its rounding.
 const ROUNDING_MS: f64 = 1e-6;
 /// Time by which a request is looked at before its estimates may suffice.
@@ -44,6 +43,16 @@
     unreachable: Vec<bool>,
 }
 
+/// Which endpoints are evaluated.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Scope {
+    /// Those at which the first event may come in time.
+    InTime,
+    /// All, with no more late estimates than a refusal reports.
+    Reported,
+    All,
+}
+
 /// What was found at the endpoints for a request.
 pub(super) struct Evaluation {
     /// Number of endpoints to which the request could be sent.
@@ -61,8 +70,14 @@
     pub(super) possible_from: Duration,
     /// Placements that suffice.
     included: Vec<Included>,
-    /// Members with a slot and perhaps the memory, and their load.
-    open: Vec<(usize, Amounts)>,
+    /// Whether members were left out at which the first event would come too late.
+    pub(super) is_partial: bool,
+    /// Members with a slot and perhaps the memory.
+    open: Vec<Open>,
+    /// Shortest time to the first event, in ms.
+    soonest_ms: f64,
+    /// Number of placements that were found to be late before they were estimated.
+    late: usize,
     /// Mean load at members with older weights, and at the others.
     means: [Amounts; 2],
     prefixes: Prefixes,
@@ -70,6 +85,15 @@
     shared: Vec<Shared>,
 }
 
+/// An endpoint with a slot and perhaps the memory.
+#[derive(Clone, Copy)]
+struct Open {
+    index: usize,
+    load: Amounts,
+    /// Time before which the first event does not come, in ms.
+    earliest_ms: f64,
+}
+
 /// A placement that suffices.
 struct Included {
     index: usize,
@@ -88,7 +112,10 @@
             first_event_ms: Vec::new(),
             possible_from: Duration::MAX,
             included: Vec::new(),
+            is_partial: false,
             open: Vec::new(),
+            soonest_ms: f64::INFINITY,
+            late: 0,
             means: [Amounts::default(); 2],
             prefixes: Prefixes::default(),
             shared: Vec::new(),
@@ -107,10 +134,19 @@
         self.first_event_ms.resize(endpoints, f64::INFINITY);
         self.possible_from = Duration::MAX;
         self.included.clear();
+        self.is_partial = false;
         self.open.clear();
+        self.soonest_ms = f64::INFINITY;
+        self.late = 0;
         self.prefixes.reset(endpoints);
     }
 
+    /// Forgets the last request, for which there is no endpoint.
+    pub(super) fn clear(&mut self) {
+        self.usable = 0;
+        self.members.clear();
+    }
+
     /// Whether the request may be sent to an endpoint on whose weights it may start.
     pub(super) const fn has_members(&self) -> bool {
         !self.members.is_empty()
@@ -118,11 +154,11 @@
 
     /// Shortest time to the first event.
     pub(super) fn first_event(&self) -> Duration {
-        let times = self.first_event_ms.iter().copied();
-        let finite = times.filter(|ms| ms.is_finite());
-        finite
-            .min_by(f64::total_cmp)
-            .map_or(Duration::ZERO, from_ms)
+        if self.soonest_ms.is_finite() {
+            from_ms(self.soonest_ms)
+        } else {
+            Duration::ZERO
+        }
     }
 
     /// Finds the members on whose weights the request may start, and those of them that have a slot
@@ -131,27 +167,41 @@
         &mut self,
         request: &Request<'_>,
         roster: &Roster,
-        (engine, prompt): (&table::Engine, &Prompt),
+        (engine, inputs): (&table::Engine, &cost::Inputs<'_>),
+        scope: Scope,
     ) {
         let entries = &roster.entries;
-        let has_time = |index: &usize| {
-            let version = &roster.versions[entries[*index].version];
-            version.begins_in_time(Duration::ZERO, request.now)
-        };
-        self.members.retain(has_time);
-        let is_old = |index: usize| roster.versions[entries[index].version].is_old;
+        let version_of = |index: usize| &roster.versions[entries[index].version];
+        self.members.retain(|index| version_of(*index).is_usable);
         if request.hosts > 1 {
             self.means = [false, true].map(|old| {
                 let members = self.members.iter();
-                let same = members.filter(|index| is_old(**index) == old);
+                let same = members.filter(|index| version_of(**index).is_old == old);
                 Amounts::mean(same.map(|index| entries[*index].load.average(request.hosts)))
             });
         }
-        for index in &self.members {
-            let mean = self.means[usize::from(is_old(*index))];
-            let load = entries[*index].load.estimate_total(mean, request.hosts);
-            if cost::may_fit(load, engine, prompt) {
-                self.open.push((*index, load));
+        let prompt = inputs.prompt;
+        let covered = prompt.shared_tokens();
+        let latest_ms = request.bounds.latest();
+        for position in 0..self.members.len() {
+            let index = self.members[position];
+            let entry = &entries[index];
+            let mean = self.means[usize::from(version_of(index).is_old)];
+            let load = entry.load.estimate_total(mean, request.hosts);
+            if !cost::may_fit(load, engine, prompt, covered) {
+                continue;
+            }
+            let base_ms = cost::soonest_ms(load, inputs, covered);
+            let earliest_ms = base_ms + entry.delay_ms;
+            if scope == Scope::InTime && earliest_ms > latest_ms + ROUNDING_MS {
+                self.is_partial = true;
+                self.postpone(entry, base_ms, latest_ms, request.now);
+            } else {
+                self.open.push(Open {
+                    index,
+                    load,
+                    earliest_ms,
+                });
             }
         }
     }
@@ -170,6 +220,7 @@
         self.with_capacity += 1;
         let soonest = &mut self.first_event_ms[index];
         *soonest = soonest.min(first_event_ms);
+        self.soonest_ms = self.soonest_ms.min(first_event_ms);
     }
 
     /// Considers a placement that does not suffice yet: its delay may decay. Without the delay, the
@@ -250,13 +301,16 @@
         let query = request.query;
         let entries = &roster.entries;
         evaluation.reset(entries.len());
-        let accepting = entries.iter().enumerate().filter(|(_, entry)| {
-            entry.accepts
-                && included(entry)
-                && !query.tried.contains(&entry.id)
+        let takes_any = query.takes_any();
+        let takes = |entry: &Entry| {
+            !query.tried.contains(&entry.id)
                 && !query.avoided.contains(&entry.id)
-                && (query.software.is_none() || query.fits(&self.backends[entry.key].endpoint))
-        });
+                && query.fits(&self.backends[entry.key].endpoint)
+        };
+        let accepting = entries
+            .iter()
+            .enumerate()
+            .filter(|(_, entry)| entry.accepts && included(entry) && (takes_any || takes(entry)));
         let members = &mut evaluation.members;
         members.extend(accepting.map(|(index, _)| index));
         let reaches = |index: &usize| request.reaches(&entries[*index]);
@@ -275,16 +329,19 @@
         evaluation: &mut Evaluation,
         request: &mut Request<'_>,
         roster: &mut Roster,
+        scope: Scope,
         includes: Includes,
     ) where
         Includes: Fn(&Entry, &Estimate) -> bool,
     {
         match (roster.engine.clone(), request.query.prompt.as_deref()) {
             (Some(engine), Some(prompt)) => {
-                evaluation.find_open(request, roster, (&engine, prompt));
+                let inputs = self.inputs_of(request, roster, prompt);
+                evaluation.find_open(request, roster, (&engine, &inputs), scope);
                 if !evaluation.open.is_empty() {
                     self.find_shared(evaluation, request, roster, prompt);
-                    self.evaluate_engines(evaluation, request, roster, (&engine, prompt), includes);
+                    let of = (&engine, prompt);
+                    self.evaluate_engines(evaluation, request, roster, of, (scope, includes));
                 }
             }
             _ => self.evaluate_plain(evaluation, request, roster, includes),
@@ -344,7 +401,7 @@
         let entries = &roster.entries;
         for (number, version) in roster.versions.iter_mut().enumerate() {
             let mut open = evaluation.open.iter();
-            if !open.any(|(index, _)| entries[*index].version == number) {
+            if !open.any(|open| entries[open.index].version == number) {
                 continue;
             }
             let group = request.query.group;
@@ -374,7 +431,8 @@
                 });
             }
         }
-        evaluation.possible_from = evaluation.prefixes.next_change;
+        let next_change = evaluation.prefixes.next_change;
+        evaluation.possible_from = evaluation.possible_from.min(next_change);
     }
 
     fn evaluate_engines<Includes>(
@@ -383,42 +441,47 @@
         request: &Request<'_>,
         roster: &Roster,
         (engine, prompt): (&table::Engine, &Prompt),
-        includes: Includes,
+        (scope, includes): (Scope, Includes),
     ) where
         Includes: Fn(&Entry, &Estimate) -> bool,
     {
         let now = request.now;
         let mut inputs = self.inputs_of(request, roster, prompt);
         for position in 0..evaluation.open.len() {
-            let (index, load) = evaluation.open[position];
+            let open = evaluation.open[position];
+            let Open { index, load, .. } = open;
             let entry = &roster.entries[index];
             let version = &roster.versions[entry.version];
-            let shared = &evaluation.shared[entry.version];
+            let shared = &mut evaluation.shared[entry.version];
+            let is_late = scope == Scope::Reported
+                && open.earliest_ms > request.bounds.latest() + ROUNDING_MS
+                && version.is_always_usable()
+                && cost::has_memory(load, engine, prompt, 0);
+            evaluation.late += usize::from(is_late);
+            // A refusal names the first late endpoints and the shortest time to the first event.
+            let is_later = open.earliest_ms > evaluation.soonest_ms + ROUNDING_MS;
+            if is_late && is_later && evaluation.late > MAX_NAMED && !shared.has_long_wait() {
+                evaluation.count(index, open.earliest_ms);
+                continue;
+            }
             let cached = evaluation.prefixes.at(index).cached;
             let fetch = shared.source(engine, entry, cached);
             inputs.cached_anywhere = shared.cached_anywhere;
             let is_link_busy = shared.store.is_some_and(|store| !store.wait.is_zero());
             let covered = cached.max(shared.most).max(shared.stored);
-            // If the link has a queue, prefill can be faster than the fetch.
-            let sources = [fetch, None];
-            let options = if fetch.is_some_and(|fetch| fetch.source.wait >= LONG_LINK_WAIT) {
-                &sources[..]
-            } else {
-                &sources[..1]
-            };
-            for fetch in options {
+            let mut consider = |fetch: Option<Fetch>| {
                 let source = fetch.map(|fetch| fetch.source);
                 let at = (entry, load);
                 let estimate = cost::estimate_engine(at, engine, &inputs, cached, source);
-                let Some(estimate) = estimate else { continue };
+                let Some(estimate) = estimate else { return };
                 let first_event_ms = estimate.first_event_ms;
-                let has_time = version.begins_in_time(from_ms(first_event_ms), now);
+                let has_time = version.is_usable_for(first_event_ms, now);
                 if has_time {
                     evaluation.count(index, first_event_ms);
                 }
                 if has_time && includes(entry, &estimate) {
-                    evaluation.add((index, load), estimate, *fetch);
-                    continue;
+                    evaluation.add((index, load), estimate, fetch);
+                    return;
                 }
                 // The wait for a link becomes shorter.
                 let base_ms = if is_link_busy {
@@ -428,6 +491,11 @@
                 };
                 let limit_ms = request.bounds.limit(&estimate);
                 evaluation.postpone(entry, base_ms, limit_ms, now);
+            };
+            consider(fetch);
+            // If the link has a queue, prefill can be faster than the fetch.
+            if fetch.is_some_and(|fetch| fetch.source.wait >= LONG_LINK_WAIT) {
+                consider(None);
             }
         }
     }
--- a/crates/papayayard_routing/src/placement/exclusion.rs
+++ b/crates/papayayard_routing/src/placement/exclusion.rs
@@ -12,7 +12,7 @@
 use super::{Scheduler, from_ms};
 
 /// Endpoints that are named for each reason.
-const MAX_NAMED: usize = 3;
+pub(super) const MAX_NAMED: usize = 3;
 
 /// Why an endpoint was left out for a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -122,21 +122,20 @@
 }
 
 /// Endpoints by reason.
-#[derive(Default)]
-struct Exclusions(Vec<Exclusion>);
+#[derive(Clone, Default)]
+pub(super) struct Exclusions {
+    all: Vec<Exclusion>,
+    /// Index of the last reason, which most endpoints share with the one before.
+    last: usize,
+}
 
 impl Exclusions {
-    fn add(&mut self, reason: Reason, entry: &Entry, first_event_ms: f64) {
-        let position = self.0.iter().position(|known| known.reason == reason);
-        let position = position.unwrap_or_else(|| {
-            self.0.push(Exclusion {
-                reason,
-                number: 0,
-                endpoints: Vec::with_capacity(MAX_NAMED),
-            });
-            self.0.len() - 1
-        });
-        let exclusion = &mut self.0[position];
+    pub(super) fn add(&mut self, reason: Reason, entry: &Entry, first_event_ms: f64) {
+        let last = self.all.get(self.last);
+        if last.is_none_or(|last| last.reason != reason) {
+            self.last = self.index(reason);
+        }
+        let exclusion = &mut self.all[self.last];
         exclusion.number += 1;
         if exclusion.endpoints.len() < MAX_NAMED {
             let is_known = first_event_ms.is_finite();
@@ -147,10 +146,22 @@
         }
     }
 
+    fn index(&mut self, reason: Reason) -> usize {
+        let known = self.all.iter().position(|known| known.reason == reason);
+        known.unwrap_or_else(|| {
+            self.all.push(Exclusion {
+                reason,
+                number: 0,
+                endpoints: Vec::with_capacity(MAX_NAMED),
+            });
+            self.all.len() - 1
+        })
+    }
+
     /// In the order of the reasons.
     fn into_sorted(mut self) -> Vec<Exclusion> {
-        self.0.sort_unstable_by_key(|exclusion| exclusion.reason);
-        self.0
+        self.all.sort_unstable_by_key(|exclusion| exclusion.reason);
+        self.all
     }
 }
 
@@ -163,11 +174,19 @@
         evaluation: &Evaluation,
     ) -> Vec<Exclusion> {
         roster.find_reasons(self, request.now);
-        let mut exclusions = Exclusions::default();
+        let takes_any = request.query.takes_any();
+        let general = roster.exclusions.as_ref().filter(|_| takes_any);
+        let mut exclusions = general.cloned().unwrap_or_default();
         for (index, entry) in roster.entries.iter().enumerate() {
+            let mut reason = roster.reasons[index];
+            if takes_any && reason.is_some() {
+                continue;
+            }
+            if !takes_any {
+                reason = self.reason(request, entry, reason);
+            }
             let first_event_ms = evaluation.first_event_ms[index];
-            let general = self.reason(request, entry, roster.reasons[index]);
-            let reason = general.unwrap_or_else(|| {
+            let reason = reason.unwrap_or_else(|| {
                 if evaluation.is_usable[index] {
                     late_reason(request, roster, entry, first_event_ms)
                 } else {
@@ -196,9 +215,6 @@
         general: Option<Reason>,
     ) -> Option<Reason> {
         let query = request.query;
-        if query.takes_any() {
-            return general;
-        }
         if !query.fits(&self.backends[entry.key].endpoint) {
             return Some(Reason::OtherSoftware);
         }
--- a/crates/papayayard_routing/src/placement/fetch.rs
+++ b/crates/papayayard_routing/src/placement/fetch.rs
@@ -18,6 +18,9 @@
 /// Factor by which a transfer between availability zones takes longer.
 const OTHER_ZONE_FACTOR: u32 = 2;
 
+/// Wait for a link from which prefill without the fetch is considered as an alternative.
+pub(super) const LONG_LINK_WAIT: Duration = Duration::from_millis(50);
+
 /// A transfer of shared parts to an endpoint.
 #[derive(Clone, Copy)]
 pub(super) struct Fetch {
@@ -40,6 +43,8 @@
     /// First endpoint from which as many can be fetched, and the first one in each zone.
     first: Option<usize>,
     first_in_zones: Vec<Option<usize>>,
+    /// Sources that were found, by zone and tokens cached at the endpoint.
+    found: Vec<((usize, u32), Option<Fetch>)>,
 }
 
 /// A store of cached prompts.
@@ -61,6 +66,7 @@
         self.first = None;
         self.first_in_zones.clear();
         self.first_in_zones.resize(zones, None);
+        self.found.clear();
     }
 
     /// Adds an endpoint from which leading shared tokens can be fetched.
@@ -76,14 +82,29 @@
         }
     }
 
+    /// Whether the wait for the store's link may make prefill the faster alternative.
+    pub(super) fn has_long_wait(&self) -> bool {
+        self.store.is_some_and(|store| store.wait >= LONG_LINK_WAIT)
+    }
+
     /// Returns the source with the most shared tokens beyond those at the endpoint; among
     /// equals, the one with the shortest time.
     pub(super) fn source(
-        &self,
+        &mut self,
         engine: &table::Engine,
         entry: &Entry,
         cached: u32,
     ) -> Option<Fetch> {
+        let like = (entry.zone, cached);
+        if let Some((_, fetch)) = self.found.iter().find(|(known, _)| *known == like) {
+            return *fetch;
+        }
+        let fetch = self.find_source(engine, entry, cached);
+        self.found.push((like, fetch));
+        fetch
+    }
+
+    fn find_source(&self, engine: &table::Engine, entry: &Entry, cached: u32) -> Option<Fetch> {
         let engines = self.engine_source(engine, entry, cached).into_iter();
         let sources = engines.chain(self.store_source(engine, entry, cached));
         sources.min_by_key(|fetch| (u32::MAX - fetch.source.tokens, fetch.source.time()))
@@ -101,12 +122,7 @@
         };
         Some(Fetch {
             holder: Some(in_zone.unwrap_or(first)),
-            source: cost::Source {
-                tokens: self.most,
-                wait: Duration::ZERO,
-                transfer: transfer * zone_factor,
-                is_shared: false,
-            },
+            source: cost::Source::new(self.most, Duration::ZERO, transfer * zone_factor, false),
         })
     }
 
@@ -124,12 +140,7 @@
         };
         Some(Fetch {
             holder: None,
-            source: cost::Source {
-                tokens: self.stored,
-                wait: store.wait,
-                transfer: transfer * zone_factor,
-                is_shared: true,
-            },
+            source: cost::Source::new(self.stored, store.wait, transfer * zone_factor, true),
         })
     }
 }
--- a/crates/papayayard_routing/src/placement/held.rs
+++ b/crates/papayayard_routing/src/placement/held.rs
@@ -11,7 +11,7 @@
 use super::cache::{Cache, CachedPart};
 use super::query::BackendKey;
 use super::roster::Entry;
-use crate::prompt::{Key, Part};
+use crate::prompt::{Key, KeyState, Part};
 
 /// Holders of parts under one version of the weights.
 #[derive(Default)]
@@ -19,7 +19,7 @@
     /// Endpoints with the version.
     pub(super) members: Vec<usize>,
     /// Those that hold a part, in the order of the endpoints.
-    by_key: HashMap<Key, Vec<(usize, CachedPart)>>,
+    by_key: HashMap<Key, Vec<(usize, CachedPart)>, KeyState>,
 }
 
 /// Leading shared tokens of one prompt at an endpoint.
--- a/crates/papayayard_routing/src/placement/load.rs
+++ b/crates/papayayard_routing/src/placement/load.rs
@@ -45,6 +45,9 @@
     /// Estimates the load from all hosts, where `mean` is this host's mean load at an endpoint
     /// of the same kind.
     pub(super) fn estimate_total(&self, mean: Amounts, hosts: usize) -> Amounts {
+        if hosts <= 1 {
+            return self.current;
+        }
         let others = f64::from(u32::try_from(hosts.max(1) - 1).unwrap_or(u32::MAX));
         let average = self.average.scaled(self.local_weight);
         let average = average.plus(mean, 1.0 - self.local_weight);
--- a/crates/papayayard_routing/src/placement/roster.rs
+++ b/crates/papayayard_routing/src/placement/roster.rs
@@ -10,13 +10,13 @@
 use papayayard_wire::id;
 
 use super::backend::Backend;
-use super::exclusion::Reason;
+use super::exclusion::{Exclusions, Reason};
 use super::held::Held;
 use super::keys::Salts;
 use super::load::Sample;
 use super::query::{BackendKey, Query};
 use super::select::MAX_SILENCE;
-use super::{Scheduler, cost, ms, trial};
+use super::{Scheduler, cost, from_ms, ms, trial};
 use crate::prompt;
 use crate::table;
 use crate::weights;
@@ -61,6 +61,10 @@
     /// Reasons for which endpoints are left out whatever the request; empty before the first
     /// refusal.
     pub(super) reasons: Vec<Option<Reason>>,
+    /// The same by reason; `None` after a change.
+    pub(super) exclusions: Option<Exclusions>,
+    /// Whether any endpoint may be tested, by a request that can be retried and by one that cannot.
+    has_testable: [bool; 2],
 }
 
 /// A version of the weights that endpoints of a roster have.
@@ -69,6 +73,8 @@
     /// Time from which no request may start on it.
     usable_until: Option<Duration>,
     pub(super) is_old: bool,
+    /// Whether a request may start on it at once.
+    pub(super) is_usable: bool,
     pub(super) held: Held,
 }
 
@@ -118,6 +124,15 @@
 }
 
 impl Version {
+    pub(super) const fn is_always_usable(&self) -> bool {
+        self.usable_until.is_none()
+    }
+
+    /// Whether a request may start on the version if its first event comes after this time.
+    pub(super) fn is_usable_for(&self, first_event_ms: f64, now: Duration) -> bool {
+        self.usable_until.is_none() || self.begins_in_time(from_ms(first_event_ms), now)
+    }
+
     /// Whether a request that takes `needed` until it starts may start on the version.
     pub(super) fn begins_in_time(&self, needed: Duration, now: Duration) -> bool {
         let until = self.usable_until;
@@ -190,6 +205,8 @@
             token_ms: scheduler.prefill(service).ms_per_token(),
             urgent_ms: Vec::new(),
             reasons: Vec::new(),
+            exclusions: None,
+            has_testable: [false; 2],
         };
         for (name, store) in scheduler.table.cache_stores() {
             let zone = roster.zone_index(&store.zone);
@@ -216,7 +233,7 @@
             let soonest = self.soonest_backoff.unwrap_or(until);
             self.soonest_backoff = Some(until.min(soonest));
         }
-        self.next_change = self.next_change.min(entry.next_change);
+        self.note(&entry);
         self.entries.push(entry);
     }
 
@@ -235,13 +252,29 @@
             .held
             .refresh(index, parts, &backend.cache);
         let entry = scheduler.entry(key, backend, (zone, version), now);
-        self.next_change = self.next_change.min(entry.next_change);
+        self.note(&entry);
         self.entries[index] = entry;
         if let Some(reason) = self.reasons.get_mut(index) {
-            *reason = scheduler.general_reason(backend, now);
+            let current = scheduler.general_reason(backend, now);
+            if *reason != current {
+                *reason = current;
+                self.exclusions = None;
+            }
         }
     }
 
+    fn note(&mut self, entry: &Entry) {
+        self.next_change = self.next_change.min(entry.next_change);
+        for (has_testable, is_testable) in self.has_testable.iter_mut().zip(entry.is_testable) {
+            *has_testable |= entry.accepts && is_testable;
+        }
+    }
+
+    /// Whether any endpoint may be tested by a request.
+    pub(super) const fn has_testable_by(&self, query: &Query) -> bool {
+        self.has_testable[if query.is_repeatable { 0 } else { 1 }]
+    }
+
     pub(super) fn zone(&self, zone: &id::Zone) -> Option<usize> {
         self.zones.iter().position(|known| known == zone)
     }
@@ -265,12 +298,15 @@
         let grace = scheduler.settings.old_weights_grace;
         let newest = newest.filter(|(_, at)| at.is_none_or(|at| at + grace <= now));
         self.has_old = newest.is_some();
-        self.versions.push(Version {
+        let mut version = Version {
             number,
             usable_until: model.and_then(|model| scheduler.usable_until(model, number)),
             is_old: newest.is_some_and(|(newest, _)| number < newest),
+            is_usable: true,
             held: Held::default(),
-        });
+        };
+        version.is_usable = version.begins_in_time(Duration::ZERO, now);
+        self.versions.push(version);
         self.versions.len() - 1
     }
 
@@ -296,6 +332,15 @@
             let reasons = backends.map(|backend| scheduler.general_reason(backend, now));
             self.reasons = reasons.collect();
         }
+        if self.exclusions.is_none() {
+            let mut exclusions = Exclusions::default();
+            for (entry, reason) in self.entries.iter().zip(&self.reasons) {
+                if let Some(reason) = reason {
+                    exclusions.add(*reason, entry, f64::INFINITY);
+                }
+            }
+            self.exclusions = Some(exclusions);
+        }
     }
 }
 
--- a/crates/papayayard_routing/src/placement/select.rs
+++ b/crates/papayayard_routing/src/placement/select.rs
@@ -8,10 +8,10 @@
 
 use super::backend::Backend;
 use super::cost;
-use super::evaluation::{Evaluation, Request};
+use super::evaluation::{Evaluation, Request, Scope};
 use super::prefill::Prefill;
 use super::query::{BackendKey, Query, RefusalReason};
-use super::roster::Roster;
+use super::roster::{Entry, Roster};
 use super::trial;
 use super::{Scheduler, float};
 use crate::prompt;
@@ -69,7 +69,7 @@
         }
     }
 
-    fn latest(&self) -> f64 {
+    pub(super) const fn latest(&self) -> f64 {
         self.deadline.min(self.target * MAX_TARGET_FACTOR)
     }
 }
@@ -154,23 +154,22 @@
         request: &mut Request<'_>,
         roster: &mut Roster,
         (evaluation, tested): (&mut Evaluation, &mut Evaluation),
+        scope: Scope,
     ) -> Option<Candidate> {
         let bounds = request.bounds;
-        self.admit(evaluation, request, roster, |entry| entry.is_healthy);
-        self.evaluate(evaluation, request, roster, |_, estimate| {
-            bounds.include(estimate)
-        });
+        self.evaluate_usable(evaluation, request, roster, scope);
         if let Some(best) = self.best(evaluation, request, roster) {
             return Some(best);
         }
         let query = request.query;
-        self.admit(tested, request, roster, |entry| entry.is_testable_by(query));
-        if tested.usable == 0 {
+        if !roster.has_testable_by(query) {
+            tested.clear();
             return None;
         }
-        self.evaluate(tested, request, roster, |entry, estimate| {
-            trial::includes(entry, estimate, &bounds)
-        });
+        self.admit(tested, request, roster, |entry| entry.is_testable_by(query));
+        let includes =
+            |entry: &Entry, estimate: &cost::Estimate| trial::includes(entry, estimate, &bounds);
+        self.evaluate(tested, request, roster, Scope::All, includes);
         let best = self.best(tested, request, roster)?;
         Some(Candidate {
             is_trial: true,
@@ -178,6 +177,20 @@
         })
     }
 
+    /// Evaluates the endpoints that a request may be sent to without being a test.
+    pub(super) fn evaluate_usable(
+        &self,
+        evaluation: &mut Evaluation,
+        request: &mut Request<'_>,
+        roster: &mut Roster,
+        scope: Scope,
+    ) {
+        let bounds = request.bounds;
+        let includes = |_: &Entry, estimate: &cost::Estimate| bounds.include(estimate);
+        self.admit(evaluation, request, roster, |entry| entry.is_healthy);
+        self.evaluate(evaluation, request, roster, scope, includes);
+    }
+
     /// Requests that this scheduler may have open at an endpoint.
     pub(super) fn connections(&self, service: &id::Service) -> f64 {
         let service = self.table.services.get(service);
--- a/crates/papayayard_routing/src/prompt.rs
+++ b/crates/papayayard_routing/src/prompt.rs
@@ -5,9 +5,12 @@
 //! weights and the group of requests that may share them. A part is therefore
 //! never found under other weights or across the isolation of an account.
 
+use std::hash::{BuildHasher, Hasher, RandomState};
+
 use papayayard_wire::id;
 use xxhash_rust::xxh3;
 
+use crate::mix;
 use crate::sharing;
 
 /// A declared prompt.
@@ -94,6 +97,47 @@
     }
 }
 
+/// Hashes keys for maps, with a secret of the map's own: callers choose the names of parts.
+#[derive(Clone, Debug)]
+pub(crate) struct KeyState {
+    secret: u64,
+}
+
+impl Default for KeyState {
+    fn default() -> Self {
+        Self {
+            secret: RandomState::new().hash_one(0_u64),
+        }
+    }
+}
+
+impl BuildHasher for KeyState {
+    type Hasher = KeyHasher;
+
+    fn build_hasher(&self) -> KeyHasher {
+        KeyHasher(self.secret)
+    }
+}
+
+/// Hasher of a [`KeyState`].
+pub(crate) struct KeyHasher(u64);
+
+impl Hasher for KeyHasher {
+    fn write(&mut self, bytes: &[u8]) {
+        for byte in bytes {
+            self.write_u64(u64::from(*byte));
+        }
+    }
+
+    fn write_u64(&mut self, number: u64) {
+        self.0 = mix::pair(self.0, number);
+    }
+
+    fn finish(&self) -> u64 {
+        self.0
+    }
+}
+
 /// Key of a part under a salt.
 pub fn key(salt: &str, part: &str) -> Key {
     let mut hash = xxh3::Xxh3::new();
--- a/crates/papayayard_routing/tests/placement/usability.rs
+++ b/crates/papayayard_routing/tests/placement/usability.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use papayayard_routing::placement::{
-    Availability, Change, Decision, Endpoint, Inputs, Outcome, Query, Reason, Reporter, Rule,
-    Scheduler, Ticket,
+    Availability, Change, Decision, Endpoint, InFlight, Inputs, Outcome, Query, Reason, Reporter,
+    Rule, Scheduler, Ticket,
 };
 use papayayard_routing::rate::Rate;
 use papayayard_wire::id;
@@ -431,6 +431,47 @@
     assert_eq!(soonest, Some(availability.first_event));
 }
 
+/// Guards against estimates of named endpoints that are only bounds: late endpoints are not all
+/// estimated, and some of those before the named ones lack memory.
+#[test]
+fn late_endpoints_are_named_with_their_own_estimates() {
+    let all = support::engines(12, 1);
+    let mut scheduler = support::scheduler(&all, 1);
+    for (number, engine) in (0..).zip(&all) {
+        let memory = if number % 3 == 0 { 110_000 } else { 9_000 };
+        let in_flight = InFlight {
+            requesting_host: id::Host::from("host"),
+            zone: engine.zone.clone(),
+            endpoint: engine.id.clone(),
+            unread: 9_000 * (1 + number % 5),
+            memory,
+            deadline: NOW + ms(5_000),
+        };
+        scheduler.record_in_flight(&in_flight, NOW);
+    }
+    let late = |scheduler: &mut Scheduler, others: &[Endpoint]| {
+        let query = Query {
+            target: NOW,
+            target_latency: ms(1),
+            tried: others.iter().map(|other| other.id.clone()).collect(),
+            ..support::query(support::history("dancer"), NOW)
+        };
+        let exclusions = refused(scheduler, query, NOW).exclusions;
+        let late = exclusions.into_iter();
+        let late: Vec<_> = late.filter(|some| some.reason == Reason::Late).collect();
+        late.into_iter()
+            .flat_map(|late| late.endpoints)
+            .collect::<Vec<_>>()
+    };
+    let named = late(&mut scheduler, &[]);
+    assert_eq!(named.len(), 3);
+    for excluded in named {
+        let others = all.iter().filter(|other| other.id != excluded.endpoint);
+        let others: Vec<_> = others.cloned().collect();
+        assert_eq!(late(&mut scheduler, &others), [excluded]);
+    }
+}
+
 /// A request at an endpoint that seemed too slow looked like any other one.
 #[test]
 fn a_placement_tells_whether_it_is_a_trial() {
