--- a/crates/papayayard_routing/tests/placement/repeated_looks.rs
+++ b/crates/papayayard_routing/tests/placement/repeated_looks.rs
@@ -22,7 +22,7 @@
 
 use crate::support::{self, NOW, ms};
 
-const STEPS: usize = 1_000;
+const STEPS: usize = 1_500;
 
 /// What may happen to the endpoints besides requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -111,7 +111,7 @@
             match self.below(8) {
                 0 | 1 => self.arrive(),
                 2 | 3 if !self.open.is_empty() => self.end(),
-                4 if !self.is_quiet() => self.change(),
+                4 | 5 if !self.is_quiet() => self.change(),
                 4 => {
                     let now = self.now;
                     self.both(|scheduler| scheduler.usability_changes(now));
@@ -232,13 +232,13 @@
         let (key, tokens) = parts[self.below(parts.len())];
         let tokens = if self.is_one_in(3) { 0 } else { tokens };
         let store = id::Service::from("kept");
-        match (self.below(17), ticket) {
+        match (self.below(22), ticket) {
             (0, _) => self.both(|scheduler| scheduler.check_overdue(now)),
             (1, _) => self.both(|scheduler| scheduler.set_loading(slice::from_ref(&endpoint), now)),
             (2, _) => self.both(|scheduler| scheduler.set_loading(&[], now)),
             (3, _) => self
                 .both(|scheduler| scheduler.record_loaded(&endpoint, &support::model(), version)),
-            (4 | 5, _) => self.both(|scheduler| scheduler.set_cached(&endpoint, key, tokens)),
+            (4 | 5 | 17..22, _) => self.both(|scheduler| scheduler.set_cached(&endpoint, key, tokens)),
             (6, _) => self.both(|scheduler| scheduler.set_stored(&store, key, tokens)),
             (7, _) => self.both(|scheduler| scheduler.clear_cached(&endpoint)),
             (8, Some(ticket)) => {
@@ -365,7 +365,7 @@
 fn decisions_are_the_same_if_each_request_is_looked_at_each_time(
     #[values(Events::None, Events::NoLimits, Events::All)] events: Events,
     #[values(1, 3)] schedulers: usize,
-    #[values(1, 2, 3, 4)] seed: u64,
+    #[values(1, 2, 3, 4, 5)] seed: u64,
 ) {
     let mut replay = Replay::new(seed, events, schedulers);
     replay.play();
