Fairness: one module for fair queueing, used by the admission queue

Start-time fair queueing moves out of admission::queue into routing::fairness, so that the scheduler can use it too. Two differences: a flow is forgotten once it is idle and the virtual time has passed its end tag (accounts were kept for ever), and its requests keep their place while it waits, also behind the virtual time of more urgent requests. The tests of admission are unchanged.

--- a/crates/papayayard_routing/src/admission/queue.rs
+++ b/crates/papayayard_routing/src/admission/queue.rs
@@ -1,27 +1,24 @@
-//! Queued requests, by priority, then by start-time fair queueing.
+//! Queued requests, by priority, then by start-time fair queueing (see [`fairness`]).
 //!
-//! Each request gets a start tag in virtual time: the finish tag of its account's
-//! previous request, or the current virtual time if that is later. Its finish tag
-//! is the start tag plus its cost divided by the account's weight. Virtual time is
-//! the start tag of the last request that was started.
+//! An account is charged when its request is queued, so that each request keeps its position.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
 use papayayard_wire::id;
+use slotmap::SecondaryMap;
 
 use crate::admission::{Demand, Ticket};
+use crate::fairness;
 
 /// Position in the queue: priority, start tag, arrival number, handle.
 type Position = (Reverse<u8>, u64, u64, Ticket);
 
-const TAG_UNITS_PER_TOKEN: u64 = 1 << 16;
-
 #[derive(Debug)]
 struct Entry {
     position: Position,
-    account: id::Account,
+    flow: fairness::Key,
     length: u64,
     deadline: Duration,
 }
@@ -29,7 +26,6 @@
 /// Queued requests of one account.
 #[derive(Debug, Default)]
 struct Backlog {
-    end: u64,
     length: u64,
     positions: BTreeSet<Position>,
 }
@@ -40,26 +36,27 @@
     positions: BTreeSet<Position>,
     deadlines: BTreeSet<(Duration, Ticket)>,
     entries: HashMap<Ticket, Entry>,
-    backlogs: HashMap<id::Account, Backlog>,
-    virtual_time: u64,
+    flows: fairness::Flows<id::Account>,
+    backlogs: SecondaryMap<fairness::Key, Backlog>,
     arrivals: u64,
 }
 
 impl Queue {
     pub(super) fn push(&mut self, ticket: Ticket, demand: &Demand<'_>, weight: u32) {
-        let length = u64::from(demand.cost.max(1)) * TAG_UNITS_PER_TOKEN / u64::from(weight);
-        let backlog = self.backlogs.entry(demand.account.clone()).or_default();
-        let tag = backlog.end.max(self.virtual_time);
+        let length = fairness::length(demand.cost, weight);
+        let flow = self.flows.join(demand.account);
+        let tag = self.flows.charge(flow, length);
         self.arrivals += 1;
         let position = (Reverse(demand.priority), tag, self.arrivals, ticket);
-        backlog.end = tag + length;
+        let mut backlog = self.backlogs.remove(flow).unwrap_or_default();
         backlog.length += length;
         backlog.positions.insert(position);
+        self.backlogs.insert(flow, backlog);
         self.positions.insert(position);
         self.deadlines.insert((demand.deadline, ticket));
         let entry = Entry {
             position,
-            account: demand.account.clone(),
+            flow,
             length,
             deadline: demand.deadline,
         };
@@ -68,8 +65,9 @@
 
     pub(super) fn pop(&mut self) -> Option<Ticket> {
         let &(_, tag, _, ticket) = self.positions.first()?;
-        self.virtual_time = self.virtual_time.max(tag);
-        self.take(ticket);
+        let entry = self.take(ticket)?;
+        self.flows.serve(tag);
+        self.flows.leave(entry.flow);
         Some(ticket)
     }
 
@@ -79,11 +77,9 @@
         let Some(entry) = self.take(ticket) else {
             return;
         };
-        if let Some(backlog) = self.backlogs.get_mut(&entry.account)
-            && backlog.end == entry.position.1 + entry.length
-        {
-            backlog.end = entry.position.1;
-        }
+        self.flows
+            .refund(entry.flow, entry.position.1, entry.length);
+        self.flows.leave(entry.flow);
     }
 
     /// Number of requests that start before this one.
@@ -122,9 +118,12 @@
         let entry = self.entries.remove(&ticket)?;
         self.positions.remove(&entry.position);
         self.deadlines.remove(&(entry.deadline, ticket));
-        if let Some(backlog) = self.backlogs.get_mut(&entry.account) {
+        if let Some(backlog) = self.backlogs.get_mut(entry.flow) {
             backlog.positions.remove(&entry.position);
             backlog.length -= entry.length;
+            if backlog.positions.is_empty() {
+                self.backlogs.remove(entry.flow);
+            }
         }
         Some(entry)
     }
--- a/crates/papayayard_routing/src/lib.rs
+++ b/crates/papayayard_routing/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod buffers;
 pub mod choice;
 pub mod ejection;
+pub mod fairness;
 pub mod fleet;
 pub mod index;
 pub mod listing;
