Dispatch: a placement request names its client account

Query::account is set from the caller's key, and the message to the dispatcher carries it. Hosts of older releases neither send nor read the field; a request without an account omits it. No metric has the name as a label.

--- a/crates/papayayard_gateway/src/dispatch/message.rs
+++ b/crates/papayayard_gateway/src/dispatch/message.rs
@@ -124,6 +124,9 @@
     /// Number of the request on the requesting host.
     pub(super) number: u64,
     service: String,
+    /// Client account; not sent by older releases.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    account: Option<String>,
     model: String,
     tokens: u32,
     most_output: u32,
@@ -335,6 +338,7 @@
         Self {
             number,
             service: query.service.as_str().to_owned(),
+            account: query.account.as_ref().map(ToString::to_string),
             model: model.to_owned(),
             tokens: prompt.map_or(0, |prompt| prompt.tokens),
             most_output: prompt.map_or(0, |prompt| prompt.max_output),
@@ -371,6 +375,7 @@
         };
         Query {
             service: id::Service::from(self.service),
+            account: self.account.map(id::Account::from),
             requesting_host: Some(host),
             zone,
             prompt: (!self.is_plain).then(|| Arc::new(prompt)),
--- a/crates/papayayard_gateway/src/dispatch/message_test.rs
+++ b/crates/papayayard_gateway/src/dispatch/message_test.rs
@@ -1,10 +1,13 @@
 use std::time::Duration;
 
-use papayayard_routing::placement::{Availability, Excluded, Exclusion, Reason, RefusalReason};
+use papayayard_routing::placement::{
+    Availability, Excluded, Exclusion, Query, Reason, RefusalReason,
+};
+use papayayard_routing::sharing;
 use papayayard_wire::id;
 use serde::{Deserialize, Serialize};
 
-use super::{Decision, Refusal};
+use super::{Decision, Refusal, Request};
 use crate::dispatch::Selection;
 
 /// Refusal as the release before knows it.
@@ -115,3 +118,38 @@
     let text = text.replace("\"late\"", "\"asleep\"");
     assert_eq!(received(&text).exclusions[0].reason, Reason::Unknown);
 }
+
+fn query(account: Option<&str>) -> Query {
+    Query {
+        service: id::Service::from("bookings"),
+        account: account.map(id::Account::from),
+        requesting_host: None,
+        zone: id::Zone::from("a"),
+        prompt: None,
+        group: sharing::Group::default(),
+        is_repeatable: true,
+        priority: 1,
+        target: Duration::from_millis(500),
+        target_latency: Duration::from_millis(500),
+        deadline: Duration::from_secs(5),
+        waited: Duration::ZERO,
+        software: None,
+        tried: Vec::new(),
+        avoided: Vec::new(),
+    }
+}
+
+/// Guards against a dispatcher that does not know whose request it places, and against a field
+/// that is sent without a value.
+#[test]
+fn the_account_of_a_request_arrives() {
+    for account in [Some("school"), None] {
+        let request = Request::new(1, &query(account), Duration::ZERO);
+        let text = serde_json::to_string(&request).expect("a text");
+        assert_eq!(text.contains("\"account\""), account.is_some());
+        let request: Request = serde_json::from_str(&text).expect("a request");
+        let (host, zone) = (id::Host::from("asker"), id::Zone::from("a"));
+        let received = request.into_query(host, zone, Duration::ZERO);
+        assert_eq!(received.account, account.map(id::Account::from));
+    }
+}
--- a/crates/papayayard_gateway/src/dispatch_test.rs
+++ b/crates/papayayard_gateway/src/dispatch_test.rs
@@ -201,6 +201,7 @@
         let target = self.clock.now() + TARGET_LATENCY;
         Query {
             service: id::Service::from("engines"),
+            account: None,
             requesting_host: None,
             zone: self.local.zone.clone(),
             prompt: Some(Arc::new(prompt)),
--- a/crates/papayayard_gateway/src/job.rs
+++ b/crates/papayayard_gateway/src/job.rs
@@ -83,6 +83,7 @@
     ) -> Query {
         Query {
             service: self.service.clone(),
+            account: self.account.as_ref().map(|account| account.name.clone()),
             requesting_host: None,
             zone: zone.clone(),
             prompt: self.prompt.clone(),
--- a/crates/papayayard_routing/src/placement/query.rs
+++ b/crates/papayayard_routing/src/placement/query.rs
@@ -24,6 +24,8 @@
 #[derive(Clone, Debug)]
 pub struct Query {
     pub service: id::Service,
+    /// Client account; `None` if the request has none, or comes from a host of an older release.
+    pub account: Option<id::Account>,
     /// Host that requests the placement; `None` for this host.
     pub requesting_host: Option<id::Host>,
     /// Zone of the host that sends the request.
--- a/crates/papayayard_routing/tests/placement/support.rs
+++ b/crates/papayayard_routing/tests/placement/support.rs
@@ -154,6 +154,7 @@
 pub(crate) fn query(prompt: Prompt, now: Duration) -> Query {
     Query {
         service: id::Service::from("engines"),
+        account: None,
         requesting_host: None,
         zone: id::Zone::from("a"),
         waited: Duration::ZERO,
