Placement: waiting requests get fair shares and hold room

Waiting requests are ordered by priority, then by the virtual start of their client account, then by arrival; a request that later ones have passed over for 0.3 of its time to target goes first. Urgent requests, and those of accounts that have had less, hold room at engines, so that short prompts do not take what a long one waits for. Engines hold room for one request at a time.

--- a/crates/papayayard_routing/src/fairness.rs
+++ b/crates/papayayard_routing/src/fairness.rs
@@ -22,7 +22,7 @@
 #[derive(Debug)]
 pub struct Flows<Name> {
     by_name: HashMap<Name, Key>,
-    flows: SlotMap<Key, Flow<Name>>,
+    entries: SlotMap<Key, Flow<Name>>,
     /// End tags of the flows without waiting work, all after the virtual time.
     idle: BTreeSet<(u64, Key)>,
     virtual_time: u64,
@@ -40,7 +40,7 @@
     fn default() -> Self {
         Self {
             by_name: HashMap::new(),
-            flows: SlotMap::with_key(),
+            entries: SlotMap::with_key(),
             idle: BTreeSet::new(),
             virtual_time: 0,
             waiting: 0,
@@ -56,14 +56,14 @@
     pub fn join(&mut self, name: &Name) -> Key {
         self.waiting += 1;
         if let Some(key) = self.by_name.get(name) {
-            let flow = &mut self.flows[*key];
+            let flow = &mut self.entries[*key];
             if flow.waiting == 0 {
                 self.idle.remove(&(flow.end, *key));
             }
             flow.waiting += 1;
             return *key;
         }
-        let key = self.flows.insert(Flow {
+        let key = self.entries.insert(Flow {
             name: name.clone(),
             end: self.virtual_time,
             waiting: 1,
@@ -74,7 +74,7 @@
 
     /// Removes waiting work from a flow, whether it was served or not.
     pub fn leave(&mut self, key: Key) {
-        let Some(flow) = self.flows.get_mut(key) else {
+        let Some(flow) = self.entries.get_mut(key) else {
             return;
         };
         flow.waiting = flow.waiting.saturating_sub(1);
@@ -91,7 +91,7 @@
 
     /// Start tag of the next work of a flow.
     pub fn start(&self, key: Key) -> u64 {
-        self.flows
+        self.entries
             .get(key)
             .map_or(self.virtual_time, |flow| flow.end)
     }
@@ -99,7 +99,7 @@
     /// Charges a flow that has waiting work, and returns the start tag of the charged work.
     pub fn charge(&mut self, key: Key, length: u64) -> u64 {
         let start = self.start(key);
-        if let Some(flow) = self.flows.get_mut(key) {
+        if let Some(flow) = self.entries.get_mut(key) {
             flow.end = start.saturating_add(length);
         }
         start
@@ -107,7 +107,7 @@
 
     /// Takes back a charge for work that will not be served, unless later work was charged since.
     pub fn refund(&mut self, key: Key, start: u64, length: u64) {
-        if let Some(flow) = self.flows.get_mut(key)
+        if let Some(flow) = self.entries.get_mut(key)
             && flow.end == start.saturating_add(length)
         {
             flow.end = start;
@@ -127,19 +127,19 @@
 
     /// Number of flows that are remembered.
     pub fn len(&self) -> usize {
-        self.flows.len()
+        self.entries.len()
     }
 
     /// Whether no flow is remembered.
     pub fn is_empty(&self) -> bool {
-        self.flows.is_empty()
+        self.entries.is_empty()
     }
 
     fn forget_passed(&mut self) {
         while let Some((_, key)) = self.idle.first().filter(|idle| idle.0 <= self.virtual_time) {
             let key = *key;
             self.idle.pop_first();
-            if let Some(flow) = self.flows.remove(key) {
+            if let Some(flow) = self.entries.remove(key) {
                 self.by_name.remove(&flow.name);
             }
         }
--- a/crates/papayayard_routing/src/placement.rs
+++ b/crates/papayayard_routing/src/placement.rs
@@ -1,8 +1,10 @@
 //! Schedules requests onto endpoints: places them, queues them or refuses them.
 //!
-//! The scheduler holds one host's view of all endpoints. A request that cannot be placed waits,
-//! ordered by priority and then by arrival, for a fraction of the time until its target; then it
-//! is refused with a retry delay. A request that no endpoint can serve is refused at once.
+//! The scheduler holds one host's view of all endpoints. A request that cannot be placed waits
+//! for a fraction of the time until its target; then it is refused with a retry delay. A request
+//! that no endpoint can serve is refused at once. Waiting requests are ordered by priority, then
+//! by the fair shares of their client accounts, then by arrival (see [`order`]); urgent ones, and
+//! those that were passed over for long, hold room at an engine (see [`reservation`]).
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -24,6 +26,7 @@
 mod link;
 mod load;
 mod named;
+mod order;
 mod path;
 mod place;
 mod prefill;
@@ -32,6 +35,7 @@
 mod reachability;
 mod refusal_limit;
 mod requesting_hosts;
+mod reservation;
 mod select;
 mod signals;
 mod split;
@@ -42,10 +46,12 @@
 
 use backend::Backend;
 use limit::Limits;
+use order::Order;
 use path::Paths;
 use progress::Placed;
 use refusal_limit::RefusalLimits;
 use requesting_hosts::RequestingHosts;
+use reservation::Reservations;
 use signals::Signals;
 
 pub use backend::Endpoint;
@@ -55,6 +61,7 @@
 pub use link::{Link, transfer_time};
 pub use load::{Amounts, Load};
 pub use named::Limit;
+pub use order::OrderCounts;
 pub use prefill::Prefill;
 pub use query::{
     Availability, BackendKey, Decision, InFlight, Outcome, PendingKey, Placement, Query,
@@ -107,6 +114,8 @@
     tickets: SlotMap<Ticket, Placed>,
     waiting: SlotMap<PendingKey, Pending>,
     arrivals: u64,
+    order: Order,
+    reservations: Reservations,
 }
 
 /// The scheduler's view of a store of cached prompts.
@@ -122,6 +131,22 @@
     query: Query,
     arrival: u64,
     arrived_at: Duration,
+    position: order::Position,
+    /// Whether room was held for the request.
+    has_reserved: bool,
+}
+
+impl Pending {
+    fn entry(&self, key: PendingKey) -> order::Entry {
+        order::Entry {
+            priority: self.query.priority,
+            arrived_at: self.arrived_at,
+            arrival: self.arrival,
+            key,
+            position: self.position,
+            target: self.query.target,
+        }
+    }
 }
 
 impl Scheduler {
@@ -147,6 +172,8 @@
             tickets: SlotMap::with_key(),
             waiting: SlotMap::with_key(),
             arrivals: 0,
+            order: Order::default(),
+            reservations: Reservations::default(),
         }
     }
 
@@ -169,39 +196,53 @@
         self.requesting_hosts
             .record_use(requesting_host, &query.zone, now);
         let arrived_at = now.saturating_sub(query.waited);
+        let position = self.order.join(&query);
         self.waiting.insert(Pending {
             query,
             arrival: self.arrivals,
             arrived_at,
+            position,
+            has_reserved: false,
         })
     }
 
     /// Removes a waiting request whose caller has disconnected.
     pub fn cancel(&mut self, waiting: PendingKey) {
-        self.waiting.remove(waiting);
+        if let Some(pending) = self.waiting.remove(waiting) {
+            self.order.leave(pending.position);
+        }
     }
 
     pub fn has_waiting(&self) -> bool {
         !self.waiting.is_empty()
     }
 
+    /// Number of events in the order of placement since the start.
+    pub const fn order_counts(&self) -> OrderCounts {
+        self.order.counts
+    }
+
     /// Places or refuses waiting requests, the most urgent first; the others stay queued.
     pub fn decide(&mut self, now: Duration) -> Vec<(PendingKey, Decision)> {
-        let mut order: Vec<(u8, Duration, u64, PendingKey)> = self
-            .waiting
-            .iter()
-            .map(|(key, entry)| (entry.query.priority, entry.arrived_at, entry.arrival, key))
-            .collect();
-        order.sort_unstable();
+        let waiting = self.waiting.iter();
+        let entries = waiting.map(|(key, pending)| pending.entry(key)).collect();
+        let turns = self.order.turns(entries, now);
+        self.release_reservations();
         self.limits.refill(&self.requesting_hosts, now);
         self.refusal_limits.update(&self.requesting_hosts, now);
         let mut still_waiting: HashMap<id::Service, u32> = HashMap::new();
         let mut decisions = Vec::new();
-        for (.., key) in order {
+        for turn in turns {
+            let key = turn.entry.key;
+            self.reserve_for_urgent(turn.entry.priority, now);
             let Some(decision) = self.decide_pending(key, &mut still_waiting, now) else {
+                self.keep_waiting(&turn, now);
                 continue;
             };
-            self.waiting.remove(key);
+            if let Decision::Placed(_) = decision {
+                self.order.record_placed(&turn, now);
+            }
+            self.cancel(key);
             decisions.push((key, decision));
         }
         decisions
--- a/crates/papayayard_routing/src/placement/backend.rs
+++ b/crates/papayayard_routing/src/placement/backend.rs
@@ -8,7 +8,7 @@
 
 use super::cache::Cache;
 use super::delay::Delay;
-use super::load::Load;
+use super::load::{Amounts, Load};
 use super::query::Ticket;
 use super::signals::Signals;
 use super::usability::Usability;
@@ -45,6 +45,8 @@
     pub(super) endpoint: Endpoint,
     /// Load that this scheduler has placed there.
     pub(super) load: Load,
+    /// Load of the waiting request for which room is held there; not part of `load`.
+    pub(super) reserved: Amounts,
     /// Prompt parts cached there.
     pub(super) cache: Cache,
     /// Health derived from the outcomes of requests.
@@ -98,6 +100,7 @@
             endpoint,
             signals,
             load: Load::default(),
+            reserved: Amounts::default(),
             cache: Cache::default(),
             health: ejection::Health::default(),
             answered_at: Duration::ZERO,
--- a/crates/papayayard_routing/src/placement/cost.rs
+++ b/crates/papayayard_routing/src/placement/cost.rs
@@ -30,7 +30,7 @@
 const FETCHED_FRACTION: f64 = 0.5;
 /// Fraction of an engine's memory that open requests may hold; the rest is reserved for answers
 /// that grow longer than expected.
-const MEMORY_FRACTION: f64 = 0.85;
+pub(super) const MEMORY_FRACTION: f64 = 0.85;
 /// Cost of an endpoint in another availability zone, in ms.
 const OTHER_ZONE_MS: f64 = 5.0;
 /// The same for a request that cannot be retried, which is lost if the zones are partitioned.
@@ -154,13 +154,16 @@
     now: Duration,
 ) -> Option<Estimate> {
     let load = backend.load.estimate_total(inputs.mean, inputs.hosts, now);
-    if load.open >= f64::from(engine.slots) {
+    let reserved = backend.reserved;
+    if load.open + reserved.open >= f64::from(engine.slots) {
         return None;
     }
     let fetched = source.map_or(0, |source| source.tokens.saturating_sub(cached));
     let unread = inputs.prompt.tokens.saturating_sub(cached + fetched);
     let memory = inputs.prompt.tokens - cached + inputs.prompt.output_tokens();
-    if load.memory + f64::from(memory) > float(engine.memory_tokens) * MEMORY_FRACTION {
+    if load.memory + reserved.memory + f64::from(memory)
+        > float(engine.memory_tokens) * MEMORY_FRACTION
+    {
         return None;
     }
 
@@ -170,7 +173,8 @@
     let reread = inputs.cached_anywhere.saturating_sub(cached + fetched);
     let prefill_tokens = load.unread + f64::from(unread);
     let predicted_ms = prefill_tokens * inputs.token_ms + load.open * PER_REQUEST_MS + fetch_ms;
-    let first_event_ms = predicted_ms + inputs.baseline_ms + backend.delay.at(now);
+    let reserved_ms = reserved.unread * inputs.token_ms;
+    let first_event_ms = predicted_ms + reserved_ms + inputs.baseline_ms + backend.delay.at(now);
     let cost_ms = first_event_ms
         + f64::from(reread) * REREAD_MS
         + f64::from(fetched) * inputs.token_ms * FETCHED_FRACTION
@@ -186,7 +190,7 @@
     Some(Estimate {
         first_event_ms,
         predicted_ms,
-        wait_ms: load.unread * inputs.token_ms,
+        wait_ms: load.unread * inputs.token_ms + reserved_ms,
         cost_ms,
         open: load.open,
         cached,
--- a/crates/papayayard_routing/tests/placement/main.rs
+++ b/crates/papayayard_routing/tests/placement/main.rs
@@ -12,6 +12,7 @@
 mod prefill;
 mod recovery;
 mod refusal_limits;
+mod shares;
 mod signals;
 mod site;
 mod support;
