--- a/crates/papayayard_gateway/src/metrics.rs
+++ b/crates/papayayard_gateway/src/metrics.rs
@@ -18,6 +18,7 @@
     exposition: Exposition,
     requests: Counter<u64>,
     placements: Counter<u64>,
+    order_events: Counter<u64>,
     answers: Counter<u64>,
     refusals: Counter<u64>,
     retries: Counter<u64>,
@@ -50,6 +51,10 @@
                 .u64_counter("papayayard_route_placements")
                 .with_description("Decisions on where requests go, by who made them")
                 .build(),
+            order_events: meter
+                .u64_counter("papayayard_placement_order")
+                .with_description("Requests placed out of turn, and room held for waiting ones")
+                .build(),
             answers: meter
                 .u64_counter("papayayard_route_answers")
                 .with_description("Endpoints' whole answers by status")
@@ -134,6 +139,12 @@
         self.placements.add(1, &[KeyValue::new("by", by)]);
     }
 
+    /// Counts requests that were placed out of the order of their arrival, or room that was held.
+    pub(crate) fn ordered_placements(&self, event: &'static str, number: u64) {
+        let event = KeyValue::new("event", event);
+        self.order_events.add(number, &[event]);
+    }
+
     pub(crate) fn answered(&self, status: StatusCode) {
         let status = KeyValue::new("status", i64::from(status.as_u16()));
         self.answers.add(1, &[status]);
--- a/crates/papayayard_gateway/src/schedule.rs
+++ b/crates/papayayard_gateway/src/schedule.rs
@@ -11,8 +11,8 @@
 use std::time::Duration;
 
 use papayayard_routing::placement::{
-    Availability, Decision, Endpoint, HostCounts, InFlight, Limit, Outcome, PendingKey, Placement,
-    Query, RefusalReason, Scheduler, Ticket,
+    Availability, Decision, Endpoint, HostCounts, InFlight, Limit, OrderCounts, Outcome,
+    PendingKey, Placement, Query, RefusalReason, Scheduler, Ticket,
 };
 use papayayard_routing::prompt;
 use papayayard_routing::rate::Rate;
@@ -250,6 +250,7 @@
         runs: HashMap::new(),
         tickets: HashMap::new(),
         replies: HashMap::new(),
+        order_counts: OrderCounts::default(),
     };
     tokio::spawn(task.run(messages));
     Handle {
@@ -280,6 +281,8 @@
     /// Tickets of other hosts' requests, by host and number of the request there.
     tickets: HashMap<(id::Host, u64), Ticket>,
     replies: HashMap<PendingKey, Reply>,
+    /// Events in the order of placement that the metrics have counted.
+    order_counts: OrderCounts,
 }
 
 impl Task {
@@ -386,6 +389,7 @@
         let now = self.clock.now();
         self.scheduler.check_overdue(now);
         usability::report(&self.scheduler.usability_changes(now), &self.metrics);
+        self.count_order_events();
         self.tickets
             .retain(|_, ticket| self.scheduler.is_in_flight(*ticket));
         let avoided = self.scheduler.avoided(&self.zone, now);
@@ -396,6 +400,19 @@
         });
     }
 
+    fn count_order_events(&mut self) {
+        let counts = self.scheduler.order_counts();
+        let earlier = std::mem::replace(&mut self.order_counts, counts);
+        let events = [
+            ("out_of_order", counts.out_of_order - earlier.out_of_order),
+            ("passed_over", counts.passed_over - earlier.passed_over),
+            ("reserved", counts.reserved - earlier.reserved),
+        ];
+        for (event, number) in events.into_iter().filter(|(_, number)| *number > 0) {
+            self.metrics.ordered_placements(event, number);
+        }
+    }
+
     fn add_target_versions(&mut self, targets: &HashMap<id::Model, TargetVersions>) {
         self.scheduler.add_target_versions(targets);
         let known = self.scheduler.target_versions();
