--- a/crates/papayayard_routing/src/placement/order.rs
+++ b/crates/papayayard_routing/src/placement/order.rs
@@ -15,6 +15,7 @@
 use slotmap::{SecondaryMap, SlotMap};
 
 use super::query::{PendingKey, Query};
+use super::reservation::Room;
 use crate::fairness;
 
 /// Fraction of the time until a request's target after which it goes first if it was passed over.
@@ -93,9 +94,8 @@
     pub(super) is_early: bool,
     /// Whether the request goes first because it has been passed over for long.
     pub(super) goes_first: bool,
-    /// Whether room is held for the request against later ones of its lane: it has been passed
-    /// over for long, or another account has had more.
-    pub(super) is_kept: bool,
+    /// Room that an engine holds for the request against later ones of its lane.
+    pub(super) room: Option<Room>,
 }
 
 /// Order within a lane.
@@ -194,7 +194,7 @@
                     entry,
                     is_early: earliest < rank.index,
                     goes_first: !rank.is_in_turn,
-                    is_kept: has_less || lane.holds_room(&entry, now),
+                    room: lane.room(&entry, has_less, now),
                 };
                 earliest = earliest.min(rank.index);
             }
@@ -241,10 +241,16 @@
         self.is_passed_over(entry) && now >= since + entry.time().mul_f64(GOES_FIRST_FRACTION)
     }
 
-    /// Whether a request holds room against those after it.
-    fn holds_room(&self, entry: &Entry, now: Duration) -> bool {
+    /// Room that a request holds against those after it: its account has had less than another,
+    /// or later requests have been placed for long.
+    fn room(&self, entry: &Entry, has_less: bool, now: Duration) -> Option<Room> {
         let from = entry.arrived_at + entry.time().mul_f64(HOLDS_ROOM_FRACTION);
-        self.is_passed_over(entry) && now >= from
+        let is_passed_over = self.is_passed_over(entry) && now >= from;
+        if !has_less && !is_passed_over {
+            return None;
+        }
+        let is_shared = has_less || self.flows.len() > 1;
+        Some(if is_shared { Room::All } else { Room::Memory })
     }
 
     /// Whether a request that arrived later was placed.
@@ -266,7 +272,7 @@
             entry,
             is_early: false,
             goes_first: false,
-            is_kept: false,
+            room: None,
         }
     }
 }
--- a/crates/papayayard_routing/src/placement/reservation.rs
+++ b/crates/papayayard_routing/src/placement/reservation.rs
@@ -30,6 +30,16 @@
 /// at seven times its usual load, with one of two 98.1 %, and with all 97.9 %.
 const ENGINES_PER_RESERVATION: usize = 2;
 
+/// What an engine holds for a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Room {
+    /// A slot, memory and time to prefill.
+    All,
+    /// A slot and memory. Time is not held among requests of a single account: short prompts that
+    /// fit into what is left are placed as before.
+    Memory,
+}
+
 /// Room held in the present decision.
 #[derive(Default)]
 pub(super) struct Reservations {
@@ -60,7 +70,7 @@
         }
         self.reservations.priority = priority;
         for waiting in mem::take(&mut self.reservations.waiting).into_values() {
-            self.reserve(&waiting, usize::MAX, now);
+            self.reserve(&waiting, usize::MAX, Room::All, now);
         }
     }
 
@@ -73,24 +83,30 @@
             return;
         }
         let service = query.service.clone();
-        if turn.is_kept {
-            self.reserve_in_lane(&service, key, now);
+        if let Some(room) = turn.room {
+            self.reserve_in_lane(&service, key, room, now);
         }
         let waiting = self.reservations.waiting.entry(service);
         waiting.or_default().push(key);
     }
 
     /// Holds room for a request against later ones of its lane.
-    fn reserve_in_lane(&mut self, service: &id::Service, key: PendingKey, now: Duration) {
+    fn reserve_in_lane(
+        &mut self,
+        service: &id::Service,
+        key: PendingKey,
+        room: Room,
+        now: Duration,
+    ) {
         let left = self.reservations_left(service);
         if left > 0 {
             self.reservations.left.insert(service.clone(), left - 1);
-            self.reserve(&[key], 1, now);
+            self.reserve(&[key], 1, room, now);
         }
     }
 
     /// Holds room at up to a number of engines for waiting requests of a service, in turn.
-    fn reserve(&mut self, waiting: &[PendingKey], number: usize, now: Duration) {
+    fn reserve(&mut self, waiting: &[PendingKey], number: usize, room: Room, now: Duration) {
         let Some(first) = waiting.first() else {
             return;
         };
@@ -110,9 +126,12 @@
         let engines = engines.into_iter().take(number);
         for ((_, engine), key) in engines.zip(waiting.iter().cycle()) {
             let query = &self.waiting[*key].query;
-            let Some(amounts) = self.needed(query, &self.backends[engine], now) else {
+            let Some(mut amounts) = self.needed(query, &self.backends[engine], now) else {
                 continue;
             };
+            if room == Room::Memory {
+                amounts.unread = 0.0;
+            }
             self.backends[engine].reserved = amounts;
             self.reservations.engines.push(engine);
             let has_reserved = mem::replace(&mut self.waiting[*key].has_reserved, true);
