--- a/crates/papayayard_routing/src/placement.rs
+++ b/crates/papayayard_routing/src/placement.rs
@@ -1,8 +1,10 @@
 //! Schedules requests onto endpoints: places them, queues them or refuses them.
 //!
-//! The scheduler holds one host's view of all endpoints. A request that cannot be placed waits,
-//! ordered by priority and then by arrival, for a fraction of the time until its target; then it
-//! is refused with a retry delay. A request that no endpoint can serve is refused at once.
+//! The scheduler holds one host's view of all endpoints. A request that cannot be placed waits
+//! for a fraction of the time until its target; then it is refused with a retry delay. A request
+//! that no endpoint can serve is refused at once. Waiting requests are ordered by priority, then
+//! by the fair shares of their client accounts, then by arrival (see [`order`]); urgent ones, and
+//! those that were passed over for long, hold room at an engine (see [`reservation`]).
 
 use std::collections::HashMap;
 use std::mem;
@@ -28,6 +30,7 @@
 mod link;
 mod load;
 mod named;
+mod order;
 mod path;
 mod place;
 mod prefill;
@@ -36,6 +39,7 @@
 mod reachability;
 mod refusal_limit;
 mod requesting_hosts;
+mod reservation;
 mod revision;
 mod roster;
 mod select;
@@ -50,10 +54,12 @@
 use evaluation::{Evaluation, Request, Scope};
 use keys::Hashes;
 use limit::Limits;
+use order::Order;
 use path::Paths;
 use progress::Placed;
 use refusal_limit::RefusalLimits;
 use requesting_hosts::RequestingHosts;
+use reservation::{Digest, RESERVATION_PERIOD, Reservations};
 use revision::{Look, Revisions};
 use roster::Rosters;
 use signals::Signals;
@@ -65,6 +71,7 @@
 pub use link::{Link, transfer_time};
 pub use load::{Amounts, Load};
 pub use named::Limit;
+pub use order::OrderCounts;
 pub use prefill::Prefill;
 pub use query::{
     Availability, BackendKey, Decision, InFlight, Outcome, PendingKey, Placement, Query,
@@ -120,6 +127,8 @@
     revisions: Revisions,
     /// Set if no waiting request has found a place at the last look.
     last_look: Option<Look>,
+    order: Order,
+    reservations: Reservations,
 }
 
 /// The scheduler's view of a store of cached prompts.
@@ -138,6 +147,9 @@
     hashes: Hashes,
     /// Last look, if its result may hold for longer.
     look: Option<Look>,
+    position: order::Position,
+    /// Whether room was held for the request.
+    has_reserved: bool,
 }
 
 impl Pending {
@@ -148,6 +160,17 @@
         let max_wait = until_target.mul_f64(MAX_WAIT_FRACTION);
         (self.arrived_at + max_wait).min(query.deadline)
     }
+
+    fn entry(&self, key: PendingKey) -> order::Entry {
+        order::Entry {
+            priority: self.query.priority,
+            arrived_at: self.arrived_at,
+            arrival: self.arrival,
+            key,
+            position: self.position,
+            target: self.query.target,
+        }
+    }
 }
 
 /// State of one round of decisions.
@@ -183,6 +206,8 @@
             arrivals: 0,
             revisions: Revisions::default(),
             last_look: None,
+            order: Order::default(),
+            reservations: Reservations::default(),
         }
     }
 
@@ -206,41 +231,77 @@
             .record_use(requesting_host, &query.zone, now);
         let arrived_at = now.saturating_sub(query.waited);
         self.last_look = None;
+        let position = self.order.join(&query);
         self.waiting.insert(Pending {
             query,
             arrival: self.arrivals,
             arrived_at,
             hashes: Hashes::default(),
             look: None,
+            position,
+            has_reserved: false,
         })
     }
 
     /// Removes a waiting request whose caller has disconnected.
     pub fn cancel(&mut self, waiting: PendingKey) {
-        self.waiting.remove(waiting);
+        if let Some(pending) = self.take(waiting) {
+            self.order.leave(pending.position);
+        }
+    }
+
+    /// Removes a request from the queue. What it held may give a place to others.
+    fn take(&mut self, waiting: PendingKey) -> Option<Pending> {
+        let pending = self.waiting.remove(waiting)?;
+        if pending.has_reserved {
+            self.revisions.change(&pending.query.service);
+        }
+        Some(pending)
     }
 
     pub fn has_waiting(&self) -> bool {
         !self.waiting.is_empty()
     }
 
+    /// Number of events in the order of placement since the start.
+    pub const fn order_counts(&self) -> OrderCounts {
+        self.order.counts
+    }
+
     /// Places or refuses waiting requests, the most urgent first; the others stay queued.
     pub fn decide(&mut self, now: Duration) -> Vec<(PendingKey, Decision)> {
         self.limits.refill(&self.requesting_hosts, now);
         self.refusal_limits.update(&self.requesting_hosts, now);
         let revision = self.revisions.total();
-        if self.last_look.is_some_and(|look| look.holds(revision, now)) {
+        let is_settled = |look: Look| look.holds(revision, Digest::default(), now);
+        if self.last_look.is_some_and(is_settled) {
             return Vec::new();
         }
+        let waiting = self.waiting.iter();
+        let entries = waiting.map(|(key, pending)| pending.entry(key)).collect();
+        let turns = self.order.turns(entries, now);
+        self.release_reservations();
         let mut round = Round::default();
         let mut decisions = Vec::new();
-        for key in self.order() {
+        for turn in turns {
+            let key = turn.entry.key;
+            self.reserve_for_urgent(turn.entry.priority, now);
+            round
+                .rosters
+                .set_reserved(&self.reservations.take_changes());
             if self.is_settled(key, now) {
+                self.keep_waiting(&turn, now);
                 continue;
             }
-            if let Some(decision) = self.decide_pending(key, &mut round, now) {
-                decisions.push((key, decision));
+            let Some(decision) = self.decide_pending(key, &mut round, now) else {
+                self.keep_waiting(&turn, now);
+                continue;
+            };
+            if let Decision::Placed(_) = decision {
+                self.order.record_placed(&turn, now);
             }
+            self.order.leave(turn.entry.position);
+            decisions.push((key, decision));
         }
         self.last_look = self.common_look(revision, now);
         decisions
@@ -252,22 +313,12 @@
         self.revisions.change_all();
     }
 
-    /// Waiting requests in the order in which they are decided on.
-    fn order(&self) -> Vec<PendingKey> {
-        let waiting = self.waiting.iter();
-        let mut order: Vec<(u8, Duration, u64, PendingKey)> = waiting
-            .map(|(key, entry)| (entry.query.priority, entry.arrived_at, entry.arrival, key))
-            .collect();
-        order.sort_unstable();
-        order.into_iter().map(|(.., key)| key).collect()
-    }
-
     /// Whether a request cannot have a place, as its last look found none.
     fn is_settled(&self, key: PendingKey, now: Duration) -> bool {
         let pending = &self.waiting[key];
         pending.look.is_some_and(|look| {
             let revision = self.revisions.of(&pending.query.service);
-            look.holds(revision, now)
+            look.holds(revision, self.reservations.digest(), now)
         })
     }
 
@@ -277,12 +328,18 @@
         if self.revisions.total() != revision {
             return None;
         }
-        let mut until = Duration::MAX;
+        // Who holds room changes with time.
+        let mut until = if self.reservations.is_empty() {
+            Duration::MAX
+        } else {
+            now + RESERVATION_PERIOD
+        };
         for pending in self.waiting.values() {
             until = until.min(pending.look?.until);
         }
         Some(Look {
             revision,
+            reserved: Digest::default(),
             at: now,
             until,
         })
@@ -314,7 +371,7 @@
         };
         let best = self.best_candidate(&mut request, roster, (usable, testable), scope);
         if let Some(candidate) = best {
-            let pending = self.waiting.remove(key)?;
+            let pending = self.take(key)?;
             let (placement, keys) = self.place(&pending.query, hashes, &candidate, now);
             let service = &pending.query.service;
             rosters.refresh(self, service, (candidate.key, &keys), now);
@@ -328,6 +385,7 @@
             let possible_from = usable.possible_from.min(roster.next_change);
             let look = Look {
                 revision: self.revisions.of(&query.service),
+                reserved: self.reservations.digest(),
                 at: now,
                 until: if is_unsteady {
                     now
@@ -352,7 +410,7 @@
         };
         self.refusals += 1;
         let retry_after = retry_after(query, self.refusals, now);
-        self.waiting.remove(key);
+        self.take(key);
         Some(Decision::Refused {
             reason,
             retry_after: retry_after.max(available_at.saturating_sub(now)),
--- a/crates/papayayard_routing/src/placement/cost.rs
+++ b/crates/papayayard_routing/src/placement/cost.rs
@@ -30,7 +30,7 @@
 const FETCHED_FRACTION: f64 = 0.5;
 /// Fraction of an engine's memory that open requests may hold; the rest is reserved for answers
 /// that grow longer than expected.
-const MEMORY_FRACTION: f64 = 0.85;
+pub(super) const MEMORY_FRACTION: f64 = 0.85;
 /// Cost of an endpoint in another availability zone, in ms.
 const OTHER_ZONE_MS: f64 = 5.0;
 /// The same for a request that cannot be retried, which is lost if the zones are partitioned.
@@ -153,29 +153,30 @@
 }
 
 /// Whether an engine with this load may have a slot and the memory for a prompt of which it has no
-/// more than `covered` tokens.
+/// more than `covered` tokens, beside what it holds for another request.
 pub(super) fn may_fit(
-    load: Amounts,
+    (entry, load): (&Entry, Amounts),
     engine: &table::Engine,
     prompt: &prompt::Prompt,
     covered: u32,
 ) -> bool {
-    has_slot(load, engine) && has_memory(load, engine, prompt, covered)
+    has_slot((entry, load), engine) && has_memory((entry, load), engine, prompt, covered)
 }
 
-fn has_slot(load: Amounts, engine: &table::Engine) -> bool {
-    load.open < f64::from(engine.slots)
+fn has_slot((entry, load): (&Entry, Amounts), engine: &table::Engine) -> bool {
+    load.open + entry.reserved.open < f64::from(engine.slots)
 }
 
 /// Whether an engine that has `cached` of the shared tokens has the memory for a prompt.
 pub(super) fn has_memory(
-    load: Amounts,
+    (entry, load): (&Entry, Amounts),
     engine: &table::Engine,
     prompt: &prompt::Prompt,
     cached: u32,
 ) -> bool {
     let memory = prompt.tokens.saturating_sub(cached) + prompt.output_tokens();
-    load.memory + f64::from(memory) <= float(engine.memory_tokens) * MEMORY_FRACTION
+    let occupied = load.memory + entry.reserved.memory;
+    occupied + f64::from(memory) <= float(engine.memory_tokens) * MEMORY_FRACTION
 }
 
 /// Estimates a placement at an engine that has this load and `cached` of the shared tokens; `None`
@@ -187,7 +188,8 @@
     cached: u32,
     source: Option<Source>,
 ) -> Option<Estimate> {
-    if !has_slot(load, engine) || !has_memory(load, engine, inputs.prompt, cached) {
+    let at = (entry, load);
+    if !has_slot(at, engine) || !has_memory(at, engine, inputs.prompt, cached) {
         return None;
     }
     let fetched = source.map_or(0, |source| source.tokens.saturating_sub(cached));
@@ -198,7 +200,8 @@
     let reread = inputs.cached_anywhere.saturating_sub(cached + fetched);
     let prefill_tokens = load.unread + f64::from(unread);
     let predicted_ms = prefill_tokens * inputs.token_ms + load.open * PER_REQUEST_MS + fetch_ms;
-    let first_event_ms = predicted_ms + inputs.baseline_ms + entry.delay_ms;
+    let reserved_ms = entry.reserved.unread * inputs.token_ms;
+    let first_event_ms = predicted_ms + reserved_ms + inputs.baseline_ms + entry.delay_ms;
     let cost_ms = first_event_ms
         + f64::from(reread) * REREAD_MS
         + f64::from(fetched) * inputs.token_ms * FETCHED_FRACTION
@@ -214,7 +217,7 @@
     Some(Estimate {
         first_event_ms,
         predicted_ms,
-        wait_ms: load.unread * inputs.token_ms,
+        wait_ms: load.unread * inputs.token_ms + reserved_ms,
         cost_ms,
         open: load.open,
         cached,
@@ -226,9 +229,13 @@
 
 /// Estimates the first event at an engine at which no more than `covered` tokens are cached or
 /// fetched, in ms, without the engine's delay.
-pub(super) fn soonest_ms(load: Amounts, inputs: &Inputs<'_>, covered: u32) -> f64 {
+pub(super) fn soonest_ms(
+    (entry, load): (&Entry, Amounts),
+    inputs: &Inputs<'_>,
+    covered: u32,
+) -> f64 {
     let unread = inputs.prompt.tokens.saturating_sub(covered);
-    let prefill_tokens = load.unread + f64::from(unread);
+    let prefill_tokens = load.unread + entry.reserved.unread + f64::from(unread);
     prefill_tokens * inputs.token_ms + load.open * PER_REQUEST_MS + inputs.baseline_ms
 }
 
--- a/crates/papayayard_routing/src/placement/evaluation.rs
+++ b/crates/papayayard_routing/src/placement/evaluation.rs
@@ -18,8 +18,8 @@
 use super::load::Amounts;
 use super::query::Query;
 use super::roster::{Entry, Roster};
-use super::select::{self, Bounds, Candidate, MAX_DEADLINE_FRACTION};
-use super::{Scheduler, from_ms, ms};
+use super::select::{self, Bounds, Candidate};
+use super::{Scheduler, from_ms};
 use crate::prompt::Prompt;
 use crate::table;
 
@@ -188,10 +188,10 @@
             let entry = &entries[index];
             let mean = self.means[usize::from(version_of(index).is_old)];
             let load = entry.load.estimate_total(mean, request.hosts);
-            if !cost::may_fit(load, engine, prompt, covered) {
+            if !cost::may_fit((entry, load), engine, prompt, covered) {
                 continue;
             }
-            let base_ms = cost::soonest_ms(load, inputs, covered);
+            let base_ms = cost::soonest_ms((entry, load), inputs, covered);
             let earliest_ms = base_ms + entry.delay_ms;
             if scope == Scope::InTime && earliest_ms > latest_ms + ROUNDING_MS {
                 self.is_partial = true;
@@ -249,17 +249,12 @@
         draw: f64,
         now: Duration,
     ) -> Self {
-        let left_ms = ms(query.deadline.saturating_sub(now));
         let excludes_any = scheduler.paths.excludes_any(query.sender(), now);
         let is_unreachable = |zone: &id::Zone| scheduler.paths.excludes(query.sender(), zone, now);
         Self {
             query,
             hashes,
-            bounds: Bounds {
-                target: ms(query.target_latency),
-                deadline: left_ms * MAX_DEADLINE_FRACTION,
-                urgent: roster.urgent_ms(scheduler, query),
-            },
+            bounds: Bounds::new(query, roster.urgent_ms(scheduler, query), now),
             draw,
             now,
             zone: ZoneCost::new(roster.zone(&query.zone), query.is_repeatable),
@@ -456,7 +451,7 @@
             let is_late = scope == Scope::Reported
                 && open.earliest_ms > request.bounds.latest() + ROUNDING_MS
                 && version.is_always_usable()
-                && cost::has_memory(load, engine, prompt, 0);
+                && cost::has_memory((entry, load), engine, prompt, 0);
             evaluation.late += usize::from(is_late);
             // A refusal names the first late endpoints and the shortest time to the first event.
             let is_later = open.earliest_ms > evaluation.soonest_ms + ROUNDING_MS;
@@ -485,7 +480,7 @@
                 }
                 // The wait for a link becomes shorter.
                 let base_ms = if is_link_busy {
-                    cost::soonest_ms(load, &inputs, covered)
+                    cost::soonest_ms(at, &inputs, covered)
                 } else {
                     first_event_ms - entry.delay_ms
                 };
--- a/crates/papayayard_routing/src/placement/revision.rs
+++ b/crates/papayayard_routing/src/placement/revision.rs
@@ -8,6 +8,8 @@
 
 use papayayard_wire::id;
 
+use super::reservation::Digest;
+
 /// Counters of changes that may give a place to waiting requests.
 #[derive(Debug, Default)]
 pub(super) struct Revisions {
@@ -51,6 +53,8 @@
 pub(super) struct Look {
     /// Number of changes at that time.
     pub(super) revision: u64,
+    /// Room that was held for other requests.
+    pub(super) reserved: Digest,
     pub(super) at: Duration,
     /// Time from which another look may find a place without a change.
     pub(super) until: Duration,
@@ -58,8 +62,9 @@
 
 impl Look {
     /// Whether another look would find no place either.
-    pub(super) fn holds(&self, revision: u64, now: Duration) -> bool {
+    pub(super) fn holds(&self, revision: u64, reserved: Digest, now: Duration) -> bool {
         let is_foreseen = self.at <= now && now < self.until;
-        revision == self.revision && (now == self.at || is_foreseen)
+        let is_unchanged = revision == self.revision && reserved == self.reserved;
+        is_unchanged && (now == self.at || is_foreseen)
     }
 }
--- a/crates/papayayard_routing/src/placement/roster.rs
+++ b/crates/papayayard_routing/src/placement/roster.rs
@@ -13,7 +13,7 @@
 use super::exclusion::{Exclusions, Reason};
 use super::held::Held;
 use super::keys::Salts;
-use super::load::Sample;
+use super::load::{Amounts, Sample};
 use super::query::{BackendKey, Query};
 use super::select::MAX_SILENCE;
 use super::{Scheduler, cost, from_ms, ms, trial};
@@ -103,6 +103,8 @@
     is_testable: [bool; 2],
     pub(super) overdue: f64,
     pub(super) load: Sample,
+    /// Load of the waiting request for which room is held there.
+    pub(super) reserved: Amounts,
     /// Delay of first events, in ms.
     pub(super) delay_ms: f64,
     /// Cost of the slow start, in ms.
@@ -166,6 +168,19 @@
         (&mut rosters[index], &mut of_service.waiting)
     }
 
+    /// Adopts the room that endpoints of a service hold by now.
+    pub(super) fn set_reserved(&mut self, engines: &[(BackendKey, Amounts)]) {
+        let of_services = self.by_service.values_mut();
+        for roster in of_services.flat_map(|of_service| &mut of_service.rosters) {
+            for entry in &mut roster.entries {
+                let held = engines.iter().find(|(key, _)| *key == entry.key);
+                if let Some((_, amounts)) = held {
+                    entry.reserved = *amounts;
+                }
+            }
+        }
+    }
+
     /// Computes an endpoint again to which a request with these parts was sent.
     pub(super) fn refresh(
         &mut self,
@@ -375,6 +390,7 @@
                 .map(|is_repeatable| self.may_be_tested(backend, is_repeatable, now)),
             overdue: backend.overdue,
             load: backend.load.sample(self.schedulers, now),
+            reserved: backend.reserved,
             delay_ms: backend.delay.at(now),
             slow_start_ms: cost::slow_start_ms(backend, now),
             service_ms: backend.service_ms,
--- a/crates/papayayard_routing/src/placement/select.rs
+++ b/crates/papayayard_routing/src/placement/select.rs
@@ -13,7 +13,7 @@
 use super::query::{BackendKey, Query, RefusalReason};
 use super::roster::{Entry, Roster};
 use super::trial;
-use super::{Scheduler, float};
+use super::{Scheduler, float, ms};
 use crate::prompt;
 use crate::table;
 
@@ -49,6 +49,17 @@
 }
 
 impl Bounds {
+    /// Creates the bounds of a request whose service has more urgent ones with a target latency of
+    /// `urgent`, in ms.
+    pub(super) fn new(query: &Query, urgent: f64, now: Duration) -> Self {
+        let left_ms = ms(query.deadline.saturating_sub(now));
+        Self {
+            target: ms(query.target_latency),
+            deadline: left_ms * MAX_DEADLINE_FRACTION,
+            urgent,
+        }
+    }
+
     /// Whether a placement serves the request in time and leaves capacity for urgent ones.
     pub(super) fn include(&self, estimate: &cost::Estimate) -> bool {
         estimate.first_event_ms <= self.limit(estimate)
--- a/crates/papayayard_routing/tests/placement/main.rs
+++ b/crates/papayayard_routing/tests/placement/main.rs
@@ -13,6 +13,7 @@
 mod recovery;
 mod refusal_limits;
 mod repeated_looks;
+mod shares;
 mod signals;
 mod site;
 mod support;
--- a/crates/papayayard_routing/tests/placement/repeated_looks.rs
+++ b/crates/papayayard_routing/tests/placement/repeated_looks.rs
@@ -238,7 +238,9 @@
             (2, _) => self.both(|scheduler| scheduler.set_loading(&[], now)),
             (3, _) => self
                 .both(|scheduler| scheduler.record_loaded(&endpoint, &support::model(), version)),
-            (4 | 5 | 17..22, _) => self.both(|scheduler| scheduler.set_cached(&endpoint, key, tokens)),
+            (4 | 5 | 17..22, _) => {
+                self.both(|scheduler| scheduler.set_cached(&endpoint, key, tokens))
+            }
             (6, _) => self.both(|scheduler| scheduler.set_stored(&store, key, tokens)),
             (7, _) => self.both(|scheduler| scheduler.clear_cached(&endpoint)),
             (8, Some(ticket)) => {
