--- a/crates/papayayard_gateway/src/attempt.rs
+++ b/crates/papayayard_gateway/src/attempt.rs
@@ -294,6 +294,7 @@
             let request = self.request(job, placement, position);
             connection.bound_unacknowledged(may_repeat);
             let past = connection.past();
+            job.bill.record_sent();
             let sent = tokio::select! {
                 biased;
                 sent = connection.send(request) => sent,
@@ -309,8 +310,9 @@
             match sent {
                 Err(mut error) => match error.take_message() {
                     // The endpoint had closed the pooled connection; the request was not sent.
-                    Some(_) if is_pooled => {}
+                    Some(_) if is_pooled => job.bill.record_not_run(),
                     Some(_) => {
+                        job.bill.record_not_run();
                         self.uplink.record_silent(&placement.endpoint, past);
                         return Err(Failure::Unreachable);
                     }
@@ -328,7 +330,11 @@
                         body,
                         connection,
                     };
-                    return self.check(job, (placement, permit), response);
+                    let checked = self.check(job, (placement, permit), response);
+                    if checked.as_ref().is_err_and(|failure| failure.is_not_run()) {
+                        job.bill.record_not_run();
+                    }
+                    return checked;
                 }
             }
         }
--- a/crates/papayayard_gateway/src/dispatch.rs
+++ b/crates/papayayard_gateway/src/dispatch.rs
@@ -23,11 +23,13 @@
 use crate::clock::Clock;
 use crate::hosts::{self, Neighbours};
 use crate::metrics::Metrics;
+use crate::quota::{self, Bill};
 use crate::runs;
 use crate::schedule::{Handle, Message};
 use crate::targets::Weights;
 use crate::uplink;
 
+mod charging;
 mod handler;
 mod link;
 mod message;
@@ -39,6 +41,7 @@
 pub(crate) use message::{Answer as DispatchAnswer, Call as DispatchCall};
 pub(crate) use permit::Permit;
 
+use charging::Charge;
 use link::{Link, Local};
 use message::{Limits, Redirect};
 use register::Register;
@@ -87,6 +90,8 @@
     pub(crate) uplink: uplink::Handle,
     /// Tells which endpoints run the software that is listed.
     pub(crate) runs: runs::Tracker,
+    /// Quotas of client accounts.
+    pub(crate) quota: quota::Handle,
     pub(crate) metrics: Metrics,
 }
 
@@ -113,6 +118,7 @@
             run: rand::random(),
             register: Register::default(),
             wakeup: Arc::new(Notify::new()),
+            quota: parts.quota,
         };
         Self(Arc::new(Shared {
             state: Mutex::new(State::new(local.clone(), parts.neighbours)),
@@ -130,12 +136,15 @@
         Handler::new(self.clone())
     }
 
-    /// Waits until the request is placed or refused.
-    pub(crate) async fn place(&self, mut query: Query) -> Selection {
+    /// Waits until the request is charged and placed, or refused.
+    pub(crate) async fn place_charged(&self, mut query: Query, bill: &Bill) -> Selection {
+        if !self.is_dispatched(&query) {
+            bill.spend_prepaid().await;
+        }
         let number = self.0.local.register.number();
         let mut redirects = 0;
         let mut leaving = Vec::new();
-        while self.is_dispatched(&query) && redirects <= MAX_REDIRECTS {
+        while (self.is_dispatched(&query) || bill.is_due()) && redirects <= MAX_REDIRECTS {
             let Some(link) = self.dispatcher() else {
                 break;
             };
@@ -146,9 +155,15 @@
             query.avoided = self.0.schedule.avoided();
             query.avoided.extend(self.restarted(&query));
             query.avoided.extend_from_slice(&leaving);
-            match link.request_placement(number, &query, requested_at).await {
+            let charge = Charge::new(bill, link.host());
+            let answer = link.request_placement(number, &query, charge, requested_at);
+            match answer.await {
                 Ok(answer) => {
                     self.state().answered(&link, answer.elsewhere.as_ref());
+                    let request = (number, query.deadline);
+                    if let Some(refused) = self.settle(bill, &answer, request, &link).await {
+                        return refused;
+                    }
                     self.set_limits(answer.limits, requested_at);
                     if let Some(decision) = answer.decision {
                         if !decision.fits(&query) {
@@ -171,15 +186,25 @@
                 Err(problem) => {
                     // The dispatcher may have placed the request nevertheless.
                     link.notify(number, message::Event::Abandoned);
+                    bill.unanswered();
                     self.failed(link.host(), &problem);
                 }
             }
         }
+        if let Some(refused) = self.charge_own(bill, query.deadline).await {
+            return refused;
+        }
         self.0.metrics.dispatched("own");
         query.avoided = self.restarted(&query);
         self.place_locally(query, number).await
     }
 
+    /// Places a request that has no quota.
+    #[cfg(test)]
+    async fn place(&self, query: Query) -> Selection {
+        self.place_charged(query, &Bill::default()).await
+    }
+
     /// Endpoints that cannot take up the stream that a request continues, since their software
     /// is not the listed one.
     fn restarted(&self, query: &Query) -> Vec<id::Endpoint> {
--- a/crates/papayayard_gateway/src/dispatch/handler.rs
+++ b/crates/papayayard_gateway/src/dispatch/handler.rs
@@ -15,7 +15,7 @@
 use crate::uplink;
 
 #[derive(Clone)]
-pub(crate) struct Handler(Dispatch);
+pub(crate) struct Handler(pub(super) Dispatch);
 
 impl Handler {
     pub(super) const fn new(dispatch: Dispatch) -> Self {
@@ -70,8 +70,24 @@
         if is_detached {
             return Err(uplink::Detached);
         }
+        let quota = match call.quota {
+            Some(offer) if is_dispatching && call.is_used => {
+                shared.local.quota.receive(&host, call.run, offer).await
+            }
+            _ => None,
+        };
+        let mut is_charged = false;
         let decision = match call.question {
-            Some(request) if is_dispatching => self.decide(request, host, zone).await,
+            Some(mut request) if is_dispatching => {
+                let charge = request.charge.take();
+                match self.charge(&host, charge, request.time_left()).await {
+                    Ok(charged) => {
+                        is_charged = charged;
+                        self.decide(request, host, zone).await
+                    }
+                    Err(refusal) => Some(refusal),
+                }
+            }
             _ => None,
         };
         let limits = shared.schedule.limits();
@@ -83,6 +99,8 @@
             is_asked,
             elsewhere,
             limits,
+            quota,
+            is_charged,
         })
     }
 
--- a/crates/papayayard_gateway/src/dispatch/link.rs
+++ b/crates/papayayard_gateway/src/dispatch/link.rs
@@ -9,9 +9,10 @@
 use papayayard_wire::id;
 use tokio::sync::Notify;
 
+use super::charging::Charge;
 use super::message::{Answer, Call, Event, NamedLimit, Notice, Request};
 use super::register::Register;
-use crate::peers;
+use crate::{peers, quota};
 
 /// Maximum time for which a dispatcher holds a request that it cannot place yet.
 pub(super) const HOLD_TIMEOUT: Duration = Duration::from_millis(100);
@@ -32,6 +33,8 @@
     pub(super) register: Register,
     /// Notified when a notice was queued.
     pub(super) wakeup: Arc<Notify>,
+    /// Quotas of client accounts.
+    pub(super) quota: quota::Handle,
 }
 
 pub(super) struct Link {
@@ -82,9 +85,10 @@
         &self,
         number: u64,
         query: &Query,
+        charge: Option<Charge>,
         now: Duration,
     ) -> Result<Answer, String> {
-        let request = Request::new(number, query, now);
+        let request = Request::new(number, query, now).with_charge(charge);
         self.call(Some(request), true, now).await
     }
 
@@ -151,6 +155,9 @@
         is_used: bool,
         now: Duration,
     ) -> Result<Answer, String> {
+        let quota = &self.local.quota;
+        let offer = if is_used { quota.offer(self.host()).await } else { None };
+        let has_offer = offer.is_some();
         let call = {
             let mut outbox = self.outbox();
             outbox.called_at = now;
@@ -164,10 +171,15 @@
                 asked: std::mem::take(&mut outbox.asked),
                 is_used,
                 limits_revision: outbox.limits_revision,
+                quota: offer,
                 question: request,
             }
         };
-        let answer = self.client.dispatch(call).await?;
+        let mut answer = self.client.dispatch(call).await?;
+        if has_offer {
+            let reply = answer.quota.take();
+            quota.accept(self.host(), answer.run, reply, now);
+        }
         let mut outbox = self.outbox();
         if outbox.run != Some(answer.run) {
             outbox.run = Some(answer.run);
--- a/crates/papayayard_gateway/src/dispatch/message.rs
+++ b/crates/papayayard_gateway/src/dispatch/message.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use papayayard_coordination::quota;
 use papayayard_routing::placement::{
     self, Availability, Limit, Outcome, Placement, Query, RefusalReason, Ticket,
 };
@@ -15,6 +16,7 @@
 use serde_with::{DurationMicroSeconds, DurationMilliSeconds, serde_as};
 
 use super::Selection;
+use super::charging::Charge;
 use crate::schedule;
 
 /// Call of a host to its dispatcher: notices, and possibly a placement request.
@@ -43,6 +45,9 @@
     /// Revision of the limits that the requesting host has from the called one.
     #[serde(default)]
     pub(super) limits_revision: Option<u64>,
+    /// Part of the quotas that the requesting host pools with the called one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(super) quota: Option<quota::Offer>,
     /// Request to be placed.
     pub(super) question: Option<Request>,
 }
@@ -154,6 +159,9 @@
     software: Option<id::Software>,
     tried: Vec<String>,
     avoided: Vec<String>,
+    /// Charge to the quota of the client account, unless it has none or is charged already.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(super) charge: Option<Charge>,
 }
 
 /// Answer to a [`Call`].
@@ -170,6 +178,12 @@
     /// Limits of endpoints, if they differ from those that the requesting host has.
     #[serde(default)]
     pub(super) limits: Option<Limits>,
+    /// Answer to what the call says about quotas.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(super) quota: Option<quota::Reply>,
+    /// Whether the request is charged to the quota that the answering host pools.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub(super) is_charged: bool,
 }
 
 /// Another host to use as dispatcher.
@@ -254,6 +268,8 @@
     NoEndpoint,
     Overloaded,
     AllTried,
+    /// Only in answers to requests with a charge.
+    OverQuota,
 }
 
 impl From<Outcome> for Event {
@@ -352,9 +368,20 @@
             software: query.software.clone(),
             tried: names(&query.tried),
             avoided: names(&query.avoided),
+            charge: None,
         }
     }
 
+    /// Adds a charge to the request.
+    pub(super) fn with_charge(self, charge: Option<Charge>) -> Self {
+        Self { charge, ..self }
+    }
+
+    /// Time until the deadline.
+    pub(super) const fn time_left(&self) -> Duration {
+        self.deadline_ms
+    }
+
     /// Converts the request for the dispatcher's scheduler.
     pub(super) fn into_query(self, host: id::Host, zone: id::Zone, now: Duration) -> Query {
         let group = self.group.unwrap_or_else(|| match self.wall {
@@ -467,6 +494,7 @@
                 RefusalReason::NoEndpoint => Reason::NoEndpoint,
                 RefusalReason::Overloaded => Reason::Overloaded,
                 RefusalReason::AllTried => Reason::AllTried,
+                RefusalReason::OverQuota => Reason::OverQuota,
             },
             retry_ms: retry_after,
             usable: availability.usable,
@@ -487,6 +515,7 @@
                 Reason::NoEndpoint => RefusalReason::NoEndpoint,
                 Reason::Overloaded => RefusalReason::Overloaded,
                 Reason::AllTried => RefusalReason::AllTried,
+                Reason::OverQuota => RefusalReason::OverQuota,
             },
             retry_after: self.retry_ms,
             availability: Availability {
--- a/crates/papayayard_gateway/src/dispatch_test.rs
+++ b/crates/papayayard_gateway/src/dispatch_test.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use papayayard_coordination::quota::Tolerance;
 use papayayard_coordination::ranking::Candidate;
 use papayayard_routing::placement::{Endpoint, Outcome, Query, Scheduler, Settings};
 use papayayard_routing::prompt::Prompt;
@@ -15,13 +16,14 @@
 
 use super::message::{Call, Request};
 use super::{Dispatch, Parts, Permit, Selection};
+use crate::beliefs::Configuration;
 use crate::cache_news::ChangeLog;
 use crate::clock::Clock;
 use crate::front::StopState;
 use crate::hosts::{LocalHost, Neighbours};
 use crate::metrics::Metrics;
 use crate::schedule::Message;
-use crate::{origins, peers, runs, schedule, uplink, usability};
+use crate::{origins, peers, quota, runs, schedule, uplink, usability};
 
 const TARGET_LATENCY: Duration = Duration::from_secs(5);
 /// Maximum time for each wait of a test.
@@ -29,12 +31,34 @@
 /// Time for which requests may begin on older weights.
 const OLD_WEIGHTS: Duration = Duration::from_mins(1);
 
+/// Starts the ledger of a host.
+fn ledger(
+    host: &id::Host,
+    clock: Clock,
+    configuration: watch::Receiver<Configuration>,
+) -> quota::Handle {
+    let (handle, running) = quota::start(quota::Parts {
+        settings: papayayard_coordination::quota::Settings {
+            host: host.clone(),
+            tolerance: Tolerance::default(),
+            is_first_start: true,
+        },
+        clock,
+        configuration,
+        hosts: watch::channel(1).1,
+        metrics: Metrics::new(),
+    });
+    tokio::spawn(running);
+    handle
+}
+
 /// A host that places requests, without a caller.
 struct Host {
     dispatch: Dispatch,
     clock: Clock,
     local: LocalHost,
     is_detached: watch::Sender<bool>,
+    configuration: watch::Sender<Configuration>,
     neighbours: watch::Sender<Neighbours>,
     listener: Option<std::net::TcpListener>,
 }
@@ -59,6 +83,7 @@
             old_weights_grace: Duration::ZERO,
             limit_phase: 0.0,
         });
+        let (configuration, _) = watch::channel(Configuration::default());
         let dispatch = Dispatch::new(Parts {
             local: local.clone(),
             clock,
@@ -66,6 +91,7 @@
             neighbours: neighbours_receiver,
             uplink: uplink::Handle::with_state(state),
             runs: runs::Tracker::new(clock),
+            quota: ledger(&local.host, clock, configuration.subscribe()),
             metrics: Metrics::new(),
         });
         Self {
@@ -73,6 +99,7 @@
             clock,
             local,
             is_detached,
+            configuration,
             neighbours,
             listener: Some(listener),
         }
@@ -255,6 +282,7 @@
         asked: Vec::new(),
         is_used: true,
         limits_revision: None,
+        quota: None,
         question: Some(Request::new(1, &host.query(), host.clock.now())),
     };
     let handler = host.dispatch.handler();
--- a/crates/papayayard_gateway/src/hop.rs
+++ b/crates/papayayard_gateway/src/hop.rs
@@ -12,14 +12,17 @@
 /// Set if the host did not take the request, which has not run; the value tells for which
 /// requests this holds.
 pub(crate) const NOT_TAKEN: HeaderName = HeaderName::from_static("host-not-taken");
+/// Set if a request that is passed on is charged to the quota of its client account already.
+pub(crate) const CHARGED: HeaderName = HeaderName::from_static("host-charged");
 /// Endpoint that gave the leave notice of an answer.
 pub(crate) const LEAVING_ENDPOINT: HeaderName = HeaderName::from_static("host-leaving-endpoint");
 
-const HOP_HEADERS: [HeaderName; 13] = [
+const HOP_HEADERS: [HeaderName; 14] = [
     FORWARDED_BY,
     RUNS,
     ANSWERED_BY,
     NOT_TAKEN,
+    CHARGED,
     LEAVING_ENDPOINT,
     header::CONNECTION,
     header::PROXY_AUTHENTICATE,
--- a/crates/papayayard_gateway/src/host.rs
+++ b/crates/papayayard_gateway/src/host.rs
@@ -36,7 +36,7 @@
 use crate::settings::Settings;
 use crate::store::Topic;
 use crate::{
-    dispatch, ends, era, exchange, feeds, hosts, listen, operators, orders, origins, peers, runs,
+    dispatch, ends, era, exchange, feeds, hosts, listen, operators, orders, origins, peers, quota, runs,
     schedule, store, uplink,
 };
 
@@ -109,7 +109,8 @@
     let (configuration, last_read) = parts.follow_operators();
     let (endpoints, endpoints_read) = parts.follow_endpoints();
     let uplink = parts.observe_uplink(&endpoints);
-    let dispatch = parts.dispatch(&uplink);
+    let quota = parts.keep_quotas(&configuration, &hosts);
+    let dispatch = parts.dispatch(&uplink, &quota);
     let origins = parts.track_origins(&endpoints, endpoints_read);
     parts.order_weights(&configuration, &endpoints, &dispatch, &uplink);
     let changes = parts.follow_caches(&configuration, &endpoints, &hosts, (&dispatch, &uplink));
@@ -164,6 +165,7 @@
         budget: Arc::new(Mutex::new(retry_budget::Budget::new(retries))),
         crashes,
         origins,
+        quota,
         source: Source::Callers,
         detached: uplink.subscribe(),
         detours: parts.detours(),
@@ -381,7 +383,27 @@
         uplink
     }
 
-    fn dispatch(&mut self, uplink: &uplink::Handle) -> Dispatch {
+    fn keep_quotas(
+        &mut self,
+        configuration: &watch::Receiver<Configuration>,
+        hosts: &watch::Receiver<usize>,
+    ) -> quota::Handle {
+        let (quota, keeping) = quota::start(quota::Parts {
+            settings: papayayard_coordination::quota::Settings {
+                host: self.settings.host.clone(),
+                tolerance: self.settings.bounds.quotas,
+                is_first_start: self.settings.first_start,
+            },
+            clock: self.store.clock,
+            configuration: configuration.clone(),
+            hosts: hosts.clone(),
+            metrics: self.metrics.clone(),
+        });
+        self.controllers.spawn(keeping);
+        quota
+    }
+
+    fn dispatch(&mut self, uplink: &uplink::Handle, quota: &quota::Handle) -> Dispatch {
         let dispatch = Dispatch::new(dispatch::Parts {
             local: self.local_host(),
             clock: self.store.clock,
@@ -389,6 +411,7 @@
             neighbours: self.neighbours.clone(),
             uplink: uplink.clone(),
             runs: self.runs.clone(),
+            quota: quota.clone(),
             metrics: self.metrics.clone(),
         });
         self.controllers.spawn(dispatch.clone().report());
--- a/crates/papayayard_gateway/src/job.rs
+++ b/crates/papayayard_gateway/src/job.rs
@@ -13,6 +13,7 @@
 use papayayard_wire::id;
 
 use crate::allowance::Allowance;
+use crate::quota::Bill;
 
 /// Least urgent priority, where 0 is the most urgent; larger values are capped to it.
 const LOWEST_PRIORITY: u8 = 9;
@@ -36,6 +37,8 @@
     pub(crate) service: id::Service,
     /// Client account that the request's key belongs to.
     pub(crate) account: Option<Arc<Account>>,
+    /// Charge to the quota of the account.
+    pub(crate) bill: Bill,
     /// Prompt that the caller declared.
     pub(crate) prompt: Option<Arc<Prompt>>,
     /// Last event that the caller received.
--- a/crates/papayayard_gateway/src/lib.rs
+++ b/crates/papayayard_gateway/src/lib.rs
@@ -51,6 +51,7 @@
 mod peers;
 mod pool;
 mod pump;
+mod quota;
 mod recovery;
 mod refusal;
 mod relay;
--- a/crates/papayayard_gateway/src/metrics.rs
+++ b/crates/papayayard_gateway/src/metrics.rs
@@ -31,6 +31,9 @@
     refusal_limits: Counter<u64>,
     told_streams: Counter<u64>,
     usability_changes: Counter<u64>,
+    quota_refusals: Counter<u64>,
+    quota_returns: Counter<u64>,
+    quota_prepaid: Counter<u64>,
     first_event: Histogram<f64>,
     hosts: Gauge<u64>,
     detached: Gauge<u64>,
@@ -106,6 +109,18 @@
                 .u64_counter("papayayard_endpoint_rule_changes")
                 .with_description("Rules that began or ceased to keep requests from an endpoint")
                 .build(),
+            quota_refusals: meter
+                .u64_counter("papayayard_quota_refusals")
+                .with_description("Requests refused since their client accounts are over a quota")
+                .build(),
+            quota_returns: meter
+                .u64_counter("papayayard_quota_returns")
+                .with_description("Charges returned since their requests did not run")
+                .build(),
+            quota_prepaid: meter
+                .u64_counter("papayayard_quota_prepaid")
+                .with_description("Plain requests charged to an amount that was granted before")
+                .build(),
             first_event: meter
                 .f64_histogram("papayayard_first_event_seconds")
                 .with_description("Time from a request's arrival to its stream's first event")
@@ -186,6 +201,21 @@
         self.told_streams.add(number, &[]);
     }
 
+    /// Counts a request that is refused since its client account is over its quota.
+    pub(crate) fn quota_refused(&self) {
+        self.quota_refusals.add(1, &[]);
+    }
+
+    /// Counts a charge that is returned since its request did not run.
+    pub(crate) fn quota_returned(&self) {
+        self.quota_returns.add(1, &[]);
+    }
+
+    /// Counts a plain request that is charged to an amount granted before.
+    pub(crate) fn quota_prepaid(&self) {
+        self.quota_prepaid.add(1, &[]);
+    }
+
     /// Counts changes of a rule that keeps requests from endpoints.
     pub(crate) fn usability_changed(&self, rule: &'static str, holds: bool, number: u64) {
         let change = if holds { "begun" } else { "ended" };
--- /dev/null
+++ b/crates/papayayard_gateway/src/quota/task.rs
@@ -0,0 +1,148 @@
+//! The task that owns the ledger.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::time::Duration;
+
+use papayayard_coordination::quota::{Ledger, Offer, Settings};
+use papayayard_wire::id;
+use tokio::sync::{mpsc, watch};
+
+use super::{Handle, Message, quotas};
+use crate::beliefs::Configuration;
+use crate::clock::Clock;
+use crate::metrics::Metrics;
+
+/// Minimum time between calls to the same dispatcher that mention quotas. It is far below the
+/// time of a lease, and keeps these messages few on a host with many requests.
+const OFFER_PERIOD: Duration = Duration::from_millis(100);
+
+/// Dependencies of the task.
+pub(crate) struct Parts {
+    pub(crate) settings: Settings,
+    pub(crate) clock: Clock,
+    pub(crate) configuration: watch::Receiver<Configuration>,
+    /// Number of hosts; its first value is an assumption.
+    pub(crate) hosts: watch::Receiver<usize>,
+    pub(crate) metrics: Metrics,
+}
+
+/// Creates the task and its handle; the task ends when all handles are dropped.
+pub(crate) fn start(parts: Parts) -> (Handle, impl Future<Output = ()>) {
+    let (messages, receiver) = mpsc::unbounded_channel();
+    let (has_quotas, has_quotas_receiver) = watch::channel(false);
+    let handle = Handle {
+        messages,
+        has_quotas: has_quotas_receiver,
+        next: Arc::new(AtomicU64::new(u64::from(rand::random::<u32>()) << 20)),
+        metrics: parts.metrics.clone(),
+    };
+    let task = Task {
+        ledger: Ledger::new(parts.settings, parts.clock.now()),
+        clock: parts.clock,
+        has_quotas,
+        last_offer: None,
+        metrics: parts.metrics,
+    };
+    let running = task.run(receiver, parts.configuration, parts.hosts);
+    (handle, running)
+}
+
+struct Task {
+    ledger: Ledger,
+    clock: Clock,
+    has_quotas: watch::Sender<bool>,
+    /// Dispatcher and time of the last call that mentioned quotas.
+    last_offer: Option<(id::Host, Duration)>,
+    metrics: Metrics,
+}
+
+impl Task {
+    async fn run(
+        mut self,
+        mut messages: mpsc::UnboundedReceiver<Message>,
+        mut configuration: watch::Receiver<Configuration>,
+        mut hosts: watch::Receiver<usize>,
+    ) {
+        self.configure(&configuration.borrow_and_update().clone());
+        loop {
+            tokio::select! {
+                biased;
+                Ok(()) = hosts.changed() => {
+                    let number = *hosts.borrow_and_update();
+                    self.ledger.set_hosts(number, self.clock.now());
+                }
+                Ok(()) = configuration.changed() => {
+                    let newest = configuration.borrow_and_update().clone();
+                    self.configure(&newest);
+                }
+                message = messages.recv() => match message {
+                    Some(message) => self.handle(message),
+                    None => return,
+                },
+            }
+        }
+    }
+
+    fn configure(&mut self, configuration: &Configuration) {
+        let Some(table) = &configuration.table else {
+            return;
+        };
+        let quotas = quotas(table);
+        let now = self.clock.now();
+        self.has_quotas.send_replace(!quotas.is_empty());
+        self.ledger.configure(table.revision, &quotas, now);
+    }
+
+    /// Handles a message; requests whose answer nobody awaits any more are dropped.
+    fn handle(&mut self, message: Message) {
+        let now = self.clock.now();
+        match message {
+            Message::Offer(dispatcher, reply) => {
+                drop(reply.send(self.offer(dispatcher, now)));
+            }
+            Message::Accept {
+                dispatcher,
+                run,
+                reply,
+                sent_at,
+            } => {
+                let reply = reply.as_ref();
+                self.ledger.accept(&dispatcher, run, reply, sent_at, now);
+            }
+            Message::Prepaid(charge, reply) => {
+                drop(reply.send(self.ledger.spend_prepaid(&charge, now)));
+            }
+            Message::ReturnTo(dispatcher, number) => {
+                self.metrics.quota_returned();
+                self.ledger.return_to(&dispatcher, number);
+            }
+            Message::Receive {
+                host,
+                run,
+                offer,
+                reply,
+            } => drop(reply.send(self.ledger.receive(&host, run, &offer, now))),
+            Message::Charge((host, number), charge, deadline, reply) => {
+                let host = host.as_ref();
+                let verdict = self.ledger.charge(host, number, &charge, deadline, now);
+                drop(reply.send(verdict));
+            }
+            Message::Return((host, number)) => {
+                self.metrics.quota_returned();
+                self.ledger.return_charge(host.as_ref(), number, now);
+            }
+        }
+    }
+
+    fn offer(&mut self, dispatcher: id::Host, now: Duration) -> Option<Offer> {
+        let is_recent =
+            |(host, at): &(id::Host, Duration)| *host == dispatcher && now < *at + OFFER_PERIOD;
+        if self.last_offer.as_ref().is_some_and(is_recent) {
+            return None;
+        }
+        let offer = self.ledger.offer(&dispatcher, now);
+        self.last_offer = Some((dispatcher, now));
+        Some(offer)
+    }
+}
--- a/crates/papayayard_gateway/src/relay.rs
+++ b/crates/papayayard_gateway/src/relay.rs
@@ -33,23 +33,21 @@
 use crate::metrics::Metrics;
 use crate::origins;
 use crate::pump;
+use crate::quota;
 use crate::refusal::{Refusal, millis};
 use crate::usability;
 
 mod admit;
 mod forward;
+mod history;
 mod replace;
 
 pub(crate) use forward::Source;
+pub(crate) use history::History;
 pub(crate) use replace::Replacement;
 
 /// Maximum bytes of a response that is buffered before it is forwarded.
 const MAX_RESPONSE_BYTES: usize = 1 << 20;
-/// Time for which silent endpoints are awaited that can't be reached: a sound one goes on well
-/// within it.
-const MAX_WAIT: Duration = Duration::from_secs(2);
-/// Pause before they are tried again.
-const WAIT_STEP: Duration = Duration::from_millis(150);
 /// Retry delay sent to callers while this host lacks data that it needs to serve.
 const NOT_READY_RETRY_DELAY: Duration = Duration::from_millis(300);
 
@@ -75,6 +73,8 @@
     pub(crate) crashes: CrashTracker,
     /// Knows which version of the endpoints' software began a stream.
     pub(crate) origins: origins::Tracker,
+    /// Quotas of client accounts.
+    pub(crate) quota: quota::Handle,
     /// Who sends the requests.
     pub(crate) source: Source,
     /// Whether this host reaches no endpoint.
@@ -86,93 +86,6 @@
     pub(crate) metrics: Metrics,
 }
 
-/// Earlier attempts of a request.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct History {
-    /// Endpoints that failed the request.
-    pub(crate) endpoints: Vec<id::Endpoint>,
-    /// Those of them that may be tried again if there is no other one: they were silent or full,
-    /// which sound ones may be for a moment.
-    pub(crate) revisitable: Vec<id::Endpoint>,
-    /// Those that were silent, or accepted no connection in time.
-    silent: Vec<id::Endpoint>,
-    /// Until when they are awaited, if there is no other one.
-    awaited_until: Option<Duration>,
-    /// Number of attempts that may have run.
-    pub(crate) runs: u32,
-    /// Number of attempts whose endpoints could not be reached.
-    pub(crate) unreachable: usize,
-    /// Whether all attempts failed to reach their endpoints, and there is no place at another.
-    pub(crate) has_no_way: bool,
-    /// Whether other hosts were asked to take the request.
-    pub(crate) was_offered: bool,
-}
-
-impl History {
-    /// Records that an endpoint failed the request.
-    pub(crate) fn record_failed(&mut self, endpoint: id::Endpoint, failure: Option<Failure>) {
-        if failure == Some(Failure::Silent) {
-            self.revisitable.push(endpoint.clone());
-        }
-        self.silent.retain(|silent| *silent != endpoint);
-        if matches!(failure, Some(Failure::Silent | Failure::Unresponsive)) {
-            self.silent.push(endpoint.clone());
-        }
-        self.endpoints.push(endpoint);
-    }
-
-    /// Whether a failure tells nothing that the request has not met before.
-    fn is_known(&self, endpoint: &id::Endpoint, failure: Failure) -> bool {
-        failure == Failure::Unresponsive && self.silent.contains(endpoint)
-    }
-
-    /// Outcome that is reported to the scheduler.
-    pub(crate) fn outcome(&self, endpoint: &id::Endpoint, failure: Failure) -> Outcome {
-        if self.is_known(endpoint, failure) {
-            Outcome::Abandoned
-        } else {
-            failure.outcome()
-        }
-    }
-
-    /// Waits before a further attempt at silent endpoints. Returns whether there are any, and time
-    /// is left for them. A request that has not run is refused instead, so that its caller asks
-    /// another host.
-    pub(crate) async fn wait(&mut self, now: Duration, deadline: Duration) -> bool {
-        if self.runs == 0 || self.silent.is_empty() {
-            return false;
-        }
-        let end = *self.awaited_until.get_or_insert(now + MAX_WAIT);
-        if now + WAIT_STEP >= end.min(deadline) {
-            return false;
-        }
-        time::sleep(WAIT_STEP).await;
-        let silent = &self.silent;
-        self.endpoints.retain(|endpoint| !silent.contains(endpoint));
-        true
-    }
-
-    /// Records that an endpoint has answered, so that a later silence is another one.
-    pub(crate) fn record_answered(&mut self) {
-        self.awaited_until = None;
-    }
-
-    /// Records that an endpoint did not take the request while another one may go on with it.
-    pub(crate) fn record_not_taken(&mut self, endpoint: id::Endpoint) {
-        self.revisitable.push(endpoint.clone());
-        self.endpoints.push(endpoint);
-    }
-
-    /// Allows a further attempt at endpoints that may be tried again. Returns whether there are
-    /// any.
-    pub(crate) fn revisit(&mut self) -> bool {
-        let revisitable = std::mem::take(&mut self.revisitable);
-        self.endpoints
-            .retain(|endpoint| !revisitable.contains(endpoint));
-        !revisitable.is_empty()
-    }
-}
-
 /// Why a request has no place.
 struct NoPlace {
     refusal: Refusal,
@@ -355,7 +268,7 @@
         loop {
             let group = self.sharing_group(job);
             let query = job.query(&self.zone, &history.endpoints, group);
-            match self.dispatch.place(query).await {
+            match self.dispatch.place_charged(query, &job.bill).await {
                 Selection::Placed(_, permit) if self.sharing_group(job) != group => {
                     log::info!(request:% = job.id; "placed again, since accounts were isolated or freed");
                     permit.end(Outcome::Abandoned);
@@ -416,6 +329,10 @@
                     RefusalReason::NoEndpoint => (Kind::NoEndpoint, "the service has no endpoint"),
                     RefusalReason::Overloaded => (Kind::Overloaded, "all endpoints are full"),
                     RefusalReason::AllTried => (Kind::Overloaded, "all endpoints refused"),
+                    RefusalReason::OverQuota => {
+                        job.bill.record_refused(retry_after, &refused_by);
+                        (Kind::RateLimited, "the client account is over its quota")
+                    }
                 };
                 let tried = history.endpoints.len();
                 Err(NoPlace {
--- a/crates/papayayard_gateway/src/relay/admit.rs
+++ b/crates/papayayard_gateway/src/relay/admit.rs
@@ -19,6 +19,7 @@
 use crate::exchange::{Codec, RequestHead};
 use crate::hop;
 use crate::job::Job;
+use crate::quota::Bill;
 use crate::refusal::{Refusal, millis};
 
 /// Retry delay sent while this host stops; short, since other hosts serve the request.
@@ -75,6 +76,9 @@
             Source::Callers => Allowance::all(route.attempts),
             Source::Hosts => Allowance::decode(head.headers.get(hop::RUNS), route.attempts),
         };
+        // The host that passed the request on has charged it, or another one that it asked.
+        let is_charged =
+            self.source == Source::Hosts && head.headers.contains_key(hop::CHARGED);
         let mut headers = head.headers;
         hop::strip(&mut headers);
         headers.remove(header::EXPECT);
@@ -86,6 +90,10 @@
         let isolated = account.as_ref().filter(|account| account.isolated);
         let isolated = isolated.map(|account| &account.name);
         let subjects = Arc::new(Subjects::of(fingerprint, prompt, isolated));
+        let bill = match account.as_ref().filter(|_| !is_charged) {
+            Some(account) => self.quota.bill(&id, account, prompt, table.revision),
+            None => Bill::default(),
+        };
         Ok(Job {
             id,
             method: head.method,
@@ -95,6 +103,7 @@
             subjects,
             service,
             account,
+            bill,
             prompt: request_head.prompt.map(Arc::new),
             position: request_head.position,
             resumes: request_head.resumes,
--- a/crates/papayayard_gateway/src/relay/forward.rs
+++ b/crates/papayayard_gateway/src/relay/forward.rs
@@ -13,12 +13,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::response::Parts;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
 use http_body_util::Full;
 use papayayard_coordination::detour::{MAX_TRIES, Peer};
 use papayayard_routing::placement::Placement;
 use papayayard_wire::refusal::{Kind, Ran};
-use papayayard_wire::{id, status};
+use papayayard_wire::{id, refusal, status};
 use tokio::time;
 
 use super::{History, NOT_READY_RETRY_DELAY, Relay};
@@ -443,6 +444,7 @@
         };
         // A silent host is awaited even if another one is asked meanwhile.
         connection.bound_unacknowledged(false);
+        job.bill.record_sent();
         let sent = time::timeout(self.time_left(job), connection.send(request)).await;
         let (head, body) = match sent.map_err(|_| Failure::Silent)? {
             Ok(response) => response.into_parts(),
@@ -452,6 +454,7 @@
                 return Err(if was_sent {
                     Failure::Broken
                 } else {
+                    job.bill.record_not_run();
                     Failure::Unreachable
                 });
             }
@@ -475,11 +478,31 @@
             if *scope != THIS_REQUEST {
                 detours.pass_over(&peer.host, "not taken");
             }
+            job.bill.record_not_run();
             return Err(Failure::Refused);
         }
+        self.record_charge(job, &response);
         Ok(self.pass_back(job, response))
     }
 
+    /// Records what another host's answer says of the charge of a request: a host that ran it
+    /// has charged it, unless this one did.
+    fn record_charge(&self, job: &Job, response: &attempt::Response) {
+        let Parts {
+            status, headers, ..
+        } = &response.head;
+        let is_of_endpoint = self
+            .sender
+            .codec
+            .decode_response_head(*status, headers)
+            .is_signed;
+        if refusal::promises_not_run(status.as_u16()) && !is_of_endpoint {
+            job.bill.record_not_run();
+        } else {
+            job.bill.record_served();
+        }
+    }
+
     fn forwarded_request(&self, job: &Job, host: &id::Host, share: Share) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(job.body.clone()));
         *request.method_mut() = job.method.clone();
@@ -490,6 +513,9 @@
             .codec
             .set_time_left(headers, self.time_left(job));
         headers.insert(hop::RUNS, share.allowance.encode());
+        if job.bill.is_charged() {
+            headers.insert(hop::CHARGED, HeaderValue::from_static("1"));
+        }
         // The settings allow only names that can stand in a header.
         if let Ok(host) = HeaderValue::from_str(host.as_str()) {
             headers.insert(hop::FORWARDED_BY, host);
--- a/crates/papayayard_gateway/src/settings.rs
+++ b/crates/papayayard_gateway/src/settings.rs
@@ -4,6 +4,7 @@
 use std::path::Path;
 use std::time::Duration;
 
+use papayayard_coordination::quota::Tolerance;
 use papayayard_document::reader::{Fields, Place, Reader};
 use papayayard_document::{fault, file, rule};
 use papayayard_routing::retry_budget;
@@ -17,6 +18,8 @@
 const BYTES_PER_KB: usize = 1000;
 /// Maximum memory in the setting, in MB.
 const MAX_MEMORY_MB: f64 = 1e6;
+/// Maximum amount by which a quota may be exceeded, in its unit.
+const MAX_QUOTA_SLACK: f64 = 1e12;
 
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -43,6 +46,8 @@
     pub memory_bytes: usize,
     /// Address of the platform's store.
     pub store: SocketAddr,
+    /// Whether the whole deployment starts for the first time.
+    pub first_start: bool,
     pub bounds: Bounds,
 }
 
@@ -62,6 +67,8 @@
     pub stop: Duration,
     /// Limit on retries.
     pub retries: retry_budget::Bounds,
+    /// By how much client accounts may exceed their quotas in a window.
+    pub quotas: Tolerance,
 }
 
 /// Reads settings from a YAML file.
@@ -93,6 +100,7 @@
     let memory_mb = fields.optional(reader, "memory_mb", DEFAULT_MEMORY_MB, |reader, place| {
         decimal(reader, place, MAX_MEMORY_MB)
     });
+    let first_start = fields.optional(reader, "first_start", false, Reader::flag);
     fields.reject_unknown(reader);
     let listen = listen?;
     Some(Settings {
@@ -107,6 +115,7 @@
         capacity: thousandths(capacity?),
         memory_bytes: thousandths(memory_mb?) as usize * BYTES_PER_KB,
         store: store?,
+        first_start: first_start?,
         bounds: bounds?,
     })
 }
@@ -176,6 +185,7 @@
     let slack = fields.optional(reader, "repeat_slack", 10.0, |reader, place| {
         decimal(reader, place, 1e6)
     });
+    let quotas = quotas(reader, &mut fields);
     fields.reject_unknown(reader);
     Some(Bounds {
         revocation: revocation.filter(|_| strict == Some(true)),
@@ -188,6 +198,36 @@
             slack: slack?,
             window: window?,
         },
+        quotas: quotas?,
+    })
+}
+
+fn quotas(reader: &mut Reader, fields: &mut Fields<'_>) -> Option<Tolerance> {
+    let default = Tolerance::default();
+    let window = fields.optional(
+        reader,
+        "quota_window_ms",
+        default.window,
+        |reader, place| {
+            let ms = decimal(reader, place, MAX_MS)?;
+            if ms < 1.0 {
+                let remedy = "write a number from 1";
+                reader.fault(place, "the window is too short".to_owned(), remedy.to_owned());
+                return None;
+            }
+            Some(Duration::from_secs_f64(ms / 1000.0))
+        },
+    );
+    let ratio = fields.optional(reader, "quota_ratio", default.ratio, |reader, place| {
+        decimal(reader, place, 10.0)
+    });
+    let slack = fields.optional(reader, "quota_slack", default.slack, |reader, place| {
+        decimal(reader, place, MAX_QUOTA_SLACK)
+    });
+    Some(Tolerance {
+        window: window?,
+        ratio: ratio?,
+        slack: slack?,
     })
 }
 
--- a/crates/papayayard_gateway/src/store.rs
+++ b/crates/papayayard_gateway/src/store.rs
@@ -113,6 +113,12 @@
         /// Message of the decoder.
         problem: String,
     },
+    /// A record was decoded, but what it says is not allowed.
+    #[snafu(display("the record is invalid: {problem}; write it again"))]
+    Invalid {
+        /// What is not allowed, and what is.
+        problem: String,
+    },
     /// No answer arrived; an append may still take effect.
     #[snafu(display("the store gave no answer: {problem}; try again later"))]
     NoAnswer {
@@ -122,6 +128,13 @@
 }
 
 impl Error {
+    /// A record that says what is not allowed; the problem is shortened.
+    pub fn invalid(problem: &str) -> Self {
+        Self::Invalid {
+            problem: problem.chars().take(MAX_PROBLEM_CHARS).collect(),
+        }
+    }
+
     /// An answer or a record that could not be decoded. The problem is shortened, since it
     /// may repeat any part of the record.
     pub fn malformed(problem: &str) -> Self {
--- a/crates/papayayard_routing/src/lib.rs
+++ b/crates/papayayard_routing/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod placement;
 pub mod prompt;
 pub mod quarantine;
+pub mod quota;
 pub mod rate;
 pub mod retry;
 pub mod retry_budget;
--- a/crates/papayayard_routing/src/placement/query.rs
+++ b/crates/papayayard_routing/src/placement/query.rs
@@ -129,6 +129,8 @@
     Overloaded,
     /// The request has already failed at all endpoints of the service.
     AllTried,
+    /// The client account is over its quota; the scheduler was not asked.
+    OverQuota,
 }
 
 impl RefusalReason {
@@ -138,6 +140,7 @@
             Self::NoEndpoint => "no_endpoint",
             Self::Overloaded => "overloaded",
             Self::AllTried => "all_tried",
+            Self::OverQuota => "over_quota",
         }
     }
 }
--- a/crates/papayayard_routing/src/table.rs
+++ b/crates/papayayard_routing/src/table.rs
@@ -12,6 +12,7 @@
 use papayayard_wire::id;
 use xxhash_rust::xxh3;
 
+use crate::quota::Quota;
 use crate::sharing;
 
 /// Routes, services and client accounts of one revision.
@@ -155,13 +156,15 @@
     common: sharing::Group,
 }
 
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Account {
     pub name: id::Account,
     /// Urgency that replaces the route's; 0 is the most urgent.
     pub priority: Option<u8>,
     /// Whether the account shares no cached prompts with other client accounts.
     pub isolated: bool,
+    /// Limit on the account's requests over all hosts together; `None` without a limit.
+    pub quota: Option<Quota>,
 }
 
 impl Accounts {
@@ -204,6 +207,11 @@
         })
     }
 
+    /// The accounts; one with several keys occurs once for each.
+    pub fn iter(&self) -> impl Iterator<Item = &Account> {
+        self.by_key.values().map(Arc::as_ref)
+    }
+
     /// The account that holds a key.
     pub fn find(&self, key: &str) -> Option<&Arc<Account>> {
         self.by_key.get(key)
--- a/crates/papayayard_routing/tests/sharing.rs
+++ b/crates/papayayard_routing/tests/sharing.rs
@@ -18,6 +18,7 @@
         name: id::Account::from(*name),
         priority: None,
         isolated: *isolated,
+        quota: None,
     });
     accounts.collect()
 }
