--- a/crates/papayayard_gateway/src/dispatch.rs
+++ b/crates/papayayard_gateway/src/dispatch.rs
@@ -115,7 +115,7 @@
             host: parts.local.host,
             zone: parts.local.zone,
             // Distinguishes this process from earlier ones of the same host.
-            run: rand::random(),
+            run: parts.quota.run(),
             register: Register::default(),
             wakeup: Arc::new(Notify::new()),
             quota: parts.quota,
@@ -131,6 +131,11 @@
         }))
     }
 
+    /// Quotas of client accounts.
+    pub(crate) fn quota(&self) -> &quota::Handle {
+        &self.0.local.quota
+    }
+
     /// Returns the handler of other hosts' calls.
     pub(crate) fn handler(&self) -> Handler {
         Handler::new(self.clone())
--- a/crates/papayayard_gateway/src/dispatch/charging.rs
+++ b/crates/papayayard_gateway/src/dispatch/charging.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use papayayard_coordination::quota::{self, Verdict};
+use papayayard_coordination::quota::{self, Caller, Verdict};
 use papayayard_routing::placement::{Availability, RefusalReason};
 use papayayard_wire::id;
 use serde::{Deserialize, Serialize};
@@ -72,7 +72,7 @@
     /// Charges a request of another host to the pool of this one. Returns whether it is charged.
     pub(super) async fn charge(
         &self,
-        host: &id::Host,
+        caller: Caller<'_>,
         charge: Option<Charge>,
         time_left: Duration,
     ) -> Result<bool, Decision> {
@@ -82,7 +82,7 @@
         let shared = &self.0.0;
         let deadline = shared.clock.now() + time_left;
         let ledger = &shared.local.quota;
-        match ledger.charge(Some(host), number, content, deadline).await {
+        match ledger.charge(Some(caller), number, content, deadline).await {
             Verdict::Charged => Ok(true),
             Verdict::Refused { retry_after } => {
                 let reason = RefusalReason::OverQuota;
--- a/crates/papayayard_gateway/src/dispatch/handler.rs
+++ b/crates/papayayard_gateway/src/dispatch/handler.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use papayayard_coordination::quota::Caller;
 use papayayard_routing::placement;
 use papayayard_wire::id;
 use tokio::time;
@@ -80,7 +81,11 @@
         let decision = match call.question {
             Some(mut request) if is_dispatching => {
                 let charge = request.charge.take();
-                match self.charge(&host, charge, request.time_left()).await {
+                let caller = Caller {
+                    host: &host,
+                    run: call.run,
+                };
+                match self.charge(caller, charge, request.time_left()).await {
                     Ok(charged) => {
                         is_charged = charged;
                         self.decide(request, host, zone).await
--- a/crates/papayayard_gateway/src/dispatch/link.rs
+++ b/crates/papayayard_gateway/src/dispatch/link.rs
@@ -156,7 +156,11 @@
         now: Duration,
     ) -> Result<Answer, String> {
         let quota = &self.local.quota;
-        let offer = if is_used { quota.offer(self.host()).await } else { None };
+        let offer = if is_used {
+            quota.offer(self.host()).await
+        } else {
+            None
+        };
         let has_offer = offer.is_some();
         let call = {
             let mut outbox = self.outbox();
--- a/crates/papayayard_gateway/src/dispatch_test.rs
+++ b/crates/papayayard_gateway/src/dispatch_test.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use papayayard_coordination::quota::Tolerance;
 use papayayard_coordination::ranking::Candidate;
 use papayayard_routing::placement::{Endpoint, Outcome, Query, Scheduler, Settings};
 use papayayard_routing::prompt::Prompt;
@@ -31,27 +30,6 @@
 /// Time for which requests may begin on older weights.
 const OLD_WEIGHTS: Duration = Duration::from_mins(1);
 
-/// Starts the ledger of a host.
-fn ledger(
-    host: &id::Host,
-    clock: Clock,
-    configuration: watch::Receiver<Configuration>,
-) -> quota::Handle {
-    let (handle, running) = quota::start(quota::Parts {
-        settings: papayayard_coordination::quota::Settings {
-            host: host.clone(),
-            tolerance: Tolerance::default(),
-            is_first_start: true,
-        },
-        clock,
-        configuration,
-        hosts: watch::channel(1).1,
-        metrics: Metrics::new(),
-    });
-    tokio::spawn(running);
-    handle
-}
-
 /// A host that places requests, without a caller.
 struct Host {
     dispatch: Dispatch,
@@ -91,7 +69,7 @@
             neighbours: neighbours_receiver,
             uplink: uplink::Handle::with_state(state),
             runs: runs::Tracker::new(clock),
-            quota: ledger(&local.host, clock, configuration.subscribe()),
+            quota: quota::test::start(&local.host, clock, configuration.subscribe()),
             metrics: Metrics::new(),
         });
         Self {
--- a/crates/papayayard_gateway/src/host.rs
+++ b/crates/papayayard_gateway/src/host.rs
@@ -36,8 +36,8 @@
 use crate::settings::Settings;
 use crate::store::Topic;
 use crate::{
-    dispatch, ends, era, exchange, feeds, hosts, listen, operators, orders, origins, peers, quota, runs,
-    schedule, store, uplink,
+    dispatch, ends, era, exchange, feeds, hosts, listen, operators, orders, origins, peers, quota,
+    runs, schedule, store, uplink,
 };
 
 /// Age of a target version up to which older weights do not add to the placement cost.
@@ -109,8 +109,7 @@
     let (configuration, last_read) = parts.follow_operators();
     let (endpoints, endpoints_read) = parts.follow_endpoints();
     let uplink = parts.observe_uplink(&endpoints);
-    let quota = parts.keep_quotas(&configuration, &hosts);
-    let dispatch = parts.dispatch(&uplink, &quota);
+    let dispatch = parts.dispatch(&uplink, &configuration, &hosts);
     let origins = parts.track_origins(&endpoints, endpoints_read);
     parts.order_weights(&configuration, &endpoints, &dispatch, &uplink);
     let changes = parts.follow_caches(&configuration, &endpoints, &hosts, (&dispatch, &uplink));
@@ -165,7 +164,6 @@
         budget: Arc::new(Mutex::new(retry_budget::Budget::new(retries))),
         crashes,
         origins,
-        quota,
         source: Source::Callers,
         detached: uplink.subscribe(),
         detours: parts.detours(),
@@ -391,6 +389,7 @@
         let (quota, keeping) = quota::start(quota::Parts {
             settings: papayayard_coordination::quota::Settings {
                 host: self.settings.host.clone(),
+                run: rand::random(),
                 tolerance: self.settings.bounds.quotas,
                 is_first_start: self.settings.first_start,
             },
@@ -403,7 +402,13 @@
         quota
     }
 
-    fn dispatch(&mut self, uplink: &uplink::Handle, quota: &quota::Handle) -> Dispatch {
+    fn dispatch(
+        &mut self,
+        uplink: &uplink::Handle,
+        configuration: &watch::Receiver<Configuration>,
+        hosts: &watch::Receiver<usize>,
+    ) -> Dispatch {
+        let quota = self.keep_quotas(configuration, hosts);
         let dispatch = Dispatch::new(dispatch::Parts {
             local: self.local_host(),
             clock: self.store.clock,
@@ -411,7 +416,7 @@
             neighbours: self.neighbours.clone(),
             uplink: uplink.clone(),
             runs: self.runs.clone(),
-            quota: quota.clone(),
+            quota,
             metrics: self.metrics.clone(),
         });
         self.controllers.spawn(dispatch.clone().report());
--- a/crates/papayayard_gateway/src/peers_test.rs
+++ b/crates/papayayard_gateway/src/peers_test.rs
@@ -8,6 +8,7 @@
 use tokio::time;
 
 use super::{CachesCall, Context, changes};
+use crate::beliefs::Configuration;
 use crate::cache_news::ChangeLog;
 use crate::clock::Clock;
 use crate::dispatch::{self, Dispatch};
@@ -15,7 +16,7 @@
 use crate::hosts::{LocalHost, Neighbours};
 use crate::metrics::Metrics;
 use crate::schedule::{self, Holder};
-use crate::{origins, runs, uplink};
+use crate::{origins, quota, runs, uplink};
 
 /// Wait of a call; a call that ends earlier has another reason.
 const WAIT: Duration = Duration::from_secs(5);
@@ -57,6 +58,7 @@
         stop: watch::channel(StopState::SERVING).1,
         metrics: Metrics::new(),
     });
+    let configuration = watch::channel(Configuration::default()).1;
     let dispatch = Dispatch::new(dispatch::Parts {
         local: local.clone(),
         clock,
@@ -64,6 +66,7 @@
         neighbours,
         uplink: uplink.clone(),
         runs: runs::Tracker::new(clock),
+        quota: quota::test::start(&local.host, clock, configuration),
         metrics: Metrics::new(),
     });
     let context = Context {
--- a/crates/papayayard_gateway/src/quota.rs
+++ b/crates/papayayard_gateway/src/quota.rs
@@ -13,7 +13,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use papayayard_coordination::quota::{Charge, Offer, Quota, Reply, Verdict};
+use papayayard_coordination::quota::{Caller, Charge, Offer, Quota, Reply, Verdict};
 use papayayard_routing::table::Table;
 use papayayard_wire::id;
 use tokio::sync::{mpsc, oneshot, watch};
@@ -29,8 +29,15 @@
 /// Retry delay of a request that the ledger did not decide on, since the host stops.
 const STOPPED_RETRY_DELAY: Duration = Duration::from_secs(1);
 
-/// Host and number of a charge; the host is `None` for charges of this host.
-type Entry = (Option<id::Host>, u64);
+/// Request to charge the pool of this host.
+pub(crate) struct Debit {
+    /// Requesting host and the ID of its process; `None` for requests of this host.
+    caller: Option<(id::Host, u64)>,
+    /// Number of the charge on the requesting host.
+    number: u64,
+    charge: Charge,
+    deadline: Duration,
+}
 
 /// Message to the task that owns the ledger.
 pub(crate) enum Message {
@@ -54,10 +61,10 @@
         offer: Offer,
         reply: oneshot::Sender<Reply>,
     },
-    /// Charge to the pool of this host, and the deadline of the request.
-    Charge(Entry, Charge, Duration, oneshot::Sender<Verdict>),
-    /// Return of a charge to the pool of this host.
-    Return(Entry),
+    /// Charge to the pool of this host.
+    Charge(Debit, oneshot::Sender<Verdict>),
+    /// Return of a charge of this host to its own pool.
+    Return(u64),
 }
 
 /// Sends messages to the task that owns the ledger.
@@ -66,13 +73,19 @@
     messages: mpsc::UnboundedSender<Message>,
     /// Whether the configuration in force has any quota.
     has_quotas: watch::Receiver<bool>,
-    /// Number of the next charge. It starts at random, since a dispatcher may still have
-    /// charges of an earlier process of this host.
+    /// Random ID of this host's process.
+    run: u64,
+    /// Number of the next charge.
     next: Arc<AtomicU64>,
     metrics: Metrics,
 }
 
 impl Handle {
+    /// Random ID of this host's process, in calls and in answers to them.
+    pub(crate) const fn run(&self) -> u64 {
+        self.run
+    }
+
     /// Returns what a call to the dispatcher says about quotas.
     pub(crate) async fn offer(&self, dispatcher: &id::Host) -> Option<Offer> {
         if !*self.has_quotas.borrow() {
@@ -114,14 +127,19 @@
     /// Charges a request of a host, or of this one, to the pool of this host.
     pub(crate) async fn charge(
         &self,
-        host: Option<&id::Host>,
+        caller: Option<Caller<'_>>,
         number: u64,
         charge: Charge,
         deadline: Duration,
     ) -> Verdict {
-        let entry = (host.cloned(), number);
+        let debit = Debit {
+            caller: caller.map(|caller| (caller.host.clone(), caller.run)),
+            number,
+            charge,
+            deadline,
+        };
         let (reply, verdict) = oneshot::channel();
-        self.send(Message::Charge(entry, charge, deadline, reply));
+        self.send(Message::Charge(debit, reply));
         verdict.await.unwrap_or(Verdict::Refused {
             retry_after: STOPPED_RETRY_DELAY,
         })
@@ -157,3 +175,7 @@
     });
     limited.collect()
 }
+
+#[cfg(test)]
+#[path = "quota_test.rs"]
+pub(crate) mod test;
--- a/crates/papayayard_gateway/src/quota/bill.rs
+++ b/crates/papayayard_gateway/src/quota/bill.rs
@@ -95,7 +95,7 @@
         let mut state = shared.state();
         let number = match &state.payment {
             Payment::Open => shared.ledger.number(),
-            Payment::Requested(host, number) if host == dispatcher => *number,
+            // The call was given up before its answer.
             Payment::Requested(host, number) => {
                 shared.return_to(host, *number);
                 shared.ledger.number()
@@ -223,10 +223,7 @@
 
 impl Shared {
     fn is_due(&self) -> bool {
-        matches!(
-            self.state().payment,
-            Payment::Open | Payment::Requested(..)
-        )
+        matches!(self.state().payment, Payment::Open | Payment::Requested(..))
     }
 
     fn return_to(&self, dispatcher: &id::Host, number: u64) {
@@ -250,7 +247,7 @@
             Payment::Requested(host, number) | Payment::Dispatcher(host, number) => {
                 self.return_to(host, *number);
             }
-            Payment::Own(number) => self.ledger.send(Message::Return((None, *number))),
+            Payment::Own(number) => self.ledger.send(Message::Return(*number)),
         }
     }
 }
--- a/crates/papayayard_gateway/src/quota/task.rs
+++ b/crates/papayayard_gateway/src/quota/task.rs
@@ -4,11 +4,11 @@
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
-use papayayard_coordination::quota::{Ledger, Offer, Settings};
+use papayayard_coordination::quota::{Caller, Ledger, Offer, Settings, Verdict};
 use papayayard_wire::id;
 use tokio::sync::{mpsc, watch};
 
-use super::{Handle, Message, quotas};
+use super::{Debit, Handle, Message, quotas};
 use crate::beliefs::Configuration;
 use crate::clock::Clock;
 use crate::metrics::Metrics;
@@ -30,11 +30,13 @@
 /// Creates the task and its handle; the task ends when all handles are dropped.
 pub(crate) fn start(parts: Parts) -> (Handle, impl Future<Output = ()>) {
     let (messages, receiver) = mpsc::unbounded_channel();
+    let run = parts.settings.run;
     let (has_quotas, has_quotas_receiver) = watch::channel(false);
     let handle = Handle {
         messages,
         has_quotas: has_quotas_receiver,
-        next: Arc::new(AtomicU64::new(u64::from(rand::random::<u32>()) << 20)),
+        run,
+        next: Arc::new(AtomicU64::new(0)),
         metrics: parts.metrics.clone(),
     };
     let task = Task {
@@ -111,7 +113,8 @@
                 self.ledger.accept(&dispatcher, run, reply, sent_at, now);
             }
             Message::Prepaid(charge, reply) => {
-                drop(reply.send(self.ledger.spend_prepaid(&charge, now)));
+                let is_spent = self.ledger.spend_prepaid(&charge, now);
+                let _ = reply.send(is_spent);
             }
             Message::ReturnTo(dispatcher, number) => {
                 self.metrics.quota_returned();
@@ -123,18 +126,30 @@
                 offer,
                 reply,
             } => drop(reply.send(self.ledger.receive(&host, run, &offer, now))),
-            Message::Charge((host, number), charge, deadline, reply) => {
-                let host = host.as_ref();
-                let verdict = self.ledger.charge(host, number, &charge, deadline, now);
-                drop(reply.send(verdict));
+            Message::Charge(debit, reply) => {
+                let verdict = self.charge(&debit, now);
+                let _ = reply.send(verdict);
             }
-            Message::Return((host, number)) => {
+            Message::Return(number) => {
                 self.metrics.quota_returned();
-                self.ledger.return_charge(host.as_ref(), number, now);
+                self.ledger.return_charge(None, number, now);
             }
         }
     }
 
+    fn charge(&mut self, debit: &Debit, now: Duration) -> Verdict {
+        let Debit {
+            caller,
+            number,
+            charge,
+            deadline,
+        } = debit;
+        let caller = caller
+            .as_ref()
+            .map(|(host, run)| Caller { host, run: *run });
+        self.ledger.charge(caller, *number, charge, *deadline, now)
+    }
+
     fn offer(&mut self, dispatcher: id::Host, now: Duration) -> Option<Offer> {
         let is_recent =
             |(host, at): &(id::Host, Duration)| *host == dispatcher && now < *at + OFFER_PERIOD;
--- /dev/null
+++ b/crates/papayayard_gateway/src/quota_test.rs
@@ -0,0 +1,32 @@
+use papayayard_coordination::quota::{Settings, Tolerance};
+use papayayard_wire::id;
+use tokio::sync::watch;
+
+use super::{Handle, Parts};
+use crate::beliefs::Configuration;
+use crate::clock::Clock;
+use crate::metrics::Metrics;
+
+/// Starts the ledger of the only host of a deployment that starts for the first time.
+pub(crate) fn start(
+    host: &id::Host,
+    clock: Clock,
+    configuration: watch::Receiver<Configuration>,
+) -> Handle {
+    let (number, hosts) = watch::channel(0);
+    number.send_replace(1);
+    let (handle, running) = super::start(Parts {
+        settings: Settings {
+            host: host.clone(),
+            run: rand::random(),
+            tolerance: Tolerance::default(),
+            is_first_start: true,
+        },
+        clock,
+        configuration,
+        hosts,
+        metrics: Metrics::new(),
+    });
+    tokio::spawn(running);
+    handle
+}
--- a/crates/papayayard_gateway/src/relay.rs
+++ b/crates/papayayard_gateway/src/relay.rs
@@ -33,7 +33,6 @@
 use crate::metrics::Metrics;
 use crate::origins;
 use crate::pump;
-use crate::quota;
 use crate::refusal::{Refusal, millis};
 use crate::usability;
 
@@ -73,8 +72,6 @@
     pub(crate) crashes: CrashTracker,
     /// Knows which version of the endpoints' software began a stream.
     pub(crate) origins: origins::Tracker,
-    /// Quotas of client accounts.
-    pub(crate) quota: quota::Handle,
     /// Who sends the requests.
     pub(crate) source: Source,
     /// Whether this host reaches no endpoint.
--- a/crates/papayayard_gateway/src/relay/admit.rs
+++ b/crates/papayayard_gateway/src/relay/admit.rs
@@ -77,8 +77,7 @@
             Source::Hosts => Allowance::decode(head.headers.get(hop::RUNS), route.attempts),
         };
         // The host that passed the request on has charged it, or another one that it asked.
-        let is_charged =
-            self.source == Source::Hosts && head.headers.contains_key(hop::CHARGED);
+        let is_charged = self.source == Source::Hosts && head.headers.contains_key(hop::CHARGED);
         let mut headers = head.headers;
         hop::strip(&mut headers);
         headers.remove(header::EXPECT);
@@ -91,7 +90,10 @@
         let isolated = isolated.map(|account| &account.name);
         let subjects = Arc::new(Subjects::of(fingerprint, prompt, isolated));
         let bill = match account.as_ref().filter(|_| !is_charged) {
-            Some(account) => self.quota.bill(&id, account, prompt, table.revision),
+            Some(account) => self
+                .dispatch
+                .quota()
+                .bill(&id, account, prompt, table.revision),
             None => Bill::default(),
         };
         Ok(Job {
--- a/crates/papayayard_gateway/src/settings.rs
+++ b/crates/papayayard_gateway/src/settings.rs
@@ -212,7 +212,11 @@
             let ms = decimal(reader, place, MAX_MS)?;
             if ms < 1.0 {
                 let remedy = "write a number from 1";
-                reader.fault(place, "the window is too short".to_owned(), remedy.to_owned());
+                reader.fault(
+                    place,
+                    "the window is too short".to_owned(),
+                    remedy.to_owned(),
+                );
                 return None;
             }
             Some(Duration::from_secs_f64(ms / 1000.0))
