--- a/crates/papayayard_gateway/src/dispatch/handler.rs
+++ b/crates/papayayard_gateway/src/dispatch/handler.rs
@@ -71,9 +71,13 @@
         if is_detached {
             return Err(uplink::Detached);
         }
+        let caller = Caller {
+            host: &host,
+            run: call.run,
+        };
         let quota = match call.quota {
             Some(offer) if is_dispatching && call.is_used => {
-                shared.local.quota.receive(&host, call.run, offer).await
+                shared.local.quota.receive(caller, offer).await
             }
             _ => None,
         };
@@ -81,14 +85,10 @@
         let decision = match call.question {
             Some(mut request) if is_dispatching => {
                 let charge = request.charge.take();
-                let caller = Caller {
-                    host: &host,
-                    run: call.run,
-                };
                 match self.charge(caller, charge, request.time_left()).await {
                     Ok(charged) => {
                         is_charged = charged;
-                        self.decide(request, host, zone).await
+                        self.decide(request, host.clone(), zone).await
                     }
                     Err(refusal) => Some(refusal),
                 }
--- a/crates/papayayard_gateway/src/dispatch_test.rs
+++ b/crates/papayayard_gateway/src/dispatch_test.rs
@@ -30,6 +30,9 @@
 /// Time for which requests may begin on older weights.
 const OLD_WEIGHTS: Duration = Duration::from_mins(1);
 
+#[path = "dispatch/charging_test.rs"]
+mod charging;
+
 /// A host that places requests, without a caller.
 struct Host {
     dispatch: Dispatch,
@@ -44,6 +47,11 @@
 impl Host {
     /// Hosts with a higher capacity are asked first.
     fn new(name: &str, capacity: u32) -> Self {
+        Self::with_first_start(name, capacity, true)
+    }
+
+    /// Creates a host whose buckets are full if its deployment starts for the first time.
+    fn with_first_start(name: &str, capacity: u32, is_first_start: bool) -> Self {
         let listener = std::net::TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port");
         listener.set_nonblocking(true).expect("a socket");
         let clock = Clock::start();
@@ -69,7 +77,12 @@
             neighbours: neighbours_receiver,
             uplink: uplink::Handle::with_state(state),
             runs: runs::Tracker::new(clock),
-            quota: quota::test::start(&local.host, clock, configuration.subscribe()),
+            quota: quota::test::start(
+                &local.host,
+                is_first_start,
+                clock,
+                configuration.subscribe(),
+            ),
             metrics: Metrics::new(),
         });
         Self {
@@ -274,7 +287,12 @@
 
 /// Creates two hosts that know each other; the first one places the requests of both.
 fn dispatcher_and_asker() -> (Host, Host) {
-    let hosts = (Host::new("dispatcher", 300), Host::new("asker", 100));
+    connect(Host::new("dispatcher", 300), Host::new("asker", 100))
+}
+
+/// Lets a dispatcher and a host that uses it know each other.
+fn connect(dispatcher: Host, asker: Host) -> (Host, Host) {
+    let hosts = (dispatcher, asker);
     let candidates = [&hosts.0, &hosts.1].map(Host::candidate);
     for host in [&hosts.0, &hosts.1] {
         host.set_neighbours(&candidates);
--- a/crates/papayayard_gateway/src/host.rs
+++ b/crates/papayayard_gateway/src/host.rs
@@ -139,13 +139,13 @@
             last_read: last_read.clone(),
             revocation,
             uplink: uplink.clone(),
+            quota: dispatch.quota().clone(),
         },
     ));
-    let codec = parts.store.codec.clone();
     let retries = parts.settings.bounds.retries;
     let relay = Relay {
         sender: Sender {
-            codec,
+            codec: parts.store.codec.clone(),
             pool,
             backoffs: parts.backoffs.clone(),
             clock,
--- a/crates/papayayard_gateway/src/operators.rs
+++ b/crates/papayayard_gateway/src/operators.rs
@@ -21,7 +21,7 @@
 use crate::clock::Clock;
 use crate::front::StopState;
 use crate::metrics::Metrics;
-use crate::uplink;
+use crate::{quota, uplink};
 
 /// Timeout for an idle connection.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
@@ -41,6 +41,8 @@
     /// Maximum age of the last reading at which requests with a key are still accepted.
     pub(crate) revocation: Option<Duration>,
     pub(crate) uplink: uplink::Handle,
+    /// Quotas of client accounts.
+    pub(crate) quota: quota::Handle,
 }
 
 #[derive(Serialize)]
@@ -65,7 +67,8 @@
         let is_current = self
             .revocation
             .is_none_or(|bound| self.last_read_age().is_some_and(|age| age < bound));
-        is_serving && knows_routes && knows_endpoints && is_current
+        let can_charge = self.quota.is_ready();
+        is_serving && knows_routes && knows_endpoints && is_current && can_charge
     }
 
     fn last_read_age(&self) -> Option<Duration> {
--- a/crates/papayayard_gateway/src/peers_test.rs
+++ b/crates/papayayard_gateway/src/peers_test.rs
@@ -66,7 +66,7 @@
         neighbours,
         uplink: uplink.clone(),
         runs: runs::Tracker::new(clock),
-        quota: quota::test::start(&local.host, clock, configuration),
+        quota: quota::test::start(&local.host, true, clock, configuration),
         metrics: Metrics::new(),
     });
     let context = Context {
--- a/crates/papayayard_gateway/src/quota.rs
+++ b/crates/papayayard_gateway/src/quota.rs
@@ -29,10 +29,16 @@
 /// Retry delay of a request that the ledger did not decide on, since the host stops.
 const STOPPED_RETRY_DELAY: Duration = Duration::from_secs(1);
 
+/// A host and the random ID of its process.
+pub(crate) struct Owner {
+    host: id::Host,
+    run: u64,
+}
+
 /// Request to charge the pool of this host.
 pub(crate) struct Debit {
-    /// Requesting host and the ID of its process; `None` for requests of this host.
-    caller: Option<(id::Host, u64)>,
+    /// Requesting host; `None` for requests of this host.
+    owner: Option<Owner>,
     /// Number of the charge on the requesting host.
     number: u64,
     charge: Charge,
@@ -52,27 +58,32 @@
     },
     /// Plain request; answered with whether the prepaid amount is sufficient.
     Prepaid(Charge, oneshot::Sender<bool>),
+    /// Return of the charge of a plain request to the prepaid amount.
+    ReturnPrepaid(Charge),
     /// Return of a charge to the dispatcher that has it.
     ReturnTo(id::Host, u64),
     /// Call of another host that uses this one as its dispatcher.
-    Receive {
-        host: id::Host,
-        run: u64,
-        offer: Offer,
-        reply: oneshot::Sender<Reply>,
-    },
+    Receive(Owner, Offer, oneshot::Sender<Reply>),
     /// Charge to the pool of this host.
     Charge(Debit, oneshot::Sender<Verdict>),
     /// Return of a charge of this host to its own pool.
     Return(u64),
 }
 
+/// What the task knows of the configuration in force and of the other hosts.
+#[derive(Clone, Copy, Debug, Default)]
+struct Readiness {
+    /// Whether the configuration has any quota.
+    has_quotas: bool,
+    /// Whether the hosts are counted, without which nothing is admitted.
+    is_counted: bool,
+}
+
 /// Sends messages to the task that owns the ledger.
 #[derive(Clone)]
 pub(crate) struct Handle {
     messages: mpsc::UnboundedSender<Message>,
-    /// Whether the configuration in force has any quota.
-    has_quotas: watch::Receiver<bool>,
+    readiness: watch::Receiver<Readiness>,
     /// Random ID of this host's process.
     run: u64,
     /// Number of the next charge.
@@ -86,9 +97,15 @@
         self.run
     }
 
+    /// Whether requests of accounts with a quota can be admitted.
+    pub(crate) fn is_ready(&self) -> bool {
+        let readiness = self.readiness.borrow();
+        readiness.is_counted || !readiness.has_quotas
+    }
+
     /// Returns what a call to the dispatcher says about quotas.
     pub(crate) async fn offer(&self, dispatcher: &id::Host) -> Option<Offer> {
-        if !*self.has_quotas.borrow() {
+        if !self.readiness.borrow().has_quotas {
             return None;
         }
         let (reply, offer) = oneshot::channel();
@@ -113,14 +130,9 @@
     }
 
     /// Pools the part of a host that uses this host as its dispatcher.
-    pub(crate) async fn receive(&self, host: &id::Host, run: u64, offer: Offer) -> Option<Reply> {
+    pub(crate) async fn receive(&self, caller: Caller<'_>, offer: Offer) -> Option<Reply> {
         let (reply, answer) = oneshot::channel();
-        self.send(Message::Receive {
-            host: host.clone(),
-            run,
-            offer,
-            reply,
-        });
+        self.send(Message::Receive(Owner::from(caller), offer, reply));
         answer.await.ok()
     }
 
@@ -133,7 +145,7 @@
         deadline: Duration,
     ) -> Verdict {
         let debit = Debit {
-            caller: caller.map(|caller| (caller.host.clone(), caller.run)),
+            owner: caller.map(Owner::from),
             number,
             charge,
             deadline,
@@ -162,6 +174,24 @@
     }
 }
 
+impl From<Caller<'_>> for Owner {
+    fn from(caller: Caller<'_>) -> Self {
+        Self {
+            host: caller.host.clone(),
+            run: caller.run,
+        }
+    }
+}
+
+impl Owner {
+    const fn caller(&self) -> Caller<'_> {
+        Caller {
+            host: &self.host,
+            run: self.run,
+        }
+    }
+}
+
 /// Quotas of a routing table, without their units.
 fn quotas(table: &Table) -> BTreeMap<id::Account, Quota> {
     let accounts = table.accounts.iter();
--- a/crates/papayayard_gateway/src/quota/bill.rs
+++ b/crates/papayayard_gateway/src/quota/bill.rs
@@ -39,8 +39,10 @@
     Dispatcher(id::Host, u64),
     /// The pool of this host.
     Own(u64),
-    /// The prepaid amount of this host, or a host that served the request for this one.
-    Settled,
+    /// The prepaid amount of this host.
+    Prepaid,
+    /// A host that served the request for this one.
+    Elsewhere,
 }
 
 impl Handle {
@@ -100,7 +102,9 @@
                 shared.return_to(host, *number);
                 shared.ledger.number()
             }
-            Payment::Dispatcher(..) | Payment::Own(_) | Payment::Settled => return None,
+            Payment::Dispatcher(..) | Payment::Own(_) | Payment::Prepaid | Payment::Elsewhere => {
+                return None;
+            }
         };
         state.payment = Payment::Requested(dispatcher.clone(), number);
         Some((number, &shared.charge))
@@ -140,7 +144,7 @@
             return;
         };
         if shared.ledger.spend_prepaid(shared.charge.clone()).await {
-            shared.state().payment = Payment::Settled;
+            shared.state().payment = Payment::Prepaid;
             shared.ledger.metrics.quota_prepaid();
         }
     }
@@ -185,7 +189,7 @@
     pub(crate) fn record_served(&self) {
         if let Some(shared) = self.0.as_ref().filter(|shared| shared.is_due()) {
             self.unanswered();
-            shared.state().payment = Payment::Settled;
+            shared.state().payment = Payment::Elsewhere;
         }
     }
 
@@ -243,7 +247,11 @@
             return;
         }
         match &state.payment {
-            Payment::Open | Payment::Settled => {}
+            Payment::Open | Payment::Elsewhere => {}
+            Payment::Prepaid => {
+                let charge = self.charge.clone();
+                self.ledger.send(Message::ReturnPrepaid(charge));
+            }
             Payment::Requested(host, number) | Payment::Dispatcher(host, number) => {
                 self.return_to(host, *number);
             }
--- a/crates/papayayard_gateway/src/quota/task.rs
+++ b/crates/papayayard_gateway/src/quota/task.rs
@@ -4,11 +4,11 @@
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
-use papayayard_coordination::quota::{Caller, Ledger, Offer, Settings, Verdict};
+use papayayard_coordination::quota::{Ledger, Offer, Settings, Verdict};
 use papayayard_wire::id;
 use tokio::sync::{mpsc, watch};
 
-use super::{Debit, Handle, Message, quotas};
+use super::{Debit, Handle, Message, Owner, Readiness, quotas};
 use crate::beliefs::Configuration;
 use crate::clock::Clock;
 use crate::metrics::Metrics;
@@ -17,6 +17,9 @@
 /// time of a lease, and keeps these messages few on a host with many requests.
 const OFFER_PERIOD: Duration = Duration::from_millis(100);
 
+/// Minimum time between two log lines on the parts in the pool.
+const LOG_PERIOD: Duration = Duration::from_secs(1);
+
 /// Dependencies of the task.
 pub(crate) struct Parts {
     pub(crate) settings: Settings,
@@ -31,10 +34,10 @@
 pub(crate) fn start(parts: Parts) -> (Handle, impl Future<Output = ()>) {
     let (messages, receiver) = mpsc::unbounded_channel();
     let run = parts.settings.run;
-    let (has_quotas, has_quotas_receiver) = watch::channel(false);
+    let (readiness, readiness_receiver) = watch::channel(Readiness::default());
     let handle = Handle {
         messages,
-        has_quotas: has_quotas_receiver,
+        readiness: readiness_receiver,
         run,
         next: Arc::new(AtomicU64::new(0)),
         metrics: parts.metrics.clone(),
@@ -42,8 +45,9 @@
     let task = Task {
         ledger: Ledger::new(parts.settings, parts.clock.now()),
         clock: parts.clock,
-        has_quotas,
+        readiness,
         last_offer: None,
+        logged: None,
         metrics: parts.metrics,
     };
     let running = task.run(receiver, parts.configuration, parts.hosts);
@@ -53,9 +57,11 @@
 struct Task {
     ledger: Ledger,
     clock: Clock,
-    has_quotas: watch::Sender<bool>,
+    readiness: watch::Sender<Readiness>,
     /// Dispatcher and time of the last call that mentioned quotas.
     last_offer: Option<(id::Host, Duration)>,
+    /// Parts that were logged last, and when.
+    logged: Option<(u32, Duration)>,
     metrics: Metrics,
 }
 
@@ -73,13 +79,17 @@
                 Ok(()) = hosts.changed() => {
                     let number = *hosts.borrow_and_update();
                     self.ledger.set_hosts(number, self.clock.now());
+                    self.readiness.send_modify(|readiness| readiness.is_counted = true);
                 }
                 Ok(()) = configuration.changed() => {
                     let newest = configuration.borrow_and_update().clone();
                     self.configure(&newest);
                 }
                 message = messages.recv() => match message {
-                    Some(message) => self.handle(message),
+                    Some(message) => {
+                        self.handle(message);
+                        self.log_share();
+                    }
                     None => return,
                 },
             }
@@ -92,7 +102,9 @@
         };
         let quotas = quotas(table);
         let now = self.clock.now();
-        self.has_quotas.send_replace(!quotas.is_empty());
+        let has_quotas = !quotas.is_empty();
+        self.readiness
+            .send_modify(|readiness| readiness.has_quotas = has_quotas);
         self.ledger.configure(table.revision, &quotas, now);
     }
 
@@ -116,16 +128,18 @@
                 let is_spent = self.ledger.spend_prepaid(&charge, now);
                 let _ = reply.send(is_spent);
             }
+            Message::ReturnPrepaid(charge) => {
+                self.metrics.quota_returned();
+                self.ledger.return_prepaid(&charge, now);
+            }
             Message::ReturnTo(dispatcher, number) => {
                 self.metrics.quota_returned();
                 self.ledger.return_to(&dispatcher, number);
             }
-            Message::Receive {
-                host,
-                run,
-                offer,
-                reply,
-            } => drop(reply.send(self.ledger.receive(&host, run, &offer, now))),
+            Message::Receive(owner, offer, reply) => {
+                let answer = self.ledger.receive(owner.caller(), &offer, now);
+                drop(reply.send(answer));
+            }
             Message::Charge(debit, reply) => {
                 let verdict = self.charge(&debit, now);
                 let _ = reply.send(verdict);
@@ -139,17 +153,29 @@
 
     fn charge(&mut self, debit: &Debit, now: Duration) -> Verdict {
         let Debit {
-            caller,
+            owner,
             number,
             charge,
             deadline,
         } = debit;
-        let caller = caller
-            .as_ref()
-            .map(|(host, run)| Caller { host, run: *run });
+        let caller = owner.as_ref().map(Owner::caller);
         self.ledger.charge(caller, *number, charge, *deadline, now)
     }
 
+    /// Logs the parts of the quotas that this host's pool holds if they have changed.
+    fn log_share(&mut self) {
+        let now = self.clock.now();
+        if self.logged.is_some_and(|(_, at)| now < at + LOG_PERIOD) {
+            return;
+        }
+        let parts = self.ledger.parts(now);
+        if self.logged.is_some_and(|(logged, _)| logged == parts) {
+            return;
+        }
+        self.logged = Some((parts, now));
+        log::info!(parts, share = self.ledger.share(now); "parts of the quotas in this host's pool");
+    }
+
     fn offer(&mut self, dispatcher: id::Host, now: Duration) -> Option<Offer> {
         let is_recent =
             |(host, at): &(id::Host, Duration)| *host == dispatcher && now < *at + OFFER_PERIOD;
--- a/crates/papayayard_gateway/src/quota_test.rs
+++ b/crates/papayayard_gateway/src/quota_test.rs
@@ -7,9 +7,10 @@
 use crate::clock::Clock;
 use crate::metrics::Metrics;
 
-/// Starts the ledger of the only host of a deployment that starts for the first time.
+/// Starts the ledger of a host that counts one host; its buckets start full at the first start.
 pub(crate) fn start(
     host: &id::Host,
+    is_first_start: bool,
     clock: Clock,
     configuration: watch::Receiver<Configuration>,
 ) -> Handle {
@@ -20,7 +21,7 @@
             host: host.clone(),
             run: rand::random(),
             tolerance: Tolerance::default(),
-            is_first_start: true,
+            is_first_start,
         },
         clock,
         configuration,
--- a/crates/papayayard_gateway/src/relay/admit.rs
+++ b/crates/papayayard_gateway/src/relay/admit.rs
@@ -89,6 +89,12 @@
         let isolated = account.as_ref().filter(|account| account.isolated);
         let isolated = isolated.map(|account| &account.name);
         let subjects = Arc::new(Subjects::of(fingerprint, prompt, isolated));
+        if account
+            .as_ref()
+            .is_some_and(|account| account.quota.is_some())
+        {
+            self.check_quotas()?;
+        }
         let bill = match account.as_ref().filter(|_| !is_charged) {
             Some(account) => self
                 .dispatch
@@ -145,6 +151,16 @@
         Ok(Some(Arc::clone(account)))
     }
 
+    /// Refuses requests of accounts with a quota while this host can admit none: it must know
+    /// how many hosts there are.
+    fn check_quotas(&self) -> Result<(), Refusal> {
+        if self.dispatch.quota().is_ready() {
+            return Ok(());
+        }
+        let message = "this host does not know its part of the quota yet; try another host";
+        Err(Refusal::not_run(Kind::NotReady, message).after(NOT_READY_RETRY_DELAY))
+    }
+
     /// Refuses requests that a stop of this host might cut.
     fn check_stop(&self, deadline: Duration) -> Result<(), Refusal> {
         let shutdown = self.stop.borrow().shutdown;
