--- a/crates/papayayard_coordination/tests/quota_test.rs
+++ b/crates/papayayard_coordination/tests/quota_test.rs
@@ -20,7 +20,9 @@
     simulation.run();
     for account in 0..plan.quotas.len() {
         let (part, at) = simulation.worst_window(account);
-        if std::env::var("QUOTA_PRINT").is_ok() { eprintln!("PART {part:.3} seed {seed}"); }
+        if std::env::var("QUOTA_PRINT").is_ok() {
+            eprintln!("PART {part:.3} seed {seed}");
+        }
         assert!(
             part <= 1.0,
             "seed {seed}: {part:.3} of what is allowed in the window from {at:?}, {plan:#?}"
--- a/crates/papayayard_gateway/tests/settings.rs
+++ b/crates/papayayard_gateway/tests/settings.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use papayayard_coordination::quota::Tolerance;
 use papayayard_gateway::settings;
 use rstest::rstest;
 
@@ -20,6 +21,10 @@
   old_weights_ms: 12000
   repeat_ratio: 0.2
   repeat_slack: 58
+  quota_window_ms: 8e3
+  quota_ratio: 0.125
+  quota_slack: 110000
+first_start: true
 "#;
 
 #[test]
@@ -35,6 +40,33 @@
     assert_eq!(settings.seeds.len(), 2);
 }
 
+/// Guards against tolerances of quotas that are not those of the settings, or of another unit.
+#[test]
+fn settings_of_quotas_are_read() {
+    let settings = settings::parse(GOOD).expect("settings");
+    let tolerance = Tolerance {
+        window: Duration::from_secs(8),
+        ratio: 0.125,
+        slack: 110_000.0,
+    };
+    assert_eq!(settings.bounds.quotas, tolerance);
+    assert!(settings.first_start);
+}
+
+/// Guards against hosts that start with full buckets, or exceed quotas, without being told so.
+#[test]
+fn quotas_are_exact_by_default() {
+    let (head, _) = GOOD.split_once("  quota_window_ms").expect("a setting");
+    let settings = settings::parse(head).expect("settings");
+    let tolerance = Tolerance {
+        window: Duration::from_secs(8),
+        ratio: 0.0,
+        slack: 0.0,
+    };
+    assert_eq!(settings.bounds.quotas, tolerance);
+    assert!(!settings.first_start);
+}
+
 #[rstest]
 #[case::as_listened("", "10.0.0.1:82")]
 #[case::announced("announced_peers: \"10.9.0.1:82\"\n", "10.9.0.1:82")]
@@ -77,6 +109,10 @@
 #[case::no_forwarded("listen: { ", "listen: { forwarded: there, ", "listen.forwarded")]
 #[case::no_announced("capacity: 0.25", "announced_peers: here", "announced_peers")]
 #[case::no_memory("110.5", "plenty", "memory_mb")]
+#[case::no_window("8e3", "0", "bounds.quota_window_ms")]
+#[case::negative_ratio("0.125", "-0.125", "bounds.quota_ratio")]
+#[case::infinite_slack("110000", "inf", "bounds.quota_slack")]
+#[case::no_flag("first_start: true", "first_start: once", "first_start")]
 #[case::not_finite("58", "NaN", "bounds.repeat_slack")]
 fn a_fault_names_its_key(#[case] from: &str, #[case] to: &str, #[case] key: &str) {
     let faults = settings::parse(&GOOD.replacen(from, to, 1)).expect_err("faults");
