--- a/crates/papayayard_coordination/src/quota/message.rs
+++ b/crates/papayayard_coordination/src/quota/message.rs
@@ -40,6 +40,13 @@
     pub(super) returned: Vec<u64>,
 }
 
+impl Offer {
+    /// Numbers of placement requests whose charges are returned.
+    pub fn returned(&self) -> &[u64] {
+        &self.returned
+    }
+}
+
 /// Reading of the clock of a dispatcher's process.
 #[serde_as]
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/papayayard_gateway/src/metrics.rs
+++ b/crates/papayayard_gateway/src/metrics.rs
@@ -35,6 +35,7 @@
     quota_returns: Counter<u64>,
     quota_prepaid: Counter<u64>,
     first_event: Histogram<f64>,
+    quota_parts: Gauge<u64>,
     hosts: Gauge<u64>,
     detached: Gauge<u64>,
 }
@@ -126,6 +127,10 @@
                 .with_description("Time from a request's arrival to its stream's first event")
                 .with_boundaries(FIRST_EVENT_BOUNDS.to_vec())
                 .build(),
+            quota_parts: meter
+                .u64_gauge("papayayard_quota_parts")
+                .with_description("Hosts whose parts of the quotas are in the pool of this one")
+                .build(),
             hosts: meter
                 .u64_gauge("papayayard_counted_hosts")
                 .with_description("Hosts that limits are divided by, this one included")
@@ -216,6 +221,10 @@
         self.quota_prepaid.add(1, &[]);
     }
 
+    pub(crate) fn quota_parts(&self, number: u32) {
+        self.quota_parts.record(u64::from(number), &[]);
+    }
+
     /// Counts changes of a rule that keeps requests from endpoints.
     pub(crate) fn usability_changed(&self, rule: &'static str, holds: bool, number: u64) {
         let change = if holds { "begun" } else { "ended" };
--- a/crates/papayayard_gateway/src/quota.rs
+++ b/crates/papayayard_gateway/src/quota.rs
@@ -129,6 +129,11 @@
         });
     }
 
+    /// Returns the charge of a request that did not run with a call to the dispatcher that has it.
+    pub(crate) fn return_to(&self, dispatcher: &id::Host, number: u64) {
+        self.send(Message::ReturnTo(dispatcher.clone(), number));
+    }
+
     /// Pools the part of a host that uses this host as its dispatcher.
     pub(crate) async fn receive(&self, caller: Caller<'_>, offer: Offer) -> Option<Reply> {
         let (reply, answer) = oneshot::channel();
--- a/crates/papayayard_gateway/src/quota/bill.rs
+++ b/crates/papayayard_gateway/src/quota/bill.rs
@@ -231,8 +231,7 @@
     }
 
     fn return_to(&self, dispatcher: &id::Host, number: u64) {
-        self.ledger
-            .send(Message::ReturnTo(dispatcher.clone(), number));
+        self.ledger.return_to(dispatcher, number);
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
@@ -247,7 +246,7 @@
             return;
         }
         match &state.payment {
-            Payment::Open | Payment::Elsewhere => {}
+            Payment::Open | Payment::Elsewhere => return,
             Payment::Prepaid => {
                 let charge = self.charge.clone();
                 self.ledger.send(Message::ReturnPrepaid(charge));
@@ -257,5 +256,6 @@
             }
             Payment::Own(number) => self.ledger.send(Message::Return(*number)),
         }
+        self.ledger.metrics.quota_returned();
     }
 }
--- a/crates/papayayard_gateway/src/quota/task.rs
+++ b/crates/papayayard_gateway/src/quota/task.rs
@@ -47,6 +47,7 @@
         clock: parts.clock,
         readiness,
         last_offer: None,
+        reported: None,
         logged: None,
         metrics: parts.metrics,
     };
@@ -60,6 +61,8 @@
     readiness: watch::Sender<Readiness>,
     /// Dispatcher and time of the last call that mentioned quotas.
     last_offer: Option<(id::Host, Duration)>,
+    /// Parts that the metrics show.
+    reported: Option<u32>,
     /// Parts that were logged last, and when.
     logged: Option<(u32, Duration)>,
     metrics: Metrics,
@@ -88,7 +91,7 @@
                 message = messages.recv() => match message {
                     Some(message) => {
                         self.handle(message);
-                        self.log_share();
+                        self.report_parts();
                     }
                     None => return,
                 },
@@ -128,14 +131,8 @@
                 let is_spent = self.ledger.spend_prepaid(&charge, now);
                 let _ = reply.send(is_spent);
             }
-            Message::ReturnPrepaid(charge) => {
-                self.metrics.quota_returned();
-                self.ledger.return_prepaid(&charge, now);
-            }
-            Message::ReturnTo(dispatcher, number) => {
-                self.metrics.quota_returned();
-                self.ledger.return_to(&dispatcher, number);
-            }
+            Message::ReturnPrepaid(charge) => self.ledger.return_prepaid(&charge, now),
+            Message::ReturnTo(dispatcher, number) => self.ledger.return_to(&dispatcher, number),
             Message::Receive(owner, offer, reply) => {
                 let answer = self.ledger.receive(owner.caller(), &offer, now);
                 drop(reply.send(answer));
@@ -145,7 +142,6 @@
                 let _ = reply.send(verdict);
             }
             Message::Return(number) => {
-                self.metrics.quota_returned();
                 self.ledger.return_charge(None, number, now);
             }
         }
@@ -162,18 +158,21 @@
         self.ledger.charge(caller, *number, charge, *deadline, now)
     }
 
-    /// Logs the parts of the quotas that this host's pool holds if they have changed.
-    fn log_share(&mut self) {
+    /// Reports the parts of the quotas that this host's pool holds if they have changed.
+    fn report_parts(&mut self) {
         let now = self.clock.now();
-        if self.logged.is_some_and(|(_, at)| now < at + LOG_PERIOD) {
-            return;
-        }
         let parts = self.ledger.parts(now);
-        if self.logged.is_some_and(|(logged, _)| logged == parts) {
-            return;
+        if self.reported != Some(parts) {
+            self.reported = Some(parts);
+            self.metrics.quota_parts(parts);
+        }
+        let is_logged = self
+            .logged
+            .is_some_and(|(logged, at)| logged == parts || now < at + LOG_PERIOD);
+        if !is_logged {
+            self.logged = Some((parts, now));
+            log::info!(parts, share = self.ledger.share(now); "parts of the quotas in this host's pool");
         }
-        self.logged = Some((parts, now));
-        log::info!(parts, share = self.ledger.share(now); "parts of the quotas in this host's pool");
     }
 
     fn offer(&mut self, dispatcher: id::Host, now: Duration) -> Option<Offer> {
