--- a/crates/papayayard_gateway/src/dispatch/charging.rs
+++ b/crates/papayayard_gateway/src/dispatch/charging.rs
@@ -12,7 +12,7 @@
 
 use super::message::{Answer, Decision, Event, Refusal};
 use super::{Dispatch, Handler, Link, Selection, permit};
-use crate::quota::Bill;
+use crate::quota::{self as quotas, Bill};
 
 /// Charge of a placement request.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -34,6 +34,57 @@
     }
 }
 
+/// What a call to a dispatcher says about quotas. Charges that it returns are returned again with
+/// a later call if it gets no answer.
+pub(super) struct Offered<'a> {
+    ledger: &'a quotas::Handle,
+    dispatcher: &'a id::Host,
+    /// `None` if the call says nothing, or once it is answered.
+    offer: Option<quota::Offer>,
+}
+
+impl<'a> Offered<'a> {
+    /// Creates what a call says; only calls to a dispatcher that is used say anything.
+    pub(super) async fn new(
+        ledger: &'a quotas::Handle,
+        dispatcher: &'a id::Host,
+        is_used: bool,
+    ) -> Self {
+        let offer = if is_used {
+            ledger.offer(dispatcher).await
+        } else {
+            None
+        };
+        Self {
+            ledger,
+            dispatcher,
+            offer,
+        }
+    }
+
+    pub(super) fn offer(&self) -> Option<quota::Offer> {
+        self.offer.clone()
+    }
+
+    /// Applies the answer to the call, which was sent at a time.
+    pub(super) fn accept(&mut self, answer: &mut Answer, sent_at: Duration) {
+        if self.offer.take().is_some() {
+            let reply = answer.quota.take();
+            self.ledger
+                .accept(self.dispatcher, answer.run, reply, sent_at);
+        }
+    }
+}
+
+impl Drop for Offered<'_> {
+    fn drop(&mut self) {
+        let returned = self.offer.iter().flat_map(quota::Offer::returned);
+        for number in returned {
+            self.ledger.return_to(self.dispatcher, *number);
+        }
+    }
+}
+
 impl Dispatch {
     /// Records whether a dispatcher has charged a request, and charges it here if the dispatcher
     /// decided without it. Returns the refusal of a request that is beyond its quota.
--- a/crates/papayayard_gateway/src/dispatch/charging_test.rs
+++ b/crates/papayayard_gateway/src/dispatch/charging_test.rs
@@ -11,6 +11,7 @@
 use rstest::rstest;
 use tokio::time;
 
+use super::super::charging::Offered;
 use super::super::message::{Answer, Call, Decision, Placed, Request};
 use super::super::{Link, Selection};
 use super::{Host, TIMEOUT, connect, dispatcher_and_asker};
@@ -157,6 +158,32 @@
     assert_over_quota(&asker.place_with(&asker.bill()).await, by);
 }
 
+/// Guards against returned charges that are lost with the call that returns them.
+#[tokio::test]
+async fn a_returned_charge_is_returned_again_if_its_call_gets_no_answer() {
+    let (dispatcher, asker) = start(false);
+    let bill = asker.bill();
+    let selection = asker.place_with(&bill).await;
+    assert!(matches!(selection, Selection::Placed(..)));
+    drop(bill);
+    let (ledger, host) = (asker.dispatch.quota(), &dispatcher.local.host);
+    let returned = async || {
+        loop {
+            // Dropped without an answer.
+            let offered = Offered::new(ledger, host, true).await;
+            if let Some(offer) = offered.offer() {
+                return offer.returned().to_vec();
+            }
+            time::sleep(PAUSE).await;
+        }
+    };
+    let calls = async { [returned().await, returned().await] };
+    let calls = time::timeout(TIMEOUT, calls).await;
+    let [first, second] = calls.expect("calls that mention quotas");
+    assert_eq!(first.len(), 1);
+    assert_eq!(first, second);
+}
+
 /// Guards against requests beyond a quota that a dispatcher of an older release places, which
 /// charges nothing.
 #[tokio::test]
--- a/crates/papayayard_gateway/src/dispatch/link.rs
+++ b/crates/papayayard_gateway/src/dispatch/link.rs
@@ -9,7 +9,7 @@
 use papayayard_wire::id;
 use tokio::sync::Notify;
 
-use super::charging::Charge;
+use super::charging::{Charge, Offered};
 use super::message::{Answer, Call, Event, NamedLimit, Notice, Request};
 use super::register::Register;
 use crate::{peers, quota};
@@ -155,13 +155,7 @@
         is_used: bool,
         now: Duration,
     ) -> Result<Answer, String> {
-        let quota = &self.local.quota;
-        let offer = if is_used {
-            quota.offer(self.host()).await
-        } else {
-            None
-        };
-        let has_offer = offer.is_some();
+        let mut offered = Offered::new(&self.local.quota, self.host(), is_used).await;
         let call = {
             let mut outbox = self.outbox();
             outbox.called_at = now;
@@ -175,15 +169,12 @@
                 asked: std::mem::take(&mut outbox.asked),
                 is_used,
                 limits_revision: outbox.limits_revision,
-                quota: offer,
+                quota: offered.offer(),
                 question: request,
             }
         };
         let mut answer = self.client.dispatch(call).await?;
-        if has_offer {
-            let reply = answer.quota.take();
-            quota.accept(self.host(), answer.run, reply, now);
-        }
+        offered.accept(&mut answer, now);
         let mut outbox = self.outbox();
         if outbox.run != Some(answer.run) {
             outbox.run = Some(answer.run);
