--- a/crates/papayayard_gateway/src/dispatch.rs
+++ b/crates/papayayard_gateway/src/dispatch.rs
@@ -204,6 +204,38 @@
         self.place_locally(query, number).await
     }
 
+    /// Records whether a dispatcher has charged a request, and charges it here if the dispatcher
+    /// decided without it. Returns the refusal of a request that is beyond its quota.
+    async fn settle(
+        &self,
+        bill: &Bill,
+        answer: &DispatchAnswer,
+        (number, deadline): (u64, Duration),
+        link: &Link,
+    ) -> Option<Selection> {
+        bill.answered(answer.is_charged);
+        let placed = match answer.decision.as_ref()? {
+            message::Decision::Placed(_) => self.charge_own(bill, deadline).await,
+            message::Decision::Refused(_) => None,
+        };
+        if placed.is_some() {
+            link.notify(number, message::Event::Abandoned);
+        }
+        placed
+    }
+
+    /// Charges a request to the pool of this host, if it is still due. Returns the refusal of a
+    /// request that is beyond its quota.
+    async fn charge_own(&self, bill: &Bill, deadline: Duration) -> Option<Selection> {
+        let retry_after = bill.charge_own(deadline).await.err()?;
+        Some(Selection::Refused {
+            reason: RefusalReason::OverQuota,
+            retry_after,
+            availability: Availability::default(),
+            refused_by: permit::OWN.to_owned(),
+        })
+    }
+
     /// Places a request that has no quota.
     #[cfg(test)]
     async fn place(&self, query: Query) -> Selection {
--- a/crates/papayayard_gateway/src/dispatch/handler.rs
+++ b/crates/papayayard_gateway/src/dispatch/handler.rs
@@ -2,12 +2,13 @@
 
 use std::time::Duration;
 
-use papayayard_coordination::quota::Caller;
-use papayayard_routing::placement;
+use papayayard_coordination::quota::{Caller, Verdict};
+use papayayard_routing::placement::{self, Availability, RefusalReason};
 use papayayard_wire::id;
 use tokio::time;
 
 use super::Dispatch;
+use super::charging::Charge;
 use super::link::HOLD_TIMEOUT;
 use super::message::{
     Answer, Call, Decision, Event, Limits, Notice, Placed, Refusal, Request, Running,
@@ -16,7 +17,7 @@
 use crate::uplink;
 
 #[derive(Clone)]
-pub(crate) struct Handler(pub(super) Dispatch);
+pub(crate) struct Handler(Dispatch);
 
 impl Handler {
     pub(super) const fn new(dispatch: Dispatch) -> Self {
@@ -123,6 +124,29 @@
         self.0.0.schedule.send(message);
     }
 
+    /// Charges a request of another host to the pool of this one. Returns whether it is charged.
+    async fn charge(
+        &self,
+        caller: Caller<'_>,
+        charge: Option<Charge>,
+        time_left: Duration,
+    ) -> Result<bool, Decision> {
+        let Some(Charge { number, content }) = charge else {
+            return Ok(false);
+        };
+        let shared = &self.0.0;
+        let deadline = shared.clock.now() + time_left;
+        let ledger = &shared.local.quota;
+        match ledger.charge(Some(caller), number, content, deadline).await {
+            Verdict::Charged => Ok(true),
+            Verdict::Refused { retry_after } => {
+                let reason = RefusalReason::OverQuota;
+                let refusal = Refusal::new(reason, retry_after, Availability::default());
+                Err(Decision::Refused(refusal))
+            }
+        }
+    }
+
     /// Waits up to [`HOLD_TIMEOUT`] for a decision; without one the host sends its
     /// request again.
     async fn decide(&self, request: Request, host: id::Host, zone: id::Zone) -> Option<Decision> {
--- a/crates/papayayard_gateway/src/dispatch/link.rs
+++ b/crates/papayayard_gateway/src/dispatch/link.rs
@@ -174,7 +174,7 @@
             }
         };
         let mut answer = self.client.dispatch(call).await?;
-        offered.accept(&mut answer, now);
+        offered.accept(answer.run, answer.quota.take(), now);
         let mut outbox = self.outbox();
         if outbox.run != Some(answer.run) {
             outbox.run = Some(answer.run);
--- a/crates/papayayard_gateway/src/host.rs
+++ b/crates/papayayard_gateway/src/host.rs
@@ -394,7 +394,10 @@
                 is_first_start: self.settings.first_start,
             },
             clock: self.store.clock,
-            configuration: configuration.clone(),
+            tables: quota::Tables {
+                configuration: configuration.clone(),
+                table: |configuration| configuration.table.clone(),
+            },
             hosts: hosts.clone(),
             metrics: self.metrics.clone(),
         });
--- a/crates/papayayard_gateway/src/quota.rs
+++ b/crates/papayayard_gateway/src/quota.rs
@@ -24,7 +24,7 @@
 mod task;
 
 pub(crate) use bill::Bill;
-pub(crate) use task::{Parts, start};
+pub(crate) use task::{Parts, Tables, start};
 
 /// Retry delay of a request that the ledger did not decide on, since the host stops.
 const STOPPED_RETRY_DELAY: Duration = Duration::from_secs(1);
--- a/crates/papayayard_gateway/src/quota/task.rs
+++ b/crates/papayayard_gateway/src/quota/task.rs
@@ -5,11 +5,11 @@
 use std::time::Duration;
 
 use papayayard_coordination::quota::{Ledger, Offer, Settings, Verdict};
+use papayayard_routing::table::Table;
 use papayayard_wire::id;
 use tokio::sync::{mpsc, watch};
 
 use super::{Debit, Handle, Message, Owner, Readiness, quotas};
-use crate::beliefs::Configuration;
 use crate::clock::Clock;
 use crate::metrics::Metrics;
 
@@ -20,18 +20,33 @@
 /// Minimum time between two log lines on the parts in the pool.
 const LOG_PERIOD: Duration = Duration::from_secs(1);
 
+/// The routing tables of configurations.
+pub(crate) struct Tables<Configuration> {
+    pub(crate) configuration: watch::Receiver<Configuration>,
+    /// The table of a configuration, if it has one.
+    pub(crate) table: fn(&Configuration) -> Option<Arc<Table>>,
+}
+
+impl<Configuration> Tables<Configuration> {
+    fn newest(&mut self) -> Option<Arc<Table>> {
+        (self.table)(&self.configuration.borrow_and_update())
+    }
+}
+
 /// Dependencies of the task.
-pub(crate) struct Parts {
+pub(crate) struct Parts<Configuration> {
     pub(crate) settings: Settings,
     pub(crate) clock: Clock,
-    pub(crate) configuration: watch::Receiver<Configuration>,
+    pub(crate) tables: Tables<Configuration>,
     /// Number of hosts; its first value is an assumption.
     pub(crate) hosts: watch::Receiver<usize>,
     pub(crate) metrics: Metrics,
 }
 
 /// Creates the task and its handle; the task ends when all handles are dropped.
-pub(crate) fn start(parts: Parts) -> (Handle, impl Future<Output = ()>) {
+pub(crate) fn start<Configuration>(
+    parts: Parts<Configuration>,
+) -> (Handle, impl Future<Output = ()> + use<Configuration>) {
     let (messages, receiver) = mpsc::unbounded_channel();
     let run = parts.settings.run;
     let (readiness, readiness_receiver) = watch::channel(Readiness::default());
@@ -51,7 +66,7 @@
         logged: None,
         metrics: parts.metrics,
     };
-    let running = task.run(receiver, parts.configuration, parts.hosts);
+    let running = task.run(receiver, parts.tables, parts.hosts);
     (handle, running)
 }
 
@@ -69,13 +84,13 @@
 }
 
 impl Task {
-    async fn run(
+    async fn run<Configuration>(
         mut self,
         mut messages: mpsc::UnboundedReceiver<Message>,
-        mut configuration: watch::Receiver<Configuration>,
+        mut tables: Tables<Configuration>,
         mut hosts: watch::Receiver<usize>,
     ) {
-        self.configure(&configuration.borrow_and_update().clone());
+        self.configure(tables.newest().as_deref());
         loop {
             tokio::select! {
                 biased;
@@ -84,9 +99,8 @@
                     self.ledger.set_hosts(number, self.clock.now());
                     self.readiness.send_modify(|readiness| readiness.is_counted = true);
                 }
-                Ok(()) = configuration.changed() => {
-                    let newest = configuration.borrow_and_update().clone();
-                    self.configure(&newest);
+                Ok(()) = tables.configuration.changed() => {
+                    self.configure(tables.newest().as_deref());
                 }
                 message = messages.recv() => match message {
                     Some(message) => {
@@ -99,8 +113,8 @@
         }
     }
 
-    fn configure(&mut self, configuration: &Configuration) {
-        let Some(table) = &configuration.table else {
+    fn configure(&mut self, table: Option<&Table>) {
+        let Some(table) = table else {
             return;
         };
         let quotas = quotas(table);
--- a/crates/papayayard_gateway/src/quota_test.rs
+++ b/crates/papayayard_gateway/src/quota_test.rs
@@ -2,7 +2,7 @@
 use papayayard_wire::id;
 use tokio::sync::watch;
 
-use super::{Handle, Parts};
+use super::{Handle, Parts, Tables};
 use crate::beliefs::Configuration;
 use crate::clock::Clock;
 use crate::metrics::Metrics;
@@ -24,7 +24,10 @@
             is_first_start,
         },
         clock,
-        configuration,
+        tables: Tables {
+            configuration,
+            table: |configuration| configuration.table.clone(),
+        },
         hosts,
         metrics: Metrics::new(),
     });
--- a/crates/papayayard_gateway/src/refusal.rs
+++ b/crates/papayayard_gateway/src/refusal.rs
@@ -91,3 +91,8 @@
 pub(crate) fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
+
+/// Remaining time for logs, in ms; `-` without a limit.
+pub(crate) fn left(remaining: Option<Duration>) -> String {
+    remaining.map_or_else(|| "-".to_owned(), |left| left.as_millis().to_string())
+}
