--- a/crates/papayayard_gateway/src/quota/bill.rs
+++ b/crates/papayayard_gateway/src/quota/bill.rs
@@ -57,9 +57,13 @@
         let Some(quota) = account.quota else {
             return Bill::default();
         };
+        let cost = quota.cost(prompt);
+        if cost <= 0.0 {
+            return Bill::default();
+        }
         let charge = Charge {
             account: account.name.clone(),
-            cost: quota.cost(prompt),
+            cost,
             quota: Quota {
                 per_second: quota.per_second(),
                 burst: quota.burst(),
