--- a/crates/papayayard_coordination/tests/quota/simulation.rs
+++ b/crates/papayayard_coordination/tests/quota/simulation.rs
@@ -19,18 +19,18 @@
 const HEARTBEAT: Duration = Duration::from_secs(1);
 /// Time after which a host gives up a call.
 const TIMEOUT: Duration = Duration::from_millis(220);
-/// Size of a request as a part of the quota's second.
-const COST: f64 = 0.12;
 
+/// Time between two readings of all pools.
+const SAMPLE_PERIOD: Duration = Duration::from_millis(53);
 /// Cost of a request without a prompt as a part of that of others.
 const PLAIN_COST: f64 = 0.25;
 
 /// An admitted request that was not returned.
 #[derive(Clone, Copy, Debug)]
-pub struct Admission {
-    pub at: Duration,
-    pub account: usize,
-    pub cost: f64,
+pub(crate) struct Admission {
+    pub(crate) at: Duration,
+    pub(crate) account: usize,
+    pub(crate) cost: f64,
 }
 
 #[derive(Clone, Debug)]
@@ -74,6 +74,7 @@
     Read(usize),
     Start(usize),
     Fault(Fault),
+    Sample,
 }
 
 struct Host {
@@ -83,6 +84,8 @@
     clock_rate: f64,
     clock_offset: Duration,
     dispatcher: usize,
+    /// When a dispatcher answered last.
+    answered_at: Duration,
     frozen_until: Duration,
     store_cut_until: Duration,
     revision: u64,
@@ -92,7 +95,7 @@
 }
 
 /// A replay.
-pub struct Simulation {
+pub(crate) struct Simulation {
     plan: Plan,
     rng: ChaCha8Rng,
     now: Duration,
@@ -104,15 +107,15 @@
     revision: u64,
     factor: f64,
     next_run: u64,
-    pub admissions: Vec<Admission>,
+    pub(crate) admissions: Vec<Admission>,
     /// Time from which all hosts know the lowered quotas.
-    pub lowered_at: Option<Duration>,
-    pub refused: usize,
-    pub offered: usize,
+    pub(crate) lowered_at: Option<Duration>,
+    /// Largest sum of the shares of all pools, and when it was seen.
+    pub(crate) largest_share: (f64, Duration),
 }
 
 impl Simulation {
-    pub fn new(plan: Plan, seed: u64) -> Self {
+    pub(crate) fn new(plan: Plan, seed: u64) -> Self {
         let mut simulation = Self {
             rng: ChaCha8Rng::seed_from_u64(seed),
             now: Duration::ZERO,
@@ -126,10 +129,10 @@
             next_run: 1,
             admissions: Vec::new(),
             lowered_at: None,
-            refused: 0,
-            offered: 0,
+            largest_share: (0.0, Duration::ZERO),
             plan,
         };
+        simulation.push(SAMPLE_PERIOD, Event::Sample);
         for index in 0..simulation.plan.hosts {
             simulation.add_host(index);
         }
@@ -143,7 +146,7 @@
     }
 
     /// Runs to the end of the plan.
-    pub fn run(&mut self) {
+    pub(crate) fn run(&mut self) {
         while let Some(Reverse((at, index))) = self.events.pop() {
             if at > self.plan.length {
                 break;
@@ -158,7 +161,7 @@
 
     /// Largest excess over an account's quota in any window, as a part of what is
     /// allowed; at most 1 if the bound holds.
-    pub fn worst_window(&self, account: usize) -> (f64, Duration) {
+    pub(crate) fn worst_window(&self, account: usize) -> (f64, Duration) {
         let of_account = |admission: &&Admission| admission.account == account;
         let admissions: Vec<&Admission> = self.admissions.iter().filter(of_account).collect();
         let window = self.plan.tolerance.window;
@@ -179,7 +182,7 @@
     }
 
     /// What was admitted of an account from a time on.
-    pub fn admitted(&self, account: usize, from: Duration) -> f64 {
+    pub(crate) fn admitted(&self, account: usize, from: Duration) -> f64 {
         let admissions = self.admissions.iter();
         let admissions = admissions.filter(|one| one.account == account && one.at >= from);
         admissions.map(|one| one.cost).sum()
@@ -218,6 +221,7 @@
             clock_rate,
             clock_offset: Duration::ZERO,
             dispatcher: 0,
+            answered_at: Duration::ZERO,
             frozen_until: Duration::ZERO,
             store_cut_until: Duration::ZERO,
             revision: 0,
@@ -227,7 +231,7 @@
         let at = self.now + plan::between(&mut self.rng, 0.0, 0.5);
         self.push(at, Event::Start(index));
         if self.rng.random_bool(self.plan.moving) {
-            let at = self.now + plan::between(&mut self.rng, 0.1, 4.0);
+            let at = self.now + plan::between(&mut self.rng, 0.1, self.plan.move_seconds);
             self.push(at, Event::Move(index));
         }
     }
@@ -250,17 +254,12 @@
             Event::Answer(answer) => self.take_answer(*answer),
             Event::Timeout(call) => self.give_up(&call),
             Event::Return(host, run, dispatcher, number) => {
-                let dispatcher = self.hosts[dispatcher].name.clone();
-                if self.hosts[host].run == run
-                    && let Some(ledger) = &mut self.hosts[host].ledger
-                {
-                    ledger.return_to(&dispatcher, number);
-                }
+                self.return_charge(host, run, dispatcher, number);
             }
             Event::Move(host) => {
                 let count = self.plan.dispatchers.min(2);
                 self.hosts[host].dispatcher = self.rng.random_range(0..count);
-                let at = self.now + plan::between(&mut self.rng, 0.1, 4.0);
+                let at = self.now + plan::between(&mut self.rng, 0.1, self.plan.move_seconds);
                 self.push(at, Event::Move(host));
             }
             Event::Prefer(host, run) => {
@@ -271,6 +270,37 @@
             Event::Read(host) => self.read(host),
             Event::Start(host) => self.start(host),
             Event::Fault(fault) => self.inject(fault),
+            Event::Sample => {
+                self.sample();
+                self.push(self.now + SAMPLE_PERIOD, Event::Sample);
+            }
+        }
+    }
+
+    fn sample(&mut self) {
+        let mut sum = 0.0;
+        for index in 0..self.hosts.len() {
+            let clock = self.clock(index);
+            if let Some(ledger) = &mut self.hosts[index].ledger {
+                sum += ledger.share(clock);
+            }
+        }
+        if sum > self.largest_share.0 {
+            self.largest_share = (sum, self.now);
+        }
+    }
+
+    fn return_charge(&mut self, index: usize, run: u64, dispatcher: usize, number: u64) {
+        let clock = self.clock(index);
+        let name = self.hosts[dispatcher].name.clone();
+        let host = &mut self.hosts[index];
+        let Some(ledger) = host.ledger.as_mut().filter(|_| host.run == run) else {
+            return;
+        };
+        if dispatcher == index {
+            ledger.return_charge(None, number, clock);
+        } else {
+            ledger.return_to(&name, number);
         }
     }
 
@@ -371,12 +401,18 @@
         let offset = plan::between(&mut self.rng, 0.0, 1_000.0);
         let is_first = self.plan.is_first_start && self.now < Duration::from_secs(1);
         let tolerance = self.plan.tolerance;
+        let choices = if self.rng.random_bool(self.plan.moving) {
+            self.plan.dispatchers.min(2)
+        } else {
+            1
+        };
+        let first_dispatcher = self.rng.random_range(0..choices);
         let host = &mut self.hosts[index];
         host.clock_offset = offset;
         host.run = run;
         host.open.clear();
         host.last_number = 0;
-        host.dispatcher = 0;
+        host.dispatcher = first_dispatcher;
         let settings = Settings {
             host: host.name.clone(),
             run,
@@ -409,7 +445,7 @@
         let quota = self.plan.quotas[account];
         let demand = self.plan.demand * quota.per_second;
         let is_plain = self.rng.random_bool(self.plan.plain);
-        let mean = COST * quota.per_second;
+        let mean = self.plan.cost * quota.per_second;
         let cost = mean * self.rng.random_range(0.2..1.8);
         let cost = if is_plain { cost * PLAIN_COST } else { cost };
         let mean = mean * (1.0 - self.plan.plain * (1.0 - PLAIN_COST));
@@ -424,7 +460,6 @@
         if self.hosts[index].ledger.is_none() || self.now < self.hosts[index].frozen_until {
             return;
         }
-        self.offered += 1;
         let clock = self.clock(index);
         let factor = if self.hosts[index].revision > 1 {
             self.factor
@@ -482,15 +517,19 @@
 
     fn place_alone(&mut self, index: usize, account: usize, number: u64, charge: &Charge) {
         let clock = self.clock(index);
+        let run = self.hosts[index].run;
         let Some(ledger) = &mut self.hosts[index].ledger else {
             return;
         };
         let deadline = clock + Duration::from_secs(4);
         let verdict = ledger.charge(None, number, charge, deadline, clock);
         if verdict != Verdict::Charged {
-            self.refused += 1;
-        } else if self.rng.random_bool(self.plan.unrun) {
-            ledger.return_charge(None, number, clock);
+            return;
+        }
+        if self.rng.random_bool(self.plan.unrun) {
+            let delay = plan::between(&mut self.rng, 0.0, self.plan.return_seconds);
+            let event = Event::Return(index, run, index, number);
+            self.push(self.now + delay, event);
         } else {
             self.admit(account, charge.cost, self.now);
         }
@@ -582,6 +621,9 @@
         if host.run != call.run {
             return;
         }
+        if host.dispatcher == call.to {
+            host.answered_at = self.now;
+        }
         let Some(ledger) = &mut host.ledger else {
             return;
         };
@@ -602,9 +644,11 @@
             return;
         }
         if verdict != Verdict::Charged {
-            self.refused += 1;
-        } else if self.rng.random_bool(self.plan.unrun) {
-            let at = self.now + plan::between(&mut self.rng, 0.0, 2.0);
+            return;
+        }
+        if self.rng.random_bool(self.plan.unrun) {
+            let delay = plan::between(&mut self.rng, 0.0, self.plan.return_seconds);
+            let at = self.now + delay;
             let event = Event::Return(call.from, call.run, call.to, request.number);
             self.push(at, event);
         } else {
@@ -626,7 +670,8 @@
         }
         let event = Event::Return(index, call.run, call.to, request.number);
         self.apply(event);
-        if self.hosts[index].dispatcher == call.to {
+        let is_silent = self.hosts[index].answered_at + TIMEOUT <= self.now;
+        if self.hosts[index].dispatcher == call.to && is_silent {
             let next = call.to + 1;
             let is_known = next < self.plan.dispatchers;
             self.hosts[index].dispatcher = if is_known { next } else { index };
@@ -639,6 +684,6 @@
     }
 }
 
-pub fn account(index: usize) -> id::Account {
+pub(crate) fn account(index: usize) -> id::Account {
     id::Account::from(format!("account-{index}"))
 }
