--- a/crates/papayayard_gateway/src/dispatch/handler.rs
+++ b/crates/papayayard_gateway/src/dispatch/handler.rs
@@ -2,11 +2,13 @@
 
 use std::time::Duration;
 
-use papayayard_routing::placement;
+use papayayard_coordination::quota::{Caller, Verdict};
+use papayayard_routing::placement::{self, Availability, RefusalReason};
 use papayayard_wire::id;
 use tokio::time;
 
 use super::Dispatch;
+use super::charging::Charge;
 use super::link::HOLD_TIMEOUT;
 use super::message::{
     Answer, Call, Decision, Event, Limits, Notice, Placed, Refusal, Request, Running,
@@ -70,8 +72,28 @@
         if is_detached {
             return Err(uplink::Detached);
         }
+        let caller = Caller {
+            host: &host,
+            run: call.run,
+        };
+        let quota = match call.quota {
+            Some(offer) if is_dispatching && call.is_used => {
+                shared.local.quota.receive(caller, offer).await
+            }
+            _ => None,
+        };
+        let mut is_charged = false;
         let decision = match call.question {
-            Some(request) if is_dispatching => self.decide(request, host, zone).await,
+            Some(mut request) if is_dispatching => {
+                let charge = request.charge.take();
+                match self.charge(caller, charge, request.time_left()).await {
+                    Ok(charged) => {
+                        is_charged = charged;
+                        self.decide(request, host.clone(), zone).await
+                    }
+                    Err(refusal) => Some(refusal),
+                }
+            }
             _ => None,
         };
         let limits = shared.schedule.limits();
@@ -83,6 +105,8 @@
             is_asked,
             elsewhere,
             limits,
+            quota,
+            is_charged,
         })
     }
 
@@ -100,6 +124,29 @@
         self.0.0.schedule.send(message);
     }
 
+    /// Charges a request of another host to the pool of this one. Returns whether it is charged.
+    async fn charge(
+        &self,
+        caller: Caller<'_>,
+        charge: Option<Charge>,
+        time_left: Duration,
+    ) -> Result<bool, Decision> {
+        let Some(Charge { number, content }) = charge else {
+            return Ok(false);
+        };
+        let shared = &self.0.0;
+        let deadline = shared.clock.now() + time_left;
+        let ledger = &shared.local.quota;
+        match ledger.charge(Some(caller), number, content, deadline).await {
+            Verdict::Charged => Ok(true),
+            Verdict::Refused { retry_after } => {
+                let reason = RefusalReason::OverQuota;
+                let refusal = Refusal::new(reason, retry_after, Availability::default());
+                Err(Decision::Refused(refusal))
+            }
+        }
+    }
+
     /// Waits up to [`HOLD_TIMEOUT`] for a decision; without one the host sends its
     /// request again.
     async fn decide(&self, request: Request, host: id::Host, zone: id::Zone) -> Option<Decision> {
--- a/crates/papayayard_gateway/src/dispatch_test.rs
+++ b/crates/papayayard_gateway/src/dispatch_test.rs
@@ -15,13 +15,14 @@
 
 use super::message::{Call, Request};
 use super::{Dispatch, Parts, Permit, Selection};
+use crate::beliefs::Configuration;
 use crate::cache_news::ChangeLog;
 use crate::clock::Clock;
 use crate::front::StopState;
 use crate::hosts::{LocalHost, Neighbours};
 use crate::metrics::Metrics;
 use crate::schedule::Message;
-use crate::{origins, peers, runs, schedule, uplink, usability};
+use crate::{origins, peers, quota, runs, schedule, uplink, usability};
 
 const TARGET_LATENCY: Duration = Duration::from_secs(5);
 /// Maximum time for each wait of a test.
@@ -29,12 +30,16 @@
 /// Time for which requests may begin on older weights.
 const OLD_WEIGHTS: Duration = Duration::from_mins(1);
 
+#[path = "dispatch/charging_test.rs"]
+mod charging;
+
 /// A host that places requests, without a caller.
 struct Host {
     dispatch: Dispatch,
     clock: Clock,
     local: LocalHost,
     is_detached: watch::Sender<bool>,
+    configuration: watch::Sender<Configuration>,
     neighbours: watch::Sender<Neighbours>,
     listener: Option<std::net::TcpListener>,
 }
@@ -42,6 +47,11 @@
 impl Host {
     /// Hosts with a higher capacity are asked first.
     fn new(name: &str, capacity: u32) -> Self {
+        Self::with_first_start(name, capacity, true)
+    }
+
+    /// Creates a host whose buckets are full if its deployment starts for the first time.
+    fn with_first_start(name: &str, capacity: u32, is_first_start: bool) -> Self {
         let listener = std::net::TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port");
         listener.set_nonblocking(true).expect("a socket");
         let clock = Clock::start();
@@ -59,6 +69,7 @@
             old_weights_grace: Duration::ZERO,
             limit_phase: 0.0,
         });
+        let (configuration, _) = watch::channel(Configuration::default());
         let dispatch = Dispatch::new(Parts {
             local: local.clone(),
             clock,
@@ -66,6 +77,12 @@
             neighbours: neighbours_receiver,
             uplink: uplink::Handle::with_state(state),
             runs: runs::Tracker::new(clock),
+            quota: quota::test::start(
+                &local.host,
+                is_first_start,
+                clock,
+                configuration.subscribe(),
+            ),
             metrics: Metrics::new(),
         });
         Self {
@@ -73,6 +90,7 @@
             clock,
             local,
             is_detached,
+            configuration,
             neighbours,
             listener: Some(listener),
         }
@@ -256,6 +274,7 @@
         asked: Vec::new(),
         is_used: true,
         limits_revision: None,
+        quota: None,
         question: Some(Request::new(1, &host.query(), host.clock.now())),
     };
     let handler = host.dispatch.handler();
@@ -269,7 +288,12 @@
 
 /// Creates two hosts that know each other; the first one places the requests of both.
 fn dispatcher_and_asker() -> (Host, Host) {
-    let hosts = (Host::new("dispatcher", 300), Host::new("asker", 100));
+    connect(Host::new("dispatcher", 300), Host::new("asker", 100))
+}
+
+/// Lets a dispatcher and a host that uses it know each other.
+fn connect(dispatcher: Host, asker: Host) -> (Host, Host) {
+    let hosts = (dispatcher, asker);
     let candidates = [&hosts.0, &hosts.1].map(Host::candidate);
     for host in [&hosts.0, &hosts.1] {
         host.set_neighbours(&candidates);
--- a/crates/papayayard_gateway/src/host.rs
+++ b/crates/papayayard_gateway/src/host.rs
@@ -36,8 +36,8 @@
 use crate::settings::Settings;
 use crate::store::Topic;
 use crate::{
-    dispatch, ends, era, exchange, feeds, hosts, listen, operators, orders, origins, peers, runs,
-    schedule, store, uplink,
+    dispatch, ends, era, exchange, feeds, hosts, listen, operators, orders, origins, peers, quota,
+    runs, schedule, store, uplink,
 };
 
 /// Age of a target version up to which older weights do not add to the placement cost.
@@ -109,7 +109,7 @@
     let (configuration, last_read) = parts.follow_operators();
     let (endpoints, endpoints_read) = parts.follow_endpoints();
     let uplink = parts.observe_uplink(&endpoints);
-    let dispatch = parts.dispatch(&uplink);
+    let dispatch = parts.dispatch(&uplink, &configuration, &hosts);
     let origins = parts.track_origins(&endpoints, endpoints_read);
     parts.order_weights(&configuration, &endpoints, &dispatch, &uplink);
     let changes = parts.follow_caches(&configuration, &endpoints, &hosts, (&dispatch, &uplink));
@@ -139,13 +139,13 @@
             last_read: last_read.clone(),
             revocation,
             uplink: uplink.clone(),
+            quota: dispatch.quota().clone(),
         },
     ));
-    let codec = parts.store.codec.clone();
     let retries = parts.settings.bounds.retries;
     let relay = Relay {
         sender: Sender {
-            codec,
+            codec: parts.store.codec.clone(),
             pool,
             backoffs: parts.backoffs.clone(),
             clock,
@@ -381,7 +381,37 @@
         uplink
     }
 
-    fn dispatch(&mut self, uplink: &uplink::Handle) -> Dispatch {
+    fn keep_quotas(
+        &mut self,
+        configuration: &watch::Receiver<Configuration>,
+        hosts: &watch::Receiver<usize>,
+    ) -> quota::Handle {
+        let (quota, keeping) = quota::start(quota::Parts {
+            settings: papayayard_coordination::quota::Settings {
+                host: self.settings.host.clone(),
+                run: rand::random(),
+                tolerance: self.settings.bounds.quotas,
+                is_first_start: self.settings.first_start,
+            },
+            clock: self.store.clock,
+            tables: quota::Tables {
+                configuration: configuration.clone(),
+                table: |configuration| configuration.table.clone(),
+            },
+            hosts: hosts.clone(),
+            metrics: self.metrics.clone(),
+        });
+        self.controllers.spawn(keeping);
+        quota
+    }
+
+    fn dispatch(
+        &mut self,
+        uplink: &uplink::Handle,
+        configuration: &watch::Receiver<Configuration>,
+        hosts: &watch::Receiver<usize>,
+    ) -> Dispatch {
+        let quota = self.keep_quotas(configuration, hosts);
         let dispatch = Dispatch::new(dispatch::Parts {
             local: self.local_host(),
             clock: self.store.clock,
@@ -389,6 +419,7 @@
             neighbours: self.neighbours.clone(),
             uplink: uplink.clone(),
             runs: self.runs.clone(),
+            quota,
             metrics: self.metrics.clone(),
         });
         self.controllers.spawn(dispatch.clone().report());
--- a/crates/papayayard_gateway/src/relay.rs
+++ b/crates/papayayard_gateway/src/relay.rs
@@ -33,7 +33,7 @@
 use crate::metrics::Metrics;
 use crate::origins;
 use crate::pump;
-use crate::refusal::{Refusal, millis};
+use crate::refusal::{Refusal, left, millis};
 use crate::usability;
 
 mod admit;
@@ -355,7 +355,7 @@
         loop {
             let group = self.sharing_group(job);
             let query = job.query(&self.zone, &history.endpoints, group);
-            match self.dispatch.place(query).await {
+            match self.dispatch.place_charged(query, &job.bill).await {
                 Selection::Placed(_, permit) if self.sharing_group(job) != group => {
                     log::info!(request:% = job.id; "placed again, since accounts were isolated or freed");
                     permit.end(Outcome::Abandoned);
@@ -416,6 +416,10 @@
                     RefusalReason::NoEndpoint => (Kind::NoEndpoint, "the service has no endpoint"),
                     RefusalReason::Overloaded => (Kind::Overloaded, "all endpoints are full"),
                     RefusalReason::AllTried => (Kind::Overloaded, "all endpoints refused"),
+                    RefusalReason::OverQuota => {
+                        job.bill.record_refused(retry_after, &refused_by);
+                        (Kind::RateLimited, "the client account is over its quota")
+                    }
                 };
                 let tried = history.endpoints.len();
                 Err(NoPlace {
@@ -687,11 +691,6 @@
     }
 }
 
-/// Remaining time for logs, in ms; `-` without a limit.
-fn left(remaining: Option<Duration>) -> String {
-    remaining.map_or_else(|| "-".to_owned(), |left| left.as_millis().to_string())
-}
-
 /// Label of the failure in logs and metrics; `None` represents an error response of
 /// the endpoint.
 fn reason(failure: Option<Failure>) -> &'static str {
--- a/crates/papayayard_gateway/src/relay/admit.rs
+++ b/crates/papayayard_gateway/src/relay/admit.rs
@@ -19,6 +19,7 @@
 use crate::exchange::{Codec, RequestHead};
 use crate::hop;
 use crate::job::Job;
+use crate::quota::Bill;
 use crate::refusal::{Refusal, millis};
 
 /// Retry delay sent while this host stops; short, since other hosts serve the request.
@@ -75,6 +76,8 @@
             Source::Callers => Allowance::all(route.attempts),
             Source::Hosts => Allowance::decode(head.headers.get(hop::RUNS), route.attempts),
         };
+        // The host that passed the request on has charged it, or another one that it asked.
+        let is_charged = self.source == Source::Hosts && head.headers.contains_key(hop::CHARGED);
         let mut headers = head.headers;
         hop::strip(&mut headers);
         headers.remove(header::EXPECT);
@@ -86,6 +89,19 @@
         let isolated = account.as_ref().filter(|account| account.isolated);
         let isolated = isolated.map(|account| &account.name);
         let subjects = Arc::new(Subjects::of(fingerprint, prompt, isolated));
+        if account
+            .as_ref()
+            .is_some_and(|account| account.quota.is_some())
+        {
+            self.check_quotas()?;
+        }
+        let bill = match account.as_ref().filter(|_| !is_charged) {
+            Some(account) => self
+                .dispatch
+                .quota()
+                .bill(&id, account, prompt, table.revision),
+            None => Bill::default(),
+        };
         Ok(Job {
             id,
             method: head.method,
@@ -95,6 +111,7 @@
             subjects,
             service,
             account,
+            bill,
             prompt: request_head.prompt.map(Arc::new),
             position: request_head.position,
             resumes: request_head.resumes,
@@ -134,6 +151,16 @@
         Ok(Some(Arc::clone(account)))
     }
 
+    /// Refuses requests of accounts with a quota while this host can admit none: it must know
+    /// how many hosts there are.
+    fn check_quotas(&self) -> Result<(), Refusal> {
+        if self.dispatch.quota().is_ready() {
+            return Ok(());
+        }
+        let message = "this host does not know its part of the quota yet; try another host";
+        Err(Refusal::not_run(Kind::NotReady, message).after(NOT_READY_RETRY_DELAY))
+    }
+
     /// Refuses requests that a stop of this host might cut.
     fn check_stop(&self, deadline: Duration) -> Result<(), Refusal> {
         let shutdown = self.stop.borrow().shutdown;
