--- a/crates/papayayard_routing/tests/placement/repeated_looks.rs
+++ b/crates/papayayard_routing/tests/placement/repeated_looks.rs
@@ -238,7 +238,9 @@
             (2, _) => self.both(|scheduler| scheduler.set_loading(&[], now)),
             (3, _) => self
                 .both(|scheduler| scheduler.record_loaded(&endpoint, &support::model(), version)),
-            (4 | 5 | 17..22, _) => self.both(|scheduler| scheduler.set_cached(&endpoint, key, tokens)),
+            (4 | 5 | 17..22, _) => {
+                self.both(|scheduler| scheduler.set_cached(&endpoint, key, tokens))
+            }
             (6, _) => self.both(|scheduler| scheduler.set_stored(&store, key, tokens)),
             (7, _) => self.both(|scheduler| scheduler.clear_cached(&endpoint)),
             (8, Some(ticket)) => {
@@ -374,3 +376,39 @@
     let late = replay.placed_late;
     assert!(late > 20, "{late} placed late");
 }
+
+/// Guards against a request that waits on although only time had to pass: another engine has
+/// computed its shared parts, and fetching them leaves less to prefill than fits otherwise.
+#[test]
+fn a_waiting_request_is_placed_when_parts_can_be_fetched() {
+    let engines = support::engines(2, 1);
+    let mut scheduler = support::scheduler(&engines, 1);
+    let query = |tried: &str| Query {
+        target: NOW + ms(2_000),
+        target_latency: ms(2_000),
+        tried: vec![id::Endpoint::from(tried)],
+        ..support::query(support::history("subject"), NOW)
+    };
+    let first = support::place(&mut scheduler, query("e1"), NOW);
+    assert!(first.first_event * 2 < ms(300), "{first:?}");
+    for (engine, unread) in engines.iter().zip([300_000, 175_000]) {
+        let in_flight = InFlight {
+            requesting_host: id::Host::from("host"),
+            zone: engine.zone.clone(),
+            endpoint: engine.id.clone(),
+            unread,
+            memory: 0,
+            deadline: NOW + ms(5_000),
+        };
+        scheduler.record_in_flight(&in_flight, NOW);
+    }
+    let waiting = scheduler.enqueue(query("e0"), NOW);
+    assert_eq!(scheduler.decide(NOW), []);
+    assert_eq!(scheduler.decide(NOW + ms(100)), []);
+    let decisions = scheduler.decide(NOW + ms(300));
+    assert!(
+        matches!(&decisions[..], [(key, Decision::Placed(placement))]
+            if *key == waiting && placement.fetch.is_some()),
+        "{decisions:?}"
+    );
+}
