--- a/crates/papayayard_routing/src/placement/roster.rs
+++ b/crates/papayayard_routing/src/placement/roster.rs
@@ -44,7 +44,7 @@
     pub(super) entries: Vec<Entry>,
     pub(super) zones: Vec<id::Zone>,
     pub(super) versions: Vec<Version>,
-    /// Newest version, if older ones add to the cost.
+    /// Whether older versions add to the cost.
     pub(super) has_old: bool,
     /// Whether endpoints of the service have named limits.
     pub(super) is_limited: bool,
--- a/crates/papayayard_routing/tests/placement/repeated_looks.rs
+++ b/crates/papayayard_routing/tests/placement/repeated_looks.rs
@@ -239,7 +239,7 @@
             (3, _) => self
                 .both(|scheduler| scheduler.record_loaded(&endpoint, &support::model(), version)),
             (4 | 5 | 17..22, _) => {
-                self.both(|scheduler| scheduler.set_cached(&endpoint, key, tokens))
+                self.both(|scheduler| scheduler.set_cached(&endpoint, key, tokens));
             }
             (6, _) => self.both(|scheduler| scheduler.set_stored(&store, key, tokens)),
             (7, _) => self.both(|scheduler| scheduler.clear_cached(&endpoint)),
