--- a/crates/papayayard_coordination/src/dispatcher.rs
+++ b/crates/papayayard_coordination/src/dispatcher.rs
@@ -8,10 +8,19 @@
 //! candidate, and finally places requests itself. A dispatcher keeps its role for as
 //! long as it responds: a starting host that would rank before it also asks it.
 
+use std::time::Duration;
+
 use papayayard_wire::id;
 
 use crate::ranking::{Candidate, ranked};
 
+/// Maximum time for which a dispatcher holds a request that it cannot place yet.
+pub const HOLD_TIMEOUT: Duration = Duration::from_millis(100);
+/// Time for an answer beyond [`HOLD_TIMEOUT`]: the round trip and the time until the
+/// dispatcher's process is scheduled.
+const ANSWER_MARGIN: Duration = Duration::from_millis(120);
+/// Time after which a call to a dispatcher counts as unanswered.
+pub const ANSWER_TIMEOUT: Duration = HOLD_TIMEOUT.saturating_add(ANSWER_MARGIN);
 /// Maximum number of hosts in a deployment with a single dispatcher.
 const MAX_HOSTS_PER_DISPATCHER: usize = 100;
 /// Number of dispatchers tried in order, per scope (all hosts, and the zone).
--- a/crates/papayayard_gateway/src/dispatch.rs
+++ b/crates/papayayard_gateway/src/dispatch.rs
@@ -13,9 +13,8 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use papayayard_routing::placement::{
-    Availability, Decision, Placement, Query, RefusalReason, Ticket,
-};
+use papayayard_coordination::dispatcher_health;
+use papayayard_routing::placement::{Availability, Decision, Placement, Query, Ticket};
 use papayayard_wire::id;
 use tokio::sync::{Notify, watch};
 use tokio::time;
@@ -23,23 +22,28 @@
 use crate::clock::Clock;
 use crate::hosts::{self, Neighbours};
 use crate::metrics::Metrics;
+use crate::overload::Verdict;
+use crate::peers::DispatchError;
 use crate::runs;
 use crate::schedule::{Handle, Message};
 use crate::targets::Weights;
 use crate::uplink;
 
+mod cause;
 mod handler;
 mod link;
 mod message;
 mod permit;
 mod register;
+mod retry;
 mod state;
 
+pub(crate) use cause::Cause;
 pub(crate) use handler::Handler;
 pub(crate) use message::{Answer as DispatchAnswer, Call as DispatchCall};
 pub(crate) use permit::Permit;
 
-use link::{Link, Local};
+use link::{Failure, Link, Local};
 use message::{Limits, Redirect};
 use register::Register;
 use state::State;
@@ -65,7 +69,7 @@
     Placed(Box<Placement>, Permit),
     /// The request is not placed.
     Refused {
-        reason: RefusalReason,
+        reason: Cause,
         /// Delay after which the caller should retry.
         retry_after: Duration,
         /// State of the service's endpoints at the decision.
@@ -75,6 +79,19 @@
     },
 }
 
+impl Selection {
+    /// Whether the request was refused since the host that places it is busy.
+    const fn is_undecided(&self) -> bool {
+        matches!(
+            self,
+            Self::Refused {
+                reason: Cause::BusyDispatcher,
+                ..
+            }
+        )
+    }
+}
+
 /// Dependencies of [`Dispatch`].
 pub(crate) struct Parts {
     pub(crate) local: hosts::LocalHost,
@@ -109,6 +126,7 @@
         let local = Local {
             host: parts.local.host,
             zone: parts.local.zone,
+            clock: parts.clock,
             // Distinguishes this process from earlier ones of the same host.
             run: rand::random(),
             register: Register::default(),
@@ -131,8 +149,23 @@
     }
 
     /// Waits until the request is placed or refused.
-    pub(crate) async fn place(&self, mut query: Query) -> Selection {
-        let number = self.0.local.register.number();
+    pub(crate) async fn place(&self, query: Query) -> Selection {
+        let stream = retry::is_continued(&query).then(|| query.clone());
+        let mut selection = self.select(query).await;
+        while let Some(query) = &stream
+            && retry::wait(query, &selection, self.0.clock).await
+        {
+            selection = self.select(query.clone()).await;
+        }
+        if selection.is_undecided() {
+            self.0.metrics.refused_as_busy();
+        }
+        selection
+    }
+
+    async fn select(&self, mut query: Query) -> Selection {
+        let mut number = self.0.local.register.number();
+        let mut repeated_at = None;
         let mut redirects = 0;
         let mut leaving = Vec::new();
         while self.is_dispatched(&query) && redirects <= MAX_REDIRECTS {
@@ -146,7 +179,9 @@
             query.avoided = self.0.schedule.avoided();
             query.avoided.extend(self.restarted(&query));
             query.avoided.extend_from_slice(&leaving);
-            match link.request_placement(number, &query, requested_at).await {
+            let is_repeated = repeated_at.as_ref() == Some(link.host());
+            let answer = link.request_placement(number, &query, requested_at, is_repeated);
+            match answer.await {
                 Ok(answer) => {
                     self.state().answered(&link, answer.elsewhere.as_ref());
                     self.set_limits(answer.limits, requested_at);
@@ -168,10 +203,20 @@
                     redirects += u32::from(answer.elsewhere.is_some());
                     query.waited += self.0.clock.now().saturating_sub(requested_at);
                 }
-                Err(problem) => {
+                Err(failure) => {
                     // The dispatcher may have placed the request nevertheless.
                     link.notify(number, message::Event::Abandoned);
-                    self.failed(link.host(), &problem);
+                    self.record_failure(&link, &failure);
+                    if failure.state == dispatcher_health::State::Busy {
+                        number = self.0.local.register.number();
+                        query.waited += self.0.clock.now().saturating_sub(requested_at);
+                        if is_repeated || !retry::is_in_time(&query, self.0.clock) {
+                            self.0.metrics.dispatched("dispatcher");
+                            return retry::refuse(&query, link.host(), self.0.clock);
+                        }
+                        repeated_at = Some(link.host().clone());
+                        self.0.metrics.dispatch_repeated();
+                    }
                 }
             }
         }
@@ -241,7 +286,7 @@
                             self.set_limits(answer.limits, now);
                         }
                     }
-                    Err(problem) => self.failed(link.host(), &problem),
+                    Err(failure) => self.record_failure(&link, &failure),
                 }
             }
         }
@@ -265,8 +310,8 @@
             match answer {
                 Ok(answer) if answer.is_asked => state.set_incumbent(link.candidate().clone()),
                 Ok(answer) => state.answered(&link, answer.elsewhere.as_ref()),
-                Err(problem) => {
-                    log::info!(host:% = link.host(), problem:%; "a possible dispatcher does not answer");
+                Err(failure) => {
+                    log::info!(host:% = link.host(), problem:% = failure.problem; "a possible dispatcher does not answer");
                 }
             }
             if state.has_incumbent() {
@@ -277,19 +322,24 @@
 
     async fn place_locally(&self, query: Query, number: u64) -> Selection {
         let shared = &self.0;
-        let decision = shared.schedule.place(query.clone(), number).await;
-        match decision {
-            Decision::Placed(placement) => {
+        match shared.schedule.place(query.clone(), number).await {
+            Verdict::Shed(retry_after) => Selection::Refused {
+                reason: Cause::BusyDispatcher,
+                retry_after,
+                availability: Availability::default(),
+                refused_by: permit::OWN.to_owned(),
+            },
+            Verdict::Decided(Decision::Placed(placement)) => {
                 let ticket = Some(placement.ticket);
                 let permit = self.permit(&query, number, &placement, ticket, None);
                 Selection::Placed(Box::new(placement), permit)
             }
-            Decision::Refused {
+            Verdict::Decided(Decision::Refused {
                 reason,
                 retry_after,
                 availability,
-            } => Selection::Refused {
-                reason,
+            }) => Selection::Refused {
+                reason: Cause::Decision(reason),
                 retry_after,
                 availability,
                 refused_by: permit::OWN.to_owned(),
@@ -400,6 +450,22 @@
         })
     }
 
+    /// Records a call without an answer, and leaves the dispatcher if it is gone.
+    fn record_failure(&self, link: &Link, failure: &Failure) {
+        match failure.state {
+            dispatcher_health::State::Busy => {
+                self.0.metrics.dispatch_timed_out("busy");
+                link.report_timeout();
+            }
+            dispatcher_health::State::Gone => {
+                if matches!(failure.problem, DispatchError::TimedOut) {
+                    self.0.metrics.dispatch_timed_out("gone");
+                }
+                self.failed(link.host(), &failure.problem.to_string());
+            }
+        }
+    }
+
     fn failed(&self, host: &id::Host, problem: &str) {
         log::info!(host:%, problem; "the dispatcher does not answer");
         let now = self.0.clock.now();
@@ -412,6 +478,9 @@
     }
 }
 
+#[cfg(test)]
+#[path = "dispatch/cost_test.rs"]
+mod cost_test;
 #[cfg(test)]
 #[path = "dispatch_test.rs"]
 mod test;
--- a/crates/papayayard_gateway/src/dispatch/handler.rs
+++ b/crates/papayayard_gateway/src/dispatch/handler.rs
@@ -2,15 +2,16 @@
 
 use std::time::Duration;
 
+use papayayard_coordination::dispatcher::HOLD_TIMEOUT;
 use papayayard_routing::placement;
 use papayayard_wire::id;
 use tokio::time;
 
 use super::Dispatch;
-use super::link::HOLD_TIMEOUT;
 use super::message::{
     Answer, Call, Decision, Event, Limits, Notice, Placed, Refusal, Request, Running,
 };
+use crate::overload::Verdict;
 use crate::schedule::{Message, Progress};
 use crate::uplink;
 
@@ -109,14 +110,15 @@
         query.avoided.extend(self.0.restarted(&query));
         let decided = time::timeout(HOLD_TIMEOUT, shared.schedule.place(query, number)).await;
         Some(match decided.ok()? {
-            placement::Decision::Placed(placement) => {
+            Verdict::Shed(retry_after) => Decision::Refused(Refusal::undecided(retry_after)),
+            Verdict::Decided(placement::Decision::Placed(placement)) => {
                 Decision::Placed(Placed::new(self.0.name_software(placement)))
             }
-            placement::Decision::Refused {
+            Verdict::Decided(placement::Decision::Refused {
                 reason,
                 retry_after,
                 availability,
-            } => Decision::Refused(Refusal::new(reason, retry_after, availability)),
+            }) => Decision::Refused(Refusal::new(reason, retry_after, availability)),
         })
     }
 }
--- a/crates/papayayard_gateway/src/dispatch/link.rs
+++ b/crates/papayayard_gateway/src/dispatch/link.rs
@@ -3,6 +3,8 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use papayayard_coordination::dispatcher::ANSWER_TIMEOUT;
+use papayayard_coordination::dispatcher_health::{self, Health, State};
 use papayayard_coordination::ranking::Candidate;
 use papayayard_routing::placement::Query;
 use papayayard_routing::rate::Rate;
@@ -11,21 +13,20 @@
 
 use super::message::{Answer, Call, Event, NamedLimit, Notice, Request};
 use super::register::Register;
-use crate::peers;
+use crate::clock::Clock;
+use crate::peers::{self, DispatchError};
 
-/// Maximum time for which a dispatcher holds a request that it cannot place yet.
-pub(super) const HOLD_TIMEOUT: Duration = Duration::from_millis(100);
-/// Time for an answer beyond [`HOLD_TIMEOUT`]: the round trip and the time until the
-/// dispatcher's process is scheduled.
-const ANSWER_MARGIN: Duration = Duration::from_millis(120);
 /// Maximum number of queued notices; a dispatcher that accepts none has crashed.
 const MAX_NOTICES: usize = 4096;
+/// Minimum time between two log lines on a busy dispatcher.
+const LOG_PERIOD: Duration = Duration::from_secs(1);
 
 /// This host, as described to dispatchers.
 #[derive(Clone)]
 pub(super) struct Local {
     pub(super) host: id::Host,
     pub(super) zone: id::Zone,
+    pub(super) clock: Clock,
     /// Random ID of this host's process.
     pub(super) run: u64,
     /// This host's requests in flight.
@@ -42,6 +43,13 @@
     outbox: Mutex<Outbox>,
 }
 
+/// A call that got no answer.
+pub(super) struct Failure {
+    /// State of the dispatcher.
+    pub(super) state: State,
+    pub(super) problem: DispatchError,
+}
+
 /// Notices to send, and the state of earlier calls.
 #[derive(Default)]
 struct Outbox {
@@ -55,6 +63,10 @@
     run: Option<u64>,
     /// Time of the last call.
     called_at: Duration,
+    health: Health,
+    /// Calls that timed out at a busy dispatcher since the last log line, and its time.
+    timeouts: u64,
+    reported_at: Option<Duration>,
 }
 
 impl Link {
@@ -62,7 +74,7 @@
         Ok(Self {
             candidate: candidate.clone(),
             local,
-            client: peers::Client::with_timeout(candidate.address, HOLD_TIMEOUT + ANSWER_MARGIN)?,
+            client: peers::Client::with_timeout(candidate.address, ANSWER_TIMEOUT)?,
             outbox: Mutex::default(),
         })
     }
@@ -77,15 +89,22 @@
         &self.candidate
     }
 
-    /// Sends a placement request, with the queued notices.
+    /// Sends a placement request, with the queued notices. `is_repeated` states whether an
+    /// earlier call with the request got no answer.
     pub(super) async fn request_placement(
         &self,
         number: u64,
         query: &Query,
         now: Duration,
-    ) -> Result<Answer, String> {
+        is_repeated: bool,
+    ) -> Result<Answer, Failure> {
         let request = Request::new(number, query, now);
-        self.call(Some(request), true, now).await
+        let timeout = if is_repeated {
+            self.outbox().health.retry_timeout(ANSWER_TIMEOUT, now)
+        } else {
+            ANSWER_TIMEOUT
+        };
+        self.call(Some(request), true, now, timeout).await
     }
 
     /// Sends the queued notices, if any, without a placement request. `is_used` states
@@ -94,8 +113,8 @@
         &self,
         is_used: bool,
         now: Duration,
-    ) -> Result<Answer, String> {
-        self.call(None, is_used, now).await
+    ) -> Result<Answer, Failure> {
+        self.call(None, is_used, now, ANSWER_TIMEOUT).await
     }
 
     /// Queues a notice for the next call.
@@ -140,6 +159,21 @@
             || !outbox.asked.is_empty()
     }
 
+    /// Logs that calls time out although the dispatcher answers others, at most once in
+    /// [`LOG_PERIOD`].
+    pub(super) fn report_timeout(&self) {
+        let now = self.local.clock.now();
+        let mut outbox = self.outbox();
+        outbox.timeouts += 1;
+        if outbox.reported_at.is_some_and(|at| now < at + LOG_PERIOD) {
+            return;
+        }
+        outbox.reported_at = Some(now);
+        let calls = std::mem::take(&mut outbox.timeouts);
+        drop(outbox);
+        log::info!(host:% = self.host(), calls; "the dispatcher is busy; calls to it time out");
+    }
+
     /// Time of the last call.
     pub(super) fn called_at(&self) -> Duration {
         self.outbox().called_at
@@ -150,7 +184,13 @@
         request: Option<Request>,
         is_used: bool,
         now: Duration,
-    ) -> Result<Answer, String> {
+        timeout: Duration,
+    ) -> Result<Answer, Failure> {
+        let kind = if request.is_some() {
+            dispatcher_health::Call::Placement
+        } else {
+            dispatcher_health::Call::Heartbeat
+        };
         let call = {
             let mut outbox = self.outbox();
             outbox.called_at = now;
@@ -167,8 +207,19 @@
                 question: request,
             }
         };
-        let answer = self.client.dispatch(call).await?;
+        let outcomes = outcomes(&call.notices);
+        let answer = self.client.dispatch(call, timeout).await;
+        let ended_at = self.local.clock.now();
         let mut outbox = self.outbox();
+        let answer = match answer {
+            Ok(answer) => answer,
+            Err(problem) => {
+                let state = outbox.record_failure(&problem, kind, now, ended_at);
+                outbox.queue_again(outcomes);
+                return Err(Failure { state, problem });
+            }
+        };
+        outbox.health.record_answer(kind, now, ended_at);
         if outbox.run != Some(answer.run) {
             outbox.run = Some(answer.run);
             outbox.limits_revision = None;
@@ -187,6 +238,41 @@
     }
 }
 
+impl Outbox {
+    fn record_failure(
+        &mut self,
+        problem: &DispatchError,
+        call: dispatcher_health::Call,
+        sent_at: Duration,
+        now: Duration,
+    ) -> State {
+        match problem {
+            DispatchError::TimedOut => self.health.record_timeout(call, sent_at, now),
+            DispatchError::Failed { .. } => {
+                self.health.reset();
+                State::Gone
+            }
+        }
+    }
+
+    /// Queues outcomes again that were in a call without an answer.
+    fn queue_again(&mut self, mut outcomes: Vec<Notice>) {
+        outcomes.append(&mut self.notices);
+        outcomes.truncate(MAX_NOTICES);
+        self.notices = outcomes;
+    }
+}
+
+/// Outcomes among notices. The dispatcher may get them twice: a request that has finished is
+/// not known to it any more. Other notices are not sent again, since an older one could then
+/// come after a newer one.
+fn outcomes(notices: &[Notice]) -> Vec<Notice> {
+    let outcomes = notices
+        .iter()
+        .filter(|notice| notice.what.outcome().is_some());
+    outcomes.cloned().collect()
+}
+
 fn push<Notice>(queue: &mut Vec<Notice>, notice: Notice) {
     if queue.len() < MAX_NOTICES {
         queue.push(notice);
--- a/crates/papayayard_gateway/src/dispatch/message.rs
+++ b/crates/papayayard_gateway/src/dispatch/message.rs
@@ -15,8 +15,14 @@
 use serde_with::{DurationMicroSeconds, DurationMilliSeconds, serde_as};
 
 use super::Selection;
+use super::cause::Cause;
 use crate::schedule;
 
+/// Maximum number of reasons in a refusal for which endpoints were left out.
+const MAX_EXCLUSIONS: usize = 8;
+/// Maximum number of endpoints that are named for a reason.
+const MAX_EXCLUDED: usize = 3;
+
 /// Call of a host to its dispatcher: notices, and possibly a placement request.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct Call {
@@ -228,6 +234,10 @@
     /// Endpoints that were left out, by reason; not sent by older releases.
     #[serde(default)]
     exclusions: Vec<Exclusion>,
+    /// Whether the dispatcher could not decide in time; older releases take the refusal for one
+    /// for lack of capacity.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    is_undecided: bool,
 }
 
 /// Endpoints that were left out for the same reason.
@@ -475,8 +485,19 @@
             exclusions: availability
                 .exclusions
                 .into_iter()
+                .take(MAX_EXCLUSIONS)
                 .map(Exclusion::new)
                 .collect(),
+            is_undecided: false,
+        }
+    }
+
+    /// Refusal of a request on which the dispatcher could not decide in time.
+    pub(super) fn undecided(retry_after: Duration) -> Self {
+        let availability = Availability::default();
+        Self {
+            is_undecided: true,
+            ..Self::new(RefusalReason::Overloaded, retry_after, availability)
         }
     }
 
@@ -484,9 +505,10 @@
     pub(super) fn into_selection(self, dispatcher: &id::Host) -> Selection {
         Selection::Refused {
             reason: match self.why {
-                Reason::NoEndpoint => RefusalReason::NoEndpoint,
-                Reason::Overloaded => RefusalReason::Overloaded,
-                Reason::AllTried => RefusalReason::AllTried,
+                _ if self.is_undecided => Cause::BusyDispatcher,
+                Reason::NoEndpoint => Cause::Decision(RefusalReason::NoEndpoint),
+                Reason::Overloaded => Cause::Decision(RefusalReason::Overloaded),
+                Reason::AllTried => Cause::Decision(RefusalReason::AllTried),
             },
             retry_after: self.retry_ms,
             availability: Availability {
@@ -496,6 +518,7 @@
                 exclusions: self
                     .exclusions
                     .into_iter()
+                    .take(MAX_EXCLUSIONS)
                     .map(Exclusion::into_exclusion)
                     .collect(),
             },
@@ -506,7 +529,8 @@
 
 impl Exclusion {
     fn new(exclusion: placement::Exclusion) -> Self {
-        let endpoints = exclusion.endpoints.into_iter().map(|excluded| Excluded {
+        let endpoints = exclusion.endpoints.into_iter().take(MAX_EXCLUDED);
+        let endpoints = endpoints.map(|excluded| Excluded {
             endpoint: excluded.endpoint.as_str().to_owned(),
             first_event_ms: excluded.first_event,
         });
@@ -518,7 +542,7 @@
     }
 
     fn into_exclusion(self) -> placement::Exclusion {
-        let endpoints = self.endpoints.into_iter();
+        let endpoints = self.endpoints.into_iter().take(MAX_EXCLUDED);
         let endpoints = endpoints.map(|excluded| placement::Excluded {
             endpoint: id::Endpoint::from(excluded.endpoint),
             first_event: excluded.first_event_ms,
--- a/crates/papayayard_gateway/src/dispatch_test.rs
+++ b/crates/papayayard_gateway/src/dispatch_test.rs
@@ -30,18 +30,18 @@
 const OLD_WEIGHTS: Duration = Duration::from_mins(1);
 
 /// A host that places requests, without a caller.
-struct Host {
-    dispatch: Dispatch,
-    clock: Clock,
-    local: LocalHost,
+pub(super) struct Host {
+    pub(super) dispatch: Dispatch,
+    pub(super) clock: Clock,
+    pub(super) local: LocalHost,
     is_detached: watch::Sender<bool>,
     neighbours: watch::Sender<Neighbours>,
-    listener: Option<std::net::TcpListener>,
+    pub(super) listener: Option<std::net::TcpListener>,
 }
 
 impl Host {
     /// Hosts with a higher capacity are asked first.
-    fn new(name: &str, capacity: u32) -> Self {
+    pub(super) fn new(name: &str, capacity: u32) -> Self {
         let listener = std::net::TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port");
         listener.set_nonblocking(true).expect("a socket");
         let clock = Clock::start();
@@ -79,7 +79,7 @@
     }
 
     /// Serves other hosts.
-    fn serve(&mut self) {
+    pub(super) fn serve(&mut self) {
         let (origins, _) = origins::start(origins::Parts {
             host: self.local.host.clone(),
             clock: self.clock,
@@ -101,7 +101,7 @@
         tokio::spawn(peers::serve(listener, context).expect("a server"));
     }
 
-    fn candidate(&self) -> Candidate {
+    pub(super) fn candidate(&self) -> Candidate {
         Candidate {
             host: self.local.host.clone(),
             address: self.address(),
@@ -109,11 +109,11 @@
         }
     }
 
-    fn address(&self) -> SocketAddr {
+    pub(super) fn address(&self) -> SocketAddr {
         self.local.peers
     }
 
-    fn set_neighbours(&self, hosts: &[Candidate]) {
+    pub(super) fn set_neighbours(&self, hosts: &[Candidate]) {
         self.neighbours.send_replace(Neighbours {
             are_counted: true,
             zone: hosts.to_vec(),
@@ -123,7 +123,7 @@
     }
 
     /// Lets the host list an endpoint at an address.
-    fn set_endpoint(&self, address: SocketAddr, leaving: bool) {
+    pub(super) fn set_endpoint(&self, address: SocketAddr, leaving: bool) {
         let endpoint = Endpoint {
             id: id::Endpoint::from("engines-0"),
             started: id::Incarnation(1),
@@ -140,7 +140,7 @@
     }
 
     /// Lets the host list an engine with the first version of the weights.
-    fn set_engine(&self) {
+    pub(super) fn set_engine(&self) {
         let engine = table::Service {
             max_connections: 100,
             engine: Some(table::Engine {
@@ -190,7 +190,7 @@
     }
 
     /// A request of a model service.
-    fn query(&self) -> Query {
+    pub(super) fn query(&self) -> Query {
         let prompt = Prompt {
             model: id::Model::from("m"),
             tokens: 10,
@@ -267,7 +267,7 @@
 }
 
 /// Creates two hosts that know each other; the first one places the requests of both.
-fn dispatcher_and_asker() -> (Host, Host) {
+pub(super) fn dispatcher_and_asker() -> (Host, Host) {
     let hosts = (Host::new("dispatcher", 300), Host::new("asker", 100));
     let candidates = [&hosts.0, &hosts.1].map(Host::candidate);
     for host in [&hosts.0, &hosts.1] {
--- a/crates/papayayard_gateway/src/lib.rs
+++ b/crates/papayayard_gateway/src/lib.rs
@@ -48,6 +48,7 @@
 mod operators;
 mod orders;
 mod origins;
+mod overload;
 mod peers;
 mod pool;
 mod pump;
--- a/crates/papayayard_gateway/src/metrics.rs
+++ b/crates/papayayard_gateway/src/metrics.rs
@@ -31,6 +31,10 @@
     refusal_limits: Counter<u64>,
     told_streams: Counter<u64>,
     usability_changes: Counter<u64>,
+    dispatch_timeouts: Counter<u64>,
+    dispatch_repeats: Counter<u64>,
+    busy_refusals: Counter<u64>,
+    shed: Counter<u64>,
     first_event: Histogram<f64>,
     hosts: Gauge<u64>,
     detached: Gauge<u64>,
@@ -106,6 +110,22 @@
                 .u64_counter("papayayard_endpoint_rule_changes")
                 .with_description("Rules that began or ceased to keep requests from an endpoint")
                 .build(),
+            dispatch_timeouts: meter
+                .u64_counter("papayayard_dispatch_timeouts")
+                .with_description("Calls to dispatchers that got no answer in time, by their state")
+                .build(),
+            dispatch_repeats: meter
+                .u64_counter("papayayard_dispatch_repeats")
+                .with_description("Placement calls repeated at a busy dispatcher")
+                .build(),
+            busy_refusals: meter
+                .u64_counter("papayayard_busy_dispatcher_refusals")
+                .with_description("Requests of this host refused since its dispatcher is busy")
+                .build(),
+            shed: meter
+                .u64_counter("papayayard_shed_requests")
+                .with_description("Placement requests that this host refused undecided")
+                .build(),
             first_event: meter
                 .f64_histogram("papayayard_first_event_seconds")
                 .with_description("Time from a request's arrival to its stream's first event")
@@ -193,6 +213,27 @@
         self.usability_changes.add(number, &labels);
     }
 
+    /// Counts a call to a dispatcher without an answer in time.
+    pub(crate) fn dispatch_timed_out(&self, dispatcher: &'static str) {
+        let state = KeyValue::new("dispatcher", dispatcher);
+        self.dispatch_timeouts.add(1, &[state]);
+    }
+
+    /// Counts a placement call that is repeated at a busy dispatcher.
+    pub(crate) fn dispatch_repeated(&self) {
+        self.dispatch_repeats.add(1, &[]);
+    }
+
+    /// Counts a request of this host that is refused since its dispatcher is busy.
+    pub(crate) fn refused_as_busy(&self) {
+        self.busy_refusals.add(1, &[]);
+    }
+
+    /// Counts placement requests that this host refused undecided.
+    pub(crate) fn shed(&self, number: u64) {
+        self.shed.add(number, &[]);
+    }
+
     pub(crate) fn first_event(&self, time: Duration) {
         self.first_event.record(time.as_secs_f64(), &[]);
     }
--- a/crates/papayayard_gateway/src/peers.rs
+++ b/crates/papayayard_gateway/src/peers.rs
@@ -13,7 +13,7 @@
 
 use bytes::Bytes;
 use jsonrpsee::RpcModule;
-use jsonrpsee::core::client::ClientT;
+use jsonrpsee::core::client::{self, ClientT};
 use jsonrpsee::http_client::{HttpClient, HttpClientBuilder};
 use jsonrpsee::rpc_params;
 use jsonrpsee::server::{Server, ServerConfig, ServerHandle};
@@ -22,6 +22,7 @@
 use serde::{Deserialize, Serialize};
 use serde_with::base64::Base64;
 use serde_with::{DurationMilliSeconds, serde_as};
+use snafu::Snafu;
 use tokio::sync::watch;
 use tokio::time;
 
@@ -282,6 +283,25 @@
     }
 }
 
+/// Why a call for a placement failed.
+#[derive(Debug, Snafu)]
+pub(crate) enum DispatchError {
+    #[snafu(display("it did not answer in time"))]
+    TimedOut,
+    /// No connection, or an error as the answer.
+    #[snafu(display("{source}"))]
+    Failed { source: client::Error },
+}
+
+impl From<client::Error> for DispatchError {
+    fn from(source: client::Error) -> Self {
+        match source {
+            client::Error::RequestTimeout => Self::TimedOut,
+            source => Self::Failed { source },
+        }
+    }
+}
+
 /// Client for calls to one host.
 pub(crate) struct Client {
     address: SocketAddr,
@@ -308,10 +328,17 @@
         self.address
     }
 
-    /// Requests a placement and reports the outcomes of earlier ones.
-    pub(crate) async fn dispatch(&self, call: DispatchCall) -> Result<DispatchAnswer, String> {
-        let answer = self.client.request(DISPATCH, rpc_params![call]).await;
-        answer.map_err(|error| error.to_string())
+    /// Requests a placement and reports the outcomes of earlier ones; waits at most for
+    /// `timeout`, or for the client's own time-out if that is shorter.
+    pub(crate) async fn dispatch(
+        &self,
+        call: DispatchCall,
+        timeout: Duration,
+    ) -> Result<DispatchAnswer, DispatchError> {
+        let answer = self.client.request(DISPATCH, rpc_params![call]);
+        let answer = time::timeout(timeout, answer).await;
+        let answer = answer.unwrap_or(Err(client::Error::RequestTimeout));
+        answer.map_err(DispatchError::from)
     }
 
     /// Tells the host of streams that began.
--- a/crates/papayayard_gateway/src/relay.rs
+++ b/crates/papayayard_gateway/src/relay.rs
@@ -9,7 +9,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use papayayard_routing::blame::Progress;
-use papayayard_routing::placement::{Outcome, Placement, RefusalReason};
+use papayayard_routing::placement::{Outcome, Placement};
 use papayayard_routing::retry_budget;
 use papayayard_routing::sharing;
 use papayayard_routing::table::Accounts;
@@ -412,11 +412,7 @@
                     by = refused_by.as_str(), attempt = history.endpoints.len();
                     "no place"
                 );
-                let (kind, message) = match why {
-                    RefusalReason::NoEndpoint => (Kind::NoEndpoint, "the service has no endpoint"),
-                    RefusalReason::Overloaded => (Kind::Overloaded, "all endpoints are full"),
-                    RefusalReason::AllTried => (Kind::Overloaded, "all endpoints refused"),
-                };
+                let (kind, message) = why.refusal();
                 let tried = history.endpoints.len();
                 Err(NoPlace {
                     refusal: Refusal::not_run(kind, message).after(retry_after),
--- a/crates/papayayard_gateway/src/schedule.rs
+++ b/crates/papayayard_gateway/src/schedule.rs
@@ -24,6 +24,7 @@
 
 use crate::clock::Clock;
 use crate::metrics::Metrics;
+use crate::overload::{Overload, Verdict};
 use crate::targets::Targets;
 use crate::usability;
 
@@ -75,8 +76,9 @@
 
 /// Message to the scheduler task.
 pub(crate) enum Message {
-    /// Request to be placed, with its number on the requesting host.
-    Place(Box<Query>, u64, oneshot::Sender<Decision>),
+    /// Request to be placed, with its number on the requesting host and the time at which this
+    /// host read it.
+    Place(Box<Query>, u64, Duration, oneshot::Sender<Verdict>),
     /// Placement of a request of this host by another host.
     Adopt(Box<(Query, Placement)>, oneshot::Sender<Adopted>),
     /// Call of another host, with the random ID of its process.
@@ -150,6 +152,7 @@
     avoided: watch::Receiver<Vec<id::Endpoint>>,
     limits: watch::Receiver<Limits>,
     targets: Targets,
+    clock: Clock,
 }
 
 impl Handle {
@@ -161,14 +164,17 @@
     }
 
     /// Waits for the decision on a request.
-    pub(crate) async fn place(&self, query: Query, number: u64) -> Decision {
+    pub(crate) async fn place(&self, query: Query, number: u64) -> Verdict {
         let (reply, decision) = oneshot::channel();
-        self.send(Message::Place(Box::new(query), number, reply));
-        decision.await.unwrap_or(Decision::Refused {
-            reason: RefusalReason::NoEndpoint,
-            retry_after: Duration::ZERO,
-            availability: Availability::default(),
-        })
+        let now = self.clock.now();
+        self.send(Message::Place(Box::new(query), number, now, reply));
+        decision
+            .await
+            .unwrap_or(Verdict::Decided(Decision::Refused {
+                reason: RefusalReason::NoEndpoint,
+                retry_after: Duration::ZERO,
+                availability: Availability::default(),
+            }))
     }
 
     /// Records a placement made by another host; returns `None` if this host does not know
@@ -242,6 +248,7 @@
     let task = Task {
         scheduler,
         zone,
+        overload: Overload::new(metrics.clone()),
         metrics,
         clock,
         avoided,
@@ -257,12 +264,13 @@
         avoided: avoided_receiver,
         limits: limits_receiver,
         targets: Targets::new(targets_receiver, old_weights, clock),
+        clock,
     }
 }
 
 /// Receiver of a decision.
 struct Reply {
-    sender: oneshot::Sender<Decision>,
+    sender: oneshot::Sender<Verdict>,
     /// For another host's request: the host, and the number of the request there.
     number: Option<(id::Host, u64)>,
 }
@@ -270,6 +278,7 @@
 struct Task {
     scheduler: Scheduler,
     zone: id::Zone,
+    overload: Overload,
     metrics: Metrics,
     clock: Clock,
     avoided: watch::Sender<Vec<id::Endpoint>>,
@@ -288,7 +297,14 @@
         interval.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
         let mut check = time::interval(CHECK_PERIOD);
         check.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+        let mut was_ticking = false;
         loop {
+            let is_ticking =
+                self.scheduler.has_waiting() || self.overload.is_active(self.clock.now());
+            if is_ticking && !was_ticking {
+                interval.reset();
+            }
+            was_ticking = is_ticking;
             tokio::select! {
                 message = messages.recv() => {
                     let Some(message) = message else { return };
@@ -297,7 +313,9 @@
                         self.handle(message);
                     }
                 }
-                _ = interval.tick(), if self.scheduler.has_waiting() => {}
+                due = interval.tick(), if is_ticking => {
+                    self.overload.record_lag(due.elapsed(), self.clock.now());
+                }
                 _ = check.tick() => self.check(),
             }
             self.publish_limits();
@@ -309,9 +327,11 @@
         let now = self.clock.now();
         let scheduler = &mut self.scheduler;
         match message {
-            Message::Place(query, number, sender) => {
+            Message::Place(query, number, arrived_at, sender) => {
                 let number = query.requesting_host.clone().map(|host| (host, number));
+                let (priority, deadline) = (query.priority, query.deadline);
                 let waiting = scheduler.enqueue(*query, now);
+                self.overload.add(waiting, priority, deadline, arrived_at);
                 self.replies.insert(waiting, Reply { sender, number });
             }
             Message::Adopt(adopted, reply) => {
@@ -384,6 +404,7 @@
 
     fn check(&mut self) {
         let now = self.clock.now();
+        self.overload.report(now);
         self.scheduler.check_overdue(now);
         usability::report(&self.scheduler.usability_changes(now), &self.metrics);
         self.tickets
@@ -475,21 +496,43 @@
             return;
         }
         self.cancel_disconnected();
+        self.shed();
         let now = self.clock.now();
-        for (waiting, decision) in self.scheduler.decide(now) {
+        let requests = self.replies.len();
+        let decisions = self.scheduler.decide(now);
+        let time = self.clock.now().saturating_sub(now);
+        self.overload.record_pass(requests, time);
+        for (waiting, decision) in decisions {
             let Some(reply) = self.replies.remove(&waiting) else {
                 continue;
             };
             if let (Decision::Placed(placement), Some(number)) = (&decision, reply.number) {
                 self.tickets.insert(number, placement.ticket);
             }
-            if let Err(Decision::Placed(placement)) = reply.sender.send(decision) {
+            let verdict = Verdict::Decided(decision);
+            if let Err(Verdict::Decided(Decision::Placed(placement))) = reply.sender.send(verdict) {
                 self.scheduler
                     .record_outcome(placement.ticket, Outcome::Abandoned, now);
             }
         }
     }
 
+    /// Refuses requests on which this host cannot decide in time.
+    fn shed(&mut self) {
+        let now = self.clock.now();
+        let replies = &self.replies;
+        let is_waiting = |key| replies.contains_key(&key);
+        let shed = self.overload.shed(replies.len(), is_waiting, now);
+        for (waiting, retry_after) in shed {
+            self.scheduler.cancel(waiting);
+            let reply = self.replies.remove(&waiting);
+            let sent = reply.map(|reply| reply.sender.send(Verdict::Shed(retry_after)));
+            if let Some(Err(_)) = sent {
+                log::debug!("the caller of a request that is refused has disconnected");
+            }
+        }
+    }
+
     /// Cancels waiting requests whose callers have disconnected.
     fn cancel_disconnected(&mut self) {
         let disconnected: Vec<PendingKey> = self
--- a/crates/papayayard_gateway/src/usability.rs
+++ b/crates/papayayard_gateway/src/usability.rs
@@ -1,13 +1,17 @@
 //! Logs and counts the rules that begin and cease to keep requests from endpoints.
 
+use std::fmt::Write;
 use std::time::Duration;
 
-use papayayard_routing::placement::{Availability, Change, Changes, Exclusion, Reporter};
+use papayayard_routing::placement::{Availability, Change, Changes, Reporter};
 use papayayard_routing::rate::Rate;
 
 use crate::metrics::Metrics;
 use crate::refusal::millis;
 
+/// Maximum length of the list of endpoints that were left out, in bytes.
+const MAX_LEFT_OUT_BYTES: usize = 512;
+
 /// Logs and counts changes of rules at endpoints.
 pub(crate) fn report(changes: &Changes, metrics: &Metrics) {
     for ((rule, holds), number) in &changes.counts {
@@ -36,11 +40,24 @@
     );
 }
 
-/// Endpoints that were left out, by reason, for a line.
+/// Endpoints that were left out, by reason, for a line of bounded length.
 pub(crate) fn left_out(availability: &Availability) -> String {
-    let exclusions = availability.exclusions.iter().map(Exclusion::to_string);
-    let exclusions: Vec<String> = exclusions.collect();
-    or_dash(Some(exclusions.join(" ")).filter(|text| !text.is_empty()))
+    if availability.exclusions.is_empty() {
+        return "-".to_owned();
+    }
+    let mut text = String::with_capacity(MAX_LEFT_OUT_BYTES);
+    for exclusion in &availability.exclusions {
+        let end = text.len();
+        let separator = if end == 0 { "" } else { " " };
+        let written = write!(text, "{separator}{exclusion}");
+        if written.is_err() || text.len() > MAX_LEFT_OUT_BYTES {
+            text.truncate(end);
+            text.push_str(separator);
+            text.push('…');
+            break;
+        }
+    }
+    text
 }
 
 fn time(time: Option<Duration>) -> String {
