--- a/crates/papayayard_gateway/src/dispatch.rs
+++ b/crates/papayayard_gateway/src/dispatch.rs
@@ -478,6 +478,9 @@
     }
 }
 
+#[cfg(test)]
+#[path = "dispatch/busy_test.rs"]
+mod busy_test;
 #[cfg(test)]
 #[path = "dispatch/cost_test.rs"]
 mod cost_test;
--- a/crates/papayayard_gateway/src/dispatch/message_test.rs
+++ b/crates/papayayard_gateway/src/dispatch/message_test.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{Decision, Refusal};
-use crate::dispatch::Selection;
+use crate::dispatch::{Cause, Selection};
 
 /// Refusal as the release before knows it.
 #[derive(Debug, PartialEq, Serialize, Deserialize)]
@@ -115,3 +115,49 @@
     let text = text.replace("\"late\"", "\"asleep\"");
     assert_eq!(received(&text).exclusions[0].reason, Reason::Unknown);
 }
+
+/// A refusal of a dispatcher that could not decide in time counts as a failed call at a host of
+/// the release before, which then places requests itself.
+#[test]
+fn a_refusal_without_a_decision_is_read_by_older_releases() {
+    let refusal = Refusal::undecided(Duration::from_millis(350));
+    let text = serde_json::to_string(&Decision::Refused(refusal)).expect("a text");
+    let OldDecision::Refused(read) =
+        serde_json::from_str(&text).expect("an older release reads it");
+    assert_eq!((read.why.as_str(), read.retry_ms), ("Overloaded", 350));
+}
+
+/// A host takes a dispatcher that could not decide in time for one without capacity.
+#[test]
+fn a_refusal_without_a_decision_names_the_busy_dispatcher() {
+    let refusal = Refusal::undecided(Duration::from_millis(350));
+    let text = serde_json::to_string(&Decision::Refused(refusal)).expect("a text");
+    let Decision::Refused(refusal) = serde_json::from_str(&text).expect("a decision") else {
+        panic!("the request is refused");
+    };
+    let selection = refusal.into_selection(&id::Host::from("dispatcher"));
+    let Selection::Refused { reason, .. } = selection else {
+        panic!("the request is refused");
+    };
+    assert_eq!(reason, Cause::BusyDispatcher);
+}
+
+/// The size of a refusal grows with what another release sends.
+#[test]
+fn a_refusal_names_a_bounded_number_of_endpoints() {
+    let excluded = Excluded {
+        endpoint: id::Endpoint::from("e0"),
+        first_event: None,
+    };
+    let late = Exclusion {
+        reason: Reason::Late,
+        number: 1000,
+        endpoints: vec![excluded; 1000],
+    };
+    let availability = Availability {
+        exclusions: vec![late; 1000],
+        ..availability()
+    };
+    let text = serde_json::to_string(&decision(availability)).expect("a text");
+    assert!(text.len() < 2000, "{} bytes", text.len());
+}
--- a/crates/papayayard_gateway/src/overload.rs
+++ b/crates/papayayard_gateway/src/overload.rs
@@ -131,3 +131,7 @@
 fn count(shed: &[PendingKey]) -> u64 {
     u64::try_from(shed.len()).unwrap_or(u64::MAX)
 }
+
+#[cfg(test)]
+#[path = "overload_test.rs"]
+mod test;
--- a/crates/papayayard_gateway/src/usability.rs
+++ b/crates/papayayard_gateway/src/usability.rs
@@ -70,3 +70,7 @@
 {
     value.map_or_else(|| "-".to_owned(), |value| value.to_string())
 }
+
+#[cfg(test)]
+#[path = "usability_test.rs"]
+mod test;
