--- a/crates/papayayard_coordination/tests/dispatcher_health_test.rs
+++ b/crates/papayayard_coordination/tests/dispatcher_health_test.rs
@@ -59,7 +59,7 @@
 }
 
 fn times(from: Duration, to: Duration, period: Duration) -> impl Iterator<Item = Duration> {
-    let number = (to - from).as_millis() / period.as_millis();
+    let number = to.saturating_sub(from).as_millis() / period.as_millis();
     (0..u32::try_from(number).unwrap()).map(move |index| from + period * index)
 }
 
@@ -109,8 +109,8 @@
 #[test]
 fn a_repeated_call_waits_no_longer_than_the_dispatcher_may_be_silent() {
     let mut health = Health::default();
-    health.record_answer(Call::Placement, FAILURE - ms(5), FAILURE);
-    let unanswered_at = FAILURE - ms(3);
+    health.record_answer(Call::Placement, FAILURE.saturating_sub(ms(5)), FAILURE);
+    let unanswered_at = FAILURE.saturating_sub(ms(3));
     let now = unanswered_at + TIMEOUT;
     let state = health.record_timeout(Call::Placement, unanswered_at, now);
     assert_eq!(state, State::Busy);
--- a/crates/papayayard_coordination/tests/shedding_test.rs
+++ b/crates/papayayard_coordination/tests/shedding_test.rs
@@ -40,10 +40,10 @@
             );
             let quota = period.mul_f64(self.share);
             if in_period >= quota {
-                self.now += period - in_period;
+                self.now += period.saturating_sub(in_period);
                 continue;
             }
-            let step = left.min(quota - in_period);
+            let step = left.min(quota.saturating_sub(in_period));
             self.now += step;
             left -= step;
             if left.is_zero() {
@@ -122,7 +122,7 @@
         let shed_at = process.now;
         let started_at = process.now;
         process.work(process.decision_cost * u32::try_from(decided).unwrap());
-        shedder.record_pass(decided, process.now - started_at);
+        shedder.record_pass(decided, process.now.saturating_sub(started_at));
         process.work(ANSWER_COST * u32::try_from(decided).unwrap());
         for request in requests {
             let is_shed = shed.contains(&request.key);
--- a/crates/papayayard_gateway/src/dispatch.rs
+++ b/crates/papayayard_gateway/src/dispatch.rs
@@ -322,23 +322,21 @@
 
     async fn place_locally(&self, query: Query, number: u64) -> Selection {
         let shared = &self.0;
-        match shared.schedule.place(query.clone(), number).await {
-            Verdict::Shed(retry_after) => Selection::Refused {
-                reason: Cause::BusyDispatcher,
-                retry_after,
-                availability: Availability::default(),
-                refused_by: permit::OWN.to_owned(),
-            },
-            Verdict::Decided(Decision::Placed(placement)) => {
+        let decision = match shared.schedule.place(query.clone(), number).await {
+            Verdict::Shed(retry_after) => return retry::refused(retry_after, permit::OWN),
+            Verdict::Decided(decision) => *decision,
+        };
+        match decision {
+            Decision::Placed(placement) => {
                 let ticket = Some(placement.ticket);
                 let permit = self.permit(&query, number, &placement, ticket, None);
                 Selection::Placed(Box::new(placement), permit)
             }
-            Verdict::Decided(Decision::Refused {
+            Decision::Refused {
                 reason,
                 retry_after,
                 availability,
-            }) => Selection::Refused {
+            } => Selection::Refused {
                 reason: Cause::Decision(reason),
                 retry_after,
                 availability,
--- a/crates/papayayard_gateway/src/dispatch/busy_test.rs
+++ b/crates/papayayard_gateway/src/dispatch/busy_test.rs
@@ -62,7 +62,7 @@
 
 /// Serves other hosts like a dispatcher whose answers in a range are late.
 fn serve_slowly(host: &mut Host, late: std::ops::Range<usize>) -> watch::Receiver<Received> {
-    let (received, receiver) = watch::channel(Received::default());
+    let (received, calls) = watch::channel(Received::default());
     let mut module = RpcModule::new(Slow {
         handler: host.dispatch.handler(),
         received,
@@ -78,7 +78,7 @@
     let server = Server::builder().build_from_tcp(listener);
     let handle = server.expect("a server").start(module);
     tokio::spawn(handle.stopped());
-    receiver
+    calls
 }
 
 /// Creates hosts that know one another; the first ones are asked first.
@@ -96,11 +96,8 @@
     hosts
 }
 
-/// Lets a host call its dispatcher without requests while `work` is done.
-async fn beside_heartbeats<Work>(host: &Host, work: Work) -> Work::Output
-where
-    Work: Future,
-{
+/// Places a request of a host that calls its dispatcher without requests meanwhile.
+async fn place_beside_heartbeats(host: &Host) -> Selection {
     let heartbeats = async {
         loop {
             let links = host.dispatch.state().links();
@@ -113,10 +110,10 @@
             time::sleep(PERIOD).await;
         }
     };
-    let work = time::timeout(TIMEOUT, work);
+    let placed = time::timeout(TIMEOUT, Box::pin(host.dispatch.place(host.query())));
     tokio::select! {
-        done = work => done.expect("the work is done in time"),
-        () = heartbeats => unreachable!("heartbeats do not end"),
+        selection = placed => selection.expect("a decision in time"),
+        () = Box::pin(heartbeats) => unreachable!("heartbeats do not end"),
     }
 }
 
@@ -143,7 +140,7 @@
     for _ in 0..7 {
         held.push(asker.dispatch.place(asker.query()).await);
     }
-    let selection = beside_heartbeats(&asker, asker.dispatch.place(asker.query())).await;
+    let selection = place_beside_heartbeats(&asker).await;
     assert_eq!(placed_by(&selection), "dispatcher");
     let received = received.borrow().clone();
     let [unanswered, repeated] = received.requests[7..9] else {
@@ -164,7 +161,7 @@
     let received = serve_slowly(&mut dispatcher, 1..3);
     let first = asker.dispatch.place(asker.query()).await;
     assert_eq!(placed_by(&first), "dispatcher");
-    let selection = beside_heartbeats(&asker, asker.dispatch.place(asker.query())).await;
+    let selection = place_beside_heartbeats(&asker).await;
     let Selection::Refused {
         reason,
         retry_after,
@@ -198,7 +195,7 @@
     assert_eq!(placed_by(&selection), "slow");
     let metrics_text = metrics(&asker);
     assert!(metrics_text.contains("papayayard_dispatch_timeouts_total{dispatcher=\"gone\""));
-    let selection = beside_heartbeats(&asker, asker.dispatch.place(asker.query())).await;
+    let selection = place_beside_heartbeats(&asker).await;
     assert_eq!(placed_by(&selection), "slow");
 }
 
--- a/crates/papayayard_gateway/src/dispatch/cost_test.rs
+++ b/crates/papayayard_gateway/src/dispatch/cost_test.rs
@@ -72,7 +72,7 @@
             has_begun.await.expect("a caller");
             let start = processor_time();
             is_done.await.expect("a caller");
-            processor_time() - start
+            processor_time().saturating_sub(start)
         })
     });
     let address = address.recv().expect("an address");
@@ -109,7 +109,7 @@
             let answer = handler.answer(call(&host, number, has_request)).await;
             black_box(answer.expect("an answer"));
         }
-        processor_time() - start
+        processor_time().saturating_sub(start)
     })
 }
 
@@ -132,7 +132,7 @@
         let answer: &Answer = black_box(&answer);
         black_box(serde_json::to_string(answer).expect("a text"));
     }
-    processor_time() - start
+    processor_time().saturating_sub(start)
 }
 
 #[test]
--- a/crates/papayayard_gateway/src/dispatch/handler.rs
+++ b/crates/papayayard_gateway/src/dispatch/handler.rs
@@ -109,16 +109,21 @@
         let mut query = request.into_query(host, zone, shared.clock.now());
         query.avoided.extend(self.0.restarted(&query));
         let decided = time::timeout(HOLD_TIMEOUT, shared.schedule.place(query, number)).await;
-        Some(match decided.ok()? {
-            Verdict::Shed(retry_after) => Decision::Refused(Refusal::undecided(retry_after)),
-            Verdict::Decided(placement::Decision::Placed(placement)) => {
+        let decision = match decided.ok()? {
+            Verdict::Shed(retry_after) => {
+                return Some(Decision::Refused(Refusal::undecided(retry_after)));
+            }
+            Verdict::Decided(decision) => *decision,
+        };
+        Some(match decision {
+            placement::Decision::Placed(placement) => {
                 Decision::Placed(Placed::new(self.0.name_software(placement)))
             }
-            Verdict::Decided(placement::Decision::Refused {
+            placement::Decision::Refused {
                 reason,
                 retry_after,
                 availability,
-            }) => Decision::Refused(Refusal::new(reason, retry_after, availability)),
+            } => Decision::Refused(Refusal::new(reason, retry_after, availability)),
         })
     }
 }
--- a/crates/papayayard_gateway/src/dispatch/retry.rs
+++ b/crates/papayayard_gateway/src/dispatch/retry.rs
@@ -40,11 +40,18 @@
 
 /// Refuses a request since its dispatcher is busy.
 pub(super) fn refuse(query: &Query, dispatcher: &id::Host, clock: Clock) -> Selection {
+    let left = query.deadline.saturating_sub(clock.now());
+    let retry_after = dispatcher_health::retry_after(left, rand::random());
+    refused(retry_after, dispatcher.as_str())
+}
+
+/// Refusal of a request on which the scheduler `by` did not decide.
+pub(super) fn refused(retry_after: Duration, by: &str) -> Selection {
     Selection::Refused {
         reason: Cause::BusyDispatcher,
-        retry_after: retry_after(query, clock),
+        retry_after,
         availability: Availability::default(),
-        refused_by: dispatcher.as_str().to_owned(),
+        refused_by: by.to_owned(),
     }
 }
 
@@ -52,8 +59,3 @@
 pub(super) const fn is_continued(query: &Query) -> bool {
     query.software.is_some()
 }
-
-fn retry_after(query: &Query, clock: Clock) -> Duration {
-    let left = query.deadline.saturating_sub(clock.now());
-    dispatcher_health::retry_after(left, rand::random())
-}
--- a/crates/papayayard_gateway/src/overload.rs
+++ b/crates/papayayard_gateway/src/overload.rs
@@ -17,7 +17,7 @@
 
 /// Answer to a placement request.
 pub(crate) enum Verdict {
-    Decided(Decision),
+    Decided(Box<Decision>),
     /// The request was refused undecided; it may be sent again after the delay.
     Shed(Duration),
 }
--- a/crates/papayayard_gateway/src/schedule.rs
+++ b/crates/papayayard_gateway/src/schedule.rs
@@ -168,13 +168,13 @@
         let (reply, decision) = oneshot::channel();
         let now = self.clock.now();
         self.send(Message::Place(Box::new(query), number, now, reply));
-        decision
-            .await
-            .unwrap_or(Verdict::Decided(Decision::Refused {
+        decision.await.unwrap_or_else(|_| {
+            Verdict::Decided(Box::new(Decision::Refused {
                 reason: RefusalReason::NoEndpoint,
                 retry_after: Duration::ZERO,
                 availability: Availability::default(),
             }))
+        })
     }
 
     /// Records a placement made by another host; returns `None` if this host does not know
@@ -509,8 +509,10 @@
             if let (Decision::Placed(placement), Some(number)) = (&decision, reply.number) {
                 self.tickets.insert(number, placement.ticket);
             }
-            let verdict = Verdict::Decided(decision);
-            if let Err(Verdict::Decided(Decision::Placed(placement))) = reply.sender.send(verdict) {
+            let verdict = Verdict::Decided(Box::new(decision));
+            if let Err(Verdict::Decided(decision)) = reply.sender.send(verdict)
+                && let Decision::Placed(placement) = *decision
+            {
                 self.scheduler
                     .record_outcome(placement.ticket, Outcome::Abandoned, now);
             }
@@ -525,9 +527,10 @@
         let shed = self.overload.shed(replies.len(), is_waiting, now);
         for (waiting, retry_after) in shed {
             self.scheduler.cancel(waiting);
-            let reply = self.replies.remove(&waiting);
-            let sent = reply.map(|reply| reply.sender.send(Verdict::Shed(retry_after)));
-            if let Some(Err(_)) = sent {
+            let Some(reply) = self.replies.remove(&waiting) else {
+                continue;
+            };
+            if reply.sender.send(Verdict::Shed(retry_after)).is_err() {
                 log::debug!("the caller of a request that is refused has disconnected");
             }
         }
