--- a/crates/papayayard_gateway/src/dispatch/cost_test.rs
+++ b/crates/papayayard_gateway/src/dispatch/cost_test.rs
@@ -1,24 +1,34 @@
-//! Measures the processor time that a placement call costs a dispatcher. Not a check: run it in a
+//! Measures the processor time that a placement call costs a dispatcher, and what becomes of
+//! calls in a burst. Not a check: run it in a
 //! release build with `--ignored --nocapture`.
 
+use std::collections::HashMap;
 use std::fs;
 use std::hint::black_box;
-use std::sync::mpsc;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::{Arc, mpsc};
 use std::thread;
 use std::time::Duration;
 
 use papayayard_coordination::dispatcher::ANSWER_TIMEOUT;
+use papayayard_routing::placement::{Endpoint, Query};
+use papayayard_wire::id;
 use tokio::runtime::{Builder, Runtime};
 use tokio::sync::oneshot;
+use tokio::task::JoinSet;
+use tokio::time;
 
-use super::message::{Answer, Call, Event, Notice, Request};
+use super::message::{Answer, Call, Decision, Event, Notice, Request};
 use super::test::Host;
 use crate::peers;
+use crate::schedule::Message;
 
 /// Calls for each figure.
 const CALLS: u64 = 4000;
 /// Calls that are sent at once.
 const CONCURRENT: u64 = 2;
+/// Length of a burst, in seconds.
+const BURST_SECONDS: u64 = 4;
 
 fn runtime() -> Runtime {
     let runtime = Builder::new_current_thread().enable_all().build();
@@ -135,6 +145,107 @@
     processor_time().saturating_sub(start)
 }
 
+/// Lets a host list a number of engines with eight slots each.
+fn set_engines(host: &Host, number: u16) {
+    host.set_engine();
+    let endpoints = (0..number).map(|index| Endpoint {
+        id: id::Endpoint::from(format!("engines-{index}")),
+        started: id::Incarnation(1),
+        service: id::Service::from("engines"),
+        address: SocketAddr::from((Ipv4Addr::LOCALHOST, index + 1)),
+        zone: host.local.zone.clone(),
+        software: id::Software::from("v1"),
+        slots: 8,
+        weights: HashMap::from([(id::Model::from("m"), 1)]),
+        leaving: false,
+    });
+    let message = Message::Endpoints(endpoints.collect());
+    host.dispatch.0.schedule.send(message);
+}
+
+/// Calls of a burst, by what became of them.
+#[derive(Debug, Default)]
+struct Counts {
+    placed: [u32; 3],
+    refused: [u32; 3],
+    undecided: [u32; 3],
+    held: u32,
+    timed_out: [u32; 3],
+}
+
+/// Sends calls of three priorities at a rate, and reports each outcome half a second later.
+async fn send_burst(address: SocketAddr, per_second: u64) -> Counts {
+    let client = Arc::new(peers::Client::with_timeout(address, ANSWER_TIMEOUT).expect("a client"));
+    let mut tasks = JoinSet::new();
+    let mut interval = time::interval(Duration::from_micros(1_000_000 / per_second));
+    let host = Arc::new(Host::new("asker", 100));
+    for number in 1..=per_second * BURST_SECONDS {
+        interval.tick().await;
+        let (client, host) = (Arc::clone(&client), Arc::clone(&host));
+        tasks.spawn(async move {
+            let priority = u8::try_from(number % 3).expect("a priority");
+            let mut placement = call(&host, number, false);
+            placement.notices.clear();
+            let query = Query {
+                priority,
+                ..host.query()
+            };
+            placement.question = Some(Request::new(number, &query, host.clock.now()));
+            let answer = client.dispatch(placement, ANSWER_TIMEOUT).await;
+            let answer = answer.map(|answer| answer.decision);
+            if matches!(answer, Ok(Some(Decision::Placed(_)))) {
+                time::sleep(Duration::from_millis(500)).await;
+            }
+            let outcome = call(&host, number + CONCURRENT, false);
+            if client.dispatch(outcome, ANSWER_TIMEOUT).await.is_err() {
+                println!("an outcome was not taken in time");
+            }
+            (priority, answer)
+        });
+    }
+    let mut counts = Counts::default();
+    while let Some(done) = tasks.join_next().await {
+        let (priority, answer) = done.expect("a call");
+        let priority = usize::from(priority);
+        match answer {
+            Ok(Some(Decision::Placed(_))) => counts.placed[priority] += 1,
+            Ok(Some(Decision::Refused(refusal))) if refusal.is_undecided() => {
+                counts.undecided[priority] += 1;
+            }
+            Ok(Some(Decision::Refused(_))) => counts.refused[priority] += 1,
+            Ok(None) => counts.held += 1,
+            Err(_) => counts.timed_out[priority] += 1,
+        }
+    }
+    counts
+}
+
+#[test]
+#[ignore = "a measurement, not a check"]
+fn calls_of_a_burst() {
+    for per_second in [1000, 2000, 4000] {
+        let (addresses, address) = mpsc::channel();
+        let (done, is_done) = oneshot::channel::<()>();
+        let dispatcher = thread::spawn(move || {
+            runtime().block_on(async move {
+                let mut host = Host::new("dispatcher", 300);
+                host.set_neighbours(&[host.candidate()]);
+                set_engines(&host, 64);
+                host.serve();
+                addresses.send(host.address()).expect("a caller");
+                let start = processor_time();
+                is_done.await.expect("a caller");
+                processor_time().saturating_sub(start)
+            })
+        });
+        let address = address.recv().expect("an address");
+        let counts = runtime().block_on(send_burst(address, per_second));
+        done.send(()).expect("a dispatcher");
+        let time = dispatcher.join().expect("a dispatcher");
+        println!("{per_second} a second: {counts:?}, {time:?} of processor time");
+    }
+}
+
 #[test]
 #[ignore = "a measurement, not a check"]
 fn cost_of_a_call() {
--- a/crates/papayayard_gateway/src/dispatch/message.rs
+++ b/crates/papayayard_gateway/src/dispatch/message.rs
@@ -501,6 +501,11 @@
         }
     }
 
+    #[cfg(test)]
+    pub(super) const fn is_undecided(&self) -> bool {
+        self.is_undecided
+    }
+
     /// Selection of a host whose request `dispatcher` refused.
     pub(super) fn into_selection(self, dispatcher: &id::Host) -> Selection {
         Selection::Refused {
