--- a/crates/papayayard_gateway/src/dispatch/handler.rs
+++ b/crates/papayayard_gateway/src/dispatch/handler.rs
@@ -2,17 +2,18 @@
 
 use std::time::Duration;
 
-use papayayard_coordination::quota::{Caller, Verdict};
+use papayayard_coordination::dispatcher::HOLD_TIMEOUT;
+use papayayard_coordination::quota::{self, Caller};
 use papayayard_routing::placement::{self, Availability, RefusalReason};
 use papayayard_wire::id;
 use tokio::time;
 
 use super::Dispatch;
 use super::charging::Charge;
-use super::link::HOLD_TIMEOUT;
 use super::message::{
     Answer, Call, Decision, Event, Limits, Notice, Placed, Refusal, Request, Running,
 };
+use crate::overload::Verdict;
 use crate::schedule::{Message, Progress};
 use crate::uplink;
 
@@ -138,8 +139,8 @@
         let deadline = shared.clock.now() + time_left;
         let ledger = &shared.local.quota;
         match ledger.charge(Some(caller), number, content, deadline).await {
-            Verdict::Charged => Ok(true),
-            Verdict::Refused { retry_after } => {
+            quota::Verdict::Charged => Ok(true),
+            quota::Verdict::Refused { retry_after } => {
                 let reason = RefusalReason::OverQuota;
                 let refusal = Refusal::new(reason, retry_after, Availability::default());
                 Err(Decision::Refused(refusal))
@@ -155,7 +156,13 @@
         let mut query = request.into_query(host, zone, shared.clock.now());
         query.avoided.extend(self.0.restarted(&query));
         let decided = time::timeout(HOLD_TIMEOUT, shared.schedule.place(query, number)).await;
-        Some(match decided.ok()? {
+        let decision = match decided.ok()? {
+            Verdict::Shed(retry_after) => {
+                return Some(Decision::Refused(Refusal::undecided(retry_after)));
+            }
+            Verdict::Decided(decision) => *decision,
+        };
+        Some(match decision {
             placement::Decision::Placed(placement) => {
                 Decision::Placed(Placed::new(self.0.name_software(placement)))
             }
--- a/crates/papayayard_gateway/src/metrics.rs
+++ b/crates/papayayard_gateway/src/metrics.rs
@@ -4,7 +4,7 @@
 
 use http::StatusCode;
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Gauge, Histogram};
+use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter};
 use papayayard_wire::refusal::Kind;
 
 use crate::exposition::Exposition;
@@ -32,110 +32,161 @@
     refusal_limits: Counter<u64>,
     told_streams: Counter<u64>,
     usability_changes: Counter<u64>,
-    quota_refusals: Counter<u64>,
-    quota_returns: Counter<u64>,
-    quota_prepaid: Counter<u64>,
+    quotas: Quotas,
+    dispatch: Dispatch,
     first_event: Histogram<f64>,
-    quota_parts: Gauge<u64>,
     hosts: Gauge<u64>,
     detached: Gauge<u64>,
 }
 
+/// Instruments of the quotas of client accounts.
+#[derive(Clone)]
+struct Quotas {
+    refusals: Counter<u64>,
+    returns: Counter<u64>,
+    prepaid: Counter<u64>,
+    parts: Gauge<u64>,
+}
+
+impl Quotas {
+    fn new(meter: &Meter) -> Self {
+        Self {
+            refusals: counter(
+                meter,
+                "papayayard_quota_refusals",
+                "Requests refused since their client accounts are over a quota",
+            ),
+            returns: counter(
+                meter,
+                "papayayard_quota_returns",
+                "Charges returned since their requests did not run",
+            ),
+            prepaid: counter(
+                meter,
+                "papayayard_quota_prepaid",
+                "Plain requests charged to an amount that was granted before",
+            ),
+            parts: meter
+                .u64_gauge("papayayard_quota_parts")
+                .with_description("Hosts whose parts of the quotas are in the pool of this one")
+                .build(),
+        }
+    }
+}
+
+/// Instruments of calls to dispatchers, and of requests that are refused undecided.
+#[derive(Clone)]
+struct Dispatch {
+    timeouts: Counter<u64>,
+    repeats: Counter<u64>,
+    busy_refusals: Counter<u64>,
+    shed: Counter<u64>,
+}
+
+impl Dispatch {
+    fn new(meter: &Meter) -> Self {
+        Self {
+            timeouts: counter(
+                meter,
+                "papayayard_dispatch_timeouts",
+                "Calls to dispatchers that got no answer in time, by their state",
+            ),
+            repeats: counter(
+                meter,
+                "papayayard_dispatch_repeats",
+                "Placement calls repeated at a busy dispatcher",
+            ),
+            busy_refusals: counter(
+                meter,
+                "papayayard_busy_dispatcher_refusals",
+                "Requests of this host refused since its dispatcher is busy",
+            ),
+            shed: counter(
+                meter,
+                "papayayard_shed_requests",
+                "Placement requests that this host refused undecided",
+            ),
+        }
+    }
+}
+
+fn counter(meter: &Meter, name: &'static str, description: &'static str) -> Counter<u64> {
+    let counter = meter.u64_counter(name);
+    counter.with_description(description).build()
+}
+
 impl Metrics {
     /// Creates the instruments.
     pub(crate) fn new() -> Self {
         let exposition = Exposition::empty();
         let meter = exposition.meter("gateway");
+        let counter = |name, description| counter(&meter, name, description);
         Self {
-            requests: meter
-                .u64_counter("papayayard_route_requests")
-                .with_description("Requests by route")
-                .build(),
-            placements: meter
-                .u64_counter("papayayard_route_placements")
-                .with_description("Decisions on where requests go, by who made them")
-                .build(),
-            order_events: meter
-                .u64_counter("papayayard_placement_order")
-                .with_description("Requests placed out of turn, and room held for waiting ones")
-                .build(),
-            answers: meter
-                .u64_counter("papayayard_route_answers")
-                .with_description("Endpoints' whole answers by status")
-                .build(),
-            refusals: meter
-                .u64_counter("papayayard_route_refusals")
-                .with_description("Refused and failed requests by kind")
-                .build(),
-            retries: meter
-                .u64_counter("papayayard_route_repeats")
-                .with_description("Requests sent again by reason")
-                .build(),
-            forwarded: meter
-                .u64_counter("papayayard_forwarded_requests")
-                .with_description("Tries to have a caller's request served by another host")
-                .build(),
-            from_hosts: meter
-                .u64_counter("papayayard_requests_of_hosts")
-                .with_description("Requests that other hosts have passed on to this one")
-                .build(),
-            orders: meter
-                .u64_counter("papayayard_weight_orders")
-                .with_description("Orders to load weights by answer")
-                .build(),
-            crashes: meter
-                .u64_counter("papayayard_endpoint_ends")
-                .with_description("Endpoints that ended under requests, by what showed it")
-                .build(),
-            quarantines: meter
-                .u64_counter("papayayard_quarantined_requests")
-                .with_description(
-                    "Requests that this host has begun to quarantine, by their fingerprints",
-                )
-                .build(),
-            quarantined_parts: meter
-                .u64_counter("papayayard_quarantined_parts")
-                .with_description(
-                    "Parts of prompts, or groups of them, that this host has begun to quarantine",
-                )
-                .build(),
-            limits: meter
-                .u64_counter("papayayard_endpoint_limits")
-                .with_description("Answers in which endpoints named a limit on requests")
-                .build(),
-            refusal_limits: meter
-                .u64_counter("papayayard_endpoint_refusal_limits")
-                .with_description("Answers in which endpoints named a limit on refusals")
-                .build(),
-            told_streams: meter
-                .u64_counter("papayayard_told_streams")
-                .with_description("Streams that other hosts have told this one of")
-                .build(),
-            usability_changes: meter
-                .u64_counter("papayayard_endpoint_rule_changes")
-                .with_description("Rules that began or ceased to keep requests from an endpoint")
-                .build(),
-            quota_refusals: meter
-                .u64_counter("papayayard_quota_refusals")
-                .with_description("Requests refused since their client accounts are over a quota")
-                .build(),
-            quota_returns: meter
-                .u64_counter("papayayard_quota_returns")
-                .with_description("Charges returned since their requests did not run")
-                .build(),
-            quota_prepaid: meter
-                .u64_counter("papayayard_quota_prepaid")
-                .with_description("Plain requests charged to an amount that was granted before")
-                .build(),
+            requests: counter("papayayard_route_requests", "Requests by route"),
+            placements: counter(
+                "papayayard_route_placements",
+                "Decisions on where requests go, by who made them",
+            ),
+            order_events: counter(
+                "papayayard_placement_order",
+                "Requests placed out of turn, and room held for waiting ones",
+            ),
+            answers: counter(
+                "papayayard_route_answers",
+                "Endpoints' whole answers by status",
+            ),
+            refusals: counter(
+                "papayayard_route_refusals",
+                "Refused and failed requests by kind",
+            ),
+            retries: counter("papayayard_route_repeats", "Requests sent again by reason"),
+            forwarded: counter(
+                "papayayard_forwarded_requests",
+                "Tries to have a caller's request served by another host",
+            ),
+            from_hosts: counter(
+                "papayayard_requests_of_hosts",
+                "Requests that other hosts have passed on to this one",
+            ),
+            orders: counter(
+                "papayayard_weight_orders",
+                "Orders to load weights by answer",
+            ),
+            crashes: counter(
+                "papayayard_endpoint_ends",
+                "Endpoints that ended under requests, by what showed it",
+            ),
+            quarantines: counter(
+                "papayayard_quarantined_requests",
+                "Requests that this host has begun to quarantine, by their fingerprints",
+            ),
+            quarantined_parts: counter(
+                "papayayard_quarantined_parts",
+                "Parts of prompts, or groups of them, that this host has begun to quarantine",
+            ),
+            limits: counter(
+                "papayayard_endpoint_limits",
+                "Answers in which endpoints named a limit on requests",
+            ),
+            refusal_limits: counter(
+                "papayayard_endpoint_refusal_limits",
+                "Answers in which endpoints named a limit on refusals",
+            ),
+            told_streams: counter(
+                "papayayard_told_streams",
+                "Streams that other hosts have told this one of",
+            ),
+            usability_changes: counter(
+                "papayayard_endpoint_rule_changes",
+                "Rules that began or ceased to keep requests from an endpoint",
+            ),
             first_event: meter
                 .f64_histogram("papayayard_first_event_seconds")
                 .with_description("Time from a request's arrival to its stream's first event")
                 .with_boundaries(FIRST_EVENT_BOUNDS.to_vec())
                 .build(),
-            quota_parts: meter
-                .u64_gauge("papayayard_quota_parts")
-                .with_description("Hosts whose parts of the quotas are in the pool of this one")
-                .build(),
+            quotas: Quotas::new(&meter),
+            dispatch: Dispatch::new(&meter),
             hosts: meter
                 .u64_gauge("papayayard_counted_hosts")
                 .with_description("Hosts that limits are divided by, this one included")
@@ -219,21 +270,21 @@
 
     /// Counts a request that is refused since its client account is over its quota.
     pub(crate) fn quota_refused(&self) {
-        self.quota_refusals.add(1, &[]);
+        self.quotas.refusals.add(1, &[]);
     }
 
     /// Counts a charge that is returned since its request did not run.
     pub(crate) fn quota_returned(&self) {
-        self.quota_returns.add(1, &[]);
+        self.quotas.returns.add(1, &[]);
     }
 
     /// Counts a plain request that is charged to an amount granted before.
     pub(crate) fn quota_prepaid(&self) {
-        self.quota_prepaid.add(1, &[]);
+        self.quotas.prepaid.add(1, &[]);
     }
 
     pub(crate) fn quota_parts(&self, number: u32) {
-        self.quota_parts.record(u64::from(number), &[]);
+        self.quotas.parts.record(u64::from(number), &[]);
     }
 
     /// Counts changes of a rule that keeps requests from endpoints.
@@ -243,6 +294,27 @@
         self.usability_changes.add(number, &labels);
     }
 
+    /// Counts a call to a dispatcher without an answer in time.
+    pub(crate) fn dispatch_timed_out(&self, dispatcher: &'static str) {
+        let state = KeyValue::new("dispatcher", dispatcher);
+        self.dispatch.timeouts.add(1, &[state]);
+    }
+
+    /// Counts a placement call that is repeated at a busy dispatcher.
+    pub(crate) fn dispatch_repeated(&self) {
+        self.dispatch.repeats.add(1, &[]);
+    }
+
+    /// Counts a request of this host that is refused since its dispatcher is busy.
+    pub(crate) fn refused_as_busy(&self) {
+        self.dispatch.busy_refusals.add(1, &[]);
+    }
+
+    /// Counts placement requests that this host refused undecided.
+    pub(crate) fn shed(&self, number: u64) {
+        self.dispatch.shed.add(number, &[]);
+    }
+
     pub(crate) fn first_event(&self, time: Duration) {
         self.first_event.record(time.as_secs_f64(), &[]);
     }
--- a/crates/papayayard_gateway/src/relay.rs
+++ b/crates/papayayard_gateway/src/relay.rs
@@ -9,7 +9,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use papayayard_routing::blame::Progress;
-use papayayard_routing::placement::{Outcome, Placement, RefusalReason};
+use papayayard_routing::placement::{Outcome, Placement};
 use papayayard_routing::retry_budget;
 use papayayard_routing::sharing;
 use papayayard_routing::table::Accounts;
@@ -412,15 +412,10 @@
                     by = refused_by.as_str(), attempt = history.endpoints.len();
                     "no place"
                 );
-                let (kind, message) = match why {
-                    RefusalReason::NoEndpoint => (Kind::NoEndpoint, "the service has no endpoint"),
-                    RefusalReason::Overloaded => (Kind::Overloaded, "all endpoints are full"),
-                    RefusalReason::AllTried => (Kind::Overloaded, "all endpoints refused"),
-                    RefusalReason::OverQuota => {
-                        job.bill.record_refused(retry_after, &refused_by);
-                        (Kind::RateLimited, "the client account is over its quota")
-                    }
-                };
+                if why.is_over_quota() {
+                    job.bill.record_refused(retry_after, &refused_by);
+                }
+                let (kind, message) = why.refusal();
                 let tried = history.endpoints.len();
                 Err(NoPlace {
                     refusal: Refusal::not_run(kind, message).after(retry_after),
--- a/crates/papayayard_routing/examples/placement_cost.rs
+++ b/crates/papayayard_routing/examples/placement_cost.rs
@@ -234,6 +234,7 @@
     };
     let target_latency = Duration::from_millis(500);
     Query {
+        account: None,
         service: id::Service::from("engines"),
         requesting_host: None,
         zone: zone(number),
