Placement: the digest of held room goes by a fixed order of services

Services were met in the order of a hash map that each decision creates anew. With urgent requests of several services waiting, the digest changed each time, and less urgent requests were evaluated again in each decision.

--- a/crates/papayayard_routing/src/placement/order.rs
+++ b/crates/papayayard_routing/src/placement/order.rs
@@ -19,8 +19,8 @@
 use crate::fairness;
 
 /// Fraction of the time until a request's target after which it goes first if it was passed over.
-/// A quarter of the time that it may wait is left for it to obtain room. With 0.2, the excess of
-/// an account goes first so often that others lose 0.2 % of their requests more.
+/// A quarter of the time that it may wait is left for it to obtain room. A lower
+/// fraction lets the excess of an account go first so often that others lose more requests.
 const GOES_FIRST_FRACTION: f64 = 0.3;
 /// Fraction of that time after which a request that was passed over holds room at an engine. Most
 /// of the time that it may wait is left for memory to become free there.
--- a/crates/papayayard_routing/src/placement/reservation.rs
+++ b/crates/papayayard_routing/src/placement/reservation.rs
@@ -12,7 +12,7 @@
 //! requests may hold room at all engines, since less urgent ones are never to take what they
 //! wait for, and others at a part of them.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::mem;
 use std::time::Duration;
 
@@ -32,8 +32,8 @@
 pub(super) const RESERVATION_PERIOD: Duration = Duration::from_millis(20);
 
 /// One of so many engines of a service may hold room for requests against others of their
-/// priority. With one of four, 96.8 % of the requests of fifteen accounts are placed beside one
-/// at seven times its usual load, with one of two 98.1 %, and with all 97.9 %.
+/// priority. With one of four, or with all, more requests of other accounts are refused beside one
+/// at seven times its usual load.
 const ENGINES_PER_RESERVATION: usize = 2;
 
 /// What an engine holds for a request.
@@ -69,8 +69,9 @@
     /// What engines hold since it was last taken.
     changes: Vec<(BackendKey, Amounts)>,
     salts: Salts,
-    /// Requests that were not placed and hold room against less urgent ones, by service.
-    waiting: HashMap<id::Service, Vec<PendingKey>>,
+    /// Requests that were not placed and hold room against less urgent ones, by service. The order
+    /// of the services must be the same in each decision, since the digest depends on it.
+    waiting: BTreeMap<id::Service, Vec<PendingKey>>,
     /// Number of engines that may still hold room within a lane, by service.
     left: HashMap<id::Service, usize>,
     /// Priority of the request that is decided.
@@ -253,3 +254,7 @@
         fits && is_usable && !is_excluded
     }
 }
+
+#[cfg(test)]
+#[path = "reservation_test.rs"]
+mod test;
