--- a/crates/papayayard_routing/src/placement/roster.rs
+++ b/crates/papayayard_routing/src/placement/roster.rs
@@ -170,6 +170,9 @@
 
     /// Adopts the room that endpoints of a service hold by now.
     pub(super) fn set_reserved(&mut self, engines: &[(BackendKey, Amounts)]) {
+        if engines.is_empty() {
+            return;
+        }
         let of_services = self.by_service.values_mut();
         for roster in of_services.flat_map(|of_service| &mut of_service.rosters) {
             for entry in &mut roster.entries {
