Placement: sums of declared tokens saturate

Callers declare the lengths of prompts and parts in headers. Their sums overflowed: a panic in debug builds, a wrong estimate in release builds.

--- a/crates/papayayard_routing/src/placement/cache.rs
+++ b/crates/papayayard_routing/src/placement/cache.rs
@@ -157,7 +157,7 @@
             let Some(cached) = self.parts.get(key).filter(|cached| accept(cached)) else {
                 break;
             };
-            tokens += cached.tokens.min(part.tokens);
+            tokens = cached.tokens.min(part.tokens).saturating_add(tokens);
             if cached.tokens < part.tokens {
                 break;
             }
--- a/crates/papayayard_routing/src/placement/cost.rs
+++ b/crates/papayayard_routing/src/placement/cost.rs
@@ -174,7 +174,8 @@
     prompt: &prompt::Prompt,
     cached: u32,
 ) -> bool {
-    let memory = prompt.tokens.saturating_sub(cached) + prompt.output_tokens();
+    let unread = prompt.tokens.saturating_sub(cached);
+    let memory = unread.saturating_add(prompt.output_tokens());
     let occupied = load.memory + entry.reserved.memory;
     occupied + f64::from(memory) <= float(engine.memory_tokens) * MEMORY_FRACTION
 }
--- a/crates/papayayard_routing/src/placement/held.rs
+++ b/crates/papayayard_routing/src/placement/held.rs
@@ -114,7 +114,7 @@
                 let tokens = cached.tokens.min(part.tokens);
                 let is_whole = cached.tokens >= part.tokens;
                 if is_cached && cached.is_current(now) {
-                    leading.cached += tokens;
+                    leading.cached = leading.cached.saturating_add(tokens);
                     leading.cached_parts += usize::from(is_whole);
                     has_more |= is_whole;
                 }
@@ -122,7 +122,7 @@
                     && entry.is_source
                     && cached.is_fetchable(entry.filled, entry.retained, now)
                 {
-                    leading.fetchable += tokens;
+                    leading.fetchable = leading.fetchable.saturating_add(tokens);
                     leading.fetchable_parts += usize::from(is_whole);
                 }
             }
--- a/crates/papayayard_routing/src/placement/place.rs
+++ b/crates/papayayard_routing/src/placement/place.rs
@@ -183,7 +183,8 @@
         };
         if let Some(prompt) = &query.prompt {
             amounts.unread = f64::from(placement.unread);
-            let memory = prompt.tokens.saturating_sub(placement.cached) + prompt.output_tokens();
+            let unread = prompt.tokens.saturating_sub(placement.cached);
+            let memory = unread.saturating_add(prompt.output_tokens());
             amounts.memory = f64::from(memory);
             let prefilled = prefilled_by(placement.first_event, now);
             if arrives {
--- a/crates/papayayard_routing/src/prompt.rs
+++ b/crates/papayayard_routing/src/prompt.rs
@@ -57,7 +57,8 @@
 
     /// Number of tokens in the parts that other requests may share.
     pub fn shared_tokens(&self) -> u32 {
-        self.shared().iter().map(|part| part.tokens).sum()
+        let lengths = self.shared().iter().map(|part| part.tokens);
+        lengths.fold(0, u32::saturating_add)
     }
 
     /// Number of tokens that no other request shares.
--- a/crates/papayayard_routing/tests/placement/overload.rs
+++ b/crates/papayayard_routing/tests/placement/overload.rs
@@ -7,6 +7,7 @@
 use papayayard_routing::placement::{
     Decision, Endpoint, Outcome, Placement, Query, Scheduler, Ticket,
 };
+use papayayard_routing::prompt::Prompt;
 use papayayard_routing::rate::Rate;
 use papayayard_wire::id;
 use rstest::rstest;
@@ -430,3 +431,27 @@
         Wish::RefusalLimit => assert!(sent.most_open <= 6, "{sent:?}"),
     }
 }
+
+/// Guards against an overflow of numbers of tokens, which callers declare: parts may be
+/// longer than the prompt, and together longer than their type holds.
+#[test]
+fn declared_tokens_are_as_many_as_a_header_allows() {
+    let mut scheduler = support::scheduler(&support::engines(2, 1), 1);
+    let mut prompt = support::history("subject");
+    for part in &mut prompt.parts {
+        part.tokens = u32::MAX;
+    }
+    for _ in 0..3 {
+        support::place(&mut scheduler, support::query(prompt.clone(), NOW), NOW);
+    }
+    let longest = Prompt {
+        tokens: u32::MAX,
+        max_output: u32::MAX,
+        ..support::history("other")
+    };
+    let decision = support::decide(&mut scheduler, support::query(longest, NOW), NOW);
+    assert!(
+        !matches!(decision, Some(Decision::Placed(_))),
+        "{decision:?}"
+    );
+}
