Quotas: a number of hosts in a call takes effect at once

The share of a pool followed only at the next lease event, up to 10 s later. A large number overflowed in a process that had started less than 1 min ago. The metric of prepaid amounts no longer counts those that have expired.

--- a/crates/papayayard_coordination/src/quota/bucket.rs
+++ b/crates/papayayard_coordination/src/quota/bucket.rs
@@ -158,9 +158,7 @@
     ) -> f64 {
         self.settle(scale.share, now);
         self.used_at = now;
-        while self.prepaid.front().is_some_and(|(until, _)| *until <= now) {
-            self.prepaid.pop_front();
-        }
+        self.expire_prepaid(now);
         let limit = tolerance.of(self.quota) * PREPAID_RATIO * scale.share;
         let granted = wanted.min(limit - self.outstanding()).min(self.level);
         if granted <= ROUNDING || !granted.is_finite() {
@@ -207,7 +205,14 @@
         self.level
     }
 
-    /// Sum of the prepaid amounts that may still be spent.
+    /// Forgets prepaid amounts that may no longer be spent.
+    pub(super) fn expire_prepaid(&mut self, now: Duration) {
+        while self.prepaid.front().is_some_and(|(until, _)| *until <= now) {
+            self.prepaid.pop_front();
+        }
+    }
+
+    /// Sum of the prepaid amounts that had not expired when this was last checked.
     pub(super) fn outstanding(&self) -> f64 {
         self.prepaid.iter().map(|(_, amount)| amount).sum()
     }
--- a/crates/papayayard_coordination/src/quota/hosts.rs
+++ b/crates/papayayard_coordination/src/quota/hosts.rs
@@ -76,11 +76,7 @@
 
     fn count_before(&self, count: u32, now: Duration) -> u32 {
         let is_recent = self.started_at.is_some_and(|at| now < at + MEMORY);
-        let least = if is_recent {
-            (count * 5).div_ceil(6)
-        } else {
-            count
-        };
+        let least = if is_recent { count - count / 6 } else { count };
         let known = self.before.filter(|(_, at)| now < *at + MEMORY);
         known.map_or(least, |(before, _)| before.min(least))
     }
--- a/crates/papayayard_coordination/src/quota/pool.rs
+++ b/crates/papayayard_coordination/src/quota/pool.rs
@@ -116,6 +116,7 @@
         let buckets = self.buckets.iter_mut();
         let readings = buckets.map(|(account, bucket)| {
             bucket.settle(share, now);
+            bucket.expire_prepaid(now);
             Reading {
                 account: account.clone(),
                 level: bucket.level(),
@@ -191,6 +192,7 @@
         member.called_at = now;
         if offer.hosts > 0 {
             self.hosts.observe(offer.hosts, now);
+            self.update_share(now);
         }
         let token = offer.token.filter(|token| token.run == run);
         let until = token.filter(|token| token.ms <= now && now < token.ms + LEASE);
--- a/crates/papayayard_coordination/tests/quota_failure_test.rs
+++ b/crates/papayayard_coordination/tests/quota_failure_test.rs
@@ -655,6 +655,40 @@
     assert_eq!(fleet.charge(1, 1, 500.0), Verdict::Charged);
 }
 
+/// Guards against a metric that shows prepaid amounts which no host may spend any more.
+#[test]
+fn prepaid_amount_that_has_expired_is_not_reported() {
+    let mut fleet = Fleet::pooled(2);
+    let now = fleet.now;
+    assert!(!fleet.hosts[1].spend_prepaid(&charge(50.0), now));
+    let offer = fleet.hosts[1].offer(&name(0), now);
+    fleet.receive(1, 0, &offer);
+    assert!(is_close(fleet.hosts[0].readings(now)[0].prepaid, 50.0));
+    let late = now + ms(2_200);
+    assert!(is_close(fleet.hosts[0].readings(late)[0].prepaid, 0.0));
+}
+
+/// Guards against a pool that uses parts of the earlier size for seconds after a call has
+/// stated that there are more hosts.
+#[test]
+fn number_of_hosts_learned_from_a_call_takes_effect_at_once() {
+    let mut fleet = Fleet::pooled(4);
+    assert!(is_close(fleet.share(0), 1.0));
+    let offer: Offer = serde_json::from_str(r#"{"hosts":6}"#).unwrap();
+    fleet.receive(1, 0, &offer);
+    assert!(is_close(fleet.share(0), 0.5));
+}
+
+/// Guards against an overflow of the number of hosts in a process that has just started.
+#[test]
+fn number_of_hosts_is_as_large_as_a_message_allows() {
+    let mut fleet = Fleet::new(2, false);
+    let offer: Offer = serde_json::from_str(r#"{"hosts":4294967295}"#).unwrap();
+    fleet.receive(1, 0, &offer);
+    fleet.now += ms(12_000);
+    assert!(is_close(fleet.share(0), 0.0));
+}
+
 /// Guards against a message that a host of another release cannot decode.
 #[test]
 fn message_without_optional_fields_is_decoded() {
