--- a/crates/papayayard_coordination/src/shedding.rs
+++ b/crates/papayayard_coordination/src/shedding.rs
@@ -9,8 +9,8 @@
 
 use std::time::Duration;
 
-/// Fraction of the caller's time-out by which a request must be decided. The rest is for the
-/// way of the call and of the answer.
+/// Fraction of the caller's time-out by which a request must be decided. The rest is for
+/// sending the call and the answer.
 const MAX_DELAY_FRACTION: f64 = 0.5;
 /// Factor by which earlier decisions count less in the average time of a decision, for each
 /// later one. The average is over many, since a pause of the process falls into few of them.
