Placement: requests of a round have a module; attempts are named as such

Moves Request from evaluation.rs to request.rs, unchanged. What was called a look is an attempt; the replay of decisions is named after what it tests.

--- a/crates/papayayard_routing/src/placement.rs
+++ b/crates/papayayard_routing/src/placement.rs
@@ -38,6 +38,7 @@
 mod query;
 mod reachability;
 mod refusal_limit;
+mod request;
 mod requesting_hosts;
 mod reservation;
 mod revision;
@@ -51,16 +52,17 @@
 mod witness;
 
 use backend::Backend;
-use evaluation::{Evaluation, Request, Scope};
+use evaluation::{Evaluation, Scope};
 use keys::Hashes;
 use limit::Limits;
 use order::Order;
 use path::Paths;
 use progress::Placed;
 use refusal_limit::RefusalLimits;
+use request::Request;
 use requesting_hosts::RequestingHosts;
 use reservation::{Digest, RESERVATION_PERIOD, Reservations};
-use revision::{Look, Revisions};
+use revision::{Attempt, Revisions};
 use roster::Rosters;
 use signals::Signals;
 
@@ -125,8 +127,8 @@
     waiting: SlotMap<PendingKey, Pending>,
     arrivals: u64,
     revisions: Revisions,
-    /// Set if no waiting request has found a place at the last look.
-    last_look: Option<Look>,
+    /// Set if no waiting request has found a place in the last decision.
+    last_attempt: Option<Attempt>,
     order: Order,
     reservations: Reservations,
 }
@@ -145,8 +147,8 @@
     arrival: u64,
     arrived_at: Duration,
     hashes: Hashes,
-    /// Last look, if its result may hold for longer.
-    look: Option<Look>,
+    /// Last attempt, if its result may hold for longer.
+    last_attempt: Option<Attempt>,
     position: order::Position,
     /// Whether room was held for the request.
     has_reserved: bool,
@@ -205,7 +207,7 @@
             waiting: SlotMap::with_key(),
             arrivals: 0,
             revisions: Revisions::default(),
-            last_look: None,
+            last_attempt: None,
             order: Order::default(),
             reservations: Reservations::default(),
         }
@@ -230,14 +232,14 @@
         self.requesting_hosts
             .record_use(requesting_host, &query.zone, now);
         let arrived_at = now.saturating_sub(query.waited);
-        self.last_look = None;
+        self.last_attempt = None;
         let position = self.order.join(&query);
         self.waiting.insert(Pending {
             query,
             arrival: self.arrivals,
             arrived_at,
             hashes: Hashes::default(),
-            look: None,
+            last_attempt: None,
             position,
             has_reserved: false,
         })
@@ -273,8 +275,8 @@
         self.limits.refill(&self.requesting_hosts, now);
         self.refusal_limits.update(&self.requesting_hosts, now);
         let revision = self.revisions.total();
-        let is_settled = |look: Look| look.holds(revision, Digest::default(), now);
-        if self.last_look.is_some_and(is_settled) {
+        let is_settled = |attempt: Attempt| attempt.holds(revision, Digest::default(), now);
+        if self.last_attempt.is_some_and(is_settled) {
             return Vec::new();
         }
         let waiting = self.waiting.iter();
@@ -303,28 +305,28 @@
             self.order.leave(turn.entry.position);
             decisions.push((key, decision));
         }
-        self.last_look = self.common_look(revision, now);
+        self.last_attempt = self.common_attempt(revision, now);
         decisions
     }
 
-    /// Has each waiting request looked at by the next decision; for tests of decisions.
+    /// Has the next decision evaluate each waiting request; for tests of decisions.
     #[doc(hidden)]
-    pub const fn look_at_all(&mut self) {
+    pub const fn evaluate_all(&mut self) {
         self.revisions.change_all();
     }
 
-    /// Whether a request cannot have a place, as its last look found none.
+    /// Whether a request cannot have a place, as its last attempt found none.
     fn is_settled(&self, key: PendingKey, now: Duration) -> bool {
         let pending = &self.waiting[key];
-        pending.look.is_some_and(|look| {
+        pending.last_attempt.is_some_and(|attempt| {
             let revision = self.revisions.of(&pending.query.service);
-            look.holds(revision, self.reservations.digest(), now)
+            attempt.holds(revision, self.reservations.digest(), now)
         })
     }
 
-    /// The look that holds for as long as those of all waiting requests, unless something has
+    /// The attempt that holds for as long as those of all waiting requests, unless something has
     /// changed since `revision`.
-    fn common_look(&self, revision: u64, now: Duration) -> Option<Look> {
+    fn common_attempt(&self, revision: u64, now: Duration) -> Option<Attempt> {
         if self.revisions.total() != revision {
             return None;
         }
@@ -335,9 +337,9 @@
             now + RESERVATION_PERIOD
         };
         for pending in self.waiting.values() {
-            until = until.min(pending.look?.until);
+            until = until.min(pending.last_attempt?.until);
         }
-        Some(Look {
+        Some(Attempt {
             revision,
             reserved: Digest::default(),
             at: now,
@@ -383,7 +385,7 @@
             *ahead += 1;
             let is_unsteady = request.is_unsteady() || testable.has_members();
             let possible_from = usable.possible_from.min(roster.next_change);
-            let look = Look {
+            let attempt = Attempt {
                 revision: self.revisions.of(&query.service),
                 reserved: self.reservations.digest(),
                 at: now,
@@ -396,7 +398,7 @@
             let is_limited = roster.is_limited;
             let pending = &mut self.waiting[key];
             pending.hashes = hashes;
-            pending.look = (!is_limited).then_some(look);
+            pending.last_attempt = (!is_limited).then_some(attempt);
             return None;
         }
         if usable.is_partial {
--- a/crates/papayayard_routing/src/placement/evaluation.rs
+++ b/crates/papayayard_routing/src/placement/evaluation.rs
@@ -7,42 +7,24 @@
 use std::cmp::Reverse;
 use std::time::Duration;
 
-use papayayard_wire::id;
-
-use super::cost::{self, Estimate, ZoneCost};
+use super::cost::{self, Estimate};
 use super::delay;
 use super::exclusion::MAX_NAMED;
 use super::fetch::{Fetch, LONG_LINK_WAIT, Shared, StoreSource};
 use super::held::Prefixes;
-use super::keys::Hashes;
 use super::load::Amounts;
-use super::query::Query;
+use super::request::Request;
 use super::roster::{Entry, Roster};
-use super::select::{self, Bounds, Candidate};
+use super::select::{self, Candidate};
 use super::{Scheduler, from_ms};
 use crate::prompt::Prompt;
 use crate::table;
 
 /// Error of an estimate in ms, far above that of its rounding.
 const ROUNDING_MS: f64 = 1e-6;
-/// Time by which a request is looked at before its estimates may suffice.
+/// Time by which a request is evaluated before its estimates may suffice.
 const ROUNDING_TIME: Duration = Duration::from_micros(10);
 
-/// A waiting request in a round.
-pub(super) struct Request<'a> {
-    pub(super) query: &'a Query,
-    pub(super) hashes: &'a mut Hashes,
-    pub(super) bounds: Bounds,
-    /// Even draw from 0 to 1.
-    pub(super) draw: f64,
-    pub(super) now: Duration,
-    zone: ZoneCost,
-    /// Number of hosts that send to the endpoints.
-    hosts: usize,
-    /// Zones that the sending host does not reach; empty if it reaches all.
-    unreachable: Vec<bool>,
-}
-
 /// Which endpoints are evaluated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Scope {
@@ -240,47 +222,6 @@
     }
 }
 
-impl<'a> Request<'a> {
-    /// Prepares a request.
-    pub(super) fn new(
-        scheduler: &Scheduler,
-        roster: &mut Roster,
-        (query, hashes): (&'a Query, &'a mut Hashes),
-        draw: f64,
-        now: Duration,
-    ) -> Self {
-        let excludes_any = scheduler.paths.excludes_any(query.sender(), now);
-        let is_unreachable = |zone: &id::Zone| scheduler.paths.excludes(query.sender(), zone, now);
-        Self {
-            query,
-            hashes,
-            bounds: Bounds::new(query, roster.urgent_ms(scheduler, query), now),
-            draw,
-            now,
-            zone: ZoneCost::new(roster.zone(&query.zone), query.is_repeatable),
-            hosts: if excludes_any {
-                scheduler.sending_hosts(query, now)
-            } else {
-                scheduler.schedulers
-            },
-            unreachable: if excludes_any {
-                roster.zones.iter().map(is_unreachable).collect()
-            } else {
-                Vec::new()
-            },
-        }
-    }
-
-    /// Whether estimates change with time in ways that are not foreseen.
-    pub(super) const fn is_unsteady(&self) -> bool {
-        self.hosts > 1 || !self.unreachable.is_empty()
-    }
-
-    fn reaches(&self, entry: &Entry) -> bool {
-        !self.unreachable.get(entry.zone).is_some_and(|zone| *zone)
-    }
-}
-
 impl Scheduler {
     /// Starts an evaluation of the endpoints that accept a request now, of those that are
     /// `included`. Leaves out zones that the sending host does not reach, unless it reaches none.
--- a/crates/papayayard_routing/src/placement/exclusion.rs
+++ b/crates/papayayard_routing/src/placement/exclusion.rs
@@ -6,7 +6,8 @@
 use papayayard_wire::id;
 
 use super::backend::Backend;
-use super::evaluation::{Evaluation, Request};
+use super::evaluation::Evaluation;
+use super::request::Request;
 use super::roster::{Entry, Roster};
 use super::usability::Rule;
 use super::{Scheduler, from_ms};
--- a/crates/papayayard_routing/src/placement/revision.rs
+++ b/crates/papayayard_routing/src/placement/revision.rs
@@ -1,6 +1,6 @@
-//! Which waiting requests need another look.
+//! Which waiting requests need another attempt to place them.
 //!
-//! A request that cannot be placed is looked at again only after a change at the endpoints of its
+//! A request that cannot be placed is evaluated again only after a change at the endpoints of its
 //! service, or at a time at which a rule or an estimate may have changed by itself.
 
 use std::collections::HashMap;
@@ -48,20 +48,20 @@
     }
 }
 
-/// A look that found no place.
+/// An attempt that found no place.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Look {
+pub(super) struct Attempt {
     /// Number of changes at that time.
     pub(super) revision: u64,
     /// Room that was held for other requests.
     pub(super) reserved: Digest,
     pub(super) at: Duration,
-    /// Time from which another look may find a place without a change.
+    /// Time from which another attempt may find a place without a change.
     pub(super) until: Duration,
 }
 
-impl Look {
-    /// Whether another look would find no place either.
+impl Attempt {
+    /// Whether another attempt would find no place either.
     pub(super) fn holds(&self, revision: u64, reserved: Digest, now: Duration) -> bool {
         let is_foreseen = self.at <= now && now < self.until;
         let is_unchanged = revision == self.revision && reserved == self.reserved;
--- a/crates/papayayard_routing/src/placement/roster.rs
+++ b/crates/papayayard_routing/src/placement/roster.rs
@@ -31,7 +31,7 @@
 #[derive(Default)]
 struct OfService {
     rosters: Vec<Roster>,
-    /// Requests that the round has looked at and that stay in the queue.
+    /// Requests that the round has evaluated and that stay in the queue.
     waiting: u32,
 }
 
--- a/crates/papayayard_routing/src/placement/select.rs
+++ b/crates/papayayard_routing/src/placement/select.rs
@@ -8,9 +8,10 @@
 
 use super::backend::Backend;
 use super::cost;
-use super::evaluation::{Evaluation, Request, Scope};
+use super::evaluation::{Evaluation, Scope};
 use super::prefill::Prefill;
 use super::query::{BackendKey, Query, RefusalReason};
+use super::request::Request;
 use super::roster::{Entry, Roster};
 use super::trial;
 use super::{Scheduler, float, ms};
--- a/crates/papayayard_routing/tests/placement/repeated_looks.rs
+++ b/crates/papayayard_routing/tests/placement/reevaluation.rs
@@ -1,6 +1,6 @@
-//! A waiting request is looked at again only if something may have changed for it.
+//! A waiting request is evaluated again only if something may have changed for it.
 //!
-//! Random loads are replayed through a scheduler that looks at each waiting request in each
+//! Random loads are replayed through a scheduler that evaluates each waiting request in each
 //! decision, and through one that does not.
 
 use std::collections::{BTreeMap, HashMap};
@@ -27,7 +27,7 @@
 /// What may happen to the endpoints besides requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Events {
-    /// Nothing, so that most looks can be left out.
+    /// Nothing, so that most evaluations can be left out.
     None,
     /// Everything but limits.
     NoLimits,
@@ -38,7 +38,7 @@
 struct Replay {
     random: ChaCha8Rng,
     events: Events,
-    /// Looks at each waiting request in each decision.
+    /// Evaluates each waiting request in each decision.
     forced: Scheduler,
     tested: Scheduler,
     endpoints: Vec<Endpoint>,
@@ -318,7 +318,7 @@
     }
 
     fn decide(&mut self) {
-        self.forced.look_at_all();
+        self.forced.evaluate_all();
         let now = self.now;
         for (key, decision) in self.both(|scheduler| scheduler.decide(now)) {
             let since = self.waiting.remove(&key);
@@ -362,7 +362,7 @@
     )
 }
 
-/// Guards against a change or a time that gives a waiting request a place without another look.
+/// Guards against a change or a time that gives a waiting request a place without another evaluation.
 #[rstest]
 fn decisions_are_the_same_if_each_request_is_looked_at_each_time(
     #[values(Events::None, Events::NoLimits, Events::All)] events: Events,
