Dispatch: outcomes of cancelled calls are sent again, and streams ask again at least 50 ms later

A caller that disconnected while its placement call was in flight took the notices in that call with it, so that their places stayed taken at the dispatcher. The delay before a continued stream is asked again is a fraction of the time left, so that calls became ever denser until the deadline.

--- a/crates/papayayard_gateway/src/dispatch/busy_test.rs
+++ b/crates/papayayard_gateway/src/dispatch/busy_test.rs
@@ -8,12 +8,13 @@
 use jsonrpsee::RpcModule;
 use jsonrpsee::server::Server;
 use jsonrpsee::types::ErrorObjectOwned;
+use papayayard_wire::id;
 use tokio::sync::watch;
 use tokio::time;
 
 use super::message::{Call, Event};
 use super::test::Host;
-use super::{Cause, Handler, Selection};
+use super::{Cause, Handler, Selection, retry};
 
 /// Delay of slow answers, longer than any host waits.
 const SLOW: Duration = Duration::from_secs(5);
@@ -211,3 +212,30 @@
     let address = (Ipv4Addr::LOCALHOST, dispatcher.address().port());
     assert!(tokio::net::TcpStream::connect(address).await.is_err());
 }
+
+/// Guards against outcomes that are lost with a call whose caller disconnects, so that their
+/// places stay taken at the dispatcher.
+#[tokio::test]
+async fn outcomes_of_a_call_that_is_given_up_are_sent_again() {
+    // The dispatcher's connections are accepted by the system, and nothing is read from them.
+    let [_frozen, asker] = hosts(["frozen", "asker"]);
+    let link = asker.dispatch.dispatcher().expect("a dispatcher");
+    link.notify(1, Event::Whole);
+    let call = link.send_heartbeat(true, asker.clock.now());
+    assert!(time::timeout(PERIOD, call).await.is_err());
+    assert!(link.has_notices());
+}
+
+/// Guards against streams that call a busy dispatcher ever more often as their deadlines near.
+#[tokio::test]
+async fn a_stream_that_goes_on_is_asked_again_after_a_minimum_delay() {
+    let host = Host::new("host", 100);
+    let mut query = host.query();
+    query.software = Some(id::Software::from("v1"));
+    let refused = retry::refused(Duration::ZERO, "dispatcher");
+    let started_at = host.clock.now();
+    assert!(retry::wait(&query, &refused, host.clock).await);
+    assert!(host.clock.now() >= started_at + retry::MIN_DELAY);
+    query.deadline = host.clock.now();
+    assert!(!retry::wait(&query, &refused, host.clock).await);
+}
--- a/crates/papayayard_gateway/src/dispatch/link.rs
+++ b/crates/papayayard_gateway/src/dispatch/link.rs
@@ -214,18 +214,22 @@
                 question: request,
             }
         };
-        let outcomes = outcomes(&call.notices);
+        let unanswered = Unanswered {
+            link: self,
+            outcomes: outcomes(&call.notices),
+        };
         let answer = self.client.dispatch(call, timeout).await;
         let ended_at = self.local.clock.now();
-        let mut outbox = self.outbox();
         let mut answer = match answer {
             Ok(answer) => answer,
             Err(problem) => {
+                let mut outbox = self.outbox();
                 let state = outbox.record_failure(&problem, kind, now, ended_at);
-                outbox.queue_again(outcomes);
                 return Err(Failure { state, problem });
             }
         };
+        unanswered.accept();
+        let mut outbox = self.outbox();
         offered.accept(answer.run, answer.quota.take(), now);
         outbox.health.record_answer(kind, now, ended_at);
         if outbox.run != Some(answer.run) {
@@ -246,6 +250,28 @@
     }
 }
 
+/// Outcomes in a call, which are queued again if it gets no answer or its future is dropped.
+struct Unanswered<'a> {
+    link: &'a Link,
+    outcomes: Vec<Notice>,
+}
+
+impl Unanswered<'_> {
+    /// Records that the call is answered.
+    fn accept(mut self) {
+        self.outcomes.clear();
+    }
+}
+
+impl Drop for Unanswered<'_> {
+    fn drop(&mut self) {
+        if !self.outcomes.is_empty() {
+            let outcomes = std::mem::take(&mut self.outcomes);
+            self.link.outbox().queue_again(outcomes);
+        }
+    }
+}
+
 impl Outbox {
     fn record_failure(
         &mut self,
--- a/crates/papayayard_gateway/src/dispatch/retry.rs
+++ b/crates/papayayard_gateway/src/dispatch/retry.rs
@@ -16,6 +16,11 @@
 use super::cause::Cause;
 use crate::clock::Clock;
 
+/// Minimum delay before a stream that goes on is asked again. The delay of a refusal is a fraction
+/// of the time left, so that without a minimum the calls would become ever denser until the
+/// deadline.
+pub(super) const MIN_DELAY: Duration = Duration::from_millis(50);
+
 /// Whether time is left to repeat the call of a request.
 pub(super) fn is_in_time(query: &Query, clock: Clock) -> bool {
     clock.now() + ANSWER_TIMEOUT <= query.deadline
@@ -31,9 +36,10 @@
     else {
         return false;
     };
-    let may_wait = is_continued(query) && clock.now() + *retry_after < query.deadline;
+    let delay = MIN_DELAY.max(*retry_after);
+    let may_wait = is_continued(query) && clock.now() + delay < query.deadline;
     if may_wait {
-        time::sleep(*retry_after).await;
+        time::sleep(delay).await;
     }
     may_wait
 }
