--- a/crates/papayayard_gateway/src/dispatch.rs
+++ b/crates/papayayard_gateway/src/dispatch.rs
@@ -258,14 +258,14 @@
         link: &Link,
     ) -> Option<Selection> {
         bill.answered(answer.is_charged);
-        let placed = match answer.decision.as_ref()? {
+        let refused = match answer.decision.as_ref()? {
             message::Decision::Placed(_) => self.charge_own(bill, deadline).await,
             message::Decision::Refused(_) => None,
         };
-        if placed.is_some() {
+        if refused.is_some() {
             link.notify(number, message::Event::Abandoned);
         }
-        placed
+        refused
     }
 
     /// Charges a request to the pool of this host, if it is still due. Returns the refusal of a
--- a/crates/papayayard_gateway/src/dispatch/cost_test.rs
+++ b/crates/papayayard_gateway/src/dispatch/cost_test.rs
@@ -1,6 +1,5 @@
 //! Measures the processor time that a placement call costs a dispatcher, and what becomes of
-//! calls in a burst. Not a check: run it in a
-//! release build with `--ignored --nocapture`.
+//! calls in a burst. Not a check: run it in a release build with `--ignored --nocapture`.
 
 use std::collections::HashMap;
 use std::fs;
