Dispatch: notices that a left dispatcher does not answer no longer count as leaving it again

Outcomes are queued again after a call without an answer. A host with outcomes for a killed dispatcher therefore called it once a second, logged that, and gave its own part of the limits on refusals to it for another 1.5 s each time.

--- a/crates/papayayard_gateway/src/dispatch.rs
+++ b/crates/papayayard_gateway/src/dispatch.rs
@@ -347,7 +347,8 @@
                             self.set_limits(answer.limits, now);
                         }
                     }
-                    Err(failure) => self.record_failure(&link, &failure),
+                    Err(failure) if is_used => self.record_failure(&link, &failure),
+                    Err(failure) => self.record_lost_notices(&link, &failure),
                 }
             }
         }
@@ -525,6 +526,16 @@
         }
     }
 
+    /// Records that a host which this one does not use got no notices. Unlike a dispatcher that
+    /// is left, it does not count this host's part of the limits.
+    fn record_lost_notices(&self, link: &Link, failure: &Failure) {
+        log::debug!(host:% = link.host(), problem:% = failure.problem; "notices are not answered");
+        if failure.state == dispatcher_health::State::Gone {
+            let now = self.0.clock.now();
+            self.state().failed(link.host(), now);
+        }
+    }
+
     fn failed(&self, host: &id::Host, problem: &str) {
         log::info!(host:%, problem; "the dispatcher does not answer");
         let now = self.0.clock.now();
--- a/crates/papayayard_gateway/src/dispatch/busy_test.rs
+++ b/crates/papayayard_gateway/src/dispatch/busy_test.rs
@@ -8,6 +8,7 @@
 use jsonrpsee::RpcModule;
 use jsonrpsee::server::Server;
 use jsonrpsee::types::ErrorObjectOwned;
+use papayayard_routing::rate::Rate;
 use papayayard_wire::id;
 use tokio::sync::watch;
 use tokio::time;
@@ -239,3 +240,26 @@
     query.deadline = host.clock.now();
     assert!(!retry::wait(&query, &refused, host.clock).await);
 }
+
+/// Guards against a host that gets no room at endpoints with limits on refusals, since it has
+/// outcomes for a dispatcher that was killed.
+#[tokio::test]
+async fn outcomes_for_a_killed_dispatcher_do_not_take_the_limits_of_its_host() {
+    let [mut killed, asker] = hosts(["killed", "asker"]);
+    drop(killed.listener.take());
+    let link = asker.dispatch.dispatcher().expect("a dispatcher");
+    link.notify(1, Event::Whole);
+    let Selection::Placed(_, permit) = asker.dispatch.place(asker.query()).await else {
+        panic!("the engine has room");
+    };
+    permit.set_refusal_limit(Rate::new(1.0).expect("a rate"));
+    drop(permit);
+    tokio::spawn(asker.dispatch.clone().report());
+    let placed = async {
+        while let Selection::Refused { .. } = asker.dispatch.place(asker.query()).await {
+            time::sleep(PERIOD).await;
+        }
+    };
+    let placed = time::timeout(TIMEOUT, placed).await;
+    placed.expect("the host has all of the limit");
+}
