--- a/crates/papayayard_gateway/src/quota/task.rs
+++ b/crates/papayayard_gateway/src/quota/task.rs
@@ -143,7 +143,10 @@
             }
             Message::Prepaid(charge, reply) => {
                 let is_spent = self.ledger.spend_prepaid(&charge, now);
-                let _ = reply.send(is_spent);
+                if reply.send(is_spent) == Err(true) {
+                    // The caller has disconnected, and its bill does not return the amount.
+                    self.ledger.return_prepaid(&charge, now);
+                }
             }
             Message::ReturnPrepaid(charge) => self.ledger.return_prepaid(&charge, now),
             Message::ReturnTo(dispatcher, number) => self.ledger.return_to(&dispatcher, number),
--- a/crates/papayayard_gateway/src/quota_test.rs
+++ b/crates/papayayard_gateway/src/quota_test.rs
@@ -1,4 +1,5 @@
-use papayayard_coordination::quota::{Settings, Tolerance};
+use futures_util::poll;
+use papayayard_coordination::quota::{Charge, Quota, Reply, Settings, Tolerance};
 use papayayard_wire::id;
 use tokio::sync::watch;
 
@@ -34,3 +35,33 @@
     tokio::spawn(running);
     handle
 }
+
+/// Guards against prepaid amounts that are lost with callers that disconnect before their charge
+/// is decided.
+#[tokio::test]
+async fn a_prepaid_amount_is_returned_if_its_caller_has_disconnected() {
+    let clock = Clock::start();
+    let (host, dispatcher) = (id::Host::from("host"), id::Host::from("dispatcher"));
+    let (_sender, configuration) = watch::channel(Configuration::default());
+    let handle = start(&host, false, clock, configuration);
+    let charge = Charge {
+        account: id::Account::from("studio"),
+        cost: 1.0,
+        quota: Quota {
+            per_second: 1.0,
+            burst: 1.0,
+        },
+        revision: id::Revision(1),
+    };
+    assert!(!handle.spend_prepaid(charge.clone()).await);
+    let reply = r#"{"token":1,"grants":[{"account":"studio","amount":1.0}]}"#;
+    let reply: Reply = serde_json::from_str(reply).expect("an answer");
+    handle.accept(&dispatcher, 1, Some(reply), clock.now());
+    {
+        let given_up = handle.spend_prepaid(charge.clone());
+        tokio::pin!(given_up);
+        assert!(poll!(given_up).is_pending());
+    }
+    assert!(handle.spend_prepaid(charge.clone()).await);
+    assert!(!handle.spend_prepaid(charge).await);
+}
