--- a/crates/papayayard_gateway/src/dispatch/handler.rs
+++ b/crates/papayayard_gateway/src/dispatch/handler.rs
@@ -83,19 +83,9 @@
             }
             _ => None,
         };
-        let mut is_charged = false;
-        let decision = match call.question {
-            Some(mut request) if is_dispatching => {
-                let charge = request.charge.take();
-                match self.charge(caller, charge, request.time_left()).await {
-                    Ok(charged) => {
-                        is_charged = charged;
-                        self.decide(request, host.clone(), zone).await
-                    }
-                    Err(refusal) => Some(refusal),
-                }
-            }
-            _ => None,
+        let (decision, is_charged) = match call.question {
+            Some(request) if is_dispatching => self.charge_and_decide(caller, request, zone).await,
+            _ => (None, false),
         };
         let limits = shared.schedule.limits();
         let is_current = call.limits_revision == Some(limits.revision);
@@ -125,6 +115,24 @@
         self.0.0.schedule.send(message);
     }
 
+    /// Returns the decision on a request of another host, if there is one in time, and whether
+    /// the request is charged to the pool of this host.
+    async fn charge_and_decide(
+        &self,
+        caller: Caller<'_>,
+        mut request: Request,
+        zone: id::Zone,
+    ) -> (Option<Decision>, bool) {
+        let charge = request.charge.take();
+        match self.charge(caller, charge, request.time_left()).await {
+            Ok(is_charged) => {
+                let decision = self.decide(request, caller.host.clone(), zone).await;
+                (decision, is_charged)
+            }
+            Err(refusal) => (Some(refusal), false),
+        }
+    }
+
     /// Charges a request of another host to the pool of this one. Returns whether it is charged.
     async fn charge(
         &self,
--- a/crates/papayayard_gateway/src/host.rs
+++ b/crates/papayayard_gateway/src/host.rs
@@ -381,12 +381,12 @@
         uplink
     }
 
-    fn keep_quotas(
+    fn start_quotas(
         &mut self,
         configuration: &watch::Receiver<Configuration>,
         hosts: &watch::Receiver<usize>,
     ) -> quota::Handle {
-        let (quota, keeping) = quota::start(quota::Parts {
+        let (quota, task) = quota::start(quota::Parts {
             settings: papayayard_coordination::quota::Settings {
                 host: self.settings.host.clone(),
                 run: rand::random(),
@@ -401,7 +401,7 @@
             hosts: hosts.clone(),
             metrics: self.metrics.clone(),
         });
-        self.controllers.spawn(keeping);
+        self.controllers.spawn(task);
         quota
     }
 
@@ -411,7 +411,7 @@
         configuration: &watch::Receiver<Configuration>,
         hosts: &watch::Receiver<usize>,
     ) -> Dispatch {
-        let quota = self.keep_quotas(configuration, hosts);
+        let quota = self.start_quotas(configuration, hosts);
         let dispatch = Dispatch::new(dispatch::Parts {
             local: self.local_host(),
             clock: self.store.clock,
--- a/crates/papayayard_gateway/src/overload.rs
+++ b/crates/papayayard_gateway/src/overload.rs
@@ -1,4 +1,4 @@
-//! Keeps the scheduler's task from more requests than it can decide in time.
+//! Refuses placement requests on which the scheduler's task cannot decide in time.
 
 use std::collections::HashMap;
 use std::time::Duration;
--- a/crates/papayayard_gateway/src/quota.rs
+++ b/crates/papayayard_gateway/src/quota.rs
@@ -202,15 +202,18 @@
     let accounts = table.accounts.iter();
     let limited = accounts.filter_map(|account| {
         let quota = account.quota?;
-        let quota = Quota {
-            per_second: quota.per_second(),
-            burst: quota.burst(),
-        };
-        Some((account.name.clone(), quota))
+        Some((account.name.clone(), without_unit(quota)))
     });
     limited.collect()
 }
 
+const fn without_unit(quota: papayayard_routing::quota::Quota) -> Quota {
+    Quota {
+        per_second: quota.per_second(),
+        burst: quota.burst(),
+    }
+}
+
 #[cfg(test)]
 #[path = "quota_test.rs"]
 pub(crate) mod test;
--- a/crates/papayayard_gateway/src/quota/bill.rs
+++ b/crates/papayayard_gateway/src/quota/bill.rs
@@ -4,12 +4,12 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use papayayard_coordination::quota::{Charge, Quota, Verdict};
+use papayayard_coordination::quota::{Charge, Verdict};
 use papayayard_routing::prompt::Prompt;
 use papayayard_routing::table::Account;
 use papayayard_wire::id;
 
-use super::{Handle, Message};
+use super::{Handle, Message, without_unit};
 use crate::refusal::millis;
 
 /// Charge of a request; copies refer to the same request. The charge is returned once all copies
@@ -64,10 +64,7 @@
         let charge = Charge {
             account: account.name.clone(),
             cost,
-            quota: Quota {
-                per_second: quota.per_second(),
-                burst: quota.burst(),
-            },
+            quota: without_unit(quota),
             revision,
         };
         let shared = Shared {
@@ -98,18 +95,13 @@
     /// request; `None` if there is nothing to charge.
     pub(crate) fn request(&self, dispatcher: &id::Host) -> Option<(u64, &Charge)> {
         let shared = self.0.as_ref()?;
+        // An earlier call may have been given up before its answer.
+        self.unanswered();
         let mut state = shared.state();
-        let number = match &state.payment {
-            Payment::Open => shared.ledger.number(),
-            // The call was given up before its answer.
-            Payment::Requested(host, number) => {
-                shared.return_to(host, *number);
-                shared.ledger.number()
-            }
-            Payment::Dispatcher(..) | Payment::Own(_) | Payment::Prepaid | Payment::Elsewhere => {
-                return None;
-            }
-        };
+        if !matches!(state.payment, Payment::Open) {
+            return None;
+        }
+        let number = shared.ledger.number();
         state.payment = Payment::Requested(dispatcher.clone(), number);
         Some((number, &shared.charge))
     }
--- a/crates/papayayard_gateway/src/relay/admit.rs
+++ b/crates/papayayard_gateway/src/relay/admit.rs
@@ -89,17 +89,15 @@
         let isolated = account.as_ref().filter(|account| account.isolated);
         let isolated = isolated.map(|account| &account.name);
         let subjects = Arc::new(Subjects::of(fingerprint, prompt, isolated));
-        if account
-            .as_ref()
-            .is_some_and(|account| account.quota.is_some())
-        {
+        let limited = account.as_deref().filter(|account| account.quota.is_some());
+        if limited.is_some() {
             self.check_quotas()?;
         }
-        let bill = match account.as_ref().filter(|_| !is_charged) {
-            Some(account) => self
-                .dispatch
-                .quota()
-                .bill(&id, account, prompt, table.revision),
+        let bill = match limited.filter(|_| !is_charged) {
+            Some(account) => {
+                let quota = self.dispatch.quota();
+                quota.bill(&id, account, prompt, table.revision)
+            }
             None => Bill::default(),
         };
         Ok(Job {
