--- a/crates/papayayard_gateway/src/dispatch/charging_test.rs
+++ b/crates/papayayard_gateway/src/dispatch/charging_test.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_util::poll;
 use papayayard_coordination::quota::Offer;
 use papayayard_routing::quota::{Quota, Unit};
 use papayayard_routing::table::{Account, Accounts, Limits, Table};
@@ -157,6 +158,27 @@
     assert_over_quota(&asker.place_with(&asker.bill()).await, by);
 }
 
+/// Guards against a request that is passed on as charged since its charge was given up before it
+/// was decided, and against a charge that is kept then.
+#[tokio::test]
+async fn a_charge_that_is_given_up_is_still_due() {
+    let (_dispatcher, asker) = start(true);
+    asker.set_neighbours(&[]);
+    let bill = asker.bill();
+    {
+        let given_up = bill.charge_own(asker.query().deadline);
+        tokio::pin!(given_up);
+        assert!(poll!(given_up).is_pending());
+    }
+    assert!(bill.is_due() && !bill.is_charged());
+    let others = [(); BURST - 1].map(|()| asker.bill());
+    for bill in others.iter().chain([&bill]) {
+        let selection = asker.place_with(bill).await;
+        assert!(matches!(selection, Selection::Placed(..)));
+    }
+    assert_over_quota(&asker.place_with(&asker.bill()).await, "own");
+}
+
 /// Guards against returned charges that are lost with the call that returns them.
 #[tokio::test]
 async fn a_returned_charge_is_returned_again_if_its_call_gets_no_answer() {
--- a/crates/papayayard_gateway/src/quota/bill.rs
+++ b/crates/papayayard_gateway/src/quota/bill.rs
@@ -37,6 +37,8 @@
     /// A dispatcher was asked to charge it and may have done so.
     Requested(id::Host, u64),
     Dispatcher(id::Host, u64),
+    /// The pool of this host was asked to charge it and may have done so.
+    RequestedOwn(u64),
     /// The pool of this host.
     Own(u64),
     /// The prepaid amount of this host.
@@ -121,17 +123,20 @@
         }
     }
 
-    /// Returns a charge that a dispatcher may have made although it did not answer. Another
-    /// call has another number, so that this return cannot be taken for that of its charge.
+    /// Returns a charge that a dispatcher, or the pool of this host, may have made although its
+    /// answer was not read. Another call has another number, so that this return cannot be taken
+    /// for that of its charge.
     pub(crate) fn unanswered(&self) {
         let Some(shared) = &self.0 else {
             return;
         };
         let mut state = shared.state();
-        if let Payment::Requested(host, number) = &state.payment {
-            shared.return_to(host, *number);
-            state.payment = Payment::Open;
+        match &state.payment {
+            Payment::Requested(host, number) => shared.return_to(host, *number),
+            Payment::RequestedOwn(number) => shared.ledger.send(Message::Return(*number)),
+            _ => return,
         }
+        state.payment = Payment::Open;
     }
 
     /// Charges the request to the prepaid amount of this host, if that is sufficient.
@@ -154,10 +159,13 @@
         self.unanswered();
         let number = shared.ledger.number();
         // Recorded first, so that the charge is returned if the caller leaves meanwhile.
-        shared.state().payment = Payment::Own(number);
+        shared.state().payment = Payment::RequestedOwn(number);
         let charge = shared.charge.clone();
         match shared.ledger.charge(None, number, charge, deadline).await {
-            Verdict::Charged => Ok(()),
+            Verdict::Charged => {
+                shared.state().payment = Payment::Own(number);
+                Ok(())
+            }
             Verdict::Refused { retry_after } => {
                 shared.state().payment = Payment::Open;
                 Err(retry_after)
@@ -223,7 +231,10 @@
 
 impl Shared {
     fn is_due(&self) -> bool {
-        matches!(self.state().payment, Payment::Open | Payment::Requested(..))
+        matches!(
+            self.state().payment,
+            Payment::Open | Payment::Requested(..) | Payment::RequestedOwn(_)
+        )
     }
 
     fn return_to(&self, dispatcher: &id::Host, number: u64) {
@@ -250,7 +261,9 @@
             Payment::Requested(host, number) | Payment::Dispatcher(host, number) => {
                 self.return_to(host, *number);
             }
-            Payment::Own(number) => self.ledger.send(Message::Return(*number)),
+            Payment::RequestedOwn(number) | Payment::Own(number) => {
+                self.ledger.send(Message::Return(*number));
+            }
         }
         self.ledger.metrics.quota_returned();
     }
