--- a/crates/papayayard_gateway/src/dispatch/busy_test.rs
+++ b/crates/papayayard_gateway/src/dispatch/busy_test.rs
@@ -8,12 +8,14 @@
 use jsonrpsee::RpcModule;
 use jsonrpsee::server::Server;
 use jsonrpsee::types::ErrorObjectOwned;
+use papayayard_routing::rate::Rate;
+use papayayard_wire::id;
 use tokio::sync::watch;
 use tokio::time;
 
 use super::message::{Call, Event};
 use super::test::Host;
-use super::{Cause, Handler, Selection};
+use super::{Cause, Handler, Selection, retry};
 
 /// Delay of slow answers, longer than any host waits.
 const SLOW: Duration = Duration::from_secs(5);
@@ -211,3 +213,53 @@
     let address = (Ipv4Addr::LOCALHOST, dispatcher.address().port());
     assert!(tokio::net::TcpStream::connect(address).await.is_err());
 }
+
+/// Guards against outcomes that are lost with a call whose caller disconnects, so that their
+/// places stay taken at the dispatcher.
+#[tokio::test]
+async fn outcomes_of_a_call_that_is_given_up_are_sent_again() {
+    // The dispatcher's connections are accepted by the system, and nothing is read from them.
+    let [_frozen, asker] = hosts(["frozen", "asker"]);
+    let link = asker.dispatch.dispatcher().expect("a dispatcher");
+    link.notify(1, Event::Whole);
+    let call = link.send_heartbeat(true, asker.clock.now());
+    assert!(time::timeout(PERIOD, call).await.is_err());
+    assert!(link.has_notices());
+}
+
+/// Guards against streams that call a busy dispatcher ever more often as their deadlines near.
+#[tokio::test]
+async fn a_stream_that_goes_on_is_asked_again_after_a_minimum_delay() {
+    let host = Host::new("host", 100);
+    let mut query = host.query();
+    query.software = Some(id::Software::from("v1"));
+    let refused = retry::refused(Duration::ZERO, "dispatcher");
+    let started_at = host.clock.now();
+    assert!(retry::wait(&query, &refused, host.clock).await);
+    assert!(host.clock.now() >= started_at + retry::MIN_DELAY);
+    query.deadline = host.clock.now();
+    assert!(!retry::wait(&query, &refused, host.clock).await);
+}
+
+/// Guards against a host that gets no room at endpoints with limits on refusals, since it has
+/// outcomes for a dispatcher that was killed.
+#[tokio::test]
+async fn outcomes_for_a_killed_dispatcher_do_not_take_the_limits_of_its_host() {
+    let [mut killed, asker] = hosts(["killed", "asker"]);
+    drop(killed.listener.take());
+    let link = asker.dispatch.dispatcher().expect("a dispatcher");
+    link.notify(1, Event::Whole);
+    let Selection::Placed(_, permit) = asker.dispatch.place(asker.query()).await else {
+        panic!("the engine has room");
+    };
+    permit.set_refusal_limit(Rate::new(1.0).expect("a rate"));
+    drop(permit);
+    tokio::spawn(asker.dispatch.clone().report());
+    let placed = async {
+        while let Selection::Refused { .. } = asker.dispatch.place(asker.query()).await {
+            time::sleep(PERIOD).await;
+        }
+    };
+    let placed = time::timeout(TIMEOUT, placed).await;
+    placed.expect("the host has all of the limit");
+}
--- a/crates/papayayard_gateway/src/quota/bill.rs
+++ b/crates/papayayard_gateway/src/quota/bill.rs
@@ -4,12 +4,12 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use papayayard_coordination::quota::{Charge, Quota, Verdict};
+use papayayard_coordination::quota::{Charge, Verdict};
 use papayayard_routing::prompt::Prompt;
 use papayayard_routing::table::Account;
 use papayayard_wire::id;
 
-use super::{Handle, Message};
+use super::{Handle, Message, without_unit};
 use crate::refusal::millis;
 
 /// Charge of a request; copies refer to the same request. The charge is returned once all copies
@@ -37,6 +37,8 @@
     /// A dispatcher was asked to charge it and may have done so.
     Requested(id::Host, u64),
     Dispatcher(id::Host, u64),
+    /// The pool of this host was asked to charge it and may have done so.
+    RequestedOwn(u64),
     /// The pool of this host.
     Own(u64),
     /// The prepaid amount of this host.
@@ -64,10 +66,7 @@
         let charge = Charge {
             account: account.name.clone(),
             cost,
-            quota: Quota {
-                per_second: quota.per_second(),
-                burst: quota.burst(),
-            },
+            quota: without_unit(quota),
             revision,
         };
         let shared = Shared {
@@ -98,18 +97,13 @@
     /// request; `None` if there is nothing to charge.
     pub(crate) fn request(&self, dispatcher: &id::Host) -> Option<(u64, &Charge)> {
         let shared = self.0.as_ref()?;
+        // An earlier call may have been given up before its answer.
+        self.unanswered();
         let mut state = shared.state();
-        let number = match &state.payment {
-            Payment::Open => shared.ledger.number(),
-            // The call was given up before its answer.
-            Payment::Requested(host, number) => {
-                shared.return_to(host, *number);
-                shared.ledger.number()
-            }
-            Payment::Dispatcher(..) | Payment::Own(_) | Payment::Prepaid | Payment::Elsewhere => {
-                return None;
-            }
-        };
+        if !matches!(state.payment, Payment::Open) {
+            return None;
+        }
+        let number = shared.ledger.number();
         state.payment = Payment::Requested(dispatcher.clone(), number);
         Some((number, &shared.charge))
     }
@@ -129,17 +123,20 @@
         }
     }
 
-    /// Returns a charge that a dispatcher may have made although it did not answer. Another
-    /// call has another number, so that this return cannot be taken for that of its charge.
+    /// Returns a charge that a dispatcher, or the pool of this host, may have made although its
+    /// answer was not read. Another call has another number, so that this return cannot be taken
+    /// for that of its charge.
     pub(crate) fn unanswered(&self) {
         let Some(shared) = &self.0 else {
             return;
         };
         let mut state = shared.state();
-        if let Payment::Requested(host, number) = &state.payment {
-            shared.return_to(host, *number);
-            state.payment = Payment::Open;
+        match &state.payment {
+            Payment::Requested(host, number) => shared.return_to(host, *number),
+            Payment::RequestedOwn(number) => shared.ledger.send(Message::Return(*number)),
+            _ => return,
         }
+        state.payment = Payment::Open;
     }
 
     /// Charges the request to the prepaid amount of this host, if that is sufficient.
@@ -162,10 +159,13 @@
         self.unanswered();
         let number = shared.ledger.number();
         // Recorded first, so that the charge is returned if the caller leaves meanwhile.
-        shared.state().payment = Payment::Own(number);
+        shared.state().payment = Payment::RequestedOwn(number);
         let charge = shared.charge.clone();
         match shared.ledger.charge(None, number, charge, deadline).await {
-            Verdict::Charged => Ok(()),
+            Verdict::Charged => {
+                shared.state().payment = Payment::Own(number);
+                Ok(())
+            }
             Verdict::Refused { retry_after } => {
                 shared.state().payment = Payment::Open;
                 Err(retry_after)
@@ -231,7 +231,10 @@
 
 impl Shared {
     fn is_due(&self) -> bool {
-        matches!(self.state().payment, Payment::Open | Payment::Requested(..))
+        matches!(
+            self.state().payment,
+            Payment::Open | Payment::Requested(..) | Payment::RequestedOwn(_)
+        )
     }
 
     fn return_to(&self, dispatcher: &id::Host, number: u64) {
@@ -258,7 +261,9 @@
             Payment::Requested(host, number) | Payment::Dispatcher(host, number) => {
                 self.return_to(host, *number);
             }
-            Payment::Own(number) => self.ledger.send(Message::Return(*number)),
+            Payment::RequestedOwn(number) | Payment::Own(number) => {
+                self.ledger.send(Message::Return(*number));
+            }
         }
         self.ledger.metrics.quota_returned();
     }
