Comments: plain words in five places

Two comments named how a figure was found, and four used words that a newcomer has to guess. Only comments change.

--- a/crates/papayayard_coordination/tests/dispatcher_health_test.rs
+++ b/crates/papayayard_coordination/tests/dispatcher_health_test.rs
@@ -63,7 +63,7 @@
     (0..u32::try_from(number).unwrap()).map(move |index| from + period * index)
 }
 
-/// Guards against hosts that place requests blind during a burst, since a third of their calls
+/// Guards against hosts that place requests alone during a burst, since a third of their calls
 /// time out.
 #[rstest]
 fn a_dispatcher_that_answers_two_calls_of_three_is_busy(
--- a/crates/papayayard_gateway/src/dispatch/busy_test.rs
+++ b/crates/papayayard_gateway/src/dispatch/busy_test.rs
@@ -132,7 +132,7 @@
     String::from_utf8(text).expect("a text")
 }
 
-/// Guards against hosts that place requests blind since a call to their dispatcher timed out
+/// Guards against hosts that place requests alone since a call to their dispatcher timed out
 /// while it answers others, and against a place that stays taken by the call without an answer.
 #[tokio::test]
 async fn a_request_is_asked_again_at_a_busy_dispatcher() {
--- a/crates/papayayard_routing/src/placement/reservation.rs
+++ b/crates/papayayard_routing/src/placement/reservation.rs
@@ -4,7 +4,7 @@
 //! requests therefore hold room, and requests after them are placed only beside it: those that
 //! are more urgent than others of their service, and those of a lane (see [`order`]) after which
 //! later ones have been placed, or whose account has had less than another. Room is held anew in
-//! each decision, at the engines with the least load, so that it adds up there.
+//! each decision, at the engines with the least load, where enough becomes free first.
 //!
 //! Engines do not stand idle for it: an engine holds room for one request at a time, and only
 //! for one that it could begin in time if it were empty. What it leaves unused is less than this
@@ -32,8 +32,7 @@
 pub(super) const RESERVATION_PERIOD: Duration = Duration::from_millis(20);
 
 /// One of so many engines of a service may hold room for requests against others of their
-/// priority. With one of four, or with all, more requests of other accounts are refused beside one
-/// at seven times its usual load.
+/// priority. The rest stays open to all requests, so that engines do not stand idle.
 const ENGINES_PER_RESERVATION: usize = 2;
 
 /// What an engine holds for a request.
--- a/crates/papayayard_routing/src/placement/usability.rs
+++ b/crates/papayayard_routing/src/placement/usability.rs
@@ -1,8 +1,8 @@
 //! Rules that keep requests from an endpoint, whatever the request, and their changes.
 //!
 //! A scheduler compares the rules that hold with those that held when it was last asked. Some of
-//! them flip with each request; the changes that are worth a line are therefore few for each
-//! endpoint and rule, while all are counted.
+//! them flip with each request; the changes that are logged are therefore few for each endpoint
+//! and rule, while all are counted.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -144,7 +144,7 @@
 pub struct Changes {
     /// All changes, by rule and by whether it holds.
     pub counts: BTreeMap<(Rule, bool), u64>,
-    /// Those that are worth a line.
+    /// Those that are to be logged.
     pub reported: Vec<Change>,
 }
 
--- a/crates/papayayard_routing/tests/placement/shares.rs
+++ b/crates/papayayard_routing/tests/placement/shares.rs
@@ -313,7 +313,8 @@
 /// Start of the time that counts: engines have as much work as they accept then.
 const FILLED: Duration = NOW.saturating_add(ms(3_000));
 
-/// Requests of [`hot_account`] that 333c398 places, of the others and of the hot account.
+/// Requests of [`hot_account`] that are placed without fair shares, of the others and of the hot
+/// account.
 const PLACED_BEFORE: [f64; 2] = [3_944.0, 1_772.0];
 
 /// Totals of the others and of the hot account, with fair shares and by arrival.
