--- a/review/rig-2.rs
+++ b/review/rig-2.rs
@@ -388,6 +388,15 @@
 /// The limit on the memory of a process, from the sheet of the site.
 const MEMORY_MB: u64 = 110;
 
+unsafe extern "C" {
+    fn kill(process: i32, signal: i32) -> i32;
+}
+
+/// The share of a processor that each host gets; all of one if it isn't set.
+fn processor_share() -> Option<f64> {
+    std::env::var("PROCESSOR").ok()?.parse().ok()
+}
+
 /// A host, which the platform starts again after a short delay if it ends, and kills if it
 /// exceeds its memory.
 struct Host {
@@ -525,6 +534,43 @@
         }
     }
 
+    /// Gives the processes of the host a share of a processor in each tenth of a second, as a
+    /// quota does: one that has used its share stands still for the rest of it.
+    fn limit_processor(&self, share: f64) {
+        const STOP: i32 = 19;
+        const CONTINUE: i32 = 18;
+        let period = Duration::from_millis(100);
+        while !self.stopped.load(Ordering::SeqCst) {
+            let begin = Instant::now();
+            let id = self.id();
+            let before = self.processor_ms().unwrap_or(0);
+            let mut is_stopped = false;
+            while begin.elapsed() < period {
+                sleep_ms(3);
+                let used = self.processor_ms().unwrap_or(0).saturating_sub(before);
+                if !is_stopped && used as f64 >= share * period.as_millis() as f64 {
+                    is_stopped = self.signal(id, STOP);
+                }
+            }
+            if is_stopped {
+                self.signal(id, CONTINUE);
+            }
+        }
+    }
+
+    /// Sends a signal to the process of the host, if it is still the given one.
+    fn signal(&self, id: Option<u32>, signal: i32) -> bool {
+        let child = self.child.lock().unwrap();
+        let running = child.as_ref().map(Child::id);
+        match running {
+            Some(running) if id == Some(running) => {
+                // SAFETY: the process is a child that was not waited for, so its id is its own.
+                unsafe { kill(running as i32, signal) == 0 }
+            }
+            _ => false,
+        }
+    }
+
     fn stop(&self) {
         self.stopped.store(true, Ordering::SeqCst);
         self.kill();
@@ -567,8 +613,12 @@
     for host in &hosts {
         host.write_settings(store.address, &seeds);
         host.start();
+        let limited = Arc::clone(host);
         let (host, record) = (Arc::clone(host), Arc::clone(record));
         thread::spawn(move || host.supervise(&record));
+        if let Some(share) = processor_share() {
+            thread::spawn(move || limited.limit_processor(share));
+        }
     }
     let until = Instant::now() + Duration::from_secs(20);
     while !hosts.iter().all(|host| host.is_ready()) {
