--- a/review/rig-2.rs
+++ b/review/rig-2.rs
@@ -163,7 +163,9 @@
                 self.exact(2)?;
             }
         }
-        let length = head.get("content-length").and_then(|text| text.parse().ok());
+        let length = head
+            .get("content-length")
+            .and_then(|text| text.parse().ok());
         self.exact(length.unwrap_or(0))
     }
 
@@ -279,8 +281,12 @@
         match path {
             "/v1/log-newest" => self.newest(&topic, value("after")),
             "/v1/log-read" => {
-                let from = value("from").and_then(|text| text.parse().ok()).unwrap_or(0);
-                let wait = value("waitMs").and_then(|text| text.parse().ok()).unwrap_or(0);
+                let from = value("from")
+                    .and_then(|text| text.parse().ok())
+                    .unwrap_or(0);
+                let wait = value("waitMs")
+                    .and_then(|text| text.parse().ok())
+                    .unwrap_or(0);
                 self.read(&topic, from, Duration::from_millis(wait))
             }
             "/v1/log-append" => self.append(&topic, value("at"), body),
@@ -440,7 +446,12 @@
         let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
         let text = format!(
             "host: {}\nzone: {}\nlisten:\n  callers: \"{}\"\n  operators: \"{}\"\n  peers: \"{}\"\n  forwarded: \"{}\"\nseeds: [{}]\ncapacity: 0.25\nmemory_mb: {MEMORY_MB}\nstore: \"{store}\"\nfirst_start: true\nbounds:\n  strict_revocation: true\n  revocation_ms: 5000\n  configuration_ms: 2000\n  old_weights_ms: 12000\n  lease_ms: 3000\n  repeat_ratio: 0.2\n  repeat_slack: 58\n  repeat_window_ms: 10000\n  stop_ms: 8000\n",
-            self.name, self.zone, self.callers, self.operators, self.peers, self.forwarded,
+            self.name,
+            self.zone,
+            self.callers,
+            self.operators,
+            self.peers,
+            self.forwarded,
             seeds.join(", "),
         );
         fs::write(&self.settings, text).expect("the settings can be written");
@@ -457,7 +468,10 @@
             .arg("--routes")
             .arg(&self.settings)
             .env_clear()
-            .envs(std::env::vars().filter(|(name, _)| matches!(name.as_str(), "PATH" | "HOME" | "LANG")))
+            .envs(
+                std::env::vars()
+                    .filter(|(name, _)| matches!(name.as_str(), "PATH" | "HOME" | "LANG")),
+            )
             .stdin(Stdio::null())
             .stdout(log)
             .stderr(errors)
@@ -581,7 +595,10 @@
             return false;
         };
         let _ = stream.socket.set_read_timeout(Some(Duration::from_secs(1)));
-        if stream.send(b"GET /readyz HTTP/1.1\r\nhost: x\r\n\r\n").is_err() {
+        if stream
+            .send(b"GET /readyz HTTP/1.1\r\nhost: x\r\n\r\n")
+            .is_err()
+        {
             return false;
         }
         matches!(stream.head(), Ok(Some(head)) if head.word(1) == "200")
@@ -668,7 +685,14 @@
 
 const KEY: &str = "ctnfzs989anu6wsjnban";
 
-fn route(name: &str, prefix: &str, kind: &str, service: &str, timeout_ms: u64, more: &str) -> String {
+fn route(
+    name: &str,
+    prefix: &str,
+    kind: &str,
+    service: &str,
+    timeout_ms: u64,
+    more: &str,
+) -> String {
     format!(
         r#"{{"name":"{name}","host":"one.example","pathPrefix":"{prefix}","routeKind":"{kind}","timeoutMs":{timeout_ms},"targetLatencyMs":400,"priority":1,"service":"{service}","public":false,{more}}}"#
     )
@@ -682,7 +706,8 @@
     )
 }
 
-const PLAIN: &str = r#"{"name":"studio","healthPath":"/health","maxConns":110,"protocol":"h1","tls":false}"#;
+const PLAIN: &str =
+    r#"{"name":"studio","healthPath":"/health","maxConns":110,"protocol":"h1","tls":false}"#;
 const KEPT: &str = r#"{"name":"prompt-keep","kvStoreAddr":"ADDRESS","zone":"bergen-b","kvCapacityTokens":3424777,"linkMbps":120000.0,"maxInflight":12}"#;
 const ENGINE: &str = r#"{"name":"match","healthPath":"/health","maxConns":370,"protocol":"h1","tls":false,"engine":{"slots":64,"kvCapacityTokens":121713,"kvTokenBytes":35136,"linkMbps":1100000.0,"moves":true,"backups":true,"stride":5,"maxInflight":12,"pinMs":4000.0,"holdMs":2000.0,"handle_s":5.0,"models":[{"name":"m0"}]}}"#;
 
